--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format measure model docs report clean
+
+$(STAMP): pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m chicoryusher_standins.demo $(ARGS)
+
+test: $(STAMP)
+	$(BIN)/python tools/run_tests.py
+
+lint: $(STAMP)
+	$(BIN)/ruff check src tests tools features
+	$(BIN)/ruff format --check src tests tools features
+	$(BIN)/flake8 src tests tools features
+	$(BIN)/lint-imports
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix src tests tools features
+	$(BIN)/ruff format src tests tools features
+
+measure: $(STAMP)
+	$(BIN)/python -m chicoryusher_standins.measure $(ARGS)
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/chicoryusher/core/catalogue.py
@@ -0,0 +1,127 @@
+"""Catalogue of log events: every event has a number and a level.
+
+Thousands give the part: 1 daemon, 2 callers, 3 gates and connections,
+4 groups and failover, 5 platform and configuration, 6 membership and
+peers, 7 operators.
+"""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = ['LogEvent', 'LogLevel']
+
+
+class LogLevel(enum.Enum):
+    """Severity of a log event."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
+class LogEvent(enum.Enum):
+    """A numbered log event: number, level and meaning."""
+
+    def __init__(self, number: int, level: LogLevel, meaning: str):
+        self.number = number
+        self.level = level
+        self.meaning = meaning
+
+    DAEMON_RUNNING = (1001, LogLevel.INFO, 'the daemon serves callers')
+    DAEMON_DRAINING = (1002, LogLevel.INFO, 'the daemon takes no new work')
+    DAEMON_STOPPED = (1003, LogLevel.INFO, 'the daemon has stopped')
+    DRAIN_TIMED_OUT = (
+        1004,
+        LogLevel.WARNING,
+        'the drain ended before all work had finished',
+    )
+    SETTINGS_BAD = (1005, LogLevel.ERROR, 'a settings file has defects')
+    TASK_FAILED = (
+        1006,
+        LogLevel.ERROR,
+        'a task failed on one message and went on',
+    )
+    NO_SUCH_TASK = (1007, LogLevel.WARNING, 'a message had no receiver')
+    CHART_BAD = (1008, LogLevel.ERROR, 'a state chart file is not valid')
+    CALLER_OPENED = (2001, LogLevel.DEBUG, 'a caller has authenticated')
+    CALLER_CLOSED = (2002, LogLevel.DEBUG, 'a caller has left')
+    CALLER_REFUSED = (2003, LogLevel.WARNING, 'a caller was refused')
+    PACKET_BAD = (2004, LogLevel.WARNING, 'a caller broke the protocol')
+    PACKET_OVERSIZE = (
+        2005,
+        LogLevel.WARNING,
+        'a caller sent a packet over the bound',
+    )
+    DATABASE_UNKNOWN = (
+        2006,
+        LogLevel.WARNING,
+        'a caller named an unknown database',
+    )
+    CALLER_SILENT = (
+        2007,
+        LogLevel.WARNING,
+        'a caller did not finish its handshake in time',
+    )
+    TOKEN_BAD = (2008, LogLevel.WARNING, 'a session token was refused')
+    CONN_OPENED = (3001, LogLevel.DEBUG, 'a backend connection opened')
+    CONN_LOST = (3002, LogLevel.WARNING, 'a backend connection was lost')
+    CONN_REFUSED = (
+        3003,
+        LogLevel.WARNING,
+        'an instance refused a connection',
+    )
+    GATE_SERVING = (3004, LogLevel.INFO, 'this VM is the gate now')
+    GATE_RELEASED = (3005, LogLevel.INFO, 'this VM gave up the gate')
+    GATE_LOST = (3006, LogLevel.WARNING, 'the gate lock was lost')
+    REQUEST_UNKNOWN = (
+        3007,
+        LogLevel.WARNING,
+        'a request ended with an unknown outcome',
+    )
+    REQUEST_SHED = (3008, LogLevel.DEBUG, 'a request was refused at the door')
+    REQUEST_CUT = (
+        3009,
+        LogLevel.WARNING,
+        'a statement was cut at its deadline',
+    )
+    PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not answer')
+    PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary answered')
+    TERM_CLAIMED = (4003, LogLevel.WARNING, 'this VM claims a new term')
+    TERM_LOST = (4004, LogLevel.INFO, 'another VM has the term')
+    STORE_SKIPPED = (
+        4005,
+        LogLevel.WARNING,
+        'the table does not answer; the fence alone decides the term',
+    )
+    PRIMARY_PROMOTED = (4006, LogLevel.WARNING, 'an instance was promoted')
+    FENCE_REFUSED = (4007, LogLevel.WARNING, 'no majority took the fence')
+    INSTANCE_LEAVING = (
+        4008,
+        LogLevel.INFO,
+        'an instance is leaving and gets no new work',
+    )
+    PLATFORM_DOWN = (5001, LogLevel.WARNING, 'the platform does not answer')
+    PLATFORM_BACK = (5002, LogLevel.INFO, 'the platform answers again')
+    CONFIG_IN_FORCE = (5003, LogLevel.INFO, 'a configuration is in force')
+    CONFIG_STALE = (
+        5004,
+        LogLevel.INFO,
+        'an older configuration was read and ignored',
+    )
+    CONFIG_BAD = (5005, LogLevel.ERROR, 'a configuration has defects')
+    CONFIG_ACCEPTED = (5006, LogLevel.INFO, 'a configuration was accepted')
+    CONFIG_CONFLICT = (
+        5007,
+        LogLevel.WARNING,
+        'another change was accepted first',
+    )
+    AUDIT_FAILED = (5008, LogLevel.ERROR, 'an audit record was not kept')
+    PEER_CONNECTED = (6001, LogLevel.INFO, 'a peer stream opened')
+    PEER_LOST = (6002, LogLevel.WARNING, 'a peer stream closed')
+    PEER_FRAME_BAD = (6003, LogLevel.WARNING, 'a peer sent a bad frame')
+    PEER_REFUSED = (6004, LogLevel.WARNING, 'a peer failed to authenticate')
+    VM_STATE = (6005, LogLevel.INFO, 'another VM changed its state')
+    ADMIN_CALL = (7001, LogLevel.INFO, 'an operator called the daemon')
+    ADMIN_REFUSED = (7002, LogLevel.WARNING, 'an admin call was refused')
--- /dev/null
+++ b/src/chicoryusher/core/clock.py
@@ -0,0 +1,38 @@
+"""Clocks: monotonic seconds, real or advanced by a test."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+__all__ = ['Clock', 'SystemClock', 'VirtualClock']
+
+
+class Clock(Protocol):
+    """Source of monotonic time in seconds."""
+
+    def now(self) -> float:
+        """Return monotonic seconds since an arbitrary origin."""
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def now(self) -> float:
+        """Return the system's monotonic time in seconds."""
+        return time.monotonic()
+
+
+class VirtualClock:
+    """Clock that stands still until it is advanced."""
+
+    def __init__(self, start: float = 0.0):
+        self._now = start
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now
+
+    def advance_to(self, when: float) -> None:
+        """Move to ``when`` (seconds); an earlier time is ignored."""
+        self._now = max(self._now, when)
--- /dev/null
+++ b/src/chicoryusher/core/ids.py
@@ -0,0 +1,45 @@
+"""Identifiers: one distinct type for each kind of name or number."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+__all__ = [
+    'CallerName',
+    'ConfigVersion',
+    'ConnId',
+    'DatabaseName',
+    'IdempotencyKey',
+    'InstanceName',
+    'LogPosition',
+    'OperatorName',
+    'RegionName',
+    'RequestId',
+    'SessionId',
+    'StatementClass',
+    'TaskName',
+    'Term',
+    'TimerId',
+    'TransactionId',
+    'VmName',
+    'ZoneName',
+]
+
+CallerName = NewType('CallerName', str)
+ConfigVersion = NewType('ConfigVersion', int)
+ConnId = NewType('ConnId', int)
+DatabaseName = NewType('DatabaseName', str)
+IdempotencyKey = NewType('IdempotencyKey', str)
+InstanceName = NewType('InstanceName', str)
+LogPosition = NewType('LogPosition', int)
+OperatorName = NewType('OperatorName', str)
+RegionName = NewType('RegionName', str)
+RequestId = NewType('RequestId', str)
+SessionId = NewType('SessionId', str)
+StatementClass = NewType('StatementClass', str)
+TaskName = NewType('TaskName', str)
+Term = NewType('Term', int)
+TimerId = NewType('TimerId', int)
+TransactionId = NewType('TransactionId', str)
+VmName = NewType('VmName', str)
+ZoneName = NewType('ZoneName', str)
--- /dev/null
+++ b/src/chicoryusher/runtime/timers.py
@@ -0,0 +1,70 @@
+"""Timers: messages that a task will get at a later time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+import circuits
+
+from chicoryusher import core
+
+__all__ = ['Timers']
+
+
+class Timers(circuits.BaseComponent):
+    """Heap of due times, driven by the runtime's clock."""
+
+    channel = 'timers'
+
+    def __init__(
+        self,
+        clock: core.Clock,
+        post: Callable[[core.TaskName, core.Message], None],
+    ):
+        super().__init__(channel='timers')
+        self._clock = clock
+        self._post = post
+        self._numbers = itertools.count(1)
+        self._heap: list[tuple[float, int, core.TaskName, core.Message]] = []
+        self._cancelled: set[int] = set()
+        self._live: set[int] = set()
+
+    def add(
+        self, delay: float, task: core.TaskName, message: core.Message
+    ) -> core.TimerId:
+        """Send ``message`` to ``task`` after ``delay`` seconds."""
+        number = next(self._numbers)
+        when = self._clock.now() + max(0.0, delay)
+        heapq.heappush(self._heap, (when, number, task, message))
+        self._live.add(number)
+        return core.TimerId(number)
+
+    def cancel(self, timer: core.TimerId) -> None:
+        """Take back a timer; one that has fired is ignored."""
+        if timer in self._live:
+            self._cancelled.add(timer)
+
+    def next_due(self) -> float | None:
+        """Return when the next timer is due, or None without any."""
+        while self._heap and self._heap[0][1] in self._cancelled:
+            number = heapq.heappop(self._heap)[1]
+            self._cancelled.discard(number)
+            self._live.discard(number)
+        return self._heap[0][0] if self._heap else None
+
+    def fire_due(self) -> None:
+        """Post the message of every timer that is due."""
+        now = self._clock.now()
+        while (due := self.next_due()) is not None and due <= now:
+            _, number, task, message = heapq.heappop(self._heap)
+            self._live.discard(number)
+            self._post(task, message)
+
+    @circuits.handler('generate_events', channel='*')
+    def _on_generate_events(self, event: circuits.Event) -> None:
+        self.fire_due()
+        due = self.next_due()
+        if due is not None:
+            event.reduce_time_left(max(0.0, due - self._clock.now()))
