Add the parts of the path: wire, front end, router, gate, link

Cause: a statement has to go from a caller's driver to an instance.

Ruled out: session tokens kept in the store (a read for each session), staleness by comparing machines' clocks (cannot be proved).

--- /dev/null
+++ b/src/chicoryusher/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Back ends: encodings that instances speak."""
--- /dev/null
+++ b/src/chicoryusher/decisions/__init__.py
@@ -0,0 +1,52 @@
+"""Decisions: pure functions and small objects without sockets."""
+
+from __future__ import annotations
+
+from chicoryusher.decisions import configuration
+from chicoryusher.decisions import evidence
+from chicoryusher.decisions import freshness
+from chicoryusher.decisions import gates
+from chicoryusher.decisions import leadership
+from chicoryusher.decisions import ledger
+from chicoryusher.decisions import routing
+from chicoryusher.decisions import scheduling
+from chicoryusher.decisions import sessions
+from chicoryusher.decisions.configuration import *  # noqa: F403
+from chicoryusher.decisions.evidence import *  # noqa: F403
+from chicoryusher.decisions.freshness import *  # noqa: F403
+from chicoryusher.decisions.gates import *  # noqa: F403
+from chicoryusher.decisions.leadership import *  # noqa: F403
+from chicoryusher.decisions.ledger import *  # noqa: F403
+from chicoryusher.decisions.routing import GroupView
+from chicoryusher.decisions.routing import InstanceView
+from chicoryusher.decisions.routing import POLICIES as ROUTING
+from chicoryusher.decisions.routing import Route
+from chicoryusher.decisions.routing import Wanted
+from chicoryusher.decisions.scheduling import DEFAULT_POLICY
+from chicoryusher.decisions.scheduling import Item
+from chicoryusher.decisions.scheduling import POLICIES as QUEUES
+from chicoryusher.decisions.scheduling import Queue
+from chicoryusher.decisions.scheduling import ServiceTimes
+from chicoryusher.decisions.scheduling import Shed
+from chicoryusher.decisions.sessions import *  # noqa: F403
+
+__all__ = [
+    *configuration.__all__,
+    *evidence.__all__,
+    *freshness.__all__,
+    *gates.__all__,
+    *leadership.__all__,
+    *ledger.__all__,
+    *sessions.__all__,
+    'DEFAULT_POLICY',
+    'GroupView',
+    'InstanceView',
+    'Item',
+    'QUEUES',
+    'Queue',
+    'ROUTING',
+    'Route',
+    'ServiceTimes',
+    'Shed',
+    'Wanted',
+]
--- /dev/null
+++ b/src/chicoryusher/decisions/freshness.py
@@ -0,0 +1,63 @@
+"""How stale a replica is at most, proved on one clock.
+
+The gate's VM probes both the replica and the primary.  A replica that
+has applied what the primary had at time t is stale by at most now - t.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from chicoryusher import core
+
+__all__ = ['Freshness', 'lost_tail']
+
+HISTORY_ENTRIES = 256
+
+
+class _Observation(NamedTuple):
+    """A position of the primary and a time at which it had it."""
+
+    at: float
+    position: core.Position
+
+
+class Freshness:
+    """Positions of a group's primary over time."""
+
+    def __init__(self) -> None:
+        self.starts: tuple[core.TermStart, ...] = ()
+        self._history: collections.deque[_Observation] = collections.deque(
+            maxlen=HISTORY_ENTRIES
+        )
+
+    def primary_seen(
+        self,
+        began_at: float,
+        applied: core.Position,
+        starts: tuple[core.TermStart, ...],
+    ) -> None:
+        """Note what the primary had when a probe that began so ended.
+
+        The probe saw the state at ``began_at`` or later, so everything
+        committed before ``began_at`` is in ``applied``.
+        """
+        self.starts = starts
+        if self._history and self._history[-1].at >= began_at:
+            return
+        self._history.append(_Observation(began_at, applied))
+
+    def bound(self, applied: core.Position, now: float) -> float:
+        """Return the proved staleness in seconds; infinity if none."""
+        for seen in reversed(self._history):
+            if core.covers(applied, seen.position, self.starts):
+                return max(0.0, now - seen.at)
+        return float('inf')
+
+
+def lost_tail(wanted: core.Position, starts: Iterable[core.TermStart]) -> bool:
+    """Tell whether a later term began below ``wanted``."""
+    later = [one.offset for one in starts if one.term > wanted.term]
+    return bool(later) and min(later) < wanted.offset
--- /dev/null
+++ b/src/chicoryusher/decisions/sessions.py
@@ -0,0 +1,88 @@
+"""Session positions, and the signed tokens that carry them.
+
+A token holds, for each database the session wrote to, the position of
+its last write.  It is signed, so that a caller cannot make one up.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import hashlib
+import hmac
+import struct
+
+from chicoryusher import core
+
+__all__ = ['TokenCodec']
+
+SIGNATURE_BYTES = 12
+VERSION = 1
+MAX_TOKEN_CHARS = 4096
+MAX_NAME_BYTES = 255
+_HEAD = struct.Struct('<BB')
+_ENTRY = struct.Struct('<BIQ')
+
+
+class TokenCodec:
+    """Encode and check tokens under one secret key."""
+
+    def __init__(self, key: bytes, old_keys: tuple[bytes, ...] = ()):
+        self._key = key
+        self._keys = (key, *old_keys)
+
+    def encode(self, positions: dict[core.DatabaseName, core.Position]) -> str:
+        """Return a URL-safe token for ``positions``."""
+        parts = [_HEAD.pack(VERSION, len(positions))]
+        for name, position in sorted(positions.items()):
+            text = name.encode()
+            parts.append(
+                _ENTRY.pack(len(text), position.term, position.offset)
+            )
+            parts.append(text)
+        body = b''.join(parts)
+        signed = self._sign(self._key, body) + body
+        return base64.urlsafe_b64encode(signed).rstrip(b'=').decode()
+
+    def decode(self, token: str) -> dict[core.DatabaseName, core.Position]:
+        """Return the positions of a token; TokenError if it is bad."""
+        if len(token) > MAX_TOKEN_CHARS:
+            raise core.TokenError('the token is too long')
+        try:
+            padded = token + '=' * (-len(token) % 4)
+            signed = base64.urlsafe_b64decode(padded.encode('ascii'))
+        except (binascii.Error, UnicodeEncodeError, ValueError):
+            raise core.TokenError('the token cannot be decoded') from None
+        signature, body = signed[:SIGNATURE_BYTES], signed[SIGNATURE_BYTES:]
+        good = [
+            hmac.compare_digest(signature, self._sign(key, body))
+            for key in self._keys
+        ]
+        if not any(good):
+            raise core.TokenError('the signature of the token is wrong')
+        try:
+            return _parse(body)
+        except (struct.error, UnicodeDecodeError, ValueError):
+            raise core.TokenError('the token is malformed') from None
+
+    @staticmethod
+    def _sign(key: bytes, body: bytes) -> bytes:
+        digest = hmac.new(key, body, hashlib.sha256).digest()
+        return digest[:SIGNATURE_BYTES]
+
+
+def _parse(body: bytes) -> dict[core.DatabaseName, core.Position]:
+    version, count = _HEAD.unpack_from(body)
+    if version != VERSION:
+        raise core.TokenError(f'token version {version} is not known')
+    place = _HEAD.size
+    positions = {}
+    for _ in range(count):
+        size, term, offset = _ENTRY.unpack_from(body, place)
+        place += _ENTRY.size
+        name = core.DatabaseName(body[place : place + size].decode())
+        place += size
+        positions[name] = core.Position(
+            core.Term(term), core.LogPosition(offset)
+        )
+    return positions
--- /dev/null
+++ b/src/chicoryusher/frontends/__init__.py
@@ -0,0 +1,1 @@
+"""Front ends: encodings that callers speak."""
--- /dev/null
+++ b/src/chicoryusher/tasks/__init__.py
@@ -0,0 +1,21 @@
+"""Tasks: circuits components that decide by messages."""
+
+from __future__ import annotations
+
+from chicoryusher.tasks import gate
+from chicoryusher.tasks import group
+from chicoryusher.tasks import names
+from chicoryusher.tasks import notices
+from chicoryusher.tasks import router
+from chicoryusher.tasks.gate import *  # noqa: F403
+from chicoryusher.tasks.group import *  # noqa: F403
+from chicoryusher.tasks.notices import *  # noqa: F403
+from chicoryusher.tasks.router import *  # noqa: F403
+
+__all__ = [
+    *gate.__all__,
+    *group.__all__,
+    *notices.__all__,
+    *router.__all__,
+    'names',
+]
--- /dev/null
+++ b/src/chicoryusher/tasks/gate.py
@@ -0,0 +1,630 @@
+"""The gate of one instance: its queue, its slots, its connections."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher import charts
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher import runtime
+from chicoryusher.tasks import conns
+from chicoryusher.tasks import items
+from chicoryusher.tasks import names
+from chicoryusher.tasks import notices
+
+__all__ = ['Gate']
+
+RESERVED_CONNECTIONS = 2
+SPARE_CONNECTIONS = 2
+CLAIM_RETRY = 0.25
+EXPIRY_INTERVAL = 0.02
+HINT_INTERVAL = 0.05
+STATE_LIFETIME = 2.0
+CATCH_UP_POLL = 0.005
+MAJORITY_GRACE = 1.0
+_REASON = core.MoveReason
+
+
+class _Expire(core.Message):
+    """Time to look for requests whose deadline has passed."""
+
+
+class _ClaimAgain(core.Message):
+    """Time to ask for the gate lock again."""
+
+
+class Gate(runtime.Task):
+    """One scheduler with full knowledge of one instance's slots."""
+
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        spec: decisions.InstanceSpec,
+        policy: str = decisions.DEFAULT_POLICY,
+    ):
+        super().__init__(loop, vm, f'gate/{spec.name}')
+        self.spec = spec
+        self.state = core.GateState.STANDBY
+        self._chart = charts.compiled('gate')
+        self._requests = charts.compiled('request')
+        self._link = names.link(vm, spec.name)
+        self._group_task = names.group(vm, spec.database)
+        self._conns = conns.Conns(self._cap(spec))
+        self._queue: decisions.Queue = decisions.QUEUES.get(policy)(spec.slots)
+        self._running: dict[core.RequestId, items.GateItem] = {}
+        self._proving: dict[core.RequestId, items.GateItem] = {}
+        self._catching_up: list[items.GateItem] = []
+        self._group: core.GroupState | None = None
+        self._majority_at = self.now()
+        self._hinted: dict[core.VmName, float] = {}
+        self._expire_timer: core.TimerId | None = None
+        self._assigned = False
+        self.answered = 0
+        self.shed = 0
+
+    # -- assignment -------------------------------------------------
+
+    @runtime.handles(notices.AssignGate)
+    def _on_assign(self, message: notices.AssignGate) -> None:
+        self.spec = message.spec
+        self._queue.slots = message.spec.slots
+        self._conns.cap = self._cap(message.spec)
+        if message.assigned == self._assigned:
+            return
+        self._assigned = message.assigned
+        event = 'assigned' if message.assigned else 'unassigned'
+        self._chart.fire(self, event)
+        self._release_if_empty()
+
+    @staticmethod
+    def _cap(spec: decisions.InstanceSpec) -> int:
+        return max(1, spec.connections - RESERVED_CONNECTIONS)
+
+    def claim(self) -> None:
+        """Ask the instance for the gate lock."""
+        self.send(self._link, core.ClaimGate())
+
+    def claim_later(self) -> None:
+        """Ask for the gate lock again after a pause."""
+        self.after(CLAIM_RETRY, _ClaimAgain())
+
+    @runtime.handles(_ClaimAgain)
+    def _on_claim_again(self, again: _ClaimAgain) -> None:
+        if self.state is core.GateState.CLAIMING:
+            self.claim()
+
+    @runtime.handles(core.GateClaimed)
+    def _on_claimed(self, claimed: core.GateClaimed) -> None:
+        self._chart.fire(self, 'claimed' if claimed.granted else 'refused')
+
+    @runtime.handles(core.GateLost)
+    def _on_gate_lost(self, lost: core.GateLost) -> None:
+        if self.state is not core.GateState.STANDBY:
+            self.log.emit(
+                core.LogEvent.GATE_LOST, instance=str(self.spec.name)
+            )
+        self._chart.fire(self, 'lost')
+
+    def serve(self) -> None:
+        """Begin to run requests; open connections ahead of demand."""
+        self.log.emit(core.LogEvent.GATE_SERVING, instance=str(self.spec.name))
+        self._pump()
+
+    def close_all(self) -> None:
+        """Close every connection; what runs on them is lost."""
+        for conn in self._conns.all():
+            self.send(self._link, core.CloseConn(conn.conn_id))
+            self._conn_lost(conn, 'the gate was lost')
+
+    def unlock(self) -> None:
+        """Give the gate lock back to the instance."""
+        self.send(self._link, core.ReleaseGate())
+        self.log.emit(
+            core.LogEvent.GATE_RELEASED, instance=str(self.spec.name)
+        )
+
+    def refuse_queue(self) -> None:
+        """Send everything that was not run to the next gate."""
+        waiting: list[items.GateItem] = [*self._catching_up]
+        self._catching_up.clear()
+        for item in self._queue.drain():
+            assert isinstance(item, items.GateItem)
+            waiting.append(item)
+        for item in waiting:
+            self._move(item.submit, _REASON.NOT_GATE)
+
+    def _release_if_empty(self) -> None:
+        if self.state is not core.GateState.RELEASING:
+            return
+        pinned = any(one.transaction for one in self._conns.all())
+        if not self._running and not self._proving and not pinned:
+            self._chart.fire(self, 'empty')
+
+    # -- requests ---------------------------------------------------
+
+    @runtime.handles(core.GroupState)
+    def _on_group(self, state: core.GroupState) -> None:
+        self._group = state
+        if state.has_majority:
+            self._majority_at = self.now()
+        self._pump()
+
+    @runtime.handles(core.Submit)
+    def _on_submit(self, submit: core.Submit) -> None:
+        request = submit.request
+        if request.transaction is not None and request.begin is None:
+            self._continue(submit)
+            return
+        reason = self._refusal(submit)
+        if reason is not None:
+            self._move(submit, reason)
+            return
+        item = items.GateItem(self, submit, self.now())
+        if submit.patience and not self._fresh(submit):
+            self._catching_up.append(item)
+            self._watch()
+            return
+        self._enqueue(item)
+
+    def _enqueue(self, item: items.GateItem) -> None:
+        shed = self._queue.offer(item, self.now())
+        if shed is not None:
+            self.shed += 1
+            self._requests.fire(item, 'refused', shed)
+            return
+        self._watch()
+        self._pump()
+
+    def _refusal(self, submit: core.Submit) -> core.MoveReason | None:
+        state = self._group
+        if self.state not in (
+            core.GateState.SERVING,
+            core.GateState.CLAIMING,
+        ):
+            return _REASON.NOT_GATE
+        if state is None or not state.own.alive:
+            return _REASON.DOWN
+        if self.now() - state.observed_at > STATE_LIFETIME:
+            return _REASON.DOWN
+        if submit.role is core.Role.PRIMARY:
+            return self._primary_refusal(submit, state)
+        if state.own.leaving:
+            return _REASON.LEAVING
+        if not self._fresh(submit) and not submit.patience:
+            return _REASON.NOT_FRESH
+        return None
+
+    def _primary_refusal(
+        self, submit: core.Submit, state: core.GroupState
+    ) -> core.MoveReason | None:
+        if state.primary is None:
+            return _REASON.NO_PRIMARY
+        if state.primary != self.spec.name:
+            return _REASON.NOT_PRIMARY
+        if self.now() - self._majority_at > MAJORITY_GRACE:
+            return _REASON.NO_PRIMARY
+        return None
+
+    def _fresh(self, submit: core.Submit) -> bool:
+        state = self._group
+        if state is None or submit.role is core.Role.PRIMARY:
+            return True
+        if submit.after is not None and not core.covers(
+            state.own.applied, submit.after, state.starts
+        ):
+            return False
+        age = self.now() - state.observed_at
+        return state.lag + age <= submit.max_staleness
+
+    def _continue(self, submit: core.Submit) -> None:
+        transaction = submit.request.transaction
+        assert transaction is not None
+        conn = self._conns.of(transaction)
+        item = items.GateItem(self, submit, self.now())
+        if conn is None or conn.state is not core.ConnState.PINNED:
+            item.reason = 'the transaction is not open here'
+            self._requests.fire(item, 'refused')
+            return
+        self._start(item, conn)
+
+    def _pump(self) -> None:
+        if self.state is not core.GateState.SERVING:
+            return
+        now = self.now()
+        if self._catching_up:
+            self._admit_fresh(now)
+        while len(self._running) < self.spec.slots:
+            if not self._conns.idle and len(self._queue):
+                break
+            item = self._queue.take(now)
+            if item is None:
+                break
+            conn = self._conns.take()
+            assert isinstance(item, items.GateItem) and conn is not None
+            self._start(item, conn)
+        self._open_ahead()
+
+    def _admit_fresh(self, now: float) -> None:
+        waiting, self._catching_up = self._catching_up, []
+        self.send(self._group_task, core.WatchCatchUp(self.spec.name))
+        for item in waiting:
+            if self._fresh(item.submit):
+                self._enqueue(item)
+            elif now - item.arrived >= item.submit.patience:
+                self._move(item.submit, _REASON.NOT_FRESH)
+            else:
+                self._catching_up.append(item)
+
+    def _open_ahead(self) -> None:
+        busy = sum(1 for one in self._conns.all() if one.request_id)
+        pinned = sum(1 for one in self._conns.all() if one.transaction)
+        wanted = max(busy, pinned) + self.spec.slots + SPARE_CONNECTIONS
+        wanted = min(wanted, self._conns.cap)
+        while len(self._conns) < wanted:
+            conn = self._conns.new()
+            if conn is None:
+                return
+            self.send(self._link, core.OpenConn(conn.conn_id))
+
+    def _start(self, item: items.GateItem, conn: conns.Conn) -> None:
+        item.conn = conn.conn_id
+        item.sent_at = self.now()
+        self._running[item.request.request_id] = item
+        self._queue.started(item)
+        self._conns.run(conn, item.submit)
+        self._requests.fire(item, 'sent')
+        self._watch()
+        self._next_step(item)
+
+    def _next_step(self, item: items.GateItem) -> None:
+        assert item.conn is not None
+        self.send(
+            self._link,
+            core.RunOnConn(
+                item.conn, self.spec.database, item.steps[0].payload
+            ),
+        )
+
+    # -- answers ----------------------------------------------------
+
+    @runtime.handles(core.ConnAnswer)
+    def _on_answer(self, answer: core.ConnAnswer) -> None:
+        conn = self._conns.find(answer.conn_id)
+        item = self._item_on(conn)
+        if conn is None or item is None:
+            return
+        if not answer.final:
+            if item.steps[0].purpose is decisions.Purpose.STATEMENT:
+                item.streamed = True
+                self._reply(
+                    item.submit.origin,
+                    core.ResultChunk(item.request.request_id, answer.data),
+                )
+            return
+        if answer.position is not None:
+            item.position = answer.position
+        step = item.steps.popleft()
+        if step.purpose is decisions.Purpose.STATEMENT:
+            item.answer = answer
+        if answer.error_code:
+            self._step_failed(item, step, answer)
+        if item.steps:
+            self._next_step(item)
+            return
+        self._answered(item, conn, answer)
+
+    def _step_failed(
+        self,
+        item: items.GateItem,
+        step: decisions.Step,
+        answer: core.ConnAnswer,
+    ) -> None:
+        """Decide what follows a step that the instance refused."""
+        purpose = decisions.Purpose
+        alone = item.request.transaction is None
+        if step.purpose is purpose.KEY:
+            code = answer.error_code
+            if code == decisions.NO_SUCH_TABLE and not item.setup_done:
+                item.setup_done = True
+                item.steps.clear()
+                if alone:
+                    item.steps.extend(decisions.setup_steps(item.request))
+                    return
+            item.steps.clear()
+            item.keyed_before = code == decisions.DUPLICATE_KEY
+            item.answer = answer
+            if item.keyed_before:
+                item.answer = dataclasses.replace(
+                    answer, data=b'', error_code=0
+                )
+            if alone:
+                item.steps.append(decisions.ROLLBACK)
+            return
+        item.answer = answer
+        item.steps.clear()
+        if step.purpose is purpose.STATEMENT and alone:
+            if item.request.marks.idempotency_key is not None:
+                item.steps.append(decisions.ROLLBACK)
+
+    def _answered(
+        self,
+        item: items.GateItem,
+        conn: conns.Conn,
+        last: core.ConnAnswer,
+    ) -> None:
+        request = item.request
+        request_id = request.request_id
+        self._running.pop(request_id, None)
+        self._queue.finished(item, self.now() - item.sent_at)
+        keeps = request.keeps_connection
+        self._conns.finished(
+            conn,
+            request.transaction is not None and (last.in_transaction or keeps),
+        )
+        answer = item.answer or last
+        self._requests.fire(item, 'answered', answer)
+        self._pump()
+        self._release_if_empty()
+
+    def _item_on(self, conn: conns.Conn | None) -> items.GateItem | None:
+        if conn is None or conn.request_id is None:
+            return None
+        return self._running.get(conn.request_id)
+
+    def await_proof(self, item: items.GateItem) -> None:
+        """Ask the group for evidence of the request's commit."""
+        state = self._group
+        position = item.position
+        if position is None:
+            term = state.term if state is not None else core.Term(0)
+            position = core.Position(term, core.LogPosition(0))
+        self._proving[item.request.request_id] = item
+        self.send(
+            self._group_task,
+            core.ProveCommit(
+                self.task_name, item.request.request_id, position
+            ),
+        )
+
+    @runtime.handles(core.Proved)
+    def _on_proved(self, proved: core.Proved) -> None:
+        item = self._proving.pop(proved.request_id, None)
+        if item is not None:
+            self._requests.fire(item, 'proved')
+            self._release_if_empty()
+
+    @runtime.handles(core.Disproved)
+    def _on_disproved(self, disproved: core.Disproved) -> None:
+        item = self._proving.pop(disproved.request_id, None)
+        if item is not None:
+            item.reason = 'a later term began before the commit was held'
+            self._requests.fire(item, 'disproved')
+            self._release_if_empty()
+
+    def finish(
+        self,
+        item: items.GateItem,
+        outcome: core.Outcome,
+        error: core.CallerError | None,
+    ) -> None:
+        """Send the answer to the request's origin."""
+        self.answered += 1
+        answer = item.answer
+        data = answer.data if answer is not None else b''
+        in_transaction = answer is not None and answer.in_transaction
+        if outcome is core.Outcome.UNKNOWN:
+            self.log.emit(
+                core.LogEvent.REQUEST_UNKNOWN,
+                request=str(item.request.request_id),
+                why=item.reason,
+            )
+        self._reply(
+            item.submit.origin,
+            core.Answer(
+                item.request.request_id,
+                outcome,
+                b'' if error is not None else data,
+                error,
+                item.position if outcome is core.Outcome.DONE else None,
+                in_transaction,
+                self._report(item.submit.origin),
+            ),
+        )
+
+    def move(self, item: items.GateItem) -> None:
+        """Give the request back: it may run at another instance."""
+        reason = _REASON.DOWN if item.reads else _REASON.NO_PRIMARY
+        self._move(item.submit, reason)
+
+    def cut(self, item: items.GateItem) -> None:
+        """End the statement at the instance by closing its connection."""
+        if item.conn is None:
+            return
+        self.log.emit(
+            core.LogEvent.REQUEST_CUT,
+            request=str(item.request.request_id),
+            statement=str(item.request.statement_class),
+        )
+        conn = self._conns.find(item.conn)
+        self.send(self._link, core.CloseConn(item.conn))
+        if conn is not None:
+            self._conns.lost(conn)
+
+    def _move(self, submit: core.Submit, reason: core.MoveReason) -> None:
+        self._reply(
+            submit.origin,
+            core.GateMoved(
+                submit.request.request_id,
+                self.spec.name,
+                reason,
+                self._report(submit.origin, True),
+            ),
+        )
+
+    def _report(
+        self, origin: core.VmName, always: bool = False
+    ) -> core.InstanceReport | None:
+        now = self.now()
+        state = self._group
+        last = self._hinted.get(origin, float('-inf'))
+        if state is None or (not always and now - last < HINT_INTERVAL):
+            return None
+        self._hinted[origin] = now
+        primary = state.primary
+        return core.InstanceReport(
+            self.spec.database,
+            self.spec.name,
+            state.own.alive and not state.own.leaving,
+            state.lag,
+            self._queue.wait(),
+            primary,
+            state.term,
+        )
+
+    def _reply(self, origin: core.VmName, message: core.Message) -> None:
+        if origin == self.vm:
+            self.send(names.router(self.vm), message)
+        else:
+            self.send(names.peers(self.vm), core.ToPeer(origin, message))
+
+    # -- connections ------------------------------------------------
+
+    @runtime.handles(core.ConnOpened)
+    def _on_opened(self, opened: core.ConnOpened) -> None:
+        conn = self._conns.find(opened.conn_id)
+        if conn is not None:
+            self._conns.opened(conn)
+            self._pump()
+
+    @runtime.handles(core.ConnClosed)
+    def _on_closed(self, closed: core.ConnClosed) -> None:
+        conn = self._conns.find(closed.conn_id)
+        if conn is None:
+            return
+        event = core.LogEvent.CONN_LOST
+        if closed.refused:
+            event = core.LogEvent.CONN_REFUSED
+        self.log.emit(event, instance=str(self.spec.name))
+        self._conn_lost(conn, 'the connection to the instance was lost')
+        self._watch()
+
+    def _conn_lost(self, conn: conns.Conn, why: str) -> None:
+        item = self._item_on(conn)
+        self._conns.lost(conn)
+        if item is None:
+            return
+        self._running.pop(item.request.request_id, None)
+        self._queue.finished(item, self.now() - item.sent_at)
+        item.reason = why
+        self._requests.fire(item, 'conn_lost')
+
+    @runtime.handles(core.Consumed)
+    def _on_consumed(self, consumed: core.Consumed) -> None:
+        item = self._running.get(consumed.request_id)
+        if item is not None and item.conn is not None:
+            self.send(self._link, core.ConnConsumed(item.conn, consumed.size))
+
+    @runtime.handles(core.AbortTransaction)
+    def _on_abort(self, abort: core.AbortTransaction) -> None:
+        conn = self._conns.of(abort.transaction)
+        if conn is not None:
+            self._abort(conn)
+
+    @runtime.handles(core.PeerDown)
+    def _on_peer_down(self, down: core.PeerDown) -> None:
+        for conn in self._conns.transactions_from(down.vm):
+            self._abort(conn)
+
+    def _abort(self, conn: conns.Conn) -> None:
+        self.send(self._link, core.CloseConn(conn.conn_id))
+        self._conn_lost(conn, 'the transaction was aborted')
+        self._pump()
+        self._release_if_empty()
+
+    # -- deadlines --------------------------------------------------
+
+    def _watch(self) -> None:
+        if self._expire_timer is None:
+            delay = CATCH_UP_POLL if self._catching_up else EXPIRY_INTERVAL
+            self._expire_timer = self.after(delay, _Expire())
+
+    @runtime.handles(_Expire)
+    def _on_expire(self, tick: _Expire) -> None:
+        self._expire_timer = None
+        now = self.now()
+        for item in self._queue.expire(now):
+            assert isinstance(item, items.GateItem)
+            item.reason = 'the deadline passed in the queue'
+            self._requests.fire(item, 'expired')
+        for running in [*self._running.values()]:
+            if running.deadline <= now:
+                self._expire_running(running)
+        for proving in [*self._proving.values()]:
+            if proving.deadline <= now:
+                self._proving.pop(proving.request.request_id, None)
+                proving.reason = 'no evidence of the commit in time'
+                self._requests.fire(proving, 'expired')
+        self._pump()
+        self._release_if_empty()
+        busy = self._running or self._proving or self._catching_up
+        if busy or len(self._queue):
+            self._watch()
+
+    def _expire_running(self, item: items.GateItem) -> None:
+        self._running.pop(item.request.request_id, None)
+        self._queue.finished(item, self.now() - item.sent_at)
+        item.reason = 'the deadline passed while the statement ran'
+        self._requests.fire(item, 'expired')
+
+    @runtime.handles(notices.Ask)
+    def _on_ask(self, ask: notices.Ask) -> None:
+        row = (
+            ('instance', str(self.spec.name)),
+            ('state', self.state.value),
+            ('queued', str(len(self._queue))),
+            ('running', str(len(self._running))),
+            ('connections', str(len(self._conns))),
+            ('wait_s', f'{self._queue.wait():.4f}'),
+            ('answered', str(self.answered)),
+            ('shed', str(self.shed)),
+        )
+        self.send(
+            ask.reply_to, notices.Told(self.task_name, ask.number, (row,))
+        )
+
+
+@charts.action('gate.claim')
+def _claim(gate: Gate, arg: object) -> None:
+    gate.claim()
+
+
+@charts.action('gate.claim_later')
+def _claim_later(gate: Gate, arg: object) -> None:
+    gate.claim_later()
+
+
+@charts.action('gate.serve')
+def _serve(gate: Gate, arg: object) -> None:
+    gate.serve()
+
+
+@charts.action('gate.close_all')
+def _close_all(gate: Gate, arg: object) -> None:
+    gate.close_all()
+
+
+@charts.action('gate.unlock')
+def _unlock(gate: Gate, arg: object) -> None:
+    gate.unlock()
+
+
+@charts.action('gate.refuse_queue')
+def _refuse_queue(gate: Gate, arg: object) -> None:
+    gate.refuse_queue()
+
+
+@charts.action('gate.release')
+def _release(gate: Gate, arg: object) -> None:
+    """Wait until nothing runs; ``empty`` follows then."""
