Serve the whole path: composition, command line, stand-ins, demo

Cause: the parts were not composed, so no driver could use them.

Found on the way, each with a test or a check: error numbers above 32767 read as negative by drivers (numbers moved to 29000); a packet header claiming 16 MiB before authentication held its buffer (bound of 64 KiB until then); requests queued at a gate whose primary had died waited for their deadline (the queue is reviewed on each change of the group's standing).

--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,8 @@
 measure: $(STAMP)
 	$(BIN)/python -m chicoryusher_standins.measure $(ARGS)
 
+docs: $(STAMP)
+	$(BIN)/python tools/make_docs.py
+
 clean:
 	rm -rf $(VENV) build
--- a/src/chicoryusher/backends/mysql/conn.py
+++ b/src/chicoryusher/backends/mysql/conn.py
@@ -83,7 +83,7 @@
         user: BackendUser,
         database: str,
         setup: Iterable[bytes] = SETUP,
-    ):
+    ) -> None:
         self.conn_id = conn_id
         self.stream = stream
         self.server_id = 0
--- a/src/chicoryusher/backends/mysql/gatelock.py
+++ b/src/chicoryusher/backends/mysql/gatelock.py
@@ -47,7 +47,7 @@
 class GateLock:
     """Commands that take the lock, one after another's answer."""
 
-    def __init__(self, user: str):
+    def __init__(self, user: str) -> None:
         self._user = user.encode()
         self._stage = _Stage.TAKING
         self._rows = bytearray()
--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -46,7 +46,7 @@
         address: runtime.Address,
         user: conn_module.BackendUser,
         gate: core.TaskName,
-    ):
+    ) -> None:
         super().__init__(loop, vm, f'link/{instance}')
         self._poller = loop.poller
         self._address = address
--- a/src/chicoryusher/charts/interpreter.py
+++ b/src/chicoryusher/charts/interpreter.py
@@ -39,7 +39,7 @@
 class Machine:
     """A chart with its guards and actions resolved."""
 
-    def __init__(self, chart: model.Chart):
+    def __init__(self, chart: model.Chart) -> None:
         self.name = chart.name
         self.initial = chart.initial
         self.final = chart.final
--- /dev/null
+++ b/src/chicoryusher/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line."""
--- a/src/chicoryusher/core/__init__.py
+++ b/src/chicoryusher/core/__init__.py
@@ -9,6 +9,7 @@
 from chicoryusher.core import errors
 from chicoryusher.core import ids
 from chicoryusher.core import messages
+from chicoryusher.core import peering
 from chicoryusher.core import position
 from chicoryusher.core import registry
 from chicoryusher.core.catalogue import *  # noqa: F403
@@ -18,6 +19,7 @@
 from chicoryusher.core.errors import *  # noqa: F403
 from chicoryusher.core.ids import *  # noqa: F403
 from chicoryusher.core.messages import *  # noqa: F403
+from chicoryusher.core.peering import *  # noqa: F403
 from chicoryusher.core.position import *  # noqa: F403
 from chicoryusher.core.registry import *  # noqa: F403
 
@@ -29,6 +31,7 @@
     + errors.__all__
     + ids.__all__
     + messages.__all__
+    + peering.__all__
     + position.__all__
     + registry.__all__
 )
--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/catalogue.py
@@ -24,7 +24,7 @@
 class LogEvent(enum.Enum):
     """A numbered log event: number, level and meaning."""
 
-    def __init__(self, number: int, level: LogLevel, meaning: str):
+    def __init__(self, number: int, level: LogLevel, meaning: str) -> None:
         self.number = number
         self.level = level
         self.meaning = meaning
--- a/src/chicoryusher/core/clock.py
+++ b/src/chicoryusher/core/clock.py
@@ -26,7 +26,7 @@
 class VirtualClock:
     """Clock that stands still until it is advanced."""
 
-    def __init__(self, start: float = 0.0):
+    def __init__(self, start: float = 0.0) -> None:
         self._now = start
 
     def now(self) -> float:
--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -45,7 +45,8 @@
     """What a VM knows of a group whose instance it is the gate of.
 
     ``observed_at`` is when the probe of the own instance began and
-    ``lag`` the staleness proved for that moment.
+    ``lag`` the staleness proved for that moment; ``apply_delay`` is an
+    estimate of how far it is behind its primary.
     """
 
     database: ids.DatabaseName
@@ -54,6 +55,7 @@
     own: messages.ProbeAnswer
     observed_at: float
     lag: float
+    apply_delay: float
     starts: tuple[position.TermStart, ...]
     has_majority: bool
 
--- a/src/chicoryusher/core/errors.py
+++ b/src/chicoryusher/core/errors.py
@@ -1,7 +1,7 @@
 """Exception tree: one type for every failure.
 
 Each type has a ``code`` (MySQL error number sent to a caller) and a
-``sqlstate`` (five characters).  Numbers from 51000 are the project's own.
+``sqlstate`` (five characters).  Numbers from 29000 are the project's own.
 """
 
 from __future__ import annotations
@@ -44,7 +44,7 @@
 class ChartError(ChicoryusherError):
     """A state chart file is not valid."""
 
-    def __init__(self, chart: str, problems: tuple[ChartProblem, ...]):
+    def __init__(self, chart: str, problems: tuple[ChartProblem, ...]) -> None:
         super().__init__(
             f'chart {chart}: ' + '; '.join(str(one) for one in problems)
         )
@@ -55,7 +55,7 @@
 class ChartProblem(ChicoryusherError):
     """One defect of a chart file, with the place it was found."""
 
-    def __init__(self, where: str, what: str):
+    def __init__(self, where: str, what: str) -> None:
         super().__init__(f'{where}: {what}')
         self.where = where
         self.what = what
@@ -64,7 +64,7 @@
 class ConfigError(ChicoryusherError):
     """One defect of a settings, register or rules file."""
 
-    def __init__(self, path: str, what: str):
+    def __init__(self, path: str, what: str) -> None:
         super().__init__(f'{path}: {what}')
         self.path = path
         self.what = what
@@ -73,7 +73,7 @@
 class SettingsError(ChicoryusherError):
     """A file has defects; all of them are in ``problems``."""
 
-    def __init__(self, problems: tuple[ConfigError, ...]):
+    def __init__(self, problems: tuple[ConfigError, ...]) -> None:
         super().__init__('; '.join(str(one) for one in problems))
         self.problems = problems
 
@@ -81,7 +81,7 @@
 class ConfigConflict(ChicoryusherError):
     """Another operator's change was accepted first."""
 
-    def __init__(self, expected: int, found: int):
+    def __init__(self, expected: int, found: int) -> None:
         super().__init__(f'expected version {expected}, found {found}')
         self.expected = expected
         self.found = found
@@ -90,7 +90,7 @@
 class AdminError(ChicoryusherError):
     """A daemon's admin address refused or failed a call."""
 
-    def __init__(self, status: int, detail: str):
+    def __init__(self, status: int, detail: str) -> None:
         super().__init__(f'{status}: {detail}')
         self.status = status
         self.detail = detail
@@ -173,17 +173,17 @@
 class TokenError(CallerError):
     """A session token is malformed or its signature is wrong."""
 
-    code = 51003
+    code = 29003
     sqlstate = '22023'
 
 
 class NotRunError(CallerError):
     """The request was not run, and that is certain."""
 
-    code = 51001
+    code = 29001
     sqlstate = '40001'
 
-    def __init__(self, reason: str, retry_after: float = 0.0):
+    def __init__(self, reason: str, retry_after: float = 0.0) -> None:
         super().__init__(f'NOT_RUN: {reason}; retry_after={retry_after:.3f}s')
         self.reason = reason
         self.retry_after = retry_after
@@ -192,10 +192,10 @@
 class UnknownOutcomeError(CallerError):
     """The request may have been run; nothing proves either."""
 
-    code = 51002
+    code = 29002
     sqlstate = '08007'
 
-    def __init__(self, reason: str):
+    def __init__(self, reason: str) -> None:
         super().__init__(f'UNKNOWN: {reason}')
         self.reason = reason
 
@@ -203,7 +203,7 @@
 class TransactionLost(CallerError):
     """The open transaction ended at the instance without commit."""
 
-    code = 51004
+    code = 29004
     sqlstate = '40003'
 
 
--- a/src/chicoryusher/core/messages.py
+++ b/src/chicoryusher/core/messages.py
@@ -131,10 +131,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Consumed(Message):
-    """Tell that ``size`` bytes of an answer left for the caller."""
+    """Tell that ``size`` bytes of an answer left for the caller.
+
+    The router adds the instance, so that the gate can be found.
+    """
 
     request_id: ids.RequestId
     size: int
+    instance: ids.InstanceName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,7 +153,7 @@
 class InstanceReport(Message):
     """State of one instance, as its gate passes it on to a router.
 
-    ``lag`` is the proved staleness in seconds when it was sent;
+    ``lag`` estimates in seconds how far it is behind its primary;
     ``queue_wait`` is the expected wait there in seconds.
     """
 
--- a/src/chicoryusher/core/registry.py
+++ b/src/chicoryusher/core/registry.py
@@ -25,7 +25,7 @@
 class Registry(Generic[Thing]):
     """Named things of one kind."""
 
-    def __init__(self, kind: str):
+    def __init__(self, kind: str) -> None:
         self.kind = kind
         self._things: dict[str, Thing] = {}
 
--- /dev/null
+++ b/src/chicoryusher/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, composition, admin address, metrics."""
--- /dev/null
+++ b/src/chicoryusher/daemon/http_server.py
@@ -0,0 +1,142 @@
+"""A small HTTP/1.1 server on streams that one task owns."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+from chicoryusher import runtime
+
+__all__ = ['HttpConn', 'HttpRequest', 'HttpServer']
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One decoded request."""
+
+    method: str
+    path: str
+    token: str
+    body: bytes
+
+
+class HttpConn:
+    """One connection of the server."""
+
+    def __init__(self, stream: runtime.Stream) -> None:
+        self.stream = stream
+        self.http = h11.Connection(h11.SERVER)
+        self.head: h11.Request | None = None
+        self.body = bytearray()
+
+    def reply(self, status: int, document: Any) -> None:
+        """Queue the answer to the current request."""
+        data = json.dumps(document).encode()
+        head = h11.Response(
+            status_code=status,
+            headers=[
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(data))),
+            ],
+        )
+        self.stream.write(self.http.send(head) or b'')
+        self.stream.write(self.http.send(h11.Data(data=data)) or b'')
+        self.stream.write(self.http.send(h11.EndOfMessage()) or b'')
+        if self.http.our_state is h11.DONE:
+            if self.http.their_state is h11.DONE:
+                self.http.start_next_cycle()
+        self.head = None
+        self.body.clear()
+
+
+class HttpServer:
+    """Connections of one listener; its task feeds it readiness."""
+
+    def __init__(
+        self,
+        listener: runtime.Listener,
+        handle: Callable[[HttpConn, HttpRequest], None],
+    ) -> None:
+        self._listener = listener
+        self._handle = handle
+        self._conns: dict[int, HttpConn] = {}
+
+    def ready(self, ready: runtime.SocketReady) -> None:
+        """Act on a ready socket; others' sockets are ignored."""
+        if ready.fileno == self._listener.fileno:
+            while (stream := self._listener.accept()) is not None:
+                self._conns[stream.fileno] = HttpConn(stream)
+            return
+        conn = self._conns.get(ready.fileno)
+        if conn is not None and ready.readable:
+            self._receive(conn)
+
+    def flush(self) -> None:
+        """Send what was answered; drop what has ended."""
+        for conn in tuple(self._conns.values()):
+            conn.stream.flush()
+            ended = conn.http.our_state in (h11.MUST_CLOSE, h11.ERROR)
+            if conn.stream.closed or (ended and not conn.stream.pending):
+                self._drop(conn)
+
+    def close(self) -> None:
+        """Close the listener and every connection."""
+        self._listener.close()
+        for conn in tuple(self._conns.values()):
+            self._drop(conn)
+
+    def _drop(self, conn: HttpConn) -> None:
+        self._conns.pop(conn.stream.fileno, None)
+        conn.stream.close()
+
+    def _receive(self, conn: HttpConn) -> None:
+        data = conn.stream.read()
+        if conn.stream.closed:
+            self._drop(conn)
+            return
+        try:
+            conn.http.receive_data(data)
+            self._events(conn)
+        except h11.ProtocolError:
+            self._drop(conn)
+
+    def _events(self, conn: HttpConn) -> None:
+        while True:
+            event = conn.http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            if isinstance(event, h11.Request):
+                conn.head = event
+            elif isinstance(event, h11.Data):
+                conn.body += event.data
+                if len(conn.body) > MAX_BODY_BYTES:
+                    self._drop(conn)
+                    return
+            elif isinstance(event, h11.EndOfMessage):
+                self._whole(conn)
+            elif isinstance(event, h11.ConnectionClosed):
+                self._drop(conn)
+                return
+
+    def _whole(self, conn: HttpConn) -> None:
+        head = conn.head
+        assert head is not None
+        token = ''
+        for name, value in head.headers:
+            if name == b'authorization':
+                token = value.decode('latin-1').removeprefix('Bearer ')
+        self._handle(
+            conn,
+            HttpRequest(
+                head.method.decode(),
+                head.target.decode('latin-1'),
+                token,
+                bytes(conn.body),
+            ),
+        )
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -8,8 +8,9 @@
 from chicoryusher.decisions import gates
 from chicoryusher.decisions import leadership
 from chicoryusher.decisions import ledger
-from chicoryusher.decisions import routing
-from chicoryusher.decisions import scheduling
+from chicoryusher.decisions import membership
+from chicoryusher.decisions import neighbours
+from chicoryusher.decisions import register
 from chicoryusher.decisions import sessions
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
@@ -17,6 +18,9 @@
 from chicoryusher.decisions.gates import *  # noqa: F403
 from chicoryusher.decisions.leadership import *  # noqa: F403
 from chicoryusher.decisions.ledger import *  # noqa: F403
+from chicoryusher.decisions.membership import *  # noqa: F403
+from chicoryusher.decisions.neighbours import *  # noqa: F403
+from chicoryusher.decisions.register import *  # noqa: F403
 from chicoryusher.decisions.routing import GroupView
 from chicoryusher.decisions.routing import InstanceView
 from chicoryusher.decisions.routing import POLICIES as ROUTING
@@ -37,6 +41,9 @@
     *gates.__all__,
     *leadership.__all__,
     *ledger.__all__,
+    *membership.__all__,
+    *neighbours.__all__,
+    *register.__all__,
     *sessions.__all__,
     'DEFAULT_POLICY',
     'GroupView',
--- a/src/chicoryusher/decisions/evidence.py
+++ b/src/chicoryusher/decisions/evidence.py
@@ -46,7 +46,7 @@
 class EvidenceBook:
     """Open claims of one group and the probes that decide them."""
 
-    def __init__(self, size: int):
+    def __init__(self, size: int) -> None:
         self.majority = size // 2 + 1
         self._claims: dict[core.RequestId, Claim] = {}
 
--- a/src/chicoryusher/decisions/freshness.py
+++ b/src/chicoryusher/decisions/freshness.py
@@ -56,6 +56,15 @@
                 return max(0.0, now - seen.at)
         return float('inf')
 
+    def apply_delay(self, applied: core.Position, at: float) -> float:
+        """Estimate in seconds how far ``applied`` was behind at ``at``."""
+        missing_since = at
+        for seen in reversed(self._history):
+            if core.covers(applied, seen.position, self.starts):
+                break
+            missing_since = min(missing_since, seen.at)
+        return max(0.0, at - missing_since)
+
 
 def lost_tail(wanted: core.Position, starts: Iterable[core.TermStart]) -> bool:
     """Tell whether a later term began below ``wanted``."""
--- a/src/chicoryusher/decisions/gates.py
+++ b/src/chicoryusher/decisions/gates.py
@@ -20,7 +20,7 @@
     """Return the VMs from the highest weight for ``key`` to the lowest."""
 
     def weight(vm: core.VmName) -> tuple[int, core.VmName]:
-        return xxhash.xxh3_64_intdigest(f'{key}\0{vm}'), vm
+        return xxhash.xxh3_64_intdigest(f'{key}\0{vm}'.encode()), vm
 
     return tuple(sorted(vms, key=weight, reverse=True))
 
--- a/src/chicoryusher/decisions/leadership.py
+++ b/src/chicoryusher/decisions/leadership.py
@@ -33,7 +33,7 @@
 class GroupHealth:
     """Probe results of one group, and what they say of its primary."""
 
-    def __init__(self, names: Iterable[core.InstanceName], now: float):
+    def __init__(self, names: Iterable[core.InstanceName], now: float) -> None:
         self._started_at = now
         self._watched = {name: Watched(name) for name in names}
         self.primary: core.InstanceName | None = None
@@ -99,6 +99,19 @@
         if len(began) >= self.majority and self.primary in self._in_term:
             self.majority_at = max(self.majority_at, began[self.majority - 1])
 
+    def promoted(
+        self, name: core.InstanceName, term: core.Term, now: float
+    ) -> None:
+        """Note a promotion before the next probe shows it."""
+        watched = self._watched.get(name)
+        if watched is None or term < self.term:
+            return
+        self.term = term
+        self.primary = name
+        self._in_term.clear()
+        watched.heard_at = now
+        watched.failures = 0
+
     def has_majority(self, now: float, within: float) -> bool:
         """Tell whether a majority was seen in the term recently."""
         return now - self.majority_at <= within
--- a/src/chicoryusher/decisions/routing.py
+++ b/src/chicoryusher/decisions/routing.py
@@ -21,6 +21,7 @@
 PRIMARY_PENALTY = 0.020
 HINT_LIFETIME = 2.0
 DOWN_LIFETIME = 0.5
+UNKNOWN_LAG = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,9 +39,9 @@
     refused_until: float = float('-inf')
 
     def lag(self, now: float) -> float:
-        """Return the last proved staleness, 0 while it is unknown."""
+        """Return the last estimate of the lag, or a cautious guess."""
         if self.report is None or now - self.heard_at > HINT_LIFETIME:
-            return 0.0
+            return UNKNOWN_LAG
         return self.report.lag
 
     def cost(self, now: float) -> float:
@@ -74,7 +75,7 @@
 class GroupView:
     """A router's hints about one database group."""
 
-    def __init__(self, database: core.DatabaseName):
+    def __init__(self, database: core.DatabaseName) -> None:
         self.database = database
         self.instances: dict[core.InstanceName, InstanceView] = {}
         self.primary: core.InstanceName | None = None
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -113,7 +113,7 @@
 class _Base:
     """What every policy shares: service times, slots and the list."""
 
-    def __init__(self, slots: int):
+    def __init__(self, slots: int) -> None:
         self.slots = slots
         self.times = ServiceTimes()
         self._items: list[Item] = []
@@ -183,7 +183,7 @@
 class FairShortFirstQueue(_Base):
     """Short work first, aged, fair between callers, bounded by wait."""
 
-    def __init__(self, slots: int):
+    def __init__(self, slots: int) -> None:
         super().__init__(slots)
         self._used: dict[core.CallerName, float] = {}
         self._floor = 0.0
--- a/src/chicoryusher/decisions/sessions.py
+++ b/src/chicoryusher/decisions/sessions.py
@@ -27,7 +27,7 @@
 class TokenCodec:
     """Encode and check tokens under one secret key."""
 
-    def __init__(self, key: bytes, old_keys: tuple[bytes, ...] = ()):
+    def __init__(self, key: bytes, old_keys: tuple[bytes, ...] = ()) -> None:
         self._key = key
         self._keys = (key, *old_keys)
 
--- a/src/chicoryusher/frontends/mysql/callers.py
+++ b/src/chicoryusher/frontends/mysql/callers.py
@@ -14,6 +14,9 @@
 __all__ = ['CallerConn', 'Phase', 'Prepared']
 
 
+MAX_HELLO_BYTES = 64 * 1024
+
+
 class Phase(enum.Enum):
     """What the front end expects next on a connection."""
 
@@ -44,13 +47,12 @@
         session_id: core.SessionId,
         stream: runtime.Stream,
         nonce: bytes,
-        max_packet: int,
         opened_at: float,
-    ):
+    ) -> None:
         self.session_id = session_id
         self.stream = stream
         self.nonce = nonce
-        self.framer = wire.Framer(max_packet)
+        self.framer = wire.Framer(MAX_HELLO_BYTES)
         self.opened_at = opened_at
         self.phase = Phase.HELLO
         self.hello: wire.CallerHello | None = None
--- a/src/chicoryusher/frontends/mysql/commands.py
+++ b/src/chicoryusher/frontends/mysql/commands.py
@@ -51,7 +51,7 @@
 class Context:
     """What commands need of their front end: request numbers."""
 
-    def __init__(self, vm: core.VmName, boot: str):
+    def __init__(self, vm: core.VmName, boot: str) -> None:
         self._prefix = f'{vm}:{boot}'
         self._numbers = itertools.count(1)
 
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -54,7 +54,7 @@
         users: tuple[User, ...],
         limits: FrontendLimits,
         router: core.TaskName,
-    ):
+    ) -> None:
         super().__init__(loop, vm, 'mysql')
         self._users = {one.name: one for one in users}
         self._limits = limits
@@ -101,7 +101,6 @@
                 session,
                 stream,
                 wire.new_nonce(),
-                self._limits.max_packet_bytes,
                 self.now(),
             )
             self._by_fileno[stream.fileno] = conn
@@ -224,6 +223,7 @@
         hello = conn.hello
         assert hello is not None
         conn.caller = user.caller
+        conn.framer.max_bytes = self._limits.max_packet_bytes
         conn.marks = marks.from_pairs(hello.attributes)
         conn.phase = Phase.ADMISSION
         name = hello.database
--- a/src/chicoryusher/frontends/mysql/marks.py
+++ b/src/chicoryusher/frontends/mysql/marks.py
@@ -27,7 +27,7 @@
 class MarkError(core.CallerError):
     """A mark has a value that it must not have."""
 
-    code = 51005
+    code = 29005
     sqlstate = '22023'
 
 
--- a/src/chicoryusher/frontends/mysql/statements.py
+++ b/src/chicoryusher/frontends/mysql/statements.py
@@ -99,7 +99,7 @@
 
 
 def _class_name(shape: str) -> core.StatementClass:
-    digest = xxhash.xxh3_64_hexdigest(shape.lower())
+    digest = xxhash.xxh3_64_hexdigest(shape.lower().encode())
     word = shape.split(None, 1)[0].lower() if shape else 'empty'
     return core.StatementClass(f'{word[:12]}-{digest[:10]}')
 
--- a/src/chicoryusher/platform/agents.py
+++ b/src/chicoryusher/platform/agents.py
@@ -45,7 +45,7 @@
         instance: core.InstanceName,
         address: runtime.Address,
         group: core.TaskName,
-    ):
+    ) -> None:
         super().__init__(loop, vm, f'agent/{instance}', address, AGENT_TIMEOUT)
         self._instance = instance
         self._group = group
--- a/src/chicoryusher/platform/http.py
+++ b/src/chicoryusher/platform/http.py
@@ -59,7 +59,7 @@
         address: runtime.Address,
         timeout: float,
         token: str = '',
-    ):
+    ) -> None:
         super().__init__(loop, vm, task)
         self._poller = loop.poller
         self._address = address
@@ -115,8 +115,9 @@
         headers = [
             ('Host', f'{self._address[0]}:{self._address[1]}'),
             ('Content-Length', str(len(call.body))),
-            ('Authorization', f'Bearer {self._token}'),
         ]
+        if self._token:
+            headers.append(('Authorization', f'Bearer {self._token}'))
         request = h11.Request(
             method=call.method, target=call.path, headers=headers
         )
--- a/src/chicoryusher/platform/table.py
+++ b/src/chicoryusher/platform/table.py
@@ -28,7 +28,7 @@
         vm: core.VmName,
         address: runtime.Address,
         token: str = '',
-    ):
+    ) -> None:
         super().__init__(
             loop, vm, 'platform', address, PLATFORM_TIMEOUT, token
         )
--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -24,7 +24,7 @@
 class Log:
     """Writer of numbered events for one task of one VM."""
 
-    def __init__(self, vm: str, task: str):
+    def __init__(self, vm: str, task: str) -> None:
         self._logger = logbook.Logger(task)
         self._vm = vm
 
--- a/src/chicoryusher/runtime/loop.py
+++ b/src/chicoryusher/runtime/loop.py
@@ -25,7 +25,7 @@
 
     channel = 'runtime'
 
-    def __init__(self, clock: core.Clock | None = None):
+    def __init__(self, clock: core.Clock | None = None) -> None:
         super().__init__(channel='runtime')
         self.clock = clock or core.SystemClock()
         self._boxes: dict[core.TaskName, list[core.Message]] = {}
@@ -55,9 +55,9 @@
             )
             return
         self.posted += 1
-        if not box:
-            self.fire(deliver(), task)
         box.append(message)
+        if len(box) == 1:
+            self.fire(deliver(), task)
 
     def take(self, task: core.TaskName) -> list[core.Message]:
         """Empty the box of ``task`` and return what it held."""
--- a/src/chicoryusher/runtime/poller.py
+++ b/src/chicoryusher/runtime/poller.py
@@ -37,7 +37,9 @@
 
     channel = 'poller'
 
-    def __init__(self, post: Callable[[core.TaskName, core.Message], None]):
+    def __init__(
+        self, post: Callable[[core.TaskName, core.Message], None]
+    ) -> None:
         super().__init__(channel='poller')
         self._post = post
         self._epoll = select.epoll()
--- a/src/chicoryusher/runtime/streams.py
+++ b/src/chicoryusher/runtime/streams.py
@@ -29,7 +29,7 @@
         poller: poller_module.Poller,
         owner: core.TaskName,
         connecting: bool = False,
-    ):
+    ) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.fileno = sock.fileno()
@@ -120,7 +120,7 @@
         address: Address,
         poller: poller_module.Poller,
         owner: core.TaskName,
-    ):
+    ) -> None:
         self._sock = socket.create_server(
             address, backlog=BACKLOG, reuse_port=False
         )
--- a/src/chicoryusher/runtime/task.py
+++ b/src/chicoryusher/runtime/task.py
@@ -41,7 +41,7 @@
                 table[kind] = method
         cls.handlers = table
 
-    def __init__(self, runtime: loop.Runtime, vm: str, task: str):
+    def __init__(self, runtime: loop.Runtime, vm: str, task: str) -> None:
         name = f'{vm}/{task}' if vm else task
         super().__init__(channel=name)
         self.task_name = core.TaskName(name)
--- a/src/chicoryusher/runtime/timers.py
+++ b/src/chicoryusher/runtime/timers.py
@@ -22,7 +22,7 @@
         self,
         clock: core.Clock,
         post: Callable[[core.TaskName, core.Message], None],
-    ):
+    ) -> None:
         super().__init__(channel='timers')
         self._clock = clock
         self._post = post
--- a/src/chicoryusher/tasks/conns.py
+++ b/src/chicoryusher/tasks/conns.py
@@ -13,7 +13,7 @@
 class Conn:
     """One backend connection; lives by the chart ``connection``."""
 
-    def __init__(self, conn_id: core.ConnId):
+    def __init__(self, conn_id: core.ConnId) -> None:
         self.state = core.ConnState.CONNECTING
         self.conn_id = conn_id
         self.request_id: core.RequestId | None = None
@@ -29,7 +29,7 @@
 class Conns:
     """The connections of one gate, never more than the cap."""
 
-    def __init__(self, cap: int):
+    def __init__(self, cap: int) -> None:
         self.cap = cap
         self._chart = charts.compiled('connection')
         self._numbers = itertools.count(1)
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -43,7 +43,7 @@
         vm: core.VmName,
         spec: decisions.InstanceSpec,
         policy: str = decisions.DEFAULT_POLICY,
-    ):
+    ) -> None:
         super().__init__(loop, vm, f'gate/{spec.name}')
         self.spec = spec
         self.state = core.GateState.STANDBY
@@ -146,11 +146,23 @@
 
     @runtime.handles(core.GroupState)
     def _on_group(self, state: core.GroupState) -> None:
-        self._group = state
+        before, self._group = self._group, state
         if state.has_majority:
             self._majority_at = self.now()
+        if before is None or _standing(before) != _standing(state):
+            self._review_queue()
         self._pump()
 
+    def _review_queue(self) -> None:
+        """Give back what this instance may not run any more."""
+        for item in self._queue.drain():
+            assert isinstance(item, items.GateItem)
+            reason = self._refusal(item.submit)
+            if reason is not None:
+                self._move(item.submit, reason)
+            else:
+                self._enqueue(item)
+
     @runtime.handles(core.Submit)
     def _on_submit(self, submit: core.Submit) -> None:
         request = submit.request
@@ -164,6 +176,7 @@
         item = items.GateItem(self, submit, self.now())
         if submit.patience and not self._fresh(submit):
             self._catching_up.append(item)
+            self.send(self._group_task, core.WatchCatchUp(self.spec.name))
             self._watch()
             return
         self._enqueue(item)
@@ -477,7 +490,7 @@
             self.spec.database,
             self.spec.name,
             state.own.alive and not state.own.leaving,
-            state.lag,
+            state.apply_delay,
             self._queue.wait(),
             primary,
             state.term,
@@ -595,6 +608,13 @@
         )
 
 
+def _standing(
+    state: core.GroupState,
+) -> tuple[core.InstanceName | None, core.Term, bool, bool]:
+    own = state.own
+    return state.primary, state.term, own.alive, own.leaving
+
+
 @charts.action('gate.claim')
 def _claim(gate: Gate, arg: object) -> None:
     gate.claim()
--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group.py
@@ -70,7 +70,7 @@
         members: tuple[core.InstanceName, ...],
         gates: tuple[core.InstanceName, ...],
         rank: int,
-    ):
+    ) -> None:
         super().__init__(loop, vm, f'group/{database}')
         self.state = core.LeadState.FOLLOWING
         self.database = database
@@ -192,10 +192,12 @@
         elif self._health.missing(name, now):
             own = dataclasses.replace(own, alive=False)
         began_at = probing.began_at
+        delay = 0.0
         if name == self._health.primary:
             lag = max(0.0, began_at - self._health.majority_at)
         else:
             lag = self._freshness.bound(own.applied, began_at)
+            delay = self._freshness.apply_delay(own.applied, began_at)
         known = self.state is core.LeadState.FOLLOWING
         self.send(
             names.gate(self.vm, name),
@@ -206,6 +208,7 @@
                 own,
                 began_at,
                 lag,
+                delay,
                 self._freshness.starts,
                 self._health.has_majority(now, MAJORITY_LIFETIME),
             ),
@@ -223,6 +226,8 @@
 
     @runtime.handles(core.WatchCatchUp)
     def _on_catch_up(self, watch: core.WatchCatchUp) -> None:
+        if self._health.primary is not None:
+            self._probe(self._health.primary)
         self._probe(watch.instance)
 
     # -- failover ---------------------------------------------------
@@ -252,7 +257,7 @@
             self._probe(name)
 
     def clear(self) -> None:
-        """The suspected primary was heard again."""
+        """Note that the suspected primary was heard again."""
         self.log.emit(core.LogEvent.PRIMARY_HEARD, database=str(self.database))
 
     def claim_term(self) -> None:
@@ -360,7 +365,10 @@
     def _on_promote(self, answer: core.PromoteAnswer) -> None:
         if answer.term != self._candidate_term:
             return
-        event = 'promoted' if answer.accepted else 'promote_refused'
+        event = 'promote_refused'
+        if answer.accepted:
+            event = 'promoted'
+            self._health.promoted(answer.instance, answer.term, self.now())
         self._chart.fire(self, event)
 
     @runtime.handles(_StepLate)
@@ -373,7 +381,7 @@
         self._chart.fire(self, 'timed_out')
 
     def announce(self) -> None:
-        """A new primary leads: probe at once, so that gates learn it."""
+        """Probe at once, so that gates learn the new primary."""
         self.failovers += 1
         self.log.emit(
             core.LogEvent.PRIMARY_PROMOTED,
@@ -383,6 +391,8 @@
         self._quiet_until = self.now() + STAND_BACK
         for name in self._probing:
             self._probe(name)
+        for name in self._gates:
+            self._tell(name, self.now())
 
     def stand_back(self) -> None:
         """Leave the failover to others for a while."""
--- a/src/chicoryusher/tasks/items.py
+++ b/src/chicoryusher/tasks/items.py
@@ -54,7 +54,9 @@
         'streamed',
     )
 
-    def __init__(self, host: ItemHost, submit: core.Submit, now: float):
+    def __init__(
+        self, host: ItemHost, submit: core.Submit, now: float
+    ) -> None:
         super().__init__(submit, now, now + submit.budget)
         self.host = host
         self.steps: collections.deque[decisions.Step] = collections.deque(
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -12,6 +12,7 @@
     'group',
     'link',
     'membership',
+    'node',
     'peers',
     'router',
     'table',
@@ -28,6 +29,11 @@
     return core.TaskName(f'{vm}/peers')
 
 
+def node(vm: core.VmName) -> core.TaskName:
+    """Return the name of the task that composes the VM's others."""
+    return core.TaskName(f'{vm}/node')
+
+
 def membership(vm: core.VmName) -> core.TaskName:
     """Return the name of the membership task."""
     return core.TaskName(f'{vm}/membership')
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -53,7 +53,7 @@
 
     def __init__(
         self, loop: runtime.Runtime, vm: core.VmName, settings: RouterSettings
-    ):
+    ) -> None:
         super().__init__(loop, vm, 'router')
         self._settings = settings
         self._policy = decisions.ROUTING.get(settings.policy)()
@@ -305,6 +305,7 @@
         pending = self._pending.get(consumed.request_id)
         if pending is None or pending.instance is None:
             return
+        consumed = dataclasses.replace(consumed, instance=pending.instance)
         if pending.gate == self.vm:
             self.send(names.gate(self.vm, pending.instance), consumed)
         elif pending.gate is not None:
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -62,7 +62,7 @@
         opened: core.SessionOpened,
         positions: dict[core.DatabaseName, core.Position],
         now: float,
-    ):
+    ) -> None:
         self.state = core.SessionState.GREETING
         self.host = host
         self.session_id = opened.session_id
--- a/src/chicoryusher/wire/answers.py
+++ b/src/chicoryusher/wire/answers.py
@@ -59,7 +59,7 @@
 class AnswerScanner:
     """Follow one answer from its first packet to its last."""
 
-    def __init__(self, kind: AnswerKind):
+    def __init__(self, kind: AnswerKind) -> None:
         self._kind = kind
         self._stage = _Stage.FIRST
         self._blocks_left = 0
--- a/src/chicoryusher/wire/framing.py
+++ b/src/chicoryusher/wire/framing.py
@@ -22,10 +22,13 @@
 
 
 class Framer:
-    """Cut a byte stream into packets, joining those over 16 MiB."""
+    """Cut a byte stream into packets, joining those over 16 MiB.
 
-    def __init__(self, max_bytes: int):
-        self._max_bytes = max_bytes
+    ``max_bytes`` bounds one packet; it may be changed at any time.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
         self._buffer = bytearray()
         self._joined = bytearray()
 
@@ -40,10 +43,10 @@
         start = 0
         while len(buffer) - start >= HEADER_BYTES:
             size = int.from_bytes(buffer[start : start + 3], 'little')
-            if size + len(self._joined) > self._max_bytes:
+            if size + len(self._joined) > self.max_bytes:
                 raise core.OversizePacket(
                     f'packet of {size} bytes or more, at most'
-                    f' {self._max_bytes} are allowed'
+                    f' {self.max_bytes} are allowed'
                 )
             end = start + HEADER_BYTES + size
             if len(buffer) < end:
--- /dev/null
+++ b/src/chicoryusher_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the database groups, for tests."""
--- /dev/null
+++ b/src/chicoryusher_standins/platform.py
@@ -0,0 +1,175 @@
+"""A stand-in platform: a table and a list of VMs, with faults."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import urllib.parse
+from typing import Any
+
+from chicoryusher import core
+from chicoryusher import runtime
+from chicoryusher.daemon import http_server
+
+__all__ = ['PlatformModel', 'PlatformServer', 'Row']
+
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 409
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One key's value and version."""
+
+    version: int
+    value: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformModel:
+    """The table and the list; faults are switched on by tests.
+
+    ``down`` loses every call, ``slow`` answers after so many seconds,
+    and ``lose_answers`` runs so many writes and keeps their answers.
+    """
+
+    rows: dict[str, Row] = dataclasses.field(default_factory=dict)
+    vms: dict[str, bool] = dataclasses.field(default_factory=dict)
+    down: bool = False
+    slow: float = 0.0
+    lose_answers: int = 0
+    reads: int = 0
+    writes: int = 0
+
+    def get(self, key: str) -> Row | None:
+        """Return a row, or None."""
+        self.reads += 1
+        return self.rows.get(key)
+
+    def put(self, key: str, value: bytes, expected: int) -> Row | None:
+        """Write if the version is still ``expected``; None if not."""
+        self.writes += 1
+        known = self.rows.get(key)
+        if (known.version if known is not None else 0) != expected:
+            return None
+        row = Row(expected + 1, value)
+        self.rows[key] = row
+        return row
+
+    def scan(
+        self, prefix: str, after: str, limit: int
+    ) -> list[tuple[str, Row]]:
+        """Return rows in key order."""
+        self.reads += 1
+        keys = sorted(
+            key for key in self.rows if key.startswith(prefix) and key > after
+        )
+        return [(key, self.rows[key]) for key in keys[:limit]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Late(core.Message):
+    """A slow answer is due."""
+
+    number: int
+
+
+class PlatformServer(runtime.Task):
+    """Serve a platform model over HTTP."""
+
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        model: PlatformModel,
+        address: runtime.Address = ('127.0.0.1', 0),
+    ) -> None:
+        super().__init__(loop, '', 'platform-server')
+        self.model = model
+        listener = runtime.Listener(address, loop.poller, self.task_name)
+        self.address = listener.address
+        self._server = http_server.HttpServer(listener, self._handle)
+        self._late: dict[
+            int, tuple[http_server.HttpConn, http_server.HttpRequest]
+        ] = {}
+        self._number = 0
+
+    @runtime.handles(runtime.SocketReady)
+    def _on_ready(self, ready: runtime.SocketReady) -> None:
+        self._server.ready(ready)
+
+    def settled(self) -> None:
+        """Send the answers written so far."""
+        self._server.flush()
+
+    def _handle(
+        self, conn: http_server.HttpConn, request: http_server.HttpRequest
+    ) -> None:
+        if self.model.down:
+            return
+        if self.model.slow > 0:
+            self._number += 1
+            self._late[self._number] = (conn, request)
+            self.after(self.model.slow, _Late(self._number))
+            return
+        self._answer(conn, request)
+
+    @runtime.handles(_Late)
+    def _on_late(self, late: _Late) -> None:
+        self._answer(*self._late.pop(late.number))
+
+    def _answer(
+        self, conn: http_server.HttpConn, request: http_server.HttpRequest
+    ) -> None:
+        parts = urllib.parse.urlsplit(request.path)
+        if parts.path == '/vms':
+            vms = [
+                {'name': name, 'leaving': leaving}
+                for name, leaving in sorted(self.model.vms.items())
+            ]
+            conn.reply(OK, {'vms': vms})
+        elif parts.path == '/table':
+            conn.reply(OK, {'rows': self._scan(parts.query)})
+        elif parts.path.startswith('/table/'):
+            key = urllib.parse.unquote(parts.path.removeprefix('/table/'))
+            self._row(conn, request, key)
+        else:
+            conn.reply(NOT_FOUND, {})
+
+    def _scan(self, query: str) -> list[dict[str, Any]]:
+        asked = dict(urllib.parse.parse_qsl(query))
+        rows = self.model.scan(
+            asked.get('prefix', ''),
+            asked.get('after', ''),
+            int(asked.get('limit', 1000)),
+        )
+        return [{'key': key, **_document(row)} for key, row in rows]
+
+    def _row(
+        self,
+        conn: http_server.HttpConn,
+        request: http_server.HttpRequest,
+        key: str,
+    ) -> None:
+        if request.method == 'GET':
+            row = self.model.get(key)
+            conn.reply(OK if row else NOT_FOUND, _document(row))
+            return
+        body = json.loads(request.body)
+        value = base64.b64decode(body['value'])
+        written = self.model.put(key, value, int(body['expected']))
+        if self.model.lose_answers > 0:
+            self.model.lose_answers -= 1
+            return
+        if written is None:
+            conn.reply(CONFLICT, _document(self.model.rows.get(key)))
+            return
+        conn.reply(OK, _document(written))
+
+
+def _document(row: Row | None) -> dict[str, Any]:
+    if row is None:
+        return {'version': 0, 'value': None}
+    value = base64.b64encode(row.value).decode()
+    return {'version': row.version, 'value': value}
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+
+import pymysql
+import pytest
+
+from chicoryusher import core
+from chicoryusher import runtime
+from chicoryusher_standins import deployments
+from chicoryusher_standins import world as world_module
+
+PROXIES = (
+    ('vm1', 'akhmim-yard'),
+    ('vm2', 'qena-mill'),
+    ('vm3', 'alex-depot'),
+)
+
+
+class Site:
+    """A world on its own thread, with stock drivers as its callers."""
+
+    def __init__(self, **changes):
+        self.world = world_module.World(deployments.DEPLOYMENTS['nile-grain'])
+        for vm, zone in PROXIES:
+            self.world.add_daemon(vm, zone, **changes)
+        self.world.configure()
+        self._thread = threading.Thread(
+            target=self.world.loop.run, daemon=True
+        )
+
+    def start(self) -> None:
+        self._thread.start()
+        self.poll(lambda: self.connect('vm1').close())
+
+    def poll(self, act, seconds=15.0):
+        """Repeat ``act`` until it raises nothing; bounded in count."""
+        pause = threading.Event()
+        for _ in range(int(seconds / 0.05)):
+            try:
+                return act()
+            except (pymysql.Error, AssertionError):
+                pause.wait(0.05)
+        return act()
+
+    def connect(self, vm, database='spoonbook_1', **options):
+        daemon = self.world.daemons[vm]
+        options.setdefault('autocommit', True)
+        options.setdefault(
+            'password', world_module.ENVIRONMENT['CLERK_PASSWORD']
+        )
+        return pymysql.connect(
+            host=world_module.HOST,
+            port=daemon.frontend.address[1],
+            user='clerk',
+            database=database,
+            **options,
+        )
+
+    def stop(self) -> None:
+        self.world.loop.stop()
+        self._thread.join(timeout=10)
+
+
+@pytest.fixture(scope='session')
+def shared_site() -> Iterator[Site]:
+    site = Site()
+    site.start()
+    yield site
+    site.stop()
+
+
+@pytest.fixture
+def own_site() -> Iterator[Site]:
+    site = Site()
+    site.start()
+    yield site
+    site.stop()
+
+
+@pytest.fixture
+def loop() -> Iterator[runtime.Runtime]:
+    one = runtime.Runtime(core.VirtualClock())
+    yield one
+    one.close()
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,257 @@
+"""The whole path with stock drivers and real sockets."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+import mysql.connector
+import pymysql
+import pytest
+
+from chicoryusher import core
+from chicoryusher_standins import faults
+from chicoryusher_standins import world as world_module
+
+
+def _table(site, name, database='spoonbook_1'):
+    conn = site.connect('vm1', database)
+    with conn.cursor() as cursor:
+        cursor.execute(
+            f'CREATE TABLE {name} (id INT PRIMARY KEY, note VARCHAR(200))'
+        )
+    return conn
+
+
+def _rows(conn, sql):
+    with conn.cursor() as cursor:
+        cursor.execute(sql)
+        return cursor.fetchall()
+
+
+def test_session_reads_its_own_writes(shared_site):
+    conn = _table(shared_site, 'own')
+    for number in range(20):
+        _rows(conn, f"INSERT INTO own VALUES ({number}, 'x')")
+        found = _rows(conn, 'SELECT COUNT(*) FROM own')
+        assert found == ((number + 1,),)
+
+
+def test_token_carries_the_session_to_another_proxy(shared_site):
+    conn = _table(shared_site, 'roam')
+    other = shared_site.connect('vm3')
+    for number in range(5):
+        _rows(conn, f"INSERT INTO roam VALUES ({number}, 'x')")
+        ((token,),) = _rows(conn, 'SELECT @@chicoryusher_token')
+        _rows(other, f"SET @@chicoryusher_token = '{token}'")
+        found = _rows(other, 'SELECT COUNT(*) FROM roam')
+        assert found == ((number + 1,),)
+
+
+def test_new_session_without_token_sees_what_was_acknowledged(shared_site):
+    conn = _table(shared_site, 'bare')
+    for number in range(5):
+        _rows(conn, f"INSERT INTO bare VALUES ({number}, 'x')")
+        other = shared_site.connect('vm2')
+        found = _rows(other, 'SELECT COUNT(*) FROM bare')
+        other.close()
+        assert found == ((number + 1,),)
+
+
+def test_transactions_pin_and_roll_back(shared_site):
+    conn = _table(shared_site, 'tx')
+    conn.begin()
+    _rows(conn, "INSERT INTO tx VALUES (1, 'a')")
+    assert _rows(conn, 'SELECT COUNT(*) FROM tx') == ((1,),)
+    conn.rollback()
+    assert _rows(conn, 'SELECT COUNT(*) FROM tx') == ((0,),)
+    conn.begin()
+    _rows(conn, "INSERT INTO tx VALUES (2, 'b')")
+    conn.commit()
+    assert _rows(conn, 'SELECT id FROM tx') == ((2,),)
+
+
+def test_autocommit_off_opens_a_transaction(shared_site):
+    conn = _table(shared_site, 'implicit')
+    other = shared_site.connect('vm2', autocommit=False)
+    _rows(other, "INSERT INTO implicit VALUES (1, 'a')")
+    other.rollback()
+    assert _rows(conn, 'SELECT COUNT(*) FROM implicit') == ((0,),)
+
+
+def test_caller_that_leaves_loses_its_transaction(shared_site):
+    conn = _table(shared_site, 'gone')
+    other = shared_site.connect('vm2')
+    other.begin()
+    _rows(other, "INSERT INTO gone VALUES (1, 'a')")
+    other._force_close()
+
+    def gone():
+        assert _rows(conn, 'SELECT COUNT(*) FROM gone') == ((0,),)
+
+    shared_site.poll(gone)
+
+
+def test_idempotency_key_lands_once(shared_site):
+    conn = _table(shared_site, 'once')
+    for number in range(3):
+        _rows(
+            conn,
+            f"INSERT INTO once VALUES ({number}, 'x') "
+            "/*idempotency_key='lot-17'*/",
+        )
+    assert _rows(conn, 'SELECT COUNT(*) FROM once') == ((1,),)
+
+
+def test_prepared_statements_of_another_driver(shared_site):
+    _table(shared_site, 'prep')
+    daemon = shared_site.world.daemons['vm2']
+    conn = mysql.connector.connect(
+        host=world_module.HOST,
+        port=daemon.frontend.address[1],
+        user='clerk',
+        password=world_module.ENVIRONMENT['CLERK_PASSWORD'],
+        database='spoonbook_1',
+        autocommit=True,
+        use_pure=True,
+        ssl_disabled=True,
+    )
+    cursor = conn.cursor(prepared=True)
+    texts = ["it's", 'a "b"', 'back\\slash', 'beech', None]
+    for number, text in enumerate(texts):
+        cursor.execute('INSERT INTO prep VALUES (?, ?)', (number, text))
+    cursor.execute('SELECT note FROM prep WHERE id >= ? ORDER BY id', (0,))
+    assert [row[0] for row in cursor.fetchall()] == texts
+    conn.close()
+
+
+def test_large_result_arrives_whole(shared_site):
+    conn = _table(shared_site, 'large')
+    values = ','.join(f"({number}, '{'y' * 190}')" for number in range(2000))
+    _rows(conn, f'INSERT INTO large VALUES {values}')
+    sql = 'SELECT a.id, b.note FROM large a, large b WHERE b.id < 20'
+    found = _rows(conn, sql)
+    assert len(found) == 40_000
+    assert all(len(note) == 190 for _, note in found)
+
+
+def test_errors_of_the_instance_reach_the_caller(shared_site):
+    conn = shared_site.connect('vm1')
+    with pytest.raises(pymysql.ProgrammingError) as caught:
+        _rows(conn, 'SELECT * FROM missing_table')
+    assert caught.value.args[0] == 1146
+    assert _rows(conn, 'SELECT 1') == ((1,),)
+
+
+@pytest.mark.parametrize(
+    ('options', 'code'),
+    [
+        ({'database': 'nowhere'}, 1049),
+        ({'password': 'wrong'}, 1045),
+    ],
+)
+def test_bad_logins_get_typed_errors(shared_site, options, code):
+    with pytest.raises(pymysql.Error) as caught:
+        shared_site.connect('vm1', **options)
+    assert caught.value.args[0] == code
+
+
+@pytest.mark.parametrize(
+    ('sql', 'code'),
+    [
+        ('SELECT LAST_INSERT_ID()', 1235),
+        ('XA START 1', 1235),
+        ("SELECT 1 /*max_staleness='soon'*/", 29005),
+        ("SELECT 1 /*token='bm9uc2Vuc2U'*/", 29003),
+        ('', 1235),
+    ],
+)
+def test_refused_statements_leave_the_session_open(shared_site, sql, code):
+    conn = shared_site.connect('vm1')
+    with pytest.raises(pymysql.Error) as caught:
+        _rows(conn, sql)
+    assert caught.value.args[0] == code
+    assert _rows(conn, 'SELECT 1') == ((1,),)
+
+
+def _raw(site):
+    daemon = site.world.daemons['vm1']
+    sock = socket.create_connection(daemon.frontend.address, timeout=10)
+    sock.recv(4096)
+    return sock
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'\x05\x00\x00\x01hello',
+        b'\xff\xff\xff\x01' + b'x' * 64,
+        b'\x00\x00\x00\x01',
+        b'GET / HTTP/1.1\r\n\r\n' + b'z' * 5000,
+    ],
+)
+def test_malformed_packets_end_only_their_own_connection(shared_site, data):
+    sock = _raw(shared_site)
+    sock.sendall(data)
+    answer = sock.recv(4096)
+    while chunk := _quiet_recv(sock):
+        answer += chunk
+    sock.close()
+    assert answer[4:5] == b'\xff'
+    conn = shared_site.connect('vm1')
+    assert _rows(conn, 'SELECT 1') == ((1,),)
+
+
+def _quiet_recv(sock):
+    try:
+        return sock.recv(4096)
+    except ConnectionResetError:
+        return b''
+
+
+def test_primary_killed_fails_over_without_an_order(own_site):
+    conn = _table(own_site, 'lots')
+    _rows(conn, "INSERT INTO lots VALUES (0, 'before')")
+    faults.order(
+        own_site.world.loop,
+        own_site.world.primary_of('spoonbook_1'),
+        faults.Fault.KILL,
+    )
+
+    def write():
+        _rows(
+            conn,
+            "INSERT INTO lots VALUES (1, 'after') /*idempotency_key='after'*/",
+        )
+
+    own_site.poll(write)
+    found = _rows(conn, 'SELECT id FROM lots ORDER BY id')
+    assert found == ((0,), (1,))
+
+
+def test_drain_cuts_no_request_in_flight(own_site):
+    conn = own_site.connect('vm1')
+    daemon = own_site.world.daemons['vm1']
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(_rows(conn, 'SELECT SLEEP(0.5)'))
+    )
+    thread.start()
+
+    def running():
+        states = [
+            one.server.running for one in own_site.world.instances.values()
+        ]
+        assert any(states)
+
+    own_site.poll(running)
+    own_site.world.loop.post(daemon.task_name, core.Drain(5.0))
+    thread.join(timeout=10)
+    assert results == [((0,),)]
+    with pytest.raises(pymysql.Error):
+        own_site.connect('vm1')
+
+    def stopped():
+        assert daemon.state is core.DaemonState.STOPPED
+
+    own_site.poll(stopped)
