Probe groups in aligned turns, closely only while they are used

Cause: an idle daemon with nine gates spent 3.0% of a core: every instance was probed five times a second on a timer of its own, each probe set a second timer, and each answer was told to every gate.

Change: one turn for a group, aligned between groups; 2 s between turns while no request comes, 0.2 s in use, 5 ms while a commit waits for its evidence; late probes are found at the next turn; a gate is told of its own instance, and of others only when the primary or the term changes. Lock keepalives once a second on a common beat.

Ruled out: slower probes alone (failover would take as much longer).

--- a/src/chicoryusher/backends/mysql/gatelock.py
+++ b/src/chicoryusher/backends/mysql/gatelock.py
@@ -17,7 +17,7 @@
 
 __all__ = ['GateLock', 'IDLE_SECONDS', 'LockResult', 'SETUP']
 
-IDLE_SECONDS = 2
+IDLE_SECONDS = 3
 LOCK_NAME = b'chicoryusher_gate'
 COM_QUERY = b'\x03'
 SETUP = (b'SET SESSION wait_timeout=%d' % IDLE_SECONDS,)
--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -13,7 +13,7 @@
 __all__ = ['MysqlLink']
 
 LOCK_CONN = core.ConnId(0)
-KEEPALIVE_INTERVAL = 0.5
+KEEPALIVE_INTERVAL = 1.0
 CONNECT_TIMEOUT = 1.0
 WINDOW_BYTES = 1024 * 1024
 COM_PING = b'\x0e'
@@ -228,11 +228,15 @@
             self.send(self._gate, core.GateClaimed(False))
         elif result is gatelock.LockResult.GRANTED:
             self._epoch += 1
-            self.after(KEEPALIVE_INTERVAL, _Keepalive(self._epoch))
+            self.after(self._until_keepalive(), _Keepalive(self._epoch))
             self.send(self._gate, core.GateClaimed(True))
         elif found.final:
             self._send_lock(conn)
 
+    def _until_keepalive(self) -> float:
+        """Return the time to the next turn, the same for every link."""
+        return KEEPALIVE_INTERVAL - self.now() % KEEPALIVE_INTERVAL
+
     @runtime.handles(_Keepalive)
     def _on_keepalive(self, tick: _Keepalive) -> None:
         conn = self._conns.get(LOCK_CONN)
@@ -243,7 +247,7 @@
             return
         conn.run(core.Payload(COM_PING))
         self._dirty.add(conn)
-        self.after(KEEPALIVE_INTERVAL, _Keepalive(self._epoch))
+        self.after(self._until_keepalive(), _Keepalive(self._epoch))
 
     @runtime.handles(core.ReleaseGate)
     def _on_release(self, message: core.ReleaseGate) -> None:
--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -18,6 +18,7 @@
     'Fence',
     'FenceAnswer',
     'GroupState',
+    'GroupUsed',
     'LiveVms',
     'PeerDown',
     'PeerUp',
@@ -60,6 +61,11 @@
     has_majority: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupUsed(Message):
+    """Requests come in: watch the group closely."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProveCommit(Message):
     """Ask for evidence that a commit survives any later term."""
--- a/src/chicoryusher/decisions/leadership.py
+++ b/src/chicoryusher/decisions/leadership.py
@@ -67,9 +67,14 @@
     def missing(self, name: core.InstanceName, now: float) -> bool:
         """Tell whether an instance does not answer at present."""
         watched = self._watched.get(name)
-        if watched is None or watched.failures >= UNREACHABLE_PROBES:
-            return True
-        return now - watched.heard_at >= SILENT_AFTER
+        return watched is None or watched.failures >= UNREACHABLE_PROBES
+
+    def any_failure(self) -> bool:
+        """Tell whether an instance missed its last probe."""
+        return any(
+            0 < one.failures <= UNREACHABLE_PROBES
+            for one in self._watched.values()
+        )
 
     def heard(
         self, probe: core.ProbeAnswer, began_at: float, now: float
@@ -141,7 +146,7 @@
         for name, watched in self._watched.items():
             if name == primary or watched.last is None:
                 continue
-            if now - watched.heard_at >= SILENT_AFTER:
+            if self.missing(name, now):
                 continue
             age = watched.last.source_age + now - watched.heard_at
             if age < SOURCE_SILENT_AFTER:
@@ -158,7 +163,7 @@
             if name != primary
             and one.last is not None
             and not one.last.leaving
-            and now - one.heard_at < SILENT_AFTER
+            and not self.missing(name, now)
         ]
         return bool(staying)
 
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -20,7 +20,8 @@
 CLAIM_RETRY = 0.25
 EXPIRY_INTERVAL = 0.02
 HINT_INTERVAL = 0.05
-STATE_LIFETIME = 2.0
+USE_NOTICE_INTERVAL = 1.0
+STATE_LIFETIME = 5.0
 CATCH_UP_POLL = 0.005
 MAJORITY_GRACE = 1.0
 _REASON = core.MoveReason
@@ -61,6 +62,7 @@
         self._hinted: dict[core.VmName, float] = {}
         self._expire_timer: core.TimerId | None = None
         self._assigned = False
+        self._used_at = float('-inf')
         self.answered = 0
         self.shed = 0
 
@@ -166,6 +168,7 @@
     @runtime.handles(core.Submit)
     def _on_submit(self, submit: core.Submit) -> None:
         request = submit.request
+        self._note_use()
         if request.transaction is not None and request.begin is None:
             self._continue(submit)
             return
@@ -181,6 +184,12 @@
             return
         self._enqueue(item)
 
+    def _note_use(self) -> None:
+        now = self.now()
+        if now - self._used_at >= USE_NOTICE_INTERVAL:
+            self._used_at = now
+            self.send(self._group_task, core.GroupUsed())
+
     def _enqueue(self, item: items.GateItem) -> None:
         shed = self._queue.offer(item, self.now())
         if shed is not None:
--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group.py
@@ -14,31 +14,22 @@
 
 __all__ = ['Group']
 
-PROBE_INTERVAL = 0.20
-BUSY_PROBE_INTERVAL = 0.004
-SUSPECT_PROBE_INTERVAL = 0.05
+ACTIVE_INTERVAL = 0.20
+IDLE_INTERVAL = 2.0
+ACTIVE_LIFETIME = 5.0
+BUSY_INTERVAL = 0.005
+SUSPECT_INTERVAL = 0.05
 PROBE_TIMEOUT = 0.35
 CLAIM_TIMEOUT = 0.25
 FENCE_TIMEOUT = 0.50
 RANK_DELAY = 0.15
 STAND_BACK = 0.30
 CLAIM_LIFETIME = 30.0
-MAJORITY_LIFETIME = 0.8
+MAJORITY_LIFETIME = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ProbeTurn(core.Message):
-    """Time to probe an instance again."""
-
-    instance: core.InstanceName
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ProbeLate(core.Message):
-    """A probe may have had no answer for too long."""
-
-    instance: core.InstanceName
-    sequence: int
+class _Turn(core.Message):
+    """Time to probe the group again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +47,6 @@
     sequence: int = 0
     began_at: float = 0.0
     open: bool = False
-    timer: core.TimerId | None = None
 
 
 class Group(runtime.Task):
@@ -88,10 +78,12 @@
         self._record_version = 0
         self._fenced: dict[core.InstanceName, core.FenceAnswer] = {}
         self._refused = 0
-        self._catching_up = False
+        self._used_at = self.now()
+        self._told = (self._health.primary, self._health.term, self.state)
+        self._turn_due = 0.0
+        self._turn_timer: core.TimerId | None = None
         self.failovers = 0
-        for name in members:
-            self._probe(name)
+        self._turn_within(0.0)
         self.send(names.table(vm), core.TableGet(self.task_name, self._key))
 
     @property
@@ -105,42 +97,43 @@
         self._health.resize(message.members)
         self._book.majority = self._health.majority
         for name in message.members:
-            if name not in self._probing:
-                self._probing[name] = _Probing()
-                self._probe(name)
+            self._probing.setdefault(name, _Probing())
         for gone in set(self._probing) - set(message.members):
-            self.cancel(self._probing.pop(gone).timer)
+            del self._probing[gone]
+        self._turn_within(0.0)
 
     # -- probes -----------------------------------------------------
 
+    def _turn_within(self, delay: float) -> None:
+        """Let the next turn come after ``delay`` seconds at the latest."""
+        due = self.now() + delay
+        if self._turn_timer is not None and self._turn_due <= due:
+            return
+        self.cancel(self._turn_timer)
+        self._turn_due = due
+        self._turn_timer = self.after(delay, _Turn())
+
+    @runtime.handles(_Turn)
+    def _on_turn(self, turn: _Turn) -> None:
+        self._turn_timer = None
+        for name in tuple(self._probing):
+            self._probe(name)
+        self._turn_within(self._interval())
+
     def _probe(self, name: core.InstanceName) -> None:
         probing = self._probing.get(name)
         if probing is None:
             return
-        self.cancel(probing.timer)
-        probing.timer = None
+        now = self.now()
         if probing.open:
-            return
+            if now - probing.began_at < PROBE_TIMEOUT:
+                return
+            lost = core.ProbeAnswer(name, probing.sequence, False)
+            self._probed(lost)
         probing.open = True
         probing.sequence += 1
-        probing.began_at = self.now()
+        probing.began_at = now
         self.send(names.agent(self.vm, name), core.Probe(probing.sequence))
-        self.after(PROBE_TIMEOUT, _ProbeLate(name, probing.sequence))
-
-    @runtime.handles(_ProbeTurn)
-    def _on_turn(self, turn: _ProbeTurn) -> None:
-        probing = self._probing.get(turn.instance)
-        if probing is not None:
-            probing.timer = None
-            self._probe(turn.instance)
-
-    @runtime.handles(_ProbeLate)
-    def _on_late(self, late: _ProbeLate) -> None:
-        probing = self._probing.get(late.instance)
-        if probing is None or not probing.open:
-            return
-        if probing.sequence == late.sequence:
-            self._probed(core.ProbeAnswer(late.instance, late.sequence, False))
 
     @runtime.handles(core.ProbeAnswer)
     def _on_probe(self, probe: core.ProbeAnswer) -> None:
@@ -159,27 +152,43 @@
             self._freshness.primary_seen(
                 probing.began_at, probe.applied, probe.starts
             )
-        decided = self._book.heard(probe, probing.began_at)
-        for claim, verdict in decided:
-            proved = verdict is decisions.Verdict.PROVED
-            answer: core.Message = core.Disproved(claim.request_id)
-            if proved:
-                answer = core.Proved(claim.request_id)
-            self.send(claim.gate, answer)
-        probing.timer = self.after(
-            self._interval(), _ProbeTurn(probe.instance)
-        )
+        self._decide(probe, probing.began_at)
         self._lead(now)
+        standing = (self._health.primary, self._health.term, self.state)
+        changed = standing != self._told
+        self._told = standing
         for name in self._gates:
-            if name == probe.instance or probe.alive:
+            if changed or name == probe.instance:
                 self._tell(name, now)
+        self._turn_within(self._interval())
+
+    def _decide(self, probe: core.ProbeAnswer, began_at: float) -> None:
+        """Tell gates which of their claims this probe decides."""
+        for claim, verdict in self._book.heard(probe, began_at):
+            answer: core.Message = core.Disproved(claim.request_id)
+            if verdict is decisions.Verdict.PROVED:
+                answer = core.Proved(claim.request_id)
+            self.send(claim.gate, answer)
 
     def _interval(self) -> float:
+        """Return the time until the next turn, aligned between groups."""
         if len(self._book):
-            return BUSY_PROBE_INTERVAL
+            return BUSY_INTERVAL
         if self.state is not core.LeadState.FOLLOWING:
-            return SUSPECT_PROBE_INTERVAL
-        return PROBE_INTERVAL
+            return SUSPECT_INTERVAL
+        if self._health.any_failure():
+            return SUSPECT_INTERVAL
+        now = self.now()
+        active = now - self._used_at <= ACTIVE_LIFETIME
+        interval = ACTIVE_INTERVAL if active else IDLE_INTERVAL
+        return interval - now % interval
+
+    @runtime.handles(core.GroupUsed)
+    def _on_used(self, used: core.GroupUsed) -> None:
+        idle = self.now() - self._used_at > ACTIVE_LIFETIME
+        self._used_at = self.now()
+        if idle:
+            self._turn_within(0.0)
 
     def _tell(self, name: core.InstanceName, now: float) -> None:
         """Tell the instance's gate on this VM how the group stands."""
--- a/src/chicoryusher_standins/deployments.py
+++ b/src/chicoryusher_standins/deployments.py
@@ -13,7 +13,7 @@
     """Names and sizes of one deployment.
 
     ``zones`` maps availability zones to regions; the store is in the
-    region named by ``store``.  Instances have ``slots`` and
+    region named by ``store``.  Databases are numbered from ``first``.  Instances have ``slots`` and
     ``connections``; ``vms`` is how many entry VMs there are.
     """
 
@@ -25,6 +25,7 @@
     connections: int
     vms: int = 7
     databases: int = 3
+    first: int = 1
 
 
 DEPLOYMENTS = {
@@ -93,7 +94,10 @@
                         for at, zone in enumerate(zones)
                     ],
                 }
-                for number in range(deployment.databases)
+                for number in range(
+                        deployment.first - 1,
+                        deployment.first - 1 + deployment.databases,
+                    )
             ],
         },
         'rules': {'default_deadline': 10.0, 'default_staleness': 5.0},
--- /dev/null
+++ b/src/chicoryusher_standins/main.py
@@ -0,0 +1,65 @@
+"""Entry point of ``chicoryusher-standins``: stand-ins on loopback."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Annotated
+
+import typer
+
+from chicoryusher import core
+from chicoryusher import runtime
+from chicoryusher_standins import deployments
+from chicoryusher_standins import server
+from chicoryusher_standins import world as world_module
+
+__all__ = ['main']
+
+
+def _serve(
+    deployment: Annotated[
+        str, typer.Option(help='Which deployment to stand in for.')
+    ] = 'nile-grain',
+    databases: Annotated[
+        int, typer.Option(help='How many databases.')
+    ] = 3,
+    first: Annotated[
+        int, typer.Option(help='Number of the first database.')
+    ] = 1,
+    slots: Annotated[
+        int, typer.Option(help='Slots of an instance; 0: as deployed.')
+    ] = 0,
+    connections: Annotated[
+        int, typer.Option(help='Connection cap; 0: as deployed.')
+    ] = 0,
+) -> None:
+    """Serve stand-ins until killed; print where they are as JSON."""
+    chosen = dataclasses.replace(
+        deployments.DEPLOYMENTS[deployment],
+        databases=databases,
+        first=first,
+    )
+    limits = server.ServerLimits(
+        slots or chosen.slots, connections or chosen.connections
+    )
+    with runtime.to_stream(core.LogLevel.WARNING).applicationbound():
+        world = world_module.World(chosen, limits=limits)
+        typer.echo(
+            json.dumps(
+                {
+                    'register': world.register,
+                    'platform_port': world.platform_server.address[1],
+                }
+            )
+        )
+        world.loop.run()
+
+
+def main() -> None:
+    """Run ``chicoryusher-standins`` with the command line's arguments."""
+    typer.run(_serve)
+
+
+if __name__ == '__main__':
+    main()
