Add the lab: real tasks on a virtual clock, faults, measurements

Cause: policy and failover had no figures and no faults were tried.

The queue drops work that can no longer be answered in time before it takes a slot, and deadlines leave time for the way back.

--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -228,15 +228,11 @@
             self.send(self._gate, core.GateClaimed(False))
         elif result is gatelock.LockResult.GRANTED:
             self._epoch += 1
-            self.after(self._until_keepalive(), _Keepalive(self._epoch))
+            self.after(self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch))
             self.send(self._gate, core.GateClaimed(True))
         elif found.final:
             self._send_lock(conn)
 
-    def _until_keepalive(self) -> float:
-        """Return the time to the next turn, the same for every link."""
-        return KEEPALIVE_INTERVAL - self.now() % KEEPALIVE_INTERVAL
-
     @runtime.handles(_Keepalive)
     def _on_keepalive(self, tick: _Keepalive) -> None:
         conn = self._conns.get(LOCK_CONN)
@@ -247,7 +243,7 @@
             return
         conn.run(core.Payload(COM_PING))
         self._dirty.add(conn)
-        self.after(self._until_keepalive(), _Keepalive(self._epoch))
+        self.after(self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch))
 
     @runtime.handles(core.ReleaseGate)
     def _on_release(self, message: core.ReleaseGate) -> None:
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -137,12 +137,17 @@
             self.times.observe(item.request.statement_class, seconds)
 
     def expire(self, now: float) -> list[Item]:
-        """Remove and return the items whose deadline has passed."""
-        late = [one for one in self._items if one.deadline <= now]
+        """Remove and return the items that can't be done in time."""
+        late = [one for one in self._items if self._too_late(one, now)]
         if late:
-            self._items = [one for one in self._items if one.deadline > now]
+            self._items = [
+                one for one in self._items if not self._too_late(one, now)
+            ]
         return late
 
+    def _too_late(self, item: Item, now: float) -> bool:
+        return item.deadline <= now
+
     def drain(self) -> list[Item]:
         """Remove and return every queued item."""
         items, self._items = self._items, []
@@ -203,6 +208,10 @@
         self._used[caller] = max(self._used.get(caller, 0.0), self._floor)
         return None
 
+    def _too_late(self, item: Item, now: float) -> bool:
+        """Tell whether a slot would be wasted on the item."""
+        return item.deadline <= now + item.expected
+
     def take(self, now: float) -> Item | None:
         """Return the best item that may have a slot now."""
         may_be_long = self._long_running() < self._long_slots()
@@ -210,6 +219,8 @@
         best: Item | None = None
         best_rank = float('inf')
         for item in self._items:
+            if self._too_late(item, now):
+                continue
             if self._is_long(item.expected) and not may_be_long:
                 continue
             if item.request.marks.may_wait and busy and self._pressed():
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -71,6 +71,14 @@
             one.name: (one.host, one.port) for one in message.config.vms
         }
 
+    @runtime.handles(core.LiveVms)
+    def _on_live(self, live: core.LiveVms) -> None:
+        """End the streams to VMs that are gone: nothing else shows it."""
+        for name, state in live.states:
+            peer = self._streams.get(name)
+            if state is core.VmState.GONE and peer is not None:
+                self._drop(peer)
+
     @runtime.handles(core.ToPeer)
     def _on_send(self, message: core.ToPeer) -> None:
         vm = message.vm
--- a/src/chicoryusher/runtime/task.py
+++ b/src/chicoryusher/runtime/task.py
@@ -14,6 +14,7 @@
 
 __all__ = ['Task', 'handles']
 
+MIN_BEAT_DELAY = 0.001
 _Handler = Callable[[Any, Any], None]
 
 
@@ -63,6 +64,14 @@
         """Send this task a message after ``delay`` seconds."""
         return self._runtime.timers.add(delay, self.task_name, message)
 
+    def until_beat(self, interval: float) -> float:
+        """Return the time to the next multiple of ``interval`` seconds.
+
+        Tasks that wait for the same beat wake the loop once.
+        """
+        left = interval - self.now() % interval
+        return left if left > MIN_BEAT_DELAY else left + interval
+
     def cancel(self, timer: core.TimerId | None) -> None:
         """Take back a timer of this task."""
         if timer is not None:
--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group.py
@@ -181,7 +181,7 @@
         now = self.now()
         active = now - self._used_at <= ACTIVE_LIFETIME
         interval = ACTIVE_INTERVAL if active else IDLE_INTERVAL
-        return interval - now % interval
+        return self.until_beat(interval)
 
     @runtime.handles(core.GroupUsed)
     def _on_used(self, used: core.GroupUsed) -> None:
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -251,13 +251,21 @@
             self.vm,
             route.instance,
             request,
-            pending.deadline - now,
+            pending.deadline - now - self._way_back(route.instance),
             route.role,
             wanted.position,
             wanted.max_staleness,
             route.patience,
         )
 
+    def _way_back(self, name: core.InstanceName) -> float:
+        """Return the time that an answer needs from a gate, seconds."""
+        config = self._config
+        spec = config.instance(name) if config is not None else None
+        if config is None or spec is None:
+            return 0.0
+        return self._path(config, spec.zone)
+
     def _wanted(
         self,
         session: sessions.Session,
--- a/src/chicoryusher_standins/group.py
+++ b/src/chicoryusher_standins/group.py
@@ -103,6 +103,9 @@
         self.instances = {name: InstanceModel(name) for name in names}
         self.on_apply: Callable[[InstanceModel, Entry], None] | None = None
         self.on_rebuild: Callable[[InstanceModel], None] | None = None
+        self.reaches: Callable[[InstanceModel, InstanceModel], bool] = (
+            lambda one, other: not (one.cut or other.cut)
+        )
         first = next(iter(self.instances.values()))
         for one in self.instances.values():
             one.term = core.Term(1)
@@ -140,7 +143,7 @@
         return self._append(one, statements, now)
 
     def _reach(self, one: InstanceModel, other: InstanceModel) -> bool:
-        return one.running and other.running and not (one.cut or other.cut)
+        return one.running and other.running and self.reaches(one, other)
 
     def advance(self, now: float) -> None:
         """Pass entries on and apply what is due by ``now``."""
--- /dev/null
+++ b/src/chicoryusher_standins/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the virtual clock with the real tasks."""
--- /dev/null
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -0,0 +1,462 @@
+"""Edges of a node on the virtual clock: the ports of ``tasks.Node``."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher import runtime
+from chicoryusher import tasks
+from chicoryusher.peers import codec
+from chicoryusher_standins import platform as platform_module
+from chicoryusher_standins.lab import instance as instance_module
+from chicoryusher_standins.lab import network
+
+if TYPE_CHECKING:
+    from chicoryusher_standins.lab import site as site_module
+
+__all__ = ['SimEdges', 'SimVm']
+
+CONNECT_COST = 0.012
+MESSAGE_BYTES = 120
+FRAME_BYTES = 71
+PROBE_BYTES = 560
+PLATFORM_BYTES = 420
+PLATFORM_TIMEOUT = 1.0
+PLATFORM_DELAY = 0.002
+
+
+@dataclasses.dataclass(slots=True)
+class SimVm:
+    """One entry VM: where it is, and since when it is paused."""
+
+    name: core.VmName
+    place: network.Place
+    alive: bool = True
+    paused_at: float | None = None
+
+    def arrive(self, act: Callable[[], None]) -> None:
+        """Act, or never on a dead VM; the loop holds a pause's messages."""
+        if self.alive:
+            act()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Opened(core.Message):
+    """The cost of a new connection has been paid."""
+
+    conn_id: core.ConnId
+
+
+class SimLink(runtime.Task):
+    """Connections of one gate to one simulated instance."""
+
+    def __init__(
+        self,
+        site: site_module.Site,
+        vm: SimVm,
+        spec: decisions.InstanceSpec,
+    ) -> None:
+        super().__init__(site.loop, vm.name, f'link/{spec.name}')
+        self._site = site
+        self._vm = vm
+        self._server = site.servers[spec.name]
+        self._gate = tasks.names.gate(vm.name, spec.name)
+        self._conns: dict[core.ConnId, instance_module.SimConn] = {}
+        self._lock = False
+
+    def _out(self, size: int, act: Callable[[], None]) -> None:
+        self._site.network.carry(
+            self._vm.place, self._server.place, size, act
+        )
+
+    def _back(self, size: int, message: core.Message) -> None:
+        def arrive() -> None:
+            self._vm.arrive(lambda: self.send(self._gate, message))
+
+        self._site.network.carry(
+            self._server.place, self._vm.place, size, arrive
+        )
+
+    @runtime.handles(core.ClaimGate)
+    def _on_claim(self, message: core.ClaimGate) -> None:
+        def act() -> None:
+            server = self._server
+            if not server.model.running:
+                if not server.model.alive:
+                    self._back(MESSAGE_BYTES, core.GateClaimed(False))
+                return
+            if not self._site.lock_is_free(server, self.vm):
+                self._back(MESSAGE_BYTES, core.GateClaimed(False))
+                return
+            server.lock_owner = self.vm
+            server.close_others(self.vm)
+            self._lock = True
+            self._back(MESSAGE_BYTES, core.GateClaimed(True))
+            self._site.links_broken(server)
+
+        self._out(MESSAGE_BYTES, act)
+
+    @runtime.handles(core.ReleaseGate)
+    def _on_release(self, message: core.ReleaseGate) -> None:
+        def act() -> None:
+            if self._server.lock_owner == self.vm:
+                self._server.lock_owner = None
+
+        self._out(MESSAGE_BYTES, act)
+
+    @runtime.handles(core.OpenConn)
+    def _on_open(self, message: core.OpenConn) -> None:
+        def act() -> None:
+            conn = self._server.connect(self.vm)
+            if conn is None:
+                self._back(
+                    MESSAGE_BYTES, core.ConnClosed(message.conn_id, True)
+                )
+                return
+            self._conns[message.conn_id] = conn
+            self.after(CONNECT_COST, _Opened(message.conn_id))
+
+        self._out(MESSAGE_BYTES, act)
+
+    @runtime.handles(_Opened)
+    def _on_opened(self, message: _Opened) -> None:
+        if message.conn_id in self._conns:
+            self._back(MESSAGE_BYTES, core.ConnOpened(message.conn_id))
+
+    @runtime.handles(core.CloseConn)
+    def _on_close(self, message: core.CloseConn) -> None:
+        conn = self._conns.pop(message.conn_id, None)
+        if conn is not None:
+            self._out(MESSAGE_BYTES, lambda: self._server.close(conn))
+
+    @runtime.handles(core.RunOnConn)
+    def _on_run(self, message: core.RunOnConn) -> None:
+        conn = self._conns.get(message.conn_id)
+        if conn is None or conn.closed:
+            self.send(self._gate, core.ConnClosed(message.conn_id))
+            return
+
+        def reply(found: instance_module.Reply) -> None:
+            self._back(
+                len(found.data) + MESSAGE_BYTES,
+                core.ConnAnswer(
+                    message.conn_id,
+                    found.data,
+                    True,
+                    found.error_code,
+                    found.position,
+                    found.in_transaction,
+                ),
+            )
+
+        def act() -> None:
+            if conn.closed:
+                self._back(MESSAGE_BYTES, core.ConnClosed(message.conn_id))
+                return
+            self._server.run(conn, message.payload.command, reply)
+
+        self._out(message.payload.size() + MESSAGE_BYTES, act)
+
+    @property
+    def server(self) -> instance_module.SimServer:
+        """Return the instance this link goes to."""
+        return self._server
+
+    def broken(self) -> None:
+        """Tell the gate which connections the instance has ended."""
+        for conn_id, conn in tuple(self._conns.items()):
+            if conn.closed:
+                del self._conns[conn_id]
+                self._back(MESSAGE_BYTES, core.ConnClosed(conn_id))
+        if self._lock and self._server.lock_owner != self.vm:
+            self._lock = False
+            self._back(MESSAGE_BYTES, core.GateLost())
+
+
+class SimAgent(runtime.Task):
+    """Client of one simulated group agent."""
+
+    def __init__(
+        self,
+        site: site_module.Site,
+        vm: SimVm,
+        spec: decisions.InstanceSpec,
+    ) -> None:
+        super().__init__(site.loop, vm.name, f'agent/{spec.name}')
+        self._site = site
+        self._vm = vm
+        self._server = site.servers[spec.name]
+        self._group = tasks.names.group(vm.name, spec.database)
+
+    def _call(self, act: Callable[[], core.Message]) -> None:
+        """Run ``act`` at the instance and send its result back."""
+        site, server, vm = self._site, self._server, self._vm
+
+        def back(message: core.Message) -> None:
+            site.network.carry(
+                server.place,
+                vm.place,
+                MESSAGE_BYTES,
+                lambda: vm.arrive(lambda: self.send(self._group, message)),
+                'control',
+            )
+
+        def there() -> None:
+            if server.model.running:
+                server.group.advance(self.now())
+                back(act())
+
+        site.network.carry(
+            vm.place, server.place, MESSAGE_BYTES, there, 'control'
+        )
+
+    @runtime.handles(core.Probe)
+    def _on_probe(self, probe: core.Probe) -> None:
+        self._site.control_bytes[self.vm] += PROBE_BYTES
+        name = self._server.model.name
+        if not self._server.model.alive:
+            self.send(
+                self._group, core.ProbeAnswer(name, probe.sequence, False)
+            )
+            return
+        group = self._server.group
+        self._call(lambda: group.probe(name, probe.sequence, self.now()))
+
+    @runtime.handles(core.Fence)
+    def _on_fence(self, fence: core.Fence) -> None:
+        group, model = self._server.group, self._server.model
+
+        def act() -> core.Message:
+            accepted = group.fence(model.name, fence.term, fence.candidate)
+            return core.FenceAnswer(
+                model.name, fence.term, accepted, model.received_position()
+            )
+
+        self._call(act)
+
+    @runtime.handles(core.Promote)
+    def _on_promote(self, promote: core.Promote) -> None:
+        group, model = self._server.group, self._server.model
+
+        def act() -> core.Message:
+            accepted = group.promote(
+                model.name, promote.term, promote.candidate, self.now()
+            )
+            return core.PromoteAnswer(model.name, promote.term, accepted)
+
+        self._call(act)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Late(core.Message):
+    """A call of the platform had no answer."""
+
+    reply_to: core.TaskName
+    answer: core.Message
+
+
+class SimPlatform(runtime.Task):
+    """Client of the simulated platform, with its faults."""
+
+    def __init__(self, site: site_module.Site, vm: SimVm) -> None:
+        super().__init__(site.loop, vm.name, 'platform')
+        self._site = site
+        self._vm = vm
+
+    def _call(
+        self,
+        reply_to: core.TaskName,
+        act: Callable[[], core.Message],
+        lost: core.Message,
+        writes: bool = False,
+    ) -> None:
+        site, model = self._site, self._site.platform
+        site.control_bytes[self.vm] += PLATFORM_BYTES
+        cut = self._vm.place.zone in site.platform_unreachable
+        if (
+            cut
+            or model.down
+            or not site.network.reaches(self._vm.place, site.platform_place)
+        ):
+            self.after(PLATFORM_TIMEOUT, _Late(reply_to, lost))
+            return
+        answer = act()
+        if writes and model.lose_answers > 0:
+            model.lose_answers -= 1
+            self.after(PLATFORM_TIMEOUT, _Late(reply_to, lost))
+            return
+        delay = site.network.delay(self._vm.place, site.platform_place)
+        total = 2 * delay + PLATFORM_DELAY + model.slow
+        if total >= PLATFORM_TIMEOUT:
+            self.after(PLATFORM_TIMEOUT, _Late(reply_to, lost))
+        else:
+            self.after(total, _Late(reply_to, answer))
+
+    @runtime.handles(_Late)
+    def _on_late(self, late: _Late) -> None:
+        self._vm.arrive(lambda: self.send(late.reply_to, late.answer))
+
+    @runtime.handles(core.TableGet)
+    def _on_get(self, message: core.TableGet) -> None:
+        def act() -> core.Message:
+            row = self._site.platform.get(message.key)
+            return _answer(message.key, row)
+
+        lost = core.TableAnswer(
+            message.key, error=core.PlatformUnknown('no answer')
+        )
+        self._call(message.reply_to, act, lost)
+
+    @runtime.handles(core.TablePut)
+    def _on_put(self, message: core.TablePut) -> None:
+        def act() -> core.Message:
+            model = self._site.platform
+            row = model.put(message.key, message.value, message.expected)
+            if row is not None:
+                return _answer(message.key, row, put=True)
+            known = _answer(message.key, model.rows.get(message.key), put=True)
+            return dataclasses.replace(
+                known, error=core.PlatformRefused('the version has changed')
+            )
+
+        lost = core.TableAnswer(
+            message.key, put=True, error=core.PlatformUnknown('no answer')
+        )
+        self._call(message.reply_to, act, lost, True)
+
+    @runtime.handles(core.VmListRequest)
+    def _on_list(self, message: core.VmListRequest) -> None:
+        def act() -> core.Message:
+            return core.VmList(
+                tuple(
+                    core.VmListed(name, leaving)
+                    for name, leaving in self._site.platform.vms.items()
+                )
+            )
+
+        lost = core.VmList(error=core.PlatformUnknown('no answer'))
+        self._call(message.reply_to, act, lost)
+
+
+def _answer(
+    key: str, row: platform_module.Row | None, put: bool = False
+) -> core.TableAnswer:
+    if row is None:
+        return core.TableAnswer(key, put=put)
+    return core.TableAnswer(key, row.version, row.value, put)
+
+
+class SimPeers(runtime.Task):
+    """Streams to other VMs; every message is really encoded."""
+
+    def __init__(self, site: site_module.Site, vm: SimVm) -> None:
+        super().__init__(site.loop, vm.name, 'peers')
+        self._site = site
+        self._vm = vm
+        self._lost: set[core.VmName] = set()
+
+    @runtime.handles(tasks.ConfigInForce)
+    def _on_config(self, message: tasks.ConfigInForce) -> None:
+        """Nothing to learn: every VM of the site is known."""
+
+    @runtime.handles(core.LiveVms)
+    def _on_live(self, live: core.LiveVms) -> None:
+        lost = {
+            name for name, state in live.states if state is core.VmState.GONE
+        }
+        for name in lost - self._lost:
+            self.peer_down(name)
+        self._lost = lost
+
+    @runtime.handles(core.ToPeer)
+    def _on_send(self, message: core.ToPeer) -> None:
+        other = self._site.vms.get(message.vm)
+        if other is None or not other.alive:
+            router = tasks.names.router(self.vm)
+            undelivered = tasks.Undelivered(message.vm, message.message)
+            self.send(router, undelivered)
+            return
+        data = codec.encode(message.message)
+        control = isinstance(
+            message.message,
+            core.Heartbeat | core.ConfigFetch | core.ConfigOffer,
+        )
+        received = codec.unpack_frame(data)[0]
+
+        if control:
+            self._site.control_bytes[self.vm] += len(data) + FRAME_BYTES
+
+        def arrive() -> None:
+            other.arrive(lambda: self._receive(other, received))
+
+        self._site.network.carry(
+            self._vm.place,
+            other.place,
+            len(data),
+            arrive,
+            'control' if control else 'statements',
+        )
+
+    def _receive(self, other: SimVm, message: core.Message) -> None:
+        receiver = _RECEIVERS[type(message)](other.name)
+        self.send(receiver, message)
+
+    def peer_down(self, name: core.VmName) -> None:
+        """Tell this VM's tasks that a stream has ended."""
+        down = core.PeerDown(name)
+        names = tasks.names
+        for receiver in (
+            names.router(self.vm),
+            names.membership(self.vm),
+            names.node(self.vm),
+        ):
+            self._vm.arrive(lambda r=receiver: self.send(r, down))
+
+
+_NAMES = tasks.names
+_RECEIVERS: dict[type, Callable[[core.VmName], core.TaskName]] = {
+    core.Submit: _NAMES.node,
+    core.AbortTransaction: _NAMES.node,
+    core.Consumed: _NAMES.node,
+    core.Answer: _NAMES.router,
+    core.ResultChunk: _NAMES.router,
+    core.GateMoved: _NAMES.router,
+    core.Heartbeat: _NAMES.membership,
+    core.ConfigFetch: _NAMES.configurator,
+    core.ConfigOffer: _NAMES.configurator,
+}
+
+
+class SimEdges:
+    """Ports of a node that are met inside the lab."""
+
+    def __init__(self, site: site_module.Site) -> None:
+        self._site = site
+        self.links: list[SimLink] = []
+        self.peer_tasks: dict[core.VmName, SimPeers] = {}
+
+    def platform(self, vm: core.VmName) -> None:
+        """Start the client of the simulated platform."""
+        SimPlatform(self._site, self._site.vms[vm])
+
+    def peers(self, vm: core.VmName) -> None:
+        """Start the streams to the site's other VMs."""
+        self.peer_tasks[vm] = SimPeers(self._site, self._site.vms[vm])
+
+    def link(
+        self, vm: core.VmName, spec: decisions.InstanceSpec
+    ) -> runtime.Task:
+        """Start the connections to one simulated instance."""
+        link = SimLink(self._site, self._site.vms[vm], spec)
+        self.links.append(link)
+        return link
+
+    def agent(
+        self, vm: core.VmName, spec: decisions.InstanceSpec
+    ) -> runtime.Task:
+        """Start the client of one simulated group agent."""
+        return SimAgent(self._site, self._site.vms[vm], spec)
