Prove reads of the primary; let reads leave stuck instances

Short work also waited behind stragglers that nothing told apart.

Change: a read at a primary that is not proved fresh enough waits for the same evidence as a commit. A queue whose slots all run over their time gives its reads back; the wait told to routers is that of short work; at a primary one slot is kept for writes.

Hidden stragglers among writes on three slots still delay short writes: open.

--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -228,7 +228,9 @@
             self.send(self._gate, core.GateClaimed(False))
         elif result is gatelock.LockResult.GRANTED:
             self._epoch += 1
-            self.after(self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch))
+            self.after(
+                self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch)
+            )
             self.send(self._gate, core.GateClaimed(True))
         elif found.final:
             self._send_lock(conn)
@@ -243,7 +245,9 @@
             return
         conn.run(core.Payload(COM_PING))
         self._dirty.add(conn)
-        self.after(self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch))
+        self.after(
+            self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch)
+        )
 
     @runtime.handles(core.ReleaseGate)
     def _on_release(self, message: core.ReleaseGate) -> None:
--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -59,6 +59,7 @@
     NOT_FRESH = 'not_fresh'
     LEAVING = 'leaving'
     DOWN = 'down'
+    BUSY = 'busy'
 
 
 class SessionState(enum.Enum):
--- a/src/chicoryusher/decisions/routing.py
+++ b/src/chicoryusher/decisions/routing.py
@@ -21,6 +21,8 @@
 PRIMARY_PENALTY = 0.020
 HINT_LIFETIME = 2.0
 DOWN_LIFETIME = 0.5
+BUSY_LIFETIME = 0.1
+BUSY_WAIT = 0.05
 UNKNOWN_LAG = 0.25
 
 
@@ -29,7 +31,8 @@
     """A router's hints about one instance.
 
     ``path`` is the round trip in seconds to the instance through its
-    gate; ``refused_until`` keeps new work away after a refusal.
+    gate; ``refused_until`` keeps new work away after a refusal, and
+    until ``busy_until`` its slots are known to run long.
     """
 
     spec: configuration.InstanceSpec
@@ -37,6 +40,7 @@
     report: core.InstanceReport | None = None
     heard_at: float = float('-inf')
     refused_until: float = float('-inf')
+    busy_until: float = float('-inf')
 
     def lag(self, now: float) -> float:
         """Return the last estimate of the lag, or a cautious guess."""
@@ -46,6 +50,8 @@
 
     def cost(self, now: float) -> float:
         """Return the expected wait in seconds before an answer."""
+        if self.busy_until > now:
+            return self.path + BUSY_WAIT
         if self.report is None or now - self.heard_at > HINT_LIFETIME:
             return self.path
         return self.path + self.report.queue_wait
@@ -89,6 +95,7 @@
             view.report = known.report
             view.heard_at = known.heard_at
             view.refused_until = known.refused_until
+            view.busy_until = known.busy_until
         self.instances[view.spec.name] = view
 
     def keep_only(self, names: frozenset[core.InstanceName]) -> None:
@@ -119,6 +126,9 @@
             return
         if reason is core.MoveReason.NOT_FRESH:
             return
+        if reason is core.MoveReason.BUSY:
+            view.busy_until = now + BUSY_LIFETIME
+            return
         if self.primary == name and reason is not core.MoveReason.NOT_GATE:
             self.primary = None
         if reason in (core.MoveReason.DOWN, core.MoveReason.LEAVING):
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -30,6 +30,7 @@
 FAIRNESS_WEIGHT = 1.0
 MIN_RETRY_AFTER = 0.020
 MAX_QUEUE_ITEMS = 4096
+STUCK_FACTOR = 3.0
 DEFAULT_POLICY = 'fair_short_first'
 
 
@@ -41,6 +42,7 @@
     arrived: float
     deadline: float
     expected: float = 0.0
+    started: float = 0.0
     state: core.RequestState = core.RequestState.QUEUED
 
     @property
@@ -89,7 +91,13 @@
     def take(self, now: float) -> Item | None:
         """Return the item to run next on a free slot, or None."""
 
-    def started(self, item: Item) -> None:
+    def put_back(self, item: Item) -> None:
+        """Queue an item again that was accepted before."""
+
+    def stuck(self, now: float) -> bool:
+        """Tell whether every slot runs longer than was expected."""
+
+    def started(self, item: Item, now: float) -> None:
         """Note that an item occupies a slot."""
 
     def finished(self, item: Item, seconds: float) -> None:
@@ -101,7 +109,7 @@
     def drain(self) -> list[Item]:
         """Remove and return every queued item."""
 
-    def wait(self) -> float:
+    def wait(self, now: float) -> float:
         """Return the expected wait of a new item in seconds."""
 
     def __len__(self) -> int: ...
@@ -127,10 +135,24 @@
         """Return how many slots are occupied."""
         return len(self._running)
 
-    def started(self, item: Item) -> None:
+    def put_back(self, item: Item) -> None:
+        """Queue an item again that was accepted before."""
+        self._items.append(item)
+
+    def started(self, item: Item, now: float) -> None:
         """Note that an item occupies a slot."""
+        item.started = now
         self._running[item.request.request_id] = item
 
+    def stuck(self, now: float) -> bool:
+        """Tell whether every slot runs longer than was expected."""
+        if self.running < self.slots:
+            return False
+        return all(
+            now - one.started > STUCK_FACTOR * one.expected
+            for one in self._running.values()
+        )
+
     def finished(self, item: Item, seconds: float) -> None:
         """Note that an item gave its slot back."""
         if self._running.pop(item.request.request_id, None) is not None:
@@ -153,12 +175,27 @@
         items, self._items = self._items, []
         return items
 
-    def wait(self) -> float:
+    def wait(self, now: float) -> float:
         """Return the expected wait of a new item in seconds."""
         if self.running < self.slots and not self._items:
             return 0.0
         work = sum(one.expected for one in self._items)
-        return (work + self.times.mean) / self.slots
+        return self._until_free(now) + work / self.slots
+
+    def _until_free(self, now: float) -> float:
+        """Return the expected time until a slot is free.
+
+        What has run for longer than expected is taken to run for as
+        long again.
+        """
+        if self.running < self.slots:
+            return 0.0
+        left = []
+        for one in self._running.values():
+            elapsed = now - one.started
+            late = elapsed > one.expected
+            left.append(elapsed if late else one.expected - elapsed)
+        return min(left)
 
     def _expect(self, item: Item) -> None:
         name = item.request.statement_class
@@ -199,6 +236,7 @@
         if len(self._items) >= MAX_QUEUE_ITEMS:
             return Shed('the queue is full', MIN_RETRY_AFTER)
         ahead = self._work_ahead(item) / self._lanes(item)
+        ahead += self._until_free(now)
         accepted = item.deadline - now - item.expected
         if ahead > accepted:
             retry_after = max(MIN_RETRY_AFTER, ahead - accepted)
@@ -208,6 +246,18 @@
         self._used[caller] = max(self._used.get(caller, 0.0), self._floor)
         return None
 
+    def wait(self, now: float) -> float:
+        """Return the expected wait of new short work in seconds."""
+        short = [
+            one.expected
+            for one in self._items
+            if not self._is_long(one.expected)
+        ]
+        if self.running < self.slots and not short:
+            return 0.0
+        lanes = max(1, self.slots - self._long_running())
+        return self._until_free(now) + sum(short) / lanes
+
     def _too_late(self, item: Item, now: float) -> bool:
         """Tell whether a slot would be wasted on the item."""
         return item.deadline <= now + item.expected
@@ -219,7 +269,7 @@
         best: Item | None = None
         best_rank = float('inf')
         for item in self._items:
-            if self._too_late(item, now):
+            if self._too_late(item, now) or self._reserved(item):
                 continue
             if self._is_long(item.expected) and not may_be_long:
                 continue
@@ -233,9 +283,9 @@
             self._items.remove(best)
         return best
 
-    def started(self, item: Item) -> None:
+    def started(self, item: Item, now: float) -> None:
         """Charge the item's expected time to its caller."""
-        super().started(item)
+        super().started(item, now)
         caller = item.request.caller
         used = self._used.get(caller, self._floor)
         self._floor = max(self._floor, min(self._used.values(), default=0))
@@ -251,6 +301,13 @@
             self._used.clear()
             self._floor = 0.0
 
+    def _reserved(self, item: Item) -> bool:
+        """Tell whether only a primary's slot kept for writes is left."""
+        if not _reads_primary(item) or self.slots == 1:
+            return False
+        reads = sum(1 for one in self._running.values() if _reads_primary(one))
+        return reads >= self.slots - 1
+
     def _rank(self, item: Item, now: float) -> float:
         waited = now - item.arrived
         used = self._used.get(item.request.caller, self._floor)
@@ -289,3 +346,8 @@
             for one in self._items
             if one.expected <= item.expected
         )
+
+
+def _reads_primary(item: Item) -> bool:
+    at_primary = item.submit.role is core.Role.PRIMARY
+    return at_primary and item.request.kind is core.StatementKind.READ
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -23,6 +23,7 @@
 USE_NOTICE_INTERVAL = 1.0
 STATE_LIFETIME = 5.0
 CATCH_UP_POLL = 0.005
+STUCK_PATIENCE = 0.010
 MAJORITY_GRACE = 1.0
 _REASON = core.MoveReason
 
@@ -177,7 +178,8 @@
             self._move(submit, reason)
             return
         item = items.GateItem(self, submit, self.now())
-        if submit.patience and not self._fresh(submit):
+        waits = submit.role is core.Role.REPLICA and submit.patience > 0
+        if waits and not self.fresh(submit):
             self._catching_up.append(item)
             self.send(self._group_task, core.WatchCatchUp(self.spec.name))
             self._watch()
@@ -214,7 +216,7 @@
             return self._primary_refusal(submit, state)
         if state.own.leaving:
             return _REASON.LEAVING
-        if not self._fresh(submit) and not submit.patience:
+        if not self.fresh(submit) and not submit.patience:
             return _REASON.NOT_FRESH
         return None
 
@@ -229,10 +231,11 @@
             return _REASON.NO_PRIMARY
         return None
 
-    def _fresh(self, submit: core.Submit) -> bool:
+    def fresh(self, submit: core.Submit) -> bool:
+        """Tell whether the instance is proved as fresh as asked for."""
         state = self._group
-        if state is None or submit.role is core.Role.PRIMARY:
-            return True
+        if state is None:
+            return False
         if submit.after is not None and not core.covers(
             state.own.applied, submit.after, state.starts
         ):
@@ -272,7 +275,7 @@
         waiting, self._catching_up = self._catching_up, []
         self.send(self._group_task, core.WatchCatchUp(self.spec.name))
         for item in waiting:
-            if self._fresh(item.submit):
+            if self.fresh(item.submit):
                 self._enqueue(item)
             elif now - item.arrived >= item.submit.patience:
                 self._move(item.submit, _REASON.NOT_FRESH)
@@ -294,7 +297,7 @@
         item.conn = conn.conn_id
         item.sent_at = self.now()
         self._running[item.request.request_id] = item
-        self._queue.started(item)
+        self._queue.started(item, self.now())
         self._conns.run(conn, item.submit)
         self._requests.fire(item, 'sent')
         self._watch()
@@ -500,7 +503,7 @@
             self.spec.name,
             state.own.alive and not state.own.leaving,
             state.apply_delay,
-            self._queue.wait(),
+            self._queue.wait(now),
             primary,
             state.term,
         )
@@ -580,6 +583,8 @@
             assert isinstance(item, items.GateItem)
             item.reason = 'the deadline passed in the queue'
             self._requests.fire(item, 'expired')
+        if self._queue.stuck(now):
+            self._spread_reads(now)
         for running in [*self._running.values()]:
             if running.deadline <= now:
                 self._expire_running(running)
@@ -594,6 +599,15 @@
         if busy or len(self._queue):
             self._watch()
 
+    def _spread_reads(self, now: float) -> None:
+        """Let reads behind long work run at another instance."""
+        for item in self._queue.drain():
+            assert isinstance(item, items.GateItem)
+            if item.reads and now - item.arrived >= STUCK_PATIENCE:
+                self._move(item.submit, _REASON.BUSY)
+            else:
+                self._queue.put_back(item)
+
     def _expire_running(self, item: items.GateItem) -> None:
         self._running.pop(item.request.request_id, None)
         self._queue.finished(item, self.now() - item.sent_at)
@@ -608,7 +622,7 @@
             ('queued', str(len(self._queue))),
             ('running', str(len(self._running))),
             ('connections', str(len(self._conns))),
-            ('wait_s', f'{self._queue.wait():.4f}'),
+            ('wait_s', f'{self._queue.wait(self.now()):.4f}'),
             ('answered', str(self.answered)),
             ('shed', str(self.shed)),
         )
--- a/src/chicoryusher/tasks/items.py
+++ b/src/chicoryusher/tasks/items.py
@@ -31,6 +31,9 @@
     def await_proof(self, item: GateItem) -> None:
         """Ask the group for evidence of the request's commit."""
 
+    def fresh(self, submit: core.Submit) -> bool:
+        """Tell whether the instance is proved as fresh as asked for."""
+
     def cut(self, item: GateItem) -> None:
         """End the statement at the instance by closing its connection."""
 
@@ -109,17 +112,18 @@
         return self.writes or self.position is not None
 
     @property
-    def strict_read(self) -> bool:
-        """Tell whether the read must prove that its primary leads."""
-        submit = self.submit
-        reads = self.request.kind is Kind.READ
-        primary = submit.role is core.Role.PRIMARY
-        return reads and primary and submit.max_staleness <= 0
+    def unproved_read(self) -> bool:
+        """Tell whether its primary must still prove that it led.
+
+        A read of a replica was proved fresh before it ran.
+        """
+        at_primary = self.submit.role is core.Role.PRIMARY
+        return self.reads and at_primary and not self.host.fresh(self.submit)
 
 
 @charts.guard('request.needs_proof')
 def _needs_proof(item: GateItem, answer: core.ConnAnswer) -> bool:
-    return not answer.error_code and (item.commits or item.strict_read)
+    return not answer.error_code and (item.commits or item.unproved_read)
 
 
 @charts.guard('request.refused_here')
--- a/src/chicoryusher_standins/deployments.py
+++ b/src/chicoryusher_standins/deployments.py
@@ -95,9 +95,9 @@
                     ],
                 }
                 for number in range(
-                        deployment.first - 1,
-                        deployment.first - 1 + deployment.databases,
-                    )
+                    deployment.first - 1,
+                    deployment.first - 1 + deployment.databases,
+                )
             ],
         },
         'rules': {'default_deadline': 10.0, 'default_staleness': 5.0},
--- a/src/chicoryusher_standins/lab/callers.py
+++ b/src/chicoryusher_standins/lab/callers.py
@@ -177,9 +177,7 @@
                     database,
                 ),
             )
-            self.after(
-                self._random.uniform(0, 1 / load.rate), _Next(number)
-            )
+            self.after(self._random.uniform(0, 1 / load.rate), _Next(number))
 
     def stop(self) -> None:
         """Send nothing more."""
@@ -210,9 +208,7 @@
         load = session.load
         now = self.now()
         straggler = self._random.random() < load.straggler
-        seconds = load.seconds * (
-            load.straggler_factor if straggler else 1.0
-        )
+        seconds = load.seconds * (load.straggler_factor if straggler else 1.0)
         request_id = core.RequestId(
             f'{session.session_id}:{next(self._numbers)}'
         )
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -69,9 +69,7 @@
         self._lock = False
 
     def _out(self, size: int, act: Callable[[], None]) -> None:
-        self._site.network.carry(
-            self._vm.place, self._server.place, size, act
-        )
+        self._site.network.carry(self._vm.place, self._server.place, size, act)
 
     def _back(self, size: int, message: core.Message) -> None:
         def arrive() -> None:
--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -89,9 +89,7 @@
     callers.start(Load('desk', 14, 2.0, 0.004, 0.3), vms)
     callers.start(Load('yard', 14, 4.0, 0.004, 0.02, staleness=2.0), vms)
     callers.start(
-        Load(
-            'buyer', 14, 4.0, 0.004, 0.05, staleness=1.0, private_rows=False
-        ),
+        Load('buyer', 14, 4.0, 0.004, 0.05, staleness=1.0, private_rows=False),
         vms,
     )
     callers.start(Load('batch', 7, 1.0, 0.004, 1.0, keyed=True), vms)
@@ -126,9 +124,7 @@
     callers.start(Load('desk', 14, 4.0, 0.004, 0.5), vms)
     callers.start(Load('batch', 7, 3.0, 0.004, 1.0, keyed=True), vms)
     callers.start(
-        Load(
-            'buyer', 7, 2.0, 0.004, 0.1, staleness=1.0, private_rows=False
-        ),
+        Load('buyer', 7, 2.0, 0.004, 0.1, staleness=1.0, private_rows=False),
         vms,
     )
     site.run_for(WARM_SECONDS + 0.1 * (job.seed % 10))
@@ -263,13 +259,13 @@
         callers = callers_module.Callers(site, job.seed)
         load = Load(
             'mixed',
-                70,
-                rate / 70,
-                seconds,
-                0.1,
-                5.0,
-                straggler=share,
-                straggler_hidden=job.detail == 'hidden',
+            70,
+            rate / 70,
+            seconds,
+            0.1,
+            5.0,
+            straggler=share,
+            straggler_hidden=job.detail == 'hidden',
         )
         callers.start(load, list(site.vms))
         site.run_for(WARM_SECONDS)
--- a/src/chicoryusher_standins/lab/pausing.py
+++ b/src/chicoryusher_standins/lab/pausing.py
@@ -17,9 +17,7 @@
 
     def __init__(self) -> None:
         super().__init__(core.VirtualClock())
-        self._paused: dict[
-            str, list[tuple[core.TaskName, core.Message]]
-        ] = {}
+        self._paused: dict[str, list[tuple[core.TaskName, core.Message]]] = {}
         self._dead: set[str] = set()
 
     def pause(self, vm: core.VmName) -> None:
--- a/src/chicoryusher_standins/lab/site.py
+++ b/src/chicoryusher_standins/lab/site.py
@@ -69,16 +69,12 @@
         self.platform_unreachable: set[str] = set()
         self.control_bytes: collections.Counter[str] = collections.Counter()
         zones = dict(deployment.zones)
-        store = next(
-            zone for zone in zones if zones[zone] == deployment.store
-        )
+        store = next(zone for zone in zones if zones[zone] == deployment.store)
         self.platform_place = Place('platform', store)
         self.vms: dict[core.VmName, edges_module.SimVm] = {}
         self.nodes: dict[core.VmName, tasks.Node] = {}
         self.groups: dict[core.DatabaseName, group_module.GroupModel] = {}
-        self.servers: dict[
-            core.InstanceName, instance_module.SimServer
-        ] = {}
+        self.servers: dict[core.InstanceName, instance_module.SimServer] = {}
         for database in self.document['register']['databases']:
             self._add_group(database, lags, seed)
         self.edges = edges_module.SimEdges(self)
--- a/src/chicoryusher_standins/main.py
+++ b/src/chicoryusher_standins/main.py
@@ -21,9 +21,7 @@
     deployment: Annotated[
         str, typer.Option(help='Which deployment to stand in for.')
     ] = 'nile-grain',
-    databases: Annotated[
-        int, typer.Option(help='How many databases.')
-    ] = 3,
+    databases: Annotated[int, typer.Option(help='How many databases.')] = 3,
     first: Annotated[
         int, typer.Option(help='Number of the first database.')
     ] = 1,
--- a/src/chicoryusher_standins/measure.py
+++ b/src/chicoryusher_standins/measure.py
@@ -169,7 +169,8 @@
             'per_vm': per_vm,
             'fit_error': error,
             'vm_fit_error': vm_error,
-            'at_580_nodes': start + slope * groups
+            'at_580_nodes': start
+            + slope * groups
             + max(0.0, per_vm) * (DESIGN_NODES - 8),
         }
     return result
--- a/src/chicoryusher_standins/throughput.py
+++ b/src/chicoryusher_standins/throughput.py
@@ -78,13 +78,17 @@
 
 
 def _caller(
-    port: int, user: str, password: str, name: str, seconds: float,
-    connections: int, counts: Any, begin: Any,
+    port: int,
+    user: str,
+    password: str,
+    name: str,
+    seconds: float,
+    connections: int,
+    counts: Any,
+    begin: Any,
 ) -> None:
     """Run statements from several connections until time is up."""
-    conns = [
-        _connect(port, user, password, name) for _ in range(connections)
-    ]
+    conns = [_connect(port, user, password, name) for _ in range(connections)]
     cursors = [one.cursor() for one in conns]
     begin.wait()
     until = time.monotonic() + seconds
@@ -99,8 +103,12 @@
 
 
 def _rate(
-    targets: list[tuple[int, str]], user: str, password: str,
-    seconds: float, callers: int, connections: int,
+    targets: list[tuple[int, str]],
+    user: str,
+    password: str,
+    seconds: float,
+    callers: int,
+    connections: int,
 ) -> float:
     context = multiprocessing.get_context('spawn')
     counts = context.Queue()
@@ -112,8 +120,14 @@
             context.Process(
                 target=_caller,
                 args=(
-                    port, user, password, name, seconds, connections,
-                    counts, begin,
+                    port,
+                    user,
+                    password,
+                    name,
+                    seconds,
+                    connections,
+                    counts,
+                    begin,
                 ),
             )
         )
@@ -151,9 +165,14 @@
     for number in range(1, 4):
         process, found = _start(
             str(_BIN / 'chicoryusher-standins'),
-            '--databases', '1', '--first', str(number),
-            '--slots', str(SLOTS),
-            '--connections', str(CONNECTIONS),
+            '--databases',
+            '1',
+            '--first',
+            str(number),
+            '--slots',
+            str(SLOTS),
+            '--connections',
+            str(CONNECTIONS),
         )
         started.append(process)
         standins.append(found)
@@ -173,7 +192,10 @@
 
 
 def _with_standins(
-    register: Any, platform_port: int, started: Any, seconds: float,
+    register: Any,
+    platform_port: int,
+    started: Any,
+    seconds: float,
     callers: int,
 ) -> Throughput:
     with tempfile.TemporaryDirectory() as folder:
@@ -186,8 +208,10 @@
         document['log_level'] = 'error'
         register['register']['vms'] = [
             {
-                'name': 'vm1', 'zone': 'akhmim-yard',
-                'host': world_module.HOST, 'port': ports[0],
+                'name': 'vm1',
+                'zone': 'akhmim-yard',
+                'host': world_module.HOST,
+                'port': ports[0],
             }
         ]
         for database in register['register']['databases']:
@@ -206,7 +230,9 @@
 def _free_ports(count: int) -> list[int]:
     import socket
 
-    socks = [socket.create_server((world_module.HOST, 0)) for _ in range(count)]
+    socks = [
+        socket.create_server((world_module.HOST, 0)) for _ in range(count)
+    ]
     ports = [one.getsockname()[1] for one in socks]
     for one in socks:
         one.close()
@@ -220,10 +246,16 @@
     while True:
         found = subprocess.run(
             [
-                _BIN / 'chicoryusher', 'register', 'apply', path,
-                '--admin', f'{world_module.HOST}:{admin_port}',
+                _BIN / 'chicoryusher',
+                'register',
+                'apply',
+                path,
+                '--admin',
+                f'{world_module.HOST}:{admin_port}',
             ],
-            env=_environment(), capture_output=True, check=False,
+            env=_environment(),
+            capture_output=True,
+            check=False,
         )
         if found.returncode == 0:
             return
@@ -255,7 +287,11 @@
     ]
     direct_rate = _rate(straight, user, password, seconds, callers, 5)
     return Throughput(
-        rate, direct_rate, proxied, direct, idle,
+        rate,
+        direct_rate,
+        proxied,
+        direct,
+        idle,
         spent / (rate * seconds) * 1e6,
     )
 
