--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 measure: $(STAMP)
 	$(BIN)/python -m chicoryusher_standins.measure $(ARGS)
 
+model: $(STAMP)
+	$(BIN)/python -m chicoryusher_standins.model.check
+
 docs: $(STAMP)
 	$(BIN)/python tools/make_docs.py
 
