--- a/features/environment.py
+++ b/features/environment.py
@@ -1,3 +1,17 @@
-"""Set up each scenario with its own world on a virtual clock."""
+"""Give each scenario a site of its own on the virtual clock."""
 
 from __future__ import annotations
+
+from chicoryusher import core
+from chicoryusher import runtime
+
+
+def before_all(context):
+    handler = runtime.to_stream(core.LogLevel.ERROR)
+    handler.push_application()
+
+
+def after_scenario(context, scenario):
+    site = getattr(context, 'site', None)
+    if site is not None:
+        site.close()
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -67,6 +67,11 @@
         self.answered = 0
         self.shed = 0
 
+    @property
+    def pinned(self) -> int:
+        """Return how many connections transactions hold."""
+        return sum(1 for one in self._conns.all() if one.transaction)
+
     # -- assignment -------------------------------------------------
 
     @runtime.handles(notices.AssignGate)
@@ -141,8 +146,7 @@
     def _release_if_empty(self) -> None:
         if self.state is not core.GateState.RELEASING:
             return
-        pinned = any(one.transaction for one in self._conns.all())
-        if not self._running and not self._proving and not pinned:
+        if not self._running and not self._proving and not self.pinned:
             self._chart.fire(self, 'empty')
 
     # -- requests ---------------------------------------------------
@@ -284,8 +288,7 @@
 
     def _open_ahead(self) -> None:
         busy = sum(1 for one in self._conns.all() if one.request_id)
-        pinned = sum(1 for one in self._conns.all() if one.transaction)
-        wanted = max(busy, pinned) + self.spec.slots + SPARE_CONNECTIONS
+        wanted = max(busy, self.pinned) + self.spec.slots + SPARE_CONNECTIONS
         wanted = min(wanted, self._conns.cap)
         while len(self._conns) < wanted:
             conn = self._conns.new()
--- a/src/chicoryusher_standins/deployments.py
+++ b/src/chicoryusher_standins/deployments.py
@@ -13,8 +13,9 @@
     """Names and sizes of one deployment.
 
     ``zones`` maps availability zones to regions; the store is in the
-    region named by ``store``.  Databases are numbered from ``first``.  Instances have ``slots`` and
-    ``connections``; ``vms`` is how many entry VMs there are.
+    region named by ``store``.  Instances have ``slots`` and
+    ``connections``; ``vms`` is how many entry VMs there are.  Databases
+    are numbered from ``first``.
     """
 
     name: str
--- a/src/chicoryusher_standins/model/terms.py
+++ b/src/chicoryusher_standins/model/terms.py
@@ -143,9 +143,7 @@
                         state._replace(ops=_set(state.ops, op, acked)),
                     )
 
-    def _send(
-        self, state: _State, op: int
-    ) -> Iterator[tuple[str, _State]]:
+    def _send(self, state: _State, op: int) -> Iterator[tuple[str, _State]]:
         for i in INSTANCES:
             if not state.leads[i]:
                 continue
@@ -159,9 +157,7 @@
                 ),
             )
 
-    def _observe(
-        self, state: _State, op: int
-    ) -> Iterator[tuple[str, _State]]:
+    def _observe(self, state: _State, op: int) -> Iterator[tuple[str, _State]]:
         one = state.ops[op]
         for i in INSTANCES:
             if one.holders >> i & 1 or (one.term, op) not in state.logs[i]:
@@ -250,8 +246,7 @@
                 continue
             newer = state.terms[i] < one.term
             again = (
-                not self.rules.fence_once_a_term
-                and state.terms[i] == one.term
+                not self.rules.fence_once_a_term and state.terms[i] == one.term
             )
             if not newer and not again:
                 continue
@@ -269,9 +264,7 @@
                 ),
             )
 
-    def _promote(
-        self, state: _State, c: int
-    ) -> Iterator[tuple[str, _State]]:
+    def _promote(self, state: _State, c: int) -> Iterator[tuple[str, _State]]:
         one = state.candidates[c]
         fenced = [i for i in INSTANCES if one.fenced >> i & 1]
 
--- a/src/chicoryusher_standins/model/work.py
+++ b/src/chicoryusher_standins/model/work.py
@@ -60,9 +60,7 @@
         may_send = one.keyed or not one.tries or not chosen.unkeyed_sent_once
         if not one.flying and one.told in ('', 'unknown'):
             if one.tries < TRIES and may_send:
-                sent = one._replace(
-                    flying=True, tries=one.tries + 1, told=''
-                )
+                sent = one._replace(flying=True, tries=one.tries + 1, told='')
                 after.append(('request.sent', sent))
         if not one.tries:
             refused = one._replace(told='not_run')
@@ -86,19 +84,17 @@
         ),
         invariants={
             'lands_at_most_once': lambda s: s.get('landed', 0) <= 1,
-            'not_run_is_true': lambda s: not (
-                s.get('told') == 'not_run' and s['landed']
+            'not_run_is_true': lambda s: (
+                not (s.get('told') == 'not_run' and s['landed'])
             ),
-            'done_is_true': lambda s: not (
-                s.get('told') == 'done' and not s['landed']
+            'done_is_true': lambda s: (
+                not (s.get('told') == 'done' and not s['landed'])
             ),
         },
     )
 
 
-def _landings(
-    one: _Work, rules: LedgerRules
-) -> list[tuple[str, _Work]]:
+def _landings(one: _Work, rules: LedgerRules) -> list[tuple[str, _Work]]:
     """Return what may become of a request at the instance."""
     down = one._replace(flying=False)
     lost = 'unknown' if rules.lost_is_unknown else 'not_run'
@@ -171,9 +167,7 @@
                 (f'connection.opened {vm}', state._replace(open=opened))
             )
         if state.holder == vm:
-            steps.append(
-                (f'gate.lost {vm}', state._replace(holder=-1))
-            )
+            steps.append((f'gate.lost {vm}', state._replace(holder=-1)))
         if state.serving[vm] and state.holder != vm:
             steps.append(
                 (
--- a/src/chicoryusher_standins/throughput.py
+++ b/src/chicoryusher_standins/throughput.py
@@ -11,6 +11,7 @@
 import multiprocessing
 import os
 import pathlib
+import socket
 import statistics
 import subprocess
 import sys
@@ -89,14 +90,13 @@
 ) -> None:
     """Run statements from several connections until time is up."""
     conns = [_connect(port, user, password, name) for _ in range(connections)]
-    cursors = [one.cursor() for one in conns]
     begin.wait()
     until = time.monotonic() + seconds
     count = 0
     while time.monotonic() < until:
         for conn in conns:
             conn._execute_command(3, 'SELECT 1')  # noqa: SLF001
-        for conn, cursor in zip(conns, cursors, strict=True):
+        for conn in conns:
             conn._affected_rows = conn._read_query_result()  # noqa: SLF001
             count += 1
     counts.put(count)
@@ -228,7 +228,6 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    import socket
 
     socks = [
         socket.create_server((world_module.HOST, 0)) for _ in range(count)
