Keep the configuration as an object behind a small pointer

Cause: every node read the whole document each time it asked for the version; at 3,600 instances that is some 540 KB a read, far over 12 KB/s.

Change: the document goes to the object store under the digest of its content, and the table's key holds a pointer, written conditionally; a node reads the document only for a newer pointer, or gets it from a peer. An operator's lost answer is settled by reading the pointer back.

Found on the way, by its feature: an accepted change read back reported the version before it; the document is taken into force first now.

--- a/features/steps/site_steps.py
+++ b/features/steps/site_steps.py
@@ -378,7 +378,7 @@
         )
         site.loop.post(
             tasks.names.configurator(vm),
-            core.TableAnswer(tasks.CONFIG_KEY, 1, old),
+            core.TableAnswer(tasks.CONFIG_KEY, 1, b'{"object": "x"}'),
         )
     site.run_for(0.2)
     for node in site.nodes.values():
--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -20,6 +20,9 @@
     'GroupState',
     'GroupUsed',
     'LiveVms',
+    'ObjectAnswer',
+    'ObjectGet',
+    'ObjectPut',
     'PeerDown',
     'PeerUp',
     'Promote',
@@ -183,6 +186,33 @@
     error: errors.PlatformError | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectGet(Message):
+    """Read one object of the platform's object store."""
+
+    reply_to: ids.TaskName
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectPut(Message):
+    """Write one object; its key names its content."""
+
+    reply_to: ids.TaskName
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectAnswer(Message):
+    """Result of an object's get or put; no value if it is absent."""
+
+    key: str
+    value: bytes | None = None
+    put: bool = False
+    error: errors.PlatformError | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmListRequest(Message):
     """Read the platform's list of VMs."""
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -10,6 +10,7 @@
 from chicoryusher.decisions import ledger
 from chicoryusher.decisions import membership
 from chicoryusher.decisions import neighbours
+from chicoryusher.decisions import pointers
 from chicoryusher.decisions import register
 from chicoryusher.decisions import sessions
 from chicoryusher.decisions.configuration import *  # noqa: F403
@@ -20,6 +21,7 @@
 from chicoryusher.decisions.ledger import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
 from chicoryusher.decisions.neighbours import *  # noqa: F403
+from chicoryusher.decisions.pointers import *  # noqa: F403
 from chicoryusher.decisions.register import *  # noqa: F403
 from chicoryusher.decisions.routing import GroupView
 from chicoryusher.decisions.routing import InstanceView
@@ -43,6 +45,7 @@
     *ledger.__all__,
     *membership.__all__,
     *neighbours.__all__,
+    *pointers.__all__,
     *register.__all__,
     *sessions.__all__,
     'DEFAULT_POLICY',
--- a/src/chicoryusher/platform/table.py
+++ b/src/chicoryusher/platform/table.py
@@ -1,4 +1,4 @@
-"""Client of the platform's table service and its list of VMs."""
+"""Client of the platform's table, object store and list of VMs."""
 
 from __future__ import annotations
 
@@ -61,6 +61,19 @@
         )
         self.call(http.HttpCall('GET', f'/table?{query}', message))
 
+    @runtime.handles(core.ObjectGet)
+    def _on_object_get(self, message: core.ObjectGet) -> None:
+        path = f'/objects/{message.key}'
+        self.call(http.HttpCall('GET', path, message))
+
+    @runtime.handles(core.ObjectPut)
+    def _on_object_put(self, message: core.ObjectPut) -> None:
+        body = json.dumps(
+            {'value': base64.b64encode(message.value).decode()}
+        ).encode()
+        path = f'/objects/{message.key}'
+        self.call(http.HttpCall('PUT', path, message, body))
+
     @runtime.handles(core.VmListRequest)
     def _on_list(self, message: core.VmListRequest) -> None:
         self.call(http.HttpCall('GET', '/vms', message))
@@ -73,6 +86,8 @@
             self.send(context.reply_to, _scanned(context, result))
         elif isinstance(context, core.VmListRequest):
             self.send(context.reply_to, _listed(result))
+        elif isinstance(context, core.ObjectGet | core.ObjectPut):
+            self.send(context.reply_to, _object(context, result))
         elif isinstance(context, core.TableGet | core.TablePut):
             self.send(context.reply_to, _answered(context, result))
 
@@ -116,6 +131,16 @@
     )
 
 
+def _object(
+    context: core.ObjectGet | core.ObjectPut, result: http.HttpResult
+) -> core.ObjectAnswer:
+    put = isinstance(context, core.ObjectPut)
+    document = result.document if isinstance(result.document, dict) else {}
+    return core.ObjectAnswer(
+        context.key, _value(document), put, _problem(result)
+    )
+
+
 def _value(document: dict[str, Any]) -> bytes | None:
     text = document.get('value')
     return base64.b64decode(text) if text else None
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -1,8 +1,8 @@
 """The configuration task: reads, accepts and passes on versions.
 
-The platform's table holds one document under one key; the key's
-version is the configuration's.  A lower version never replaces a
-higher one, wherever it comes from.
+The platform's table holds a pointer under one key; the key's version
+is the configuration's, and the document itself is an object.  A lower
+version never replaces a higher one, wherever it comes from.
 """
 
 from __future__ import annotations
@@ -16,8 +16,13 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks import notices
 
-__all__ = ['ApplyDocument', 'ApplyResult', 'Configurator', 'CONFIG_KEY']
-__all__ += ['audit_key']
+__all__ = [
+    'CONFIG_KEY',
+    'ApplyDocument',
+    'ApplyResult',
+    'Configurator',
+    'audit_key',
+]
 
 CONFIG_KEY = 'config'
 AUDIT_PREFIX = 'audit/'
@@ -68,6 +73,7 @@
 
     message: ApplyDocument
     document: bytes
+    pointer: bytes
     read_backs: int = 0
     unsure: bool = False
 
@@ -86,6 +92,7 @@
         self._config: decisions.Configuration | None = None
         self._document = b''
         self._applying: _Applying | None = None
+        self._fetching: dict[str, core.ConfigVersion] = {}
         self._queue: list[ApplyDocument] = []
         self.after(0.0, _Read())
 
@@ -119,13 +126,34 @@
         if answer.key != CONFIG_KEY:
             self._audited(answer)
             return
-        if answer.value is not None:
-            self._take(core.ConfigVersion(answer.version), answer.value)
+        if answer.value is not None and answer.version > self.version:
+            self._fetch(answer)
+        elif answer.value is not None and answer.version < self.version:
+            self._note_stale(answer.version)
         if answer.put:
             self._put_answered(answer)
         elif self._applying is not None and self._applying.unsure:
             self._read_back(answer)
 
+    def _fetch(self, answer: core.TableAnswer) -> None:
+        """Read the document that a newer pointer names."""
+        try:
+            key = decisions.decode_pointer(answer.value or b'')
+        except core.ConfigError as exc:
+            self._note_bad(answer.version, exc)
+            return
+        self._fetching[key] = core.ConfigVersion(answer.version)
+        self.send(names.table(self.vm), core.ObjectGet(self.task_name, key))
+
+    @runtime.handles(core.ObjectAnswer)
+    def _on_object(self, answer: core.ObjectAnswer) -> None:
+        if answer.put:
+            self._object_stored(answer)
+            return
+        version = self._fetching.pop(answer.key, None)
+        if version is not None and answer.value is not None:
+            self._take(version, answer.value)
+
     @runtime.handles(core.ConfigOffer)
     def _on_offer(self, offer: core.ConfigOffer) -> None:
         self._take(offer.version, offer.document)
@@ -143,19 +171,13 @@
     def _take(self, version: core.ConfigVersion, document: bytes) -> None:
         if version <= self.version:
             if version < self.version:
-                self.log.emit(
-                    core.LogEvent.CONFIG_STALE,
-                    version=version,
-                    in_force=self.version,
-                )
+                self._note_stale(version)
             return
         try:
             parsed = json.loads(document)
             config = decisions.compile_document(parsed, version)
         except (ValueError, core.SettingsError) as exc:
-            self.log.emit(
-                core.LogEvent.CONFIG_BAD, version=version, why=str(exc)
-            )
+            self._note_bad(version, exc)
             return
         self._config = config
         self._document = document
@@ -163,6 +185,16 @@
         for receiver in self._receivers:
             self.send(receiver, notices.ConfigInForce(config))
 
+    def _note_stale(self, version: int) -> None:
+        self.log.emit(
+            core.LogEvent.CONFIG_STALE,
+            version=version,
+            in_force=self.version,
+        )
+
+    def _note_bad(self, version: int, exc: Exception) -> None:
+        self.log.emit(core.LogEvent.CONFIG_BAD, version=version, why=str(exc))
+
     # -- accepting a change -----------------------------------------
 
     @runtime.handles(ApplyDocument)
@@ -188,19 +220,38 @@
             'id': f'{self.vm}:{message.number}:{message.at}',
         }
         document = json.dumps(parsed, sort_keys=True).encode()
-        self._applying = _Applying(message, document)
-        self._put(CONFIG_KEY, document, message.expected)
+        key = decisions.object_key(document)
+        self._applying = _Applying(
+            message, document, decisions.encode_pointer(key)
+        )
+        self.send(
+            names.table(self.vm),
+            core.ObjectPut(self.task_name, key, document),
+        )
+
+    def _object_stored(self, answer: core.ObjectAnswer) -> None:
+        """Point to the stored document, which is the change itself.
+
+        Without the pointer the object has no effect, so a failure here
+        is a change that certainly was not made.
+        """
+        applying = self._applying
+        if applying is None:
+            return
+        if answer.error is not None:
+            error = core.PlatformUnavailable('the object was not stored')
+            self._done(error)
+            return
+        self._put(CONFIG_KEY, applying.pointer, applying.message.expected)
 
     def _put_answered(self, answer: core.TableAnswer) -> None:
         applying = self._applying
         if applying is None:
             return
         if answer.error is None:
-            version = core.ConfigVersion(answer.version)
-            self._take(version, applying.document)
-            self._accepted(version)
+            self._accepted(core.ConfigVersion(answer.version))
         elif isinstance(answer.error, core.PlatformRefused):
-            if answer.value == applying.document:
+            if answer.value == applying.pointer:
                 self._accepted(core.ConfigVersion(answer.version))
             else:
                 self._conflict(answer.version)
@@ -224,7 +275,7 @@
                 self._done(core.PlatformUnknown('the write may have landed'))
                 return
             self.after(READ_BACK_DELAY, _ReadBack())
-        elif answer.value == applying.document:
+        elif answer.value == applying.pointer:
             self._accepted(core.ConfigVersion(answer.version))
         elif answer.version > applying.message.expected:
             self._conflict(answer.version)
@@ -233,6 +284,8 @@
             self._put(CONFIG_KEY, applying.document, applying.message.expected)
 
     def _accepted(self, version: core.ConfigVersion) -> None:
+        assert self._applying is not None
+        self._take(version, self._applying.document)
         self.log.emit(core.LogEvent.CONFIG_ACCEPTED, version=version)
         self._audit(version, 'accepted', '')
         self._done(None)
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -25,6 +25,7 @@
 FRAME_BYTES = 71
 PROBE_BYTES = 560
 PLATFORM_BYTES = 420
+VM_ROW_BYTES = 36
 PLATFORM_TIMEOUT = 1.0
 PLATFORM_DELAY = 0.002
 
@@ -326,9 +327,34 @@
         )
         self._call(message.reply_to, act, lost, True)
 
+    @runtime.handles(core.ObjectGet)
+    def _on_object_get(self, message: core.ObjectGet) -> None:
+        def act() -> core.Message:
+            value = self._site.platform.objects.get(message.key)
+            self._site.control_bytes[self.vm] += len(value or b'')
+            return core.ObjectAnswer(message.key, value)
+
+        lost = core.ObjectAnswer(
+            message.key, error=core.PlatformUnknown('no answer')
+        )
+        self._call(message.reply_to, act, lost)
+
+    @runtime.handles(core.ObjectPut)
+    def _on_object_put(self, message: core.ObjectPut) -> None:
+        def act() -> core.Message:
+            self._site.platform.objects[message.key] = message.value
+            return core.ObjectAnswer(message.key, put=True)
+
+        lost = core.ObjectAnswer(
+            message.key, put=True, error=core.PlatformUnknown('no answer')
+        )
+        self._call(message.reply_to, act, lost)
+
     @runtime.handles(core.VmListRequest)
     def _on_list(self, message: core.VmListRequest) -> None:
         def act() -> core.Message:
+            listed = len(self._site.platform.vms)
+            self._site.control_bytes[self.vm] += VM_ROW_BYTES * listed
             return core.VmList(
                 tuple(
                     core.VmListed(name, leaving)
--- a/src/chicoryusher_standins/lab/site.py
+++ b/src/chicoryusher_standins/lab/site.py
@@ -130,12 +130,7 @@
 
     def put_config(self) -> None:
         """Write the site's document to the platform."""
-        known = self.platform.rows.get(tasks.CONFIG_KEY)
-        self.platform.put(
-            tasks.CONFIG_KEY,
-            json.dumps(self.document).encode(),
-            known.version if known is not None else 0,
-        )
+        self.platform.put_config(json.dumps(self.document).encode())
 
     # -- faults -----------------------------------------------------
 
--- a/src/chicoryusher_standins/model/work.py
+++ b/src/chicoryusher_standins/model/work.py
@@ -17,6 +17,7 @@
 ]
 
 CAP = 2
+VMS = range(2)
 TRIES = 3
 _Step = tuple[str, tuple[object, ...]]
 
@@ -135,65 +136,67 @@
     open: tuple[int, ...]
 
 
-def gate(rules: GateRules | None = None) -> minicheck.Protocol:
-    """Return the specification of two VMs that take one gate in turn."""
-    chosen = rules or GateRules()
-    vms = range(2)
+class _GateSpec:
+    """Transitions of two VMs that take one gate in turn."""
 
-    def put(values: tuple, index: int, value: object) -> tuple:
-        return (*values[:index], value, *values[index + 1 :])
+    def __init__(self, rules: GateRules) -> None:
+        self.rules = rules
 
-    def claim(state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+    def steps(self, raw: tuple[object, ...]) -> list[_Step]:
+        """Return every labelled next state."""
+        state = _Gates(*raw)
+        return [
+            (label, tuple(after))
+            for vm in VMS
+            for step in (self._claim, self._open, self._lose, self._stop)
+            for label, after in step(state, vm)
+        ]
+
+    def _claim(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
         if state.serving[vm]:
             return []
-        if chosen.lock_needed and state.holder not in (-1, vm):
+        if self.rules.lock_needed and state.holder not in (-1, vm):
             return []
         opened = state.open
-        if chosen.old_connections_end:
-            opened = tuple(0 if one != vm else opened[one] for one in vms)
-        return [
-            (
-                f'gate.claimed {vm}',
-                _Gates(vm, put(state.serving, vm, True), opened),
-            )
-        ]
+        if self.rules.old_connections_end:
+            opened = tuple(0 if one != vm else opened[one] for one in VMS)
+        after = _Gates(vm, _put(state.serving, vm, True), opened)
+        return [(f'gate.claimed {vm}', after)]
+
+    def _open(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+        holds = state.holder == vm or not self.rules.lock_needed
+        if not state.serving[vm] or not holds or state.open[vm] >= CAP:
+            return []
+        opened = _put(state.open, vm, state.open[vm] + 1)
+        return [(f'connection.opened {vm}', state._replace(open=opened))]
+
+    def _lose(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+        if state.holder != vm:
+            return []
+        return [(f'gate.lost {vm}', state._replace(holder=-1))]
 
-    def use(state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
-        steps = []
-        holds = state.holder == vm or not chosen.lock_needed
-        if state.serving[vm] and holds and state.open[vm] < CAP:
-            opened = put(state.open, vm, state.open[vm] + 1)
-            steps.append(
-                (f'connection.opened {vm}', state._replace(open=opened))
-            )
-        if state.holder == vm:
-            steps.append((f'gate.lost {vm}', state._replace(holder=-1)))
-        if state.serving[vm] and state.holder != vm:
-            steps.append(
-                (
-                    f'gate.unassigned {vm}',
-                    state._replace(
-                        serving=put(state.serving, vm, False),
-                        open=put(state.open, vm, 0),
-                    ),
-                )
-            )
-        return steps
+    def _stop(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+        if not state.serving[vm] or state.holder == vm:
+            return []
+        stopped = state._replace(
+            serving=_put(state.serving, vm, False),
+            open=_put(state.open, vm, 0),
+        )
+        return [(f'gate.unassigned {vm}', stopped)]
+
+
+def _put(values: tuple, index: int, value: object) -> tuple:
+    return (*values[:index], value, *values[index + 1 :])
 
-    def steps(raw: tuple[object, ...]) -> list[_Step]:
-        state = _Gates(*raw)
-        return [
-            (label, tuple(after))
-            for vm in vms
-            for label, after in (*claim(state, vm), *use(state, vm))
-        ]
 
+def gate(rules: GateRules | None = None) -> minicheck.Protocol:
+    """Return the specification of two VMs that take one gate in turn."""
     return minicheck.Protocol(
         name='gate',
         candidate=False,
         fields=_Gates._fields,
         initial=tuple(_Gates(-1, (False, False), (0, 0))),
-        transitions=steps,
+        transitions=_GateSpec(rules or GateRules()).steps,
         invariants={
             'connections_within_cap': lambda s: sum(s['open']) <= CAP,
         },
--- a/src/chicoryusher_standins/platform.py
+++ b/src/chicoryusher_standins/platform.py
@@ -9,7 +9,9 @@
 from typing import Any
 
 from chicoryusher import core
+from chicoryusher import decisions
 from chicoryusher import runtime
+from chicoryusher import tasks
 from chicoryusher.daemon import http_server
 
 __all__ = ['PlatformModel', 'PlatformServer', 'Row']
@@ -36,6 +38,7 @@
     """
 
     rows: dict[str, Row] = dataclasses.field(default_factory=dict)
+    objects: dict[str, bytes] = dataclasses.field(default_factory=dict)
     vms: dict[str, bool] = dataclasses.field(default_factory=dict)
     down: bool = False
     slow: float = 0.0
@@ -58,6 +61,15 @@
         self.rows[key] = row
         return row
 
+    def put_config(self, document: bytes) -> None:
+        """Make a document the next version, as an operator would."""
+        key = decisions.object_key(document)
+        self.objects[key] = document
+        known = self.rows.get(tasks.CONFIG_KEY)
+        pointer = decisions.encode_pointer(key)
+        expected = known.version if known is not None else 0
+        self.put(tasks.CONFIG_KEY, pointer, expected)
+
     def scan(
         self, prefix: str, after: str, limit: int
     ) -> list[tuple[str, Row]]:
@@ -131,6 +143,8 @@
             conn.reply(OK, {'vms': vms})
         elif parts.path == '/table':
             conn.reply(OK, {'rows': self._scan(parts.query)})
+        elif parts.path.startswith('/objects/'):
+            self._object(conn, request, parts.path[len('/objects/') :])
         elif parts.path.startswith('/table/'):
             key = urllib.parse.unquote(parts.path.removeprefix('/table/'))
             self._row(conn, request, key)
@@ -146,6 +160,21 @@
         )
         return [{'key': key, **_document(row)} for key, row in rows]
 
+    def _object(
+        self,
+        conn: http_server.HttpConn,
+        request: http_server.HttpRequest,
+        key: str,
+    ) -> None:
+        if request.method == 'PUT':
+            body = json.loads(request.body)
+            self.model.objects[key] = base64.b64decode(body['value'])
+        value = self.model.objects.get(key)
+        if value is None:
+            conn.reply(NOT_FOUND, {})
+            return
+        conn.reply(OK, {'value': base64.b64encode(value).decode()})
+
     def _row(
         self,
         conn: http_server.HttpConn,
--- a/src/chicoryusher_standins/world.py
+++ b/src/chicoryusher_standins/world.py
@@ -9,7 +9,6 @@
 from chicoryusher import runtime
 from chicoryusher.daemon import app
 from chicoryusher.daemon import settings
-from chicoryusher.tasks import configurator
 from chicoryusher_standins import agent
 from chicoryusher_standins import deployments
 from chicoryusher_standins import engine as engine_module
@@ -149,12 +148,7 @@
                 }
             )
         self.register['register']['vms'] = vms
-        known = self.platform.rows.get(configurator.CONFIG_KEY)
-        self.platform.put(
-            configurator.CONFIG_KEY,
-            json.dumps(self.register).encode(),
-            known.version if known is not None else 0,
-        )
+        self.platform.put_config(json.dumps(self.register).encode())
 
     def primary_of(self, database: str) -> instance.Standin:
         """Return the stand-in that leads a database's group."""
