--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -63,6 +63,7 @@
         self._hinted: dict[core.VmName, float] = {}
         self._expire_timer: core.TimerId | None = None
         self._assigned = False
+        self._exclusive = True
         self._used_at = float('-inf')
         self.answered = 0
         self.shed = 0
@@ -82,6 +83,7 @@
         if message.assigned == self._assigned:
             return
         self._assigned = message.assigned
+        self._exclusive = message.exclusive
         event = 'assigned' if message.assigned else 'unassigned'
         self._chart.fire(self, event)
         self._release_if_empty()
@@ -91,8 +93,11 @@
         return max(1, spec.connections - RESERVED_CONNECTIONS)
 
     def claim(self) -> None:
-        """Ask the instance for the gate lock."""
-        self.send(self._link, core.ClaimGate())
+        """Ask the instance for the gate lock, if it takes one."""
+        if self._exclusive:
+            self.send(self._link, core.ClaimGate())
+        else:
+            self.send(self.task_name, core.GateClaimed(True))
 
     def claim_later(self) -> None:
         """Ask for the gate lock again after a pause."""
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -61,6 +61,7 @@
         self._loop = loop
         self._edges = edges
         self._policy = policy
+        self._placement = decisions.PLACEMENTS.get(settings.placement)()
         self._config: decisions.Configuration | None = None
         self._live: tuple[core.VmName, ...] | None = None
         self._gates: dict[core.InstanceName, gate.Gate] = {}
@@ -106,24 +107,31 @@
         if config is None or live is None:
             return
         mine = {
-            spec.name: spec
+            spec.name: self._placement.part(spec, live)
             for spec in config.instances
-            if self._draining is False
-            and decisions.gate_of(config, spec, live) == self.vm
+            if not self._draining
+            and self._placement.gate(config, spec, live, self.vm) == self.vm
         }
         self._watch_groups(config, live, set(mine))
         for name, spec in mine.items():
             if name not in self._gates:
                 self._add_gate(spec)
-            self.send(
-                names.gate(self.vm, name), notices.AssignGate(spec, True)
-            )
+            self._tell_gate(name, spec, True)
         for name, one in self._gates.items():
             if name not in mine:
-                self.send(
-                    names.gate(self.vm, name),
-                    notices.AssignGate(one.spec, False),
-                )
+                self._tell_gate(name, one.spec, False)
+
+    def _tell_gate(
+        self,
+        name: core.InstanceName,
+        spec: decisions.InstanceSpec,
+        assigned: bool,
+    ) -> None:
+        exclusive = self._placement.exclusive
+        self.send(
+            names.gate(self.vm, name),
+            notices.AssignGate(spec, assigned, exclusive),
+        )
 
     def _add_gate(self, spec: decisions.InstanceSpec) -> None:
         self._gates[spec.name] = gate.Gate(
--- a/src/chicoryusher/tasks/notices.py
+++ b/src/chicoryusher/tasks/notices.py
@@ -26,10 +26,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AssignGate(core.Message):
-    """Be the gate of the instance from now on, or cease to be it."""
+    """Be the gate of the instance from now on, or cease to be it.
+
+    ``spec`` is the part of the instance that the gate may use; only an
+    ``exclusive`` gate needs the instance's lock.
+    """
 
     spec: configuration.InstanceSpec
     assigned: bool
+    exclusive: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -34,6 +34,7 @@
         default=(), repr=False
     )
     policy: str = 'nearest_fresh_replica'
+    placement: str = decisions.DEFAULT_PLACEMENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +58,7 @@
         super().__init__(loop, vm, 'router')
         self._settings = settings
         self._policy = decisions.ROUTING.get(settings.policy)()
+        self._placement = decisions.PLACEMENTS.get(settings.placement)()
         self._tokens = decisions.TokenCodec(
             settings.token_key, settings.old_token_keys
         )
@@ -299,7 +301,9 @@
             spec = config.instance(name) if config is not None else None
             if config is None or spec is None:
                 return None
-            self._gates[name] = decisions.gate_of(config, spec, self._live)
+            self._gates[name] = self._placement.gate(
+                config, spec, self._live, self.vm
+            )
         return self._gates[name]
 
     @runtime.handles(core.ResultChunk)
--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -41,6 +41,7 @@
     queue_policy: str = decisions.DEFAULT_POLICY
     routing_policy: str = 'nearest_fresh_replica'
     detail: str = ''
+    placement: str = decisions.DEFAULT_PLACEMENT
 
 
 Experiment = Callable[[Job], dict[str, Any]]
@@ -58,7 +59,12 @@
         deployments.DEPLOYMENTS[job.deployment], **changes
     )
     site = Site(
-        deployment, job.seed, job.queue_policy, job.routing_policy, lags
+        deployment,
+        job.seed,
+        job.queue_policy,
+        job.routing_policy,
+        lags,
+        job.placement,
     )
     site.run_for(BOOT_SECONDS)
     return site
--- a/src/chicoryusher_standins/lab/site.py
+++ b/src/chicoryusher_standins/lab/site.py
@@ -56,12 +56,14 @@
         queue_policy: str = decisions.DEFAULT_POLICY,
         routing_policy: str = 'nearest_fresh_replica',
         lags: tuple[float, ...] = (0.0, 0.020, 0.080),
+        placement: str = decisions.DEFAULT_PLACEMENT,
         **rules: Any,
     ) -> None:
         self.loop = pausing.LabRuntime()
         self.deployment = deployment
         self.queue_policy = queue_policy
         self.routing_policy = routing_policy
+        self.placement = placement
         self.document = deployments.document(deployment, HOST, 1)
         self.document['rules'].update(rules)
         self.network = network_module.Network(self.loop, deployment)
@@ -123,7 +125,10 @@
             name,
             self.edges,
             tasks.RouterSettings(
-                core.ZoneName(zone), TOKEN_KEY, policy=self.routing_policy
+                core.ZoneName(zone),
+                TOKEN_KEY,
+                policy=self.routing_policy,
+                placement=self.placement,
             ),
             self.queue_policy,
         )
--- a/src/chicoryusher_standins/measure.py
+++ b/src/chicoryusher_standins/measure.py
@@ -32,9 +32,20 @@
 Job = experiments.Job
 Figures = dict[str, Any]
 BASELINES = (
-    ('fifo_round_robin', 'fifo', 'round_robin'),
-    ('fifo', 'fifo', 'nearest_fresh_replica'),
-    ('primary_only', decisions.DEFAULT_POLICY, 'primary_only'),
+    ('fifo_round_robin', 'fifo', 'round_robin', 'one_gate'),
+    ('fifo', 'fifo', 'nearest_fresh_replica', 'one_gate'),
+    (
+        'primary_only',
+        decisions.DEFAULT_POLICY,
+        'primary_only',
+        'one_gate',
+    ),
+    (
+        'shares',
+        decisions.DEFAULT_POLICY,
+        'nearest_fresh_replica',
+        'shares',
+    ),
 )
 
 
@@ -64,8 +75,8 @@
         for seed in range(1, FAILOVER_SEEDS + 1)
     ]
     plain += [
-        Job(name, deployment, SEED, queue, routing)
-        for _, queue, routing in BASELINES
+        Job(name, deployment, SEED, queue, routing, placement=placement)
+        for _, queue, routing, placement in BASELINES
         for name in ('steady', 'crest', 'hol')
     ]
     return plain
@@ -78,6 +89,7 @@
         for job, figures in found
         if job.queue_policy == decisions.DEFAULT_POLICY
         and job.routing_policy == 'nearest_fresh_replica'
+        and job.placement == decisions.DEFAULT_PLACEMENT
     ]
     keys: Figures = {}
     violations: collections.Counter[str] = collections.Counter()
@@ -121,11 +133,11 @@
 
 def _baselines(found: list[tuple[Job, Figures]]) -> Figures:
     result: Figures = {}
-    for name, queue, routing in BASELINES:
+    for name, *policies in BASELINES:
         merged: Figures = {}
         for job, figures in found:
-            policies = (job.queue_policy, job.routing_policy)
-            if policies == (queue, routing):
+            used = [job.queue_policy, job.routing_policy, job.placement]
+            if used == policies:
                 merged.update(figures)
         result[name] = merged
     return result
--- /dev/null
+++ b/tests/peers/test_codec.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+import hypothesis
+import msgpack
+import pytest
+from hypothesis import strategies
+
+from chicoryusher import core
+from chicoryusher.peers import codec
+
+REQUEST = core.Request(
+    core.RequestId('r'),
+    core.SessionId('s'),
+    core.CallerName('c'),
+    core.DatabaseName('d'),
+    core.StatementKind.WRITE,
+    core.StatementClass('w'),
+    core.Payload(b'\x03x', b'p', (b'l',)),
+    core.Marks(0.5, core.IdempotencyKey('k'), True, False, 2.0, 't'),
+    ('lots',),
+    core.TransactionId('t'),
+    core.Payload(b'begin'),
+    True,
+)
+MESSAGES = [
+    core.Submit(
+        core.VmName('v'),
+        core.InstanceName('i'),
+        REQUEST,
+        1.5,
+        core.Role.PRIMARY,
+        core.Position(core.Term(2), core.LogPosition(9)),
+    ),
+    core.Answer(
+        core.RequestId('r'),
+        core.Outcome.NOT_RUN,
+        error=core.NotRunError('full', 0.25),
+    ),
+    core.Answer(
+        core.RequestId('r'),
+        core.Outcome.UNKNOWN,
+        error=core.UnknownOutcomeError('lost'),
+    ),
+    core.ResultChunk(core.RequestId('r'), b'rows'),
+    core.GateMoved(
+        core.RequestId('r'), core.InstanceName('i'), core.MoveReason.DOWN
+    ),
+    core.Heartbeat(
+        core.VmName('v'), False, core.ConfigVersion(3), (core.VmName('w'),)
+    ),
+    core.ConfigOffer(core.ConfigVersion(3), b'{}'),
+]
+
+
+@pytest.mark.parametrize(
+    'message', MESSAGES, ids=lambda one: type(one).__name__
+)
+def test_messages_survive_the_stream(message):
+    (found,) = codec.unpack_frame(codec.encode(message))
+    assert repr(found) == repr(message)
+
+
+def test_unknown_fields_are_ignored_and_missing_ones_defaulted():
+    beat = core.Heartbeat(core.VmName('v'), True, core.ConfigVersion(1))
+    number, *fields = msgpack.unpackb(codec.encode(beat))
+    longer = msgpack.packb([number, *fields, 'new'])
+    shorter = msgpack.packb([number, *fields[:-1]])
+    assert codec.unpack_frame(longer) == [beat]
+    assert codec.unpack_frame(shorter) == [beat]
+
+
+@hypothesis.settings(derandomize=True, database=None, deadline=None)
+@hypothesis.given(strategies.binary(max_size=120))
+def test_any_frame_is_messages_or_a_typed_error(body):
+    try:
+        codec.unpack_frame(body)
+    except core.FrameError:
+        return
+
+
+def test_only_peer_messages_are_encoded():
+    with pytest.raises(core.FrameError):
+        codec.encode(core.ClaimGate())
