Probe once a second in use; let traffic raise doubt first

Cause: at the size to design for a node watches 6.2 groups; five turns a second would cost 52 KB/s and, by the idle slope, several times 2% of a core. Reviewing the gate also showed that a session which only keeps its connection (SET @x) was routed as a transaction that nobody had begun, and that a lost write on such a connection was told as not run.

Change: one turn a second in use; a lost connection or a queue whose slots all overrun raises doubt, and the group is probed every 50 ms for a second. Ranks wait 50 ms instead of 150. Sessions that keep their connection pin it with a statement that does nothing, and their writes count as committed by themselves. Admission moved to the decisions, steps to the request, hints to a module of their own.

--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     'Disproved',
+    'Doubt',
     'Fence',
     'FenceAnswer',
     'GroupState',
@@ -64,6 +65,13 @@
     has_majority: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Doubt(Message):
+    """An instance lost a connection, or its statements do not end."""
+
+    instance: ids.InstanceName
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupUsed(Message):
     """Requests come in: watch the group closely."""
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from chicoryusher.decisions import admission
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import evidence
 from chicoryusher.decisions import freshness
@@ -13,6 +14,7 @@
 from chicoryusher.decisions import pointers
 from chicoryusher.decisions import register
 from chicoryusher.decisions import sessions
+from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
 from chicoryusher.decisions.freshness import *  # noqa: F403
@@ -37,6 +39,7 @@
 from chicoryusher.decisions.sessions import *  # noqa: F403
 
 __all__ = [
+    *admission.__all__,
     *configuration.__all__,
     *evidence.__all__,
     *freshness.__all__,
--- a/src/chicoryusher/frontends/mysql/commands.py
+++ b/src/chicoryusher/frontends/mysql/commands.py
@@ -30,6 +30,7 @@
 STATEMENT_ID = slice(1, 5)
 _NUMBER = types.Commands
 _BEGIN = core.Payload(bytes([_NUMBER.COM_QUERY]) + b'START TRANSACTION')
+_PIN = core.Payload(bytes([_NUMBER.COM_QUERY]) + b'DO 0')
 _COMMIT = core.Payload(bytes([_NUMBER.COM_QUERY]) + b'COMMIT')
 _AUTOCOMMIT = re.compile(
     r'\s*set\s+(?:session\s+|@@(?:session\.)?)?autocommit\s*:?=\s*(\w+)',
@@ -252,6 +253,8 @@
         core.StatementKind.ROLLBACK,
     )
     begin = _BEGIN if implicit and not ending else None
+    if begin is None and statement.keeps and not conn.in_transaction:
+        begin = _PIN
     return core.Request(
         context.next_request(),
         conn.session_id,
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from chicoryusher import charts
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import conns
+from chicoryusher.tasks import hints
 from chicoryusher.tasks import items
 from chicoryusher.tasks import names
 from chicoryusher.tasks import notices
@@ -19,12 +18,10 @@
 SPARE_CONNECTIONS = 2
 CLAIM_RETRY = 0.25
 EXPIRY_INTERVAL = 0.02
-HINT_INTERVAL = 0.05
 USE_NOTICE_INTERVAL = 1.0
-STATE_LIFETIME = 5.0
 CATCH_UP_POLL = 0.005
 STUCK_PATIENCE = 0.010
-MAJORITY_GRACE = 1.0
+DOUBT_INTERVAL = 0.1
 _REASON = core.MoveReason
 
 
@@ -60,11 +57,12 @@
         self._catching_up: list[items.GateItem] = []
         self._group: core.GroupState | None = None
         self._majority_at = self.now()
-        self._hinted: dict[core.VmName, float] = {}
+        self._hints = hints.Hints(spec.database, spec.name)
         self._expire_timer: core.TimerId | None = None
         self._assigned = False
         self._exclusive = True
         self._used_at = float('-inf')
+        self._doubted_at = float('-inf')
         self.answered = 0
         self.shed = 0
 
@@ -211,46 +209,18 @@
         self._pump()
 
     def _refusal(self, submit: core.Submit) -> core.MoveReason | None:
-        state = self._group
         if self.state not in (
             core.GateState.SERVING,
             core.GateState.CLAIMING,
         ):
             return _REASON.NOT_GATE
-        if state is None or not state.own.alive:
-            return _REASON.DOWN
-        if self.now() - state.observed_at > STATE_LIFETIME:
-            return _REASON.DOWN
-        if submit.role is core.Role.PRIMARY:
-            return self._primary_refusal(submit, state)
-        if state.own.leaving:
-            return _REASON.LEAVING
-        if not self.fresh(submit) and not submit.patience:
-            return _REASON.NOT_FRESH
-        return None
-
-    def _primary_refusal(
-        self, submit: core.Submit, state: core.GroupState
-    ) -> core.MoveReason | None:
-        if state.primary is None:
-            return _REASON.NO_PRIMARY
-        if state.primary != self.spec.name:
-            return _REASON.NOT_PRIMARY
-        if self.now() - self._majority_at > MAJORITY_GRACE:
-            return _REASON.NO_PRIMARY
-        return None
+        return decisions.refusal(
+            self._group, self.spec.name, submit, self._majority_at, self.now()
+        )
 
     def fresh(self, submit: core.Submit) -> bool:
         """Tell whether the instance is proved as fresh as asked for."""
-        state = self._group
-        if state is None:
-            return False
-        if submit.after is not None and not core.covers(
-            state.own.applied, submit.after, state.starts
-        ):
-            return False
-        age = self.now() - state.observed_at
-        return state.lag + age <= submit.max_staleness
+        return decisions.is_fresh(self._group, submit, self.now())
 
     def _continue(self, submit: core.Submit) -> None:
         transaction = submit.request.transaction
@@ -336,51 +306,12 @@
                     core.ResultChunk(item.request.request_id, answer.data),
                 )
             return
-        if answer.position is not None:
-            item.position = answer.position
-        step = item.steps.popleft()
-        if step.purpose is decisions.Purpose.STATEMENT:
-            item.answer = answer
-        if answer.error_code:
-            self._step_failed(item, step, answer)
+        item.step_done(answer)
         if item.steps:
             self._next_step(item)
             return
         self._answered(item, conn, answer)
 
-    def _step_failed(
-        self,
-        item: items.GateItem,
-        step: decisions.Step,
-        answer: core.ConnAnswer,
-    ) -> None:
-        """Decide what follows a step that the instance refused."""
-        purpose = decisions.Purpose
-        alone = item.request.transaction is None
-        if step.purpose is purpose.KEY:
-            code = answer.error_code
-            if code == decisions.NO_SUCH_TABLE and not item.setup_done:
-                item.setup_done = True
-                item.steps.clear()
-                if alone:
-                    item.steps.extend(decisions.setup_steps(item.request))
-                    return
-            item.steps.clear()
-            item.keyed_before = code == decisions.DUPLICATE_KEY
-            item.answer = answer
-            if item.keyed_before:
-                item.answer = dataclasses.replace(
-                    answer, data=b'', error_code=0
-                )
-            if alone:
-                item.steps.append(decisions.ROLLBACK)
-            return
-        item.answer = answer
-        item.steps.clear()
-        if step.purpose is purpose.STATEMENT and alone:
-            if item.request.marks.idempotency_key is not None:
-                item.steps.append(decisions.ROLLBACK)
-
     def _answered(
         self,
         item: items.GateItem,
@@ -500,21 +431,10 @@
         self, origin: core.VmName, always: bool = False
     ) -> core.InstanceReport | None:
         now = self.now()
-        state = self._group
-        last = self._hinted.get(origin, float('-inf'))
-        if state is None or (not always and now - last < HINT_INTERVAL):
+        if not always and not self._hints.due(origin, now):
             return None
-        self._hinted[origin] = now
-        primary = state.primary
-        return core.InstanceReport(
-            self.spec.database,
-            self.spec.name,
-            state.own.alive and not state.own.leaving,
-            state.apply_delay,
-            self._queue.wait(now),
-            primary,
-            state.term,
-        )
+        wait = self._queue.wait(now)
+        return self._hints.report(origin, self._group, wait, now)
 
     def _reply(self, origin: core.VmName, message: core.Message) -> None:
         if origin == self.vm:
@@ -540,6 +460,7 @@
         if closed.refused:
             event = core.LogEvent.CONN_REFUSED
         self.log.emit(event, instance=str(self.spec.name))
+        self.send(self._group_task, core.Doubt(self.spec.name))
         self._conn_lost(conn, 'the connection to the instance was lost')
         self._watch()
 
@@ -593,6 +514,7 @@
             self._requests.fire(item, 'expired')
         if self._queue.stuck(now):
             self._spread_reads(now)
+            self._doubt(now)
         for running in [*self._running.values()]:
             if running.deadline <= now:
                 self._expire_running(running)
@@ -607,6 +529,12 @@
         if busy or len(self._queue):
             self._watch()
 
+    def _doubt(self, now: float) -> None:
+        """Let the group look whether the instance still answers."""
+        if now - self._doubted_at >= DOUBT_INTERVAL:
+            self._doubted_at = now
+            self.send(self._group_task, core.Doubt(self.spec.name))
+
     def _spread_reads(self, now: float) -> None:
         """Let reads behind long work run at another instance."""
         for item in self._queue.drain():
--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group.py
@@ -14,7 +14,8 @@
 
 __all__ = ['Group']
 
-ACTIVE_INTERVAL = 0.20
+ACTIVE_INTERVAL = 1.0
+DOUBT_LIFETIME = 1.0
 IDLE_INTERVAL = 2.0
 ACTIVE_LIFETIME = 5.0
 BUSY_INTERVAL = 0.005
@@ -22,7 +23,7 @@
 PROBE_TIMEOUT = 0.35
 CLAIM_TIMEOUT = 0.25
 FENCE_TIMEOUT = 0.50
-RANK_DELAY = 0.15
+RANK_DELAY = 0.05
 STAND_BACK = 0.30
 CLAIM_LIFETIME = 30.0
 MAJORITY_LIFETIME = 3.0
@@ -79,6 +80,7 @@
         self._fenced: dict[core.InstanceName, core.FenceAnswer] = {}
         self._refused = 0
         self._used_at = self.now()
+        self._doubt_until = self.now()
         self._told = (self._health.primary, self._health.term, self.state)
         self._turn_due = 0.0
         self._turn_timer: core.TimerId | None = None
@@ -176,13 +178,19 @@
             return BUSY_INTERVAL
         if self.state is not core.LeadState.FOLLOWING:
             return SUSPECT_INTERVAL
-        if self._health.any_failure():
-            return SUSPECT_INTERVAL
         now = self.now()
+        if self._health.any_failure() or now < self._doubt_until:
+            return SUSPECT_INTERVAL
         active = now - self._used_at <= ACTIVE_LIFETIME
         interval = ACTIVE_INTERVAL if active else IDLE_INTERVAL
         return self.until_beat(interval)
 
+    @runtime.handles(core.Doubt)
+    def _on_doubt(self, doubt: core.Doubt) -> None:
+        """Probe closely for a while: traffic shows trouble first."""
+        self._doubt_until = self.now() + DOUBT_LIFETIME
+        self._turn_within(0.0)
+
     @runtime.handles(core.GroupUsed)
     def _on_used(self, used: core.GroupUsed) -> None:
         idle = self.now() - self._used_at > ACTIVE_LIFETIME
--- a/src/chicoryusher/tasks/items.py
+++ b/src/chicoryusher/tasks/items.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import Protocol
 
 from chicoryusher import charts
@@ -74,6 +75,50 @@
         self.setup_done = False
         self.streamed = False
 
+    def step_done(self, answer: core.ConnAnswer) -> None:
+        """Take in the answer to the first step; plan what follows."""
+        if answer.position is not None:
+            self.position = answer.position
+        step = self.steps.popleft()
+        if step.purpose is decisions.Purpose.STATEMENT:
+            self.answer = answer
+        if not answer.error_code:
+            return
+        if step.purpose is decisions.Purpose.KEY:
+            self._key_refused(answer)
+            return
+        self.answer = answer
+        self.steps.clear()
+        keyed = self.request.marks.idempotency_key is not None
+        statement = step.purpose is decisions.Purpose.STATEMENT
+        if statement and keyed and self.request.transaction is None:
+            self.steps.append(decisions.ROLLBACK)
+
+    def _key_refused(self, answer: core.ConnAnswer) -> None:
+        """Make the ledger, or answer as the first run of the key was."""
+        alone = self.request.transaction is None
+        code = answer.error_code
+        self.steps.clear()
+        if code == decisions.NO_SUCH_TABLE and alone and not self.setup_done:
+            self.setup_done = True
+            self.steps.extend(decisions.setup_steps(self.request))
+            return
+        self.answer = answer
+        if code == decisions.DUPLICATE_KEY:
+            self.keyed_before = True
+            self.answer = dataclasses.replace(answer, data=b'', error_code=0)
+        if alone:
+            self.steps.append(decisions.ROLLBACK)
+
+    @property
+    def _in_transaction(self) -> bool:
+        """Tell whether the instance rolls the work back by itself.
+
+        A session that only keeps its connection commits each statement.
+        """
+        request = self.request
+        return request.transaction is not None and not request.keeps_connection
+
     @property
     def reads(self) -> bool:
         """Tell whether the request has no effect, wherever it runs."""
@@ -83,10 +128,9 @@
     @property
     def writes(self) -> bool:
         """Tell whether a good answer claims that an effect landed."""
-        request = self.request
-        if request.transaction is not None:
-            return request.kind in (Kind.COMMIT, Kind.DDL)
-        return request.kind in _WRITES
+        if self._in_transaction:
+            return self.request.kind in (Kind.COMMIT, Kind.DDL)
+        return self.request.kind in _WRITES
 
     @property
     def may_have_landed(self) -> bool:
@@ -96,8 +140,8 @@
         work back with the connection.
         """
         if not self.writes:
-            return not self.reads and self.request.transaction is None
-        if not self.steps or self.request.transaction is not None:
+            return not self.reads and not self._in_transaction
+        if not self.steps or self._in_transaction:
             return True
         keyed = self.request.marks.idempotency_key is not None
         if keyed and self.request.kind is Kind.WRITE:
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -21,6 +21,7 @@
 IN_REGION_PATH = 0.003
 ACROSS_REGIONS_PATH = 0.040
 _EVER = float('inf')
+_COMMITS = (core.StatementKind.COMMIT, core.StatementKind.DDL)
 _READS = (core.StatementKind.READ, core.StatementKind.PREPARE)
 
 
@@ -462,7 +463,7 @@
     def _lost_gate(self, pending: sessions.Pending) -> None:
         request = pending.request
         if pending.session.transaction is not None:
-            if request.kind is core.StatementKind.COMMIT:
+            if request.kind in _COMMITS or pending.session.keeps:
                 self._unknown(pending, 'the gate was lost during commit')
                 return
             self._finish(
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -106,8 +106,7 @@
 
 @charts.guard('session.pins')
 def _pins(session: Session, pending: Pending) -> bool:
-    request = pending.request
-    return request.begin is not None or request.keeps_connection
+    return pending.request.begin is not None
 
 
 @charts.guard('session.still_open')
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -255,3 +255,12 @@
         assert daemon.state is core.DaemonState.STOPPED
 
     own_site.poll(stopped)
+
+
+def test_session_state_keeps_one_connection(shared_site):
+    conn = _table(shared_site, 'kept')
+    _rows(conn, 'SET @lot = 1')
+    _rows(conn, "INSERT INTO kept VALUES (1, 'a')")
+    other = shared_site.connect('vm2')
+    assert _rows(other, 'SELECT id FROM kept') == ((1,),)
+    assert _rows(conn, 'SELECT id FROM kept') == ((1,),)
