Measure what control costs a real daemon process

Cause: the lab's processor figures include its own simulated side.

Change: a daemon process beside stand-ins of 1, 4 and 12 databases in use, and the memory of an idle caller; fitted in make measure.

--- a/src/chicoryusher_standins/measure.py
+++ b/src/chicoryusher_standins/measure.py
@@ -14,6 +14,7 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
+from chicoryusher_standins import control
 from chicoryusher_standins import deployments
 from chicoryusher_standins import throughput
 from chicoryusher_standins.lab import callers as callers_module
@@ -28,6 +29,7 @@
 LATEST = pathlib.Path('measurements') / 'latest.json'
 DESIGN_NODES = 580
 DESIGN_DATABASES = 1200
+DESIGN_CONNECTIONS = 1_900_000
 SLOPES = ('2:3', '4:3', '8:3', '16:3', '32:3', '8:1', '8:10', '8:100')
 Job = experiments.Job
 Figures = dict[str, Any]
@@ -188,6 +190,27 @@
     return result
 
 
+def _process(points: list[control.ControlPoint], caller_kb: float) -> Figures:
+    """Extrapolate a real daemon's control cost to the design size.
+
+    A point has three gates for each group; a node has one for each, so
+    the result is an upper bound.
+    """
+    groups = 3 * DESIGN_DATABASES / DESIGN_NODES
+    cpu = fit([(one.databases, one.cpu_fraction) for one in points])
+    memory = fit([(one.databases, one.memory_mb) for one in points])
+    callers = DESIGN_CONNECTIONS / DESIGN_NODES * caller_kb / 1024
+    return {
+        'points': [dataclasses.asdict(one) for one in points],
+        'kb_for_a_caller': caller_kb,
+        'cpu_per_group': cpu[1],
+        'cpu_fit_error': cpu[2],
+        'control_cpu_fraction_at_580': cpu[0] + cpu[1] * groups,
+        'control_mb_at_580': memory[0] + memory[1] * groups,
+        'callers_mb_at_580': callers,
+    }
+
+
 def _table(document: Figures) -> None:
     for name, keys in document['deployments'].items():
         print(name)
@@ -222,6 +245,9 @@
         [figures for job, figures in found if job.experiment == 'slope']
     )
     if not chosen.no_sockets:
+        document['control_process_noisy'] = _process(
+            control.measure(), control.kb_for_a_caller()
+        )
         sockets = throughput.measure()
         document['sockets_noisy'] = {
             **dataclasses.asdict(sockets),
@@ -233,8 +259,14 @@
     for key, value in document['control'].items():
         if isinstance(value, dict):
             print(f'  {key:<36} {value["at_580_nodes"]:10.4f} at 580 nodes')
-    for key, value in document.get('sockets_noisy', {}).items():
-        print(f'  {key:<36} {value:10.4f} (noisy)')
+    process = document.get('control_process_noisy', {})
+    for key, value in (*process.items(), *_sockets(document)):
+        if isinstance(value, (int, float)):
+            print(f'  {key:<36} {value:10.4f} (noisy)')
+
+
+def _sockets(document: Figures) -> tuple[tuple[str, Any], ...]:
+    return tuple(document.get('sockets_noisy', {}).items())
 
 
 if __name__ == '__main__':
--- a/src/chicoryusher_standins/throughput.py
+++ b/src/chicoryusher_standins/throughput.py
@@ -25,7 +25,17 @@
 from chicoryusher import peers  # noqa: F401 - the codecs are warmed up
 from chicoryusher_standins import world as world_module
 
-__all__ = ['Throughput', 'measure']
+__all__ = [
+    'BIN',
+    'Throughput',
+    'apply',
+    'connect',
+    'environment',
+    'free_ports',
+    'measure',
+    'processor_seconds',
+    'start',
+]
 
 WARM_UP_SECONDS = 1.0
 SETTLE_SECONDS = 8.0
@@ -35,7 +45,7 @@
 LONE_STATEMENTS = 400
 READY_SECONDS = 15.0
 IDLE_SECONDS = 8.0
-_BIN = pathlib.Path(sys.executable).parent
+BIN = pathlib.Path(sys.executable).parent
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,19 +65,22 @@
         return self.proxy_p50_ms - self.direct_p50_ms
 
 
-def _environment() -> dict[str, str]:
+def environment() -> dict[str, str]:
+    """Return the environment of the processes: secrets for tests."""
     return {**os.environ, **world_module.ENVIRONMENT}
 
 
-def _start(*command: str) -> tuple[subprocess.Popen[str], Any]:
+def start(*command: str) -> tuple[subprocess.Popen[str], Any]:
+    """Start stand-ins; return the process and what it printed."""
     process = subprocess.Popen(
-        command, env=_environment(), stdout=subprocess.PIPE, text=True
+        command, env=environment(), stdout=subprocess.PIPE, text=True
     )
     assert process.stdout is not None
     return process, json.loads(process.stdout.readline())
 
 
-def _connect(port: int, user: str, password: str, name: str) -> Any:
+def connect(port: int, user: str, password: str, name: str) -> Any:
+    """Connect a stock driver to a loopback port."""
     return pymysql.connect(
         host=world_module.HOST,
         port=port,
@@ -89,7 +102,7 @@
     begin: Any,
 ) -> None:
     """Run statements from several connections until time is up."""
-    conns = [_connect(port, user, password, name) for _ in range(connections)]
+    conns = [connect(port, user, password, name) for _ in range(connections)]
     begin.wait()
     until = time.monotonic() + seconds
     count = 0
@@ -152,7 +165,8 @@
     return statistics.median(times[LONE_STATEMENTS // 4 :]) * 1000
 
 
-def _processor_seconds(pid: int) -> float:
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
     ticks = int(fields[13]) + int(fields[14])
     return ticks / os.sysconf('SC_CLK_TCK')
@@ -163,8 +177,8 @@
     standins, register = [], None
     started = []
     for number in range(1, 4):
-        process, found = _start(
-            str(_BIN / 'chicoryusher-standins'),
+        process, found = start(
+            str(BIN / 'chicoryusher-standins'),
             '--databases',
             '1',
             '--first',
@@ -199,7 +213,7 @@
     callers: int,
 ) -> Throughput:
     with tempfile.TemporaryDirectory() as folder:
-        ports = _free_ports(3)
+        ports = free_ports(3)
         document = world_module.settings_document(
             'vm1', 'akhmim-yard', platform_port, ports[0]
         )
@@ -220,15 +234,15 @@
         path = pathlib.Path(folder) / 'settings.json'
         path.write_text(json.dumps(document))
         daemon = subprocess.Popen(
-            [_BIN / 'chicoryusherd', path], env=_environment()
+            [BIN / 'chicoryusherd', path], env=environment()
         )
         started.append(daemon)
-        _apply(folder, register, ports[2])
+        apply(folder, register, ports[2])
         return _measured(register, daemon.pid, ports[1], seconds, callers)
 
 
-def _free_ports(count: int) -> list[int]:
-
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free at this moment."""
     socks = [
         socket.create_server((world_module.HOST, 0)) for _ in range(count)
     ]
@@ -238,21 +252,22 @@
     return ports
 
 
-def _apply(folder: str, register: Any, admin_port: int) -> None:
+def apply(folder: str, register: Any, admin_port: int) -> None:
+    """Apply a register with the operators' tool, once it can."""
     path = pathlib.Path(folder) / 'register.json'
     path.write_text(json.dumps(register))
     until = time.monotonic() + READY_SECONDS
     while True:
         found = subprocess.run(
             [
-                _BIN / 'chicoryusher',
+                BIN / 'chicoryusher',
                 'register',
                 'apply',
                 path,
                 '--admin',
                 f'{world_module.HOST}:{admin_port}',
             ],
-            env=_environment(),
+            env=environment(),
             capture_output=True,
             check=False,
         )
@@ -268,19 +283,19 @@
     databases = register['register']['databases']
     user, password = world_module.BACKEND_USER
     time.sleep(SETTLE_SECONDS)
-    before = _processor_seconds(pid)
+    before = processor_seconds(pid)
     time.sleep(IDLE_SECONDS)
-    idle = (_processor_seconds(pid) - before) / IDLE_SECONDS
+    idle = (processor_seconds(pid) - before) / IDLE_SECONDS
     clerk = 'clerk', world_module.ENVIRONMENT['CLERK_PASSWORD']
     name = databases[0]['name']
-    proxied = _lone(_connect(port, *clerk, name))
+    proxied = _lone(connect(port, *clerk, name))
     first = databases[0]['instances'][0]['port']
-    direct = _lone(_connect(first, user, password, name))
+    direct = _lone(connect(first, user, password, name))
     through = [(port, one['name']) for one in databases]
     _rate(through, *clerk, WARM_UP_SECONDS, callers, 8)
-    before = _processor_seconds(pid)
+    before = processor_seconds(pid)
     rate = _rate(through, *clerk, seconds, callers, 8)
-    spent = _processor_seconds(pid) - before
+    spent = processor_seconds(pid) - before
     straight = [
         (one['instances'][0]['port'], one['name']) for one in databases
     ]
