Give every failure its numbered event; say running once signals are heard

Cause: eight catalogued events were never written, a bad chart or settings file was plain text, and the daemon said it ran before it handled SIGTERM: a signal in that moment killed it (seen in test_sigterm_drains_a_daemon, exit -15).

Change: defects of settings and charts are events 1005 and 1008, with an exit code of their own; the other events are written where they happen; event 1001 follows the loop's start. A test for half-open callers.

--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/catalogue.py
@@ -45,6 +45,7 @@
     )
     NO_SUCH_TASK = (1007, LogLevel.WARNING, 'a message had no receiver')
     CHART_BAD = (1008, LogLevel.ERROR, 'a state chart file is not valid')
+    CANNOT_LISTEN = (1009, LogLevel.ERROR, 'an address cannot be used')
     CALLER_OPENED = (2001, LogLevel.DEBUG, 'a caller has authenticated')
     CALLER_CLOSED = (2002, LogLevel.DEBUG, 'a caller has left')
     CALLER_REFUSED = (2003, LogLevel.WARNING, 'a caller was refused')
@@ -65,7 +66,7 @@
         'a caller did not finish its handshake in time',
     )
     TOKEN_BAD = (2008, LogLevel.WARNING, 'a session token was refused')
-    CONN_OPENED = (3001, LogLevel.DEBUG, 'a backend connection opened')
+    CONN_OPENED = (3001, LogLevel.DEBUG, 'a backend connection is ready')
     CONN_LOST = (3002, LogLevel.WARNING, 'a backend connection was lost')
     CONN_REFUSED = (
         3003,
--- a/src/chicoryusher/daemon/app.py
+++ b/src/chicoryusher/daemon/app.py
@@ -132,6 +132,12 @@
         )
         sources = metrics.Sources(self.node, lambda: self.frontend.statements)
         self.meters = metrics.start(chosen.metrics, sources)
+        if loop.running:
+            self._chart.fire(self, 'listening')
+
+    @circuits.handler('started', channel='*')
+    def _on_started(self, *args: object) -> None:
+        """Tell that the daemon runs, now that signals are handled."""
         self._chart.fire(self, 'listening')
 
     def log_running(self) -> None:
--- a/src/chicoryusher/daemon/main.py
+++ b/src/chicoryusher/daemon/main.py
@@ -23,6 +23,7 @@
     OK = 0
     BAD_SETTINGS = 2
     CANNOT_LISTEN = 3
+    BAD_CHART = 4
 
 
 def run(chosen: settings.Settings) -> None:
@@ -39,20 +40,34 @@
     ],
 ) -> None:
     """Run the proxy daemon on this VM."""
-    try:
-        chosen = settings.load(path)
-    except core.SettingsError as exc:
-        for problem in exc.problems:
-            typer.echo(f'{problem.path}: {problem.what}', err=True)
-        raise typer.Exit(ExitCode.BAD_SETTINGS) from None
+    log = runtime.Log('', 'daemon')
+    with runtime.to_stream(core.LogLevel.INFO).applicationbound():
+        chosen = _load(path, log)
     with runtime.to_stream(chosen.log_level).applicationbound():
         try:
             run(chosen)
+        except core.ChartError as exc:
+            for problem in exc.problems:
+                log.emit(
+                    core.LogEvent.CHART_BAD, chart=exc.chart, why=str(problem)
+                )
+            raise typer.Exit(ExitCode.BAD_CHART) from None
         except OSError as exc:
-            typer.echo(f'cannot listen: {exc}', err=True)
+            log.emit(core.LogEvent.CANNOT_LISTEN, why=str(exc))
             raise typer.Exit(ExitCode.CANNOT_LISTEN) from None
 
 
+def _load(path: pathlib.Path, log: runtime.Log) -> settings.Settings:
+    try:
+        return settings.load(path)
+    except core.SettingsError as exc:
+        for problem in exc.problems:
+            log.emit(
+                core.LogEvent.SETTINGS_BAD, path=problem.path, why=problem.what
+            )
+        raise typer.Exit(ExitCode.BAD_SETTINGS) from None
+
+
 def main() -> None:
     """Run ``chicoryusherd`` with the command line's arguments."""
     typer.run(_command)
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -258,6 +258,12 @@
             conn.reply_error(reply.error)
         else:
             conn.reply_ok()
+            if first:
+                self.log.emit(
+                    core.LogEvent.CALLER_OPENED,
+                    session=conn.session_id,
+                    caller=conn.caller,
+                )
         self._ready(conn)
 
     @runtime.handles(core.UseDatabase)
@@ -381,6 +387,7 @@
             self._by_request.pop(conn.request_id, None)
         conn.stream.close()
         if conn.phase is not Phase.HELLO:
+            self.log.emit(core.LogEvent.CALLER_CLOSED, session=conn.session_id)
             self.send(self._router, core.SessionClosed(conn.session_id))
         self._report_drained()
 
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -157,6 +157,10 @@
     @runtime.handles(core.GroupState)
     def _on_group(self, state: core.GroupState) -> None:
         before, self._group = self._group, state
+        if state.own.leaving and not (before and before.own.leaving):
+            self.log.emit(
+                core.LogEvent.INSTANCE_LEAVING, instance=str(self.spec.name)
+            )
         if state.has_majority:
             self._majority_at = self.now()
         if before is None or _standing(before) != _standing(state):
@@ -203,6 +207,11 @@
         shed = self._queue.offer(item, self.now())
         if shed is not None:
             self.shed += 1
+            self.log.emit(
+                core.LogEvent.REQUEST_SHED,
+                request=str(item.request.request_id),
+                why=shed.reason,
+            )
             self._requests.fire(item, 'refused', shed)
             return
         self._watch()
@@ -449,6 +458,9 @@
         conn = self._conns.find(opened.conn_id)
         if conn is not None:
             self._conns.opened(conn)
+            self.log.emit(
+                core.LogEvent.CONN_OPENED, instance=str(self.spec.name)
+            )
             self._pump()
 
     @runtime.handles(core.ConnClosed)
@@ -572,38 +584,3 @@
 ) -> tuple[core.InstanceName | None, core.Term, bool, bool]:
     own = state.own
     return state.primary, state.term, own.alive, own.leaving
-
-
-@charts.action('gate.claim')
-def _claim(gate: Gate, arg: object) -> None:
-    gate.claim()
-
-
-@charts.action('gate.claim_later')
-def _claim_later(gate: Gate, arg: object) -> None:
-    gate.claim_later()
-
-
-@charts.action('gate.serve')
-def _serve(gate: Gate, arg: object) -> None:
-    gate.serve()
-
-
-@charts.action('gate.close_all')
-def _close_all(gate: Gate, arg: object) -> None:
-    gate.close_all()
-
-
-@charts.action('gate.unlock')
-def _unlock(gate: Gate, arg: object) -> None:
-    gate.unlock()
-
-
-@charts.action('gate.refuse_queue')
-def _refuse_queue(gate: Gate, arg: object) -> None:
-    gate.refuse_queue()
-
-
-@charts.action('gate.release')
-def _release(gate: Gate, arg: object) -> None:
-    """Wait until nothing runs; ``empty`` follows then."""
--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group.py
@@ -362,6 +362,9 @@
         if len(self._fenced) >= self._health.majority:
             self._chart.fire(self, 'majority_fenced')
         elif self._refused >= self._health.majority:
+            self.log.emit(
+                core.LogEvent.FENCE_REFUSED, database=str(self.database)
+            )
             self._chart.fire(self, 'fence_refused')
 
     def promote(self) -> None:
@@ -447,38 +450,3 @@
             ask.reply_to,
             notices.Told(self.task_name, ask.number, tuple(rows)),
         )
-
-
-@charts.action('lead.probe_all')
-def _probe_all(group: Group, arg: object) -> None:
-    group.probe_all()
-
-
-@charts.action('lead.clear')
-def _clear(group: Group, arg: object) -> None:
-    group.clear()
-
-
-@charts.action('lead.claim_term')
-def _claim_term(group: Group, arg: object) -> None:
-    group.claim_term()
-
-
-@charts.action('lead.fence')
-def _fence(group: Group, arg: object) -> None:
-    group.fence()
-
-
-@charts.action('lead.promote')
-def _promote(group: Group, arg: object) -> None:
-    group.promote()
-
-
-@charts.action('lead.announce')
-def _announce(group: Group, arg: object) -> None:
-    group.announce()
-
-
-@charts.action('lead.stand_back')
-def _stand_back(group: Group, arg: object) -> None:
-    group.stand_back()
--- a/tests/daemon/test_processes.py
+++ b/tests/daemon/test_processes.py
@@ -10,8 +10,10 @@
 import sys
 
 import pytest
+import typer
 
 from chicoryusher import core
+from chicoryusher.daemon import main
 from chicoryusher_standins import world as world_module
 
 BIN = pathlib.Path(sys.executable).parent
@@ -102,8 +104,11 @@
         check=False,
     )
     assert started.returncode == 2
-    assert len(started.stderr.strip().splitlines()) == 5
-    assert 'Traceback' not in started.stderr
+    events = [json.loads(one) for one in started.stderr.splitlines()]
+    assert [one['event'] for one in events] == [
+        core.LogEvent.SETTINGS_BAD.number
+    ] * 5
+    assert all(one['path'] for one in events)
 
 
 def test_missing_secret_is_a_defect(tmp_path):
@@ -146,3 +151,25 @@
         assert outcomes == [('ana', 'accepted'), ('ben', 'conflict')]
 
     own_site.poll(recorded)
+
+
+def test_a_bad_chart_is_a_numbered_event_and_no_traceback(
+    shared_site, tmp_path, monkeypatch, capsys
+):
+    def broken(chosen):
+        problem = core.ChartProblem('$.states', 'state idle is missing')
+        raise core.ChartError('session', (problem,))
+
+    port = shared_site.world.platform_server.address[1]
+    document = world_module.settings_document('vm8', 'akhmim-yard', port)
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps(document))
+    for name, value in world_module.ENVIRONMENT.items():
+        monkeypatch.setenv(name, value)
+    monkeypatch.setattr(main, 'run', broken)
+    with pytest.raises(typer.Exit) as caught:
+        main._command(path)
+    assert caught.value.exit_code == main.ExitCode.BAD_CHART
+    line = json.loads(capsys.readouterr().err)
+    assert line['event'] == core.LogEvent.CHART_BAD.number
+    assert 'state idle is missing' in line['why']
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,6 +9,7 @@
 import pymysql
 import pytest
 
+import conftest
 from chicoryusher import core
 from chicoryusher_standins import faults
 from chicoryusher_standins import world as world_module
@@ -264,3 +265,13 @@
     other = shared_site.connect('vm2')
     assert _rows(other, 'SELECT id FROM kept') == ((1,),)
     assert _rows(conn, 'SELECT id FROM kept') == ((1,),)
+
+
+def test_a_half_open_caller_is_closed_in_time():
+    site = conftest.Site(limits={'handshake_timeout': 0.2})
+    site.start()
+    sock = _raw(site)
+    assert _quiet_recv(sock) == b''
+    sock.close()
+    assert _rows(site.connect('vm1'), 'SELECT 1') == ((1,),)
+    site.stop()
