--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 measure: $(STAMP)
 	$(BIN)/python -m chicoryusher_standins.measure $(ARGS)
 
+report: $(STAMP)
+	$(BIN)/python -m chicoryusher_standins.report
+
 model: $(STAMP)
 	$(BIN)/python -m chicoryusher_standins.model.check
 
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -4,6 +4,7 @@
 
 from chicoryusher.decisions import admission
 from chicoryusher.decisions import configuration
+from chicoryusher.decisions import directory
 from chicoryusher.decisions import evidence
 from chicoryusher.decisions import freshness
 from chicoryusher.decisions import gates
@@ -16,6 +17,7 @@
 from chicoryusher.decisions import sessions
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
+from chicoryusher.decisions.directory import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
 from chicoryusher.decisions.freshness import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
@@ -41,6 +43,7 @@
 __all__ = [
     *admission.__all__,
     *configuration.__all__,
+    *directory.__all__,
     *evidence.__all__,
     *freshness.__all__,
     *gates.__all__,
--- /dev/null
+++ b/src/chicoryusher/decisions/directory.py
@@ -0,0 +1,67 @@
+"""Where one VM sends an instance's work, and how far that is."""
+
+from __future__ import annotations
+
+from chicoryusher import core
+from chicoryusher.decisions import configuration
+from chicoryusher.decisions import gates
+
+__all__ = ['Directory']
+
+IN_ZONE_PATH = 0.0005
+IN_REGION_PATH = 0.003
+ACROSS_REGIONS_PATH = 0.040
+
+
+class Directory:
+    """Gates of all instances as one VM sees them.
+
+    Paths are round trips in seconds, expected from the zones.
+    """
+
+    def __init__(
+        self, vm: core.VmName, zone: core.ZoneName, placement: str
+    ) -> None:
+        self._vm = vm
+        self._zone = zone
+        self._placement = gates.PLACEMENTS.get(placement)()
+        self._live: tuple[core.VmName, ...] = (vm,)
+        self._gates: dict[core.InstanceName, core.VmName | None] = {}
+        self.config: configuration.Configuration | None = None
+
+    def take_config(self, config: configuration.Configuration) -> None:
+        """Follow a configuration that is in force now."""
+        self.config = config
+        self._gates.clear()
+
+    def take_live(self, live: tuple[core.VmName, ...]) -> None:
+        """Follow a change of the VMs that may be gates."""
+        self._live = live
+        self._gates.clear()
+
+    def gate(self, name: core.InstanceName) -> core.VmName | None:
+        """Return the VM that gets an instance's work, or None."""
+        if name not in self._gates:
+            config = self.config
+            spec = config.instance(name) if config is not None else None
+            if config is None or spec is None:
+                return None
+            self._gates[name] = self._placement.gate(
+                config, spec, self._live, self._vm
+            )
+        return self._gates[name]
+
+    def path(self, zone: core.ZoneName) -> float:
+        """Return the round trip to a zone."""
+        config = self.config
+        if zone == self._zone or config is None:
+            return IN_ZONE_PATH
+        if config.region(zone) == config.region(self._zone):
+            return IN_REGION_PATH
+        return ACROSS_REGIONS_PATH
+
+    def way_back(self, name: core.InstanceName) -> float:
+        """Return what an answer of an instance's gate needs at most."""
+        config = self.config
+        spec = config.instance(name) if config is not None else None
+        return self.path(spec.zone) if spec is not None else 0.0
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -17,9 +17,6 @@
 RETRY_DELAY = 0.025
 SWEEP_INTERVAL = 0.25
 ANSWER_GRACE = 1.0
-IN_ZONE_PATH = 0.0005
-IN_REGION_PATH = 0.003
-ACROSS_REGIONS_PATH = 0.040
 _EVER = float('inf')
 _COMMITS = (core.StatementKind.COMMIT, core.StatementKind.DDL)
 _READS = (core.StatementKind.READ, core.StatementKind.PREPARE)
@@ -59,14 +56,13 @@
         super().__init__(loop, vm, 'router')
         self._settings = settings
         self._policy = decisions.ROUTING.get(settings.policy)()
-        self._placement = decisions.PLACEMENTS.get(settings.placement)()
+        self._directory = decisions.Directory(
+            vm, settings.zone, settings.placement
+        )
         self._tokens = decisions.TokenCodec(
             settings.token_key, settings.old_token_keys
         )
         self._chart = charts.compiled('session')
-        self._config: decisions.Configuration | None = None
-        self._live: tuple[core.VmName, ...] = (vm,)
-        self._gates: dict[core.InstanceName, core.VmName | None] = {}
         self._groups: dict[core.DatabaseName, decisions.GroupView] = {}
         self._sessions: dict[core.SessionId, sessions.Session] = {}
         self._pending: dict[core.RequestId, sessions.Pending] = {}
@@ -80,8 +76,7 @@
     @runtime.handles(notices.ConfigInForce)
     def _on_config(self, message: notices.ConfigInForce) -> None:
         config = message.config
-        self._config = config
-        self._gates.clear()
+        self._directory.take_config(config)
         for database in config.databases:
             group = self._groups.get(database.name)
             if group is None:
@@ -89,25 +84,15 @@
                 self._groups[database.name] = group
             group.keep_only(frozenset(database.instances))
             for spec in config.group(database.name):
-                path = self._path(config, spec.zone)
+                path = self._directory.path(spec.zone)
                 group.place(decisions.InstanceView(spec, path))
         known = {one.name for one in config.databases}
         for gone in set(self._groups) - known:
             del self._groups[gone]
 
-    def _path(
-        self, config: decisions.Configuration, zone: core.ZoneName
-    ) -> float:
-        if zone == self._settings.zone:
-            return IN_ZONE_PATH
-        if config.region(zone) == config.region(self._settings.zone):
-            return IN_REGION_PATH
-        return ACROSS_REGIONS_PATH
-
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
-        self._live = live.vms
-        self._gates.clear()
+        self._directory.take_live(live.vms)
 
     @runtime.handles(core.SessionOpened)
     def _on_opened(self, opened: core.SessionOpened) -> None:
@@ -169,7 +154,7 @@
     @runtime.handles(core.Request)
     def _on_request(self, request: core.Request) -> None:
         session = self._sessions.get(request.session_id)
-        config = self._config
+        config = self._directory.config
         if session is None or config is None:
             return
         marks = config.marks_for(request)
@@ -209,7 +194,7 @@
             self._not_run(pending, exc)
             return
         gate = session.gate if session.started else None
-        gate = gate or self._gate(submit.instance)
+        gate = gate or self._directory.gate(submit.instance)
         if gate is None:
             self._retry(pending)
             return
@@ -254,21 +239,13 @@
             self.vm,
             route.instance,
             request,
-            pending.deadline - now - self._way_back(route.instance),
+            pending.deadline - now - self._directory.way_back(route.instance),
             route.role,
             wanted.position,
             wanted.max_staleness,
             route.patience,
         )
 
-    def _way_back(self, name: core.InstanceName) -> float:
-        """Return the time that an answer needs from a gate, seconds."""
-        config = self._config
-        spec = config.instance(name) if config is not None else None
-        if config is None or spec is None:
-            return 0.0
-        return self._path(config, spec.zone)
-
     def _wanted(
         self,
         session: sessions.Session,
@@ -276,7 +253,7 @@
         now: float,
     ) -> decisions.Wanted:
         request = pending.request
-        config = self._config
+        config = self._directory.config
         assert config is not None
         reads = request.kind in _READS
         if session.transaction is not None:
@@ -296,17 +273,6 @@
             now - wrote_at,
         )
 
-    def _gate(self, name: core.InstanceName) -> core.VmName | None:
-        if name not in self._gates:
-            config = self._config
-            spec = config.instance(name) if config is not None else None
-            if config is None or spec is None:
-                return None
-            self._gates[name] = self._placement.gate(
-                config, spec, self._live, self.vm
-            )
-        return self._gates[name]
-
     @runtime.handles(core.ResultChunk)
     def _on_chunk(self, chunk: core.ResultChunk) -> None:
         pending = self._pending.get(chunk.request_id)
