--- a/src/chicoryusher/decisions/directory.py
+++ b/src/chicoryusher/decisions/directory.py
@@ -26,28 +26,34 @@
         self._zone = zone
         self._placement = gates.PLACEMENTS.get(placement)()
         self._live: tuple[core.VmName, ...] = (vm,)
+        self._zones: gates.LiveZones | None = None
         self._gates: dict[core.InstanceName, core.VmName | None] = {}
         self.config: configuration.Configuration | None = None
 
     def take_config(self, config: configuration.Configuration) -> None:
         """Follow a configuration that is in force now."""
         self.config = config
-        self._gates.clear()
+        self._forget()
 
     def take_live(self, live: tuple[core.VmName, ...]) -> None:
         """Follow a change of the VMs that may be gates."""
         self._live = live
+        self._forget()
+
+    def _forget(self) -> None:
         self._gates.clear()
+        if self.config is not None:
+            self._zones = gates.LiveZones(self.config, self._live)
 
     def gate(self, name: core.InstanceName) -> core.VmName | None:
         """Return the VM that gets an instance's work, or None."""
         if name not in self._gates:
             config = self.config
             spec = config.instance(name) if config is not None else None
-            if config is None or spec is None:
+            if spec is None or self._zones is None:
                 return None
             self._gates[name] = self._placement.gate(
-                config, spec, self._live, self._vm
+                spec, self._zones, self._vm
             )
         return self._gates[name]
 
--- a/src/chicoryusher/decisions/gates.py
+++ b/src/chicoryusher/decisions/gates.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     'DEFAULT_PLACEMENT',
+    'LiveZones',
     'OneGate',
     'PLACEMENTS',
     'Placement',
@@ -33,39 +34,61 @@
 
 def ranked(key: str, vms: Iterable[core.VmName]) -> tuple[core.VmName, ...]:
     """Return the VMs from the highest weight for ``key`` to the lowest."""
+    return tuple(sorted(vms, key=lambda vm: _weight(key, vm), reverse=True))
 
-    def weight(vm: core.VmName) -> tuple[int, core.VmName]:
-        return xxhash.xxh3_64_intdigest(f'{key}\0{vm}'.encode()), vm
 
-    return tuple(sorted(vms, key=weight, reverse=True))
+def _weight(key: str, vm: core.VmName) -> tuple[int, core.VmName]:
+    return xxhash.xxh3_64_intdigest(f'{key}\0{vm}'.encode()), vm
+
+
+class LiveZones:
+    """Live VMs by availability zone, built once for all instances."""
+
+    def __init__(
+        self,
+        config: configuration.Configuration,
+        live: Iterable[core.VmName],
+    ) -> None:
+        self._config = config
+        self._zones: dict[core.ZoneName, list[core.VmName]] = {}
+        self._candidates: dict[core.ZoneName, frozenset[core.VmName]] = {}
+        for name in live:
+            vm = config.vm(name)
+            if vm is not None:
+                self._zones.setdefault(vm.zone, []).append(name)
+
+    def candidates(self, zone: core.ZoneName) -> frozenset[core.VmName]:
+        """Return the VMs nearest to a zone.
+
+        Those of the zone itself go before those of its region, and
+        those before any other.
+        """
+        if zone not in self._candidates:
+            self._candidates[zone] = frozenset(self._nearest(zone))
+        return self._candidates[zone]
+
+    def _nearest(self, zone: core.ZoneName) -> list[core.VmName]:
+        if zone in self._zones:
+            return self._zones[zone]
+        region = self._config.region(zone)
+        near = [
+            name
+            for other, names in self._zones.items()
+            if self._config.region(other) == region
+            for name in names
+        ]
+        every = [name for names in self._zones.values() for name in names]
+        return near or every
 
 
 def gate_of(
-    config: configuration.Configuration,
-    instance: configuration.InstanceSpec,
-    live: Iterable[core.VmName],
+    instance: configuration.InstanceSpec, zones: LiveZones
 ) -> core.VmName | None:
-    """Return the gate VM: nearest zone first, then the highest weight.
-
-    A VM of the instance's own zone is taken before one of its region,
-    and one of its region before any other.
-    """
-    region = config.region(instance.zone)
-    own: list[core.VmName] = []
-    near: list[core.VmName] = []
-    far: list[core.VmName] = []
-    for name in live:
-        vm = config.vm(name)
-        if vm is None:
-            continue
-        if vm.zone == instance.zone:
-            own.append(name)
-        elif config.region(vm.zone) == region:
-            near.append(name)
-        else:
-            far.append(name)
-    order = ranked(instance.name, own or near or far)
-    return order[0] if order else None
+    """Return the gate VM: the nearest one with the highest weight."""
+    nearest = zones.candidates(instance.zone)
+    return max(
+        nearest, key=lambda vm: _weight(instance.name, vm), default=None
+    )
 
 
 class Placement(Protocol):
@@ -75,13 +98,20 @@
 
     def gate(
         self,
-        config: configuration.Configuration,
         instance: configuration.InstanceSpec,
-        live: Sequence[core.VmName],
+        zones: LiveZones,
         vm: core.VmName,
     ) -> core.VmName | None:
         """Return the gate that ``vm`` sends an instance's work to."""
 
+    def serves(
+        self,
+        instance: configuration.InstanceSpec,
+        zones: LiveZones,
+        vm: core.VmName,
+    ) -> bool:
+        """Tell whether ``vm`` is a gate of an instance."""
+
     def part(
         self,
         instance: configuration.InstanceSpec,
@@ -101,13 +131,23 @@
 
     def gate(
         self,
-        config: configuration.Configuration,
         instance: configuration.InstanceSpec,
-        live: Sequence[core.VmName],
+        zones: LiveZones,
         vm: core.VmName,
     ) -> core.VmName | None:
         """Return the one gate VM."""
-        return gate_of(config, instance, live)
+        return gate_of(instance, zones)
+
+    def serves(
+        self,
+        instance: configuration.InstanceSpec,
+        zones: LiveZones,
+        vm: core.VmName,
+    ) -> bool:
+        """Tell whether ``vm`` is the one gate."""
+        if vm not in zones.candidates(instance.zone):
+            return False
+        return gate_of(instance, zones) == vm
 
     def part(
         self,
@@ -126,14 +166,22 @@
 
     def gate(
         self,
-        config: configuration.Configuration,
         instance: configuration.InstanceSpec,
-        live: Sequence[core.VmName],
+        zones: LiveZones,
         vm: core.VmName,
     ) -> core.VmName | None:
         """Return the VM itself."""
         return vm
 
+    def serves(
+        self,
+        instance: configuration.InstanceSpec,
+        zones: LiveZones,
+        vm: core.VmName,
+    ) -> bool:
+        """Tell that every VM is a gate."""
+        return True
+
     def part(
         self,
         instance: configuration.InstanceSpec,
--- a/src/chicoryusher/decisions/register.py
+++ b/src/chicoryusher/decisions/register.py
@@ -18,7 +18,13 @@
 from chicoryusher import core
 from chicoryusher.decisions import configuration
 
-__all__ = ['Difference', 'compile_document', 'differences', 'schema_problems']
+__all__ = [
+    'Difference',
+    'compile_document',
+    'differences',
+    'rebuild_document',
+    'schema_problems',
+]
 
 Document = dict[str, Any]
 
@@ -66,6 +72,20 @@
     return _build(register, rules, version)
 
 
+def rebuild_document(
+    document: Any, version: core.ConfigVersion
+) -> configuration.Configuration:
+    """Return the configuration of a document that was accepted before.
+
+    It was checked whole by the VM that wrote it; one that cannot be
+    built is checked again, so that SettingsError lists its defects.
+    """
+    try:
+        return _build(document['register'], document['rules'], version)
+    except (KeyError, TypeError):
+        return compile_document(document, version)
+
+
 def _instances(register: Document) -> Iterator[tuple[str, Document]]:
     for i, database in enumerate(register['databases']):
         for j, instance in enumerate(database['instances']):
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -175,7 +175,7 @@
             return
         try:
             parsed = json.loads(document)
-            config = decisions.compile_document(parsed, version)
+            config = decisions.rebuild_document(parsed, version)
         except (ValueError, core.SettingsError) as exc:
             self._note_bad(version, exc)
             return
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -106,13 +106,14 @@
         config, live = self._config, self._live
         if config is None or live is None:
             return
+        zones = decisions.LiveZones(config, live)
         mine = {
             spec.name: self._placement.part(spec, live)
             for spec in config.instances
             if not self._draining
-            and self._placement.gate(config, spec, live, self.vm) == self.vm
+            and self._placement.serves(spec, zones, self.vm)
         }
-        self._watch_groups(config, live, set(mine))
+        self._watch_groups(config, zones, set(mine))
         for name, spec in mine.items():
             if name not in self._gates:
                 self._add_gate(spec)
@@ -142,13 +143,13 @@
     def _watch_groups(
         self,
         config: decisions.Configuration,
-        live: tuple[core.VmName, ...],
+        zones: decisions.LiveZones,
         mine: set[core.InstanceName],
     ) -> None:
         for database in config.databases:
             gates = tuple(one for one in database.instances if one in mine)
             if gates:
-                self._watch_group(config, live, database, gates)
+                self._watch_group(config, zones, database, gates)
         watched = {
             one.database for one in config.instances if one.name in mine
         }
@@ -158,7 +159,7 @@
     def _watch_group(
         self,
         config: decisions.Configuration,
-        live: tuple[core.VmName, ...],
+        zones: decisions.LiveZones,
         database: decisions.DatabaseSpec,
         gates: tuple[core.InstanceName, ...],
     ) -> None:
@@ -166,7 +167,7 @@
         watchers = {
             vm
             for spec in specs
-            if (vm := decisions.gate_of(config, spec, live)) is not None
+            if (vm := decisions.gate_of(spec, zones)) is not None
         }
         order = decisions.ranked(database.name, watchers)
         rank = order.index(self.vm) if self.vm in order else len(order)
--- a/tests/decisions/test_nodes.py
+++ b/tests/decisions/test_nodes.py
@@ -82,17 +82,18 @@
 def test_a_lost_vm_moves_only_its_own_gates():
     config = _config()
     live = [one.name for one in config.vms]
+    zones = decisions.LiveZones(config, live)
     before = {
-        spec.name: decisions.gate_of(config, spec, live)
-        for spec in config.instances
+        spec.name: decisions.gate_of(spec, zones) for spec in config.instances
     }
     assert all(
         config.vm(gate).zone == config.instance(name).zone
         for name, gate in before.items()
     )
     lost = live[0]
+    fewer = decisions.LiveZones(config, live[1:])
     for spec in config.instances:
-        after = decisions.gate_of(config, spec, live[1:])
+        after = decisions.gate_of(spec, fewer)
         if before[spec.name] != lost:
             assert after == before[spec.name]
         else:
@@ -150,7 +151,8 @@
     spec = config.instances[0]
     part = shares.part(spec, live)
     assert part.connections * len(live) <= spec.connections
-    assert shares.gate(config, spec, live, live[3]) == live[3]
+    zones = decisions.LiveZones(config, live)
+    assert shares.gate(spec, zones, live[3]) == live[3]
 
 
 def _probe(name, alive=True, **changes):
@@ -183,3 +185,23 @@
     for _ in range(2):
         health.heard(_probe('b', alive=False), 0.6, 0.6)
     assert not health.silence_confirmed(0.7)
+
+
+def test_a_zone_without_a_vm_is_served_from_its_region():
+    config = _config()
+    spec = next(one for one in config.instances if one.zone == 'akhmim-yard')
+    live = [one.name for one in config.vms if one.zone != spec.zone]
+    gate = decisions.gate_of(spec, decisions.LiveZones(config, live))
+    assert config.vm(gate).zone == 'qena-mill'
+    nobody = decisions.LiveZones(config, ())
+    assert decisions.gate_of(spec, nobody) is None
+
+
+def test_an_accepted_document_is_rebuilt_as_it_was_compiled():
+    document = _document()
+    version = core.ConfigVersion(3)
+    whole = decisions.compile_document(document, version)
+    assert decisions.rebuild_document(document, version) == whole
+    del document['register']['zones']
+    with pytest.raises(core.SettingsError):
+        decisions.rebuild_document(document, version)
