Give each caller one retry budget, with growing pauses and jitter

Cause: requests that were not run were routed again every 25 ms without a bound but their deadline, so an outage could feed a storm of retries.

Task names come from two factories in place of ten functions of one shape.

--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -14,6 +14,7 @@
 from chicoryusher.decisions import neighbours
 from chicoryusher.decisions import pointers
 from chicoryusher.decisions import register
+from chicoryusher.decisions import retry
 from chicoryusher.decisions import sessions
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
@@ -27,6 +28,7 @@
 from chicoryusher.decisions.neighbours import *  # noqa: F403
 from chicoryusher.decisions.pointers import *  # noqa: F403
 from chicoryusher.decisions.register import *  # noqa: F403
+from chicoryusher.decisions.retry import *  # noqa: F403
 from chicoryusher.decisions.routing import GroupView
 from chicoryusher.decisions.routing import InstanceView
 from chicoryusher.decisions.routing import POLICIES as ROUTING
@@ -53,6 +55,7 @@
     *neighbours.__all__,
     *pointers.__all__,
     *register.__all__,
+    *retry.__all__,
     *sessions.__all__,
     'DEFAULT_POLICY',
     'GroupView',
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from chicoryusher import core
 
 __all__ = [
@@ -19,56 +21,30 @@
 ]
 
 
-def router(vm: core.VmName) -> core.TaskName:
-    """Return the name of the VM's router."""
-    return core.TaskName(f'{vm}/router')
-
-
-def peers(vm: core.VmName) -> core.TaskName:
-    """Return the name of the task that owns the peer streams."""
-    return core.TaskName(f'{vm}/peers')
-
-
-def node(vm: core.VmName) -> core.TaskName:
-    """Return the name of the task that composes the VM's others."""
-    return core.TaskName(f'{vm}/node')
-
-
-def membership(vm: core.VmName) -> core.TaskName:
-    """Return the name of the membership task."""
-    return core.TaskName(f'{vm}/membership')
-
+def _single(task: str) -> Callable[[core.VmName], core.TaskName]:
+    """Return the naming of a task that a VM has one of."""
+    return lambda vm: core.TaskName(f'{vm}/{task}')
 
-def configurator(vm: core.VmName) -> core.TaskName:
-    """Return the name of the configuration task."""
-    return core.TaskName(f'{vm}/configurator')
 
+def _instance(
+    task: str,
+) -> Callable[[core.VmName, core.InstanceName], core.TaskName]:
+    """Return the naming of a task that is there for each instance."""
+    return lambda vm, name: core.TaskName(f'{vm}/{task}/{name}')
 
-def table(vm: core.VmName) -> core.TaskName:
-    """Return the name of the platform's client task."""
-    return core.TaskName(f'{vm}/platform')
 
-
-def admin(vm: core.VmName) -> core.TaskName:
-    """Return the name of the admin task."""
-    return core.TaskName(f'{vm}/admin')
-
-
-def gate(vm: core.VmName, name: core.InstanceName) -> core.TaskName:
-    """Return the name of the gate of an instance."""
-    return core.TaskName(f'{vm}/gate/{name}')
-
-
-def link(vm: core.VmName, name: core.InstanceName) -> core.TaskName:
-    """Return the name of the link to an instance."""
-    return core.TaskName(f'{vm}/link/{name}')
+admin = _single('admin')
+configurator = _single('configurator')
+membership = _single('membership')
+node = _single('node')
+peers = _single('peers')
+router = _single('router')
+table = _single('platform')
+agent = _instance('agent')
+gate = _instance('gate')
+link = _instance('link')
 
 
 def group(vm: core.VmName, name: core.DatabaseName) -> core.TaskName:
     """Return the name of the watch over a database group."""
     return core.TaskName(f'{vm}/group/{name}')
-
-
-def agent(vm: core.VmName, name: core.InstanceName) -> core.TaskName:
-    """Return the name of the client of an instance's group agent."""
-    return core.TaskName(f'{vm}/agent/{name}')
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 
 from chicoryusher import charts
 from chicoryusher import core
@@ -14,7 +15,6 @@
 
 __all__ = ['Router', 'RouterSettings']
 
-RETRY_DELAY = 0.025
 SWEEP_INTERVAL = 0.25
 ANSWER_GRACE = 1.0
 _EVER = float('inf')
@@ -67,6 +67,8 @@
         self._sessions: dict[core.SessionId, sessions.Session] = {}
         self._pending: dict[core.RequestId, sessions.Pending] = {}
         self._sweep_timer: core.TimerId | None = None
+        self._budgets = decisions.RetryBudgets()
+        self._dice = random.Random(vm)
         self.draining = False
         self.reads = 0
         self.replica_reads = 0
@@ -157,6 +159,7 @@
         config = self._directory.config
         if session is None or config is None:
             return
+        self._budgets.earn(request.caller, self.now())
         marks = config.marks_for(request)
         deadline = marks.deadline or config.default_deadline
         pending = sessions.Pending(
@@ -357,13 +360,17 @@
 
     def _retry(self, pending: sessions.Pending) -> None:
         pending.gate = None
-        if self.now() + RETRY_DELAY >= pending.deadline:
-            self._not_run(
-                pending,
-                core.NotRunError('no instance took it in time', RETRY_DELAY),
-            )
+        pending.waits += 1
+        now = self.now()
+        delay = decisions.retry_delay(pending.waits, self._dice)
+        if now + delay >= pending.deadline:
+            why = 'no instance took it in time'
+        elif self._budgets.spend(pending.request.caller, now):
+            self.after(delay, _Again(pending.request.request_id))
             return
-        self.after(RETRY_DELAY, _Again(pending.request.request_id))
+        else:
+            why = "the caller's retry budget is spent"
+        self._not_run(pending, core.NotRunError(why, delay))
 
     @runtime.handles(_Again)
     def _on_again(self, again: _Again) -> None:
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -27,6 +27,7 @@
     instance: core.InstanceName | None = None
     gate: core.VmName | None = None
     moves: int = 0
+    waits: int = 0
     to_primary: bool = False
 
     @property
