End the decoding of a handshake that lacks its terminators

Cause: the property test of the handshake hung in a full run: the library's reader of terminated text reads on for ever at the end of the data, so one packet of a caller that has not authenticated stopped the whole daemon. The same test then found character sets that Python does not know, which ended as an untyped error.

Change: terminators are added behind the payload before the library sees it; look-up errors become MalformedPacket. A test for each length.

Ruled out: the poller and the stand-ins (the stack was in parse_hello).

--- a/src/chicoryusher/wire/greeting.py
+++ b/src/chicoryusher/wire/greeting.py
@@ -47,6 +47,7 @@
 SERVER_VERSION = '8.4.0-chicoryusher'
 MAX_PACKET_BYTES = 1 << 30
 UTF8MB4 = 45
+TERMINATORS = bytes(64)
 _STATUS = types.ServerStatus
 
 
@@ -90,13 +91,18 @@
 def parse_hello(
     payload: bytes, capabilities: types.Capabilities = CALLER_CAPABILITIES
 ) -> CallerHello:
-    """Decode a handshake response; MalformedPacket if it can't be."""
+    """Decode a handshake response; MalformedPacket if it can't be.
+
+    The library reads on for ever where a text is not terminated, so
+    terminators are added behind the payload.
+    """
     try:
-        hello = packets.parse_handshake_response_41(capabilities, payload)
+        hello = packets.parse_handshake_response_41(
+            capabilities, payload + TERMINATORS
+        )
     except (
         AssertionError,
-        IndexError,
-        KeyError,
+        LookupError,
         TypeError,
         ValueError,
         struct.error,
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -44,6 +44,17 @@
         return
 
 
+@pytest.mark.parametrize('size', [33, 40, 200])
+def test_a_handshake_without_terminators_ends(size):
+    capabilities = int(wire.CALLER_CAPABILITIES).to_bytes(4, 'little')
+    payload = capabilities + bytes(4) + b'-' + bytes(23)
+    payload += b'u' * (size - len(payload))
+    try:
+        wire.parse_hello(payload)
+    except core.MalformedPacket:
+        return
+
+
 @pytest.mark.parametrize('name', sorted(wire.METHODS))
 def test_passwords_are_verified_by_every_method(name):
     nonce = wire.new_nonce()
