Drop a message nobody took, and code the change left dead

Cause: on a drain the front end told the router that it had drained; the router has no handler for that, so each drain logged event 1006, and the daemon looks at the callers itself.

--- a/src/chicoryusher/core/messages.py
+++ b/src/chicoryusher/core/messages.py
@@ -24,7 +24,6 @@
     'ClaimGate',
     'Consumed',
     'Drain',
-    'Drained',
     'GateClaimed',
     'GateLost',
     'GateMoved',
@@ -358,10 +357,3 @@
     """Finish what is in flight and take nothing new."""
 
     budget: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Drained(Message):
-    """A task has nothing in flight any more."""
-
-    task: ids.TaskName
--- a/src/chicoryusher/decisions/freshness.py
+++ b/src/chicoryusher/decisions/freshness.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from chicoryusher import core
 
-__all__ = ['Freshness', 'lost_tail']
+__all__ = ['Freshness']
 
 HISTORY_ENTRIES = 256
 
@@ -64,9 +63,3 @@
                 break
             missing_since = min(missing_since, seen.at)
         return max(0.0, at - missing_since)
-
-
-def lost_tail(wanted: core.Position, starts: Iterable[core.TermStart]) -> bool:
-    """Tell whether a later term began below ``wanted``."""
-    later = [one.offset for one in starts if one.term > wanted.term]
-    return bool(later) and min(later) < wanted.offset
--- a/src/chicoryusher/decisions/sessions.py
+++ b/src/chicoryusher/decisions/sessions.py
@@ -19,7 +19,6 @@
 SIGNATURE_BYTES = 12
 VERSION = 1
 MAX_TOKEN_CHARS = 4096
-MAX_NAME_BYTES = 255
 _HEAD = struct.Struct('<BB')
 _ENTRY = struct.Struct('<BIQ')
 
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -32,7 +32,6 @@
     max_packet_bytes: int = 16 * 1024 * 1024
     max_callers: int = 4096
     handshake_timeout: float = 5.0
-    high_water_bytes: int = 1024 * 1024
     low_water_bytes: int = 256 * 1024
     max_backlog: int = 64
 
@@ -389,7 +388,6 @@
         if conn.phase is not Phase.HELLO:
             self.log.emit(core.LogEvent.CALLER_CLOSED, session=conn.session_id)
             self.send(self._router, core.SessionClosed(conn.session_id))
-        self._report_drained()
 
     @runtime.handles(core.Drain)
     def _on_drain(self, drain: core.Drain) -> None:
@@ -400,8 +398,3 @@
         for conn in tuple(self._by_fileno.values()):
             if conn.phase is Phase.READY and not conn.in_transaction:
                 self._close(conn)
-        self._report_drained()
-
-    def _report_drained(self) -> None:
-        if self._draining and not self._by_fileno:
-            self.send(self._router, core.Drained(self.task_name))
--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -6,7 +6,6 @@
 import math
 import pathlib
 import resource
-import statistics
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -413,8 +412,3 @@
 def _resident_mb() -> float:
     pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
     return pages * resource.getpagesize() / 1e6
-
-
-def median(values: Iterable[float]) -> float:
-    """Return the median of some figures."""
-    return statistics.median(values)
