--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,14 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/ruff check src tests tools features
-	$(BIN)/ruff format --check src tests tools features
-	$(BIN)/flake8 src tests tools features
+	$(BIN)/ruff check src tests tools features platform
+	$(BIN)/ruff format --check src tests tools features platform
+	$(BIN)/flake8 src tests tools features platform
 	$(BIN)/lint-imports
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix src tests tools features
-	$(BIN)/ruff format src tests tools features
+	$(BIN)/ruff check --fix src tests tools features platform
+	$(BIN)/ruff format src tests tools features platform
 
 measure: $(STAMP)
 	$(BIN)/python -m chicoryusher_standins.measure $(ARGS)
--- a/src/chicoryusher/core/__init__.py
+++ b/src/chicoryusher/core/__init__.py
@@ -10,8 +10,10 @@
 from chicoryusher.core import ids
 from chicoryusher.core import messages
 from chicoryusher.core import peering
+from chicoryusher.core import pooling
 from chicoryusher.core import position
 from chicoryusher.core import registry
+from chicoryusher.core import stewardship
 from chicoryusher.core.catalogue import *  # noqa: F403
 from chicoryusher.core.clock import *  # noqa: F403
 from chicoryusher.core.control import *  # noqa: F403
@@ -20,8 +22,10 @@
 from chicoryusher.core.ids import *  # noqa: F403
 from chicoryusher.core.messages import *  # noqa: F403
 from chicoryusher.core.peering import *  # noqa: F403
+from chicoryusher.core.pooling import *  # noqa: F403
 from chicoryusher.core.position import *  # noqa: F403
 from chicoryusher.core.registry import *  # noqa: F403
+from chicoryusher.core.stewardship import *  # noqa: F403
 
 __all__ = (
     catalogue.__all__
@@ -32,6 +36,8 @@
     + ids.__all__
     + messages.__all__
     + peering.__all__
+    + pooling.__all__
     + position.__all__
     + registry.__all__
+    + stewardship.__all__
 )
--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/catalogue.py
@@ -46,6 +46,7 @@
     NO_SUCH_TASK = (1007, LogLevel.WARNING, 'a message had no receiver')
     CHART_BAD = (1008, LogLevel.ERROR, 'a state chart file is not valid')
     CANNOT_LISTEN = (1009, LogLevel.ERROR, 'an address cannot be used')
+    SERVING = (1010, LogLevel.INFO, 'enough is known to serve callers')
     CALLER_OPENED = (2001, LogLevel.DEBUG, 'a caller has authenticated')
     CALLER_CLOSED = (2002, LogLevel.DEBUG, 'a caller has left')
     CALLER_REFUSED = (2003, LogLevel.WARNING, 'a caller was refused')
@@ -87,6 +88,11 @@
         LogLevel.WARNING,
         'a statement was cut at its deadline',
     )
+    STATEMENT_REFUSED = (
+        3010,
+        LogLevel.INFO,
+        'a statement was answered with a refusal',
+    )
     PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not answer')
     PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary answered')
     TERM_CLAIMED = (4003, LogLevel.WARNING, 'this VM claims a new term')
@@ -103,6 +109,33 @@
         LogLevel.INFO,
         'an instance is leaving and gets no new work',
     )
+    INSTANCE_MISSED = (
+        4009,
+        LogLevel.WARNING,
+        'an instance could not be reached',
+    )
+    HANDOVER_STEP = (
+        4010,
+        LogLevel.WARNING,
+        'a change of primary took a step',
+    )
+    PRIMARY_STOPPED = (
+        4011,
+        LogLevel.WARNING,
+        'this VM stopped using a primary',
+    )
+    PRIMARY_IN_FORCE = (4012, LogLevel.INFO, 'a primary is in use')
+    INSTANCES_IN_FORCE = (
+        4013,
+        LogLevel.INFO,
+        'the instances of a group have changed',
+    )
+    AUTHORITY_LAPSED = (
+        4014,
+        LogLevel.WARNING,
+        'no view of the lead rows is recent enough to use primaries',
+    )
+    AUTHORITY_BACK = (4015, LogLevel.INFO, 'primaries may be used')
     PLATFORM_DOWN = (5001, LogLevel.WARNING, 'the platform does not answer')
     PLATFORM_BACK = (5002, LogLevel.INFO, 'the platform answers again')
     CONFIG_IN_FORCE = (5003, LogLevel.INFO, 'a configuration is in force')
@@ -119,6 +152,12 @@
         'another change was accepted first',
     )
     AUDIT_FAILED = (5008, LogLevel.ERROR, 'an audit record was not kept')
+    ROW_BAD = (
+        5009,
+        LogLevel.WARNING,
+        'a row of the store could not be read and names nothing',
+    )
+    SETTINGS_READ = (5010, LogLevel.INFO, 'the settings file was read')
     PEER_CONNECTED = (6001, LogLevel.INFO, 'a peer stream opened')
     PEER_LOST = (6002, LogLevel.WARNING, 'a peer stream closed')
     PEER_FRAME_BAD = (6003, LogLevel.WARNING, 'a peer sent a bad frame')
--- a/src/chicoryusher/core/ids.py
+++ b/src/chicoryusher/core/ids.py
@@ -15,6 +15,7 @@
     'OperatorName',
     'RegionName',
     'RequestId',
+    'ServiceName',
     'SessionId',
     'StatementClass',
     'TaskName',
@@ -22,6 +23,7 @@
     'TimerId',
     'TransactionId',
     'VmName',
+    'WorkId',
     'ZoneName',
 ]
 
@@ -35,6 +37,7 @@
 OperatorName = NewType('OperatorName', str)
 RegionName = NewType('RegionName', str)
 RequestId = NewType('RequestId', str)
+ServiceName = NewType('ServiceName', str)
 SessionId = NewType('SessionId', str)
 StatementClass = NewType('StatementClass', str)
 TaskName = NewType('TaskName', str)
@@ -42,4 +45,5 @@
 TimerId = NewType('TimerId', int)
 TransactionId = NewType('TransactionId', str)
 VmName = NewType('VmName', str)
+WorkId = NewType('WorkId', int)
 ZoneName = NewType('ZoneName', str)
--- /dev/null
+++ b/src/chicoryusher/core/stewardship.py
@@ -0,0 +1,450 @@
+"""Typed messages about groups, primaries, and who may use them.
+
+An *age* is how many seconds before its sending something was true, so
+that no two machines' clocks are compared.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher.core import enums
+from chicoryusher.core import ids
+from chicoryusher.core import messages
+from chicoryusher.core import position
+
+__all__ = [
+    'Authority',
+    'DemoteInstance',
+    'FencePrimary',
+    'PrimaryFenced',
+    'GroupInForce',
+    'InstanceEntry',
+    'InstanceFetch',
+    'InstanceState',
+    'InstanceStatus',
+    'InstanceTrouble',
+    'KnowsEnough',
+    'LeadFetch',
+    'LeadRow',
+    'LeadRows',
+    'LeadsInStore',
+    'NodeRow',
+    'NodesInStore',
+    'Observed',
+    'Opinion',
+    'PeerAddress',
+    'PeerAddresses',
+    'Ping',
+    'Pong',
+    'PoolConfig',
+    'PoolConfigFetch',
+    'PoolConfigInForce',
+    'PoolRoute',
+    'PoolService',
+    'PrimaryObserved',
+    'PrimaryStopped',
+    'ProbeInstance',
+    'PromoteInstance',
+    'PromoteReplied',
+    'RegisteredInstances',
+    'Reopened',
+    'RowWritten',
+    'StopPrimary',
+    'StoreSeen',
+    'Suspicion',
+    'WriteLead',
+    'WriteNode',
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolRoute:
+    """How requests for one database name are served.
+
+    ``max_staleness`` and ``limit`` (of one statement) are seconds;
+    ``target`` is the latency target of a whole operation.
+    """
+
+    database: ids.DatabaseName
+    service: ids.ServiceName
+    access: enums.Access
+    max_staleness: float
+    limit: float
+    target: float
+    priority: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolService:
+    """A database group, and how many connections an instance takes."""
+
+    name: ids.ServiceName
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolConfig:
+    """One version of the configuration; ``tx_idle`` is seconds."""
+
+    version: ids.ConfigVersion
+    routes: tuple[PoolRoute, ...]
+    services: tuple[PoolService, ...]
+    tx_idle: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolConfigInForce(messages.Message):
+    """A configuration that is in force from now on."""
+
+    config: PoolConfig
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolConfigFetch(messages.Message):
+    """Ask a peer for its configuration."""
+
+    vm: ids.VmName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceEntry:
+    """One instance as it registers itself.
+
+    ``boot`` tells two lives of one name apart.
+    """
+
+    name: ids.InstanceName
+    service: ids.ServiceName
+    host: str
+    port: int
+    zone: ids.ZoneName
+    slots: int
+    leaving: bool
+    role: enums.Role
+    boot: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegisteredInstances(messages.Message):
+    """Every registered instance, as of one revision of the store."""
+
+    entries: tuple[InstanceEntry, ...]
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadRow:
+    """Who leads a group, as the store has it.
+
+    ``revision`` is the store's version of the row; it rises with every
+    write and so serves as the token of a change of primary.
+    """
+
+    service: ids.ServiceName
+    revision: int
+    state: enums.LeadRowState
+    primary: ids.InstanceName
+    holder: ids.VmName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadsInStore(messages.Message):
+    """Lead rows that were read or changed."""
+
+    rows: tuple[LeadRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadRows(messages.Message):
+    """Lead rows that one VM passes on to another."""
+
+    rows: tuple[LeadRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeRow:
+    """An entry VM as it registers itself for its peers."""
+
+    vm: ids.VmName
+    host: str
+    port: int
+    zone: ids.ZoneName
+    boot: str
+    left: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodesInStore(messages.Message):
+    """Every registered entry VM."""
+
+    rows: tuple[NodeRow, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSeen(messages.Message):
+    """The store answered; all changes of a kind up to then are known.
+
+    ``asked_at`` counts on the clock that runs on while suspended.
+    """
+
+    kind: enums.StoreView
+    asked_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteLead(messages.Message):
+    """Write a lead row if it still has ``expected`` as its revision."""
+
+    row: LeadRow
+    expected: int
+    reply_to: ids.TaskName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowWritten(messages.Message):
+    """What became of a conditional write, read back where in doubt.
+
+    ``row`` is the row as the store has it now, None if unknown.
+    """
+
+    service: ids.ServiceName
+    row: LeadRow | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteNode(messages.Message):
+    """Register this VM, or say that it has left."""
+
+    row: NodeRow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where another VM takes streams of peers."""
+
+    vm: ids.VmName
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAddresses(messages.Message):
+    """The VMs that may be called."""
+
+    peers: tuple[PeerAddress, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observed:
+    """Where a group's primary stood ``age`` seconds ago."""
+
+    service: ids.ServiceName
+    position: position.Position
+    age: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping(messages.Message):
+    """Ask a peer for its view; it is answered at once."""
+
+    vm: ids.VmName
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong(messages.Message):
+    """A peer's view at the moment of its answer.
+
+    ``view_age`` is the age of its last full view of the lead rows, of
+    which ``revision`` is the newest; the same for the instances.
+    """
+
+    vm: ids.VmName
+    number: int
+    view_age: float
+    revision: int
+    config: ids.ConfigVersion
+    observed: tuple[Observed, ...] = ()
+    instances_age: float = float('inf')
+    instances_revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeadFetch(messages.Message):
+    """Ask a peer for every lead row that it has."""
+
+    vm: ids.VmName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceFetch(messages.Message):
+    """Ask a peer for the registered instances."""
+
+    vm: ids.VmName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryObserved(messages.Message):
+    """A group's primary was at ``position`` when asked at ``asked_at``.
+
+    The time counts on this VM's clock that runs on while suspended.
+    """
+
+    service: ids.ServiceName
+    position: position.Position
+    asked_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspicion(messages.Message):
+    """A VM misses an instance and asks what others see."""
+
+    vm: ids.VmName
+    instance: ids.InstanceName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opinion(messages.Message):
+    """Whether an instance could be reached by a VM just now."""
+
+    vm: ids.VmName
+    instance: ids.InstanceName
+    reached: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FencePrimary(messages.Message):
+    """Stop using the primary of a group: its row is being changed.
+
+    ``patience`` is how many seconds open work may still take.
+    """
+
+    vm: ids.VmName
+    row: LeadRow
+    patience: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryFenced(messages.Message):
+    """A VM no longer uses the primary that the row replaces."""
+
+    vm: ids.VmName
+    service: ids.ServiceName
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reopened(messages.Message):
+    """The group has a primary again; ``closing`` is the row it ends."""
+
+    closing: int
+    row: LeadRow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupInForce(messages.Message):
+    """The instances of a group, and the primary that may be used."""
+
+    service: ids.ServiceName
+    entries: tuple[InstanceEntry, ...]
+    primary: ids.InstanceName | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Authority(messages.Message):
+    """Primaries may be used until this time of the running-on clock."""
+
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopPrimary(messages.Message):
+    """Stop using a group's primary, after ``patience`` seconds at most."""
+
+    service: ids.ServiceName
+    primary: ids.InstanceName
+    revision: int
+    patience: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryStopped(messages.Message):
+    """No connection of this VM to that primary is left."""
+
+    service: ids.ServiceName
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceTrouble(messages.Message):
+    """Traffic met an instance that was silent or broke off."""
+
+    instance: ids.InstanceName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeInstance(messages.Message):
+    """Ask an instance for its status within ``timeout`` seconds.
+
+    With ``status`` False it is enough that it takes a connection.
+    """
+
+    entry: InstanceEntry
+    timeout: float
+    status: bool
+    reply_to: ids.TaskName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemoteInstance(messages.Message):
+    """Make an instance a replica of ``term``; its status comes back."""
+
+    entry: InstanceEntry
+    term: ids.Term
+    timeout: float
+    reply_to: ids.TaskName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceState:
+    """What an instance says of itself."""
+
+    role: enums.Role
+    term: ids.Term
+    received: position.Position
+    applied: position.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceStatus(messages.Message):
+    """The result of a probe; ``state`` is None where none came."""
+
+    instance: ids.InstanceName
+    reached: bool
+    state: InstanceState | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromoteInstance(messages.Message):
+    """Tell the platform which instance takes over."""
+
+    service: ids.ServiceName
+    instance: ids.InstanceName
+    holder: ids.VmName
+    token: int
+    reply_to: ids.TaskName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromoteReplied(messages.Message):
+    """The platform's answer to a promotion."""
+
+    service: ids.ServiceName
+    token: int
+    result: enums.PromoteResult
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnowsEnough(messages.Message):
+    """Configuration, instances and leads are known: callers can be served."""
--- a/src/chicoryusher/daemon/admin.py
+++ b/src/chicoryusher/daemon/admin.py
@@ -13,7 +13,7 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher import tasks
-from chicoryusher.daemon import http_server
+from chicoryusher.runtime import http_server
 
 __all__ = ['Admin', 'CALLS']
 
--- a/src/chicoryusher/daemon/app.py
+++ b/src/chicoryusher/daemon/app.py
@@ -11,8 +11,8 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import peers
-from chicoryusher import platform
 from chicoryusher import runtime
+from chicoryusher import services
 from chicoryusher import tasks
 from chicoryusher.backends import mysql as mysql_backend
 from chicoryusher.daemon import admin
@@ -39,7 +39,7 @@
 
     def platform(self, vm: core.VmName) -> None:
         """Start the client of the table and the list of VMs."""
-        platform.PlatformClient(
+        services.PlatformClient(
             self._loop,
             vm,
             self._settings.platform,
@@ -70,7 +70,7 @@
         self, vm: core.VmName, spec: decisions.InstanceSpec
     ) -> runtime.Task:
         """Start the client of one instance's group agent."""
-        return platform.GroupAgent(
+        return services.GroupAgent(
             self._loop,
             vm,
             spec.name,
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from chicoryusher.decisions import admission
+from chicoryusher.decisions import authority
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import directory
 from chicoryusher.decisions import evidence
@@ -12,11 +13,18 @@
 from chicoryusher.decisions import ledger
 from chicoryusher.decisions import membership
 from chicoryusher.decisions import neighbours
+from chicoryusher.decisions import observing
 from chicoryusher.decisions import pointers
+from chicoryusher.decisions import reading
 from chicoryusher.decisions import register
 from chicoryusher.decisions import retry
 from chicoryusher.decisions import sessions
+from chicoryusher.decisions import shares
+from chicoryusher.decisions import succession
+from chicoryusher.decisions import suiting
+from chicoryusher.decisions import waiting
 from chicoryusher.decisions.admission import *  # noqa: F403
+from chicoryusher.decisions.authority import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.directory import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
@@ -26,7 +34,9 @@
 from chicoryusher.decisions.ledger import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
 from chicoryusher.decisions.neighbours import *  # noqa: F403
+from chicoryusher.decisions.observing import *  # noqa: F403
 from chicoryusher.decisions.pointers import *  # noqa: F403
+from chicoryusher.decisions.reading import *  # noqa: F403
 from chicoryusher.decisions.register import *  # noqa: F403
 from chicoryusher.decisions.retry import *  # noqa: F403
 from chicoryusher.decisions.routing import GroupView
@@ -41,6 +51,10 @@
 from chicoryusher.decisions.scheduling import ServiceTimes
 from chicoryusher.decisions.scheduling import Shed
 from chicoryusher.decisions.sessions import *  # noqa: F403
+from chicoryusher.decisions.shares import *  # noqa: F403
+from chicoryusher.decisions.succession import *  # noqa: F403
+from chicoryusher.decisions.suiting import *  # noqa: F403
+from chicoryusher.decisions.waiting import *  # noqa: F403
 
 __all__ = [
     *admission.__all__,
@@ -56,6 +70,13 @@
     *pointers.__all__,
     *register.__all__,
     *retry.__all__,
+    *authority.__all__,
+    *observing.__all__,
+    *reading.__all__,
+    *shares.__all__,
+    *succession.__all__,
+    *suiting.__all__,
+    *waiting.__all__,
     *sessions.__all__,
     'DEFAULT_POLICY',
     'GroupView',
--- /dev/null
+++ b/src/chicoryusher/decisions/shares.py
@@ -0,0 +1,27 @@
+"""How many connections to an instance one VM may hold."""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ['ConnShare', 'connection_share']
+
+# Part of the cap that is dealt out; the rest is for VMs that have just
+# started while the connections of their past life still linger.
+DEALT = 0.8
+# Connections over its share that a VM may open while work waits.
+BURST = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnShare:
+    """Connections that a VM keeps, and the most it may open."""
+
+    kept: int
+    most: int
+
+
+def connection_share(cap: int, vms: int) -> ConnShare:
+    """Deal the cap of an instance out over the live VMs."""
+    kept = max(1, int(cap * DEALT) // max(1, vms))
+    return ConnShare(kept, min(cap, kept + BURST))
--- a/src/chicoryusher/peers/__init__.py
+++ b/src/chicoryusher/peers/__init__.py
@@ -4,5 +4,6 @@
 
 from chicoryusher.peers.stream import Traffic
 from chicoryusher.peers.task import Peers
+from chicoryusher.peers.task import PeerWatchers
 
-__all__ = ['Peers', 'Traffic']
+__all__ = ['PeerWatchers', 'Peers', 'Traffic']
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -32,6 +32,19 @@
     7: core.Heartbeat,
     8: core.ConfigFetch,
     9: core.ConfigOffer,
+    10: core.Ping,
+    11: core.Pong,
+    12: core.LeadFetch,
+    13: core.LeadRows,
+    14: core.Suspicion,
+    15: core.Opinion,
+    16: core.FencePrimary,
+    17: core.PrimaryFenced,
+    18: core.Reopened,
+    19: core.PoolConfigFetch,
+    20: core.PoolConfigInForce,
+    21: core.InstanceFetch,
+    22: core.RegisteredInstances,
 }
 _BY_TYPE = {kind: number for number, kind in NUMBERS.items()}
 _ERRORS = {
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -9,7 +9,7 @@
 from chicoryusher import tasks
 from chicoryusher.peers import stream as stream_module
 
-__all__ = ['Peers']
+__all__ = ['PeerWatchers', 'Peers']
 
 HANDSHAKE_TIMEOUT = 1.0
 CALL_DELAY = 0.25
@@ -35,6 +35,27 @@
     vm: core.VmName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerWatchers:
+    """Tasks that hear of streams and of messages that never left."""
+
+    up: tuple[core.TaskName, ...] = ()
+    down: tuple[core.TaskName, ...] = ()
+    unreachable: tuple[core.TaskName, ...] = ()
+    undelivered: tuple[core.TaskName, ...] = ()
+
+
+def _usual_watchers(vm: core.VmName) -> PeerWatchers:
+    router = tasks.names.router(vm)
+    membership = tasks.names.membership(vm)
+    return PeerWatchers(
+        up=(membership,),
+        down=(router, membership, tasks.names.node(vm)),
+        unreachable=(membership,),
+        undelivered=(router,),
+    )
+
+
 class Peers(runtime.Task):
     """Carry messages between VMs over one stream for each pair."""
 
@@ -44,8 +65,10 @@
         vm: core.VmName,
         address: runtime.Address,
         key: bytes,
+        watchers: PeerWatchers | None = None,
     ) -> None:
         super().__init__(loop, vm, 'peers')
+        self._watchers = watchers or _usual_watchers(vm)
         self._poller = loop.poller
         self._key = key
         self._listener = runtime.Listener(address, loop.poller, self.task_name)
@@ -71,6 +94,12 @@
             one.name: (one.host, one.port) for one in message.config.vms
         }
 
+    @runtime.handles(core.PeerAddresses)
+    def _on_addresses(self, message: core.PeerAddresses) -> None:
+        self._addresses = {
+            one.vm: (one.host, one.port) for one in message.peers
+        }
+
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
         """End the streams to VMs that are gone: nothing else shows it."""
@@ -198,7 +227,8 @@
         self.log.emit(core.LogEvent.PEER_CONNECTED, peer=str(vm))
         for message in self._unsent.pop(vm, []):
             peer.send(message)
-        self.send(tasks.names.membership(self.vm), core.PeerUp(vm))
+        for watcher in self._watchers.up:
+            self.send(watcher, core.PeerUp(vm))
 
     def _received(self, message: core.Message) -> None:
         receiver = _RECEIVERS.get(type(message))
@@ -229,16 +259,16 @@
         self._tell_down(lost)
 
     def _give_back(self, vm: core.VmName) -> None:
-        router = tasks.names.router(self.vm)
         for message in self._unsent.pop(vm, []):
-            self.send(router, tasks.Undelivered(vm, message))
-        self.send(tasks.names.membership(self.vm), core.PeerDown(vm))
+            for watcher in self._watchers.undelivered:
+                self.send(watcher, tasks.Undelivered(vm, message))
+        for watcher in self._watchers.unreachable:
+            self.send(watcher, core.PeerDown(vm))
 
     def _tell_down(self, vm: core.VmName) -> None:
         down = core.PeerDown(vm)
-        self.send(tasks.names.router(self.vm), down)
-        self.send(tasks.names.membership(self.vm), down)
-        self.send(tasks.names.node(self.vm), down)
+        for watcher in self._watchers.down:
+            self.send(watcher, down)
 
     def settled(self) -> None:
         """Send what the handled messages queued."""
@@ -267,7 +297,24 @@
     return tasks.names.configurator(vm)
 
 
+def _to_keeper(vm: core.VmName, message: core.Message) -> core.TaskName:
+    return tasks.names.keeper(vm)
+
+
 _RECEIVERS = {
+    core.Ping: _to_keeper,
+    core.Pong: _to_keeper,
+    core.LeadFetch: _to_keeper,
+    core.LeadRows: _to_keeper,
+    core.Suspicion: _to_keeper,
+    core.Opinion: _to_keeper,
+    core.FencePrimary: _to_keeper,
+    core.PrimaryFenced: _to_keeper,
+    core.Reopened: _to_keeper,
+    core.PoolConfigFetch: _to_keeper,
+    core.PoolConfigInForce: _to_keeper,
+    core.InstanceFetch: _to_keeper,
+    core.RegisteredInstances: _to_keeper,
     core.Submit: _to_node,
     core.AbortTransaction: _to_node,
     core.Consumed: _to_node,
--- a/src/chicoryusher/runtime/__init__.py
+++ b/src/chicoryusher/runtime/__init__.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from chicoryusher.runtime import http_client
 from chicoryusher.runtime import logs
 from chicoryusher.runtime import loop
 from chicoryusher.runtime import poller
 from chicoryusher.runtime import streams
 from chicoryusher.runtime import task
 from chicoryusher.runtime import timers
+from chicoryusher.runtime.http_client import *  # noqa: F403
 from chicoryusher.runtime.logs import *  # noqa: F403
 from chicoryusher.runtime.loop import *  # noqa: F403
 from chicoryusher.runtime.poller import *  # noqa: F403
@@ -16,7 +18,8 @@
 from chicoryusher.runtime.timers import *  # noqa: F403
 
 __all__ = (
-    logs.__all__
+    http_client.__all__
+    + logs.__all__
     + loop.__all__
     + poller.__all__
     + streams.__all__
--- a/src/chicoryusher/platform/http.py
+++ b/src/chicoryusher/runtime/http_client.py
@@ -15,7 +15,10 @@
 import h11
 
 from chicoryusher import core
-from chicoryusher import runtime
+from chicoryusher.runtime import loop as loop_module
+from chicoryusher.runtime import poller
+from chicoryusher.runtime import streams
+from chicoryusher.runtime import task
 
 __all__ = ['HttpCall', 'HttpClient', 'HttpResult']
 
@@ -24,12 +27,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpCall:
-    """One call: ``context`` is the message that it answers."""
+    """One call: ``context`` is the message that it answers.
+
+    ``timeout`` (seconds) replaces the client's own.
+    """
 
     method: str
     path: str
     context: core.Message
     body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+    timeout: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,24 +56,24 @@
     number: int
 
 
-class HttpClient(runtime.Task):
+class HttpClient(task.Task):
     """Base of the platform's clients; subclasses make and read calls."""
 
     def __init__(
         self,
-        loop: runtime.Runtime,
+        loop: loop_module.Runtime,
         vm: core.VmName,
-        task: str,
-        address: runtime.Address,
+        name: str,
+        address: streams.Address,
         timeout: float,
         token: str = '',
     ) -> None:
-        super().__init__(loop, vm, task)
+        super().__init__(loop, vm, name)
         self._poller = loop.poller
         self._address = address
         self._timeout = timeout
         self._token = token
-        self._stream: runtime.Stream | None = None
+        self._stream: streams.Stream | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._waiting: collections.deque[HttpCall] = collections.deque()
         self._current: HttpCall | None = None
@@ -97,10 +105,11 @@
         self._current = self._waiting.popleft()
         self._sent = False
         self._number += 1
-        self._timer = self.after(self._timeout, _CallLate(self._number))
+        timeout = self._current.timeout or self._timeout
+        self._timer = self.after(timeout, _CallLate(self._number))
         if self._stream is None:
             self._http = h11.Connection(h11.CLIENT)
-            self._stream = runtime.connect(
+            self._stream = streams.connect(
                 self._address, self._poller, self.task_name
             )
             if self._stream is None:
@@ -115,6 +124,7 @@
         headers = [
             ('Host', f'{self._address[0]}:{self._address[1]}'),
             ('Content-Length', str(len(call.body))),
+            *call.headers,
         ]
         if self._token:
             headers.append(('Authorization', f'Bearer {self._token}'))
@@ -128,8 +138,8 @@
         self._sent = True
         self._body.clear()
 
-    @runtime.handles(runtime.SocketReady)
-    def _on_ready(self, ready: runtime.SocketReady) -> None:
+    @task.handles(poller.SocketReady)
+    def _on_ready(self, ready: poller.SocketReady) -> None:
         stream = self._stream
         if stream is None or ready.fileno != stream.fileno:
             return
@@ -142,7 +152,7 @@
         if ready.readable:
             self._receive(stream)
 
-    def _receive(self, stream: runtime.Stream) -> None:
+    def _receive(self, stream: streams.Stream) -> None:
         data = stream.read()
         if not data and not stream.closed:
             return
@@ -185,13 +195,15 @@
             self._drop_stream()
         self._finish(HttpResult(self._status, document))
 
-    @runtime.handles(_CallLate)
+    @task.handles(_CallLate)
     def _on_late(self, late: _CallLate) -> None:
         if self._current is not None and late.number == self._number:
             self._broken()
 
     def _broken(self) -> None:
         sent = self._sent
+        if self._stream is not None and self._current is not None:
+            self._stream.abort()
         self._drop_stream()
         if self._current is None:
             return
--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import os
 import sys
 from typing import Any
 from typing import TextIO
@@ -11,7 +13,7 @@
 
 from chicoryusher import core
 
-__all__ = ['Log', 'to_stream']
+__all__ = ['BoundedHandler', 'Log', 'to_stream']
 
 _LEVELS = {
     core.LogLevel.DEBUG: logbook.DEBUG,
@@ -59,3 +61,43 @@
     )
     handler.formatter = _format
     return handler
+
+
+class BoundedHandler(logbook.Handler):
+    """Write JSON lines to a descriptor, and never wait for its reader.
+
+    Lines that the descriptor does not take at once are dropped; the
+    next line that goes out is preceded by one that counts them.
+    """
+
+    def __init__(self, fileno: int, level: core.LogLevel) -> None:
+        super().__init__(_LEVELS[level])
+        os.set_blocking(fileno, False)
+        self._fileno = fileno
+        self._rest = b''
+        self.dropped = 0
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write one record, or count it as dropped."""
+        if self._rest and not self._write(b''):
+            self.dropped += 1
+            return
+        data = _format(record, self).encode() + b'\n'
+        if self.dropped:
+            note = {'event': 0, 'message': 'dropped', 'lines': self.dropped}
+            data = json.dumps(note).encode() + b'\n' + data
+        if self._write(data):
+            self.dropped = 0
+        else:
+            self.dropped += 1
+
+    def _write(self, data: bytes) -> bool:
+        """Write what is left of a line, then ``data``; all or its start."""
+        sent = 0
+        data = self._rest + data
+        with contextlib.suppress(BlockingIOError, BrokenPipeError):
+            sent = os.write(self._fileno, data)
+        if sent == 0:
+            return False
+        self._rest = data[sent:]
+        return True
--- a/src/chicoryusher/runtime/streams.py
+++ b/src/chicoryusher/runtime/streams.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import socket
+import struct
 
 from chicoryusher import core
 from chicoryusher.runtime import poller as poller_module
@@ -14,6 +15,9 @@
 READ_BYTES = 256 * 1024
 BACKLOG = 1024
 
+# Lingering is on, for 0 s: closing resets the connection.
+_NO_LINGER = struct.pack('ii', 1, 0)
+
 Address = tuple[str, int]
 
 
@@ -104,6 +108,16 @@
             self._sock.close()
         self.fileno = -1
 
+    def abort(self) -> None:
+        """Reset the connection: bytes still under way are not delivered."""
+        if self.fileno < 0:
+            return
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+            )
+        self.close()
+
     def _rewatch(self) -> None:
         wanted = (self._reading, bool(self._out) or self.connecting)
         if wanted == self._watched or self.fileno < 0:
--- /dev/null
+++ b/src/chicoryusher/services/__init__.py
@@ -0,0 +1,10 @@
+"""The platform's services, each behind one task."""
+
+from __future__ import annotations
+
+from chicoryusher.services import agents
+from chicoryusher.services import table
+from chicoryusher.services.agents import *  # noqa: F403
+from chicoryusher.services.table import *  # noqa: F403
+
+__all__ = agents.__all__ + table.__all__
--- a/src/chicoryusher/platform/agents.py
+++ b/src/chicoryusher/services/agents.py
@@ -8,7 +8,6 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher import wire
-from chicoryusher.platform import http
 
 __all__ = ['GroupAgent', 'parse_status']
 
@@ -35,7 +34,7 @@
     )
 
 
-class GroupAgent(http.HttpClient):
+class GroupAgent(runtime.HttpClient):
     """Turn probes, fences and promotions into calls of the group API."""
 
     def __init__(
@@ -52,7 +51,7 @@
 
     @runtime.handles(core.Probe)
     def _on_probe(self, probe: core.Probe) -> None:
-        self.call(http.HttpCall('GET', '/status', probe))
+        self.call(runtime.HttpCall('GET', '/status', probe))
 
     @runtime.handles(core.Fence)
     def _on_fence(self, fence: core.Fence) -> None:
@@ -63,16 +62,20 @@
         self.call(self._order('/promote', promote))
 
     @staticmethod
-    def _order(path: str, order: core.Fence | core.Promote) -> http.HttpCall:
+    def _order(
+        path: str, order: core.Fence | core.Promote
+    ) -> runtime.HttpCall:
         body = {'term': order.term, 'candidate': order.candidate}
-        return http.HttpCall('POST', path, order, json.dumps(body).encode())
+        return runtime.HttpCall('POST', path, order, json.dumps(body).encode())
 
-    def finished(self, call: http.HttpCall, result: http.HttpResult) -> None:
+    def finished(
+        self, call: runtime.HttpCall, result: runtime.HttpResult
+    ) -> None:
         """Answer the group's watch."""
         self.send(self._group, self._answer(call.context, result))
 
     def _answer(
-        self, context: core.Message, result: http.HttpResult
+        self, context: core.Message, result: runtime.HttpResult
     ) -> core.Message:
         good = result.error is None and result.status == 200
         name = self._instance
--- a/src/chicoryusher/platform/table.py
+++ b/src/chicoryusher/services/table.py
@@ -9,7 +9,6 @@
 
 from chicoryusher import core
 from chicoryusher import runtime
-from chicoryusher.platform import http
 
 __all__ = ['PlatformClient']
 
@@ -19,7 +18,7 @@
 NOT_FOUND = 404
 
 
-class PlatformClient(http.HttpClient):
+class PlatformClient(runtime.HttpClient):
     """Turn table and list messages into calls of the platform."""
 
     def __init__(
@@ -36,7 +35,7 @@
 
     @runtime.handles(core.TableGet)
     def _on_get(self, message: core.TableGet) -> None:
-        self.call(http.HttpCall('GET', _path(message.key), message))
+        self.call(runtime.HttpCall('GET', _path(message.key), message))
 
     @runtime.handles(core.TablePut)
     def _on_put(self, message: core.TablePut) -> None:
@@ -45,7 +44,7 @@
             'expected': message.expected,
         }
         self.call(
-            http.HttpCall(
+            runtime.HttpCall(
                 'PUT', _path(message.key), message, json.dumps(body).encode()
             )
         )
@@ -59,12 +58,12 @@
                 'limit': message.limit,
             }
         )
-        self.call(http.HttpCall('GET', f'/table?{query}', message))
+        self.call(runtime.HttpCall('GET', f'/table?{query}', message))
 
     @runtime.handles(core.ObjectGet)
     def _on_object_get(self, message: core.ObjectGet) -> None:
         path = f'/objects/{message.key}'
-        self.call(http.HttpCall('GET', path, message))
+        self.call(runtime.HttpCall('GET', path, message))
 
     @runtime.handles(core.ObjectPut)
     def _on_object_put(self, message: core.ObjectPut) -> None:
@@ -72,13 +71,15 @@
             {'value': base64.b64encode(message.value).decode()}
         ).encode()
         path = f'/objects/{message.key}'
-        self.call(http.HttpCall('PUT', path, message, body))
+        self.call(runtime.HttpCall('PUT', path, message, body))
 
     @runtime.handles(core.VmListRequest)
     def _on_list(self, message: core.VmListRequest) -> None:
-        self.call(http.HttpCall('GET', '/vms', message))
+        self.call(runtime.HttpCall('GET', '/vms', message))
 
-    def finished(self, call: http.HttpCall, result: http.HttpResult) -> None:
+    def finished(
+        self, call: runtime.HttpCall, result: runtime.HttpResult
+    ) -> None:
         """Answer the task that asked."""
         self._note(result.error)
         context = call.context
@@ -106,7 +107,7 @@
     return f'/table/{urllib.parse.quote(key, safe="")}'
 
 
-def _problem(result: http.HttpResult) -> core.PlatformError | None:
+def _problem(result: runtime.HttpResult) -> core.PlatformError | None:
     if result.error is not None:
         return result.error
     if result.status == CONFLICT:
@@ -117,7 +118,7 @@
 
 
 def _answered(
-    context: core.TableGet | core.TablePut, result: http.HttpResult
+    context: core.TableGet | core.TablePut, result: runtime.HttpResult
 ) -> core.TableAnswer:
     put = isinstance(context, core.TablePut)
     error = _problem(result)
@@ -132,7 +133,7 @@
 
 
 def _object(
-    context: core.ObjectGet | core.ObjectPut, result: http.HttpResult
+    context: core.ObjectGet | core.ObjectPut, result: runtime.HttpResult
 ) -> core.ObjectAnswer:
     put = isinstance(context, core.ObjectPut)
     document = result.document if isinstance(result.document, dict) else {}
@@ -147,7 +148,7 @@
 
 
 def _scanned(
-    context: core.TableScan, result: http.HttpResult
+    context: core.TableScan, result: runtime.HttpResult
 ) -> core.TableScanAnswer:
     error = _problem(result)
     if error is not None:
@@ -159,7 +160,7 @@
     return core.TableScanAnswer(context.prefix, rows)
 
 
-def _listed(result: http.HttpResult) -> core.VmList:
+def _listed(result: runtime.HttpResult) -> core.VmList:
     error = _problem(result)
     if error is not None:
         return core.VmList(error=error)
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -10,11 +10,18 @@
     'admin',
     'agent',
     'configurator',
+    'desk',
     'gate',
+    'handover',
+    'keeper',
+    'lane',
     'group',
     'link',
     'membership',
     'node',
+    'promotions',
+    'prober',
+    'rows',
     'peers',
     'router',
     'table',
@@ -35,16 +42,27 @@
 
 admin = _single('admin')
 configurator = _single('configurator')
+desk = _single('desk')
+keeper = _single('keeper')
 membership = _single('membership')
 node = _single('node')
 peers = _single('peers')
+prober = _single('prober')
+promotions = _single('promotions')
 router = _single('router')
+rows = _single('rows')
 table = _single('platform')
 agent = _instance('agent')
 gate = _instance('gate')
+lane = _instance('lane')
 link = _instance('link')
 
 
 def group(vm: core.VmName, name: core.DatabaseName) -> core.TaskName:
     """Return the name of the watch over a database group."""
     return core.TaskName(f'{vm}/group/{name}')
+
+
+def handover(vm: core.VmName, name: core.ServiceName) -> core.TaskName:
+    """Return the name of the changes of a group's primary."""
+    return core.TaskName(f'{vm}/handover/{name}')
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of pooled sessions: desk, lanes, keeper, handovers."""
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/conns.py
@@ -0,0 +1,112 @@
+"""Pooled connections of one lane; each lives by the chart ``connection``."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+
+from chicoryusher import charts
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher.tasks import conns as gate_conns  # noqa: F401 - its guard
+
+__all__ = ['PoolConn', 'PoolConns']
+
+
+class PoolConn:
+    """One connection, what it holds, and what it has been sent."""
+
+    def __init__(self, conn_id: core.ConnId, now: float) -> None:
+        self.state = core.ConnState.CONNECTING
+        self.conn_id = conn_id
+        self.memory = decisions.ConnMemory()
+        self.sent: collections.deque[core.Op] = collections.deque()
+        self.work: core.Work | None = None
+        self.transaction: core.TransactionId | None = None
+        self.sent_at = now
+        self.asked_at = 0.0
+        self.idle_since = now
+        self.doubtful = False
+
+
+class PoolConns:
+    """The connections of one lane."""
+
+    def __init__(self) -> None:
+        self._chart = charts.compiled('connection')
+        self._numbers = itertools.count(1)
+        self._conns: dict[core.ConnId, PoolConn] = {}
+        self._pinned: dict[core.TransactionId, PoolConn] = {}
+
+    def __len__(self) -> int:
+        return len(self._conns)
+
+    @property
+    def connecting(self) -> int:
+        """Return how many connections are being opened."""
+        return self._count(core.ConnState.CONNECTING)
+
+    def _count(self, state: core.ConnState) -> int:
+        return sum(1 for one in self._conns.values() if one.state is state)
+
+    def all(self) -> list[PoolConn]:
+        """Return every connection."""
+        return list(self._conns.values())
+
+    def idle(self) -> list[PoolConn]:
+        """Return the connections that are free."""
+        return [
+            one
+            for one in self._conns.values()
+            if one.state is core.ConnState.IDLE
+        ]
+
+    def busy(self) -> list[PoolConn]:
+        """Return the connections that wait for an answer."""
+        return [one for one in self._conns.values() if one.sent]
+
+    def find(self, conn_id: core.ConnId) -> PoolConn | None:
+        """Return a connection by its id."""
+        return self._conns.get(conn_id)
+
+    def of(self, transaction: core.TransactionId) -> PoolConn | None:
+        """Return the connection that a transaction is pinned to."""
+        return self._pinned.get(transaction)
+
+    def new(self, now: float) -> PoolConn:
+        """Return a new connection to open."""
+        conn = PoolConn(core.ConnId(next(self._numbers)), now)
+        self._conns[conn.conn_id] = conn
+        return conn
+
+    def opened(self, conn: PoolConn, now: float) -> None:
+        """Note that a connection is ready."""
+        self._chart.fire(conn, 'opened')
+        conn.idle_since = now
+
+    def run(self, conn: PoolConn, work: core.Work | None) -> None:
+        """Occupy a connection."""
+        self._chart.fire(conn, 'run')
+        conn.work = work
+        if work is not None and work.transaction is not None:
+            conn.transaction = work.transaction
+            self._pinned[work.transaction] = conn
+
+    def finished(self, conn: PoolConn, pinned: bool, now: float) -> None:
+        """Free a connection, or keep it for its transaction."""
+        self._chart.fire(conn, 'finished', pinned)
+        conn.work = None
+        conn.idle_since = now
+        if not pinned:
+            self._unpin(conn)
+
+    def lost(self, conn: PoolConn) -> None:
+        """Forget a connection that has ended."""
+        self._chart.fire(conn, 'lost')
+        self._conns.pop(conn.conn_id, None)
+        self._unpin(conn)
+
+    def _unpin(self, conn: PoolConn) -> None:
+        if conn.transaction is not None:
+            self._pinned.pop(conn.transaction, None)
+            conn.transaction = None
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/groups.py
@@ -0,0 +1,81 @@
+"""What a desk knows about one database group."""
+
+from __future__ import annotations
+
+from chicoryusher import core
+from chicoryusher import decisions
+
+__all__ = ['PoolGroup']
+
+# Seconds of a round trip to an instance: same zone, same region, other
+# region.  The users state 0.5 to 1.4 ms one way between zones and 20 ms
+# between regions.
+SAME_ZONE = 0.001
+SAME_REGION = 0.003
+OTHER_REGION = 0.042
+
+
+class PoolGroup:
+    """The instances of a group, its primary, and where that stood."""
+
+    def __init__(self, service: core.ServiceName) -> None:
+        self.service = service
+        self.instances: dict[core.InstanceName, decisions.PoolInstance] = {}
+        self.primary: core.InstanceName | None = None
+        self.observations = decisions.Observations()
+        self.stopping: core.StopPrimary | None = None
+
+    def distance(
+        self,
+        entry: core.InstanceEntry,
+        zone: core.ZoneName,
+        regions: dict[core.ZoneName, core.RegionName],
+    ) -> float:
+        """Return the usual round trip to an instance in seconds."""
+        if entry.zone == zone:
+            return SAME_ZONE
+        if regions.get(entry.zone) == regions.get(zone):
+            return SAME_REGION
+        return OTHER_REGION
+
+    def usable_primary(self) -> core.InstanceName | None:
+        """Return the primary that new work may go to."""
+        primary = self.primary
+        if primary is None or primary not in self.instances:
+            return None
+        if self.instances[primary].entry.leaving:
+            return None
+        return primary
+
+    def learn(
+        self, ended: core.WorkEnded, authority: bool, now_on: float
+    ) -> bool:
+        """Take a position that an instance has shown.
+
+        Tell whether it shows where the primary stood.
+        """
+        position = ended.position
+        one = self.instances.get(ended.instance)
+        if position is None or one is None:
+            return False
+        if ended.instance == self.primary:
+            if not authority or ended.asked_at is None:
+                return False
+            self.observations.add(ended.asked_at, position)
+            return True
+        one.position = position
+        one.lag = self.observations.lag(position, now_on)
+        one.lag_seen_at = now_on
+        return False
+
+    def needs(
+        self, arrived_on: float, bound: float, own: core.Position | None
+    ) -> decisions.ReadNeeds:
+        """Return what a read must see."""
+        seen = self.observations.needed(arrived_on, bound)
+        if seen is None:
+            return decisions.ReadNeeds(None, 0.0)
+        age = arrived_on - seen.asked_at
+        if own is not None and own > seen.position:
+            return decisions.ReadNeeds(own, 0.0)
+        return decisions.ReadNeeds(seen.position, age)
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -0,0 +1,532 @@
+"""A change of a group's primary, step by step after its chart."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher import charts
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher import runtime
+from chicoryusher.tasks import names
+
+__all__ = ['TAKEOVER', 'Handover', 'HandoverEnded', 'WantHandover']
+
+# Seconds for an instance's status; a round trip between regions (42 ms),
+# a new connection (12 ms) and a wait for a slot at full load.
+STATUS_TIMEOUT = 0.4
+# Seconds between fences to a VM that has not answered.
+FENCE_AGAIN = 0.4
+# Seconds between looks at a successor that does not lead yet; users
+# state 300 to 1,000 ms for a promotion.
+CONFIRM_PAUSE = 0.08
+# Seconds after which a promotion is taken to have failed.
+CONFIRM_LIMIT = 3.0
+# Seconds between looks at instances of which none answers.
+ASK_PAUSE = 0.25
+# Seconds between looks at a successor that is still behind.
+CATCH_UP_PAUSE = 0.05
+# Seconds that a successor may take to receive the old primary's tail.
+CATCH_UP_LIMIT = 2.0
+# Seconds that open transactions get where the old primary still serves.
+PLANNED_PATIENCE = 0.4
+# Seconds after which a change that makes no progress is taken over, and
+# before which its holder must have ordered the promotion.
+TAKEOVER = decisions.LAPSE_WAIT + 5.0
+_PROMOTE_UNTIL = TAKEOVER - 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantHandover(core.Message):
+    """Replace the primary of a group.
+
+    ``revision`` is the lead row's, 0 where there is none.  ``planned``
+    says that the old primary still serves.
+    """
+
+    entries: tuple[core.InstanceEntry, ...]
+    old: core.InstanceName
+    revision: int
+    planned: bool
+    vms: tuple[core.VmName, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverEnded(core.Message):
+    """A change of primary has ended here, done or not."""
+
+    service: core.ServiceName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FenceAgain(core.Message):
+    """Time to ask VMs again that have not stopped yet."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _AskAgain(core.Message):
+    """Time to ask instances again."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OpenAgain(core.Message):
+    """Time to write the lead row again."""
+
+    revision: int
+
+
+class Handover(runtime.Task):
+    """Changes of one group's primary; lives by the chart ``handover``."""
+
+    def __init__(
+        self, loop: runtime.Runtime, vm: core.VmName, service: core.ServiceName
+    ) -> None:
+        super().__init__(loop, vm, f'handover/{service}')
+        self.state = core.HandoverState.IDLE
+        self.service = service
+        self._clock = loop.clock
+        self._chart = charts.compiled('handover')
+        self._want: WantHandover | None = None
+        self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
+        self._row: core.LeadRow | None = None
+        self._claimed_at = 0.0
+        self._silent: set[core.VmName] = set()
+        self._asked: set[core.InstanceName] = set()
+        self._states: dict[core.InstanceName, core.InstanceState] = {}
+        self._refused: set[core.InstanceName] = set()
+        self._successor: core.InstanceName | None = None
+        self._caught_up_by = 0.0
+        self._confirm_by = 0.0
+
+    def _fire(self, event: str) -> None:
+        before = self.state
+        if self._chart.fire(self, event):
+            self.log.emit(
+                core.LogEvent.HANDOVER_STEP,
+                service=self.service,
+                step=event,
+                before=before.value,
+                state=self.state.value,
+                revision=self._revision(),
+                successor=self._successor,
+                silent=sorted(self._silent),
+            )
+
+    def _revision(self) -> int:
+        return 0 if self._row is None else self._row.revision
+
+    # -- claim ----------------------------------------------------------
+
+    @runtime.handles(WantHandover)
+    def _on_want(self, want: WantHandover) -> None:
+        if self.state is not core.HandoverState.IDLE:
+            return
+        self._want = want
+        self._entries = {one.name: one for one in want.entries}
+        self._row = None
+        self._refused.clear()
+        self._fire('wanted')
+
+    def claim(self) -> None:
+        """Write the closing row if the row is still as it was known."""
+        want = self._want
+        assert want is not None
+        expected = self._revision() or want.revision
+        row = core.LeadRow(
+            self.service,
+            0,
+            core.LeadRowState.CLOSING,
+            want.old,
+            self.vm,
+        )
+        self._claimed_at = self._clock.running_on()
+        self.send(
+            names.rows(self.vm),
+            core.WriteLead(row, expected, self.task_name),
+        )
+
+    @runtime.handles(core.RowWritten)
+    def _on_written(self, message: core.RowWritten) -> None:
+        row = message.row
+        if self.state is core.HandoverState.CLAIMING:
+            self._claim_written(row)
+        elif self.state is core.HandoverState.OPENING:
+            self._open_written(row)
+
+    def _claim_written(self, row: core.LeadRow | None) -> None:
+        if row is None:
+            self._fire('lost')
+            return
+        mine = row.holder == self.vm
+        if not mine or row.state is not core.LeadRowState.CLOSING:
+            self._tell(row)
+            self._fire('lost')
+            return
+        self._row = row
+        self._tell(row)
+        self._fire('claimed')
+
+    def _tell(self, row: core.LeadRow) -> None:
+        self.send(names.keeper(self.vm), core.LeadsInStore((row,)))
+
+    # -- fence ----------------------------------------------------------
+
+    def fence(self) -> None:
+        """Ask every VM to stop using the old primary."""
+        assert self._want is not None and self._row is not None
+        self._silent = {*self._want.vms, self.vm}
+        self._ask_fences()
+        self.after(decisions.LAPSE_WAIT, _FenceAgain(self._row.revision))
+        self.after(FENCE_AGAIN, _FenceAgain(self._row.revision))
+
+    def _ask_fences(self) -> None:
+        want, row = self._want, self._row
+        assert want is not None and row is not None
+        patience = PLANNED_PATIENCE if want.planned else 0.0
+        fence = core.FencePrimary(self.vm, row, patience)
+        for vm in sorted(self._silent):
+            if vm == self.vm:
+                self.send(names.keeper(vm), fence)
+            else:
+                self.send(names.peers(self.vm), core.ToPeer(vm, fence))
+
+    @runtime.handles(core.PrimaryFenced)
+    def _on_fenced(self, message: core.PrimaryFenced) -> None:
+        if message.revision != self._revision():
+            return
+        self._silent.discard(message.vm)
+        if not self._silent:
+            self._fire('fenced')
+
+    @runtime.handles(_FenceAgain)
+    def _on_fence_again(self, message: _FenceAgain) -> None:
+        if self.state is not core.HandoverState.FENCING:
+            return
+        if message.revision != self._revision():
+            return
+        waited = self._clock.running_on() - self._claimed_at
+        if waited >= decisions.LAPSE_WAIT:
+            self._fire('fenced')
+            return
+        self._ask_fences()
+        self.after(FENCE_AGAIN, message)
+
+    # -- choose ---------------------------------------------------------
+
+    def ask(self) -> None:
+        """Ask every instance for its status."""
+        self._states = {}
+        self._asked = set(self._entries)
+        for entry in self._entries.values():
+            self.send(
+                names.prober(self.vm),
+                core.ProbeInstance(
+                    entry, STATUS_TIMEOUT, True, self.task_name
+                ),
+            )
+        if not self._asked:
+            self.ask_in(ASK_PAUSE)
+
+    def ask_in(self, delay: float) -> None:
+        """Ask every instance after a pause."""
+        self.after(delay, _AskAgain(self._revision()))
+
+    @runtime.handles(_AskAgain)
+    def _on_ask_again(self, message: _AskAgain) -> None:
+        if message.revision != self._revision():
+            return
+        if self.state is core.HandoverState.CONFIRMING:
+            self.confirm_once()
+        else:
+            self.ask()
+
+    @runtime.handles(core.InstanceStatus)
+    def _on_status(self, status: core.InstanceStatus) -> None:
+        if self.state is core.HandoverState.CONFIRMING:
+            self._confirmed(status)
+            return
+        if status.instance not in self._asked:
+            return
+        self._asked.discard(status.instance)
+        if status.state is not None:
+            self._states[status.instance] = status.state
+        if not self._asked:
+            self._successor = decisions.best_successor(
+                self._candidates(), self._leaving()
+            )
+            self._fire('asked')
+
+    def _candidates(
+        self,
+    ) -> dict[core.InstanceName, core.InstanceState]:
+        assert self._want is not None
+        return {
+            name: state
+            for name, state in self._states.items()
+            if name != self._want.old and name not in self._refused
+        }
+
+    def _leaving(self) -> frozenset[core.InstanceName]:
+        return frozenset(
+            one.name for one in self._entries.values() if one.leaving
+        )
+
+    def overdue(self) -> bool:
+        """Tell whether the claim is too old to order a promotion."""
+        waited = self._clock.running_on() - self._claimed_at
+        return waited > _PROMOTE_UNTIL
+
+    def already_led(self) -> bool:
+        """Tell whether another instance leads the newest term already."""
+        newest = max((one.term for one in self._states.values()), default=0)
+        for name, state in self._candidates().items():
+            leads = state.role is core.Role.PRIMARY and state.term == newest
+            if leads:
+                self._successor = name
+                return True
+        return False
+
+    def nobody(self) -> bool:
+        """Tell whether no instance can take over."""
+        if self._successor is None:
+            self._refused.clear()
+        return self._successor is None
+
+    def behind(self) -> bool:
+        """Tell whether the successor lacks what the old primary has."""
+        assert self._want is not None
+        old = self._want.old
+        state = self._states.get(old)
+        if state is None or state.role is not core.Role.PRIMARY:
+            return False
+        now = self.now()
+        if self.state is core.HandoverState.CHOOSING:
+            self._caught_up_by = now + CATCH_UP_LIMIT
+        if now >= self._caught_up_by:
+            return False
+        return not decisions.caught_up(self._states, old, self._successor)
+
+    # -- promote --------------------------------------------------------
+
+    def demote(self) -> None:
+        """Take the lead from an old primary that still answers."""
+        assert self._want is not None
+        entry = self._entries.get(self._want.old)
+        state = self._states.get(self._want.old)
+        if entry is None or state is None:
+            return
+        if state.role is not core.Role.PRIMARY:
+            return
+        newest = max(one.term for one in self._states.values())
+        self.send(
+            names.prober(self.vm),
+            core.DemoteInstance(
+                entry,
+                core.Term(newest + 1),
+                STATUS_TIMEOUT,
+                self.task_name,
+            ),
+        )
+
+    def promote(self) -> None:
+        """Order the promotion; the row's revision is its token."""
+        assert self._row is not None and self._successor is not None
+        self.send(
+            names.promotions(self.vm),
+            core.PromoteInstance(
+                self.service,
+                self._successor,
+                self.vm,
+                self._row.revision,
+                self.task_name,
+            ),
+        )
+
+    @runtime.handles(core.PromoteReplied)
+    def _on_promoted(self, message: core.PromoteReplied) -> None:
+        if message.token != self._revision():
+            return
+        if message.result is core.PromoteResult.DONE:
+            self._fire('promoted')
+            return
+        if message.result is core.PromoteResult.REFUSED:
+            assert self._successor is not None
+            self._refused.add(self._successor)
+        self._fire('refused')
+
+    def confirm(self) -> None:
+        """Look at the successor until it leads."""
+        self._confirm_by = self.now() + CONFIRM_LIMIT
+        self.ask_in(CONFIRM_PAUSE)
+
+    def confirm_once(self) -> None:
+        """Ask the successor for its status."""
+        entry = self._entries.get(self._successor or core.InstanceName(''))
+        if entry is None:
+            self._fire('not_yet')
+            return
+        self.send(
+            names.prober(self.vm),
+            core.ProbeInstance(entry, STATUS_TIMEOUT, True, self.task_name),
+        )
+
+    def _confirmed(self, status: core.InstanceStatus) -> None:
+        if status.instance != self._successor:
+            return
+        state = status.state
+        if state is not None and state.role is core.Role.PRIMARY:
+            self._fire('leads')
+        else:
+            self._fire('not_yet')
+
+    def confirm_overdue(self) -> bool:
+        """Tell whether the promotion is taken to have failed."""
+        return self.now() >= self._confirm_by
+
+    # -- open -----------------------------------------------------------
+
+    def open(self) -> None:
+        """Tell every VM of the new primary, then write it down."""
+        row = self._open_row()
+        reopened = core.Reopened(self._revision(), row)
+        assert self._want is not None
+        self.send(names.keeper(self.vm), reopened)
+        for vm in self._want.vms:
+            if vm != self.vm:
+                self.send(names.peers(self.vm), core.ToPeer(vm, reopened))
+        self.write_open()
+
+    def _open_row(self) -> core.LeadRow:
+        assert self._successor is not None
+        return core.LeadRow(
+            self.service,
+            0,
+            core.LeadRowState.OPEN,
+            self._successor,
+            self.vm,
+        )
+
+    def write_open(self) -> None:
+        """Write the open row over this change's closing one."""
+        self.send(
+            names.rows(self.vm),
+            core.WriteLead(self._open_row(), self._revision(), self.task_name),
+        )
+
+    @runtime.handles(_OpenAgain)
+    def _on_open_again(self, message: _OpenAgain) -> None:
+        if self.state is not core.HandoverState.OPENING:
+            return
+        if message.revision == self._revision():
+            self.write_open()
+
+    def open_later(self) -> None:
+        """Write the open row again after a pause."""
+        self.after(ASK_PAUSE, _OpenAgain(self._revision()))
+
+    def _open_written(self, row: core.LeadRow | None) -> None:
+        if row is None:
+            self._fire('unsure')
+            return
+        self._tell(row)
+        if row.state is core.LeadRowState.OPEN:
+            self._fire('opened')
+        elif row.revision == self._revision():
+            self._fire('unsure')
+        else:
+            self._fire('lost')
+
+    def ended(self) -> None:
+        """Tell the keeper that this change has ended here."""
+        self._silent.clear()
+        self.send(names.keeper(self.vm), HandoverEnded(self.service))
+
+
+@charts.action('handover.claim')
+def _claim(task: Handover, arg: object) -> None:
+    task.claim()
+
+
+@charts.action('handover.fence')
+def _fence(task: Handover, arg: object) -> None:
+    task.fence()
+
+
+@charts.action('handover.ask')
+def _ask(task: Handover, arg: object) -> None:
+    task.ask()
+
+
+@charts.action('handover.ask_later')
+def _ask_later(task: Handover, arg: object) -> None:
+    task.ask_in(ASK_PAUSE)
+
+
+@charts.action('handover.ask_soon')
+def _ask_soon(task: Handover, arg: object) -> None:
+    task.ask_in(CATCH_UP_PAUSE)
+
+
+@charts.action('handover.demote')
+def _demote(task: Handover, arg: object) -> None:
+    task.demote()
+
+
+@charts.action('handover.promote')
+def _promote(task: Handover, arg: object) -> None:
+    task.promote()
+
+
+@charts.action('handover.confirm')
+def _confirm(task: Handover, arg: object) -> None:
+    task.confirm()
+
+
+@charts.action('handover.confirm_later')
+def _confirm_later(task: Handover, arg: object) -> None:
+    task.ask_in(CONFIRM_PAUSE)
+
+
+@charts.action('handover.open')
+def _open(task: Handover, arg: object) -> None:
+    task.open()
+
+
+@charts.action('handover.open_later')
+def _open_later(task: Handover, arg: object) -> None:
+    task.open_later()
+
+
+@charts.action('handover.done')
+@charts.action('handover.give_up')
+def _ended(task: Handover, arg: object) -> None:
+    task.ended()
+
+
+@charts.guard('handover.overdue')
+def _overdue(task: Handover, arg: object) -> bool:
+    return task.overdue()
+
+
+@charts.guard('handover.already_led')
+def _already_led(task: Handover, arg: object) -> bool:
+    return task.already_led()
+
+
+@charts.guard('handover.nobody')
+def _nobody(task: Handover, arg: object) -> bool:
+    return task.nobody()
+
+
+@charts.guard('handover.behind')
+def _behind(task: Handover, arg: object) -> bool:
+    return task.behind()
+
+
+@charts.guard('handover.confirm_overdue')
+def _confirm_overdue(task: Handover, arg: object) -> bool:
+    return task.confirm_overdue()
--- a/src/chicoryusher_standins/agent.py
+++ b/src/chicoryusher_standins/agent.py
@@ -7,7 +7,7 @@
 
 from chicoryusher import core
 from chicoryusher import runtime
-from chicoryusher.daemon import http_server
+from chicoryusher.runtime import http_server
 from chicoryusher_standins import group as group_module
 from chicoryusher_standins import server as server_module
 
--- a/src/chicoryusher_standins/platform.py
+++ b/src/chicoryusher_standins/platform.py
@@ -12,7 +12,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher import tasks
-from chicoryusher.daemon import http_server
+from chicoryusher.runtime import http_server
 
 __all__ = ['PlatformModel', 'PlatformServer', 'Row']
 
--- a/tests/charts/test_model.py
+++ b/tests/charts/test_model.py
@@ -9,6 +9,7 @@
 from chicoryusher import core
 from chicoryusher import tasks  # noqa: F401 - fills the registries
 from chicoryusher.daemon import app  # noqa: F401 - fills the registries
+from fleet import entry  # noqa: F401 - fills the registries
 
 DOCS = pathlib.Path(__file__).parents[2] / 'docs' / 'design' / 'charts.md'
 GOOD = {
