Renew claims, pass instances on, leave room for restarts; start faster

Stand-ins and tests of the pool on a virtual clock.

Ruled out: a longer wait for all requests without a primary (they would be held with nothing to come).

--- a/src/chicoryusher/charts/model.py
+++ b/src/chicoryusher/charts/model.py
@@ -8,8 +8,6 @@
 import json
 import typing
 
-import jsonschema
-
 from chicoryusher import core
 
 __all__ = ['Chart', 'Transition', 'chart_names', 'parse', 'read']
@@ -58,18 +56,25 @@
 
 
 def read(name: str) -> Chart:
-    """Read and check the chart file called ``name``; ChartError if bad."""
+    """Read and check the chart file called ``name``; ChartError if bad.
+
+    Shipped files are checked against the schema by the tests; at load
+    only their meaning is checked, since the schema's library takes longer
+    to import than all charts take to read.
+    """
     path = _FOLDER.joinpath(f'{name}.json')
     try:
         document = json.loads(path.read_text(encoding='utf-8'))
     except (OSError, ValueError) as exc:
         problem = core.ChartProblem(str(path), str(exc))
         raise core.ChartError(name, (problem,)) from exc
-    return parse(name, document)
+    return _checked(name, document)
 
 
 def parse(name: str, document: typing.Any) -> Chart:
     """Check a decoded chart; ChartError lists every defect at once."""
+    import jsonschema
+
     validator = jsonschema.Draft202012Validator(_SCHEMA)
     problems = [
         core.ChartProblem(one.json_path, one.message)
@@ -77,6 +82,10 @@
     ]
     if problems:
         raise core.ChartError(name, tuple(problems))
+    return _checked(name, document)
+
+
+def _checked(name: str, document: typing.Any) -> Chart:
     states = getattr(core, document['enum'], None)
     if states is None:
         problem = core.ChartProblem('$.enum', 'no such enumeration')
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -125,7 +125,8 @@
     ``values`` and ``shape`` are made true on the connection first.
     ``begins`` asks for a transaction of that kind before the statement.
     ``after`` must be in the instance's log.  Work that has not started
-    by ``start_by`` is refused; ``limit`` bounds its run in seconds.
+    by ``start_by`` is refused; ``limit`` bounds its run in seconds, and
+    ``patience`` that of a statement that may run again elsewhere.
     """
 
     work_id: ids.WorkId
@@ -137,6 +138,7 @@
     priority: int
     start_by: float
     limit: float
+    patience: float
     transaction: ids.TransactionId | None = None
     begins: enums.Begins | None = None
     after: position.Position | None = None
--- a/src/chicoryusher/decisions/register.py
+++ b/src/chicoryusher/decisions/register.py
@@ -13,8 +13,6 @@
 from collections.abc import Iterator
 from typing import Any
 
-import jsonschema
-
 from chicoryusher import core
 from chicoryusher.decisions import configuration
 
@@ -46,6 +44,9 @@
 
 def schema_problems(document: Any, schema: Document) -> list[core.ConfigError]:
     """Return every place where a document breaks its schema."""
+    # Only operators' documents need it, and its import takes 0.1 s.
+    import jsonschema
+
     validator = jsonschema.Draft202012Validator(schema)
     found = [
         core.ConfigError(one.json_path, one.message)
--- a/src/chicoryusher/decisions/shares.py
+++ b/src/chicoryusher/decisions/shares.py
@@ -6,11 +6,12 @@
 
 __all__ = ['ConnShare', 'connection_share']
 
-# Part of the cap that is dealt out; the rest is for VMs that have just
-# started while the connections of their past life still linger.
-DEALT = 0.8
+# Part of the cap that is dealt out to be kept open.  The rest is for
+# work that comes in bursts, and for VMs that have just started while the
+# connections of their past life still linger (3 s).
+DEALT = 0.5
 # Connections over its share that a VM may open while work waits.
-BURST = 2
+BURST = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -25,6 +25,10 @@
 START = 0.8
 # Seconds between looks for an instance, and before a refusal is retried.
 RETRY_PAUSE = 0.02
+# Part of the latency target after which a read is run elsewhere, and the
+# most seconds that this takes: over the longest usual work (0.5 s).
+READ_PATIENCE = 0.45
+MAX_READ_PATIENCE = 0.6
 # Seconds that a statement must have left to be sent at all.
 MIN_LIMIT = 0.05
 _Block = core.BlockState
@@ -288,7 +292,7 @@
             if shape is None:
                 self._refuse_now(session, message, core.Refusal.NOT_PREPARED)
                 return
-        route = self._routes.get(session.database)
+        route = self._route_of(session)
         if route is None:
             self._refuse_now(session, message, core.Refusal.NO_DATABASE)
             return
@@ -303,6 +307,17 @@
         session.attempt = attempt
         self._offer(attempt)
 
+    def _route_of(
+        self, session: sessions.PoolSession
+    ) -> core.PoolRoute | None:
+        """Return the route; an open transaction keeps the one it had."""
+        route = self._routes.get(session.database)
+        transaction = session.transaction
+        if transaction is None:
+            return route
+        transaction.route = transaction.route or route
+        return transaction.route
+
     def _refuse_now(
         self,
         session: sessions.PoolSession,
@@ -425,6 +440,7 @@
                 attempt.route.priority,
                 attempt.arrived + attempt.route.target * START,
                 left,
+                min(attempt.route.target * READ_PATIENCE, MAX_READ_PATIENCE),
                 None if transaction is None else transaction.number,
                 begins,
                 after,
@@ -435,7 +451,12 @@
         """Wait a little for an instance, or refuse."""
         if attempt.refused:
             attempt.refused = frozenset()
-        hold = HOLD if not attempt.offered else START
+        group = self._groups.get(attempt.route.service)
+        hold = HOLD
+        if group is not None and group.expects_primary(self.now()):
+            hold = START
+        if attempt.offered:
+            hold = START
         if self.now() >= attempt.arrived + attempt.route.target * hold:
             self.finish(attempt, core.Refusal.BUSY, why)
             return
@@ -589,6 +610,7 @@
             return
         group.primary = None
         group.stopping = message
+        group.stopped_at = self.now()
         self.after(
             message.patience, _StopNow(message.revision, message.service)
         )
--- a/src/chicoryusher/tasks/pool/groups.py
+++ b/src/chicoryusher/tasks/pool/groups.py
@@ -13,6 +13,9 @@
 SAME_ZONE = 0.001
 SAME_REGION = 0.003
 OTHER_REGION = 0.042
+# Seconds that a change of primary usually takes, with a promotion of 300
+# to 1,000 ms.
+CHANGE_TIME = 1.5
 
 
 class PoolGroup:
@@ -24,6 +27,7 @@
         self.primary: core.InstanceName | None = None
         self.observations = decisions.Observations()
         self.stopping: core.StopPrimary | None = None
+        self.stopped_at = float('-inf')
 
     def distance(
         self,
@@ -47,6 +51,10 @@
             return None
         return primary
 
+    def expects_primary(self, now: float) -> bool:
+        """Tell whether a primary should be there any moment."""
+        return now - self.stopped_at < CHANGE_TIME
+
     def learn(
         self, ended: core.WorkEnded, authority: bool, now_on: float
     ) -> bool:
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -24,16 +24,23 @@
 CONFIRM_LIMIT = 3.0
 # Seconds between looks at instances of which none answers.
 ASK_PAUSE = 0.25
+# Seconds before the open row is written again.
+OPEN_PAUSE = 0.1
 # Seconds between looks at a successor that is still behind.
 CATCH_UP_PAUSE = 0.05
 # Seconds that a successor may take to receive the old primary's tail.
 CATCH_UP_LIMIT = 2.0
 # Seconds that open transactions get where the old primary still serves.
 PLANNED_PATIENCE = 0.4
-# Seconds after which a change that makes no progress is taken over, and
-# before which its holder must have ordered the promotion.
-TAKEOVER = decisions.LAPSE_WAIT + 5.0
-_PROMOTE_UNTIL = TAKEOVER - 2.0
+# Seconds after which a closing row that its holder has not renewed is
+# taken over by another VM.
+TAKEOVER = 2.5
+# Seconds since its last claim within which a holder may order a
+# promotion.  An order that hangs is reset after 0.8 s, so it arrives
+# before another VM's.
+CLAIM_LASTS = 1.0
+# Seconds after which a holder renews its claim.
+RENEW = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +86,9 @@
     revision: int
 
 
+_ASKING = (core.HandoverState.CHOOSING, core.HandoverState.CATCHING_UP)
+
+
 class Handover(runtime.Task):
     """Changes of one group's primary; lives by the chart ``handover``."""
 
@@ -93,7 +103,12 @@
         self._want: WantHandover | None = None
         self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
         self._row: core.LeadRow | None = None
+        self._first_claim = 0
+        self._closed_at = 0.0
         self._claimed_at = 0.0
+        self._writing_at = 0.0
+        self._renewing = False
+        self._was_fenced = False
         self._silent: set[core.VmName] = set()
         self._asked: set[core.InstanceName] = set()
         self._states: dict[core.InstanceName, core.InstanceState] = {}
@@ -128,6 +143,9 @@
         self._want = want
         self._entries = {one.name: one for one in want.entries}
         self._row = None
+        self._first_claim = 0
+        self._renewing = False
+        self._was_fenced = False
         self._refused.clear()
         self._fire('wanted')
 
@@ -135,7 +153,6 @@
         """Write the closing row if the row is still as it was known."""
         want = self._want
         assert want is not None
-        expected = self._revision() or want.revision
         row = core.LeadRow(
             self.service,
             0,
@@ -143,33 +160,59 @@
             want.old,
             self.vm,
         )
-        self._claimed_at = self._clock.running_on()
+        self._writing_at = self._clock.running_on()
         self.send(
             names.rows(self.vm),
-            core.WriteLead(row, expected, self.task_name),
+            core.WriteLead(
+                row, self._revision() or want.revision, self.task_name
+            ),
         )
 
+    def renew(self) -> None:
+        """Show the others that this change goes on."""
+        waited = self._clock.running_on() - self._claimed_at
+        if waited >= RENEW and not self._renewing:
+            self._renewing = True
+            self.claim()
+
     @runtime.handles(core.RowWritten)
     def _on_written(self, message: core.RowWritten) -> None:
         row = message.row
-        if self.state is core.HandoverState.CLAIMING:
-            self._claim_written(row)
+        if self.state is core.HandoverState.IDLE:
+            if row is not None:
+                self._tell(row)
         elif self.state is core.HandoverState.OPENING:
             self._open_written(row)
+        elif self.state is core.HandoverState.CLAIMING:
+            self._claim_written(row)
+        else:
+            self._renewing = False
+            if row is not None and not self._keep_claim(row):
+                self._fire('lost')
 
     def _claim_written(self, row: core.LeadRow | None) -> None:
-        if row is None:
-            self._fire('lost')
-            return
-        mine = row.holder == self.vm
-        if not mine or row.state is not core.LeadRowState.CLOSING:
-            self._tell(row)
+        self._renewing = False
+        if row is None or not self._keep_claim(row):
             self._fire('lost')
             return
-        self._row = row
-        self._tell(row)
+        if not self._first_claim:
+            self._first_claim = row.revision
+            self._closed_at = self._clock.running_on()
         self._fire('claimed')
 
+    def _keep_claim(self, row: core.LeadRow) -> bool:
+        """Take the row as it is now; tell whether it is still ours."""
+        self._tell(row)
+        if not self._is_ours(row):
+            return False
+        self._row = row
+        self._claimed_at = self._writing_at
+        return True
+
+    def _is_ours(self, row: core.LeadRow) -> bool:
+        closing = row.state is core.LeadRowState.CLOSING
+        return closing and row.holder == self.vm
+
     def _tell(self, row: core.LeadRow) -> None:
         self.send(names.keeper(self.vm), core.LeadsInStore((row,)))
 
@@ -180,8 +223,7 @@
         assert self._want is not None and self._row is not None
         self._silent = {*self._want.vms, self.vm}
         self._ask_fences()
-        self.after(decisions.LAPSE_WAIT, _FenceAgain(self._row.revision))
-        self.after(FENCE_AGAIN, _FenceAgain(self._row.revision))
+        self.after(FENCE_AGAIN, _FenceAgain(self._first_claim))
 
     def _ask_fences(self) -> None:
         want, row = self._want, self._row
@@ -196,7 +238,7 @@
 
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
-        if message.revision != self._revision():
+        if message.revision < self._first_claim:
             return
         self._silent.discard(message.vm)
         if not self._silent:
@@ -206,12 +248,13 @@
     def _on_fence_again(self, message: _FenceAgain) -> None:
         if self.state is not core.HandoverState.FENCING:
             return
-        if message.revision != self._revision():
+        if message.revision != self._first_claim:
             return
-        waited = self._clock.running_on() - self._claimed_at
+        waited = self._clock.running_on() - self._closed_at
         if waited >= decisions.LAPSE_WAIT:
             self._fire('fenced')
             return
+        self.renew()
         self._ask_fences()
         self.after(FENCE_AGAIN, message)
 
@@ -219,6 +262,7 @@
 
     def ask(self) -> None:
         """Ask every instance for its status."""
+        self._was_fenced = True
         self._states = {}
         self._asked = set(self._entries)
         for entry in self._entries.values():
@@ -233,15 +277,15 @@
 
     def ask_in(self, delay: float) -> None:
         """Ask every instance after a pause."""
-        self.after(delay, _AskAgain(self._revision()))
+        self.after(delay, _AskAgain(self._first_claim))
 
     @runtime.handles(_AskAgain)
     def _on_ask_again(self, message: _AskAgain) -> None:
-        if message.revision != self._revision():
+        if message.revision != self._first_claim:
             return
         if self.state is core.HandoverState.CONFIRMING:
             self.confirm_once()
-        else:
+        elif self.state in _ASKING:
             self.ask()
 
     @runtime.handles(core.InstanceStatus)
@@ -278,7 +322,11 @@
     def overdue(self) -> bool:
         """Tell whether the claim is too old to order a promotion."""
         waited = self._clock.running_on() - self._claimed_at
-        return waited > _PROMOTE_UNTIL
+        return waited > CLAIM_LASTS
+
+    def was_fenced(self) -> bool:
+        """Tell whether nobody uses the old primary any more."""
+        return self._was_fenced
 
     def already_led(self) -> bool:
         """Tell whether another instance leads the newest term already."""
@@ -348,7 +396,7 @@
 
     @runtime.handles(core.PromoteReplied)
     def _on_promoted(self, message: core.PromoteReplied) -> None:
-        if message.token != self._revision():
+        if self.state is not core.HandoverState.PROMOTING:
             return
         if message.result is core.PromoteResult.DONE:
             self._fire('promoted')
@@ -365,6 +413,7 @@
 
     def confirm_once(self) -> None:
         """Ask the successor for its status."""
+        self.renew()
         entry = self._entries.get(self._successor or core.InstanceName(''))
         if entry is None:
             self._fire('not_yet')
@@ -426,17 +475,19 @@
 
     def open_later(self) -> None:
         """Write the open row again after a pause."""
-        self.after(ASK_PAUSE, _OpenAgain(self._revision()))
+        self.after(OPEN_PAUSE, _OpenAgain(self._revision()))
 
     def _open_written(self, row: core.LeadRow | None) -> None:
         if row is None:
             self._fire('unsure')
             return
         self._tell(row)
-        if row.state is core.LeadRowState.OPEN:
-            self._fire('opened')
-        elif row.revision == self._revision():
+        if self._is_ours(row):
+            # A renewal that was still under way got there first.
+            self._row = row
             self._fire('unsure')
+        elif row.state is core.LeadRowState.OPEN:
+            self._fire('opened')
         else:
             self._fire('lost')
 
@@ -512,6 +563,11 @@
     return task.overdue()
 
 
+@charts.guard('handover.was_fenced')
+def _was_fenced(task: Handover, arg: object) -> bool:
+    return task.was_fenced()
+
+
 @charts.guard('handover.already_led')
 def _already_led(task: Handover, arg: object) -> bool:
     return task.already_led()
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -473,6 +473,9 @@
         if self._leads.is_closing(service):
             revision = self._leads.revision(service)
             seen = self._closing_seen.get(service)
+            if self._leads.holder(service) == self.vm:
+                self._act_soon(service, False)
+                return
             if seen is None or seen[0] != revision:
                 self._closing_seen[service] = (revision, now)
             elif now - seen[1] > handover.TAKEOVER:
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -17,13 +17,12 @@
 # Seconds without a byte of an instance that owes answers before it is
 # tried with a new connection; over its longest usual work at low load.
 SILENCE = 0.35
-# Seconds after which a read is given up and run elsewhere; over the
-# longest work that users state (0.5 s).
-READ_PATIENCE = 0.6
+# Seconds that a connection may take to roll back before it is closed.
+ROLLBACK_LIMIT = 0.6
 # Seconds without new connections after the instance refused one.
 REFUSED_PAUSE = 0.3
 # Seconds that a connection over the VM's share stays open unused.
-SURPLUS_IDLE = 2.0
+SURPLUS_IDLE = 1.5
 _ENDED = core.Ended
 _SETUP = (core.Op.SET, core.Op.RESET, core.Op.PREPARE)
 
@@ -359,11 +358,11 @@
         work = conn.work
         elapsed = now - conn.sent_at
         if work is None:
-            if elapsed > READ_PATIENCE:
+            if elapsed > ROLLBACK_LIMIT:
                 self._drop(conn, _ENDED.LOST)
         elif elapsed >= work.limit:
             self._drop(conn, _ENDED.OVERTIME)
-        elif _is_read(work) and elapsed > READ_PATIENCE:
+        elif _is_read(work) and elapsed > work.patience:
             self._drop(conn, _ENDED.LOST)
 
     def _check_silence(self, now: float) -> None:
--- a/src/chicoryusher/tasks/pool/leads.py
+++ b/src/chicoryusher/tasks/pool/leads.py
@@ -41,6 +41,11 @@
         row = self._rows.get(service)
         return _NOBODY if row is None else row.primary
 
+    def holder(self, service: core.ServiceName) -> core.VmName | None:
+        """Return the VM that wrote the group's row, None without one."""
+        row = self._rows.get(service)
+        return None if row is None else row.holder
+
     def reopen(self, message: core.Reopened) -> bool:
         """Take the end of a change; tell whether it ends the known one."""
         service = message.row.service
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -28,6 +28,7 @@
     arrived: float
     instance: core.InstanceName | None = None
     wrote: bool = False
+    route: core.PoolRoute | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/src/chicoryusher_standins/pool/__init__.py
@@ -0,0 +1,12 @@
+"""Stand-ins for pooled sessions: groups, links, a store, peers."""
+
+from __future__ import annotations
+
+from chicoryusher_standins.pool.callers import Caller
+from chicoryusher_standins.pool.group import Group
+from chicoryusher_standins.pool.group import Instance
+from chicoryusher_standins.pool.site import Site
+from chicoryusher_standins.pool.site import Vm
+from chicoryusher_standins.pool.store import Store
+
+__all__ = ['Caller', 'Group', 'Instance', 'Site', 'Store', 'Vm']
--- /dev/null
+++ b/src/chicoryusher_standins/pool/callers.py
@@ -0,0 +1,68 @@
+"""A caller that writes statements and keeps their answers."""
+
+from __future__ import annotations
+
+import itertools
+
+from chicoryusher import core
+from chicoryusher import runtime
+
+__all__ = ['Caller']
+
+_NUMBERS = itertools.count(1)
+
+
+class Caller(runtime.Task):
+    """One session; its answers stand in ``answers``."""
+
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        desk: core.TaskName,
+        database: str,
+    ) -> None:
+        self.session_id = core.SessionId(f's{next(_NUMBERS)}')
+        super().__init__(loop, vm, f'caller/{self.session_id}')
+        self._desk = desk
+        self.answers: list[core.SessionAnswer] = []
+        self.refused: core.Refusal | None = None
+        self.closed = False
+        self.send(
+            desk,
+            core.StartSession(
+                self.session_id,
+                self.task_name,
+                core.DatabaseName(database),
+            ),
+        )
+
+    def ask(self, statement: core.Statement) -> core.RequestId:
+        """Send a statement; its id comes back."""
+        request_id = core.RequestId(f'r{next(_NUMBERS)}')
+        self.send(
+            self._desk,
+            core.PoolStatement(self.session_id, request_id, statement),
+        )
+        return request_id
+
+    def leave(self) -> None:
+        """Break the connection off."""
+        self.send(self._desk, core.SessionLeft(self.session_id))
+
+    @property
+    def last(self) -> core.SessionAnswer:
+        """Return the newest answer."""
+        return self.answers[-1]
+
+    @runtime.handles(core.SessionAnswer)
+    def _on_answer(self, answer: core.SessionAnswer) -> None:
+        self.answers.append(answer)
+
+    @runtime.handles(core.SessionStarted)
+    def _on_started(self, message: core.SessionStarted) -> None:
+        self.refused = message.refusal
+
+    @runtime.handles(core.SessionVerdict)
+    def _on_verdict(self, message: core.SessionVerdict) -> None:
+        self.closed = True
--- /dev/null
+++ b/src/chicoryusher_standins/pool/site.py
@@ -0,0 +1,168 @@
+"""Several entry VMs with pooled sessions on one virtual clock."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher import core
+from chicoryusher import runtime
+from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import desk as desk_module
+from chicoryusher.tasks.pool import keeper as keeper_module
+from chicoryusher_standins.pool import callers
+from chicoryusher_standins.pool import group as group_module
+from chicoryusher_standins.pool import links
+from chicoryusher_standins.pool import store as store_module
+
+__all__ = ['SERVICE', 'Site', 'Vm']
+
+SERVICE = core.ServiceName('spoonbook')
+ZONES = ('akhmim-yard', 'qena-mill', 'alex-depot')
+REGIONS = {
+    core.ZoneName('akhmim-yard'): core.RegionName('upper-nile'),
+    core.ZoneName('qena-mill'): core.RegionName('upper-nile'),
+    core.ZoneName('alex-depot'): core.RegionName('delta'),
+}
+PEER_TRIP = 0.003
+CONFIG = core.PoolConfig(
+    core.ConfigVersion(1),
+    tuple(
+        core.PoolRoute(
+            core.DatabaseName(access.value),
+            SERVICE,
+            access,
+            1.5,
+            1.0,
+            0.6,
+            1,
+        )
+        for access in core.Access
+    ),
+    (core.PoolService(SERVICE, 21),),
+    3.0,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Arrives(core.Message):
+    """A message of a peer that has been on its way until now."""
+
+    receiver: core.TaskName
+    message: core.Message
+
+
+class SimPeers(runtime.Task):
+    """Carries messages between keepers; ``site.cut`` parts VMs."""
+
+    def __init__(
+        self, loop: runtime.Runtime, vm: core.VmName, site: Site
+    ) -> None:
+        super().__init__(loop, vm, 'peers')
+        self._site = site
+
+    @runtime.handles(core.ToPeer)
+    def _on_send(self, message: core.ToPeer) -> None:
+        if self._site.parted(self.vm, message.vm):
+            return
+        arrives = _Arrives(names.keeper(message.vm), message.message)
+        self.after(PEER_TRIP, arrives)
+
+    @runtime.handles(_Arrives)
+    def _on_arrives(self, arrives: _Arrives) -> None:
+        self.send(arrives.receiver, arrives.message)
+
+    @runtime.handles(core.PeerAddresses, core.LiveVms)
+    def _on_known(self, message: core.Message) -> None:
+        """Addresses are not needed here."""
+
+
+class Vm(runtime.Task):
+    """One entry VM: desk and keeper on the site's fakes."""
+
+    def __init__(self, site: Site, name: str, zone: str) -> None:
+        vm = core.VmName(name)
+        super().__init__(site.loop, vm, 'entry')
+        self._site = site
+        self.row = core.NodeRow(
+            vm, '10.0.0.1', 7440, core.ZoneName(zone), 'b1'
+        )
+        self.enough = False
+        self.links: dict[core.InstanceName, links.SimLink] = {}
+        SimPeers(site.loop, vm, site)
+        self.keeper = keeper_module.Keeper(
+            site.loop, vm, self.row, self.task_name
+        )
+        self.desk = desk_module.Desk(
+            site.loop,
+            vm,
+            self,
+            desk_module.DeskSettings(core.ZoneName(zone), REGIONS),
+        )
+        groups = (site.group,)
+        links.SimProber(site.loop, vm, groups, site.cut)
+        self.promotions = links.SimPromotions(
+            site.loop, vm, groups, site.tokens
+        )
+        store_module.SimRows(site.loop, vm, site.store, site.entries)
+        self.send(names.rows(vm), core.WriteNode(self.row))
+
+    @runtime.handles(core.KnowsEnough)
+    def _on_knows(self, message: core.KnowsEnough) -> None:
+        self.enough = True
+
+    def pool_link(
+        self, vm: core.VmName, entry: core.InstanceEntry
+    ) -> runtime.Task:
+        """Start the connections to one instance."""
+        instance = self._site.group.instances[entry.name]
+        link = links.SimLink(self._site.loop, vm, instance, self._site.cut)
+        self.links[entry.name] = link
+        return link
+
+    def caller(self, access: core.Access) -> callers.Caller:
+        """Open a session on the route of that kind."""
+        return callers.Caller(
+            self._site.loop, self.vm, names.desk(self.vm), access.value
+        )
+
+
+class Site:
+    """VMs, one group, a store; faults are set on the parts."""
+
+    def __init__(self, vms: int = 3) -> None:
+        self.clock = core.VirtualClock(100.0)
+        self.loop = runtime.Runtime(self.clock)
+        self.group = group_module.Group(SERVICE, ZONES)
+        self.store = store_module.Store()
+        self.store.config = CONFIG
+        self.entries = list(self.group.entries())
+        self.cut: set[tuple[str, str]] = set()
+        self.tokens: list[tuple[core.VmName, int]] = []
+        self.vms = [
+            Vm(self, f'vm{number}', ZONES[number % len(ZONES)])
+            for number in range(vms)
+        ]
+        self.run(2.0)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.loop.run_for(seconds)
+
+    def parted(self, one: core.VmName, other: core.VmName) -> bool:
+        """Tell whether two VMs can't reach each other."""
+        return bool({(one, other), (other, one)} & self.cut)
+
+    def isolate(self, vm: Vm) -> None:
+        """Cut a VM off from its peers and from the store."""
+        for other in self.vms:
+            self.cut.add((str(vm.vm), str(other.vm)))
+        self.store.shut.add(vm.vm)
+
+    def register(self) -> None:
+        """Let the instances register as they are now."""
+        self.entries[:] = self.group.entries()
+        self.store.version += 1
+
+    def close(self) -> None:
+        """Release the loop's descriptors."""
+        self.loop.close()
--- /dev/null
+++ b/src/chicoryusher_standins/pool/store.py
@@ -0,0 +1,119 @@
+"""The store in memory, and each VM's rows in it."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher import core
+from chicoryusher import runtime
+from chicoryusher.tasks import names
+
+__all__ = ['SimRows', 'Store']
+
+TRIP = 0.005
+POLL = 1.0
+WRITE_RETRY = 0.2
+WRITE_TRIES = 6
+
+
+class Store:
+    """Lead rows and entry VMs; ``shut`` names VMs that it turns away."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.leads: dict[core.ServiceName, core.LeadRow] = {}
+        self.nodes: dict[core.VmName, core.NodeRow] = {}
+        self.shut: set[core.VmName] = set()
+        self.down = False
+        self.lose_answers = False
+        self.config: core.PoolConfig | None = None
+
+    def serves(self, vm: core.VmName) -> bool:
+        """Tell whether a VM's calls are answered."""
+        return not self.down and vm not in self.shut
+
+    def write(self, row: core.LeadRow, expected: int) -> core.LeadRow | None:
+        """Write under a condition; return the row as it is then."""
+        known = self.leads.get(row.service)
+        if (0 if known is None else known.revision) == expected:
+            self.version += 1
+            self.leads[row.service] = dataclasses.replace(
+                row, revision=self.version
+            )
+        return self.leads.get(row.service)
+
+
+class _Poll(core.Message):
+    """Time to read the store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Write(core.Message):
+    """A write on its way, and how often it was tried."""
+
+    wanted: core.WriteLead
+    tries: int
+
+
+class SimRows(runtime.Task):
+    """One VM's client of the store, feeds included."""
+
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        store: Store,
+        entries: list[core.InstanceEntry],
+    ) -> None:
+        super().__init__(loop, vm, 'rows')
+        self._clock = loop.clock
+        self._store = store
+        self._entries = entries
+        self._seen = 0
+        self.after(TRIP, _Poll())
+
+    @runtime.handles(_Poll)
+    def _on_poll(self, poll: _Poll) -> None:
+        """Read everything; sooner where something may have changed."""
+        self.after(POLL if not self._store.serves(self.vm) else 0.1, poll)
+        if not self._store.serves(self.vm):
+            return
+        keeper = names.keeper(self.vm)
+        store = self._store
+        if store.config is not None:
+            self.send(keeper, core.PoolConfigInForce(store.config))
+        self._seen += 1
+        self.send(
+            keeper,
+            core.RegisteredInstances(tuple(self._entries), store.version),
+        )
+        self.send(keeper, core.LeadsInStore(tuple(store.leads.values())))
+        self.send(keeper, core.NodesInStore(tuple(store.nodes.values())))
+        now = self._clock.running_on()
+        for kind in core.StoreView:
+            self.send(keeper, core.StoreSeen(kind, now))
+
+    @runtime.handles(core.WriteNode)
+    def _on_node(self, message: core.WriteNode) -> None:
+        if self._store.serves(self.vm):
+            self._store.nodes[message.row.vm] = message.row
+
+    @runtime.handles(core.WriteLead)
+    def _on_lead(self, wanted: core.WriteLead) -> None:
+        self.after(TRIP, _Write(wanted, 1))
+
+    @runtime.handles(_Write)
+    def _on_write(self, write: _Write) -> None:
+        wanted = write.wanted
+        row = None
+        answered = self._store.serves(self.vm)
+        if answered:
+            row = self._store.write(wanted.row, wanted.expected)
+            answered = not self._store.lose_answers
+        if not answered and write.tries < WRITE_TRIES:
+            self.after(WRITE_RETRY, _Write(wanted, write.tries + 1))
+            return
+        self.send(
+            wanted.reply_to,
+            core.RowWritten(wanted.row.service, row if answered else None),
+        )
--- a/tests/charts/test_model.py
+++ b/tests/charts/test_model.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import copy
+import json
 import pathlib
 
 import pytest
@@ -11,6 +12,7 @@
 from chicoryusher.daemon import app  # noqa: F401 - fills the registries
 from fleet import entry  # noqa: F401 - fills the registries
 
+CHARTS = pathlib.Path(charts.__file__).parent
 DOCS = pathlib.Path(__file__).parents[2] / 'docs' / 'design' / 'charts.md'
 GOOD = {
     'name': 'daemon',
@@ -75,6 +77,8 @@
 @pytest.mark.parametrize('name', charts.chart_names())
 def test_shipped_charts_compile_and_their_diagrams_are_current(name):
     chart = charts.read(name)
+    document = json.loads((CHARTS / f'{name}.json').read_text('utf-8'))
+    assert charts.parse(name, document) == chart
     charts.compiled(name)
     assert charts.mermaid(chart) in DOCS.read_text(encoding='utf-8')
 
--- /dev/null
+++ b/tests/platform/test_replies.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chicoryusher import core
+from fleet import lines
+from fleet import replies
+
+Block = core.BlockState
+Refusal = core.Refusal
+
+
+def at(term, number):
+    return core.Position(core.Term(term), core.LogPosition(number))
+
+
+def test_an_answer_is_rows_a_digest_and_a_state():
+    found = replies.Replies().feed(
+        b'ROW abc\r\nROW\r\nCOMPLETE 7.1f\r\nREADY T 3.1209\r\n'
+    )
+    assert found == [core.Reply(Block.OPEN, at(3, 1209), ('abc', ''), '7.1f')]
+
+
+def test_a_refusal_has_a_code_and_a_detail():
+    (found,) = replies.Replies().feed(
+        b'ERROR READONLY i-7f3a\r\nREADY E 3.1209\r\n'
+    )
+    assert found.refusal is Refusal.READ_ONLY
+    assert found.detail == 'i-7f3a'
+    assert found.block is Block.FAILED
+
+
+def test_a_refusal_without_an_end_is_known_when_the_stream_closes():
+    found = replies.Replies()
+    assert found.feed(b'ERROR CONNLIMIT full\r\n') == []
+    assert found.refusal() is Refusal.TOO_MANY_CONNECTIONS
+
+
+def test_an_unknown_code_is_a_failure():
+    (found,) = replies.Replies().feed(b'ERROR ODD x\r\nREADY I -\r\n')
+    assert found.refusal is Refusal.FAILED
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'HELLO\r\n',
+        b'READY X 1.1\r\n',
+        b'COMPLETE a\r\nROW late\r\n',
+        b'COMPLETE a\r\nCOMPLETE b\r\n',
+    ],
+)
+def test_lines_that_make_no_answer_are_an_error(data):
+    with pytest.raises(lines.LineError):
+        replies.Replies().feed(data)
+
+
+@given(st.binary(max_size=120))
+def test_any_bytes_give_replies_or_a_typed_error(data):
+    try:
+        replies.Replies().feed(data + b'\r\n')
+    except lines.LineError:
+        return
+
+
+def test_the_status_row():
+    reply = core.Reply(
+        Block.IDLE, at(3, 1204), ('replica 3 3.1209 0 12 2 17',), '-'
+    )
+    assert replies.status(reply) == core.InstanceState(
+        core.Role.REPLICA, core.Term(3), at(3, 1209), at(3, 1204)
+    )
+
+
+@pytest.mark.parametrize(
+    'row', ['', 'king 3 3.1 0', 'replica x 3.1 0', 'replica 3 - 0']
+)
+def test_a_status_that_cannot_be_read_is_none(row):
+    reply = core.Reply(Block.IDLE, None, (row,), '-')
+    assert replies.status(reply) is None
+
+
+def test_answers_to_callers():
+    message = core.SessionAnswer(
+        core.SessionId('s1'),
+        core.RequestId('r1'),
+        Block.OPEN,
+        ('abc',),
+        '7.1f',
+        position=at(3, 9),
+    )
+    wanted = b'ROW abc\r\nCOMPLETE 7.1f\r\nREADY T 3.9\r\n'
+    assert replies.answer(message) == wanted
+
+
+def test_an_answer_of_our_own_has_no_digest():
+    message = core.SessionAnswer(
+        core.SessionId('s1'), core.RequestId('r1'), Block.IDLE
+    )
+    assert replies.answer(message) == b'COMPLETE -\r\nREADY I -\r\n'
+
+
+@pytest.mark.parametrize('refusal', list(Refusal))
+def test_every_refusal_has_a_code(refusal):
+    message = core.SessionAnswer(
+        core.SessionId('s1'),
+        core.RequestId('r1'),
+        Block.IDLE,
+        refusal=refusal,
+    )
+    (found,) = replies.Replies().feed(replies.answer(message))
+    assert found.refusal is refusal
--- /dev/null
+++ b/tests/tasks/test_pool_failover.py
@@ -0,0 +1,215 @@
+"""Changes of primary under faults, with the real tasks of several VMs."""
+
+from __future__ import annotations
+
+import pytest
+
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher_standins import pool
+
+Verb = core.Verb
+Refusal = core.Refusal
+PRIMARY = core.Access.PRIMARY
+BOUND = 5.0
+
+
+def read():
+    return core.Statement(Verb.READ, 'READ 1a4', '1a4')
+
+
+def write():
+    return core.Statement(Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
+
+
+@pytest.fixture
+def site():
+    made = pool.Site(4)
+    yield made
+    made.close()
+
+
+def load(site, seconds, vms=None, step=0.1):
+    """Write from every VM each ``step``; return the callers' answers."""
+    answers = []
+    callers = []
+    for _ in range(round(seconds / step)):
+        for vm in vms or site.vms:
+            caller = vm.caller(PRIMARY)
+            caller.ask(write())
+            callers.append((site.clock.now(), caller))
+        site.run(step)
+    site.run(1.5)
+    for when, caller in callers:
+        if caller.answers:
+            answers.append((when, caller.last))
+    return answers
+
+
+def check_promises(site, answers):
+    """No ack is missing from the log that leads; no refusal has landed."""
+    landed = {one.request_id: one for one in site.group.commits}
+    for _, answer in answers:
+        if answer.refusal in (Refusal.BUSY, Refusal.ABORTED):
+            assert answer.request_id not in landed
+    ids = [one.request_id for one in site.group.commits]
+    assert len(set(ids)) == len(ids)
+
+
+def check_terms(site, answers):
+    """No write is acknowledged by an instance that was replaced."""
+    newest = 0
+    acked = {
+        answer.request_id for _, answer in answers if answer.refusal is None
+    }
+    for one in site.group.commits:
+        newest = max(newest, one.position.term)
+        if one.request_id in acked:
+            assert one.position.term == newest
+
+
+def good_after(answers, when):
+    return [
+        at for at, answer in answers if answer.refusal is None and at > when
+    ]
+
+
+@pytest.mark.parametrize('fault', ['dark', 'crashed'])
+def test_a_dead_primary_is_replaced_within_the_bound(site, fault):
+    load(site, 1.0)
+    broken_at = site.clock.now()
+    old = site.group.primary()
+    setattr(old, fault, True)
+    answers = load(site, 4.0)
+    assert site.group.primary() is not old
+    assert min(good_after(answers, broken_at)) - broken_at < BOUND
+    check_promises(site, answers)
+    check_terms(site, answers)
+
+
+def test_a_slow_or_cut_minority_replaces_nobody(site):
+    old = site.group.primary()
+    load(site, 1.0)
+    site.cut.add((str(site.vms[0].vm), str(old.name)))
+    load(site, 3.0)
+    assert site.group.primary() is old
+    assert site.tokens == []
+
+
+def test_a_leaving_primary_hands_over_without_losing_a_commit(site):
+    load(site, 1.0)
+    old = site.group.primary()
+    old.entry = core.InstanceEntry(
+        old.entry.name,
+        old.entry.service,
+        old.entry.host,
+        old.entry.port,
+        old.entry.zone,
+        old.entry.slots,
+        True,
+        old.entry.role,
+        old.entry.boot,
+    )
+    site.register()
+    answers = load(site, 3.0)
+    new = site.group.primary()
+    assert new is not old
+    check_promises(site, answers)
+    check_terms(site, answers)
+    acked = [one for _, one in answers if one.refusal is None]
+    assert new.received >= len(acked)
+
+
+def test_a_silent_vm_has_lost_its_authority_before_the_promotion(site):
+    load(site, 1.0)
+    silent = site.vms[3]
+    site.isolate(silent)
+    old = site.group.primary()
+    for vm in site.vms[:3]:
+        site.cut.add((str(vm.vm), str(old.name)))
+    start = site.clock.now()
+    answers = load(site, 9.0)
+    assert site.group.primary() is not old
+    check_terms(site, answers)
+    good = good_after(answers, start + decisions.LAPSE_WAIT + 2.0)
+    assert good
+    assert not silent.desk.authority()
+
+
+def test_a_silent_vm_is_told_nothing_false(site):
+    load(site, 1.0)
+    silent = site.vms[3]
+    site.isolate(silent)
+    site.run(decisions.LAPSE + 0.5)
+    caller = silent.caller(PRIMARY)
+    request_id = caller.ask(write())
+    site.run(1.0)
+    assert caller.last.refusal is Refusal.BUSY
+    assert all(one.request_id != request_id for one in site.group.commits)
+
+
+def test_a_suspended_vm_has_no_authority_when_it_wakes(site):
+    load(site, 1.0)
+    site.clock.suspend(decisions.LAPSE + 1.0)
+    assert not site.vms[0].desk.authority()
+    site.run(1.5)
+    assert site.vms[0].desk.authority()
+
+
+def test_the_store_may_be_down_for_a_while(site):
+    load(site, 1.0)
+    site.store.down = True
+    answers = load(site, 3.0)
+    assert all(answer.refusal is None for _, answer in answers)
+
+
+def test_a_lost_answer_of_the_claim_is_settled(site):
+    load(site, 1.0)
+    site.store.lose_answers = True
+    old = site.group.primary()
+    old.crashed = True
+    load(site, 0.8)
+    site.store.lose_answers = False
+    answers = load(site, 4.0)
+    assert site.group.primary() is not old
+    check_promises(site, answers)
+
+
+def test_tokens_only_rise_and_each_has_one_holder(site):
+    for _ in range(3):
+        load(site, 0.5)
+        old = site.group.primary()
+        old.crashed = True
+        site.register()
+        load(site, 4.0)
+        old.crashed = False
+        old.role = core.Role.REPLICA
+        old.received = old.applied = 0
+        site.group.replicate()
+        site.register()
+    tokens = [token for _, token in site.tokens]
+    assert tokens == sorted(tokens)
+    holders = {}
+    for holder, token in site.tokens:
+        assert holders.setdefault(token, holder) == holder
+
+
+def test_a_lost_answer_of_the_promotion_is_looked_up(site):
+    load(site, 0.5)
+    for vm in site.vms:
+        vm.promotions.lose_answers = True
+    old = site.group.primary()
+    old.crashed = True
+    answers = load(site, 5.0)
+    assert site.group.primary() is not old
+    assert good_after(answers, site.clock.now() - 3.0)
+
+
+def test_the_instance_that_received_most_takes_over(site):
+    load(site, 0.5)
+    names = list(site.group.instances)
+    site.group.instances[names[1]].deaf = True
+    load(site, 0.5)
+    site.group.primary().crashed = True
+    load(site, 3.0)
+    assert site.group.primary().name == names[2]
