Let two VMs follow the store for all; split the keeper; fence unlisted VMs

Change: the exchange holds a view of each part of the store and passes it on; two VMs follow the store while all is well; the watch finds missed instances. A view gives authority only once the store lists the VM, and a change reads the listed VMs again after its claim.

Ruled out: one follower (its death would leave every view to age).

--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -310,3 +310,5 @@
 
     LEADS = 'leads'
     INSTANCES = 'instances'
+    NODES = 'nodes'
+    CONFIG = 'config'
--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/stewardship.py
@@ -15,30 +15,32 @@
 
 __all__ = [
     'Authority',
+    'ChangesUnderWay',
     'DemoteInstance',
     'FencePrimary',
+    'FollowStore',
     'PrimaryFenced',
+    'PrimaryMissed',
     'GroupInForce',
     'InstanceEntry',
-    'InstanceFetch',
     'InstanceState',
     'InstanceStatus',
     'InstanceTrouble',
     'KnowsEnough',
-    'LeadFetch',
     'LeadRow',
     'LeadRows',
     'LeadsInStore',
+    'LivePeers',
     'NodeRow',
     'NodesInStore',
     'Observed',
     'Opinion',
     'PeerAddress',
     'PeerAddresses',
+    'PeerView',
     'Ping',
     'Pong',
     'PoolConfig',
-    'PoolConfigFetch',
     'PoolConfigInForce',
     'PoolRoute',
     'PoolService',
@@ -48,11 +50,13 @@
     'PromoteInstance',
     'PromoteReplied',
     'RegisteredInstances',
+    'ReadNodes',
     'Reopened',
     'RowWritten',
     'StopPrimary',
     'StoreSeen',
     'Suspicion',
+    'ViewFetch',
     'WriteLead',
     'WriteNode',
 ]
@@ -100,13 +104,6 @@
     config: PoolConfig
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolConfigFetch(messages.Message):
-    """Ask a peer for its configuration."""
-
-    vm: ids.VmName
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceEntry:
     """One instance as it registers itself.
@@ -180,9 +177,50 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodesInStore(messages.Message):
-    """Every registered entry VM."""
+    """Every registered entry VM, as of one revision of the store."""
 
     rows: tuple[NodeRow, ...]
+    revision: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadNodes(messages.Message):
+    """Read the registered entry VMs anew.
+
+    The answer is a ``NodesInStore`` for the task that asked; none comes
+    while the store can't be read.
+    """
+
+    reply_to: ids.TaskName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowStore(messages.Message):
+    """Whether a feed asks the store, or leaves that to other VMs."""
+
+    follow: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LivePeers(messages.Message):
+    """The other VMs: those that answer, and those to be fenced."""
+
+    live: tuple[ids.VmName, ...]
+    concerned: tuple[ids.VmName, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangesUnderWay(messages.Message):
+    """Whether this VM changes a primary."""
+
+    any: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryMissed(messages.Message):
+    """Over half of the live VMs can't reach an instance."""
+
+    instance: ids.InstanceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -256,38 +294,35 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerView:
+    """How new and how old a VM's view of one part of the store is."""
+
+    kind: enums.StoreView
+    age: float
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pong(messages.Message):
-    """A peer's view at the moment of its answer.
+    """A peer's views at the moment of its answer.
 
-    ``view_age`` is the age of its last full view of the lead rows, of
-    which ``revision`` is the newest; the same for the instances.
     ``quiet`` says that it knows the lead rows and changes no primary.
     """
 
     vm: ids.VmName
     number: int
-    view_age: float
-    revision: int
-    config: ids.ConfigVersion
+    quiet: bool
+    views: tuple[PeerView, ...]
     observed: tuple[Observed, ...] = ()
-    instances_age: float = float('inf')
-    instances_revision: int = 0
-    quiet: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LeadFetch(messages.Message):
-    """Ask a peer for every lead row that it has."""
-
-    vm: ids.VmName
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstanceFetch(messages.Message):
-    """Ask a peer for the registered instances."""
+class ViewFetch(messages.Message):
+    """Ask a peer for what it has of one part of the store."""
 
     vm: ids.VmName
+    kind: enums.StoreView
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/peers/__init__.py
+++ b/src/chicoryusher/peers/__init__.py
@@ -5,5 +5,6 @@
 from chicoryusher.peers.stream import Traffic
 from chicoryusher.peers.task import Peers
 from chicoryusher.peers.task import PeerWatchers
+from chicoryusher.peers.task import receiver_of
 
-__all__ = ['PeerWatchers', 'Peers', 'Traffic']
+__all__ = ['PeerWatchers', 'Peers', 'Traffic', 'receiver_of']
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -34,17 +34,16 @@
     9: core.ConfigOffer,
     10: core.Ping,
     11: core.Pong,
-    12: core.LeadFetch,
-    13: core.LeadRows,
+    12: core.ViewFetch,
+    13: core.LeadsInStore,
     14: core.Suspicion,
     15: core.Opinion,
     16: core.FencePrimary,
     17: core.PrimaryFenced,
     18: core.Reopened,
-    19: core.PoolConfigFetch,
-    20: core.PoolConfigInForce,
-    21: core.InstanceFetch,
-    22: core.RegisteredInstances,
+    19: core.PoolConfigInForce,
+    20: core.RegisteredInstances,
+    21: core.NodesInStore,
 }
 _BY_TYPE = {kind: number for number, kind in NUMBERS.items()}
 _ERRORS = {
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -9,7 +9,7 @@
 from chicoryusher import tasks
 from chicoryusher.peers import stream as stream_module
 
-__all__ = ['PeerWatchers', 'Peers']
+__all__ = ['PeerWatchers', 'Peers', 'receiver_of']
 
 HANDSHAKE_TIMEOUT = 1.0
 CALL_DELAY = 0.25
@@ -231,9 +231,8 @@
             self.send(watcher, core.PeerUp(vm))
 
     def _received(self, message: core.Message) -> None:
-        receiver = _RECEIVERS.get(type(message))
-        if receiver is not None:
-            self.send(receiver(self.vm, message), message)
+        if type(message) in _RECEIVERS:
+            self.send(receiver_of(self.vm, message), message)
 
     def _drop(self, peer: PeerStream) -> None:
         self._by_fileno.pop(peer.stream.fileno, None)
@@ -301,20 +300,27 @@
     return tasks.names.keeper(vm)
 
 
+def _to_exchange(vm: core.VmName, message: core.Message) -> core.TaskName:
+    return tasks.names.exchange(vm)
+
+
+def _to_watch(vm: core.VmName, message: core.Message) -> core.TaskName:
+    return tasks.names.watch(vm)
+
+
 _RECEIVERS = {
-    core.Ping: _to_keeper,
-    core.Pong: _to_keeper,
-    core.LeadFetch: _to_keeper,
-    core.LeadRows: _to_keeper,
-    core.Suspicion: _to_keeper,
-    core.Opinion: _to_keeper,
+    core.Ping: _to_exchange,
+    core.Pong: _to_exchange,
+    core.ViewFetch: _to_exchange,
+    core.LeadsInStore: _to_exchange,
+    core.PoolConfigInForce: _to_exchange,
+    core.RegisteredInstances: _to_exchange,
+    core.NodesInStore: _to_exchange,
+    core.Suspicion: _to_watch,
+    core.Opinion: _to_watch,
     core.FencePrimary: _to_keeper,
     core.PrimaryFenced: _to_keeper,
     core.Reopened: _to_keeper,
-    core.PoolConfigFetch: _to_keeper,
-    core.PoolConfigInForce: _to_keeper,
-    core.InstanceFetch: _to_keeper,
-    core.RegisteredInstances: _to_keeper,
     core.Submit: _to_node,
     core.AbortTransaction: _to_node,
     core.Consumed: _to_node,
@@ -325,3 +331,8 @@
     core.ConfigFetch: _to_configurator,
     core.ConfigOffer: _to_configurator,
 }
+
+
+def receiver_of(vm: core.VmName, message: core.Message) -> core.TaskName:
+    """Return the task of a VM that a peer's message is for."""
+    return _RECEIVERS[type(message)](vm, message)
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -11,6 +11,7 @@
     'agent',
     'configurator',
     'desk',
+    'exchange',
     'gate',
     'handover',
     'keeper',
@@ -25,6 +26,7 @@
     'peers',
     'router',
     'table',
+    'watch',
 ]
 
 
@@ -43,6 +45,7 @@
 admin = _single('admin')
 configurator = _single('configurator')
 desk = _single('desk')
+exchange = _single('exchange')
 keeper = _single('keeper')
 membership = _single('membership')
 node = _single('node')
@@ -52,6 +55,7 @@
 router = _single('router')
 rows = _single('rows')
 table = _single('platform')
+watch = _single('watch')
 agent = _instance('agent')
 gate = _instance('gate')
 lane = _instance('lane')
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -524,7 +524,7 @@
             observed = core.PrimaryObserved(
                 group.service, ended.position, ended.asked_at
             )
-            self.send(names.keeper(self.vm), observed)
+            self.send(names.exchange(self.vm), observed)
         one = group.instances.get(ended.instance)
         if one is None:
             return
@@ -553,8 +553,8 @@
         self._hold(attempt, why)
 
     def report_trouble(self, name: core.InstanceName) -> None:
-        """Let the keeper look at an instance."""
-        self.send(names.keeper(self.vm), core.InstanceTrouble(name))
+        """Let the watch look at an instance."""
+        self.send(names.watch(self.vm), core.InstanceTrouble(name))
 
     def finish(
         self,
--- a/src/chicoryusher/tasks/pool/endings.py
+++ b/src/chicoryusher/tasks/pool/endings.py
@@ -36,7 +36,7 @@
         """Run a statement again at the same group a little later."""
 
     def report_trouble(self, name: core.InstanceName) -> None:
-        """Let the keeper look at an instance."""
+        """Let the watch look at an instance."""
 
     def finish(
         self,
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -89,6 +89,8 @@
     revision: int
 
 
+# Stands for VMs that the store lists and this VM does not know yet.
+_UNLISTED = core.VmName('')
 _ASKING = (core.HandoverState.CHOOSING, core.HandoverState.CATCHING_UP)
 
 
@@ -217,14 +219,17 @@
         return closing and row.holder == self.vm
 
     def _tell(self, row: core.LeadRow) -> None:
-        self.send(names.keeper(self.vm), core.LeadsInStore((row,)))
+        rows = core.LeadsInStore((row,))
+        self.send(names.exchange(self.vm), rows)
+        self.send(names.keeper(self.vm), rows)
 
     # -- fence ----------------------------------------------------------
 
     def fence(self) -> None:
         """Ask every VM to stop using the old primary."""
         assert self._want is not None and self._row is not None
-        self._silent = {*self._want.vms, self.vm}
+        self._silent = {*self._want.vms, self.vm, _UNLISTED}
+        self.send(names.rows(self.vm), core.ReadNodes(self.task_name))
         self._ask_fences()
         self.after(FENCE_AGAIN, _FenceAgain(self._first_claim))
 
@@ -234,11 +239,35 @@
         patience = PLANNED_PATIENCE if want.planned else 0.0
         fence = core.FencePrimary(self.vm, row, patience)
         for vm in sorted(self._silent):
+            if vm == _UNLISTED:
+                continue
             if vm == self.vm:
                 self.send(names.keeper(vm), fence)
             else:
                 self.send(names.peers(self.vm), core.ToPeer(vm, fence))
 
+    @runtime.handles(core.NodesInStore)
+    def _on_nodes(self, message: core.NodesInStore) -> None:
+        """Fence VMs too that had registered by the time of the claim."""
+        assert self._want is not None
+        if self.state is not core.HandoverState.FENCING:
+            return
+        known = {*self._want.vms, self.vm}
+        new = {
+            one.vm
+            for one in message.rows
+            if not one.left and not one.missing and one.vm not in known
+        }
+        self._want = dataclasses.replace(
+            self._want, vms=(*self._want.vms, *sorted(new))
+        )
+        self._silent |= new
+        self._silent.discard(_UNLISTED)
+        if not self._silent:
+            self._fire('fenced')
+        elif new:
+            self._ask_fences()
+
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
         if message.revision < self._first_claim:
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -278,7 +278,7 @@
 
     def _trouble(self) -> None:
         message = core.InstanceTrouble(self.entry.name)
-        self.send(names.keeper(self.vm), message)
+        self.send(names.watch(self.vm), message)
         self.send(names.desk(self.vm), message)
 
     def _give_back(self, ended: core.Ended) -> None:
@@ -374,7 +374,7 @@
         if now - max(oldest, self._heard_at) < SILENCE:
             return
         self._missed = True
-        self.send(names.keeper(self.vm), core.InstanceTrouble(self.entry.name))
+        self.send(names.watch(self.vm), core.InstanceTrouble(self.entry.name))
         conn = self._conns.new(now)
         self.send(self._link, core.OpenLink(conn.conn_id))
 
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -5,10 +5,13 @@
 import dataclasses
 
 from chicoryusher import core
+from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import desk as desk_module
+from chicoryusher.tasks.pool import exchange
 from chicoryusher.tasks.pool import keeper as keeper_module
+from chicoryusher.tasks.pool import watch
 from chicoryusher_standins.pool import callers
 from chicoryusher_standins.pool import group as group_module
 from chicoryusher_standins.pool import links
@@ -64,7 +67,8 @@
     def _on_send(self, message: core.ToPeer) -> None:
         if self._site.parted(self.vm, message.vm):
             return
-        arrives = _Arrives(names.keeper(message.vm), message.message)
+        receiver = peers.receiver_of(message.vm, message.message)
+        arrives = _Arrives(receiver, message.message)
         self.after(PEER_TRIP, arrives)
 
     @runtime.handles(_Arrives)
@@ -89,9 +93,10 @@
         self.enough = False
         self.links: dict[core.InstanceName, links.SimLink] = {}
         SimPeers(site.loop, vm, site)
-        self.keeper = keeper_module.Keeper(
-            site.loop, vm, self.row, self.task_name
-        )
+        self.keeper = keeper_module.Keeper(site.loop, vm, self.task_name)
+        watch.Watch(site.loop, vm)
+        rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
+        exchange.Exchange(site.loop, vm, self.row, REGIONS, (rows.task_name,))
         self.desk = desk_module.Desk(
             site.loop,
             vm,
@@ -103,7 +108,6 @@
         self.promotions = links.SimPromotions(
             site.loop, vm, groups, site.tokens
         )
-        store_module.SimRows(site.loop, vm, site.store, site.entries)
         self.send(names.rows(vm), core.WriteNode(self.row))
 
     @runtime.handles(core.KnowsEnough)
--- a/src/chicoryusher_standins/pool/store.py
+++ b/src/chicoryusher_standins/pool/store.py
@@ -47,6 +47,13 @@
     """Time to read the store."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Read(core.Message):
+    """A read on its way."""
+
+    reply_to: core.TaskName
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Write(core.Message):
     """A write on its way, and how often it was tried."""
@@ -69,34 +76,49 @@
         self._clock = loop.clock
         self._store = store
         self._entries = entries
-        self._seen = 0
+        self._follows = True
         self.after(TRIP, _Poll())
 
     @runtime.handles(_Poll)
     def _on_poll(self, poll: _Poll) -> None:
         """Read everything; sooner where something may have changed."""
         self.after(POLL if not self._store.serves(self.vm) else 0.1, poll)
-        if not self._store.serves(self.vm):
+        if not self._store.serves(self.vm) or not self._follows:
             return
-        keeper = names.keeper(self.vm)
+        exchange = names.exchange(self.vm)
         store = self._store
         if store.config is not None:
-            self.send(keeper, core.PoolConfigInForce(store.config))
-        self._seen += 1
+            self.send(exchange, core.PoolConfigInForce(store.config))
         self.send(
-            keeper,
+            exchange,
             core.RegisteredInstances(tuple(self._entries), store.version),
         )
-        self.send(keeper, core.LeadsInStore(tuple(store.leads.values())))
-        self.send(keeper, core.NodesInStore(tuple(store.nodes.values())))
+        self.send(exchange, core.LeadsInStore(tuple(store.leads.values())))
+        nodes = tuple(store.nodes.values())
+        self.send(exchange, core.NodesInStore(nodes, store.version))
         now = self._clock.running_on()
         for kind in core.StoreView:
-            self.send(keeper, core.StoreSeen(kind, now))
+            self.send(exchange, core.StoreSeen(kind, now))
+
+    @runtime.handles(core.FollowStore)
+    def _on_follow(self, message: core.FollowStore) -> None:
+        self._follows = message.follow
 
     @runtime.handles(core.WriteNode)
     def _on_node(self, message: core.WriteNode) -> None:
         if self._store.serves(self.vm):
             self._store.nodes[message.row.vm] = message.row
+            self._store.version += 1
+
+    @runtime.handles(core.ReadNodes)
+    def _on_read(self, message: core.ReadNodes) -> None:
+        if self._store.serves(self.vm):
+            self.after(TRIP, _Read(message.reply_to))
+
+    @runtime.handles(_Read)
+    def _on_read_due(self, read: _Read) -> None:
+        rows = core.NodesInStore(tuple(self._store.nodes.values()))
+        self.send(read.reply_to, rows)
 
     @runtime.handles(core.WriteLead)
     def _on_lead(self, wanted: core.WriteLead) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 def keeper(loop):
-    return stand_ins.Inbox(loop, 'vm0', 'keeper')
+    return stand_ins.Inbox(loop, 'vm0', 'exchange')
 
 
 def feed(loop, server, table, wait=0.1, copy=None):
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -274,7 +274,7 @@
     site.run(0.5)
     caller = site.vms[0].caller(PRIMARY)
     assert ask(site, caller, read()).refusal is None
-    assert site.vms[0].keeper._config.version == 5
+    assert site.vms[0].keeper.config.version == 5
 
 
 def test_a_vm_that_the_store_turns_away_learns_from_its_peers(site):
@@ -284,5 +284,5 @@
         core.ConfigVersion(9), config.routes, config.services, 3.0
     )
     site.run(2.0)
-    assert site.vms[2].keeper._config.version == 9
+    assert site.vms[2].keeper.config.version == 9
     assert site.vms[2].desk.authority()
