Judge the age of a passed-on view by what a follower's is

Cause: a follower's view of the instances is up to 5 s old, so every VM took itself for alone and followed the store too.

--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -29,7 +29,12 @@
 # VMs that follow the store while all is well; two, so that one may die.
 FOLLOWERS = 2
 # Seconds of age of its views after which a VM follows the store itself.
-FOLLOW_ALONE = 2.0
+# A follower's own are up to two waits old (1.3 and 2.5 s), and a peer of
+# another region is asked each second.
+FOLLOW_ALONE = {
+    core.StoreView.LEADS: 2.4,
+    core.StoreView.INSTANCES: 6.5,
+}
 # Orders in which VMs follow the store, and mark those that are missing.
 _FOLLOWING = core.ServiceName('follow')
 _MARKING = core.ServiceName('mark')
@@ -235,9 +240,8 @@
         now_on = self._clock.running_on()
         rank = decisions.rank_of(self.vm, self._live(), _FOLLOWING)
         alone = any(
-            one.age(now_on) > FOLLOW_ALONE
-            for kind, one in self._views.items()
-            if kind in (_LEADS, core.StoreView.INSTANCES)
+            self._views[kind].age(now_on) > bound
+            for kind, bound in FOLLOW_ALONE.items()
         )
         follow = rank < FOLLOWERS or alone
         if follow != self._following:
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -19,8 +19,8 @@
 # time that a silent instance's entry needs to come back.
 NO_PRIMARY = 3.0
 # Seconds for which a view of the registered instances is good enough to
-# replace a primary that has left; over the wait of one question.
-FRESH_INSTANCES = 4.0
+# replace a primary that has left; a view passed on is up to 6.5 s old.
+FRESH_INSTANCES = 7.0
 # Seconds between looks at groups whose primary has to be replaced.
 LOOK = 0.25
 
