Pass a view's true age on; let a leaving primary serve until its successor does

A leaving primary was given no work from the moment it was known to leave.

Change: ages are passed on as they are; a leaving primary serves for up to 4 s, and a planned change waits 1.5 s for a silent VM.

Ruled out: a longer lapse (the change of a primary that falls silent with a VM would take over 5 s).

--- a/src/chicoryusher/decisions/reading.py
+++ b/src/chicoryusher/decisions/reading.py
@@ -87,13 +87,18 @@
 ) -> core.InstanceName | None:
     """Return the instance with the least expected cost, None without.
 
+    A leaving instance is passed over; whether a leaving primary may still
+    be used is for the caller to say, by naming it or not.
+
     ``now_on`` is ``now`` on the clock that lags are kept by.
     """
     best: core.InstanceName | None = None
     best_cost = float('inf')
     for one in instances:
         name = one.entry.name
-        if name in refused or one.entry.leaving:
+        if name in refused:
+            continue
+        if one.entry.leaving and name != primary:
             continue
         if name != primary and not _may_be_fresh(one, needs, now_on):
             continue
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -166,6 +166,7 @@
     def _place(
         self, group: groups_module.PoolGroup, entry: core.InstanceEntry
     ) -> None:
+        group.note_leaving(entry, self.now())
         known = group.instances.get(entry.name)
         if known is not None:
             known.entry = entry
@@ -408,7 +409,7 @@
         group: groups_module.PoolGroup,
         needs: decisions.ReadNeeds,
     ) -> core.InstanceName | None:
-        primary = group.usable_primary()
+        primary = group.usable_primary(self.now())
         if not self.authority():
             primary = None
         instances = list(group.instances.values())
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -76,6 +76,10 @@
         self._had_authority = False
         self.after(PING, _Tick())
 
+    def view_age(self, kind: core.StoreView) -> float:
+        """Return the age of a view in seconds."""
+        return self._views[kind].age(self._clock.running_on())
+
     # -- parts of the store, own or passed on ---------------------------
 
     def _newer(
@@ -155,7 +159,8 @@
     def _tell_authority(self) -> None:
         until = self._views[_LEADS].until()
         self.send(names.desk(self.vm), core.Authority(until))
-        if not self._had_authority:
+        valid = self._clock.running_on() < until
+        if valid and not self._had_authority:
             self._had_authority = True
             self.log.emit(core.LogEvent.AUTHORITY_BACK)
 
@@ -267,11 +272,7 @@
             ping.number,
             _LEADS in self._held and not self._changing,
             tuple(
-                core.PeerView(
-                    kind,
-                    min(one.age(now_on), crew.MISSING_AFTER),
-                    one.revision,
-                )
+                core.PeerView(kind, one.age(now_on), one.revision)
                 for kind, one in self._views.items()
                 if kind in self._held
             ),
--- a/src/chicoryusher/tasks/pool/groups.py
+++ b/src/chicoryusher/tasks/pool/groups.py
@@ -16,6 +16,9 @@
 # Seconds that a change of primary usually takes, with a promotion of 300
 # to 1,000 ms.
 CHANGE_TIME = 1.5
+# Seconds for which a primary that leaves gets new work; users allow 7 s
+# from the store's answer, of which a view passed on may take 2 s.
+LEAVING_USE = 4.0
 
 
 class PoolGroup:
@@ -28,6 +31,7 @@
         self.observations = decisions.Observations()
         self.stopping: core.StopPrimary | None = None
         self.stopped_at = float('-inf')
+        self._leaving_since: dict[core.InstanceName, float] = {}
 
     def distance(
         self,
@@ -42,14 +46,24 @@
             return SAME_REGION
         return OTHER_REGION
 
-    def usable_primary(self) -> core.InstanceName | None:
-        """Return the primary that new work may go to."""
+    def note_leaving(self, entry: core.InstanceEntry, now: float) -> None:
+        """Note since when an instance has been known to leave."""
+        if entry.leaving:
+            self._leaving_since.setdefault(entry.name, now)
+        else:
+            self._leaving_since.pop(entry.name, None)
+
+    def usable_primary(self, now: float) -> core.InstanceName | None:
+        """Return the primary that new work may go to.
+
+        One that leaves serves on until its successor is there, but not
+        to the end of the time in which it may get work.
+        """
         primary = self.primary
         if primary is None or primary not in self.instances:
             return None
-        if self.instances[primary].entry.leaving:
-            return None
-        return primary
+        since = self._leaving_since.get(primary, now)
+        return primary if now - since < LEAVING_USE else None
 
     def expects_primary(self, now: float) -> bool:
         """Tell whether a primary should be there any moment."""
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -21,6 +21,8 @@
 # Seconds for which a view of the registered instances is good enough to
 # replace a primary that has left; a view passed on is up to 6.5 s old.
 FRESH_INSTANCES = 7.0
+# Seconds that a planned change waits for a silent VM before it begins.
+SILENT_PATIENCE = 1.5
 # Seconds between looks at groups whose primary has to be replaced.
 LOOK = 0.25
 
@@ -60,6 +62,7 @@
         self._turns: set[core.ServiceName] = set()
         self._no_primary: dict[core.ServiceName, float] = {}
         self._in_force: dict[core.ServiceName, core.GroupInForce] = {}
+        self._leaving_seen: dict[core.ServiceName, float] = {}
         self._closing_seen: dict[core.ServiceName, tuple[int, float]] = {}
         self.config: core.PoolConfig | None = None
         self._entries_known = False
@@ -240,7 +243,8 @@
         if group.primary is not None and group.primary in known:
             self._no_primary.pop(service, None)
             others = [one for one in group.entries if not one.leaving]
-            if known[group.primary].leaving and others:
+            leaving = known[group.primary].leaving
+            if leaving and others and self._all_answer(service):
                 self._act_soon(service, True)
             return
         now = self.now()
@@ -248,6 +252,20 @@
         if now - since >= NO_PRIMARY:
             self._act_soon(service, False)
 
+    def _all_answer(self, service: core.ServiceName) -> bool:
+        """Tell whether no VM would hold a planned change up.
+
+        The old primary serves on meanwhile, so that a silent VM is given
+        a while to be heard again.
+        """
+        now = self.now()
+        since = self._leaving_seen.setdefault(service, now)
+        silent = set(self._peers.concerned) - set(self._peers.live)
+        ready = not silent or now - since >= SILENT_PATIENCE
+        if ready:
+            del self._leaving_seen[service]
+        return ready
+
     def _act_soon(self, service: core.ServiceName, planned: bool) -> None:
         """Act after those VMs that come earlier in the order."""
         busy = service in self._changing or service in self._turns
--- a/tests/decisions/test_reading.py
+++ b/tests/decisions/test_reading.py
@@ -87,6 +87,7 @@
 
 def test_instances_that_leave_or_refused_get_no_first_statement():
     assert choose([instance(1, leaving=True)], at(5)) is None
+    assert choose([instance(0, leaving=True)], primary=None) is None
     refused = frozenset({core.InstanceName('i1')})
     assert choose([instance(1)], at(5), refused=refused) is None
 
@@ -96,3 +97,7 @@
     one.troubled(100.0)
     assert choose([one, other], at(5)) == 'i2'
     assert choose([one], at(5)) == 'i1'
+
+
+def test_a_leaving_primary_serves_while_the_caller_names_it():
+    assert choose([instance(0, leaving=True)]) == 'i0'
