--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -96,7 +96,9 @@
         self.keeper = keeper_module.Keeper(site.loop, vm, self.task_name)
         watch.Watch(site.loop, vm)
         rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
-        self._exchange = exchange.Exchange(site.loop, vm, self.row, REGIONS, (rows.task_name,))
+        self._exchange = exchange.Exchange(
+            site.loop, vm, self.row, REGIONS, (rows.task_name,)
+        )
         self.desk = desk_module.Desk(
             site.loop,
             vm,
