Check the lead row's protocol by model; explain a request; pages and tests

Ruled out: one specification for both (over 700,000 states without an end). It showed that a grant needs no word of a change under way, since it must know the closing row anyway.

--- /dev/null
+++ b/src/chicoryusher/cli/explain.py
@@ -0,0 +1,96 @@
+"""The story of one request, from the log lines of several VMs."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import json
+from collections.abc import Iterable
+from typing import Any
+
+__all__ = ['LogLine', 'NEARBY_EVENTS', 'lines_of', 'story']
+
+# Numbers of events that change what a VM believes: primaries, instances,
+# authority, configuration, the platform, peers.
+NEARBY_EVENTS = frozenset(
+    {
+        *range(1001, 1005),
+        *range(4009, 4016),
+        *range(5001, 5004),
+        6002,
+        6005,
+    }
+)
+# Seconds before and after the request within which such events are told.
+BEFORE = 3.0
+AFTER = 0.5
+_SHOWN_APART = ('time', 'event', 'vm', 'level', 'message')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogLine:
+    """One decoded line of a log; ``when`` is the VM's own time."""
+
+    when: str
+    vm: str
+    event: int
+    message: str
+    fields: tuple[tuple[str, str], ...]
+
+    def field(self, name: str) -> str:
+        """Return a field's text, empty without one."""
+        return dict(self.fields).get(name, '')
+
+
+def lines_of(texts: Iterable[str]) -> list[LogLine]:
+    """Return the log lines in texts; what is none is passed over."""
+    found = []
+    for text in texts:
+        start = text.find('{')
+        if start < 0:
+            continue
+        try:
+            document = json.loads(text[start:])
+        except ValueError:
+            continue
+        if isinstance(document, dict) and 'event' in document:
+            found.append(_line(document))
+    return sorted(found, key=lambda one: one.when)
+
+
+def _line(document: dict[str, Any]) -> LogLine:
+    return LogLine(
+        str(document.get('time', '')),
+        str(document.get('vm', '')),
+        int(document['event']),
+        str(document.get('message', '')),
+        tuple(
+            (name, str(value))
+            for name, value in document.items()
+            if name not in _SHOWN_APART
+        ),
+    )
+
+
+def story(lines: list[LogLine], request_id: str) -> list[LogLine]:
+    """Return the request's lines and what its VMs believed by then."""
+    own = [one for one in lines if one.field('request') == request_id]
+    if not own:
+        return []
+    vms = {one.vm for one in own}
+    first, last = _seconds(own[0].when), _seconds(own[-1].when)
+    near = [
+        one
+        for one in lines
+        if one.event in NEARBY_EVENTS
+        and one.vm in vms
+        and first - BEFORE <= _seconds(one.when) <= last + AFTER
+    ]
+    return sorted({*own, *near}, key=lambda one: one.when)
+
+
+def _seconds(when: str) -> float:
+    try:
+        return datetime.datetime.fromisoformat(when).timestamp()
+    except ValueError:
+        return 0.0
--- a/src/chicoryusher/cli/main.py
+++ b/src/chicoryusher/cli/main.py
@@ -7,6 +7,7 @@
 import getpass
 import json
 import pathlib
+import sys
 from typing import Annotated
 from typing import Any
 from typing import NoReturn
@@ -16,6 +17,7 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher.cli import client as client_module
+from chicoryusher.cli import explain as explain_module
 from chicoryusher.cli import output
 from chicoryusher.daemon import settings
 
@@ -272,5 +274,48 @@
     output.show([{'version': version}], as_json)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help='Id of the request.')],
+    logs: Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(help='Log files of VMs; standard input without any.'),
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Tell what became of a request, and what its VM knew by then."""
+    texts: list[str] = []
+    for path in logs or ():
+        try:
+            text = path.read_text(encoding='utf-8', errors='replace')
+        except OSError as exc:
+            typer.echo(f'{path}: {exc.strerror}', err=True)
+            raise typer.Exit(ExitCode.BAD_FILE) from None
+        texts += text.splitlines()
+    if not logs:
+        texts = sys.stdin.read().splitlines()
+    told = explain_module.story(explain_module.lines_of(texts), request_id)
+    if not told:
+        typer.echo(
+            f'no line names {request_id}: it was answered with success,'
+            ' or its VM did not log',
+            err=True,
+        )
+        raise typer.Exit(ExitCode.FAILED)
+    output.show(
+        (
+            {
+                'time': one.when,
+                'vm': one.vm,
+                'event': one.event,
+                'message': one.message,
+                'with': ' '.join(f'{k}={v}' for k, v in one.fields),
+            }
+            for one in told
+        ),
+        as_json,
+    )
+
+
 if __name__ == '__main__':
     app()
--- a/src/chicoryusher_standins/model/check.py
+++ b/src/chicoryusher_standins/model/check.py
@@ -9,6 +9,7 @@
 
 import minicheck
 
+from chicoryusher_standins.model import authority
 from chicoryusher_standins.model import terms
 from chicoryusher_standins.model import work
 
@@ -63,6 +64,9 @@
         ('terms, 2 terms, 2 writes', terms.protocol(max_term=2, ops=2)),
         ('terms, 3 terms, 1 write', terms.protocol(max_term=3, ops=1)),
         ('terms, 3 terms, 2 writes', terms.protocol(max_term=3, ops=2)),
+        ('authority, 3 writes of a row', authority.authority()),
+        ('holders, 3 writes of a row', authority.holders()),
+        ('authority, 4 writes of a row', authority.authority(max_revision=4)),
         ('gate', work.gate()),
         ('ledger', work.ledger()),
     )
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,152 @@
+"""The entry program as a process of its own, beside a stand-in store."""
+
+from __future__ import annotations
+
+import base64
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import pytest
+import stand_ins
+
+from chicoryusher import runtime
+
+ROOT = pathlib.Path(__file__).parents[2]
+HOST = '127.0.0.1'
+CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'stock',
+            'routeType': 'primary',
+            'timeoutMs': 1000,
+            'targetLatencyMs': 600,
+            'priority': 1,
+            'service': 'spoonbook',
+        }
+    ],
+    'services': [{'name': 'spoonbook', 'maxConnections': 21}],
+    'limits': {'txIdleMs': 3000},
+}
+
+
+def free_port():
+    with socket.create_server((HOST, 0)) as sock:
+        return sock.getsockname()[1]
+
+
+@pytest.fixture
+def store():
+    loop = runtime.Runtime()
+    server = stand_ins.StoreServer(loop)
+    value = base64.b64encode(json.dumps(CONFIG).encode()).decode()
+    server.put('op', 'config', value)
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    yield server
+    loop.stop()
+    thread.join(5)
+
+
+@pytest.fixture
+def settings(tmp_path, store):
+    document = {
+        'name': 'front-1',
+        'host': HOST,
+        'zone': 'akhmim-yard',
+        'regions': {'akhmim-yard': 'upper-nile'},
+        'callers': f'{HOST}:{free_port()}',
+        'ready': f'{HOST}:{free_port()}',
+        'peer_port': free_port(),
+        'store': f'{HOST}:{store.address[1]}',
+        'promotions': f'{HOST}:{free_port()}',
+        'grace_s': 4,
+    }
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps(document))
+    return path
+
+
+def start(path):
+    return subprocess.Popen(
+        [sys.executable, str(ROOT / 'platform' / 'serve.py')],
+        env={**os.environ, 'CHICORYUSHER_SETTINGS': str(path)},
+        stdout=subprocess.PIPE,
+        cwd=ROOT,
+    )
+
+
+def is_ready(path):
+    address = json.loads(path.read_text())['ready']
+    try:
+        url = f'http://{address}/api/ready'
+        return urllib.request.urlopen(url, timeout=5).status == 200
+    except (OSError, urllib.error.HTTPError):
+        return False
+
+
+def wait_until(condition, tries=600):
+    for _ in range(tries):
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError('the condition never held')
+
+
+def test_a_process_serves_ignores_hangups_and_leaves(settings):
+    process = start(settings)
+    try:
+        wait_until(lambda: is_ready(settings))
+        process.send_signal(signal.SIGHUP)
+        host, port = json.loads(settings.read_text())['callers'].split(':')
+        with socket.create_connection((host, int(port)), 5) as sock:
+            sock.settimeout(5)
+            sock.sendall(b'START stock u1\r\n')
+            assert sock.recv(100) == b'READY I -\r\n'
+            process.send_signal(signal.SIGTERM)
+            wait_until(lambda: not is_ready(settings))
+            assert sock.recv(100) == b''
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+    out = process.stdout.read().decode()
+    events = [json.loads(line)['event'] for line in out.splitlines()]
+    assert {1001, 1002, 1003, 1010, 5003, 5010} <= set(events)
+
+
+def test_bad_settings_are_refused_with_every_defect(settings):
+    document = json.loads(settings.read_text())
+    document.update(grace_s=0, store='nowhere', zone=7)
+    settings.write_text(json.dumps(document))
+    process = start(settings)
+    out, _ = process.communicate(timeout=60)
+    assert process.returncode == 2
+    lines = out.decode().splitlines()
+    assert len(lines) == 3
+    for name in ('grace_s', 'store', 'zone'):
+        assert any(f'$.{name}' in line for line in lines)
+
+
+def test_a_reader_that_stops_reading_stops_nothing(settings):
+    """The log goes to a pipe that nobody reads."""
+    process = start(settings)
+    try:
+        wait_until(lambda: is_ready(settings))
+        host, port = json.loads(settings.read_text())['callers'].split(':')
+        for _ in range(1500):
+            with socket.create_connection((host, int(port)), 5) as sock:
+                sock.sendall(b'NONSENSE\r\n')
+        assert is_ready(settings)
+    finally:
+        process.kill()
+        process.wait(5)
