Keep one copy of what the pooled path had twice

Cause: reading the change over again. The exchange had its own rule for which lead row is newer beside Leads.take; each kind of row had its own loop over bad rows; a lane built the end of work in two ways and forgot a connection in two places; a handover wrote its row and judged the old primary twice; three stand-ins wrapped messages to delay them, which the timers do for any task.

Change: one piece each; the handlers of the chart handover stand in handover_actions, as those of gates and groups do; a message, a method, a constant and a parameter that nothing used are gone. Behaviour is the same.

--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/stewardship.py
@@ -28,7 +28,6 @@
     'InstanceTrouble',
     'KnowsEnough',
     'LeadRow',
-    'LeadRows',
     'LeadsInStore',
     'LivePeers',
     'NodeRow',
@@ -152,13 +151,6 @@
     rows: tuple[LeadRow, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeadRows(messages.Message):
-    """Lead rows that one VM passes on to another."""
-
-    rows: tuple[LeadRow, ...]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeRow:
     """An entry VM as it registers itself for its peers.
--- a/src/chicoryusher/tasks/pool/conns.py
+++ b/src/chicoryusher/tasks/pool/conns.py
@@ -44,10 +44,10 @@
     @property
     def connecting(self) -> int:
         """Return how many connections are being opened."""
-        return self._count(core.ConnState.CONNECTING)
+        return len(self._in(core.ConnState.CONNECTING))
 
-    def _count(self, state: core.ConnState) -> int:
-        return sum(1 for one in self._conns.values() if one.state is state)
+    def _in(self, state: core.ConnState) -> list[PoolConn]:
+        return [one for one in self._conns.values() if one.state is state]
 
     def all(self) -> list[PoolConn]:
         """Return every connection."""
@@ -55,11 +55,7 @@
 
     def idle(self) -> list[PoolConn]:
         """Return the connections that are free."""
-        return [
-            one
-            for one in self._conns.values()
-            if one.state is core.ConnState.IDLE
-        ]
+        return self._in(core.ConnState.IDLE)
 
     def busy(self) -> list[PoolConn]:
         """Return the connections that wait for an answer."""
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -118,12 +118,6 @@
         """Tell whether primaries may be used now."""
         return self._clock.running_on() < self._until
 
-    def group(
-        self, service: core.ServiceName
-    ) -> groups_module.PoolGroup | None:
-        """Return what is known of a group."""
-        return self._groups.get(service)
-
     # -- what is in force -----------------------------------------------
 
     @runtime.handles(core.PoolConfigInForce)
@@ -159,8 +153,7 @@
                 self._end_lane(name)
         for entry in message.entries:
             self._place(group, entry)
-        if message.primary != group.primary:
-            group.primary = message.primary
+        group.primary = message.primary
         self._deal_shares()
 
     def _place(
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -15,6 +15,7 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import crew
 from chicoryusher.tasks.pool import desk
+from chicoryusher.tasks.pool import leads as leads_module
 
 __all__ = ['Exchange']
 
@@ -67,7 +68,7 @@
         self._crew = crew.Crew(vm)
         self._views = {kind: decisions.Views() for kind in core.StoreView}
         self._held: dict[core.StoreView, core.Message] = {}
-        self._leads: dict[core.ServiceName, core.LeadRow] = {}
+        self._leads = leads_module.Leads()
         self._observed: dict[core.ServiceName, core.PrimaryObserved] = {}
         self._pings: dict[int, float] = {}
         self._ping = 0
@@ -123,20 +124,14 @@
 
     @runtime.handles(core.LeadsInStore)
     def _on_leads(self, message: core.LeadsInStore) -> None:
-        newer = tuple(one for one in message.rows if self._take_lead(one))
-        self._held[_LEADS] = core.LeadsInStore(tuple(self._leads.values()))
+        newer = tuple(one for one in message.rows if self._leads.take(one))
+        for row in newer:
+            self._views[_LEADS].know(row.revision)
+        self._held[_LEADS] = core.LeadsInStore(self._leads.rows())
         self.send(names.keeper(self.vm), message)
         if newer:
             self._to_live(core.LeadsInStore(newer))
 
-    def _take_lead(self, row: core.LeadRow) -> bool:
-        known = self._leads.get(row.service)
-        if known is not None and known.revision >= row.revision:
-            return False
-        self._leads[row.service] = row
-        self._views[_LEADS].know(row.revision)
-        return True
-
     @runtime.handles(core.StoreSeen)
     def _on_seen(self, message: core.StoreSeen) -> None:
         """Take the age of an own view.
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -158,20 +158,19 @@
         """Write the closing row if the row is still as it was known."""
         want = self._want
         assert want is not None
-        row = core.LeadRow(
-            self.service,
-            0,
-            core.LeadRowState.CLOSING,
-            want.old,
-            self.vm,
-        )
+        row = self._row_with(core.LeadRowState.CLOSING, want.old)
         self._writing_at = self._clock.running_on()
-        self.send(
-            names.rows(self.vm),
-            core.WriteLead(
-                row, self._revision() or want.revision, self.task_name
-            ),
-        )
+        self._write(row, self._revision() or want.revision)
+
+    def _row_with(
+        self, state: core.LeadRowState, primary: core.InstanceName
+    ) -> core.LeadRow:
+        """Return a row to write; the store gives it its revision."""
+        return core.LeadRow(self.service, 0, state, primary, self.vm)
+
+    def _write(self, row: core.LeadRow, expected: int) -> None:
+        wanted = core.WriteLead(row, expected, self.task_name)
+        self.send(names.rows(self.vm), wanted)
 
     def renew(self) -> None:
         """Show the others that this change goes on."""
@@ -385,16 +384,22 @@
     def behind(self) -> bool:
         """Tell whether the successor lacks what the old primary has."""
         assert self._want is not None
-        old = self._want.old
-        state = self._states.get(old)
-        if state is None or state.role is not core.Role.PRIMARY:
+        if not self._old_leads():
             return False
         now = self.now()
         if self.state is core.HandoverState.CHOOSING:
             self._caught_up_by = now + CATCH_UP_LIMIT
         if now >= self._caught_up_by:
             return False
-        return not decisions.caught_up(self._states, old, self._successor)
+        return not decisions.caught_up(
+            self._states, self._want.old, self._successor
+        )
+
+    def _old_leads(self) -> bool:
+        """Tell whether the old primary answers, and as the primary."""
+        assert self._want is not None
+        state = self._states.get(self._want.old)
+        return state is not None and state.role is core.Role.PRIMARY
 
     # -- promote --------------------------------------------------------
 
@@ -402,10 +407,7 @@
         """Take the lead from an old primary that still answers."""
         assert self._want is not None
         entry = self._entries.get(self._want.old)
-        state = self._states.get(self._want.old)
-        if entry is None or state is None:
-            return
-        if state.role is not core.Role.PRIMARY:
+        if entry is None or not self._old_leads():
             return
         newest = max(one.term for one in self._states.values())
         self.send(
@@ -489,20 +491,11 @@
 
     def _open_row(self) -> core.LeadRow:
         assert self._successor is not None
-        return core.LeadRow(
-            self.service,
-            0,
-            core.LeadRowState.OPEN,
-            self._successor,
-            self.vm,
-        )
+        return self._row_with(core.LeadRowState.OPEN, self._successor)
 
     def write_open(self) -> None:
         """Write the open row over this change's closing one."""
-        self.send(
-            names.rows(self.vm),
-            core.WriteLead(self._open_row(), self._revision(), self.task_name),
-        )
+        self._write(self._open_row(), self._revision())
 
     @runtime.handles(_OpenAgain)
     def _on_open_again(self, message: _OpenAgain) -> None:
@@ -533,94 +526,3 @@
         """Tell the keeper that this change has ended here."""
         self._silent.clear()
         self.send(names.keeper(self.vm), HandoverEnded(self.service))
-
-
-@charts.action('handover.claim')
-def _claim(task: Handover, arg: object) -> None:
-    task.claim()
-
-
-@charts.action('handover.fence')
-def _fence(task: Handover, arg: object) -> None:
-    task.fence()
-
-
-@charts.action('handover.ask')
-def _ask(task: Handover, arg: object) -> None:
-    task.ask()
-
-
-@charts.action('handover.ask_later')
-def _ask_later(task: Handover, arg: object) -> None:
-    task.ask_in(ASK_PAUSE)
-
-
-@charts.action('handover.ask_soon')
-def _ask_soon(task: Handover, arg: object) -> None:
-    task.ask_in(CATCH_UP_PAUSE)
-
-
-@charts.action('handover.demote')
-def _demote(task: Handover, arg: object) -> None:
-    task.demote()
-
-
-@charts.action('handover.promote')
-def _promote(task: Handover, arg: object) -> None:
-    task.promote()
-
-
-@charts.action('handover.confirm')
-def _confirm(task: Handover, arg: object) -> None:
-    task.confirm()
-
-
-@charts.action('handover.confirm_later')
-def _confirm_later(task: Handover, arg: object) -> None:
-    task.ask_in(CONFIRM_PAUSE)
-
-
-@charts.action('handover.open')
-def _open(task: Handover, arg: object) -> None:
-    task.open()
-
-
-@charts.action('handover.open_later')
-def _open_later(task: Handover, arg: object) -> None:
-    task.open_later()
-
-
-@charts.action('handover.done')
-@charts.action('handover.give_up')
-def _ended(task: Handover, arg: object) -> None:
-    task.ended()
-
-
-@charts.guard('handover.overdue')
-def _overdue(task: Handover, arg: object) -> bool:
-    return task.overdue()
-
-
-@charts.guard('handover.was_fenced')
-def _was_fenced(task: Handover, arg: object) -> bool:
-    return task.was_fenced()
-
-
-@charts.guard('handover.already_led')
-def _already_led(task: Handover, arg: object) -> bool:
-    return task.already_led()
-
-
-@charts.guard('handover.nobody')
-def _nobody(task: Handover, arg: object) -> bool:
-    return task.nobody()
-
-
-@charts.guard('handover.behind')
-def _behind(task: Handover, arg: object) -> bool:
-    return task.behind()
-
-
-@charts.guard('handover.confirm_overdue')
-def _confirm_overdue(task: Handover, arg: object) -> bool:
-    return task.confirm_overdue()
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -9,6 +9,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import handover
+from chicoryusher.tasks.pool import handover_actions  # noqa: F401
 from chicoryusher.tasks.pool import leads as leads_module
 
 __all__ = ['Keeper']
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -24,6 +24,8 @@
 # Seconds that a connection over the VM's share stays open unused.
 SURPLUS_IDLE = 1.5
 _ENDED = core.Ended
+# Stands for the answer of an instance that gave none.
+_NO_REPLY = core.Reply(core.BlockState.IDLE, None)
 _SETUP = (core.Op.SET, core.Op.RESET, core.Op.PREPARE)
 
 
@@ -252,10 +254,7 @@
         opening = conn.state is core.ConnState.CONNECTING
         if message.reason is core.LinkEnd.TOO_MANY:
             self._refused_until = self.now() + REFUSED_PAUSE
-        work = conn.work
-        self._conns.lost(conn)
-        if work is not None:
-            self._end(work, _ENDED.LOST, None, conn.sent_at, conn.asked_at)
+        self._forget(conn, _ENDED.LOST)
         if opening:
             self._not_opened(message.reason)
         elif message.reason is not core.LinkEnd.GARBLED:
@@ -294,30 +293,27 @@
     def _drop(self, conn: conns_module.PoolConn, ended: core.Ended) -> None:
         """Close a connection; its work ends as told."""
         self.send(self._link, core.CloseLink(conn.conn_id))
+        self._forget(conn, ended)
+
+    def _forget(self, conn: conns_module.PoolConn, ended: core.Ended) -> None:
+        """Drop what is known of a connection; its work ends as told."""
         work = conn.work
         conn.work = None
         self._conns.lost(conn)
         if work is not None:
-            self._end(work, ended, None, conn.sent_at, conn.asked_at)
+            self._end(work, ended, _NO_REPLY, conn.sent_at, conn.asked_at)
 
     def _end(
         self,
         work: core.Work,
         ended: core.Ended,
-        reply: core.Reply | None = None,
+        reply: core.Reply = _NO_REPLY,
         sent_at: float | None = None,
         asked_at: float | None = None,
     ) -> None:
-        if reply is None:
-            result = core.WorkEnded(
-                work.work_id,
-                self.entry.name,
-                ended,
-                sent_at=sent_at,
-                asked_at=asked_at,
-            )
-        else:
-            result = core.WorkEnded(
+        self.send(
+            work.owner,
+            core.WorkEnded(
                 work.work_id,
                 self.entry.name,
                 ended,
@@ -329,8 +325,8 @@
                 reply.block,
                 sent_at,
                 asked_at,
-            )
-        self.send(work.owner, result)
+            ),
+        )
 
     # -- time -----------------------------------------------------------
 
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -15,7 +15,6 @@
 TRIP = 0.005
 CONNECT_TIMEOUT = 0.3
 PROMOTE_TIME = 0.3
-PROMOTE_TIMEOUT = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,14 +99,6 @@
         self.end()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Probed(core.Message):
-    """A probe's answer that has been on its way until now."""
-
-    reply_to: core.TaskName
-    status: core.InstanceStatus
-
-
 class SimProber(runtime.Task):
     """Probes of instances in memory."""
 
@@ -119,6 +110,7 @@
         cut: set[tuple[str, str]],
     ) -> None:
         super().__init__(loop, vm, 'prober')
+        self._timers = loop.timers
         self._cut = cut
         self._instances = {
             name: one
@@ -147,15 +139,11 @@
         cut = (str(self.vm), str(entry.name)) in self._cut
         if one.reachable and not cut:
             status = core.InstanceStatus(entry.name, True, one.state())
-            self.after(TRIP, _Probed(reply_to, status))
+            self._timers.add(TRIP, reply_to, status)
             return
         status = core.InstanceStatus(entry.name, False)
         wait = TRIP if one.crashed and not cut else timeout
-        self.after(wait, _Probed(reply_to, status))
-
-    @runtime.handles(_Probed)
-    def _on_probed(self, message: _Probed) -> None:
-        self.send(message.reply_to, message.status)
+        self._timers.add(wait, reply_to, status)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,14 +153,6 @@
     message: core.PromoteInstance
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Answered(core.Message):
-    """The platform's answer that has been on its way until now."""
-
-    reply_to: core.TaskName
-    reply: core.PromoteReplied
-
-
 class SimPromotions(runtime.Task):
     """The platform's promotions, which check no token."""
 
@@ -184,6 +164,7 @@
         tokens: list[tuple[core.VmName, int]],
     ) -> None:
         super().__init__(loop, vm, 'promotions')
+        self._timers = loop.timers
         self._groups = {one.service: one for one in groups}
         self._tokens = tokens
         self.lose_answers = False
@@ -200,11 +181,7 @@
         if self.lose_answers:
             result = core.PromoteResult.UNKNOWN
         reply = core.PromoteReplied(message.service, message.token, result)
-        self.after(TRIP, _Answered(message.reply_to, reply))
-
-    @runtime.handles(_Answered)
-    def _on_answered(self, answered: _Answered) -> None:
-        self.send(answered.reply_to, answered.reply)
+        self._timers.add(TRIP, message.reply_to, reply)
 
     @runtime.handles(_Promoted)
     def _on_promoted(self, promoted: _Promoted) -> None:
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from chicoryusher import core
 from chicoryusher import peers
 from chicoryusher import runtime
@@ -46,14 +44,6 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Arrives(core.Message):
-    """A message of a peer that has been on its way until now."""
-
-    receiver: core.TaskName
-    message: core.Message
-
-
 class SimPeers(runtime.Task):
     """Carries messages between keepers; ``site.cut`` parts VMs."""
 
@@ -62,18 +52,14 @@
     ) -> None:
         super().__init__(loop, vm, 'peers')
         self._site = site
+        self._timers = loop.timers
 
     @runtime.handles(core.ToPeer)
     def _on_send(self, message: core.ToPeer) -> None:
         if self._site.parted(self.vm, message.vm):
             return
         receiver = peers.receiver_of(message.vm, message.message)
-        arrives = _Arrives(receiver, message.message)
-        self.after(PEER_TRIP, arrives)
-
-    @runtime.handles(_Arrives)
-    def _on_arrives(self, arrives: _Arrives) -> None:
-        self.send(arrives.receiver, arrives.message)
+        self._timers.add(PEER_TRIP, receiver, message.message)
 
     @runtime.handles(core.PeerAddresses, core.LiveVms)
     def _on_known(self, message: core.Message) -> None:
