--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -19,6 +19,7 @@
     'LeadState',
     'LinkEnd',
     'MoveReason',
+    'Nearness',
     'Op',
     'Outcome',
     'PoolSessionState',
@@ -312,3 +313,11 @@
     INSTANCES = 'instances'
     NODES = 'nodes'
     CONFIG = 'config'
+
+
+class Nearness(enum.Enum):
+    """How near two availability zones are."""
+
+    SAME_ZONE = 'same_zone'
+    SAME_REGION = 'same_region'
+    OTHER_REGION = 'other_region'
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -23,6 +23,7 @@
 from chicoryusher.decisions import succession
 from chicoryusher.decisions import suiting
 from chicoryusher.decisions import waiting
+from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.authority import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
@@ -55,6 +56,7 @@
 from chicoryusher.decisions.succession import *  # noqa: F403
 from chicoryusher.decisions.suiting import *  # noqa: F403
 from chicoryusher.decisions.waiting import *  # noqa: F403
+from chicoryusher.decisions.zones import *  # noqa: F403
 
 __all__ = [
     *admission.__all__,
@@ -77,6 +79,7 @@
     *succession.__all__,
     *suiting.__all__,
     *waiting.__all__,
+    *zones.__all__,
     *sessions.__all__,
     'DEFAULT_POLICY',
     'GroupView',
--- a/src/chicoryusher/decisions/directory.py
+++ b/src/chicoryusher/decisions/directory.py
@@ -5,12 +5,17 @@
 from chicoryusher import core
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import gates
+from chicoryusher.decisions import zones
 
 __all__ = ['Directory']
 
+# Seconds of a round trip between the zones of two VMs.
 IN_ZONE_PATH = 0.0005
-IN_REGION_PATH = 0.003
-ACROSS_REGIONS_PATH = 0.040
+PATHS = {
+    core.Nearness.SAME_ZONE: IN_ZONE_PATH,
+    core.Nearness.SAME_REGION: 0.003,
+    core.Nearness.OTHER_REGION: 0.040,
+}
 
 
 class Directory:
@@ -60,11 +65,9 @@
     def path(self, zone: core.ZoneName) -> float:
         """Return the round trip to a zone."""
         config = self.config
-        if zone == self._zone or config is None:
+        if config is None:
             return IN_ZONE_PATH
-        if config.region(zone) == config.region(self._zone):
-            return IN_REGION_PATH
-        return ACROSS_REGIONS_PATH
+        return PATHS[zones.nearness(self._zone, zone, config.region)]
 
     def way_back(self, name: core.InstanceName) -> float:
         """Return what an answer of an instance's gate needs at most."""
--- /dev/null
+++ b/src/chicoryusher/decisions/zones.py
@@ -0,0 +1,22 @@
+"""How near an availability zone is to another."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from chicoryusher import core
+
+__all__ = ['nearness']
+
+
+def nearness(
+    own: core.ZoneName,
+    other: core.ZoneName,
+    region_of: Callable[[core.ZoneName], core.RegionName | None],
+) -> core.Nearness:
+    """Return whether two zones are one, or share a region."""
+    if own == other:
+        return core.Nearness.SAME_ZONE
+    if region_of(own) == region_of(other):
+        return core.Nearness.SAME_REGION
+    return core.Nearness.OTHER_REGION
--- a/src/chicoryusher/runtime/http_client.py
+++ b/src/chicoryusher/runtime/http_client.py
@@ -20,7 +20,7 @@
 from chicoryusher.runtime import streams
 from chicoryusher.runtime import task
 
-__all__ = ['HttpCall', 'HttpClient', 'HttpResult']
+__all__ = ['HttpCall', 'HttpClient', 'HttpResult', 'json_call']
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
@@ -40,6 +40,18 @@
     timeout: float | None = None
 
 
+def json_call(
+    method: str,
+    path: str,
+    context: core.Message,
+    document: Any,
+    headers: tuple[tuple[str, str], ...] = (),
+) -> HttpCall:
+    """Return a call with a JSON document as its body."""
+    body = json.dumps(document).encode()
+    return HttpCall(method, path, context, body, headers)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResult:
     """Status and JSON document of an answer, or the typed failure."""
--- a/src/chicoryusher/services/agents.py
+++ b/src/chicoryusher/services/agents.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from chicoryusher import core
@@ -66,7 +65,7 @@
         path: str, order: core.Fence | core.Promote
     ) -> runtime.HttpCall:
         body = {'term': order.term, 'candidate': order.candidate}
-        return runtime.HttpCall('POST', path, order, json.dumps(body).encode())
+        return runtime.json_call('POST', path, order, body)
 
     def finished(
         self, call: runtime.HttpCall, result: runtime.HttpResult
--- a/src/chicoryusher/services/table.py
+++ b/src/chicoryusher/services/table.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import json
 import urllib.parse
 from typing import Any
 
@@ -43,11 +42,7 @@
             'value': base64.b64encode(message.value).decode(),
             'expected': message.expected,
         }
-        self.call(
-            runtime.HttpCall(
-                'PUT', _path(message.key), message, json.dumps(body).encode()
-            )
-        )
+        self.call(runtime.json_call('PUT', _path(message.key), message, body))
 
     @runtime.handles(core.TableScan)
     def _on_scan(self, message: core.TableScan) -> None:
@@ -67,11 +62,9 @@
 
     @runtime.handles(core.ObjectPut)
     def _on_object_put(self, message: core.ObjectPut) -> None:
-        body = json.dumps(
-            {'value': base64.b64encode(message.value).decode()}
-        ).encode()
+        body = {'value': base64.b64encode(message.value).decode()}
         path = f'/objects/{message.key}'
-        self.call(runtime.HttpCall('PUT', path, message, body))
+        self.call(runtime.json_call('PUT', path, message, body))
 
     @runtime.handles(core.VmListRequest)
     def _on_list(self, message: core.VmListRequest) -> None:
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -164,9 +164,10 @@
         if known is not None:
             known.entry = entry
             return
-        distance = group.distance(
-            entry, self._settings.zone, self._settings.regions
+        near = decisions.nearness(
+            self._settings.zone, entry.zone, self._settings.regions.get
         )
+        distance = groups_module.DISTANCES[near]
         group.instances[entry.name] = decisions.PoolInstance(entry, distance)
         self._links[entry.name] = self._edges.pool_link(self.vm, entry)
         self._lanes[entry.name] = lane_module.Lane(self._loop, self.vm, entry)
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -209,8 +209,8 @@
                 self._ask_peer(row.vm, ping)
 
     def _is_near(self, row: core.NodeRow) -> bool:
-        own = self._regions.get(self._own.zone)
-        return self._regions.get(row.zone) == own
+        near = decisions.nearness(self._own.zone, row.zone, self._regions.get)
+        return near is not core.Nearness.OTHER_REGION
 
     def _drop_silent(self) -> None:
         """End streams on which nothing is heard; new ones may work."""
--- a/src/chicoryusher/tasks/pool/groups.py
+++ b/src/chicoryusher/tasks/pool/groups.py
@@ -5,14 +5,15 @@
 from chicoryusher import core
 from chicoryusher import decisions
 
-__all__ = ['PoolGroup']
+__all__ = ['DISTANCES', 'PoolGroup']
 
-# Seconds of a round trip to an instance: same zone, same region, other
-# region.  The users state 0.5 to 1.4 ms one way between zones and 20 ms
-# between regions.
-SAME_ZONE = 0.001
-SAME_REGION = 0.003
-OTHER_REGION = 0.042
+# Seconds of a round trip to an instance.  The users state 0.5 to 1.4 ms
+# one way between zones and 20 ms between regions.
+DISTANCES = {
+    core.Nearness.SAME_ZONE: 0.001,
+    core.Nearness.SAME_REGION: 0.003,
+    core.Nearness.OTHER_REGION: 0.042,
+}
 # Seconds that a change of primary usually takes, with a promotion of 300
 # to 1,000 ms.
 CHANGE_TIME = 1.5
@@ -33,19 +34,6 @@
         self.stopped_at = float('-inf')
         self._leaving_since: dict[core.InstanceName, float] = {}
 
-    def distance(
-        self,
-        entry: core.InstanceEntry,
-        zone: core.ZoneName,
-        regions: dict[core.ZoneName, core.RegionName],
-    ) -> float:
-        """Return the usual round trip to an instance in seconds."""
-        if entry.zone == zone:
-            return SAME_ZONE
-        if regions.get(entry.zone) == regions.get(zone):
-            return SAME_REGION
-        return OTHER_REGION
-
     def note_leaving(self, entry: core.InstanceEntry, now: float) -> None:
         """Note since when an instance has been known to leave."""
         if entry.leaving:
