--- a/src/chicoryusher/core/__init__.py
+++ b/src/chicoryusher/core/__init__.py
@@ -9,6 +9,7 @@
 from chicoryusher.core import errors
 from chicoryusher.core import ids
 from chicoryusher.core import messages
+from chicoryusher.core import metrics
 from chicoryusher.core import peering
 from chicoryusher.core import pooling
 from chicoryusher.core import position
@@ -21,6 +22,7 @@
 from chicoryusher.core.errors import *  # noqa: F403
 from chicoryusher.core.ids import *  # noqa: F403
 from chicoryusher.core.messages import *  # noqa: F403
+from chicoryusher.core.metrics import *  # noqa: F403
 from chicoryusher.core.peering import *  # noqa: F403
 from chicoryusher.core.pooling import *  # noqa: F403
 from chicoryusher.core.position import *  # noqa: F403
@@ -35,6 +37,7 @@
     + errors.__all__
     + ids.__all__
     + messages.__all__
+    + metrics.__all__
     + peering.__all__
     + pooling.__all__
     + position.__all__
--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/catalogue.py
@@ -9,7 +9,7 @@
 
 import enum
 
-__all__ = ['LogEvent', 'LogLevel']
+__all__ = ['SAMPLED_EVENTS', 'LogEvent', 'LogLevel']
 
 
 class LogLevel(enum.Enum):
@@ -93,6 +93,16 @@
         LogLevel.INFO,
         'a statement was answered with a refusal',
     )
+    STATEMENT_SENT = (
+        3011,
+        LogLevel.INFO,
+        'a statement was given to the lane of an instance',
+    )
+    STATEMENT_HELD = (
+        3012,
+        LogLevel.INFO,
+        'a statement was not run yet and is offered again',
+    )
     PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not answer')
     PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary answered')
     TERM_CLAIMED = (4003, LogLevel.WARNING, 'this VM claims a new term')
@@ -165,3 +175,10 @@
     VM_STATE = (6005, LogLevel.INFO, 'another VM changed its state')
     ADMIN_CALL = (7001, LogLevel.INFO, 'an operator called the daemon')
     ADMIN_REFUSED = (7002, LogLevel.WARNING, 'an admin call was refused')
+
+
+# Numbers of events that are left out under load: they tell of statements
+# that may well succeed.  Lines about refusals are kept.
+SAMPLED_EVENTS = frozenset(
+    one.number for one in (LogEvent.STATEMENT_SENT, LogEvent.STATEMENT_HELD)
+)
--- /dev/null
+++ b/src/chicoryusher/core/metrics.py
@@ -0,0 +1,116 @@
+"""Catalogue of metrics: every metric has a kind, a unit and a meaning."""
+
+from __future__ import annotations
+
+import enum
+
+__all__ = ['Metric', 'MetricKind']
+
+
+class MetricKind(enum.Enum):
+    """How the values of a metric are put together."""
+
+    COUNTER = 'counter'
+    HISTOGRAM = 'histogram'
+    GAUGE = 'gauge'
+
+
+class Metric(enum.Enum):
+    """A metric: kind, unit, labels and meaning."""
+
+    def __init__(
+        self,
+        kind: MetricKind,
+        unit: str,
+        labels: tuple[str, ...],
+        meaning: str,
+    ) -> None:
+        self.kind = kind
+        self.unit = unit
+        self.labels = labels
+        self.meaning = meaning
+
+    @property
+    def full_name(self) -> str:
+        """Return the name under which the metric is exported."""
+        return f'chicoryusher.{self.name.lower()}'
+
+    STATEMENT = (
+        MetricKind.HISTOGRAM,
+        's',
+        ('access', 'outcome', 'role'),
+        'from a statement to its answer, by route and by who ran it',
+    )
+    RUN = (
+        MetricKind.HISTOGRAM,
+        's',
+        ('instance', 'ended'),
+        'from the first byte of work for an instance to its end there',
+    )
+    QUEUE = (
+        MetricKind.HISTOGRAM,
+        's',
+        ('instance',),
+        'wait of work for a connection to an instance',
+    )
+    RETRIES = (
+        MetricKind.COUNTER,
+        '1',
+        ('why',),
+        'statements that were offered to an instance again',
+    )
+    CONNECTIONS = (
+        MetricKind.GAUGE,
+        '1',
+        ('instance',),
+        'connections to an instance that are open or being opened',
+    )
+    CONNECTIONS_OPENED = (
+        MetricKind.COUNTER,
+        '1',
+        ('instance',),
+        'connections to an instance that were begun',
+    )
+    SESSIONS = (MetricKind.GAUGE, '1', (), 'open sessions of callers')
+    AUTHORITY_LEFT = (
+        MetricKind.GAUGE,
+        's',
+        (),
+        'time for which primaries may still be used; below 0: not any more',
+    )
+    POSITION_AGE = (
+        MetricKind.GAUGE,
+        's',
+        ('service',),
+        'age of the newest proved position of a primary',
+    )
+    CONFIG_VERSION = (
+        MetricKind.GAUGE,
+        '1',
+        (),
+        'version of the configuration in force',
+    )
+    LIVE_VMS = (
+        MetricKind.GAUGE,
+        '1',
+        (),
+        'entry VMs that answer, with this one',
+    )
+    PRIMARY_CHANGES = (
+        MetricKind.COUNTER,
+        '1',
+        ('service', 'step'),
+        'steps of changes of primaries that this VM holds',
+    )
+    STORE_CALLS = (
+        MetricKind.COUNTER,
+        '1',
+        ('table', 'status'),
+        "calls of the platform's store, by its answer",
+    )
+    LOG_DROPPED = (
+        MetricKind.GAUGE,
+        '1',
+        (),
+        'log lines that were dropped since the start',
+    )
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -127,6 +127,7 @@
     ``after`` must be in the instance's log.  Work that has not started
     by ``start_by`` is refused; ``limit`` bounds its run in seconds, and
     ``patience`` that of a statement that may run again elsewhere.
+    ``offered_at`` is when the lane was given it.
     """
 
     work_id: ids.WorkId
@@ -139,6 +140,7 @@
     start_by: float
     limit: float
     patience: float
+    offered_at: float
     transaction: ids.TransactionId | None = None
     begins: enums.Begins | None = None
     after: position.Position | None = None
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -13,6 +13,7 @@
 from chicoryusher.decisions import ledger
 from chicoryusher.decisions import membership
 from chicoryusher.decisions import neighbours
+from chicoryusher.decisions import newcomers
 from chicoryusher.decisions import observing
 from chicoryusher.decisions import pointers
 from chicoryusher.decisions import reading
@@ -35,6 +36,7 @@
 from chicoryusher.decisions.ledger import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
 from chicoryusher.decisions.neighbours import *  # noqa: F403
+from chicoryusher.decisions.newcomers import *  # noqa: F403
 from chicoryusher.decisions.observing import *  # noqa: F403
 from chicoryusher.decisions.pointers import *  # noqa: F403
 from chicoryusher.decisions.reading import *  # noqa: F403
@@ -73,6 +75,7 @@
     *register.__all__,
     *retry.__all__,
     *authority.__all__,
+    *newcomers.__all__,
     *observing.__all__,
     *reading.__all__,
     *shares.__all__,
--- a/src/chicoryusher/frontends/mysql/callers.py
+++ b/src/chicoryusher/frontends/mysql/callers.py
@@ -47,13 +47,11 @@
         session_id: core.SessionId,
         stream: runtime.Stream,
         nonce: bytes,
-        opened_at: float,
     ) -> None:
         self.session_id = session_id
         self.stream = stream
         self.nonce = nonce
         self.framer = wire.Framer(MAX_HELLO_BYTES)
-        self.opened_at = opened_at
         self.phase = Phase.HELLO
         self.hello: wire.CallerHello | None = None
         self.caller = core.CallerName('')
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from chicoryusher import core
+from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher import wire
 from chicoryusher.frontends.mysql import callers
@@ -31,6 +32,7 @@
 
     max_packet_bytes: int = 16 * 1024 * 1024
     max_callers: int = 4096
+    max_newcomers: int = 512
     handshake_timeout: float = 5.0
     low_water_bytes: int = 256 * 1024
     max_backlog: int = 64
@@ -68,6 +70,9 @@
         self._by_session: dict[core.SessionId, callers.CallerConn] = {}
         self._by_request: dict[core.RequestId, callers.CallerConn] = {}
         self._dirty: set[callers.CallerConn] = set()
+        self._newcomers = decisions.Newcomers(
+            limits.max_newcomers, limits.handshake_timeout
+        )
         self._opened = 0
         self._draining = False
         self.statements = 0
@@ -96,46 +101,33 @@
         while (stream := listener.accept()) is not None:
             self._opened += 1
             session = core.SessionId(f'{self.vm}:{self._boot}:s{self._opened}')
-            conn = callers.CallerConn(
-                session,
-                stream,
-                wire.new_nonce(),
-                self.now(),
-            )
+            conn = callers.CallerConn(session, stream, wire.new_nonce())
             self._by_fileno[stream.fileno] = conn
             self._by_session[session] = conn
             self._dirty.add(conn)
-            if self.callers > self._limits.max_callers:
+            full = self.callers > self._limits.max_callers
+            if full or not self._newcomers.admit(session, self.now()):
                 conn.reply_sequence = 0
                 self._refuse(conn, core.TooManyCallers('too many callers'))
                 continue
             stream.write(
                 wire.frame(wire.make_greeting(self._opened, conn.nonce))
             )
-            if self._sweep_timer is None:
-                self._sweep_timer = self.after(
-                    self._limits.handshake_timeout, _Sweep()
-                )
+            self._sweep_later()
+
+    def _sweep_later(self) -> None:
+        delay = self._newcomers.next_late(self.now())
+        if delay is not None and self._sweep_timer is None:
+            self._sweep_timer = self.after(delay, _Sweep())
 
     @runtime.handles(_Sweep)
     def _on_sweep(self, sweep: _Sweep) -> None:
+        """Close callers whose handshake takes too long."""
         self._sweep_timer = None
-        oldest = self.now() - self._limits.handshake_timeout
-        waiting = [
-            one
-            for one in self._by_fileno.values()
-            if one.phase in (Phase.HELLO, Phase.SWITCH)
-        ]
-        for conn in waiting:
-            if conn.opened_at <= oldest:
-                self.log.emit(
-                    core.LogEvent.CALLER_SILENT, session=conn.session_id
-                )
-                self._close(conn)
-        if len(waiting) > 0:
-            self._sweep_timer = self.after(
-                self._limits.handshake_timeout, _Sweep()
-            )
+        for session_id in self._newcomers.late(self.now()):
+            self.log.emit(core.LogEvent.CALLER_SILENT, session=session_id)
+            self._close(self._by_session[session_id])
+        self._sweep_later()
 
     def _receive(self, conn: callers.CallerConn) -> None:
         data = conn.stream.read()
@@ -225,6 +217,7 @@
         conn.framer.max_bytes = self._limits.max_packet_bytes
         conn.marks = marks.from_pairs(hello.attributes)
         conn.phase = Phase.ADMISSION
+        self._newcomers.settle(conn.session_id)
         name = hello.database
         conn.database = core.DatabaseName(name) if name else None
         self.send(
@@ -382,6 +375,7 @@
     def _close(self, conn: callers.CallerConn) -> None:
         self._by_fileno.pop(conn.stream.fileno, None)
         self._by_session.pop(conn.session_id, None)
+        self._newcomers.settle(conn.session_id)
         if conn.request_id is not None:
             self._by_request.pop(conn.request_id, None)
         conn.stream.close()
--- a/src/chicoryusher/runtime/http_server.py
+++ b/src/chicoryusher/runtime/http_server.py
@@ -36,12 +36,16 @@
         self.body = bytearray()
 
     def reply(self, status: int, document: Any) -> None:
-        """Queue the answer to the current request."""
+        """Queue a JSON document as the answer to the current request."""
         data = json.dumps(document).encode()
+        self.reply_text(status, 'application/json', data)
+
+    def reply_text(self, status: int, kind: str, data: bytes) -> None:
+        """Queue the answer to the current request; ``kind`` is its type."""
         head = h11.Response(
             status_code=status,
             headers=[
-                ('Content-Type', 'application/json'),
+                ('Content-Type', kind),
                 ('Content-Length', str(len(data))),
             ],
         )
--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -15,6 +15,16 @@
 
 __all__ = ['BoundedHandler', 'Log', 'to_stream']
 
+# Lines a second of events that are sampled: about 0.3% of a core at
+# 70 us a line, a process's own and the machine's.
+SAMPLED_RATE = 40.0
+# Lines a second of all other events; a VM that refuses everything at its
+# usual load of 50 statements a second stays below.
+LINE_RATE = 400.0
+# Seconds for which an unused rate is saved up.
+SAVED_UP = 2.0
+# Seconds between lines that count what was dropped.
+NOTE_PAUSE = 1.0
 _LEVELS = {
     core.LogLevel.DEBUG: logbook.DEBUG,
     core.LogLevel.INFO: logbook.INFO,
@@ -63,33 +73,83 @@
     return handler
 
 
+class _Allowance:
+    """Lines that may be written: a rate a second, and what was saved up."""
+
+    def __init__(self, clock: core.Clock, rate: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._left = rate * SAVED_UP
+        self._at = clock.now()
+
+    def take(self) -> bool:
+        """Take one line; False if none is left."""
+        now = self._clock.now()
+        earned = (now - self._at) * self._rate
+        self._left = min(self._rate * SAVED_UP, self._left + earned)
+        self._at = now
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
+
+
 class BoundedHandler(logbook.Handler):
     """Write JSON lines to a descriptor, and never wait for its reader.
 
-    Lines that the descriptor does not take at once are dropped; the
-    next line that goes out is preceded by one that counts them.
+    Lines over an allowance, and lines that the descriptor does not take
+    at once, are dropped.  A line of its own counts them, once a second.
     """
 
-    def __init__(self, fileno: int, level: core.LogLevel) -> None:
+    def __init__(
+        self, fileno: int, level: core.LogLevel, clock: core.Clock
+    ) -> None:
         super().__init__(_LEVELS[level])
         os.set_blocking(fileno, False)
         self._fileno = fileno
+        self._clock = clock
         self._rest = b''
+        self._sampled = _Allowance(clock, SAMPLED_RATE)
+        self._others = _Allowance(clock, LINE_RATE)
+        self._untold = 0
+        self._told_at = float('-inf')
         self.dropped = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write one record, or count it as dropped."""
-        if self._rest and not self._write(b''):
-            self.dropped += 1
+        if not self._allowed(record) or not self._flush_rest():
+            self._drop()
             return
-        data = _format(record, self).encode() + b'\n'
-        if self.dropped:
-            note = {'event': 0, 'message': 'dropped', 'lines': self.dropped}
-            data = json.dumps(note).encode() + b'\n' + data
+        data = self._note() + _format(record, self).encode() + b'\n'
         if self._write(data):
-            self.dropped = 0
+            self._note_written()
         else:
-            self.dropped += 1
+            self._drop()
+
+    def _allowed(self, record: logbook.LogRecord) -> bool:
+        sampled = record.extra['number'] in core.SAMPLED_EVENTS
+        allowance = self._sampled if sampled else self._others
+        return allowance.take()
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self._untold += 1
+
+    def _note(self) -> bytes:
+        """Return a line that counts what was dropped, if it is time."""
+        if not self._untold or self._clock.now() - self._told_at < NOTE_PAUSE:
+            return b''
+        note = {'event': 0, 'message': 'dropped', 'lines': self._untold}
+        return json.dumps(note).encode() + b'\n'
+
+    def _note_written(self) -> None:
+        now = self._clock.now()
+        if self._untold and now - self._told_at >= NOTE_PAUSE:
+            self._untold = 0
+            self._told_at = now
+
+    def _flush_rest(self) -> bool:
+        return not self._rest or self._write(b'')
 
     def _write(self, data: bytes) -> bool:
         """Write what is left of a line, then ``data``; all or its start."""
--- a/src/chicoryusher/runtime/loop.py
+++ b/src/chicoryusher/runtime/loop.py
@@ -10,6 +10,7 @@
 
 from chicoryusher import core
 from chicoryusher.runtime import logs
+from chicoryusher.runtime import meters as meters_module
 from chicoryusher.runtime import poller
 from chicoryusher.runtime import timers
 
@@ -25,9 +26,14 @@
 
     channel = 'runtime'
 
-    def __init__(self, clock: core.Clock | None = None) -> None:
+    def __init__(
+        self,
+        clock: core.Clock | None = None,
+        meters: meters_module.Meters | None = None,
+    ) -> None:
         super().__init__(channel='runtime')
         self.clock = clock or core.SystemClock()
+        self.meters = meters or meters_module.NoMeters()
         self._boxes: dict[core.TaskName, list[core.Message]] = {}
         self._log = logs.Log('', 'runtime')
         self.posted = 0
--- a/src/chicoryusher/runtime/task.py
+++ b/src/chicoryusher/runtime/task.py
@@ -48,6 +48,7 @@
         self.task_name = core.TaskName(name)
         self.vm = core.VmName(vm)
         self.log = logs.Log(vm, task)
+        self.meters = runtime.meters
         self._runtime = runtime
         runtime.add_box(self.task_name)
         self.register(runtime)
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -15,8 +15,8 @@
     'gate',
     'handover',
     'keeper',
-    'lane',
     'group',
+    'life_of',
     'link',
     'membership',
     'node',
@@ -24,6 +24,8 @@
     'prober',
     'rows',
     'peers',
+    'pool_lane',
+    'pool_link',
     'router',
     'table',
     'watch',
@@ -58,7 +60,6 @@
 watch = _single('watch')
 agent = _instance('agent')
 gate = _instance('gate')
-lane = _instance('lane')
 link = _instance('link')
 
 
@@ -67,6 +68,24 @@
     return core.TaskName(f'{vm}/group/{name}')
 
 
+def pool_lane(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
+    """Return the name of the lane to one life of an instance."""
+    return core.TaskName(f'{vm}/lane/{life_of(entry)}')
+
+
+def pool_link(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
+    """Return the name of the sockets to one life of an instance."""
+    return core.TaskName(f'{vm}/link/{life_of(entry)}')
+
+
+def life_of(entry: core.InstanceEntry) -> str:
+    """Return a word that tells the lives of one instance's name apart.
+
+    Messages that are still under way to an old life then reach nobody.
+    """
+    return f'{entry.name}@{entry.host}:{entry.port}/{entry.boot}'
+
+
 def handover(vm: core.VmName, name: core.ServiceName) -> core.TaskName:
     """Return the name of the changes of a group's primary."""
     return core.TaskName(f'{vm}/handover/{name}')
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -0,0 +1,472 @@
+"""Statements on their way: where each goes, and what its caller is told."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher import runtime
+from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import endings
+from chicoryusher.tasks.pool import groups as groups_module
+from chicoryusher.tasks.pool import roster as roster_module
+from chicoryusher.tasks.pool import sessions
+
+__all__ = ['Attempts', 'OfferAgain']
+
+# Part of the latency target for which a request may wait for a primary
+# or an instance to come; longer waits are better spent by the caller.
+HOLD = 0.2
+# Part of the latency target by which work must have a connection.
+START = 0.8
+# Seconds between looks for an instance, and before a refusal is retried.
+RETRY_PAUSE = 0.02
+# Part of the latency target after which a read is run elsewhere, and the
+# most seconds that this takes: over the longest usual work (0.5 s).
+READ_PATIENCE = 0.45
+MAX_READ_PATIENCE = 0.6
+# Seconds that a statement must have left to be sent at all.
+MIN_LIMIT = 0.05
+_Block = core.BlockState
+_Event = core.LogEvent
+_Metric = core.Metric
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OfferAgain(core.Message):
+    """Time to look for an instance again."""
+
+    attempt: sessions.Attempt
+
+
+class Attempts:
+    """The statements that a desk's lanes run; the desk owns it.
+
+    ``until`` is when the authority to use primaries ends, on the clock
+    that runs on while suspended.
+    """
+
+    def __init__(
+        self,
+        desk: runtime.Task,
+        roster: roster_module.Roster,
+        clock: core.Clock,
+    ) -> None:
+        self._desk = desk
+        self._roster = roster
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._running: dict[core.WorkId, sessions.Attempt] = {}
+        self.until = float('-inf')
+
+    def authority(self) -> bool:
+        """Tell whether primaries may be used now."""
+        return self._authority_left() > 0.0
+
+    def _authority_left(self) -> float:
+        return self.until - self._clock.running_on()
+
+    # -- choosing -------------------------------------------------------
+
+    def start(
+        self,
+        session: sessions.PoolSession,
+        message: core.PoolStatement,
+        route: core.PoolRoute,
+        shape: core.Shape | None,
+    ) -> None:
+        """Send a statement on its way."""
+        attempt = sessions.Attempt(
+            session,
+            message,
+            route,
+            shape,
+            self._desk.now(),
+            self._clock.running_on(),
+        )
+        session.attempt = attempt
+        self._offer(attempt)
+
+    def offer_again(self, attempt: sessions.Attempt) -> None:
+        """Look for an instance again, if the caller still waits."""
+        if attempt.session.attempt is attempt:
+            self._offer(attempt)
+
+    def _offer(self, attempt: sessions.Attempt) -> None:
+        """Give the statement to the lane of the best instance."""
+        transaction = attempt.session.transaction
+        if transaction is not None and transaction.instance is not None:
+            self._go_on(attempt, transaction.instance)
+            return
+        group = self._roster.groups.get(attempt.route.service)
+        if group is None:
+            self._hold(attempt, 'no instance of the group is known')
+            return
+        needs = self._needs(attempt, group)
+        name = self._choose(attempt, group, needs)
+        if name is None:
+            self._hold(attempt, 'no instance may serve it')
+            return
+        attempt.needs_age = needs.age
+        attempt.at_primary = name == group.primary
+        after = None if attempt.at_primary else needs.after
+        self._submit(attempt, name, _begins(transaction), after)
+
+    def _go_on(
+        self, attempt: sessions.Attempt, instance: core.InstanceName
+    ) -> None:
+        """Run a further statement of a transaction where that began."""
+        if instance in self._roster:
+            self._submit(attempt, instance, None, None)
+        else:
+            self.finish(attempt, core.Refusal.ABORTED, 'instance gone')
+
+    def _needs(
+        self, attempt: sessions.Attempt, group: groups_module.PoolGroup
+    ) -> decisions.ReadNeeds:
+        """Return what the statement must see; primary only if it can't."""
+        route = attempt.route
+        transaction = attempt.session.transaction
+        reads = not attempt.writes
+        if transaction is not None:
+            reads = transaction.read_only
+        if not reads or route.access is core.Access.PRIMARY:
+            return decisions.ReadNeeds(None, 0.0)
+        own = attempt.session.wrote_at
+        return group.needs(attempt.arrived_on, route.max_staleness, own)
+
+    def _choose(
+        self,
+        attempt: sessions.Attempt,
+        group: groups_module.PoolGroup,
+        needs: decisions.ReadNeeds,
+    ) -> core.InstanceName | None:
+        now = self._desk.now()
+        primary = group.usable_primary(now)
+        if not self.authority():
+            primary = None
+        instances = list(group.instances.values())
+        if primary is None and group.primary is not None:
+            instances = [
+                one for one in instances if one.entry.name != group.primary
+            ]
+        return decisions.choose_reader(
+            instances,
+            primary,
+            needs,
+            attempt.refused,
+            now,
+            self._clock.running_on(),
+        )
+
+    def _submit(
+        self,
+        attempt: sessions.Attempt,
+        name: core.InstanceName,
+        begins: core.Begins | None,
+        after: core.Position | None,
+    ) -> None:
+        now = self._desk.now()
+        left = attempt.arrived + attempt.route.limit - now
+        if left < MIN_LIMIT:
+            self.finish(attempt, endings.spent(attempt), 'out of time')
+            return
+        work_id = core.WorkId(next(self._numbers))
+        attempt.work_id = work_id
+        attempt.instance = name
+        attempt.tries += 1
+        self._running[work_id] = attempt
+        one = self._instance(attempt)
+        if one is not None:
+            one.outstanding += 1
+        self._note_sent(attempt, after)
+        work = self._work(attempt, work_id, begins, after, left)
+        self._desk.send(self._roster.lane(name), work)
+
+    def _work(
+        self,
+        attempt: sessions.Attempt,
+        work_id: core.WorkId,
+        begins: core.Begins | None,
+        after: core.Position | None,
+        left: float,
+    ) -> core.Work:
+        """Return the work for a lane; ``left`` is its limit in seconds."""
+        session = attempt.session
+        transaction = session.transaction
+        target = attempt.route.target
+        return core.Work(
+            work_id,
+            self._desk.task_name,
+            attempt.message.request_id,
+            attempt.message.statement,
+            attempt.shape,
+            tuple(session.values.items()),
+            attempt.route.priority,
+            attempt.arrived + target * START,
+            left,
+            min(target * READ_PATIENCE, MAX_READ_PATIENCE),
+            self._desk.now(),
+            None if transaction is None else transaction.number,
+            begins,
+            after,
+        )
+
+    def _note_sent(
+        self, attempt: sessions.Attempt, after: core.Position | None
+    ) -> None:
+        self._desk.log.emit(
+            _Event.STATEMENT_SENT,
+            request=attempt.message.request_id,
+            session=attempt.session.session_id,
+            database=attempt.session.database,
+            access=attempt.route.access.value,
+            instance=attempt.instance,
+            primary=attempt.at_primary,
+            after=after,
+            proved=round(attempt.needs_age, 3),
+            authority=round(self._authority_left(), 3),
+            tries=attempt.tries,
+        )
+
+    def _hold(self, attempt: sessions.Attempt, why: str) -> None:
+        """Wait a little for an instance, or refuse."""
+        if attempt.refused:
+            attempt.refused = frozenset()
+        now = self._desk.now()
+        group = self._roster.groups.get(attempt.route.service)
+        coming = group is not None and group.expects_primary(now)
+        hold = START if attempt.offered or coming else HOLD
+        if now >= attempt.arrived + attempt.route.target * hold:
+            self.finish(attempt, core.Refusal.BUSY, why)
+            return
+        if attempt.held_for != why:
+            attempt.held_for = why
+            self._note_retry(attempt, why)
+        self._desk.after(RETRY_PAUSE, OfferAgain(attempt))
+
+    def _note_retry(self, attempt: sessions.Attempt, why: str) -> None:
+        self._desk.meters.add(_Metric.RETRIES, why=why)
+        self._desk.log.emit(
+            _Event.STATEMENT_HELD,
+            request=attempt.message.request_id,
+            why=why,
+            instance=attempt.instance,
+            tries=attempt.tries,
+            waited=self._waited(attempt),
+            authority=round(self._authority_left(), 3),
+        )
+
+    def _waited(self, attempt: sessions.Attempt) -> float:
+        return round(self._desk.now() - attempt.arrived, 4)
+
+    # -- results --------------------------------------------------------
+
+    def ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
+        """Take the end of work; return the group it was for, if known."""
+        attempt = self._running.pop(ended.work_id, None)
+        if attempt is None:
+            return None
+        self._settle_count(attempt)
+        self._learn(attempt, ended)
+        endings.ENDINGS.get(ended.ended)(self, attempt, ended)
+        return attempt.route.service
+
+    def lose(self, name: core.InstanceName) -> None:
+        """End the work at an instance that has gone."""
+        for attempt in tuple(self._running.values()):
+            if attempt.instance == name:
+                assert attempt.work_id is not None
+                ended = core.WorkEnded(attempt.work_id, name, core.Ended.LOST)
+                self._desk.send(self._desk.task_name, ended)
+
+    def abandon(self, session: sessions.PoolSession) -> None:
+        """Forget the session's statement; its caller has gone."""
+        attempt = session.attempt
+        if attempt is None or attempt.work_id is None:
+            return
+        self._running.pop(attempt.work_id, None)
+        if attempt.instance in self._roster:
+            self._settle_count(attempt)
+            self._desk.send(
+                self._roster.lane(attempt.instance),
+                core.CancelWork(attempt.work_id),
+            )
+
+    def roll_back(self, session: sessions.PoolSession) -> None:
+        """End the session's transaction at its instance."""
+        transaction = session.transaction
+        if transaction is None or transaction.instance not in self._roster:
+            return
+        self._desk.send(
+            self._roster.lane(transaction.instance),
+            core.EndTransaction(transaction.number),
+        )
+
+    def use(self, name: core.InstanceName) -> bool:
+        """Tell whether a statement is on its way to an instance."""
+        return any(one.instance == name for one in self._running.values())
+
+    def fence(self, name: core.InstanceName) -> None:
+        """Take answers of an instance that come late as proof of nothing."""
+        for attempt in self._running.values():
+            if attempt.instance == name:
+                attempt.fenced = True
+
+    def _instance(
+        self, attempt: sessions.Attempt
+    ) -> decisions.PoolInstance | None:
+        return self._roster.instance(attempt.route.service, attempt.instance)
+
+    def _settle_count(self, attempt: sessions.Attempt) -> None:
+        one = self._instance(attempt)
+        if one is not None:
+            one.outstanding = max(0, one.outstanding - 1)
+
+    def _learn(self, attempt: sessions.Attempt, ended: core.WorkEnded) -> None:
+        group = self._roster.groups.get(attempt.route.service)
+        if group is None:
+            return
+        now_on = self._clock.running_on()
+        trusted = (
+            attempt.at_primary and self.authority() and not attempt.fenced
+        )
+        if group.learn(ended, trusted, now_on):
+            assert ended.position is not None and ended.asked_at is not None
+            observed = core.PrimaryObserved(
+                group.service, ended.position, ended.asked_at
+            )
+            self._desk.send(names.exchange(self._desk.vm), observed)
+        one = group.instances.get(ended.instance)
+        if one is None:
+            return
+        if ended.sent_at is not None:
+            self._learn_time(one, ended, self._desk.now() - ended.sent_at)
+        if ended.refusal is core.Refusal.NOT_FRESH:
+            one.fell_behind(attempt.needs_age, now_on)
+
+    def _learn_time(
+        self,
+        one: decisions.PoolInstance,
+        ended: core.WorkEnded,
+        seconds: float,
+    ) -> None:
+        self._desk.meters.record(
+            _Metric.RUN,
+            seconds,
+            instance=ended.instance,
+            ended=ended.ended.value,
+        )
+        if ended.ended is core.Ended.ANSWERED:
+            one.answered(seconds)
+
+    def try_elsewhere(
+        self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
+    ) -> None:
+        """Run a statement that was not run, or may run again."""
+        attempt.refused |= {avoid}
+        self._release(attempt)
+        self._note_retry(attempt, why)
+        self._offer(attempt)
+
+    def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
+        """Run a statement again at the same group a little later."""
+        self._release(attempt)
+        self._hold(attempt, why)
+
+    def _release(self, attempt: sessions.Attempt) -> None:
+        """Let the statement go to any instance again."""
+        attempt.offered = True
+        transaction = attempt.session.transaction
+        if transaction is not None:
+            transaction.instance = None
+
+    def report_trouble(self, name: core.InstanceName) -> None:
+        """Let the watch look at an instance."""
+        self._desk.send(names.watch(self._desk.vm), core.InstanceTrouble(name))
+
+    # -- answers --------------------------------------------------------
+
+    def finish(
+        self,
+        attempt: sessions.Attempt,
+        refusal: core.Refusal,
+        why: str,
+        block: core.BlockState = _Block.IDLE,
+    ) -> None:
+        """Answer with a refusal, and say why in the log."""
+        session = attempt.session
+        if block is _Block.IDLE:
+            self.roll_back(session)
+        self._note_refused(attempt, refusal, why)
+        answer = core.SessionAnswer(
+            session.session_id,
+            attempt.message.request_id,
+            block,
+            refusal=refusal,
+            detail=str(attempt.instance or ''),
+        )
+        session.host.answered(session, answer)
+
+    def deliver(
+        self,
+        attempt: sessions.Attempt,
+        ended: core.WorkEnded,
+        block: core.BlockState,
+    ) -> None:
+        """Pass the instance's answer on to the caller."""
+        session = attempt.session
+        if ended.refusal is None:
+            self._measure(attempt, 'done')
+        else:
+            why = 'the instance ran it and failed'
+            self._note_refused(attempt, ended.refusal, why)
+        answer = core.SessionAnswer(
+            session.session_id,
+            attempt.message.request_id,
+            block,
+            ended.rows,
+            ended.digest,
+            ended.refusal,
+            ended.detail,
+            ended.position,
+        )
+        session.host.answered(session, answer)
+
+    def _note_refused(
+        self, attempt: sessions.Attempt, refusal: core.Refusal, why: str
+    ) -> None:
+        self._measure(attempt, refusal.value)
+        self._desk.log.emit(
+            _Event.STATEMENT_REFUSED,
+            request=attempt.message.request_id,
+            refusal=refusal.value,
+            why=why,
+            database=attempt.session.database,
+            instance=attempt.instance,
+            tries=attempt.tries,
+            waited=self._waited(attempt),
+            authority=round(self._authority_left(), 3),
+        )
+
+    def _measure(self, attempt: sessions.Attempt, outcome: str) -> None:
+        role = core.Role.REPLICA
+        if attempt.at_primary:
+            role = core.Role.PRIMARY
+        self._desk.meters.record(
+            _Metric.STATEMENT,
+            self._desk.now() - attempt.arrived,
+            access=attempt.route.access.value,
+            outcome=outcome,
+            role=role.value if attempt.tries else 'none',
+        )
+
+
+def _begins(transaction: sessions.Transaction | None) -> core.Begins | None:
+    if transaction is None:
+        return None
+    if transaction.read_only:
+        return core.Begins.READ_ONLY
+    return core.Begins.READ_WRITE
--- a/src/chicoryusher/tasks/pool/endings.py
+++ b/src/chicoryusher/tasks/pool/endings.py
@@ -1,4 +1,4 @@
-"""What a desk does with each way in which work may end."""
+"""What is done with each way in which work may end."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 )
 
 
-class DeskLike(Protocol):
-    """The desk, as the endings of its work see it."""
+class Host(Protocol):
+    """What runs attempts, as the endings of their work see it."""
 
     def authority(self) -> bool:
         """Tell whether primaries may be used now."""
 
     def try_elsewhere(
-        self, attempt: sessions.Attempt, avoid: core.InstanceName
+        self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
     ) -> None:
         """Run a statement that was not run, or may run again."""
 
@@ -56,7 +56,7 @@
         """Pass the instance's answer on."""
 
 
-Ending = Callable[[DeskLike, sessions.Attempt, core.WorkEnded], None]
+Ending = Callable[[Host, sessions.Attempt, core.WorkEnded], None]
 ENDINGS: core.Registry[Ending] = core.Registry('work ending')
 
 
@@ -78,26 +78,26 @@
 
 @ENDINGS.register(core.Ended.ANSWERED)
 def _answered(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     if ended.refusal is None:
-        _succeeded(desk, attempt, ended)
+        _succeeded(host, attempt, ended)
     elif ended.refusal in _NOT_RUN:
-        _not_run(desk, attempt, ended)
+        _not_run(host, attempt, ended)
     else:
-        _ran_and_failed(desk, attempt, ended)
+        _ran_and_failed(host, attempt, ended)
 
 
 def _succeeded(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     session = attempt.session
     transaction = session.transaction
     changed = attempt.commits
     if transaction is not None:
         changed = attempt.commits and transaction.wrote
-    if changed and (attempt.fenced or not desk.authority()):
-        desk.finish(
+    if changed and (attempt.fenced or not host.authority()):
+        host.finish(
             attempt, _Refusal.UNKNOWN, 'authority lapsed before the answer'
         )
         return
@@ -106,86 +106,89 @@
         if known is None or ended.position > known:
             session.wrote_at = ended.position
     if transaction is None or attempt.commits:
-        desk.deliver(attempt, ended, _Block.IDLE)
+        host.deliver(attempt, ended, _Block.IDLE)
         return
     transaction.instance = ended.instance
     transaction.wrote = transaction.wrote or attempt.writes
-    desk.deliver(attempt, ended, _Block.OPEN)
+    host.deliver(attempt, ended, _Block.OPEN)
 
 
 def _not_run(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     if _started(attempt):
         assert ended.refusal is not None
         if ended.refusal is _Refusal.READ_ONLY:
-            desk.report_trouble(ended.instance)
-        desk.finish(
+            host.report_trouble(ended.instance)
+        host.finish(
             attempt, _Refusal.ABORTED, f'refused: {ended.refusal.value}'
         )
         return
     if ended.refusal is _Refusal.READ_ONLY:
-        desk.report_trouble(ended.instance)
-        desk.wait_and_retry(attempt, 'the primary takes no writes')
+        host.report_trouble(ended.instance)
+        host.wait_and_retry(attempt, 'the primary takes no writes')
     elif ended.refusal is _Refusal.BUSY and attempt.at_primary:
-        desk.wait_and_retry(attempt, 'the primary is busy')
+        host.wait_and_retry(attempt, 'the primary is busy')
     else:
-        desk.try_elsewhere(attempt, ended.instance)
+        why = f'refused: {ended.refusal.value}'
+        host.try_elsewhere(attempt, ended.instance, why)
 
 
 def _ran_and_failed(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     if attempt.session.transaction is None:
-        desk.deliver(attempt, ended, _Block.IDLE)
+        host.deliver(attempt, ended, _Block.IDLE)
         return
     if attempt.commits:
-        desk.deliver(attempt, ended, _Block.IDLE)
+        host.deliver(attempt, ended, _Block.IDLE)
         return
-    desk.deliver(attempt, ended, _Block.FAILED)
+    host.deliver(attempt, ended, _Block.FAILED)
 
 
 @ENDINGS.register(core.Ended.NOT_RUN)
 def _begin_refused(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
-    _not_run(desk, attempt, ended)
+    _not_run(host, attempt, ended)
 
 
 @ENDINGS.register(core.Ended.NOT_STARTED)
 def _not_started(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     if attempt.at_primary:
-        desk.wait_and_retry(attempt, 'no connection to the primary')
+        host.wait_and_retry(attempt, 'no connection to the primary')
     else:
-        desk.try_elsewhere(attempt, ended.instance)
+        why = 'no connection to a replica'
+        host.try_elsewhere(attempt, ended.instance, why)
 
 
 @ENDINGS.register(core.Ended.LOST)
 def _lost(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     transaction = attempt.session.transaction
     sent = ended.sent_at is not None
     if _started(attempt):
         assert transaction is not None
         if attempt.commits and transaction.wrote and sent:
-            desk.finish(attempt, _Refusal.UNKNOWN, 'lost in a commit')
+            host.finish(attempt, _Refusal.UNKNOWN, 'lost in a commit')
         else:
-            desk.finish(attempt, _Refusal.ABORTED, 'connection lost')
+            host.finish(attempt, _Refusal.ABORTED, 'connection lost')
         return
     if attempt.commits and transaction is None and sent:
-        desk.finish(attempt, _Refusal.UNKNOWN, 'lost in a write')
+        host.finish(attempt, _Refusal.UNKNOWN, 'lost in a write')
     elif attempt.at_primary:
-        desk.wait_and_retry(attempt, 'connection to the primary lost')
+        host.wait_and_retry(attempt, 'connection to the primary lost')
     else:
-        desk.try_elsewhere(attempt, ended.instance)
+        why = 'connection to a replica lost'
+        host.try_elsewhere(attempt, ended.instance, why)
 
 
 @ENDINGS.register(core.Ended.OVERTIME)
 def _overtime(
-    desk: DeskLike, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     transaction = attempt.session.transaction
     if transaction is None:
@@ -196,4 +199,4 @@
         refusal = _Refusal.UNKNOWN
     else:
         refusal = _Refusal.ABORTED
-    desk.finish(attempt, refusal, 'the statement ran over its time')
+    host.finish(attempt, refusal, 'the statement ran over its time')
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -184,6 +184,7 @@
 
     def _tell_live(self) -> None:
         live = self._live()
+        self.meters.show(core.Metric.LIVE_VMS, len(live) + 1)
         message = core.LivePeers(live, self._crew.concerned(self.now()))
         self.send(names.keeper(self.vm), message)
         self.send(names.watch(self.vm), message)
@@ -252,7 +253,9 @@
     def _note_lapse(self) -> None:
         views = self._views[_LEADS]
         now_on = self._clock.running_on()
-        if self._had_authority and now_on >= views.until():
+        left = views.until() - now_on
+        self.meters.show(core.Metric.AUTHORITY_LEFT, left)
+        if self._had_authority and left <= 0.0:
             self._had_authority = False
             self.log.emit(
                 core.LogEvent.AUTHORITY_LAPSED,
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -125,6 +125,9 @@
     def _fire(self, event: str) -> None:
         before = self.state
         if self._chart.fire(self, event):
+            self.meters.add(
+                core.Metric.PRIMARY_CHANGES, service=self.service, step=event
+            )
             self.log.emit(
                 core.LogEvent.HANDOVER_STEP,
                 service=self.service,
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -90,6 +90,7 @@
             return
         self.config = message.config
         self.log.emit(core.LogEvent.CONFIG_IN_FORCE, version=version)
+        self.meters.show(core.Metric.CONFIG_VERSION, version)
         self.send(names.desk(self.vm), message)
 
     @runtime.handles(core.RegisteredInstances)
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -49,10 +49,10 @@
         vm: core.VmName,
         entry: core.InstanceEntry,
     ) -> None:
-        super().__init__(loop, vm, f'lane/{entry.name}')
+        super().__init__(loop, vm, f'lane/{names.life_of(entry)}')
         self.entry = entry
         self._clock = loop.clock
-        self._link = names.link(vm, entry.name)
+        self._link = names.pool_link(vm, entry)
         self._conns = conns_module.PoolConns()
         self._waiting = decisions.WaitingWork()
         self._share = decisions.ConnShare(1, 1)
@@ -104,10 +104,18 @@
             return
         wanted = len(self._waiting) - self._conns.connecting
         while wanted > 0 and len(self._conns) < self._share.most:
-            conn = self._conns.new(now)
-            self.send(self._link, core.OpenLink(conn.conn_id))
+            self._open(now)
             wanted -= 1
 
+    def _open(self, now: float) -> None:
+        conn = self._conns.new(now)
+        self.send(self._link, core.OpenLink(conn.conn_id))
+        name = self.entry.name
+        self.meters.add(core.Metric.CONNECTIONS_OPENED, instance=name)
+        self.meters.show(
+            core.Metric.CONNECTIONS, len(self._conns), instance=name
+        )
+
     def _run(self, conn: conns_module.PoolConn, work: core.Work) -> None:
         commands = decisions.suit(conn.memory, work)
         if work.begins is None:
@@ -116,6 +124,11 @@
             commands.append(_begin(work))
         self._conns.run(conn, work)
         conn.sent_at = self.now()
+        self.meters.record(
+            core.Metric.QUEUE,
+            conn.sent_at - work.offered_at,
+            instance=self.entry.name,
+        )
         conn.asked_at = self._clock.running_on()
         self._send(conn, commands)
         self._sweep_soon()
@@ -300,6 +313,11 @@
         work = conn.work
         conn.work = None
         self._conns.lost(conn)
+        self.meters.show(
+            core.Metric.CONNECTIONS,
+            len(self._conns),
+            instance=self.entry.name,
+        )
         if work is not None:
             self._end(work, ended, _NO_REPLY, conn.sent_at, conn.asked_at)
 
@@ -371,8 +389,7 @@
             return
         self._missed = True
         self.send(names.watch(self.vm), core.InstanceTrouble(self.entry.name))
-        conn = self._conns.new(now)
-        self.send(self._link, core.OpenLink(conn.conn_id))
+        self._open(now)
 
     def _close_surplus(self, now: float) -> None:
         surplus = len(self._conns) - self._share.kept
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -36,7 +36,8 @@
     """One statement on its way to an answer.
 
     ``arrived`` is on the runtime's clock, ``arrived_on`` on the one that
-    runs on; ``refused`` are instances that did not run it.
+    runs on; ``refused`` are instances that did not run it; ``held_for``
+    says why it waits for an instance.
     """
 
     session: PoolSession
@@ -53,6 +54,7 @@
     tries: int = 0
     offered: bool = False
     fenced: bool = False
+    held_for: str = ''
 
     @property
     def writes(self) -> bool:
@@ -75,6 +77,11 @@
     def route(self, session: PoolSession, message: core.PoolStatement) -> None:
         """Send the statement to an instance."""
 
+    def answered(
+        self, session: PoolSession, answer: core.SessionAnswer
+    ) -> None:
+        """Take what an attempt came to."""
+
     def reply(self, session: PoolSession, answer: core.SessionAnswer) -> None:
         """Send an answer to the session's caller."""
 
--- a/src/chicoryusher/wire/greeting.py
+++ b/src/chicoryusher/wire/greeting.py
@@ -47,7 +47,12 @@
 SERVER_VERSION = '8.4.0-chicoryusher'
 MAX_PACKET_BYTES = 1 << 30
 UTF8MB4 = 45
-TERMINATORS = bytes(64)
+# Bytes of a handshake response before the user's name.
+MAX_SIZE_BYTES = 4
+CHARSET_BYTES = 1
+FILLER_BYTES = 23
+# A length-encoded NULL.
+NULL = b'\xfb'
 _STATUS = types.ServerStatus
 
 
@@ -91,32 +96,73 @@
 def parse_hello(
     payload: bytes, capabilities: types.Capabilities = CALLER_CAPABILITIES
 ) -> CallerHello:
-    """Decode a handshake response; MalformedPacket if it can't be.
-
-    The library reads on for ever where a text is not terminated, so
-    terminators are added behind the payload.
-    """
+    """Decode a handshake response; MalformedPacket if it can't be."""
+    packet = protocol.MysqlPacket(payload, 'utf8')
     try:
-        hello = packets.parse_handshake_response_41(
-            capabilities, payload + TERMINATORS
-        )
-    except (
-        AssertionError,
-        LookupError,
-        TypeError,
-        ValueError,
-        struct.error,
-    ) as exc:
+        return _read_hello(packet, capabilities)
+    except (AssertionError, LookupError, ValueError, struct.error) as exc:
         raise core.MalformedPacket('handshake response') from exc
+
+
+def _read_hello(
+    packet: protocol.MysqlPacket, capabilities: types.Capabilities
+) -> CallerHello:
+    """Read the fields in their order; each read checks its bounds."""
+    flags = _CAP(packet.read_uint32()) & capabilities
+    if _CAP.CLIENT_PROTOCOL_41 not in flags:
+        raise ValueError('protocol 4.1 is required')
+    packet.read(MAX_SIZE_BYTES + CHARSET_BYTES + FILLER_BYTES)
+    user = _read_text(packet)
+    response = _read_response(packet, flags)
+    database, method = '', ''
+    if _CAP.CLIENT_CONNECT_WITH_DB in flags:
+        database = _read_text(packet)
+    if _CAP.CLIENT_PLUGIN_AUTH in flags:
+        method = _read_text(packet)
+    attributes: tuple[tuple[str, str], ...] = ()
+    if _CAP.CLIENT_CONNECT_ATTRS in flags:
+        attributes = _read_attributes(packet)
     return CallerHello(
-        hello.username,
-        hello.auth_response,
-        hello.client_plugin or 'mysql_native_password',
-        hello.database or None,
-        tuple(sorted(hello.connect_attrs.items())),
+        user,
+        response,
+        method or 'mysql_native_password',
+        database or None,
+        attributes,
     )
 
 
+def _read_text(packet: protocol.MysqlPacket) -> str:
+    found = packet.read_string()
+    if found is None:
+        raise ValueError('a text is not terminated')
+    return found.decode()
+
+
+def _read_response(
+    packet: protocol.MysqlPacket, flags: types.Capabilities
+) -> bytes:
+    if _CAP.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA in flags:
+        return packet.read_length_coded_string() or b''
+    if _CAP.CLIENT_SECURE_CONNECTION in flags:
+        return packet.read(packet.read_uint8())
+    return packet.read_string() or b''
+
+
+def _read_attributes(
+    packet: protocol.MysqlPacket,
+) -> tuple[tuple[str, str], ...]:
+    """Read pairs up to the end, which a NULL is put behind."""
+    size = packet.read_length_encoded_integer()
+    if size is None:
+        raise ValueError('attributes without a size')
+    part = protocol.MysqlPacket(packet.read(size) + NULL, 'utf8')
+    found = []
+    while (key := part.read_length_coded_string()) is not None:
+        value = part.read_length_coded_string() or b''
+        found.append((key.decode(), value.decode()))
+    return tuple(sorted(found))
+
+
 def parse_greeting(payload: bytes) -> ServerGreeting:
     """Decode a server's first packet; ProtocolError if it refuses."""
     packet = protocol.MysqlPacket(payload, 'utf8')
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -35,10 +35,10 @@
         instance: group_module.Instance,
         cut: set[tuple[str, str]],
     ) -> None:
-        super().__init__(loop, vm, f'link/{instance.name}')
+        super().__init__(loop, vm, f'link/{names.life_of(instance.entry)}')
         self._instance = instance
         self._cut = cut
-        self._lane = names.lane(vm, instance.name)
+        self._lane = names.pool_lane(vm, instance.entry)
         self._conns: dict[core.ConnId, group_module.Connection] = {}
         self.opened = 0
 
--- a/tests/decisions/test_pool_decisions.py
+++ b/tests/decisions/test_pool_decisions.py
@@ -23,6 +23,7 @@
         start_by,
         1.0,
         0.5,
+        0.0,
     )
 
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -226,8 +226,9 @@
     loop.close()
 
 
-def test_connections_that_start_nothing_are_bounded(loop, task, monkeypatch):
+def test_connections_that_start_nothing_are_bounded(loop, desk, monkeypatch):
     monkeypatch.setattr(front, 'MAX_UNSTARTED', 3)
+    task = front.Front(loop, core.VmName('vm0'), 'b1', (HOST, 0))
     kept = [Client(loop, task) for _ in range(3)]
     stand_ins.run_until(loop, lambda: task.callers == 3)
     over = Client(loop, task)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -70,6 +70,7 @@
         'peer_port': free_port(),
         'store': f'{HOST}:{store.address[1]}',
         'promotions': f'{HOST}:{free_port()}',
+        'metrics': f'{HOST}:{free_port()}',
         'grace_s': 4,
     }
     path = tmp_path / 'settings.json'
--- /dev/null
+++ b/tests/runtime/test_exposition.py
@@ -0,0 +1,61 @@
+"""Metrics as text over HTTP."""
+
+from __future__ import annotations
+
+import threading
+import urllib.error
+import urllib.request
+
+import pytest
+
+from chicoryusher import core
+from chicoryusher import runtime
+from chicoryusher.runtime import exposition
+
+HOST = '127.0.0.1'
+VM = core.VmName('vm1')
+
+
+@pytest.fixture
+def server():
+    meters = exposition.OtelMeters()
+    loop = runtime.Runtime(meters=meters)
+    made = exposition.MetricsServer(loop, VM, (HOST, 0), meters)
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    yield made
+    loop.stop()
+    thread.join(5)
+
+
+def ask(server, path):
+    url = f'http://{HOST}:{server.address[1]}{path}'
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        return answer.read().decode()
+
+
+def test_counters_histograms_and_gauges_are_served_as_text(server):
+    meters = server.meters
+    meters.record(
+        core.Metric.STATEMENT,
+        0.3,
+        access='primary',
+        outcome='done',
+        role='primary',
+    )
+    meters.add(core.Metric.RETRIES, why='the primary is busy')
+    meters.add(core.Metric.RETRIES, why='the primary is busy')
+    meters.show(core.Metric.SESSIONS, 3)
+    meters.watch(core.Metric.LOG_DROPPED, lambda: 7.0)
+    text = ask(server, '/metrics')
+    assert 'chicoryusher_statement_seconds_count{' in text
+    assert 'le="0.4",outcome="done",role="primary"} 1.0' in text
+    assert 'chicoryusher_retries_total{why="the primary is busy"} 2.0' in text
+    assert 'chicoryusher_sessions 3.0' in text
+    assert 'chicoryusher_log_dropped 7.0' in text
+
+
+def test_another_path_is_not_found(server):
+    with pytest.raises(urllib.error.HTTPError) as caught:
+        ask(server, '/nothing')
+    assert caught.value.code == 404
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -306,3 +306,17 @@
             for vm in site.vms:
                 assert vm.keeper.config.version == config.version
     site.close()
+
+
+def test_the_links_of_an_instances_past_life_end(site):
+    """An instance may come back under its name before it is missed."""
+    caller = site.vms[0].caller(PRIMARY)
+    assert ask(site, caller, write()).refusal is None
+    past = tuple(site.vms[0].links.values())
+    for one in site.group.instances.values():
+        one.entry = dataclasses.replace(one.entry, boot=one.entry.boot + 1)
+    site.register()
+    site.run(2.0)
+    assert all(one.root is not site.loop for one in past)
+    for _ in range(3):
+        assert ask(site, caller, write()).refusal is None
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -21,3 +21,9 @@
         for one in core.LogEvent
     ]
     assert sorted(listed) == sorted(wanted)
+
+
+def test_every_metric_is_in_the_metrics_page():
+    page = (ROOT / 'docs' / 'metrics.md').read_text(encoding='utf-8')
+    listed = re.findall(r'^\| (chicoryusher\.\w+) \|', page, re.MULTILINE)
+    assert listed == [one.full_name for one in core.Metric]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import threading
 
@@ -11,6 +12,7 @@
 
 import conftest
 from chicoryusher import core
+from chicoryusher import wire
 from chicoryusher_standins import faults
 from chicoryusher_standins import world as world_module
 
@@ -210,6 +212,31 @@
         return b''
 
 
+def _bad_handshakes(count):
+    """Return framed handshake responses that are random or cut off."""
+    dice = random.Random(13)
+    start = int(wire.CALLER_CAPABILITIES).to_bytes(4, 'little') + bytes(28)
+    for _ in range(count):
+        payload = dice.choice([b'', start, start + b'clerk\0'])
+        payload += dice.randbytes(dice.randrange(200))
+        data = wire.frame(payload, 1)
+        yield data[: dice.randrange(1, len(data) + 1)]
+
+
+def test_malformed_connections_cost_a_good_caller_nothing(own_site):
+    conn = own_site.connect('vm1')
+    daemon = own_site.world.daemons['vm1']
+    for number, data in enumerate(_bad_handshakes(1300)):
+        for address in (daemon.frontend.address, daemon.admin.address):
+            with socket.create_connection(address, timeout=10) as sock:
+                if address == daemon.frontend.address:
+                    sock.recv(4096)
+                sock.sendall(data)
+        if number % 50 == 0:
+            assert _rows(conn, 'SELECT 1') == ((1,),)
+    assert _rows(own_site.connect('vm1'), 'SELECT 1') == ((1,),)
+
+
 def test_primary_killed_fails_over_without_an_order(own_site):
     conn = _table(own_site, 'lots')
     _rows(conn, "INSERT INTO lots VALUES (0, 'before')")
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -55,6 +55,43 @@
         return
 
 
+def hello_start():
+    capabilities = int(wire.CALLER_CAPABILITIES).to_bytes(4, 'little')
+    return capabilities + bytes(4) + b'-' + bytes(23)
+
+
+@pytest.mark.parametrize(
+    'rest',
+    [
+        b'clerk\0\xff' + b'r' * 20,
+        b'clerk\0\xfd\xff\xff\xff',
+        b'clerk\0\xfe' + b'\xff' * 8,
+        b'clerk\0\x00stock\0method\0\xff',
+        b'clerk\0\x00stock\0method\0\xfa\x03key',
+    ],
+)
+def test_a_handshake_whose_lengths_go_beyond_it_is_refused(rest):
+    with pytest.raises(core.MalformedPacket):
+        wire.parse_hello(hello_start() + rest)
+
+
+@SETTINGS
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_end_of_a_handshake_is_decoded_or_a_typed_error(rest):
+    try:
+        wire.parse_hello(hello_start() + rest)
+    except core.MalformedPacket:
+        return
+
+
+def test_a_drivers_handshake_is_decoded():
+    rest = b'clerk\0\x03abcstock\0caching_sha2_password\0\x08\x03key\x03val'
+    hello = wire.parse_hello(hello_start() + rest)
+    assert (hello.user, hello.response) == ('clerk', b'abc')
+    assert (hello.database, hello.method) == ('stock', 'caching_sha2_password')
+    assert hello.attributes == (('key', 'val'),)
+
+
 @pytest.mark.parametrize('name', sorted(wire.METHODS))
 def test_passwords_are_verified_by_every_method(name):
     nonce = wire.new_nonce()
--- a/tools/make_docs.py
+++ b/tools/make_docs.py
@@ -25,6 +25,25 @@
     return '\n'.join(lines) + '\n'
 
 
+def _metrics() -> str:
+    lines = [
+        '# Metrics',
+        '',
+        'Served as text at `/metrics` on the metrics address of an entry',
+        'process. Written by `make docs` from `core/metrics.py`.',
+        '',
+        '| name | kind | unit | labels | meaning |',
+        '| --- | --- | --- | --- | --- |',
+    ]
+    for one in core.Metric:
+        labels = ', '.join(one.labels)
+        lines.append(
+            f'| {one.full_name} | {one.kind.value} | {one.unit} | {labels} '
+            f'| {one.meaning} |'
+        )
+    return '\n'.join(lines) + '\n'
+
+
 def _charts() -> str:
     parts = [
         '# State charts\n\nWritten by `make docs` from `charts/*.json`.\n'
@@ -38,6 +57,7 @@
 def main() -> None:
     """Write every generated page."""
     (DOCS / 'events.md').write_text(_events(), encoding='utf-8')
+    (DOCS / 'metrics.md').write_text(_metrics(), encoding='utf-8')
     design = DOCS / 'design'
     (design / 'charts.md').write_text(_charts(), encoding='utf-8')
 
