--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -20,6 +20,7 @@
     'LinkEnd',
     'MoveReason',
     'Nearness',
+    'NodeLife',
     'Op',
     'Outcome',
     'PoolSessionState',
@@ -260,6 +261,17 @@
     CLOSED = 'closed'
 
 
+class NodeLife(enum.Enum):
+    """Where an entry VM stands, as its row says.
+
+    One that has left is not waited for by changes of primaries.
+    """
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+    LEFT = 'left'
+
+
 class LeadRowState(enum.Enum):
     """Whether a group's primary may be used."""
 
--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/stewardship.py
@@ -27,6 +27,7 @@
     'InstanceStatus',
     'InstanceTrouble',
     'KnowsEnough',
+    'Leave',
     'LeadRow',
     'LeadsInStore',
     'LivePeers',
@@ -155,7 +156,8 @@
 class NodeRow:
     """An entry VM as it registers itself for its peers.
 
-    ``missing`` is set by a peer that has not heard it for long.
+    ``missing`` is set by a peer that has not heard it for long;
+    ``revision`` is the store's version of the row, 0 for one to write.
     """
 
     vm: ids.VmName
@@ -163,8 +165,14 @@
     port: int
     zone: ids.ZoneName
     boot: str
-    left: bool = False
+    life: enums.NodeLife = enums.NodeLife.SERVING
     missing: bool = False
+    revision: int = dataclasses.field(default=0, compare=False)
+
+    @property
+    def is_callable(self) -> bool:
+        """Tell whether the VM is worth a call."""
+        return self.life is not enums.NodeLife.LEFT and not self.missing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -248,9 +256,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteNode(messages.Message):
-    """Register this VM, or say that it has left."""
+    """Write an entry VM's row.
+
+    With ``expected`` only while that is the row's revision.
+    """
 
     row: NodeRow
+    expected: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave(messages.Message):
+    """This VM stops now: it uses no primary any more."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/tasks/pool/crew.py
+++ b/src/chicoryusher/tasks/pool/crew.py
@@ -38,18 +38,15 @@
 
     def callable(self) -> tuple[core.NodeRow, ...]:
         """Return the VMs that are worth a call."""
-        return tuple(
-            one
-            for one in self._rows.values()
-            if not one.left and not one.missing
-        )
+        return tuple(one for one in self._rows.values() if one.is_callable)
 
     def concerned(self, now: float) -> tuple[core.VmName, ...]:
         """Return the VMs that may use a primary, or change one."""
         return tuple(
             vm
             for vm, row in self._rows.items()
-            if not row.left and not self._settled(row, now)
+            if row.life is not core.NodeLife.LEFT
+            and not self._settled(row, now)
         )
 
     def _settled(self, row: core.NodeRow, now: float) -> bool:
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -64,6 +64,8 @@
         self._feeds = feeds
         self._following = True
         self._registered = False
+        self._own_in_store: core.NodeRow | None = None
+        self._gone = False
         self._changing = False
         self._crew = crew.Crew(vm)
         self._views = {kind: decisions.Views() for kind in core.StoreView}
@@ -117,11 +119,28 @@
             for one in self._crew.callable()
         )
         self.send(names.peers(self.vm), core.PeerAddresses(peers))
-        self._registered = self._own in message.rows
-        if not self._registered:
-            self.send(names.rows(self.vm), core.WriteNode(self._own))
+        self._take_own(message.rows)
         self._tell_live()
 
+    def _take_own(self, rows: tuple[core.NodeRow, ...]) -> None:
+        """Look at this VM's row; write it if it is not as it should be.
+
+        A row of an earlier life counts too while that served: a change of
+        primary waits for whoever answers at the row's address.
+        """
+        row = next((one for one in rows if one.vm == self._own.vm), None)
+        self._own_in_store = row
+        self._registered = row is not None and self._is_waited_for(row)
+        if row != self._own and not self._gone:
+            self.send(names.rows(self.vm), core.WriteNode(self._own))
+
+    def _is_waited_for(self, row: core.NodeRow) -> bool:
+        if row == self._own:
+            return True
+        serving = row.life is core.NodeLife.SERVING and not row.missing
+        address = (self._own.host, self._own.port)
+        return serving and (row.host, row.port) == address
+
     @runtime.handles(core.LeadsInStore)
     def _on_leads(self, message: core.LeadsInStore) -> None:
         newer = tuple(one for one in message.rows if self._leads.take(one))
@@ -152,6 +171,8 @@
             self.send(names.keeper(self.vm), core.StoreSeen(kind, seen_at))
 
     def _tell_authority(self) -> None:
+        if self._gone:
+            return
         until = self._views[_LEADS].until()
         self.send(names.desk(self.vm), core.Authority(until))
         valid = self._clock.running_on() < until
@@ -228,13 +249,16 @@
 
     def _mark_missing(self) -> None:
         """Say in the store that a VM has been silent for long."""
-        if self._own.left:
+        if self._own.life is not core.NodeLife.SERVING:
             return
         for row in self._crew.silent(self._heard, self.now()):
             if decisions.rank_of(self.vm, self._live(), _MARKING) == 0:
                 self.log.emit(core.LogEvent.VM_STATE, peer=row.vm)
                 missing = dataclasses.replace(row, missing=True)
-                self.send(names.rows(self.vm), core.WriteNode(missing))
+                self.send(
+                    names.rows(self.vm),
+                    core.WriteNode(missing, row.revision),
+                )
 
     def _choose_followers(self) -> None:
         """Follow the store if it is this VM's turn, or others fail."""
@@ -268,7 +292,7 @@
         pong = core.Pong(
             self.vm,
             ping.number,
-            _LEADS in self._held and not self._changing,
+            _LEADS in self._held and not self._changing and not self._gone,
             tuple(
                 core.PeerView(kind, one.age(now_on), one.revision)
                 for kind, one in self._views.items()
@@ -341,4 +365,24 @@
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
         """Say that this VM leaves; a change under way goes on."""
-        self._own = dataclasses.replace(self._own, left=True)
+        life = core.NodeLife.LEAVING
+        self._own = dataclasses.replace(self._own, life=life)
+        self.send(names.rows(self.vm), core.WriteNode(self._own))
+
+    @runtime.handles(core.Leave)
+    def _on_leave(self, message: core.Leave) -> None:
+        """Use no primary any more, and say that nobody waits for this VM.
+
+        That is written only over the row that says that it leaves.  The
+        next life of this VM does not count on such a row, so a write that
+        comes late can't take a row away that it counts on.
+        """
+        self._gone = True
+        self._registered = False
+        self.send(names.desk(self.vm), core.Authority(float('-inf')))
+        row = self._own_in_store
+        if row != self._own:
+            return
+        left = dataclasses.replace(self._own, life=core.NodeLife.LEFT)
+        assert row is not None
+        self.send(names.rows(self.vm), core.WriteNode(left, row.revision))
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -258,7 +258,7 @@
         new = {
             one.vm
             for one in message.rows
-            if not one.left and not one.missing and one.vm not in known
+            if one.is_callable and one.vm not in known
         }
         self._want = dataclasses.replace(
             self._want, vms=(*self._want.vms, *sorted(new))
--- a/src/chicoryusher_standins/pool/store.py
+++ b/src/chicoryusher_standins/pool/store.py
@@ -108,9 +108,15 @@
 
     @runtime.handles(core.WriteNode)
     def _on_node(self, message: core.WriteNode) -> None:
-        if self._store.serves(self.vm):
-            self._store.nodes[message.row.vm] = message.row
-            self._store.version += 1
+        if not self._store.serves(self.vm):
+            return
+        known = self._store.nodes.get(message.row.vm)
+        if message.expected not in (None, known and known.revision):
+            return
+        self._store.version += 1
+        self._store.nodes[message.row.vm] = dataclasses.replace(
+            message.row, revision=self._store.version
+        )
 
     @runtime.handles(core.ReadNodes)
     def _on_read(self, message: core.ReadNodes) -> None:
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -60,29 +60,33 @@
         self._waits = {}
         self._number = 0
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, parts=('',)):
         self.version += 1
-        self._put(table, key, value)
+        for part in parts:
+            self._put(table, key, value, part)
         self.wake()
 
-    def _put(self, table, key, value):
-        self.rows[table, key] = {
+    def _put(self, table, key, value, part=''):
+        self.rows[table, part, key] = {
             'table': table,
-            'part': '',
+            'part': part,
             'key': key,
             'value': value,
             'rowVersion': self.version,
         }
 
-    def drop(self, table, key):
+    def drop(self, table, key, part=''):
         self.version += 1
-        row = self.rows.pop((table, key))
+        row = self.rows.pop((table, part, key))
         gone = {**row, 'deleted': True, 'rowVersion': self.version}
-        self.deleted[table, key] = gone
+        self.deleted[table, part, key] = gone
         self.wake()
 
     def answer(self, conn, path, args, body):
-        if args.get('table') in self.shut or 'all' in self.shut:
+        parts = {args.get('part', '')} if path == '/api/rows-get' else set()
+        if path == '/api/rows-tx':
+            parts = {one['part'] for one in json.loads(body)['puts']}
+        if parts & self.shut or 'all' in self.shut:
             conn.reply(503, {})
         elif path == '/api/rows-get':
             self._get(conn, args)
@@ -94,8 +98,9 @@
     def _get(self, conn, args):
         rows = [
             row
-            for (table, key), row in sorted(self.rows.items())
-            if table == args['table'] and key >= args.get('from', '')
+            for (table, part, key), row in sorted(self.rows.items())
+            if (table, part) == (args['table'], args.get('part', ''))
+            and key >= args.get('from', '')
         ]
         more = len(rows) > self.page
         conn.reply(
@@ -111,7 +116,7 @@
         found = [
             row
             for source in (self.rows, self.deleted)
-            for (name, _), row in source.items()
+            for (name, _, _), row in source.items()
             if name == table and row['rowVersion'] > after
         ]
         return sorted(found, key=lambda row: row['rowVersion'])
@@ -147,7 +152,7 @@
         current = []
         met = True
         for one in body['expectedRevision']:
-            row = self.rows.get((one['table'], one['key']))
+            row = self.rows.get((one['table'], one['part'], one['key']))
             if row is not None:
                 current.append(row)
             if (row or {'rowVersion': 0})['rowVersion'] != one['rowVersion']:
@@ -155,7 +160,8 @@
         if met:
             self.version += 1
             for one in body['puts']:
-                self._put(one['table'], one['key'], one['value'])
+                place = (one['table'], one['key'], one['value'])
+                self._put(*place, one['part'])
             self.wake()
         if self.lose_writes:
             self.lose_writes -= 1
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -71,6 +71,7 @@
         'store': f'{HOST}:{store.address[1]}',
         'promotions': f'{HOST}:{free_port()}',
         'metrics': f'{HOST}:{free_port()}',
+        'spread': True,
         'grace_s': 4,
     }
     path = tmp_path / 'settings.json'
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import json
 
 import pytest
@@ -10,10 +11,12 @@
 from chicoryusher import runtime
 from fleet import duty
 from fleet import entries
+from fleet import rows
 from fleet import store
 
 VM = core.VmName('vm0')
 SERVICE = core.ServiceName('spoonbook')
+PARTS = entries.OWN_PARTS
 ROW = core.LeadRow(
     SERVICE, 0, core.LeadRowState.CLOSING, core.InstanceName('i-1'), VM
 )
@@ -50,8 +53,8 @@
     return stand_ins.Inbox(loop, 'vm0', 'exchange')
 
 
-def feed(loop, server, table, wait=0.1, copy=None):
-    chosen = store.FeedSettings(table, wait, copy)
+def feed(loop, server, table, wait=0.1, parts=entries.ONE_PART):
+    chosen = store.FeedSettings(table, wait, parts)
     return store.Feed(loop, VM, server.address, chosen)
 
 
@@ -101,23 +104,69 @@
     stand_ins.run_until(loop, lambda: instances(keeper) == ['i-5'])
 
 
-def test_the_copy_shows_all_while_the_first_table_is_lost(
-    loop, server, keeper
+@pytest.mark.parametrize('left', PARTS)
+def test_any_part_shows_all_while_the_others_are_lost(
+    loop, server, keeper, left
 ):
-    rows = store.Rows(loop, VM, server.address)
-    loop.post(rows.task_name, core.WriteLead(ROW, 0, keeper.task_name))
+    task = rows.Rows(loop, VM, server.address, PARTS)
+    loop.post(task.task_name, core.WriteLead(ROW, 0, keeper.task_name))
     stand_ins.run_until(loop, lambda: keeper.of(core.RowWritten))
-    server.shut.add(entries.OWN_TABLE)
-    feed(loop, server, entries.OWN_TABLE, copy=entries.OWN_COPY)
+    server.shut = {one for one in PARTS if one != left}
+    feed(loop, server, entries.OWN_TABLE, parts=PARTS)
     stand_ins.run_until(loop, lambda: keeper.of(core.LeadsInStore))
     found = keeper.of(core.LeadsInStore)[0].rows
     assert [one.service for one in found] == [SERVICE]
     stand_ins.run_until(loop, lambda: keeper.of(core.StoreSeen))
 
 
+def test_a_change_is_seen_once_though_every_part_shows_it(
+    loop, server, keeper
+):
+    feed(loop, server, entries.OWN_TABLE, parts=PARTS)
+    stand_ins.run_until(loop, lambda: keeper.of(core.NodesInStore))
+    value = base64.b64encode(entries.encode_lead(ROW)).decode()
+    key = entries.lead_key(SERVICE)
+    server.put(entries.OWN_TABLE, key, value, PARTS)
+    stand_ins.run_until(loop, lambda: keeper.of(core.LeadsInStore)[-1].rows)
+    assert len(keeper.of(core.LeadsInStore)[-1].rows) == 1
+
+
+def test_a_write_is_done_in_every_part_or_in_none(loop, server, keeper):
+    server.shut = {PARTS[1]}
+    assert written(loop, server, keeper) is None
+    assert server.rows == {}
+
+
+def test_a_newer_row_of_a_vm_is_not_overwritten_by_a_repeated_older_one(
+    loop, server, keeper
+):
+    task = rows.Rows(loop, VM, server.address, PARTS)
+    zone = core.ZoneName('akhmim-yard')
+    row = core.NodeRow(VM, '10.0.0.1', 7440, zone, 'b1')
+    leaving = dataclasses.replace(row, life=core.NodeLife.LEAVING)
+    server.shut = {'all'}
+    loop.post(task.task_name, core.WriteNode(row))
+    stand_ins.run_until(loop, lambda: server.calls)
+    loop.post(task.task_name, core.WriteNode(leaving))
+    stand_ins.run_until(loop, lambda: len(server.calls) > 1)
+    server.shut = set()
+    key = entries.node_key(VM)
+    stand_ins.run_until(
+        loop,
+        lambda: (
+            {place for place in server.rows}
+            == {(entries.OWN_TABLE, part, key) for part in PARTS}
+        ),
+    )
+    value = base64.b64encode(entries.encode_node(leaving)).decode()
+    assert {one['value'] for one in server.rows.values()} == {value}
+    writes = [one for one in server.calls if one[0] == '/api/rows-tx']
+    assert len(writes) == 3
+
+
 def written(loop, server, keeper, expected=0, row=ROW):
-    rows = store.Rows(loop, VM, server.address)
-    loop.post(rows.task_name, core.WriteLead(row, expected, keeper.task_name))
+    task = rows.Rows(loop, VM, server.address, PARTS)
+    loop.post(task.task_name, core.WriteLead(row, expected, keeper.task_name))
     stand_ins.run_until(loop, lambda: keeper.of(core.RowWritten))
     return keeper.of(core.RowWritten)[0].row
 
@@ -137,7 +186,8 @@
         core.VmName('vm9'),
     )
     value = base64.b64encode(entries.encode_lead(other)).decode()
-    server.put(entries.OWN_TABLE, entries.lead_key(SERVICE), value)
+    key = entries.lead_key(SERVICE)
+    server.put(entries.OWN_TABLE, key, value, PARTS)
     row = written(loop, server, keeper)
     assert row.holder == 'vm9'
     assert row.revision == server.version
