--- a/src/chicoryusher_standins/model/check.py
+++ b/src/chicoryusher_standins/model/check.py
@@ -10,6 +10,7 @@
 import minicheck
 
 from chicoryusher_standins.model import authority
+from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import terms
 from chicoryusher_standins.model import work
 
@@ -67,6 +68,10 @@
         ('authority, 3 writes of a row', authority.authority()),
         ('holders, 3 writes of a row', authority.holders()),
         ('authority, 4 writes of a row', authority.authority(max_revision=4)),
+        (
+            'registration, 3 lives, 6 writes',
+            registration.registration(lives=3, revisions=6),
+        ),
         ('gate', work.gate()),
         ('ledger', work.ledger()),
     )
--- a/src/chicoryusher_standins/pool/store.py
+++ b/src/chicoryusher_standins/pool/store.py
@@ -17,7 +17,10 @@
 
 
 class Store:
-    """Lead rows and entry VMs; ``shut`` names VMs that it turns away."""
+    """Lead rows and entry VMs; ``shut`` names VMs that it turns away.
+
+    While it is ``read_only`` it takes no rows of entry VMs.
+    """
 
     def __init__(self) -> None:
         self.version = 0
@@ -25,6 +28,7 @@
         self.nodes: dict[core.VmName, core.NodeRow] = {}
         self.shut: set[core.VmName] = set()
         self.down = False
+        self.read_only = False
         self.lose_answers = False
         self.config: core.PoolConfig | None = None
 
@@ -62,6 +66,13 @@
     tries: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NodeAgain(core.Message):
+    """Time to repeat the write of an entry VM's row."""
+
+    write: core.WriteNode
+
+
 class SimRows(runtime.Task):
     """One VM's client of the store, feeds included."""
 
@@ -77,6 +88,7 @@
         self._store = store
         self._entries = entries
         self._follows = True
+        self._newest: dict[core.VmName, core.WriteNode] = {}
         self.after(TRIP, _Poll())
 
     @runtime.handles(_Poll)
@@ -108,7 +120,17 @@
 
     @runtime.handles(core.WriteNode)
     def _on_node(self, message: core.WriteNode) -> None:
-        if not self._store.serves(self.vm):
+        self._newest[message.row.vm] = message
+        self._write_node(message)
+
+    @runtime.handles(_NodeAgain)
+    def _on_node_again(self, again: _NodeAgain) -> None:
+        if self._newest[again.write.row.vm] is again.write:
+            self._write_node(again.write)
+
+    def _write_node(self, message: core.WriteNode) -> None:
+        if not self._store.serves(self.vm) or self._store.read_only:
+            self.after(WRITE_RETRY, _NodeAgain(message))
             return
         known = self._store.nodes.get(message.row.vm)
         if message.expected not in (None, known and known.revision):
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -8,6 +8,7 @@
 from chicoryusher import charts
 from chicoryusher_standins.model import authority
 from chicoryusher_standins.model import check
+from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import terms
 from chicoryusher_standins.model import work
 
@@ -27,6 +28,10 @@
         (name, authority.holders(rules, REVISIONS))
         for name, rules in authority.HOLDER_MUTANTS.items()
     ),
+    *(
+        (name, registration.registration(rules))
+        for name, rules in registration.MUTANTS.items()
+    ),
     *(
         (name, terms.protocol(rules, terms.terms_for(name), 1))
         for name, rules in terms.MUTANTS.items()
@@ -47,6 +52,7 @@
         work.ledger(),
         authority.authority(max_revision=REVISIONS),
         authority.holders(max_revision=REVISIONS),
+        registration.registration(),
     ],
     ids=lambda one: one.name,
 )
@@ -75,6 +81,7 @@
         work.ledger(),
         authority.authority(max_revision=REVISIONS),
         authority.holders(max_revision=REVISIONS),
+        registration.registration(),
     ],
     ids=lambda one: one.name,
 )
--- a/tests/tasks/test_pool_failover.py
+++ b/tests/tasks/test_pool_failover.py
@@ -9,6 +9,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
+from chicoryusher.tasks import names
 from chicoryusher_standins import pool
 
 Verb = core.Verb
@@ -309,3 +310,81 @@
     site.group.primary().crashed = True
     load(site, 3.0)
     assert site.group.primary().name == names[2]
+
+
+# -- rows of entry VMs: who is waited for by a change of primary ----------
+
+
+def drain(site, vm):
+    for task in (names.keeper(vm.vm), names.exchange(vm.vm)):
+        site.loop.post(task, core.Drain(6.0))
+
+
+def test_a_leaving_vm_is_waited_for_until_it_uses_no_primary(site):
+    """It may still use the old primary for as long as its grace lasts."""
+    leaving = site.vms[0]
+    drain(site, leaving)
+    site.run(1.0)
+    site.vms.append(pool.Vm(site, 'vm7', 'akhmim-yard'))
+    site.run(1.0)
+    row = site.store.nodes[leaving.vm]
+    assert row.life is core.NodeLife.LEAVING
+    assert leaving.desk.authority()
+    site.isolate(leaving)
+    old = site.group.primary()
+    old.dark = True
+    while not site.tokens:
+        load(site, 0.1, site.vms[1:])
+    assert not leaving.desk.authority()
+
+
+def test_a_vm_that_has_left_is_not_waited_for_and_uses_nothing(site):
+    gone = site.vms[0]
+    drain(site, gone)
+    site.run(1.0)
+    site.loop.post(names.exchange(gone.vm), core.Leave())
+    site.run(1.0)
+    assert site.store.nodes[gone.vm].life is core.NodeLife.LEFT
+    assert not gone.desk.authority()
+
+
+def test_a_vm_leaves_no_mark_over_a_row_that_is_not_its_last(site):
+    """The next life may count on that row already."""
+    gone = site.vms[0]
+    site.store.read_only = True
+    drain(site, gone)
+    site.run(1.0)
+    site.store.read_only = False
+    site.loop.post(names.exchange(gone.vm), core.Leave())
+    site.run(1.0)
+    assert site.store.nodes[gone.vm].life is not core.NodeLife.LEFT
+    assert not gone.desk.authority()
+
+
+@pytest.mark.parametrize(
+    ('changes', 'counts'),
+    [
+        ({}, True),
+        ({'life': core.NodeLife.LEAVING}, False),
+        ({'life': core.NodeLife.LEFT}, False),
+        ({'missing': True}, False),
+        ({'host': '10.9.9.9'}, False),
+    ],
+)
+def test_a_restart_counts_on_the_row_of_its_past_life_if_that_served(
+    site, changes, counts
+):
+    """The store may show rows and take none, as after a loss of power."""
+    past = dataclasses.replace(
+        site.vms[0].row, vm=core.VmName('vm9'), boot='b0', **changes
+    )
+    site.store.nodes[past.vm] = past
+    site.store.version += 1
+    site.store.read_only = True
+    again = pool.Vm(site, 'vm9', 'akhmim-yard')
+    site.run(2.0)
+    assert again.desk.authority() is counts
+    site.store.read_only = False
+    site.run(2.0)
+    assert again.desk.authority()
+    assert site.store.nodes[past.vm] == again.row
