--- a/src/chicoryusher/charts/model.py
+++ b/src/chicoryusher/charts/model.py
@@ -4,15 +4,15 @@
 
 import dataclasses
 import enum
-import importlib.resources
 import json
+import pathlib
 import typing
 
 from chicoryusher import core
 
 __all__ = ['Chart', 'Transition', 'chart_names', 'parse', 'read']
 
-_FOLDER = importlib.resources.files('chicoryusher.charts')
+_FOLDER = pathlib.Path(__file__).parent
 _SCHEMA = json.loads(
     _FOLDER.joinpath('schema.json').read_text(encoding='utf-8')
 )
--- a/src/chicoryusher/tasks/__init__.py
+++ b/src/chicoryusher/tasks/__init__.py
@@ -1,32 +1,44 @@
-"""Tasks: circuits components that decide by messages."""
+"""Tasks: circuits components that decide by messages.
+
+A name is imported from its module when it is first asked for: entry
+processes use the pooled tasks only, and start sooner without the others.
+"""
 
 from __future__ import annotations
 
-from chicoryusher.tasks import configurator
-from chicoryusher.tasks import gate
-from chicoryusher.tasks import gate_actions  # noqa: F401 - fills a registry
-from chicoryusher.tasks import group
-from chicoryusher.tasks import group_actions  # noqa: F401 - fills a registry
-from chicoryusher.tasks import membership
+import importlib
+from typing import Any
+
 from chicoryusher.tasks import names
-from chicoryusher.tasks import node
-from chicoryusher.tasks import notices
-from chicoryusher.tasks import router
-from chicoryusher.tasks.configurator import *  # noqa: F403
-from chicoryusher.tasks.gate import *  # noqa: F403
-from chicoryusher.tasks.group import *  # noqa: F403
-from chicoryusher.tasks.membership import *  # noqa: F403
-from chicoryusher.tasks.node import *  # noqa: F403
-from chicoryusher.tasks.notices import *  # noqa: F403
-from chicoryusher.tasks.router import *  # noqa: F403
-
-__all__ = [
-    *configurator.__all__,
-    *gate.__all__,
-    *group.__all__,
-    *membership.__all__,
-    *node.__all__,
-    *notices.__all__,
-    *router.__all__,
-    'names',
-]
+
+_HOMES = {
+    'ApplyDocument': 'configurator',
+    'ApplyResult': 'configurator',
+    'Ask': 'notices',
+    'AssignGate': 'notices',
+    'CONFIG_KEY': 'configurator',
+    'ConfigInForce': 'notices',
+    'Configurator': 'configurator',
+    'Edges': 'node',
+    'Gate': 'gate',
+    'Group': 'group',
+    'MembershipTask': 'membership',
+    'Node': 'node',
+    'Router': 'router',
+    'RouterSettings': 'router',
+    'Told': 'notices',
+    'Undelivered': 'notices',
+    'WatchGroup': 'notices',
+    'audit_key': 'configurator',
+}
+
+__all__ = [*_HOMES, 'names']
+
+
+def __getattr__(name: str) -> Any:
+    """Return a re-exported name; AttributeError for any other."""
+    home = _HOMES.get(name)
+    if home is None:
+        raise AttributeError(f'{__name__} has no {name!r}')
+    module = importlib.import_module(f'{__name__}.{home}')
+    return getattr(module, name)
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -13,7 +13,9 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import configurator
 from chicoryusher.tasks import gate
+from chicoryusher.tasks import gate_actions  # noqa: F401 - fills a registry
 from chicoryusher.tasks import group
+from chicoryusher.tasks import group_actions  # noqa: F401 - fills a registry
 from chicoryusher.tasks import membership
 from chicoryusher.tasks import names
 from chicoryusher.tasks import notices
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -97,6 +97,15 @@
         return False
 
 
+def metrics(path):
+    address = json.loads(path.read_text())['metrics']
+    try:
+        url = f'http://{address}/metrics'
+        return urllib.request.urlopen(url, timeout=5).read().decode()
+    except OSError:
+        return ''
+
+
 def wait_until(condition, tries=600):
     for _ in range(tries):
         if condition():
@@ -115,6 +124,9 @@
             sock.settimeout(5)
             sock.sendall(b'START stock u1\r\n')
             assert sock.recv(100) == b'READY I -\r\n'
+            wait_until(
+                lambda: 'chicoryusher_sessions 1.0' in metrics(settings)
+            )
             process.send_signal(signal.SIGTERM)
             wait_until(lambda: not is_ready(settings))
             assert sock.recv(100) == b''
