--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -4,6 +4,7 @@
 
 from chicoryusher.decisions import admission
 from chicoryusher.decisions import authority
+from chicoryusher.decisions import claiming
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import directory
 from chicoryusher.decisions import evidence
@@ -27,6 +28,7 @@
 from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.authority import *  # noqa: F403
+from chicoryusher.decisions.claiming import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.directory import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
@@ -75,6 +77,7 @@
     *register.__all__,
     *retry.__all__,
     *authority.__all__,
+    *claiming.__all__,
     *newcomers.__all__,
     *observing.__all__,
     *reading.__all__,
--- a/src/chicoryusher/decisions/suiting.py
+++ b/src/chicoryusher/decisions/suiting.py
@@ -6,7 +6,7 @@
 
 from chicoryusher import core
 
-__all__ = ['ConnMemory', 'fits', 'suit']
+__all__ = ['ConnMemory', 'begin_command', 'fits', 'may_repeat', 'suit']
 
 # Prepared statements that a connection keeps before all are dropped.
 MAX_PREPARED = 256
@@ -57,3 +57,23 @@
         memory.prepared[shape] = name
         commands.append(core.Command(core.Op.PREPARE, name=name, shape=shape))
     return commands
+
+
+def begin_command(work: core.Work) -> core.Command:
+    """Return the command that begins the work's transaction."""
+    if work.begins is core.Begins.READ_ONLY:
+        return core.Command(core.Op.BEGIN_READ_ONLY, after=work.after)
+    return core.Command(core.Op.BEGIN, after=work.after)
+
+
+def may_repeat(work: core.Work) -> bool:
+    """Tell whether the work may run again elsewhere, whatever it did.
+
+    A read changes nothing, and what a begun transaction did is rolled
+    back with its connection.
+    """
+    if work.transaction is not None:
+        return work.begins is not None
+    if work.shape is not None:
+        return work.shape.kind is core.ShapeKind.READ
+    return work.statement.verb is core.Verb.READ
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -9,6 +9,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import attempt_notes
 from chicoryusher.tasks.pool import endings
 from chicoryusher.tasks.pool import groups as groups_module
 from chicoryusher.tasks.pool import roster as roster_module
@@ -30,7 +31,6 @@
 # Seconds that a statement must have left to be sent at all.
 MIN_LIMIT = 0.05
 _Block = core.BlockState
-_Event = core.LogEvent
 _Metric = core.Metric
 
 
@@ -58,6 +58,7 @@
         self._roster = roster
         self._clock = clock
         self._numbers = itertools.count(1)
+        self._notes = attempt_notes.AttemptNotes(desk)
         self._running: dict[core.WorkId, sessions.Attempt] = {}
         self.until = float('-inf')
 
@@ -181,7 +182,7 @@
         one = self._instance(attempt)
         if one is not None:
             one.outstanding += 1
-        self._note_sent(attempt, after)
+        self._notes.sent(attempt, after, self._authority_left())
         work = self._work(attempt, work_id, begins, after, left)
         self._desk.send(self._roster.lane(name), work)
 
@@ -214,23 +215,6 @@
             after,
         )
 
-    def _note_sent(
-        self, attempt: sessions.Attempt, after: core.Position | None
-    ) -> None:
-        self._desk.log.emit(
-            _Event.STATEMENT_SENT,
-            request=attempt.message.request_id,
-            session=attempt.session.session_id,
-            database=attempt.session.database,
-            access=attempt.route.access.value,
-            instance=attempt.instance,
-            primary=attempt.at_primary,
-            after=after,
-            proved=round(attempt.needs_age, 3),
-            authority=round(self._authority_left(), 3),
-            tries=attempt.tries,
-        )
-
     def _hold(self, attempt: sessions.Attempt, why: str) -> None:
         """Wait a little for an instance, or refuse."""
         if attempt.refused:
@@ -244,24 +228,9 @@
             return
         if attempt.held_for != why:
             attempt.held_for = why
-            self._note_retry(attempt, why)
+            self._notes.held(attempt, why, self._authority_left())
         self._desk.after(RETRY_PAUSE, OfferAgain(attempt))
 
-    def _note_retry(self, attempt: sessions.Attempt, why: str) -> None:
-        self._desk.meters.add(_Metric.RETRIES, why=why)
-        self._desk.log.emit(
-            _Event.STATEMENT_HELD,
-            request=attempt.message.request_id,
-            why=why,
-            instance=attempt.instance,
-            tries=attempt.tries,
-            waited=self._waited(attempt),
-            authority=round(self._authority_left(), 3),
-        )
-
-    def _waited(self, attempt: sessions.Attempt) -> float:
-        return round(self._desk.now() - attempt.arrived, 4)
-
     # -- results --------------------------------------------------------
 
     def ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
@@ -368,7 +337,7 @@
         """Run a statement that was not run, or may run again."""
         attempt.refused |= {avoid}
         self._release(attempt)
-        self._note_retry(attempt, why)
+        self._notes.held(attempt, why, self._authority_left())
         self._offer(attempt)
 
     def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
@@ -400,7 +369,8 @@
         session = attempt.session
         if block is _Block.IDLE:
             self.roll_back(session)
-        self._note_refused(attempt, refusal, why)
+        left = self._authority_left()
+        self._notes.refused(attempt, refusal, why, left)
         answer = core.SessionAnswer(
             session.session_id,
             attempt.message.request_id,
@@ -419,10 +389,11 @@
         """Pass the instance's answer on to the caller."""
         session = attempt.session
         if ended.refusal is None:
-            self._measure(attempt, 'done')
+            self._notes.done(attempt)
         else:
             why = 'the instance ran it and failed'
-            self._note_refused(attempt, ended.refusal, why)
+            left = self._authority_left()
+            self._notes.refused(attempt, ended.refusal, why, left)
         answer = core.SessionAnswer(
             session.session_id,
             attempt.message.request_id,
@@ -435,34 +406,6 @@
         )
         session.host.answered(session, answer)
 
-    def _note_refused(
-        self, attempt: sessions.Attempt, refusal: core.Refusal, why: str
-    ) -> None:
-        self._measure(attempt, refusal.value)
-        self._desk.log.emit(
-            _Event.STATEMENT_REFUSED,
-            request=attempt.message.request_id,
-            refusal=refusal.value,
-            why=why,
-            database=attempt.session.database,
-            instance=attempt.instance,
-            tries=attempt.tries,
-            waited=self._waited(attempt),
-            authority=round(self._authority_left(), 3),
-        )
-
-    def _measure(self, attempt: sessions.Attempt, outcome: str) -> None:
-        role = core.Role.REPLICA
-        if attempt.at_primary:
-            role = core.Role.PRIMARY
-        self._desk.meters.record(
-            _Metric.STATEMENT,
-            self._desk.now() - attempt.arrived,
-            access=attempt.route.access.value,
-            outcome=outcome,
-            role=role.value if attempt.tries else 'none',
-        )
-
 
 def _begins(transaction: sessions.Transaction | None) -> core.Begins | None:
     if transaction is None:
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -10,7 +10,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 
-__all__ = ['TAKEOVER', 'Handover', 'HandoverEnded', 'WantHandover']
+__all__ = ['Handover', 'HandoverEnded', 'WantHandover']
 
 # Seconds for an instance's status; a round trip between regions (42 ms),
 # a new connection (12 ms) and a wait for a slot at full load.
@@ -35,15 +35,6 @@
 CATCH_UP_LIMIT = 2.0
 # Seconds that open transactions get where the old primary still serves.
 PLANNED_PATIENCE = 0.4
-# Seconds after which a closing row that its holder has not renewed is
-# taken over by another VM.
-TAKEOVER = 2.5
-# Seconds since its last claim within which a holder may order a
-# promotion.  An order that hangs is reset after 0.8 s, so it arrives
-# before another VM's.
-CLAIM_LASTS = 1.0
-# Seconds after which a holder renews its claim.
-RENEW = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,19 +97,12 @@
         self._clock = loop.clock
         self._chart = charts.compiled('handover')
         self._want: WantHandover | None = None
-        self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
-        self._row: core.LeadRow | None = None
-        self._first_claim = 0
-        self._closed_at = 0.0
-        self._claimed_at = 0.0
-        self._writing_at = 0.0
-        self._renewing = False
+        self._candidates = decisions.Candidates((), core.InstanceName(''))
+        self._claim = decisions.LeadClaim(
+            vm, service, core.InstanceName(''), 0
+        )
         self._was_fenced = False
         self._silent: set[core.VmName] = set()
-        self._asked: set[core.InstanceName] = set()
-        self._states: dict[core.InstanceName, core.InstanceState] = {}
-        self._refused: set[core.InstanceName] = set()
-        self._successor: core.InstanceName | None = None
         self._caught_up_by = 0.0
         self._confirm_by = 0.0
 
@@ -134,14 +118,11 @@
                 step=event,
                 before=before.value,
                 state=self.state.value,
-                revision=self._revision(),
-                successor=self._successor,
+                revision=self._claim.revision,
+                successor=self._candidates.successor,
                 silent=sorted(self._silent),
             )
 
-    def _revision(self) -> int:
-        return 0 if self._row is None else self._row.revision
-
     # -- claim ----------------------------------------------------------
 
     @runtime.handles(WantHandover)
@@ -149,77 +130,47 @@
         if self.state is not core.HandoverState.IDLE:
             return
         self._want = want
-        self._entries = {one.name: one for one in want.entries}
-        self._row = None
-        self._first_claim = 0
-        self._renewing = False
+        self._candidates = decisions.Candidates(want.entries, want.old)
+        self._claim = decisions.LeadClaim(
+            self.vm, self.service, want.old, want.revision
+        )
         self._was_fenced = False
-        self._refused.clear()
         self._fire('wanted')
 
     def claim(self) -> None:
         """Write the closing row if the row is still as it was known."""
-        want = self._want
-        assert want is not None
-        row = self._row_with(core.LeadRowState.CLOSING, want.old)
-        self._writing_at = self._clock.running_on()
-        self._write(row, self._revision() or want.revision)
-
-    def _row_with(
-        self, state: core.LeadRowState, primary: core.InstanceName
-    ) -> core.LeadRow:
-        """Return a row to write; the store gives it its revision."""
-        return core.LeadRow(self.service, 0, state, primary, self.vm)
-
-    def _write(self, row: core.LeadRow, expected: int) -> None:
+        self._write(self._claim.closing(self._clock.running_on()))
+
+    def _write(self, row: core.LeadRow) -> None:
+        expected = self._claim.expected
         wanted = core.WriteLead(row, expected, self.task_name)
         self.send(names.rows(self.vm), wanted)
 
     def renew(self) -> None:
         """Show the others that this change goes on."""
-        waited = self._clock.running_on() - self._claimed_at
-        if waited >= RENEW and not self._renewing:
-            self._renewing = True
+        if self._claim.renewal_due(self._clock.running_on()):
             self.claim()
 
     @runtime.handles(core.RowWritten)
     def _on_written(self, message: core.RowWritten) -> None:
         row = message.row
-        if self.state is core.HandoverState.IDLE:
-            if row is not None:
-                self._tell(row)
-        elif self.state is core.HandoverState.OPENING:
+        if row is not None:
+            self._tell(row)
+        if self.state is core.HandoverState.OPENING:
             self._open_written(row)
         elif self.state is core.HandoverState.CLAIMING:
             self._claim_written(row)
-        else:
-            self._renewing = False
-            if row is not None and not self._keep_claim(row):
+        elif self.state is not core.HandoverState.IDLE:
+            if not self._claim.written(row) and row is not None:
                 self._fire('lost')
 
     def _claim_written(self, row: core.LeadRow | None) -> None:
-        self._renewing = False
-        if row is None or not self._keep_claim(row):
+        if not self._claim.written(row):
             self._fire('lost')
             return
-        if not self._first_claim:
-            self._first_claim = row.revision
-            self._closed_at = self._clock.running_on()
+        self._claim.begins(self._clock.running_on())
         self._fire('claimed')
 
-    def _keep_claim(self, row: core.LeadRow) -> bool:
-        """Take the row as it is now; tell whether it is still ours."""
-        self._tell(row)
-        if not self._is_ours(row):
-            return False
-        self._row = row
-        self._claimed_at = self._writing_at
-        return True
-
-    def _is_ours(self, row: core.LeadRow) -> bool:
-        closing = row.state is core.LeadRowState.CLOSING
-        return closing and row.holder == self.vm
-
     def _tell(self, row: core.LeadRow) -> None:
         rows = core.LeadsInStore((row,))
         self.send(names.exchange(self.vm), rows)
@@ -229,14 +180,14 @@
 
     def fence(self) -> None:
         """Ask every VM to stop using the old primary."""
-        assert self._want is not None and self._row is not None
+        assert self._want is not None
         self._silent = {*self._want.vms, self.vm, _UNLISTED}
         self.send(names.rows(self.vm), core.ReadNodes(self.task_name))
         self._ask_fences()
-        self.after(FENCE_AGAIN, _FenceAgain(self._first_claim))
+        self.after(FENCE_AGAIN, _FenceAgain(self._claim.first))
 
     def _ask_fences(self) -> None:
-        want, row = self._want, self._row
+        want, row = self._want, self._claim.row
         assert want is not None and row is not None
         patience = PLANNED_PATIENCE if want.planned else 0.0
         fence = core.FencePrimary(self.vm, row, patience)
@@ -272,7 +223,7 @@
 
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
-        if message.revision < self._first_claim:
+        if message.revision < self._claim.first:
             return
         self._silent.discard(message.vm)
         if not self._silent:
@@ -282,10 +233,9 @@
     def _on_fence_again(self, message: _FenceAgain) -> None:
         if self.state is not core.HandoverState.FENCING:
             return
-        if message.revision != self._first_claim:
+        if message.revision != self._claim.first:
             return
-        waited = self._clock.running_on() - self._closed_at
-        if waited >= decisions.LAPSE_WAIT:
+        if self._claim.all_lapsed(self._clock.running_on()):
             self._fire('fenced')
             return
         self.renew()
@@ -297,16 +247,15 @@
     def ask(self) -> None:
         """Ask every instance for its status."""
         self._was_fenced = True
-        self._states = {}
-        self._asked = set(self._entries)
-        for entry in self._entries.values():
+        entries = self._candidates.ask()
+        for entry in entries:
             self.send(
                 names.prober(self.vm),
                 core.ProbeInstance(
                     entry, self._patience(entry), True, self.task_name
                 ),
             )
-        if not self._asked:
+        if not entries:
             self.ask_in(ASK_PAUSE)
 
     def _patience(self, entry: core.InstanceEntry) -> float:
@@ -317,11 +266,11 @@
 
     def ask_in(self, delay: float) -> None:
         """Ask every instance after a pause."""
-        self.after(delay, _AskAgain(self._first_claim))
+        self.after(delay, _AskAgain(self._claim.first))
 
     @runtime.handles(_AskAgain)
     def _on_ask_again(self, message: _AskAgain) -> None:
-        if message.revision != self._first_claim:
+        if message.revision != self._claim.first:
             return
         if self.state is core.HandoverState.CONFIRMING:
             self.confirm_once()
@@ -333,36 +282,12 @@
         if self.state is core.HandoverState.CONFIRMING:
             self._confirmed(status)
             return
-        if status.instance not in self._asked:
-            return
-        self._asked.discard(status.instance)
-        if status.state is not None:
-            self._states[status.instance] = status.state
-        if not self._asked:
-            self._successor = decisions.best_successor(
-                self._candidates(), self._leaving()
-            )
+        if self._candidates.answered(status):
             self._fire('asked')
 
-    def _candidates(
-        self,
-    ) -> dict[core.InstanceName, core.InstanceState]:
-        assert self._want is not None
-        return {
-            name: state
-            for name, state in self._states.items()
-            if name != self._want.old and name not in self._refused
-        }
-
-    def _leaving(self) -> frozenset[core.InstanceName]:
-        return frozenset(
-            one.name for one in self._entries.values() if one.leaving
-        )
-
     def overdue(self) -> bool:
         """Tell whether the claim is too old to order a promotion."""
-        waited = self._clock.running_on() - self._claimed_at
-        return waited > CLAIM_LASTS
+        return self._claim.overdue(self._clock.running_on())
 
     def was_fenced(self) -> bool:
         """Tell whether nobody uses the old primary any more."""
@@ -370,49 +295,34 @@
 
     def already_led(self) -> bool:
         """Tell whether another instance leads the newest term already."""
-        newest = max((one.term for one in self._states.values()), default=0)
-        for name, state in self._candidates().items():
-            leads = state.role is core.Role.PRIMARY and state.term == newest
-            if leads:
-                self._successor = name
-                return True
-        return False
+        return self._candidates.one_leads()
 
     def nobody(self) -> bool:
         """Tell whether no instance can take over."""
-        if self._successor is None:
-            self._refused.clear()
-        return self._successor is None
+        if self._candidates.successor is None:
+            self._candidates.readmit()
+        return self._candidates.successor is None
 
     def behind(self) -> bool:
         """Tell whether the successor lacks what the old primary has."""
-        assert self._want is not None
-        if not self._old_leads():
+        if not self._candidates.old_leads():
             return False
         now = self.now()
         if self.state is core.HandoverState.CHOOSING:
             self._caught_up_by = now + CATCH_UP_LIMIT
         if now >= self._caught_up_by:
             return False
-        return not decisions.caught_up(
-            self._states, self._want.old, self._successor
-        )
-
-    def _old_leads(self) -> bool:
-        """Tell whether the old primary answers, and as the primary."""
-        assert self._want is not None
-        state = self._states.get(self._want.old)
-        return state is not None and state.role is core.Role.PRIMARY
+        return not self._candidates.has_all()
 
     # -- promote --------------------------------------------------------
 
     def demote(self) -> None:
         """Take the lead from an old primary that still answers."""
         assert self._want is not None
-        entry = self._entries.get(self._want.old)
-        if entry is None or not self._old_leads():
+        entry = self._candidates.entries.get(self._want.old)
+        if entry is None or not self._candidates.old_leads():
             return
-        newest = max(one.term for one in self._states.values())
+        newest = self._candidates.newest_term()
         self.send(
             names.prober(self.vm),
             core.DemoteInstance(
@@ -425,14 +335,15 @@
 
     def promote(self) -> None:
         """Order the promotion; the row's revision is its token."""
-        assert self._row is not None and self._successor is not None
+        successor = self._candidates.successor
+        assert successor is not None
         self.send(
             names.promotions(self.vm),
             core.PromoteInstance(
                 self.service,
-                self._successor,
+                successor,
                 self.vm,
-                self._row.revision,
+                self._claim.revision,
                 self.task_name,
             ),
         )
@@ -445,8 +356,7 @@
             self._fire('promoted')
             return
         if message.result is core.PromoteResult.REFUSED:
-            assert self._successor is not None
-            self._refused.add(self._successor)
+            self._candidates.refuse()
         self._fire('refused')
 
     def confirm(self) -> None:
@@ -457,7 +367,8 @@
     def confirm_once(self) -> None:
         """Ask the successor for its status."""
         self.renew()
-        entry = self._entries.get(self._successor or core.InstanceName(''))
+        successor = self._candidates.successor or core.InstanceName('')
+        entry = self._candidates.entries.get(successor)
         if entry is None:
             self._fire('not_yet')
             return
@@ -467,7 +378,7 @@
         )
 
     def _confirmed(self, status: core.InstanceStatus) -> None:
-        if status.instance != self._successor:
+        if status.instance != self._candidates.successor:
             return
         state = status.state
         if state is not None and state.role is core.Role.PRIMARY:
@@ -484,7 +395,7 @@
     def open(self) -> None:
         """Tell every VM of the new primary, then write it down."""
         row = self._open_row()
-        reopened = core.Reopened(self._revision(), row)
+        reopened = core.Reopened(self._claim.revision, row)
         assert self._want is not None
         self.send(names.keeper(self.vm), reopened)
         for vm in self._want.vms:
@@ -493,32 +404,31 @@
         self.write_open()
 
     def _open_row(self) -> core.LeadRow:
-        assert self._successor is not None
-        return self._row_with(core.LeadRowState.OPEN, self._successor)
+        successor = self._candidates.successor
+        assert successor is not None
+        return self._claim.opening(successor)
 
     def write_open(self) -> None:
         """Write the open row over this change's closing one."""
-        self._write(self._open_row(), self._revision())
+        self._write(self._open_row())
 
     @runtime.handles(_OpenAgain)
     def _on_open_again(self, message: _OpenAgain) -> None:
         if self.state is not core.HandoverState.OPENING:
             return
-        if message.revision == self._revision():
+        if message.revision == self._claim.revision:
             self.write_open()
 
     def open_later(self) -> None:
         """Write the open row again after a pause."""
-        self.after(OPEN_PAUSE, _OpenAgain(self._revision()))
+        self.after(OPEN_PAUSE, _OpenAgain(self._claim.revision))
 
     def _open_written(self, row: core.LeadRow | None) -> None:
         if row is None:
             self._fire('unsure')
             return
-        self._tell(row)
-        if self._is_ours(row):
+        if self._claim.written(row):
             # A renewal that was still under way got there first.
-            self._row = row
             self._fire('unsure')
         elif row.state is core.LeadRowState.OPEN:
             self._fire('opened')
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -232,7 +232,7 @@
             self._act_soon(service, False)
         elif seen is None or seen[0] != revision:
             self._closing_seen[service] = (revision, now)
-        elif now - seen[1] > handover.TAKEOVER:
+        elif now - seen[1] > decisions.TAKEOVER:
             self._act_soon(service, False)
 
     def _look_at(
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -9,6 +9,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import conns as conns_module
+from chicoryusher.tasks.pool import lane_answers
 
 __all__ = ['Lane', 'LaneShare']
 
@@ -26,7 +27,6 @@
 _ENDED = core.Ended
 # Stands for the answer of an instance that gave none.
 _NO_REPLY = core.Reply(core.BlockState.IDLE, None)
-_SETUP = (core.Op.SET, core.Op.RESET, core.Op.PREPARE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,7 +121,7 @@
         if work.begins is None:
             commands.append(self._statement(conn, work))
         else:
-            commands.append(_begin(work))
+            commands.append(decisions.begin_command(work))
         self._conns.run(conn, work)
         conn.sent_at = self.now()
         self.meters.record(
@@ -178,7 +178,7 @@
             self._drop(conn, _ENDED.LOST)
             return
         op = conn.sent.popleft()
-        _ANSWERS.get(op)(self, conn, message.reply)
+        lane_answers.ANSWERS.get(op)(self, conn, message.reply)
 
     def _heard(self) -> None:
         self._heard_at = self.now()
@@ -376,7 +376,7 @@
                 self._drop(conn, _ENDED.LOST)
         elif elapsed >= work.limit:
             self._drop(conn, _ENDED.OVERTIME)
-        elif _is_read(work) and elapsed > work.patience:
+        elif decisions.may_repeat(work) and elapsed > work.patience:
             self._drop(conn, _ENDED.LOST)
 
     def _check_silence(self, now: float) -> None:
@@ -399,51 +399,3 @@
             if now - conn.idle_since >= SURPLUS_IDLE:
                 self._drop(conn, _ENDED.LOST)
                 surplus -= 1
-
-
-def _is_read(work: core.Work) -> bool:
-    if work.transaction is not None:
-        return work.begins is not None
-    if work.shape is not None:
-        return work.shape.kind is core.ShapeKind.READ
-    return work.statement.verb is core.Verb.READ
-
-
-def _begin(work: core.Work) -> core.Command:
-    if work.begins is core.Begins.READ_ONLY:
-        return core.Command(core.Op.BEGIN_READ_ONLY, after=work.after)
-    return core.Command(core.Op.BEGIN, after=work.after)
-
-
-# What a lane does with the answer to each kind of command.
-_ANSWERS: core.Registry = core.Registry('lane answer')
-
-
-def _set_up(
-    lane: Lane, conn: conns_module.PoolConn, reply: core.Reply
-) -> None:
-    """Doubt a connection that refused to be set up."""
-    if reply.refusal is not None:
-        conn.doubtful = True
-
-
-for _op in _SETUP:
-    _ANSWERS.register(_op)(_set_up)
-
-
-@_ANSWERS.register(core.Op.BEGIN)
-@_ANSWERS.register(core.Op.BEGIN_READ_ONLY)
-def _begun(lane: Lane, conn: conns_module.PoolConn, reply: core.Reply) -> None:
-    lane.begun(conn, reply)
-
-
-@_ANSWERS.register(core.Op.RUN)
-def _ran(lane: Lane, conn: conns_module.PoolConn, reply: core.Reply) -> None:
-    lane.ran(conn, reply)
-
-
-@_ANSWERS.register(core.Op.ROLLBACK)
-def _rolled_back(
-    lane: Lane, conn: conns_module.PoolConn, reply: core.Reply
-) -> None:
-    lane.rolled_back(conn, reply)
--- /dev/null
+++ b/tests/decisions/test_candidates.py
@@ -0,0 +1,97 @@
+"""Which instance follows a primary, as answers come in."""
+
+from __future__ import annotations
+
+import pytest
+
+from chicoryusher import core
+from chicoryusher import decisions
+
+SERVICE = core.ServiceName('spoonbook')
+ZONE = core.ZoneName('akhmim-yard')
+PRIMARY, REPLICA = core.Role.PRIMARY, core.Role.REPLICA
+
+
+def name(number):
+    return core.InstanceName(f'i-{number}')
+
+
+def entry(number, leaving=False):
+    return core.InstanceEntry(
+        name(number), SERVICE, '10.0.0.1', 1, ZONE, 3, leaving, REPLICA, 1
+    )
+
+
+def status(number, received=None, term=1, role=REPLICA):
+    state = None
+    if received is not None:
+        at = core.Position(core.Term(term), core.LogPosition(received))
+        state = core.InstanceState(role, core.Term(term), at, at)
+    return core.InstanceStatus(name(number), state is not None, state)
+
+
+@pytest.fixture
+def candidates():
+    made = decisions.Candidates([entry(one) for one in range(3)], name(0))
+    made.ask()
+    return made
+
+
+def answer(candidates, *statuses):
+    return [candidates.answered(one) for one in statuses]
+
+
+def test_the_choice_is_made_once_all_have_answered(candidates):
+    told = answer(candidates, status(0), status(1, 5), status(2, 9))
+    assert told == [False, False, True]
+    assert candidates.successor == name(2)
+    assert not candidates.answered(status(1, 50))
+
+
+def test_a_newer_term_goes_before_a_longer_log(candidates):
+    answer(candidates, status(0), status(1, 5, term=2), status(2, 9))
+    assert candidates.successor == name(1)
+
+
+def test_the_old_primary_and_refused_ones_are_passed_over(candidates):
+    answer(candidates, status(0, 99), status(1, 5), status(2, 9))
+    candidates.refuse()
+    candidates.ask()
+    answer(candidates, status(0, 99), status(1, 5), status(2, 9))
+    assert candidates.successor == name(1)
+    candidates.readmit()
+    candidates.ask()
+    answer(candidates, status(0, 99), status(1, 5), status(2, 9))
+    assert candidates.successor == name(2)
+
+
+def test_one_that_leaves_is_taken_only_without_another():
+    made = decisions.Candidates(
+        [entry(0), entry(1), entry(2, leaving=True)], name(0)
+    )
+    made.ask()
+    answer(made, status(0), status(1, 5), status(2, 9))
+    assert made.successor == name(1)
+    made.ask()
+    answer(made, status(0), status(1), status(2, 9))
+    assert made.successor == name(2)
+
+
+def test_an_instance_that_leads_the_newest_term_is_the_successor(candidates):
+    answer(
+        candidates,
+        status(0, 9, role=PRIMARY),
+        status(1, 3, term=2, role=PRIMARY),
+        status(2, 8),
+    )
+    assert candidates.one_leads()
+    assert candidates.successor == name(1)
+
+
+def test_a_successor_catches_up_with_an_old_primary_that_answers(candidates):
+    answer(candidates, status(0, 9, role=PRIMARY), status(1, 5), status(2, 8))
+    assert candidates.old_leads()
+    assert not candidates.has_all()
+    candidates.ask()
+    answer(candidates, status(0, 9, role=PRIMARY), status(1, 5), status(2, 9))
+    assert candidates.has_all()
--- /dev/null
+++ b/tests/decisions/test_claiming.py
@@ -0,0 +1,61 @@
+"""A claim to change a primary, over frozen VMs and lost answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher import core
+from chicoryusher import decisions
+
+VM = core.VmName('vm1')
+SERVICE = core.ServiceName('spoonbook')
+OLD = core.InstanceName('i-1')
+
+
+def claimed(now_on=10.0, revision=7):
+    claim = decisions.LeadClaim(VM, SERVICE, OLD, 3)
+    row = claim.closing(now_on)
+    assert claim.expected == 3
+    assert claim.written(dataclasses.replace(row, revision=revision))
+    claim.begins(now_on + 0.1)
+    return claim
+
+
+def test_a_claim_counts_from_before_it_was_written():
+    claim = decisions.LeadClaim(VM, SERVICE, OLD, 3)
+    row = claim.closing(10.0)
+    claim.written(dataclasses.replace(row, revision=7))
+    assert not claim.overdue(10.0 + decisions.CLAIM_LASTS)
+    assert claim.overdue(10.01 + decisions.CLAIM_LASTS)
+
+
+def test_a_row_of_another_vm_or_an_open_one_is_not_ours():
+    claim = claimed()
+    row = claim.row
+    other = dataclasses.replace(row, holder=core.VmName('vm2'), revision=8)
+    assert not claim.written(other)
+    assert not claim.written(claim.opening(OLD))
+    assert not claim.written(None)
+    assert claim.revision == 7
+
+
+def test_a_claim_is_renewed_over_its_own_row_one_write_at_a_time():
+    claim = claimed()
+    assert not claim.renewal_due(10.0 + decisions.RENEW / 2)
+    assert claim.renewal_due(10.01 + decisions.RENEW)
+    row = claim.closing(11.0)
+    assert claim.expected == 7
+    assert not claim.renewal_due(20.0)
+    claim.written(dataclasses.replace(row, revision=9))
+    assert claim.renewal_due(20.0)
+    assert claim.first == 7
+
+
+def test_authority_of_before_the_claim_lapses_after_the_wait():
+    claim = claimed()
+    assert not claim.all_lapsed(10.0 + decisions.LAPSE_WAIT)
+    assert claim.all_lapsed(10.2 + decisions.LAPSE_WAIT)
+
+
+def test_another_vm_takes_over_after_every_order_of_the_holder():
+    assert decisions.TAKEOVER > decisions.CLAIM_LASTS + 0.8
