Let few VMs hold connections where there are many; forward to the nearest

Change: where the cap can't give each VM one connection with room for bursts, max(3, dealt / 4) VMs in rendezvous order, the instance's zone first, hold them; others send work through the nearest holder (forwarder, relay; four peer messages). A transaction stays at its holder. Times between VMs are durations; what is observed counts from the moment at which it left the VM that asks. At today's 7 to 10 VMs every VM holds, as before.

--- a/src/chicoryusher/core/__init__.py
+++ b/src/chicoryusher/core/__init__.py
@@ -8,6 +8,7 @@
 from chicoryusher.core import enums
 from chicoryusher.core import errors
 from chicoryusher.core import exchanging
+from chicoryusher.core import forwarding
 from chicoryusher.core import ids
 from chicoryusher.core import messages
 from chicoryusher.core import metrics
@@ -23,6 +24,7 @@
 from chicoryusher.core.enums import *  # noqa: F403
 from chicoryusher.core.errors import *  # noqa: F403
 from chicoryusher.core.exchanging import *  # noqa: F403
+from chicoryusher.core.forwarding import *  # noqa: F403
 from chicoryusher.core.ids import *  # noqa: F403
 from chicoryusher.core.messages import *  # noqa: F403
 from chicoryusher.core.metrics import *  # noqa: F403
@@ -40,6 +42,7 @@
     + enums.__all__
     + errors.__all__
     + exchanging.__all__
+    + forwarding.__all__
     + ids.__all__
     + messages.__all__
     + metrics.__all__
--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/catalogue.py
@@ -103,6 +103,11 @@
         LogLevel.INFO,
         'a statement was not run yet and is offered again',
     )
+    STATEMENT_RELAYED = (
+        3013,
+        LogLevel.INFO,
+        "another VM's statement was given to the lane of an instance",
+    )
     PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not answer')
     PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary answered')
     TERM_CLAIMED = (4003, LogLevel.WARNING, 'this VM claims a new term')
@@ -180,5 +185,10 @@
 # Numbers of events that are left out under load: they tell of statements
 # that may well succeed.  Lines about refusals are kept.
 SAMPLED_EVENTS = frozenset(
-    one.number for one in (LogEvent.STATEMENT_SENT, LogEvent.STATEMENT_HELD)
+    one.number
+    for one in (
+        LogEvent.STATEMENT_SENT,
+        LogEvent.STATEMENT_HELD,
+        LogEvent.STATEMENT_RELAYED,
+    )
 )
--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -59,6 +59,18 @@
         ('why',),
         'statements that were offered to an instance again',
     )
+    FORWARDED = (
+        MetricKind.COUNTER,
+        '1',
+        ('instance',),
+        'statements that were sent to an instance through another VM',
+    )
+    RELAYED = (
+        MetricKind.COUNTER,
+        '1',
+        ('instance',),
+        'statements of other VMs that were given to an instance',
+    )
     CONNECTIONS = (
         MetricKind.GAUGE,
         '1',
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -10,6 +10,7 @@
 from chicoryusher.decisions import evidence
 from chicoryusher.decisions import freshness
 from chicoryusher.decisions import gates
+from chicoryusher.decisions import holders
 from chicoryusher.decisions import leadership
 from chicoryusher.decisions import ledger
 from chicoryusher.decisions import membership
@@ -34,6 +35,7 @@
 from chicoryusher.decisions.evidence import *  # noqa: F403
 from chicoryusher.decisions.freshness import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
+from chicoryusher.decisions.holders import *  # noqa: F403
 from chicoryusher.decisions.leadership import *  # noqa: F403
 from chicoryusher.decisions.ledger import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
@@ -69,6 +71,7 @@
     *evidence.__all__,
     *freshness.__all__,
     *gates.__all__,
+    *holders.__all__,
     *leadership.__all__,
     *ledger.__all__,
     *membership.__all__,
--- a/src/chicoryusher/decisions/shares.py
+++ b/src/chicoryusher/decisions/shares.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-__all__ = ['ConnShare', 'connection_share']
+__all__ = ['BURST', 'DEALT', 'NO_SHARE', 'ConnShare', 'connection_share']
 
 # Part of the cap that is dealt out to be kept open.  The rest is for
 # work that comes in bursts, and for VMs that have just started while the
@@ -22,7 +22,12 @@
     most: int
 
 
-def connection_share(cap: int, vms: int) -> ConnShare:
-    """Deal the cap of an instance out over the live VMs."""
-    kept = max(1, int(cap * DEALT) // max(1, vms))
+# For a VM that holds no connections: one for work that another VM sends it
+# while they do not agree yet on who does.
+NO_SHARE = ConnShare(0, 1)
+
+
+def connection_share(cap: int, holders: int) -> ConnShare:
+    """Deal the cap of an instance out over those that hold connections."""
+    kept = max(1, int(cap * DEALT) // max(1, holders))
     return ConnShare(kept, min(cap, kept + BURST))
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -44,6 +44,10 @@
     19: core.PoolConfigInForce,
     20: core.RegisteredInstances,
     21: core.NodesInStore,
+    22: core.RelayWork,
+    23: core.RelayEnded,
+    24: core.RelayCancel,
+    25: core.RelayRollback,
 }
 _BY_TYPE = {kind: number for number, kind in NUMBERS.items()}
 _ERRORS = {
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -308,7 +308,19 @@
     return tasks.names.watch(vm)
 
 
+def _to_forwarder(vm: core.VmName, message: core.Message) -> core.TaskName:
+    return tasks.names.forwarder(vm)
+
+
+def _to_relay(vm: core.VmName, message: core.Message) -> core.TaskName:
+    return tasks.names.relay(vm)
+
+
 _RECEIVERS = {
+    core.RelayWork: _to_relay,
+    core.RelayCancel: _to_relay,
+    core.RelayRollback: _to_relay,
+    core.RelayEnded: _to_forwarder,
     core.Ping: _to_exchange,
     core.Pong: _to_exchange,
     core.ViewFetch: _to_exchange,
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -12,6 +12,7 @@
     'configurator',
     'desk',
     'exchange',
+    'forwarder',
     'gate',
     'handover',
     'keeper',
@@ -21,6 +22,7 @@
     'membership',
     'node',
     'promotions',
+    'relay',
     'prober',
     'rows',
     'peers',
@@ -48,12 +50,14 @@
 configurator = _single('configurator')
 desk = _single('desk')
 exchange = _single('exchange')
+forwarder = _single('forwarder')
 keeper = _single('keeper')
 membership = _single('membership')
 node = _single('node')
 peers = _single('peers')
 prober = _single('prober')
 promotions = _single('promotions')
+relay = _single('relay')
 router = _single('router')
 rows = _single('rows')
 table = _single('platform')
--- a/src/chicoryusher/tasks/pool/attempt_notes.py
+++ b/src/chicoryusher/tasks/pool/attempt_notes.py
@@ -35,6 +35,7 @@
             database=attempt.session.database,
             access=attempt.route.access.value,
             instance=attempt.instance,
+            via=attempt.via,
             primary=attempt.at_primary,
             after=after,
             proved=round(attempt.needs_age, 3),
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -177,6 +177,7 @@
         work_id = core.WorkId(next(self._numbers))
         attempt.work_id = work_id
         attempt.instance = name
+        attempt.via = self._via(attempt, name)
         attempt.tries += 1
         self._running[work_id] = attempt
         one = self._instance(attempt)
@@ -184,7 +185,31 @@
             one.outstanding += 1
         self._notes.sent(attempt, after, self._authority_left())
         work = self._work(attempt, work_id, begins, after, left)
-        self._desk.send(self._roster.lane(name), work)
+        self._give(attempt, name, work)
+
+    def _give(
+        self,
+        attempt: sessions.Attempt,
+        name: core.InstanceName,
+        work: core.Work,
+    ) -> None:
+        """Give work to this VM's lane, or to the VM that has one."""
+        if attempt.via is None:
+            self._desk.send(self._roster.lane(name), work)
+            return
+        forward = core.ForwardWork(attempt.via, self._roster.entry(name), work)
+        self._desk.send(names.forwarder(self._desk.vm), forward)
+
+    def _via(
+        self, attempt: sessions.Attempt, name: core.InstanceName
+    ) -> core.VmName | None:
+        """Return the VM that runs it; a transaction stays at one."""
+        transaction = attempt.session.transaction
+        if transaction is None:
+            return self._roster.via(name)
+        if transaction.instance is None:
+            transaction.via = self._roster.via(name)
+        return transaction.via
 
     def _work(
         self,
@@ -257,8 +282,13 @@
         if attempt is None or attempt.work_id is None:
             return
         self._running.pop(attempt.work_id, None)
-        if attempt.instance in self._roster:
-            self._settle_count(attempt)
+        self._settle_count(attempt)
+        if attempt.via is not None:
+            self._desk.send(
+                names.forwarder(self._desk.vm),
+                core.ForwardCancel(attempt.work_id),
+            )
+        elif attempt.instance in self._roster:
             self._desk.send(
                 self._roster.lane(attempt.instance),
                 core.CancelWork(attempt.work_id),
@@ -267,7 +297,15 @@
     def roll_back(self, session: sessions.PoolSession) -> None:
         """End the session's transaction at its instance."""
         transaction = session.transaction
-        if transaction is None or transaction.instance not in self._roster:
+        if transaction is None:
+            return
+        if transaction.via is not None:
+            self._desk.send(
+                names.forwarder(self._desk.vm),
+                core.ForwardEnd(transaction.number),
+            )
+            return
+        if transaction.instance not in self._roster:
             return
         self._desk.send(
             self._roster.lane(transaction.instance),
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -16,19 +16,12 @@
 from chicoryusher.tasks.pool.roster import DeskSettings
 from chicoryusher.tasks.pool.roster import LaneEdges
 
-__all__ = ['Desk', 'DeskSettings', 'LaneEdges', 'LiveCount']
+__all__ = ['Desk', 'DeskSettings', 'LaneEdges']
 
 # Seconds between looks for transactions that idle.
 IDLE_LOOK = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LiveCount(core.Message):
-    """How many VMs share the connections."""
-
-    vms: int
-
-
 class _LookIdle(core.Message):
     """Time to look for transactions that idle."""
 
@@ -90,9 +83,9 @@
     def _on_authority(self, message: core.Authority) -> None:
         self._attempts.until = message.until
 
-    @runtime.handles(LiveCount)
-    def _on_live(self, message: LiveCount) -> None:
-        self._roster.take_live(message.vms)
+    @runtime.handles(core.LiveNodes)
+    def _on_live(self, message: core.LiveNodes) -> None:
+        self._roster.take_live(message.nodes)
 
     @runtime.handles(core.GroupInForce)
     def _on_group(self, message: core.GroupInForce) -> None:
@@ -322,6 +315,7 @@
         if stopping.primary in self._roster:
             lane = self._roster.lane(stopping.primary)
             self.send(lane, core.StopLane())
+        self.send(names.forwarder(self.vm), core.ForwardStop(stopping.primary))
         self._stopped(stopping)
 
     def _stopped(self, message: core.StopPrimary) -> None:
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -14,7 +14,6 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import crew
-from chicoryusher.tasks.pool import desk
 from chicoryusher.tasks.pool import leads as leads_module
 
 __all__ = ['Exchange']
@@ -209,7 +208,17 @@
         message = core.LivePeers(live, self._crew.concerned(self.now()))
         self.send(names.keeper(self.vm), message)
         self.send(names.watch(self.vm), message)
-        self.send(names.desk(self.vm), desk.LiveCount(len(live) + 1))
+        self.send(names.desk(self.vm), self._live_nodes(live))
+
+    def _live_nodes(self, live: tuple[core.VmName, ...]) -> core.LiveNodes:
+        own = core.NodePlace(self.vm, self._own.zone)
+        others = [
+            core.NodePlace(one.vm, one.zone)
+            for one in self._crew.callable()
+            if one.vm in live
+        ]
+        nodes = sorted([own, *others], key=lambda one: one.vm)
+        return core.LiveNodes(tuple(nodes))
 
     @runtime.handles(_Tick)
     def _on_tick(self, tick: _Tick) -> None:
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -142,6 +142,7 @@
             )
         self.send(names.desk(self.vm), message)
         self.send(names.watch(self.vm), message)
+        self.send(names.relay(self.vm), message)
         self._settle_fences(service)
 
     def _stop(self, service: core.ServiceName, old: core.InstanceName) -> None:
--- a/src/chicoryusher/tasks/pool/roster.py
+++ b/src/chicoryusher/tasks/pool/roster.py
@@ -46,7 +46,9 @@
         self._edges = edges
         self._settings = settings
         self._config: core.PoolConfig | None = None
-        self._vms = 1
+        self._own = core.NodePlace(desk.vm, settings.zone)
+        self._nodes: tuple[core.NodePlace, ...] = (self._own,)
+        self._vias: dict[core.InstanceName, core.VmName] = {}
         self._links: dict[core.InstanceName, runtime.Task] = {}
         self._lanes: dict[core.InstanceName, lane_module.Lane] = {}
         self.groups: dict[core.ServiceName, groups_module.PoolGroup] = {}
@@ -58,6 +60,14 @@
         """Return the name of the lane to an instance that is here."""
         return self._lanes[name].task_name
 
+    def via(self, name: core.InstanceName) -> core.VmName | None:
+        """Return the VM to send an instance's work to, None for this one."""
+        return self._vias.get(name)
+
+    def entry(self, name: core.InstanceName) -> core.InstanceEntry:
+        """Return the entry of an instance that is here."""
+        return self._lanes[name].entry
+
     def instance(
         self, service: core.ServiceName, name: core.InstanceName | None
     ) -> decisions.PoolInstance | None:
@@ -72,10 +82,10 @@
         self._config = config
         self._deal_shares()
 
-    def take_live(self, vms: int) -> None:
-        """Deal connections out among as many VMs."""
-        if vms != self._vms:
-            self._vms = vms
+    def take_live(self, nodes: tuple[core.NodePlace, ...]) -> None:
+        """Deal connections out among these VMs."""
+        if nodes != self._nodes:
+            self._nodes = nodes
             self._deal_shares()
 
     def take_group(
@@ -125,6 +135,7 @@
     def _end_lane(self, name: core.InstanceName) -> None:
         lane = self._lanes.pop(name, None)
         link = self._links.pop(name, None)
+        self._vias.pop(name, None)
         if lane is not None:
             lane.end()
         if link is not None:
@@ -138,9 +149,24 @@
             cap = caps.get(lane.entry.service)
             if cap is None:
                 continue
-            share = decisions.connection_share(cap, self._vms)
+            share = self._share(lane.entry, cap)
             self._desk.send(lane.task_name, lane_module.LaneShare(share))
 
+    def _share(
+        self, entry: core.InstanceEntry, cap: int
+    ) -> decisions.ConnShare:
+        """Return this VM's share; note whom its work goes through."""
+        self._vias.pop(entry.name, None)
+        region_of = self._settings.regions.get
+        count = decisions.holder_count(cap, len(self._nodes))
+        holders = decisions.holders_of(entry, self._nodes, count, region_of)
+        if self._own in holders:
+            return decisions.connection_share(cap, count)
+        nearest = decisions.nearest_holder(self._own, holders, region_of)
+        if nearest is not None:
+            self._vias[entry.name] = nearest
+        return decisions.NO_SHARE
+
 
 def _moved(old: core.InstanceEntry, new: core.InstanceEntry) -> bool:
     return (old.host, old.port, old.boot) != (new.host, new.port, new.boot)
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -20,13 +20,15 @@
 class Transaction:
     """A session's open transaction.
 
-    ``arrived`` is when its begin came, on the running-on clock.
+    ``arrived`` is when its begin came, on the running-on clock; ``via`` is
+    the VM that holds its connection, None for this one.
     """
 
     number: core.TransactionId
     read_only: bool
     arrived: float
     instance: core.InstanceName | None = None
+    via: core.VmName | None = None
     wrote: bool = False
     route: core.PoolRoute | None = None
 
@@ -37,7 +39,8 @@
 
     ``arrived`` is on the runtime's clock, ``arrived_on`` on the one that
     runs on; ``refused`` are instances that did not run it; ``held_for``
-    says why it waits for an instance.
+    says why it waits for an instance; ``via`` is the
+    VM that runs it, None for this one.
     """
 
     session: PoolSession
@@ -48,6 +51,7 @@
     arrived_on: float
     work_id: core.WorkId | None = None
     instance: core.InstanceName | None = None
+    via: core.VmName | None = None
     at_primary: bool = False
     needs_age: float = 0.0
     refused: frozenset[core.InstanceName] = frozenset()
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -8,7 +8,9 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import desk as desk_module
 from chicoryusher.tasks.pool import exchange
+from chicoryusher.tasks.pool import forwarder
 from chicoryusher.tasks.pool import keeper as keeper_module
+from chicoryusher.tasks.pool import relay
 from chicoryusher.tasks.pool import watch
 from chicoryusher_standins.pool import callers
 from chicoryusher_standins.pool import group as group_module
@@ -61,7 +63,15 @@
         receiver = peers.receiver_of(message.vm, message.message)
         self._timers.add(PEER_TRIP, receiver, message.message)
 
-    @runtime.handles(core.PeerAddresses, core.LiveVms)
+    @runtime.handles(core.LiveVms)
+    def _on_live(self, message: core.LiveVms) -> None:
+        """End the streams to VMs that are gone, as the real task does."""
+        for vm, state in message.states:
+            if state is core.VmState.GONE:
+                self.send(names.forwarder(self.vm), core.PeerDown(vm))
+                self.send(names.relay(self.vm), core.PeerDown(vm))
+
+    @runtime.handles(core.PeerAddresses)
     def _on_known(self, message: core.Message) -> None:
         """Addresses are not needed here."""
 
@@ -81,6 +91,8 @@
         SimPeers(site.loop, vm, site)
         self.keeper = keeper_module.Keeper(site.loop, vm, self.task_name)
         watch.Watch(site.loop, vm)
+        forwarder.Forwarder(site.loop, vm)
+        relay.Relay(site.loop, vm)
         rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
         self._exchange = exchange.Exchange(
             site.loop, vm, self.row, REGIONS, (rows.task_name,)
