Soak the real processes; ignore hangups while loading; relax waits

A randomized soak (tests/soak, `make soak`): entry processes as they ship, instances, store and promotions in one harness, loopback proxies that delay, silence, reset or cut one way, and signals; the promises are checked from what callers and instances saw. Connections between entry VMs are not proxied yet.

The wait for a changed configuration is 8 s on a VM while two others follow the store at 2 s; a change still wakes every VM, and a VM that becomes a follower asks anew at once.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format measure model docs report clean
+.PHONY: demo test lint format measure model soak docs report clean
 
 $(STAMP): pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 model: $(STAMP)
 	$(BIN)/python -m chicoryusher_standins.model.check
 
+soak: $(STAMP)
+	PYTHONPATH=tests:tests/platform:platform $(BIN)/python -m soak.play $(ARGS)
+
 docs: $(STAMP)
 	$(BIN)/python tools/make_docs.py
 
--- a/src/chicoryusher/runtime/http_client.py
+++ b/src/chicoryusher/runtime/http_client.py
@@ -100,6 +100,11 @@
         self._waiting.append(call)
         self._next()
 
+    def abandon(self) -> None:
+        """Give the current call up; it ends with an error."""
+        if self._current is not None:
+            self._broken()
+
     def finished(self, call: HttpCall, result: HttpResult) -> None:
         """Take the result of a call; subclasses answer the context."""
         raise NotImplementedError
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -6,8 +6,8 @@
 import socket
 
 import pytest
-import stand_ins
 
+import stand_ins
 from chicoryusher import core
 from chicoryusher import runtime
 from fleet import front
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -16,8 +16,8 @@
 import urllib.request
 
 import pytest
-import stand_ins
 
+import stand_ins
 from chicoryusher import runtime
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -164,3 +164,25 @@
     finally:
         process.kill()
         process.wait(5)
+
+
+EARLY = """
+import runpy, signal, sys, types
+fleet = types.ModuleType('fleet')
+fleet.main = types.ModuleType('fleet.main')
+sys.modules.update({'fleet': fleet, 'fleet.main': fleet.main})
+runpy.run_path(sys.argv[1], run_name='serve')
+print(signal.getsignal(signal.SIGHUP).name)
+"""
+
+
+def test_a_hangup_while_the_program_is_loaded_does_not_end_it():
+    """Found by the soak, seed 103: a process ended by itself."""
+    serve = str(ROOT / 'platform' / 'serve.py')
+    found = subprocess.run(
+        [sys.executable, '-c', EARLY, serve],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert found.stdout.strip() == 'SIG_IGN'
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,8 +5,8 @@
 import json
 
 import pytest
-import stand_ins
 
+import stand_ins
 from chicoryusher import core
 from chicoryusher import runtime
 from fleet import duty
@@ -73,6 +73,39 @@
     stand_ins.run_until(loop, lambda: instances(keeper) == ['i-2'])
 
 
+def waits(server):
+    return [
+        float(args['waitMs']) / 1000
+        for path, args, _ in server.calls
+        if path == '/api/rows-feed'
+    ]
+
+
+def test_a_feed_that_others_follow_too_waits_longer_and_hears_at_once(
+    loop, server, keeper
+):
+    chosen = store.FeedSettings('servers', 0.1, relaxed=7.0)
+    task = store.Feed(loop, VM, server.address, chosen)
+    loop.post(task.task_name, core.FollowStore(False))
+    stand_ins.run_until(loop, lambda: 7.0 in waits(server))
+    server.put('servers', 'i-1', encoded(ENTRY))
+    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1'])
+
+
+def test_a_feed_that_is_needed_again_does_not_sit_a_long_wait_out(
+    loop, server, keeper
+):
+    """Its connection may have gone silent in that wait."""
+    chosen = store.FeedSettings('servers', 0.1, relaxed=7.0)
+    task = store.Feed(loop, VM, server.address, chosen)
+    loop.post(task.task_name, core.FollowStore(False))
+    stand_ins.run_until(loop, lambda: 7.0 in waits(server))
+    loop.post(task.task_name, core.FollowStore(True))
+    stand_ins.run_until(loop, lambda: waits(server)[-1] == 0.1)
+    server.put('servers', 'i-1', encoded(ENTRY))
+    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1'])
+
+
 def test_pages_are_put_together(loop, server, keeper):
     server.page = 2
     for number in range(5):
