--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -116,6 +116,9 @@
 
 
 def _turn(proxy, way, delay=0.0):
+    """Change what a proxy does, unless something else changed it."""
+    if proxy.way is not Way.PASS:
+        return lambda: None
     proxy.way, proxy.delay = way, delay
 
     def undo():
@@ -165,6 +168,8 @@
     """An instance is cut off from everybody, its peers included."""
     one = dice.choice(list(world.group.instances.values()))
     proxy = world.proxies[one.name]
+    if one.deaf:
+        return None
     one.deaf = True
     undo = _turn(proxy, dice.choice([Way.SILENT, Way.ONE_WAY]))
 
@@ -178,13 +183,17 @@
 
 @FAULTS.register('primary_silent')
 def _primary_silent(world, dice):
+    """The primary's machine answers nothing, and hears nothing."""
     one = world.group.primary()
+    proxy = world.proxies[one.name]
+    if one.deaf or proxy.way is not Way.PASS:
+        return None
     one.deaf = True
-    undo = _turn(world.proxies[one.name], Way.SILENT)
+    proxy.darken()
 
     def heal():
         one.deaf = False
-        undo()
+        proxy.lighten()
 
     return heal
 
@@ -203,6 +212,8 @@
 @FAULTS.register('replica_deaf')
 def _replica_deaf(world, dice):
     one = dice.choice(list(world.group.instances.values()))
+    if one.deaf:
+        return None
     one.deaf = True
 
     def heal():
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -4,11 +4,15 @@
 
 import dataclasses
 import enum
+import socket
 
 from chicoryusher import core
 from chicoryusher import runtime
 
 HOST = '127.0.0.1'
+BACKLOG = 1024
+# Connections that fill a queue of length 0.
+FILLERS = 2
 
 
 class Way(enum.Enum):
@@ -49,6 +53,7 @@
         self._other = {}
         self._outward = set()
         self._due = {}
+        self._fillers = []
         self._dirty = set()
 
     @runtime.handles(runtime.SocketReady)
@@ -117,6 +122,30 @@
             if stream is not None:
                 stream.abort()
 
+    def darken(self):
+        """Answer nothing, not even the opening of a connection.
+
+        The queue of new connections is made short and filled, so that
+        the system drops what comes after.
+        """
+        self.way = Way.SILENT
+        self._poller.forget(self._listener.fileno)
+        self._listener._sock.listen(0)
+        for _ in range(FILLERS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.address)
+            self._fillers.append(sock)
+
+    def lighten(self):
+        """Take connections and pass bytes on again."""
+        self.way = Way.PASS
+        for sock in self._fillers:
+            sock.close()
+        self._fillers.clear()
+        self._listener._sock.listen(BACKLOG)
+        self._poller.watch(self._listener.fileno, self.task_name, True, False)
+
     def reset(self):
         """Reset every connection."""
         for fileno in tuple(self._streams):
