Expect a primary soon on a VM that starts during a change

Change: the time in which a primary is expected counts from when the VM first knows the group without one.

--- a/src/chicoryusher/tasks/pool/groups.py
+++ b/src/chicoryusher/tasks/pool/groups.py
@@ -32,8 +32,18 @@
         self.observations = decisions.Observations()
         self.stopping: core.StopPrimary | None = None
         self.stopped_at = float('-inf')
+        self._known = False
         self._leaving_since: dict[core.InstanceName, float] = {}
 
+    def take_primary(
+        self, primary: core.InstanceName | None, now: float
+    ) -> None:
+        """Take the primary in use; without one, note since when."""
+        known, self._known = self._known, True
+        if primary is None and (self.primary is not None or not known):
+            self.stopped_at = now
+        self.primary = primary
+
     def note_leaving(self, entry: core.InstanceEntry, now: float) -> None:
         """Note since when an instance has been known to leave."""
         if entry.leaving:
--- a/src/chicoryusher/tasks/pool/roster.py
+++ b/src/chicoryusher/tasks/pool/roster.py
@@ -110,7 +110,7 @@
             self._end_lane(name)
         for entry in message.entries:
             self._place(group, entry)
-        group.primary = message.primary
+        group.take_primary(message.primary, self._desk.now())
         self._deal_shares()
         return ended
 
--- a/tests/tasks/test_pool_failover.py
+++ b/tests/tasks/test_pool_failover.py
@@ -388,3 +388,28 @@
     site.run(2.0)
     assert again.desk.authority()
     assert site.store.nodes[past.vm] == again.row
+
+
+def test_a_vm_that_starts_during_a_change_waits_for_the_primary(site):
+    """Pattern: restarts and a failover at once; the primary is near."""
+    primary = site.group.primary().name
+    closing = core.LeadRow(
+        pool.SERVICE,
+        0,
+        core.LeadRowState.CLOSING,
+        primary,
+        core.VmName('vm5'),
+    )
+    row = site.store.write(closing, 0)
+    started = pool.Vm(site, 'vm9', 'akhmim-yard')
+    site.run(0.5)
+    caller = started.caller(PRIMARY)
+    caller.ask(write())
+    site.run(0.3)
+    assert caller.answers == []
+    site.store.write(
+        dataclasses.replace(closing, state=core.LeadRowState.OPEN),
+        row.revision,
+    )
+    site.run(0.3)
+    assert caller.last.refusal is None
