Count the votes of all VMs that the store lists; let the many act first

Ruled out: load, and the store (it answered all VMs that asked).

Change: over half of the VMs that the store lists, marked ones left out once the mark has stood for 1 s, must miss a primary. A VM that hears less than half of the others begins planned changes 2 s later, since it would have to wait for all of them to lapse.

--- a/src/chicoryusher/core/exchanging.py
+++ b/src/chicoryusher/core/exchanging.py
@@ -111,10 +111,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LivePeers(messages.Message):
-    """The other VMs: those that answer, and those to be fenced."""
+    """The other VMs: those that answer, to be fenced, and that vote.
+
+    Most of the ``voters`` must miss a primary before it is replaced.
+    """
 
     live: tuple[ids.VmName, ...]
     concerned: tuple[ids.VmName, ...]
+    voters: tuple[ids.VmName, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/succession.py
+++ b/src/chicoryusher/decisions/succession.py
@@ -31,13 +31,13 @@
 
 
 def missed_by_most(
-    opinions: Mapping[core.VmName, bool], live: Iterable[core.VmName]
+    opinions: Mapping[core.VmName, bool], voters: Iterable[core.VmName]
 ) -> bool:
-    """Tell whether over half of the live VMs miss an instance.
+    """Tell whether over half of the voters miss an instance.
 
     ``opinions`` has True for a VM that reached it.
     """
-    voters = set(live)
+    voters = set(voters)
     missed = sum(
         1 for vm, reached in opinions.items() if vm in voters and not reached
     )
--- a/src/chicoryusher/tasks/pool/crew.py
+++ b/src/chicoryusher/tasks/pool/crew.py
@@ -15,6 +15,9 @@
 # that reaches the store sees it and registers again, one that does not has
 # no authority left.
 MARK_SETTLES = 2.0 * decisions.LAPSE
+# Seconds that a mark must stand before its VM has no vote: one that reaches
+# the store has written its row again by then.
+MARK_STANDS = 1.0
 # Seconds between marks of one VM.
 MARK_AGAIN = 3.0
 
@@ -46,11 +49,26 @@
             vm
             for vm, row in self._rows.items()
             if row.life is not core.NodeLife.LEFT
-            and not self._settled(row, now)
+            and not self._marked_for(row, MARK_SETTLES, now)
         )
 
-    def _settled(self, row: core.NodeRow, now: float) -> bool:
-        return row.missing and now - self._since[row.vm] >= MARK_SETTLES
+    def voters(self, now: float) -> tuple[core.VmName, ...]:
+        """Return the VMs of which most must miss a primary.
+
+        Not only those that are heard: a VM that is alone in a partition
+        hears nobody, and may not replace what the others use.
+        """
+        return tuple(
+            vm
+            for vm, row in self._rows.items()
+            if row.life is not core.NodeLife.LEFT
+            and not self._marked_for(row, MARK_STANDS, now)
+        )
+
+    def _marked_for(
+        self, row: core.NodeRow, seconds: float, now: float
+    ) -> bool:
+        return row.missing and now - self._since[row.vm] >= seconds
 
     def silent(
         self, heard: Mapping[core.VmName, float], now: float
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -205,7 +205,10 @@
     def _tell_live(self) -> None:
         live = self._live()
         self.meters.show(core.Metric.LIVE_VMS, len(live) + 1)
-        message = core.LivePeers(live, self._crew.concerned(self.now()))
+        now = self.now()
+        message = core.LivePeers(
+            live, self._crew.concerned(now), self._crew.voters(now)
+        )
         self.send(names.keeper(self.vm), message)
         self.send(names.watch(self.vm), message)
         self.send(names.desk(self.vm), self._live_nodes(live))
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -16,6 +16,9 @@
 
 # Seconds by which each later VM in the order waits before it acts.
 RANK_PAUSE = 0.06
+# Seconds by which a VM that hears less than half of the others waits: they
+# act first, and need not wait for one that can't be heard by most.
+FEW_PAUSE = 2.0
 # Seconds without a registered primary before one is chosen; over the
 # time that a silent instance's entry needs to come back.
 NO_PRIMARY = 3.0
@@ -276,9 +279,11 @@
             return
         self._turns.add(service)
         rank = decisions.rank_of(self.vm, self._peers.live, service)
+        pause = rank * RANK_PAUSE
+        if 2 * len(self._peers.live) < len(self._peers.voters):
+            pause += FEW_PAUSE
         self.after(
-            rank * RANK_PAUSE,
-            _ActNow(service, self._leads.revision(service), planned),
+            pause, _ActNow(service, self._leads.revision(service), planned)
         )
 
     @runtime.handles(_ActNow)
--- a/src/chicoryusher/tasks/pool/watch.py
+++ b/src/chicoryusher/tasks/pool/watch.py
@@ -44,11 +44,13 @@
         self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
         self._primaries: dict[core.ServiceName, core.InstanceName] = {}
         self._live: tuple[core.VmName, ...] = ()
+        self._voters: tuple[core.VmName, ...] = ()
         self._missed: dict[core.InstanceName, _Missed] = {}
 
     @runtime.handles(core.LivePeers)
     def _on_live(self, message: core.LivePeers) -> None:
         self._live = message.live
+        self._voters = message.voters
 
     @runtime.handles(core.GroupInForce)
     def _on_group(self, message: core.GroupInForce) -> None:
@@ -118,7 +120,7 @@
             missed = _Missed(now, {})
             self._missed[opinion.instance] = missed
         missed.opinions[opinion.vm] = opinion.reached
-        voters = (*self._live, self.vm)
+        voters = (*self._voters, self.vm)
         if decisions.missed_by_most(missed.opinions, voters):
             self.send(
                 names.keeper(self.vm), core.PrimaryMissed(opinion.instance)
--- a/tests/tasks/test_pool_failover.py
+++ b/tests/tasks/test_pool_failover.py
@@ -413,3 +413,58 @@
     )
     site.run(0.3)
     assert caller.last.refusal is None
+
+
+# -- who may find that a primary is gone -----------------------------------
+
+
+def part_from_peers(site, vm):
+    """Cut a VM off from its peers; it still reaches the store."""
+    for other in site.vms:
+        site.cut.add((str(vm.vm), str(other.vm)))
+
+
+def test_a_vm_alone_in_a_partition_replaces_nobody(site):
+    """Most VMs still use the primary; its commits must not be rolled back."""
+    alone, primary = site.vms[0], site.group.primary()
+    load(site, 1.0)
+    part_from_peers(site, alone)
+    site.cut.add((str(alone.vm), str(primary.name)))
+    site.run(3.0)
+    answers = load(site, 8.0)
+    assert site.tokens == []
+    assert site.group.primary() is primary
+    check_promises(site, answers)
+    served = [one for _, one in answers if one.refusal is None]
+    assert len(served) > len(answers) / 2
+
+
+def test_what_is_left_of_the_vms_replaces_a_primary_that_died_too(site):
+    """Most VMs and the primary are lost at one moment, for good."""
+    load(site, 1.0)
+    lost, left = site.vms[:3], site.vms[3:]
+    for vm in lost:
+        site.isolate(vm)
+        for name in site.group.instances:
+            site.cut.add((str(vm.vm), str(name)))
+    old = site.group.primary()
+    old.dark = True
+    answers = load(site, 14.0, left)
+    assert site.group.primary() is not old
+    check_terms(site, answers)
+    assert answers[-1][1].refusal is None
+
+
+@pytest.mark.parametrize('alone', [0, 1, 2, 3])
+def test_a_vm_alone_leaves_a_planned_change_to_the_others(site, alone):
+    """It would have to wait for every one of them to lapse."""
+    load(site, 1.0)
+    part_from_peers(site, site.vms[alone])
+    site.run(3.0)
+    old = site.group.primary()
+    old.entry = dataclasses.replace(old.entry, leaving=True)
+    site.register()
+    load(site, 7.0)
+    assert site.group.primary() is not old
+    holders = {holder for holder, _ in site.tokens}
+    assert site.vms[alone].vm not in holders
