--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -187,13 +187,8 @@
             late = elapsed >= sent.work.limit
             if decisions.may_repeat(sent.work):
                 ended = _ENDED.LOST
-                late = late or elapsed > self._patience(sent.work)
+                late = late or elapsed > sent.work.patience + HOP
             if late:
                 self._tell(sent.via, core.RelayCancel(self.vm, work_id))
                 self._give_up(work_id, ended)
         self._sweep_soon()
-
-    @staticmethod
-    def _patience(work: core.Work) -> float:
-        """Return the seconds after which a read is run elsewhere."""
-        return work.start_by - work.offered_at + work.patience + HOP
