Let forwarded work live by a chart of its own

Cause: what ends work that another VM runs was decided in the forwarder's methods, each in its own way; the rule here is that such lives stand in chart files.

Change: charts/forwarded.json and its subject; the forwarder fires events. The charts' test names the module that fills their registries, since the tasks package no longer imports all of them. Behaviour stays.

--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -13,6 +13,7 @@
     'Ended',
     'EntryState',
     'FeedState',
+    'ForwardedState',
     'GateState',
     'HandoverState',
     'LeadRowState',
@@ -261,6 +262,13 @@
     CLOSED = 'closed'
 
 
+class ForwardedState(enum.Enum):
+    """State of work that another VM runs (chart ``forwarded``)."""
+
+    AWAY = 'away'
+    SETTLED = 'settled'
+
+
 class NodeLife(enum.Enum):
     """Where an entry VM stands, as its row says.
 
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+from chicoryusher import charts
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks import notices
+from chicoryusher.tasks.pool import forwarded
 
 __all__ = ['Forwarder']
 
@@ -17,18 +17,6 @@
 # Seconds over the patience of a read before its holder is given up; a
 # round trip between regions and a pause of the holder's loop.
 HOP = 0.1
-_ENDED = core.Ended
-
-
-@dataclasses.dataclass(slots=True)
-class _Sent:
-    """Work under way, and when it left on both clocks (seconds)."""
-
-    via: core.VmName
-    instance: core.InstanceName
-    work: core.Work
-    sent_at: float
-    asked_at: float
 
 
 class _Sweep(core.Message):
@@ -41,21 +29,35 @@
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
         super().__init__(loop, vm, 'forwarder')
         self._clock = loop.clock
-        self._sent: dict[core.WorkId, _Sent] = {}
+        self._chart = charts.compiled('forwarded')
+        self._away: dict[core.WorkId, forwarded.Forwarded] = {}
         self._holders: dict[core.TransactionId, core.VmName] = {}
         self._sweeping = False
 
+    # -- work out -------------------------------------------------------
+
     @runtime.handles(core.ForwardWork)
     def _on_work(self, message: core.ForwardWork) -> None:
         work, entry = message.work, message.entry
         now = self.now()
-        self._sent[work.work_id] = _Sent(
-            message.via, entry.name, work, now, self._clock.running_on()
+        self._away[work.work_id] = forwarded.Forwarded(
+            self,
+            message.via,
+            entry.name,
+            work,
+            now,
+            self._clock.running_on(),
         )
         if work.transaction is not None:
             self._holders[work.transaction] = message.via
         self.meters.add(core.Metric.FORWARDED, instance=entry.name)
-        relayed = core.RelayWork(
+        self._tell(message.via, self._relayed(entry, work, now))
+        self._sweep_soon()
+
+    def _relayed(
+        self, entry: core.InstanceEntry, work: core.Work, now: float
+    ) -> core.RelayWork:
+        return core.RelayWork(
             self.vm,
             entry.name,
             entry.boot,
@@ -72,61 +74,57 @@
             work.begins,
             work.after,
         )
-        self._tell(message.via, relayed)
-        self._sweep_soon()
 
     def _tell(self, vm: core.VmName, message: core.Message) -> None:
         self.send(names.peers(self.vm), core.ToPeer(vm, message))
 
+    # -- ends -----------------------------------------------------------
+
+    def _fire(
+        self,
+        one: forwarded.Forwarded,
+        event: str,
+        arg: core.WorkEnded | None = None,
+    ) -> None:
+        del self._away[one.work.work_id]
+        self._chart.fire(one, event, arg)
+
+    def report(self, one: forwarded.Forwarded, ended: core.WorkEnded) -> None:
+        """Tell the owner what became of its work."""
+        transaction = one.work.transaction
+        if transaction is not None and ended.block is core.BlockState.IDLE:
+            self._holders.pop(transaction, None)
+        self.send(one.work.owner, ended)
+
+    def call_back(self, one: forwarded.Forwarded) -> None:
+        """Tell the holder that nobody waits for the work."""
+        self._tell(one.via, core.RelayCancel(self.vm, one.work.work_id))
+
     @runtime.handles(core.RelayEnded)
     def _on_ended(self, message: core.RelayEnded) -> None:
-        sent = self._sent.get(message.work_id)
-        if sent is None or sent.via != message.vm:
+        one = self._away.get(message.work_id)
+        if one is None or one.via != message.vm:
             return
-        self._end(
+        ended = core.WorkEnded(
             message.work_id,
-            core.WorkEnded(
-                message.work_id,
-                message.instance,
-                message.ended,
-                message.rows,
-                message.digest,
-                message.refusal,
-                message.detail,
-                message.position,
-                message.block,
-                sent.sent_at if message.sent else None,
-                sent.asked_at,
-            ),
-        )
-
-    def _end(self, work_id: core.WorkId, ended: core.WorkEnded) -> None:
-        sent = self._sent.pop(work_id)
-        transaction = sent.work.transaction
-        if transaction is not None and ended.block is core.BlockState.IDLE:
-            self._holders.pop(transaction, None)
-        self.send(sent.work.owner, ended)
-
-    def _give_up(self, work_id: core.WorkId, ended: core.Ended) -> None:
-        """End work without the holder's word; it may have been run."""
-        sent = self._sent[work_id]
-        self._end(
-            work_id,
-            core.WorkEnded(
-                work_id,
-                sent.instance,
-                ended,
-                sent_at=sent.sent_at,
-                asked_at=sent.asked_at,
-            ),
+            message.instance,
+            message.ended,
+            message.rows,
+            message.digest,
+            message.refusal,
+            message.detail,
+            message.position,
+            message.block,
+            one.sent_at if message.sent else None,
+            one.asked_at,
         )
+        self._fire(one, 'ended', ended)
 
     @runtime.handles(core.ForwardCancel)
     def _on_cancel(self, message: core.ForwardCancel) -> None:
-        sent = self._sent.pop(message.work_id, None)
-        if sent is not None:
-            cancel = core.RelayCancel(self.vm, message.work_id)
-            self._tell(sent.via, cancel)
+        one = self._away.get(message.work_id)
+        if one is not None:
+            self._fire(one, 'cancelled')
 
     @runtime.handles(core.ForwardEnd)
     def _on_end(self, message: core.ForwardEnd) -> None:
@@ -137,18 +135,15 @@
 
     @runtime.handles(core.ForwardStop)
     def _on_stop(self, message: core.ForwardStop) -> None:
-        for work_id, sent in tuple(self._sent.items()):
-            if sent.instance == message.instance:
-                self._tell(sent.via, core.RelayCancel(self.vm, work_id))
-                self._give_up(work_id, _ENDED.LOST)
-
-    # -- holders that are lost -------------------------------------------
+        for one in tuple(self._away.values()):
+            if one.instance == message.instance:
+                self._fire(one, 'stopped')
 
     @runtime.handles(core.PeerDown)
     def _on_down(self, message: core.PeerDown) -> None:
-        for work_id, sent in tuple(self._sent.items()):
-            if sent.via == message.vm:
-                self._give_up(work_id, _ENDED.LOST)
+        for one in tuple(self._away.values()):
+            if one.via == message.vm:
+                self._fire(one, 'holder_lost')
         for transaction, via in tuple(self._holders.items()):
             if via == message.vm:
                 del self._holders[transaction]
@@ -159,20 +154,14 @@
         relayed = message.message
         if not isinstance(relayed, core.RelayWork):
             return
-        sent = self._sent.get(relayed.work_id)
-        if sent is None or sent.via != message.vm:
-            return
-        continues = relayed.transaction is not None and relayed.begins is None
-        ended = _ENDED.LOST if continues else _ENDED.NOT_STARTED
-        self._end(
-            relayed.work_id,
-            core.WorkEnded(relayed.work_id, sent.instance, ended),
-        )
+        one = self._away.get(relayed.work_id)
+        if one is not None and one.via == message.vm:
+            self._fire(one, 'undelivered')
 
-    # -- time ------------------------------------------------------------
+    # -- time -----------------------------------------------------------
 
     def _sweep_soon(self) -> None:
-        if self._sent and not self._sweeping:
+        if self._away and not self._sweeping:
             self._sweeping = True
             self.after(SWEEP, _Sweep())
 
@@ -181,14 +170,11 @@
         """Give up what the holder should have answered by now."""
         self._sweeping = False
         now = self.now()
-        for work_id, sent in tuple(self._sent.items()):
-            elapsed = now - sent.sent_at
-            ended = _ENDED.OVERTIME
-            late = elapsed >= sent.work.limit
-            if decisions.may_repeat(sent.work):
-                ended = _ENDED.LOST
-                late = late or elapsed > sent.work.patience + HOP
-            if late:
-                self._tell(sent.via, core.RelayCancel(self.vm, work_id))
-                self._give_up(work_id, ended)
+        for one in tuple(self._away.values()):
+            elapsed = now - one.sent_at
+            repeats = decisions.may_repeat(one.work)
+            if repeats and elapsed > one.work.patience + HOP:
+                self._fire(one, 'silent')
+            elif elapsed >= one.work.limit:
+                self._fire(one, 'overtime')
         self._sweep_soon()
--- a/tests/charts/test_model.py
+++ b/tests/charts/test_model.py
@@ -8,8 +8,8 @@
 
 from chicoryusher import charts
 from chicoryusher import core
-from chicoryusher import tasks  # noqa: F401 - fills the registries
 from chicoryusher.daemon import app  # noqa: F401 - fills the registries
+from chicoryusher.tasks import node  # noqa: F401 - fills the registries
 from fleet import entry  # noqa: F401 - fills the registries
 
 CHARTS = pathlib.Path(charts.__file__).parent
