Take choosing, fencing and messages out of attempts and handover

Change: choosing.py (which instance, and the work made of a statement), decisions/fencing.py (whom a change waits for, with tests), messages of changes in core. Behaviour stays.

--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/stewardship.py
@@ -15,6 +15,8 @@
 from chicoryusher.core import position
 
 __all__ = [
+    'HandoverEnded',
+    'WantHandover',
     'Authority',
     'ChangesUnderWay',
     'DemoteInstance',
@@ -239,3 +241,25 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnowsEnough(messages.Message):
     """Configuration, instances and leads are known: callers can be served."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantHandover(messages.Message):
+    """Replace the primary of a group.
+
+    ``revision`` is the lead row's, 0 where there is none.  ``planned``
+    says that the old primary still serves.
+    """
+
+    entries: tuple[placement.InstanceEntry, ...]
+    old: ids.InstanceName
+    revision: int
+    planned: bool
+    vms: tuple[ids.VmName, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverEnded(messages.Message):
+    """A change of primary has ended here, done or not."""
+
+    service: ids.ServiceName
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -8,6 +8,7 @@
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import directory
 from chicoryusher.decisions import evidence
+from chicoryusher.decisions import fencing
 from chicoryusher.decisions import freshness
 from chicoryusher.decisions import gates
 from chicoryusher.decisions import holders
@@ -33,6 +34,7 @@
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.directory import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
+from chicoryusher.decisions.fencing import *  # noqa: F403
 from chicoryusher.decisions.freshness import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
 from chicoryusher.decisions.holders import *  # noqa: F403
@@ -69,6 +71,7 @@
     *configuration.__all__,
     *directory.__all__,
     *evidence.__all__,
+    *fencing.__all__,
     *freshness.__all__,
     *gates.__all__,
     *holders.__all__,
--- a/src/chicoryusher/decisions/succession.py
+++ b/src/chicoryusher/decisions/succession.py
@@ -109,9 +109,11 @@
         if self.successor is not None:
             self._refused.add(self.successor)
 
-    def readmit(self) -> None:
-        """Pass no instance over any more."""
-        self._refused.clear()
+    def nobody_left(self) -> bool:
+        """Tell whether none can follow; none is passed over then."""
+        if self.successor is None:
+            self._refused.clear()
+        return self.successor is None
 
     def _others(self) -> dict[core.InstanceName, core.InstanceState]:
         return {
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -10,8 +10,8 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempt_notes
+from chicoryusher.tasks.pool import choosing
 from chicoryusher.tasks.pool import endings
-from chicoryusher.tasks.pool import groups as groups_module
 from chicoryusher.tasks.pool import roster as roster_module
 from chicoryusher.tasks.pool import sessions
 
@@ -20,14 +20,8 @@
 # Part of the latency target for which a request may wait for a primary
 # or an instance to come; longer waits are better spent by the caller.
 HOLD = 0.2
-# Part of the latency target by which work must have a connection.
-START = 0.8
 # Seconds between looks for an instance, and before a refusal is retried.
 RETRY_PAUSE = 0.02
-# Part of the latency target after which a read is run elsewhere, and the
-# most seconds that this takes: over the longest usual work (0.5 s).
-READ_PATIENCE = 0.45
-MAX_READ_PATIENCE = 0.6
 # Seconds that a statement must have left to be sent at all.
 MIN_LIMIT = 0.05
 _Block = core.BlockState
@@ -105,15 +99,22 @@
         if group is None:
             self._hold(attempt, 'no instance of the group is known')
             return
-        needs = self._needs(attempt, group)
-        name = self._choose(attempt, group, needs)
+        needs = choosing.needs_of(attempt, group)
+        name = choosing.choose(
+            attempt,
+            group,
+            needs,
+            self.authority(),
+            self._desk.now(),
+            self._clock.running_on(),
+        )
         if name is None:
             self._hold(attempt, 'no instance may serve it')
             return
         attempt.needs_age = needs.age
         attempt.at_primary = name == group.primary
         after = None if attempt.at_primary else needs.after
-        self._submit(attempt, name, _begins(transaction), after)
+        self._submit(attempt, name, choosing.begins_of(transaction), after)
 
     def _go_on(
         self, attempt: sessions.Attempt, instance: core.InstanceName
@@ -124,44 +125,6 @@
         else:
             self.finish(attempt, core.Refusal.ABORTED, 'instance gone')
 
-    def _needs(
-        self, attempt: sessions.Attempt, group: groups_module.PoolGroup
-    ) -> decisions.ReadNeeds:
-        """Return what the statement must see; primary only if it can't."""
-        route = attempt.route
-        transaction = attempt.session.transaction
-        reads = not attempt.writes
-        if transaction is not None:
-            reads = transaction.read_only
-        if not reads or route.access is core.Access.PRIMARY:
-            return decisions.ReadNeeds(None, 0.0)
-        own = attempt.session.wrote_at
-        return group.needs(attempt.arrived_on, route.max_staleness, own)
-
-    def _choose(
-        self,
-        attempt: sessions.Attempt,
-        group: groups_module.PoolGroup,
-        needs: decisions.ReadNeeds,
-    ) -> core.InstanceName | None:
-        now = self._desk.now()
-        primary = group.usable_primary(now)
-        if not self.authority():
-            primary = None
-        instances = list(group.instances.values())
-        if primary is None and group.primary is not None:
-            instances = [
-                one for one in instances if one.entry.name != group.primary
-            ]
-        return decisions.choose_reader(
-            instances,
-            primary,
-            needs,
-            attempt.refused,
-            now,
-            self._clock.running_on(),
-        )
-
     def _submit(
         self,
         attempt: sessions.Attempt,
@@ -184,7 +147,9 @@
         if one is not None:
             one.outstanding += 1
         self._notes.sent(attempt, after, self._authority_left())
-        work = self._work(attempt, work_id, begins, after, left)
+        work = choosing.work_of(
+            attempt, work_id, self._desk.task_name, now, begins, after
+        )
         self._give(attempt, name, work)
 
     def _give(
@@ -211,35 +176,6 @@
             transaction.via = self._roster.via(name)
         return transaction.via
 
-    def _work(
-        self,
-        attempt: sessions.Attempt,
-        work_id: core.WorkId,
-        begins: core.Begins | None,
-        after: core.Position | None,
-        left: float,
-    ) -> core.Work:
-        """Return the work for a lane; ``left`` is its limit in seconds."""
-        session = attempt.session
-        transaction = session.transaction
-        target = attempt.route.target
-        return core.Work(
-            work_id,
-            self._desk.task_name,
-            attempt.message.request_id,
-            attempt.message.statement,
-            attempt.shape,
-            tuple(session.values.items()),
-            attempt.route.priority,
-            attempt.arrived + target * START,
-            left,
-            min(target * READ_PATIENCE, MAX_READ_PATIENCE),
-            self._desk.now(),
-            None if transaction is None else transaction.number,
-            begins,
-            after,
-        )
-
     def _hold(self, attempt: sessions.Attempt, why: str) -> None:
         """Wait a little for an instance, or refuse."""
         if attempt.refused:
@@ -247,7 +183,7 @@
         now = self._desk.now()
         group = self._roster.groups.get(attempt.route.service)
         coming = group is not None and group.expects_primary(now)
-        hold = START if attempt.offered or coming else HOLD
+        hold = choosing.START if attempt.offered or coming else HOLD
         if now >= attempt.arrived + attempt.route.target * hold:
             self.finish(attempt, core.Refusal.BUSY, why)
             return
@@ -443,11 +379,3 @@
             ended.position,
         )
         session.host.answered(session, answer)
-
-
-def _begins(transaction: sessions.Transaction | None) -> core.Begins | None:
-    if transaction is None:
-        return None
-    if transaction.read_only:
-        return core.Begins.READ_ONLY
-    return core.Begins.READ_WRITE
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -10,7 +10,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 
-__all__ = ['Handover', 'HandoverEnded', 'WantHandover']
+__all__ = ['Handover']
 
 # Seconds for an instance's status; a round trip between regions (42 ms),
 # a new connection (12 ms) and a wait for a slot at full load.
@@ -37,28 +37,6 @@
 PLANNED_PATIENCE = 0.4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WantHandover(core.Message):
-    """Replace the primary of a group.
-
-    ``revision`` is the lead row's, 0 where there is none.  ``planned``
-    says that the old primary still serves.
-    """
-
-    entries: tuple[core.InstanceEntry, ...]
-    old: core.InstanceName
-    revision: int
-    planned: bool
-    vms: tuple[core.VmName, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HandoverEnded(core.Message):
-    """A change of primary has ended here, done or not."""
-
-    service: core.ServiceName
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _FenceAgain(core.Message):
     """Time to ask VMs again that have not stopped yet."""
@@ -80,8 +58,6 @@
     revision: int
 
 
-# Stands for VMs that the store lists and this VM does not know yet.
-_UNLISTED = core.VmName('')
 _ASKING = (core.HandoverState.CHOOSING, core.HandoverState.CATCHING_UP)
 
 
@@ -96,13 +72,13 @@
         self.service = service
         self._clock = loop.clock
         self._chart = charts.compiled('handover')
-        self._want: WantHandover | None = None
-        self._candidates = decisions.Candidates((), core.InstanceName(''))
+        self._want: core.WantHandover | None = None
+        self.candidates = decisions.Candidates((), core.InstanceName(''))
         self._claim = decisions.LeadClaim(
             vm, service, core.InstanceName(''), 0
         )
         self._was_fenced = False
-        self._silent: set[core.VmName] = set()
+        self._fencing = decisions.Fencing()
         self._caught_up_by = 0.0
         self._confirm_by = 0.0
 
@@ -119,18 +95,18 @@
                 before=before.value,
                 state=self.state.value,
                 revision=self._claim.revision,
-                successor=self._candidates.successor,
-                silent=sorted(self._silent),
+                successor=self.candidates.successor,
+                silent=sorted(self._fencing.silent),
             )
 
     # -- claim ----------------------------------------------------------
 
-    @runtime.handles(WantHandover)
-    def _on_want(self, want: WantHandover) -> None:
+    @runtime.handles(core.WantHandover)
+    def _on_want(self, want: core.WantHandover) -> None:
         if self.state is not core.HandoverState.IDLE:
             return
         self._want = want
-        self._candidates = decisions.Candidates(want.entries, want.old)
+        self.candidates = decisions.Candidates(want.entries, want.old)
         self._claim = decisions.LeadClaim(
             self.vm, self.service, want.old, want.revision
         )
@@ -181,7 +157,7 @@
     def fence(self) -> None:
         """Ask every VM to stop using the old primary."""
         assert self._want is not None
-        self._silent = {*self._want.vms, self.vm, _UNLISTED}
+        self._fencing = decisions.Fencing((*self._want.vms, self.vm))
         self.send(names.rows(self.vm), core.ReadNodes(self.task_name))
         self._ask_fences()
         self.after(FENCE_AGAIN, _FenceAgain(self._claim.first))
@@ -191,9 +167,7 @@
         assert want is not None and row is not None
         patience = PLANNED_PATIENCE if want.planned else 0.0
         fence = core.FencePrimary(self.vm, row, patience)
-        for vm in sorted(self._silent):
-            if vm == _UNLISTED:
-                continue
+        for vm in sorted(self._fencing.silent):
             if vm == self.vm:
                 self.send(names.keeper(vm), fence)
             else:
@@ -202,21 +176,10 @@
     @runtime.handles(core.NodesInStore)
     def _on_nodes(self, message: core.NodesInStore) -> None:
         """Fence VMs too that had registered by the time of the claim."""
-        assert self._want is not None
         if self.state is not core.HandoverState.FENCING:
             return
-        known = {*self._want.vms, self.vm}
-        new = {
-            one.vm
-            for one in message.rows
-            if one.is_callable and one.vm not in known
-        }
-        self._want = dataclasses.replace(
-            self._want, vms=(*self._want.vms, *sorted(new))
-        )
-        self._silent |= new
-        self._silent.discard(_UNLISTED)
-        if not self._silent:
+        new = self._fencing.listed(message.rows)
+        if self._fencing.done:
             self._fire('fenced')
         elif new:
             self._ask_fences()
@@ -225,8 +188,8 @@
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
         if message.revision < self._claim.first:
             return
-        self._silent.discard(message.vm)
-        if not self._silent:
+        self._fencing.stopped(message.vm)
+        if self._fencing.done:
             self._fire('fenced')
 
     @runtime.handles(_FenceAgain)
@@ -247,7 +210,7 @@
     def ask(self) -> None:
         """Ask every instance for its status."""
         self._was_fenced = True
-        entries = self._candidates.ask()
+        entries = self.candidates.ask()
         for entry in entries:
             self.send(
                 names.prober(self.vm),
@@ -282,7 +245,7 @@
         if self.state is core.HandoverState.CONFIRMING:
             self._confirmed(status)
             return
-        if self._candidates.answered(status):
+        if self.candidates.answered(status):
             self._fire('asked')
 
     def overdue(self) -> bool:
@@ -293,36 +256,26 @@
         """Tell whether nobody uses the old primary any more."""
         return self._was_fenced
 
-    def already_led(self) -> bool:
-        """Tell whether another instance leads the newest term already."""
-        return self._candidates.one_leads()
-
-    def nobody(self) -> bool:
-        """Tell whether no instance can take over."""
-        if self._candidates.successor is None:
-            self._candidates.readmit()
-        return self._candidates.successor is None
-
     def behind(self) -> bool:
         """Tell whether the successor lacks what the old primary has."""
-        if not self._candidates.old_leads():
+        if not self.candidates.old_leads():
             return False
         now = self.now()
         if self.state is core.HandoverState.CHOOSING:
             self._caught_up_by = now + CATCH_UP_LIMIT
         if now >= self._caught_up_by:
             return False
-        return not self._candidates.has_all()
+        return not self.candidates.has_all()
 
     # -- promote --------------------------------------------------------
 
     def demote(self) -> None:
         """Take the lead from an old primary that still answers."""
         assert self._want is not None
-        entry = self._candidates.entries.get(self._want.old)
-        if entry is None or not self._candidates.old_leads():
+        entry = self.candidates.entries.get(self._want.old)
+        if entry is None or not self.candidates.old_leads():
             return
-        newest = self._candidates.newest_term()
+        newest = self.candidates.newest_term()
         self.send(
             names.prober(self.vm),
             core.DemoteInstance(
@@ -335,7 +288,7 @@
 
     def promote(self) -> None:
         """Order the promotion; the row's revision is its token."""
-        successor = self._candidates.successor
+        successor = self.candidates.successor
         assert successor is not None
         self.send(
             names.promotions(self.vm),
@@ -356,7 +309,7 @@
             self._fire('promoted')
             return
         if message.result is core.PromoteResult.REFUSED:
-            self._candidates.refuse()
+            self.candidates.refuse()
         self._fire('refused')
 
     def confirm(self) -> None:
@@ -367,8 +320,8 @@
     def confirm_once(self) -> None:
         """Ask the successor for its status."""
         self.renew()
-        successor = self._candidates.successor or core.InstanceName('')
-        entry = self._candidates.entries.get(successor)
+        successor = self.candidates.successor or core.InstanceName('')
+        entry = self.candidates.entries.get(successor)
         if entry is None:
             self._fire('not_yet')
             return
@@ -378,7 +331,7 @@
         )
 
     def _confirmed(self, status: core.InstanceStatus) -> None:
-        if status.instance != self._candidates.successor:
+        if status.instance != self.candidates.successor:
             return
         state = status.state
         if state is not None and state.role is core.Role.PRIMARY:
@@ -398,13 +351,13 @@
         reopened = core.Reopened(self._claim.revision, row)
         assert self._want is not None
         self.send(names.keeper(self.vm), reopened)
-        for vm in self._want.vms:
+        for vm in sorted(self._fencing.vms):
             if vm != self.vm:
                 self.send(names.peers(self.vm), core.ToPeer(vm, reopened))
         self.write_open()
 
     def _open_row(self) -> core.LeadRow:
-        successor = self._candidates.successor
+        successor = self.candidates.successor
         assert successor is not None
         return self._claim.opening(successor)
 
@@ -437,5 +390,5 @@
 
     def ended(self) -> None:
         """Tell the keeper that this change has ended here."""
-        self._silent.clear()
-        self.send(names.keeper(self.vm), HandoverEnded(self.service))
+        self._fencing = decisions.Fencing()
+        self.send(names.keeper(self.vm), core.HandoverEnded(self.service))
--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/handover_actions.py
@@ -82,12 +82,12 @@
 
 @charts.guard('handover.already_led')
 def _already_led(task: Handover, arg: object) -> bool:
-    return task.already_led()
+    return task.candidates.one_leads()
 
 
 @charts.guard('handover.nobody')
 def _nobody(task: Handover, arg: object) -> bool:
-    return task.nobody()
+    return task.candidates.nobody_left()
 
 
 @charts.guard('handover.behind')
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -303,7 +303,7 @@
         self._tell_changes()
         self.send(
             names.handover(self.vm, service),
-            handover.WantHandover(
+            core.WantHandover(
                 group.entries,
                 group.primary or self._leads.last(service),
                 message.revision,
@@ -316,8 +316,8 @@
         changes = core.ChangesUnderWay(bool(self._changing))
         self.send(names.exchange(self.vm), changes)
 
-    @runtime.handles(handover.HandoverEnded)
-    def _on_ended(self, message: handover.HandoverEnded) -> None:
+    @runtime.handles(core.HandoverEnded)
+    def _on_ended(self, message: core.HandoverEnded) -> None:
         self._changing.discard(message.service)
         self._tell_changes()
 
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -110,11 +110,13 @@
     def _open(self, now: float) -> None:
         conn = self._conns.new(now)
         self.send(self._link, core.OpenLink(conn.conn_id))
-        name = self.entry.name
-        self.meters.add(core.Metric.CONNECTIONS_OPENED, instance=name)
-        self.meters.show(
-            core.Metric.CONNECTIONS, len(self._conns), instance=name
-        )
+        opened = core.Metric.CONNECTIONS_OPENED
+        self.meters.add(opened, instance=self.entry.name)
+        self._show_connections()
+
+    def _show_connections(self) -> None:
+        metric, name = core.Metric.CONNECTIONS, self.entry.name
+        self.meters.show(metric, len(self._conns), instance=name)
 
     def _run(self, conn: conns_module.PoolConn, work: core.Work) -> None:
         commands = decisions.suit(conn.memory, work)
@@ -313,11 +315,7 @@
         work = conn.work
         conn.work = None
         self._conns.lost(conn)
-        self.meters.show(
-            core.Metric.CONNECTIONS,
-            len(self._conns),
-            instance=self.entry.name,
-        )
+        self._show_connections()
         if work is not None:
             self._end(work, ended, _NO_REPLY, conn.sent_at, conn.asked_at)
 
--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_candidates.py
@@ -59,10 +59,14 @@
     candidates.ask()
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
     assert candidates.successor == name(1)
-    candidates.readmit()
+    candidates.refuse()
+    candidates.ask()
+    answer(candidates, status(0, 99), status(1, 5), status(2, 9))
+    assert candidates.nobody_left()
     candidates.ask()
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
     assert candidates.successor == name(2)
+    assert not candidates.nobody_left()
 
 
 def test_one_that_leaves_is_taken_only_without_another():
