Leave only planned changes to the many; tell more in explain

Changes that are not planned have the votes of most VMs already.

Change: the pause concerns planned changes only (test_a_holder_that_starts_again_goes_on_with_its_change_at_once).

--- a/src/chicoryusher/cli/explain.py
+++ b/src/chicoryusher/cli/explain.py
@@ -21,6 +21,8 @@
         6005,
     }
 )
+# Numbers of events that tell of connections to one instance.
+CONNECTION_EVENTS = frozenset({3002, 3003})
 # Seconds before and after the request within which such events are told.
 BEFORE = 3.0
 AFTER = 0.5
@@ -82,13 +84,32 @@
     near = [
         one
         for one in lines
-        if one.event in NEARBY_EVENTS
-        and one.vm in vms
+        if one.vm in vms
         and first - BEFORE <= _seconds(one.when) <= last + AFTER
+        and _concerns(one, own)
     ]
     return sorted({*own, *near}, key=lambda one: one.when)
 
 
+def _concerns(line: LogLine, own: list[LogLine]) -> bool:
+    """Tell whether a line may have decided what became of a request.
+
+    Lines about other groups, and about connections to instances that the
+    request was not sent to, are left out.
+    """
+    if line.event in CONNECTION_EVENTS:
+        return line.field('instance') in _fields(own, 'instance')
+    if line.event not in NEARBY_EVENTS:
+        return False
+    services = _fields(own, 'service')
+    service = line.field('service')
+    return not service or not services or service in services
+
+
+def _fields(own: list[LogLine], name: str) -> set[str]:
+    return {one.field(name) for one in own} - {'', 'None'}
+
+
 def _seconds(when: str) -> float:
     try:
         return datetime.datetime.fromisoformat(when).timestamp()
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -16,8 +16,8 @@
 
 # Seconds by which each later VM in the order waits before it acts.
 RANK_PAUSE = 0.06
-# Seconds by which a VM that hears less than half of the others waits: they
-# act first, and need not wait for one that can't be heard by most.
+# Seconds by which a VM that hears less than half of the others leaves a
+# planned change to them: they need not wait for most to lapse.
 FEW_PAUSE = 2.0
 # Seconds without a registered primary before one is chosen; over the
 # time that a silent instance's entry needs to come back.
@@ -280,7 +280,8 @@
         self._turns.add(service)
         rank = decisions.rank_of(self.vm, self._peers.live, service)
         pause = rank * RANK_PAUSE
-        if 2 * len(self._peers.live) < len(self._peers.voters):
+        few = 2 * len(self._peers.live) < len(self._peers.voters)
+        if planned and few:
             pause += FEW_PAUSE
         self.after(
             pause, _ActNow(service, self._leads.revision(service), planned)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -60,6 +60,28 @@
     assert told[1].field('why') == 'no instance may serve it'
 
 
+def line(second, event, **fields):
+    when = f'2026-01-01T10:00:{second:06.3f}'
+    document = {'time': when, 'event': event, 'vm': 'vm1', 'message': 'm'}
+    return json.dumps({**document, **fields})
+
+
+def test_other_groups_and_other_instances_are_left_out():
+    lines = explain.lines_of(
+        [
+            line(1.0, 4012, service='s1', primary='None'),
+            line(1.1, 4012, service='s2', primary='None'),
+            line(1.2, 3003, instance='i-1', why='too_many'),
+            line(1.3, 3003, instance='i-2', why='too_many'),
+            line(1.4, 4014, age=3.1),
+            line(1.5, 3012, request='abc', service='s1', instance='i-1'),
+            line(1.6, 3010, request='abc', service='s1', instance='i-1'),
+        ]
+    )
+    told = [one.when[-5:] for one in explain.story(lines, 'abc')]
+    assert told == ['1.000', '1.200', '1.400', '1.500', '1.600']
+
+
 def test_an_unknown_request_has_no_story():
     assert explain.story(explain.lines_of(texts()), 'xyz') == []
 
--- a/tests/tasks/test_pool_failover.py
+++ b/tests/tasks/test_pool_failover.py
@@ -468,3 +468,21 @@
     assert site.group.primary() is not old
     holders = {holder for holder, _ in site.tokens}
     assert site.vms[alone].vm not in holders
+
+
+def test_a_holder_that_starts_again_goes_on_with_its_change_at_once(site):
+    """Pattern: all power is lost while a primary is being replaced."""
+    old = site.group.primary()
+    closing = core.LeadRow(
+        pool.SERVICE,
+        0,
+        core.LeadRowState.CLOSING,
+        old.name,
+        core.VmName('vm9'),
+    )
+    old.dark = True
+    site.store.write(closing, 0)
+    pool.Vm(site, 'vm9', 'akhmim-yard')
+    site.run(2.0)
+    assert [holder for holder, _ in site.tokens] == ['vm9']
+    assert site.group.primary() is not old
