--- a/src/chicoryusher/cli/explain.py
+++ b/src/chicoryusher/cli/explain.py
@@ -23,6 +23,10 @@
 )
 # Numbers of events that tell of connections to one instance.
 CONNECTION_EVENTS = frozenset({3002, 3003})
+# Numbers of events that hold until the next of their kind: the primary in
+# use, and whether primaries may be used.
+PRIMARY_EVENT = 4012
+STANDING_EVENTS = frozenset({PRIMARY_EVENT, 4014, 4015})
 # Seconds before and after the request within which such events are told.
 BEFORE = 3.0
 AFTER = 0.5
@@ -88,7 +92,26 @@
         and first - BEFORE <= _seconds(one.when) <= last + AFTER
         and _concerns(one, own)
     ]
-    return sorted({*own, *near}, key=lambda one: one.when)
+    standing = _standing(lines, own, first - BEFORE)
+    return sorted({*own, *near, *standing}, key=lambda one: one.when)
+
+
+def _standing(
+    lines: list[LogLine], own: list[LogLine], until: float
+) -> list[LogLine]:
+    """Return what still held at a time, however long before it began.
+
+    That is the last word of each VM on the group's primary and on its
+    authority.
+    """
+    last: dict[tuple[str, bool], LogLine] = {}
+    vms = {one.vm for one in own}
+    for line in lines:
+        if _seconds(line.when) >= until or line.vm not in vms:
+            continue
+        if line.event in STANDING_EVENTS and _concerns(line, own):
+            last[line.vm, line.event == PRIMARY_EVENT] = line
+    return list(last.values())
 
 
 def _concerns(line: LogLine, own: list[LogLine]) -> bool:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -82,6 +82,20 @@
     assert told == ['1.000', '1.200', '1.400', '1.500', '1.600']
 
 
+def test_what_held_since_long_before_is_told_too():
+    lines = explain.lines_of(
+        [
+            line(1.0, 4014, age=3.0),
+            line(2.0, 4012, service='s1', primary='i-1'),
+            line(3.0, 4012, service='s1', primary='None'),
+            line(4.0, 4012, service='s2', primary='None'),
+            line(30.0, 3010, request='abc', service='s1'),
+        ]
+    )
+    told = [one.when[-6:] for one in explain.story(lines, 'abc')]
+    assert told == ['01.000', '03.000', '30.000']
+
+
 def test_an_unknown_request_has_no_story():
     assert explain.story(explain.lines_of(texts()), 'xyz') == []
 
