--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -15,8 +15,7 @@
 
 __all__ = ['BoundedHandler', 'Log', 'to_stream']
 
-# Lines a second of events that are sampled: about 0.3% of a core at
-# 70 us a line, a process's own and the machine's.
+# Lines a second of events that are sampled; 20 us each make 0.1% of a core.
 SAMPLED_RATE = 40.0
 # Lines a second of all other events; a VM that refuses everything at its
 # usual load of 50 statements a second stays below.
