--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import json
+import os
+import socket
 import threading
 import urllib.parse
 
@@ -12,6 +15,23 @@
 from chicoryusher.runtime import http_server
 
 HOST = '127.0.0.1'
+# Ports below those that the system gives to outgoing connections, a block
+# for each process of tests.
+FIRST_PORT = 20000
+BLOCKS = 300
+PORTS_EACH = 40
+_PORTS = itertools.count(FIRST_PORT + os.getpid() % BLOCKS * PORTS_EACH)
+
+
+def free_port():
+    """Return a port that nothing listens on and no call has returned."""
+    for port in _PORTS:
+        try:
+            with socket.create_server((HOST, port)):
+                return port
+        except OSError:
+            continue
+    raise AssertionError('no port is free')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -40,11 +40,6 @@
 }
 
 
-def free_port():
-    with socket.create_server((HOST, 0)) as sock:
-        return sock.getsockname()[1]
-
-
 @pytest.fixture
 def store():
     loop = runtime.Runtime()
@@ -65,12 +60,12 @@
         'host': HOST,
         'zone': 'akhmim-yard',
         'regions': {'akhmim-yard': 'upper-nile'},
-        'callers': f'{HOST}:{free_port()}',
-        'ready': f'{HOST}:{free_port()}',
-        'peer_port': free_port(),
+        'callers': f'{HOST}:{stand_ins.free_port()}',
+        'ready': f'{HOST}:{stand_ins.free_port()}',
+        'peer_port': stand_ins.free_port(),
         'store': f'{HOST}:{store.address[1]}',
-        'promotions': f'{HOST}:{free_port()}',
-        'metrics': f'{HOST}:{free_port()}',
+        'promotions': f'{HOST}:{stand_ins.free_port()}',
+        'metrics': f'{HOST}:{stand_ins.free_port()}',
         'spread': True,
         'grace_s': 4,
     }
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -7,7 +7,6 @@
 import os
 import pathlib
 import random
-import socket
 import subprocess
 import sys
 
@@ -58,11 +57,6 @@
         self.after(REPLICATE, message)
 
 
-def _free_port():
-    with socket.create_server((HOST, 0)) as sock:
-        return sock.getsockname()[1]
-
-
 class Vm:
     """One entry process and the settings that it starts with."""
 
@@ -71,7 +65,7 @@
         self.store = proxies.Proxy(
             world.loop, f'store/{number}', world.store.address
         )
-        self.callers = (HOST, _free_port())
+        self.callers = (HOST, stand_ins.free_port())
         self._log = folder / f'{self.name}.log'
         self._settings = folder / f'{self.name}.json'
         self.process = None
@@ -82,11 +76,11 @@
             'zone': ZONES[number % len(ZONES)],
             'regions': REGIONS,
             'callers': f'{HOST}:{self.callers[1]}',
-            'ready': f'{HOST}:{_free_port()}',
-            'peer_port': _free_port(),
+            'ready': f'{HOST}:{stand_ins.free_port()}',
+            'peer_port': stand_ins.free_port(),
             'store': f'{HOST}:{self.store.address[1]}',
             'promotions': f'{HOST}:{world.promotions.address[1]}',
-            'metrics': f'{HOST}:{_free_port()}',
+            'metrics': f'{HOST}:{stand_ins.free_port()}',
             'spread': True,
             'grace_s': GRACE,
         }
