Reword decisions on primaries, claims and evidence

Reword authority, leadership, succession, claiming and evidence in the terms of replication and failover. Rename private names: Watched to InstanceProbes, Claim to PendingProof, caught_up to has_caught_up, RENEW to CLAIM_RENEWAL_S, and the probe time-outs to names with a unit.

--- a/src/chicoryusher/decisions/authority.py
+++ b/src/chicoryusher/decisions/authority.py
@@ -1,60 +1,76 @@
-"""Until when a VM may use primaries.
-
-A change of primary is written to the store before it begins, and waits
-until every VM has stopped using the old one or its authority must have
-lapsed.  A VM's authority counts from the moment at which it asked for
-the newest view of the lead rows that it has.
-
-While nobody reaches the store, authority that has not lapsed is carried on
-by grants: every VM that could begin a change answers that it knows the
-lead rows and has none under way.  A change that it begins later waits, as
-any does, until what its grant allowed has lapsed.
+"""How long a VM may use primaries: the VM's authority.
+
+A VM that changes a group's primary first writes the change to the store.
+It then waits until every VM has stopped using the old primary, or until
+the authority of the VMs that did not respond has certainly expired.
+A VM's authority begins when the request for its newest view of the
+leader rows was sent, not when the answer arrived.
+
+While no VM can reach the store, grants extend an authority that has not
+expired.  A grant is the answer of a VM that could begin a change of
+primary: it has the current leader rows and no change under way.  If that
+VM begins a change afterwards, the change waits, as every change does,
+until the authority extended by its grant has expired.
 """
 
 from __future__ import annotations
 
 __all__ = ['LAPSE', 'LAPSE_WAIT', 'Views']
 
-# Seconds that a view of the lead rows, or a grant, allows to use primaries.
-# A primary and a VM that fall silent at once are then replaced within the
-# accepted gap of 5 s: noticing and promoting take 1 to 1.5 s.
+# Seconds of authority that a view of the leader rows, or a grant, gives.
+# When a primary and a VM fail at the same time, the primary is still
+# replaced within the accepted outage of 5 s: this time passes, and
+# detection and promotion take another 1 to 1.5 s.
 LAPSE = 3.0
-# Seconds that a change of primary waits for a silent VM: the lapse, and
-# 4% for clocks that run at different speeds, and timers that are late.
+# Seconds that a change of primary waits for a VM that does not respond:
+# the duration of authority, 4% for clocks that run at different speeds,
+# and 0.1 s for timers that fire late.
 LAPSE_WAIT = LAPSE * 1.04 + 0.1
 
 
 class Views:
-    """The newest view of the lead rows, own or passed on."""
+    """Time and revision of the newest view of one kind of store rows.
+
+    The view was read from the store by this VM, or by a peer that passed
+    it on.
+    """
 
     def __init__(self) -> None:
         self.seen_at = float('-inf')
         self.revision = 0
 
     def know(self, revision: int) -> None:
-        """Note the newest revision of a lead row that is known."""
+        """Record the revision of a row that this VM has received."""
         self.revision = max(self.revision, revision)
 
     def own(self, asked_at: float) -> bool:
-        """Take the store's answer; tell whether authority grew."""
+        """Record a read of the store that was sent at ``asked_at``.
+
+        Return whether it is newer than the view so far, so that the
+        authority is extended.
+        """
         if asked_at <= self.seen_at:
             return False
         self.seen_at = asked_at
         return True
 
     def passed_on(self, sent_at: float, age: float, revision: int) -> bool:
-        """Take a peer's answer to a question sent at ``sent_at``.
+        """Adopt a peer's view, received in reply to a request.
 
-        It counts only if every row that the peer has is known here.
+        ``sent_at`` is when the request was sent, ``age`` the age of the
+        peer's view in seconds.  The view is adopted only if this VM has
+        every row that the peer has.  Return whether it was newer.
         """
         if revision > self.revision:
             return False
         return self.own(sent_at - age)
 
     def granted(self, sent_at: float, now: float) -> bool:
-        """Take grants of all VMs, the oldest asked for at ``sent_at``.
+        """Extend the authority by grants that all VMs have sent.
 
-        They carry authority on; what has lapsed needs a view again.
+        ``sent_at`` is when the oldest of the granted requests was sent.
+        Grants cannot renew an authority that has expired; that takes a
+        new view.  Return whether the authority was extended.
         """
         if now >= self.until():
             return False
@@ -65,5 +81,5 @@
         return now - self.seen_at
 
     def until(self) -> float:
-        """Return until when primaries may be used."""
+        """Return the time at which the authority expires."""
         return self.seen_at + LAPSE
--- a/src/chicoryusher/decisions/claiming.py
+++ b/src/chicoryusher/decisions/claiming.py
@@ -1,6 +1,7 @@
-"""A VM's claim to change a group's primary: the lead row it holds.
+"""A VM's claim to change a group's primary: the leader row it has written.
 
-Times are seconds of the clock that runs on while a VM is suspended.
+Times are seconds of the clock that also counts the time for which the VM
+is suspended.
 """
 
 from __future__ import annotations
@@ -8,24 +9,25 @@
 from chicoryusher import core
 from chicoryusher.decisions import authority
 
-__all__ = ['CLAIM_LASTS', 'RENEW', 'TAKEOVER', 'LeadClaim']
+__all__ = ['CLAIM_LASTS', 'CLAIM_RENEWAL_S', 'TAKEOVER', 'LeadClaim']
 
-# Seconds after which a closing row that its holder has not renewed is
-# taken over by another VM.
+# Seconds after which another VM takes over a closing row that its
+# coordinator has not renewed.
 TAKEOVER = 2.5
-# Seconds since its last claim within which a holder may order a
-# promotion.  An order that hangs is reset after 0.8 s, so it arrives
-# before another VM's.
+# Seconds since its last claim within which a coordinator may order a
+# promotion.  An order without an answer is reset after 0.8 s, so it
+# arrives before that of a VM that takes the claim over.
 CLAIM_LASTS = 1.0
-# Seconds after which a holder renews its claim.
-RENEW = 0.7
+# Seconds after which a coordinator renews its claim.
+CLAIM_RENEWAL_S = 0.7
 
 
 class LeadClaim:
-    """The rows that one change writes, and how long its claim holds.
+    """The leader rows that one change of primary writes.
 
-    ``first`` is the revision of its first closing row, 0 before that is
-    written; ``closed_at`` is when that was known to be written.
+    ``first`` is the revision of the change's first closing row, 0 before
+    that row is written; ``closed_at`` is when this VM learned that the
+    row was written.
     """
 
     def __init__(
@@ -33,15 +35,15 @@
         vm: core.VmName,
         service: core.ServiceName,
         old: core.InstanceName,
-        known: int,
+        prior_revision: int,
     ) -> None:
         self._vm = vm
         self._service = service
-        self._old = old
-        self._known = known
-        self._writing_at = 0.0
+        self._old_primary = old
+        self._prior_revision = prior_revision
+        self._write_began_at = 0.0
         self._claimed_at = 0.0
-        self._renewing = False
+        self._write_pending = False
         self.row: core.LeadRow | None = None
         self.first = 0
         self.closed_at = 0.0
@@ -54,16 +56,19 @@
     @property
     def expected(self) -> int:
         """Return the revision that the next write is conditional on."""
-        return self.revision or self._known
+        return self.revision or self._prior_revision
 
     def closing(self, now_on: float) -> core.LeadRow:
-        """Return the row that claims the group, or renews the claim."""
-        self._writing_at = now_on
-        self._renewing = True
-        return self._row(core.LeadRowState.CLOSING, self._old)
+        """Return the row to write to claim the group or renew the claim.
+
+        The claim's time begins before the write is sent.
+        """
+        self._write_began_at = now_on
+        self._write_pending = True
+        return self._row(core.LeadRowState.CLOSING, self._old_primary)
 
     def opening(self, successor: core.InstanceName) -> core.LeadRow:
-        """Return the row that ends the change."""
+        """Return the row to write to end the change."""
         return self._row(core.LeadRowState.OPEN, successor)
 
     def _row(
@@ -73,36 +78,40 @@
         return core.LeadRow(self._service, 0, state, primary, self._vm)
 
     def written(self, row: core.LeadRow | None) -> bool:
-        """Take the row as the store has it; tell whether it is ours.
+        """Record the row that the store has after a write.
 
-        Without a row, the outcome of the write is unknown.
+        None means that the outcome of the write is unknown.  Return
+        whether the row is this VM's claim.
         """
-        self._renewing = False
+        self._write_pending = False
         if row is None or not self.is_ours(row):
             return False
         self.row = row
-        self._claimed_at = self._writing_at
+        self._claimed_at = self._write_began_at
         return True
 
     def is_ours(self, row: core.LeadRow) -> bool:
-        """Tell whether a row says that this VM changes the primary."""
+        """Return whether a row says that this VM changes the primary."""
         closing = row.state is core.LeadRowState.CLOSING
         return closing and row.holder == self._vm
 
     def begins(self, now_on: float) -> None:
-        """Note the first closing row."""
+        """Record that the first closing row is written."""
         if not self.first:
             self.first = self.revision
             self.closed_at = now_on
 
     def renewal_due(self, now_on: float) -> bool:
-        """Tell whether the claim should be renewed now."""
-        return not self._renewing and now_on - self._claimed_at >= RENEW
+        """Return whether the claim should be renewed now."""
+        return (
+            not self._write_pending
+            and now_on - self._claimed_at >= CLAIM_RENEWAL_S
+        )
 
     def overdue(self, now_on: float) -> bool:
-        """Tell whether the claim is too old to order a promotion."""
+        """Return whether the claim is too old to order a promotion."""
         return now_on - self._claimed_at > CLAIM_LASTS
 
     def all_lapsed(self, now_on: float) -> bool:
-        """Tell whether every authority of before the claim has lapsed."""
+        """Return whether all authority from before the claim has expired."""
         return now_on - self.closed_at >= authority.LAPSE_WAIT
--- a/src/chicoryusher/decisions/evidence.py
+++ b/src/chicoryusher/decisions/evidence.py
@@ -1,8 +1,10 @@
-"""Evidence that an answer may be given: a majority in the term.
+"""Evidence that a request may be answered: a majority is in its term.
 
-A commit at (term, offset) survives every later term once a majority of
-the group holds it while still in that term: a later term needs a fence
-taken by a majority, and takes the longest log among it.
+Commits and reads of the primary are answered only with such evidence.  A
+commit at (term, offset) survives every later term once a majority of the
+group has it in its log while still in that term.  For a later term to
+begin, a majority must accept its fence, and the fenced instance with the
+longest log becomes the primary.
 """
 
 from __future__ import annotations
@@ -12,11 +14,11 @@
 
 from chicoryusher import core
 
-__all__ = ['Claim', 'EvidenceBook', 'Verdict']
+__all__ = ['EvidenceBook', 'PendingProof', 'Verdict']
 
 
 class Verdict(enum.Enum):
-    """What the evidence says of one claim."""
+    """Whether a request is proved, disproved or still open."""
 
     OPEN = 'open'
     PROVED = 'proved'
@@ -24,98 +26,110 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Claim:
+class PendingProof:
     """A commit, or a read of the primary, that waits for evidence.
 
-    ``offset`` 0 in ``position`` marks a read: it needs answers to probes
-    that began after it, and the log the primary had by then.
+    ``request.position`` with offset 0 marks a read.  Only probes that
+    began after the read was requested count for it.  ``read_position`` is
+    the primary's position in the first of them, which a majority must
+    have received.  ``confirmed_by`` are the instances that have the
+    position while in its term, ``in_later_term`` those that were seen in
+    a later one.
     """
 
-    ask: core.ProveCommit
+    request: core.ProveCommit
     asked_at: float
-    target: core.Position | None = None
-    holders: set[core.InstanceName] = dataclasses.field(default_factory=set)
-    replaced: set[core.InstanceName] = dataclasses.field(default_factory=set)
+    read_position: core.Position | None = None
+    confirmed_by: set[core.InstanceName] = dataclasses.field(
+        default_factory=set
+    )
+    in_later_term: set[core.InstanceName] = dataclasses.field(
+        default_factory=set
+    )
 
     @property
-    def is_barrier(self) -> bool:
-        """Tell whether the claim is a read's, without a commit."""
-        return self.ask.position.offset == 0
+    def is_read(self) -> bool:
+        """Return whether this is a read's proof, without a commit."""
+        return self.request.position.offset == 0
 
 
 class EvidenceBook:
-    """Open claims of one group and the probes that decide them."""
+    """Pending proofs of one group, decided by the probes' answers."""
 
     def __init__(self, size: int) -> None:
         self.majority = size // 2 + 1
-        self._claims: dict[core.RequestId, Claim] = {}
+        self._pending: dict[core.RequestId, PendingProof] = {}
 
     def __len__(self) -> int:
-        return len(self._claims)
+        return len(self._pending)
 
     def ask(self, claim: core.ProveCommit, now: float) -> None:
-        """Open a claim."""
-        self._claims[claim.request_id] = Claim(claim, now)
+        """Add a request for a proof."""
+        self._pending[claim.request_id] = PendingProof(claim, now)
 
     def drop_before(self, when: float) -> None:
-        """Forget claims asked before ``when``: their time is over."""
-        late = [
-            key for key, one in self._claims.items() if one.asked_at < when
+        """Remove the proofs requested before ``when``, as timed out."""
+        expired = [
+            key
+            for key, proof in self._pending.items()
+            if proof.asked_at < when
         ]
-        for key in late:
-            del self._claims[key]
+        for key in expired:
+            del self._pending[key]
 
     def heard(
         self, probe: core.ProbeAnswer, began_at: float
     ) -> list[tuple[core.ProveCommit, Verdict]]:
-        """Take in one probe; return the claims that it decides."""
+        """Apply the answer to a probe; return the proofs it decides."""
         if not probe.alive:
             return []
         decided = []
-        for key, claim in tuple(self._claims.items()):
-            verdict = self._judge(claim, probe, began_at)
+        for key, proof in tuple(self._pending.items()):
+            verdict = self._judge(proof, probe, began_at)
             if verdict is not Verdict.OPEN:
-                del self._claims[key]
-                decided.append((claim.ask, verdict))
+                del self._pending[key]
+                decided.append((proof.request, verdict))
         return decided
 
     def _judge(
-        self, claim: Claim, probe: core.ProbeAnswer, began_at: float
+        self, proof: PendingProof, probe: core.ProbeAnswer, began_at: float
     ) -> Verdict:
-        term = claim.ask.position.term
+        term = proof.request.position.term
         if probe.term > term:
-            claim.holders.discard(probe.instance)
-            claim.replaced.add(probe.instance)
-            if len(claim.replaced) >= self.majority:
+            proof.confirmed_by.discard(probe.instance)
+            proof.in_later_term.add(probe.instance)
+            if len(proof.in_later_term) >= self.majority:
                 return Verdict.DISPROVED
             return Verdict.OPEN
-        if probe.term != term or probe.instance in claim.replaced:
+        if probe.term != term or probe.instance in proof.in_later_term:
             return Verdict.OPEN
-        if claim.is_barrier:
-            self._judge_barrier(claim, probe, began_at)
-        elif _holds(probe, claim.ask.position):
-            claim.holders.add(probe.instance)
-        if len(claim.holders) >= self.majority:
+        if proof.is_read:
+            self._judge_read(proof, probe, began_at)
+        elif _has_received(probe, proof.request.position):
+            proof.confirmed_by.add(probe.instance)
+        if len(proof.confirmed_by) >= self.majority:
             return Verdict.PROVED
         return Verdict.OPEN
 
     @staticmethod
-    def _judge_barrier(
-        claim: Claim, probe: core.ProbeAnswer, began_at: float
+    def _judge_read(
+        proof: PendingProof, probe: core.ProbeAnswer, began_at: float
     ) -> None:
-        if began_at < claim.asked_at:
+        if began_at < proof.asked_at:
             return
-        if probe.role is core.Role.PRIMARY and claim.target is None:
-            claim.target = probe.applied
-            claim.holders.add(probe.instance)
-        elif claim.target is not None and _holds(probe, claim.target):
-            claim.holders.add(probe.instance)
+        if probe.role is core.Role.PRIMARY and proof.read_position is None:
+            proof.read_position = probe.applied
+            proof.confirmed_by.add(probe.instance)
+        elif proof.read_position is not None and _has_received(
+            probe, proof.read_position
+        ):
+            proof.confirmed_by.add(probe.instance)
 
 
-def _holds(probe: core.ProbeAnswer, position: core.Position) -> bool:
-    """Tell whether an instance in the claim's term has ``position``.
+def _has_received(probe: core.ProbeAnswer, position: core.Position) -> bool:
+    """Return whether an instance in the proof's term has ``position``.
 
-    Within one term all logs are prefixes of the primary's, so comparing
-    (term, offset) is enough.
+    Within one term all logs are prefixes of the primary's log, so
+    comparing (term, offset) is enough.
     """
     return probe.received >= position
--- a/src/chicoryusher/decisions/leadership.py
+++ b/src/chicoryusher/decisions/leadership.py
@@ -1,9 +1,13 @@
-"""Who leads a group: suspicion, fence and promotion.
+"""When a group's primary is replaced, in which term, and by which instance.
 
-A term is unique because an instance takes the fence of a term from one
-candidate only, and a candidate needs a majority.  The platform's table
-keeps candidates from duels; it is not needed for safety, so a group
-fails over also while the platform is down.
+The group monitor probes the instances.  Once the loss of the primary is
+confirmed, a candidate fences a majority of the instances and promotes
+one of them.
+
+A term has one primary at most, because an instance accepts the fence of
+a term from one candidate only, and a candidate needs a majority.  The
+platform's table keeps candidates from competing; safety does not depend
+on it, so a group also fails over while the platform is down.
 """
 
 from __future__ import annotations
@@ -13,143 +17,159 @@
 
 from chicoryusher import core
 
-__all__ = ['GroupHealth', 'Watched', 'choose_leader', 'next_term']
+__all__ = ['GroupHealth', 'InstanceProbes', 'choose_leader', 'next_term']
 
-SILENT_AFTER = 0.40
-UNREACHABLE_PROBES = 2
-SOURCE_SILENT_AFTER = 0.30
+# Seconds after the start in which a group without a known primary isn't
+# failed over yet.
+NO_PRIMARY_GRACE_S = 0.40
+# Failed probes in a row after which an instance counts as unreachable.
+UNREACHABLE_PROBE_COUNT = 2
+# Seconds without a response of the primary after which a replica confirms
+# that the primary is lost.
+REPLICA_SOURCE_TIMEOUT_S = 0.30
 
 
 @dataclasses.dataclass(slots=True)
-class Watched:
-    """One instance as the watcher's own probes show it."""
+class InstanceProbes:
+    """Results of the probes of one instance.
+
+    ``failures`` counts the failed probes since the last answer.
+    """
 
     name: core.InstanceName
     last: core.ProbeAnswer | None = None
-    heard_at: float = float('-inf')
+    answered_at: float = float('-inf')
     failures: int = 0
 
 
 class GroupHealth:
-    """Probe results of one group, and what they say of its primary."""
+    """Probe results of one group, and the state of its primary."""
 
     def __init__(self, names: Iterable[core.InstanceName], now: float) -> None:
         self._started_at = now
-        self._watched = {name: Watched(name) for name in names}
+        self._probes = {name: InstanceProbes(name) for name in names}
         self.primary: core.InstanceName | None = None
         self.term = core.Term(0)
         self.majority_at = float('-inf')
-        self._in_term: dict[core.InstanceName, float] = {}
+        self._seen_in_term: dict[core.InstanceName, float] = {}
 
     @property
     def majority(self) -> int:
         """Return how many instances are a majority."""
-        return len(self._watched) // 2 + 1
+        return len(self._probes) // 2 + 1
 
     def members(self) -> tuple[core.InstanceName, ...]:
         """Return the instances of the group."""
-        return tuple(self._watched)
+        return tuple(self._probes)
 
     def resize(self, names: Iterable[core.InstanceName]) -> None:
-        """Follow a change of the group's instances."""
-        wanted = tuple(names)
-        for name in wanted:
-            self._watched.setdefault(name, Watched(name))
-        for gone in set(self._watched) - set(wanted):
-            del self._watched[gone]
-            self._in_term.pop(gone, None)
+        """Replace the list of the group's instances."""
+        members = tuple(names)
+        for name in members:
+            self._probes.setdefault(name, InstanceProbes(name))
+        for removed in set(self._probes) - set(members):
+            del self._probes[removed]
+            self._seen_in_term.pop(removed, None)
 
     def last(self, name: core.InstanceName) -> core.ProbeAnswer | None:
         """Return the last answer of an instance, or None."""
-        watched = self._watched.get(name)
-        return watched.last if watched is not None else None
+        probes = self._probes.get(name)
+        return probes.last if probes is not None else None
 
     def missing(self, name: core.InstanceName, now: float) -> bool:
-        """Tell whether an instance does not answer at present."""
-        watched = self._watched.get(name)
-        return watched is None or watched.failures >= UNREACHABLE_PROBES
+        """Return whether an instance is unreachable at present."""
+        probes = self._probes.get(name)
+        return probes is None or probes.failures >= UNREACHABLE_PROBE_COUNT
 
     def any_failure(self) -> bool:
-        """Tell whether an instance missed its last probe."""
+        """Return whether the last probe of an instance failed.
+
+        Instances that have been unreachable for longer don't count.
+        """
         return any(
-            0 < one.failures <= UNREACHABLE_PROBES
-            for one in self._watched.values()
+            0 < probes.failures <= UNREACHABLE_PROBE_COUNT
+            for probes in self._probes.values()
         )
 
     def heard(
         self, probe: core.ProbeAnswer, began_at: float, now: float
     ) -> None:
-        """Take in the end of one probe, good or bad."""
-        watched = self._watched.get(probe.instance)
-        if watched is None:
+        """Record the result of a probe that began at ``began_at``."""
+        probes = self._probes.get(probe.instance)
+        if probes is None:
             return
         if not probe.alive:
-            watched.failures += 1
+            probes.failures += 1
             return
-        watched.last = probe
-        watched.heard_at = now
-        watched.failures = 0
+        probes.last = probe
+        probes.answered_at = now
+        probes.failures = 0
         if probe.term > self.term:
             self.term = probe.term
             self.primary = None
-            self._in_term.clear()
+            self._seen_in_term.clear()
         if probe.term < self.term:
             return
         if probe.role is core.Role.PRIMARY:
             self.primary = probe.instance
         elif self.primary == probe.instance:
             self.primary = None
-        self._in_term[probe.instance] = began_at
-        began = sorted(self._in_term.values(), reverse=True)
-        if len(began) >= self.majority and self.primary in self._in_term:
+        self._seen_in_term[probe.instance] = began_at
+        began = sorted(self._seen_in_term.values(), reverse=True)
+        if len(began) >= self.majority and self.primary in self._seen_in_term:
             self.majority_at = max(self.majority_at, began[self.majority - 1])
 
     def promoted(
         self, name: core.InstanceName, term: core.Term, now: float
     ) -> None:
-        """Note a promotion before the next probe shows it."""
-        watched = self._watched.get(name)
-        if watched is None or term < self.term:
+        """Record a promotion before the next probe shows it."""
+        probes = self._probes.get(name)
+        if probes is None or term < self.term:
             return
         self.term = term
         self.primary = name
-        self._in_term.clear()
-        watched.heard_at = now
-        watched.failures = 0
+        self._seen_in_term.clear()
+        probes.answered_at = now
+        probes.failures = 0
 
     def has_majority(self, now: float, within: float) -> bool:
-        """Tell whether a majority was seen in the term recently."""
+        """Return whether a majority was in the newest term recently.
+
+        The probes of that majority, the primary included, began at most
+        ``within`` seconds ago.
+        """
         return now - self.majority_at <= within
 
     def primary_silent(self, now: float) -> bool:
-        """Tell whether this watcher misses the primary."""
+        """Return whether the primary is unreachable, unknown or leaving."""
         if self.primary is None:
-            return now - self._started_at >= SILENT_AFTER
-        watched = self._watched[self.primary]
-        if watched.last is not None and watched.last.leaving:
+            return now - self._started_at >= NO_PRIMARY_GRACE_S
+        probes = self._probes[self.primary]
+        if probes.last is not None and probes.last.leaving:
             return True
         return self.missing(self.primary, now)
 
     def silence_confirmed(self, now: float) -> bool:
-        """Tell whether a majority can do without the primary.
+        """Return whether the group may fail over to another instance.
 
-        Enough other instances must answer, and each must have missed
-        its primary too: a primary that is only slow, or cut off from
-        this watcher alone, is left in peace.
+        A majority of the instances must answer without the primary, and
+        none of them may have a recent response of the primary.  So a
+        primary that is only slow, or that only this VM cannot reach, is
+        not replaced.
         """
         primary = self.primary
         if primary is not None:
-            last = self._watched[primary].last
+            last = self._probes[primary].last
             if last is not None and last.leaving:
                 return self._leaving_confirmed(primary, now)
         missing = 0
-        for name, watched in self._watched.items():
-            if name == primary or watched.last is None:
+        for name, probes in self._probes.items():
+            if name == primary or probes.last is None:
                 continue
             if self.missing(name, now):
                 continue
-            age = watched.last.source_age + now - watched.heard_at
-            if age < SOURCE_SILENT_AFTER:
+            age = probes.last.source_age + now - probes.answered_at
+            if age < REPLICA_SOURCE_TIMEOUT_S:
                 return False
             missing += 1
         return missing >= self.majority
@@ -157,19 +177,23 @@
     def _leaving_confirmed(
         self, primary: core.InstanceName, now: float
     ) -> bool:
+        """Return whether an instance can follow a primary that leaves."""
         staying = [
-            one
-            for name, one in self._watched.items()
+            probes
+            for name, probes in self._probes.items()
             if name != primary
-            and one.last is not None
-            and not one.last.leaving
+            and probes.last is not None
+            and not probes.last.leaving
             and not self.missing(name, now)
         ]
         return bool(staying)
 
 
 def next_term(health: GroupHealth, recorded: core.Term) -> core.Term:
-    """Return the term a candidate shall claim."""
+    """Return the term that a candidate claims next.
+
+    ``recorded`` is the term in the platform's table.
+    """
     return core.Term(max(health.term, recorded) + 1)
 
 
@@ -179,10 +203,12 @@
 ) -> core.InstanceName:
     """Return the fenced instance with the longest log.
 
-    One that is leaving is taken only where no other has as long a log.
+    A leaving instance is chosen only if no other has an equally long log.
     """
     answers = list(fenced)
-    longest = max(one.received for one in answers)
-    best = [one.instance for one in answers if one.received == longest]
+    longest = max(answer.received for answer in answers)
+    best = [
+        answer.instance for answer in answers if answer.received == longest
+    ]
     staying = [name for name in best if name not in leaving]
     return min(staying or best)
--- a/src/chicoryusher/decisions/succession.py
+++ b/src/chicoryusher/decisions/succession.py
@@ -1,4 +1,4 @@
-"""Who changes a group's primary, when, and which instance follows."""
+"""Which VM replaces a group's primary, when, and by which instance."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 __all__ = [
     'Candidates',
     'best_successor',
-    'caught_up',
+    'has_caught_up',
     'missed_by_most',
     'rank_of',
 ]
@@ -21,133 +21,152 @@
 def rank_of(
     vm: core.VmName, live: Iterable[core.VmName], service: core.ServiceName
 ) -> int:
-    """Return the place of a VM in the order of who acts first."""
+    """Return a VM's rank in the order in which VMs start a failover.
 
-    def digest(one: core.VmName) -> int:
-        return xxhash.xxh64_intdigest(f'{service} {one}'.encode())
+    The order is rendezvous hashing by the group, so that the groups'
+    failovers are spread over the VMs.  Rank 0 acts first.
+    """
+
+    def digest(name: core.VmName) -> int:
+        return xxhash.xxh64_intdigest(f'{service} {name}'.encode())
 
     order = sorted({*live, vm}, key=digest)
     return order.index(vm)
 
 
 def missed_by_most(
-    opinions: Mapping[core.VmName, bool], voters: Iterable[core.VmName]
+    reachable: Mapping[core.VmName, bool], voters: Iterable[core.VmName]
 ) -> bool:
-    """Tell whether over half of the voters miss an instance.
+    """Return whether over half of the voters cannot reach an instance.
 
-    ``opinions`` has True for a VM that reached it.
+    ``reachable`` has, for each VM that replied, whether it could reach
+    the instance.
     """
     voters = set(voters)
-    missed = sum(
-        1 for vm, reached in opinions.items() if vm in voters and not reached
+    unreachable_count = sum(
+        1 for vm, reached in reachable.items() if vm in voters and not reached
     )
-    return 2 * missed > len(voters)
+    return 2 * unreachable_count > len(voters)
 
 
 def best_successor(
     states: Mapping[core.InstanceName, core.InstanceState],
     leaving: frozenset[core.InstanceName],
 ) -> core.InstanceName | None:
-    """Return the instance that has received most, None without any.
+    """Return the instance with the newest term and longest log, or None.
 
-    One that is leaving is taken only if no other answers.
+    A leaving instance is chosen only if no other has answered.
     """
-    names = [one for one in states if one not in leaving] or list(states)
+    names = [name for name in states if name not in leaving] or list(states)
     return max(
         names,
-        key=lambda one: (states[one].term, states[one].received, one),
+        key=lambda name: (states[name].term, states[name].received, name),
         default=None,
     )
 
 
-def caught_up(
+def has_caught_up(
     states: Mapping[core.InstanceName, core.InstanceState],
     old: core.InstanceName,
     successor: core.InstanceName | None,
 ) -> bool:
-    """Tell whether the successor has all that the old primary has."""
+    """Return whether the successor has the old primary's whole log."""
     if successor is None or old not in states:
         return False
     return states[successor].received >= states[old].received
 
 
 class Candidates:
-    """The instances of a group while its primary is replaced."""
+    """The instances of a group that may follow its old primary.
+
+    They are asked for their state in rounds.  Once all have answered,
+    ``successor`` is the one to promote, None if there is none.
+    """
 
     def __init__(
         self,
         entries: Iterable[core.InstanceEntry],
         old: core.InstanceName,
     ) -> None:
-        self.entries = {one.name: one for one in entries}
+        self.entries = {entry.name: entry for entry in entries}
         self.old = old
         self.successor: core.InstanceName | None = None
         self._states: dict[core.InstanceName, core.InstanceState] = {}
-        self._refused: set[core.InstanceName] = set()
-        self._asked: set[core.InstanceName] = set()
+        self._excluded: set[core.InstanceName] = set()
+        self._unanswered: set[core.InstanceName] = set()
 
     def ask(self) -> tuple[core.InstanceEntry, ...]:
-        """Forget what was answered; return the instances to ask."""
+        """Start a new round: drop all answers, return whom to ask."""
         self._states = {}
-        self._asked = set(self.entries)
+        self._unanswered = set(self.entries)
         return tuple(self.entries.values())
 
     def answered(self, status: core.InstanceStatus) -> bool:
-        """Take an answer; tell whether it was the last, and choose."""
-        if status.instance not in self._asked:
+        """Record an instance's answer; choose a successor after the last.
+
+        Return whether this was the last answer of the round.
+        """
+        if status.instance not in self._unanswered:
             return False
-        self._asked.discard(status.instance)
+        self._unanswered.discard(status.instance)
         if status.state is not None:
             self._states[status.instance] = status.state
-        if self._asked:
+        if self._unanswered:
             return False
-        self.successor = best_successor(self._others(), self._leaving())
+        self.successor = best_successor(
+            self._eligible_states(), self._leaving_names()
+        )
         return True
 
     def refuse(self) -> None:
-        """Pass the successor over: the platform refused it."""
+        """Exclude the successor, whose promotion the platform refused."""
         if self.successor is not None:
-            self._refused.add(self.successor)
+            self._excluded.add(self.successor)
 
     def nobody_left(self) -> bool:
-        """Tell whether none can follow; none is passed over then."""
+        """Return whether there is no successor.
+
+        If so, readmit the excluded instances for the next round.
+        """
         if self.successor is None:
-            self._refused.clear()
+            self._excluded.clear()
         return self.successor is None
 
-    def _others(self) -> dict[core.InstanceName, core.InstanceState]:
+    def _eligible_states(
+        self,
+    ) -> dict[core.InstanceName, core.InstanceState]:
         return {
             name: state
             for name, state in self._states.items()
-            if name != self.old and name not in self._refused
+            if name != self.old and name not in self._excluded
         }
 
-    def _leaving(self) -> frozenset[core.InstanceName]:
+    def _leaving_names(self) -> frozenset[core.InstanceName]:
         return frozenset(
-            one.name for one in self.entries.values() if one.leaving
+            entry.name for entry in self.entries.values() if entry.leaving
         )
 
     def newest_term(self) -> int:
-        """Return the newest term that an instance has shown."""
-        return max((one.term for one in self._states.values()), default=0)
+        """Return the newest term that an instance has answered with."""
+        return max((state.term for state in self._states.values()), default=0)
 
     def one_leads(self) -> bool:
-        """Tell whether another instance leads the newest term already.
+        """Return whether another instance is primary in the newest term.
 
-        It is the successor then.
+        If so, it becomes the successor.
         """
         newest = self.newest_term()
-        for name, state in self._others().items():
+        for name, state in self._eligible_states().items():
             if state.role is core.Role.PRIMARY and state.term == newest:
                 self.successor = name
                 return True
         return False
 
     def old_leads(self) -> bool:
-        """Tell whether the old primary answers, and as the primary."""
+        """Return whether the old primary has answered as a primary."""
         state = self._states.get(self.old)
         return state is not None and state.role is core.Role.PRIMARY
 
     def has_all(self) -> bool:
-        """Tell whether the successor has all that the old primary has."""
-        return caught_up(self._states, self.old, self.successor)
+        """Return whether the successor has the old primary's whole log."""
+        return has_caught_up(self._states, self.old, self.successor)
--- a/tests/decisions/test_claiming.py
+++ b/tests/decisions/test_claiming.py
@@ -41,8 +41,8 @@
 
 def test_a_claim_is_renewed_over_its_own_row_one_write_at_a_time():
     claim = claimed()
-    assert not claim.renewal_due(10.0 + decisions.RENEW / 2)
-    assert claim.renewal_due(10.01 + decisions.RENEW)
+    assert not claim.renewal_due(10.0 + decisions.CLAIM_RENEWAL_S / 2)
+    assert claim.renewal_due(10.01 + decisions.CLAIM_RENEWAL_S)
     row = claim.closing(11.0)
     assert claim.expected == 7
     assert not claim.renewal_due(20.0)
--- a/tests/decisions/test_pool_decisions.py
+++ b/tests/decisions/test_pool_decisions.py
@@ -185,6 +185,6 @@
 def test_a_successor_has_caught_up_when_it_has_all_of_the_old_log():
     names = core.InstanceName('a'), core.InstanceName('b')
     states = {names[0]: state(3, 50), names[1]: state(3, 49)}
-    assert not decisions.caught_up(states, *names)
+    assert not decisions.has_caught_up(states, *names)
     states[names[1]] = state(3, 50)
-    assert decisions.caught_up(states, *names)
+    assert decisions.has_caught_up(states, *names)
