Reword decisions on membership, fencing and staleness

Reword fencing, membership, observing, reading and freshness. Rename private fields and locals (heard_at to contact_at, witnesses to unreachable_reports) and give constants a quantity and a unit.

--- a/src/chicoryusher/decisions/fencing.py
+++ b/src/chicoryusher/decisions/fencing.py
@@ -10,30 +10,31 @@
 
 
 class Fencing:
-    """VMs that have not said yet that they stopped using a primary.
+    """VMs that have not confirmed yet that they stopped using a primary.
 
-    The store has to be asked for those that had registered by the time of
-    the claim; until it has answered, nobody knows whether all are asked.
+    VMs that had registered in the store by the time of the claim must be
+    waited for too.  The fencing is incomplete until the store has listed
+    them, because until then a VM may be unknown here.
     """
 
     def __init__(self, vms: Iterable[core.VmName] = ()) -> None:
         self.vms = set(vms)
         self.silent = set(self.vms)
-        self._listed = False
+        self._store_listed = False
 
     @property
     def done(self) -> bool:
-        """Tell whether every VM has stopped."""
-        return self._listed and not self.silent
+        """Return whether all VMs are known and have stopped."""
+        return self._store_listed and not self.silent
 
     def listed(self, rows: Iterable[core.NodeRow]) -> bool:
-        """Take the store's list; tell whether there is someone new."""
-        new = {one.vm for one in rows if one.is_callable} - self.vms
+        """Add the VMs that the store lists; return whether any is new."""
+        new = {row.vm for row in rows if row.is_callable} - self.vms
         self.vms |= new
         self.silent |= new
-        self._listed = True
+        self._store_listed = True
         return bool(new)
 
     def stopped(self, vm: core.VmName) -> None:
-        """Note that a VM has stopped."""
+        """Record that a VM has stopped using the primary."""
         self.silent.discard(vm)
--- a/src/chicoryusher/decisions/freshness.py
+++ b/src/chicoryusher/decisions/freshness.py
@@ -1,7 +1,9 @@
-"""How stale a replica is at most, proved on one clock.
+"""Upper bounds of a replica's staleness, from one VM's own probes.
 
-The gate's VM probes both the replica and the primary.  A replica that
-has applied what the primary had at time t is stale by at most now - t.
+The gate's VM probes both the replica and the primary, so that all times
+are of its own clock and no two clocks are compared.  A replica that has
+applied the position that the primary had at time t is stale by at most
+now - t.
 """
 
 from __future__ import annotations
@@ -13,23 +15,27 @@
 
 __all__ = ['Freshness']
 
-HISTORY_ENTRIES = 256
+MAX_HISTORY_ENTRIES = 256
 
 
 class _Observation(NamedTuple):
-    """A position of the primary and a time at which it had it."""
+    """A position of the primary, and a time at which the primary had it."""
 
     at: float
     position: core.Position
 
 
 class Freshness:
-    """Positions of a group's primary over time."""
+    """Positions of a group's primary over time.
+
+    ``starts`` are the positions at which terms began; they are needed to
+    compare positions of different terms.
+    """
 
     def __init__(self) -> None:
         self.starts: tuple[core.TermStart, ...] = ()
         self._history: collections.deque[_Observation] = collections.deque(
-            maxlen=HISTORY_ENTRIES
+            maxlen=MAX_HISTORY_ENTRIES
         )
 
     def primary_seen(
@@ -38,10 +44,11 @@
         applied: core.Position,
         starts: tuple[core.TermStart, ...],
     ) -> None:
-        """Note what the primary had when a probe that began so ended.
+        """Record the primary's position from a probe.
 
-        The probe saw the state at ``began_at`` or later, so everything
-        committed before ``began_at`` is in ``applied``.
+        The probe began at ``began_at`` and saw the state of that time or
+        later, so ``applied`` includes everything committed before
+        ``began_at``.
         """
         self.starts = starts
         if self._history and self._history[-1].at >= began_at:
@@ -49,17 +56,24 @@
         self._history.append(_Observation(began_at, applied))
 
     def bound(self, applied: core.Position, now: float) -> float:
-        """Return the proved staleness in seconds; infinity if none."""
-        for seen in reversed(self._history):
-            if core.covers(applied, seen.position, self.starts):
-                return max(0.0, now - seen.at)
+        """Return the most seconds that ``applied`` is stale by.
+
+        Infinity if no recorded position of the primary proves a bound.
+        """
+        for observation in reversed(self._history):
+            if core.covers(applied, observation.position, self.starts):
+                return max(0.0, now - observation.at)
         return float('inf')
 
     def apply_delay(self, applied: core.Position, at: float) -> float:
-        """Estimate in seconds how far ``applied`` was behind at ``at``."""
+        """Estimate the replication delay at time ``at`` in seconds.
+
+        It is the time since the primary first had a position beyond
+        ``applied``, as far as the history shows.
+        """
         missing_since = at
-        for seen in reversed(self._history):
-            if core.covers(applied, seen.position, self.starts):
+        for observation in reversed(self._history):
+            if core.covers(applied, observation.position, self.starts):
                 break
-            missing_since = min(missing_since, seen.at)
+            missing_since = min(missing_since, observation.at)
         return max(0.0, at - missing_since)
--- a/src/chicoryusher/decisions/membership.py
+++ b/src/chicoryusher/decisions/membership.py
@@ -1,7 +1,9 @@
-"""Which VMs live: the platform's list and what is seen directly.
+"""Which VMs are alive, by the platform's list and by direct contact.
 
-The list lags, so silence alone only makes a VM suspected.  It is gone
-once another VM misses it too, or the list no longer has it.
+The platform's list lags, so missing heartbeats alone only make a VM
+suspected.  A suspected VM is considered gone once another VM cannot
+reach it either, once the list no longer has it, or after a longer time
+without contact.
 """
 
 from __future__ import annotations
@@ -14,28 +16,36 @@
 
 __all__ = ['Membership', 'VmRecord']
 
-SILENT_AFTER = 1.0
-CONFIRM_AFTER = 3.0
-WITNESSES = 2
-WITNESS_LIFETIME = 3.0
+# Seconds without contact after which a monitored VM is suspected.
+SUSPECT_AFTER_S = 1.0
+# Seconds after which this VM's suspicion alone is enough.
+CONFIRM_ALONE_AFTER_S = 3.0
+# VMs that must not reach a VM before it is gone; this VM counts as one.
+MIN_CONFIRMING_VM_COUNT = 2
+# Seconds for which another VM's report that it cannot reach a VM counts.
+UNREACHABLE_REPORT_VALID_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
 class VmRecord:
-    """What is known of one VM; lives by the chart ``vm``."""
+    """What this VM has observed of another; its state chart is ``vm``.
+
+    ``unreachable_reports`` has the time of the last report of each VM
+    that could not reach this one.
+    """
 
     name: core.VmName
     state: core.VmState = core.VmState.LIVE
-    heard_at: float | None = None
+    contact_at: float | None = None
     suspected_at: float | None = None
-    watched: bool = False
-    witnesses: dict[core.VmName, float] = dataclasses.field(
+    monitored: bool = False
+    unreachable_reports: dict[core.VmName, float] = dataclasses.field(
         default_factory=dict
     )
 
 
 class Membership:
-    """The judgement of one VM about all others."""
+    """The state of all other VMs as one VM judges it."""
 
     def __init__(self, own: core.VmName) -> None:
         self._own = own
@@ -47,62 +57,70 @@
         return tuple(self._records[name] for name in sorted(self._records))
 
     def live(self) -> tuple[core.VmName, ...]:
-        """Return the VMs that may be gates: live or only suspected."""
-        keeps = (core.VmState.LIVE, core.VmState.SUSPECTED)
+        """Return the VMs that may be gates: live, suspected and this one."""
+        usable_states = (core.VmState.LIVE, core.VmState.SUSPECTED)
         names = {
-            one.name for one in self._records.values() if one.state in keeps
+            record.name
+            for record in self._records.values()
+            if record.state in usable_states
         }
         return tuple(sorted(names | {self._own}))
 
     def suspected(self) -> tuple[core.VmName, ...]:
-        """Return the VMs that this VM itself misses."""
+        """Return the VMs that this VM itself cannot reach."""
         return tuple(
-            one.name
-            for one in self._records.values()
-            if one.suspected_at is not None
+            record.name
+            for record in self._records.values()
+            if record.suspected_at is not None
         )
 
     def configured(self, names: Iterable[core.VmName], now: float) -> None:
-        """Follow the VMs of a configuration."""
-        wanted = set(names) - {self._own}
-        for name in wanted - set(self._records):
+        """Add and remove records to match the configured VMs."""
+        configured_names = set(names) - {self._own}
+        for name in configured_names - set(self._records):
             self._records[name] = VmRecord(name)
-        for gone in set(self._records) - wanted:
-            del self._records[gone]
+        for removed in set(self._records) - configured_names:
+            del self._records[removed]
 
     def watch(self, names: Iterable[core.VmName], now: float) -> None:
-        """Set which VMs this one expects heartbeats from."""
-        wanted = set(names)
+        """Set which VMs this VM expects heartbeats from."""
+        monitored_names = set(names)
         for record in self._records.values():
-            watched = record.name in wanted
-            if watched and not record.watched:
-                record.heard_at = now
-            record.watched = watched
+            monitored = record.name in monitored_names
+            if monitored and not record.monitored:
+                record.contact_at = now
+            record.monitored = monitored
 
     def heard(self, name: core.VmName, leaving: bool, now: float) -> bool:
-        """Note a direct sign of life; return whether a state changed."""
+        """Record a message from a VM; return whether its state changed."""
         record = self._records.get(name)
         if record is None:
             return False
-        record.heard_at = now
+        record.contact_at = now
         record.suspected_at = None
-        record.witnesses.clear()
+        record.unreachable_reports.clear()
         if leaving:
             return self._fire(record, 'said_leaving')
         return self._fire(record, 'heard')
 
     def witnessed(
-        self, witness: core.VmName, name: core.VmName, now: float
+        self, reporter: core.VmName, name: core.VmName, now: float
     ) -> bool:
-        """Note that another VM misses ``name``."""
+        """Record that ``reporter`` cannot reach the VM ``name``.
+
+        Return whether the VM's state changed.
+        """
         record = self._records.get(name)
         if record is None:
             return False
-        record.witnesses[witness] = now
-        return self._confirm(record, now)
+        record.unreachable_reports[reporter] = now
+        return self._confirm_gone(record, now)
 
     def lost_stream(self, name: core.VmName, now: float) -> bool:
-        """Note that a VM's stream broke and cannot be opened again."""
+        """Suspect a VM whose stream broke and cannot be opened again.
+
+        Return whether its state changed.
+        """
         record = self._records.get(name)
         if record is None or record.suspected_at is not None:
             return False
@@ -115,49 +133,63 @@
         leaving: Iterable[core.VmName],
         now: float,
     ) -> bool:
-        """Take in the platform's list; return whether a state changed."""
-        present = set(names)
-        going = set(leaving)
+        """Apply the platform's list; return whether a state changed."""
+        listed_names = set(names)
+        leaving_names = set(leaving)
         changed = False
         for record in self._records.values():
-            if record.name in going:
+            if record.name in leaving_names:
                 changed |= self._fire(record, 'listed_leaving')
-            elif record.name not in present:
+            elif record.name not in listed_names:
                 changed |= self._fire(record, 'unlisted')
                 if record.suspected_at is not None:
                     changed |= self._fire(record, 'confirmed')
         return changed
 
     def tick(self, now: float) -> bool:
-        """Judge silence; return whether a state changed."""
+        """Suspect monitored VMs whose heartbeats have timed out.
+
+        Return whether a state changed.
+        """
         changed = False
         for record in self._records.values():
-            heard_at = record.heard_at
-            if not record.watched or heard_at is None:
+            contact_at = record.contact_at
+            if not record.monitored or contact_at is None:
                 continue
-            if now - heard_at < SILENT_AFTER:
+            if now - contact_at < SUSPECT_AFTER_S:
                 continue
             if record.suspected_at is None:
                 record.suspected_at = now
             changed |= self._fire(record, 'silent')
-            changed |= self._confirm(record, now)
+            changed |= self._confirm_gone(record, now)
         return changed
 
-    def _confirm(self, record: VmRecord, now: float) -> bool:
-        fresh = [
-            at
-            for at in record.witnesses.values()
-            if now - at <= WITNESS_LIFETIME
+    def _confirm_gone(self, record: VmRecord, now: float) -> bool:
+        """Mark a VM gone if enough VMs cannot reach it, or for long enough.
+
+        Return whether its state changed.
+        """
+        valid_reports = [
+            reported_at
+            for reported_at in record.unreachable_reports.values()
+            if now - reported_at <= UNREACHABLE_REPORT_VALID_S
         ]
-        own = record.suspected_at
-        enough = len(fresh) + (own is not None) >= WITNESSES
-        alone = own is not None and now - own >= CONFIRM_AFTER
-        if not enough and not alone:
+        own_suspicion_at = record.suspected_at
+        enough_vms = (
+            len(valid_reports) + (own_suspicion_at is not None)
+            >= MIN_CONFIRMING_VM_COUNT
+        )
+        long_enough = (
+            own_suspicion_at is not None
+            and now - own_suspicion_at >= CONFIRM_ALONE_AFTER_S
+        )
+        if not enough_vms and not long_enough:
             return False
         self._fire(record, 'silent')
         return self._fire(record, 'confirmed')
 
     def _fire(self, record: VmRecord, event: str) -> bool:
+        """Fire an event of the chart; return whether the state changed."""
         before = record.state
         self._chart.fire(record, event)
         return record.state is not before
--- a/src/chicoryusher/decisions/observing.py
+++ b/src/chicoryusher/decisions/observing.py
@@ -1,8 +1,8 @@
-"""Where a group's primary stood, and when that was asked.
+"""Log positions of a group's primary, with the time of each request.
 
 An answer of the primary contains every commit that was acknowledged
-before its request was sent.  So a replica with that position in its log
-is stale by at most the time since then.
+before the request was sent.  A replica that has the answered position in
+its log is therefore stale by at most the time since then.
 """
 
 from __future__ import annotations
@@ -13,18 +13,19 @@
 
 __all__ = ['Observations', 'Observation']
 
-# Seconds that observations are kept; over the largest staleness bound
-# that routes have (2.5 s), so that the oldest usable one is at hand.
-KEPT = 5.0
-# Seconds between kept observations; finer ones prove hardly more.
-GRAIN = 0.05
-# Seconds taken off every bound for clock and timer granularity.
-MARGIN = 0.02
+# Seconds for which observations are retained.  The largest staleness bound
+# of a route is 2.5 s, so an observation that just proves it is available.
+RETENTION_S = 5.0
+# Least seconds between retained observations; a smaller interval would
+# improve the proved bounds only slightly.
+MIN_INTERVAL_S = 0.05
+# Seconds taken off every bound for the granularity of clocks and timers.
+BOUND_MARGIN_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observation:
-    """The primary's position, and when it was asked for (seconds)."""
+    """The primary's position, and when it was requested (seconds)."""
 
     asked_at: float
     position: core.Position
@@ -34,46 +35,58 @@
     """Recent observations of one group's primary."""
 
     def __init__(self) -> None:
-        self._seen: list[Observation] = []
+        self._retained: list[Observation] = []
         self.newest: Observation | None = None
 
     def add(self, asked_at: float, position: core.Position) -> None:
-        """Keep an answer of the primary."""
+        """Record an answer of the primary; ignore one of an older term."""
         newest = self.newest
         if newest is not None and position.term > newest.position.term:
-            self._seen.clear()
+            self._retained.clear()
             self.newest = newest = None
         if newest is not None and position.term < newest.position.term:
             return
-        seen = Observation(asked_at, position)
+        observation = Observation(asked_at, position)
         if newest is None or asked_at >= newest.asked_at:
-            self.newest = seen
-        if self._seen and asked_at - self._seen[-1].asked_at < GRAIN:
+            self.newest = observation
+        if (
+            self._retained
+            and asked_at - self._retained[-1].asked_at < MIN_INTERVAL_S
+        ):
             return
-        self._seen.append(seen)
-        while self._seen[0].asked_at < asked_at - KEPT:
-            self._seen.pop(0)
+        self._retained.append(observation)
+        while self._retained[0].asked_at < asked_at - RETENTION_S:
+            self._retained.pop(0)
 
     def needed(self, arrived: float, bound: float) -> Observation | None:
-        """Return the lowest position that proves the bound, or None.
+        """Return the observation that a read's replica must contain.
 
-        ``arrived`` is when the read came and ``bound`` its staleness, in
-        seconds of the clock that observations are kept by.
+        ``arrived`` is when the read arrived and ``bound`` its staleness
+        bound in seconds, on the same clock as the observations.  Of the
+        observations that prove the bound, the one with the lowest
+        position is returned; None if no observation is recent enough.
         """
-        oldest = arrived - bound + MARGIN
-        fit = [one for one in self._seen if one.asked_at >= oldest]
+        oldest = arrived - bound + BOUND_MARGIN_S
+        recent = [
+            entry for entry in self._retained if entry.asked_at >= oldest
+        ]
         if self.newest is not None and self.newest.asked_at >= oldest:
-            fit.append(self.newest)
-        return min(fit, key=lambda one: one.position, default=None)
+            recent.append(self.newest)
+        return min(recent, key=lambda entry: entry.position, default=None)
 
     def lag(self, position: core.Position, seen_at: float) -> float:
-        """Estimate how far behind a log at ``position`` is, in seconds."""
+        """Estimate in seconds how far a log at ``position`` is behind.
+
+        ``seen_at`` is when the log was seen at that position.
+        """
         newest = self.newest
         if newest is None or position >= newest.position:
             return 0.0
-        reached = [
-            one.asked_at for one in self._seen if one.position <= position
+        contained = [
+            entry.asked_at
+            for entry in self._retained
+            if entry.position <= position
         ]
-        if not reached:
-            return KEPT
-        return max(0.0, seen_at - max(reached))
+        if not contained:
+            return RETENTION_S
+        return max(0.0, seen_at - max(contained))
--- a/src/chicoryusher/decisions/reading.py
+++ b/src/chicoryusher/decisions/reading.py
@@ -9,34 +9,41 @@
 
 __all__ = ['PoolInstance', 'ReadNeeds', 'choose_reader']
 
-# Seconds that a statement is expected to take where none has run yet;
-# the middle of the work times that users state (7 to 47 ms).
-INITIAL_SERVICE = 0.02
-# Share of a new sample in the learned service time.
-LEARNING = 0.15
-# Cost of a second of the primary's time against one of a replica's: it
-# alone can serve writes, and has as many slots as each of two replicas.
-PRIMARY_WEIGHT = 2.0
-# Seconds of slack before a replica is expected to have a position.
-LAG_SLACK = 0.02
-# Seconds added to a lag estimate that has just proved too low.
-LAG_STEP = 0.1
-# Seconds in which an unconfirmed lag counts for half: reads try a
-# replica again although its lag keeps them away.
-LAG_HALVES = 1.0
-# Seconds for which an instance that was in trouble gets no new reads.
-TROUBLE_PAUSE = 0.5
-# Statements an instance runs at once for one VM before they queue up.
-LANES = 2.0
+# Expected seconds of a statement before an instance has run any; the
+# middle of the statement times that users have stated (7 to 47 ms).
+INITIAL_SERVICE_TIME_S = 0.02
+# Weight of a new sample in the moving average of the service time.
+SERVICE_TIME_SAMPLE_RATIO = 0.15
+# Weight of the primary's expected time in the comparison with a replica's.
+# The primary is spared, because only it can serve writes, and it has no
+# more slots than each of the two replicas.
+PRIMARY_COST_RATIO = 2.0
+# Seconds added to a replica's expected lag before it is compared with the
+# age of the position that a read needs.
+LAG_MARGIN_S = 0.02
+# Seconds added to a lag estimate that has proved too low.
+LAG_INCREMENT_S = 0.1
+# Half-life in seconds of a lag estimate.  While a replica's estimate keeps
+# reads away, nothing updates it, so it decays until reads are sent there
+# again.
+LAG_HALF_LIFE_S = 1.0
+# Seconds for which an instance that caused trouble gets new reads only if
+# no other is suitable; also the seconds added to its cost in that time.
+TROUBLE_PENALTY_S = 0.5
+# Statements that an instance runs at once for one VM before they queue.
+PARALLEL_STATEMENT_COUNT = 2.0
 
 
 class PoolInstance:
-    """What one VM knows about an instance from its own traffic."""
+    """Load and lag of an instance, learned from one VM's own traffic.
+
+    ``distance`` is the round trip to the instance in seconds.
+    """
 
     def __init__(self, entry: core.InstanceEntry, distance: float) -> None:
         self.entry = entry
         self.distance = distance
-        self.service = INITIAL_SERVICE
+        self.service = INITIAL_SERVICE_TIME_S
         self.outstanding = 0
         self.position: core.Position | None = None
         self.lag = 0.0
@@ -44,33 +51,39 @@
         self.trouble_until = 0.0
 
     def answered(self, seconds: float) -> None:
-        """Learn from the time that one statement took."""
-        self.service += LEARNING * (seconds - self.service)
+        """Update the service time with the time of one statement."""
+        self.service += SERVICE_TIME_SAMPLE_RATIO * (seconds - self.service)
 
     def troubled(self, now: float) -> None:
-        """Keep new reads away for a while."""
-        self.trouble_until = now + TROUBLE_PAUSE
+        """Make the instance the last choice for a while."""
+        self.trouble_until = now + TROUBLE_PENALTY_S
 
     def fell_behind(self, age: float, now: float) -> None:
-        """Note that the log lacked what was ``age`` seconds old."""
-        self.lag = max(self.expected_lag(now), age) + LAG_STEP
+        """Raise the lag estimate after a refused read.
+
+        The instance's log did not have a position at which the primary
+        had been ``age`` seconds before.
+        """
+        self.lag = max(self.expected_lag(now), age) + LAG_INCREMENT_S
         self.lag_seen_at = now
 
     def expected_lag(self, now: float) -> float:
-        """Return the lag in seconds, trusted less as it gets old."""
-        return self.lag * 0.5 ** ((now - self.lag_seen_at) / LAG_HALVES)
+        """Return the estimated lag in seconds, which decays with age."""
+        return self.lag * 0.5 ** ((now - self.lag_seen_at) / LAG_HALF_LIFE_S)
 
     def cost(self) -> float:
         """Return the expected seconds until one more statement is done."""
-        waiting = 1.0 + self.outstanding / LANES
-        return self.distance + self.service * waiting
+        rounds = 1.0 + self.outstanding / PARALLEL_STATEMENT_COUNT
+        return self.distance + self.service * rounds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadNeeds:
-    """What a read must see; without ``after`` only the primary serves.
+    """How current an instance must be to serve a read.
 
-    ``age`` is how many seconds ago the primary was seen at ``after``.
+    ``after`` is the position that its log must contain; None means that
+    only the primary may serve.  ``age`` is how many seconds ago the
+    primary was seen at that position.
     """
 
     after: core.Position | None
@@ -81,40 +94,44 @@
     instances: Iterable[PoolInstance],
     primary: core.InstanceName | None,
     needs: ReadNeeds,
-    refused: frozenset[core.InstanceName],
+    excluded: frozenset[core.InstanceName],
     now: float,
     now_on: float,
 ) -> core.InstanceName | None:
-    """Return the instance with the least expected cost, None without.
+    """Return the suitable instance with the least expected cost, or None.
 
-    A leaving instance is passed over; whether a leaving primary may still
-    be used is for the caller to say, by naming it or not.
+    Instances that are leaving are not chosen, except the primary.  A
+    caller that must not use the primary passes None for ``primary``.
 
-    ``now_on`` is ``now`` on the clock that lags are kept by.
+    ``now_on`` is the time on the clock that also counts suspended time;
+    lag estimates are timed by it.
     """
     best: core.InstanceName | None = None
     best_cost = float('inf')
-    for one in instances:
-        name = one.entry.name
-        if name in refused:
+    for instance in instances:
+        name = instance.entry.name
+        if name in excluded:
             continue
-        if one.entry.leaving and name != primary:
+        if instance.entry.leaving and name != primary:
             continue
-        if name != primary and not _may_be_fresh(one, needs, now_on):
+        if name != primary and not _is_probably_fresh(instance, needs, now_on):
             continue
-        cost = one.cost()
+        cost = instance.cost()
         if name == primary:
-            cost *= PRIMARY_WEIGHT
-        if now < one.trouble_until:
-            cost += TROUBLE_PAUSE
+            cost *= PRIMARY_COST_RATIO
+        if now < instance.trouble_until:
+            cost += TROUBLE_PENALTY_S
         if cost < best_cost:
             best, best_cost = name, cost
     return best
 
 
-def _may_be_fresh(one: PoolInstance, needs: ReadNeeds, now_on: float) -> bool:
+def _is_probably_fresh(
+    instance: PoolInstance, needs: ReadNeeds, now_on: float
+) -> bool:
+    """Return whether a replica is expected to have the needed position."""
     if needs.after is None:
         return False
-    if one.position is not None and one.position >= needs.after:
+    if instance.position is not None and instance.position >= needs.after:
         return True
-    return needs.age >= one.expected_lag(now_on) + LAG_SLACK
+    return needs.age >= instance.expected_lag(now_on) + LAG_MARGIN_S
