Reword decisions on routing, queues, gates and connections

Reword routing, scheduling, retry, admission, gates, holders, shares, sessions, suiting, waiting and newcomers. Rename private constants so that they show quantity and unit, DEALT to KEPT_OPEN_RATIO, BURST to MAX_BURST_CONNS, and the placement Shares to EqualShares, whose key stays 'shares'.

--- a/src/chicoryusher/decisions/admission.py
+++ b/src/chicoryusher/decisions/admission.py
@@ -1,4 +1,4 @@
-"""Whether an instance may run a request, by what its gate has proved."""
+"""Whether an instance may run a request, by its gate's own probes."""
 
 from __future__ import annotations
 
@@ -6,15 +6,21 @@
 
 __all__ = ['is_fresh', 'refusal']
 
-STATE_LIFETIME = 5.0
-MAJORITY_GRACE = 1.0
+# Seconds after which the state of a group is too old to admit requests.
+MAX_STATE_AGE_S = 5.0
+# Seconds for which a primary is used after a majority was last seen.
+MAJORITY_GRACE_S = 1.0
 _REASON = core.MoveReason
 
 
 def is_fresh(
     state: core.GroupState | None, submit: core.Submit, now: float
 ) -> bool:
-    """Tell whether the instance is proved as fresh as asked for."""
+    """Return whether the instance is proved fresh enough for a request.
+
+    It must have applied the position that the request asks for, and its
+    proved staleness must be within the request's bound.
+    """
     if state is None:
         return False
     after = submit.after
@@ -33,10 +39,13 @@
     majority_at: float,
     now: float,
 ) -> core.MoveReason | None:
-    """Return why the instance may not run a request, None if it may."""
+    """Return why the instance may not run a request, None if it may.
+
+    ``majority_at`` is when a majority was last seen in the term.
+    """
     if state is None or not state.own.alive:
         return _REASON.DOWN
-    if now - state.observed_at > STATE_LIFETIME:
+    if now - state.observed_at > MAX_STATE_AGE_S:
         return _REASON.DOWN
     if submit.role is core.Role.PRIMARY:
         return _primary_refusal(state, instance, majority_at, now)
@@ -57,6 +66,6 @@
         return _REASON.NO_PRIMARY
     if state.primary != instance:
         return _REASON.NOT_PRIMARY
-    if now - majority_at > MAJORITY_GRACE:
+    if now - majority_at > MAJORITY_GRACE_S:
         return _REASON.NO_PRIMARY
     return None
--- a/src/chicoryusher/decisions/gates.py
+++ b/src/chicoryusher/decisions/gates.py
@@ -1,9 +1,8 @@
-"""Which VMs are gates of an instance, each with which part of it.
+"""Which VMs are gates of an instance, and the share that each has of it.
 
-One gate for an instance is found by rendezvous hashing.
-
-Every VM computes the same ranking from the same list; a VM that comes
-or goes moves only the instances that it gains or loses.
+The gate of an instance is chosen by rendezvous hashing.  Every VM
+computes the same ranking from the same list of VMs.  When a VM is added
+or removed, only the instances that it gains or loses change their gate.
 """
 
 from __future__ import annotations
@@ -20,11 +19,11 @@
 
 __all__ = [
     'DEFAULT_PLACEMENT',
+    'EqualShares',
     'LiveZones',
     'OneGate',
     'PLACEMENTS',
     'Placement',
-    'Shares',
     'gate_of',
     'ranked',
 ]
@@ -42,7 +41,10 @@
 
 
 class LiveZones:
-    """Live VMs by availability zone, built once for all instances."""
+    """Live VMs by availability zone.
+
+    It is built once for all instances, and again when the VMs change.
+    """
 
     def __init__(
         self,
@@ -60,8 +62,8 @@
     def candidates(self, zone: core.ZoneName) -> frozenset[core.VmName]:
         """Return the VMs nearest to a zone.
 
-        Those of the zone itself go before those of its region, and
-        those before any other.
+        These are the VMs in the zone itself.  If it has none, they are
+        the VMs in its region, and if that has none, all VMs.
         """
         if zone not in self._candidates:
             self._candidates[zone] = frozenset(self._nearest(zone))
@@ -71,20 +73,20 @@
         if zone in self._zones:
             return self._zones[zone]
         region = self._config.region(zone)
-        near = [
+        in_region = [
             name
             for other, names in self._zones.items()
             if self._config.region(other) == region
             for name in names
         ]
-        every = [name for names in self._zones.values() for name in names]
-        return near or every
+        all_vms = [name for names in self._zones.values() for name in names]
+        return in_region or all_vms
 
 
 def gate_of(
     instance: configuration.InstanceSpec, zones: LiveZones
 ) -> core.VmName | None:
-    """Return the gate VM: the nearest one with the highest weight."""
+    """Return the gate: of the nearest VMs the one with the highest weight."""
     nearest = zones.candidates(instance.zone)
     return max(
         nearest, key=lambda vm: _weight(instance.name, vm), default=None
@@ -92,7 +94,10 @@
 
 
 class Placement(Protocol):
-    """A policy that gives instances to gates."""
+    """A policy that assigns instances to gates.
+
+    ``exclusive`` says whether an instance has only one gate.
+    """
 
     exclusive: bool
 
@@ -110,14 +115,14 @@
         zones: LiveZones,
         vm: core.VmName,
     ) -> bool:
-        """Tell whether ``vm`` is a gate of an instance."""
+        """Return whether ``vm`` is a gate of an instance."""
 
     def part(
         self,
         instance: configuration.InstanceSpec,
         live: Sequence[core.VmName],
     ) -> configuration.InstanceSpec:
-        """Return the slots and connections that one gate may use."""
+        """Return the specification reduced to one gate's share."""
 
 
 PLACEMENTS: core.Registry[type] = core.Registry('gate placement')
@@ -125,7 +130,7 @@
 
 @PLACEMENTS.register(DEFAULT_PLACEMENT)
 class OneGate:
-    """One gate for each instance, which has all of it."""
+    """One gate for each instance, which may use all of the instance."""
 
     exclusive = True
 
@@ -135,7 +140,7 @@
         zones: LiveZones,
         vm: core.VmName,
     ) -> core.VmName | None:
-        """Return the one gate VM."""
+        """Return the instance's only gate."""
         return gate_of(instance, zones)
 
     def serves(
@@ -144,7 +149,7 @@
         zones: LiveZones,
         vm: core.VmName,
     ) -> bool:
-        """Tell whether ``vm`` is the one gate."""
+        """Return whether ``vm`` is the instance's only gate."""
         if vm not in zones.candidates(instance.zone):
             return False
         return gate_of(instance, zones) == vm
@@ -159,8 +164,8 @@
 
 
 @PLACEMENTS.register('shares')
-class Shares:
-    """Baseline: every VM is a gate with an equal share of connections."""
+class EqualShares:
+    """Every VM is a gate with an equal share; a baseline for comparison."""
 
     exclusive = False
 
@@ -179,7 +184,7 @@
         zones: LiveZones,
         vm: core.VmName,
     ) -> bool:
-        """Tell that every VM is a gate."""
+        """Return True, since every VM is a gate."""
         return True
 
     def part(
@@ -187,10 +192,10 @@
         instance: configuration.InstanceSpec,
         live: Sequence[core.VmName],
     ) -> configuration.InstanceSpec:
-        """Return an equal share, of one slot and connection at least."""
-        count = max(1, len(live))
+        """Return an equal share: at least one slot and one connection."""
+        gate_count = max(1, len(live))
         return dataclasses.replace(
             instance,
-            slots=max(1, -(-instance.slots // count)),
-            connections=max(1, instance.connections // count),
+            slots=max(1, -(-instance.slots // gate_count)),
+            connections=max(1, instance.connections // gate_count),
         )
--- a/src/chicoryusher/decisions/holders.py
+++ b/src/chicoryusher/decisions/holders.py
@@ -1,8 +1,10 @@
-"""Which VMs hold connections to an instance, and whom others go through.
+"""Which VMs own connections to an instance, and which owner others use.
 
-Few connections dealt out to many VMs would leave most with none: each
-request would open one, and instances refuse those over their cap.  So a
-few VMs hold enough of them each, and the others send their work there.
+If a small number of connections were divided over many VMs, most VMs
+would have none.  Each of their requests would open a connection, and
+instances refuse connections over their cap.  So a few VMs, the connection
+owners, keep enough connections each, and the other VMs send their work
+through them.
 """
 
 from __future__ import annotations
@@ -18,18 +20,18 @@
 
 __all__ = ['holder_count', 'holders_of', 'nearest_holder']
 
-# Connections that a holder keeps: over the 3 to 6 statements that an
-# instance runs at once, so that two holders can keep it busy.
-KEPT_EACH = 4
-# Holders at least, so that two may fail at once.
-LEAST = 3
-# Parts of the cap that all VMs together may want to open in a burst for
-# every VM to be a holder; connections over the cap are refused, and are
-# tried again after a pause.
-OVERCOMMIT = 2.0
+# Connections that an owner keeps open.  An instance runs 3 to 6 statements
+# at once, so two owners can keep it busy.
+KEPT_CONNS_PER_OWNER = 4
+# Least number of owners, so that two may fail at once.
+MIN_OWNERS = 3
+# Every VM may be an owner if all VMs together, in a burst, would open at
+# most this multiple of the cap.  Connections over the cap are refused, and
+# are tried again after a pause.
+MAX_OVERCOMMIT_RATIO = 2.0
 
 RegionOf = Callable[[core.ZoneName], core.RegionName | None]
-_ORDER = (
+_NEAREST_FIRST = (
     core.Nearness.SAME_ZONE,
     core.Nearness.SAME_REGION,
     core.Nearness.OTHER_REGION,
@@ -37,12 +39,16 @@
 
 
 def holder_count(cap: int, vms: int) -> int:
-    """Return how many of the VMs hold connections to an instance."""
-    dealt = int(cap * shares.DEALT)
-    wanted = vms * (dealt // max(1, vms) + shares.BURST)
-    if dealt >= vms and wanted <= cap * OVERCOMMIT:
+    """Return how many VMs own connections to an instance.
+
+    ``cap`` is the most connections that the instance accepts, ``vms`` the
+    number of VMs.
+    """
+    kept_open = int(cap * shares.KEPT_OPEN_RATIO)
+    burst = vms * (kept_open // max(1, vms) + shares.MAX_BURST_CONNS)
+    if kept_open >= vms and burst <= cap * MAX_OVERCOMMIT_RATIO:
         return vms
-    return min(vms, max(LEAST, dealt // KEPT_EACH))
+    return min(vms, max(MIN_OWNERS, kept_open // KEPT_CONNS_PER_OWNER))
 
 
 def holders_of(
@@ -51,29 +57,40 @@
     count: int,
     region_of: RegionOf,
 ) -> tuple[core.NodePlace, ...]:
-    """Return the holders: VMs near the instance, in rendezvous order."""
+    """Return the ``count`` connection owners of an instance.
 
-    def rank(one: core.NodePlace) -> tuple[int, int]:
-        near = zones.nearness(entry.zone, one.zone, region_of)
-        return _ORDER.index(near), _digest(entry.name, one.vm)
+    VMs near the instance go first; among equally near VMs the order is
+    rendezvous hashing.
+    """
+
+    def rank(node: core.NodePlace) -> tuple[int, int]:
+        near = zones.nearness(entry.zone, node.zone, region_of)
+        return _NEAREST_FIRST.index(near), _hash(entry.name, node.vm)
 
     return tuple(sorted(nodes, key=rank)[:count])
 
 
 def nearest_holder(
     own: core.NodePlace,
-    holders: Iterable[core.NodePlace],
+    owners: Iterable[core.NodePlace],
     region_of: RegionOf,
 ) -> core.VmName | None:
-    """Return the holder to send work through; itself if it is one."""
+    """Return the connection owner that a VM sends its work through.
+
+    A VM that is an owner itself uses its own connections.
+    """
 
-    def rank(one: core.NodePlace) -> tuple[bool, int, int]:
-        near = zones.nearness(own.zone, one.zone, region_of)
-        return one.vm != own.vm, _ORDER.index(near), _digest(own.vm, one.vm)
+    def rank(node: core.NodePlace) -> tuple[bool, int, int]:
+        near = zones.nearness(own.zone, node.zone, region_of)
+        return (
+            node.vm != own.vm,
+            _NEAREST_FIRST.index(near),
+            _hash(own.vm, node.vm),
+        )
 
-    nearest = min(holders, key=rank, default=None)
+    nearest = min(owners, key=rank, default=None)
     return None if nearest is None else nearest.vm
 
 
-def _digest(one: str, other: str) -> int:
-    return xxhash.xxh64_intdigest(f'{one} {other}'.encode())
+def _hash(first: str, second: str) -> int:
+    return xxhash.xxh64_intdigest(f'{first} {second}'.encode())
--- a/src/chicoryusher/decisions/newcomers.py
+++ b/src/chicoryusher/decisions/newcomers.py
@@ -1,4 +1,4 @@
-"""Callers that have connected and not said yet who they are."""
+"""Connections of callers that have not completed the handshake yet."""
 
 from __future__ import annotations
 
@@ -8,38 +8,41 @@
 
 
 class Newcomers:
-    """Bound how many there are, and how long each may take (seconds)."""
+    """Limits the pending handshakes in number and in time (seconds)."""
 
-    def __init__(self, most: int, patience: float) -> None:
-        self._most = most
-        self._patience = patience
-        self._since: dict[core.SessionId, float] = {}
+    def __init__(self, max_pending: int, timeout: float) -> None:
+        self._max_pending = max_pending
+        self._timeout = timeout
+        self._began_at: dict[core.SessionId, float] = {}
 
     def __len__(self) -> int:
-        return len(self._since)
+        return len(self._began_at)
 
     def admit(self, session_id: core.SessionId, now: float) -> bool:
-        """Note a new caller; False if too many have said nothing yet."""
-        if len(self._since) >= self._most:
+        """Add a pending handshake; return False if there are too many."""
+        if len(self._began_at) >= self._max_pending:
             return False
-        self._since[session_id] = now
+        self._began_at[session_id] = now
         return True
 
     def settle(self, session_id: core.SessionId) -> None:
-        """Forget a caller that has said who it is, or has left."""
-        self._since.pop(session_id, None)
+        """Remove a handshake that is complete or whose caller has left."""
+        self._began_at.pop(session_id, None)
 
     def late(self, now: float) -> tuple[core.SessionId, ...]:
-        """Return the callers whose time is over; they came in order."""
-        found = []
-        for session_id, since in self._since.items():
-            if now - since < self._patience:
+        """Return the sessions whose handshake has timed out.
+
+        The handshakes are in the order in which they began.
+        """
+        expired = []
+        for session_id, began_at in self._began_at.items():
+            if now - began_at < self._timeout:
                 break
-            found.append(session_id)
-        return tuple(found)
+            expired.append(session_id)
+        return tuple(expired)
 
     def next_late(self, now: float) -> float | None:
-        """Return the seconds until the next is late, None without any."""
-        for since in self._since.values():
-            return max(0.0, since + self._patience - now)
+        """Return the seconds until the next time-out, None without any."""
+        for began_at in self._began_at.values():
+            return max(0.0, began_at + self._timeout - now)
         return None
--- a/src/chicoryusher/decisions/retry.py
+++ b/src/chicoryusher/decisions/retry.py
@@ -1,8 +1,9 @@
 """When a request that was not run is routed again, and how often.
 
-Each caller has one budget.  It earns by time and by requests, so that
-retries can never be more than a share of the work plus a small rate:
-an outage does not feed a storm.
+Each caller has one retry budget, a token bucket that is refilled with
+time and by each new request.  Retries are thereby limited to a share of
+the caller's requests plus a small constant rate, so that an outage does
+not cause a retry storm.
 """
 
 from __future__ import annotations
@@ -14,53 +15,58 @@
 
 __all__ = ['RetryBudgets', 'retry_delay']
 
-FIRST_DELAY = 0.025
-MAX_DELAY = 0.050
-JITTER = 0.5
-CAPACITY = 400.0
-EARNED_PER_SECOND = 20.0
-EARNED_PER_REQUEST = 1.0
+MIN_RETRY_DELAY_S = 0.025
+MAX_RETRY_DELAY_S = 0.050
+JITTER_RATIO = 0.5
+MAX_BUDGET_TOKENS = 400.0
+TOKENS_EARNED_PER_S = 20.0
+TOKENS_EARNED_PER_REQUEST = 1.0
 
 
 @dataclasses.dataclass(slots=True)
 class _Budget:
-    """What one caller may still spend, as of ``at`` (seconds)."""
+    """Retries that one caller has left at the time ``at`` (seconds)."""
 
     tokens: float
     at: float
 
 
 class RetryBudgets:
-    """One budget for each caller."""
+    """The retry budgets of all callers."""
 
     def __init__(self) -> None:
         self._budgets: dict[core.CallerName, _Budget] = {}
 
-    def _current(self, caller: core.CallerName, now: float) -> _Budget:
+    def _refilled(self, caller: core.CallerName, now: float) -> _Budget:
+        """Return a caller's budget, refilled for the time passed."""
         budget = self._budgets.get(caller)
         if budget is None:
-            budget = _Budget(CAPACITY, now)
+            budget = _Budget(MAX_BUDGET_TOKENS, now)
             self._budgets[caller] = budget
-        earned = (now - budget.at) * EARNED_PER_SECOND
-        budget.tokens = min(CAPACITY, budget.tokens + earned)
+        earned = (now - budget.at) * TOKENS_EARNED_PER_S
+        budget.tokens = min(MAX_BUDGET_TOKENS, budget.tokens + earned)
         budget.at = now
         return budget
 
     def earn(self, caller: core.CallerName, now: float) -> None:
-        """Note a new request of a caller."""
-        budget = self._current(caller, now)
-        budget.tokens = min(CAPACITY, budget.tokens + EARNED_PER_REQUEST)
+        """Refill a caller's budget for a new request."""
+        budget = self._refilled(caller, now)
+        budget.tokens = min(
+            MAX_BUDGET_TOKENS, budget.tokens + TOKENS_EARNED_PER_REQUEST
+        )
 
     def spend(self, caller: core.CallerName, now: float) -> bool:
-        """Take one retry from a caller's budget; False if it is empty."""
-        budget = self._current(caller, now)
+        """Subtract one retry from a caller's budget; False if empty."""
+        budget = self._refilled(caller, now)
         if budget.tokens < 1.0:
             return False
         budget.tokens -= 1.0
         return True
 
 
-def retry_delay(tries: int, dice: random.Random) -> float:
-    """Return the pause in seconds before another try, with jitter."""
-    delay = min(MAX_DELAY, FIRST_DELAY * 2.0 ** max(0, tries - 1))
-    return delay * dice.uniform(1.0 - JITTER, 1.0 + JITTER)
+def retry_delay(tries: int, rng: random.Random) -> float:
+    """Return the seconds to wait before the next try, with jitter."""
+    delay = min(
+        MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S * 2.0 ** max(0, tries - 1)
+    )
+    return delay * rng.uniform(1.0 - JITTER_RATIO, 1.0 + JITTER_RATIO)
--- a/src/chicoryusher/decisions/routing.py
+++ b/src/chicoryusher/decisions/routing.py
@@ -1,9 +1,9 @@
 """Which instance a statement is sent to first.
 
-A router knows groups by hints that gates attach to their answers.  The
-gate that gets the statement checks what matters (role, position,
-staleness) against its own probes, so an outdated hint costs a hop and
-never a wrong answer.
+A router chooses by hints that gates attach to their answers.  The gate
+that receives the statement checks the instance's role, position and
+staleness against its own probes, so an outdated hint costs another hop
+but never a wrong answer.
 """
 
 from __future__ import annotations
@@ -16,14 +16,23 @@
 
 __all__ = ['GroupView', 'InstanceView', 'POLICIES', 'Route', 'Wanted']
 
-CATCH_UP_PATIENCE = 0.050
-LAG_MARGIN = 1.25
-PRIMARY_PENALTY = 0.020
-HINT_LIFETIME = 2.0
-DOWN_LIFETIME = 0.5
-BUSY_LIFETIME = 0.1
-BUSY_WAIT = 0.05
-UNKNOWN_LAG = 0.25
+# Seconds that a read may wait at a replica until it has caught up.
+CATCH_UP_TIMEOUT_S = 0.050
+# Factor on a replica's reported lag when its catch-up is estimated.
+LAG_MARGIN_RATIO = 1.25
+# Seconds by which the primary must be faster than the best replica to be
+# sent a read.
+PRIMARY_PENALTY_S = 0.020
+# Seconds after which an instance's report is no longer used.
+REPORT_LIFETIME_S = 2.0
+# Seconds without new work for an instance that is down or leaving.
+DOWN_PAUSE_S = 0.5
+# Seconds for which an instance counts as busy after it refused a read.
+BUSY_PERIOD_S = 0.1
+# Expected wait in seconds at a busy instance.
+BUSY_WAIT_S = 0.05
+# Lag in seconds that is assumed without a current report.
+ASSUMED_LAG_S = 0.25
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,8 +40,9 @@
     """A router's hints about one instance.
 
     ``path`` is the round trip in seconds to the instance through its
-    gate; ``refused_until`` keeps new work away after a refusal, and
-    until ``busy_until`` its slots are known to run long.
+    gate.  New work is kept away until ``refused_until``.  Until
+    ``busy_until`` all slots of the instance are assumed to be occupied
+    by long statements.
     """
 
     spec: configuration.InstanceSpec
@@ -43,22 +53,26 @@
     busy_until: float = float('-inf')
 
     def lag(self, now: float) -> float:
-        """Return the last estimate of the lag, or a cautious guess."""
-        if self.report is None or now - self.heard_at > HINT_LIFETIME:
-            return UNKNOWN_LAG
+        """Return the last reported lag in seconds, or an assumed one."""
+        if self.report is None or now - self.heard_at > REPORT_LIFETIME_S:
+            return ASSUMED_LAG_S
         return self.report.lag
 
     def cost(self, now: float) -> float:
         """Return the expected wait in seconds before an answer."""
         if self.busy_until > now:
-            return self.path + BUSY_WAIT
-        if self.report is None or now - self.heard_at > HINT_LIFETIME:
+            return self.path + BUSY_WAIT_S
+        if self.report is None or now - self.heard_at > REPORT_LIFETIME_S:
             return self.path
         return self.path + self.report.queue_wait
 
 
 class Route(NamedTuple):
-    """A chosen instance, the role it must have, and the patience."""
+    """The chosen instance, and the role that it must have.
+
+    ``patience`` is how many seconds the request may wait there until a
+    replica has caught up.
+    """
 
     instance: core.InstanceName
     role: core.Role
@@ -66,10 +80,12 @@
 
 
 class Wanted(NamedTuple):
-    """What a statement needs of the instance that runs it.
+    """Requirements of a statement on the instance that runs it.
 
-    ``since_write`` is how long ago (seconds) this router saw the
-    session's last write finish; infinity without one.
+    The instance must have applied ``position`` and be stale by at most
+    ``max_staleness`` seconds.  ``since_write`` is how many seconds ago
+    this router saw the session's last write finish; infinity without a
+    write.
     """
 
     writes: bool
@@ -90,29 +106,29 @@
 
     def place(self, view: InstanceView) -> None:
         """Add an instance, or replace its specification and path."""
-        known = self.instances.get(view.spec.name)
-        if known is not None:
-            view.report = known.report
-            view.heard_at = known.heard_at
-            view.refused_until = known.refused_until
-            view.busy_until = known.busy_until
+        previous = self.instances.get(view.spec.name)
+        if previous is not None:
+            view.report = previous.report
+            view.heard_at = previous.heard_at
+            view.refused_until = previous.refused_until
+            view.busy_until = previous.busy_until
         self.instances[view.spec.name] = view
 
     def keep_only(self, names: frozenset[core.InstanceName]) -> None:
-        """Forget instances that have left the register."""
-        for gone in set(self.instances) - names:
-            del self.instances[gone]
+        """Remove the instances that are no longer in the register."""
+        for removed in set(self.instances) - names:
+            del self.instances[removed]
         if self.primary not in names:
             self.primary = None
 
     def learn(self, report: core.InstanceReport, now: float) -> None:
-        """Take in a hint; a primary of an older term is ignored."""
+        """Store a report; ignore its primary if its term is older."""
         view = self.instances.get(report.instance)
         if view is not None:
             view.report = report
             view.heard_at = now
             if not report.alive:
-                view.refused_until = now + DOWN_LIFETIME
+                view.refused_until = now + DOWN_PAUSE_S
         if report.primary is not None and report.term >= self.term:
             self.term = report.term
             self.primary = report.primary
@@ -120,32 +136,36 @@
     def refused(
         self, name: core.InstanceName, reason: core.MoveReason, now: float
     ) -> None:
-        """Keep new work away from an instance that refused some."""
+        """Update the hints after an instance refused a request."""
         view = self.instances.get(name)
         if view is None:
             return
         if reason is core.MoveReason.NOT_FRESH:
             return
         if reason is core.MoveReason.BUSY:
-            view.busy_until = now + BUSY_LIFETIME
+            view.busy_until = now + BUSY_PERIOD_S
             return
         if self.primary == name and reason is not core.MoveReason.NOT_GATE:
             self.primary = None
         if reason in (core.MoveReason.DOWN, core.MoveReason.LEAVING):
-            view.refused_until = now + DOWN_LIFETIME
+            view.refused_until = now + DOWN_PAUSE_S
 
     def writer(self, now: float) -> Route:
-        """Return the primary, or in turn an instance that may know it."""
+        """Return a route to the primary.
+
+        While the primary is unknown or gets no new work, the route is to
+        one of the instances in turn, whose gate may know the primary.
+        """
         name = self.primary
         if name is None or self.instances[name].refused_until > now:
-            name = self._ask_in_turn(now)
+            name = self._next_in_turn(now)
         return Route(name, core.Role.PRIMARY)
 
-    def _ask_in_turn(self, now: float) -> core.InstanceName:
+    def _next_in_turn(self, now: float) -> core.InstanceName:
         names = sorted(
-            one.spec.name
-            for one in self.instances.values()
-            if one.refused_until <= now
+            view.spec.name
+            for view in self.instances.values()
+            if view.refused_until <= now
         ) or sorted(self.instances)
         if not names:
             raise core.NotRunError('the group has no instance')
@@ -159,45 +179,57 @@
 
 @POLICIES.register('nearest_fresh_replica')
 class NearestFreshReplica:
-    """The replica with the least expected wait that is fresh enough."""
+    """Choose the sufficiently fresh replica with the least expected wait.
+
+    A write goes to the primary, and so does a read for which no replica
+    is suitable or the primary is clearly faster.
+    """
 
     def choose(self, group: GroupView, wanted: Wanted, now: float) -> Route:
-        """Return where to run a statement; NotRunError if nowhere."""
+        """Return where to run a statement.
+
+        Raise NotRunError if the group has no instance.
+        """
         if wanted.writes or wanted.max_staleness <= 0:
             return group.writer(now)
         best: tuple[float, core.InstanceName, float] | None = None
         for name, view in group.instances.items():
             if name == group.primary or view.refused_until > now:
                 continue
-            patience = _patience(view, wanted, now)
-            if patience is None:
+            catch_up = _catch_up_wait(view, wanted, now)
+            if catch_up is None:
                 continue
-            rank = (view.cost(now) + patience, name, patience)
+            rank = (view.cost(now) + catch_up, name, catch_up)
             best = rank if best is None else min(best, rank)
         if best is None:
             return group.writer(now)
-        cost, name, patience = best
+        cost, name, catch_up = best
         primary = group.instances.get(group.primary or name)
         if primary is not None and primary.refused_until <= now:
-            if primary.cost(now) + PRIMARY_PENALTY < cost - patience:
+            if primary.cost(now) + PRIMARY_PENALTY_S < cost - catch_up:
                 return group.writer(now)
-        return Route(name, core.Role.REPLICA, CATCH_UP_PATIENCE)
+        return Route(name, core.Role.REPLICA, CATCH_UP_TIMEOUT_S)
 
 
-def _patience(view: InstanceView, wanted: Wanted, now: float) -> float | None:
-    """Return the expected wait until fresh, None if it is too long."""
+def _catch_up_wait(
+    view: InstanceView, wanted: Wanted, now: float
+) -> float | None:
+    """Return the expected seconds until a replica has caught up.
+
+    None if it is too stale or the wait is too long.
+    """
     lag = view.lag(now)
     if lag > wanted.max_staleness:
         return None
     if wanted.position is None:
         return 0.0
-    missing = max(0.0, lag * LAG_MARGIN - wanted.since_write)
-    return missing if missing <= CATCH_UP_PATIENCE else None
+    wait = max(0.0, lag * LAG_MARGIN_RATIO - wanted.since_write)
+    return wait if wait <= CATCH_UP_TIMEOUT_S else None
 
 
 @POLICIES.register('primary_only')
 class PrimaryOnly:
-    """Baseline: every statement runs on the primary."""
+    """Run every statement on the primary; a baseline for comparison."""
 
     def choose(self, group: GroupView, wanted: Wanted, now: float) -> Route:
         """Return the primary."""
@@ -206,7 +238,7 @@
 
 @POLICIES.register('round_robin')
 class RoundRobin:
-    """Baseline: reads go to the instances in turn."""
+    """Send reads to the instances in turn; a baseline for comparison."""
 
     def __init__(self) -> None:
         self._turn = 0
@@ -220,4 +252,4 @@
         name = names[self._turn % len(names)]
         if name == group.primary:
             return group.writer(now)
-        return Route(name, core.Role.REPLICA, CATCH_UP_PATIENCE)
+        return Route(name, core.Role.REPLICA, CATCH_UP_TIMEOUT_S)
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -1,7 +1,8 @@
-"""One instance's queue: what runs next and what is refused.
+"""The queue of one instance: which request runs next, and which is refused.
 
-Work is ordered by learned service time less an ageing credit, shared
-fairly between callers, and bounded by the wait that the caller accepts.
+Requests are ordered by learned service time, less a credit for the time
+they have waited, with slots shared fairly between callers.  A request is
+refused if its expected wait is longer than its deadline allows.
 """
 
 from __future__ import annotations
@@ -21,22 +22,37 @@
     'Shed',
 ]
 
-INITIAL_SERVICE = 0.005
-LEARNING_RATE = 0.1
+# Expected seconds of a statement before any has run.
+INITIAL_SERVICE_TIME_S = 0.005
+# Weight of a new sample in the moving averages of the service time.
+SERVICE_TIME_SAMPLE_RATIO = 0.1
+# Statement classes whose service time is remembered.
 MAX_CLASSES = 4096
-AGEING_RATE = 0.5
-LONG_FACTOR = 8.0
-MIN_LONG_SERVICE = 0.020
-FAIRNESS_WEIGHT = 1.0
-MIN_RETRY_AFTER = 0.020
+# Seconds of rank that a request gains for each second in the queue.
+AGEING_RATIO = 0.5
+# A statement is long if it takes longer than the typical one by this
+# factor, and longer than the seconds below.
+LONG_SERVICE_RATIO = 8.0
+MIN_LONG_SERVICE_TIME_S = 0.020
+# Weight of a caller's consumed slot time in the rank of its requests.
+FAIRNESS_RATIO = 1.0
+# Least seconds after which a refused caller may try again.
+MIN_RETRY_AFTER_S = 0.020
 MAX_QUEUE_ITEMS = 4096
-STUCK_FACTOR = 3.0
+# A running statement is overrun once it has taken this many times its
+# expected time.
+OVERRUN_RATIO = 3.0
 DEFAULT_POLICY = 'fair_short_first'
 
 
 @dataclasses.dataclass(slots=True)
 class Item:
-    """One queued request: when it came and when it must be answered."""
+    """One queued request.
+
+    ``arrived`` is when it came, ``deadline`` when it must be answered and
+    ``started`` when it began to run; ``expected`` is its expected service
+    time in seconds.
+    """
 
     submit: core.Submit
     arrived: float
@@ -53,29 +69,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shed:
-    """A refusal at the door, with when to try again (seconds)."""
+    """Refusal to queue a request; ``retry_after`` is in seconds."""
 
     reason: str
     retry_after: float
 
 
 class ServiceTimes:
-    """Learned service time of each statement class, in seconds."""
+    """Average service time of each statement class, in seconds."""
 
     def __init__(self) -> None:
         self._means: collections.OrderedDict[core.StatementClass, float]
         self._means = collections.OrderedDict()
-        self.mean = INITIAL_SERVICE
+        self.mean = INITIAL_SERVICE_TIME_S
 
     def expected(self, name: core.StatementClass) -> float:
         """Return the expected service time of a class."""
         return self._means.get(name, self.mean)
 
     def observe(self, name: core.StatementClass, seconds: float) -> None:
-        """Learn from one finished statement."""
-        known = self._means.pop(name, seconds)
-        self._means[name] = known + LEARNING_RATE * (seconds - known)
-        self.mean += LEARNING_RATE * (seconds - self.mean)
+        """Update the averages with the time of one statement."""
+        mean_before = self._means.pop(name, seconds)
+        self._means[name] = mean_before + SERVICE_TIME_SAMPLE_RATIO * (
+            seconds - mean_before
+        )
+        self.mean += SERVICE_TIME_SAMPLE_RATIO * (seconds - self.mean)
         if len(self._means) > MAX_CLASSES:
             self._means.popitem(last=False)
 
@@ -86,22 +104,22 @@
     slots: int
 
     def offer(self, item: Item, now: float) -> Shed | None:
-        """Queue the item, or say why it is refused."""
+        """Queue the item, or return why it is refused."""
 
     def take(self, now: float) -> Item | None:
-        """Return the item to run next on a free slot, or None."""
+        """Remove and return the item to run next, None if none may run."""
 
     def put_back(self, item: Item) -> None:
         """Queue an item again that was accepted before."""
 
     def stuck(self, now: float) -> bool:
-        """Tell whether every slot runs longer than was expected."""
+        """Return whether all slots are occupied by overrun statements."""
 
     def started(self, item: Item, now: float) -> None:
-        """Note that an item occupies a slot."""
+        """Record that an item occupies a slot."""
 
     def finished(self, item: Item, seconds: float) -> None:
-        """Note that an item gave its slot back after ``seconds``."""
+        """Record that an item released its slot after ``seconds``."""
 
     def expire(self, now: float) -> list[Item]:
         """Remove and return the items whose deadline has passed."""
@@ -118,8 +136,8 @@
 POLICIES: core.Registry[type] = core.Registry('queue policy')
 
 
-class _Base:
-    """What every policy shares: service times, slots and the list."""
+class _BaseQueue:
+    """Common part of all policies: service times, slots, queued items."""
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
@@ -140,34 +158,34 @@
         self._items.append(item)
 
     def started(self, item: Item, now: float) -> None:
-        """Note that an item occupies a slot."""
+        """Record that an item occupies a slot."""
         item.started = now
         self._running[item.request.request_id] = item
 
     def stuck(self, now: float) -> bool:
-        """Tell whether every slot runs longer than was expected."""
+        """Return whether all slots are occupied by overrun statements."""
         if self.running < self.slots:
             return False
         return all(
-            now - one.started > STUCK_FACTOR * one.expected
-            for one in self._running.values()
+            now - item.started > OVERRUN_RATIO * item.expected
+            for item in self._running.values()
         )
 
     def finished(self, item: Item, seconds: float) -> None:
-        """Note that an item gave its slot back."""
+        """Record that an item released its slot."""
         if self._running.pop(item.request.request_id, None) is not None:
             self.times.observe(item.request.statement_class, seconds)
 
     def expire(self, now: float) -> list[Item]:
-        """Remove and return the items that can't be done in time."""
-        late = [one for one in self._items if self._too_late(one, now)]
-        if late:
+        """Remove and return the items that can't finish in time."""
+        expired = [item for item in self._items if self._expired(item, now)]
+        if expired:
             self._items = [
-                one for one in self._items if not self._too_late(one, now)
+                item for item in self._items if not self._expired(item, now)
             ]
-        return late
+        return expired
 
-    def _too_late(self, item: Item, now: float) -> bool:
+    def _expired(self, item: Item, now: float) -> bool:
         return item.deadline <= now
 
     def drain(self) -> list[Item]:
@@ -179,101 +197,113 @@
         """Return the expected wait of a new item in seconds."""
         if self.running < self.slots and not self._items:
             return 0.0
-        work = sum(one.expected for one in self._items)
+        work = sum(item.expected for item in self._items)
         return self._until_free(now) + work / self.slots
 
     def _until_free(self, now: float) -> float:
-        """Return the expected time until a slot is free.
+        """Return the expected seconds until a slot is free.
 
-        What has run for longer than expected is taken to run for as
-        long again.
+        A statement that has run longer than expected is assumed to run
+        for as long again.
         """
         if self.running < self.slots:
             return 0.0
-        left = []
-        for one in self._running.values():
-            elapsed = now - one.started
-            late = elapsed > one.expected
-            left.append(elapsed if late else one.expected - elapsed)
-        return min(left)
-
-    def _expect(self, item: Item) -> None:
+        remaining = []
+        for item in self._running.values():
+            elapsed = now - item.started
+            overrun = elapsed > item.expected
+            remaining.append(elapsed if overrun else item.expected - elapsed)
+        return min(remaining)
+
+    def _set_expected(self, item: Item) -> None:
         name = item.request.statement_class
         item.expected = self.times.expected(name)
 
 
 @POLICIES.register('fifo')
-class FifoQueue(_Base):
-    """Baseline: first come, first served, of fixed length."""
+class FifoQueue(_BaseQueue):
+    """First in, first out, of fixed length; a baseline for comparison."""
 
     max_items = 256
 
     def offer(self, item: Item, now: float) -> Shed | None:
         """Queue the item unless the queue is full."""
-        self._expect(item)
+        self._set_expected(item)
         if len(self._items) >= self.max_items:
-            return Shed('the queue is full', MIN_RETRY_AFTER)
+            return Shed('the queue is full', MIN_RETRY_AFTER_S)
         self._items.append(item)
         return None
 
     def take(self, now: float) -> Item | None:
-        """Return the oldest item."""
+        """Remove and return the oldest item."""
         return self._items.pop(0) if self._items else None
 
 
 @POLICIES.register(DEFAULT_POLICY)
-class FairShortFirstQueue(_Base):
-    """Short work first, aged, fair between callers, bounded by wait."""
+class FairShortFirstQueue(_BaseQueue):
+    """Short statements first, fair between callers, bounded by the wait.
+
+    ``_consumed`` is the slot time in seconds that each caller is charged
+    with.  It is compared with ``_baseline``, the least charge of all
+    callers, at which a new caller starts.
+    """
 
     def __init__(self, slots: int) -> None:
         super().__init__(slots)
-        self._used: dict[core.CallerName, float] = {}
-        self._floor = 0.0
+        self._consumed: dict[core.CallerName, float] = {}
+        self._baseline = 0.0
 
     def offer(self, item: Item, now: float) -> Shed | None:
         """Queue the item if it can be answered by its deadline."""
-        self._expect(item)
+        self._set_expected(item)
         if len(self._items) >= MAX_QUEUE_ITEMS:
-            return Shed('the queue is full', MIN_RETRY_AFTER)
-        ahead = self._work_ahead(item) / self._lanes(item)
-        ahead += self._until_free(now)
-        accepted = item.deadline - now - item.expected
-        if ahead > accepted:
-            retry_after = max(MIN_RETRY_AFTER, ahead - accepted)
+            return Shed('the queue is full', MIN_RETRY_AFTER_S)
+        expected_wait = self._work_ahead(item) / self._usable_slots(item)
+        expected_wait += self._until_free(now)
+        max_wait = item.deadline - now - item.expected
+        if expected_wait > max_wait:
+            retry_after = max(MIN_RETRY_AFTER_S, expected_wait - max_wait)
             return Shed('the expected wait is too long', retry_after)
         self._items.append(item)
         caller = item.request.caller
-        self._used[caller] = max(self._used.get(caller, 0.0), self._floor)
+        self._consumed[caller] = max(
+            self._consumed.get(caller, 0.0), self._baseline
+        )
         return None
 
     def wait(self, now: float) -> float:
-        """Return the expected wait of new short work in seconds."""
+        """Return the expected wait of a new short statement in seconds."""
         short = [
-            one.expected
-            for one in self._items
-            if not self._is_long(one.expected)
+            item.expected
+            for item in self._items
+            if not self._is_long(item.expected)
         ]
         if self.running < self.slots and not short:
             return 0.0
-        lanes = max(1, self.slots - self._long_running())
-        return self._until_free(now) + sum(short) / lanes
+        usable_slots = max(1, self.slots - self._long_running())
+        return self._until_free(now) + sum(short) / usable_slots
 
-    def _too_late(self, item: Item, now: float) -> bool:
-        """Tell whether a slot would be wasted on the item."""
+    def _expired(self, item: Item, now: float) -> bool:
+        """Return whether the item is not expected to finish in time."""
         return item.deadline <= now + item.expected
 
     def take(self, now: float) -> Item | None:
-        """Return the best item that may have a slot now."""
-        may_be_long = self._long_running() < self._long_slots()
+        """Remove and return the best item that may have a slot now.
+
+        In the first half of its time, a request marked ``may_wait`` is
+        passed over while a statement runs and a request without that mark
+        is queued.
+        """
+        may_be_long = self._long_running() < self._max_long_slots()
         busy = self.running > 0
         best: Item | None = None
         best_rank = float('inf')
         for item in self._items:
-            if self._too_late(item, now) or self._reserved(item):
+            if self._expired(item, now) or self._blocked_by_writes(item):
                 continue
             if self._is_long(item.expected) and not may_be_long:
                 continue
-            if item.request.marks.may_wait and busy and self._pressed():
+            if item.request.marks.may_wait and busy and self._has_urgent():
                 if now - item.arrived < item.deadline - now:
                     continue
             rank = self._rank(item, now)
@@ -287,67 +317,85 @@
         """Charge the item's expected time to its caller."""
         super().started(item, now)
         caller = item.request.caller
-        used = self._used.get(caller, self._floor)
-        self._floor = max(self._floor, min(self._used.values(), default=0))
-        self._used[caller] = used + item.expected
+        consumed = self._consumed.get(caller, self._baseline)
+        self._baseline = max(
+            self._baseline, min(self._consumed.values(), default=0)
+        )
+        self._consumed[caller] = consumed + item.expected
 
     def finished(self, item: Item, seconds: float) -> None:
-        """Correct the caller's charge by the time really taken."""
+        """Correct the caller's charge to the measured time."""
         super().finished(item, seconds)
         caller = item.request.caller
-        if caller in self._used:
-            self._used[caller] += seconds - item.expected
+        if caller in self._consumed:
+            self._consumed[caller] += seconds - item.expected
         if not self._items and not self._running:
-            self._used.clear()
-            self._floor = 0.0
+            self._consumed.clear()
+            self._baseline = 0.0
+
+    def _blocked_by_writes(self, item: Item) -> bool:
+        """Return whether the item is a read that must leave a slot free.
 
-    def _reserved(self, item: Item) -> bool:
-        """Tell whether only a primary's slot kept for writes is left."""
-        if not _reads_primary(item) or self.slots == 1:
+        One slot of a primary with several slots is reserved for writes.
+        """
+        if not _is_primary_read(item) or self.slots == 1:
             return False
-        reads = sum(1 for one in self._running.values() if _reads_primary(one))
+        reads = sum(
+            1 for other in self._running.values() if _is_primary_read(other)
+        )
         return reads >= self.slots - 1
 
     def _rank(self, item: Item, now: float) -> float:
+        """Return the rank in seconds; the lowest rank runs first."""
         waited = now - item.arrived
-        used = self._used.get(item.request.caller, self._floor)
+        consumed = self._consumed.get(item.request.caller, self._baseline)
         return (
             item.expected
-            + FAIRNESS_WEIGHT * (used - self._floor) / self.slots
-            - AGEING_RATE * waited
+            + FAIRNESS_RATIO * (consumed - self._baseline) / self.slots
+            - AGEING_RATIO * waited
         )
 
-    def _pressed(self) -> bool:
-        return any(not one.request.marks.may_wait for one in self._items)
+    def _has_urgent(self) -> bool:
+        """Return whether a queued request is not marked as may-wait."""
+        return any(not item.request.marks.may_wait for item in self._items)
 
     def _is_long(self, expected: float) -> bool:
-        bound = max(MIN_LONG_SERVICE, LONG_FACTOR * self._typical())
+        """Return whether a statement of that service time is long."""
+        bound = max(
+            MIN_LONG_SERVICE_TIME_S, LONG_SERVICE_RATIO * self._typical_time()
+        )
         return expected > bound
 
-    def _typical(self) -> float:
-        return min(self.times.mean, INITIAL_SERVICE)
+    def _typical_time(self) -> float:
+        return min(self.times.mean, INITIAL_SERVICE_TIME_S)
 
     def _long_running(self) -> int:
+        """Return how many slots are occupied by long statements."""
         return sum(
-            1 for one in self._running.values() if self._is_long(one.expected)
+            1
+            for item in self._running.values()
+            if self._is_long(item.expected)
         )
 
-    def _long_slots(self) -> int:
+    def _max_long_slots(self) -> int:
+        """Return how many slots long statements may occupy at once."""
         return max(1, self.slots - 1)
 
-    def _lanes(self, item: Item) -> int:
+    def _usable_slots(self, item: Item) -> int:
+        """Return how many slots can run the item."""
         if self._is_long(item.expected):
-            return self._long_slots()
+            return self._max_long_slots()
         return max(1, self.slots - self._long_running())
 
     def _work_ahead(self, item: Item) -> float:
+        """Return the seconds of queued work that goes before the item."""
         return sum(
-            one.expected
-            for one in self._items
-            if one.expected <= item.expected
+            other.expected
+            for other in self._items
+            if other.expected <= item.expected
         )
 
 
-def _reads_primary(item: Item) -> bool:
+def _is_primary_read(item: Item) -> bool:
     at_primary = item.submit.role is core.Role.PRIMARY
     return at_primary and item.request.kind is core.StatementKind.READ
--- a/src/chicoryusher/decisions/sessions.py
+++ b/src/chicoryusher/decisions/sessions.py
@@ -1,7 +1,7 @@
-"""Session positions, and the signed tokens that carry them.
+"""Signed tokens that carry a session's log positions.
 
-A token holds, for each database the session wrote to, the position of
-its last write.  It is signed, so that a caller cannot make one up.
+A token has, for each database that the session wrote to, the position of
+its last write.  It is signed, so that a caller cannot forge one.
 """
 
 from __future__ import annotations
@@ -17,14 +17,17 @@
 __all__ = ['TokenCodec']
 
 SIGNATURE_BYTES = 12
-VERSION = 1
+TOKEN_VERSION = 1
 MAX_TOKEN_CHARS = 4096
-_HEAD = struct.Struct('<BB')
+_HEADER = struct.Struct('<BB')
 _ENTRY = struct.Struct('<BIQ')
 
 
 class TokenCodec:
-    """Encode and check tokens under one secret key."""
+    """Encode tokens with a secret key, and decode and verify tokens.
+
+    Tokens that were signed with one of ``old_keys`` are accepted too.
+    """
 
     def __init__(self, key: bytes, old_keys: tuple[bytes, ...] = ()) -> None:
         self._key = key
@@ -32,19 +35,19 @@
 
     def encode(self, positions: dict[core.DatabaseName, core.Position]) -> str:
         """Return a URL-safe token for ``positions``."""
-        parts = [_HEAD.pack(VERSION, len(positions))]
+        parts = [_HEADER.pack(TOKEN_VERSION, len(positions))]
         for name, position in sorted(positions.items()):
-            text = name.encode()
+            encoded = name.encode()
             parts.append(
-                _ENTRY.pack(len(text), position.term, position.offset)
+                _ENTRY.pack(len(encoded), position.term, position.offset)
             )
-            parts.append(text)
+            parts.append(encoded)
         body = b''.join(parts)
         signed = self._sign(self._key, body) + body
         return base64.urlsafe_b64encode(signed).rstrip(b'=').decode()
 
     def decode(self, token: str) -> dict[core.DatabaseName, core.Position]:
-        """Return the positions of a token; TokenError if it is bad."""
+        """Return a token's positions; raise TokenError if it is invalid."""
         if len(token) > MAX_TOKEN_CHARS:
             raise core.TokenError('the token is too long')
         try:
@@ -53,11 +56,11 @@
         except (binascii.Error, UnicodeEncodeError, ValueError):
             raise core.TokenError('the token cannot be decoded') from None
         signature, body = signed[:SIGNATURE_BYTES], signed[SIGNATURE_BYTES:]
-        good = [
+        matches = [
             hmac.compare_digest(signature, self._sign(key, body))
             for key in self._keys
         ]
-        if not any(good):
+        if not any(matches):
             raise core.TokenError('the signature of the token is wrong')
         try:
             return _parse(body)
@@ -71,16 +74,17 @@
 
 
 def _parse(body: bytes) -> dict[core.DatabaseName, core.Position]:
-    version, count = _HEAD.unpack_from(body)
-    if version != VERSION:
+    """Return the positions in a token's body, after its signature."""
+    version, count = _HEADER.unpack_from(body)
+    if version != TOKEN_VERSION:
         raise core.TokenError(f'token version {version} is not known')
-    place = _HEAD.size
+    index = _HEADER.size
     positions = {}
     for _ in range(count):
-        size, term, offset = _ENTRY.unpack_from(body, place)
-        place += _ENTRY.size
-        name = core.DatabaseName(body[place : place + size].decode())
-        place += size
+        size, term, offset = _ENTRY.unpack_from(body, index)
+        index += _ENTRY.size
+        name = core.DatabaseName(body[index : index + size].decode())
+        index += size
         positions[name] = core.Position(
             core.Term(term), core.LogPosition(offset)
         )
--- a/src/chicoryusher/decisions/suiting.py
+++ b/src/chicoryusher/decisions/suiting.py
@@ -1,4 +1,4 @@
-"""How a pooled connection is made to suit a session's statement."""
+"""How a pooled connection is prepared for a session's statement."""
 
 from __future__ import annotations
 
@@ -8,27 +8,27 @@
 
 __all__ = ['ConnMemory', 'begin_command', 'fits', 'may_repeat', 'suit']
 
-# Prepared statements that a connection keeps before all are dropped.
-MAX_PREPARED = 256
+# Prepared statements that a connection has before it is reset.
+MAX_PREPARED_STATEMENTS = 256
 
 
 @dataclasses.dataclass(slots=True)
 class ConnMemory:
-    """Session values and prepared statements that a connection holds."""
+    """Session variables and prepared statements set on a connection."""
 
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[core.Shape, str] = dataclasses.field(default_factory=dict)
 
 
 def fits(memory: ConnMemory, work: core.Work) -> int:
-    """Return how many commands it takes to suit the work."""
-    wanted = dict(work.values)
-    if any(name not in wanted for name in memory.values):
-        cost = 1 + len(wanted)
+    """Return how many setup commands the connection needs for the work."""
+    required = dict(work.values)
+    if any(name not in required for name in memory.values):
+        cost = 1 + len(required)
     else:
         cost = sum(
             1
-            for name, value in wanted.items()
+            for name, value in required.items()
             if memory.values.get(name) != value
         )
     if work.shape is not None and work.shape not in memory.prepared:
@@ -37,17 +37,25 @@
 
 
 def suit(memory: ConnMemory, work: core.Work) -> list[core.Command]:
-    """Return the commands that suit the work, and remember them."""
-    wanted = dict(work.values)
+    """Return the setup commands that the connection needs for the work.
+
+    ``memory`` is updated as if the commands had run.  A connection with
+    session variables that the work does not have, or with too many
+    prepared statements, is reset first; but in an open transaction it is
+    not reset for its prepared statements.
+    """
+    required = dict(work.values)
     commands = []
-    surplus = any(name not in wanted for name in memory.values)
-    continues = work.transaction is not None and work.begins is None
-    full = len(memory.prepared) >= MAX_PREPARED and not continues
-    if surplus or full:
+    has_surplus = any(name not in required for name in memory.values)
+    in_transaction = work.transaction is not None and work.begins is None
+    is_full = (
+        len(memory.prepared) >= MAX_PREPARED_STATEMENTS and not in_transaction
+    )
+    if has_surplus or is_full:
         commands.append(core.Command(core.Op.RESET))
         memory.values.clear()
         memory.prepared.clear()
-    for name, value in wanted.items():
+    for name, value in required.items():
         if memory.values.get(name) != value:
             commands.append(core.Command(core.Op.SET, name=name, value=value))
             memory.values[name] = value
@@ -67,10 +75,10 @@
 
 
 def may_repeat(work: core.Work) -> bool:
-    """Tell whether the work may run again elsewhere, whatever it did.
+    """Return whether the work may run again on another connection.
 
-    A read changes nothing, and what a begun transaction did is rolled
-    back with its connection.
+    That is the case even if it may have run: a read changes nothing, and
+    a transaction that has only begun is rolled back with its connection.
     """
     if work.transaction is not None:
         return work.begins is not None
--- a/src/chicoryusher/decisions/waiting.py
+++ b/src/chicoryusher/decisions/waiting.py
@@ -1,4 +1,4 @@
-"""Work that waits for a connection to one instance."""
+"""Queue of work that waits for a connection to one instance."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 
 
 class WaitingWork:
-    """Waiting work: higher priority first, then what is due first."""
+    """Work ordered by its priority, then by its latest start time.
+
+    Work with the lowest ``priority`` number runs first.
+    """
 
     def __init__(self) -> None:
         self._items: list[core.Work] = []
@@ -23,29 +26,32 @@
         bisect.insort(self._items, work, key=_rank)
 
     def take(self, now: float) -> core.Work | None:
-        """Remove and return what runs next, None if nothing waits."""
-        for place, work in enumerate(self._items):
+        """Remove and return the first work that can start in time, or None.
+
+        Work whose start time has passed stays queued until ``expire``.
+        """
+        for index, work in enumerate(self._items):
             if work.start_by > now:
-                return self._items.pop(place)
+                return self._items.pop(index)
         return None
 
     def expire(self, now: float) -> list[core.Work]:
-        """Remove and return the work that can't start in time."""
-        late = [one for one in self._items if one.start_by <= now]
-        if late:
-            self._items = [one for one in self._items if one.start_by > now]
-        return late
+        """Remove and return the work whose latest start time has passed."""
+        expired = [work for work in self._items if work.start_by <= now]
+        if expired:
+            self._items = [work for work in self._items if work.start_by > now]
+        return expired
 
     def cancel(self, work_id: core.WorkId) -> bool:
-        """Remove a piece of work; tell whether it was there."""
-        for place, work in enumerate(self._items):
+        """Remove a piece of work; return whether it was queued."""
+        for index, work in enumerate(self._items):
             if work.work_id == work_id:
-                del self._items[place]
+                del self._items[index]
                 return True
         return False
 
     def drain(self) -> list[core.Work]:
-        """Remove and return everything."""
+        """Remove and return all work."""
         items, self._items = self._items, []
         return items
 
