Reword decisions on configuration, the ledger and heartbeats

Reword directory, ledger, neighbours, pointers, zones, configuration and register. Rename Difference to ConfigDifference, FANOUT to MAX_HEARTBEAT_TARGETS and private constants and locals.

--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions: pure functions and small objects without sockets."""
+"""Decisions: pure functions and small objects that do no I/O."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/decisions/configuration.py
+++ b/src/chicoryusher/decisions/configuration.py
@@ -1,4 +1,4 @@
-"""Configuration: what the register and the rules compile to."""
+"""The configuration that the register and the rules are compiled to."""
 
 from __future__ import annotations
 
@@ -16,8 +16,8 @@
     'ZoneSpec',
 ]
 
-DEFAULT_DEADLINE = 10.0
-DEFAULT_STALENESS = 5.0
+DEFAULT_DEADLINE_S = 10.0
+DEFAULT_MAX_STALENESS_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,10 +40,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceSpec:
-    """One instance: where it is and how much it may be given.
+    """One instance: its address and its capacity.
 
-    ``slots`` is how many statements it runs at once; ``connections`` is
-    the most connections it takes; ``control_port`` is its group agent.
+    ``slots`` is how many statements it runs at once, ``connections`` the
+    most connections that it accepts, and ``control_port`` the port of its
+    group agent.
     """
 
     name: core.InstanceName
@@ -66,9 +67,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rule:
-    """Marks for the statements that match; the first rule wins.
+    """Marks for the statements that match the rule.
 
-    Empty fields match everything.  ``classes`` are statement classes.
+    An empty field matches everything.  ``classes`` are statement classes.
+    If several rules match a statement, the first one applies.
     """
 
     databases: tuple[core.DatabaseName, ...] = ()
@@ -78,7 +80,7 @@
     marks: core.Marks = core.Marks()
 
     def matches(self, request: core.Request) -> bool:
-        """Tell whether the rule applies to ``request``."""
+        """Return whether ``request`` matches the rule."""
         if self.databases and request.database not in self.databases:
             return False
         if self.callers and request.caller not in self.callers:
@@ -90,7 +92,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One accepted version of everything operators decide."""
+    """One accepted version of the register and the rules."""
 
     version: core.ConfigVersion
     zones: tuple[ZoneSpec, ...]
@@ -98,57 +100,61 @@
     databases: tuple[DatabaseSpec, ...]
     instances: tuple[InstanceSpec, ...]
     rules: tuple[Rule, ...] = ()
-    default_deadline: float = DEFAULT_DEADLINE
-    default_staleness: float = DEFAULT_STALENESS
+    default_deadline: float = DEFAULT_DEADLINE_S
+    default_staleness: float = DEFAULT_MAX_STALENESS_S
 
     @functools.cached_property
     def _instances(self) -> dict[core.InstanceName, InstanceSpec]:
-        return {one.name: one for one in self.instances}
+        return {spec.name: spec for spec in self.instances}
 
     @functools.cached_property
     def _databases(self) -> dict[core.DatabaseName, DatabaseSpec]:
-        return {one.name: one for one in self.databases}
+        return {spec.name: spec for spec in self.databases}
 
     @functools.cached_property
     def _regions(self) -> dict[core.ZoneName, core.RegionName]:
-        return {one.name: one.region for one in self.zones}
+        return {spec.name: spec.region for spec in self.zones}
 
     @functools.cached_property
     def _vms(self) -> dict[core.VmName, VmSpec]:
-        return {one.name: one for one in self.vms}
+        return {spec.name: spec for spec in self.vms}
 
     def instance(self, name: core.InstanceName) -> InstanceSpec | None:
-        """Return the instance of that name, or None."""
+        """Return the instance with that name, or None."""
         return self._instances.get(name)
 
     def database(self, name: core.DatabaseName) -> DatabaseSpec | None:
-        """Return the database of that name, or None."""
+        """Return the database with that name, or None."""
         return self._databases.get(name)
 
     def vm(self, name: core.VmName) -> VmSpec | None:
-        """Return the VM of that name, or None."""
+        """Return the VM with that name, or None."""
         return self._vms.get(name)
 
     def region(self, zone: core.ZoneName) -> core.RegionName:
-        """Return the region of a zone."""
+        """Return the region of a zone, an empty name if it is unknown."""
         return self._regions.get(zone, core.RegionName(''))
 
     def group(self, name: core.DatabaseName) -> tuple[InstanceSpec, ...]:
-        """Return the instances of a database."""
+        """Return the instances of a database's group."""
         spec = self._databases.get(name)
         if spec is None:
             return ()
-        return tuple(self._instances[one] for one in spec.instances)
+        return tuple(self._instances[instance] for instance in spec.instances)
 
     def marks_for(self, request: core.Request) -> core.Marks:
-        """Return the caller's marks completed by the first rule."""
-        found = next(
-            (one.marks for one in self.rules if one.matches(request)), None
+        """Return the request's marks, completed by the first match.
+
+        Marks that the caller has not set are filled in from the first rule
+        that the request matches.
+        """
+        rule_marks = next(
+            (rule.marks for rule in self.rules if rule.matches(request)), None
         )
-        if found is None:
+        if rule_marks is None:
             return request.marks
         changes = {
-            field.name: getattr(found, field.name)
+            field.name: getattr(rule_marks, field.name)
             for field in dataclasses.fields(core.Marks)
             if getattr(request.marks, field.name) in (None, False)
         }
--- a/src/chicoryusher/decisions/directory.py
+++ b/src/chicoryusher/decisions/directory.py
@@ -1,4 +1,4 @@
-"""Where one VM sends an instance's work, and how far that is."""
+"""Which gate one VM sends an instance's work to, and the round trip."""
 
 from __future__ import annotations
 
@@ -9,19 +9,20 @@
 
 __all__ = ['Directory']
 
-# Seconds of a round trip between the zones of two VMs.
-IN_ZONE_PATH = 0.0005
-PATHS = {
-    core.Nearness.SAME_ZONE: IN_ZONE_PATH,
+# Expected seconds of a round trip between two VMs, by their zones.
+IN_ZONE_ROUND_TRIP_S = 0.0005
+ROUND_TRIPS_S = {
+    core.Nearness.SAME_ZONE: IN_ZONE_ROUND_TRIP_S,
     core.Nearness.SAME_REGION: 0.003,
     core.Nearness.OTHER_REGION: 0.040,
 }
 
 
 class Directory:
-    """Gates of all instances as one VM sees them.
+    """Gates of all instances, as one VM computes them.
 
-    Paths are round trips in seconds, expected from the zones.
+    Round trips are in seconds; they are not measured, but expected from
+    the zones.
     """
 
     def __init__(
@@ -36,22 +37,26 @@
         self.config: configuration.Configuration | None = None
 
     def take_config(self, config: configuration.Configuration) -> None:
-        """Follow a configuration that is in force now."""
+        """Set the configuration that is in force now."""
         self.config = config
-        self._forget()
+        self._clear_gates()
 
     def take_live(self, live: tuple[core.VmName, ...]) -> None:
-        """Follow a change of the VMs that may be gates."""
+        """Set the VMs that may be gates."""
         self._live = live
-        self._forget()
+        self._clear_gates()
 
-    def _forget(self) -> None:
+    def _clear_gates(self) -> None:
+        """Drop the computed gates, as they depend on what has changed."""
         self._gates.clear()
         if self.config is not None:
             self._zones = gates.LiveZones(self.config, self._live)
 
     def gate(self, name: core.InstanceName) -> core.VmName | None:
-        """Return the VM that gets an instance's work, or None."""
+        """Return the gate that this VM sends an instance's work to.
+
+        None if the instance is unknown or there is no VM for it.
+        """
         if name not in self._gates:
             config = self.config
             spec = config.instance(name) if config is not None else None
@@ -63,14 +68,18 @@
         return self._gates[name]
 
     def path(self, zone: core.ZoneName) -> float:
-        """Return the round trip to a zone."""
+        """Return the expected round trip to a zone in seconds."""
         config = self.config
         if config is None:
-            return IN_ZONE_PATH
-        return PATHS[zones.nearness(self._zone, zone, config.region)]
+            return IN_ZONE_ROUND_TRIP_S
+        return ROUND_TRIPS_S[zones.nearness(self._zone, zone, config.region)]
 
     def way_back(self, name: core.InstanceName) -> float:
-        """Return what an answer of an instance's gate needs at most."""
+        """Return the most seconds that an answer of a gate travels.
+
+        It is the round trip to the instance's zone, 0 if the instance is
+        unknown.
+        """
         config = self.config
         spec = config.instance(name) if config is not None else None
         return self.path(spec.zone) if spec is not None else 0.0
--- a/src/chicoryusher/decisions/ledger.py
+++ b/src/chicoryusher/decisions/ledger.py
@@ -1,7 +1,8 @@
-"""Exactly once: the key of a request is written with its effect.
+"""Idempotency keys: a write with a key takes effect at most once.
 
-The key goes into a table of the same database, in the same transaction
-as the statement.  A second run of the key finds it and changes nothing.
+The key is inserted into a table of the same database, the ledger, in the
+same transaction as the statement.  When a request with the same key runs
+again, the insert fails with a duplicate key and nothing is changed.
 """
 
 from __future__ import annotations
@@ -23,13 +24,15 @@
 ]
 
 LEDGER_TABLE = 'chicoryusher_ledger'
+# MySQL error numbers.
 DUPLICATE_KEY = 1062
 NO_SUCH_TABLE = 1146
-QUERY = b'\x03'
+# Command byte of COM_QUERY in the MySQL protocol.
+COM_QUERY = b'\x03'
 
 
 class Purpose(enum.Enum):
-    """What one step of a request is for."""
+    """What one step of a request does."""
 
     BEGIN = 'begin'
     SETUP = 'setup'
@@ -40,22 +43,22 @@
 
 
 class Step(NamedTuple):
-    """One command of a request."""
+    """One command that is sent to the instance for a request."""
 
     purpose: Purpose
     payload: core.Payload
 
 
-def _text(sql: str) -> core.Payload:
-    return core.Payload(QUERY + sql.encode())
+def _query(sql: str) -> core.Payload:
+    return core.Payload(COM_QUERY + sql.encode())
 
 
-_BEGIN = Step(Purpose.BEGIN, _text('START TRANSACTION'))
-_COMMIT = Step(Purpose.COMMIT, _text('COMMIT'))
-ROLLBACK = Step(Purpose.ROLLBACK, _text('ROLLBACK'))
-_SETUP = Step(
+_BEGIN = Step(Purpose.BEGIN, _query('START TRANSACTION'))
+_COMMIT = Step(Purpose.COMMIT, _query('COMMIT'))
+ROLLBACK = Step(Purpose.ROLLBACK, _query('ROLLBACK'))
+_CREATE_LEDGER = Step(
     Purpose.SETUP,
-    _text(
+    _query(
         f'CREATE TABLE IF NOT EXISTS {LEDGER_TABLE} ('
         'idempotency_key VARCHAR(128) NOT NULL PRIMARY KEY, '
         'landed_at TIMESTAMP NOT NULL DEFAULT CURRENT_TIMESTAMP)'
@@ -63,33 +66,37 @@
 )
 
 
-def _key(key: core.IdempotencyKey) -> Step:
+def _insert_key(key: core.IdempotencyKey) -> Step:
     quoted = key.replace('\\', '\\\\').replace("'", "''")
     return Step(
         Purpose.KEY,
-        _text(
+        _query(
             f"INSERT INTO {LEDGER_TABLE} (idempotency_key) VALUES ('{quoted}')"
         ),
     )
 
 
 def plan(request: core.Request) -> list[Step]:
-    """Return the steps of a request, in order."""
+    """Return the steps of a request, in order.
+
+    A write with an idempotency key outside of a transaction gets a
+    transaction of its own.
+    """
     steps = []
     key = request.marks.idempotency_key
-    keyed = key is not None and request.kind is core.StatementKind.WRITE
+    uses_key = key is not None and request.kind is core.StatementKind.WRITE
     if request.begin is not None:
         steps.append(Step(Purpose.BEGIN, request.begin))
-    elif keyed and request.transaction is None:
+    elif uses_key and request.transaction is None:
         steps.append(_BEGIN)
-    if keyed and key is not None:
-        steps.append(_key(key))
+    if uses_key and key is not None:
+        steps.append(_insert_key(key))
     steps.append(Step(Purpose.STATEMENT, request.payload))
-    if keyed and request.transaction is None:
+    if uses_key and request.transaction is None:
         steps.append(_COMMIT)
     return steps
 
 
 def setup_steps(request: core.Request) -> list[Step]:
-    """Return the steps that make the ledger and run the request again."""
-    return [ROLLBACK, _SETUP, *plan(request)]
+    """Return the steps that create the ledger and run the request again."""
+    return [ROLLBACK, _CREATE_LEDGER, *plan(request)]
--- a/src/chicoryusher/decisions/neighbours.py
+++ b/src/chicoryusher/decisions/neighbours.py
@@ -1,8 +1,8 @@
-"""Which VMs watch each other: a sparse graph, the same for everyone.
+"""Which VMs exchange heartbeats: a sparse graph that every VM computes.
 
-Each VM watches a few others chosen by rendezvous hashing, and is
-watched by those that chose it, so the load of one VM does not grow
-with the number of VMs.
+Each VM sends heartbeats to a few others, chosen by rendezvous hashing,
+and expects heartbeats from the VMs that have chosen it.  So the load of
+one VM does not grow with the number of VMs.
 """
 
 from __future__ import annotations
@@ -12,9 +12,9 @@
 from chicoryusher import core
 from chicoryusher.decisions import gates
 
-__all__ = ['FANOUT', 'neighbours_of']
+__all__ = ['MAX_HEARTBEAT_TARGETS', 'neighbours_of']
 
-FANOUT = 4
+MAX_HEARTBEAT_TARGETS = 4
 
 
 def neighbours_of(
@@ -23,15 +23,15 @@
     """Return the VMs that ``vm`` sends heartbeats to.
 
     The next VM in name order is always among them, so that the graph is
-    connected; the others are drawn by hash.
+    connected; the others are chosen by hash.
     """
     others = sorted(set(vms) - {vm})
-    if len(others) <= FANOUT:
+    if len(others) <= MAX_HEARTBEAT_TARGETS:
         return tuple(others)
-    following = next((one for one in others if one > vm), others[0])
-    drawn = [
-        one
-        for one in gates.ranked(vm, others)[: FANOUT + 1]
-        if one != following
+    following = next((name for name in others if name > vm), others[0])
+    chosen = [
+        name
+        for name in gates.ranked(vm, others)[: MAX_HEARTBEAT_TARGETS + 1]
+        if name != following
     ]
-    return (following, *drawn[: FANOUT - 1])
+    return (following, *chosen[: MAX_HEARTBEAT_TARGETS - 1])
--- a/src/chicoryusher/decisions/pointers.py
+++ b/src/chicoryusher/decisions/pointers.py
@@ -1,8 +1,9 @@
-"""How a configuration stands in the platform: a pointer to an object.
+"""How a configuration is stored: a pointer to an immutable object.
 
-The document is an object that is never changed; the table holds a small
-pointer to it, and the pointer's version is the configuration's.  Nodes
-read the pointer often and the document only when it is a new one.
+The configuration document is an object in the object store that is never
+changed.  A row of the platform's table has a small pointer to it, and
+the version of that row is the configuration's version.  VMs read the
+pointer often, and the document only when the pointer has changed.
 """
 
 from __future__ import annotations
@@ -24,12 +25,15 @@
 
 
 def encode_pointer(key: str) -> bytes:
-    """Return the table's value for a pointer to ``key``."""
+    """Return the value to store in the table for the object ``key``."""
     return json.dumps({'object': key}).encode()
 
 
 def decode_pointer(value: bytes) -> str:
-    """Return the object's key; ConfigError if it is no pointer."""
+    """Return the key of the object that a stored pointer names.
+
+    Raise ConfigError if the value is not a pointer.
+    """
     try:
         return str(json.loads(value)['object'])
     except (KeyError, TypeError, ValueError) as exc:
--- a/src/chicoryusher/decisions/register.py
+++ b/src/chicoryusher/decisions/register.py
@@ -1,7 +1,7 @@
 """Compile the asset register and the rules to a configuration.
 
-The document is checked whole: every defect is reported at once, with
-the path of the place it is in.
+The document is checked completely: all defects are reported at once, each
+with its path in the document.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from chicoryusher.decisions import configuration
 
 __all__ = [
-    'Difference',
+    'ConfigDifference',
     'compile_document',
     'differences',
     'rebuild_document',
@@ -34,8 +34,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Difference:
-    """One change between two configurations."""
+class ConfigDifference:
+    """A value that differs between two configuration documents."""
 
     path: str
     before: str
@@ -43,30 +43,34 @@
 
 
 def schema_problems(document: Any, schema: Document) -> list[core.ConfigError]:
-    """Return every place where a document breaks its schema."""
-    # Only operators' documents need it, and its import takes 0.1 s.
+    """Return all violations of a schema by a document, sorted by path."""
+    # Imported here because the import takes 0.1 s, and only the check of
+    # operators' documents needs it.
     import jsonschema
 
     validator = jsonschema.Draft202012Validator(schema)
-    found = [
-        core.ConfigError(one.json_path, one.message)
-        for one in validator.iter_errors(document)
+    violations = [
+        core.ConfigError(error.json_path, error.message)
+        for error in validator.iter_errors(document)
     ]
-    return sorted(found, key=lambda one: one.path)
+    return sorted(violations, key=lambda error: error.path)
 
 
 def compile_document(
     document: Any, version: core.ConfigVersion
 ) -> configuration.Configuration:
-    """Return the configuration; SettingsError lists every defect."""
+    """Check a document and return its configuration.
+
+    Raise SettingsError with all defects if the document is invalid.
+    """
     problems = schema_problems(document, _SCHEMA)
     if problems:
         raise core.SettingsError(tuple(problems))
     register, rules = document['register'], document['rules']
     problems = [
-        *_duplicates(register),
+        *_duplicate_names(register),
         *_unknown_zones(register),
-        *_unknown_names(register, rules),
+        *_unknown_databases(register, rules),
     ]
     if problems:
         raise core.SettingsError(tuple(problems))
@@ -78,8 +82,9 @@
 ) -> configuration.Configuration:
     """Return the configuration of a document that was accepted before.
 
-    It was checked whole by the VM that wrote it; one that cannot be
-    built is checked again, so that SettingsError lists its defects.
+    The VM that wrote the document has checked it, so it is not checked
+    again.  Only if no configuration can be built from it, it is checked,
+    so that SettingsError lists its defects.
     """
     try:
         return _build(document['register'], document['rules'], version)
@@ -88,51 +93,53 @@
 
 
 def _instances(register: Document) -> Iterator[tuple[str, Document]]:
+    """Yield the path and the entry of every instance."""
     for i, database in enumerate(register['databases']):
         for j, instance in enumerate(database['instances']):
-            place = f'$.register.databases[{i}].instances[{j}]'
-            yield place, instance
+            path = f'$.register.databases[{i}].instances[{j}]'
+            yield path, instance
 
 
-def _duplicates(register: Document) -> list[core.ConfigError]:
+def _duplicate_names(register: Document) -> list[core.ConfigError]:
     named = [
-        (f'$.register.{kind}[{i}].name', kind, one['name'])
+        (f'$.register.{kind}[{i}].name', kind, entry['name'])
         for kind in ('zones', 'vms', 'databases')
-        for i, one in enumerate(register[kind])
+        for i, entry in enumerate(register[kind])
     ]
     named += [
-        (f'{place}.name', 'instances', one['name'])
-        for place, one in _instances(register)
+        (f'{path}.name', 'instances', entry['name'])
+        for path, entry in _instances(register)
     ]
-    seen: collections.Counter[tuple[str, str]] = collections.Counter()
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
     problems = []
-    for place, kind, name in named:
-        seen[kind, name] += 1
-        if seen[kind, name] > 1:
-            problems.append(core.ConfigError(place, f'{name} is used twice'))
+    for path, kind, name in named:
+        counts[kind, name] += 1
+        if counts[kind, name] > 1:
+            problems.append(core.ConfigError(path, f'{name} is used twice'))
     return problems
 
 
 def _unknown_zones(register: Document) -> list[core.ConfigError]:
-    zones = {one['name'] for one in register['zones']}
-    placed = [
-        (f'$.register.vms[{i}].zone', one['zone'])
-        for i, one in enumerate(register['vms'])
+    zones = {entry['name'] for entry in register['zones']}
+    zones_by_path = [
+        (f'$.register.vms[{i}].zone', entry['zone'])
+        for i, entry in enumerate(register['vms'])
     ]
-    placed += [
-        (f'{place}.zone', one['zone']) for place, one in _instances(register)
+    zones_by_path += [
+        (f'{path}.zone', entry['zone']) for path, entry in _instances(register)
     ]
     return [
-        core.ConfigError(place, f'unknown availability zone {zone}')
-        for place, zone in placed
+        core.ConfigError(path, f'unknown availability zone {zone}')
+        for path, zone in zones_by_path
         if zone not in zones
     ]
 
 
-def _unknown_names(
+def _unknown_databases(
     register: Document, rules: Document
 ) -> list[core.ConfigError]:
-    known = {one['name'] for one in register['databases']}
+    """Return the errors of rules for databases that don't exist."""
+    databases = {entry['name'] for entry in register['databases']}
     return [
         core.ConfigError(
             f'$.rules.statements[{i}].databases[{j}]',
@@ -140,57 +147,66 @@
         )
         for i, rule in enumerate(rules.get('statements', ()))
         for j, name in enumerate(rule.get('databases', ()))
-        if name not in known
+        if name not in databases
     ]
 
 
 def _build(
     register: Document, rules: Document, version: core.ConfigVersion
 ) -> configuration.Configuration:
+    """Return the configuration of a document without checking it."""
     return configuration.Configuration(
         version,
-        tuple(configuration.ZoneSpec(**one) for one in register['zones']),
-        tuple(configuration.VmSpec(**one) for one in register['vms']),
+        tuple(configuration.ZoneSpec(**entry) for entry in register['zones']),
+        tuple(configuration.VmSpec(**entry) for entry in register['vms']),
         tuple(
             configuration.DatabaseSpec(
                 database['name'],
-                tuple(one['name'] for one in database['instances']),
+                tuple(entry['name'] for entry in database['instances']),
             )
             for database in register['databases']
         ),
         tuple(
-            configuration.InstanceSpec(database=database['name'], **one)
+            configuration.InstanceSpec(database=database['name'], **entry)
             for database in register['databases']
-            for one in database['instances']
+            for entry in database['instances']
         ),
-        tuple(_rule(one) for one in rules.get('statements', ())),
-        rules.get('default_deadline', configuration.DEFAULT_DEADLINE),
-        rules.get('default_staleness', configuration.DEFAULT_STALENESS),
+        tuple(_build_rule(entry) for entry in rules.get('statements', ())),
+        rules.get('default_deadline', configuration.DEFAULT_DEADLINE_S),
+        rules.get('default_staleness', configuration.DEFAULT_MAX_STALENESS_S),
     )
 
 
-def _rule(one: Document) -> configuration.Rule:
+def _build_rule(entry: Document) -> configuration.Rule:
     return configuration.Rule(
-        tuple(one.get('databases', ())),
-        tuple(one.get('callers', ())),
-        tuple(one.get('tables', ())),
-        tuple(one.get('classes', ())),
-        core.Marks(**one['marks']),
+        tuple(entry.get('databases', ())),
+        tuple(entry.get('callers', ())),
+        tuple(entry.get('tables', ())),
+        tuple(entry.get('classes', ())),
+        core.Marks(**entry['marks']),
     )
 
 
-def differences(before: Any, after: Any) -> tuple[Difference, ...]:
-    """Return what changes from one document to another, by path."""
+def differences(before: Any, after: Any) -> tuple[ConfigDifference, ...]:
+    """Return the values that differ between two documents, by path.
+
+    A value that one document does not have is an empty text there.
+    """
     old = dict(_leaves('$', before))
     new = dict(_leaves('$', after))
     return tuple(
-        Difference(path, old.get(path, ''), new.get(path, ''))
+        ConfigDifference(path, old.get(path, ''), new.get(path, ''))
         for path in sorted(set(old) | set(new))
         if old.get(path) != new.get(path)
     )
 
 
 def _leaves(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    """Yield the path and the JSON text of each value in a document.
+
+    An item of a list is identified by its name if it has one, so that the
+    path does not depend on the item's position.
+    """
     if isinstance(value, dict):
         for key in sorted(value):
             yield from _leaves(f'{path}.{key}', value[key])
--- a/src/chicoryusher/decisions/zones.py
+++ b/src/chicoryusher/decisions/zones.py
@@ -1,4 +1,4 @@
-"""How near an availability zone is to another."""
+"""How near two availability zones are to each other."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     other: core.ZoneName,
     region_of: Callable[[core.ZoneName], core.RegionName | None],
 ) -> core.Nearness:
-    """Return whether two zones are one, or share a region."""
+    """Return whether two zones are the same, or are in the same region."""
     if own == other:
         return core.Nearness.SAME_ZONE
     if region_of(own) == region_of(other):
--- a/tests/decisions/test_nodes.py
+++ b/tests/decisions/test_nodes.py
@@ -102,7 +102,10 @@
 
 def test_heartbeats_stay_few_and_reach_everyone():
     graph = {vm: decisions.neighbours_of(vm, VMS) for vm in VMS}
-    assert max(len(one) for one in graph.values()) <= decisions.FANOUT
+    assert (
+        max(len(one) for one in graph.values())
+        <= decisions.MAX_HEARTBEAT_TARGETS
+    )
     seen, front = {VMS[0]}, [VMS[0]]
     for _ in range(12):
         front = [n for vm in front for n in graph[vm] if n not in seen]
