Reword the tests of the decisions

Reword docstrings, rename locals and the tests whose names were figurative; the checks are the same. Name the clock that also counts suspended time boottime in claiming and reading.

--- a/src/chicoryusher/decisions/claiming.py
+++ b/src/chicoryusher/decisions/claiming.py
@@ -58,12 +58,12 @@
         """Return the revision that the next write is conditional on."""
         return self.revision or self._prior_revision
 
-    def closing(self, now_on: float) -> core.LeadRow:
+    def closing(self, boottime: float) -> core.LeadRow:
         """Return the row to write to claim the group or renew the claim.
 
         The claim's time begins before the write is sent.
         """
-        self._write_began_at = now_on
+        self._write_began_at = boottime
         self._write_pending = True
         return self._row(core.LeadRowState.CLOSING, self._old_primary)
 
@@ -95,23 +95,23 @@
         closing = row.state is core.LeadRowState.CLOSING
         return closing and row.holder == self._vm
 
-    def begins(self, now_on: float) -> None:
+    def begins(self, boottime: float) -> None:
         """Record that the first closing row is written."""
         if not self.first:
             self.first = self.revision
-            self.closed_at = now_on
+            self.closed_at = boottime
 
-    def renewal_due(self, now_on: float) -> bool:
+    def renewal_due(self, boottime: float) -> bool:
         """Return whether the claim should be renewed now."""
         return (
             not self._write_pending
-            and now_on - self._claimed_at >= CLAIM_RENEWAL_S
+            and boottime - self._claimed_at >= CLAIM_RENEWAL_S
         )
 
-    def overdue(self, now_on: float) -> bool:
+    def overdue(self, boottime: float) -> bool:
         """Return whether the claim is too old to order a promotion."""
-        return now_on - self._claimed_at > CLAIM_LASTS
+        return boottime - self._claimed_at > CLAIM_LASTS
 
-    def all_lapsed(self, now_on: float) -> bool:
+    def all_lapsed(self, boottime: float) -> bool:
         """Return whether all authority from before the claim has expired."""
-        return now_on - self.closed_at >= authority.LAPSE_WAIT
+        return boottime - self.closed_at >= authority.LAPSE_WAIT
--- a/src/chicoryusher/decisions/reading.py
+++ b/src/chicoryusher/decisions/reading.py
@@ -96,14 +96,14 @@
     needs: ReadNeeds,
     excluded: frozenset[core.InstanceName],
     now: float,
-    now_on: float,
+    boottime: float,
 ) -> core.InstanceName | None:
     """Return the suitable instance with the least expected cost, or None.
 
     Instances that are leaving are not chosen, except the primary.  A
     caller that must not use the primary passes None for ``primary``.
 
-    ``now_on`` is the time on the clock that also counts suspended time;
+    ``boottime`` is the time on the clock that also counts suspended time;
     lag estimates are timed by it.
     """
     best: core.InstanceName | None = None
@@ -114,7 +114,9 @@
             continue
         if instance.entry.leaving and name != primary:
             continue
-        if name != primary and not _is_probably_fresh(instance, needs, now_on):
+        if name != primary and not _is_probably_fresh(
+            instance, needs, boottime
+        ):
             continue
         cost = instance.cost()
         if name == primary:
@@ -127,11 +129,11 @@
 
 
 def _is_probably_fresh(
-    instance: PoolInstance, needs: ReadNeeds, now_on: float
+    instance: PoolInstance, needs: ReadNeeds, boottime: float
 ) -> bool:
     """Return whether a replica is expected to have the needed position."""
     if needs.after is None:
         return False
     if instance.position is not None and instance.position >= needs.after:
         return True
-    return needs.age >= instance.expected_lag(now_on) + LAG_MARGIN_S
+    return needs.age >= instance.expected_lag(boottime) + LAG_MARGIN_S
--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_candidates.py
@@ -1,4 +1,4 @@
-"""Which instance follows a primary, as answers come in."""
+"""Choice of a group's new primary while the instances' answers arrive."""
 
 from __future__ import annotations
 
@@ -23,6 +23,7 @@
 
 
 def status(number, received=None, term=1, role=REPLICA):
+    """Return an instance's status; without ``received`` it is down."""
     state = None
     if received is not None:
         at = core.Position(core.Term(term), core.LogPosition(received))
@@ -32,18 +33,20 @@
 
 @pytest.fixture
 def candidates():
-    made = decisions.Candidates([entry(one) for one in range(3)], name(0))
+    made = decisions.Candidates(
+        [entry(number) for number in range(3)], name(0)
+    )
     made.ask()
     return made
 
 
 def answer(candidates, *statuses):
-    return [candidates.answered(one) for one in statuses]
+    return [candidates.answered(status) for status in statuses]
 
 
-def test_the_choice_is_made_once_all_have_answered(candidates):
-    told = answer(candidates, status(0), status(1, 5), status(2, 9))
-    assert told == [False, False, True]
+def test_the_successor_is_chosen_once_all_have_answered(candidates):
+    complete = answer(candidates, status(0), status(1, 5), status(2, 9))
+    assert complete == [False, False, True]
     assert candidates.successor == name(2)
     assert not candidates.answered(status(1, 50))
 
@@ -53,7 +56,7 @@
     assert candidates.successor == name(1)
 
 
-def test_the_old_primary_and_refused_ones_are_passed_over(candidates):
+def test_the_old_primary_and_refused_instances_are_not_chosen(candidates):
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
     candidates.refuse()
     candidates.ask()
@@ -69,7 +72,7 @@
     assert not candidates.nobody_left()
 
 
-def test_one_that_leaves_is_taken_only_without_another():
+def test_a_leaving_instance_is_chosen_only_if_no_other_answers():
     made = decisions.Candidates(
         [entry(0), entry(1), entry(2, leaving=True)], name(0)
     )
--- a/tests/decisions/test_claiming.py
+++ b/tests/decisions/test_claiming.py
@@ -1,4 +1,4 @@
-"""A claim to change a primary, over frozen VMs and lost answers."""
+"""A claim to change a primary, with suspended VMs and lost answers."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 OLD = core.InstanceName('i-1')
 
 
-def claimed(now_on=10.0, revision=7):
+def claimed(boottime=10.0, revision=7):
     claim = decisions.LeadClaim(VM, SERVICE, OLD, 3)
-    row = claim.closing(now_on)
+    row = claim.closing(boottime)
     assert claim.expected == 3
     assert claim.written(dataclasses.replace(row, revision=revision))
-    claim.begins(now_on + 0.1)
+    claim.begins(boottime + 0.1)
     return claim
 
 
-def test_a_claim_counts_from_before_it_was_written():
+def test_a_claim_is_timed_from_before_its_write():
     claim = decisions.LeadClaim(VM, SERVICE, OLD, 3)
     row = claim.closing(10.0)
     claim.written(dataclasses.replace(row, revision=7))
@@ -29,7 +29,7 @@
     assert claim.overdue(10.01 + decisions.CLAIM_LASTS)
 
 
-def test_a_row_of_another_vm_or_an_open_one_is_not_ours():
+def test_a_row_of_another_vm_or_an_open_row_is_not_ours():
     claim = claimed()
     row = claim.row
     other = dataclasses.replace(row, holder=core.VmName('vm2'), revision=8)
@@ -51,11 +51,11 @@
     assert claim.first == 7
 
 
-def test_authority_of_before_the_claim_lapses_after_the_wait():
+def test_authority_from_before_the_claim_expires_after_the_wait():
     claim = claimed()
     assert not claim.all_lapsed(10.0 + decisions.LAPSE_WAIT)
     assert claim.all_lapsed(10.2 + decisions.LAPSE_WAIT)
 
 
-def test_another_vm_takes_over_after_every_order_of_the_holder():
+def test_another_vm_takes_over_after_every_order_of_the_coordinator():
     assert decisions.TAKEOVER > decisions.CLAIM_LASTS + 0.8
--- a/tests/decisions/test_holders.py
+++ b/tests/decisions/test_holders.py
@@ -1,4 +1,4 @@
-"""Few connections before many VMs: who holds them."""
+"""Which VMs own connections, if there are few connections and many VMs."""
 
 from __future__ import annotations
 
@@ -49,13 +49,13 @@
         (21, 1, 1),
     ],
 )
-def test_all_hold_while_the_cap_allows_and_few_beyond(cap, vms, count):
+def test_all_vms_own_connections_if_the_cap_allows_else_few(cap, vms, count):
     assert decisions.holder_count(cap, vms) == count
 
 
 @pytest.mark.parametrize('cap', [8, 21, 46, 205])
 @pytest.mark.parametrize('vms', [40, 62, 88, 580])
-def test_few_holders_stay_within_the_cap(cap, vms):
+def test_few_owners_stay_within_the_cap(cap, vms):
     count = decisions.holder_count(cap, vms)
     if count == vms:
         return
@@ -64,21 +64,21 @@
     assert share.most >= share.kept
 
 
-def test_holders_are_of_the_instances_zone_first():
-    found = decisions.holders_of(entry(), nodes(12), 5, ZONES.get)
-    assert [one.zone for one in found[:4]] == ['akhmim-yard'] * 4
-    assert found[4].zone == 'qena-mill'
+def test_vms_in_the_instances_zone_are_owners_first():
+    owners = decisions.holders_of(entry(), nodes(12), 5, ZONES.get)
+    assert [node.zone for node in owners[:4]] == ['akhmim-yard'] * 4
+    assert owners[4].zone == 'qena-mill'
 
 
-def test_a_vm_that_goes_moves_only_its_own_part():
+def test_a_removed_owner_is_replaced_and_the_others_stay():
     before = decisions.holders_of(entry(), nodes(30), 5, ZONES.get)
-    gone = before[2]
-    rest = tuple(one for one in nodes(30) if one != gone)
-    after = decisions.holders_of(entry(), rest, 5, ZONES.get)
-    assert [one for one in before if one != gone] == list(after[:4])
+    removed = before[2]
+    remaining = tuple(node for node in nodes(30) if node != removed)
+    after = decisions.holders_of(entry(), remaining, 5, ZONES.get)
+    assert [node for node in before if node != removed] == list(after[:4])
 
 
-def test_instances_are_spread_over_the_vms():
+def test_connection_owners_differ_between_instances():
     chosen = {
         decisions.holders_of(entry(f'i-{n}'), nodes(60), 5, ZONES.get)
         for n in range(12)
@@ -86,7 +86,7 @@
     assert len(chosen) > 6
 
 
-def test_work_goes_through_itself_or_the_nearest_holder():
+def test_work_goes_through_the_vm_itself_or_the_nearest_owner():
     own = core.NodePlace(core.VmName('vm2'), core.ZoneName('alex-depot'))
     near = core.NodePlace(core.VmName('vm5'), core.ZoneName('alex-depot'))
     far = core.NodePlace(core.VmName('vm1'), core.ZoneName('qena-mill'))
--- a/tests/decisions/test_nodes.py
+++ b/tests/decisions/test_nodes.py
@@ -1,3 +1,5 @@
+"""Decisions of a VM on configuration, gates, heartbeats and failover."""
+
 from __future__ import annotations
 
 import copy
@@ -35,7 +37,7 @@
     ]
     with pytest.raises(core.SettingsError) as caught:
         decisions.compile_document(document, core.ConfigVersion(1))
-    assert {one.path for one in caught.value.problems} == {
+    assert {problem.path for problem in caught.value.problems} == {
         '$.register.vms[0].zone',
         '$.register.databases[0].instances[1].zone',
         '$.register.databases[1].name',
@@ -43,7 +45,7 @@
     }
 
 
-def test_rules_complete_the_marks_that_a_caller_left_open():
+def test_rules_fill_in_the_marks_that_a_caller_has_not_set():
     document = _document()
     document['rules']['statements'] = [
         {
@@ -69,19 +71,19 @@
     assert config.marks_for(other) is other.marks
 
 
-def test_a_difference_names_its_place():
+def test_a_difference_has_its_path_in_the_document():
     before, after = _document(), _document()
     after['rules']['default_deadline'] = 5.0
     del after['register']['databases'][2]
-    paths = {one.path for one in decisions.differences(before, after)}
+    paths = {change.path for change in decisions.differences(before, after)}
     assert '$.rules.default_deadline' in paths
-    assert any('[spoonbook_3]' in one for one in paths)
+    assert any('[spoonbook_3]' in change for change in paths)
     assert decisions.differences(before, copy.deepcopy(before)) == ()
 
 
-def test_a_lost_vm_moves_only_its_own_gates():
+def test_a_removed_vm_changes_only_the_gates_of_its_instances():
     config = _config()
-    live = [one.name for one in config.vms]
+    live = [entry.name for entry in config.vms]
     zones = decisions.LiveZones(config, live)
     before = {
         spec.name: decisions.gate_of(spec, zones) for spec in config.instances
@@ -90,27 +92,29 @@
         config.vm(gate).zone == config.instance(name).zone
         for name, gate in before.items()
     )
-    lost = live[0]
-    fewer = decisions.LiveZones(config, live[1:])
+    removed = live[0]
+    remaining = decisions.LiveZones(config, live[1:])
     for spec in config.instances:
-        after = decisions.gate_of(spec, fewer)
-        if before[spec.name] != lost:
+        after = decisions.gate_of(spec, remaining)
+        if before[spec.name] != removed:
             assert after == before[spec.name]
         else:
-            assert after != lost
+            assert after != removed
 
 
-def test_heartbeats_stay_few_and_reach_everyone():
+def test_the_heartbeat_graph_is_sparse_and_connected():
     graph = {vm: decisions.neighbours_of(vm, VMS) for vm in VMS}
     assert (
-        max(len(one) for one in graph.values())
+        max(len(targets) for targets in graph.values())
         <= decisions.MAX_HEARTBEAT_TARGETS
     )
-    seen, front = {VMS[0]}, [VMS[0]]
+    reached, frontier = {VMS[0]}, [VMS[0]]
     for _ in range(12):
-        front = [n for vm in front for n in graph[vm] if n not in seen]
-        seen |= set(front)
-    assert len(seen) == len(VMS)
+        frontier = [
+            n for vm in frontier for n in graph[vm] if n not in reached
+        ]
+        reached |= set(frontier)
+    assert len(reached) == len(VMS)
 
 
 def _membership():
@@ -120,7 +124,7 @@
     return membership
 
 
-def test_silence_alone_takes_no_gate_at_once():
+def test_a_suspected_vm_stays_usable_at_first():
     membership = _membership()
     membership.heard(VMS[1], False, 1.5)
     membership.tick(1.6)
@@ -130,7 +134,7 @@
     assert membership.suspected() == (VMS[3],)
 
 
-def test_a_second_witness_confirms_a_loss():
+def test_a_second_vms_report_confirms_that_a_vm_is_gone():
     membership = _membership()
     membership.tick(1.1)
     membership.witnessed(VMS[1], VMS[2], 1.2)
@@ -139,7 +143,7 @@
     assert VMS[2] in membership.live()
 
 
-def test_the_list_may_lag_without_harm():
+def test_a_vm_missing_from_the_list_stays_usable_until_it_is_suspected():
     membership = _membership()
     membership.listed(VMS[:2], (), 0.5)
     assert VMS[2] in membership.live()
@@ -147,10 +151,10 @@
     assert VMS[1] not in membership.live()
 
 
-def test_shares_split_an_instance_between_all_gates():
+def test_equal_shares_divide_an_instance_between_all_gates():
     config = _config()
     shares = decisions.PLACEMENTS.get('shares')()
-    live = [one.name for one in config.vms]
+    live = [vm.name for vm in config.vms]
     spec = config.instances[0]
     part = shares.part(spec, live)
     assert part.connections * len(live) <= spec.connections
@@ -173,17 +177,17 @@
     return health
 
 
-def test_a_primary_that_its_replicas_hear_is_left_in_peace():
+def test_a_primary_that_its_replicas_can_reach_is_not_replaced():
     health = _health(source_age=0.0)
     assert health.primary_silent(0.1)
     assert not health.silence_confirmed(0.1)
 
 
-def test_a_primary_that_a_majority_misses_is_replaced():
+def test_a_primary_that_a_majority_cannot_reach_is_replaced():
     assert _health(source_age=0.5).silence_confirmed(0.1)
 
 
-def test_a_minority_replaces_nobody():
+def test_a_minority_does_not_replace_a_primary():
     health = _health(source_age=0.5)
     for _ in range(2):
         health.heard(_probe('b', alive=False), 0.6, 0.6)
@@ -192,19 +196,21 @@
 
 def test_a_zone_without_a_vm_is_served_from_its_region():
     config = _config()
-    spec = next(one for one in config.instances if one.zone == 'akhmim-yard')
-    live = [one.name for one in config.vms if one.zone != spec.zone]
+    spec = next(
+        entry for entry in config.instances if entry.zone == 'akhmim-yard'
+    )
+    live = [entry.name for entry in config.vms if entry.zone != spec.zone]
     gate = decisions.gate_of(spec, decisions.LiveZones(config, live))
     assert config.vm(gate).zone == 'qena-mill'
-    nobody = decisions.LiveZones(config, ())
-    assert decisions.gate_of(spec, nobody) is None
+    without_vms = decisions.LiveZones(config, ())
+    assert decisions.gate_of(spec, without_vms) is None
 
 
 def test_an_accepted_document_is_rebuilt_as_it_was_compiled():
     document = _document()
     version = core.ConfigVersion(3)
-    whole = decisions.compile_document(document, version)
-    assert decisions.rebuild_document(document, version) == whole
+    compiled = decisions.compile_document(document, version)
+    assert decisions.rebuild_document(document, version) == compiled
     del document['register']['zones']
     with pytest.raises(core.SettingsError):
         decisions.rebuild_document(document, version)
--- a/tests/decisions/test_observing.py
+++ b/tests/decisions/test_observing.py
@@ -7,46 +7,46 @@
 from chicoryusher import decisions
 
 
-def at(term, number):
-    return core.Position(core.Term(term), core.LogPosition(number))
+def at(term, offset):
+    return core.Position(core.Term(term), core.LogPosition(offset))
 
 
-def test_the_lowest_position_that_proves_the_bound_is_taken():
-    seen = decisions.Observations()
-    seen.add(10.0, at(1, 5))
-    seen.add(11.0, at(1, 9))
-    needed = seen.needed(11.2, 1.5)
+def test_the_lowest_position_that_proves_the_bound_is_returned():
+    observations = decisions.Observations()
+    observations.add(10.0, at(1, 5))
+    observations.add(11.0, at(1, 9))
+    needed = observations.needed(11.2, 1.5)
     assert needed is not None and needed.position == at(1, 5)
-    needed = seen.needed(11.6, 1.5)
+    needed = observations.needed(11.6, 1.5)
     assert needed is not None and needed.position == at(1, 9)
 
 
-def test_nothing_proves_a_bound_that_no_observation_is_recent_enough_for():
-    seen = decisions.Observations()
-    seen.add(10.0, at(1, 5))
-    assert seen.needed(11.6, 1.5) is None
+def test_no_position_is_returned_without_a_recent_observation():
+    observations = decisions.Observations()
+    observations.add(10.0, at(1, 5))
+    assert observations.needed(11.6, 1.5) is None
 
 
 def test_positions_of_an_older_term_prove_nothing_after_a_newer_one():
-    seen = decisions.Observations()
-    seen.add(10.0, at(1, 50))
-    seen.add(10.5, at(2, 48))
-    seen.add(10.6, at(1, 51))
-    needed = seen.needed(10.7, 5.0)
+    observations = decisions.Observations()
+    observations.add(10.0, at(1, 50))
+    observations.add(10.5, at(2, 48))
+    observations.add(10.6, at(1, 51))
+    needed = observations.needed(10.7, 5.0)
     assert needed is not None and needed.position == at(2, 48)
 
 
 def test_a_log_at_the_newest_position_has_no_lag():
-    seen = decisions.Observations()
-    seen.add(10.0, at(1, 5))
-    assert seen.lag(at(1, 5), 14.0) == 0.0
+    observations = decisions.Observations()
+    observations.add(10.0, at(1, 5))
+    assert observations.lag(at(1, 5), 14.0) == 0.0
 
 
-def test_the_lag_is_the_time_since_the_primary_was_there():
-    seen = decisions.Observations()
-    seen.add(10.0, at(1, 5))
-    seen.add(12.0, at(1, 8))
-    assert seen.lag(at(1, 6), 12.5) == 2.5
+def test_the_lag_is_the_time_since_the_primary_had_the_position():
+    observations = decisions.Observations()
+    observations.add(10.0, at(1, 5))
+    observations.add(12.0, at(1, 8))
+    assert observations.lag(at(1, 6), 12.5) == 2.5
 
 
 @given(
@@ -57,20 +57,20 @@
 def test_a_needed_position_holds_every_commit_older_than_the_bound(
     steps, bound, wait
 ):
-    """The primary commits as time passes; every answer shows its log."""
-    seen = decisions.Observations()
-    now, number = 0.0, 0
+    """The primary commits over time; each answer has its log position."""
+    observations = decisions.Observations()
+    now, log_offset = 0.0, 0
     commits = []
-    for pause, new in steps:
+    for pause, commit_count in steps:
         now += pause
         asked_at = now
-        for _ in range(new):
-            number += 1
-            commits.append((now, number))
-        seen.add(asked_at, at(1, number))
+        for _ in range(commit_count):
+            log_offset += 1
+            commits.append((now, log_offset))
+        observations.add(asked_at, at(1, log_offset))
     arrived = now + wait
-    needed = seen.needed(arrived, bound)
+    needed = observations.needed(arrived, bound)
     if needed is None:
         return
-    old = [one for when, one in commits if when < arrived - bound]
-    assert needed.position.offset >= max(old, default=0)
+    required = [commit for when, commit in commits if when < arrived - bound]
+    assert needed.position.offset >= max(required, default=0)
--- a/tests/decisions/test_pool_decisions.py
+++ b/tests/decisions/test_pool_decisions.py
@@ -1,3 +1,5 @@
+"""Decisions of the connection pool: queue, setup, authority, failover."""
+
 from __future__ import annotations
 
 from hypothesis import given
@@ -27,47 +29,47 @@
     )
 
 
-# -- waiting: a burst of work for one instance ---------------------------
+# -- work queue of one instance ------------------------------------------
 
 
-def test_priority_goes_first_and_then_what_is_due_first():
-    waiting = decisions.WaitingWork()
-    waiting.add(work(1, priority=2, start_by=3.0))
-    waiting.add(work(2, priority=1, start_by=9.0))
-    waiting.add(work(3, priority=1, start_by=5.0))
-    order = [waiting.take(0.0).work_id for _ in range(3)]
+def test_work_is_ordered_by_priority_then_by_latest_start():
+    queue = decisions.WaitingWork()
+    queue.add(work(1, priority=2, start_by=3.0))
+    queue.add(work(2, priority=1, start_by=9.0))
+    queue.add(work(3, priority=1, start_by=5.0))
+    order = [queue.take(0.0).work_id for _ in range(3)]
     assert order == [3, 2, 1]
 
 
-def test_what_cannot_start_in_time_is_given_back_and_never_taken():
-    waiting = decisions.WaitingWork()
-    waiting.add(work(1, start_by=3.0))
-    assert waiting.take(3.0) is None
-    assert [one.work_id for one in waiting.expire(3.0)] == [1]
-    assert len(waiting) == 0
+def test_work_that_cannot_start_in_time_expires_and_is_not_returned():
+    queue = decisions.WaitingWork()
+    queue.add(work(1, start_by=3.0))
+    assert queue.take(3.0) is None
+    assert [expired.work_id for expired in queue.expire(3.0)] == [1]
+    assert len(queue) == 0
 
 
-def test_cancelled_work_is_not_taken():
-    waiting = decisions.WaitingWork()
-    waiting.add(work(1))
-    assert waiting.cancel(core.WorkId(1))
-    assert not waiting.cancel(core.WorkId(1))
-    assert waiting.take(0.0) is None
+def test_cancelled_work_is_not_returned():
+    queue = decisions.WaitingWork()
+    queue.add(work(1))
+    assert queue.cancel(core.WorkId(1))
+    assert not queue.cancel(core.WorkId(1))
+    assert queue.take(0.0) is None
 
 
-# -- suiting -------------------------------------------------------------
+# -- connection setup ----------------------------------------------------
 
 
 def apply(commands, values, prepared):
-    """Do what an instance does with the commands."""
-    for one in commands:
-        if one.op is Op.RESET:
+    """Apply the commands to a connection's state as an instance does."""
+    for command in commands:
+        if command.op is Op.RESET:
             values.clear()
             prepared.clear()
-        elif one.op is Op.SET:
-            values[one.name] = one.value
-        elif one.op is Op.PREPARE:
-            prepared[one.name] = one.shape
+        elif command.op is Op.SET:
+            values[command.name] = command.value
+        elif command.op is Op.PREPARE:
+            prepared[command.name] = command.shape
 
 
 NAMES = st.sampled_from(['tz', 'role', 'lang'])
@@ -82,26 +84,26 @@
 def test_a_suited_connection_has_just_the_sessions_values_and_shape(steps):
     memory = decisions.ConnMemory()
     values, prepared = {}, {}
-    for wanted, shape in steps:
-        one = work(values=tuple(wanted.items()), shape=shape)
-        cost = decisions.fits(memory, one)
-        commands = decisions.suit(memory, one)
+    for session_values, shape in steps:
+        item = work(values=tuple(session_values.items()), shape=shape)
+        cost = decisions.fits(memory, item)
+        commands = decisions.suit(memory, item)
         assert len(commands) <= cost + 1
         apply(commands, values, prepared)
-        assert values == wanted
+        assert values == session_values
         if shape is not None:
             assert prepared[memory.prepared[shape]] == shape
 
 
-def test_a_connection_that_suits_needs_no_command():
+def test_a_prepared_connection_needs_no_setup_command():
     memory = decisions.ConnMemory()
-    one = work(values=(('tz', 'a'),), shape=SHAPE)
-    decisions.suit(memory, one)
-    assert decisions.fits(memory, one) == 0
-    assert decisions.suit(memory, one) == []
+    item = work(values=(('tz', 'a'),), shape=SHAPE)
+    decisions.suit(memory, item)
+    assert decisions.fits(memory, item) == 0
+    assert decisions.suit(memory, item) == []
 
 
-# -- shares --------------------------------------------------------------
+# -- connection shares ---------------------------------------------------
 
 
 @given(st.integers(1, 300), st.integers(1, 600))
@@ -115,13 +117,13 @@
 # -- authority -----------------------------------------------------------
 
 
-def test_authority_counts_from_the_question_not_from_the_answer():
+def test_authority_is_timed_from_the_request_not_from_the_answer():
     views = decisions.Views()
     views.own(10.0)
     assert views.until() == 10.0 + decisions.LAPSE
 
 
-def test_a_peers_view_counts_only_if_all_its_rows_are_known():
+def test_a_peers_view_is_adopted_only_if_all_its_rows_are_known():
     views = decisions.Views()
     views.own(10.0)
     assert not views.passed_on(12.0, 0.5, 7)
@@ -130,7 +132,7 @@
     assert views.seen_at == 11.5
 
 
-def test_an_older_view_never_takes_authority_back():
+def test_an_older_view_does_not_shorten_the_authority():
     views = decisions.Views()
     views.own(10.0)
     assert not views.own(9.0)
@@ -142,32 +144,32 @@
     assert decisions.LAPSE_WAIT > decisions.LAPSE
 
 
-# -- succession ----------------------------------------------------------
+# -- failover ------------------------------------------------------------
 
 
 def state(term, received, role=core.Role.REPLICA):
-    where = core.Position(core.Term(term), core.LogPosition(received))
-    return core.InstanceState(role, core.Term(term), where, where)
+    position = core.Position(core.Term(term), core.LogPosition(received))
+    return core.InstanceState(role, core.Term(term), position, position)
 
 
-def test_every_vm_has_its_own_place_in_the_order():
-    live = [core.VmName(f'vm{one}') for one in range(5)]
-    ranks = {decisions.rank_of(one, live, SERVICE) for one in live}
+def test_every_vm_has_its_own_failover_rank():
+    live = [core.VmName(f'vm{vm}') for vm in range(5)]
+    ranks = {decisions.rank_of(vm, live, SERVICE) for vm in live}
     assert ranks == set(range(5))
 
 
-def test_half_of_the_vms_are_not_most_of_them():
-    live = [core.VmName(f'vm{one}') for one in range(4)]
-    missed = {live[0]: False, live[1]: False}
-    assert not decisions.missed_by_most(missed, live)
-    missed[live[2]] = False
-    assert decisions.missed_by_most(missed, live)
+def test_half_of_the_vms_are_not_a_majority():
+    live = [core.VmName(f'vm{number}') for number in range(4)]
+    reachable = {live[0]: False, live[1]: False}
+    assert not decisions.missed_by_most(reachable, live)
+    reachable[live[2]] = False
+    assert decisions.missed_by_most(reachable, live)
 
 
-def test_opinions_of_vms_that_are_gone_do_not_count():
+def test_replies_of_vms_that_are_no_voters_do_not_count():
     live = [core.VmName('vm0'), core.VmName('vm1')]
-    opinions = {core.VmName(f'vm{one}'): False for one in (7, 8, 9)}
-    assert not decisions.missed_by_most(opinions, live)
+    reachable = {core.VmName(f'vm{number}'): False for number in (7, 8, 9)}
+    assert not decisions.missed_by_most(reachable, live)
 
 
 def test_the_newest_term_and_the_longest_log_win():
--- a/tests/decisions/test_retry.py
+++ b/tests/decisions/test_retry.py
@@ -8,14 +8,14 @@
 CALLER = core.CallerName('desk')
 
 
-def test_an_outage_cannot_feed_a_storm():
+def test_retries_during_an_outage_are_limited_for_each_caller():
     budgets = decisions.RetryBudgets()
     spent = sum(budgets.spend(CALLER, step / 1000) for step in range(10_000))
     assert 400 <= spent <= 400 + 20 * 10
     assert budgets.spend(core.CallerName('other'), 10.0)
 
 
-def test_requests_earn_retries_back():
+def test_each_new_request_earns_a_retry():
     budgets = decisions.RetryBudgets()
     while budgets.spend(CALLER, 0.0):
         pass
@@ -24,8 +24,8 @@
     assert not budgets.spend(CALLER, 0.0)
 
 
-def test_pauses_grow_to_a_bound_and_differ():
-    dice = random.Random(1)
-    delays = [decisions.retry_delay(tries, dice) for tries in range(1, 40)]
-    assert all(0.0125 <= one <= 0.075 for one in delays)
+def test_retry_delays_are_bounded_and_have_jitter():
+    rng = random.Random(1)
+    delays = [decisions.retry_delay(tries, rng) for tries in range(1, 40)]
+    assert all(0.0125 <= delay <= 0.075 for delay in delays)
     assert len(set(delays)) == len(delays)
--- a/tests/decisions/test_scheduling.py
+++ b/tests/decisions/test_scheduling.py
@@ -1,3 +1,5 @@
+"""The queue of one instance: order, fairness and refusals."""
+
 from __future__ import annotations
 
 import pytest
@@ -40,7 +42,7 @@
     return queue
 
 
-def _run(queue, now):
+def _start_next(queue, now):
     item = queue.take(now)
     if item is not None:
         queue.started(item, now)
@@ -59,7 +61,7 @@
     queue = _queue()
     for number in range(4):
         queue.offer(_item(number, kind=LONG, deadline=9.0), 0.0)
-    assert [_run(queue, 0.0) is not None for _ in range(3)] == [
+    assert [_start_next(queue, 0.0) is not None for _ in range(3)] == [
         True,
         True,
         False,
@@ -73,15 +75,15 @@
     queue = _queue(slots=1)
     long = _item(0, kind=LONG, deadline=30.0)
     queue.offer(long, 0.0)
-    now, taken = 0.0, None
+    now, started = 0.0, None
     for number in range(1, 1000):
         queue.offer(_item(number, now), now)
-        taken = _run(queue, now)
+        started = _start_next(queue, now)
         now += 0.005
-        queue.finished(taken, 0.005)
-        if taken is long:
+        queue.finished(started, 0.005)
+        if started is long:
             break
-    assert taken is long
+    assert started is long
     assert now < 2.0
 
 
@@ -93,13 +95,13 @@
         queue.offer(_item(number, caller='few', deadline=5.0), 0.0)
     order = []
     for turn in range(20):
-        item = _run(queue, turn * 0.005)
+        item = _start_next(queue, turn * 0.005)
         order.append(item.request.caller)
         queue.finished(item, 0.005)
     assert order.count('few') == 10
 
 
-def test_work_that_cannot_be_done_in_time_is_refused_with_a_time():
+def test_work_that_cannot_finish_in_time_is_refused_with_a_retry_time():
     queue = _queue(slots=1)
     refused = [queue.offer(_item(n, deadline=0.1), 0.0) for n in range(100)]
     accepted = refused.count(None)
@@ -108,7 +110,7 @@
 
 
 @pytest.mark.parametrize('factor', [2, 4])
-def test_the_bound_follows_the_service_time(factor):
+def test_the_queue_bound_follows_the_service_time(factor):
     counts = []
     for seconds in (0.005, 0.005 * factor):
         queue = decisions.QUEUES.get(decisions.DEFAULT_POLICY)(1)
@@ -119,14 +121,14 @@
     assert counts[0] / counts[1] == pytest.approx(factor, rel=0.1)
 
 
-def test_a_slot_is_not_wasted_on_work_that_would_be_late():
+def test_work_that_would_miss_its_deadline_gets_no_slot():
     queue = _queue(slots=1)
     queue.offer(_item(1, deadline=0.02), 0.0)
     assert queue.take(0.018) is None
     assert len(queue.expire(0.018)) == 1
 
 
-def test_work_that_may_wait_gives_way():
+def test_work_that_may_wait_yields_to_other_work():
     queue = _queue(slots=2)
     queue.started(_item(0), 0.0)
     waiting = _item(1, deadline=10.0, may_wait=True)
@@ -137,11 +139,11 @@
     assert queue.take(0.0) is waiting
 
 
-def test_a_queue_knows_that_its_slots_run_over_their_time():
+def test_a_queue_detects_that_all_its_slots_are_overrun():
     queue = _queue(slots=2)
     for number in (1, 2):
         queue.offer(_item(number), 0.0)
-        _run(queue, 0.0)
+        _start_next(queue, 0.0)
     assert not queue.stuck(0.010)
     assert queue.stuck(0.050)
     assert queue.wait(0.050) >= 0.050
--- a/tests/decisions/test_sessions.py
+++ b/tests/decisions/test_sessions.py
@@ -1,3 +1,5 @@
+"""Session tokens, positions across terms, and bounds of staleness."""
+
 from __future__ import annotations
 
 import hypothesis
@@ -27,24 +29,24 @@
 
 @SETTINGS
 @hypothesis.given(POSITIONS, strategies.data())
-def test_a_changed_token_is_refused(positions, data):
+def test_a_modified_token_is_refused(positions, data):
     codec = decisions.TokenCodec(KEY)
     token = codec.encode(positions)
-    place = data.draw(strategies.integers(0, len(token) - 2))
-    other = 'A' if token[place] != 'A' else 'B'
-    changed = token[:place] + other + token[place + 1 :]
+    index = data.draw(strategies.integers(0, len(token) - 2))
+    other = 'A' if token[index] != 'A' else 'B'
+    changed = token[:index] + other + token[index + 1 :]
     with pytest.raises(core.TokenError):
         codec.decode(changed)
 
 
 @SETTINGS
 @hypothesis.given(strategies.text(max_size=60))
-def test_any_text_is_a_token_or_a_typed_error(text):
+def test_any_other_text_raises_a_token_error(text):
     with pytest.raises(core.TokenError):
         decisions.TokenCodec(KEY).decode(text)
 
 
-def test_an_old_key_is_accepted_until_it_is_taken_out():
+def test_an_old_key_is_accepted_until_it_is_removed():
     token = decisions.TokenCodec(b'old').encode({})
     assert decisions.TokenCodec(KEY, (b'old',)).decode(token) == {}
     with pytest.raises(core.TokenError):
@@ -66,20 +68,22 @@
         ((3, 9), (1, 5), True),
     ],
 )
-def test_a_later_term_covers_only_what_it_began_with(applied, wanted, covered):
+def test_a_later_term_covers_only_positions_from_before_it_began(
+    applied, wanted, covered
+):
     starts = (
         core.TermStart(core.Term(2), core.LogPosition(6)),
         core.TermStart(core.Term(3), core.LogPosition(8)),
     )
-    found = core.covers(_position(*applied), _position(*wanted), starts)
-    assert found is covered
+    result = core.covers(_position(*applied), _position(*wanted), starts)
+    assert result is covered
 
 
 def test_an_unknown_term_start_proves_nothing():
     assert not core.covers(_position(2, 9), _position(1, 5), ())
 
 
-def test_staleness_is_bounded_by_what_the_primary_had():
+def test_staleness_is_bounded_by_past_positions_of_the_primary():
     freshness = decisions.Freshness()
     for at, offset in ((1.0, 10), (2.0, 20), (3.0, 30)):
         freshness.primary_seen(at, _position(1, offset), ())
