Clear up penalties, reserved slots and retry delays in decisions

Name the penalty of an instance that failed to respond, the primary's slot that is reserved for writes and the retry budget's constants, and say in comments what they limit.

--- a/src/chicoryusher/decisions/evidence.py
+++ b/src/chicoryusher/decisions/evidence.py
@@ -63,16 +63,16 @@
     def __len__(self) -> int:
         return len(self._pending)
 
-    def ask(self, claim: core.ProveCommit, now: float) -> None:
+    def ask(self, request: core.ProveCommit, now: float) -> None:
         """Add a request for a proof."""
-        self._pending[claim.request_id] = PendingProof(claim, now)
+        self._pending[request.request_id] = PendingProof(request, now)
 
-    def drop_before(self, when: float) -> None:
-        """Remove the proofs requested before ``when``, as timed out."""
+    def drop_before(self, cutoff: float) -> None:
+        """Remove the proofs that were requested before ``cutoff``."""
         expired = [
             key
             for key, proof in self._pending.items()
-            if proof.asked_at < when
+            if proof.asked_at < cutoff
         ]
         for key in expired:
             del self._pending[key]
@@ -115,6 +115,7 @@
     def _judge_read(
         proof: PendingProof, probe: core.ProbeAnswer, began_at: float
     ) -> None:
+        """Add the answer to a read's proof if the probe began after it."""
         if began_at < proof.asked_at:
             return
         if probe.role is core.Role.PRIMARY and proof.read_position is None:
--- a/src/chicoryusher/decisions/holders.py
+++ b/src/chicoryusher/decisions/holders.py
@@ -42,7 +42,8 @@
     """Return how many VMs own connections to an instance.
 
     ``cap`` is the most connections that the instance accepts, ``vms`` the
-    number of VMs.
+    number of VMs.  All VMs are owners if each can keep a connection open
+    and bursts stay within the overcommit ratio; otherwise only a few are.
     """
     kept_open = int(cap * shares.KEPT_OPEN_RATIO)
     burst = vms * (kept_open // max(1, vms) + shares.MAX_BURST_CONNS)
--- a/src/chicoryusher/decisions/membership.py
+++ b/src/chicoryusher/decisions/membership.py
@@ -20,7 +20,8 @@
 SUSPECT_AFTER_S = 1.0
 # Seconds after which this VM's suspicion alone is enough.
 CONFIRM_ALONE_AFTER_S = 3.0
-# VMs that must not reach a VM before it is gone; this VM counts as one.
+# VMs, this VM included, that must have lost contact with a VM before it is
+# considered gone.
 MIN_CONFIRMING_VM_COUNT = 2
 # Seconds for which another VM's report that it cannot reach a VM counts.
 UNREACHABLE_REPORT_VALID_S = 3.0
--- a/src/chicoryusher/decisions/reading.py
+++ b/src/chicoryusher/decisions/reading.py
@@ -27,9 +27,10 @@
 # reads away, nothing updates it, so it decays until reads are sent there
 # again.
 LAG_HALF_LIFE_S = 1.0
-# Seconds for which an instance that caused trouble gets new reads only if
-# no other is suitable; also the seconds added to its cost in that time.
-TROUBLE_PENALTY_S = 0.5
+# Seconds for which an instance that did not respond, or that broke a
+# connection, has a penalty; also the seconds that the penalty adds to its
+# cost.  It gets new reads only if the others cost more or are unsuitable.
+FAILURE_PENALTY_S = 0.5
 # Statements that an instance runs at once for one VM before they queue.
 PARALLEL_STATEMENT_COUNT = 2.0
 
@@ -55,8 +56,8 @@
         self.service += SERVICE_TIME_SAMPLE_RATIO * (seconds - self.service)
 
     def troubled(self, now: float) -> None:
-        """Make the instance the last choice for a while."""
-        self.trouble_until = now + TROUBLE_PENALTY_S
+        """Start the penalty after the instance failed to respond."""
+        self.trouble_until = now + FAILURE_PENALTY_S
 
     def fell_behind(self, age: float, now: float) -> None:
         """Raise the lag estimate after a refused read.
@@ -122,7 +123,7 @@
         if name == primary:
             cost *= PRIMARY_COST_RATIO
         if now < instance.trouble_until:
-            cost += TROUBLE_PENALTY_S
+            cost += FAILURE_PENALTY_S
         if cost < best_cost:
             best, best_cost = name, cost
     return best
--- a/src/chicoryusher/decisions/retry.py
+++ b/src/chicoryusher/decisions/retry.py
@@ -15,9 +15,13 @@
 
 __all__ = ['RetryBudgets', 'retry_delay']
 
-MIN_RETRY_DELAY_S = 0.025
+# Delay before the first retry, without jitter; it doubles with each further
+# retry up to the maximum.
+FIRST_RETRY_DELAY_S = 0.025
 MAX_RETRY_DELAY_S = 0.050
+# Random deviation of a delay, as a share of it in either direction.
 JITTER_RATIO = 0.5
+# Retries that an unused budget holds; each retry costs one token.
 MAX_BUDGET_TOKENS = 400.0
 TOKENS_EARNED_PER_S = 20.0
 TOKENS_EARNED_PER_REQUEST = 1.0
@@ -67,6 +71,6 @@
 def retry_delay(tries: int, rng: random.Random) -> float:
     """Return the seconds to wait before the next try, with jitter."""
     delay = min(
-        MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S * 2.0 ** max(0, tries - 1)
+        MAX_RETRY_DELAY_S, FIRST_RETRY_DELAY_S * 2.0 ** max(0, tries - 1)
     )
     return delay * rng.uniform(1.0 - JITTER_RATIO, 1.0 + JITTER_RATIO)
--- a/src/chicoryusher/decisions/routing.py
+++ b/src/chicoryusher/decisions/routing.py
@@ -185,18 +185,20 @@
     is suitable or the primary is clearly faster.
     """
 
-    def choose(self, group: GroupView, wanted: Wanted, now: float) -> Route:
+    def choose(
+        self, group: GroupView, requirement: Wanted, now: float
+    ) -> Route:
         """Return where to run a statement.
 
         Raise NotRunError if the group has no instance.
         """
-        if wanted.writes or wanted.max_staleness <= 0:
+        if requirement.writes or requirement.max_staleness <= 0:
             return group.writer(now)
         best: tuple[float, core.InstanceName, float] | None = None
         for name, view in group.instances.items():
             if name == group.primary or view.refused_until > now:
                 continue
-            catch_up = _catch_up_wait(view, wanted, now)
+            catch_up = _catch_up_wait(view, requirement, now)
             if catch_up is None:
                 continue
             rank = (view.cost(now) + catch_up, name, catch_up)
@@ -212,18 +214,18 @@
 
 
 def _catch_up_wait(
-    view: InstanceView, wanted: Wanted, now: float
+    view: InstanceView, requirement: Wanted, now: float
 ) -> float | None:
     """Return the expected seconds until a replica has caught up.
 
     None if it is too stale or the wait is too long.
     """
     lag = view.lag(now)
-    if lag > wanted.max_staleness:
+    if lag > requirement.max_staleness:
         return None
-    if wanted.position is None:
+    if requirement.position is None:
         return 0.0
-    wait = max(0.0, lag * LAG_MARGIN_RATIO - wanted.since_write)
+    wait = max(0.0, lag * LAG_MARGIN_RATIO - requirement.since_write)
     return wait if wait <= CATCH_UP_TIMEOUT_S else None
 
 
@@ -231,7 +233,9 @@
 class PrimaryOnly:
     """Run every statement on the primary; a baseline for comparison."""
 
-    def choose(self, group: GroupView, wanted: Wanted, now: float) -> Route:
+    def choose(
+        self, group: GroupView, requirement: Wanted, now: float
+    ) -> Route:
         """Return the primary."""
         return group.writer(now)
 
@@ -243,9 +247,11 @@
     def __init__(self) -> None:
         self._turn = 0
 
-    def choose(self, group: GroupView, wanted: Wanted, now: float) -> Route:
+    def choose(
+        self, group: GroupView, requirement: Wanted, now: float
+    ) -> Route:
         """Return the primary for a write, else the next instance."""
-        if wanted.writes:
+        if requirement.writes:
             return group.writer(now)
         names = sorted(group.instances)
         self._turn += 1
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -30,8 +30,8 @@
 MAX_CLASSES = 4096
 # Seconds of rank that a request gains for each second in the queue.
 AGEING_RATIO = 0.5
-# A statement is long if it takes longer than the typical one by this
-# factor, and longer than the seconds below.
+# A statement is long if it is expected to take more than this multiple of
+# the typical service time, and more than MIN_LONG_SERVICE_TIME_S.
 LONG_SERVICE_RATIO = 8.0
 MIN_LONG_SERVICE_TIME_S = 0.020
 # Weight of a caller's consumed slot time in the rank of its requests.
@@ -244,8 +244,8 @@
     """Short statements first, fair between callers, bounded by the wait.
 
     ``_consumed`` is the slot time in seconds that each caller is charged
-    with.  It is compared with ``_baseline``, the least charge of all
-    callers, at which a new caller starts.
+    with.  ``_baseline`` is the charge that a new caller starts with; it
+    rises to the least charge of all callers.
     """
 
     def __init__(self, slots: int) -> None:
@@ -299,7 +299,7 @@
         best: Item | None = None
         best_rank = float('inf')
         for item in self._items:
-            if self._expired(item, now) or self._blocked_by_writes(item):
+            if self._expired(item, now) or self._needs_reserved_slot(item):
                 continue
             if self._is_long(item.expected) and not may_be_long:
                 continue
@@ -333,10 +333,10 @@
             self._consumed.clear()
             self._baseline = 0.0
 
-    def _blocked_by_writes(self, item: Item) -> bool:
-        """Return whether the item is a read that must leave a slot free.
+    def _needs_reserved_slot(self, item: Item) -> bool:
+        """Return whether the item would take the slot reserved for writes.
 
-        One slot of a primary with several slots is reserved for writes.
+        A primary with several slots reserves one of them for writes.
         """
         if not _is_primary_read(item) or self.slots == 1:
             return False
