State when a group may fail over in decisions/leadership

Say in the docstrings which instances must confirm the loss of a primary and what the recent majority consists of.

--- a/src/chicoryusher/decisions/leadership.py
+++ b/src/chicoryusher/decisions/leadership.py
@@ -135,8 +135,9 @@
     def has_majority(self, now: float, within: float) -> bool:
         """Return whether a majority was in the newest term recently.
 
-        The probes of that majority, the primary included, began at most
-        ``within`` seconds ago.
+        The primary has answered in the term, and probes that a majority
+        of the instances answered in it began at most ``within`` seconds
+        ago.
         """
         return now - self.majority_at <= within
 
@@ -152,10 +153,11 @@
     def silence_confirmed(self, now: float) -> bool:
         """Return whether the group may fail over to another instance.
 
-        A majority of the instances must answer without the primary, and
-        none of them may have a recent response of the primary.  So a
-        primary that is only slow, or that only this VM cannot reach, is
-        not replaced.
+        The reachable instances besides the primary must be a majority of
+        the group, and none of them may have received a response of the
+        primary recently.  So a primary that is only slow, or that only
+        this VM cannot reach, is not replaced.  If the primary is leaving,
+        one reachable instance that stays is enough.
         """
         primary = self.primary
         if primary is not None:
--- a/src/chicoryusher/decisions/observing.py
+++ b/src/chicoryusher/decisions/observing.py
@@ -14,7 +14,8 @@
 __all__ = ['Observations', 'Observation']
 
 # Seconds for which observations are retained.  The largest staleness bound
-# of a route is 2.5 s, so an observation that just proves it is available.
+# of a route is 2.5 s, so the oldest observation that proves it is still
+# available.
 RETENTION_S = 5.0
 # Least seconds between retained observations; a smaller interval would
 # improve the proved bounds only slightly.
