Reword tasks/pool attempts, endings, choosing, desk and groups

Comments, docstrings and log texts say what the code does in the terms of the field. Constants name their quantity and unit (RETRY_PAUSE_S, MAX_WAIT_TARGET_SHARE, PRIMARY_CHANGE_S and others); private names, and names that only these modules use, are plain (COMPLETIONS, RetrySelection, select_instance, record_position, log_refusal and others).

--- a/src/chicoryusher/tasks/pool/attempt_notes.py
+++ b/src/chicoryusher/tasks/pool/attempt_notes.py
@@ -1,4 +1,4 @@
-"""What is logged and measured of statements on their way."""
+"""Log lines and metrics about attempts."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 
 __all__ = ['AttemptNotes']
 
-_DONE = 'done'
-_NOBODY = 'none'
+_OUTCOME_DONE = 'done'
+_NO_ROLE = 'none'
 
 
 class AttemptNotes:
-    """Log lines and metrics of one desk's attempts.
+    """Write the log lines and metrics of one dispatcher's attempts.
 
     ``authority`` is for how many seconds primaries may still be used.
     """
@@ -21,13 +21,13 @@
     def __init__(self, desk: runtime.Task) -> None:
         self._desk = desk
 
-    def sent(
+    def log_dispatch(
         self,
         attempt: sessions.Attempt,
         after: core.Position | None,
         authority: float,
     ) -> None:
-        """Note that an instance was chosen, and by what."""
+        """Log which instance was selected, and the state it was based on."""
         self._desk.log.emit(
             core.LogEvent.STATEMENT_SENT,
             request=attempt.message.request_id,
@@ -44,10 +44,10 @@
             tries=attempt.tries,
         )
 
-    def held(
+    def log_delay(
         self, attempt: sessions.Attempt, why: str, authority: float
     ) -> None:
-        """Note that a statement was not run yet and is offered again."""
+        """Log and count that a statement waits or is retried."""
         self._desk.meters.add(core.Metric.RETRIES, why=why)
         self._desk.log.emit(
             core.LogEvent.STATEMENT_HELD,
@@ -60,15 +60,15 @@
             authority=round(authority, 3),
         )
 
-    def refused(
+    def log_refusal(
         self,
         attempt: sessions.Attempt,
         refusal: core.Refusal,
         why: str,
         authority: float,
     ) -> None:
-        """Note that a statement ended without success."""
-        self._measure(attempt, refusal.value)
+        """Log and measure a statement that ended without success."""
+        self._record_latency(attempt, refusal.value)
         self._desk.log.emit(
             core.LogEvent.STATEMENT_REFUSED,
             request=attempt.message.request_id,
@@ -82,14 +82,14 @@
             authority=round(authority, 3),
         )
 
-    def done(self, attempt: sessions.Attempt) -> None:
-        """Note that a statement ended with success."""
-        self._measure(attempt, _DONE)
+    def record_success(self, attempt: sessions.Attempt) -> None:
+        """Measure a statement that ended with success."""
+        self._record_latency(attempt, _OUTCOME_DONE)
 
     def _waited(self, attempt: sessions.Attempt) -> float:
         return self._desk.now() - attempt.arrived
 
-    def _measure(self, attempt: sessions.Attempt, outcome: str) -> None:
+    def _record_latency(self, attempt: sessions.Attempt, outcome: str) -> None:
         role = core.Role.REPLICA
         if attempt.at_primary:
             role = core.Role.PRIMARY
@@ -98,5 +98,5 @@
             self._waited(attempt),
             access=attempt.route.access.value,
             outcome=outcome,
-            role=role.value if attempt.tries else _NOBODY,
+            role=role.value if attempt.tries else _NO_ROLE,
         )
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -1,4 +1,8 @@
-"""Statements on their way: where each goes, and what its caller is told."""
+"""Attempts: statements that wait for an instance or run at it.
+
+An attempt selects an instance for a statement, sends the work to the pool
+of that instance, retries where that is safe, and answers the caller.
+"""
 
 from __future__ import annotations
 
@@ -15,31 +19,33 @@
 from chicoryusher.tasks.pool import roster as roster_module
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['Attempts', 'OfferAgain']
-
-# Part of the latency target for which a request may wait for a primary
-# or an instance to come; longer waits are better spent by the caller.
-HOLD = 0.2
-# Seconds between looks for an instance, and before a refusal is retried.
-RETRY_PAUSE = 0.02
-# Seconds that a statement must have left to be sent at all.
-MIN_LIMIT = 0.05
+__all__ = ['Attempts', 'RetrySelection']
+
+# Share of the latency target for which a statement may wait until a primary
+# or another suitable instance is available.  The caller can make better use
+# of the remaining time itself.
+MAX_WAIT_TARGET_SHARE = 0.2
+# Seconds between two selections of an instance for a waiting statement, and
+# before a refused statement is retried.
+RETRY_PAUSE_S = 0.02
+# A statement with less run time than this left is refused and not sent.
+MIN_RUN_TIME_S = 0.05
 _Block = core.BlockState
 _Metric = core.Metric
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OfferAgain(core.Message):
-    """Time to look for an instance again."""
+class RetrySelection(core.Message):
+    """Select an instance for a waiting statement again."""
 
     attempt: sessions.Attempt
 
 
 class Attempts:
-    """The statements that a desk's lanes run; the desk owns it.
+    """Run the statements of the dispatcher that owns this object.
 
-    ``until`` is when the authority to use primaries ends, on the clock
-    that runs on while suspended.
+    ``until`` is when the authority to use primaries ends, on the
+    clock that also counts time while the machine is suspended.
     """
 
     def __init__(
@@ -52,18 +58,18 @@
         self._roster = roster
         self._clock = clock
         self._numbers = itertools.count(1)
-        self._notes = attempt_notes.AttemptNotes(desk)
+        self._log = attempt_notes.AttemptNotes(desk)
         self._running: dict[core.WorkId, sessions.Attempt] = {}
         self.until = float('-inf')
 
     def authority(self) -> bool:
-        """Tell whether primaries may be used now."""
+        """Return whether this VM may use primaries now."""
         return self._authority_left() > 0.0
 
     def _authority_left(self) -> float:
         return self.until - self._clock.running_on()
 
-    # -- choosing -------------------------------------------------------
+    # -- instance selection ---------------------------------------------
 
     def start(
         self,
@@ -72,7 +78,7 @@
         route: core.PoolRoute,
         shape: core.Shape | None,
     ) -> None:
-        """Send a statement on its way."""
+        """Start an attempt to run a statement."""
         attempt = sessions.Attempt(
             session,
             message,
@@ -82,25 +88,25 @@
             self._clock.running_on(),
         )
         session.attempt = attempt
-        self._offer(attempt)
+        self._dispatch(attempt)
 
-    def offer_again(self, attempt: sessions.Attempt) -> None:
-        """Look for an instance again, if the caller still waits."""
+    def retry_selection(self, attempt: sessions.Attempt) -> None:
+        """Select an instance again if the caller still waits."""
         if attempt.session.attempt is attempt:
-            self._offer(attempt)
+            self._dispatch(attempt)
 
-    def _offer(self, attempt: sessions.Attempt) -> None:
-        """Give the statement to the lane of the best instance."""
+    def _dispatch(self, attempt: sessions.Attempt) -> None:
+        """Send the statement to the best instance, or make it wait."""
         transaction = attempt.session.transaction
         if transaction is not None and transaction.instance is not None:
-            self._go_on(attempt, transaction.instance)
+            self._continue_transaction(attempt, transaction.instance)
             return
         group = self._roster.groups.get(attempt.route.service)
         if group is None:
-            self._hold(attempt, 'no instance of the group is known')
+            self._wait_or_refuse(attempt, 'no instance of the group is known')
             return
-        needs = choosing.needs_of(attempt, group)
-        name = choosing.choose(
+        needs = choosing.read_needs_of(attempt, group)
+        name = choosing.select_instance(
             attempt,
             group,
             needs,
@@ -109,21 +115,25 @@
             self._clock.running_on(),
         )
         if name is None:
-            self._hold(attempt, 'no instance may serve it')
+            self._wait_or_refuse(attempt, 'no instance may serve it')
             return
         attempt.needs_age = needs.age
         attempt.at_primary = name == group.primary
         after = None if attempt.at_primary else needs.after
-        self._submit(attempt, name, choosing.begins_of(transaction), after)
+        self._submit(attempt, name, choosing.begin_kind_of(transaction), after)
 
-    def _go_on(
+    def _continue_transaction(
         self, attempt: sessions.Attempt, instance: core.InstanceName
     ) -> None:
-        """Run a further statement of a transaction where that began."""
+        """Run a further statement at the instance of its transaction."""
         if instance in self._roster:
             self._submit(attempt, instance, None, None)
         else:
-            self.finish(attempt, core.Refusal.ABORTED, 'instance gone')
+            self.refuse(
+                attempt,
+                core.Refusal.ABORTED,
+                'the instance of the transaction is gone',
+            )
 
     def _submit(
         self,
@@ -133,42 +143,52 @@
         after: core.Position | None,
     ) -> None:
         now = self._desk.now()
-        left = attempt.arrived + attempt.route.limit - now
-        if left < MIN_LIMIT:
-            self.finish(attempt, endings.spent(attempt), 'out of time')
+        time_left = attempt.arrived + attempt.route.limit - now
+        if time_left < MIN_RUN_TIME_S:
+            self.refuse(
+                attempt,
+                endings.timeout_refusal(attempt),
+                'no time left to run the statement',
+            )
             return
         work_id = core.WorkId(next(self._numbers))
         attempt.work_id = work_id
         attempt.instance = name
-        attempt.via = self._via(attempt, name)
+        attempt.via = self._conn_owner_of(attempt, name)
         attempt.tries += 1
         self._running[work_id] = attempt
-        one = self._instance(attempt)
-        if one is not None:
-            one.outstanding += 1
-        self._notes.sent(attempt, after, self._authority_left())
-        work = choosing.work_of(
+        pool_instance = self._pool_instance(attempt)
+        if pool_instance is not None:
+            pool_instance.outstanding += 1
+        self._log.log_dispatch(attempt, after, self._authority_left())
+        work = choosing.make_work(
             attempt, work_id, self._desk.task_name, now, begins, after
         )
-        self._give(attempt, name, work)
+        self._send_work(attempt, name, work)
 
-    def _give(
+    def _send_work(
         self,
         attempt: sessions.Attempt,
         name: core.InstanceName,
         work: core.Work,
     ) -> None:
-        """Give work to this VM's lane, or to the VM that has one."""
+        """Send work to the instance pool of this VM, or to the forwarder.
+
+        The forwarder sends it to the VM that owns the connections.
+        """
         if attempt.via is None:
             self._desk.send(self._roster.lane(name), work)
             return
         forward = core.ForwardWork(attempt.via, self._roster.entry(name), work)
         self._desk.send(names.forwarder(self._desk.vm), forward)
 
-    def _via(
+    def _conn_owner_of(
         self, attempt: sessions.Attempt, name: core.InstanceName
     ) -> core.VmName | None:
-        """Return the VM that runs it; a transaction stays at one."""
+        """Return the VM whose connections are used, None for this VM.
+
+        All statements of a transaction use the same VM.
+        """
         transaction = attempt.session.transaction
         if transaction is None:
             return self._roster.via(name)
@@ -176,36 +196,48 @@
             transaction.via = self._roster.via(name)
         return transaction.via
 
-    def _hold(self, attempt: sessions.Attempt, why: str) -> None:
-        """Wait a little for an instance, or refuse."""
+    def _wait_or_refuse(self, attempt: sessions.Attempt, why: str) -> None:
+        """Retry after a pause, or refuse if the statement waited too long.
+
+        If a primary is expected soon or an instance was tried already, the
+        statement may wait as long as it can still be started in time.
+        """
         if attempt.refused:
             attempt.refused = frozenset()
         now = self._desk.now()
         group = self._roster.groups.get(attempt.route.service)
-        coming = group is not None and group.expects_primary(now)
-        hold = choosing.START if attempt.offered or coming else HOLD
-        if now >= attempt.arrived + attempt.route.target * hold:
-            self.finish(attempt, core.Refusal.BUSY, why)
+        primary_expected = group is not None and group.expects_primary(now)
+        share = (
+            choosing.START_TARGET_SHARE
+            if attempt.offered or primary_expected
+            else MAX_WAIT_TARGET_SHARE
+        )
+        if now >= attempt.arrived + attempt.route.target * share:
+            self.refuse(attempt, core.Refusal.BUSY, why)
             return
         if attempt.held_for != why:
             attempt.held_for = why
-            self._notes.held(attempt, why, self._authority_left())
-        self._desk.after(RETRY_PAUSE, OfferAgain(attempt))
+            self._log.log_delay(attempt, why, self._authority_left())
+        self._desk.after(RETRY_PAUSE_S, RetrySelection(attempt))
 
     # -- results --------------------------------------------------------
 
     def ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
-        """Take the end of work; return the group it was for, if known."""
+        """Process a finished piece of work.
+
+        Return the database group that it was for, None if the attempt was
+        cancelled in the meantime.
+        """
         attempt = self._running.pop(ended.work_id, None)
         if attempt is None:
             return None
-        self._settle_count(attempt)
-        self._learn(attempt, ended)
-        endings.ENDINGS.get(ended.ended)(self, attempt, ended)
+        self._decrement_outstanding(attempt)
+        self._record_result(attempt, ended)
+        endings.COMPLETIONS.get(ended.ended)(self, attempt, ended)
         return attempt.route.service
 
-    def lose(self, name: core.InstanceName) -> None:
-        """End the work at an instance that has gone."""
+    def fail_work_at(self, name: core.InstanceName) -> None:
+        """End all work at an instance that is gone, with the result LOST."""
         for attempt in tuple(self._running.values()):
             if attempt.instance == name:
                 assert attempt.work_id is not None
@@ -213,12 +245,12 @@
                 self._desk.send(self._desk.task_name, ended)
 
     def abandon(self, session: sessions.PoolSession) -> None:
-        """Forget the session's statement; its caller has gone."""
+        """Cancel the statement of a session whose caller is gone."""
         attempt = session.attempt
         if attempt is None or attempt.work_id is None:
             return
         self._running.pop(attempt.work_id, None)
-        self._settle_count(attempt)
+        self._decrement_outstanding(attempt)
         if attempt.via is not None:
             self._desk.send(
                 names.forwarder(self._desk.vm),
@@ -231,7 +263,7 @@
             )
 
     def roll_back(self, session: sessions.PoolSession) -> None:
-        """End the session's transaction at its instance."""
+        """Roll the session's transaction back at its instance."""
         transaction = session.transaction
         if transaction is None:
             return
@@ -248,51 +280,60 @@
             core.EndTransaction(transaction.number),
         )
 
-    def use(self, name: core.InstanceName) -> bool:
-        """Tell whether a statement is on its way to an instance."""
-        return any(one.instance == name for one in self._running.values())
+    def has_work_at(self, name: core.InstanceName) -> bool:
+        """Return whether a statement runs or is queued at an instance."""
+        return any(
+            attempt.instance == name for attempt in self._running.values()
+        )
 
     def fence(self, name: core.InstanceName) -> None:
-        """Take answers of an instance that come late as proof of nothing."""
+        """Fence the running work of an instance that is being replaced.
+
+        Its answers no longer prove a commit or the primary's position.
+        """
         for attempt in self._running.values():
             if attempt.instance == name:
                 attempt.fenced = True
 
-    def _instance(
+    def _pool_instance(
         self, attempt: sessions.Attempt
     ) -> decisions.PoolInstance | None:
         return self._roster.instance(attempt.route.service, attempt.instance)
 
-    def _settle_count(self, attempt: sessions.Attempt) -> None:
-        one = self._instance(attempt)
-        if one is not None:
-            one.outstanding = max(0, one.outstanding - 1)
+    def _decrement_outstanding(self, attempt: sessions.Attempt) -> None:
+        pool_instance = self._pool_instance(attempt)
+        if pool_instance is not None:
+            pool_instance.outstanding = max(0, pool_instance.outstanding - 1)
 
-    def _learn(self, attempt: sessions.Attempt, ended: core.WorkEnded) -> None:
+    def _record_result(
+        self, attempt: sessions.Attempt, ended: core.WorkEnded
+    ) -> None:
         group = self._roster.groups.get(attempt.route.service)
         if group is None:
             return
-        now_on = self._clock.running_on()
+        boot_now = self._clock.running_on()
         trusted = (
             attempt.at_primary and self.authority() and not attempt.fenced
         )
-        if group.learn(ended, trusted, now_on):
+        if group.record_position(ended, trusted, boot_now):
             assert ended.position is not None and ended.asked_at is not None
             observed = core.PrimaryObserved(
                 group.service, ended.position, ended.asked_at
             )
             self._desk.send(names.exchange(self._desk.vm), observed)
-        one = group.instances.get(ended.instance)
-        if one is None:
+        pool_instance = group.instances.get(ended.instance)
+        if pool_instance is None:
             return
         if ended.sent_at is not None:
-            self._learn_time(one, ended, self._desk.now() - ended.sent_at)
+            self._record_run_time(
+                pool_instance, ended, self._desk.now() - ended.sent_at
+            )
         if ended.refusal is core.Refusal.NOT_FRESH:
-            one.fell_behind(attempt.needs_age, now_on)
+            pool_instance.fell_behind(attempt.needs_age, boot_now)
 
-    def _learn_time(
+    def _record_run_time(
         self,
-        one: decisions.PoolInstance,
+        pool_instance: decisions.PoolInstance,
         ended: core.WorkEnded,
         seconds: float,
     ) -> None:
@@ -303,48 +344,48 @@
             ended=ended.ended.value,
         )
         if ended.ended is core.Ended.ANSWERED:
-            one.answered(seconds)
+            pool_instance.answered(seconds)
 
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
     ) -> None:
-        """Run a statement that was not run, or may run again."""
+        """Retry at another instance; the statement may safely run again."""
         attempt.refused |= {avoid}
-        self._release(attempt)
-        self._notes.held(attempt, why, self._authority_left())
-        self._offer(attempt)
+        self._reset_instance(attempt)
+        self._log.log_delay(attempt, why, self._authority_left())
+        self._dispatch(attempt)
 
     def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
-        """Run a statement again at the same group a little later."""
-        self._release(attempt)
-        self._hold(attempt, why)
+        """Retry at any instance of the group after a pause."""
+        self._reset_instance(attempt)
+        self._wait_or_refuse(attempt, why)
 
-    def _release(self, attempt: sessions.Attempt) -> None:
-        """Let the statement go to any instance again."""
+    def _reset_instance(self, attempt: sessions.Attempt) -> None:
+        """Detach the statement from its instance so that it may run at any."""
         attempt.offered = True
         transaction = attempt.session.transaction
         if transaction is not None:
             transaction.instance = None
 
     def report_trouble(self, name: core.InstanceName) -> None:
-        """Let the watch look at an instance."""
+        """Have the reachability monitor check an instance."""
         self._desk.send(names.watch(self._desk.vm), core.InstanceTrouble(name))
 
     # -- answers --------------------------------------------------------
 
-    def finish(
+    def refuse(
         self,
         attempt: sessions.Attempt,
         refusal: core.Refusal,
         why: str,
         block: core.BlockState = _Block.IDLE,
     ) -> None:
-        """Answer with a refusal, and say why in the log."""
+        """Answer with a refusal, and log the reason."""
         session = attempt.session
         if block is _Block.IDLE:
             self.roll_back(session)
-        left = self._authority_left()
-        self._notes.refused(attempt, refusal, why, left)
+        authority_left = self._authority_left()
+        self._log.log_refusal(attempt, refusal, why, authority_left)
         answer = core.SessionAnswer(
             session.session_id,
             attempt.message.request_id,
@@ -360,14 +401,14 @@
         ended: core.WorkEnded,
         block: core.BlockState,
     ) -> None:
-        """Pass the instance's answer on to the caller."""
+        """Send the instance's answer to the caller."""
         session = attempt.session
         if ended.refusal is None:
-            self._notes.done(attempt)
+            self._log.record_success(attempt)
         else:
-            why = 'the instance ran it and failed'
-            left = self._authority_left()
-            self._notes.refused(attempt, ended.refusal, why, left)
+            why = 'the statement failed at the instance'
+            authority_left = self._authority_left()
+            self._log.log_refusal(attempt, ended.refusal, why, authority_left)
         answer = core.SessionAnswer(
             session.session_id,
             attempt.message.request_id,
--- a/src/chicoryusher/tasks/pool/choosing.py
+++ b/src/chicoryusher/tasks/pool/choosing.py
@@ -1,4 +1,4 @@
-"""Which instance a statement goes to, and the work that is made of it."""
+"""Selection of an instance for a statement, and creation of its work."""
 
 from __future__ import annotations
 
@@ -7,20 +7,31 @@
 from chicoryusher.tasks.pool import groups as groups_module
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['START', 'begins_of', 'choose', 'needs_of', 'work_of']
+__all__ = [
+    'START_TARGET_SHARE',
+    'begin_kind_of',
+    'make_work',
+    'read_needs_of',
+    'select_instance',
+]
 
-# Part of the latency target by which work must have a connection.
-START = 0.8
-# Part of the latency target after which a read is run elsewhere, and the
-# most seconds that this takes: over the longest usual work (0.5 s).
-READ_PATIENCE = 0.45
-MAX_READ_PATIENCE = 0.6
+# Share of the latency target within which work must get a connection.
+START_TARGET_SHARE = 0.8
+# Share of the latency target after which a read is retried at another
+# instance, and the upper limit of that time in seconds.  The limit is above
+# the run time of the longest usual statements (0.5 s).
+READ_TIMEOUT_TARGET_SHARE = 0.45
+MAX_READ_TIMEOUT_S = 0.6
 
 
-def needs_of(
+def read_needs_of(
     attempt: sessions.Attempt, group: groups_module.PoolGroup
 ) -> decisions.ReadNeeds:
-    """Return what the statement must see; primary only if it can't."""
+    """Return the log position that a replica needs to run the statement.
+
+    A write and a statement of a route to the primary have no such position:
+    only the primary may run them.
+    """
     route = attempt.route
     transaction = attempt.session.transaction
     reads = not attempt.writes
@@ -28,37 +39,42 @@
         reads = transaction.read_only
     if not reads or route.access is core.Access.PRIMARY:
         return decisions.ReadNeeds(None, 0.0)
-    own = attempt.session.wrote_at
-    return group.needs(attempt.arrived_on, route.max_staleness, own)
+    last_write = attempt.session.wrote_at
+    return group.read_needs(
+        attempt.arrived_on, route.max_staleness, last_write
+    )
 
 
-def choose(
+def select_instance(
     attempt: sessions.Attempt,
     group: groups_module.PoolGroup,
     needs: decisions.ReadNeeds,
     authority: bool,
     now: float,
-    now_on: float,
+    boot_now: float,
 ) -> core.InstanceName | None:
-    """Return the best instance, None if none may run the statement.
+    """Return the best instance, or None if no instance may run the statement.
 
-    Without ``authority`` the primary is not used.
+    Without ``authority`` the primary is not used.  ``boot_now`` is the time
+    on the clock that also counts time while the machine is suspended.
     """
     primary = group.usable_primary(now) if authority else None
     instances = list(group.instances.values())
     if primary is None and group.primary is not None:
         instances = [
-            one for one in instances if one.entry.name != group.primary
+            instance
+            for instance in instances
+            if instance.entry.name != group.primary
         ]
     return decisions.choose_reader(
-        instances, primary, needs, attempt.refused, now, now_on
+        instances, primary, needs, attempt.refused, now, boot_now
     )
 
 
-def begins_of(
+def begin_kind_of(
     transaction: sessions.Transaction | None,
 ) -> core.Begins | None:
-    """Return the kind of transaction that is begun first, if any."""
+    """Return the kind of transaction to begin first, None for no begin."""
     if transaction is None:
         return None
     if transaction.read_only:
@@ -66,7 +82,7 @@
     return core.Begins.READ_WRITE
 
 
-def work_of(
+def make_work(
     attempt: sessions.Attempt,
     work_id: core.WorkId,
     owner: core.TaskName,
@@ -74,7 +90,7 @@
     begins: core.Begins | None,
     after: core.Position | None,
 ) -> core.Work:
-    """Return the statement as work for a lane."""
+    """Create the work for an instance pool from the statement."""
     session = attempt.session
     transaction = session.transaction
     route = attempt.route
@@ -86,9 +102,9 @@
         attempt.shape,
         tuple(session.values.items()),
         route.priority,
-        attempt.arrived + route.target * START,
+        attempt.arrived + route.target * START_TARGET_SHARE,
         attempt.arrived + route.limit - now,
-        min(route.target * READ_PATIENCE, MAX_READ_PATIENCE),
+        min(route.target * READ_TIMEOUT_TARGET_SHARE, MAX_READ_TIMEOUT_S),
         now,
         None if transaction is None else transaction.number,
         begins,
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/desk.py
@@ -1,4 +1,4 @@
-"""The desk: owns pooled sessions, and gives their work to lanes."""
+"""Dispatcher: owns pooled sessions and sends their work to instances."""
 
 from __future__ import annotations
 
@@ -18,24 +18,24 @@
 
 __all__ = ['Desk', 'DeskSettings', 'LaneEdges']
 
-# Seconds between looks for transactions that idle.
-IDLE_LOOK = 0.5
+# Seconds between checks for idle sessions with an open transaction.
+IDLE_CHECK_INTERVAL_S = 0.5
 
 
-class _LookIdle(core.Message):
-    """Time to look for transactions that idle."""
+class _CheckIdle(core.Message):
+    """Check for idle sessions now."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _StopNow(core.Message):
-    """The patience of a stopping primary is over."""
+class _StopTimeout(core.Message):
+    """The time for running work at a primary that is being stopped is over."""
 
     revision: int
     service: core.ServiceName
 
 
 class Desk(runtime.Task):
-    """Own sessions; their statements go through its attempts."""
+    """Own the pooled sessions; run their statements as attempts."""
 
     def __init__(
         self,
@@ -55,28 +55,30 @@
             self, self._roster, loop.clock
         )
         self._sessions: dict[core.SessionId, sessions.PoolSession] = {}
-        self._closing_idle = False
-        self._early: list[core.StartSession] = []
-        self.after(IDLE_LOOK, _LookIdle())
+        self._draining = False
+        self._waiting_starts: list[core.StartSession] = []
+        self.after(IDLE_CHECK_INTERVAL_S, _CheckIdle())
 
     @property
     def sessions(self) -> int:
-        """Return how many sessions are open."""
+        """Return the number of open sessions."""
         return len(self._sessions)
 
     def authority(self) -> bool:
-        """Tell whether primaries may be used now."""
+        """Return whether this VM may use primaries now."""
         return self._attempts.authority()
 
-    # -- what is in force -----------------------------------------------
+    # -- configuration, authority and instances -------------------------
 
     @runtime.handles(core.PoolConfigInForce)
     def _on_config(self, message: core.PoolConfigInForce) -> None:
         self._config = message.config
-        self._routes = {one.database: one for one in message.config.routes}
+        self._routes = {
+            route.database: route for route in message.config.routes
+        }
         self._roster.take_config(message.config)
-        early, self._early = self._early, []
-        for start in early:
+        waiting_starts, self._waiting_starts = self._waiting_starts, []
+        for start in waiting_starts:
             self._on_start(start)
 
     @runtime.handles(core.Authority)
@@ -90,14 +92,14 @@
     @runtime.handles(core.GroupInForce)
     def _on_group(self, message: core.GroupInForce) -> None:
         for name in self._roster.take_group(message):
-            self._attempts.lose(name)
+            self._attempts.fail_work_at(name)
 
     # -- sessions -------------------------------------------------------
 
     @runtime.handles(core.StartSession)
     def _on_start(self, message: core.StartSession) -> None:
         if self._config is None:
-            self._early.append(message)
+            self._waiting_starts.append(message)
             return
         refusal = None
         if message.database not in self._routes:
@@ -131,11 +133,11 @@
         session.used_at = self.now()
         self._chart.fire(session, 'statement', message)
 
-    @runtime.handles(_LookIdle)
-    def _on_look_idle(self, look: _LookIdle) -> None:
-        """End transactions that idle for longer than they may."""
-        self.after(IDLE_LOOK, look)
-        self._show()
+    @runtime.handles(_CheckIdle)
+    def _on_check_idle(self, message: _CheckIdle) -> None:
+        """End the transactions of sessions that were idle for too long."""
+        self.after(IDLE_CHECK_INTERVAL_S, message)
+        self._show_metrics()
         if self._config is None:
             return
         oldest = self.now() - self._config.tx_idle
@@ -143,13 +145,13 @@
             if session.used_at < oldest:
                 self._chart.fire(session, 'lost')
 
-    def _show(self) -> None:
+    def _show_metrics(self) -> None:
         self.meters.show(core.Metric.SESSIONS, len(self._sessions))
-        now_on = self._clock.running_on()
+        boot_now = self._clock.running_on()
         for service, group in self._roster.groups.items():
             newest = group.observations.newest
             if newest is not None:
-                age = now_on - newest.asked_at
+                age = boot_now - newest.asked_at
                 self.meters.show(
                     core.Metric.POSITION_AGE, age, service=service
                 )
@@ -157,7 +159,7 @@
     def begun(
         self, session: sessions.PoolSession, read_only: bool
     ) -> sessions.Transaction:
-        """Return a new transaction for the session."""
+        """Create a transaction for the session."""
         number = core.TransactionId(f't{next(self._numbers)}')
         return sessions.Transaction(
             number, read_only, self._clock.running_on()
@@ -166,7 +168,7 @@
     def answered(
         self, session: sessions.PoolSession, answer: core.SessionAnswer
     ) -> None:
-        """Take what an attempt came to."""
+        """Process the answer of the session's attempt."""
         self._chart.fire(session, 'answered', answer)
 
     def reply(
@@ -176,19 +178,19 @@
         session.attempt = None
         session.used_at = self.now()
         self.send(session.frontend, answer)
-        if self._closing_idle:
+        if self._draining:
             self._close_if_idle(session)
 
     def abandon(self, session: sessions.PoolSession) -> None:
-        """Forget the session's statement; its caller has gone."""
+        """Cancel the statement of a session whose caller is gone."""
         self._attempts.abandon(session)
 
     def roll_back(self, session: sessions.PoolSession) -> None:
-        """End the session's transaction at its instance."""
+        """Roll the session's transaction back at its instance."""
         self._attempts.roll_back(session)
 
     def forget(self, session: sessions.PoolSession) -> None:
-        """Drop the session."""
+        """Remove the session."""
         self._sessions.pop(session.session_id, None)
 
     # -- statements -----------------------------------------------------
@@ -196,24 +198,26 @@
     def route(
         self, session: sessions.PoolSession, message: core.PoolStatement
     ) -> None:
-        """Start an attempt at the statement."""
+        """Start an attempt to run the statement, or refuse it at once."""
         statement = message.statement
         shape = None
         if statement.verb is core.Verb.EXECUTE:
             shape = session.prepared.get(statement.name)
             if shape is None:
-                self._refuse_now(session, message, core.Refusal.NOT_PREPARED)
+                self._refuse_at_once(
+                    session, message, core.Refusal.NOT_PREPARED
+                )
                 return
         route = self._route_of(session)
         if route is None:
-            self._refuse_now(session, message, core.Refusal.NO_DATABASE)
+            self._refuse_at_once(session, message, core.Refusal.NO_DATABASE)
             return
         self._attempts.start(session, message, route, shape)
 
     def _route_of(
         self, session: sessions.PoolSession
     ) -> core.PoolRoute | None:
-        """Return the route; an open transaction keeps the one it had."""
+        """Return the session's route; a transaction keeps its first route."""
         route = self._routes.get(session.database)
         transaction = session.transaction
         if transaction is None:
@@ -221,13 +225,13 @@
         transaction.route = transaction.route or route
         return transaction.route
 
-    def _refuse_now(
+    def _refuse_at_once(
         self,
         session: sessions.PoolSession,
         message: core.PoolStatement,
         refusal: core.Refusal,
     ) -> None:
-        """Answer at once; the transaction, if any, has failed."""
+        """Answer with a refusal; the transaction, if any, has failed."""
         block = core.BlockState.IDLE
         if session.transaction is not None:
             block = core.BlockState.FAILED
@@ -236,7 +240,7 @@
             core.LogEvent.STATEMENT_REFUSED,
             request=message.request_id,
             refusal=refusal.value,
-            why='refused before an instance was looked for',
+            why='refused before an instance was selected',
             database=session.database,
         )
         answer = core.SessionAnswer(
@@ -244,22 +248,22 @@
         )
         self._chart.fire(session, 'answered', answer)
 
-    @runtime.handles(attempts_module.OfferAgain)
-    def _on_again(self, again: attempts_module.OfferAgain) -> None:
-        self._attempts.offer_again(again.attempt)
+    @runtime.handles(attempts_module.RetrySelection)
+    def _on_retry(self, retry: attempts_module.RetrySelection) -> None:
+        self._attempts.retry_selection(retry.attempt)
 
     @runtime.handles(core.WorkEnded)
     def _on_ended(self, ended: core.WorkEnded) -> None:
         service = self._attempts.ended(ended)
         if service is not None:
-            self._stop_when_quiet(service)
+            self._stop_if_unused(service)
 
     @runtime.handles(core.InstanceTrouble)
     def _on_trouble(self, message: core.InstanceTrouble) -> None:
         for group in self._roster.groups.values():
-            one = group.instances.get(message.instance)
-            if one is not None:
-                one.troubled(self.now())
+            pool_instance = group.instances.get(message.instance)
+            if pool_instance is not None:
+                pool_instance.troubled(self.now())
 
     @runtime.handles(core.PrimaryObserved)
     def _on_observed(self, message: core.PrimaryObserved) -> None:
@@ -273,33 +277,34 @@
     def _on_stop(self, message: core.StopPrimary) -> None:
         group = self._roster.groups.get(message.service)
         if group is None:
-            self._stopped(message)
+            self._report_stopped(message)
             return
         group.primary = None
         group.stopping = message
         group.stopped_at = self.now()
         self.after(
-            message.patience, _StopNow(message.revision, message.service)
+            message.patience, _StopTimeout(message.revision, message.service)
         )
-        self._stop_when_quiet(message.service)
+        self._stop_if_unused(message.service)
 
-    def _stop_when_quiet(self, service: core.ServiceName) -> None:
+    def _stop_if_unused(self, service: core.ServiceName) -> None:
         group = self._roster.groups.get(service)
         if group is None or group.stopping is None:
             return
-        if not self._uses(group.stopping.primary):
+        if not self._is_used(group.stopping.primary):
             self._stop(group)
 
-    def _uses(self, name: core.InstanceName) -> bool:
-        if self._attempts.use(name):
+    def _is_used(self, name: core.InstanceName) -> bool:
+        if self._attempts.has_work_at(name):
             return True
         return any(
-            one.transaction is not None and one.transaction.instance == name
-            for one in self._sessions.values()
+            session.transaction is not None
+            and session.transaction.instance == name
+            for session in self._sessions.values()
         )
 
-    @runtime.handles(_StopNow)
-    def _on_stop_now(self, message: _StopNow) -> None:
+    @runtime.handles(_StopTimeout)
+    def _on_stop_timeout(self, message: _StopTimeout) -> None:
         group = self._roster.groups.get(message.service)
         if group is None or group.stopping is None:
             return
@@ -307,7 +312,7 @@
             self._stop(group)
 
     def _stop(self, group: groups_module.PoolGroup) -> None:
-        """Drop the connections; answers that come late prove nothing."""
+        """Close all connections to the primary and fence its running work."""
         stopping = group.stopping
         assert stopping is not None
         group.stopping = None
@@ -316,20 +321,20 @@
             lane = self._roster.lane(stopping.primary)
             self.send(lane, core.StopLane())
         self.send(names.forwarder(self.vm), core.ForwardStop(stopping.primary))
-        self._stopped(stopping)
+        self._report_stopped(stopping)
 
-    def _stopped(self, message: core.StopPrimary) -> None:
+    def _report_stopped(self, message: core.StopPrimary) -> None:
         self.send(
             names.keeper(self.vm),
             core.PrimaryStopped(message.service, message.revision),
         )
 
-    # -- leaving --------------------------------------------------------
+    # -- drain ----------------------------------------------------------
 
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
-        """Close sessions between operations from now on."""
-        self._closing_idle = True
+        """Close each session as soon as it is idle."""
+        self._draining = True
         for session in tuple(self._sessions.values()):
             self._close_if_idle(session)
 
--- a/src/chicoryusher/tasks/pool/endings.py
+++ b/src/chicoryusher/tasks/pool/endings.py
@@ -1,4 +1,8 @@
-"""What is done with each way in which work may end."""
+"""How a statement goes on for each way in which its work can end.
+
+A statement is answered, refused or retried.  It is retried only if it was
+not run, or if running it twice does no harm.
+"""
 
 from __future__ import annotations
 
@@ -8,11 +12,11 @@
 from chicoryusher import core
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['ENDINGS', 'spent']
+__all__ = ['COMPLETIONS', 'timeout_refusal']
 
 _Block = core.BlockState
 _Refusal = core.Refusal
-# Refusals by which an instance proves that it did not run the statement.
+# Refusals that prove that the instance did not run the statement.
 _NOT_RUN = (
     _Refusal.BUSY,
     _Refusal.NOT_FRESH,
@@ -22,30 +26,30 @@
 
 
 class Host(Protocol):
-    """What runs attempts, as the endings of their work see it."""
+    """The operations of ``Attempts`` that completions use."""
 
     def authority(self) -> bool:
-        """Tell whether primaries may be used now."""
+        """Return whether this VM may use primaries now."""
 
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
     ) -> None:
-        """Run a statement that was not run, or may run again."""
+        """Retry at another instance; the statement may safely run again."""
 
     def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
-        """Run a statement again at the same group a little later."""
+        """Retry at any instance of the group after a pause."""
 
     def report_trouble(self, name: core.InstanceName) -> None:
-        """Let the watch look at an instance."""
+        """Have the reachability monitor check an instance."""
 
-    def finish(
+    def refuse(
         self,
         attempt: sessions.Attempt,
         refusal: core.Refusal,
         why: str,
         block: core.BlockState = _Block.IDLE,
     ) -> None:
-        """Answer with a refusal."""
+        """Answer with a refusal, and log the reason."""
 
     def deliver(
         self,
@@ -53,30 +57,31 @@
         ended: core.WorkEnded,
         block: core.BlockState,
     ) -> None:
-        """Pass the instance's answer on."""
+        """Send the instance's answer to the caller."""
 
 
-Ending = Callable[[Host, sessions.Attempt, core.WorkEnded], None]
-ENDINGS: core.Registry[Ending] = core.Registry('work ending')
+Completion = Callable[[Host, sessions.Attempt, core.WorkEnded], None]
+COMPLETIONS: core.Registry[Completion] = core.Registry('work ending')
 
 
-def spent(attempt: sessions.Attempt) -> core.Refusal:
-    """Return what a statement is told whose time is over.
+def timeout_refusal(attempt: sessions.Attempt) -> core.Refusal:
+    """Return the refusal for a statement whose time limit has passed.
 
-    Nothing of it is in flight: it was not run, or it may run again.
+    Only for a statement that is not running at any instance: either it was
+    never run, or running it twice does no harm.
     """
     if attempt.session.transaction is not None:
         return _Refusal.ABORTED
     return _Refusal.BUSY
 
 
-def _started(attempt: sessions.Attempt) -> bool:
-    """Tell whether the statement's transaction ran one before."""
+def _continues_transaction(attempt: sessions.Attempt) -> bool:
+    """Return whether an earlier statement of its transaction was run."""
     transaction = attempt.session.transaction
     return transaction is not None and transaction.instance is not None
 
 
-@ENDINGS.register(core.Ended.ANSWERED)
+@COMPLETIONS.register(core.Ended.ANSWERED)
 def _answered(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
@@ -91,19 +96,27 @@
 def _succeeded(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
+    """Answer a statement that the instance ran.
+
+    A committed change is answered with UNKNOWN if this VM had no authority
+    over the primary any more.  Otherwise its log position is stored, so that
+    later reads of the session see the change.
+    """
     session = attempt.session
     transaction = session.transaction
-    changed = attempt.commits
+    commits_change = attempt.commits
     if transaction is not None:
-        changed = attempt.commits and transaction.wrote
-    if changed and (attempt.fenced or not host.authority()):
-        host.finish(
-            attempt, _Refusal.UNKNOWN, 'authority lapsed before the answer'
+        commits_change = attempt.commits and transaction.wrote
+    if commits_change and (attempt.fenced or not host.authority()):
+        host.refuse(
+            attempt,
+            _Refusal.UNKNOWN,
+            'authority expired before the answer came',
         )
         return
-    if changed and ended.position is not None:
-        known = session.wrote_at
-        if known is None or ended.position > known:
+    if commits_change and ended.position is not None:
+        last_write = session.wrote_at
+        if last_write is None or ended.position > last_write:
             session.wrote_at = ended.position
     if transaction is None or attempt.commits:
         host.deliver(attempt, ended, _Block.IDLE)
@@ -116,11 +129,16 @@
 def _not_run(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
-    if _started(attempt):
+    """Retry a statement that the instance refused without running it.
+
+    Inside a transaction that already ran a statement it can't be retried
+    elsewhere, so the transaction is aborted.
+    """
+    if _continues_transaction(attempt):
         assert ended.refusal is not None
         if ended.refusal is _Refusal.READ_ONLY:
             host.report_trouble(ended.instance)
-        host.finish(
+        host.refuse(
             attempt, _Refusal.ABORTED, f'refused: {ended.refusal.value}'
         )
         return
@@ -137,6 +155,7 @@
 def _ran_and_failed(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
+    """Deliver the error; an open transaction has failed."""
     if attempt.session.transaction is None:
         host.deliver(attempt, ended, _Block.IDLE)
         return
@@ -146,17 +165,19 @@
     host.deliver(attempt, ended, _Block.FAILED)
 
 
-@ENDINGS.register(core.Ended.NOT_RUN)
-def _begin_refused(
+@COMPLETIONS.register(core.Ended.NOT_RUN)
+def _begin_not_run(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
+    """Retry a transaction whose begin the instance refused."""
     _not_run(host, attempt, ended)
 
 
-@ENDINGS.register(core.Ended.NOT_STARTED)
+@COMPLETIONS.register(core.Ended.NOT_STARTED)
 def _not_started(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
+    """Retry work that got no connection to the instance."""
     if attempt.at_primary:
         host.wait_and_retry(attempt, 'no connection to the primary')
     else:
@@ -164,21 +185,30 @@
         host.try_elsewhere(attempt, ended.instance, why)
 
 
-@ENDINGS.register(core.Ended.LOST)
+@COMPLETIONS.register(core.Ended.LOST)
 def _lost(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
+    """Retry or refuse a statement whose connection was lost.
+
+    A change that may have been committed is refused with UNKNOWN.  Any
+    other transaction that already ran a statement is aborted.
+    """
     transaction = attempt.session.transaction
     sent = ended.sent_at is not None
-    if _started(attempt):
+    if _continues_transaction(attempt):
         assert transaction is not None
         if attempt.commits and transaction.wrote and sent:
-            host.finish(attempt, _Refusal.UNKNOWN, 'lost in a commit')
+            host.refuse(
+                attempt, _Refusal.UNKNOWN, 'connection lost during a commit'
+            )
         else:
-            host.finish(attempt, _Refusal.ABORTED, 'connection lost')
+            host.refuse(attempt, _Refusal.ABORTED, 'connection lost')
         return
     if attempt.commits and transaction is None and sent:
-        host.finish(attempt, _Refusal.UNKNOWN, 'lost in a write')
+        host.refuse(
+            attempt, _Refusal.UNKNOWN, 'connection lost during a write'
+        )
     elif attempt.at_primary:
         host.wait_and_retry(attempt, 'connection to the primary lost')
     else:
@@ -186,10 +216,14 @@
         host.try_elsewhere(attempt, ended.instance, why)
 
 
-@ENDINGS.register(core.Ended.OVERTIME)
+@COMPLETIONS.register(core.Ended.OVERTIME)
 def _overtime(
     host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
+    """Refuse a statement that ran longer than its time limit.
+
+    A change that may have been committed is refused with UNKNOWN.
+    """
     transaction = attempt.session.transaction
     if transaction is None:
         refusal = _Refusal.TIMEOUT
@@ -199,4 +233,4 @@
         refusal = _Refusal.UNKNOWN
     else:
         refusal = _Refusal.ABORTED
-    host.finish(attempt, refusal, 'the statement ran over its time')
+    host.refuse(attempt, refusal, 'the statement exceeded its time limit')
--- a/src/chicoryusher/tasks/pool/groups.py
+++ b/src/chicoryusher/tasks/pool/groups.py
@@ -1,4 +1,4 @@
-"""What a desk knows about one database group."""
+"""State of one database group, as the dispatcher knows it."""
 
 from __future__ import annotations
 
@@ -7,23 +7,26 @@
 
 __all__ = ['DISTANCES', 'PoolGroup']
 
-# Seconds of a round trip to an instance.  The users state 0.5 to 1.4 ms
-# one way between zones and 20 ms between regions.
+# Seconds of a round trip to an instance.  One way takes 0.5 to 1.4 ms
+# between zones and 20 ms between regions, as the users state.
 DISTANCES = {
     core.Nearness.SAME_ZONE: 0.001,
     core.Nearness.SAME_REGION: 0.003,
     core.Nearness.OTHER_REGION: 0.042,
 }
-# Seconds that a change of primary usually takes, with a promotion of 300
-# to 1,000 ms.
-CHANGE_TIME = 1.5
-# Seconds for which a primary that leaves gets new work; users allow 7 s
-# from the store's answer, of which a view passed on may take 2 s.
-LEAVING_USE = 4.0
+# Seconds that a change of primary usually takes; the promotion is 300 to
+# 1,000 ms of that.
+PRIMARY_CHANGE_S = 1.5
+# Seconds for which a leaving primary gets new work.  The users allow 7 s
+# from the store's answer, and a view received from a peer may be 2 s old.
+LEAVING_PRIMARY_USE_S = 4.0
 
 
 class PoolGroup:
-    """The instances of a group, its primary, and where that stood."""
+    """The instances of a group, its primary and the primary's log positions.
+
+    ``stopped_at`` is since when the group has no primary in use.
+    """
 
     def __init__(self, service: core.ServiceName) -> None:
         self.service = service
@@ -32,70 +35,81 @@
         self.observations = decisions.Observations()
         self.stopping: core.StopPrimary | None = None
         self.stopped_at = float('-inf')
-        self._known = False
+        self._seen_before = False
         self._leaving_since: dict[core.InstanceName, float] = {}
 
     def take_primary(
         self, primary: core.InstanceName | None, now: float
     ) -> None:
-        """Take the primary in use; without one, note since when."""
-        known, self._known = self._known, True
-        if primary is None and (self.primary is not None or not known):
+        """Store the primary in use.
+
+        Without a primary, record since when the group has none.
+        """
+        seen_before, self._seen_before = self._seen_before, True
+        if primary is None and (self.primary is not None or not seen_before):
             self.stopped_at = now
         self.primary = primary
 
     def note_leaving(self, entry: core.InstanceEntry, now: float) -> None:
-        """Note since when an instance has been known to leave."""
+        """Record since when an instance is registered as leaving."""
         if entry.leaving:
             self._leaving_since.setdefault(entry.name, now)
         else:
             self._leaving_since.pop(entry.name, None)
 
     def usable_primary(self, now: float) -> core.InstanceName | None:
-        """Return the primary that new work may go to.
+        """Return the primary that may get new work, None without one.
 
-        One that leaves serves on until its successor is there, but not
-        to the end of the time in which it may get work.
+        A leaving primary serves until its successor does, but gets no new
+        work after ``LEAVING_PRIMARY_USE_S``, before the allowed time ends.
         """
         primary = self.primary
         if primary is None or primary not in self.instances:
             return None
         since = self._leaving_since.get(primary, now)
-        return primary if now - since < LEAVING_USE else None
+        return primary if now - since < LEAVING_PRIMARY_USE_S else None
 
     def expects_primary(self, now: float) -> bool:
-        """Tell whether a primary should be there any moment."""
-        return now - self.stopped_at < CHANGE_TIME
+        """Return whether a change of primary is likely to end soon."""
+        return now - self.stopped_at < PRIMARY_CHANGE_S
 
-    def learn(
-        self, ended: core.WorkEnded, authority: bool, now_on: float
+    def record_position(
+        self, ended: core.WorkEnded, authority: bool, boot_now: float
     ) -> bool:
-        """Take a position that an instance has shown.
+        """Record the log position that an instance sent with its result.
 
-        Tell whether it shows where the primary stood.
+        Return whether it is a valid position of the primary.  ``boot_now``
+        is on the clock that also counts suspended time.
         """
         position = ended.position
-        one = self.instances.get(ended.instance)
-        if position is None or one is None:
+        pool_instance = self.instances.get(ended.instance)
+        if position is None or pool_instance is None:
             return False
         if ended.instance == self.primary:
             if not authority or ended.asked_at is None:
                 return False
             self.observations.add(ended.asked_at, position)
             return True
-        one.position = position
-        one.lag = self.observations.lag(position, now_on)
-        one.lag_seen_at = now_on
+        pool_instance.position = position
+        pool_instance.lag = self.observations.lag(position, boot_now)
+        pool_instance.lag_seen_at = boot_now
         return False
 
-    def needs(
-        self, arrived_on: float, bound: float, own: core.Position | None
+    def read_needs(
+        self, arrived_at: float, bound: float, last_write: core.Position | None
     ) -> decisions.ReadNeeds:
-        """Return what a read must see."""
-        seen = self.observations.needed(arrived_on, bound)
-        if seen is None:
+        """Return the log position that a read must see.
+
+        It proves the staleness bound and contains the session's last write.
+        Without a recent position of the primary, only the primary may serve
+        the read.
+        ``arrived_at`` is when the read arrived, on the clock that also
+        counts suspended time; ``bound`` is the allowed staleness in seconds.
+        """
+        observation = self.observations.needed(arrived_at, bound)
+        if observation is None:
             return decisions.ReadNeeds(None, 0.0)
-        age = arrived_on - seen.asked_at
-        if own is not None and own > seen.position:
-            return decisions.ReadNeeds(own, 0.0)
-        return decisions.ReadNeeds(seen.position, age)
+        age = arrived_at - observation.asked_at
+        if last_write is not None and last_write > observation.position:
+            return decisions.ReadNeeds(last_write, 0.0)
+        return decisions.ReadNeeds(observation.position, age)
--- a/tests/tasks/test_pool_groups.py
+++ b/tests/tasks/test_pool_groups.py
@@ -1,4 +1,4 @@
-"""A group without a primary: how long one is expected to come."""
+"""How long a group without a primary expects a new primary."""
 
 from __future__ import annotations
 
@@ -9,19 +9,22 @@
 PRIMARY = core.InstanceName('i-1')
 
 
-def test_a_group_first_seen_without_a_primary_expects_one():
-    """A VM that starts during a change has not stopped a primary."""
+def test_a_group_first_seen_without_a_primary_expects_a_primary():
+    """A VM that starts during a change of primary has stopped no primary.
+
+    The expected time then counts from the first time it sees the group.
+    """
     group = groups.PoolGroup(SERVICE)
     group.take_primary(None, 10.0)
-    assert group.expects_primary(10.0 + groups.CHANGE_TIME / 2)
-    assert not group.expects_primary(10.0 + groups.CHANGE_TIME)
+    assert group.expects_primary(10.0 + groups.PRIMARY_CHANGE_S / 2)
+    assert not group.expects_primary(10.0 + groups.PRIMARY_CHANGE_S)
 
 
-def test_the_time_counts_from_when_the_primary_went():
+def test_the_time_counts_from_when_the_primary_was_removed():
     group = groups.PoolGroup(SERVICE)
     group.take_primary(PRIMARY, 10.0)
     assert not group.expects_primary(11.0)
     group.take_primary(None, 12.0)
     group.take_primary(None, 13.0)
-    assert group.expects_primary(12.0 + groups.CHANGE_TIME / 2)
-    assert not group.expects_primary(12.0 + groups.CHANGE_TIME)
+    assert group.expects_primary(12.0 + groups.PRIMARY_CHANGE_S / 2)
+    assert not group.expects_primary(12.0 + groups.PRIMARY_CHANGE_S)
