--- a/src/chicoryusher/tasks/pool/attempt_notes.py
+++ b/src/chicoryusher/tasks/pool/attempt_notes.py
@@ -18,8 +18,8 @@
     ``authority`` is for how many seconds primaries may still be used.
     """
 
-    def __init__(self, desk: runtime.Task) -> None:
-        self._desk = desk
+    def __init__(self, dispatcher: runtime.Task) -> None:
+        self._dispatcher = dispatcher
 
     def log_dispatch(
         self,
@@ -28,7 +28,7 @@
         authority: float,
     ) -> None:
         """Log which instance was selected, and the state it was based on."""
-        self._desk.log.emit(
+        self._dispatcher.log.emit(
             core.LogEvent.STATEMENT_SENT,
             request=attempt.message.request_id,
             session=attempt.session.session_id,
@@ -48,8 +48,8 @@
         self, attempt: sessions.Attempt, why: str, authority: float
     ) -> None:
         """Log and count that a statement waits or is retried."""
-        self._desk.meters.add(core.Metric.RETRIES, why=why)
-        self._desk.log.emit(
+        self._dispatcher.meters.add(core.Metric.RETRIES, why=why)
+        self._dispatcher.log.emit(
             core.LogEvent.STATEMENT_HELD,
             request=attempt.message.request_id,
             why=why,
@@ -69,7 +69,7 @@
     ) -> None:
         """Log and measure a statement that ended without success."""
         self._record_latency(attempt, refusal.value)
-        self._desk.log.emit(
+        self._dispatcher.log.emit(
             core.LogEvent.STATEMENT_REFUSED,
             request=attempt.message.request_id,
             refusal=refusal.value,
@@ -87,13 +87,13 @@
         self._record_latency(attempt, _OUTCOME_DONE)
 
     def _waited(self, attempt: sessions.Attempt) -> float:
-        return self._desk.now() - attempt.arrived
+        return self._dispatcher.now() - attempt.arrived
 
     def _record_latency(self, attempt: sessions.Attempt, outcome: str) -> None:
         role = core.Role.REPLICA
         if attempt.at_primary:
             role = core.Role.PRIMARY
-        self._desk.meters.record(
+        self._dispatcher.meters.record(
             core.Metric.STATEMENT,
             self._waited(attempt),
             access=attempt.route.access.value,
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -50,15 +50,15 @@
 
     def __init__(
         self,
-        desk: runtime.Task,
+        dispatcher: runtime.Task,
         roster: roster_module.Roster,
         clock: core.Clock,
     ) -> None:
-        self._desk = desk
+        self._dispatcher = dispatcher
         self._roster = roster
         self._clock = clock
         self._numbers = itertools.count(1)
-        self._log = attempt_notes.AttemptNotes(desk)
+        self._log = attempt_notes.AttemptNotes(dispatcher)
         self._running: dict[core.WorkId, sessions.Attempt] = {}
         self.until = float('-inf')
 
@@ -84,7 +84,7 @@
             message,
             route,
             shape,
-            self._desk.now(),
+            self._dispatcher.now(),
             self._clock.running_on(),
         )
         session.attempt = attempt
@@ -111,7 +111,7 @@
             group,
             needs,
             self.authority(),
-            self._desk.now(),
+            self._dispatcher.now(),
             self._clock.running_on(),
         )
         if name is None:
@@ -139,10 +139,11 @@
         self,
         attempt: sessions.Attempt,
         name: core.InstanceName,
-        begins: core.Begins | None,
-        after: core.Position | None,
+        begin_kind: core.Begins | None,
+        min_position: core.Position | None,
     ) -> None:
-        now = self._desk.now()
+        """Queue the statement at an instance, or refuse it if too late."""
+        now = self._dispatcher.now()
         time_left = attempt.arrived + attempt.route.limit - now
         if time_left < MIN_RUN_TIME_S:
             self.refuse(
@@ -160,9 +161,14 @@
         pool_instance = self._pool_instance(attempt)
         if pool_instance is not None:
             pool_instance.outstanding += 1
-        self._log.log_dispatch(attempt, after, self._authority_left())
+        self._log.log_dispatch(attempt, min_position, self._authority_left())
         work = choosing.make_work(
-            attempt, work_id, self._desk.task_name, now, begins, after
+            attempt,
+            work_id,
+            self._dispatcher.task_name,
+            now,
+            begin_kind,
+            min_position,
         )
         self._send_work(attempt, name, work)
 
@@ -177,10 +183,10 @@
         The forwarder sends it to the VM that owns the connections.
         """
         if attempt.via is None:
-            self._desk.send(self._roster.lane(name), work)
+            self._dispatcher.send(self._roster.lane(name), work)
             return
         forward = core.ForwardWork(attempt.via, self._roster.entry(name), work)
-        self._desk.send(names.forwarder(self._desk.vm), forward)
+        self._dispatcher.send(names.forwarder(self._dispatcher.vm), forward)
 
     def _conn_owner_of(
         self, attempt: sessions.Attempt, name: core.InstanceName
@@ -204,7 +210,7 @@
         """
         if attempt.refused:
             attempt.refused = frozenset()
-        now = self._desk.now()
+        now = self._dispatcher.now()
         group = self._roster.groups.get(attempt.route.service)
         primary_expected = group is not None and group.expects_primary(now)
         share = (
@@ -218,7 +224,7 @@
         if attempt.held_for != why:
             attempt.held_for = why
             self._log.log_delay(attempt, why, self._authority_left())
-        self._desk.after(RETRY_PAUSE_S, RetrySelection(attempt))
+        self._dispatcher.after(RETRY_PAUSE_S, RetrySelection(attempt))
 
     # -- results --------------------------------------------------------
 
@@ -242,7 +248,7 @@
             if attempt.instance == name:
                 assert attempt.work_id is not None
                 ended = core.WorkEnded(attempt.work_id, name, core.Ended.LOST)
-                self._desk.send(self._desk.task_name, ended)
+                self._dispatcher.send(self._dispatcher.task_name, ended)
 
     def abandon(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone."""
@@ -252,12 +258,12 @@
         self._running.pop(attempt.work_id, None)
         self._decrement_outstanding(attempt)
         if attempt.via is not None:
-            self._desk.send(
-                names.forwarder(self._desk.vm),
+            self._dispatcher.send(
+                names.forwarder(self._dispatcher.vm),
                 core.ForwardCancel(attempt.work_id),
             )
         elif attempt.instance in self._roster:
-            self._desk.send(
+            self._dispatcher.send(
                 self._roster.lane(attempt.instance),
                 core.CancelWork(attempt.work_id),
             )
@@ -268,14 +274,14 @@
         if transaction is None:
             return
         if transaction.via is not None:
-            self._desk.send(
-                names.forwarder(self._desk.vm),
+            self._dispatcher.send(
+                names.forwarder(self._dispatcher.vm),
                 core.ForwardEnd(transaction.number),
             )
             return
         if transaction.instance not in self._roster:
             return
-        self._desk.send(
+        self._dispatcher.send(
             self._roster.lane(transaction.instance),
             core.EndTransaction(transaction.number),
         )
@@ -308,6 +314,11 @@
     def _record_result(
         self, attempt: sessions.Attempt, ended: core.WorkEnded
     ) -> None:
+        """Record the position, run time and lag that the result shows.
+
+        A position of the primary counts only if this VM had authority over
+        it; it is passed on to the view exchange, which sends it to the peers.
+        """
         group = self._roster.groups.get(attempt.route.service)
         if group is None:
             return
@@ -320,13 +331,15 @@
             observed = core.PrimaryObserved(
                 group.service, ended.position, ended.asked_at
             )
-            self._desk.send(names.exchange(self._desk.vm), observed)
+            self._dispatcher.send(
+                names.exchange(self._dispatcher.vm), observed
+            )
         pool_instance = group.instances.get(ended.instance)
         if pool_instance is None:
             return
         if ended.sent_at is not None:
             self._record_run_time(
-                pool_instance, ended, self._desk.now() - ended.sent_at
+                pool_instance, ended, self._dispatcher.now() - ended.sent_at
             )
         if ended.refusal is core.Refusal.NOT_FRESH:
             pool_instance.fell_behind(attempt.needs_age, boot_now)
@@ -337,7 +350,7 @@
         ended: core.WorkEnded,
         seconds: float,
     ) -> None:
-        self._desk.meters.record(
+        self._dispatcher.meters.record(
             _Metric.RUN,
             seconds,
             instance=ended.instance,
@@ -369,7 +382,9 @@
 
     def report_trouble(self, name: core.InstanceName) -> None:
         """Have the reachability monitor check an instance."""
-        self._desk.send(names.watch(self._desk.vm), core.InstanceTrouble(name))
+        self._dispatcher.send(
+            names.watch(self._dispatcher.vm), core.InstanceTrouble(name)
+        )
 
     # -- answers --------------------------------------------------------
 
--- a/src/chicoryusher/tasks/pool/choosing.py
+++ b/src/chicoryusher/tasks/pool/choosing.py
@@ -87,10 +87,13 @@
     work_id: core.WorkId,
     owner: core.TaskName,
     now: float,
-    begins: core.Begins | None,
-    after: core.Position | None,
+    begin_kind: core.Begins | None,
+    min_position: core.Position | None,
 ) -> core.Work:
-    """Create the work for an instance pool from the statement."""
+    """Create the work for an instance pool from the statement.
+
+    ``min_position`` is the log position that a replica must have reached.
+    """
     session = attempt.session
     transaction = session.transaction
     route = attempt.route
@@ -107,6 +110,6 @@
         min(route.target * READ_TIMEOUT_TARGET_SHARE, MAX_READ_TIMEOUT_S),
         now,
         None if transaction is None else transaction.number,
-        begins,
-        after,
+        begin_kind,
+        min_position,
     )
--- a/src/chicoryusher/tasks/pool/conns.py
+++ b/src/chicoryusher/tasks/pool/conns.py
@@ -1,4 +1,4 @@
-"""Pooled connections of one lane; each lives by the chart ``connection``."""
+"""Connections of one instance pool; their states follow ``connection``."""
 
 from __future__ import annotations
 
@@ -14,7 +14,14 @@
 
 
 class PoolConn:
-    """One connection, what it holds, and what it has been sent."""
+    """One connection with its session state and the commands in flight.
+
+    ``sent`` are the operations whose replies have not come yet;
+    ``doubtful`` is set when the instance refused a setup command, so that
+    the connection must be closed and not used.  ``sent_at`` is when the
+    last commands were sent, on the runtime's clock, and ``asked_at`` when
+    the work was sent, on the clock that also counts suspended time.
+    """
 
     def __init__(self, conn_id: core.ConnId, now: float) -> None:
         self.state = core.ConnState.CONNECTING
@@ -30,7 +37,7 @@
 
 
 class PoolConns:
-    """The connections of one lane."""
+    """The connections of one instance pool."""
 
     def __init__(self) -> None:
         self._chart = charts.compiled('connection')
@@ -43,45 +50,48 @@
 
     @property
     def connecting(self) -> int:
-        """Return how many connections are being opened."""
-        return len(self._in(core.ConnState.CONNECTING))
+        """Return the number of connections that are being opened."""
+        return len(self._in_state(core.ConnState.CONNECTING))
 
-    def _in(self, state: core.ConnState) -> list[PoolConn]:
-        return [one for one in self._conns.values() if one.state is state]
+    def _in_state(self, state: core.ConnState) -> list[PoolConn]:
+        return [conn for conn in self._conns.values() if conn.state is state]
 
     def all(self) -> list[PoolConn]:
         """Return every connection."""
         return list(self._conns.values())
 
     def idle(self) -> list[PoolConn]:
-        """Return the connections that are free."""
-        return self._in(core.ConnState.IDLE)
+        """Return the connections that are free for new work."""
+        return self._in_state(core.ConnState.IDLE)
 
     def busy(self) -> list[PoolConn]:
-        """Return the connections that wait for an answer."""
-        return [one for one in self._conns.values() if one.sent]
+        """Return the connections that wait for a reply."""
+        return [conn for conn in self._conns.values() if conn.sent]
 
     def find(self, conn_id: core.ConnId) -> PoolConn | None:
-        """Return a connection by its id."""
+        """Return the connection with an id, None if it is closed."""
         return self._conns.get(conn_id)
 
     def of(self, transaction: core.TransactionId) -> PoolConn | None:
-        """Return the connection that a transaction is pinned to."""
+        """Return the connection that is pinned to a transaction, if any."""
         return self._pinned.get(transaction)
 
     def new(self, now: float) -> PoolConn:
-        """Return a new connection to open."""
+        """Create a connection, which the caller must open."""
         conn = PoolConn(core.ConnId(next(self._numbers)), now)
         self._conns[conn.conn_id] = conn
         return conn
 
     def opened(self, conn: PoolConn, now: float) -> None:
-        """Note that a connection is ready."""
+        """Record that a connection is open and idle."""
         self._chart.fire(conn, 'opened')
         conn.idle_since = now
 
     def run(self, conn: PoolConn, work: core.Work | None) -> None:
-        """Occupy a connection."""
+        """Mark a connection as running work, and pin it to its transaction.
+
+        Without ``work`` the connection rolls a transaction back.
+        """
         self._chart.fire(conn, 'run')
         conn.work = work
         if work is not None and work.transaction is not None:
@@ -89,7 +99,7 @@
             self._pinned[work.transaction] = conn
 
     def finished(self, conn: PoolConn, pinned: bool, now: float) -> None:
-        """Free a connection, or keep it for its transaction."""
+        """Free a connection, or leave it pinned to its transaction."""
         self._chart.fire(conn, 'finished', pinned)
         conn.work = None
         conn.idle_since = now
@@ -97,7 +107,7 @@
             self._unpin(conn)
 
     def lost(self, conn: PoolConn) -> None:
-        """Forget a connection that has ended."""
+        """Remove a closed connection."""
         self._chart.fire(conn, 'lost')
         self._conns.pop(conn.conn_id, None)
         self._unpin(conn)
--- a/src/chicoryusher/tasks/pool/crew.py
+++ b/src/chicoryusher/tasks/pool/crew.py
@@ -1,4 +1,4 @@
-"""The entry VMs of a deployment, as one of them knows them."""
+"""Entry VMs of the deployment, as registered in the store."""
 
 from __future__ import annotations
 
@@ -9,77 +9,86 @@
 
 __all__ = ['Crew']
 
-# Seconds of silence after which a VM is marked as missing.
-MISSING_AFTER = 6.0
-# Seconds that a mark must stand before its VM needs no asking any more: one
-# that reaches the store sees it and registers again, one that does not has
-# no authority left.
-MARK_SETTLES = 2.0 * decisions.LAPSE
-# Seconds that a mark must stand before its VM has no vote: one that reaches
-# the store has written its row again by then.
-MARK_STANDS = 1.0
-# Seconds between marks of one VM.
-MARK_AGAIN = 3.0
+# Seconds without a response after which a VM is marked as missing.
+MISSING_AFTER_S = 6.0
+# Seconds after the mark until a missing VM is assumed to have no authority.
+# If it reaches the store, it sees the mark and registers again; if it does
+# not, its authority has expired by then.
+MARK_ENDS_AUTHORITY_S = 2.0 * decisions.LAPSE
+# Seconds after the mark until a missing VM has no vote.  If it reaches the
+# store, it has written its row again by then.
+MARK_ENDS_VOTE_S = 1.0
+# Minimum seconds between two marks of the same VM.
+MARK_INTERVAL_S = 3.0
 
 
 class Crew:
-    """Rows of other VMs, and when they were first seen as they are."""
+    """Rows of the other VMs, and since when each row is unchanged."""
 
     def __init__(self, own: core.VmName) -> None:
         self._own = own
         self._rows: dict[core.VmName, core.NodeRow] = {}
-        self._since: dict[core.VmName, float] = {}
+        self._unchanged_since: dict[core.VmName, float] = {}
         self._marked_at: dict[core.VmName, float] = {}
 
-    def take(self, rows: tuple[core.NodeRow, ...], now: float) -> None:
-        """Take every row that the store has."""
-        found = {one.vm: one for one in rows if one.vm != self._own}
-        for vm, row in found.items():
+    def replace_rows(self, rows: tuple[core.NodeRow, ...], now: float) -> None:
+        """Replace all rows by those of the store."""
+        others = {node.vm: node for node in rows if node.vm != self._own}
+        for vm, row in others.items():
             if self._rows.get(vm) != row:
-                self._since[vm] = now
-        self._rows = found
+                self._unchanged_since[vm] = now
+        self._rows = others
 
-    def callable(self) -> tuple[core.NodeRow, ...]:
-        """Return the VMs that are worth a call."""
-        return tuple(one for one in self._rows.values() if one.is_callable)
+    def contactable(self) -> tuple[core.NodeRow, ...]:
+        """Return the VMs that have not left and are not marked as missing."""
+        return tuple(row for row in self._rows.values() if row.is_callable)
 
-    def concerned(self, now: float) -> tuple[core.VmName, ...]:
-        """Return the VMs that may use a primary, or change one."""
+    def authority_users(self, now: float) -> tuple[core.VmName, ...]:
+        """Return the VMs that may still use or change a primary."""
         return tuple(
             vm
             for vm, row in self._rows.items()
             if row.life is not core.NodeLife.LEFT
-            and not self._marked_for(row, MARK_SETTLES, now)
+            and not self._is_marked_for(row, MARK_ENDS_AUTHORITY_S, now)
         )
 
     def voters(self, now: float) -> tuple[core.VmName, ...]:
-        """Return the VMs of which most must miss a primary.
+        """Return the VMs whose majority must be unable to reach a primary.
 
-        Not only those that are heard: a VM that is alone in a partition
-        hears nobody, and may not replace what the others use.
+        VMs that do not respond are included: a VM that is isolated by a
+        network partition gets no responses, and must not replace a primary
+        that the other VMs use.
         """
         return tuple(
             vm
             for vm, row in self._rows.items()
             if row.life is not core.NodeLife.LEFT
-            and not self._marked_for(row, MARK_STANDS, now)
+            and not self._is_marked_for(row, MARK_ENDS_VOTE_S, now)
         )
 
-    def _marked_for(
+    def _is_marked_for(
         self, row: core.NodeRow, seconds: float, now: float
     ) -> bool:
-        return row.missing and now - self._since[row.vm] >= seconds
+        return row.missing and now - self._unchanged_since[row.vm] >= seconds
 
-    def silent(
-        self, heard: Mapping[core.VmName, float], now: float
+    def newly_missing(
+        self, response_times: Mapping[core.VmName, float], now: float
     ) -> tuple[core.NodeRow, ...]:
-        """Return the VMs to be marked as missing now."""
-        found = []
-        for row in self.callable():
-            known = max(self._since[row.vm], heard.get(row.vm, 0.0))
-            marked = self._marked_at.get(row.vm, float('-inf'))
-            if now - known < MISSING_AFTER or now - marked < MARK_AGAIN:
+        """Return the rows of the VMs to mark as missing now.
+
+        ``response_times`` is when each VM last responded.
+        """
+        rows_to_mark = []
+        for row in self.contactable():
+            unresponsive_since = max(
+                self._unchanged_since[row.vm], response_times.get(row.vm, 0.0)
+            )
+            marked_at = self._marked_at.get(row.vm, float('-inf'))
+            if (
+                now - unresponsive_since < MISSING_AFTER_S
+                or now - marked_at < MARK_INTERVAL_S
+            ):
                 continue
             self._marked_at[row.vm] = now
-            found.append(row)
-        return tuple(found)
+            rows_to_mark.append(row)
+        return tuple(rows_to_mark)
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/exchange.py
@@ -1,8 +1,9 @@
-"""The exchange: what the store holds, shared with the other VMs.
+"""View exchange: shares views of the store between the entry VMs.
 
-A few VMs follow the store; the others have their views from them.  All
-ask each other regularly, which also shows who lives, and carries the
-authority to use primaries on.
+A view is this VM's copy of one partition of the store, such as the leader
+rows.  A few VMs poll the store; the others get their views from them.  All
+VMs ping each other regularly.  The pings also show which VMs are live, and
+extend the authority to use primaries while the store can't be reached.
 """
 
 from __future__ import annotations
@@ -18,35 +19,38 @@
 
 __all__ = ['Exchange']
 
-# Seconds between questions to each peer of this VM's region.
-PING = 0.5
-# Turns between questions to peers of other regions, where bytes cost.
-FAR_TURNS = 2
-# Seconds since its last answer for which a peer counts as live.
-LIVE = 2.2
-# Questions that may still be answered.
-OPEN_PINGS = 12
-# VMs that follow the store while all is well; two, so that one may die.
-FOLLOWERS = 2
-# Seconds of age of its views after which a VM follows the store itself.
-# A follower's own are up to two waits old (1.3 and 2.5 s), and a peer of
-# another region is asked each second.
-FOLLOW_ALONE = {
+# Seconds between pings to each peer of this VM's region.
+PING_INTERVAL_S = 0.5
+# Peers of other regions are pinged at every second tick only, because
+# traffic between regions is costly.
+TICKS_PER_REMOTE_PING = 2
+# Seconds without a response after which a peer no longer counts as live.
+PEER_TIMEOUT_S = 2.2
+# Number of the latest pings whose responses are still accepted.
+MAX_OPEN_PINGS = 12
+# VMs that poll the store in normal operation; two, so that one may fail.
+STORE_POLLER_COUNT = 2
+# Maximum age of a view in seconds; a VM with an older view polls the store
+# itself.  The views of a store poller are up to two long polls old (1.3 s
+# for the leader rows, 2.5 s for the instances), and a peer of another region
+# is pinged only once a second.
+MAX_VIEW_AGE_S = {
     core.StoreView.LEADS: 2.4,
     core.StoreView.INSTANCES: 6.5,
 }
-# Orders in which VMs follow the store, and mark those that are missing.
-_FOLLOWING = core.ServiceName('follow')
-_MARKING = core.ServiceName('mark')
-_LEADS = core.StoreView.LEADS
+# Keys of the VM rankings that select the store pollers, and the VM that marks
+# other VMs as missing.
+_POLLER_RANKING = core.ServiceName('follow')
+_MARKER_RANKING = core.ServiceName('mark')
+_LEADERS = core.StoreView.LEADS
 
 
 class _Tick(core.Message):
-    """Time to ask peers."""
+    """Ping the peers and do the periodic checks."""
 
 
 class Exchange(runtime.Task):
-    """Hold a view of each part of the store; pass it on."""
+    """Keep a view of each store partition and exchange it with the peers."""
 
     def __init__(
         self,
@@ -58,121 +62,134 @@
     ) -> None:
         super().__init__(loop, vm, 'exchange')
         self._clock = loop.clock
-        self._own = own
+        self._own_row = own
         self._regions = regions
         self._feeds = feeds
-        self._following = True
-        self._registered = False
-        self._own_in_store: core.NodeRow | None = None
-        self._gone = False
-        self._changing = False
-        self._crew = crew.Crew(vm)
+        self._polling = True
+        self._row_registered = False
+        self._stored_row: core.NodeRow | None = None
+        self._has_left = False
+        self._change_under_way = False
+        self._entry_vms = crew.Crew(vm)
         self._views = {kind: decisions.Views() for kind in core.StoreView}
-        self._held: dict[core.StoreView, core.Message] = {}
-        self._leads = leads_module.Leads()
+        self._contents: dict[core.StoreView, core.Message] = {}
+        self._leaders = leads_module.Leads()
         self._observed: dict[core.ServiceName, core.PrimaryObserved] = {}
-        self._pings: dict[int, float] = {}
-        self._ping = 0
-        self._heard: dict[core.VmName, float] = {}
-        self._grants: dict[core.VmName, float] = {}
+        self._ping_times: dict[int, float] = {}
+        self._ping_number = 0
+        self._response_times: dict[core.VmName, float] = {}
+        self._grant_times: dict[core.VmName, float] = {}
         self._had_authority = False
-        self.after(PING, _Tick())
+        self.after(PING_INTERVAL_S, _Tick())
 
     def view_age(self, kind: core.StoreView) -> float:
-        """Return the age of a view in seconds."""
+        """Return for how many seconds a view has not been confirmed."""
         return self._views[kind].age(self._clock.running_on())
 
-    # -- parts of the store, own or passed on ---------------------------
+    # -- store partitions, polled or received from a peer ---------------
 
-    def _newer(
+    def _store_if_newer(
         self, kind: core.StoreView, revision: int, message: core.Message
     ) -> bool:
-        """Keep a part of the store unless a newer one is held."""
+        """Store a partition's content unless a newer one is stored.
+
+        Return whether it was stored.
+        """
         views = self._views[kind]
-        if kind in self._held and revision <= views.revision:
+        if kind in self._contents and revision <= views.revision:
             return False
         views.know(revision)
-        self._held[kind] = message
+        self._contents[kind] = message
         return True
 
     @runtime.handles(core.PoolConfigInForce)
     def _on_config(self, message: core.PoolConfigInForce) -> None:
         version = message.config.version
-        if self._newer(core.StoreView.CONFIG, version, message):
+        if self._store_if_newer(core.StoreView.CONFIG, version, message):
             self.send(names.keeper(self.vm), message)
 
     @runtime.handles(core.RegisteredInstances)
     def _on_instances(self, message: core.RegisteredInstances) -> None:
         kind = core.StoreView.INSTANCES
-        if self._newer(kind, message.revision, message):
+        if self._store_if_newer(kind, message.revision, message):
             self.send(names.keeper(self.vm), message)
 
     @runtime.handles(core.NodesInStore)
     def _on_nodes(self, message: core.NodesInStore) -> None:
         kind = core.StoreView.NODES
-        if not self._newer(kind, message.revision, message):
+        if not self._store_if_newer(kind, message.revision, message):
             return
-        self._crew.take(message.rows, self.now())
+        self._entry_vms.replace_rows(message.rows, self.now())
         peers = tuple(
-            core.PeerAddress(one.vm, one.host, one.port)
-            for one in self._crew.callable()
+            core.PeerAddress(row.vm, row.host, row.port)
+            for row in self._entry_vms.contactable()
         )
         self.send(names.peers(self.vm), core.PeerAddresses(peers))
-        self._take_own(message.rows)
-        self._tell_live()
+        self._check_own_row(message.rows)
+        self._report_live()
 
-    def _take_own(self, rows: tuple[core.NodeRow, ...]) -> None:
-        """Look at this VM's row; write it if it is not as it should be.
+    def _check_own_row(self, rows: tuple[core.NodeRow, ...]) -> None:
+        """Write this VM's row again if the stored row differs from it.
 
-        A row of an earlier life counts too while that served: a change of
-        primary waits for whoever answers at the row's address.
+        The row of an earlier incarnation also counts as a registration if
+        that incarnation was serving: a change of primary waits for the VM
+        that responds at the row's address.
         """
-        row = next((one for one in rows if one.vm == self._own.vm), None)
-        self._own_in_store = row
-        self._registered = row is not None and self._is_waited_for(row)
-        if row != self._own and not self._gone:
-            self.send(names.rows(self.vm), core.WriteNode(self._own))
-
-    def _is_waited_for(self, row: core.NodeRow) -> bool:
-        if row == self._own:
+        row = next(
+            (stored for stored in rows if stored.vm == self._own_row.vm), None
+        )
+        self._stored_row = row
+        self._row_registered = row is not None and self._registers_this_vm(row)
+        if row != self._own_row and not self._has_left:
+            self.send(names.rows(self.vm), core.WriteNode(self._own_row))
+
+    def _registers_this_vm(self, row: core.NodeRow) -> bool:
+        """Return whether the row makes this VM count as registered."""
+        if row == self._own_row:
             return True
         serving = row.life is core.NodeLife.SERVING and not row.missing
-        address = (self._own.host, self._own.port)
+        address = (self._own_row.host, self._own_row.port)
         return serving and (row.host, row.port) == address
 
     @runtime.handles(core.LeadsInStore)
     def _on_leads(self, message: core.LeadsInStore) -> None:
-        newer = tuple(one for one in message.rows if self._leads.take(one))
+        newer = tuple(
+            leader_row
+            for leader_row in message.rows
+            if self._leaders.take(leader_row)
+        )
         for row in newer:
-            self._views[_LEADS].know(row.revision)
-        self._held[_LEADS] = core.LeadsInStore(self._leads.rows())
+            self._views[_LEADERS].know(row.revision)
+        self._contents[_LEADERS] = core.LeadsInStore(self._leaders.rows())
         self.send(names.keeper(self.vm), message)
         if newer:
-            self._to_live(core.LeadsInStore(newer))
+            self._send_to_live(core.LeadsInStore(newer))
 
     @runtime.handles(core.StoreSeen)
     def _on_seen(self, message: core.StoreSeen) -> None:
-        """Take the age of an own view.
+        """Record that a poll of the store confirmed a view.
 
-        A VM that the store does not list yet would not be waited for by
-        a change of primary, so its view gives it no authority.
+        A change of primary does not wait for a VM that is not registered in
+        the store yet, so a view of the leader rows gives such a VM no
+        authority.
         """
-        if message.kind is _LEADS and not self._registered:
+        if message.kind is _LEADERS and not self._row_registered:
             return
         if self._views[message.kind].own(message.asked_at):
-            self._viewed(message.kind)
+            self._on_view_confirmed(message.kind)
 
-    def _viewed(self, kind: core.StoreView) -> None:
-        if kind is _LEADS:
-            self._tell_authority()
+    def _on_view_confirmed(self, kind: core.StoreView) -> None:
+        if kind is _LEADERS:
+            self._send_authority()
         elif kind is core.StoreView.INSTANCES:
             seen_at = self._views[kind].seen_at
             self.send(names.keeper(self.vm), core.StoreSeen(kind, seen_at))
 
-    def _tell_authority(self) -> None:
-        if self._gone:
+    def _send_authority(self) -> None:
+        """Send the end of this VM's authority to the dispatcher."""
+        if self._has_left:
             return
-        until = self._views[_LEADS].until()
+        until = self._views[_LEADERS].until()
         self.send(names.desk(self.vm), core.Authority(until))
         valid = self._clock.running_on() < until
         if valid and not self._had_authority:
@@ -181,90 +198,107 @@
 
     @runtime.handles(core.ViewFetch)
     def _on_fetch(self, fetch: core.ViewFetch) -> None:
-        held = self._held.get(fetch.kind)
-        if held is not None:
-            self._ask_peer(fetch.vm, held)
+        content = self._contents.get(fetch.kind)
+        if content is not None:
+            self._send_to_peer(fetch.vm, content)
 
-    # -- questions to peers ---------------------------------------------
+    # -- pings and periodic checks --------------------------------------
 
-    def _live(self) -> tuple[core.VmName, ...]:
+    def _live_vms(self) -> tuple[core.VmName, ...]:
         now = self.now()
         return tuple(
-            one.vm
-            for one in self._crew.callable()
-            if now - self._heard.get(one.vm, -LIVE) < LIVE
+            row.vm
+            for row in self._entry_vms.contactable()
+            if now - self._response_times.get(row.vm, -PEER_TIMEOUT_S)
+            < PEER_TIMEOUT_S
         )
 
-    def _to_live(self, message: core.Message) -> None:
-        for vm in self._live():
-            self._ask_peer(vm, message)
+    def _send_to_live(self, message: core.Message) -> None:
+        for vm in self._live_vms():
+            self._send_to_peer(vm, message)
 
-    def _ask_peer(self, vm: core.VmName, message: core.Message) -> None:
+    def _send_to_peer(self, vm: core.VmName, message: core.Message) -> None:
         self.send(names.peers(self.vm), core.ToPeer(vm, message))
 
-    def _tell_live(self) -> None:
-        live = self._live()
+    def _report_live(self) -> None:
+        """Send the live VMs to the tasks of this VM that use them."""
+        live = self._live_vms()
         self.meters.show(core.Metric.LIVE_VMS, len(live) + 1)
         now = self.now()
         message = core.LivePeers(
-            live, self._crew.concerned(now), self._crew.voters(now)
+            live,
+            self._entry_vms.authority_users(now),
+            self._entry_vms.voters(now),
         )
         self.send(names.keeper(self.vm), message)
         self.send(names.watch(self.vm), message)
         self.send(names.desk(self.vm), self._live_nodes(live))
 
     def _live_nodes(self, live: tuple[core.VmName, ...]) -> core.LiveNodes:
-        own = core.NodePlace(self.vm, self._own.zone)
+        own = core.NodePlace(self.vm, self._own_row.zone)
         others = [
-            core.NodePlace(one.vm, one.zone)
-            for one in self._crew.callable()
-            if one.vm in live
+            core.NodePlace(node.vm, node.zone)
+            for node in self._entry_vms.contactable()
+            if node.vm in live
         ]
-        nodes = sorted([own, *others], key=lambda one: one.vm)
+        nodes = sorted([own, *others], key=lambda node: node.vm)
         return core.LiveNodes(tuple(nodes))
 
     @runtime.handles(_Tick)
     def _on_tick(self, tick: _Tick) -> None:
-        self.after(PING, tick)
+        self.after(PING_INTERVAL_S, tick)
         self._ping_peers()
-        self._tell_live()
-        self._drop_silent()
+        self._report_live()
+        self._disconnect_unresponsive()
         self._mark_missing()
-        self._choose_followers()
-        self._note_lapse()
+        self._update_polling()
+        self._log_expired_authority()
 
     def _ping_peers(self) -> None:
-        self._ping += 1
-        self._pings[self._ping] = self._clock.running_on()
-        self._pings.pop(self._ping - OPEN_PINGS, None)
-        ping = core.Ping(self.vm, self._ping)
-        for row in self._crew.callable():
-            if self._is_near(row) or self._ping % FAR_TURNS == 0:
-                self._ask_peer(row.vm, ping)
+        self._ping_number += 1
+        self._ping_times[self._ping_number] = self._clock.running_on()
+        self._ping_times.pop(self._ping_number - MAX_OPEN_PINGS, None)
+        ping = core.Ping(self.vm, self._ping_number)
+        for row in self._entry_vms.contactable():
+            if (
+                self._is_near(row)
+                or self._ping_number % TICKS_PER_REMOTE_PING == 0
+            ):
+                self._send_to_peer(row.vm, ping)
 
     def _is_near(self, row: core.NodeRow) -> bool:
-        near = decisions.nearness(self._own.zone, row.zone, self._regions.get)
+        near = decisions.nearness(
+            self._own_row.zone, row.zone, self._regions.get
+        )
         return near is not core.Nearness.OTHER_REGION
 
-    def _drop_silent(self) -> None:
-        """End streams on which nothing is heard; new ones may work."""
+    def _disconnect_unresponsive(self) -> None:
+        """Close the streams to peers that time out; new streams may work."""
         now = self.now()
-        silent = tuple(
+        unresponsive = tuple(
             (vm, core.VmState.GONE)
-            for vm, heard in self._heard.items()
-            if now - heard >= LIVE
+            for vm, responded_at in self._response_times.items()
+            if now - responded_at >= PEER_TIMEOUT_S
         )
-        for vm, _ in silent:
-            del self._heard[vm]
-        if silent:
-            self.send(names.peers(self.vm), core.LiveVms((), silent))
+        for vm, _ in unresponsive:
+            del self._response_times[vm]
+        if unresponsive:
+            self.send(names.peers(self.vm), core.LiveVms((), unresponsive))
 
     def _mark_missing(self) -> None:
-        """Say in the store that a VM has been silent for long."""
-        if self._own.life is not core.NodeLife.SERVING:
+        """Mark VMs in the store that have not responded for a long time.
+
+        Of the live VMs only the first in the ranking writes the mark.
+        """
+        if self._own_row.life is not core.NodeLife.SERVING:
             return
-        for row in self._crew.silent(self._heard, self.now()):
-            if decisions.rank_of(self.vm, self._live(), _MARKING) == 0:
+        for row in self._entry_vms.newly_missing(
+            self._response_times, self.now()
+        ):
+            if (
+                decisions.rank_of(self.vm, self._live_vms(), _MARKER_RANKING)
+                == 0
+            ):
                 self.log.emit(core.LogEvent.VM_STATE, peer=row.vm)
                 missing = dataclasses.replace(row, missing=True)
                 self.send(
@@ -272,129 +306,147 @@
                     core.WriteNode(missing, row.revision),
                 )
 
-    def _choose_followers(self) -> None:
-        """Follow the store if it is this VM's turn, or others fail."""
-        now_on = self._clock.running_on()
-        rank = decisions.rank_of(self.vm, self._live(), _FOLLOWING)
-        alone = any(
-            self._views[kind].age(now_on) > bound
-            for kind, bound in FOLLOW_ALONE.items()
+    def _update_polling(self) -> None:
+        """Poll the store if this VM is ranked as poller or has old views."""
+        boot_now = self._clock.running_on()
+        rank = decisions.rank_of(self.vm, self._live_vms(), _POLLER_RANKING)
+        views_too_old = any(
+            self._views[kind].age(boot_now) > max_age
+            for kind, max_age in MAX_VIEW_AGE_S.items()
         )
-        follow = rank < FOLLOWERS or alone
-        if follow != self._following:
-            self._following = follow
+        poll = rank < STORE_POLLER_COUNT or views_too_old
+        if poll != self._polling:
+            self._polling = poll
             for feed in self._feeds:
-                self.send(feed, core.FollowStore(follow))
-
-    def _note_lapse(self) -> None:
-        views = self._views[_LEADS]
-        now_on = self._clock.running_on()
-        left = views.until() - now_on
-        self.meters.show(core.Metric.AUTHORITY_LEFT, left)
-        if self._had_authority and left <= 0.0:
+                self.send(feed, core.FollowStore(poll))
+
+    def _log_expired_authority(self) -> None:
+        """Show the remaining authority; log once when it has expired."""
+        views = self._views[_LEADERS]
+        boot_now = self._clock.running_on()
+        seconds_left = views.until() - boot_now
+        self.meters.show(core.Metric.AUTHORITY_LEFT, seconds_left)
+        if self._had_authority and seconds_left <= 0.0:
             self._had_authority = False
             self.log.emit(
                 core.LogEvent.AUTHORITY_LAPSED,
-                age=round(views.age(now_on), 3),
+                age=round(views.age(boot_now), 3),
             )
 
     @runtime.handles(core.Ping)
     def _on_ping(self, ping: core.Ping) -> None:
-        now_on = self._clock.running_on()
+        boot_now = self._clock.running_on()
         pong = core.Pong(
             self.vm,
             ping.number,
-            _LEADS in self._held and not self._changing and not self._gone,
+            _LEADERS in self._contents
+            and not self._change_under_way
+            and not self._has_left,
             tuple(
-                core.PeerView(kind, one.age(now_on), one.revision)
-                for kind, one in self._views.items()
-                if kind in self._held
+                core.PeerView(kind, entry.age(boot_now), entry.revision)
+                for kind, entry in self._views.items()
+                if kind in self._contents
             ),
             tuple(
-                core.Observed(one.service, one.position, now_on - one.asked_at)
-                for one in self._observed.values()
-                if now_on - one.asked_at < decisions.LAPSE
+                core.Observed(
+                    entry.service, entry.position, boot_now - entry.asked_at
+                )
+                for entry in self._observed.values()
+                if boot_now - entry.asked_at < decisions.LAPSE
             ),
         )
-        self._ask_peer(ping.vm, pong)
+        self._send_to_peer(ping.vm, pong)
 
     @runtime.handles(core.Pong)
     def _on_pong(self, pong: core.Pong) -> None:
-        self._heard[pong.vm] = self.now()
-        sent_at = self._pings.get(pong.number)
+        self._response_times[pong.vm] = self.now()
+        sent_at = self._ping_times.get(pong.number)
         if sent_at is None:
             return
-        knows_leads = True
-        for theirs in pong.views:
-            mine = self._views[theirs.kind]
-            if theirs.revision > mine.revision or (
-                theirs.kind not in self._held
+        leaders_current = True
+        for peer_view in pong.views:
+            own_view = self._views[peer_view.kind]
+            if peer_view.revision > own_view.revision or (
+                peer_view.kind not in self._contents
             ):
-                fetch = core.ViewFetch(self.vm, theirs.kind)
-                self._ask_peer(pong.vm, fetch)
-                knows_leads = knows_leads and theirs.kind is not _LEADS
-            elif self._counts(theirs.kind) and mine.passed_on(
-                sent_at, theirs.age, theirs.revision
+                fetch = core.ViewFetch(self.vm, peer_view.kind)
+                self._send_to_peer(pong.vm, fetch)
+                leaders_current = (
+                    leaders_current and peer_view.kind is not _LEADERS
+                )
+            elif self._may_confirm(peer_view.kind) and own_view.passed_on(
+                sent_at, peer_view.age, peer_view.revision
             ):
-                self._viewed(theirs.kind)
-        if pong.quiet and knows_leads:
-            self._grants[pong.vm] = sent_at
-            self._use_grants()
-        for one in pong.observed:
+                self._on_view_confirmed(peer_view.kind)
+        if pong.quiet and leaders_current:
+            self._grant_times[pong.vm] = sent_at
+            self._extend_authority()
+        for observation in pong.observed:
             self.send(
                 names.desk(self.vm),
                 core.PrimaryObserved(
-                    one.service, one.position, sent_at - one.age
+                    observation.service,
+                    observation.position,
+                    sent_at - observation.age,
                 ),
             )
 
-    def _counts(self, kind: core.StoreView) -> bool:
-        return kind is not _LEADS or self._registered
+    def _may_confirm(self, kind: core.StoreView) -> bool:
+        """Return whether a peer's view may renew this VM's view."""
+        return kind is not _LEADERS or self._row_registered
+
+    def _extend_authority(self) -> None:
+        """Extend the authority if all VMs that could change a primary agree.
 
-    def _use_grants(self) -> None:
-        """Carry authority on if every VM that could change it agrees."""
-        now_on = self._clock.running_on()
-        asked = [
-            self._grants.get(vm, float('-inf'))
-            for vm in self._crew.concerned(self.now())
+        Each of them has granted it by its response to a ping: no change of
+        primary was under way there.
+        """
+        boot_now = self._clock.running_on()
+        granted_at = [
+            self._grant_times.get(vm, float('-inf'))
+            for vm in self._entry_vms.authority_users(self.now())
         ]
-        oldest = min(asked, default=now_on)
-        if self._views[_LEADS].granted(oldest, now_on):
-            self._tell_authority()
+        oldest = min(granted_at, default=boot_now)
+        if self._views[_LEADERS].granted(oldest, boot_now):
+            self._send_authority()
 
-    # -- from this VM's tasks -------------------------------------------
+    # -- messages from this VM's tasks ----------------------------------
 
     @runtime.handles(core.PrimaryObserved)
     def _on_observed(self, message: core.PrimaryObserved) -> None:
-        known = self._observed.get(message.service)
-        if known is None or message.asked_at > known.asked_at:
+        previous = self._observed.get(message.service)
+        if previous is None or message.asked_at > previous.asked_at:
             self._observed[message.service] = message
 
     @runtime.handles(core.ChangesUnderWay)
     def _on_changes(self, message: core.ChangesUnderWay) -> None:
-        self._changing = message.any
+        self._change_under_way = message.any
 
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
-        """Say that this VM leaves; a change under way goes on."""
+        """Register this VM as leaving.
+
+        A change of primary that it coordinates goes on.
+        """
         life = core.NodeLife.LEAVING
-        self._own = dataclasses.replace(self._own, life=life)
-        self.send(names.rows(self.vm), core.WriteNode(self._own))
+        self._own_row = dataclasses.replace(self._own_row, life=life)
+        self.send(names.rows(self.vm), core.WriteNode(self._own_row))
 
     @runtime.handles(core.Leave)
     def _on_leave(self, message: core.Leave) -> None:
-        """Use no primary any more, and say that nobody waits for this VM.
+        """End the use of primaries and register this VM as having left.
 
-        That is written only over the row that says that it leaves.  The
-        next life of this VM does not count on such a row, so a write that
-        comes late can't take a row away that it counts on.
+        Changes of primary then no longer wait for this VM.  The row is
+        written only over the row that registers this VM as leaving.  The
+        next incarnation of this VM gets no authority from a leaving row, so
+        a delayed write can't replace a row that gives it authority.
         """
-        self._gone = True
-        self._registered = False
+        self._has_left = True
+        self._row_registered = False
         self.send(names.desk(self.vm), core.Authority(float('-inf')))
-        row = self._own_in_store
-        if row != self._own:
+        row = self._stored_row
+        if row != self._own_row:
             return
-        left = dataclasses.replace(self._own, life=core.NodeLife.LEFT)
+        left_row = dataclasses.replace(self._own_row, life=core.NodeLife.LEFT)
         assert row is not None
-        self.send(names.rows(self.vm), core.WriteNode(left, row.revision))
+        self.send(names.rows(self.vm), core.WriteNode(left_row, row.revision))
--- a/src/chicoryusher/tasks/pool/forwarded.py
+++ b/src/chicoryusher/tasks/pool/forwarded.py
@@ -1,4 +1,4 @@
-"""One piece of work that another VM runs; lives by ``forwarded``."""
+"""Work that another VM runs; its state follows the chart ``forwarded``."""
 
 from __future__ import annotations
 
@@ -7,23 +7,29 @@
 from chicoryusher import charts
 from chicoryusher import core
 
-__all__ = ['Forwarded']
+__all__ = ['ForwardedWork']
 
 _ENDED = core.Ended
 
 
 class Host(Protocol):
-    """The forwarder, as the work's chart sees it."""
+    """The operations of the forwarder that the chart's actions use."""
 
-    def report(self, one: Forwarded, ended: core.WorkEnded) -> None:
-        """Tell the owner what became of its work."""
+    def report(
+        self, remote_work: ForwardedWork, ended: core.WorkEnded
+    ) -> None:
+        """Report the result to the task that sent the work."""
+
+    def cancel_remote(self, remote_work: ForwardedWork) -> None:
+        """Cancel the work at the connection owner."""
 
-    def call_back(self, one: Forwarded) -> None:
-        """Tell the holder that nobody waits for the work."""
 
+class ForwardedWork:
+    """Work in flight at the connection owner ``via``.
 
-class Forwarded:
-    """Work under way, and when it left on both clocks (seconds)."""
+    It was sent at ``sent_at`` on the runtime's clock and at ``asked_at`` on
+    the clock that also counts time while the machine is suspended (seconds).
+    """
 
     def __init__(
         self,
@@ -42,8 +48,8 @@
         self.sent_at = sent_at
         self.asked_at = asked_at
 
-    def without_word(self, ended: core.Ended, sent: bool) -> core.WorkEnded:
-        """Return an end that the holder has not told of."""
+    def unreported_end(self, ended: core.Ended, sent: bool) -> core.WorkEnded:
+        """Create the result if the connection owner sent none."""
         return core.WorkEnded(
             self.work.work_id,
             self.instance,
@@ -54,37 +60,51 @@
 
 
 @charts.guard('forwarded.continues')
-def _continues(one: Forwarded, arg: object) -> bool:
-    """Tell whether a transaction that began before goes on."""
-    return one.work.transaction is not None and one.work.begins is None
+def _continues(remote_work: ForwardedWork, arg: object) -> bool:
+    """Return whether the work continues a transaction begun earlier."""
+    return (
+        remote_work.work.transaction is not None
+        and remote_work.work.begins is None
+    )
 
 
 @charts.action('forwarded.report')
-def _report(one: Forwarded, ended: core.WorkEnded) -> None:
-    one.host.report(one, ended)
+def _report(remote_work: ForwardedWork, ended: core.WorkEnded) -> None:
+    remote_work.host.report(remote_work, ended)
 
 
 @charts.action('forwarded.lose')
-def _lose(one: Forwarded, arg: object) -> None:
-    """End it as lost: it may have been run."""
-    one.host.report(one, one.without_word(_ENDED.LOST, True))
+def _lose(remote_work: ForwardedWork, arg: object) -> None:
+    """Report the work as lost; it may have been run."""
+    remote_work.host.report(
+        remote_work, remote_work.unreported_end(_ENDED.LOST, True)
+    )
 
 
 @charts.action('forwarded.lose_unsent')
-def _lose_unsent(one: Forwarded, arg: object) -> None:
-    one.host.report(one, one.without_word(_ENDED.LOST, False))
+def _lose_unsent(remote_work: ForwardedWork, arg: object) -> None:
+    """Report work that was not sent as lost, with its transaction."""
+    remote_work.host.report(
+        remote_work, remote_work.unreported_end(_ENDED.LOST, False)
+    )
 
 
 @charts.action('forwarded.give_back')
-def _give_back(one: Forwarded, arg: object) -> None:
-    one.host.report(one, one.without_word(_ENDED.NOT_STARTED, False))
+def _give_back(remote_work: ForwardedWork, arg: object) -> None:
+    """Report the work as not started, so that it may be retried."""
+    remote_work.host.report(
+        remote_work, remote_work.unreported_end(_ENDED.NOT_STARTED, False)
+    )
 
 
 @charts.action('forwarded.overrun')
-def _overrun(one: Forwarded, arg: object) -> None:
-    one.host.report(one, one.without_word(_ENDED.OVERTIME, True))
+def _time_out(remote_work: ForwardedWork, arg: object) -> None:
+    """Report that the work exceeded its time limit."""
+    remote_work.host.report(
+        remote_work, remote_work.unreported_end(_ENDED.OVERTIME, True)
+    )
 
 
 @charts.action('forwarded.call_back')
-def _call_back(one: Forwarded, arg: object) -> None:
-    one.host.call_back(one)
+def _cancel_remote(remote_work: ForwardedWork, arg: object) -> None:
+    remote_work.host.cancel_remote(remote_work)
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -1,4 +1,4 @@
-"""The forwarder: work that other VMs run for this one."""
+"""Forwarder: sends work to the VMs that own the needed connections."""
 
 from __future__ import annotations
 
@@ -12,35 +12,36 @@
 
 __all__ = ['Forwarder']
 
-# Seconds between looks at what is late, while work is under way.
-SWEEP = 0.1
-# Seconds over the patience of a read before its holder is given up; a
-# round trip between regions and a pause of the holder's loop.
-HOP = 0.1
+# Seconds between checks for timed-out work, while work is in flight.
+CHECK_INTERVAL_S = 0.1
+# Seconds added to the timeout of repeatable work, such as a read, before it
+# is given up here: a round trip between regions, and a pause of the event
+# loop of the connection owner.
+FORWARDING_ALLOWANCE_S = 0.1
 
 
-class _Sweep(core.Message):
-    """Time to look at what is late."""
+class _CheckTimeouts(core.Message):
+    """Check the work in flight for timeouts."""
 
 
 class Forwarder(runtime.Task):
-    """Send work to holders; tell its owner what became of it."""
+    """Send work to connection owners; report the results to its sender."""
 
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
         super().__init__(loop, vm, 'forwarder')
         self._clock = loop.clock
         self._chart = charts.compiled('forwarded')
-        self._away: dict[core.WorkId, forwarded.Forwarded] = {}
-        self._holders: dict[core.TransactionId, core.VmName] = {}
-        self._sweeping = False
+        self._in_flight: dict[core.WorkId, forwarded.ForwardedWork] = {}
+        self._conn_owners: dict[core.TransactionId, core.VmName] = {}
+        self._check_scheduled = False
 
-    # -- work out -------------------------------------------------------
+    # -- sending --------------------------------------------------------
 
     @runtime.handles(core.ForwardWork)
     def _on_work(self, message: core.ForwardWork) -> None:
         work, entry = message.work, message.entry
         now = self.now()
-        self._away[work.work_id] = forwarded.Forwarded(
+        self._in_flight[work.work_id] = forwarded.ForwardedWork(
             self,
             message.via,
             entry.name,
@@ -49,12 +50,12 @@
             self._clock.running_on(),
         )
         if work.transaction is not None:
-            self._holders[work.transaction] = message.via
+            self._conn_owners[work.transaction] = message.via
         self.meters.add(core.Metric.FORWARDED, instance=entry.name)
-        self._tell(message.via, self._relayed(entry, work, now))
-        self._sweep_soon()
+        self._send_to_peer(message.via, self._relay_message(entry, work, now))
+        self._schedule_check()
 
-    def _relayed(
+    def _relay_message(
         self, entry: core.InstanceEntry, work: core.Work, now: float
     ) -> core.RelayWork:
         return core.RelayWork(
@@ -75,35 +76,40 @@
             work.after,
         )
 
-    def _tell(self, vm: core.VmName, message: core.Message) -> None:
+    def _send_to_peer(self, vm: core.VmName, message: core.Message) -> None:
         self.send(names.peers(self.vm), core.ToPeer(vm, message))
 
-    # -- ends -----------------------------------------------------------
+    # -- results and cancellation ---------------------------------------
 
-    def _fire(
+    def _settle(
         self,
-        one: forwarded.Forwarded,
+        remote_work: forwarded.ForwardedWork,
         event: str,
         arg: core.WorkEnded | None = None,
     ) -> None:
-        del self._away[one.work.work_id]
-        self._chart.fire(one, event, arg)
+        del self._in_flight[remote_work.work.work_id]
+        self._chart.fire(remote_work, event, arg)
 
-    def report(self, one: forwarded.Forwarded, ended: core.WorkEnded) -> None:
-        """Tell the owner what became of its work."""
-        transaction = one.work.transaction
+    def report(
+        self, remote_work: forwarded.ForwardedWork, ended: core.WorkEnded
+    ) -> None:
+        """Report the result to the task that sent the work."""
+        transaction = remote_work.work.transaction
         if transaction is not None and ended.block is core.BlockState.IDLE:
-            self._holders.pop(transaction, None)
-        self.send(one.work.owner, ended)
-
-    def call_back(self, one: forwarded.Forwarded) -> None:
-        """Tell the holder that nobody waits for the work."""
-        self._tell(one.via, core.RelayCancel(self.vm, one.work.work_id))
+            self._conn_owners.pop(transaction, None)
+        self.send(remote_work.work.owner, ended)
+
+    def cancel_remote(self, remote_work: forwarded.ForwardedWork) -> None:
+        """Cancel the work at the connection owner."""
+        self._send_to_peer(
+            remote_work.via,
+            core.RelayCancel(self.vm, remote_work.work.work_id),
+        )
 
     @runtime.handles(core.RelayEnded)
     def _on_ended(self, message: core.RelayEnded) -> None:
-        one = self._away.get(message.work_id)
-        if one is None or one.via != message.vm:
+        remote_work = self._in_flight.get(message.work_id)
+        if remote_work is None or remote_work.via != message.vm:
             return
         ended = core.WorkEnded(
             message.work_id,
@@ -115,66 +121,70 @@
             message.detail,
             message.position,
             message.block,
-            one.sent_at if message.sent else None,
-            one.asked_at,
+            remote_work.sent_at if message.sent else None,
+            remote_work.asked_at,
         )
-        self._fire(one, 'ended', ended)
+        self._settle(remote_work, 'ended', ended)
 
     @runtime.handles(core.ForwardCancel)
     def _on_cancel(self, message: core.ForwardCancel) -> None:
-        one = self._away.get(message.work_id)
-        if one is not None:
-            self._fire(one, 'cancelled')
+        remote_work = self._in_flight.get(message.work_id)
+        if remote_work is not None:
+            self._settle(remote_work, 'cancelled')
 
     @runtime.handles(core.ForwardEnd)
     def _on_end(self, message: core.ForwardEnd) -> None:
-        via = self._holders.pop(message.transaction, None)
+        via = self._conn_owners.pop(message.transaction, None)
         if via is not None:
             rollback = core.RelayRollback(self.vm, message.transaction)
-            self._tell(via, rollback)
+            self._send_to_peer(via, rollback)
 
     @runtime.handles(core.ForwardStop)
     def _on_stop(self, message: core.ForwardStop) -> None:
-        for one in tuple(self._away.values()):
-            if one.instance == message.instance:
-                self._fire(one, 'stopped')
+        for remote_work in tuple(self._in_flight.values()):
+            if remote_work.instance == message.instance:
+                self._settle(remote_work, 'stopped')
 
     @runtime.handles(core.PeerDown)
     def _on_down(self, message: core.PeerDown) -> None:
-        for one in tuple(self._away.values()):
-            if one.via == message.vm:
-                self._fire(one, 'holder_lost')
-        for transaction, via in tuple(self._holders.items()):
+        for remote_work in tuple(self._in_flight.values()):
+            if remote_work.via == message.vm:
+                self._settle(remote_work, 'holder_lost')
+        for transaction, via in tuple(self._conn_owners.items()):
             if via == message.vm:
-                del self._holders[transaction]
+                del self._conn_owners[transaction]
 
     @runtime.handles(notices.Undelivered)
     def _on_undelivered(self, message: notices.Undelivered) -> None:
-        """End work that never left this VM."""
+        """Settle work that could not be sent to the connection owner."""
         relayed = message.message
         if not isinstance(relayed, core.RelayWork):
             return
-        one = self._away.get(relayed.work_id)
-        if one is not None and one.via == message.vm:
-            self._fire(one, 'undelivered')
+        remote_work = self._in_flight.get(relayed.work_id)
+        if remote_work is not None and remote_work.via == message.vm:
+            self._settle(remote_work, 'undelivered')
 
-    # -- time -----------------------------------------------------------
+    # -- timeouts -------------------------------------------------------
 
-    def _sweep_soon(self) -> None:
-        if self._away and not self._sweeping:
-            self._sweeping = True
-            self.after(SWEEP, _Sweep())
+    def _schedule_check(self) -> None:
+        if self._in_flight and not self._check_scheduled:
+            self._check_scheduled = True
+            self.after(CHECK_INTERVAL_S, _CheckTimeouts())
 
-    @runtime.handles(_Sweep)
-    def _on_sweep(self, sweep: _Sweep) -> None:
-        """Give up what the holder should have answered by now."""
-        self._sweeping = False
+    @runtime.handles(_CheckTimeouts)
+    def _on_check_timeouts(self, message: _CheckTimeouts) -> None:
+        """Give up work whose result should have come by now."""
+        self._check_scheduled = False
         now = self.now()
-        for one in tuple(self._away.values()):
-            elapsed = now - one.sent_at
-            repeats = decisions.may_repeat(one.work)
-            if repeats and elapsed > one.work.patience + HOP:
-                self._fire(one, 'silent')
-            elif elapsed >= one.work.limit:
-                self._fire(one, 'overtime')
-        self._sweep_soon()
+        for remote_work in tuple(self._in_flight.values()):
+            elapsed = now - remote_work.sent_at
+            repeats = decisions.may_repeat(remote_work.work)
+            if (
+                repeats
+                and elapsed
+                > remote_work.work.patience + FORWARDING_ALLOWANCE_S
+            ):
+                self._settle(remote_work, 'silent')
+            elif elapsed >= remote_work.work.limit:
+                self._settle(remote_work, 'overtime')
+        self._schedule_check()
