Reword pool/handover, pool/keeper, pool/watch and pool/leads

Comments, docstrings, constants with their units, and private names now use the terms of replication and failover. Actions and guards of the chart handover keep their names there; their functions say what they do.

--- a/src/chicoryusher/tasks/pool/__init__.py
+++ b/src/chicoryusher/tasks/pool/__init__.py
@@ -1,1 +1,5 @@
-"""Tasks of pooled sessions: desk, lanes, keeper, handovers."""
+"""Tasks of pooled sessions.
+
+The dispatcher owns sessions, an instance pool owns the connections to one
+instance, and the primary manager replaces primaries by handovers.
+"""
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -1,4 +1,7 @@
-"""A change of a group's primary, step by step after its chart."""
+"""Replace the primary of a database group.
+
+The steps are the states of the state chart ``handover``.
+"""
 
 from __future__ import annotations
 
@@ -12,57 +15,62 @@
 
 __all__ = ['Handover']
 
-# Seconds for an instance's status; a round trip between regions (42 ms),
-# a new connection (12 ms) and a wait for a slot at full load.
-STATUS_TIMEOUT = 0.4
-# Seconds for the status of an old primary that most VMs miss: it is asked
-# in case that it is back, and others do not wait for it.
-MISSED_TIMEOUT = 0.12
-# Seconds between fences to a VM that has not answered.
-FENCE_AGAIN = 0.4
-# Seconds between looks at a successor that does not lead yet; users
-# state 300 to 1,000 ms for a promotion.
-CONFIRM_PAUSE = 0.08
-# Seconds after which a promotion is taken to have failed.
-CONFIRM_LIMIT = 3.0
-# Seconds between looks at instances of which none answers.
-ASK_PAUSE = 0.25
-# Seconds before the open row is written again.
-OPEN_PAUSE = 0.1
-# Seconds between looks at a successor that is still behind.
-CATCH_UP_PAUSE = 0.05
-# Seconds that a successor may take to receive the old primary's tail.
-CATCH_UP_LIMIT = 2.0
-# Seconds that open transactions get where the old primary still serves.
-PLANNED_PATIENCE = 0.4
+# Covers a round trip between regions (42 ms), a new connection (12 ms) and
+# a wait for a slot of the instance at full load.
+STATUS_TIMEOUT_S = 0.4
+# Timeout for the status of an old primary that most VMs can't reach. It is
+# queried in case it is back, and is short because the change of primary
+# waits for every query of a round.
+OLD_PRIMARY_TIMEOUT_S = 0.12
+# Interval at which VMs that have not answered are fenced again.
+FENCE_RETRY_S = 0.4
+# Interval between status queries to a successor that is not primary yet;
+# the users state 300 to 1,000 ms for a promotion.
+CONFIRM_PAUSE_S = 0.08
+# Time after which a promotion counts as failed.
+CONFIRM_LIMIT_S = 3.0
+# Pause before all instances are queried again if none can be promoted.
+QUERY_PAUSE_S = 0.25
+# Pause before a failed write of the open leader row is repeated.
+OPEN_ROW_RETRY_S = 0.1
+# Interval between queries while the successor's log is still behind.
+CATCH_UP_PAUSE_S = 0.05
+# Longest wait for a successor to receive the end of the old primary's log.
+CATCH_UP_LIMIT_S = 2.0
+# Grace period for open transactions in a planned change, in which the old
+# primary still serves.
+PLANNED_GRACE_S = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _FenceAgain(core.Message):
-    """Time to ask VMs again that have not stopped yet."""
+class _RetryFencing(core.Message):
+    """Timer: fence VMs again that have not confirmed yet."""
 
     revision: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _AskAgain(core.Message):
-    """Time to ask instances again."""
+class _QueryAgain(core.Message):
+    """Timer: query the status of instances again."""
 
     revision: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _OpenAgain(core.Message):
-    """Time to write the lead row again."""
+class _RetryOpenRow(core.Message):
+    """Timer: write the open leader row again."""
 
     revision: int
 
 
-_ASKING = (core.HandoverState.CHOOSING, core.HandoverState.CATCHING_UP)
+_QUERYING_STATES = (
+    core.HandoverState.CHOOSING,
+    core.HandoverState.CATCHING_UP,
+)
 
 
 class Handover(runtime.Task):
-    """Changes of one group's primary; lives by the chart ``handover``."""
+    """Task that replaces one group's primary, by the chart ``handover``."""
 
     def __init__(
         self, loop: runtime.Runtime, vm: core.VmName, service: core.ServiceName
@@ -72,15 +80,15 @@
         self.service = service
         self._clock = loop.clock
         self._chart = charts.compiled('handover')
-        self._want: core.WantHandover | None = None
+        self._request: core.WantHandover | None = None
         self.candidates = decisions.Candidates((), core.InstanceName(''))
         self._claim = decisions.LeadClaim(
             vm, service, core.InstanceName(''), 0
         )
-        self._was_fenced = False
+        self._old_primary_fenced = False
         self._fencing = decisions.Fencing()
-        self._caught_up_by = 0.0
-        self._confirm_by = 0.0
+        self._catch_up_deadline = 0.0
+        self._confirm_deadline = 0.0
 
     def _fire(self, event: str) -> None:
         before = self.state
@@ -102,71 +110,76 @@
     # -- claim ----------------------------------------------------------
 
     @runtime.handles(core.WantHandover)
-    def _on_want(self, want: core.WantHandover) -> None:
+    def _on_start(self, request: core.WantHandover) -> None:
         if self.state is not core.HandoverState.IDLE:
             return
-        self._want = want
-        self.candidates = decisions.Candidates(want.entries, want.old)
+        self._request = request
+        self.candidates = decisions.Candidates(request.entries, request.old)
         self._claim = decisions.LeadClaim(
-            self.vm, self.service, want.old, want.revision
+            self.vm, self.service, request.old, request.revision
         )
-        self._was_fenced = False
+        self._old_primary_fenced = False
         self._fire('wanted')
 
-    def claim(self) -> None:
-        """Write the closing row if the row is still as it was known."""
-        self._write(self._claim.closing(self._clock.running_on()))
+    def write_closing_row(self) -> None:
+        """Claim the change of primary, or renew the claim.
+
+        Writes a closing leader row on condition that the row in the store
+        still has the expected revision.
+        """
+        self._write_row(self._claim.closing(self._clock.running_on()))
 
-    def _write(self, row: core.LeadRow) -> None:
+    def _write_row(self, row: core.LeadRow) -> None:
         expected = self._claim.expected
-        wanted = core.WriteLead(row, expected, self.task_name)
-        self.send(names.rows(self.vm), wanted)
+        write = core.WriteLead(row, expected, self.task_name)
+        self.send(names.rows(self.vm), write)
 
     def renew(self) -> None:
-        """Show the others that this change goes on."""
+        """Renew the claim when due, so that no other VM takes it over."""
         if self._claim.renewal_due(self._clock.running_on()):
-            self.claim()
+            self.write_closing_row()
 
     @runtime.handles(core.RowWritten)
     def _on_written(self, message: core.RowWritten) -> None:
         row = message.row
         if row is not None:
-            self._tell(row)
+            self._share_row(row)
         if self.state is core.HandoverState.OPENING:
-            self._open_written(row)
+            self._on_open_written(row)
         elif self.state is core.HandoverState.CLAIMING:
-            self._claim_written(row)
+            self._on_claim_written(row)
         elif self.state is not core.HandoverState.IDLE:
             if not self._claim.written(row) and row is not None:
                 self._fire('lost')
 
-    def _claim_written(self, row: core.LeadRow | None) -> None:
+    def _on_claim_written(self, row: core.LeadRow | None) -> None:
         if not self._claim.written(row):
             self._fire('lost')
             return
         self._claim.begins(self._clock.running_on())
         self._fire('claimed')
 
-    def _tell(self, row: core.LeadRow) -> None:
+    def _share_row(self, row: core.LeadRow) -> None:
         rows = core.LeadsInStore((row,))
         self.send(names.exchange(self.vm), rows)
         self.send(names.keeper(self.vm), rows)
 
     # -- fence ----------------------------------------------------------
 
-    def fence(self) -> None:
+    def fence_old_primary(self) -> None:
         """Ask every VM to stop using the old primary."""
-        assert self._want is not None
-        self._fencing = decisions.Fencing((*self._want.vms, self.vm))
+        assert self._request is not None
+        self._fencing = decisions.Fencing((*self._request.vms, self.vm))
         self.send(names.rows(self.vm), core.ReadNodes(self.task_name))
-        self._ask_fences()
-        self.after(FENCE_AGAIN, _FenceAgain(self._claim.first))
-
-    def _ask_fences(self) -> None:
-        want, row = self._want, self._claim.row
-        assert want is not None and row is not None
-        patience = PLANNED_PATIENCE if want.planned else 0.0
-        fence = core.FencePrimary(self.vm, row, patience)
+        self._send_fences()
+        self.after(FENCE_RETRY_S, _RetryFencing(self._claim.first))
+
+    def _send_fences(self) -> None:
+        """Send a fence to each VM that has not confirmed one yet."""
+        request, row = self._request, self._claim.row
+        assert request is not None and row is not None
+        grace_s = PLANNED_GRACE_S if request.planned else 0.0
+        fence = core.FencePrimary(self.vm, row, grace_s)
         for vm in sorted(self._fencing.silent):
             if vm == self.vm:
                 self.send(names.keeper(vm), fence)
@@ -175,14 +188,14 @@
 
     @runtime.handles(core.NodesInStore)
     def _on_nodes(self, message: core.NodesInStore) -> None:
-        """Fence VMs too that had registered by the time of the claim."""
+        """Fence VMs that the store lists and the request did not name."""
         if self.state is not core.HandoverState.FENCING:
             return
-        new = self._fencing.listed(message.rows)
+        has_new_vms = self._fencing.listed(message.rows)
         if self._fencing.done:
             self._fire('fenced')
-        elif new:
-            self._ask_fences()
+        elif has_new_vms:
+            self._send_fences()
 
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
@@ -192,8 +205,8 @@
         if self._fencing.done:
             self._fire('fenced')
 
-    @runtime.handles(_FenceAgain)
-    def _on_fence_again(self, message: _FenceAgain) -> None:
+    @runtime.handles(_RetryFencing)
+    def _on_retry_fencing(self, message: _RetryFencing) -> None:
         if self.state is not core.HandoverState.FENCING:
             return
         if message.revision != self._claim.first:
@@ -202,77 +215,86 @@
             self._fire('fenced')
             return
         self.renew()
-        self._ask_fences()
-        self.after(FENCE_AGAIN, message)
+        self._send_fences()
+        self.after(FENCE_RETRY_S, message)
 
-    # -- choose ---------------------------------------------------------
+    # -- choose a successor ---------------------------------------------
 
     def ask(self) -> None:
-        """Ask every instance for its status."""
-        self._was_fenced = True
+        """Query the status of every instance of the group."""
+        self._old_primary_fenced = True
         entries = self.candidates.ask()
         for entry in entries:
             self.send(
                 names.prober(self.vm),
                 core.ProbeInstance(
-                    entry, self._patience(entry), True, self.task_name
+                    entry, self._status_timeout(entry), True, self.task_name
                 ),
             )
         if not entries:
-            self.ask_in(ASK_PAUSE)
+            self.query_after(QUERY_PAUSE_S)
+
+    def _status_timeout(self, entry: core.InstanceEntry) -> float:
+        assert self._request is not None
+        if entry.name == self._request.old and not self._request.planned:
+            return OLD_PRIMARY_TIMEOUT_S
+        return STATUS_TIMEOUT_S
 
-    def _patience(self, entry: core.InstanceEntry) -> float:
-        assert self._want is not None
-        if entry.name == self._want.old and not self._want.planned:
-            return MISSED_TIMEOUT
-        return STATUS_TIMEOUT
+    def query_after(self, delay: float) -> None:
+        """Query again after a delay in seconds.
 
-    def ask_in(self, delay: float) -> None:
-        """Ask every instance after a pause."""
-        self.after(delay, _AskAgain(self._claim.first))
+        While the promotion is being confirmed, this queries the successor
+        only, otherwise every instance.
+        """
+        self.after(delay, _QueryAgain(self._claim.first))
 
-    @runtime.handles(_AskAgain)
-    def _on_ask_again(self, message: _AskAgain) -> None:
+    @runtime.handles(_QueryAgain)
+    def _on_query_again(self, message: _QueryAgain) -> None:
         if message.revision != self._claim.first:
             return
         if self.state is core.HandoverState.CONFIRMING:
-            self.confirm_once()
-        elif self.state in _ASKING:
+            self.query_successor()
+        elif self.state in _QUERYING_STATES:
             self.ask()
 
     @runtime.handles(core.InstanceStatus)
     def _on_status(self, status: core.InstanceStatus) -> None:
         if self.state is core.HandoverState.CONFIRMING:
-            self._confirmed(status)
+            self._check_successor(status)
             return
         if self.candidates.answered(status):
             self._fire('asked')
 
     def overdue(self) -> bool:
-        """Tell whether the claim is too old to order a promotion."""
+        """Return whether the claim is too old to order a promotion."""
         return self._claim.overdue(self._clock.running_on())
 
-    def was_fenced(self) -> bool:
-        """Tell whether nobody uses the old primary any more."""
-        return self._was_fenced
+    def old_primary_fenced(self) -> bool:
+        """Return whether no VM uses the old primary any more."""
+        return self._old_primary_fenced
 
-    def behind(self) -> bool:
-        """Tell whether the successor lacks what the old primary has."""
+    def successor_behind(self) -> bool:
+        """Return whether to wait for the successor to catch up.
+
+        It is waited for while the old primary answers as primary and has
+        log entries that the successor has not received, for at most
+        ``CATCH_UP_LIMIT_S`` seconds.
+        """
         if not self.candidates.old_leads():
             return False
         now = self.now()
         if self.state is core.HandoverState.CHOOSING:
-            self._caught_up_by = now + CATCH_UP_LIMIT
-        if now >= self._caught_up_by:
+            self._catch_up_deadline = now + CATCH_UP_LIMIT_S
+        if now >= self._catch_up_deadline:
             return False
         return not self.candidates.has_all()
 
     # -- promote --------------------------------------------------------
 
-    def demote(self) -> None:
-        """Take the lead from an old primary that still answers."""
-        assert self._want is not None
-        entry = self.candidates.entries.get(self._want.old)
+    def demote_old_primary(self) -> None:
+        """Demote the old primary if it still answers as primary."""
+        assert self._request is not None
+        entry = self.candidates.entries.get(self._request.old)
         if entry is None or not self.candidates.old_leads():
             return
         newest = self.candidates.newest_term()
@@ -281,13 +303,16 @@
             core.DemoteInstance(
                 entry,
                 core.Term(newest + 1),
-                STATUS_TIMEOUT,
+                STATUS_TIMEOUT_S,
                 self.task_name,
             ),
         )
 
-    def promote(self) -> None:
-        """Order the promotion; the row's revision is its token."""
+    def request_promotion(self) -> None:
+        """Order the successor's promotion from the platform.
+
+        The revision of the closing leader row serves as its token.
+        """
         successor = self.candidates.successor
         assert successor is not None
         self.send(
@@ -312,13 +337,13 @@
             self.candidates.refuse()
         self._fire('refused')
 
-    def confirm(self) -> None:
-        """Look at the successor until it leads."""
-        self._confirm_by = self.now() + CONFIRM_LIMIT
-        self.ask_in(CONFIRM_PAUSE)
+    def start_confirming(self) -> None:
+        """Query the successor repeatedly until it is the primary."""
+        self._confirm_deadline = self.now() + CONFIRM_LIMIT_S
+        self.query_after(CONFIRM_PAUSE_S)
 
-    def confirm_once(self) -> None:
-        """Ask the successor for its status."""
+    def query_successor(self) -> None:
+        """Query the status of the successor once."""
         self.renew()
         successor = self.candidates.successor or core.InstanceName('')
         entry = self.candidates.entries.get(successor)
@@ -327,10 +352,10 @@
             return
         self.send(
             names.prober(self.vm),
-            core.ProbeInstance(entry, STATUS_TIMEOUT, True, self.task_name),
+            core.ProbeInstance(entry, STATUS_TIMEOUT_S, True, self.task_name),
         )
 
-    def _confirmed(self, status: core.InstanceStatus) -> None:
+    def _check_successor(self, status: core.InstanceStatus) -> None:
         if status.instance != self.candidates.successor:
             return
         state = status.state
@@ -339,56 +364,57 @@
         else:
             self._fire('not_yet')
 
-    def confirm_overdue(self) -> bool:
-        """Tell whether the promotion is taken to have failed."""
-        return self.now() >= self._confirm_by
+    def confirmation_timed_out(self) -> bool:
+        """Return whether the promotion counts as failed."""
+        return self.now() >= self._confirm_deadline
 
-    # -- open -----------------------------------------------------------
+    # -- open the group again -------------------------------------------
 
-    def open(self) -> None:
-        """Tell every VM of the new primary, then write it down."""
+    def announce_primary(self) -> None:
+        """Send the new primary to every VM, then write it to the store."""
         row = self._open_row()
         reopened = core.Reopened(self._claim.revision, row)
-        assert self._want is not None
+        assert self._request is not None
         self.send(names.keeper(self.vm), reopened)
         for vm in sorted(self._fencing.vms):
             if vm != self.vm:
                 self.send(names.peers(self.vm), core.ToPeer(vm, reopened))
-        self.write_open()
+        self.write_open_row()
 
     def _open_row(self) -> core.LeadRow:
         successor = self.candidates.successor
         assert successor is not None
         return self._claim.opening(successor)
 
-    def write_open(self) -> None:
-        """Write the open row over this change's closing one."""
-        self._write(self._open_row())
+    def write_open_row(self) -> None:
+        """Replace this change's closing leader row by the open one."""
+        self._write_row(self._open_row())
 
-    @runtime.handles(_OpenAgain)
-    def _on_open_again(self, message: _OpenAgain) -> None:
+    @runtime.handles(_RetryOpenRow)
+    def _on_retry_open_row(self, message: _RetryOpenRow) -> None:
         if self.state is not core.HandoverState.OPENING:
             return
         if message.revision == self._claim.revision:
-            self.write_open()
+            self.write_open_row()
 
-    def open_later(self) -> None:
-        """Write the open row again after a pause."""
-        self.after(OPEN_PAUSE, _OpenAgain(self._claim.revision))
+    def retry_open_row(self) -> None:
+        """Write the open leader row again after a pause."""
+        self.after(OPEN_ROW_RETRY_S, _RetryOpenRow(self._claim.revision))
 
-    def _open_written(self, row: core.LeadRow | None) -> None:
+    def _on_open_written(self, row: core.LeadRow | None) -> None:
         if row is None:
             self._fire('unsure')
             return
         if self._claim.written(row):
-            # A renewal that was still under way got there first.
+            # A pending renewal of the closing row was written first, so
+            # the write of the open row failed.
             self._fire('unsure')
         elif row.state is core.LeadRowState.OPEN:
             self._fire('opened')
         else:
             self._fire('lost')
 
-    def ended(self) -> None:
-        """Tell the keeper that this change has ended here."""
+    def report_end(self) -> None:
+        """Report to the primary manager that this change has ended here."""
         self._fencing = decisions.Fencing()
         self.send(names.keeper(self.vm), core.HandoverEnded(self.service))
--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/handover_actions.py
@@ -1,4 +1,7 @@
-"""Actions and guards of the chart ``handover``."""
+"""Actions and guards of the state chart ``handover``.
+
+The chart refers to them by the names given to the decorators.
+"""
 
 from __future__ import annotations
 
@@ -10,91 +13,91 @@
 
 
 @charts.action('handover.claim')
-def _claim(task: Handover, arg: object) -> None:
-    task.claim()
+def _write_closing_row(task: Handover, arg: object) -> None:
+    task.write_closing_row()
 
 
 @charts.action('handover.fence')
-def _fence(task: Handover, arg: object) -> None:
-    task.fence()
+def _fence_old_primary(task: Handover, arg: object) -> None:
+    task.fence_old_primary()
 
 
 @charts.action('handover.ask')
-def _ask(task: Handover, arg: object) -> None:
+def _query_instances(task: Handover, arg: object) -> None:
     task.ask()
 
 
 @charts.action('handover.ask_later')
-def _ask_later(task: Handover, arg: object) -> None:
-    task.ask_in(handover.ASK_PAUSE)
+def _query_instances_after_pause(task: Handover, arg: object) -> None:
+    task.query_after(handover.QUERY_PAUSE_S)
 
 
 @charts.action('handover.ask_soon')
-def _ask_soon(task: Handover, arg: object) -> None:
-    task.ask_in(handover.CATCH_UP_PAUSE)
+def _wait_for_catch_up(task: Handover, arg: object) -> None:
+    task.query_after(handover.CATCH_UP_PAUSE_S)
 
 
 @charts.action('handover.demote')
-def _demote(task: Handover, arg: object) -> None:
-    task.demote()
+def _demote_old_primary(task: Handover, arg: object) -> None:
+    task.demote_old_primary()
 
 
 @charts.action('handover.promote')
-def _promote(task: Handover, arg: object) -> None:
-    task.promote()
+def _request_promotion(task: Handover, arg: object) -> None:
+    task.request_promotion()
 
 
 @charts.action('handover.confirm')
-def _confirm(task: Handover, arg: object) -> None:
-    task.confirm()
+def _start_confirming(task: Handover, arg: object) -> None:
+    task.start_confirming()
 
 
 @charts.action('handover.confirm_later')
-def _confirm_later(task: Handover, arg: object) -> None:
-    task.ask_in(handover.CONFIRM_PAUSE)
+def _query_successor_after_pause(task: Handover, arg: object) -> None:
+    task.query_after(handover.CONFIRM_PAUSE_S)
 
 
 @charts.action('handover.open')
-def _open(task: Handover, arg: object) -> None:
-    task.open()
+def _announce_primary(task: Handover, arg: object) -> None:
+    task.announce_primary()
 
 
 @charts.action('handover.open_later')
-def _open_later(task: Handover, arg: object) -> None:
-    task.open_later()
+def _retry_open_row(task: Handover, arg: object) -> None:
+    task.retry_open_row()
 
 
 @charts.action('handover.done')
 @charts.action('handover.give_up')
-def _ended(task: Handover, arg: object) -> None:
-    task.ended()
+def _report_end(task: Handover, arg: object) -> None:
+    task.report_end()
 
 
 @charts.guard('handover.overdue')
-def _overdue(task: Handover, arg: object) -> bool:
+def _claim_expired(task: Handover, arg: object) -> bool:
     return task.overdue()
 
 
 @charts.guard('handover.was_fenced')
-def _was_fenced(task: Handover, arg: object) -> bool:
-    return task.was_fenced()
+def _old_primary_fenced(task: Handover, arg: object) -> bool:
+    return task.old_primary_fenced()
 
 
 @charts.guard('handover.already_led')
-def _already_led(task: Handover, arg: object) -> bool:
+def _successor_already_promoted(task: Handover, arg: object) -> bool:
     return task.candidates.one_leads()
 
 
 @charts.guard('handover.nobody')
-def _nobody(task: Handover, arg: object) -> bool:
+def _no_candidate(task: Handover, arg: object) -> bool:
     return task.candidates.nobody_left()
 
 
 @charts.guard('handover.behind')
-def _behind(task: Handover, arg: object) -> bool:
-    return task.behind()
+def _successor_behind(task: Handover, arg: object) -> bool:
+    return task.successor_behind()
 
 
 @charts.guard('handover.confirm_overdue')
-def _confirm_overdue(task: Handover, arg: object) -> bool:
-    return task.confirm_overdue()
+def _confirmation_timed_out(task: Handover, arg: object) -> bool:
+    return task.confirmation_timed_out()
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -1,4 +1,4 @@
-"""The keeper: which primaries are in use, and when one is replaced."""
+"""Primary manager: which primaries are in use, and when one is replaced."""
 
 from __future__ import annotations
 
@@ -14,30 +14,36 @@
 
 __all__ = ['Keeper']
 
-# Seconds by which each later VM in the order waits before it acts.
-RANK_PAUSE = 0.06
-# Seconds by which a VM that hears less than half of the others leaves a
-# planned change to them: they need not wait for most to lapse.
-FEW_PAUSE = 2.0
-# Seconds without a registered primary before one is chosen; over the
-# time that a silent instance's entry needs to come back.
-NO_PRIMARY = 3.0
-# Seconds for which a view of the registered instances is good enough to
-# replace a primary that has left; a view passed on is up to 6.5 s old.
-FRESH_INSTANCES = 7.0
-# Seconds that a planned change waits for a silent VM before it begins.
-SILENT_PATIENCE = 1.5
-# Seconds between looks at groups whose primary has to be replaced.
-LOOK = 0.25
-
-
-class _Look(core.Message):
-    """Time to look at groups."""
+# Extra wait of each VM after the one before it in the order in which VMs
+# replace a primary.
+TURN_INTERVAL_S = 0.06
+# Extra wait before a planned change of a VM that receives responses from
+# less than half of the other VMs. It leaves the change to the others: it
+# could not fence most VMs, and would have to wait until their authority
+# expires.
+MINORITY_PAUSE_S = 2.0
+# Time without a registered primary after which one is chosen; longer than
+# the entry of an unreachable instance takes to be registered again.
+NO_PRIMARY_TIMEOUT_S = 3.0
+# Greatest age of the view of registered instances with which a primary that
+# has left is replaced; a view received from a peer is up to 6.5 s old.
+MAX_INSTANCES_VIEW_AGE_S = 7.0
+# Longest wait of a planned change for VMs that do not respond.
+UNRESPONSIVE_VM_WAIT_S = 1.5
+# Interval between checks for groups whose primary must be replaced.
+CHECK_INTERVAL_S = 0.25
+
+
+class _CheckGroups(core.Message):
+    """Timer: check which groups need a new primary."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _ActNow(core.Message):
-    """This VM's turn to replace a primary, if that is still needed."""
+class _TurnReached(core.Message):
+    """Timer: it is this VM's turn to replace a primary.
+
+    The turn is void if the group's leader row has another revision by then.
+    """
 
     service: core.ServiceName
     revision: int
@@ -45,7 +51,7 @@
 
 
 class Keeper(runtime.Task):
-    """Tell the desk what is in force; begin changes of primaries."""
+    """Publish each group's usable primary, and start changes of primaries."""
 
     def __init__(
         self, loop: runtime.Runtime, vm: core.VmName, owner: core.TaskName
@@ -54,37 +60,43 @@
         self._loop = loop
         self._clock = loop.clock
         self._owner = owner
-        self._told_enough = False
+        self._ready_reported = False
         self._leaving = False
-        self._leads = leads_module.Leads()
+        self._leaders = leads_module.Leads()
         self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
-        self._instances_seen_at = float('-inf')
+        self._instances_read_at = float('-inf')
         self._peers = core.LivePeers((), ())
         self._fences: dict[core.ServiceName, list[core.FencePrimary]] = {}
         self.handovers: dict[core.ServiceName, handover.Handover] = {}
         self._changing: set[core.ServiceName] = set()
-        self._turns: set[core.ServiceName] = set()
-        self._no_primary: dict[core.ServiceName, float] = {}
-        self._in_force: dict[core.ServiceName, core.GroupInForce] = {}
-        self._leaving_seen: dict[core.ServiceName, float] = {}
-        self._closing_seen: dict[core.ServiceName, tuple[int, float]] = {}
+        self._pending_turns: set[core.ServiceName] = set()
+        self._no_primary_since: dict[core.ServiceName, float] = {}
+        self._groups: dict[core.ServiceName, core.GroupInForce] = {}
+        self._leaving_since: dict[core.ServiceName, float] = {}
+        self._closing_first_seen: dict[
+            core.ServiceName, tuple[int, float]
+        ] = {}
         self.config: core.PoolConfig | None = None
-        self._entries_known = False
-        self._leads_known = False
-        self.after(LOOK, _Look())
+        self._entries_received = False
+        self._leaders_received = False
+        self.after(CHECK_INTERVAL_S, _CheckGroups())
 
     def settled(self) -> None:
-        """Tell the owner once enough is known to serve callers."""
-        known = (
+        """Report once to the owner when callers can be served.
+
+        This needs a configuration, the registered instances and the leader
+        rows.
+        """
+        is_ready = (
             self.config is not None
-            and self._entries_known
-            and self._leads_known
+            and self._entries_received
+            and self._leaders_received
         )
-        if known and not self._told_enough:
-            self._told_enough = True
+        if is_ready and not self._ready_reported:
+            self._ready_reported = True
             self.send(self._owner, core.KnowsEnough())
 
-    # -- what is known --------------------------------------------------
+    # -- views of the store ---------------------------------------------
 
     @runtime.handles(core.PoolConfigInForce)
     def _on_config(self, message: core.PoolConfigInForce) -> None:
@@ -98,41 +110,44 @@
 
     @runtime.handles(core.RegisteredInstances)
     def _on_instances(self, message: core.RegisteredInstances) -> None:
-        self._entries = {one.name: one for one in message.entries}
-        self._entries_known = True
-        services = {one.service for one in self._entries.values()}
-        for service in services | set(self._in_force):
+        self._entries = {entry.name: entry for entry in message.entries}
+        self._entries_received = True
+        services = {entry.service for entry in self._entries.values()}
+        for service in services | set(self._groups):
             self._publish(service)
 
     @runtime.handles(core.StoreSeen)
-    def _on_seen(self, message: core.StoreSeen) -> None:
-        self._instances_seen_at = message.asked_at
+    def _on_store_seen(self, message: core.StoreSeen) -> None:
+        self._instances_read_at = message.asked_at
 
     @runtime.handles(core.LeadsInStore)
-    def _on_leads(self, message: core.LeadsInStore) -> None:
-        self._leads_known = True
+    def _on_leaders(self, message: core.LeadsInStore) -> None:
+        self._leaders_received = True
         for row in message.rows:
-            if self._leads.take(row):
+            if self._leaders.take(row):
                 self._publish(row.service)
 
     @runtime.handles(core.LivePeers)
     def _on_live(self, message: core.LivePeers) -> None:
         self._peers = message
 
-    # -- what is in force -----------------------------------------------
+    # -- usable primaries -----------------------------------------------
 
     def _publish(self, service: core.ServiceName) -> None:
+        """Send the group's members and usable primary to other tasks."""
         entries = tuple(
-            one for one in self._entries.values() if one.service == service
+            entry
+            for entry in self._entries.values()
+            if entry.service == service
         )
-        primary = self._leads.primary(service, entries)
-        before = self._in_force.get(service)
+        primary = self._leaders.primary(service, entries)
+        before = self._groups.get(service)
         message = core.GroupInForce(service, entries, primary)
         if message == before:
-            self._settle_fences(service)
+            self._answer_fences(service)
             return
         old = None if before is None else before.primary
-        self._in_force[service] = message
+        self._groups[service] = message
         if old is not None and old != primary:
             self._stop(service, old)
         if primary != old:
@@ -141,20 +156,20 @@
                 service=service,
                 primary=primary,
                 before=old,
-                revision=self._leads.revision(service),
+                revision=self._leaders.revision(service),
             )
         self.send(names.desk(self.vm), message)
         self.send(names.watch(self.vm), message)
         self.send(names.relay(self.vm), message)
-        self._settle_fences(service)
+        self._answer_fences(service)
 
     def _stop(self, service: core.ServiceName, old: core.InstanceName) -> None:
         patience = max(
-            (one.patience for one in self._fences.get(service, ())),
+            (fence.patience for fence in self._fences.get(service, ())),
             default=0.0,
         )
-        revision = self._leads.revision(service)
-        self._leads.stopping(service, revision)
+        revision = self._leaders.revision(service)
+        self._leaders.stop_requested(service, revision)
         self.send(
             names.desk(self.vm),
             core.StopPrimary(service, old, revision, patience),
@@ -165,9 +180,9 @@
         service = fence.row.service
         self._fences.setdefault(service, []).append(fence)
         rows = core.LeadsInStore((fence.row,))
-        self._on_leads(rows)
+        self._on_leaders(rows)
         self.send(names.exchange(self.vm), rows)
-        self._settle_fences(service)
+        self._answer_fences(service)
 
     @runtime.handles(core.PrimaryStopped)
     def _on_stopped(self, message: core.PrimaryStopped) -> None:
@@ -176,26 +191,30 @@
             service=message.service,
             revision=message.revision,
         )
-        self._leads.stopped(message.service, message.revision)
-        self._settle_fences(message.service)
+        self._leaders.stopped(message.service, message.revision)
+        self._answer_fences(message.service)
 
-    def _settle_fences(self, service: core.ServiceName) -> None:
-        """Answer the fences that this VM has met."""
-        if self._leads.is_stopping(service):
+    def _answer_fences(self, service: core.ServiceName) -> None:
+        """Confirm fences once this VM no longer uses the old primary."""
+        if self._leaders.is_stopping(service):
             return
-        known = self._leads.revision(service)
-        left = []
+        newest_revision = self._leaders.revision(service)
+        unmet = []
         for fence in self._fences.pop(service, ()):
-            if fence.row.revision > known:
-                left.append(fence)
+            if fence.row.revision > newest_revision:
+                unmet.append(fence)
                 continue
-            done = core.PrimaryFenced(self.vm, service, fence.row.revision)
+            confirmation = core.PrimaryFenced(
+                self.vm, service, fence.row.revision
+            )
             if fence.vm == self.vm:
-                self.send(names.handover(self.vm, service), done)
+                self.send(names.handover(self.vm, service), confirmation)
             else:
-                self.send(names.peers(self.vm), core.ToPeer(fence.vm, done))
-        if left:
-            self._fences[service] = left
+                self.send(
+                    names.peers(self.vm), core.ToPeer(fence.vm, confirmation)
+                )
+        if unmet:
+            self._fences[service] = unmet
 
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
@@ -204,125 +223,137 @@
 
     @runtime.handles(core.Reopened)
     def _on_reopened(self, message: core.Reopened) -> None:
-        if self._leads.reopen(message):
+        if self._leaders.reopen(message):
             self._publish(message.row.service)
 
     # -- replacing primaries --------------------------------------------
 
     @runtime.handles(core.PrimaryMissed)
-    def _on_missed(self, message: core.PrimaryMissed) -> None:
-        for service, group in self._in_force.items():
+    def _on_unreachable(self, message: core.PrimaryMissed) -> None:
+        for service, group in self._groups.items():
             if group.primary == message.instance:
-                self._act_soon(service, False)
+                self._schedule_turn(service, False)
 
-    @runtime.handles(_Look)
-    def _on_look(self, look: _Look) -> None:
-        """Look for groups whose primary has to be replaced."""
-        self.after(LOOK, look)
-        for service, group in self._in_force.items():
+    @runtime.handles(_CheckGroups)
+    def _on_check_groups(self, timer: _CheckGroups) -> None:
+        """Check for groups whose primary has to be replaced."""
+        self.after(CHECK_INTERVAL_S, timer)
+        for service, group in self._groups.items():
             if service in self._changing or not group.entries:
                 continue
-            if self._leads.is_closing(service):
-                self._look_at_change(service)
+            if self._leaders.is_closing(service):
+                self._check_handover(service)
             else:
-                self._look_at(service, group)
+                self._check_primary(service, group)
+
+    def _check_handover(self, service: core.ServiceName) -> None:
+        """Take over a change of primary that its coordinator abandoned.
 
-    def _look_at_change(self, service: core.ServiceName) -> None:
-        """Take a change over that its holder has left."""
-        revision = self._leads.revision(service)
+        It counts as abandoned if this VM is the coordinator, but runs no
+        change, or if the row has not been renewed for ``TAKEOVER`` seconds.
+        """
+        revision = self._leaders.revision(service)
         now = self.now()
-        seen = self._closing_seen.get(service)
-        if self._leads.holder(service) == self.vm:
-            self._act_soon(service, False)
-        elif seen is None or seen[0] != revision:
-            self._closing_seen[service] = (revision, now)
-        elif now - seen[1] > decisions.TAKEOVER:
-            self._act_soon(service, False)
-
-    def _look_at(
+        first_seen = self._closing_first_seen.get(service)
+        if self._leaders.holder(service) == self.vm:
+            self._schedule_turn(service, False)
+        elif first_seen is None or first_seen[0] != revision:
+            self._closing_first_seen[service] = (revision, now)
+        elif now - first_seen[1] > decisions.TAKEOVER:
+            self._schedule_turn(service, False)
+
+    def _check_primary(
         self, service: core.ServiceName, group: core.GroupInForce
     ) -> None:
-        age = self._clock.running_on() - self._instances_seen_at
-        if age > FRESH_INSTANCES:
+        """Schedule a change if the primary is leaving or has left."""
+        age = self._clock.running_on() - self._instances_read_at
+        if age > MAX_INSTANCES_VIEW_AGE_S:
             return
-        known = {one.name: one for one in group.entries}
-        if group.primary is not None and group.primary in known:
-            self._no_primary.pop(service, None)
-            others = [one for one in group.entries if not one.leaving]
-            leaving = known[group.primary].leaving
-            if leaving and others and self._all_answer(service):
-                self._act_soon(service, True)
+        by_name = {entry.name: entry for entry in group.entries}
+        if group.primary is not None and group.primary in by_name:
+            self._no_primary_since.pop(service, None)
+            staying = [entry for entry in group.entries if not entry.leaving]
+            leaving = by_name[group.primary].leaving
+            if leaving and staying and self._can_begin_planned(service):
+                self._schedule_turn(service, True)
             return
         now = self.now()
-        since = self._no_primary.setdefault(service, now)
-        if now - since >= NO_PRIMARY:
-            self._act_soon(service, False)
+        since = self._no_primary_since.setdefault(service, now)
+        if now - since >= NO_PRIMARY_TIMEOUT_S:
+            self._schedule_turn(service, False)
 
-    def _all_answer(self, service: core.ServiceName) -> bool:
-        """Tell whether no VM would hold a planned change up.
+    def _can_begin_planned(self, service: core.ServiceName) -> bool:
+        """Return whether a planned change need not wait for any VM.
 
-        The old primary serves on meanwhile, so that a silent VM is given
-        a while to be heard again.
+        The old primary serves meanwhile, so VMs that do not respond get
+        ``UNRESPONSIVE_VM_WAIT_S`` seconds to respond again.
         """
         now = self.now()
-        since = self._leaving_seen.setdefault(service, now)
-        silent = set(self._peers.concerned) - set(self._peers.live)
-        ready = not silent or now - since >= SILENT_PATIENCE
-        if ready:
-            del self._leaving_seen[service]
-        return ready
-
-    def _act_soon(self, service: core.ServiceName, planned: bool) -> None:
-        """Act after those VMs that come earlier in the order."""
-        busy = service in self._changing or service in self._turns
-        if busy or self._leaving:
+        since = self._leaving_since.setdefault(service, now)
+        unresponsive = set(self._peers.concerned) - set(self._peers.live)
+        may_begin = not unresponsive or now - since >= UNRESPONSIVE_VM_WAIT_S
+        if may_begin:
+            del self._leaving_since[service]
+        return may_begin
+
+    def _schedule_turn(self, service: core.ServiceName, planned: bool) -> None:
+        """Replace the primary after this VM's place in the order of VMs.
+
+        VMs earlier in the order go first; the change that one of them
+        makes to the leader row then voids this VM's turn.
+        """
+        is_pending = (
+            service in self._changing or service in self._pending_turns
+        )
+        if is_pending or self._leaving:
             return
-        self._turns.add(service)
+        self._pending_turns.add(service)
         rank = decisions.rank_of(self.vm, self._peers.live, service)
-        pause = rank * RANK_PAUSE
-        few = 2 * len(self._peers.live) < len(self._peers.voters)
-        if planned and few:
-            pause += FEW_PAUSE
+        pause = rank * TURN_INTERVAL_S
+        in_minority = 2 * len(self._peers.live) < len(self._peers.voters)
+        if planned and in_minority:
+            pause += MINORITY_PAUSE_S
         self.after(
-            pause, _ActNow(service, self._leads.revision(service), planned)
+            pause,
+            _TurnReached(service, self._leaders.revision(service), planned),
         )
 
-    @runtime.handles(_ActNow)
-    def _on_act(self, message: _ActNow) -> None:
+    @runtime.handles(_TurnReached)
+    def _on_turn(self, message: _TurnReached) -> None:
         service = message.service
-        self._turns.discard(service)
-        if service in self._changing or service not in self._in_force:
+        self._pending_turns.discard(service)
+        if service in self._changing or service not in self._groups:
             return
-        if message.revision != self._leads.revision(service):
+        if message.revision != self._leaders.revision(service):
             return
-        group = self._in_force[service]
+        group = self._groups[service]
         if service not in self.handovers:
             self.handovers[service] = handover.Handover(
                 self._loop, self.vm, service
             )
         self._changing.add(service)
-        self._tell_changes()
+        self._report_changes()
         self.send(
             names.handover(self.vm, service),
             core.WantHandover(
                 group.entries,
-                group.primary or self._leads.last(service),
+                group.primary or self._leaders.last(service),
                 message.revision,
                 message.planned,
                 self._peers.concerned,
             ),
         )
 
-    def _tell_changes(self) -> None:
+    def _report_changes(self) -> None:
         changes = core.ChangesUnderWay(bool(self._changing))
         self.send(names.exchange(self.vm), changes)
 
     @runtime.handles(core.HandoverEnded)
     def _on_ended(self, message: core.HandoverEnded) -> None:
         self._changing.discard(message.service)
-        self._tell_changes()
+        self._report_changes()
 
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
-        """Begin no more changes; one that is under way goes on."""
+        """Start no more changes of primaries; running ones continue."""
         self._leaving = True
--- a/src/chicoryusher/tasks/pool/leads.py
+++ b/src/chicoryusher/tasks/pool/leads.py
@@ -1,4 +1,4 @@
-"""Who leads each group, as far as this VM knows."""
+"""Leader table: the primary of each group, as this VM knows it."""
 
 from __future__ import annotations
 
@@ -8,11 +8,15 @@
 
 __all__ = ['Leads']
 
-_NOBODY = core.InstanceName('')
+_NO_INSTANCE = core.InstanceName('')
 
 
 class Leads:
-    """Lead rows by their newest revision, and what reopened them."""
+    """The newest leader row of each group, and pending stops.
+
+    A ``Reopened`` message from a VM that ends a change of primary makes the
+    new primary usable before the open row arrives from the store.
+    """
 
     def __init__(self) -> None:
         self._rows: dict[core.ServiceName, core.LeadRow] = {}
@@ -20,34 +24,40 @@
         self._stopping: dict[core.ServiceName, int] = {}
 
     def take(self, row: core.LeadRow) -> bool:
-        """Keep a row unless a newer one is known; tell whether kept."""
-        known = self._rows.get(row.service)
-        if known is not None and known.revision >= row.revision:
+        """Store a row if it is newer; return whether it was stored."""
+        stored = self._rows.get(row.service)
+        if stored is not None and stored.revision >= row.revision:
             return False
         self._rows[row.service] = row
         return True
 
     def rows(self) -> tuple[core.LeadRow, ...]:
-        """Return every row."""
+        """Return the newest row of every group."""
         return tuple(self._rows.values())
 
     def revision(self, service: core.ServiceName) -> int:
-        """Return the revision of a group's row, 0 without one."""
+        """Return the revision of a group's row, 0 if there is no row."""
         row = self._rows.get(service)
         return 0 if row is None else row.revision
 
     def last(self, service: core.ServiceName) -> core.InstanceName:
-        """Return the primary that the group's row names, or no name."""
+        """Return the primary in the group's row, an empty name if no row."""
         row = self._rows.get(service)
-        return _NOBODY if row is None else row.primary
+        return _NO_INSTANCE if row is None else row.primary
 
     def holder(self, service: core.ServiceName) -> core.VmName | None:
-        """Return the VM that wrote the group's row, None without one."""
+        """Return the VM that wrote the group's row, None if no row.
+
+        For a closing row this is the coordinator of the change.
+        """
         row = self._rows.get(service)
         return None if row is None else row.holder
 
     def reopen(self, message: core.Reopened) -> bool:
-        """Take the end of a change; tell whether it ends the known one."""
+        """Store the end of a change, unless it is of an older change.
+
+        Return whether it was stored.
+        """
         service = message.row.service
         if self.revision(service) > message.closing:
             return False
@@ -55,7 +65,7 @@
         return True
 
     def is_closing(self, service: core.ServiceName) -> bool:
-        """Tell whether a change of the group's primary is under way."""
+        """Return whether a change of the group's primary is in progress."""
         row = self._rows.get(service)
         if row is None or row.state is core.LeadRowState.OPEN:
             return False
@@ -67,33 +77,39 @@
         service: core.ServiceName,
         entries: Iterable[core.InstanceEntry],
     ) -> core.InstanceName | None:
-        """Return the primary that may be used, None without one."""
+        """Return the primary that may be used, None if there is none.
+
+        Before the first leader row, this is the instance that registered
+        as primary.
+        """
         row = self._rows.get(service)
         if row is None:
-            return _says_so(entries)
+            return _registered_primary(entries)
         if row.state is core.LeadRowState.OPEN:
             return row.primary
         if self.is_closing(service):
             return None
         return self._reopened[service].row.primary
 
-    def stopping(self, service: core.ServiceName, revision: int) -> None:
-        """Note that the desk has been told to stop."""
+    def stop_requested(self, service: core.ServiceName, revision: int) -> None:
+        """Record that the dispatcher was asked to stop using a primary."""
         self._stopping[service] = revision
 
     def stopped(self, service: core.ServiceName, revision: int) -> None:
-        """Note that the desk has stopped."""
+        """Record that the dispatcher has stopped using it."""
         if self._stopping.get(service) == revision:
             del self._stopping[service]
 
     def is_stopping(self, service: core.ServiceName) -> bool:
-        """Tell whether the desk may still use an old primary."""
+        """Return whether the dispatcher may still use an old primary."""
         return service in self._stopping
 
 
-def _says_so(
+def _registered_primary(
     entries: Iterable[core.InstanceEntry],
 ) -> core.InstanceName | None:
-    """Return the one instance that calls itself the primary."""
-    named = [one.name for one in entries if one.role is core.Role.PRIMARY]
-    return named[0] if len(named) == 1 else None
+    """Return the only instance registered as primary, None otherwise."""
+    primaries = [
+        entry.name for entry in entries if entry.role is core.Role.PRIMARY
+    ]
+    return primaries[0] if len(primaries) == 1 else None
--- a/src/chicoryusher/tasks/pool/watch.py
+++ b/src/chicoryusher/tasks/pool/watch.py
@@ -1,4 +1,4 @@
-"""The watch: instances that traffic misses, and what other VMs see."""
+"""Reachability monitor: whether most VMs can reach a suspected primary."""
 
 from __future__ import annotations
 
@@ -11,33 +11,36 @@
 
 __all__ = ['Watch']
 
-# Seconds for a connection to a missed instance; a round trip between
+# Timeout for a connection to a suspected instance; a round trip between
 # regions is 42 ms.
-PROBE_TIMEOUT = 0.2
-# Seconds after which others are asked about an instance that has not
-# answered yet; two round trips between regions.
-ASK_OTHERS = 0.085
-# Seconds for which an opinion about an instance counts.
-OPINION = 1.5
+PROBE_TIMEOUT_S = 0.2
+# Time without an answer to the probe after which other VMs are asked about
+# the instance; two round trips between regions.
+PEER_QUERY_DELAY_S = 0.085
+# Time for which replies about an instance are collected after a check began.
+REPLY_LIFETIME_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Unanswered(core.Message):
-    """An instance may not have answered a probe yet."""
+class _QueryPeers(core.Message):
+    """Timer: ask other VMs unless the instance has answered the probe."""
 
     instance: core.InstanceName
 
 
 @dataclasses.dataclass(slots=True)
-class _Missed:
-    """What VMs say of an instance that one of them missed."""
+class _Check:
+    """Check of whether VMs reach an instance, with their replies.
 
-    asked_at: float
-    opinions: dict[core.VmName, bool]
+    ``reached_by`` is True for a VM that reached the instance.
+    """
+
+    started_at: float
+    reached_by: dict[core.VmName, bool]
 
 
 class Watch(runtime.Task):
-    """Find out whether most VMs miss a primary."""
+    """Ask other VMs about a suspected primary, and count their replies."""
 
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
         super().__init__(loop, vm, 'watch')
@@ -45,7 +48,7 @@
         self._primaries: dict[core.ServiceName, core.InstanceName] = {}
         self._live: tuple[core.VmName, ...] = ()
         self._voters: tuple[core.VmName, ...] = ()
-        self._missed: dict[core.InstanceName, _Missed] = {}
+        self._checks: dict[core.InstanceName, _Check] = {}
 
     @runtime.handles(core.LivePeers)
     def _on_live(self, message: core.LivePeers) -> None:
@@ -57,7 +60,9 @@
         for name, entry in tuple(self._entries.items()):
             if entry.service == message.service:
                 del self._entries[name]
-        self._entries.update({one.name: one for one in message.entries})
+        self._entries.update(
+            {member.name: member for member in message.entries}
+        )
         self._primaries.pop(message.service, None)
         if message.primary is not None:
             self._primaries[message.service] = message.primary
@@ -66,62 +71,67 @@
     def _on_trouble(self, message: core.InstanceTrouble) -> None:
         if message.instance not in self._primaries.values():
             return
-        if self._begin(message.instance):
-            self.after(ASK_OTHERS, _Unanswered(message.instance))
+        if self._start_check(message.instance):
+            self.after(PEER_QUERY_DELAY_S, _QueryPeers(message.instance))
+
+    def _start_check(self, name: core.InstanceName) -> bool:
+        """Probe an instance, unless a probe of it may still run.
 
-    def _begin(self, name: core.InstanceName) -> bool:
-        """Probe an instance unless that has just been done."""
-        missed = self._missed.get(name)
+        Return whether a check was started.
+        """
+        check = self._checks.get(name)
         now = self.now()
-        if missed is not None and now - missed.asked_at < PROBE_TIMEOUT:
+        if check is not None and now - check.started_at < PROBE_TIMEOUT_S:
             return False
-        self._missed[name] = _Missed(now, {})
+        self._checks[name] = _Check(now, {})
         entry = self._entries.get(name)
         if entry is None:
-            self._opine(name, False)
+            self._record_probe(name, False)
             return True
         self.send(
             names.prober(self.vm),
-            core.ProbeInstance(entry, PROBE_TIMEOUT, False, self.task_name),
+            core.ProbeInstance(entry, PROBE_TIMEOUT_S, False, self.task_name),
         )
         return True
 
-    @runtime.handles(_Unanswered)
-    def _on_unanswered(self, message: _Unanswered) -> None:
-        missed = self._missed.get(message.instance)
-        if missed is None or missed.opinions.get(self.vm, False):
+    @runtime.handles(_QueryPeers)
+    def _on_query_peers(self, message: _QueryPeers) -> None:
+        check = self._checks.get(message.instance)
+        if check is None or check.reached_by.get(self.vm, False):
             return
-        self._to_live(core.Suspicion(self.vm, message.instance))
+        self._send_to_live_vms(core.Suspicion(self.vm, message.instance))
 
-    def _to_live(self, message: core.Message) -> None:
+    def _send_to_live_vms(self, message: core.Message) -> None:
         for vm in self._live:
             self.send(names.peers(self.vm), core.ToPeer(vm, message))
 
     @runtime.handles(core.Suspicion)
-    def _on_suspicion(self, message: core.Suspicion) -> None:
-        self._begin(message.instance)
+    def _on_query(self, message: core.Suspicion) -> None:
+        self._start_check(message.instance)
 
     @runtime.handles(core.InstanceStatus)
     def _on_status(self, status: core.InstanceStatus) -> None:
-        self._opine(status.instance, status.reached)
+        self._record_probe(status.instance, status.reached)
 
-    def _opine(self, name: core.InstanceName, reached: bool) -> None:
+    def _record_probe(self, name: core.InstanceName, reached: bool) -> None:
+        """Count this VM's own result, and send it to the other VMs."""
         if not reached:
             self.log.emit(core.LogEvent.INSTANCE_MISSED, instance=name)
-        opinion = core.Opinion(self.vm, name, reached)
-        self._on_opinion(opinion)
-        self._to_live(opinion)
+        reply = core.Opinion(self.vm, name, reached)
+        self._on_reply(reply)
+        self._send_to_live_vms(reply)
 
     @runtime.handles(core.Opinion)
-    def _on_opinion(self, opinion: core.Opinion) -> None:
-        missed = self._missed.get(opinion.instance)
+    def _on_reply(self, reply: core.Opinion) -> None:
+        """Report the primary as unreachable if most voters say so."""
+        check = self._checks.get(reply.instance)
         now = self.now()
-        if missed is None or now - missed.asked_at > OPINION:
-            missed = _Missed(now, {})
-            self._missed[opinion.instance] = missed
-        missed.opinions[opinion.vm] = opinion.reached
+        if check is None or now - check.started_at > REPLY_LIFETIME_S:
+            check = _Check(now, {})
+            self._checks[reply.instance] = check
+        check.reached_by[reply.vm] = reply.reached
         voters = (*self._voters, self.vm)
-        if decisions.missed_by_most(missed.opinions, voters):
+        if decisions.missed_by_most(check.reached_by, voters):
             self.send(
-                names.keeper(self.vm), core.PrimaryMissed(opinion.instance)
+                names.keeper(self.vm), core.PrimaryMissed(reply.instance)
             )
