Reword pool/lane, pool/sessions, pool/relay and pool/roster

The lane is described as an instance pool with a work queue, the roster as the group table, and a holder as a connection owner. Private names, constants with units and the handlers of command results follow. LaneShare becomes SetConnectionShare; only lane and roster use it.

--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -1,4 +1,4 @@
-"""The lane to one instance: what waits for it, and its connections."""
+"""Instance pool: the connections to one instance, and its work queue."""
 
 from __future__ import annotations
 
@@ -11,37 +11,38 @@
 from chicoryusher.tasks.pool import conns as conns_module
 from chicoryusher.tasks.pool import lane_answers
 
-__all__ = ['Lane', 'LaneShare']
-
-# Seconds between looks at what is late, while there is work.
-SWEEP = 0.05
-# Seconds without a byte of an instance that owes answers before it is
-# tried with a new connection; over most work (means of 7 to 47 ms).
-SILENCE = 0.25
-# Seconds that a connection may take to roll back before it is closed.
-ROLLBACK_LIMIT = 0.6
-# Seconds without new connections after the instance refused one.
-REFUSED_PAUSE = 0.3
-# Seconds that a connection over the VM's share stays open unused.
-SURPLUS_IDLE = 1.5
-_ENDED = core.Ended
-# Stands for the answer of an instance that gave none.
+__all__ = ['Lane', 'SetConnectionShare']
+
+# Interval between checks for work that has timed out, while there is work.
+SWEEP_INTERVAL_S = 0.05
+# Time without a byte from an instance with unanswered commands after which
+# a new connection to it is tried; longer than most statements take (7 to
+# 47 ms on average).
+RESPONSE_TIMEOUT_S = 0.25
+# Time limit of a rollback, after which the connection is closed.
+ROLLBACK_LIMIT_S = 0.6
+# Pause in opening connections after one could not be opened.
+CONNECT_PAUSE_S = 0.3
+# Idle time after which a connection above this VM's share is closed.
+SURPLUS_IDLE_S = 1.5
+_Ended = core.Ended
+# Used in results of work that the instance sent no reply to.
 _NO_REPLY = core.Reply(core.BlockState.IDLE, None)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LaneShare(core.Message):
-    """How many connections this VM may hold."""
+class SetConnectionShare(core.Message):
+    """Set how many connections this VM may have to the instance."""
 
     share: decisions.ConnShare
 
 
 class _Sweep(core.Message):
-    """Time to look at what is late."""
+    """Timer: check for work and connections that have timed out."""
 
 
 class Lane(runtime.Task):
-    """Run work on pooled connections to one instance."""
+    """Task that queues work and runs it on connections to one instance."""
 
     def __init__(
         self,
@@ -54,60 +55,65 @@
         self._clock = loop.clock
         self._link = names.pool_link(vm, entry)
         self._conns = conns_module.PoolConns()
-        self._waiting = decisions.WaitingWork()
+        self._queue = decisions.WaitingWork()
         self._share = decisions.ConnShare(1, 1)
-        self._refused_until = 0.0
-        self._heard_at = 0.0
-        self._missed = False
-        self._sweeping = False
+        self._connect_paused_until = 0.0
+        self._last_response_at = 0.0
+        self._suspected = False
+        self._sweep_scheduled = False
 
     @property
     def connections(self) -> int:
         """Return how many connections are open or being opened."""
         return len(self._conns)
 
-    @runtime.handles(LaneShare)
-    def _on_share(self, message: LaneShare) -> None:
+    @runtime.handles(SetConnectionShare)
+    def _on_share(self, message: SetConnectionShare) -> None:
         self._share = message.share
 
-    # -- work in --------------------------------------------------------
+    # -- new work -------------------------------------------------------
 
     @runtime.handles(core.Work)
     def _on_work(self, work: core.Work) -> None:
         if work.transaction is not None and work.begins is None:
-            self._continue(work)
+            self._continue_transaction(work)
             return
-        self._waiting.add(work)
+        self._queue.add(work)
         self._dispatch()
 
-    def _continue(self, work: core.Work) -> None:
-        """Run a further statement of an open transaction."""
+    def _continue_transaction(self, work: core.Work) -> None:
+        """Run a statement on the connection of its open transaction."""
         assert work.transaction is not None
         conn = self._conns.of(work.transaction)
         if conn is None or conn.state is not core.ConnState.PINNED:
-            self._end(work, _ENDED.LOST)
+            self._report_end(work, _Ended.LOST)
             return
-        self._run(conn, work)
+        self._start_work(conn, work)
 
     def _dispatch(self) -> None:
+        """Start queued work on the idle connections that fit it best."""
         now = self.now()
         idle = self._conns.idle()
-        while idle and (work := self._waiting.take(now)) is not None:
-            conn = min(idle, key=lambda one: decisions.fits(one.memory, work))
+        while idle and (work := self._queue.take(now)) is not None:
+            conn = min(
+                idle,
+                key=lambda idle_conn: decisions.fits(idle_conn.memory, work),
+            )
             idle.remove(conn)
-            self._run(conn, work)
-        self._open_more(now)
-        self._sweep_soon()
+            self._start_work(conn, work)
+        self._open_for_queue(now)
+        self._schedule_sweep()
 
-    def _open_more(self, now: float) -> None:
-        if now < self._refused_until:
+    def _open_for_queue(self, now: float) -> None:
+        """Open a connection for each queued work, up to this VM's limit."""
+        if now < self._connect_paused_until:
             return
-        wanted = len(self._waiting) - self._conns.connecting
-        while wanted > 0 and len(self._conns) < self._share.most:
-            self._open(now)
-            wanted -= 1
+        needed = len(self._queue) - self._conns.connecting
+        while needed > 0 and len(self._conns) < self._share.most:
+            self._open_connection(now)
+            needed -= 1
 
-    def _open(self, now: float) -> None:
+    def _open_connection(self, now: float) -> None:
         conn = self._conns.new(now)
         self.send(self._link, core.OpenLink(conn.conn_id))
         opened = core.Metric.CONNECTIONS_OPENED
@@ -118,10 +124,13 @@
         metric, name = core.Metric.CONNECTIONS, self.entry.name
         self.meters.show(metric, len(self._conns), instance=name)
 
-    def _run(self, conn: conns_module.PoolConn, work: core.Work) -> None:
+    def _start_work(
+        self, conn: conns_module.PoolConn, work: core.Work
+    ) -> None:
+        """Send setup commands, then the statement or its BEGIN."""
         commands = decisions.suit(conn.memory, work)
         if work.begins is None:
-            commands.append(self._statement(conn, work))
+            commands.append(self._run_command(conn, work))
         else:
             commands.append(decisions.begin_command(work))
         self._conns.run(conn, work)
@@ -132,13 +141,18 @@
             instance=self.entry.name,
         )
         conn.asked_at = self._clock.running_on()
-        self._send(conn, commands)
-        self._sweep_soon()
+        self._send_commands(conn, commands)
+        self._schedule_sweep()
 
     @staticmethod
-    def _statement(
+    def _run_command(
         conn: conns_module.PoolConn, work: core.Work
     ) -> core.Command:
+        """Return the command that runs the statement.
+
+        Inside a transaction, the BEGIN has carried the condition on the
+        log position already.
+        """
         name = ''
         if work.shape is not None:
             name = conn.memory.prepared[work.shape]
@@ -151,22 +165,22 @@
             after=after,
         )
 
-    def _send(
+    def _send_commands(
         self, conn: conns_module.PoolConn, commands: list[core.Command]
     ) -> None:
         if not self._conns.busy():
-            self._heard_at = self.now()
-        conn.sent.extend(one.op for one in commands)
+            self._last_response_at = self.now()
+        conn.sent.extend(command.op for command in commands)
         self.send(self._link, core.SendCommands(conn.conn_id, tuple(commands)))
 
-    # -- answers --------------------------------------------------------
+    # -- replies --------------------------------------------------------
 
     @runtime.handles(core.LinkOpened)
     def _on_opened(self, message: core.LinkOpened) -> None:
         conn = self._conns.find(message.conn_id)
         if conn is None:
             return
-        self._heard()
+        self._record_response()
         self._conns.opened(conn, self.now())
         self._dispatch()
 
@@ -175,67 +189,73 @@
         conn = self._conns.find(message.conn_id)
         if conn is None:
             return
-        self._heard()
+        self._record_response()
         if not conn.sent:
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
             return
         op = conn.sent.popleft()
-        lane_answers.ANSWERS.get(op)(self, conn, message.reply)
+        lane_answers.RESULT_HANDLERS.get(op)(self, conn, message.reply)
 
-    def _heard(self) -> None:
-        self._heard_at = self.now()
-        self._missed = False
+    def _record_response(self) -> None:
+        self._last_response_at = self.now()
+        self._suspected = False
 
-    def begun(self, conn: conns_module.PoolConn, reply: core.Reply) -> None:
-        """Go on with the statement, or give the work back."""
+    def on_begun(self, conn: conns_module.PoolConn, reply: core.Reply) -> None:
+        """Send the statement after its BEGIN, or report it as not run."""
         work = conn.work
         if work is None or conn.doubtful:
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
         elif reply.refusal is None:
             conn.sent_at = self.now()
-            self._send(conn, [self._statement(conn, work)])
+            self._send_commands(conn, [self._run_command(conn, work)])
         else:
             self._conns.finished(conn, False, self.now())
-            self._end(work, _ENDED.NOT_RUN, reply)
+            self._report_end(work, _Ended.NOT_RUN, reply)
             self._dispatch()
 
-    def ran(self, conn: conns_module.PoolConn, reply: core.Reply) -> None:
-        """Report what the statement gave."""
+    def on_statement_result(
+        self, conn: conns_module.PoolConn, reply: core.Reply
+    ) -> None:
+        """Report the result of the statement to the owner of the work."""
         work = conn.work
         if work is None or conn.doubtful:
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
             return
         sent_at, asked_at = conn.sent_at, conn.asked_at
-        pinned = reply.block is core.BlockState.OPEN
-        clean = reply.block is core.BlockState.IDLE or pinned
-        if pinned and work.transaction is None:
-            clean = False
-        if clean:
-            self._conns.finished(conn, pinned, self.now())
+        is_open = reply.block is core.BlockState.OPEN
+        reusable = reply.block is core.BlockState.IDLE or is_open
+        if is_open and work.transaction is None:
+            reusable = False
+        if reusable:
+            self._conns.finished(conn, is_open, self.now())
         else:
             conn.work = None
-            self._reset(conn, work)
-        self._end(work, _ENDED.ANSWERED, reply, sent_at, asked_at)
+            self._roll_back(conn, work)
+        self._report_end(work, _Ended.ANSWERED, reply, sent_at, asked_at)
         self._dispatch()
 
-    def _reset(self, conn: conns_module.PoolConn, work: core.Work) -> None:
-        """Roll a failed transaction back; close what can't be."""
+    def _roll_back(self, conn: conns_module.PoolConn, work: core.Work) -> None:
+        """Roll back a failed transaction, and keep its connection.
+
+        If the work was in no transaction, the connection's state is not
+        known, and it is closed.
+        """
         if work.transaction is None:
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
             return
-        self._send(conn, [core.Command(core.Op.ROLLBACK)])
+        self._send_commands(conn, [core.Command(core.Op.ROLLBACK)])
 
-    def rolled_back(
+    def on_rolled_back(
         self, conn: conns_module.PoolConn, reply: core.Reply
     ) -> None:
-        """Free the connection of a transaction that was rolled back."""
+        """Release the connection of a transaction that was rolled back."""
         if reply.block is not core.BlockState.IDLE:
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
             return
         self._conns.finished(conn, False, self.now())
         self._dispatch()
 
-    # -- ends -----------------------------------------------------------
+    # -- cancelled work and closed connections --------------------------
 
     @runtime.handles(core.EndTransaction)
     def _on_end(self, message: core.EndTransaction) -> None:
@@ -244,22 +264,22 @@
             return
         if conn.state is not core.ConnState.PINNED:
             if not conn.sent or conn.sent[-1] is not core.Op.ROLLBACK:
-                self._drop(conn, _ENDED.LOST)
+                self._close(conn, _Ended.LOST)
             return
         self._conns.run(conn, None)
         conn.sent_at = self.now()
-        self._send(conn, [core.Command(core.Op.ROLLBACK)])
+        self._send_commands(conn, [core.Command(core.Op.ROLLBACK)])
 
     @runtime.handles(core.CancelWork)
     def _on_cancel(self, message: core.CancelWork) -> None:
-        if self._waiting.cancel(message.work_id):
+        if self._queue.cancel(message.work_id):
             return
         for conn in self._conns.busy():
             work = conn.work
             if work is not None and work.work_id == message.work_id:
                 conn.work = None
                 if work.transaction is not None:
-                    self._drop(conn, _ENDED.LOST)
+                    self._close(conn, _Ended.LOST)
 
     @runtime.handles(core.LinkClosed)
     def _on_closed(self, message: core.LinkClosed) -> None:
@@ -268,58 +288,62 @@
             return
         opening = conn.state is core.ConnState.CONNECTING
         if message.reason is core.LinkEnd.TOO_MANY:
-            self._refused_until = self.now() + REFUSED_PAUSE
-        self._forget(conn, _ENDED.LOST)
+            self._connect_paused_until = self.now() + CONNECT_PAUSE_S
+        self._remove(conn, _Ended.LOST)
         if opening:
-            self._not_opened(message.reason)
+            self._on_open_failed(message.reason)
         elif message.reason is not core.LinkEnd.GARBLED:
-            self._trouble()
+            self._report_trouble()
         self._dispatch()
 
-    def _not_opened(self, reason: core.LinkEnd) -> None:
+    def _on_open_failed(self, reason: core.LinkEnd) -> None:
         if reason is core.LinkEnd.TOO_MANY:
             if not len(self._conns):
-                self._give_back(_ENDED.NOT_STARTED)
+                self._return_queued(_Ended.NOT_STARTED)
             return
-        self._refused_until = self.now() + REFUSED_PAUSE
-        self._trouble()
-        self._give_back(_ENDED.NOT_STARTED)
+        self._connect_paused_until = self.now() + CONNECT_PAUSE_S
+        self._report_trouble()
+        self._return_queued(_Ended.NOT_STARTED)
         if reason is core.LinkEnd.SILENT:
-            self._missed = True
+            self._suspected = True
             for conn in self._conns.all():
                 if conn.state is not core.ConnState.CONNECTING:
-                    self._drop(conn, _ENDED.LOST)
+                    self._close(conn, _Ended.LOST)
 
-    def _trouble(self) -> None:
+    def _report_trouble(self) -> None:
+        """Report a failed connection to the monitor and the dispatcher."""
         message = core.InstanceTrouble(self.entry.name)
         self.send(names.watch(self.vm), message)
         self.send(names.desk(self.vm), message)
 
-    def _give_back(self, ended: core.Ended) -> None:
-        for work in self._waiting.drain():
-            self._end(work, ended)
+    def _return_queued(self, ended: core.Ended) -> None:
+        """End all queued work with this outcome."""
+        for work in self._queue.drain():
+            self._report_end(work, ended)
 
     @runtime.handles(core.StopLane)
     def _on_stop(self, message: core.StopLane) -> None:
-        self._give_back(_ENDED.NOT_STARTED)
+        self._return_queued(_Ended.NOT_STARTED)
         for conn in self._conns.all():
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
 
-    def _drop(self, conn: conns_module.PoolConn, ended: core.Ended) -> None:
-        """Close a connection; its work ends as told."""
+    def _close(self, conn: conns_module.PoolConn, ended: core.Ended) -> None:
+        """Close a connection; its work, if any, ends with this outcome."""
         self.send(self._link, core.CloseLink(conn.conn_id))
-        self._forget(conn, ended)
+        self._remove(conn, ended)
 
-    def _forget(self, conn: conns_module.PoolConn, ended: core.Ended) -> None:
-        """Drop what is known of a connection; its work ends as told."""
+    def _remove(self, conn: conns_module.PoolConn, ended: core.Ended) -> None:
+        """Remove a closed connection; its work ends with this outcome."""
         work = conn.work
         conn.work = None
         self._conns.lost(conn)
         self._show_connections()
         if work is not None:
-            self._end(work, ended, _NO_REPLY, conn.sent_at, conn.asked_at)
+            self._report_end(
+                work, ended, _NO_REPLY, conn.sent_at, conn.asked_at
+            )
 
-    def _end(
+    def _report_end(
         self,
         work: core.Work,
         ended: core.Ended,
@@ -344,56 +368,64 @@
             ),
         )
 
-    # -- time -----------------------------------------------------------
+    # -- timeouts -------------------------------------------------------
 
-    def _sweep_soon(self) -> None:
-        needed = len(self._waiting) or self._conns.busy()
-        surplus = len(self._conns) > self._share.kept
-        if (needed or surplus) and not self._sweeping:
-            self._sweeping = True
-            self.after(SWEEP, _Sweep())
+    def _schedule_sweep(self) -> None:
+        has_work = len(self._queue) or self._conns.busy()
+        has_surplus = len(self._conns) > self._share.kept
+        if (has_work or has_surplus) and not self._sweep_scheduled:
+            self._sweep_scheduled = True
+            self.after(SWEEP_INTERVAL_S, _Sweep())
 
     @runtime.handles(_Sweep)
-    def _on_sweep(self, sweep: _Sweep) -> None:
-        self._sweeping = False
+    def _on_sweep(self, timer: _Sweep) -> None:
+        self._sweep_scheduled = False
         now = self.now()
-        for work in self._waiting.expire(now):
-            self._end(work, _ENDED.NOT_STARTED)
+        for work in self._queue.expire(now):
+            self._report_end(work, _Ended.NOT_STARTED)
         for conn in self._conns.busy():
-            self._check(conn, now)
-        self._check_silence(now)
+            self._check_limits(conn, now)
+        self._check_unresponsive(now)
         self._close_surplus(now)
-        self._open_more(now)
-        self._sweep_soon()
+        self._open_for_queue(now)
+        self._schedule_sweep()
+
+    def _check_limits(self, conn: conns_module.PoolConn, now: float) -> None:
+        """Close a connection whose command exceeded its time limit.
 
-    def _check(self, conn: conns_module.PoolConn, now: float) -> None:
+        A statement that may run again elsewhere is reported as lost after
+        its ``patience``, so that it can run at another instance.
+        """
         work = conn.work
         elapsed = now - conn.sent_at
         if work is None:
-            if elapsed > ROLLBACK_LIMIT:
-                self._drop(conn, _ENDED.LOST)
+            if elapsed > ROLLBACK_LIMIT_S:
+                self._close(conn, _Ended.LOST)
         elif elapsed >= work.limit:
-            self._drop(conn, _ENDED.OVERTIME)
+            self._close(conn, _Ended.OVERTIME)
         elif decisions.may_repeat(work) and elapsed > work.patience:
-            self._drop(conn, _ENDED.LOST)
+            self._close(conn, _Ended.LOST)
+
+    def _check_unresponsive(self, now: float) -> None:
+        """Open a test connection if an instance sends no replies.
 
-    def _check_silence(self, now: float) -> None:
-        """Try a new connection where the instance owes answers."""
+        The reachability monitor is asked to check the instance too.
+        """
         busy = self._conns.busy()
-        if not busy or self._conns.connecting or self._missed:
+        if not busy or self._conns.connecting or self._suspected:
             return
-        oldest = min(one.sent_at for one in busy)
-        if now - max(oldest, self._heard_at) < SILENCE:
+        oldest = min(conn.sent_at for conn in busy)
+        if now - max(oldest, self._last_response_at) < RESPONSE_TIMEOUT_S:
             return
-        self._missed = True
+        self._suspected = True
         self.send(names.watch(self.vm), core.InstanceTrouble(self.entry.name))
-        self._open(now)
+        self._open_connection(now)
 
     def _close_surplus(self, now: float) -> None:
         surplus = len(self._conns) - self._share.kept
         for conn in self._conns.idle():
             if surplus <= 0:
                 return
-            if now - conn.idle_since >= SURPLUS_IDLE:
-                self._drop(conn, _ENDED.LOST)
+            if now - conn.idle_since >= SURPLUS_IDLE_S:
+                self._close(conn, _Ended.LOST)
                 surplus -= 1
--- a/src/chicoryusher/tasks/pool/lane_answers.py
+++ b/src/chicoryusher/tasks/pool/lane_answers.py
@@ -1,4 +1,4 @@
-"""What a lane does with the answer to each kind of command."""
+"""Handlers of an instance's replies, registered by kind of command."""
 
 from __future__ import annotations
 
@@ -8,49 +8,57 @@
 from chicoryusher import core
 from chicoryusher.tasks.pool import conns
 
-__all__ = ['ANSWERS']
+__all__ = ['RESULT_HANDLERS']
 
 
-class LaneLike(Protocol):
-    """A lane, as the answers to its commands see it."""
+class ResultReceiver(Protocol):
+    """The methods of an instance pool that the handlers call."""
 
-    def begun(self, conn: conns.PoolConn, reply: core.Reply) -> None:
-        """Go on with the statement, or give the work back."""
+    def on_begun(self, conn: conns.PoolConn, reply: core.Reply) -> None:
+        """Send the statement after its BEGIN, or report it as not run."""
 
-    def ran(self, conn: conns.PoolConn, reply: core.Reply) -> None:
-        """Report what the statement gave."""
+    def on_statement_result(
+        self, conn: conns.PoolConn, reply: core.Reply
+    ) -> None:
+        """Report the result of the statement to the owner of the work."""
 
-    def rolled_back(self, conn: conns.PoolConn, reply: core.Reply) -> None:
-        """Free the connection of a transaction that was rolled back."""
+    def on_rolled_back(self, conn: conns.PoolConn, reply: core.Reply) -> None:
+        """Release the connection of a transaction that was rolled back."""
 
 
-Answer = Callable[[LaneLike, conns.PoolConn, core.Reply], None]
-ANSWERS: core.Registry[Answer] = core.Registry('lane answer')
+ResultHandler = Callable[[ResultReceiver, conns.PoolConn, core.Reply], None]
+RESULT_HANDLERS: core.Registry[ResultHandler] = core.Registry('command result')
 
 
-def _set_up(lane: LaneLike, conn: conns.PoolConn, reply: core.Reply) -> None:
-    """Doubt a connection that refused to be set up."""
+def _on_setup_result(
+    receiver: ResultReceiver, conn: conns.PoolConn, reply: core.Reply
+) -> None:
+    """Mark a connection as unusable if it refused a setup command."""
     if reply.refusal is not None:
         conn.doubtful = True
 
 
 for _op in (core.Op.SET, core.Op.RESET, core.Op.PREPARE):
-    ANSWERS.register(_op)(_set_up)
+    RESULT_HANDLERS.register(_op)(_on_setup_result)
 
 
-@ANSWERS.register(core.Op.BEGIN)
-@ANSWERS.register(core.Op.BEGIN_READ_ONLY)
-def _begun(lane: LaneLike, conn: conns.PoolConn, reply: core.Reply) -> None:
-    lane.begun(conn, reply)
+@RESULT_HANDLERS.register(core.Op.BEGIN)
+@RESULT_HANDLERS.register(core.Op.BEGIN_READ_ONLY)
+def _on_begun(
+    receiver: ResultReceiver, conn: conns.PoolConn, reply: core.Reply
+) -> None:
+    receiver.on_begun(conn, reply)
 
 
-@ANSWERS.register(core.Op.RUN)
-def _ran(lane: LaneLike, conn: conns.PoolConn, reply: core.Reply) -> None:
-    lane.ran(conn, reply)
+@RESULT_HANDLERS.register(core.Op.RUN)
+def _on_statement_result(
+    receiver: ResultReceiver, conn: conns.PoolConn, reply: core.Reply
+) -> None:
+    receiver.on_statement_result(conn, reply)
 
 
-@ANSWERS.register(core.Op.ROLLBACK)
-def _rolled_back(
-    lane: LaneLike, conn: conns.PoolConn, reply: core.Reply
+@RESULT_HANDLERS.register(core.Op.ROLLBACK)
+def _on_rolled_back(
+    receiver: ResultReceiver, conn: conns.PoolConn, reply: core.Reply
 ) -> None:
-    lane.rolled_back(conn, reply)
+    receiver.on_rolled_back(conn, reply)
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -1,4 +1,4 @@
-"""The relay: runs other VMs' work on this VM's lanes."""
+"""Relay: runs work of other VMs on this VM's instance pools."""
 
 from __future__ import annotations
 
@@ -11,83 +11,96 @@
 
 __all__ = ['Relay']
 
-_ENDED = core.Ended
+_Ended = core.Ended
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Lane:
-    """The lane to one life of an instance."""
+class _InstancePool:
+    """The pool task of one incarnation of an instance.
+
+    ``boot`` is the incarnation's number.
+    """
 
     boot: int
     task: core.TaskName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Running:
-    """Another VM's work on a lane of this one."""
+class _RelayedWork:
+    """Work of another VM that runs on an instance pool of this VM.
+
+    ``work_id`` is the other VM's id of the work.
+    """
 
     vm: core.VmName
     work_id: core.WorkId
-    lane: core.TaskName
+    pool_task: core.TaskName
     transaction: core.TransactionId | None
 
 
 class Relay(runtime.Task):
-    """Give work to lanes under numbers and names of its own."""
+    """Submit other VMs' work to instance pools, and return the results.
+
+    The work and its transactions get ids that are unique on this VM.
+    """
 
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
         super().__init__(loop, vm, 'relay')
-        # Below 0, so that no number is that of the desk's own work.
-        self._numbers = itertools.count(-1, -1)
-        self._lanes: dict[core.InstanceName, _Lane] = {}
-        self._running: dict[core.WorkId, _Running] = {}
-        self._held: dict[core.TransactionId, _Running] = {}
+        # Negative, so that they differ from the ids of the dispatcher's work.
+        self._local_ids = itertools.count(-1, -1)
+        self._pools: dict[core.InstanceName, _InstancePool] = {}
+        self._relayed: dict[core.WorkId, _RelayedWork] = {}
+        self._by_transaction: dict[core.TransactionId, _RelayedWork] = {}
 
     @runtime.handles(core.GroupInForce)
     def _on_group(self, message: core.GroupInForce) -> None:
-        """Follow the instances; end the work of those that have gone."""
+        """Update the instance pools; end the work of replaced incarnations."""
         for entry in message.entries:
             task = names.pool_lane(self.vm, entry)
-            known = self._lanes.get(entry.name)
-            if known is not None and known.task != task:
-                self._end_all(entry.name, known.task)
-            self._lanes[entry.name] = _Lane(entry.boot, task)
+            pool = self._pools.get(entry.name)
+            if pool is not None and pool.task != task:
+                self._report_lost(entry.name, pool.task)
+            self._pools[entry.name] = _InstancePool(entry.boot, task)
 
-    def _end_all(
-        self, instance: core.InstanceName, lane: core.TaskName
+    def _report_lost(
+        self, instance: core.InstanceName, pool_task: core.TaskName
     ) -> None:
-        for number, running in tuple(self._running.items()):
-            if running.lane == lane:
-                ended = core.WorkEnded(number, instance, _ENDED.LOST)
+        """Report all work of an instance pool as lost."""
+        for local_id, relayed in tuple(self._relayed.items()):
+            if relayed.pool_task == pool_task:
+                ended = core.WorkEnded(local_id, instance, _Ended.LOST)
+                # Any time marks the work as sent to the instance.
                 self._on_ended(dataclasses.replace(ended, sent_at=0.0))
 
     @runtime.handles(core.RelayWork)
     def _on_work(self, message: core.RelayWork) -> None:
-        lane = self._lanes.get(message.instance)
-        if lane is None or lane.boot != message.boot:
+        pool = self._pools.get(message.instance)
+        if pool is None or pool.boot != message.boot:
             self._answer(
                 message.vm,
                 core.RelayEnded(
                     self.vm,
                     message.work_id,
                     message.instance,
-                    _ENDED.NOT_STARTED,
+                    _Ended.NOT_STARTED,
                     False,
                 ),
             )
             return
-        number = core.WorkId(next(self._numbers))
+        local_id = core.WorkId(next(self._local_ids))
         transaction = None
         if message.transaction is not None:
-            transaction = _owned(message.vm, message.transaction)
-        running = _Running(message.vm, message.work_id, lane.task, transaction)
-        self._running[number] = running
+            transaction = _qualified_id(message.vm, message.transaction)
+        relayed = _RelayedWork(
+            message.vm, message.work_id, pool.task, transaction
+        )
+        self._relayed[local_id] = relayed
         if transaction is not None:
-            self._held[transaction] = running
-        self._note(message)
-        self.send(lane.task, self._work(message, number, transaction))
+            self._by_transaction[transaction] = relayed
+        self._log_work(message)
+        self.send(pool.task, self._local_work(message, local_id, transaction))
 
-    def _note(self, message: core.RelayWork) -> None:
+    def _log_work(self, message: core.RelayWork) -> None:
         self.meters.add(core.Metric.RELAYED, instance=message.instance)
         self.log.emit(
             core.LogEvent.STATEMENT_RELAYED,
@@ -97,15 +110,16 @@
             after=message.after,
         )
 
-    def _work(
+    def _local_work(
         self,
         message: core.RelayWork,
-        number: core.WorkId,
+        local_id: core.WorkId,
         transaction: core.TransactionId | None,
     ) -> core.Work:
+        """Return the message as work for an instance pool of this VM."""
         now = self.now()
         return core.Work(
-            number,
+            local_id,
             self.task_name,
             message.request_id,
             message.statement,
@@ -123,16 +137,16 @@
 
     @runtime.handles(core.WorkEnded)
     def _on_ended(self, ended: core.WorkEnded) -> None:
-        running = self._running.pop(ended.work_id, None)
-        if running is None:
+        relayed = self._relayed.pop(ended.work_id, None)
+        if relayed is None:
             return
         if ended.block is core.BlockState.IDLE:
-            self._forget(running)
+            self._forget_transaction(relayed)
         self._answer(
-            running.vm,
+            relayed.vm,
             core.RelayEnded(
                 self.vm,
-                running.work_id,
+                relayed.work_id,
                 ended.instance,
                 ended.ended,
                 ended.sent_at is not None,
@@ -145,49 +159,52 @@
             ),
         )
 
-    def _forget(self, running: _Running) -> None:
-        if running.transaction is not None:
-            self._held.pop(running.transaction, None)
+    def _forget_transaction(self, relayed: _RelayedWork) -> None:
+        if relayed.transaction is not None:
+            self._by_transaction.pop(relayed.transaction, None)
 
     def _answer(self, vm: core.VmName, message: core.RelayEnded) -> None:
         self.send(names.peers(self.vm), core.ToPeer(vm, message))
 
     @runtime.handles(core.RelayCancel)
     def _on_cancel(self, message: core.RelayCancel) -> None:
-        for number, running in tuple(self._running.items()):
-            if (running.vm, running.work_id) == (
+        for local_id, relayed in tuple(self._relayed.items()):
+            if (relayed.vm, relayed.work_id) == (
                 message.vm,
                 message.work_id,
             ):
-                self._cancel(number, running)
+                self._cancel(local_id, relayed)
 
-    def _cancel(self, number: core.WorkId, running: _Running) -> None:
-        del self._running[number]
-        self._forget(running)
-        self.send(running.lane, core.CancelWork(number))
+    def _cancel(self, local_id: core.WorkId, relayed: _RelayedWork) -> None:
+        del self._relayed[local_id]
+        self._forget_transaction(relayed)
+        self.send(relayed.pool_task, core.CancelWork(local_id))
 
     @runtime.handles(core.RelayRollback)
     def _on_rollback(self, message: core.RelayRollback) -> None:
-        self._roll_back(_owned(message.vm, message.transaction))
+        self._roll_back(_qualified_id(message.vm, message.transaction))
 
     def _roll_back(self, transaction: core.TransactionId) -> None:
-        running = self._held.pop(transaction, None)
-        if running is not None:
-            self.send(running.lane, core.EndTransaction(transaction))
+        relayed = self._by_transaction.pop(transaction, None)
+        if relayed is not None:
+            self.send(relayed.pool_task, core.EndTransaction(transaction))
 
     @runtime.handles(core.PeerDown)
     def _on_down(self, message: core.PeerDown) -> None:
-        """End what a VM had here: nobody waits for it any more."""
-        for number, running in tuple(self._running.items()):
-            if running.vm == message.vm:
-                self._cancel(number, running)
-        for transaction, running in tuple(self._held.items()):
-            if running.vm == message.vm:
+        """Cancel all work and transactions of a VM whose stream has ended.
+
+        Nobody waits for their results any more.
+        """
+        for local_id, relayed in tuple(self._relayed.items()):
+            if relayed.vm == message.vm:
+                self._cancel(local_id, relayed)
+        for transaction, relayed in tuple(self._by_transaction.items()):
+            if relayed.vm == message.vm:
                 self._roll_back(transaction)
 
 
-def _owned(
+def _qualified_id(
     vm: core.VmName, transaction: core.TransactionId
 ) -> core.TransactionId:
-    """Return a transaction's name that no other VM's has."""
+    """Return a transaction id that is unique among all VMs."""
     return core.TransactionId(f'{vm}:{transaction}')
--- a/src/chicoryusher/tasks/pool/roster.py
+++ b/src/chicoryusher/tasks/pool/roster.py
@@ -1,4 +1,4 @@
-"""The instances of each group, and one VM's lanes to them."""
+"""Group table: the instances of each group, and this VM's pools to them."""
 
 from __future__ import annotations
 
@@ -15,158 +15,173 @@
 
 
 class LaneEdges(Protocol):
-    """Ports of a desk: the connections to instances."""
+    """Starts the tasks that own the sockets to instances."""
 
     def pool_link(
         self, vm: core.VmName, entry: core.InstanceEntry
     ) -> runtime.Task:
-        """Start the sockets to one instance."""
+        """Start the task that owns the sockets to one instance."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeskSettings:
-    """Where the VM is."""
+    """The availability zone of this VM, and the region of each zone."""
 
     zone: core.ZoneName
     regions: dict[core.ZoneName, core.RegionName]
 
 
 class Roster:
-    """Groups by service, and the lanes and links that a desk started."""
+    """Groups by service, with the instance pool of each instance.
+
+    Decides which VMs own connections to an instance, and so whether its
+    work runs on this VM or is forwarded.
+    """
 
     def __init__(
         self,
-        desk: runtime.Task,
+        dispatcher: runtime.Task,
         loop: runtime.Runtime,
-        edges: LaneEdges,
+        factory: LaneEdges,
         settings: DeskSettings,
     ) -> None:
-        self._desk = desk
+        self._dispatcher = dispatcher
         self._loop = loop
-        self._edges = edges
+        self._factory = factory
         self._settings = settings
         self._config: core.PoolConfig | None = None
-        self._own = core.NodePlace(desk.vm, settings.zone)
-        self._nodes: tuple[core.NodePlace, ...] = (self._own,)
-        self._vias: dict[core.InstanceName, core.VmName] = {}
+        self._own_place = core.NodePlace(dispatcher.vm, settings.zone)
+        self._live_vms: tuple[core.NodePlace, ...] = (self._own_place,)
+        self._forward_to: dict[core.InstanceName, core.VmName] = {}
         self._links: dict[core.InstanceName, runtime.Task] = {}
-        self._lanes: dict[core.InstanceName, lane_module.Lane] = {}
+        self._pools: dict[core.InstanceName, lane_module.Lane] = {}
         self.groups: dict[core.ServiceName, groups_module.PoolGroup] = {}
 
     def __contains__(self, name: core.InstanceName) -> bool:
-        return name in self._lanes
+        return name in self._pools
 
     def lane(self, name: core.InstanceName) -> core.TaskName:
-        """Return the name of the lane to an instance that is here."""
-        return self._lanes[name].task_name
+        """Return the task name of a registered instance's pool."""
+        return self._pools[name].task_name
 
     def via(self, name: core.InstanceName) -> core.VmName | None:
-        """Return the VM to send an instance's work to, None for this one."""
-        return self._vias.get(name)
+        """Return the VM to forward an instance's work to, None for this VM."""
+        return self._forward_to.get(name)
 
     def entry(self, name: core.InstanceName) -> core.InstanceEntry:
-        """Return the entry of an instance that is here."""
-        return self._lanes[name].entry
+        """Return the entry of a registered instance."""
+        return self._pools[name].entry
 
     def instance(
         self, service: core.ServiceName, name: core.InstanceName | None
     ) -> decisions.PoolInstance | None:
-        """Return what is known about an instance, None if it has gone."""
+        """Return an instance's state for routing, None if not registered."""
         group = self.groups.get(service)
         if group is None or name is None:
             return None
         return group.instances.get(name)
 
     def take_config(self, config: core.PoolConfig) -> None:
-        """Deal connections out as the configuration says."""
+        """Apply the connection limits of a configuration."""
         self._config = config
-        self._deal_shares()
+        self._send_shares()
 
     def take_live(self, nodes: tuple[core.NodePlace, ...]) -> None:
-        """Deal connections out among these VMs."""
-        if nodes != self._nodes:
-            self._nodes = nodes
-            self._deal_shares()
+        """Distribute the connections among these VMs."""
+        if nodes != self._live_vms:
+            self._live_vms = nodes
+            self._send_shares()
 
     def take_group(
         self, message: core.GroupInForce
     ) -> tuple[core.InstanceName, ...]:
-        """Take a group as it is now; return the instances that ended.
+        """Apply a group's members and primary.
 
-        The work on them is still to be ended.
+        Return the instances that were removed or restarted; the caller
+        has to end the work that runs on them.
         """
         group = self.groups.get(message.service)
         if group is None:
             group = groups_module.PoolGroup(message.service)
             self.groups[message.service] = group
-        known = {one.name: one for one in message.entries}
-        ended = tuple(
+        by_name = {instance.name: instance for instance in message.entries}
+        removed = tuple(
             name
-            for name, one in group.instances.items()
-            if name not in known or _moved(one.entry, known[name])
+            for name, instance in group.instances.items()
+            if name not in by_name
+            or _is_restarted(instance.entry, by_name[name])
         )
-        for name in ended:
+        for name in removed:
             del group.instances[name]
-            self._end_lane(name)
+            self._close_pool(name)
         for entry in message.entries:
-            self._place(group, entry)
-        group.take_primary(message.primary, self._desk.now())
-        self._deal_shares()
-        return ended
+            self._add_or_update(group, entry)
+        group.take_primary(message.primary, self._dispatcher.now())
+        self._send_shares()
+        return removed
 
-    def _place(
+    def _add_or_update(
         self, group: groups_module.PoolGroup, entry: core.InstanceEntry
     ) -> None:
-        desk = self._desk
-        group.note_leaving(entry, desk.now())
-        known = group.instances.get(entry.name)
-        if known is not None:
-            known.entry = entry
+        dispatcher = self._dispatcher
+        group.note_leaving(entry, dispatcher.now())
+        registered = group.instances.get(entry.name)
+        if registered is not None:
+            registered.entry = entry
             return
         near = decisions.nearness(
             self._settings.zone, entry.zone, self._settings.regions.get
         )
         distance = groups_module.DISTANCES[near]
         group.instances[entry.name] = decisions.PoolInstance(entry, distance)
-        self._links[entry.name] = self._edges.pool_link(desk.vm, entry)
-        lane = lane_module.Lane(self._loop, desk.vm, entry)
-        self._lanes[entry.name] = lane
+        self._links[entry.name] = self._factory.pool_link(dispatcher.vm, entry)
+        pool = lane_module.Lane(self._loop, dispatcher.vm, entry)
+        self._pools[entry.name] = pool
 
-    def _end_lane(self, name: core.InstanceName) -> None:
-        lane = self._lanes.pop(name, None)
+    def _close_pool(self, name: core.InstanceName) -> None:
+        pool = self._pools.pop(name, None)
         link = self._links.pop(name, None)
-        self._vias.pop(name, None)
-        if lane is not None:
-            lane.end()
+        self._forward_to.pop(name, None)
+        if pool is not None:
+            pool.end()
         if link is not None:
-            self._desk.send(link.task_name, core.StopLane())
+            self._dispatcher.send(link.task_name, core.StopLane())
 
-    def _deal_shares(self) -> None:
+    def _send_shares(self) -> None:
+        """Send each instance pool its share of the connections."""
         if self._config is None:
             return
-        caps = {one.name: one.connections for one in self._config.services}
-        for lane in self._lanes.values():
-            cap = caps.get(lane.entry.service)
+        caps = {
+            config.name: config.connections for config in self._config.services
+        }
+        for pool in self._pools.values():
+            cap = caps.get(pool.entry.service)
             if cap is None:
                 continue
-            share = self._share(lane.entry, cap)
-            self._desk.send(lane.task_name, lane_module.LaneShare(share))
+            share = self._own_share(pool.entry, cap)
+            self._dispatcher.send(
+                pool.task_name, lane_module.SetConnectionShare(share)
+            )
 
-    def _share(
+    def _own_share(
         self, entry: core.InstanceEntry, cap: int
     ) -> decisions.ConnShare:
-        """Return this VM's share; note whom its work goes through."""
-        self._vias.pop(entry.name, None)
+        """Return this VM's share of the connections to an instance.
+
+        If this VM owns none, set the VM that the work is forwarded to.
+        """
+        self._forward_to.pop(entry.name, None)
         region_of = self._settings.regions.get
-        count = decisions.holder_count(cap, len(self._nodes))
-        holders = decisions.holders_of(entry, self._nodes, count, region_of)
-        if self._own in holders:
+        count = decisions.holder_count(cap, len(self._live_vms))
+        owners = decisions.holders_of(entry, self._live_vms, count, region_of)
+        if self._own_place in owners:
             return decisions.connection_share(cap, count)
-        nearest = decisions.nearest_holder(self._own, holders, region_of)
+        nearest = decisions.nearest_holder(self._own_place, owners, region_of)
         if nearest is not None:
-            self._vias[entry.name] = nearest
+            self._forward_to[entry.name] = nearest
         return decisions.NO_SHARE
 
 
-def _moved(old: core.InstanceEntry, new: core.InstanceEntry) -> bool:
+def _is_restarted(old: core.InstanceEntry, new: core.InstanceEntry) -> bool:
+    """Return whether the instance has restarted or has another address."""
     return (old.host, old.port, old.boot) != (new.host, new.port, new.boot)
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -1,4 +1,4 @@
-"""Pooled sessions: what a session keeps, and its chart's handlers."""
+"""Pooled sessions: their data, and the handlers of their state chart."""
 
 from __future__ import annotations
 
@@ -12,16 +12,17 @@
 
 Verb = core.Verb
 Block = core.BlockState
-_BEGINS = (Verb.BEGIN, Verb.BEGIN_READ_ONLY)
-_LOCAL = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
+_BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ_ONLY)
+_LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
 
 
 @dataclasses.dataclass(slots=True)
 class Transaction:
     """A session's open transaction.
 
-    ``arrived`` is when its begin came, on the running-on clock; ``via`` is
-    the VM that holds its connection, None for this one.
+    ``arrived`` is when its BEGIN arrived, on the clock that also counts
+    suspended time (``Clock.running_on``). ``via`` is the VM that owns its
+    connection, None for this VM.
     """
 
     number: core.TransactionId
@@ -35,12 +36,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One statement on its way to an answer.
-
-    ``arrived`` is on the runtime's clock, ``arrived_on`` on the one that
-    runs on; ``refused`` are instances that did not run it; ``held_for``
-    says why it waits for an instance; ``via`` is the
-    VM that runs it, None for this one.
+    """A statement that has not been answered yet.
+
+    ``arrived`` is when it arrived, on the runtime's clock; ``arrived_on``
+    is the same on the clock that also counts suspended time
+    (``Clock.running_on``). ``needs_age`` is the age in seconds of the log
+    position that a read must see. ``refused`` holds instances that did not
+    run the statement. ``offered`` is set once an instance has given the
+    statement back to be run again. ``fenced`` is set if its instance was
+    fenced meanwhile: its result then proves nothing about where the primary
+    stands, and its commit is reported as unknown. ``held_for`` is the
+    reason why it waits for an instance. ``via`` is the VM that runs it,
+    None for this VM.
     """
 
     session: PoolSession
@@ -62,21 +69,21 @@
 
     @property
     def writes(self) -> bool:
-        """Tell whether the statement changes data."""
+        """Return whether the statement changes data."""
         if self.shape is not None:
             return self.shape.kind is core.ShapeKind.WRITE
         return self.message.statement.verb is Verb.WRITE
 
     @property
     def commits(self) -> bool:
-        """Tell whether the statement may make a change last."""
+        """Return whether the statement may commit a change."""
         if self.message.statement.verb is Verb.COMMIT:
             return True
         return self.writes and self.session.transaction is None
 
 
 class Host(Protocol):
-    """The task that owns sessions, as their chart's actions see it."""
+    """The methods of the sessions' owner that chart actions call."""
 
     def route(self, session: PoolSession, message: core.PoolStatement) -> None:
         """Send the statement to an instance."""
@@ -84,26 +91,26 @@
     def answered(
         self, session: PoolSession, answer: core.SessionAnswer
     ) -> None:
-        """Take what an attempt came to."""
+        """Apply the answer to the session's running statement."""
 
     def reply(self, session: PoolSession, answer: core.SessionAnswer) -> None:
         """Send an answer to the session's caller."""
 
     def abandon(self, session: PoolSession) -> None:
-        """Nobody waits for the session's statement any more."""
+        """Cancel the session's statement: its caller has disconnected."""
 
     def roll_back(self, session: PoolSession) -> None:
-        """End the session's transaction at its instance."""
+        """Roll back the session's transaction at its instance."""
 
     def forget(self, session: PoolSession) -> None:
-        """Drop the session."""
+        """Remove the session."""
 
     def begun(self, session: PoolSession, read_only: bool) -> Transaction:
         """Return a new transaction for the session."""
 
 
 class PoolSession:
-    """A caller's session; lives by the chart ``pool_session``."""
+    """A caller's session; the chart ``pool_session`` drives its state."""
 
     def __init__(
         self,
@@ -130,13 +137,15 @@
 
 
 @charts.guard('pool.local')
-def _local(session: PoolSession, message: core.PoolStatement) -> bool:
-    return _verb(message) in _LOCAL
+def _is_local(session: PoolSession, message: core.PoolStatement) -> bool:
+    return _verb(message) in _LOCAL_VERBS
 
 
 @charts.guard('pool.begins')
-def _begins(session: PoolSession, message: core.PoolStatement) -> bool:
-    return _verb(message) in _BEGINS
+def _begins_transaction(
+    session: PoolSession, message: core.PoolStatement
+) -> bool:
+    return _verb(message) in _BEGIN_VERBS
 
 
 @charts.guard('pool.rolls_back')
@@ -150,34 +159,40 @@
 
 
 @charts.guard('pool.still_open')
-def _still_open(session: PoolSession, answer: core.SessionAnswer) -> bool:
+def _transaction_is_open(
+    session: PoolSession, answer: core.SessionAnswer
+) -> bool:
     return answer.block is Block.OPEN
 
 
 @charts.guard('pool.has_failed')
-def _has_failed(session: PoolSession, answer: core.SessionAnswer) -> bool:
+def _transaction_has_failed(
+    session: PoolSession, answer: core.SessionAnswer
+) -> bool:
     return answer.block is Block.FAILED
 
 
 @charts.action('pool.begin')
-def _begin(session: PoolSession, message: core.PoolStatement) -> None:
+def _begin_transaction(
+    session: PoolSession, message: core.PoolStatement
+) -> None:
     read_only = _verb(message) is Verb.BEGIN_READ_ONLY
     session.transaction = session.host.begun(session, read_only)
 
 
 @charts.action('pool.end')
-def _end(session: PoolSession, arg: object) -> None:
+def _end_transaction(session: PoolSession, arg: object) -> None:
     session.transaction = None
 
 
 @charts.action('pool.answer_local')
 def _answer_local(session: PoolSession, message: core.PoolStatement) -> None:
-    keep = _KEEP.get(_verb(message), _keep_nothing)
-    keep(session, message.statement)
+    apply_effect = _LOCAL_EFFECTS.get(_verb(message), _change_nothing)
+    apply_effect(session, message.statement)
     session.host.reply(
         session,
         core.SessionAnswer(
-            session.session_id, message.request_id, _block(session)
+            session.session_id, message.request_id, _block_state(session)
         ),
     )
 
@@ -195,21 +210,23 @@
 
 
 def _refuse(
-    session: PoolSession, message: core.PoolStatement, why: core.Refusal
+    session: PoolSession, message: core.PoolStatement, reason: core.Refusal
 ) -> None:
     session.host.reply(
         session,
         core.SessionAnswer(
             session.session_id,
             message.request_id,
-            _block(session),
-            refusal=why,
+            _block_state(session),
+            refusal=reason,
         ),
     )
 
 
 @charts.action('pool.route')
-def _route(session: PoolSession, message: core.PoolStatement) -> None:
+def _route_statement(
+    session: PoolSession, message: core.PoolStatement
+) -> None:
     session.host.route(session, message)
 
 
@@ -219,7 +236,7 @@
 
 
 @charts.action('pool.abandon')
-def _abandon(session: PoolSession, arg: object) -> None:
+def _cancel_statement(session: PoolSession, arg: object) -> None:
     session.host.abandon(session)
 
 
@@ -229,40 +246,40 @@
 
 
 @charts.action('pool.forget')
-def _forget(session: PoolSession, arg: object) -> None:
+def _remove_session(session: PoolSession, arg: object) -> None:
     session.host.forget(session)
 
 
-_BLOCKS = {
+_BLOCK_STATES = {
     core.PoolSessionState.BEGUN: Block.OPEN,
     core.PoolSessionState.OPEN: Block.OPEN,
     core.PoolSessionState.FAILED: Block.FAILED,
 }
 
 
-def _block(session: PoolSession) -> core.BlockState:
-    return _BLOCKS.get(session.state, Block.IDLE)
+def _block_state(session: PoolSession) -> core.BlockState:
+    return _BLOCK_STATES.get(session.state, Block.IDLE)
 
 
-def _keep_nothing(session: PoolSession, statement: core.Statement) -> None:
-    """Leave the session as it is."""
+def _change_nothing(session: PoolSession, statement: core.Statement) -> None:
+    """Leave the session's values and prepared statements unchanged."""
 
 
-def _keep_value(session: PoolSession, statement: core.Statement) -> None:
+def _set_value(session: PoolSession, statement: core.Statement) -> None:
     session.values[statement.name] = statement.rest
 
 
-def _keep_shape(session: PoolSession, statement: core.Statement) -> None:
+def _add_prepared(session: PoolSession, statement: core.Statement) -> None:
     assert statement.shape is not None
     session.prepared[statement.name] = statement.shape
 
 
-def _drop_shape(session: PoolSession, statement: core.Statement) -> None:
+def _remove_prepared(session: PoolSession, statement: core.Statement) -> None:
     session.prepared.pop(statement.name, None)
 
 
-_KEEP = {
-    Verb.SET: _keep_value,
-    Verb.PREPARE: _keep_shape,
-    Verb.DEALLOCATE: _drop_shape,
+_LOCAL_EFFECTS = {
+    Verb.SET: _set_value,
+    Verb.PREPARE: _add_prepared,
+    Verb.DEALLOCATE: _remove_prepared,
 }
