--- a/tests/tasks/test_pool_forwarding.py
+++ b/tests/tasks/test_pool_forwarding.py
@@ -1,4 +1,7 @@
-"""More VMs than connections: most send their work through a holder."""
+"""Forwarding: with more VMs than connections, few VMs own connections.
+
+The other VMs send their work through a connection owner.
+"""
 
 from __future__ import annotations
 
@@ -12,9 +15,9 @@
 Refusal = core.Refusal
 PRIMARY = core.Access.PRIMARY
 OWN = core.Access.OWN_WRITES
-# 21 connections an instance, of which 10 are dealt out: three holders.
-VMS = 12
-CAP = 21
+# Of 21 connections to an instance, 10 are distributed: three VMs own some.
+VM_COUNT = 12
+MAX_CONNECTIONS = 21
 READ_SHAPE = core.Shape(core.ShapeKind.READ, 'q2c')
 
 
@@ -33,11 +36,11 @@
 @pytest.fixture
 def site():
     with logbook.TestHandler() as handler:
-        made = pool.Site(VMS)
-        yield made
-        made.close()
+        new_site = pool.Site(VM_COUNT)
+        yield new_site
+        new_site.close()
     failed = core.LogEvent.TASK_FAILED.number
-    assert all(one.extra['number'] != failed for one in handler.records)
+    assert all(record.extra['number'] != failed for record in handler.records)
 
 
 def ask(site, caller, *statements, seconds=0.3):
@@ -47,37 +50,37 @@
     return caller.last
 
 
-def split(site):
-    """Return the holders of the primary's connections, and the others."""
+def owners_and_others(site):
+    """Return the VMs that own connections to the primary, and the others."""
     name = site.group.primary().name
     for vm in site.vms:
         ask(site, vm.caller(PRIMARY), write(), seconds=0.1)
-    holders = [vm for vm in site.vms if vm.links[name].opened]
+    owners = [vm for vm in site.vms if vm.links[name].opened]
     others = [vm for vm in site.vms if not vm.links[name].opened]
-    return holders, others
+    return owners, others
 
 
-def test_three_vms_hold_the_connections_and_all_are_served(site):
-    holders, others = split(site)
-    assert len(holders) == 3
+def test_three_vms_own_the_connections_and_all_vms_are_served(site):
+    owners, others = owners_and_others(site)
+    assert len(owners) == 3
     for vm in others:
         assert ask(site, vm.caller(PRIMARY), write()).refusal is None
 
 
-def test_a_burst_from_every_vm_stays_within_the_cap(site):
-    split(site)
+def test_a_burst_from_every_vm_stays_within_the_connection_limit(site):
+    owners_and_others(site)
     callers = [vm.caller(PRIMARY) for vm in site.vms for _ in range(6)]
     for caller in callers:
         caller.ask(write())
     site.run(2.0)
-    assert all(one.last.refusal is None for one in callers)
+    assert all(sender.last.refusal is None for sender in callers)
     for name in site.group.instances:
         opened = sum(vm.links[name].opened for vm in site.vms)
-        assert opened <= CAP
+        assert opened <= MAX_CONNECTIONS
 
 
-def test_a_session_keeps_its_values_shapes_and_transactions(site):
-    _, others = split(site)
+def test_a_forwarded_session_keeps_values_statements_and_transaction(site):
+    _, others = owners_and_others(site)
     caller = others[0].caller(PRIMARY)
     value = core.Statement(Verb.SET, 'SET tenant 7', 'tenant', '7')
     shape = core.Statement(Verb.PREPARE, 'PREPARE', 's1', '', READ_SHAPE)
@@ -85,27 +88,27 @@
     ask(site, caller, value, shape, bare(Verb.BEGIN), write())
     assert caller.last.block is core.BlockState.OPEN
     ask(site, caller, execute, bare(Verb.COMMIT))
-    assert [one.refusal for one in caller.answers] == [None] * 6
+    assert [result.refusal for result in caller.answers] == [None] * 6
     assert caller.last.block is core.BlockState.IDLE
-    runs = [one for one in site.group.runs if one.shape == READ_SHAPE]
+    runs = [result for result in site.group.runs if result.shape == READ_SHAPE]
     assert runs[-1].values == (('tenant', '7'),)
     assert runs[-1].block is core.BlockState.OPEN
 
 
-def test_a_session_reads_what_it_wrote_through_others(site):
-    _, others = split(site)
-    for one in site.group.instances.values():
-        one.deaf = one is not site.group.primary()
+def test_a_forwarded_session_reads_its_own_writes(site):
+    _, others = owners_and_others(site)
+    for item in site.group.instances.values():
+        item.deaf = item is not site.group.primary()
     caller = others[0].caller(OWN)
     assert ask(site, caller, write()).refusal is None
     request = caller.ask(read())
     site.run(0.3)
-    run = next(one for one in site.group.runs if one.request_id == request)
+    run = next(item for item in site.group.runs if item.request_id == request)
     assert run.instance == site.group.primary().name
 
 
-def test_a_caller_that_leaves_rolls_back_where_its_transaction_runs(site):
-    _, others = split(site)
+def test_a_disconnect_rolls_back_a_forwarded_transaction(site):
+    _, others = owners_and_others(site)
     caller = others[0].caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), write())
     before = len(site.group.commits)
@@ -116,24 +119,28 @@
     assert len(site.group.commits) == before + 3
 
 
-def holder_of(site, vm, monkeypatch=None):
-    """Return the VM that runs another VM's work at the primary."""
+def owner_of(site, vm, monkeypatch=None):
+    """Return the VM that runs the given VM's work at the primary."""
     caller = vm.caller(PRIMARY)
     with logbook.TestHandler() as handler:
         ask(site, caller, write())
     number = core.LogEvent.STATEMENT_RELAYED.number
-    relayed = [one for one in handler.records if one.extra['number'] == number]
-    return next(one for one in site.vms if one.vm == relayed[-1].extra['vm'])
+    relayed = [
+        entry for entry in handler.records if entry.extra['number'] == number
+    ]
+    return next(
+        entry for entry in site.vms if entry.vm == relayed[-1].extra['vm']
+    )
 
 
-def test_a_lost_holder_leaves_a_commit_unknown_and_the_rest_aborted(site):
-    _, others = split(site)
+def test_losing_the_owner_makes_a_commit_unknown_and_others_aborted(site):
+    _, others = owners_and_others(site)
     vm = others[0]
-    holder = holder_of(site, vm)
+    owner = owner_of(site, vm)
     committing, idle = vm.caller(PRIMARY), vm.caller(PRIMARY)
     for caller in (committing, idle):
         ask(site, caller, bare(Verb.BEGIN), write())
-    site.isolate(holder)
+    site.isolate(owner)
     committing.ask(bare(Verb.COMMIT))
     site.run(1.2)
     assert committing.last.refusal is Refusal.UNKNOWN
@@ -143,24 +150,24 @@
     assert ask(site, vm.caller(PRIMARY), write()).refusal is None
 
 
-def test_a_read_goes_elsewhere_when_its_holder_is_silent(site):
-    _, others = split(site)
+def test_a_read_runs_elsewhere_when_its_owner_does_not_respond(site):
+    _, others = owners_and_others(site)
     vm = others[0]
-    site.isolate(holder_of(site, vm))
+    site.isolate(owner_of(site, vm))
     caller = vm.caller(OWN)
     ask(site, caller, read(), seconds=1.5)
     assert caller.last.refusal is None
 
 
-def test_a_holder_that_forgot_a_transaction_commits_nothing(site):
-    """The stream to the holder broke, and only the holder noticed."""
-    _, others = split(site)
+def test_an_owner_without_the_transaction_commits_nothing(site):
+    """The stream to the connection owner broke, and only the owner knows."""
+    _, others = owners_and_others(site)
     vm = others[0]
-    holder = holder_of(site, vm)
+    owner = owner_of(site, vm)
     caller = vm.caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), write())
     before = len(site.group.commits)
-    relay = core.TaskName(f'{holder.vm}/relay')
+    relay = core.TaskName(f'{owner.vm}/relay')
     site.loop.post(relay, core.PeerDown(vm.vm))
     site.run(0.1)
     assert ask(site, caller, bare(Verb.COMMIT)).refusal is Refusal.ABORTED
@@ -168,8 +175,10 @@
 
 
 @pytest.mark.parametrize('fault', ['dark', 'crashed'])
-def test_a_dead_primary_is_replaced_and_no_promise_is_broken(site, fault):
-    split(site)
+def test_a_failed_primary_is_replaced_without_lost_or_false_answers(
+    site, fault
+):
+    owners_and_others(site)
     old = site.group.primary()
     answers = []
     for turn in range(40):
@@ -181,7 +190,7 @@
         site.run(0.1)
     site.run(2.0)
     assert site.group.primary() is not old
-    landed = {one.request_id: one for one in site.group.commits}
+    committed = {item.request_id: item for item in site.group.commits}
     newest = 0
     acked = set()
     for caller, request in answers:
@@ -189,9 +198,9 @@
         if refusal is None:
             acked.add(request)
         if refusal in (Refusal.BUSY, Refusal.ABORTED):
-            assert request not in landed
-    for one in site.group.commits:
-        newest = max(newest, one.position.term)
-        assert one.request_id not in acked or one.position.term == newest
-    late = [one for one, _ in answers[-VMS:]]
-    assert all(one.last.refusal is None for one in late)
+            assert request not in committed
+    for item in site.group.commits:
+        newest = max(newest, item.position.term)
+        assert item.request_id not in acked or item.position.term == newest
+    last_callers = [item for item, _ in answers[-VM_COUNT:]]
+    assert all(item.last.refusal is None for item in last_callers)
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -1,4 +1,4 @@
-"""Pooled sessions on several VMs, with the real tasks."""
+"""Pooled sessions on several simulated VMs, with the real tasks."""
 
 from __future__ import annotations
 
@@ -48,11 +48,11 @@
 @pytest.fixture
 def site():
     with logbook.TestHandler() as handler:
-        made = pool.Site()
-        yield made
-        made.close()
+        new_site = pool.Site()
+        yield new_site
+        new_site.close()
     failed = core.LogEvent.TASK_FAILED.number
-    assert all(one.extra['number'] != failed for one in handler.records)
+    assert all(record.extra['number'] != failed for record in handler.records)
 
 
 def ask(site, caller, *statements, seconds=0.3):
@@ -62,10 +62,10 @@
     return caller.last
 
 
-def run_of(site, request_id):
-    found = [one for one in site.group.runs if one.request_id == request_id]
-    assert len(found) == 1
-    return found[0]
+def only_run(site, request_id):
+    matching = [run for run in site.group.runs if run.request_id == request_id]
+    assert len(matching) == 1
+    return matching[0]
 
 
 def test_a_read_is_answered_with_the_instances_rows_and_digest(site):
@@ -91,48 +91,48 @@
     assert answer.rows == ('at 1',)
 
 
-def test_a_bounded_read_leaves_the_primary_alone_when_replicas_are_fresh(
+def test_a_bounded_read_runs_on_a_replica_when_replicas_are_fresh(
     site,
 ):
     caller = site.vms[0].caller(BOUNDED)
     ask(site, caller, read())
     request_id = caller.ask(read())
     site.run(0.3)
-    ran = run_of(site, request_id)
-    assert ran.instance != site.group.primary().name
+    result = only_run(site, request_id)
+    assert result.instance != site.group.primary().name
 
 
-def test_a_bounded_read_without_a_recent_proof_goes_to_the_primary(site):
+def test_a_bounded_read_without_a_recent_position_goes_to_the_primary(site):
     caller = site.vms[0].caller(BOUNDED)
     ask(site, caller, read())
     site.run(3.0)
     request_id = caller.ask(read())
     site.run(0.3)
-    assert run_of(site, request_id).instance == site.group.primary().name
+    assert only_run(site, request_id).instance == site.group.primary().name
 
 
-def test_values_of_one_session_never_show_in_another(site):
+def test_session_values_do_not_leak_into_another_session(site):
     vm = site.vms[0]
-    one, other = vm.caller(PRIMARY), vm.caller(PRIMARY)
-    ask(site, one, setting('tz', 'cairo'), setting('role', 'clerk'), read())
-    request_id = other.ask(read())
+    first, second = vm.caller(PRIMARY), vm.caller(PRIMARY)
+    ask(site, first, setting('tz', 'cairo'), setting('role', 'clerk'), read())
+    request_id = second.ask(read())
     site.run(0.3)
-    assert run_of(site, request_id).values == ()
-    request_id = one.ask(read())
+    assert only_run(site, request_id).values == ()
+    request_id = first.ask(read())
     site.run(0.3)
-    wanted = (('role', 'clerk'), ('tz', 'cairo'))
-    assert run_of(site, request_id).values == wanted
+    expected = (('role', 'clerk'), ('tz', 'cairo'))
+    assert only_run(site, request_id).values == expected
 
 
-def test_prepared_names_of_two_sessions_keep_their_own_shapes(site):
+def test_two_sessions_prepare_different_statements_under_one_name(site):
     vm = site.vms[0]
-    one, other = vm.caller(PRIMARY), vm.caller(PRIMARY)
-    ask(site, one, prepare('s1', READ_SHAPE))
-    ask(site, other, prepare('s1', WRITE_SHAPE))
-    first, second = one.ask(execute('s1')), other.ask(execute('s1'))
+    reader, writer = vm.caller(PRIMARY), vm.caller(PRIMARY)
+    ask(site, reader, prepare('s1', READ_SHAPE))
+    ask(site, writer, prepare('s1', WRITE_SHAPE))
+    read_id, write_id = reader.ask(execute('s1')), writer.ask(execute('s1'))
     site.run(0.3)
-    assert run_of(site, first).shape == READ_SHAPE
-    assert run_of(site, second).shape == WRITE_SHAPE
+    assert only_run(site, read_id).shape == READ_SHAPE
+    assert only_run(site, write_id).shape == WRITE_SHAPE
 
 
 def test_an_unprepared_name_is_refused_without_a_run(site):
@@ -150,10 +150,10 @@
     assert answer.refusal is None
     assert answer.block is Block.IDLE
     assert len(site.group.commits) == 1
-    assert {one.block for one in site.group.runs} == {Block.OPEN}
+    assert {run.block for run in site.group.runs} == {Block.OPEN}
 
 
-def test_a_rolled_back_transaction_leaves_nothing(site):
+def test_a_rolled_back_transaction_commits_nothing(site):
     caller = site.vms[0].caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), write(), bare(Verb.ROLLBACK))
     assert caller.last.block is Block.IDLE
@@ -161,7 +161,7 @@
     assert site.group.commits == []
 
 
-def test_a_caller_that_leaves_in_a_transaction_leaves_nothing(site):
+def test_a_disconnect_in_a_transaction_commits_nothing(site):
     vm = site.vms[0]
     caller = vm.caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), write())
@@ -179,14 +179,14 @@
     ask(site, caller, bare(Verb.BEGIN_READ_ONLY))
     request_id = caller.ask(read())
     site.run(0.3)
-    replica = run_of(site, request_id).instance
+    replica = only_run(site, request_id).instance
     assert replica != site.group.primary().name
     ask(site, caller, bare(Verb.COMMIT))
     assert caller.last.refusal is None
     assert site.group.runs[-1].instance == replica
 
 
-def test_nothing_but_the_end_is_taken_in_a_failed_transaction(site):
+def test_a_failed_transaction_accepts_only_its_end(site):
     caller = site.vms[0].caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), read(), execute('s9'))
     assert caller.last.block is Block.FAILED
@@ -201,8 +201,8 @@
     caller = site.vms[0].caller(BOUNDED)
     ask(site, caller, read())
     primary = site.group.primary()
-    for one in site.group.instances.values():
-        one.lose_answers = one is not primary
+    for instance in site.group.instances.values():
+        instance.lose_answers = instance is not primary
     answer = ask(site, caller, read(), seconds=1.0)
     assert answer.refusal is None
 
@@ -214,23 +214,25 @@
     request_id = caller.ask(write())
     site.run(2.0)
     assert caller.last.refusal is Refusal.UNKNOWN
-    landed = [
-        one for one in site.group.commits if one.request_id == request_id
+    commits_of_write = [
+        commit
+        for commit in site.group.commits
+        if commit.request_id == request_id
     ]
-    assert len(landed) == 1
+    assert len(commits_of_write) == 1
 
 
 def test_a_busy_instance_is_avoided(site):
     caller = site.vms[0].caller(BOUNDED)
     ask(site, caller, read())
     primary = site.group.primary()
-    for one in site.group.instances.values():
-        one.busy = one is not primary
+    for instance in site.group.instances.values():
+        instance.busy = instance is not primary
     answer = ask(site, caller, read())
     assert answer.refusal is None
 
 
-def test_what_a_full_primary_cannot_take_is_refused_in_time(site):
+def test_a_write_to_a_full_primary_is_refused_in_time(site):
     caller = site.vms[0].caller(PRIMARY)
     site.group.primary().full = True
     answer = ask(site, caller, write(), seconds=0.6)
@@ -240,15 +242,15 @@
 
 def test_a_draining_vm_closes_sessions_between_operations(site):
     vm = site.vms[0]
-    idle, open_one = vm.caller(PRIMARY), vm.caller(PRIMARY)
-    ask(site, open_one, bare(Verb.BEGIN), write())
+    idle, in_transaction = vm.caller(PRIMARY), vm.caller(PRIMARY)
+    ask(site, in_transaction, bare(Verb.BEGIN), write())
     site.loop.post(vm.desk.task_name, core.Drain(6.0))
     site.run(0.1)
     assert idle.closed
-    assert not open_one.closed
-    ask(site, open_one, bare(Verb.COMMIT))
-    assert open_one.last.refusal is None
-    assert open_one.closed
+    assert not in_transaction.closed
+    ask(site, in_transaction, bare(Verb.COMMIT))
+    assert in_transaction.last.refusal is None
+    assert in_transaction.closed
 
 
 def test_a_change_of_a_route_applies_from_the_next_transaction(site):
@@ -265,7 +267,7 @@
     assert answer.refusal is Refusal.NO_DATABASE
 
 
-def test_an_older_configuration_never_comes_back(site):
+def test_an_older_configuration_is_not_applied(site):
     config = site.store.config
     newer = core.PoolConfig(
         core.ConfigVersion(5), config.routes, config.services, 3.0
@@ -279,7 +281,7 @@
     assert site.vms[0].keeper.config.version == 5
 
 
-def test_a_vm_that_the_store_turns_away_learns_from_its_peers(site):
+def test_a_vm_that_the_store_rejects_gets_updates_from_its_peers(site):
     site.store.shut.add(site.vms[2].vm)
     config = site.store.config
     site.store.config = core.PoolConfig(
@@ -290,8 +292,11 @@
     assert site.vms[2].desk.authority()
 
 
-def test_a_configuration_arrives_though_the_store_shuts_two_vms_out():
-    """Seen on a hunted day of Inzovu (mix, seed 487392856372)."""
+def test_a_configuration_arrives_though_the_store_rejects_two_vms():
+    """Two VMs that the store rejects learn a configuration from their peers.
+
+    A simulated fault run (mix, seed 487392856372) failed here.
+    """
     site = pool.Site(5)
     site.run(5.0)
     config = site.store.config
@@ -308,15 +313,15 @@
     site.close()
 
 
-def test_the_links_of_an_instances_past_life_end(site):
-    """An instance may come back under its name before it is missed."""
+def test_links_to_an_instance_end_when_it_restarts(site):
+    """An instance may restart under its name before it is unreachable."""
     caller = site.vms[0].caller(PRIMARY)
     assert ask(site, caller, write()).refusal is None
-    past = tuple(site.vms[0].links.values())
-    for one in site.group.instances.values():
-        one.entry = dataclasses.replace(one.entry, boot=one.entry.boot + 1)
+    old_links = tuple(site.vms[0].links.values())
+    for item in site.group.instances.values():
+        item.entry = dataclasses.replace(item.entry, boot=item.entry.boot + 1)
     site.register()
     site.run(2.0)
-    assert all(one.root is not site.loop for one in past)
+    assert all(item.root is not site.loop for item in old_links)
     for _ in range(3):
         assert ask(site, caller, write()).refusal is None
