--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -31,7 +31,8 @@
 CONFIRM_LIMIT_S = 3.0
 # Pause before all instances are queried again if none can be promoted.
 QUERY_PAUSE_S = 0.25
-# Pause before a failed write of the open leader row is repeated.
+# Pause before the open leader row is written again, if the outcome of the
+# last write is unknown or a renewal of the closing row was written first.
 OPEN_ROW_RETRY_S = 0.1
 # Interval between queries while the successor's log is still behind.
 CATCH_UP_PAUSE_S = 0.05
@@ -188,7 +189,10 @@
 
     @runtime.handles(core.NodesInStore)
     def _on_nodes(self, message: core.NodesInStore) -> None:
-        """Fence VMs that the store lists and the request did not name."""
+        """Also fence VMs that are not in the request but in the store.
+
+        They had registered by the time of the claim.
+        """
         if self.state is not core.HandoverState.FENCING:
             return
         has_new_vms = self._fencing.listed(message.rows)
@@ -207,6 +211,11 @@
 
     @runtime.handles(_RetryFencing)
     def _on_retry_fencing(self, message: _RetryFencing) -> None:
+        """Fence the remaining VMs again, or go on without them.
+
+        Once every authority from before the claim has expired, no VM may
+        use the old primary any more.
+        """
         if self.state is not core.HandoverState.FENCING:
             return
         if message.revision != self._claim.first:
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/keeper.py
@@ -68,7 +68,7 @@
         self._peers = core.LivePeers((), ())
         self._fences: dict[core.ServiceName, list[core.FencePrimary]] = {}
         self.handovers: dict[core.ServiceName, handover.Handover] = {}
-        self._changing: set[core.ServiceName] = set()
+        self._running_handovers: set[core.ServiceName] = set()
         self._pending_turns: set[core.ServiceName] = set()
         self._no_primary_since: dict[core.ServiceName, float] = {}
         self._groups: dict[core.ServiceName, core.GroupInForce] = {}
@@ -128,7 +128,7 @@
                 self._publish(row.service)
 
     @runtime.handles(core.LivePeers)
-    def _on_live(self, message: core.LivePeers) -> None:
+    def _on_live_peers(self, message: core.LivePeers) -> None:
         self._peers = message
 
     # -- usable primaries -----------------------------------------------
@@ -149,7 +149,7 @@
         old = None if before is None else before.primary
         self._groups[service] = message
         if old is not None and old != primary:
-            self._stop(service, old)
+            self._request_stop(service, old)
         if primary != old:
             self.log.emit(
                 core.LogEvent.PRIMARY_IN_FORCE,
@@ -163,7 +163,14 @@
         self.send(names.relay(self.vm), message)
         self._answer_fences(service)
 
-    def _stop(self, service: core.ServiceName, old: core.InstanceName) -> None:
+    def _request_stop(
+        self, service: core.ServiceName, old: core.InstanceName
+    ) -> None:
+        """Ask the dispatcher to stop using an old primary.
+
+        Open transactions get the longest grace period of the group's
+        pending fences.
+        """
         patience = max(
             (fence.patience for fence in self._fences.get(service, ())),
             default=0.0,
@@ -177,6 +184,10 @@
 
     @runtime.handles(core.FencePrimary)
     def _on_fence(self, fence: core.FencePrimary) -> None:
+        """Apply the closing row of another VM's or this VM's change.
+
+        The fence is confirmed once this VM no longer uses the primary.
+        """
         service = fence.row.service
         self._fences.setdefault(service, []).append(fence)
         rows = core.LeadsInStore((fence.row,))
@@ -223,7 +234,7 @@
 
     @runtime.handles(core.Reopened)
     def _on_reopened(self, message: core.Reopened) -> None:
-        if self._leaders.reopen(message):
+        if self._leaders.apply_reopened(message):
             self._publish(message.row.service)
 
     # -- replacing primaries --------------------------------------------
@@ -239,7 +250,7 @@
         """Check for groups whose primary has to be replaced."""
         self.after(CHECK_INTERVAL_S, timer)
         for service, group in self._groups.items():
-            if service in self._changing or not group.entries:
+            if service in self._running_handovers or not group.entries:
                 continue
             if self._leaders.is_closing(service):
                 self._check_handover(service)
@@ -303,7 +314,8 @@
         makes to the leader row then voids this VM's turn.
         """
         is_pending = (
-            service in self._changing or service in self._pending_turns
+            service in self._running_handovers
+            or service in self._pending_turns
         )
         if is_pending or self._leaving:
             return
@@ -322,7 +334,7 @@
     def _on_turn(self, message: _TurnReached) -> None:
         service = message.service
         self._pending_turns.discard(service)
-        if service in self._changing or service not in self._groups:
+        if service in self._running_handovers or service not in self._groups:
             return
         if message.revision != self._leaders.revision(service):
             return
@@ -331,13 +343,13 @@
             self.handovers[service] = handover.Handover(
                 self._loop, self.vm, service
             )
-        self._changing.add(service)
+        self._running_handovers.add(service)
         self._report_changes()
         self.send(
             names.handover(self.vm, service),
             core.WantHandover(
                 group.entries,
-                group.primary or self._leaders.last(service),
+                group.primary or self._leaders.last_primary(service),
                 message.revision,
                 message.planned,
                 self._peers.concerned,
@@ -345,12 +357,12 @@
         )
 
     def _report_changes(self) -> None:
-        changes = core.ChangesUnderWay(bool(self._changing))
+        changes = core.ChangesUnderWay(bool(self._running_handovers))
         self.send(names.exchange(self.vm), changes)
 
     @runtime.handles(core.HandoverEnded)
-    def _on_ended(self, message: core.HandoverEnded) -> None:
-        self._changing.discard(message.service)
+    def _on_handover_ended(self, message: core.HandoverEnded) -> None:
+        self._running_handovers.discard(message.service)
         self._report_changes()
 
     @runtime.handles(core.Drain)
--- a/src/chicoryusher/tasks/pool/lane.py
+++ b/src/chicoryusher/tasks/pool/lane.py
@@ -21,7 +21,7 @@
 RESPONSE_TIMEOUT_S = 0.25
 # Time limit of a rollback, after which the connection is closed.
 ROLLBACK_LIMIT_S = 0.6
-# Pause in opening connections after one could not be opened.
+# Pause in was_connecting connections after one could not be opened.
 CONNECT_PAUSE_S = 0.3
 # Idle time after which a connection above this VM's share is closed.
 SURPLUS_IDLE_S = 1.5
@@ -91,7 +91,7 @@
         self._start_work(conn, work)
 
     def _dispatch(self) -> None:
-        """Start queued work on the idle connections that fit it best."""
+        """Start queued work on the idle connections that need least setup."""
         now = self.now()
         idle = self._conns.idle()
         while idle and (work := self._queue.take(now)) is not None:
@@ -258,7 +258,7 @@
     # -- cancelled work and closed connections --------------------------
 
     @runtime.handles(core.EndTransaction)
-    def _on_end(self, message: core.EndTransaction) -> None:
+    def _on_end_transaction(self, message: core.EndTransaction) -> None:
         conn = self._conns.of(message.transaction)
         if conn is None:
             return
@@ -286,11 +286,11 @@
         conn = self._conns.find(message.conn_id)
         if conn is None:
             return
-        opening = conn.state is core.ConnState.CONNECTING
+        was_connecting = conn.state is core.ConnState.CONNECTING
         if message.reason is core.LinkEnd.TOO_MANY:
             self._connect_paused_until = self.now() + CONNECT_PAUSE_S
         self._remove(conn, _Ended.LOST)
-        if opening:
+        if was_connecting:
             self._on_open_failed(message.reason)
         elif message.reason is not core.LinkEnd.GARBLED:
             self._report_trouble()
--- a/src/chicoryusher/tasks/pool/leads.py
+++ b/src/chicoryusher/tasks/pool/leads.py
@@ -40,20 +40,20 @@
         row = self._rows.get(service)
         return 0 if row is None else row.revision
 
-    def last(self, service: core.ServiceName) -> core.InstanceName:
-        """Return the primary in the group's row, an empty name if no row."""
+    def last_primary(self, service: core.ServiceName) -> core.InstanceName:
+        """Return the primary in the group's row, '' without a row."""
         row = self._rows.get(service)
         return _NO_INSTANCE if row is None else row.primary
 
     def holder(self, service: core.ServiceName) -> core.VmName | None:
-        """Return the VM that wrote the group's row, None if no row.
+        """Return the VM that wrote the group's row, None without a row.
 
         For a closing row this is the coordinator of the change.
         """
         row = self._rows.get(service)
         return None if row is None else row.holder
 
-    def reopen(self, message: core.Reopened) -> bool:
+    def apply_reopened(self, message: core.Reopened) -> bool:
         """Store the end of a change, unless it is of an older change.
 
         Return whether it was stored.
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -190,7 +190,7 @@
             self.send(relayed.pool_task, core.EndTransaction(transaction))
 
     @runtime.handles(core.PeerDown)
-    def _on_down(self, message: core.PeerDown) -> None:
+    def _on_peer_down(self, message: core.PeerDown) -> None:
         """Cancel all work and transactions of a VM whose stream has ended.
 
         Nobody waits for their results any more.
--- a/src/chicoryusher/tasks/pool/roster.py
+++ b/src/chicoryusher/tasks/pool/roster.py
@@ -151,20 +151,20 @@
         """Send each instance pool its share of the connections."""
         if self._config is None:
             return
-        caps = {
+        limits = {
             config.name: config.connections for config in self._config.services
         }
         for pool in self._pools.values():
-            cap = caps.get(pool.entry.service)
-            if cap is None:
+            max_connections = limits.get(pool.entry.service)
+            if max_connections is None:
                 continue
-            share = self._own_share(pool.entry, cap)
+            share = self._own_share(pool.entry, max_connections)
             self._dispatcher.send(
                 pool.task_name, lane_module.SetConnectionShare(share)
             )
 
     def _own_share(
-        self, entry: core.InstanceEntry, cap: int
+        self, entry: core.InstanceEntry, max_connections: int
     ) -> decisions.ConnShare:
         """Return this VM's share of the connections to an instance.
 
@@ -172,10 +172,10 @@
         """
         self._forward_to.pop(entry.name, None)
         region_of = self._settings.regions.get
-        count = decisions.holder_count(cap, len(self._live_vms))
+        count = decisions.holder_count(max_connections, len(self._live_vms))
         owners = decisions.holders_of(entry, self._live_vms, count, region_of)
         if self._own_place in owners:
-            return decisions.connection_share(cap, count)
+            return decisions.connection_share(max_connections, count)
         nearest = decisions.nearest_holder(self._own_place, owners, region_of)
         if nearest is not None:
             self._forward_to[entry.name] = nearest
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -138,6 +138,7 @@
 
 @charts.guard('pool.local')
 def _is_local(session: PoolSession, message: core.PoolStatement) -> bool:
+    """Return whether the statement can be answered without an instance."""
     return _verb(message) in _LOCAL_VERBS
 
 
@@ -187,6 +188,7 @@
 
 @charts.action('pool.answer_local')
 def _answer_local(session: PoolSession, message: core.PoolStatement) -> None:
+    """Apply a statement that needs no instance, and answer it."""
     apply_effect = _LOCAL_EFFECTS.get(_verb(message), _change_nothing)
     apply_effect(session, message.statement)
     session.host.reply(
--- a/src/chicoryusher/tasks/pool/watch.py
+++ b/src/chicoryusher/tasks/pool/watch.py
@@ -51,7 +51,7 @@
         self._checks: dict[core.InstanceName, _Check] = {}
 
     @runtime.handles(core.LivePeers)
-    def _on_live(self, message: core.LivePeers) -> None:
+    def _on_live_peers(self, message: core.LivePeers) -> None:
         self._live = message.live
         self._voters = message.voters
 
@@ -69,13 +69,14 @@
 
     @runtime.handles(core.InstanceTrouble)
     def _on_trouble(self, message: core.InstanceTrouble) -> None:
+        """Probe a primary on which traffic has failed."""
         if message.instance not in self._primaries.values():
             return
         if self._start_check(message.instance):
             self.after(PEER_QUERY_DELAY_S, _QueryPeers(message.instance))
 
     def _start_check(self, name: core.InstanceName) -> bool:
-        """Probe an instance, unless a probe of it may still run.
+        """Probe an instance, unless a check of it has just begun.
 
         Return whether a check was started.
         """
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -295,7 +295,7 @@
 def test_a_configuration_arrives_though_the_store_rejects_two_vms():
     """Two VMs that the store rejects learn a configuration from their peers.
 
-    A simulated fault run (mix, seed 487392856372) failed here.
+    Found by a random fault run of Inzovu (mix, seed 487392856372).
     """
     site = pool.Site(5)
     site.run(5.0)
@@ -314,7 +314,7 @@
 
 
 def test_links_to_an_instance_end_when_it_restarts(site):
-    """An instance may restart under its name before it is unreachable."""
+    """An instance may restart before any VM finds it unreachable."""
     caller = site.vms[0].caller(PRIMARY)
     assert ask(site, caller, write()).refusal is None
     old_links = tuple(site.vms[0].links.values())
