Reword the messages of core

Docstrings of stewardship, exchanging, pooling, forwarding, control, messages, placement and peering say what a message reports or asks for and what its fields mean, with the field's terms for leader rows, authority, views and grace periods. A loop variable is renamed.

--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -1,6 +1,7 @@
 """Typed messages of the control plane: groups, platform, peers.
 
-Times are seconds.  Documents of the platform are opaque JSON bytes.
+Times are seconds.  Values in the platform's table and object store are
+JSON documents as bytes, which these messages don't decode.
 """
 
 from __future__ import annotations
@@ -47,11 +48,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupState(Message):
-    """What a VM knows of a group whose instance it is the gate of.
+    """State of a database group, from its monitor to a gate in it.
 
-    ``observed_at`` is when the probe of the own instance began and
-    ``lag`` the staleness proved for that moment; ``apply_delay`` is an
-    estimate of how far it is behind its primary.
+    ``own`` is the answer of the gate's instance to its last probe and
+    ``observed_at`` when that probe began.  ``lag`` is an upper bound of
+    the instance's staleness, proved for that moment; ``apply_delay`` is
+    an estimate of how many seconds it is behind its primary.  ``starts``
+    are the log offsets at which terms began.
     """
 
     database: ids.DatabaseName
@@ -67,19 +70,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Doubt(Message):
-    """An instance lost a connection, or its statements do not end."""
+    """Report that an instance is suspected to have failed.
+
+    It lost a connection, or its statements do not end.
+    """
 
     instance: ids.InstanceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupUsed(Message):
-    """Requests come in: watch the group closely."""
+    """Report that a group has requests, so that it is probed often."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProveCommit(Message):
-    """Ask for evidence that a commit survives any later term."""
+    """Ask for evidence that a commit is part of every later term."""
 
     gate: ids.TaskName
     request_id: ids.RequestId
@@ -88,28 +94,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Proved(Message):
-    """A majority holds the commit in its term."""
+    """Reply that a majority has the commit in the term it was made in."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Disproved(Message):
-    """A later term began before the commit reached a majority."""
+    """Reply that a later term began before a majority had the commit."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchCatchUp(Message):
-    """A gate has requests that wait for its replica to catch up."""
+    """Report that requests of a gate wait for its replica to catch up."""
 
     instance: ids.InstanceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fence(Message):
-    """Ask an instance to accept nothing of an earlier term."""
+    """Ask an instance to reject everything of terms before ``term``."""
 
     term: ids.Term
     candidate: ids.VmName
@@ -117,7 +123,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FenceAnswer(Message):
-    """Whether the instance took the fence, and its log position."""
+    """Reply whether an instance accepted a fence.
+
+    ``received`` is the end of the log that the instance has received.
+    """
 
     instance: ids.InstanceName
     term: ids.Term
@@ -127,7 +136,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Promote(Message):
-    """Make an instance the primary of a term it was fenced for."""
+    """Make an instance the primary of a term for which it was fenced."""
 
     term: ids.Term
     candidate: ids.VmName
@@ -135,7 +144,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromoteAnswer(Message):
-    """Whether the instance leads the term."""
+    """Reply whether the instance is the primary of the term."""
 
     instance: ids.InstanceName
     term: ids.Term
@@ -152,7 +161,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TablePut(Message):
-    """Write one key if its version is still ``expected`` (0: absent)."""
+    """Write one key if its version is still ``expected``.
+
+    Version 0 stands for a key that does not exist.
+    """
 
     reply_to: ids.TaskName
     key: str
@@ -162,10 +174,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableAnswer(Message):
-    """Result of a get or put.
+    """Result of a get or put of one key of the platform's table.
 
-    ``version`` is the key's version after the call, 0 if absent; a
-    refused put carries PlatformRefused and the version found.
+    ``version`` is the key's version after the call, 0 if the key does
+    not exist.  After a refused put ``error`` is PlatformRefused and
+    ``version`` the version that the key has.
     """
 
     key: str
@@ -177,7 +190,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableScan(Message):
-    """Read the keys that begin with ``prefix``, after ``after``."""
+    """Read up to ``limit`` keys with a prefix, in key order.
+
+    Only keys that sort after the key ``after`` are read.
+    """
 
     reply_to: ids.TaskName
     prefix: str
@@ -187,7 +203,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableScanAnswer(Message):
-    """Result of a scan, in key order."""
+    """Result of a scan of the platform's table, in key order."""
 
     prefix: str
     rows: tuple[TableAnswer, ...] = ()
@@ -204,7 +220,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectPut(Message):
-    """Write one object; its key names its content."""
+    """Write one object; its key is derived from its content."""
 
     reply_to: ids.TaskName
     key: str
@@ -213,7 +229,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ObjectAnswer(Message):
-    """Result of an object's get or put; no value if it is absent."""
+    """Result of an object's get or put.
+
+    ``value`` is None if the object does not exist.
+    """
 
     key: str
     value: bytes | None = None
@@ -230,7 +249,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmListed(Message):
-    """One VM of the platform's list."""
+    """Entry of the platform's list of VMs.
+
+    ``leaving`` is set if the platform is about to stop the VM.
+    """
 
     name: str
     leaving: bool
@@ -238,7 +260,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmList(Message):
-    """The platform's list of VMs, which lags behind reality."""
+    """The platform's list of VMs, which may be out of date."""
 
     vms: tuple[VmListed, ...] = ()
     error: errors.PlatformError | None = None
@@ -254,21 +276,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerUp(Message):
-    """A stream to another VM is open and authenticated."""
+    """Report that a stream to another VM is open and authenticated."""
 
     vm: ids.VmName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerDown(Message):
-    """The stream to another VM has ended or cannot be opened."""
+    """Report that no stream to another VM is open or can be opened."""
 
     vm: ids.VmName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LiveVms(Message):
-    """The VMs that may be gates, and the states they were judged by."""
+    """VMs that may be gates, and the states of VMs as seen by this VM."""
 
     vms: tuple[ids.VmName, ...]
     states: tuple[tuple[ids.VmName, enums.VmState], ...] = ()
--- a/src/chicoryusher/core/exchanging.py
+++ b/src/chicoryusher/core/exchanging.py
@@ -1,7 +1,11 @@
-"""Entry VMs, and what they tell each other of the store.
-
-An *age* is how many seconds before its sending something was true, so
-that no two machines' clocks are compared.
+"""Typed messages about entry VMs and their views of the store.
+
+Entry VMs are the VMs that run this proxy; a view is a VM's copy of one
+kind of rows of the store.  An age is the number of seconds between an
+observation and the sending of the message that reports it; VMs exchange
+ages and not times, so that clocks of two machines are never compared.
+Times are those of the boot-time clock (``Clock.running_on``), which also
+counts the time for which the machine was suspended.
 """
 
 from __future__ import annotations
@@ -35,10 +39,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeRow:
-    """An entry VM as it registers itself for its peers.
+    """Row of the store by which an entry VM registers itself.
 
-    ``missing`` is set by a peer that has not heard it for long;
-    ``revision`` is the store's version of the row, 0 for one to write.
+    ``boot`` identifies the incarnation of the VM's entry process.
+    ``missing`` is set by a peer to which the VM has not responded for
+    several seconds.  ``revision`` is the store's version of the row, 0
+    for a row that is yet to be written.
     """
 
     vm: ids.VmName
@@ -52,13 +58,13 @@
 
     @property
     def is_callable(self) -> bool:
-        """Tell whether the VM is worth a call."""
+        """Return whether peers should try to connect to the VM."""
         return self.life is not enums.NodeLife.LEFT and not self.missing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodesInStore(messages.Message):
-    """Every registered entry VM, as of one revision of the store."""
+    """Rows of all registered entry VMs at one revision of the store."""
 
     rows: tuple[NodeRow, ...]
     revision: int = 0
@@ -66,9 +72,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadNodes(messages.Message):
-    """Read the registered entry VMs anew.
+    """Read the rows of all registered entry VMs from the store.
 
-    The answer is a ``NodesInStore`` for the task that asked; none comes
+    The reply to ``reply_to`` is a ``NodesInStore``; there is no reply
     while the store can't be read.
     """
 
@@ -79,7 +85,8 @@
 class WriteNode(messages.Message):
     """Write an entry VM's row.
 
-    With ``expected`` only while that is the row's revision.
+    If ``expected`` is set, the row is written only if that is its
+    stored revision.
     """
 
     row: NodeRow
@@ -88,21 +95,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leave(messages.Message):
-    """This VM stops now: it uses no primary any more."""
+    """Report that this VM is stopping and no longer uses any primary."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowStore(messages.Message):
-    """Whether a feed asks the store, or leaves that to other VMs."""
+    """Set whether a feed polls the store.
+
+    A feed that does not poll relies on the views of the VMs that do.
+    """
 
     follow: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreSeen(messages.Message):
-    """The store answered; all changes of a kind up to then are known.
+    """Report that a view has all changes made before ``asked_at``.
 
-    ``asked_at`` counts on the clock that runs on while suspended.
+    ``asked_at`` is when the read that the store answered was sent.
     """
 
     kind: enums.StoreView
@@ -111,9 +121,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LivePeers(messages.Message):
-    """The other VMs: those that answer, to be fenced, and that vote.
+    """Sets of other VMs that matter to a change of primary.
 
-    Most of the ``voters`` must miss a primary before it is replaced.
+    ``live`` are the VMs that respond; ``concerned`` are those that may
+    use or change a primary and must therefore be fenced; a majority of
+    the ``voters`` must find a primary unreachable before it is replaced.
     """
 
     live: tuple[ids.VmName, ...]
@@ -123,7 +135,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerAddress:
-    """Where another VM takes streams of peers."""
+    """Address on which another VM listens for connections of peers."""
 
     vm: ids.VmName
     host: str
@@ -132,14 +144,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerAddresses(messages.Message):
-    """The VMs that may be called."""
+    """Addresses of the VMs to which this VM may connect."""
 
     peers: tuple[PeerAddress, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observed:
-    """Where a group's primary stood ``age`` seconds ago."""
+    """Log position of a group's primary ``age`` seconds ago."""
 
     service: ids.ServiceName
     position: position.Position
@@ -148,9 +160,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryObserved(messages.Message):
-    """A group's primary was at ``position`` when asked at ``asked_at``.
+    """Report a log position that a group's primary has reached.
 
-    The time counts on this VM's clock that runs on while suspended.
+    ``asked_at`` is when the request to the primary was sent, by this
+    VM's boot-time clock.
     """
 
     service: ids.ServiceName
@@ -160,7 +173,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping(messages.Message):
-    """Ask a peer for its view; it is answered at once."""
+    """Ask a peer for the state of its views.
+
+    ``number`` pairs the ``Pong`` with its ``Ping``.
+    """
 
     vm: ids.VmName
     number: int
@@ -168,7 +184,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerView:
-    """How new and how old a VM's view of one part of the store is."""
+    """State of a VM's view of one kind of rows of the store.
+
+    ``revision`` is the newest revision that the view has; ``age`` is how
+    many seconds ago the view was last confirmed as up to date.
+    """
 
     kind: enums.StoreView
     age: float
@@ -177,9 +197,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pong(messages.Message):
-    """A peer's views at the moment of its answer.
+    """Reply to a ``Ping`` with the state of the peer's views.
 
-    ``quiet`` says that it knows the lead rows and changes no primary.
+    ``quiet`` is set if the peer has the leader rows and is not changing
+    any primary; such a reply is its grant of authority.
     """
 
     vm: ids.VmName
@@ -191,7 +212,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ViewFetch(messages.Message):
-    """Ask a peer for what it has of one part of the store."""
+    """Ask a peer for the rows of its view of that ``kind``."""
 
     vm: ids.VmName
     kind: enums.StoreView
--- a/src/chicoryusher/core/forwarding.py
+++ b/src/chicoryusher/core/forwarding.py
@@ -1,7 +1,9 @@
 """Typed messages about work that one VM runs for another.
 
-A holder has connections to an instance; other VMs send it their work.
-Durations are seconds, so that no two machines' clocks are compared.
+Only some VMs, the connection owners, have connections to an instance;
+other VMs forward their work to one of them, whose relay runs it.
+Messages between VMs carry durations in seconds and not times, so that
+clocks of two machines are never compared.
 """
 
 from __future__ import annotations
@@ -31,7 +33,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodePlace:
-    """An entry VM that answers, and its availability zone."""
+    """Entry VM that responds, with its availability zone."""
 
     vm: ids.VmName
     zone: ids.ZoneName
@@ -39,14 +41,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LiveNodes(messages.Message):
-    """The entry VMs that answer, this one included, in order of name."""
+    """Entry VMs that respond and this VM, in order of name."""
 
     nodes: tuple[NodePlace, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardWork(messages.Message):
-    """Let another VM run a piece of work at an instance."""
+    """Forward a piece of work for an instance to the VM ``via``."""
 
     via: ids.VmName
     entry: placement.InstanceEntry
@@ -55,21 +57,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardCancel(messages.Message):
-    """Nobody waits for this work any more."""
+    """Cancel forwarded work whose result is no longer needed."""
 
     work_id: ids.WorkId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardEnd(messages.Message):
-    """Roll a transaction back that another VM holds."""
+    """Roll back a transaction that is open at another VM."""
 
     transaction: ids.TransactionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardStop(messages.Message):
-    """End all work that other VMs run at an instance."""
+    """End all work for an instance that was forwarded to other VMs."""
 
     instance: ids.InstanceName
 
@@ -78,8 +80,9 @@
 class RelayWork(messages.Message):
     """Run a piece of work of the VM ``vm`` at an instance.
 
-    ``boot`` tells two lives of the instance apart; ``start_in`` is how
-    long the work may wait for a connection.  The rest is as in ``Work``.
+    ``boot`` is the instance's incarnation.  ``start_in`` is how many
+    seconds the work may wait for a connection.  The other fields have
+    the meaning that they have in ``Work``.
     """
 
     vm: ids.VmName
@@ -101,7 +104,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayEnded(messages.Message):
-    """What became of another VM's work; ``sent`` if an instance got it."""
+    """Result of work that was run for another VM.
+
+    ``vm`` is the VM that ran the work.  ``sent`` is set if the work was
+    sent to the instance.  The other fields have the meaning that they
+    have in ``WorkEnded``.
+    """
 
     vm: ids.VmName
     work_id: ids.WorkId
@@ -118,7 +126,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayCancel(messages.Message):
-    """The VM ``vm`` does not wait for its work any more."""
+    """Cancel work of the VM ``vm`` whose result is no longer needed."""
 
     vm: ids.VmName
     work_id: ids.WorkId
@@ -126,7 +134,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayRollback(messages.Message):
-    """Roll a transaction of the VM ``vm`` back."""
+    """Roll back a transaction of the VM ``vm``."""
 
     vm: ids.VmName
     transaction: ids.TransactionId
--- a/src/chicoryusher/core/messages.py
+++ b/src/chicoryusher/core/messages.py
@@ -1,7 +1,8 @@
 """Typed messages that tasks exchange.
 
-Times are seconds.  A ``budget`` is the time left at the moment of
-sending, so that no two machines' clocks are ever compared.
+Times are seconds.  A ``budget`` is the time left until a deadline when
+the message is sent; it is sent in place of the deadline, so that clocks
+of two machines are never compared.
 """
 
 from __future__ import annotations
@@ -49,14 +50,14 @@
 
 
 class Message:
-    """Base of everything one task may send to another."""
+    """Base class of all messages between tasks."""
 
     __slots__ = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Marks:
-    """What a caller or a rule says about one statement."""
+    """Attributes that a caller or a rule sets for one statement."""
 
     max_staleness: float | None = None
     idempotency_key: ids.IdempotencyKey | None = None
@@ -68,10 +69,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Payload:
-    """Encoded command, opaque to every decision.
+    """Encoded command, which decisions pass on without decoding it.
 
     ``prepare`` is the statement text to prepare first (empty for a plain
-    command); ``long_data`` are commands to send ahead of ``command``.
+    command); ``long_data`` are commands to send before ``command``.
     """
 
     command: bytes
@@ -80,12 +81,17 @@
 
     def size(self) -> int:
         """Return the encoded size in bytes."""
-        return len(self.command) + sum(len(one) for one in self.long_data)
+        return len(self.command) + sum(len(data) for data in self.long_data)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request(Message):
-    """One statement of one session."""
+    """Statement of a session.
+
+    ``begin`` is the command that begins a transaction before the
+    statement.  With ``keeps_connection`` the session keeps its backend
+    connection after the statement.
+    """
 
     request_id: ids.RequestId
     session_id: ids.SessionId
@@ -105,9 +111,10 @@
 class Submit(Message):
     """Ask a gate to run a request on its instance.
 
-    ``role`` is what the instance must be.  A replica must have applied
-    ``after`` and be at most ``max_staleness`` seconds behind; it may
-    take up to ``patience`` seconds of the budget to get there.
+    The instance must have the role ``role``.  A replica must have
+    applied its log up to ``after`` and be at most ``max_staleness``
+    seconds behind; the gate waits up to ``patience`` seconds of the
+    budget for the replica to catch up.
     """
 
     origin: ids.VmName
@@ -122,7 +129,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResultChunk(Message):
-    """Part of an answer, with more to come."""
+    """Part of an answer that is not its last part."""
 
     request_id: ids.RequestId
     data: bytes
@@ -130,9 +137,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Consumed(Message):
-    """Tell that ``size`` bytes of an answer left for the caller.
+    """Report that ``size`` bytes of an answer were sent to the caller.
 
-    The router adds the instance, so that the gate can be found.
+    The router adds the instance, whose gate the report is for.
     """
 
     request_id: ids.RequestId
@@ -142,7 +149,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnConsumed(Message):
-    """Tell a link that ``size`` bytes of a connection's answer left."""
+    """Report to a link that ``size`` bytes of an answer were sent on."""
 
     conn_id: ids.ConnId
     size: int
@@ -150,10 +157,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceReport(Message):
-    """State of one instance, as its gate passes it on to a router.
+    """State of one instance, from its gate to a router.
 
-    ``lag`` estimates in seconds how far it is behind its primary;
-    ``queue_wait`` is the expected wait there in seconds.
+    ``lag`` estimates how many seconds the instance is behind its
+    primary; ``queue_wait`` is the expected wait in the gate's queue in
+    seconds.
     """
 
     database: ids.DatabaseName
@@ -167,10 +175,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer(Message):
-    """End of a request: its outcome and the rest of its answer.
+    """End of a request: its outcome and the last part of its answer.
 
-    ``data`` holds the last bytes of the instance's answer, also where
-    that answer is an error; ``error`` is set when there is no answer.
+    ``data`` has the last bytes of the instance's answer, also if that
+    answer is an error; ``error`` is set if the instance gave no answer.
     """
 
     request_id: ids.RequestId
@@ -184,7 +192,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateMoved(Message):
-    """A gate did not run a request, and where to go instead."""
+    """Reply that a gate did not run a request, and why.
+
+    The router chooses another gate or instance by ``reason`` and
+    ``report``.
+    """
 
     request_id: ids.RequestId
     instance: ids.InstanceName
@@ -194,7 +206,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AbortTransaction(Message):
-    """End a transaction at its gate; the instance rolls it back."""
+    """Ask a gate to end a transaction, which the instance rolls back."""
 
     instance: ids.InstanceName
     transaction: ids.TransactionId
@@ -202,7 +214,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionOpened(Message):
-    """A caller has authenticated; ``frontend`` gets its answers."""
+    """Report that a caller has authenticated.
+
+    ``frontend`` is the task that receives the answers of the session.
+    """
 
     session_id: ids.SessionId
     frontend: ids.TaskName
@@ -213,7 +228,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UseDatabase(Message):
-    """A session names another database."""
+    """Change the database of a session."""
 
     session_id: ids.SessionId
     database: ids.DatabaseName
@@ -221,7 +236,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionReply(Message):
-    """The session may go on, or why it may not."""
+    """Reply that a session is accepted, or why it is refused."""
 
     session_id: ids.SessionId
     error: errors.CallerError | None = None
@@ -229,14 +244,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenRequest(Message):
-    """Ask for the session's token."""
+    """Ask for the token of a session."""
 
     session_id: ids.SessionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenAnswer(Message):
-    """The session's token at this moment."""
+    """Reply with the current token of a session."""
 
     session_id: ids.SessionId
     token: str
@@ -244,31 +259,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionClosed(Message):
-    """A caller's connection has ended."""
+    """Report that a caller's connection has ended."""
 
     session_id: ids.SessionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimGate(Message):
-    """Take the gate lock of the instance, and end older gates' work."""
+    """Acquire the instance's gate lock and end the work of older gates."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleaseGate(Message):
-    """Give the gate lock back."""
+    """Release the instance's gate lock."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateClaimed(Message):
-    """Whether the instance granted the gate lock."""
+    """Reply whether the instance granted the gate lock."""
 
     granted: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateLost(Message):
-    """The gate lock was lost with its connection."""
+    """Report that the gate lock was lost with its connection."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -280,21 +295,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseConn(Message):
-    """Close one backend connection at once."""
+    """Close one backend connection, also if a command runs on it."""
 
     conn_id: ids.ConnId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnOpened(Message):
-    """A backend connection is authenticated and idle."""
+    """Report that a backend connection is authenticated and idle."""
 
     conn_id: ids.ConnId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnClosed(Message):
-    """A backend connection has ended."""
+    """Report that a backend connection has ended or was refused."""
 
     conn_id: ids.ConnId
     refused: bool = False
@@ -302,7 +317,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunOnConn(Message):
-    """Run one command on an idle or pinned backend connection."""
+    """Run one command on a backend connection that is idle or pinned."""
 
     conn_id: ids.ConnId
     database: ids.DatabaseName
@@ -327,17 +342,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe(Message):
-    """Ask one instance for its state."""
+    """Ask one instance for its state.
+
+    ``sequence`` pairs the ``ProbeAnswer`` with its ``Probe``.
+    """
 
     sequence: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeAnswer(Message):
-    """State of one instance, or that it did not answer.
+    """State of one instance; ``alive`` is unset if it did not answer.
 
-    ``source_age`` is how long ago, by the instance's own clock, it last
-    heard from its primary; 0 on the primary itself.
+    ``received`` and ``applied`` are the ends of the log that it has
+    received and applied.  ``source_age`` is how many seconds ago, by the
+    instance's own clock, it last received anything from its primary; 0
+    on the primary itself.  ``starts`` are the log offsets at which terms
+    began.
     """
 
     instance: ids.InstanceName
@@ -354,6 +375,6 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drain(Message):
-    """Finish what is in flight and take nothing new."""
+    """Finish the work in progress within ``budget`` and accept no more."""
 
     budget: float
--- a/src/chicoryusher/core/peering.py
+++ b/src/chicoryusher/core/peering.py
@@ -1,4 +1,4 @@
-"""Typed messages that VMs exchange about each other."""
+"""Typed messages about membership and configuration between VMs."""
 
 from __future__ import annotations
 
@@ -12,7 +12,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat(messages.Message):
-    """A VM lives; what it has and whom it misses."""
+    """Heartbeat of a VM.
+
+    ``leaving`` is set if the VM is about to stop; ``config`` is the
+    version of its configuration; ``suspects`` are the VMs from which it
+    no longer receives heartbeats.
+    """
 
     vm: ids.VmName
     leaving: bool
@@ -22,7 +27,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFetch(messages.Message):
-    """Ask a peer for its configuration if it is above ``above``."""
+    """Ask a peer for its configuration if it is newer than ``above``."""
 
     vm: ids.VmName
     above: ids.ConfigVersion
@@ -30,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigOffer(messages.Message):
-    """A configuration as the operators' document, with its version."""
+    """Configuration of a peer: its version and the operators' document."""
 
     version: ids.ConfigVersion
     document: bytes
--- a/src/chicoryusher/core/placement.py
+++ b/src/chicoryusher/core/placement.py
@@ -1,4 +1,4 @@
-"""Routes, groups and instances, as the store has them."""
+"""Routes, database groups and instances, as the store has them."""
 
 from __future__ import annotations
 
@@ -21,10 +21,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolRoute:
-    """How requests for one database name are served.
+    """Route of the requests for one database name.
 
-    ``max_staleness`` and ``limit`` (of one statement) are seconds;
-    ``target`` is the latency target of a whole operation.
+    ``service`` is the database group that serves them.
+    ``max_staleness``, ``limit`` (the timeout of one statement) and
+    ``target`` (the latency target of a whole operation) are seconds.
+    Among waiting work, a lower number of ``priority`` goes first.
     """
 
     database: ids.DatabaseName
@@ -38,7 +40,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolService:
-    """A database group, and how many connections an instance takes."""
+    """Database group.
+
+    ``connections`` is how many connections each of its instances
+    accepts, from all VMs together.
+    """
 
     name: ids.ServiceName
     connections: int
@@ -46,7 +52,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolConfig:
-    """One version of the configuration; ``tx_idle`` is seconds."""
+    """One version of the configuration.
+
+    ``tx_idle`` is the time in seconds after which a transaction without
+    a statement is rolled back.
+    """
 
     version: ids.ConfigVersion
     routes: tuple[PoolRoute, ...]
@@ -56,16 +66,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolConfigInForce(messages.Message):
-    """A configuration that is in force from now on."""
+    """Configuration to use from now on."""
 
     config: PoolConfig
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceEntry:
-    """One instance as it registers itself.
+    """Row of the store by which an instance registers itself.
 
-    ``boot`` tells two lives of one name apart.
+    ``slots`` is how many statements the instance runs at once.
+    ``leaving`` is set if the instance is about to stop.  ``boot`` is the
+    number of its incarnation: it differs after each start of an instance
+    of the same name.
     """
 
     name: ids.InstanceName
@@ -81,7 +94,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegisteredInstances(messages.Message):
-    """Every registered instance, as of one revision of the store."""
+    """All registered instances at one revision of the store."""
 
     entries: tuple[InstanceEntry, ...]
     revision: int = 0
@@ -89,7 +102,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupInForce(messages.Message):
-    """The instances of a group, and the primary that may be used."""
+    """Current instances of a database group.
+
+    ``primary`` is the primary that may be used, None if there is none.
+    """
 
     service: ids.ServiceName
     entries: tuple[InstanceEntry, ...]
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -1,6 +1,8 @@
 """Typed messages of pooled sessions: statements, work, connections.
 
-Times are seconds of the runtime's clock unless a field says otherwise.
+A session is pooled if it owns no connection: each of its statements, or
+transactions, runs on a connection of a pool.  Times are seconds of the
+runtime's monotonic clock (``Clock.now``) unless a field says otherwise.
 """
 
 from __future__ import annotations
@@ -39,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shape:
-    """What a prepared statement does: its kind and its template."""
+    """Definition of a prepared statement: its kind and its template."""
 
     kind: enums.ShapeKind
     template: str
@@ -47,10 +49,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Statement:
-    """One decoded statement.
+    """Decoded statement of a session.
 
-    ``text`` is what the caller sent; ``name`` is the session value or
-    prepared statement it names; ``rest`` is what follows that name.
+    ``text`` is the statement as the caller sent it; ``name`` is the
+    session value or prepared statement that it refers to; ``rest`` is
+    the text after that name, such as the value or the arguments;
+    ``shape`` is the definition if it is a PREPARE.
     """
 
     verb: enums.Verb
@@ -62,7 +66,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartSession(messages.Message):
-    """A caller asks for a session with a database."""
+    """Start a session of a caller with a database."""
 
     session_id: ids.SessionId
     frontend: ids.TaskName
@@ -71,7 +75,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionStarted(messages.Message):
-    """The session may go on, or why it may not."""
+    """Reply that the session has started, or why it is refused."""
 
     session_id: ids.SessionId
     refusal: enums.Refusal | None = None
@@ -79,7 +83,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolStatement(messages.Message):
-    """One statement of a session; a session has one at a time."""
+    """Run a statement of a session.
+
+    A session runs one statement at a time.
+    """
 
     session_id: ids.SessionId
     request_id: ids.RequestId
@@ -88,10 +95,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionAnswer(messages.Message):
-    """The answer to a session's statement.
+    """Answer to a session's statement.
 
     ``digest`` is the instance's proof that it ran the statement, None
-    for a statement that this VM answered itself.
+    for a statement that this VM answered without an instance.  ``block``
+    is the state of the session's transaction after the statement.
     """
 
     session_id: ids.SessionId
@@ -106,28 +114,32 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionLeft(messages.Message):
-    """The caller's connection has ended."""
+    """Report that the caller's connection has ended."""
 
     session_id: ids.SessionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionVerdict(messages.Message):
-    """Close the caller's connection; nothing is outstanding on it."""
+    """Close the caller's connection, on which no answer is outstanding."""
 
     session_id: ids.SessionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work(messages.Message):
-    """One statement for one instance.
-
-    ``values`` and ``shape`` are made true on the connection first.
-    ``begins`` asks for a transaction of that kind before the statement.
-    ``after`` must be in the instance's log.  Work that has not started
-    by ``start_by`` is refused; ``limit`` bounds its run in seconds, and
-    ``patience`` that of a statement that may run again elsewhere.
-    ``offered_at`` is when the lane was given it.
+    """Statement to run on a connection of an instance's pool.
+
+    The session values ``values`` are set on the connection, and the
+    prepared statement ``shape`` is prepared on it, before the statement
+    is sent.  ``begins`` is the kind of the transaction to begin before
+    the statement.  The instance must have reached the log position
+    ``after``.  Among waiting work, a lower number of ``priority`` goes
+    first.  Work that has not started by ``start_by`` is refused.
+    ``limit`` is the timeout of its execution in seconds, and
+    ``patience`` the timeout of a statement that may be run again at
+    another instance.  ``offered_at`` is when the work was sent to the
+    instance pool.
     """
 
     work_id: ids.WorkId
@@ -148,10 +160,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkEnded(messages.Message):
-    """What became of a piece of work at its instance.
+    """Result of a piece of work at its instance.
 
-    ``sent_at`` is when its first byte went out, None if it never did.
-    ``asked_at`` is the same on the clock that counts suspended time.
+    ``sent_at`` is when the work was sent to the instance, None if it was
+    not sent.  ``asked_at`` is that time by the boot-time clock
+    (``Clock.running_on``), which also counts the time for which the
+    machine was suspended.
     """
 
     work_id: ids.WorkId
@@ -169,7 +183,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelWork(messages.Message):
-    """Nobody waits for this work any more."""
+    """Cancel a piece of work whose result is no longer needed."""
 
     work_id: ids.WorkId
 
@@ -183,14 +197,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopLane(messages.Message):
-    """Close every connection to the instance and end its work."""
+    """Close every connection of an instance pool and end its work."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Command:
-    """One command for an instance's connection.
+    """Command to send on a connection to an instance.
 
-    ``after`` is sent with a read or a begin as a condition on the log.
+    ``after`` is a log position that the instance must have reached
+    before it executes a read or begins a transaction.
     """
 
     op: enums.Op
@@ -204,7 +219,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """The instance's answer to one command."""
+    """The instance's reply to one command."""
 
     block: enums.BlockState
     position: position.Position | None
@@ -216,21 +231,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenLink(messages.Message):
-    """Open a connection to the instance."""
+    """Open a connection to the instance of the link."""
 
     conn_id: ids.ConnId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseLink(messages.Message):
-    """Close a connection at once."""
+    """Close a connection without waiting for outstanding replies."""
 
     conn_id: ids.ConnId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendCommands(messages.Message):
-    """Send commands in one write; answers come one by one."""
+    """Send several commands in one write.
+
+    Each command gets a ``LinkAnswer`` of its own.
+    """
 
     conn_id: ids.ConnId
     commands: tuple[Command, ...]
@@ -238,7 +256,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkOpened(messages.Message):
-    """The instance has accepted a connection."""
+    """Report that the instance has accepted a connection."""
 
     conn_id: ids.ConnId
     position: position.Position | None
@@ -246,7 +264,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkClosed(messages.Message):
-    """A connection has ended, and why."""
+    """Report that a connection has ended, and why."""
 
     conn_id: ids.ConnId
     reason: enums.LinkEnd
@@ -254,7 +272,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkAnswer(messages.Message):
-    """The answer to the oldest unanswered command of a connection."""
+    """Reply to the oldest unanswered command of a connection."""
 
     conn_id: ids.ConnId
     reply: Reply
--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/stewardship.py
@@ -1,7 +1,6 @@
-"""Typed messages about primaries: who may use one, who replaces one.
+"""Typed messages about the use and the replacement of primaries.
 
-An *age* is how many seconds before its sending something was true, so
-that no two machines' clocks are compared.
+Timeouts and grace periods are seconds.
 """
 
 from __future__ import annotations
@@ -44,10 +43,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadRow:
-    """Who leads a group, as the store has it.
+    """Row of the store that records a group's current primary.
 
-    ``revision`` is the store's version of the row; it rises with every
-    write and so serves as the token of a change of primary.
+    ``holder`` is the VM that coordinates the current or the last change
+    of primary.  ``revision`` is the store's version of the row; it rises
+    with every write and so serves as the token of a change of primary.
     """
 
     service: ids.ServiceName
@@ -59,28 +59,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeadsInStore(messages.Message):
-    """Lead rows that were read or changed."""
+    """Leader rows that were read from the store or written to it."""
 
     rows: tuple[LeadRow, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChangesUnderWay(messages.Message):
-    """Whether this VM changes a primary."""
+    """Report whether this VM is changing the primary of any group."""
 
     any: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryMissed(messages.Message):
-    """Over half of the live VMs can't reach an instance."""
+    """Report that most of the voting VMs can't reach an instance."""
 
     instance: ids.InstanceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteLead(messages.Message):
-    """Write a lead row if it still has ``expected`` as its revision."""
+    """Write a leader row if the stored revision is still ``expected``."""
 
     row: LeadRow
     expected: int
@@ -89,9 +89,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowWritten(messages.Message):
-    """What became of a conditional write, read back where in doubt.
+    """Result of a conditional write of a leader row.
 
-    ``row`` is the row as the store has it now, None if unknown.
+    ``row`` is the row that the store has now, whether or not it is the
+    row that was to be written; None if the store's state is unknown.
     """
 
     service: ids.ServiceName
@@ -100,7 +101,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion(messages.Message):
-    """A VM misses an instance and asks what others see."""
+    """Ask other VMs whether they can reach an instance that ``vm`` can't."""
 
     vm: ids.VmName
     instance: ids.InstanceName
@@ -108,7 +109,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opinion(messages.Message):
-    """Whether an instance could be reached by a VM just now."""
+    """Reply whether ``vm`` could reach an instance just now."""
 
     vm: ids.VmName
     instance: ids.InstanceName
@@ -117,9 +118,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FencePrimary(messages.Message):
-    """Stop using the primary of a group: its row is being changed.
+    """Ask a VM to stop using the primary that ``row`` replaces.
 
-    ``patience`` is how many seconds open work may still take.
+    ``patience`` is the grace period in seconds for statements and
+    transactions in progress.
     """
 
     vm: ids.VmName
@@ -129,7 +131,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryFenced(messages.Message):
-    """A VM no longer uses the primary that the row replaces."""
+    """Reply that ``vm`` no longer uses the primary being replaced.
+
+    ``revision`` is that of the leader row in ``FencePrimary``.
+    """
 
     vm: ids.VmName
     service: ids.ServiceName
@@ -138,7 +143,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reopened(messages.Message):
-    """The group has a primary again; ``closing`` is the row it ends."""
+    """Report that a group has a primary that may be used again.
+
+    ``closing`` is the revision of the row in state CLOSING that ``row``
+    replaces.
+    """
 
     closing: int
     row: LeadRow
@@ -146,14 +155,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Authority(messages.Message):
-    """Primaries may be used until this time of the running-on clock."""
+    """Time until which this VM may use primaries.
+
+    It is a time of the boot-time clock (``Clock.running_on``), which
+    also counts the time for which the machine was suspended.
+    """
 
     until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPrimary(messages.Message):
-    """Stop using a group's primary, after ``patience`` seconds at most."""
+    """Stop using a group's primary within ``patience`` seconds."""
 
     service: ids.ServiceName
     primary: ids.InstanceName
@@ -163,7 +176,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryStopped(messages.Message):
-    """No connection of this VM to that primary is left."""
+    """Reply that this VM has no more connections to that primary."""
 
     service: ids.ServiceName
     revision: int
@@ -171,16 +184,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceTrouble(messages.Message):
-    """Traffic met an instance that was silent or broke off."""
+    """Report that an instance timed out or closed a connection in use."""
 
     instance: ids.InstanceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeInstance(messages.Message):
-    """Ask an instance for its status within ``timeout`` seconds.
+    """Probe an instance within ``timeout`` seconds.
 
-    With ``status`` False it is enough that it takes a connection.
+    With ``status`` the instance must report its state; without it the
+    probe succeeds once the instance has accepted a connection.
     """
 
     entry: placement.InstanceEntry
@@ -191,7 +205,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemoteInstance(messages.Message):
-    """Make an instance a replica of ``term``; its status comes back."""
+    """Make an instance a replica in ``term``.
+
+    The reply is an ``InstanceStatus``.
+    """
 
     entry: placement.InstanceEntry
     term: ids.Term
@@ -201,7 +218,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceState:
-    """What an instance says of itself."""
+    """State that an instance reports about itself."""
 
     role: enums.Role
     term: ids.Term
@@ -211,7 +228,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceStatus(messages.Message):
-    """The result of a probe; ``state`` is None where none came."""
+    """Result of a probe; ``state`` is None if none was reported."""
 
     instance: ids.InstanceName
     reached: bool
@@ -220,7 +237,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromoteInstance(messages.Message):
-    """Tell the platform which instance takes over."""
+    """Ask the platform to promote an instance.
+
+    ``holder`` is the VM that coordinates the change of primary.
+    ``token`` is the revision of its leader row, by which the platform
+    refuses the order of an older change.
+    """
 
     service: ids.ServiceName
     instance: ids.InstanceName
@@ -231,7 +253,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromoteReplied(messages.Message):
-    """The platform's answer to a promotion."""
+    """The platform's reply to the promotion with that ``token``."""
 
     service: ids.ServiceName
     token: int
@@ -240,15 +262,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnowsEnough(messages.Message):
-    """Configuration, instances and leads are known: callers can be served."""
+    """Report that this VM can serve callers.
+
+    It has the configuration, the instances and the leader rows.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WantHandover(messages.Message):
     """Replace the primary of a group.
 
-    ``revision`` is the lead row's, 0 where there is none.  ``planned``
-    says that the old primary still serves.
+    ``revision`` is that of the leader row, 0 if there is no row.
+    ``planned`` is set while the old primary still serves.  ``vms`` are
+    the other VMs that must be fenced.
     """
 
     entries: tuple[placement.InstanceEntry, ...]
@@ -260,6 +286,6 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandoverEnded(messages.Message):
-    """A change of primary has ended here, done or not."""
+    """Report that this VM's change of a primary has succeeded or failed."""
 
     service: ids.ServiceName
