Reword enums, errors, log events and small modules of core

The docstrings of the enumerations explain their members. Meanings of log events are plain texts; docs/events.md is generated from them. Descriptions of metrics stay, since they are served with the metrics.

Renamed: the parameter wanted of covers, which is passed by position only, and locals.

--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/catalogue.py
@@ -1,8 +1,8 @@
 """Catalogue of log events: every event has a number and a level.
 
-Thousands give the part: 1 daemon, 2 callers, 3 gates and connections,
-4 groups and failover, 5 platform and configuration, 6 membership and
-peers, 7 operators.
+The thousands of a number stand for a part of the system: 1 daemon,
+2 callers, 3 gates and connections, 4 groups and failover, 5 platform and
+configuration, 6 membership and peers, 7 operators.
 """
 
 from __future__ import annotations
@@ -22,39 +22,55 @@
 
 
 class LogEvent(enum.Enum):
-    """A numbered log event: number, level and meaning."""
+    """Log event: its number, its level and its message text."""
 
     def __init__(self, number: int, level: LogLevel, meaning: str) -> None:
         self.number = number
         self.level = level
         self.meaning = meaning
 
-    DAEMON_RUNNING = (1001, LogLevel.INFO, 'the daemon serves callers')
-    DAEMON_DRAINING = (1002, LogLevel.INFO, 'the daemon takes no new work')
+    DAEMON_RUNNING = (1001, LogLevel.INFO, 'the daemon is running')
+    DAEMON_DRAINING = (
+        1002,
+        LogLevel.INFO,
+        'the daemon is draining and accepts no new work',
+    )
     DAEMON_STOPPED = (1003, LogLevel.INFO, 'the daemon has stopped')
     DRAIN_TIMED_OUT = (
         1004,
         LogLevel.WARNING,
-        'the drain ended before all work had finished',
+        'the drain timed out before all work had finished',
     )
-    SETTINGS_BAD = (1005, LogLevel.ERROR, 'a settings file has defects')
+    SETTINGS_BAD = (1005, LogLevel.ERROR, 'a settings file is not valid')
     TASK_FAILED = (
         1006,
         LogLevel.ERROR,
-        'a task failed on one message and went on',
+        'a task failed to handle a message and continues',
+    )
+    NO_SUCH_TASK = (
+        1007,
+        LogLevel.WARNING,
+        'a message was sent to a task that does not exist',
     )
-    NO_SUCH_TASK = (1007, LogLevel.WARNING, 'a message had no receiver')
     CHART_BAD = (1008, LogLevel.ERROR, 'a state chart file is not valid')
-    CANNOT_LISTEN = (1009, LogLevel.ERROR, 'an address cannot be used')
-    SERVING = (1010, LogLevel.INFO, 'enough is known to serve callers')
+    CANNOT_LISTEN = (
+        1009,
+        LogLevel.ERROR,
+        'an address to listen on cannot be used',
+    )
+    SERVING = (
+        1010,
+        LogLevel.INFO,
+        'configuration, instances and leader rows were read; serving callers',
+    )
     CALLER_OPENED = (2001, LogLevel.DEBUG, 'a caller has authenticated')
-    CALLER_CLOSED = (2002, LogLevel.DEBUG, 'a caller has left')
+    CALLER_CLOSED = (2002, LogLevel.DEBUG, 'a caller has disconnected')
     CALLER_REFUSED = (2003, LogLevel.WARNING, 'a caller was refused')
-    PACKET_BAD = (2004, LogLevel.WARNING, 'a caller broke the protocol')
+    PACKET_BAD = (2004, LogLevel.WARNING, 'a caller violated the protocol')
     PACKET_OVERSIZE = (
         2005,
         LogLevel.WARNING,
-        'a caller sent a packet over the bound',
+        'a caller sent a packet over the size limit',
     )
     DATABASE_UNKNOWN = (
         2006,
@@ -74,51 +90,72 @@
         LogLevel.WARNING,
         'an instance refused a connection',
     )
-    GATE_SERVING = (3004, LogLevel.INFO, 'this VM is the gate now')
-    GATE_RELEASED = (3005, LogLevel.INFO, 'this VM gave up the gate')
-    GATE_LOST = (3006, LogLevel.WARNING, 'the gate lock was lost')
+    GATE_SERVING = (
+        3004,
+        LogLevel.INFO,
+        'this VM has become the gate of an instance',
+    )
+    GATE_RELEASED = (
+        3005,
+        LogLevel.INFO,
+        'this VM is no longer the gate of an instance',
+    )
+    GATE_LOST = (
+        3006,
+        LogLevel.WARNING,
+        'the gate lock was lost with its connection',
+    )
     REQUEST_UNKNOWN = (
         3007,
         LogLevel.WARNING,
         'a request ended with an unknown outcome',
     )
-    REQUEST_SHED = (3008, LogLevel.DEBUG, 'a request was refused at the door')
+    REQUEST_SHED = (
+        3008,
+        LogLevel.DEBUG,
+        'a request was not admitted to the queue of a gate',
+    )
     REQUEST_CUT = (
         3009,
         LogLevel.WARNING,
-        'a statement was cut at its deadline',
+        'a statement was stopped at its deadline',
     )
     STATEMENT_REFUSED = (
         3010,
         LogLevel.INFO,
-        'a statement was answered with a refusal',
+        'a statement was answered with an error',
     )
     STATEMENT_SENT = (
         3011,
         LogLevel.INFO,
-        'a statement was given to the lane of an instance',
+        'a statement was sent to the pool of an instance',
     )
     STATEMENT_HELD = (
         3012,
         LogLevel.INFO,
-        'a statement was not run yet and is offered again',
+        'a statement has not been run yet and will be retried',
     )
     STATEMENT_RELAYED = (
         3013,
         LogLevel.INFO,
-        "another VM's statement was given to the lane of an instance",
+        "another VM's statement was sent to the pool of an instance",
     )
-    PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not answer')
-    PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary answered')
+    PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not respond')
+    PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary has responded')
     TERM_CLAIMED = (4003, LogLevel.WARNING, 'this VM claims a new term')
     TERM_LOST = (4004, LogLevel.INFO, 'another VM has the term')
     STORE_SKIPPED = (
         4005,
         LogLevel.WARNING,
-        'the table does not answer; the fence alone decides the term',
+        "the platform's table does not respond; the term is claimed by "
+        'fencing a majority alone',
     )
     PRIMARY_PROMOTED = (4006, LogLevel.WARNING, 'an instance was promoted')
-    FENCE_REFUSED = (4007, LogLevel.WARNING, 'no majority took the fence')
+    FENCE_REFUSED = (
+        4007,
+        LogLevel.WARNING,
+        'no majority of instances accepted the fence',
+    )
     INSTANCE_LEAVING = (
         4008,
         LogLevel.INFO,
@@ -132,14 +169,18 @@
     HANDOVER_STEP = (
         4010,
         LogLevel.WARNING,
-        'a change of primary took a step',
+        'a step in a change of primary',
     )
     PRIMARY_STOPPED = (
         4011,
         LogLevel.WARNING,
         'this VM stopped using a primary',
     )
-    PRIMARY_IN_FORCE = (4012, LogLevel.INFO, 'a primary is in use')
+    PRIMARY_IN_FORCE = (
+        4012,
+        LogLevel.INFO,
+        'the primary that this VM uses has changed',
+    )
     INSTANCES_IN_FORCE = (
         4013,
         LogLevel.INFO,
@@ -148,45 +189,58 @@
     AUTHORITY_LAPSED = (
         4014,
         LogLevel.WARNING,
-        'no view of the lead rows is recent enough to use primaries',
+        'authority has expired: no recent view of the leader rows',
     )
-    AUTHORITY_BACK = (4015, LogLevel.INFO, 'primaries may be used')
-    PLATFORM_DOWN = (5001, LogLevel.WARNING, 'the platform does not answer')
-    PLATFORM_BACK = (5002, LogLevel.INFO, 'the platform answers again')
-    CONFIG_IN_FORCE = (5003, LogLevel.INFO, 'a configuration is in force')
+    AUTHORITY_BACK = (
+        4015,
+        LogLevel.INFO,
+        'authority was regained; primaries may be used',
+    )
+    PLATFORM_DOWN = (5001, LogLevel.WARNING, 'the platform does not respond')
+    PLATFORM_BACK = (5002, LogLevel.INFO, 'the platform responds again')
+    CONFIG_IN_FORCE = (5003, LogLevel.INFO, 'a configuration was applied')
     CONFIG_STALE = (
         5004,
         LogLevel.INFO,
         'an older configuration was read and ignored',
     )
-    CONFIG_BAD = (5005, LogLevel.ERROR, 'a configuration has defects')
+    CONFIG_BAD = (5005, LogLevel.ERROR, 'a configuration is not valid')
     CONFIG_ACCEPTED = (5006, LogLevel.INFO, 'a configuration was accepted')
     CONFIG_CONFLICT = (
         5007,
         LogLevel.WARNING,
-        'another change was accepted first',
+        'a configuration was refused: another change came first',
+    )
+    AUDIT_FAILED = (
+        5008,
+        LogLevel.ERROR,
+        'an audit record could not be written',
     )
-    AUDIT_FAILED = (5008, LogLevel.ERROR, 'an audit record was not kept')
     ROW_BAD = (
         5009,
         LogLevel.WARNING,
-        'a row of the store could not be read and names nothing',
+        'a row of the store is not valid and was ignored',
     )
     SETTINGS_READ = (5010, LogLevel.INFO, 'the settings file was read')
     PEER_CONNECTED = (6001, LogLevel.INFO, 'a peer stream opened')
     PEER_LOST = (6002, LogLevel.WARNING, 'a peer stream closed')
-    PEER_FRAME_BAD = (6003, LogLevel.WARNING, 'a peer sent a bad frame')
+    PEER_FRAME_BAD = (
+        6003,
+        LogLevel.WARNING,
+        'a peer sent a frame that is not valid',
+    )
     PEER_REFUSED = (6004, LogLevel.WARNING, 'a peer failed to authenticate')
-    VM_STATE = (6005, LogLevel.INFO, 'another VM changed its state')
-    ADMIN_CALL = (7001, LogLevel.INFO, 'an operator called the daemon')
-    ADMIN_REFUSED = (7002, LogLevel.WARNING, 'an admin call was refused')
+    VM_STATE = (6005, LogLevel.INFO, 'the state of another VM has changed')
+    ADMIN_CALL = (7001, LogLevel.INFO, 'an operator sent an admin request')
+    ADMIN_REFUSED = (7002, LogLevel.WARNING, 'an admin request was refused')
 
 
-# Numbers of events that are left out under load: they tell of statements
-# that may well succeed.  Lines about refusals are kept.
+# Numbers of events of which only a sample is logged under load.  They
+# report single statements that may still succeed; events about refused
+# statements are not sampled.
 SAMPLED_EVENTS = frozenset(
-    one.number
-    for one in (
+    event.number
+    for event in (
         LogEvent.STATEMENT_SENT,
         LogEvent.STATEMENT_HELD,
         LogEvent.STATEMENT_RELAYED,
--- a/src/chicoryusher/core/clock.py
+++ b/src/chicoryusher/core/clock.py
@@ -1,4 +1,9 @@
-"""Clocks: monotonic seconds, real or advanced by a test."""
+"""Clocks: those of the operating system, and one that tests advance.
+
+``now`` is the monotonic clock, which stands still while the machine is
+suspended.  ``running_on`` is the boot-time clock, which counts that time
+too; what must not outlast a suspension is measured by it.
+"""
 
 from __future__ import annotations
 
@@ -9,46 +14,49 @@
 
 
 class Clock(Protocol):
-    """Source of monotonic time in seconds."""
+    """Source of two monotonic times in seconds."""
 
     def now(self) -> float:
-        """Return monotonic seconds since an arbitrary origin."""
+        """Return monotonic seconds since an arbitrary origin.
+
+        Time for which the machine was suspended is not counted.
+        """
 
     def running_on(self) -> float:
-        """Return seconds that count suspended time too."""
+        """Return monotonic seconds that include suspended time."""
 
 
 class SystemClock:
-    """Clock of the operating system."""
+    """Clocks of the operating system."""
 
     def now(self) -> float:
-        """Return the system's monotonic time in seconds."""
+        """Return the seconds of CLOCK_MONOTONIC."""
         return time.monotonic()
 
     def running_on(self) -> float:
-        """Return the system's time since boot in seconds."""
+        """Return the seconds of CLOCK_BOOTTIME."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class VirtualClock:
-    """Clock that stands still until it is advanced."""
+    """Clock for tests, whose time changes only when it is advanced."""
 
     def __init__(self, start: float = 0.0) -> None:
         self._now = start
-        self._suspended = 0.0
+        self._suspended_s = 0.0
 
     def now(self) -> float:
-        """Return the virtual time in seconds."""
+        """Return the virtual seconds without suspended time."""
         return self._now
 
     def running_on(self) -> float:
-        """Return the virtual time plus the time suspended."""
-        return self._now + self._suspended
+        """Return the virtual seconds with suspended time."""
+        return self._now + self._suspended_s
 
     def suspend(self, seconds: float) -> None:
-        """Let time pass that ``now`` does not count."""
-        self._suspended += seconds
+        """Advance only ``running_on``, as a suspension does."""
+        self._suspended_s += seconds
 
     def advance_to(self, when: float) -> None:
-        """Move to ``when`` (seconds); an earlier time is ignored."""
+        """Advance ``now`` to ``when``; an earlier time is ignored."""
         self._now = max(self._now, when)
--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -1,4 +1,8 @@
-"""States, outcomes and kinds, each a closed enumeration."""
+"""Enumerations of states, outcomes and kinds.
+
+Each state of a chart is a member of the enumeration that the chart file
+names; the member's value is the state's name in the file.
+"""
 
 from __future__ import annotations
 
@@ -39,7 +43,11 @@
 
 
 class Outcome(enum.Enum):
-    """What became of a request, as far as it can be proved."""
+    """Outcome of a request, as far as it can be proved.
+
+    DONE: it was run.  NOT_RUN: it was certainly not run.  UNKNOWN: it
+    may have been run.
+    """
 
     DONE = 'done'
     NOT_RUN = 'not_run'
@@ -47,14 +55,18 @@
 
 
 class Role(enum.Enum):
-    """Part an instance plays in its database group."""
+    """Role of an instance in its database group."""
 
     PRIMARY = 'primary'
     REPLICA = 'replica'
 
 
 class StatementKind(enum.Enum):
-    """What a statement does, as far as routing is concerned."""
+    """Kind of a statement, as routing distinguishes them.
+
+    SESSION statements change the state of a session; LOCAL ones are
+    answered without an instance.
+    """
 
     READ = 'read'
     WRITE = 'write'
@@ -70,7 +82,7 @@
 
 
 class MoveReason(enum.Enum):
-    """Why a gate did not run a request; it was certainly not run."""
+    """Why a gate did not run a request, which has then had no effect."""
 
     NOT_GATE = 'not_gate'
     NOT_PRIMARY = 'not_primary'
@@ -82,7 +94,12 @@
 
 
 class SessionState(enum.Enum):
-    """State of a caller's session (chart ``session``)."""
+    """State of a caller's session (chart ``session``).
+
+    GREETING: the caller has not authenticated.  OPEN: a transaction is
+    open.  RUNNING and OPEN_RUNNING: a statement is being run, without
+    and with an open transaction.
+    """
 
     GREETING = 'greeting'
     IDLE = 'idle'
@@ -93,7 +110,12 @@
 
 
 class RequestState(enum.Enum):
-    """State of a request at its gate (chart ``request``)."""
+    """State of a request at its gate (chart ``request``).
+
+    PROVING: the instance has answered, and the gate waits for evidence
+    that the answer may be given.  MOVED: the router sends the request to
+    another gate.
+    """
 
     QUEUED = 'queued'
     SENT = 'sent'
@@ -105,7 +127,11 @@
 
 
 class ConnState(enum.Enum):
-    """State of a backend connection (chart ``connection``)."""
+    """State of a backend connection (chart ``connection``).
+
+    PINNED: the connection belongs to an open transaction and runs no
+    statement at the moment.
+    """
 
     CONNECTING = 'connecting'
     IDLE = 'idle'
@@ -115,7 +141,12 @@
 
 
 class GateState(enum.Enum):
-    """State of a VM's gate for one instance (chart ``gate``)."""
+    """State of a VM's gate for one instance (chart ``gate``).
+
+    STANDBY: this VM is not the gate.  CLAIMING: it asks the instance for
+    the gate lock.  RELEASING: it finishes its work before it releases
+    the lock.
+    """
 
     STANDBY = 'standby'
     CLAIMING = 'claiming'
@@ -124,7 +155,13 @@
 
 
 class LeadState(enum.Enum):
-    """State of a VM's watch over one group (chart ``leadership``)."""
+    """State of a VM's monitor of one group (chart ``leadership``).
+
+    FOLLOWING: the group has a primary.  SUSPECTING: the primary does not
+    respond.  CLAIMING: this VM claims a new term.  FENCING: instances
+    are asked to reject older terms.  PROMOTING: an instance is asked to
+    become the primary of the new term.
+    """
 
     FOLLOWING = 'following'
     SUSPECTING = 'suspecting'
@@ -134,7 +171,11 @@
 
 
 class VmState(enum.Enum):
-    """State of a VM as another VM sees it (chart ``vm``)."""
+    """State of a VM as another VM sees it (chart ``vm``).
+
+    SUSPECTED: it does not respond or is no longer listed.  LEAVING: it
+    is about to stop.  GONE: it is taken to have stopped.
+    """
 
     LIVE = 'live'
     SUSPECTED = 'suspected'
@@ -152,7 +193,12 @@
 
 
 class Access(enum.Enum):
-    """How fresh a route's reads must be, and where they may run."""
+    """Consistency of a route's reads, and where they may run.
+
+    PRIMARY: reads run at the primary only.  BOUNDED and OWN_WRITES:
+    reads also run at a replica that is within the route's maximum
+    staleness and has the session's own writes.
+    """
 
     PRIMARY = 'primary'
     BOUNDED = 'bounded'
@@ -160,7 +206,7 @@
 
 
 class Verb(enum.Enum):
-    """What a pooled statement asks for."""
+    """Verb of a statement of a pooled session."""
 
     BEGIN = 'begin'
     BEGIN_READ_ONLY = 'begin_read_only'
@@ -175,7 +221,7 @@
 
 
 class ShapeKind(enum.Enum):
-    """What a prepared statement does."""
+    """Whether a prepared statement reads or writes."""
 
     READ = 'read'
     WRITE = 'write'
@@ -189,7 +235,11 @@
 
 
 class BlockState(enum.Enum):
-    """Where a session stands with its transaction."""
+    """State of the transaction of a pooled session.
+
+    IDLE: no transaction.  OPEN: in a transaction.  FAILED: in a
+    transaction that can only be rolled back.
+    """
 
     IDLE = 'idle'
     OPEN = 'open'
@@ -197,7 +247,11 @@
 
 
 class Refusal(enum.Enum):
-    """Why a statement has no successful answer."""
+    """Why a statement or a connection of a pooled session failed.
+
+    NOT_FRESH: the replica lacks a log position that the statement needs.
+    UNKNOWN: the statement may have been run.
+    """
 
     BUSY = 'busy'
     ABORTED = 'aborted'
@@ -215,7 +269,7 @@
 
 
 class Op(enum.Enum):
-    """Command that a lane sends on an instance's connection."""
+    """Command that is sent on a connection to an instance."""
 
     RUN = 'run'
     BEGIN = 'begin'
@@ -229,7 +283,13 @@
 
 
 class LinkEnd(enum.Enum):
-    """Why a connection to an instance has ended."""
+    """Why a connection to an instance has ended.
+
+    REFUSED: it was not accepted.  SILENT: it was not accepted in time.
+    WRONG_INSTANCE: another instance answered at the address.  TOO_MANY:
+    the instance has as many connections as it accepts.  GARBLED: a reply
+    could not be decoded.
+    """
 
     LOST = 'lost'
     REFUSED = 'refused'
@@ -240,7 +300,14 @@
 
 
 class Ended(enum.Enum):
-    """How a piece of work ended at its instance."""
+    """How a piece of work ended at its instance.
+
+    ANSWERED: the instance replied to the statement.  NOT_STARTED: the
+    work was not sent.  NOT_RUN: the instance refused to begin the
+    transaction.  LOST: no reply can come any more, for instance because
+    the connection ended; the statement may have been run if it was sent.
+    OVERTIME: its timeout expired.
+    """
 
     ANSWERED = 'answered'
     NOT_STARTED = 'not_started'
@@ -250,7 +317,14 @@
 
 
 class PoolSessionState(enum.Enum):
-    """State of a pooled session (chart ``pool_session``)."""
+    """State of a pooled session (chart ``pool_session``).
+
+    RUNNING: a statement outside a transaction is being run.  BEGUN: the
+    caller has begun a transaction that no instance has begun yet.
+    STARTING: its first statement is being run.  OPEN and BUSY: it is
+    open at an instance, without and with a statement being run.  FAILED:
+    it can only be rolled back.
+    """
 
     IDLE = 'idle'
     RUNNING = 'running'
@@ -263,16 +337,21 @@
 
 
 class ForwardedState(enum.Enum):
-    """State of work that another VM runs (chart ``forwarded``)."""
+    """State of forwarded work (chart ``forwarded``).
+
+    AWAY: another VM runs it.  SETTLED: its result is known or no longer
+    needed.
+    """
 
     AWAY = 'away'
     SETTLED = 'settled'
 
 
 class NodeLife(enum.Enum):
-    """Where an entry VM stands, as its row says.
+    """Status of an entry VM, as its row in the store records it.
 
-    One that has left is not waited for by changes of primaries.
+    LEAVING: it is about to stop.  LEFT: it uses no primary any more, so
+    that changes of primaries don't wait for it.
     """
 
     SERVING = 'serving'
@@ -281,14 +360,27 @@
 
 
 class LeadRowState(enum.Enum):
-    """Whether a group's primary may be used."""
+    """Whether a group's primary may be used.
+
+    OPEN: it may be used.  CLOSING: it is being replaced, so that VMs
+    must stop using it.
+    """
 
     OPEN = 'open'
     CLOSING = 'closing'
 
 
 class HandoverState(enum.Enum):
-    """Step of a change of primary (chart ``handover``)."""
+    """Step of a change of primary (chart ``handover``).
+
+    CLAIMING: the leader row is set to CLOSING.  FENCING: every VM is
+    asked to stop using the old primary.  CHOOSING: the instances are
+    probed to choose the successor.  CATCHING_UP: the successor applies
+    the part of the old primary's log that it lacks.  PROMOTING: the
+    platform is asked to promote the successor.  CONFIRMING: the
+    successor is probed until it is the primary.  OPENING: the leader row
+    is set to OPEN.
+    """
 
     IDLE = 'idle'
     CLAIMING = 'claiming'
@@ -301,7 +393,11 @@
 
 
 class PromoteResult(enum.Enum):
-    """What the platform said to a promotion."""
+    """The platform's reply to a promotion.
+
+    UNKNOWN: the promotion may have been done.  NOT_REACHED: the order
+    did not reach the platform.
+    """
 
     DONE = 'done'
     REFUSED = 'refused'
@@ -310,7 +406,10 @@
 
 
 class EntryState(enum.Enum):
-    """Life of an entry process (chart ``entry``)."""
+    """State of an entry process (chart ``entry``).
+
+    LEAVING: it finishes its work and accepts no more.
+    """
 
     STARTING = 'starting'
     SERVING = 'serving'
@@ -319,7 +418,11 @@
 
 
 class FeedState(enum.Enum):
-    """What a feed of a table does (chart ``feed``)."""
+    """State of a feed, which reads a table of the store (chart ``feed``).
+
+    READING: it reads the whole table.  FOLLOWING: it polls the store for
+    changes.  MISSING: the last poll failed.
+    """
 
     READING = 'reading'
     FOLLOWING = 'following'
@@ -327,7 +430,7 @@
 
 
 class StoreView(enum.Enum):
-    """What a view of the store is of."""
+    """Kind of rows of which VMs keep a view (a copy of the store's)."""
 
     LEADS = 'leads'
     INSTANCES = 'instances'
@@ -336,7 +439,7 @@
 
 
 class Nearness(enum.Enum):
-    """How near two availability zones are."""
+    """Distance between two availability zones."""
 
     SAME_ZONE = 'same_zone'
     SAME_REGION = 'same_region'
--- a/src/chicoryusher/core/errors.py
+++ b/src/chicoryusher/core/errors.py
@@ -1,7 +1,8 @@
-"""Exception tree: one type for every failure.
+"""Exception classes of the project.
 
-Each type has a ``code`` (MySQL error number sent to a caller) and a
-``sqlstate`` (five characters).  Numbers from 29000 are the project's own.
+A failure that is reported to a caller is a ``CallerError``, which has a
+``code`` (the MySQL error number sent to the caller) and a ``sqlstate``
+(five characters).  Numbers from 29000 are the project's own.
 """
 
 from __future__ import annotations
@@ -38,7 +39,7 @@
 
 
 class ChicoryusherError(Exception):
-    """Root of every failure this project raises."""
+    """Base class of all exceptions of this project."""
 
 
 class ChartError(ChicoryusherError):
@@ -46,14 +47,15 @@
 
     def __init__(self, chart: str, problems: tuple[ChartProblem, ...]) -> None:
         super().__init__(
-            f'chart {chart}: ' + '; '.join(str(one) for one in problems)
+            f'chart {chart}: '
+            + '; '.join(str(problem) for problem in problems)
         )
         self.chart = chart
         self.problems = problems
 
 
 class ChartProblem(ChicoryusherError):
-    """One defect of a chart file, with the place it was found."""
+    """Defect of a chart file, with its place in the file."""
 
     def __init__(self, where: str, what: str) -> None:
         super().__init__(f'{where}: {what}')
@@ -62,7 +64,7 @@
 
 
 class ConfigError(ChicoryusherError):
-    """One defect of a settings, register or rules file."""
+    """Defect of a settings, register or rules file."""
 
     def __init__(self, path: str, what: str) -> None:
         super().__init__(f'{path}: {what}')
@@ -71,15 +73,18 @@
 
 
 class SettingsError(ChicoryusherError):
-    """A file has defects; all of them are in ``problems``."""
+    """A settings, register or rules file is not valid.
+
+    ``problems`` lists all defects of the file.
+    """
 
     def __init__(self, problems: tuple[ConfigError, ...]) -> None:
-        super().__init__('; '.join(str(one) for one in problems))
+        super().__init__('; '.join(str(problem) for problem in problems))
         self.problems = problems
 
 
 class ConfigConflict(ChicoryusherError):
-    """Another operator's change was accepted first."""
+    """A configuration was changed by another operator in the meantime."""
 
     def __init__(self, expected: int, found: int) -> None:
         super().__init__(f'expected version {expected}, found {found}')
@@ -88,7 +93,7 @@
 
 
 class AdminError(ChicoryusherError):
-    """A daemon's admin address refused or failed a call."""
+    """A daemon's admin address answered a request with an error."""
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(f'{status}: {detail}')
@@ -97,19 +102,19 @@
 
 
 class PlatformError(ChicoryusherError):
-    """Root of failures of the platform's services."""
+    """Base class of failures of the platform's services."""
 
 
 class PlatformUnavailable(PlatformError):
-    """The service was not reached: the call had no effect."""
+    """The service was not reached, so that the call had no effect."""
 
 
 class PlatformUnknown(PlatformError):
-    """The answer was lost: the call may have had its effect."""
+    """The reply was lost, so that the call may have had its effect."""
 
 
 class PlatformRefused(PlatformError):
-    """The service answered that it did not do it."""
+    """The service replied that it refused the call."""
 
 
 class FrameError(ChicoryusherError):
@@ -117,14 +122,14 @@
 
 
 class CallerError(ChicoryusherError):
-    """Root of failures that a caller is told about."""
+    """Base class of failures that are reported to a caller."""
 
     code: ClassVar[int] = 1105
     sqlstate: ClassVar[str] = 'HY000'
 
 
 class ProtocolError(CallerError):
-    """A caller broke the wire protocol."""
+    """A caller violated the wire protocol."""
 
     code = 1047
     sqlstate = '08S01'
@@ -137,7 +142,7 @@
 
 
 class OversizePacket(ProtocolError):
-    """A packet is longer than the configured bound."""
+    """A packet is longer than the configured maximum."""
 
     code = 1153
 
@@ -150,7 +155,7 @@
 
 
 class TooManyCallers(CallerError):
-    """The daemon's bound on caller connections is reached."""
+    """The daemon has its maximum number of caller connections."""
 
     code = 1040
     sqlstate = '08004'
@@ -178,7 +183,7 @@
 
 
 class NotRunError(CallerError):
-    """The request was not run, and that is certain."""
+    """The request was certainly not run, so that it may be retried."""
 
     code = 29001
     sqlstate = '40001'
@@ -190,7 +195,7 @@
 
 
 class UnknownOutcomeError(CallerError):
-    """The request may have been run; nothing proves either."""
+    """It could not be proved whether the request was run."""
 
     code = 29002
     sqlstate = '08007'
@@ -201,14 +206,14 @@
 
 
 class TransactionLost(CallerError):
-    """The open transaction ended at the instance without commit."""
+    """The instance ended the open transaction without a commit."""
 
     code = 29004
     sqlstate = '40003'
 
 
 class DrainingError(CallerError):
-    """The daemon is draining and takes no new session."""
+    """The daemon is draining and accepts no new session."""
 
     code = 1053
     sqlstate = '08S01'
--- a/src/chicoryusher/core/ids.py
+++ b/src/chicoryusher/core/ids.py
@@ -1,4 +1,7 @@
-"""Identifiers: one distinct type for each kind of name or number."""
+"""Identifiers: a distinct type for each kind of name or number.
+
+A ``ServiceName`` is the name of a database group.
+"""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -8,7 +8,7 @@
 
 
 class MetricKind(enum.Enum):
-    """How the values of a metric are put together."""
+    """How the values of a metric are aggregated."""
 
     COUNTER = 'counter'
     HISTOGRAM = 'histogram'
@@ -16,7 +16,7 @@
 
 
 class Metric(enum.Enum):
-    """A metric: kind, unit, labels and meaning."""
+    """Metric: its kind, unit, label names and description."""
 
     def __init__(
         self,
--- a/src/chicoryusher/core/position.py
+++ b/src/chicoryusher/core/position.py
@@ -1,4 +1,4 @@
-"""Log positions: a term and an offset in that term's log."""
+"""Positions in the log of a database group."""
 
 from __future__ import annotations
 
@@ -11,7 +11,10 @@
 
 
 class Position(NamedTuple):
-    """Offset in a group's log, ordered by term and then by offset."""
+    """Position in a group's log, ordered by term and then by offset.
+
+    ``term`` is the term in which the log was written up to ``offset``.
+    """
 
     term: ids.Term
     offset: ids.LogPosition
@@ -20,7 +23,7 @@
 class TermStart(NamedTuple):
     """Offset that the log had when a term began.
 
-    Offsets past it that were written in an earlier term are lost.
+    What earlier terms wrote after this offset is lost.
     """
 
     term: ids.Term
@@ -31,18 +34,22 @@
 
 
 def covers(
-    applied: Position, wanted: Position, starts: Iterable[TermStart]
+    applied: Position, target: Position, starts: Iterable[TermStart]
 ) -> bool:
-    """Tell whether a log at ``applied`` contains ``wanted``.
+    """Return whether a log applied up to ``applied`` contains ``target``.
 
-    A later term contains an earlier position only if no term between
-    them began below that position; an unknown term start proves nothing.
+    A log of a later term contains the position of an earlier term only
+    if no term after the earlier one, up to the later one, began below
+    that position.  Without the start of any of these terms the answer is
+    False, since nothing proves that the log contains the position.
     """
-    if applied.offset < wanted.offset or applied.term < wanted.term:
+    if applied.offset < target.offset or applied.term < target.term:
         return False
-    if applied.term == wanted.term or wanted.offset == 0:
+    if applied.term == target.term or target.offset == 0:
         return True
-    later = [
-        one.offset for one in starts if wanted.term < one.term <= applied.term
+    later_offsets = [
+        start.offset
+        for start in starts
+        if target.term < start.term <= applied.term
     ]
-    return bool(later) and min(later) >= wanted.offset
+    return bool(later_offsets) and min(later_offsets) >= target.offset
--- a/src/chicoryusher/core/registry.py
+++ b/src/chicoryusher/core/registry.py
@@ -1,4 +1,4 @@
-"""Registry that decorators fill: a name and the thing it stands for."""
+"""Registry of named objects that decorators fill."""
 
 from __future__ import annotations
 
@@ -19,36 +19,42 @@
 
 
 class UnknownName(errors.ChicoryusherError):
-    """Nothing is registered under a name."""
+    """No object is registered under a name."""
 
 
 class Registry(Generic[Thing]):
-    """Named things of one kind."""
+    """Named objects of one kind.
+
+    ``kind`` says in error messages what the names stand for.
+    """
 
     def __init__(self, kind: str) -> None:
         self.kind = kind
-        self._things: dict[str, Thing] = {}
+        self._entries: dict[str, Thing] = {}
 
     def register(self, name: str) -> Callable[[Thing], Thing]:
         """Return a decorator that stores its target under ``name``."""
 
-        def store(thing: Thing) -> Thing:
-            if name in self._things:
+        def store(entry: Thing) -> Thing:
+            if name in self._entries:
                 raise DuplicateName(f'{self.kind} {name}')
-            self._things[name] = thing
-            return thing
+            self._entries[name] = entry
+            return entry
 
         return store
 
     def get(self, name: str) -> Thing:
-        """Return the thing called ``name``; UnknownName if none is."""
+        """Return the object registered as ``name``.
+
+        Raise UnknownName if there is none.
+        """
         try:
-            return self._things[name]
+            return self._entries[name]
         except KeyError:
             raise UnknownName(f'{self.kind} {name}') from None
 
     def __contains__(self, name: str) -> bool:
-        return name in self._things
+        return name in self._entries
 
     def __iter__(self) -> Iterator[str]:
-        return iter(sorted(self._things))
+        return iter(sorted(self._entries))
