Reword charts and its tests

Docstrings of the model, the interpreter and the diagram speak of states, events and transitions. Two defects of chart files are worded plainly; the test matches the whole of the new texts.

--- a/src/chicoryusher/charts/__init__.py
+++ b/src/chicoryusher/charts/__init__.py
@@ -1,4 +1,4 @@
-"""State charts in files, and the interpreter that runs them."""
+"""State charts (state machines) in files, and their interpreter."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/charts/diagram.py
+++ b/src/chicoryusher/charts/diagram.py
@@ -1,4 +1,4 @@
-"""Diagrams of charts, in Mermaid's state diagram language."""
+"""Diagrams of charts in Mermaid's state diagram language."""
 
 from __future__ import annotations
 
@@ -8,19 +8,21 @@
 
 
 def mermaid(chart: model.Chart) -> str:
-    """Return the chart as a Mermaid ``stateDiagram-v2`` text."""
+    """Return the Mermaid ``stateDiagram-v2`` source of a chart."""
     lines = ['stateDiagram-v2', f'    [*] --> {chart.initial.value}']
-    for state, rows in chart.transitions.items():
-        for event, ways in rows.items():
-            for way in ways:
+    for state, by_event in chart.transitions.items():
+        for event, alternatives in by_event.items():
+            for transition in alternatives:
                 label = (
-                    event if way.guard is None else f'{event} [{way.guard}]'
+                    event
+                    if transition.guard is None
+                    else f'{event} [{transition.guard}]'
                 )
                 lines.append(
-                    f'    {state.value} --> {way.target.value}: {label}'
+                    f'    {state.value} --> {transition.target.value}: {label}'
                 )
     lines += [
-        f'    {one.value} --> [*]'
-        for one in sorted(chart.final, key=lambda one: one.value)
+        f'    {end.value} --> [*]'
+        for end in sorted(chart.final, key=lambda end: end.value)
     ]
     return '\n'.join(lines) + '\n'
--- a/src/chicoryusher/charts/interpreter.py
+++ b/src/chicoryusher/charts/interpreter.py
@@ -1,7 +1,8 @@
-"""The one interpreter of state charts.
+"""Interpreter of state charts.
 
-A chart is compiled once to a table from (state, event) to the ways out;
-a transition then costs one dictionary look-up and the calls it names.
+A chart is compiled once into a table from (state, event) to transitions.
+Handling an event then costs one dictionary look-up and the calls of the
+guards and actions that the transitions name.
 """
 
 from __future__ import annotations
@@ -28,77 +29,88 @@
 
 
 class Subject(Protocol):
-    """Something that lives by a chart: it carries its own state."""
+    """Object whose ``state`` is controlled by a chart."""
 
     state: Any
 
 
-_Way = tuple[Handler | None, tuple[Handler, ...], enum.Enum]
+# Guard, actions and target of a transition.
+_Transition = tuple[Handler | None, tuple[Handler, ...], enum.Enum]
 
 
 class Machine:
-    """A chart with its guards and actions resolved."""
+    """Chart whose guards and actions are resolved to functions."""
 
     def __init__(self, chart: model.Chart) -> None:
         self.name = chart.name
         self.initial = chart.initial
         self.final = chart.final
-        self._table: dict[tuple[enum.Enum, str], tuple[_Way, ...]] = {}
+        self._table: dict[tuple[enum.Enum, str], tuple[_Transition, ...]] = {}
         problems: list[core.ChartProblem] = []
-        for state, rows in chart.transitions.items():
-            for event, ways in rows.items():
-                place = f'{state.value}.{event}'
+        for state, by_event in chart.transitions.items():
+            for event, alternatives in by_event.items():
+                location = f'{state.value}.{event}'
                 self._table[state, event] = tuple(
-                    self._resolve(place, way, problems) for way in ways
+                    self._resolve(location, transition, problems)
+                    for transition in alternatives
                 )
         if problems:
             raise core.ChartError(chart.name, tuple(problems))
 
     @staticmethod
     def _resolve(
-        place: str,
-        way: model.Transition,
+        location: str,
+        transition: model.Transition,
         problems: list[core.ChartProblem],
-    ) -> _Way:
-        missing = [one for one in way.actions if one not in ACTIONS]
-        if way.guard is not None and way.guard not in GUARDS:
-            missing.append(way.guard)
+    ) -> _Transition:
+        missing = [name for name in transition.actions if name not in ACTIONS]
+        if transition.guard is not None and transition.guard not in GUARDS:
+            missing.append(transition.guard)
         problems += [
-            core.ChartProblem(place, f'no handler for {one}')
-            for one in missing
+            core.ChartProblem(location, f'no handler for {name}')
+            for name in missing
         ]
         if missing:
-            return None, (), way.target
-        test = GUARDS.get(way.guard) if way.guard is not None else None
+            return None, (), transition.target
+        guard_function = (
+            GUARDS.get(transition.guard)
+            if transition.guard is not None
+            else None
+        )
         return (
-            test,
-            tuple(ACTIONS.get(one) for one in way.actions),
-            way.target,
+            guard_function,
+            tuple(ACTIONS.get(name) for name in transition.actions),
+            transition.target,
         )
 
     def accepts(self, state: enum.Enum, event: str) -> bool:
-        """Tell whether the chart reacts to ``event`` in ``state``."""
+        """Return whether ``state`` has a transition for ``event``."""
         return (state, event) in self._table
 
     def fire(self, subject: Subject, event: str, arg: Any = None) -> bool:
-        """Apply ``event``: set the next state, then run the actions.
+        """Run the first transition for ``event`` whose guard allows it.
 
-        Return False, and change nothing, if the state has no way out
-        on this event or every guard says no.
+        The subject's state is set before the actions run.  Return False
+        and change nothing if the state has no transition for the event,
+        or if the guards allow none.
         """
-        for test, actions, target in self._table.get(
+        for guard_function, actions, target in self._table.get(
             (subject.state, event), ()
         ):
-            if test is not None and not test(subject, arg):
+            if guard_function is not None and not guard_function(subject, arg):
                 continue
             subject.state = target
-            for act in actions:
-                act(subject, arg)
+            for run_action in actions:
+                run_action(subject, arg)
             return True
         return False
 
 
 @functools.cache
 def compiled(name: str) -> Machine:
-    """Return the machine of a shipped chart; ChartError if it is bad."""
+    """Return the compiled chart of a chart file of this package.
+
+    Raise ChartError if the file is not valid or names a guard or an
+    action that is not registered.
+    """
     return Machine(model.read(name))
--- a/src/chicoryusher/charts/model.py
+++ b/src/chicoryusher/charts/model.py
@@ -1,4 +1,4 @@
-"""A state chart as read from its file, and the checks it must pass."""
+"""State charts as read from their files, and the checks of a file."""
 
 from __future__ import annotations
 
@@ -20,7 +20,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transition:
-    """One way out of a state on one event."""
+    """Transition out of a state for an event.
+
+    ``guard`` and ``actions`` are names of registered functions.
+    """
 
     guard: str | None
     actions: tuple[str, ...]
@@ -29,7 +32,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chart:
-    """A checked chart; states are members of the enum it names."""
+    """Valid chart; its states are members of the enum that it names.
+
+    A state's transitions for an event are tried in their order.
+    """
 
     name: str
     initial: enum.Enum
@@ -37,15 +43,17 @@
     transitions: dict[enum.Enum, dict[str, tuple[Transition, ...]]]
 
     def events(self) -> frozenset[str]:
-        """Return every event name the chart reacts to."""
+        """Return the names of all events for which there is a transition."""
         return frozenset(
-            name for rows in self.transitions.values() for name in rows
+            event
+            for by_event in self.transitions.values()
+            for event in by_event
         )
 
 
 def chart_names() -> tuple[str, ...]:
-    """Return the names of the chart files that ship with the package."""
-    names = (one.name for one in _FOLDER.iterdir())
+    """Return the names of the chart files of this package."""
+    names = (path.name for path in _FOLDER.iterdir())
     return tuple(
         sorted(
             name.removesuffix('.json')
@@ -56,11 +64,12 @@
 
 
 def read(name: str) -> Chart:
-    """Read and check the chart file called ``name``; ChartError if bad.
+    """Return the chart of this package's chart file ``name``.
 
-    Shipped files are checked against the schema by the tests; at load
-    only their meaning is checked, since the schema's library takes longer
-    to import than all charts take to read.
+    Raise ChartError if the file can't be read or is not valid.  The file
+    is not checked against the schema, since the schema's library takes
+    longer to import than all charts take to read; the tests check the
+    package's files against it.
     """
     path = _FOLDER.joinpath(f'{name}.json')
     try:
@@ -72,13 +81,17 @@
 
 
 def parse(name: str, document: typing.Any) -> Chart:
-    """Check a decoded chart; ChartError lists every defect at once."""
+    """Return the chart in a decoded chart file.
+
+    Raise ChartError with all defects if it does not match the schema or
+    is not valid.
+    """
     import jsonschema
 
     validator = jsonschema.Draft202012Validator(_SCHEMA)
     problems = [
-        core.ChartProblem(one.json_path, one.message)
-        for one in validator.iter_errors(document)
+        core.ChartProblem(error.json_path, error.message)
+        for error in validator.iter_errors(document)
     ]
     if problems:
         raise core.ChartError(name, tuple(problems))
@@ -104,15 +117,15 @@
 def _check_members(
     document: dict[str, typing.Any], states: type[enum.Enum]
 ) -> list[core.ChartProblem]:
-    known = {one.value for one in states}
-    used = set(document['states'])
+    in_enum = {state.value for state in states}
+    in_chart = set(document['states'])
     missing = [
-        core.ChartProblem('$.states', f'state {one} is missing')
-        for one in sorted(known - used)
+        core.ChartProblem('$.states', f'state {state} is missing')
+        for state in sorted(in_enum - in_chart)
     ]
     extra = [
-        core.ChartProblem(f'$.states.{one}', 'state is not in the enum')
-        for one in sorted(used - known)
+        core.ChartProblem(f'$.states.{state}', 'state is not in the enum')
+        for state in sorted(in_chart - in_enum)
     ]
     return missing + extra
 
@@ -120,23 +133,27 @@
 def _check_targets(
     document: dict[str, typing.Any],
 ) -> list[core.ChartProblem]:
-    known = set(document['states'])
+    states = set(document['states'])
     problems = []
-    named = [('$.initial', document['initial'])]
-    named += [('$.final', one) for one in document['final']]
-    for state, rows in document['states'].items():
-        for event, ways in rows.items():
-            place = f'$.states.{state}.{event}'
-            named += [(place, way['next']) for way in ways]
-    for place, target in named:
-        if target not in known:
+    references = [('$.initial', document['initial'])]
+    references += [('$.final', final) for final in document['final']]
+    for state, by_event in document['states'].items():
+        for event, alternatives in by_event.items():
+            location = f'$.states.{state}.{event}'
+            references += [
+                (location, transition['next']) for transition in alternatives
+            ]
+    for location, target in references:
+        if target not in states:
             problems.append(
-                core.ChartProblem(place, f'unknown state {target}')
+                core.ChartProblem(location, f'unknown state {target}')
             )
     for state in document['final']:
         if document['states'].get(state):
             problems.append(
-                core.ChartProblem(f'$.states.{state}', 'final state leaves')
+                core.ChartProblem(
+                    f'$.states.{state}', 'final state has transitions'
+                )
             )
     return problems
 
@@ -145,18 +162,18 @@
     document: dict[str, typing.Any],
 ) -> list[core.ChartProblem]:
     states = document['states']
-    seen = set()
-    front = [document['initial']]
-    while front:
-        state = front.pop()
-        if state in seen:
+    reachable = set()
+    pending = [document['initial']]
+    while pending:
+        state = pending.pop()
+        if state in reachable:
             continue
-        seen.add(state)
-        for ways in states.get(state, {}).values():
-            front += [way['next'] for way in ways]
+        reachable.add(state)
+        for alternatives in states.get(state, {}).values():
+            pending += [transition['next'] for transition in alternatives]
     return [
-        core.ChartProblem(f'$.states.{one}', 'state cannot be reached')
-        for one in sorted(set(states) - seen)
+        core.ChartProblem(f'$.states.{unreachable}', 'state cannot be reached')
+        for unreachable in sorted(set(states) - reachable)
     ]
 
 
@@ -164,40 +181,43 @@
     document: dict[str, typing.Any],
 ) -> list[core.ChartProblem]:
     problems = []
-    for state, rows in document['states'].items():
-        for event, ways in rows.items():
-            place = f'$.states.{state}.{event}'
-            guards = [way.get('guard') for way in ways]
+    for state, by_event in document['states'].items():
+        for event, alternatives in by_event.items():
+            location = f'$.states.{state}.{event}'
+            guards = [transition.get('guard') for transition in alternatives]
             if None in guards[:-1]:
                 problems.append(
                     core.ChartProblem(
-                        place, 'a way without guard hides later ways'
+                        location,
+                        'a transition without guard hides later transitions',
                     )
                 )
             if len(set(guards)) != len(guards):
                 problems.append(
-                    core.ChartProblem(place, 'two ways share a guard')
+                    core.ChartProblem(
+                        location, 'two transitions have the same guard'
+                    )
                 )
     return problems
 
 
 def _build(document: dict[str, typing.Any], states: type[enum.Enum]) -> Chart:
     table: dict[enum.Enum, dict[str, tuple[Transition, ...]]] = {}
-    for state, rows in document['states'].items():
+    for state, by_event in document['states'].items():
         table[states(state)] = {
             event: tuple(
                 Transition(
-                    way.get('guard'),
-                    tuple(way.get('actions', ())),
-                    states(way['next']),
+                    transition.get('guard'),
+                    tuple(transition.get('actions', ())),
+                    states(transition['next']),
                 )
-                for way in ways
+                for transition in alternatives
             )
-            for event, ways in rows.items()
+            for event, alternatives in by_event.items()
         }
     return Chart(
         document['name'],
         states(document['initial']),
-        frozenset(states(one) for one in document['final']),
+        frozenset(states(final) for final in document['final']),
         table,
     )
--- a/tests/charts/test_model.py
+++ b/tests/charts/test_model.py
@@ -8,13 +8,15 @@
 
 from chicoryusher import charts
 from chicoryusher import core
-from chicoryusher.daemon import app  # noqa: F401 - fills the registries
-from chicoryusher.tasks import node  # noqa: F401 - fills the registries
-from fleet import entry  # noqa: F401 - fills the registries
+from chicoryusher.daemon import app  # noqa: F401 - registers actions
+from chicoryusher.tasks import node  # noqa: F401 - registers actions
+from fleet import entry  # noqa: F401 - registers actions
 
-CHARTS = pathlib.Path(charts.__file__).parent
-DOCS = pathlib.Path(__file__).parents[2] / 'docs' / 'design' / 'charts.md'
-GOOD = {
+CHART_FOLDER = pathlib.Path(charts.__file__).parent
+CHARTS_PAGE = (
+    pathlib.Path(__file__).parents[2] / 'docs' / 'design' / 'charts.md'
+)
+VALID_CHART = {
     'name': 'daemon',
     'enum': 'DaemonState',
     'initial': 'starting',
@@ -28,8 +30,8 @@
 }
 
 
-def _broken(change):
-    document = copy.deepcopy(GOOD)
+def _with_change(change):
+    document = copy.deepcopy(VALID_CHART)
     change(document)
     return document
 
@@ -51,39 +53,39 @@
             lambda d: d['states']['starting']['go'].append(
                 {'next': 'running', 'guard': 'late'}
             ),
-            'hides later ways',
+            'a transition without guard hides later transitions',
         ),
         (
             lambda d: d['states']['stopped'].update(go=[{'next': 'running'}]),
-            'final state leaves',
+            'final state has transitions',
         ),
         (lambda d: d.update(enum='Colour'), 'no such enumeration'),
         (lambda d: d.pop('initial'), 'required'),
     ],
 )
-def test_a_bad_chart_is_refused_with_its_defect(change, words):
-    with pytest.raises(core.ChartError) as caught:
-        charts.parse('daemon', _broken(change))
-    assert words in str(caught.value)
+def test_parse_names_the_defect_of_an_invalid_chart(change, words):
+    with pytest.raises(core.ChartError) as raised:
+        charts.parse('daemon', _with_change(change))
+    assert words in str(raised.value)
 
 
-def test_a_missing_handler_is_refused():
-    document = copy.deepcopy(GOOD)
+def test_a_chart_with_an_unregistered_action_is_refused():
+    document = copy.deepcopy(VALID_CHART)
     document['states']['starting']['go'][0]['actions'] = ['no.such']
     with pytest.raises(core.ChartError, match=r'no handler for no\.such'):
         charts.Machine(charts.parse('daemon', document))
 
 
 @pytest.mark.parametrize('name', charts.chart_names())
-def test_shipped_charts_compile_and_their_diagrams_are_current(name):
+def test_chart_files_compile_and_their_diagrams_are_up_to_date(name):
     chart = charts.read(name)
-    document = json.loads((CHARTS / f'{name}.json').read_text('utf-8'))
+    document = json.loads((CHART_FOLDER / f'{name}.json').read_text('utf-8'))
     assert charts.parse(name, document) == chart
     charts.compiled(name)
-    assert charts.mermaid(chart) in DOCS.read_text(encoding='utf-8')
+    assert charts.mermaid(chart) in CHARTS_PAGE.read_text(encoding='utf-8')
 
 
-def test_guards_choose_and_unknown_events_change_nothing():
+def test_fire_changes_the_state_only_for_events_with_a_transition():
     class Subject:
         state = core.SessionState.GREETING
 
