Explain more fields of core's messages

The docstrings of Marks, GroupState, Fence, InstanceState and Work explain fields whose meaning was only in the code; pooling says what a link is.

--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -54,7 +54,8 @@
     ``observed_at`` when that probe began.  ``lag`` is an upper bound of
     the instance's staleness, proved for that moment; ``apply_delay`` is
     an estimate of how many seconds it is behind its primary.  ``starts``
-    are the log offsets at which terms began.
+    are the log offsets at which terms began.  ``has_majority`` is set if
+    a majority of the group's instances was recently seen in the term.
     """
 
     database: ids.DatabaseName
@@ -115,7 +116,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fence(Message):
-    """Ask an instance to reject everything of terms before ``term``."""
+    """Ask an instance to reject everything of terms before ``term``.
+
+    ``candidate`` is the VM that claims the term.
+    """
 
     term: ids.Term
     candidate: ids.VmName
--- a/src/chicoryusher/core/exchanging.py
+++ b/src/chicoryusher/core/exchanging.py
@@ -1,11 +1,11 @@
 """Typed messages about entry VMs and their views of the store.
 
-Entry VMs are the VMs that run this proxy; a view is a VM's copy of one
-kind of rows of the store.  An age is the number of seconds between an
-observation and the sending of the message that reports it; VMs exchange
-ages and not times, so that clocks of two machines are never compared.
-Times are those of the boot-time clock (``Clock.running_on``), which also
-counts the time for which the machine was suspended.
+Entry VMs, or nodes, are the VMs that run this proxy; a view is a VM's
+copy of one kind of rows of the store.  An age is the number of seconds
+between an observation and the sending of the message that reports it;
+VMs exchange ages and not times, so that clocks of two machines are never
+compared.  Times are those of the boot-time clock (``Clock.running_on``),
+which also counts the time for which the machine was suspended.
 """
 
 from __future__ import annotations
--- a/src/chicoryusher/core/messages.py
+++ b/src/chicoryusher/core/messages.py
@@ -57,7 +57,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Marks:
-    """Attributes that a caller or a rule sets for one statement."""
+    """Attributes that a caller or a rule sets for one statement.
+
+    ``max_staleness`` and ``deadline`` are seconds, the latter from the
+    arrival of the statement.  In a gate's queue, a statement with
+    ``may_wait`` may give way to statements without it.  ``token`` is a
+    session token, whose writes the statement must see.
+    """
 
     max_staleness: float | None = None
     idempotency_key: ids.IdempotencyKey | None = None
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -1,8 +1,10 @@
 """Typed messages of pooled sessions: statements, work, connections.
 
 A session is pooled if it owns no connection: each of its statements, or
-transactions, runs on a connection of a pool.  Times are seconds of the
-runtime's monotonic clock (``Clock.now``) unless a field says otherwise.
+transactions, runs on a connection of the pool of an instance.  A link is
+the task that owns the sockets of one such pool.  Times are seconds of
+the runtime's monotonic clock (``Clock.now``) unless a docstring says
+otherwise.
 """
 
 from __future__ import annotations
@@ -139,7 +141,7 @@
     ``limit`` is the timeout of its execution in seconds, and
     ``patience`` the timeout of a statement that may be run again at
     another instance.  ``offered_at`` is when the work was sent to the
-    instance pool.
+    instance pool.  ``owner`` is the task that receives the result.
     """
 
     work_id: ids.WorkId
@@ -197,7 +199,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopLane(messages.Message):
-    """Close every connection of an instance pool and end its work."""
+    """Close every connection to the instance and end its work."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/stewardship.py
@@ -218,7 +218,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceState:
-    """State that an instance reports about itself."""
+    """State that an instance reports about itself.
+
+    ``received`` and ``applied`` are the ends of the log that it has
+    received and applied.
+    """
 
     role: enums.Role
     term: ids.Term
