Reword the platform adapter

Plain terms of the field in the comments, docstrings and private names of platform/serve.py and platform/fleet, and in its tests.

Modules: entries -> row_codec, duty -> promotion_client, measures -> metrics_starter, front -> frontend. Classes: Entry -> EntryProcess, Feed -> TableFeed, Rows -> RowClient, Link -> InstanceLink, Front -> Frontend, Promotions -> PromotionClient, Measures -> MetricsStarter. Constants name their unit. Protocol words, settings, log fields, task names and error texts are as before.

Test names say which behaviour they check; no check has changed.

--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the platform: its store and its promotions."""
+"""Stand-ins for the platform's store and its service of promotions."""
 
 from __future__ import annotations
 
@@ -15,16 +15,18 @@
 from chicoryusher.runtime import http_server
 
 HOST = '127.0.0.1'
-# Ports below those that the system gives to outgoing connections, a block
-# for each process of tests.
+# Ports below those that the system gives to outgoing connections, with a block
+# for each test process.
 FIRST_PORT = 20000
-BLOCKS = 300
-PORTS_EACH = 40
-_PORTS = itertools.count(FIRST_PORT + os.getpid() % BLOCKS * PORTS_EACH)
+PORT_BLOCK_COUNT = 300
+PORTS_PER_BLOCK = 40
+_PORTS = itertools.count(
+    FIRST_PORT + os.getpid() % PORT_BLOCK_COUNT * PORTS_PER_BLOCK
+)
 
 
 def free_port():
-    """Return a port that nothing listens on and no call has returned."""
+    """Return a port that nothing listens on and that is returned once only."""
     for port in _PORTS:
         try:
             with socket.create_server((HOST, port)):
@@ -35,14 +37,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Late(core.Message):
-    """A waiting question's time is over."""
+class _PollTimeout(core.Message):
+    """The time for which a long poll may wait is over."""
 
     number: int
 
 
 class HttpTask(runtime.Task):
-    """A server on a port of its own."""
+    """An HTTP server on a free port that records its calls."""
 
     def __init__(self, loop, name):
         super().__init__(loop, 'standin', name)
@@ -66,7 +68,7 @@
 
 
 class StoreServer(HttpTask):
-    """The store: tables, transactions, feeds that wait."""
+    """The store, with tables, transactions and long polls for changes."""
 
     def __init__(self, loop):
         super().__init__(loop, 'store')
@@ -77,7 +79,7 @@
         self.forgotten = 0
         self.lose_writes = 0
         self.page = 500
-        self._waits = {}
+        self._polls = {}
         self._number = 0
 
     def put(self, table, key, value, parts=('',)):
@@ -98,14 +100,14 @@
     def drop(self, table, key, part=''):
         self.version += 1
         row = self.rows.pop((table, part, key))
-        gone = {**row, 'deleted': True, 'rowVersion': self.version}
-        self.deleted[table, part, key] = gone
+        deleted_row = {**row, 'deleted': True, 'rowVersion': self.version}
+        self.deleted[table, part, key] = deleted_row
         self.wake()
 
     def answer(self, conn, path, args, body):
         parts = {args.get('part', '')} if path == '/api/rows-get' else set()
         if path == '/api/rows-tx':
-            parts = {one['part'] for one in json.loads(body)['puts']}
+            parts = {put['part'] for put in json.loads(body)['puts']}
         if parts & self.shut or 'all' in self.shut:
             conn.reply(503, {})
         elif path == '/api/rows-get':
@@ -122,24 +124,24 @@
             if (table, part) == (args['table'], args.get('part', ''))
             and key >= args.get('from', '')
         ]
-        more = len(rows) > self.page
+        has_more = len(rows) > self.page
         conn.reply(
             200,
             {
                 'rows': rows[: self.page],
-                'hasMore': more,
+                'hasMore': has_more,
                 'rowVersion': self.version,
             },
         )
 
     def _changes(self, table, after):
-        found = [
+        changes = [
             row
             for source in (self.rows, self.deleted)
             for (name, _, _), row in source.items()
             if name == table and row['rowVersion'] > after
         ]
-        return sorted(found, key=lambda row: row['rowVersion'])
+        return sorted(changes, key=lambda row: row['rowVersion'])
 
     def _feed(self, conn, args):
         after = int(args['after'])
@@ -147,53 +149,53 @@
             conn.reply(410, {})
             return
         self._number += 1
-        self._waits[self._number] = (conn, args['table'], after)
-        self.after(int(args['waitMs']) / 1000, _Late(self._number))
+        self._polls[self._number] = (conn, args['table'], after)
+        self.after(int(args['waitMs']) / 1000, _PollTimeout(self._number))
         self.wake()
 
     def wake(self):
-        for number, (conn, table, after) in tuple(self._waits.items()):
+        for number, (conn, table, after) in tuple(self._polls.items()):
             rows = self._changes(table, after)
             if rows:
-                del self._waits[number]
+                del self._polls[number]
                 self._reply(conn, rows)
         self._server.flush()
 
-    @runtime.handles(_Late)
-    def _on_late(self, late):
-        wait = self._waits.pop(late.number, None)
-        if wait is not None:
-            self._reply(wait[0], [])
+    @runtime.handles(_PollTimeout)
+    def _on_poll_timeout(self, timeout):
+        poll = self._polls.pop(timeout.number, None)
+        if poll is not None:
+            self._reply(poll[0], [])
 
     def _reply(self, conn, rows):
         conn.reply(200, {'rows': rows, 'rowVersion': self.version})
 
     def _transact(self, conn, body):
         current = []
-        met = True
-        for one in body['expectedRevision']:
-            row = self.rows.get((one['table'], one['part'], one['key']))
+        conditions_hold = True
+        for item in body['expectedRevision']:
+            row = self.rows.get((item['table'], item['part'], item['key']))
             if row is not None:
                 current.append(row)
-            if (row or {'rowVersion': 0})['rowVersion'] != one['rowVersion']:
-                met = False
-        if met:
+            if (row or {'rowVersion': 0})['rowVersion'] != item['rowVersion']:
+                conditions_hold = False
+        if conditions_hold:
             self.version += 1
-            for one in body['puts']:
-                place = (one['table'], one['key'], one['value'])
-                self._put(*place, one['part'])
+            for item in body['puts']:
+                row_fields = (item['table'], item['key'], item['value'])
+                self._put(*row_fields, item['part'])
             self.wake()
         if self.lose_writes:
             self.lose_writes -= 1
             conn.stream.abort()
-        elif met:
+        elif conditions_hold:
             conn.reply(200, {'rowVersion': self.version})
         else:
             conn.reply(412, {'rows': current})
 
 
 class PromoteServer(HttpTask):
-    """The platform's promotions."""
+    """The platform's service of promotions."""
 
     def __init__(self, loop):
         super().__init__(loop, 'promote')
@@ -206,27 +208,29 @@
 
 
 class Inbox(runtime.Task):
-    """Keeps what a task was told."""
+    """A task that keeps the messages sent to it."""
 
     def __init__(self, loop, vm, name):
         super().__init__(loop, vm, name)
         self.messages = []
 
     def of(self, kind):
-        return [one for one in self.messages if isinstance(one, kind)]
+        return [
+            message for message in self.messages if isinstance(message, kind)
+        ]
 
 
-def _keep(inbox, message):
+def _store_message(inbox, message):
     inbox.messages.append(message)
 
 
 for _kind in vars(core).values():
     if isinstance(_kind, type) and issubclass(_kind, core.Message):
-        Inbox.handlers = {**Inbox.handlers, _kind: _keep}
+        Inbox.handlers = {**Inbox.handlers, _kind: _store_message}
 
 
 def run_until(loop, condition, turns=4000):
-    """Turn the loop on real sockets until the condition holds."""
+    """Run the loop on real sockets until the condition holds."""
     loop._running = True
     loop._executing_thread = threading.current_thread()
     for _ in range(turns):
--- a/tests/platform/test_entry.py
+++ b/tests/platform/test_entry.py
@@ -3,8 +3,8 @@
 from fleet import entry
 
 
-def test_every_vm_follows_the_configuration_itself():
-    """Two followers may be the ones that the store turns away."""
-    relaxed = {one.table: one.relaxed for one in entry.FEEDS}
-    assert relaxed['op'] is not None
-    assert relaxed['servers'] is None
+def test_every_vm_polls_the_configuration_itself():
+    """The store may refuse exactly the VMs that poll it for others."""
+    relaxed_wait_s = {feed.table: feed.relaxed_wait_s for feed in entry.FEEDS}
+    assert relaxed_wait_s['op'] is not None
+    assert relaxed_wait_s['servers'] is None
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_frontend.py
@@ -1,4 +1,4 @@
-"""The front end on real sockets, with bad callers beside good ones."""
+"""The front end on real sockets, with valid and with faulty callers."""
 
 from __future__ import annotations
 
@@ -10,20 +10,20 @@
 import stand_ins
 from chicoryusher import core
 from chicoryusher import runtime
-from fleet import front
+from fleet import frontend
 
 HOST = '127.0.0.1'
-BAD_CALLERS = 400
-MESSAGES_EACH = 25
+FAULTY_CALLER_COUNT = 400
+MESSAGES_PER_CALLER = 25
 READY = b'READY I -\r\n'
 
 
-class Desk(runtime.Task):
-    """Answers every statement at once; knows one database."""
+class Dispatcher(runtime.Task):
+    """Dispatcher that answers every statement at once; has one database."""
 
     def __init__(self, loop):
         super().__init__(loop, 'vm0', 'desk')
-        self.left = 0
+        self.sessions_left = 0
         self.statements = 0
 
     @runtime.handles(core.StartSession)
@@ -52,11 +52,11 @@
 
     @runtime.handles(core.SessionLeft)
     def _on_left(self, message):
-        self.left += 1
+        self.sessions_left += 1
 
 
 class Client:
-    """A caller's socket that never blocks the test."""
+    """A caller's non-blocking socket."""
 
     def __init__(self, loop, task):
         self._loop = loop
@@ -71,7 +71,7 @@
         except OSError:
             self.closed = True
 
-    def pull(self):
+    def receive(self):
         try:
             data = self._sock.recv(65536)
         except BlockingIOError:
@@ -82,12 +82,12 @@
         self.data += data
         self.closed = self.closed or not data
 
-    def until(self, condition):
-        def met():
-            self.pull()
+    def wait_until(self, condition):
+        def is_met():
+            self.receive()
             return condition(self)
 
-        stand_ins.run_until(self._loop, met)
+        stand_ins.run_until(self._loop, is_met)
 
     def close(self):
         self._sock.close()
@@ -95,56 +95,56 @@
 
 @pytest.fixture
 def loop():
-    made = runtime.Runtime()
-    yield made
-    made.close()
+    runtime_loop = runtime.Runtime()
+    yield runtime_loop
+    runtime_loop.close()
 
 
 @pytest.fixture
-def desk(loop):
-    return Desk(loop)
+def dispatcher(loop):
+    return Dispatcher(loop)
 
 
 @pytest.fixture
-def task(loop, desk):
-    return front.Front(loop, core.VmName('vm0'), 'b1', (HOST, 0))
+def task(loop, dispatcher):
+    return frontend.Frontend(loop, core.VmName('vm0'), 'b1', (HOST, 0))
 
 
-def started(loop, task):
+def start_session(loop, task):
     client = Client(loop, task)
     client.send(b'START stock u1\r\n')
-    client.until(lambda one: one.data == READY)
+    client.wait_until(lambda caller: caller.data == READY)
     client.data = b''
     return client
 
 
-def asked(client, number):
+def query(client, number):
     client.data = b''
     client.send(f'QUERY r{number} READ i{number}\r\n'.encode())
-    wanted = f'ROW READ i{number}\r\nCOMPLETE d1\r\n'.encode() + READY
-    client.until(lambda one: one.data == wanted)
+    expected = f'ROW READ i{number}\r\nCOMPLETE d1\r\n'.encode() + READY
+    client.wait_until(lambda caller: caller.data == expected)
 
 
 def test_a_session_starts_and_is_answered(loop, task):
-    client = started(loop, task)
-    asked(client, 1)
-    asked(client, 2)
+    client = start_session(loop, task)
+    query(client, 1)
+    query(client, 2)
 
 
-def test_torn_and_glued_lines_are_the_same(loop, task):
+def test_split_and_joined_lines_are_handled_alike(loop, task):
     client = Client(loop, task)
     for byte in b'START stock u1\r\nQUERY r1 RE':
         client.send(bytes([byte]))
         loop.tick(timeout=0)
     client.send(b'AD i1\r\nQUERY r2 READ i2\r\n')
-    client.until(lambda one: one.data.count(b'READY') == 3)
+    client.wait_until(lambda caller: caller.data.count(b'READY') == 3)
     assert client.data.index(b'i1') < client.data.index(b'i2')
 
 
 def test_an_unknown_database_is_an_error_and_a_close(loop, task):
     client = Client(loop, task)
     client.send(b'START nowhere u1\r\n')
-    client.until(lambda one: one.closed)
+    client.wait_until(lambda caller: caller.closed)
     assert client.data.startswith(b'ERROR NODB ')
 
 
@@ -163,76 +163,80 @@
 def test_bad_input_is_an_error_and_a_close(loop, task, data):
     client = Client(loop, task)
     client.send(data)
-    client.until(lambda one: one.closed)
+    client.wait_until(lambda caller: caller.closed)
     assert b'ERROR MALFORMED ' in client.data
 
 
-def test_a_message_over_the_bound_is_an_error_and_a_close(loop, task):
+def test_a_message_over_the_limit_is_an_error_and_a_close(loop, task):
     client = Client(loop, task)
     for _ in range(20):
         client.send(b'x' * 60_000)
         for _ in range(4):
             loop.tick(timeout=0.001)
-    client.until(lambda one: one.closed)
+    client.wait_until(lambda caller: caller.closed)
 
 
-def test_the_end_of_a_caller_reaches_the_desk(loop, task, desk):
-    client = started(loop, task)
+def test_the_end_of_a_caller_is_reported_to_the_dispatcher(
+    loop, task, dispatcher
+):
+    client = start_session(loop, task)
     client.send(b'TERMINATE\r\n')
-    client.until(lambda one: one.closed)
-    stand_ins.run_until(loop, lambda: desk.left == 1)
+    client.wait_until(lambda caller: caller.closed)
+    stand_ins.run_until(loop, lambda: dispatcher.sessions_left == 1)
     assert task.callers == 0
 
 
-def junk(dice):
-    """Return a random, torn or truncated message."""
-    kind = dice.randrange(4)
+def faulty_message(rng):
+    """Return a message of random bytes, or a truncated valid message."""
+    kind = rng.randrange(4)
     if kind == 0:
-        return dice.randbytes(dice.randrange(1, 200))
+        return rng.randbytes(rng.randrange(1, 200))
     if kind == 1:
-        return dice.randbytes(dice.randrange(1, 60)) + b'\r\n'
-    whole = b'START stock u1\r\nQUERY r1 WRITE item data\r\n'
-    cut = whole[: dice.randrange(1, len(whole))]
-    return cut if kind == 2 else cut + b'\r\n'
-
-
-def test_ten_thousand_bad_messages_cost_good_callers_nothing(loop, task):
-    dice = random.Random(13)
-    good = [started(loop, task) for _ in range(4)]
-    for number in range(BAD_CALLERS):
-        bad = Client(loop, task)
-        for _ in range(MESSAGES_EACH):
-            bad.send(junk(dice))
+        return rng.randbytes(rng.randrange(1, 60)) + b'\r\n'
+    valid = b'START stock u1\r\nQUERY r1 WRITE item data\r\n'
+    truncated = valid[: rng.randrange(1, len(valid))]
+    return truncated if kind == 2 else truncated + b'\r\n'
+
+
+def test_ten_thousand_faulty_messages_do_not_affect_valid_callers(loop, task):
+    rng = random.Random(13)
+    valid = [start_session(loop, task) for _ in range(4)]
+    for number in range(FAULTY_CALLER_COUNT):
+        faulty = Client(loop, task)
+        for _ in range(MESSAGES_PER_CALLER):
+            faulty.send(faulty_message(rng))
         loop.tick(timeout=0)
-        if dice.random() < 0.5:
-            bad.close()
-        asked(good[number % len(good)], number)
-        bad.close()
-    for number, one in enumerate(good):
-        asked(one, number)
-    stand_ins.run_until(loop, lambda: task.callers == len(good))
+        if rng.random() < 0.5:
+            faulty.close()
+        query(valid[number % len(valid)], number)
+        faulty.close()
+    for number, client in enumerate(valid):
+        query(client, number)
+    stand_ins.run_until(loop, lambda: task.callers == len(valid))
 
 
-def test_a_caller_that_names_no_database_is_closed_in_time():
+def test_a_caller_that_names_no_database_is_closed_after_the_timeout():
     clock = core.VirtualClock(10.0)
     loop = runtime.Runtime(clock)
-    Desk(loop)
-    task = front.Front(loop, core.VmName('vm0'), 'b1', (HOST, 0))
+    Dispatcher(loop)
+    task = frontend.Frontend(loop, core.VmName('vm0'), 'b1', (HOST, 0))
     client = Client(loop, task)
     stand_ins.run_until(loop, lambda: task.callers == 1)
-    clock.advance_to(10.0 + front.START_TIMEOUT)
+    clock.advance_to(10.0 + frontend.START_TIMEOUT_S)
     stand_ins.run_until(loop, lambda: task.callers == 0)
     client.close()
     loop.close()
 
 
-def test_connections_that_start_nothing_are_bounded(loop, desk, monkeypatch):
-    monkeypatch.setattr(front, 'MAX_UNSTARTED', 3)
-    task = front.Front(loop, core.VmName('vm0'), 'b1', (HOST, 0))
-    kept = [Client(loop, task) for _ in range(3)]
+def test_connections_without_a_session_are_limited(
+    loop, dispatcher, monkeypatch
+):
+    monkeypatch.setattr(frontend, 'MAX_PENDING_HANDSHAKES', 3)
+    task = frontend.Frontend(loop, core.VmName('vm0'), 'b1', (HOST, 0))
+    clients = [Client(loop, task) for _ in range(3)]
     stand_ins.run_until(loop, lambda: task.callers == 3)
-    over = Client(loop, task)
-    over.until(lambda one: one.closed)
-    kept[0].close()
+    refused = Client(loop, task)
+    refused.wait_until(lambda caller: caller.closed)
+    clients[0].close()
     stand_ins.run_until(loop, lambda: task.callers == 2)
-    asked(started(loop, task), 1)
+    query(start_session(loop, task), 1)
--- a/tests/platform/test_line_statements.py
+++ b/tests/platform/test_line_statements.py
@@ -28,14 +28,18 @@
     ],
 )
 def test_statement_texts(text, verb, name, rest):
-    found = statements.decode(text)
-    assert (found.verb, found.name, found.rest) == (verb, name, rest)
-    assert found.text == text
+    statement = statements.decode(text)
+    assert (statement.verb, statement.name, statement.rest) == (
+        verb,
+        name,
+        rest,
+    )
+    assert statement.text == text
 
 
-def test_a_shape_is_its_kind_and_its_template():
-    found = statements.decode('PREPARE s1 WRITE q2c')
-    assert found.shape == core.Shape(core.ShapeKind.WRITE, 'q2c')
+def test_prepare_names_a_kind_and_a_template():
+    statement = statements.decode('PREPARE s1 WRITE q2c')
+    assert statement.shape == core.Shape(core.ShapeKind.WRITE, 'q2c')
 
 
 @pytest.mark.parametrize(
@@ -58,7 +62,7 @@
         f'READ {"x" * 300}',
     ],
 )
-def test_what_is_no_statement_of_a_caller_is_refused(text):
+def test_a_text_that_is_not_a_callers_statement_is_refused(text):
     with pytest.raises(lines.LineError):
         statements.decode(text)
 
@@ -71,14 +75,14 @@
         return
 
 
-def test_a_statement_goes_on_unchanged_behind_its_condition():
+def test_a_statement_follows_unchanged_after_the_position_to_wait_for():
     read = statements.decode('READ 1a4')
     command = core.Command(Op.RUN, core.RequestId('5c0e'), read, after=AFTER)
     line = b'QUERY 5c0e WAITLSN 3.1207 READ 1a4\r\n'
     assert statements.encode(command) == line
 
 
-def test_an_execution_gets_the_connections_name_for_its_shape():
+def test_execute_uses_the_connections_name_of_the_prepared_statement():
     execute = statements.decode('EXECUTE s1 1a4 x')
     command = core.Command(Op.RUN, core.RequestId('5c0e'), execute, 'p0')
     assert statements.encode(command) == b'QUERY 5c0e EXECUTE p0 1a4 x\r\n'
@@ -104,15 +108,15 @@
         (core.Command(Op.DEMOTE, value='4'), 'DEMOTE 4'),
     ],
 )
-def test_commands_of_our_own_carry_no_request_id(command, text):
+def test_commands_that_the_proxy_adds_have_no_request_id(command, text):
     assert statements.encode(command) == f'QUERY - {text}\r\n'.encode()
 
 
 @pytest.mark.parametrize('text', ['-', '', '3', '3.', '.5', 'a.b', '3.5.7'])
-def test_what_is_no_position_is_none(text):
+def test_a_text_that_is_not_a_position_is_none(text):
     assert statements.read_position(text) is None
 
 
-def test_positions_go_both_ways():
+def test_positions_are_encoded_and_decoded():
     assert statements.read_position(statements.position(AFTER)) == AFTER
     assert statements.position(None) == '-'
--- a/tests/platform/test_lines.py
+++ b/tests/platform/test_lines.py
@@ -15,35 +15,35 @@
 
 
 @given(st.lists(TEXT, max_size=8), st.lists(st.integers(0, 400)))
-def test_lines_come_out_whole_however_they_were_cut(texts, cuts):
-    data = b''.join(lines.join(one) for one in texts)
-    found = lines.Lines()
-    out = []
-    last = 0
-    for cut in sorted(min(one, len(data)) for one in cuts):
-        out += found.feed(data[last:cut])
-        last = cut
-    out += found.feed(data[last:])
-    assert out == texts
-
-
-def test_a_lone_line_break_cannot_smuggle_a_line():
+def test_lines_do_not_depend_on_how_the_stream_is_cut(texts, cuts):
+    data = b''.join(lines.join(item) for item in texts)
+    splitter = lines.Lines()
+    received = []
+    start = 0
+    for cut in sorted(min(item, len(data)) for item in cuts):
+        received += splitter.feed(data[start:cut])
+        start = cut
+    received += splitter.feed(data[start:])
+    assert received == texts
+
+
+def test_a_lone_line_break_cannot_inject_a_line():
     for data in (b'READ a\nQUERY x\r\n', b'READ a\rQUERY x\r\n'):
         with pytest.raises(lines.LineError):
             lines.Lines().feed(data)
 
 
-def test_a_message_over_the_bound_is_refused_before_its_end():
-    found = lines.Lines()
+def test_a_line_over_the_limit_is_refused_before_its_end():
+    splitter = lines.Lines()
     with pytest.raises(lines.LineTooLong):
         for _ in range(20):
-            found.feed(b'x' * 100_000)
+            splitter.feed(b'x' * 100_000)
 
 
 @given(st.binary(max_size=200))
 def test_any_bytes_give_lines_or_a_typed_error(data):
     try:
-        found = lines.Lines().feed(data)
+        received = lines.Lines().feed(data)
     except lines.LineError:
         return
-    assert all('\r' not in one and '\n' not in one for one in found)
+    assert all('\r' not in line and '\n' not in line for line in received)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -1,4 +1,4 @@
-"""The entry program as a process of its own, beside a stand-in store."""
+"""The entry program in a separate process, with a stand-in for the store."""
 
 from __future__ import annotations
 
@@ -109,7 +109,7 @@
     raise AssertionError('the condition never held')
 
 
-def test_a_process_serves_ignores_hangups_and_leaves(settings):
+def test_a_process_serves_ignores_sighup_and_shuts_down(settings):
     process = start(settings)
     try:
         wait_until(lambda: is_ready(settings))
@@ -146,8 +146,8 @@
         assert any(f'$.{name}' in line for line in lines)
 
 
-def test_a_reader_that_stops_reading_stops_nothing(settings):
-    """The log goes to a pipe that nobody reads."""
+def test_a_log_that_is_not_read_does_not_stop_the_process(settings):
+    """Nothing reads the pipe that the log is written to."""
     process = start(settings)
     try:
         wait_until(lambda: is_ready(settings))
@@ -161,7 +161,7 @@
         process.wait(5)
 
 
-EARLY = """
+CHECK_SIGHUP_HANDLER = """
 import runpy, signal, sys, types
 fleet = types.ModuleType('fleet')
 fleet.main = types.ModuleType('fleet.main')
@@ -171,13 +171,17 @@
 """
 
 
-def test_a_hangup_while_the_program_is_loaded_does_not_end_it():
-    """Found by the soak, seed 103: a process ended by itself."""
+def test_sighup_during_the_start_does_not_end_the_process():
+    """SIGHUP must be ignored before the program has its own handler.
+
+    Otherwise a SIGHUP during the start ends the process. Seed 103 of the
+    soak test showed this.
+    """
     serve = str(ROOT / 'platform' / 'serve.py')
-    found = subprocess.run(
-        [sys.executable, '-c', EARLY, serve],
+    completed = subprocess.run(
+        [sys.executable, '-c', CHECK_SIGHUP_HANDLER, serve],
         capture_output=True,
         text=True,
         check=True,
     )
-    assert found.stdout.strip() == 'SIG_IGN'
+    assert completed.stdout.strip() == 'SIG_IGN'
--- a/tests/platform/test_replies.py
+++ b/tests/platform/test_replies.py
@@ -12,35 +12,37 @@
 Refusal = core.Refusal
 
 
-def at(term, number):
+def log_position(term, number):
     return core.Position(core.Term(term), core.LogPosition(number))
 
 
-def test_an_answer_is_rows_a_digest_and_a_state():
-    found = replies.Replies().feed(
+def test_a_reply_is_rows_a_digest_and_a_state():
+    decoded = replies.Replies().feed(
         b'ROW abc\r\nROW\r\nCOMPLETE 7.1f\r\nREADY T 3.1209\r\n'
     )
-    assert found == [core.Reply(Block.OPEN, at(3, 1209), ('abc', ''), '7.1f')]
+    assert decoded == [
+        core.Reply(Block.OPEN, log_position(3, 1209), ('abc', ''), '7.1f')
+    ]
 
 
 def test_a_refusal_has_a_code_and_a_detail():
-    (found,) = replies.Replies().feed(
+    (reply,) = replies.Replies().feed(
         b'ERROR READONLY i-7f3a\r\nREADY E 3.1209\r\n'
     )
-    assert found.refusal is Refusal.READ_ONLY
-    assert found.detail == 'i-7f3a'
-    assert found.block is Block.FAILED
+    assert reply.refusal is Refusal.READ_ONLY
+    assert reply.detail == 'i-7f3a'
+    assert reply.block is Block.FAILED
 
 
-def test_a_refusal_without_an_end_is_known_when_the_stream_closes():
-    found = replies.Replies()
-    assert found.feed(b'ERROR CONNLIMIT full\r\n') == []
-    assert found.refusal() is Refusal.TOO_MANY_CONNECTIONS
+def test_a_refusal_without_ready_is_available_when_the_stream_closes():
+    parser = replies.Replies()
+    assert parser.feed(b'ERROR CONNLIMIT full\r\n') == []
+    assert parser.refusal() is Refusal.TOO_MANY_CONNECTIONS
 
 
 def test_an_unknown_code_is_a_failure():
-    (found,) = replies.Replies().feed(b'ERROR ODD x\r\nREADY I -\r\n')
-    assert found.refusal is Refusal.FAILED
+    (reply,) = replies.Replies().feed(b'ERROR ODD x\r\nREADY I -\r\n')
+    assert reply.refusal is Refusal.FAILED
 
 
 @pytest.mark.parametrize(
@@ -52,7 +54,7 @@
         b'COMPLETE a\r\nCOMPLETE b\r\n',
     ],
 )
-def test_lines_that_make_no_answer_are_an_error(data):
+def test_lines_that_are_not_a_reply_are_an_error(data):
     with pytest.raises(lines.LineError):
         replies.Replies().feed(data)
 
@@ -67,10 +69,13 @@
 
 def test_the_status_row():
     reply = core.Reply(
-        Block.IDLE, at(3, 1204), ('replica 3 3.1209 0 12 2 17',), '-'
+        Block.IDLE, log_position(3, 1204), ('replica 3 3.1209 0 12 2 17',), '-'
     )
-    assert replies.status(reply) == core.InstanceState(
-        core.Role.REPLICA, core.Term(3), at(3, 1209), at(3, 1204)
+    assert replies.decode_status(reply) == core.InstanceState(
+        core.Role.REPLICA,
+        core.Term(3),
+        log_position(3, 1209),
+        log_position(3, 1204),
     )
 
 
@@ -79,7 +84,7 @@
 )
 def test_a_status_that_cannot_be_read_is_none(row):
     reply = core.Reply(Block.IDLE, None, (row,), '-')
-    assert replies.status(reply) is None
+    assert replies.decode_status(reply) is None
 
 
 def test_answers_to_callers():
@@ -89,13 +94,13 @@
         Block.OPEN,
         ('abc',),
         '7.1f',
-        position=at(3, 9),
+        position=log_position(3, 9),
     )
-    wanted = b'ROW abc\r\nCOMPLETE 7.1f\r\nREADY T 3.9\r\n'
-    assert replies.answer(message) == wanted
+    expected = b'ROW abc\r\nCOMPLETE 7.1f\r\nREADY T 3.9\r\n'
+    assert replies.answer(message) == expected
 
 
-def test_an_answer_of_our_own_has_no_digest():
+def test_an_answer_without_an_instance_has_no_digest():
     message = core.SessionAnswer(
         core.SessionId('s1'), core.RequestId('r1'), Block.IDLE
     )
@@ -110,5 +115,5 @@
         Block.IDLE,
         refusal=refusal,
     )
-    (found,) = replies.Replies().feed(replies.answer(message))
-    assert found.refusal is refusal
+    (reply,) = replies.Replies().feed(replies.answer(message))
+    assert reply.refusal is refusal
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,14 +9,14 @@
 import stand_ins
 from chicoryusher import core
 from chicoryusher import runtime
-from fleet import duty
-from fleet import entries
+from fleet import promotion_client
+from fleet import row_codec
 from fleet import rows
 from fleet import store
 
 VM = core.VmName('vm0')
 SERVICE = core.ServiceName('spoonbook')
-PARTS = entries.OWN_PARTS
+PARTITIONS = row_codec.PROXY_PARTITIONS
 ROW = core.LeadRow(
     SERVICE, 0, core.LeadRowState.CLOSING, core.InstanceName('i-1'), VM
 )
@@ -32,15 +32,15 @@
 }
 
 
-def encoded(document):
+def encode_value(document):
     return base64.b64encode(json.dumps(document).encode()).decode()
 
 
 @pytest.fixture
 def loop():
-    made = runtime.Runtime()
-    yield made
-    made.close()
+    runtime_loop = runtime.Runtime()
+    yield runtime_loop
+    runtime_loop.close()
 
 
 @pytest.fixture
@@ -49,31 +49,33 @@
 
 
 @pytest.fixture
-def keeper(loop):
+def inbox(loop):
     return stand_ins.Inbox(loop, 'vm0', 'exchange')
 
 
-def feed(loop, server, table, wait=0.1, parts=entries.ONE_PART):
-    chosen = store.FeedSettings(table, wait, parts)
-    return store.Feed(loop, VM, server.address, chosen)
+def start_feed(
+    loop, server, table, wait_s=0.1, partitions=row_codec.SINGLE_PARTITION
+):
+    settings = store.FeedSettings(table, wait_s, partitions)
+    return store.TableFeed(loop, VM, server.address, settings)
 
 
-def instances(keeper):
-    found = keeper.of(core.RegisteredInstances)
-    return [one.name for one in found[-1].entries] if found else None
+def instances(inbox):
+    messages = inbox.of(core.RegisteredInstances)
+    return [entry.name for entry in messages[-1].entries] if messages else None
 
 
-def test_a_feed_reads_whole_and_follows(loop, server, keeper):
-    server.put('servers', 'i-1', encoded(ENTRY))
-    feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1'])
-    server.put('servers', 'i-2', encoded(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1', 'i-2'])
+def test_a_feed_reads_the_table_and_polls_for_changes(loop, server, inbox):
+    server.put('servers', 'i-1', encode_value(ENTRY))
+    start_feed(loop, server, 'servers')
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
+    server.put('servers', 'i-2', encode_value(ENTRY))
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1', 'i-2'])
     server.drop('servers', 'i-1')
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-2'])
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-2'])
 
 
-def waits(server):
+def poll_waits_s(server):
     return [
         float(args['waitMs']) / 1000
         for path, args, _ in server.calls
@@ -81,99 +83,99 @@
     ]
 
 
-def test_a_feed_that_others_follow_too_waits_longer_and_hears_at_once(
-    loop, server, keeper
+def test_a_relaxed_poll_waits_longer_and_still_gets_changes_at_once(
+    loop, server, inbox
 ):
-    chosen = store.FeedSettings('servers', 0.1, relaxed=7.0)
-    task = store.Feed(loop, VM, server.address, chosen)
+    settings = store.FeedSettings('servers', 0.1, relaxed_wait_s=7.0)
+    task = store.TableFeed(loop, VM, server.address, settings)
     loop.post(task.task_name, core.FollowStore(False))
-    stand_ins.run_until(loop, lambda: 7.0 in waits(server))
-    server.put('servers', 'i-1', encoded(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1'])
+    stand_ins.run_until(loop, lambda: 7.0 in poll_waits_s(server))
+    server.put('servers', 'i-1', encode_value(ENTRY))
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
 
 
-def test_a_feed_that_is_needed_again_does_not_sit_a_long_wait_out(
-    loop, server, keeper
+def test_a_relaxed_poll_is_replaced_when_normal_polling_resumes(
+    loop, server, inbox
 ):
-    """Its connection may have gone silent in that wait."""
-    chosen = store.FeedSettings('servers', 0.1, relaxed=7.0)
-    task = store.Feed(loop, VM, server.address, chosen)
+    """Its connection may have gone silent during the relaxed wait."""
+    settings = store.FeedSettings('servers', 0.1, relaxed_wait_s=7.0)
+    task = store.TableFeed(loop, VM, server.address, settings)
     loop.post(task.task_name, core.FollowStore(False))
-    stand_ins.run_until(loop, lambda: 7.0 in waits(server))
+    stand_ins.run_until(loop, lambda: 7.0 in poll_waits_s(server))
     loop.post(task.task_name, core.FollowStore(True))
-    stand_ins.run_until(loop, lambda: waits(server)[-1] == 0.1)
-    server.put('servers', 'i-1', encoded(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1'])
+    stand_ins.run_until(loop, lambda: poll_waits_s(server)[-1] == 0.1)
+    server.put('servers', 'i-1', encode_value(ENTRY))
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
 
 
-def test_pages_are_put_together(loop, server, keeper):
+def test_a_table_is_read_in_several_pages(loop, server, inbox):
     server.page = 2
     for number in range(5):
-        server.put('servers', f'i-{number}', encoded(ENTRY))
-    feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: len(instances(keeper) or ()) == 5)
+        server.put('servers', f'i-{number}', encode_value(ENTRY))
+    start_feed(loop, server, 'servers')
+    stand_ins.run_until(loop, lambda: len(instances(inbox) or ()) == 5)
 
 
-def test_a_forgotten_history_is_read_again_whole(loop, server, keeper):
-    server.put('servers', 'i-1', encoded(ENTRY))
-    feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1'])
+def test_the_table_is_read_again_when_its_changes_are_gone(
+    loop, server, inbox
+):
+    server.put('servers', 'i-1', encode_value(ENTRY))
+    start_feed(loop, server, 'servers')
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
     server.rows.clear()
     server.version += 5
     server.forgotten = server.version
-    server._put('servers', 'i-9', encoded(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-1', 'i-9'])
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-9'])
+    server._put('servers', 'i-9', encode_value(ENTRY))
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1', 'i-9'])
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-9'])
 
 
-def test_rows_that_cannot_be_read_name_nothing(loop, server, keeper):
-    server.put('servers', 'i-0', encoded({**ENTRY, 'state': 'asleep'}))
-    server.put('servers', 'i-1', encoded({**ENTRY, 'born': 1.5}))
+def test_rows_that_cannot_be_decoded_are_left_out(loop, server, inbox):
+    server.put('servers', 'i-0', encode_value({**ENTRY, 'state': 'asleep'}))
+    server.put('servers', 'i-1', encode_value({**ENTRY, 'born': 1.5}))
     server.put('servers', 'i-2', 'bm90IGpzb24=')
     server.put('servers', 'i-3', '!!')
-    server.put('servers', 'i-4', encoded([1]))
-    server.put('servers', 'i-5', encoded(ENTRY))
-    feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: instances(keeper) == ['i-5'])
+    server.put('servers', 'i-4', encode_value([1]))
+    server.put('servers', 'i-5', encode_value(ENTRY))
+    start_feed(loop, server, 'servers')
+    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-5'])
 
 
-@pytest.mark.parametrize('left', PARTS)
-def test_any_part_shows_all_while_the_others_are_lost(
-    loop, server, keeper, left
-):
-    task = rows.Rows(loop, VM, server.address, PARTS)
-    loop.post(task.task_name, core.WriteLead(ROW, 0, keeper.task_name))
-    stand_ins.run_until(loop, lambda: keeper.of(core.RowWritten))
-    server.shut = {one for one in PARTS if one != left}
-    feed(loop, server, entries.OWN_TABLE, parts=PARTS)
-    stand_ins.run_until(loop, lambda: keeper.of(core.LeadsInStore))
-    found = keeper.of(core.LeadsInStore)[0].rows
-    assert [one.service for one in found] == [SERVICE]
-    stand_ins.run_until(loop, lambda: keeper.of(core.StoreSeen))
-
-
-def test_a_change_is_seen_once_though_every_part_shows_it(
-    loop, server, keeper
+@pytest.mark.parametrize('remaining', PARTITIONS)
+def test_any_partition_has_all_rows_while_the_others_are_lost(
+    loop, server, inbox, remaining
 ):
-    feed(loop, server, entries.OWN_TABLE, parts=PARTS)
-    stand_ins.run_until(loop, lambda: keeper.of(core.NodesInStore))
-    value = base64.b64encode(entries.encode_lead(ROW)).decode()
-    key = entries.lead_key(SERVICE)
-    server.put(entries.OWN_TABLE, key, value, PARTS)
-    stand_ins.run_until(loop, lambda: keeper.of(core.LeadsInStore)[-1].rows)
-    assert len(keeper.of(core.LeadsInStore)[-1].rows) == 1
-
-
-def test_a_write_is_done_in_every_part_or_in_none(loop, server, keeper):
-    server.shut = {PARTS[1]}
-    assert written(loop, server, keeper) is None
+    task = rows.RowClient(loop, VM, server.address, PARTITIONS)
+    loop.post(task.task_name, core.WriteLead(ROW, 0, inbox.task_name))
+    stand_ins.run_until(loop, lambda: inbox.of(core.RowWritten))
+    server.shut = {item for item in PARTITIONS if item != remaining}
+    start_feed(loop, server, row_codec.PROXY_TABLE, partitions=PARTITIONS)
+    stand_ins.run_until(loop, lambda: inbox.of(core.LeadsInStore))
+    leader_rows = inbox.of(core.LeadsInStore)[0].rows
+    assert [item.service for item in leader_rows] == [SERVICE]
+    stand_ins.run_until(loop, lambda: inbox.of(core.StoreSeen))
+
+
+def test_a_change_in_every_partition_is_applied_once(loop, server, inbox):
+    start_feed(loop, server, row_codec.PROXY_TABLE, partitions=PARTITIONS)
+    stand_ins.run_until(loop, lambda: inbox.of(core.NodesInStore))
+    value = base64.b64encode(row_codec.encode_leader_row(ROW)).decode()
+    key = row_codec.leader_row_key(SERVICE)
+    server.put(row_codec.PROXY_TABLE, key, value, PARTITIONS)
+    stand_ins.run_until(loop, lambda: inbox.of(core.LeadsInStore)[-1].rows)
+    assert len(inbox.of(core.LeadsInStore)[-1].rows) == 1
+
+
+def test_a_write_is_done_in_every_partition_or_in_none(loop, server, inbox):
+    server.shut = {PARTITIONS[1]}
+    assert write_leader_row(loop, server, inbox) is None
     assert server.rows == {}
 
 
-def test_a_newer_row_of_a_vm_is_not_overwritten_by_a_repeated_older_one(
-    loop, server, keeper
+def test_a_repeated_write_does_not_overwrite_a_newer_row_of_the_vm(
+    loop, server, inbox
 ):
-    task = rows.Rows(loop, VM, server.address, PARTS)
+    task = rows.RowClient(loop, VM, server.address, PARTITIONS)
     zone = core.ZoneName('akhmim-yard')
     row = core.NodeRow(VM, '10.0.0.1', 7440, zone, 'b1')
     leaving = dataclasses.replace(row, life=core.NodeLife.LEAVING)
@@ -183,34 +185,39 @@
     loop.post(task.task_name, core.WriteNode(leaving))
     stand_ins.run_until(loop, lambda: len(server.calls) > 1)
     server.shut = set()
-    key = entries.node_key(VM)
+    key = row_codec.node_row_key(VM)
     stand_ins.run_until(
         loop,
         lambda: (
-            {place for place in server.rows}
-            == {(entries.OWN_TABLE, part, key) for part in PARTS}
+            {row_id for row_id in server.rows}
+            == {
+                (row_codec.PROXY_TABLE, partition, key)
+                for partition in PARTITIONS
+            }
         ),
     )
-    value = base64.b64encode(entries.encode_node(leaving)).decode()
-    assert {one['value'] for one in server.rows.values()} == {value}
-    writes = [one for one in server.calls if one[0] == '/api/rows-tx']
+    value = base64.b64encode(row_codec.encode_node_row(leaving)).decode()
+    assert {item['value'] for item in server.rows.values()} == {value}
+    writes = [item for item in server.calls if item[0] == '/api/rows-tx']
     assert len(writes) == 3
 
 
-def written(loop, server, keeper, expected=0, row=ROW):
-    task = rows.Rows(loop, VM, server.address, PARTS)
-    loop.post(task.task_name, core.WriteLead(row, expected, keeper.task_name))
-    stand_ins.run_until(loop, lambda: keeper.of(core.RowWritten))
-    return keeper.of(core.RowWritten)[0].row
+def write_leader_row(loop, server, inbox, expected=0, row=ROW):
+    task = rows.RowClient(loop, VM, server.address, PARTITIONS)
+    loop.post(task.task_name, core.WriteLead(row, expected, inbox.task_name))
+    stand_ins.run_until(loop, lambda: inbox.of(core.RowWritten))
+    return inbox.of(core.RowWritten)[0].row
 
 
-def test_a_write_that_meets_its_condition_has_a_revision(loop, server, keeper):
-    row = written(loop, server, keeper)
+def test_a_write_that_meets_its_condition_has_a_revision(loop, server, inbox):
+    row = write_leader_row(loop, server, inbox)
     assert row.revision == server.version
     assert row.holder == VM
 
 
-def test_a_write_that_fails_its_condition_shows_the_row(loop, server, keeper):
+def test_a_write_that_fails_its_condition_returns_the_stored_row(
+    loop, server, inbox
+):
     other = core.LeadRow(
         SERVICE,
         0,
@@ -218,27 +225,29 @@
         core.InstanceName('i-2'),
         core.VmName('vm9'),
     )
-    value = base64.b64encode(entries.encode_lead(other)).decode()
-    key = entries.lead_key(SERVICE)
-    server.put(entries.OWN_TABLE, key, value, PARTS)
-    row = written(loop, server, keeper)
+    value = base64.b64encode(row_codec.encode_leader_row(other)).decode()
+    key = row_codec.leader_row_key(SERVICE)
+    server.put(row_codec.PROXY_TABLE, key, value, PARTITIONS)
+    row = write_leader_row(loop, server, inbox)
     assert row.holder == 'vm9'
     assert row.revision == server.version
 
 
 @pytest.mark.parametrize('losses', [1, 3])
-def test_a_lost_answer_is_settled_and_the_write_lands_once(
-    loop, server, keeper, losses
+def test_a_write_whose_answer_is_lost_is_applied_once(
+    loop, server, inbox, losses
 ):
     server.lose_writes = losses
-    row = written(loop, server, keeper)
+    row = write_leader_row(loop, server, inbox)
     assert row.holder == VM
     assert server.version == 1
 
 
-def test_a_store_that_stays_away_leaves_the_outcome_open(loop, server, keeper):
+def test_the_outcome_is_unknown_while_the_store_is_unavailable(
+    loop, server, inbox
+):
     server.shut.add('all')
-    assert written(loop, server, keeper) is None
+    assert write_leader_row(loop, server, inbox) is None
 
 
 @pytest.mark.parametrize(
@@ -250,16 +259,18 @@
         (500, core.PromoteResult.UNKNOWN),
     ],
 )
-def test_promotions_carry_their_holder_and_token(loop, keeper, status, result):
+def test_promotions_carry_the_lease_holder_and_the_token(
+    loop, inbox, status, result
+):
     server = stand_ins.PromoteServer(loop)
     server.status = status
-    task = duty.Promotions(loop, VM, server.address)
-    order = core.PromoteInstance(
-        SERVICE, core.InstanceName('i-2'), VM, 55, keeper.task_name
+    task = promotion_client.PromotionClient(loop, VM, server.address)
+    request = core.PromoteInstance(
+        SERVICE, core.InstanceName('i-2'), VM, 55, inbox.task_name
     )
-    loop.post(task.task_name, order)
-    stand_ins.run_until(loop, lambda: keeper.of(core.PromoteReplied))
-    assert keeper.of(core.PromoteReplied) == [
+    loop.post(task.task_name, request)
+    stand_ins.run_until(loop, lambda: inbox.of(core.PromoteReplied))
+    assert inbox.of(core.PromoteReplied) == [
         core.PromoteReplied(SERVICE, 55, result)
     ]
     assert json.loads(server.calls[0][2]) == {
@@ -268,14 +279,14 @@
     }
 
 
-def test_a_promotion_without_an_answer_is_unknown(loop, keeper):
+def test_a_promotion_without_an_answer_is_unknown(loop, inbox):
     server = stand_ins.PromoteServer(loop)
     server.silent = True
-    task = duty.Promotions(loop, VM, server.address)
-    order = core.PromoteInstance(
-        SERVICE, core.InstanceName('i-2'), VM, 55, keeper.task_name
+    task = promotion_client.PromotionClient(loop, VM, server.address)
+    request = core.PromoteInstance(
+        SERVICE, core.InstanceName('i-2'), VM, 55, inbox.task_name
     )
-    loop.post(task.task_name, order)
-    stand_ins.run_until(loop, lambda: keeper.of(core.PromoteReplied))
-    replied = keeper.of(core.PromoteReplied)[0]
+    loop.post(task.task_name, request)
+    stand_ins.run_until(loop, lambda: inbox.of(core.PromoteReplied))
+    replied = inbox.of(core.PromoteReplied)[0]
     assert replied.result is core.PromoteResult.UNKNOWN
