--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -77,8 +77,8 @@
         self.version = 0
         self.shut = set()
         self.forgotten = 0
-        self.lose_writes = 0
-        self.page = 500
+        self.answers_to_lose = 0
+        self.max_page_rows = 500
         self._polls = {}
         self._number = 0
 
@@ -86,7 +86,7 @@
         self.version += 1
         for part in parts:
             self._put(table, key, value, part)
-        self.wake()
+        self.answer_polls()
 
     def _put(self, table, key, value, part=''):
         self.rows[table, part, key] = {
@@ -97,12 +97,12 @@
             'rowVersion': self.version,
         }
 
-    def drop(self, table, key, part=''):
+    def delete(self, table, key, part=''):
         self.version += 1
         row = self.rows.pop((table, part, key))
         deleted_row = {**row, 'deleted': True, 'rowVersion': self.version}
         self.deleted[table, part, key] = deleted_row
-        self.wake()
+        self.answer_polls()
 
     def answer(self, conn, path, args, body):
         parts = {args.get('part', '')} if path == '/api/rows-get' else set()
@@ -124,11 +124,11 @@
             if (table, part) == (args['table'], args.get('part', ''))
             and key >= args.get('from', '')
         ]
-        has_more = len(rows) > self.page
+        has_more = len(rows) > self.max_page_rows
         conn.reply(
             200,
             {
-                'rows': rows[: self.page],
+                'rows': rows[: self.max_page_rows],
                 'hasMore': has_more,
                 'rowVersion': self.version,
             },
@@ -151,9 +151,9 @@
         self._number += 1
         self._polls[self._number] = (conn, args['table'], after)
         self.after(int(args['waitMs']) / 1000, _PollTimeout(self._number))
-        self.wake()
+        self.answer_polls()
 
-    def wake(self):
+    def answer_polls(self):
         for number, (conn, table, after) in tuple(self._polls.items()):
             rows = self._changes(table, after)
             if rows:
@@ -184,9 +184,9 @@
             for item in body['puts']:
                 row_fields = (item['table'], item['key'], item['value'])
                 self._put(*row_fields, item['part'])
-            self.wake()
-        if self.lose_writes:
-            self.lose_writes -= 1
+            self.answer_polls()
+        if self.answers_to_lose:
+            self.answers_to_lose -= 1
             conn.stream.abort()
         elif conditions_hold:
             conn.reply(200, {'rowVersion': self.version})
@@ -200,10 +200,10 @@
     def __init__(self, loop):
         super().__init__(loop, 'promote')
         self.status = 200
-        self.silent = False
+        self.unresponsive = False
 
     def answer(self, conn, path, args, body):
-        if not self.silent:
+        if not self.unresponsive:
             conn.reply(self.status, {})
 
 
@@ -214,7 +214,7 @@
         super().__init__(loop, vm, name)
         self.messages = []
 
-    def of(self, kind):
+    def received(self, kind):
         return [
             message for message in self.messages if isinstance(message, kind)
         ]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -60,19 +60,19 @@
     return store.TableFeed(loop, VM, server.address, settings)
 
 
-def instances(inbox):
-    messages = inbox.of(core.RegisteredInstances)
+def instance_names(inbox):
+    messages = inbox.received(core.RegisteredInstances)
     return [entry.name for entry in messages[-1].entries] if messages else None
 
 
 def test_a_feed_reads_the_table_and_polls_for_changes(loop, server, inbox):
     server.put('servers', 'i-1', encode_value(ENTRY))
     start_feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
     server.put('servers', 'i-2', encode_value(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1', 'i-2'])
-    server.drop('servers', 'i-1')
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-2'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1', 'i-2'])
+    server.delete('servers', 'i-1')
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-2'])
 
 
 def poll_waits_s(server):
@@ -91,13 +91,13 @@
     loop.post(task.task_name, core.FollowStore(False))
     stand_ins.run_until(loop, lambda: 7.0 in poll_waits_s(server))
     server.put('servers', 'i-1', encode_value(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
 
 
 def test_a_relaxed_poll_is_replaced_when_normal_polling_resumes(
     loop, server, inbox
 ):
-    """Its connection may have gone silent during the relaxed wait."""
+    """The connection may have been lost during the relaxed wait."""
     settings = store.FeedSettings('servers', 0.1, relaxed_wait_s=7.0)
     task = store.TableFeed(loop, VM, server.address, settings)
     loop.post(task.task_name, core.FollowStore(False))
@@ -105,15 +105,15 @@
     loop.post(task.task_name, core.FollowStore(True))
     stand_ins.run_until(loop, lambda: poll_waits_s(server)[-1] == 0.1)
     server.put('servers', 'i-1', encode_value(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
 
 
 def test_a_table_is_read_in_several_pages(loop, server, inbox):
-    server.page = 2
+    server.max_page_rows = 2
     for number in range(5):
         server.put('servers', f'i-{number}', encode_value(ENTRY))
     start_feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: len(instances(inbox) or ()) == 5)
+    stand_ins.run_until(loop, lambda: len(instance_names(inbox) or ()) == 5)
 
 
 def test_the_table_is_read_again_when_its_changes_are_gone(
@@ -121,13 +121,13 @@
 ):
     server.put('servers', 'i-1', encode_value(ENTRY))
     start_feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
     server.rows.clear()
     server.version += 5
     server.forgotten = server.version
     server._put('servers', 'i-9', encode_value(ENTRY))
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-1', 'i-9'])
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-9'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1', 'i-9'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-9'])
 
 
 def test_rows_that_cannot_be_decoded_are_left_out(loop, server, inbox):
@@ -138,7 +138,7 @@
     server.put('servers', 'i-4', encode_value([1]))
     server.put('servers', 'i-5', encode_value(ENTRY))
     start_feed(loop, server, 'servers')
-    stand_ins.run_until(loop, lambda: instances(inbox) == ['i-5'])
+    stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-5'])
 
 
 @pytest.mark.parametrize('remaining', PARTITIONS)
@@ -147,23 +147,25 @@
 ):
     task = rows.RowClient(loop, VM, server.address, PARTITIONS)
     loop.post(task.task_name, core.WriteLead(ROW, 0, inbox.task_name))
-    stand_ins.run_until(loop, lambda: inbox.of(core.RowWritten))
+    stand_ins.run_until(loop, lambda: inbox.received(core.RowWritten))
     server.shut = {item for item in PARTITIONS if item != remaining}
     start_feed(loop, server, row_codec.PROXY_TABLE, partitions=PARTITIONS)
-    stand_ins.run_until(loop, lambda: inbox.of(core.LeadsInStore))
-    leader_rows = inbox.of(core.LeadsInStore)[0].rows
+    stand_ins.run_until(loop, lambda: inbox.received(core.LeadsInStore))
+    leader_rows = inbox.received(core.LeadsInStore)[0].rows
     assert [item.service for item in leader_rows] == [SERVICE]
-    stand_ins.run_until(loop, lambda: inbox.of(core.StoreSeen))
+    stand_ins.run_until(loop, lambda: inbox.received(core.StoreSeen))
 
 
 def test_a_change_in_every_partition_is_applied_once(loop, server, inbox):
     start_feed(loop, server, row_codec.PROXY_TABLE, partitions=PARTITIONS)
-    stand_ins.run_until(loop, lambda: inbox.of(core.NodesInStore))
+    stand_ins.run_until(loop, lambda: inbox.received(core.NodesInStore))
     value = base64.b64encode(row_codec.encode_leader_row(ROW)).decode()
     key = row_codec.leader_row_key(SERVICE)
     server.put(row_codec.PROXY_TABLE, key, value, PARTITIONS)
-    stand_ins.run_until(loop, lambda: inbox.of(core.LeadsInStore)[-1].rows)
-    assert len(inbox.of(core.LeadsInStore)[-1].rows) == 1
+    stand_ins.run_until(
+        loop, lambda: inbox.received(core.LeadsInStore)[-1].rows
+    )
+    assert len(inbox.received(core.LeadsInStore)[-1].rows) == 1
 
 
 def test_a_write_is_done_in_every_partition_or_in_none(loop, server, inbox):
@@ -205,8 +207,8 @@
 def write_leader_row(loop, server, inbox, expected=0, row=ROW):
     task = rows.RowClient(loop, VM, server.address, PARTITIONS)
     loop.post(task.task_name, core.WriteLead(row, expected, inbox.task_name))
-    stand_ins.run_until(loop, lambda: inbox.of(core.RowWritten))
-    return inbox.of(core.RowWritten)[0].row
+    stand_ins.run_until(loop, lambda: inbox.received(core.RowWritten))
+    return inbox.received(core.RowWritten)[0].row
 
 
 def test_a_write_that_meets_its_condition_has_a_revision(loop, server, inbox):
@@ -237,7 +239,7 @@
 def test_a_write_whose_answer_is_lost_is_applied_once(
     loop, server, inbox, losses
 ):
-    server.lose_writes = losses
+    server.answers_to_lose = losses
     row = write_leader_row(loop, server, inbox)
     assert row.holder == VM
     assert server.version == 1
@@ -269,8 +271,8 @@
         SERVICE, core.InstanceName('i-2'), VM, 55, inbox.task_name
     )
     loop.post(task.task_name, request)
-    stand_ins.run_until(loop, lambda: inbox.of(core.PromoteReplied))
-    assert inbox.of(core.PromoteReplied) == [
+    stand_ins.run_until(loop, lambda: inbox.received(core.PromoteReplied))
+    assert inbox.received(core.PromoteReplied) == [
         core.PromoteReplied(SERVICE, 55, result)
     ]
     assert json.loads(server.calls[0][2]) == {
@@ -281,12 +283,12 @@
 
 def test_a_promotion_without_an_answer_is_unknown(loop, inbox):
     server = stand_ins.PromoteServer(loop)
-    server.silent = True
+    server.unresponsive = True
     task = promotion_client.PromotionClient(loop, VM, server.address)
     request = core.PromoteInstance(
         SERVICE, core.InstanceName('i-2'), VM, 55, inbox.task_name
     )
     loop.post(task.task_name, request)
-    stand_ins.run_until(loop, lambda: inbox.of(core.PromoteReplied))
-    replied = inbox.of(core.PromoteReplied)[0]
+    stand_ins.run_until(loop, lambda: inbox.received(core.PromoteReplied))
+    replied = inbox.received(core.PromoteReplied)[0]
     assert replied.result is core.PromoteResult.UNKNOWN
