--- a/src/chicoryusher/peers/__init__.py
+++ b/src/chicoryusher/peers/__init__.py
@@ -1,4 +1,4 @@
-"""Streams between the entry VMs."""
+"""Authenticated streams that carry messages between entry VMs."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -1,8 +1,8 @@
 """Encode typed messages for peers with msgpack.
 
-A message is an array: its number, then its fields in order.  A reader
-ignores fields it does not know and gives missing ones their default,
-so that versions can be mixed.
+A message is an array: the number of its type, then its fields in order.
+A decoder ignores additional fields and gives missing ones their default,
+so that VMs of different versions can exchange messages.
 """
 
 from __future__ import annotations
@@ -18,11 +18,11 @@
 
 from chicoryusher import core
 
-__all__ = ['NUMBERS', 'decode', 'encode', 'unpack_frame']
+__all__ = ['TYPE_BY_NUMBER', 'decode', 'encode', 'unpack_frame']
 
-_Convert = Callable[[Any], Any]
+_Converter = Callable[[Any], Any]
 
-NUMBERS: dict[int, type[core.Message]] = {
+TYPE_BY_NUMBER: dict[int, type[core.Message]] = {
     1: core.Submit,
     2: core.Answer,
     3: core.ResultChunk,
@@ -49,8 +49,8 @@
     24: core.RelayCancel,
     25: core.RelayRollback,
 }
-_BY_TYPE = {kind: number for number, kind in NUMBERS.items()}
-_ERRORS = {
+_NUMBER_BY_TYPE = {kind: number for number, kind in TYPE_BY_NUMBER.items()}
+_ERROR_BY_NAME = {
     kind.__name__: kind
     for kind in vars(core).values()
     if isinstance(kind, type) and issubclass(kind, core.CallerError)
@@ -58,19 +58,21 @@
 
 
 def encode(message: core.Message) -> bytes:
-    """Return the encoded message; FrameError if it is not for peers."""
+    """Return the encoded message; FrameError if it has no number."""
     kind = type(message)
-    number = _BY_TYPE.get(kind)
+    number = _NUMBER_BY_TYPE.get(kind)
     if number is None:
         raise core.FrameError(f'{kind.__name__} is not a peer message')
-    return msgpack.packb([number, *_packer(kind)(message)])
+    return msgpack.packb([number, *_encoder(kind)(message)])
 
 
 def decode(value: Any) -> core.Message:
-    """Return the message in an unpacked array; FrameError if bad."""
+    """Return the message in an unpacked array; FrameError if malformed."""
     try:
         number, *fields = value
-        return typing.cast(core.Message, _reader(NUMBERS[number])(fields))
+        return typing.cast(
+            core.Message, _decoder(TYPE_BY_NUMBER[number])(fields)
+        )
     except (
         AttributeError,
         IndexError,
@@ -82,7 +84,7 @@
 
 
 def unpack_frame(body: bytes) -> list[core.Message]:
-    """Return the messages in one frame; FrameError if any is bad."""
+    """Return the messages in one frame; FrameError if malformed."""
     unpacker = msgpack.Unpacker(max_buffer_size=len(body) + 1)
     unpacker.feed(body)
     try:
@@ -96,115 +98,131 @@
     return value
 
 
-_PACKERS: dict[Any, _Convert] = {}
-_READERS: dict[Any, _Convert] = {}
+_ENCODERS: dict[Any, _Converter] = {}
+_DECODERS: dict[Any, _Converter] = {}
 
 
-def _packer(kind: Any) -> _Convert:
-    if kind not in _PACKERS:
-        _PACKERS[kind] = _make_packer(kind)
-    return _PACKERS[kind]
+def _encoder(kind: Any) -> _Converter:
+    """Return the cached function that encodes values of a type."""
+    if kind not in _ENCODERS:
+        _ENCODERS[kind] = _make_encoder(kind)
+    return _ENCODERS[kind]
 
 
-def _reader(kind: Any) -> _Convert:
-    if kind not in _READERS:
-        _READERS[kind] = _make_reader(kind)
-    return _READERS[kind]
+def _decoder(kind: Any) -> _Converter:
+    """Return the cached function that decodes values of a type."""
+    if kind not in _DECODERS:
+        _DECODERS[kind] = _make_decoder(kind)
+    return _DECODERS[kind]
 
 
-def _optional(kind: Any) -> Any | None:
+def _optional_inner(kind: Any) -> Any | None:
     """Return X for ``X | None``, else None."""
     if typing.get_origin(kind) not in (typing.Union, types.UnionType):
         return None
-    inner = [one for one in typing.get_args(kind) if one is not types.NoneType]
+    inner = [arg for arg in typing.get_args(kind) if arg is not types.NoneType]
     return inner[0]
 
 
-def _plain(kind: Any) -> Any:
-    """Return the type below a NewType."""
+def _base_type(kind: Any) -> Any:
+    """Return the type that a NewType is based on."""
     while hasattr(kind, '__supertype__'):
         kind = kind.__supertype__
     return kind
 
 
-def _make_packer(kind: Any) -> _Convert:
-    kind = _plain(kind)
-    inner = _optional(kind)
+def _make_encoder(kind: Any) -> _Converter:
+    kind = _base_type(kind)
+    inner = _optional_inner(kind)
     if inner is not None:
-        pack = _packer(inner)
-        return lambda value: None if value is None else pack(value)
+        encode_value = _encoder(inner)
+        return lambda value: None if value is None else encode_value(value)
     if typing.get_origin(kind) is tuple:
-        item = _packer(typing.get_args(kind)[0])
-        return lambda value: [item(one) for one in value]
+        convert_element = _encoder(typing.get_args(kind)[0])
+        return lambda value: [convert_element(element) for element in value]
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         return lambda value: value.value
     if kind is core.CallerError:
-        return _pack_error
+        return _encode_error
     if dataclasses.is_dataclass(kind):
-        return _record_packer(kind)
+        return _record_encoder(kind)
     return _identity
 
 
-def _record_packer(kind: Any) -> _Convert:
+def _record_encoder(kind: Any) -> _Converter:
     hints = typing.get_type_hints(kind)
-    parts = [
-        (one.name, _packer(hints[one.name]))
-        for one in dataclasses.fields(kind)
+    encoders = [
+        (field.name, _encoder(hints[field.name]))
+        for field in dataclasses.fields(kind)
+    ]
+    return lambda value: [
+        encode_value(getattr(value, name)) for name, encode_value in encoders
     ]
-    return lambda value: [pack(getattr(value, name)) for name, pack in parts]
 
 
-def _make_reader(kind: Any) -> _Convert:
-    kind = _plain(kind)
-    inner = _optional(kind)
+def _make_decoder(kind: Any) -> _Converter:
+    kind = _base_type(kind)
+    inner = _optional_inner(kind)
     if inner is not None:
-        read = _reader(inner)
-        return lambda value: None if value is None else read(value)
+        decode_value = _decoder(inner)
+        return lambda value: None if value is None else decode_value(value)
     if typing.get_origin(kind) is tuple:
-        item = _reader(typing.get_args(kind)[0])
-        return lambda value: tuple(item(one) for one in value)
+        convert_element = _decoder(typing.get_args(kind)[0])
+        return lambda value: tuple(
+            convert_element(element) for element in value
+        )
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         return kind
     if kind is core.CallerError:
-        return _read_error
+        return _decode_error
     if kind is core.Position:
         return lambda value: core.Position(int(value[0]), int(value[1]))
     if dataclasses.is_dataclass(kind):
-        return _record_reader(kind)
-    return _checked(kind)
+        return _record_decoder(kind)
+    return _checked_decoder(kind)
 
 
-def _checked(kind: Any) -> _Convert:
+def _checked_decoder(kind: Any) -> _Converter:
+    """Return a decoder that raises TypeError for another type."""
     if kind not in (bool, bytes, float, int, str):
         return _identity
 
-    def read(value: Any) -> Any:
+    def decode_value(value: Any) -> Any:
         if kind is float and isinstance(value, int):
             return float(value)
         if not isinstance(value, kind):
             raise TypeError(f'{kind.__name__} expected')
         return value
 
-    return read
+    return decode_value
 
 
-def _record_reader(kind: Any) -> _Convert:
+def _record_decoder(kind: Any) -> _Converter:
     hints = typing.get_type_hints(kind)
-    readers = [_reader(hints[one.name]) for one in dataclasses.fields(kind)]
+    decoders = [
+        _decoder(hints[field.name]) for field in dataclasses.fields(kind)
+    ]
 
-    def read(values: Any) -> Any:
+    def decode_value(values: Any) -> Any:
         return kind(
-            *(one(value) for one, value in zip(readers, values, strict=False))
+            *(
+                field(value)
+                for field, value in zip(decoders, values, strict=False)
+            )
         )
 
-    return read
+    return decode_value
 
 
-def _pack_error(error: core.CallerError) -> Any:
-    return [type(error).__name__, [str(one) for one in _details(error)]]
+def _encode_error(error: core.CallerError) -> Any:
+    return [
+        type(error).__name__,
+        [str(detail) for detail in _error_args(error)],
+    ]
 
 
-def _details(error: core.CallerError) -> tuple[Any, ...]:
+def _error_args(error: core.CallerError) -> tuple[Any, ...]:
+    """Return the arguments from which the error can be built again."""
     if isinstance(error, core.NotRunError):
         return error.reason, error.retry_after
     if isinstance(error, core.UnknownOutcomeError):
@@ -212,9 +230,9 @@
     return error.args
 
 
-def _read_error(value: Any) -> core.CallerError:
+def _decode_error(value: Any) -> core.CallerError:
     name, details = value
-    kind = _ERRORS[name]
+    kind = _ERROR_BY_NAME[name]
     if kind is core.NotRunError:
         return core.NotRunError(str(details[0]), float(details[1]))
-    return kind(*(str(one) for one in details))
+    return kind(*(str(detail) for detail in details))
--- a/src/chicoryusher/peers/stream.py
+++ b/src/chicoryusher/peers/stream.py
@@ -1,4 +1,9 @@
-"""One stream between two VMs: frames, authentication, compression."""
+"""Protocol of one stream between two VMs.
+
+It covers framing, mutual authentication and compression.  A frame is its
+length in bytes (4), flags (1) and a body.  The first two frames of each
+end are the handshake: a greeting and a proof of the cluster's key.
+"""
 
 from __future__ import annotations
 
@@ -21,42 +26,44 @@
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 MAX_HELLO_BYTES = 1024
-MIN_COMPRESSED_BYTES = 256
+MIN_BYTES_TO_COMPRESS = 256
 BULK_HIGH_WATER_BYTES = 128 * 1024
-COMPRESSION_LEVEL = 3
+ZSTD_LEVEL = 3
 NONCE_BYTES = 16
-_HEAD = struct.Struct('>IB')
-_COMPRESSED = 1
+_FRAME_HEADER = struct.Struct('>IB')
+_FLAG_COMPRESSED = 1
 
 
 class StreamRole(enum.Enum):
-    """Which end opened the stream."""
+    """Whether this end opened the stream or accepted it."""
 
-    CALLING = 'calling'
-    CALLED = 'called'
+    INITIATOR = 'calling'
+    ACCEPTOR = 'called'
 
 
 class Traffic(enum.Enum):
-    """Purpose of bytes on a peer stream, for counting."""
+    """Purpose of bytes on a peer stream, by which they are counted."""
 
     CONTROL = 'control'
     STATEMENTS = 'statements'
 
 
-_CONTROL = (core.Heartbeat, core.ConfigFetch, core.ConfigOffer)
+_CONTROL_MESSAGES = (core.Heartbeat, core.ConfigFetch, core.ConfigOffer)
 
 
 class PeerStream:
     """Protocol state of one peer stream; its task does the I/O.
 
-    Each end sends a nonce and then proves with a keyed digest that it
-    has the cluster's key.  Short messages go ahead of chunks of results.
+    Each end sends a nonce.  Each answers the other's nonce with a keyed
+    digest (HMAC-SHA-256), which proves that it has the cluster's key.
+    Short messages are sent before chunks of results, so that bulk data
+    does not delay them.
     """
 
     def __init__(
         self,
         stream: runtime.Stream,
-        own: core.VmName,
+        own_vm: core.VmName,
         key: bytes,
         role: StreamRole,
         opened_at: float,
@@ -66,120 +73,142 @@
         self.peer: core.VmName | None = None
         self.opened_at = opened_at
         self.sent: collections.Counter[Traffic] = collections.Counter()
-        self._own = own
+        self._own_vm = own_vm
         self._key = key
         self._nonce = secrets.token_bytes(NONCE_BYTES)
-        self._proved = False
+        self._proof_sent = False
         self._buffer = bytearray()
-        self._short: list[tuple[Traffic, bytes]] = []
-        self._bulk: collections.deque[bytes] = collections.deque()
-        self._zip = zstandard.ZstdCompressor(level=COMPRESSION_LEVEL)
-        self._unzip = zstandard.ZstdDecompressor()
-        self._frame(msgpack.packb([PROTOCOL_VERSION, self._own, self._nonce]))
+        self._short_messages: list[tuple[Traffic, bytes]] = []
+        self._result_chunks: collections.deque[bytes] = collections.deque()
+        self._compressor = zstandard.ZstdCompressor(level=ZSTD_LEVEL)
+        self._decompressor = zstandard.ZstdDecompressor()
+        self._write_frame(
+            msgpack.packb([PROTOCOL_VERSION, self._own_vm, self._nonce])
+        )
 
     @property
     def ready(self) -> bool:
-        """Tell whether the other end has proved who it is."""
+        """Return whether the other end is authenticated."""
         return self.peer is not None
 
     def send(self, message: core.Message) -> None:
-        """Queue a message; ``flush`` sends what is queued."""
+        """Queue a message; ``flush`` sends it."""
         data = codec.encode(message)
         if isinstance(message, core.ResultChunk):
-            self._bulk.append(data)
+            self._result_chunks.append(data)
             return
-        control = isinstance(message, _CONTROL)
+        control = isinstance(message, _CONTROL_MESSAGES)
         traffic = Traffic.CONTROL if control else Traffic.STATEMENTS
-        self._short.append((traffic, data))
+        self._short_messages.append((traffic, data))
 
     def flush(self) -> None:
-        """Send queued messages, short ones first, in one frame."""
-        if self.ready and self._short:
-            self._frame(b''.join(data for _, data in self._short))
-            for traffic, data in self._short:
+        """Send queued messages: short ones in one frame, then results.
+
+        Chunks of results stay queued while the socket's output buffer is
+        above its high-water mark, or until the peer is authenticated.
+        """
+        if self.ready and self._short_messages:
+            self._write_frame(
+                b''.join(data for _, data in self._short_messages)
+            )
+            for traffic, data in self._short_messages:
                 self.sent[traffic] += len(data)
-            self._short.clear()
-        while self.ready and self._bulk:
+            self._short_messages.clear()
+        while self.ready and self._result_chunks:
             if self.stream.pending > BULK_HIGH_WATER_BYTES:
                 break
-            data = self._bulk.popleft()
+            data = self._result_chunks.popleft()
             self.sent[Traffic.STATEMENTS] += len(data)
-            self._frame(data)
+            self._write_frame(data)
         self.stream.flush()
 
     def receive(self, data: bytes) -> list[core.Message]:
-        """Take in bytes; FrameError or AuthError if they are bad."""
+        """Add received bytes and return the messages they complete.
+
+        Raise FrameError for a malformed frame and AuthError for a peer
+        without the cluster's key.
+        """
         self._buffer += data
         messages: list[core.Message] = []
-        while len(self._buffer) >= _HEAD.size:
-            size, flags = _HEAD.unpack_from(self._buffer)
+        while len(self._buffer) >= _FRAME_HEADER.size:
+            size, flags = _FRAME_HEADER.unpack_from(self._buffer)
             limit = MAX_FRAME_BYTES if self.ready else MAX_HELLO_BYTES
             if size > limit:
                 raise core.FrameError(f'frame of {size} bytes')
-            end = _HEAD.size + size
+            end = _FRAME_HEADER.size + size
             if len(self._buffer) < end:
                 break
-            body = bytes(self._buffer[_HEAD.size : end])
+            body = bytes(self._buffer[_FRAME_HEADER.size : end])
             del self._buffer[:end]
-            if flags & _COMPRESSED:
-                body = self._expand(body)
+            if flags & _FLAG_COMPRESSED:
+                body = self._decompress(body)
             if self.ready:
                 messages += codec.unpack_frame(body)
             else:
                 self._handshake(body)
         return messages
 
-    def _expand(self, body: bytes) -> bytes:
+    def _decompress(self, body: bytes) -> bytes:
         try:
-            return self._unzip.decompress(
+            return self._decompressor.decompress(
                 body, max_output_size=MAX_FRAME_BYTES
             )
         except zstandard.ZstdError as exc:
-            raise core.FrameError('frame cannot be expanded') from exc
+            raise core.FrameError('frame cannot be decompressed') from exc
 
     def _handshake(self, body: bytes) -> None:
+        """Handle the peer's greeting, and then its proof of the key."""
         try:
             value = msgpack.unpackb(body)
         except (ValueError, msgpack.exceptions.UnpackException) as exc:
             raise core.FrameError('malformed handshake') from exc
-        if not self._proved:
-            self._greeted(value)
+        if not self._proof_sent:
+            self._handle_greeting(value)
             return
-        digest = self._digest(self._claimed, self._own, self._nonce)
+        digest = self._auth_digest(self._claimed_vm, self._own_vm, self._nonce)
         if not isinstance(value, bytes):
             raise core.FrameError('malformed proof')
         if not hmac.compare_digest(digest, value):
             raise core.AuthError('the peer does not have the key')
-        self.peer = self._claimed
+        self.peer = self._claimed_vm
 
-    def _greeted(self, value: object) -> None:
+    def _handle_greeting(self, value: object) -> None:
+        """Check the peer's greeting and answer its nonce."""
         if not isinstance(value, list) or len(value) < 3:
             raise core.FrameError('malformed greeting')
         version, name, nonce = value[:3]
         if version != PROTOCOL_VERSION:
-            raise core.FrameError(f'protocol version {version!r}')
+            raise core.FrameError(f'unsupported protocol version {version!r}')
         if not isinstance(name, str) or not isinstance(nonce, bytes):
             raise core.FrameError('malformed greeting')
-        self._claimed = core.VmName(name)
-        self._proved = True
-        self._frame(
-            msgpack.packb(self._digest(self._own, self._claimed, nonce))
+        self._claimed_vm = core.VmName(name)
+        self._proof_sent = True
+        self._write_frame(
+            msgpack.packb(
+                self._auth_digest(self._own_vm, self._claimed_vm, nonce)
+            )
         )
 
-    def _digest(
+    def _auth_digest(
         self, prover: core.VmName, verifier: core.VmName, nonce: bytes
     ) -> bytes:
-        other = StreamRole.CALLED
-        if self.role is StreamRole.CALLED:
-            other = StreamRole.CALLING
-        role = self.role if prover == self._own else other
+        """Return the proof of the key that ``prover`` owes ``verifier``.
+
+        The digest covers the prover's role, both names and the nonce that
+        the verifier sent.
+        """
+        other_role = StreamRole.ACCEPTOR
+        if self.role is StreamRole.ACCEPTOR:
+            other_role = StreamRole.INITIATOR
+        role = self.role if prover == self._own_vm else other_role
         text = f'{role.value}\0{prover}\0{verifier}\0'.encode()
         return hmac.new(self._key, text + nonce, hashlib.sha256).digest()
 
-    def _frame(self, body: bytes) -> None:
+    def _write_frame(self, body: bytes) -> None:
+        """Write a frame, compressed if that makes it smaller."""
         flags = 0
-        if len(body) >= MIN_COMPRESSED_BYTES:
-            smaller = self._zip.compress(body)
-            if len(smaller) < len(body):
-                body, flags = smaller, _COMPRESSED
-        self.stream.write(_HEAD.pack(len(body), flags) + body)
+        if len(body) >= MIN_BYTES_TO_COMPRESS:
+            compressed = self._compressor.compress(body)
+            if len(compressed) < len(body):
+                body, flags = compressed, _FLAG_COMPRESSED
+        self.stream.write(_FRAME_HEADER.pack(len(body), flags) + body)
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -11,33 +11,42 @@
 
 __all__ = ['PeerWatchers', 'Peers', 'receiver_of']
 
-HANDSHAKE_TIMEOUT = 1.0
-CALL_DELAY = 0.25
-RECONNECT_DELAY = 0.25
-MAX_UNSENT = 4096
+HANDSHAKE_TIMEOUT_S = 1.0
+CONNECT_DELAY_S = 0.25
+RECONNECT_DELAY_S = 0.25
+MAX_QUEUED_MESSAGES = 4096
 MAX_STREAMS = 2048
 PeerStream = stream_module.PeerStream
 StreamRole = stream_module.StreamRole
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _HandshakeLate(core.Message):
-    """A stream may not have authenticated in time."""
+class _HandshakeTimeout(core.Message):
+    """The time for the handshake on a stream has passed.
+
+    The number of a descriptor is reused after it is closed; ``opened_at``
+    distinguishes the stream from a later one with the same number.
+    """
 
     fileno: int
     opened_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _CallTurn(core.Message):
-    """Time to call a VM that has not called meanwhile."""
+class _ConnectDelayOver(core.Message):
+    """The delay that lets another VM connect first has passed."""
 
     vm: core.VmName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerWatchers:
-    """Tasks that hear of streams and of messages that never left."""
+    """Tasks that are notified of streams and of undelivered messages.
+
+    ``up`` and ``down`` learn of authenticated streams that opened or
+    closed, ``unreachable`` of VMs to which no stream could be opened, and
+    ``undelivered`` of each message that was queued for such a VM.
+    """
 
     up: tuple[core.TaskName, ...] = ()
     down: tuple[core.TaskName, ...] = ()
@@ -45,7 +54,7 @@
     undelivered: tuple[core.TaskName, ...] = ()
 
 
-def _usual_watchers(vm: core.VmName) -> PeerWatchers:
+def _default_watchers(vm: core.VmName) -> PeerWatchers:
     router = tasks.names.router(vm)
     membership = tasks.names.membership(vm)
     return PeerWatchers(
@@ -57,7 +66,11 @@
 
 
 class Peers(runtime.Task):
-    """Carry messages between VMs over one stream for each pair."""
+    """Exchange messages with other VMs over one stream to each.
+
+    Messages for a VM without a stream are queued until one is open.  If
+    it cannot be opened, they are returned as undelivered.
+    """
 
     def __init__(
         self,
@@ -68,134 +81,151 @@
         watchers: PeerWatchers | None = None,
     ) -> None:
         super().__init__(loop, vm, 'peers')
-        self._watchers = watchers or _usual_watchers(vm)
+        self._watchers = watchers or _default_watchers(vm)
         self._poller = loop.poller
         self._key = key
         self._listener = runtime.Listener(address, loop.poller, self.task_name)
         self.address = self._listener.address
         self._addresses: dict[core.VmName, runtime.Address] = {}
-        self._by_fileno: dict[int, PeerStream] = {}
-        self._streams: dict[core.VmName, PeerStream] = {}
-        self._calling: dict[core.VmName, PeerStream] = {}
-        self._unsent: dict[core.VmName, list[core.Message]] = {}
-        self._refused_until: dict[core.VmName, float] = {}
-        self._waiting: set[core.VmName] = set()
-        self._dirty: set[PeerStream] = set()
-        self._gone: dict[stream_module.Traffic, int] = {}
+        self._streams_by_fileno: dict[int, PeerStream] = {}
+        self._streams_by_vm: dict[core.VmName, PeerStream] = {}
+        self._connecting: dict[core.VmName, PeerStream] = {}
+        self._queued: dict[core.VmName, list[core.Message]] = {}
+        self._no_connect_before: dict[core.VmName, float] = {}
+        self._delayed_connects: set[core.VmName] = set()
+        self._streams_to_flush: set[PeerStream] = set()
+        self._closed_sent_bytes: dict[stream_module.Traffic, int] = {}
 
     def sent_bytes(self, traffic: stream_module.Traffic) -> int:
-        """Return how many message bytes were sent for a purpose."""
-        live = sum(one.sent[traffic] for one in self._by_fileno.values())
-        return live + self._gone.get(traffic, 0)
+        """Return the uncompressed message bytes sent for a purpose."""
+        open_stream_bytes = sum(
+            peer.sent[traffic] for peer in self._streams_by_fileno.values()
+        )
+        return open_stream_bytes + self._closed_sent_bytes.get(traffic, 0)
 
     @runtime.handles(tasks.ConfigInForce)
     def _on_config(self, message: tasks.ConfigInForce) -> None:
         self._addresses = {
-            one.name: (one.host, one.port) for one in message.config.vms
+            entry.name: (entry.host, entry.port)
+            for entry in message.config.vms
         }
 
     @runtime.handles(core.PeerAddresses)
     def _on_addresses(self, message: core.PeerAddresses) -> None:
         self._addresses = {
-            one.vm: (one.host, one.port) for one in message.peers
+            entry.vm: (entry.host, entry.port) for entry in message.peers
         }
 
     @runtime.handles(core.LiveVms)
-    def _on_live(self, live: core.LiveVms) -> None:
-        """End the streams to VMs that are gone: nothing else shows it."""
+    def _on_live_vms(self, live: core.LiveVms) -> None:
+        """Close the streams to VMs that membership reports as gone.
+
+        Nothing else shows that the other end of such a stream no longer
+        exists.
+        """
         for name, state in live.states:
-            peer = self._streams.get(name)
+            peer = self._streams_by_vm.get(name)
             if state is core.VmState.GONE and peer is not None:
-                self._drop(peer)
+                self._close_stream(peer)
 
     @runtime.handles(core.ToPeer)
     def _on_send(self, message: core.ToPeer) -> None:
         vm = message.vm
-        peer = self._streams.get(vm)
+        peer = self._streams_by_vm.get(vm)
         if peer is not None:
             peer.send(message.message)
-            self._dirty.add(peer)
+            self._streams_to_flush.add(peer)
             return
-        waiting = self._unsent.setdefault(vm, [])
-        waiting.append(message.message)
-        if len(waiting) > MAX_UNSENT:
-            self._give_back(vm)
-        elif vm not in self._calling:
-            self._call_soon(vm)
-
-    def _call_soon(self, vm: core.VmName) -> None:
-        """Call now, or leave the other end time to call first.
-
-        Two ends that begin to talk at once would open two streams.
+        queued = self._queued.setdefault(vm, [])
+        queued.append(message.message)
+        if len(queued) > MAX_QUEUED_MESSAGES:
+            self._return_queued(vm)
+        elif vm not in self._connecting:
+            self._connect_soon(vm)
+
+    def _connect_soon(self, vm: core.VmName) -> None:
+        """Connect now, or after a delay that lets the other VM connect first.
+
+        The VM whose name sorts first connects at once.  Without this rule,
+        two VMs that send to each other at the same time would open two
+        streams.
         """
         if self.vm < vm:
-            self._call_or_give_back(vm)
-        elif vm not in self._waiting:
-            self._waiting.add(vm)
-            self.after(CALL_DELAY, _CallTurn(vm))
-
-    @runtime.handles(_CallTurn)
-    def _on_call_turn(self, turn: _CallTurn) -> None:
-        self._waiting.discard(turn.vm)
-        if turn.vm in self._unsent and turn.vm not in self._calling:
-            self._call_or_give_back(turn.vm)
-
-    def _call_or_give_back(self, vm: core.VmName) -> None:
-        if not self._call(vm):
-            self._give_back(vm)
-
-    def _call(self, vm: core.VmName) -> bool:
+            self._connect_or_return_queued(vm)
+        elif vm not in self._delayed_connects:
+            self._delayed_connects.add(vm)
+            self.after(CONNECT_DELAY_S, _ConnectDelayOver(vm))
+
+    @runtime.handles(_ConnectDelayOver)
+    def _on_connect_delay_over(self, delay_over: _ConnectDelayOver) -> None:
+        self._delayed_connects.discard(delay_over.vm)
+        if (
+            delay_over.vm in self._queued
+            and delay_over.vm not in self._connecting
+        ):
+            self._connect_or_return_queued(delay_over.vm)
+
+    def _connect_or_return_queued(self, vm: core.VmName) -> None:
+        if not self._connect(vm):
+            self._return_queued(vm)
+
+    def _connect(self, vm: core.VmName) -> bool:
         address = self._addresses.get(vm)
-        if address is None or self.now() < self._refused_until.get(vm, 0.0):
+        if address is None or self.now() < self._no_connect_before.get(
+            vm, 0.0
+        ):
             return False
-        sock = runtime.connect(address, self._poller, self.task_name)
-        if sock is None:
-            self._refused_until[vm] = self.now() + RECONNECT_DELAY
+        stream = runtime.connect(address, self._poller, self.task_name)
+        if stream is None:
+            self._no_connect_before[vm] = self.now() + RECONNECT_DELAY_S
             return False
-        self._calling[vm] = self._add(sock, StreamRole.CALLING)
+        self._connecting[vm] = self._add_stream(stream, StreamRole.INITIATOR)
         return True
 
-    def _add(self, sock: runtime.Stream, role: StreamRole) -> PeerStream:
-        peer = PeerStream(sock, self.vm, self._key, role, self.now())
-        self._by_fileno[sock.fileno] = peer
-        self._dirty.add(peer)
+    def _add_stream(
+        self, stream: runtime.Stream, role: StreamRole
+    ) -> PeerStream:
+        peer = PeerStream(stream, self.vm, self._key, role, self.now())
+        self._streams_by_fileno[stream.fileno] = peer
+        self._streams_to_flush.add(peer)
         self.after(
-            HANDSHAKE_TIMEOUT, _HandshakeLate(sock.fileno, peer.opened_at)
+            HANDSHAKE_TIMEOUT_S,
+            _HandshakeTimeout(stream.fileno, peer.opened_at),
         )
         return peer
 
-    @runtime.handles(_HandshakeLate)
-    def _on_late(self, late: _HandshakeLate) -> None:
-        peer = self._by_fileno.get(late.fileno)
-        if peer is None or peer.ready or peer.opened_at != late.opened_at:
+    @runtime.handles(_HandshakeTimeout)
+    def _on_handshake_timeout(self, timeout: _HandshakeTimeout) -> None:
+        peer = self._streams_by_fileno.get(timeout.fileno)
+        if peer is None or peer.ready or peer.opened_at != timeout.opened_at:
             return
-        self._drop(peer)
+        self._close_stream(peer)
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready: runtime.SocketReady) -> None:
         if ready.fileno == self._listener.fileno:
             self._accept()
             return
-        peer = self._by_fileno.get(ready.fileno)
+        peer = self._streams_by_fileno.get(ready.fileno)
         if peer is None:
             return
         if peer.stream.connecting:
             if not peer.stream.finish_connect():
-                self._drop(peer)
+                self._close_stream(peer)
             else:
-                self._dirty.add(peer)
+                self._streams_to_flush.add(peer)
             return
         if ready.writable:
-            self._dirty.add(peer)
+            self._streams_to_flush.add(peer)
         if ready.readable:
             self._receive(peer)
 
     def _accept(self) -> None:
-        while (sock := self._listener.accept()) is not None:
-            if len(self._by_fileno) >= MAX_STREAMS:
-                sock.close()
+        while (stream := self._listener.accept()) is not None:
+            if len(self._streams_by_fileno) >= MAX_STREAMS:
+                stream.close()
                 continue
-            self._add(sock, StreamRole.CALLED)
+            self._add_stream(stream, StreamRole.ACCEPTOR)
 
     def _receive(self, peer: PeerStream) -> None:
         was_ready = peer.ready
@@ -204,80 +234,92 @@
             messages = peer.receive(data) if data else []
         except core.AuthError as exc:
             self.log.emit(core.LogEvent.PEER_REFUSED, why=str(exc))
-            self._drop(peer)
+            self._close_stream(peer)
             return
         except core.FrameError as exc:
             self.log.emit(core.LogEvent.PEER_FRAME_BAD, why=str(exc))
-            self._drop(peer)
+            self._close_stream(peer)
             return
         if peer.ready and not was_ready:
-            self._opened(peer)
-        self._dirty.add(peer)
+            self._on_authenticated(peer)
+        self._streams_to_flush.add(peer)
         for message in messages:
-            self._received(message)
+            self._dispatch(message)
         if peer.stream.closed:
-            self._drop(peer)
+            self._close_stream(peer)
 
-    def _opened(self, peer: PeerStream) -> None:
+    def _on_authenticated(self, peer: PeerStream) -> None:
         vm = peer.peer
         assert vm is not None
-        self._calling.pop(vm, None)
-        self._streams[vm] = peer
-        self._refused_until.pop(vm, None)
+        self._connecting.pop(vm, None)
+        self._streams_by_vm[vm] = peer
+        self._no_connect_before.pop(vm, None)
         self.log.emit(core.LogEvent.PEER_CONNECTED, peer=str(vm))
-        for message in self._unsent.pop(vm, []):
+        for message in self._queued.pop(vm, []):
             peer.send(message)
         for watcher in self._watchers.up:
             self.send(watcher, core.PeerUp(vm))
 
-    def _received(self, message: core.Message) -> None:
-        if type(message) in _RECEIVERS:
+    def _dispatch(self, message: core.Message) -> None:
+        """Pass a message on to its task; ignore those without one."""
+        if type(message) in _RECEIVER_BY_TYPE:
             self.send(receiver_of(self.vm, message), message)
 
-    def _drop(self, peer: PeerStream) -> None:
-        self._by_fileno.pop(peer.stream.fileno, None)
+    def _close_stream(self, peer: PeerStream) -> None:
+        """Close a stream and notify the tasks that depend on it.
+
+        If a second stream to the same VM is open, it takes over.
+        """
+        self._streams_by_fileno.pop(peer.stream.fileno, None)
         peer.stream.close()
         for traffic, count in peer.sent.items():
-            self._gone[traffic] = self._gone.get(traffic, 0) + count
-        for vm, calling in tuple(self._calling.items()):
-            if calling is peer:
-                del self._calling[vm]
-                self._refused_until[vm] = self.now() + RECONNECT_DELAY
-                self._give_back(vm)
-        lost = peer.peer
-        if lost is None or self._streams.get(lost) is not peer:
+            self._closed_sent_bytes[traffic] = (
+                self._closed_sent_bytes.get(traffic, 0) + count
+            )
+        for vm, connecting in tuple(self._connecting.items()):
+            if connecting is peer:
+                del self._connecting[vm]
+                self._no_connect_before[vm] = self.now() + RECONNECT_DELAY_S
+                self._return_queued(vm)
+        lost_vm = peer.peer
+        if lost_vm is None or self._streams_by_vm.get(lost_vm) is not peer:
             return
-        del self._streams[lost]
+        del self._streams_by_vm[lost_vm]
         other = next(
-            (one for one in self._by_fileno.values() if one.peer == lost),
+            (
+                remaining
+                for remaining in self._streams_by_fileno.values()
+                if remaining.peer == lost_vm
+            ),
             None,
         )
         if other is not None:
-            self._streams[lost] = other
-        self.log.emit(core.LogEvent.PEER_LOST, peer=str(lost))
-        self._tell_down(lost)
+            self._streams_by_vm[lost_vm] = other
+        self.log.emit(core.LogEvent.PEER_LOST, peer=str(lost_vm))
+        self._notify_down(lost_vm)
 
-    def _give_back(self, vm: core.VmName) -> None:
-        for message in self._unsent.pop(vm, []):
+    def _return_queued(self, vm: core.VmName) -> None:
+        """Return the queued messages as undelivered; report the VM down."""
+        for message in self._queued.pop(vm, []):
             for watcher in self._watchers.undelivered:
                 self.send(watcher, tasks.Undelivered(vm, message))
         for watcher in self._watchers.unreachable:
             self.send(watcher, core.PeerDown(vm))
 
-    def _tell_down(self, vm: core.VmName) -> None:
+    def _notify_down(self, vm: core.VmName) -> None:
         down = core.PeerDown(vm)
         for watcher in self._watchers.down:
             self.send(watcher, down)
 
     def settled(self) -> None:
-        """Send what the handled messages queued."""
-        dirty, self._dirty = self._dirty, set()
-        for peer in dirty:
+        """Flush the streams to which the handled messages wrote."""
+        streams, self._streams_to_flush = self._streams_to_flush, set()
+        for peer in streams:
             if peer.stream.fileno < 0:
                 continue
             peer.flush()
             if peer.stream.closed:
-                self._drop(peer)
+                self._close_stream(peer)
 
 
 def _to_router(vm: core.VmName, message: core.Message) -> core.TaskName:
@@ -296,15 +338,19 @@
     return tasks.names.configurator(vm)
 
 
-def _to_keeper(vm: core.VmName, message: core.Message) -> core.TaskName:
+def _to_primary_manager(
+    vm: core.VmName, message: core.Message
+) -> core.TaskName:
     return tasks.names.keeper(vm)
 
 
-def _to_exchange(vm: core.VmName, message: core.Message) -> core.TaskName:
+def _to_view_exchange(vm: core.VmName, message: core.Message) -> core.TaskName:
     return tasks.names.exchange(vm)
 
 
-def _to_watch(vm: core.VmName, message: core.Message) -> core.TaskName:
+def _to_reachability_monitor(
+    vm: core.VmName, message: core.Message
+) -> core.TaskName:
     return tasks.names.watch(vm)
 
 
@@ -316,23 +362,23 @@
     return tasks.names.relay(vm)
 
 
-_RECEIVERS = {
+_RECEIVER_BY_TYPE = {
     core.RelayWork: _to_relay,
     core.RelayCancel: _to_relay,
     core.RelayRollback: _to_relay,
     core.RelayEnded: _to_forwarder,
-    core.Ping: _to_exchange,
-    core.Pong: _to_exchange,
-    core.ViewFetch: _to_exchange,
-    core.LeadsInStore: _to_exchange,
-    core.PoolConfigInForce: _to_exchange,
-    core.RegisteredInstances: _to_exchange,
-    core.NodesInStore: _to_exchange,
-    core.Suspicion: _to_watch,
-    core.Opinion: _to_watch,
-    core.FencePrimary: _to_keeper,
-    core.PrimaryFenced: _to_keeper,
-    core.Reopened: _to_keeper,
+    core.Ping: _to_view_exchange,
+    core.Pong: _to_view_exchange,
+    core.ViewFetch: _to_view_exchange,
+    core.LeadsInStore: _to_view_exchange,
+    core.PoolConfigInForce: _to_view_exchange,
+    core.RegisteredInstances: _to_view_exchange,
+    core.NodesInStore: _to_view_exchange,
+    core.Suspicion: _to_reachability_monitor,
+    core.Opinion: _to_reachability_monitor,
+    core.FencePrimary: _to_primary_manager,
+    core.PrimaryFenced: _to_primary_manager,
+    core.Reopened: _to_primary_manager,
     core.Submit: _to_node,
     core.AbortTransaction: _to_node,
     core.Consumed: _to_node,
@@ -346,5 +392,5 @@
 
 
 def receiver_of(vm: core.VmName, message: core.Message) -> core.TaskName:
-    """Return the task of a VM that a peer's message is for."""
-    return _RECEIVERS[type(message)](vm, message)
+    """Return the task of this VM that handles a peer's message."""
+    return _RECEIVER_BY_TYPE[type(message)](vm, message)
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -1,3 +1,5 @@
+"""Encoding of messages between VMs."""
+
 from __future__ import annotations
 
 import hypothesis
@@ -53,31 +55,31 @@
 
 
 @pytest.mark.parametrize(
-    'message', MESSAGES, ids=lambda one: type(one).__name__
+    'message', MESSAGES, ids=lambda sample: type(sample).__name__
 )
-def test_messages_survive_the_stream(message):
-    (found,) = codec.unpack_frame(codec.encode(message))
-    assert repr(found) == repr(message)
+def test_decoded_message_equals_the_encoded_one(message):
+    (decoded,) = codec.unpack_frame(codec.encode(message))
+    assert repr(decoded) == repr(message)
 
 
-def test_unknown_fields_are_ignored_and_missing_ones_defaulted():
-    beat = core.Heartbeat(core.VmName('v'), True, core.ConfigVersion(1))
-    number, *fields = msgpack.unpackb(codec.encode(beat))
+def test_additional_fields_are_ignored_and_missing_ones_defaulted():
+    heartbeat = core.Heartbeat(core.VmName('v'), True, core.ConfigVersion(1))
+    number, *fields = msgpack.unpackb(codec.encode(heartbeat))
     longer = msgpack.packb([number, *fields, 'new'])
     shorter = msgpack.packb([number, *fields[:-1]])
-    assert codec.unpack_frame(longer) == [beat]
-    assert codec.unpack_frame(shorter) == [beat]
+    assert codec.unpack_frame(longer) == [heartbeat]
+    assert codec.unpack_frame(shorter) == [heartbeat]
 
 
 @hypothesis.settings(derandomize=True, database=None, deadline=None)
 @hypothesis.given(strategies.binary(max_size=120))
-def test_any_frame_is_messages_or_a_typed_error(body):
+def test_arbitrary_bytes_decode_or_raise_frame_error(body):
     try:
         codec.unpack_frame(body)
     except core.FrameError:
         return
 
 
-def test_only_peer_messages_are_encoded():
+def test_message_without_a_number_is_not_encoded():
     with pytest.raises(core.FrameError):
         codec.encode(core.ClaimGate())
