--- a/src/chicoryusher/runtime/__init__.py
+++ b/src/chicoryusher/runtime/__init__.py
@@ -1,4 +1,4 @@
-"""The circuits loop, tasks, timers, streams and logs."""
+"""Event loop on circuits, tasks, timers, streams, meters and logs."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/runtime/exposition.py
+++ b/src/chicoryusher/runtime/exposition.py
@@ -1,7 +1,7 @@
-"""Metrics as text on an address, through OpenTelemetry.
+"""Metrics in the Prometheus text format, served over HTTP.
 
-Not imported by the package itself: only programs that serve metrics pay
-for its libraries.
+The runtime package does not import this module, so that only programs
+that serve metrics load OpenTelemetry and the Prometheus client.
 """
 
 from __future__ import annotations
@@ -22,32 +22,36 @@
 __all__ = ['METRICS_PATH', 'MetricsServer', 'OtelMeters']
 
 METRICS_PATH = '/metrics'
-OK, NOT_FOUND = 200, 404
-# Upper bounds of histograms, in seconds: latency targets are 0.6 to 1.5 s,
-# work takes 0.007 to 0.5 s, and limits of statements end at 3 s.
-BOUNDS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
+HTTP_OK, HTTP_NOT_FOUND = 200, 404
+# Upper bounds of the histogram buckets.  They cover work of 0.007 to 0.5 s,
+# latency targets of 0.6 to 1.5 s and statement time limits of up to 3 s.
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
 _Kind = core.MetricKind
-_Maker = Callable[[metrics.Meter, core.Metric], object]
-_MAKERS: core.Registry[_Maker] = core.Registry('instrument')
+_InstrumentFactory = Callable[[metrics.Meter, core.Metric], object]
+_INSTRUMENT_FACTORIES: core.Registry[_InstrumentFactory] = core.Registry(
+    'instrument'
+)
 
 
-@_MAKERS.register(_Kind.COUNTER.value)
-def _counter(meter: metrics.Meter, one: core.Metric) -> metrics.Counter:
-    return meter.create_counter(one.full_name, one.unit, one.meaning)
+@_INSTRUMENT_FACTORIES.register(_Kind.COUNTER.value)
+def _counter(meter: metrics.Meter, metric: core.Metric) -> metrics.Counter:
+    return meter.create_counter(metric.full_name, metric.unit, metric.meaning)
 
 
-@_MAKERS.register(_Kind.HISTOGRAM.value)
-def _histogram(meter: metrics.Meter, one: core.Metric) -> metrics.Histogram:
-    return meter.create_histogram(one.full_name, one.unit, one.meaning)
+@_INSTRUMENT_FACTORIES.register(_Kind.HISTOGRAM.value)
+def _histogram(meter: metrics.Meter, metric: core.Metric) -> metrics.Histogram:
+    return meter.create_histogram(
+        metric.full_name, metric.unit, metric.meaning
+    )
 
 
-@_MAKERS.register(_Kind.GAUGE.value)
-def _gauge(meter: metrics.Meter, one: core.Metric) -> object:
-    return meter.create_gauge(one.full_name, one.unit, one.meaning)
+@_INSTRUMENT_FACTORIES.register(_Kind.GAUGE.value)
+def _gauge(meter: metrics.Meter, metric: core.Metric) -> object:
+    return meter.create_gauge(metric.full_name, metric.unit, metric.meaning)
 
 
 class OtelMeters:
-    """Collect through OpenTelemetry; give all as Prometheus text."""
+    """Collector that uses OpenTelemetry and renders Prometheus text."""
 
     def __init__(self) -> None:
         self._registry = prometheus_client.CollectorRegistry()
@@ -56,10 +60,10 @@
             scope_info_enabled=False,
             registry=self._registry,
         )
-        aggregation = views.ExplicitBucketHistogramAggregation(BOUNDS)
+        aggregation = views.ExplicitBucketHistogramAggregation(BUCKETS_S)
         self._provider = sdk.MeterProvider(
             metric_readers=[reader],
-            # An empty resource: its detectors would look at the machine.
+            # Empty, since resource detectors would inspect the machine.
             resource=resources.Resource({}),
             shutdown_on_exit=False,
             views=[
@@ -68,10 +72,11 @@
                 )
             ],
         )
-        self._watched: dict[core.Metric, Callable[[], float]] = {}
+        self._gauge_readers: dict[core.Metric, Callable[[], float]] = {}
         meter = self._provider.get_meter('chicoryusher')
         self._instruments = {
-            one: _MAKERS.get(one.kind.value)(meter, one) for one in core.Metric
+            metric: _INSTRUMENT_FACTORIES.get(metric.kind.value)(meter, metric)
+            for metric in core.Metric
         }
 
     def add(self, metric: core.Metric, **labels: str) -> None:
@@ -89,18 +94,18 @@
         self._instruments[metric].set(value, labels)
 
     def watch(self, metric: core.Metric, read: Callable[[], float]) -> None:
-        """Read a gauge whenever the metrics are asked for."""
-        self._watched[metric] = read
+        """Set a gauge from ``read`` whenever the metrics are rendered."""
+        self._gauge_readers[metric] = read
 
     def text(self) -> bytes:
-        """Return every metric in the text format of Prometheus."""
-        for metric, read in self._watched.items():
+        """Return all metrics in the Prometheus text format."""
+        for metric, read in self._gauge_readers.items():
             self.show(metric, read())
         return prometheus_client.generate_latest(self._registry)
 
 
 class MetricsServer(runtime.Task):
-    """Serve metrics to whoever asks."""
+    """Serve the metrics over HTTP, without authentication."""
 
     def __init__(
         self,
@@ -110,25 +115,27 @@
         meters: OtelMeters,
     ) -> None:
         super().__init__(loop, vm, 'metrics')
-        self._collected = meters
+        self._otel_meters = meters
         listener = runtime.Listener(address, loop.poller, self.task_name)
         self.address = listener.address
-        self._server = http_server.HttpServer(listener, self._asked)
+        self._server = http_server.HttpServer(listener, self._on_request)
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready: runtime.SocketReady) -> None:
         self._server.ready(ready)
 
     def settled(self) -> None:
-        """Send answers."""
+        """Send the queued responses."""
         self._server.flush()
 
-    def _asked(
+    def _on_request(
         self, conn: http_server.HttpConn, req: http_server.HttpRequest
     ) -> None:
         if req.path.partition('?')[0] != METRICS_PATH:
-            conn.reply(NOT_FOUND, None)
+            conn.reply(HTTP_NOT_FOUND, None)
             return
         conn.reply_text(
-            OK, prometheus_client.CONTENT_TYPE_LATEST, self._collected.text()
+            HTTP_OK,
+            prometheus_client.CONTENT_TYPE_LATEST,
+            self._otel_meters.text(),
         )
--- a/src/chicoryusher/runtime/http_client.py
+++ b/src/chicoryusher/runtime/http_client.py
@@ -1,8 +1,9 @@
-"""A non-blocking HTTP/1.1 client that one task owns.
+"""A non-blocking HTTP/1.1 client as the base class of a task.
 
-Calls go out one after another on one kept connection.  A call that
-never left fails as unavailable; one whose answer did not come fails as
-unknown, since it may have had its effect.
+Calls are made one after another on one persistent connection.  A call
+that was not sent fails with PlatformUnavailable.  A call that was sent
+but got no valid response fails with PlatformUnknown, since it may have had its
+effect.
 """
 
 from __future__ import annotations
@@ -22,14 +23,14 @@
 
 __all__ = ['HttpCall', 'HttpClient', 'HttpResult', 'json_call']
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_RESPONSE_BODY_BYTES = 8 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpCall:
-    """One call: ``context`` is the message that it answers.
+    """One call, and in ``context`` the message that requested it.
 
-    ``timeout`` (seconds) replaces the client's own.
+    ``timeout`` (seconds) overrides the client's default.
     """
 
     method: str
@@ -54,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpResult:
-    """Status and JSON document of an answer, or the typed failure."""
+    """Status and JSON document of a response, or a typed error."""
 
     status: int = 0
     document: Any = None
@@ -62,14 +63,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _CallLate(core.Message):
-    """A call may have had no answer for too long."""
+class _CallTimeout(core.Message):
+    """The time limit of the call with this number has passed."""
 
     number: int
 
 
 class HttpClient(task.Task):
-    """Base of the platform's clients; subclasses make and read calls."""
+    """Base class of HTTP clients; subclasses make the calls."""
 
     def __init__(
         self,
@@ -83,60 +84,64 @@
         super().__init__(loop, vm, name)
         self._poller = loop.poller
         self._address = address
-        self._timeout = timeout
+        self._default_timeout_s = timeout
         self._token = token
         self._stream: streams.Stream | None = None
         self._http = h11.Connection(h11.CLIENT)
-        self._waiting: collections.deque[HttpCall] = collections.deque()
-        self._current: HttpCall | None = None
-        self._sent = False
-        self._number = 0
-        self._timer: core.TimerId | None = None
+        self._queued_calls: collections.deque[HttpCall] = collections.deque()
+        self._current_call: HttpCall | None = None
+        self._request_sent = False
+        self._call_number = 0
+        self._timeout_timer: core.TimerId | None = None
         self._status = 0
-        self._body = bytearray()
+        self._response_body = bytearray()
 
     def call(self, call: HttpCall) -> None:
-        """Queue a call; its result goes to ``finished``."""
-        self._waiting.append(call)
-        self._next()
+        """Queue a call; its result is passed to ``finished``."""
+        self._queued_calls.append(call)
+        self._start_next_call()
 
     def abandon(self) -> None:
-        """Give the current call up; it ends with an error."""
-        if self._current is not None:
-            self._broken()
+        """Abort the current call, if any; it finishes with an error."""
+        if self._current_call is not None:
+            self._fail_current_call()
 
     def finished(self, call: HttpCall, result: HttpResult) -> None:
-        """Take the result of a call; subclasses answer the context."""
+        """Handle the result of a call; subclasses implement it."""
         raise NotImplementedError
 
     def settled(self) -> None:
-        """Send what the handled messages wrote."""
+        """Send the requests that the handled messages wrote."""
         if self._stream is not None:
             self._stream.flush()
             if self._stream.closed:
-                self._broken()
+                self._fail_current_call()
 
-    def _next(self) -> None:
-        if self._current is not None or not self._waiting:
+    def _start_next_call(self) -> None:
+        if self._current_call is not None or not self._queued_calls:
             return
-        self._current = self._waiting.popleft()
-        self._sent = False
-        self._number += 1
-        timeout = self._current.timeout or self._timeout
-        self._timer = self.after(timeout, _CallLate(self._number))
+        self._current_call = self._queued_calls.popleft()
+        self._request_sent = False
+        self._call_number += 1
+        timeout = self._current_call.timeout or self._default_timeout_s
+        self._timeout_timer = self.after(
+            timeout, _CallTimeout(self._call_number)
+        )
         if self._stream is None:
             self._http = h11.Connection(h11.CLIENT)
             self._stream = streams.connect(
                 self._address, self._poller, self.task_name
             )
             if self._stream is None:
-                self._fail(core.PlatformUnavailable('connection refused'))
+                self._finish_with_error(
+                    core.PlatformUnavailable('connecting failed')
+                )
                 return
         if not self._stream.connecting:
-            self._transmit()
+            self._write_request()
 
-    def _transmit(self) -> None:
-        call, stream = self._current, self._stream
+    def _write_request(self) -> None:
+        call, stream = self._current_call, self._stream
         assert call is not None and stream is not None
         headers = [
             ('Host', f'{self._address[0]}:{self._address[1]}'),
@@ -152,8 +157,8 @@
         if call.body:
             stream.write(self._http.send(h11.Data(data=call.body)) or b'')
         stream.write(self._http.send(h11.EndOfMessage()) or b'')
-        self._sent = True
-        self._body.clear()
+        self._request_sent = True
+        self._response_body.clear()
 
     @task.handles(poller.SocketReady)
     def _on_ready(self, ready: poller.SocketReady) -> None:
@@ -162,9 +167,9 @@
             return
         if stream.connecting:
             if not stream.finish_connect():
-                self._broken()
-            elif self._current is not None:
-                self._transmit()
+                self._fail_current_call()
+            elif self._current_call is not None:
+                self._write_request()
             return
         if ready.readable:
             self._receive(stream)
@@ -175,14 +180,14 @@
             return
         try:
             self._http.receive_data(data)
-            self._events()
+            self._read_events()
         except h11.ProtocolError:
-            self._broken()
+            self._fail_current_call()
             return
         if stream.closed and self._stream is stream:
-            self._broken()
+            self._fail_current_call()
 
-    def _events(self) -> None:
+    def _read_events(self) -> None:
         while True:
             event = self._http.next_event()
             if event in (h11.NEED_DATA, h11.PAUSED):
@@ -190,57 +195,65 @@
             if isinstance(event, h11.Response):
                 self._status = event.status_code
             elif isinstance(event, h11.Data):
-                self._body += event.data
-                if len(self._body) > MAX_BODY_BYTES:
-                    self._broken()
+                self._response_body += event.data
+                if len(self._response_body) > MAX_RESPONSE_BODY_BYTES:
+                    self._fail_current_call()
                     return
             elif isinstance(event, h11.EndOfMessage):
-                self._answered()
+                self._on_response()
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
-    def _answered(self) -> None:
+    def _on_response(self) -> None:
         try:
-            document = json.loads(bytes(self._body) or b'null')
+            document = json.loads(bytes(self._response_body) or b'null')
         except ValueError:
-            self._broken()
+            self._fail_current_call()
             return
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         else:
-            self._drop_stream()
-        self._finish(HttpResult(self._status, document))
-
-    @task.handles(_CallLate)
-    def _on_late(self, late: _CallLate) -> None:
-        if self._current is not None and late.number == self._number:
-            self._broken()
-
-    def _broken(self) -> None:
-        sent = self._sent
-        if self._stream is not None and self._current is not None:
+            self._close_stream()
+        self._finish_call(HttpResult(self._status, document))
+
+    @task.handles(_CallTimeout)
+    def _on_call_timeout(self, timeout: _CallTimeout) -> None:
+        if (
+            self._current_call is not None
+            and timeout.number == self._call_number
+        ):
+            self._fail_current_call()
+
+    def _fail_current_call(self) -> None:
+        """Close the connection; fail the current call, if any."""
+        sent = self._request_sent
+        if self._stream is not None and self._current_call is not None:
             self._stream.abort()
-        self._drop_stream()
-        if self._current is None:
+        self._close_stream()
+        if self._current_call is None:
             return
         if sent:
-            self._fail(core.PlatformUnknown('no answer came'))
+            self._finish_with_error(
+                core.PlatformUnknown('no response received')
+            )
         else:
-            self._fail(core.PlatformUnavailable('not reached'))
+            self._finish_with_error(
+                core.PlatformUnavailable('request not sent')
+            )
 
-    def _drop_stream(self) -> None:
+    def _close_stream(self) -> None:
         if self._stream is not None:
             self._stream.close()
             self._stream = None
 
-    def _fail(self, error: core.PlatformError) -> None:
-        self._finish(HttpResult(error=error))
+    def _finish_with_error(self, error: core.PlatformError) -> None:
+        self._finish_call(HttpResult(error=error))
 
-    def _finish(self, result: HttpResult) -> None:
-        call, self._current = self._current, None
-        self.cancel(self._timer)
-        self._timer = None
+    def _finish_call(self, result: HttpResult) -> None:
+        call, self._current_call = self._current_call, None
+        self.cancel(self._timeout_timer)
+        self._timeout_timer = None
         assert call is not None
         self.finished(call, result)
-        self._next()
+        self._start_next_call()
--- a/src/chicoryusher/runtime/http_server.py
+++ b/src/chicoryusher/runtime/http_server.py
@@ -13,12 +13,12 @@
 
 __all__ = ['HttpConn', 'HttpRequest', 'HttpServer']
 
-MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_REQUEST_BODY_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """One decoded request."""
+    """One decoded request; ``token`` is its bearer token."""
 
     method: str
     path: str
@@ -27,7 +27,7 @@
 
 
 class HttpConn:
-    """One connection of the server."""
+    """One connection; ``head`` and ``body`` are of the current request."""
 
     def __init__(self, stream: runtime.Stream) -> None:
         self.stream = stream
@@ -36,12 +36,15 @@
         self.body = bytearray()
 
     def reply(self, status: int, document: Any) -> None:
-        """Queue a JSON document as the answer to the current request."""
+        """Queue a JSON document as the response to the current request."""
         data = json.dumps(document).encode()
         self.reply_text(status, 'application/json', data)
 
     def reply_text(self, status: int, kind: str, data: bytes) -> None:
-        """Queue the answer to the current request; ``kind`` is its type."""
+        """Queue the response to the current request.
+
+        ``kind`` is its content type.
+        """
         head = h11.Response(
             status_code=status,
             headers=[
@@ -60,7 +63,10 @@
 
 
 class HttpServer:
-    """Connections of one listener; its task feeds it readiness."""
+    """Connections of one listener.
+
+    The task that owns them passes on its SocketReady messages.
+    """
 
     def __init__(
         self,
@@ -72,7 +78,7 @@
         self._conns: dict[int, HttpConn] = {}
 
     def ready(self, ready: runtime.SocketReady) -> None:
-        """Act on a ready socket; others' sockets are ignored."""
+        """Handle a ready socket; ignore sockets of other owners."""
         if ready.fileno == self._listener.fileno:
             while (stream := self._listener.accept()) is not None:
                 self._conns[stream.fileno] = HttpConn(stream)
@@ -82,35 +88,35 @@
             self._receive(conn)
 
     def flush(self) -> None:
-        """Send what was answered; drop what has ended."""
+        """Send queued responses; close connections that have ended."""
         for conn in tuple(self._conns.values()):
             conn.stream.flush()
             ended = conn.http.our_state in (h11.MUST_CLOSE, h11.ERROR)
             if conn.stream.closed or (ended and not conn.stream.pending):
-                self._drop(conn)
+                self._close_conn(conn)
 
     def close(self) -> None:
         """Close the listener and every connection."""
         self._listener.close()
         for conn in tuple(self._conns.values()):
-            self._drop(conn)
+            self._close_conn(conn)
 
-    def _drop(self, conn: HttpConn) -> None:
+    def _close_conn(self, conn: HttpConn) -> None:
         self._conns.pop(conn.stream.fileno, None)
         conn.stream.close()
 
     def _receive(self, conn: HttpConn) -> None:
         data = conn.stream.read()
         if conn.stream.closed:
-            self._drop(conn)
+            self._close_conn(conn)
             return
         try:
             conn.http.receive_data(data)
-            self._events(conn)
+            self._read_events(conn)
         except h11.ProtocolError:
-            self._drop(conn)
+            self._close_conn(conn)
 
-    def _events(self, conn: HttpConn) -> None:
+    def _read_events(self, conn: HttpConn) -> None:
         while True:
             event = conn.http.next_event()
             if event in (h11.NEED_DATA, h11.PAUSED):
@@ -119,16 +125,17 @@
                 conn.head = event
             elif isinstance(event, h11.Data):
                 conn.body += event.data
-                if len(conn.body) > MAX_BODY_BYTES:
-                    self._drop(conn)
+                if len(conn.body) > MAX_REQUEST_BODY_BYTES:
+                    self._close_conn(conn)
                     return
             elif isinstance(event, h11.EndOfMessage):
-                self._whole(conn)
+                self._on_request_complete(conn)
             elif isinstance(event, h11.ConnectionClosed):
-                self._drop(conn)
+                self._close_conn(conn)
                 return
 
-    def _whole(self, conn: HttpConn) -> None:
+    def _on_request_complete(self, conn: HttpConn) -> None:
+        """Pass a complete request to the handler."""
         head = conn.head
         assert head is not None
         token = ''
--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line, each with an event number."""
+"""Structured logs: a JSON object per line, with an event number."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 
 __all__ = ['BoundedHandler', 'Log', 'to_stream']
 
-# Lines a second of events that are sampled; 20 us each make 0.1% of a core.
-SAMPLED_RATE = 40.0
-# Lines a second of all other events; a VM that refuses everything at its
-# usual load of 50 statements a second stays below.
-LINE_RATE = 400.0
-# Seconds for which an unused rate is saved up.
-SAVED_UP = 2.0
-# Seconds between lines that count what was dropped.
-NOTE_PAUSE = 1.0
+# Rate limit of sampled events.  At 20 us a line they use 0.1% of a core.
+MAX_SAMPLED_LINES_PER_S = 40.0
+# Rate limit of all other events.  A VM that refuses every statement at its
+# usual load of 50 statements a second stays below it.
+MAX_OTHER_LINES_PER_S = 400.0
+# Unused lines of up to this many seconds may be written later in a burst.
+MAX_BURST_S = 2.0
+# Minimum time between lines that report the number of dropped lines.
+DROP_REPORT_INTERVAL_S = 1.0
 _LEVELS = {
     core.LogLevel.DEBUG: logbook.DEBUG,
     core.LogLevel.INFO: logbook.INFO,
@@ -33,14 +33,14 @@
 
 
 class Log:
-    """Writer of numbered events for one task of one VM."""
+    """Writer of log events for one task of one VM."""
 
     def __init__(self, vm: str, task: str) -> None:
         self._logger = logbook.Logger(task)
         self._vm = vm
 
     def emit(self, event: core.LogEvent, **fields: Any) -> None:
-        """Write ``event`` with its fields; never pass a secret."""
+        """Write ``event`` with its fields, which must not hold a secret."""
         self._logger.log(
             _LEVELS[event.level],
             event.meaning,
@@ -48,7 +48,7 @@
         )
 
 
-def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+def _format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
     line = {
         'time': record.time.isoformat(timespec='milliseconds'),
         'level': record.level_name.lower(),
@@ -64,40 +64,43 @@
 def to_stream(
     level: core.LogLevel, stream: TextIO | None = None
 ) -> logbook.Handler:
-    """Return a handler that writes JSON lines to ``stream`` (stderr)."""
+    """Return a handler that writes JSON lines; the default is stderr."""
     handler = logbook.StreamHandler(
         stream or sys.stderr, level=_LEVELS[level], bubble=False
     )
-    handler.formatter = _format
+    handler.formatter = _format_json
     return handler
 
 
-class _Allowance:
-    """Lines that may be written: a rate a second, and what was saved up."""
+class _TokenBucket:
+    """Rate limiter of lines that allows bursts of saved-up lines."""
 
-    def __init__(self, clock: core.Clock, rate: float) -> None:
+    def __init__(self, clock: core.Clock, lines_per_s: float) -> None:
         self._clock = clock
-        self._rate = rate
-        self._left = rate * SAVED_UP
-        self._at = clock.now()
+        self._lines_per_s = lines_per_s
+        self._tokens = lines_per_s * MAX_BURST_S
+        self._refilled_at = clock.now()
 
-    def take(self) -> bool:
-        """Take one line; False if none is left."""
+    def try_take(self) -> bool:
+        """Return whether a line may be written now, and count it if so."""
         now = self._clock.now()
-        earned = (now - self._at) * self._rate
-        self._left = min(self._rate * SAVED_UP, self._left + earned)
-        self._at = now
-        if self._left < 1.0:
+        gained = (now - self._refilled_at) * self._lines_per_s
+        self._tokens = min(
+            self._lines_per_s * MAX_BURST_S, self._tokens + gained
+        )
+        self._refilled_at = now
+        if self._tokens < 1.0:
             return False
-        self._left -= 1.0
+        self._tokens -= 1.0
         return True
 
 
 class BoundedHandler(logbook.Handler):
     """Write JSON lines to a descriptor, and never wait for its reader.
 
-    Lines over an allowance, and lines that the descriptor does not take
-    at once, are dropped.  A line of its own counts them, once a second.
+    Lines over the rate limit are dropped, and so are lines that cannot be
+    written at once.  A separate line reports how many were dropped, at most
+    once a second.
     """
 
     def __init__(
@@ -107,56 +110,72 @@
         os.set_blocking(fileno, False)
         self._fileno = fileno
         self._clock = clock
-        self._rest = b''
-        self._sampled = _Allowance(clock, SAMPLED_RATE)
-        self._others = _Allowance(clock, LINE_RATE)
-        self._untold = 0
-        self._told_at = float('-inf')
+        self._unwritten = b''
+        self._sampled_bucket = _TokenBucket(clock, MAX_SAMPLED_LINES_PER_S)
+        self._other_bucket = _TokenBucket(clock, MAX_OTHER_LINES_PER_S)
+        self._unreported_drops = 0
+        self._reported_at = float('-inf')
         self.dropped = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Write one record, or count it as dropped."""
-        if not self._allowed(record) or not self._flush_rest():
-            self._drop()
+        """Write a record, or count it as dropped."""
+        if not self._allowed(record) or not self._flush_unwritten():
+            self._count_dropped()
             return
-        data = self._note() + _format(record, self).encode() + b'\n'
+        data = (
+            self._drop_report() + _format_json(record, self).encode() + b'\n'
+        )
         if self._write(data):
-            self._note_written()
+            self._on_report_written()
         else:
-            self._drop()
+            self._count_dropped()
 
     def _allowed(self, record: logbook.LogRecord) -> bool:
         sampled = record.extra['number'] in core.SAMPLED_EVENTS
-        allowance = self._sampled if sampled else self._others
-        return allowance.take()
+        bucket = self._sampled_bucket if sampled else self._other_bucket
+        return bucket.try_take()
 
-    def _drop(self) -> None:
+    def _count_dropped(self) -> None:
         self.dropped += 1
-        self._untold += 1
-
-    def _note(self) -> bytes:
-        """Return a line that counts what was dropped, if it is time."""
-        if not self._untold or self._clock.now() - self._told_at < NOTE_PAUSE:
+        self._unreported_drops += 1
+
+    def _drop_report(self) -> bytes:
+        """Return the line that reports dropped lines, or b'' if not due."""
+        if (
+            not self._unreported_drops
+            or self._clock.now() - self._reported_at < DROP_REPORT_INTERVAL_S
+        ):
             return b''
-        note = {'event': 0, 'message': 'dropped', 'lines': self._untold}
-        return json.dumps(note).encode() + b'\n'
-
-    def _note_written(self) -> None:
+        report = {
+            'event': 0,
+            'message': 'dropped',
+            'lines': self._unreported_drops,
+        }
+        return json.dumps(report).encode() + b'\n'
+
+    def _on_report_written(self) -> None:
         now = self._clock.now()
-        if self._untold and now - self._told_at >= NOTE_PAUSE:
-            self._untold = 0
-            self._told_at = now
+        if (
+            self._unreported_drops
+            and now - self._reported_at >= DROP_REPORT_INTERVAL_S
+        ):
+            self._unreported_drops = 0
+            self._reported_at = now
 
-    def _flush_rest(self) -> bool:
-        return not self._rest or self._write(b'')
+    def _flush_unwritten(self) -> bool:
+        return not self._unwritten or self._write(b'')
 
     def _write(self, data: bytes) -> bool:
-        """Write what is left of a line, then ``data``; all or its start."""
+        """Write the end of an earlier line that was cut off, then ``data``.
+
+        Return False if nothing was written.  After a partial write, the
+        remainder is kept for the next call.
+        """
         sent = 0
-        data = self._rest + data
+        data = self._unwritten + data
         with contextlib.suppress(BlockingIOError, BrokenPipeError):
             sent = os.write(self._fileno, data)
         if sent == 0:
             return False
-        self._rest = data[sent:]
+        self._unwritten = data[sent:]
         return True
--- a/src/chicoryusher/runtime/loop.py
+++ b/src/chicoryusher/runtime/loop.py
@@ -1,7 +1,7 @@
 """The runtime: one circuits loop that carries messages between tasks.
 
-Messages for one task wait in its box; the first of them fires one
-circuits event, and the task takes the whole box when it is handled.
+Messages for a task wait in its mailbox.  The first one fires one circuits
+event.  When that is handled, the task receives all messages in the mailbox.
 """
 
 from __future__ import annotations
@@ -17,12 +17,12 @@
 __all__ = ['Runtime', 'deliver']
 
 
-class deliver(circuits.Event):  # noqa: N801 - circuits names by class
-    """Tell a task that its box holds messages."""
+class deliver(circuits.Event):  # noqa: N801 - circuits names events by class
+    """Notify a task that its mailbox holds messages."""
 
 
 class Runtime(circuits.BaseComponent):
-    """Root component: boxes, timers, poller and clock."""
+    """Root component: the mailboxes, timers, poller and clock."""
 
     channel = 'runtime'
 
@@ -34,25 +34,28 @@
         super().__init__(channel='runtime')
         self.clock = clock or core.SystemClock()
         self.meters = meters or meters_module.NoMeters()
-        self._boxes: dict[core.TaskName, list[core.Message]] = {}
+        self._mailboxes: dict[core.TaskName, list[core.Message]] = {}
         self._log = logs.Log('', 'runtime')
         self.posted = 0
         self.undelivered = 0
         self.timers = timers.Timers(self.clock, self.post).register(self)
         self.poller = poller.Poller(self.post).register(self)
 
-    def add_box(self, task: core.TaskName) -> None:
-        """Open the box of a new task."""
-        self._boxes[task] = []
+    def add_mailbox(self, task: core.TaskName) -> None:
+        """Create the mailbox of a new task."""
+        self._mailboxes[task] = []
 
-    def drop_box(self, task: core.TaskName) -> None:
-        """Close the box of a task that has ended."""
-        self._boxes.pop(task, None)
+    def remove_mailbox(self, task: core.TaskName) -> None:
+        """Remove the mailbox of a task that has ended."""
+        self._mailboxes.pop(task, None)
 
     def post(self, task: core.TaskName, message: core.Message) -> None:
-        """Put ``message`` into the box of ``task``."""
-        box = self._boxes.get(task)
-        if box is None:
+        """Put a message into the mailbox of ``task``.
+
+        A message for a task that does not exist is logged and dropped.
+        """
+        mailbox = self._mailboxes.get(task)
+        if mailbox is None:
             self.undelivered += 1
             self._log.emit(
                 core.LogEvent.NO_SUCH_TASK,
@@ -61,24 +64,24 @@
             )
             return
         self.posted += 1
-        box.append(message)
-        if len(box) == 1:
+        mailbox.append(message)
+        if len(mailbox) == 1:
             self.fire(deliver(), task)
 
-    def take(self, task: core.TaskName) -> list[core.Message]:
-        """Empty the box of ``task`` and return what it held."""
-        box = self._boxes.get(task, [])
-        if box:
-            self._boxes[task] = []
-        return box
+    def take_messages(self, task: core.TaskName) -> list[core.Message]:
+        """Empty the mailbox of ``task`` and return its messages."""
+        mailbox = self._mailboxes.get(task, [])
+        if mailbox:
+            self._mailboxes[task] = []
+        return mailbox
 
     def settle(self) -> None:
-        """Handle queued events until none is left, without waiting."""
+        """Handle queued events until the queue is empty, without waiting."""
         while len(self):
             self.flush()
 
     def run_until(self, when: float) -> None:
-        """Run on the virtual clock until ``when`` (seconds)."""
+        """Advance the virtual clock to ``when`` (seconds); fire its timers."""
         clock = self.clock
         assert isinstance(clock, core.VirtualClock)
         self.settle()
@@ -89,9 +92,9 @@
         clock.advance_to(when)
 
     def run_for(self, seconds: float) -> None:
-        """Run on the virtual clock for ``seconds``."""
+        """Advance the virtual clock by ``seconds``; fire its timers."""
         self.run_until(self.clock.now() + seconds)
 
     def close(self) -> None:
-        """Release descriptors after the loop has ended."""
+        """Close the poller's descriptors after the loop has ended."""
         self.poller.close()
--- a/src/chicoryusher/runtime/meters.py
+++ b/src/chicoryusher/runtime/meters.py
@@ -1,4 +1,4 @@
-"""What tasks count and time, whoever collects it."""
+"""Interface by which tasks report counts, durations and gauges."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 __all__ = ['LateMeters', 'Meters', 'NoMeters']
 
-# What is kept for a collector that starts late; a VM counts some 200
-# things a second.
-MOST_KEPT = 2000
+# Measurements that are buffered for a collector that starts later; a VM makes
+# some 200 a second.  The oldest ones are dropped.
+MAX_BUFFERED_COUNT = 2000
 
 
 class Meters(Protocol):
-    """Port of tasks to a collector; labels are those of the metric."""
+    """Interface of collectors; labels are those of the metric."""
 
     def add(self, metric: core.Metric, **labels: str) -> None:
         """Add one to a counter."""
@@ -31,51 +31,51 @@
 
 
 class NoMeters:
-    """Collect nothing."""
+    """Collector that ignores all measurements."""
 
     def add(self, metric: core.Metric, **labels: str) -> None:
-        """Count nothing."""
+        """Ignore the count."""
 
     def record(
         self, metric: core.Metric, seconds: float, **labels: str
     ) -> None:
-        """Time nothing."""
+        """Ignore the duration."""
 
     def show(self, metric: core.Metric, value: float, **labels: str) -> None:
-        """Show nothing."""
+        """Ignore the value."""
 
 
 class LateMeters:
-    """Keep what is counted until a collector takes it over."""
+    """Buffer measurements until a collector is started."""
 
     def __init__(self) -> None:
-        self._kept: collections.deque[Callable[[Meters], None]] = (
-            collections.deque(maxlen=MOST_KEPT)
+        self._buffered: collections.deque[Callable[[Meters], None]] = (
+            collections.deque(maxlen=MAX_BUFFERED_COUNT)
         )
         self._target: Meters | None = None
 
     def start(self, target: Meters) -> None:
-        """Hand over what was kept, and all that comes."""
+        """Forward buffered and all later measurements to ``target``."""
         self._target = target
-        while self._kept:
-            self._kept.popleft()(target)
+        while self._buffered:
+            self._buffered.popleft()(target)
 
     def add(self, metric: core.Metric, **labels: str) -> None:
         """Add one to a counter."""
-        self._tell(lambda to: to.add(metric, **labels))
+        self._forward(lambda meters: meters.add(metric, **labels))
 
     def record(
         self, metric: core.Metric, seconds: float, **labels: str
     ) -> None:
         """Add a duration to a histogram."""
-        self._tell(lambda to: to.record(metric, seconds, **labels))
+        self._forward(lambda meters: meters.record(metric, seconds, **labels))
 
     def show(self, metric: core.Metric, value: float, **labels: str) -> None:
         """Set a gauge."""
-        self._tell(lambda to: to.show(metric, value, **labels))
+        self._forward(lambda meters: meters.show(metric, value, **labels))
 
-    def _tell(self, call: Callable[[Meters], None]) -> None:
+    def _forward(self, call: Callable[[Meters], None]) -> None:
         if self._target is None:
-            self._kept.append(call)
+            self._buffered.append(call)
         else:
             call(self._target)
--- a/src/chicoryusher/runtime/poller.py
+++ b/src/chicoryusher/runtime/poller.py
@@ -1,7 +1,7 @@
 """Poller that turns socket readiness into messages to the owning task.
 
-All sockets of one task that are ready in one turn of the loop reach it
-in one circuits event, whatever their number.
+All sockets of a task that are ready in one iteration of the loop are
+reported to it in one circuits event, whatever their number.
 """
 
 from __future__ import annotations
@@ -17,15 +17,15 @@
 
 __all__ = ['Poller', 'SocketReady']
 
-READ = select.EPOLLIN
-WRITE = select.EPOLLOUT
-_BROKEN = select.EPOLLHUP | select.EPOLLERR
-_CTRL_BYTES = 4096
+READABLE = select.EPOLLIN
+WRITABLE = select.EPOLLOUT
+_HANGUP_OR_ERROR = select.EPOLLHUP | select.EPOLLERR
+_MAX_CTRL_READ_BYTES = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SocketReady(core.Message):
-    """A socket of the task can be read from or written to."""
+    """A socket of the receiving task is readable or writable."""
 
     fileno: int
     readable: bool
@@ -33,7 +33,7 @@
 
 
 class Poller(pollers.BasePoller):
-    """Wait for sockets and timers with epoll."""
+    """Wait with epoll until a socket is ready or a timer is due."""
 
     channel = 'poller'
 
@@ -46,21 +46,24 @@
         self._owners: dict[int, core.TaskName] = {}
         self.wakeups = 0
         os.set_blocking(self._ctrl_recv, False)
-        self._epoll.register(self._ctrl_recv, READ)
+        self._epoll.register(self._ctrl_recv, READABLE)
 
     def watch(
         self, fileno: int, owner: core.TaskName, read: bool, write: bool
     ) -> None:
-        """Report readiness of a socket to ``owner`` from now on."""
-        mask = (READ if read else 0) | (WRITE if write else 0)
+        """Report readiness of a socket to ``owner`` from now on.
+
+        A second call for a socket replaces the events that are watched.
+        """
+        event_mask = (READABLE if read else 0) | (WRITABLE if write else 0)
         if fileno in self._owners:
-            self._epoll.modify(fileno, mask)
+            self._epoll.modify(fileno, event_mask)
         else:
-            self._epoll.register(fileno, mask)
+            self._epoll.register(fileno, event_mask)
         self._owners[fileno] = owner
 
     def forget(self, fileno: int) -> None:
-        """Stop watching a socket; call this before it is closed."""
+        """Stop watching a socket; must be called before it is closed."""
         if self._owners.pop(fileno, None) is not None:
             self._epoll.unregister(fileno)
 
@@ -72,23 +75,24 @@
 
     def _generate_events(self, event: pollers.Event) -> None:
         self.wakeups += 1
-        for fileno, mask in self._epoll.poll(event.time_left):
+        for fileno, event_mask in self._epoll.poll(event.time_left):
             owner = self._owners.get(fileno)
             if owner is None:
-                self._clear_ctrl()
+                self._drain_ctrl_pipe()
                 continue
-            broken = bool(mask & _BROKEN)
+            failed = bool(event_mask & _HANGUP_OR_ERROR)
             self._post(
                 owner,
                 SocketReady(
                     fileno,
-                    bool(mask & READ) or broken,
-                    bool(mask & WRITE) or broken,
+                    bool(event_mask & READABLE) or failed,
+                    bool(event_mask & WRITABLE) or failed,
                 ),
             )
 
-    def _clear_ctrl(self) -> None:
+    def _drain_ctrl_pipe(self) -> None:
+        """Empty the pipe by which circuits wakes the poller."""
         try:
-            os.read(self._ctrl_recv, _CTRL_BYTES)
+            os.read(self._ctrl_recv, _MAX_CTRL_READ_BYTES)
         except BlockingIOError:
             return
--- a/src/chicoryusher/runtime/streams.py
+++ b/src/chicoryusher/runtime/streams.py
@@ -1,4 +1,4 @@
-"""Non-blocking byte streams and listeners that one task owns."""
+"""Non-blocking TCP connections and listeners, each owned by one task."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 
 __all__ = ['Address', 'Listener', 'Stream', 'connect']
 
-READ_BYTES = 256 * 1024
-BACKLOG = 1024
+MAX_READ_BYTES = 256 * 1024
+LISTEN_BACKLOG = 1024
 
-# Lingering is on, for 0 s: closing resets the connection.
-_NO_LINGER = struct.pack('ii', 1, 0)
+# SO_LINGER, switched on with 0 s: closing the socket resets the connection.
+_LINGER_0_S = struct.pack('ii', 1, 0)
 
 Address = tuple[str, int]
 
@@ -24,7 +24,8 @@
 class Stream:
     """One TCP connection with an output buffer.
 
-    ``closed`` is set when the other end has gone or an error came.
+    ``closed`` is set when the other end has closed the connection or a
+    socket call has failed.
     """
 
     def __init__(
@@ -42,20 +43,20 @@
         self._sock = sock
         self._poller = poller
         self._owner = owner
-        self._reading = True
-        self._out = bytearray()
-        self._watched = (True, connecting)
+        self._read_enabled = True
+        self._output = bytearray()
+        self._interest = (True, connecting)
         poller.watch(self.fileno, owner, True, connecting)
 
     @property
     def pending(self) -> int:
-        """Return how many bytes wait to be sent."""
-        return len(self._out)
+        """Return how many bytes the output buffer holds."""
+        return len(self._output)
 
     def read(self) -> bytes:
-        """Return what has arrived; on end of stream set ``closed``."""
+        """Return received bytes; set ``closed`` at the end of the stream."""
         try:
-            data = self._sock.recv(READ_BYTES)
+            data = self._sock.recv(MAX_READ_BYTES)
         except BlockingIOError:
             return b''
         except OSError:
@@ -67,39 +68,41 @@
 
     def write(self, data: bytes) -> None:
         """Add to the output buffer; ``flush`` sends it."""
-        self._out += data
+        self._output += data
 
     def flush(self) -> None:
-        """Send as much of the output buffer as the socket takes."""
+        """Send as much of the output buffer as the socket accepts."""
         if self.closed or self.connecting:
             return
-        if self._out:
+        if self._output:
             try:
-                sent = self._sock.send(self._out)
-                del self._out[:sent]
+                sent = self._sock.send(self._output)
+                del self._output[:sent]
             except BlockingIOError:
                 sent = 0
             except OSError:
                 self.closed = True
                 return
-        self._rewatch()
+        self._update_interest()
 
     def finish_connect(self) -> bool:
-        """End a pending connect; return False if it failed."""
+        """Complete a pending connect; return whether it succeeded."""
         self.connecting = False
-        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        self.closed = code != 0
+        error_number = self._sock.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        )
+        self.closed = error_number != 0
         if not self.closed:
-            self._rewatch()
+            self._update_interest()
         return not self.closed
 
     def set_reading(self, reading: bool) -> None:
-        """Pause or resume reading, to hold the other end back."""
-        self._reading = reading
-        self._rewatch()
+        """Pause or resume reading, to slow down the other end."""
+        self._read_enabled = reading
+        self._update_interest()
 
     def close(self) -> None:
-        """Close the socket; what was not sent is lost."""
+        """Close the socket; unsent bytes are lost."""
         self.closed = True
         if self.fileno < 0:
             return
@@ -109,25 +112,26 @@
         self.fileno = -1
 
     def abort(self) -> None:
-        """Reset the connection: bytes still under way are not delivered."""
+        """Reset the connection; bytes in transit are not delivered."""
         if self.fileno < 0:
             return
         with contextlib.suppress(OSError):
             self._sock.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_0_S
             )
         self.close()
 
-    def _rewatch(self) -> None:
-        wanted = (self._reading, bool(self._out) or self.connecting)
-        if wanted == self._watched or self.fileno < 0:
+    def _update_interest(self) -> None:
+        """Set the events that the poller reports for the socket."""
+        interest = (self._read_enabled, bool(self._output) or self.connecting)
+        if interest == self._interest or self.fileno < 0:
             return
-        self._watched = wanted
-        self._poller.watch(self.fileno, self._owner, *wanted)
+        self._interest = interest
+        self._poller.watch(self.fileno, self._owner, *interest)
 
 
 class Listener:
-    """A listening TCP socket that one task owns."""
+    """A listening TCP socket."""
 
     def __init__(
         self,
@@ -136,7 +140,7 @@
         owner: core.TaskName,
     ) -> None:
         self._sock = socket.create_server(
-            address, backlog=BACKLOG, reuse_port=False
+            address, backlog=LISTEN_BACKLOG, reuse_port=False
         )
         self._sock.setblocking(False)
         self.fileno = self._sock.fileno()
@@ -146,7 +150,7 @@
         poller.watch(self.fileno, owner, True, False)
 
     def accept(self) -> Stream | None:
-        """Return the next new connection, or None if none waits."""
+        """Return the next new connection, or None if there is none."""
         try:
             sock, _ = self._sock.accept()
         except OSError:
@@ -165,11 +169,11 @@
 def connect(
     address: Address, poller: poller_module.Poller, owner: core.TaskName
 ) -> Stream | None:
-    """Start to connect; None if the address refuses at once."""
+    """Start to connect; return None if that fails at once."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    code = sock.connect_ex(address)
-    if code not in (0, errno.EINPROGRESS):
+    error_number = sock.connect_ex(address)
+    if error_number not in (0, errno.EINPROGRESS):
         sock.close()
         return None
-    return Stream(sock, poller, owner, connecting=code != 0)
+    return Stream(sock, poller, owner, connecting=error_number != 0)
--- a/src/chicoryusher/runtime/task.py
+++ b/src/chicoryusher/runtime/task.py
@@ -1,4 +1,8 @@
-"""Base of every task: it owns its sockets and state, and gets messages."""
+"""Base class of tasks.
+
+A task owns its sockets and its state.  Other tasks reach it only by
+messages, which wait in its mailbox.
+"""
 
 from __future__ import annotations
 
@@ -14,12 +18,12 @@
 
 __all__ = ['Task', 'handles']
 
-MIN_BEAT_DELAY = 0.001
+MIN_TICK_DELAY_S = 0.001
 _Handler = Callable[[Any, Any], None]
 
 
 def handles(*kinds: type) -> Callable[[_Handler], _Handler]:
-    """Mark a method as the handler of these message types."""
+    """Return a decorator that marks a handler of these message types."""
 
     def mark(method: _Handler) -> _Handler:
         method.handled_kinds = kinds  # type: ignore[attr-defined]
@@ -29,12 +33,12 @@
 
 
 class Task(circuits.BaseComponent):
-    """A component that is spoken to by typed messages only."""
+    """A circuits component that receives typed messages only."""
 
     handlers: ClassVar[dict[type, _Handler]] = {}
 
     def __init_subclass__(cls, **kwargs: Any) -> None:
-        """Collect the methods that ``handles`` has marked."""
+        """Fill ``handlers`` with the methods that ``handles`` marked."""
         super().__init_subclass__(**kwargs)
         table = dict(cls.handlers)
         for method in vars(cls).values():
@@ -50,56 +54,58 @@
         self.log = logs.Log(vm, task)
         self.meters = runtime.meters
         self._runtime = runtime
-        runtime.add_box(self.task_name)
+        runtime.add_mailbox(self.task_name)
         self.register(runtime)
 
     def now(self) -> float:
-        """Return the runtime's time in seconds."""
+        """Return the seconds of the runtime's clock."""
         return self._runtime.clock.now()
 
     def send(self, task: core.TaskName, message: core.Message) -> None:
-        """Put a message into another task's box."""
+        """Put a message into the mailbox of another task."""
         self._runtime.post(task, message)
 
     def after(self, delay: float, message: core.Message) -> core.TimerId:
-        """Send this task a message after ``delay`` seconds."""
+        """Send a message to this task after ``delay`` seconds."""
         return self._runtime.timers.add(delay, self.task_name, message)
 
     def until_beat(self, interval: float) -> float:
-        """Return the time to the next multiple of ``interval`` seconds.
+        """Return the seconds to the next multiple of ``interval``.
 
-        Tasks that wait for the same beat wake the loop once.
+        Tasks that wait for the same multiple wake the loop once instead of
+        once each.  A multiple that is less than 1 ms away is skipped.
         """
-        left = interval - self.now() % interval
-        return left if left > MIN_BEAT_DELAY else left + interval
+        delay = interval - self.now() % interval
+        return delay if delay > MIN_TICK_DELAY_S else delay + interval
 
     def cancel(self, timer: core.TimerId | None) -> None:
-        """Take back a timer of this task."""
+        """Cancel a timer of this task, if there is one."""
         if timer is not None:
             self._runtime.timers.cancel(timer)
 
     def end(self) -> None:
-        """Close the box and leave the loop."""
-        self._runtime.drop_box(self.task_name)
+        """Remove the mailbox and leave the loop."""
+        self._runtime.remove_mailbox(self.task_name)
         self.unregister()
 
     def settled(self) -> None:
-        """Act once after a batch of messages has been handled."""
+        """Act once after each batch of messages; subclasses override it."""
 
     @circuits.handler('deliver')
     def _on_deliver(self) -> None:
-        for message in self._runtime.take(self.task_name):
-            method = self.handlers.get(type(message))
-            if method is None:
+        for message in self._runtime.take_messages(self.task_name):
+            handle = self.handlers.get(type(message))
+            if handle is None:
                 self._failed(message, 'no handler')
                 continue
             try:
-                method(self, message)
-            except Exception as exc:  # noqa: BLE001 - the task lives on
+                handle(self, message)
+            except Exception as exc:  # noqa: BLE001 - the task goes on
                 self._failed(message, repr(exc))
         self.settled()
 
     def _failed(self, message: core.Message, why: str) -> None:
+        """Log a message that raised an error or has no handler."""
         self.log.emit(
             core.LogEvent.TASK_FAILED, kind=type(message).__name__, why=why
         )
--- a/src/chicoryusher/runtime/timers.py
+++ b/src/chicoryusher/runtime/timers.py
@@ -1,4 +1,4 @@
-"""Timers: messages that a task will get at a later time."""
+"""Timers: messages that are sent to a task at a later time."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class Timers(circuits.BaseComponent):
-    """Heap of due times, driven by the runtime's clock."""
+    """Heap of timers by due time, on the runtime's clock."""
 
     channel = 'timers'
 
@@ -26,40 +26,40 @@
         super().__init__(channel='timers')
         self._clock = clock
         self._post = post
-        self._numbers = itertools.count(1)
+        self._timer_ids = itertools.count(1)
         self._heap: list[tuple[float, int, core.TaskName, core.Message]] = []
         self._cancelled: set[int] = set()
-        self._live: set[int] = set()
+        self._pending: set[int] = set()
 
     def add(
         self, delay: float, task: core.TaskName, message: core.Message
     ) -> core.TimerId:
         """Send ``message`` to ``task`` after ``delay`` seconds."""
-        number = next(self._numbers)
+        timer_id = next(self._timer_ids)
         when = self._clock.now() + max(0.0, delay)
-        heapq.heappush(self._heap, (when, number, task, message))
-        self._live.add(number)
-        return core.TimerId(number)
+        heapq.heappush(self._heap, (when, timer_id, task, message))
+        self._pending.add(timer_id)
+        return core.TimerId(timer_id)
 
     def cancel(self, timer: core.TimerId) -> None:
-        """Take back a timer; one that has fired is ignored."""
-        if timer in self._live:
+        """Cancel a timer; do nothing if it has fired."""
+        if timer in self._pending:
             self._cancelled.add(timer)
 
     def next_due(self) -> float | None:
-        """Return when the next timer is due, or None without any."""
+        """Return when the next timer is due, or None if there is none."""
         while self._heap and self._heap[0][1] in self._cancelled:
-            number = heapq.heappop(self._heap)[1]
-            self._cancelled.discard(number)
-            self._live.discard(number)
+            timer_id = heapq.heappop(self._heap)[1]
+            self._cancelled.discard(timer_id)
+            self._pending.discard(timer_id)
         return self._heap[0][0] if self._heap else None
 
     def fire_due(self) -> None:
         """Post the message of every timer that is due."""
         now = self._clock.now()
         while (due := self.next_due()) is not None and due <= now:
-            _, number, task, message = heapq.heappop(self._heap)
-            self._live.discard(number)
+            _, timer_id, task, message = heapq.heappop(self._heap)
+            self._pending.discard(timer_id)
             self._post(task, message)
 
     @circuits.handler('generate_events', channel='*')
--- a/tests/runtime/test_exposition.py
+++ b/tests/runtime/test_exposition.py
@@ -1,4 +1,4 @@
-"""Metrics as text over HTTP."""
+"""Metrics served over HTTP."""
 
 from __future__ import annotations
 
@@ -20,18 +20,18 @@
 def server():
     meters = exposition.OtelMeters()
     loop = runtime.Runtime(meters=meters)
-    made = exposition.MetricsServer(loop, VM, (HOST, 0), meters)
+    metrics_server = exposition.MetricsServer(loop, VM, (HOST, 0), meters)
     thread = threading.Thread(target=loop.run, daemon=True)
     thread.start()
-    yield made
+    yield metrics_server
     loop.stop()
     thread.join(5)
 
 
-def ask(server, path):
+def http_get(server, path):
     url = f'http://{HOST}:{server.address[1]}{path}'
-    with urllib.request.urlopen(url, timeout=5) as answer:
-        return answer.read().decode()
+    with urllib.request.urlopen(url, timeout=5) as response:
+        return response.read().decode()
 
 
 def test_counters_histograms_and_gauges_are_served_as_text(server):
@@ -47,7 +47,7 @@
     meters.add(core.Metric.RETRIES, why='the primary is busy')
     meters.show(core.Metric.SESSIONS, 3)
     meters.watch(core.Metric.LOG_DROPPED, lambda: 7.0)
-    text = ask(server, '/metrics')
+    text = http_get(server, '/metrics')
     assert 'chicoryusher_statement_seconds_count{' in text
     assert 'le="0.4",outcome="done",role="primary"} 1.0' in text
     assert 'chicoryusher_retries_total{why="the primary is busy"} 2.0' in text
@@ -55,7 +55,7 @@
     assert 'chicoryusher_log_dropped 7.0' in text
 
 
-def test_another_path_is_not_found(server):
-    with pytest.raises(urllib.error.HTTPError) as caught:
-        ask(server, '/nothing')
-    assert caught.value.code == 404
+def test_request_for_another_path_gets_404(server):
+    with pytest.raises(urllib.error.HTTPError) as raised:
+        http_get(server, '/nothing')
+    assert raised.value.code == 404
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -1,4 +1,4 @@
-"""Log lines under load, and with a reader that stops reading."""
+"""Rate limit of log lines, and a reader that stops reading."""
 
 from __future__ import annotations
 
@@ -33,15 +33,15 @@
             return [json.loads(line) for line in data.splitlines()]
 
 
-def started(writer):
+def make_log(writer):
     clock = core.VirtualClock(100.0)
     handler = runtime.BoundedHandler(writer, core.LogLevel.INFO, clock)
     return clock, handler, runtime.Log('vm1', 'desk')
 
 
-def test_sampled_lines_are_bounded_and_refusals_are_kept(pipe):
+def test_sampled_events_are_rate_limited_apart_from_others(pipe):
     reader, writer = pipe
-    clock, handler, log = started(writer)
+    clock, handler, log = make_log(writer)
     lines = []
     with handler.applicationbound():
         for number in range(400):
@@ -49,30 +49,36 @@
             if number % 10 == 0:
                 log.emit(REFUSED, request=f'r{number}')
             lines += read_lines(reader)
-    events = [one['event'] for one in lines]
+    events = [line['event'] for line in lines]
     assert events.count(REFUSED.number) == 40
-    assert events.count(SENT.number) == logs.SAMPLED_RATE * logs.SAVED_UP
-    assert handler.dropped == 400 - logs.SAMPLED_RATE * logs.SAVED_UP
+    assert (
+        events.count(SENT.number)
+        == logs.MAX_SAMPLED_LINES_PER_S * logs.MAX_BURST_S
+    )
+    assert (
+        handler.dropped
+        == 400 - logs.MAX_SAMPLED_LINES_PER_S * logs.MAX_BURST_S
+    )
 
 
-def test_what_was_dropped_is_counted_once_a_second(pipe):
+def test_number_of_dropped_lines_is_reported_once_a_second(pipe):
     reader, writer = pipe
-    clock, handler, log = started(writer)
+    clock, handler, log = make_log(writer)
     with handler.applicationbound():
         for number in range(200):
             log.emit(SENT, request=f'r{number}')
         read_lines(reader)
         log.emit(REFUSED, request='a')
         log.emit(SENT, request='b')
-        clock.advance_to(clock.now() + logs.NOTE_PAUSE)
+        clock.advance_to(clock.now() + logs.DROP_REPORT_INTERVAL_S)
         log.emit(REFUSED, request='c')
-    notes = [one for one in read_lines(reader) if one['event'] == 0]
-    assert [one['lines'] for one in notes] == [120, 1]
+    reports = [line for line in read_lines(reader) if line['event'] == 0]
+    assert [line['lines'] for line in reports] == [120, 1]
 
 
-def test_a_reader_that_stops_reading_is_not_waited_for(pipe):
+def test_full_pipe_drops_lines_instead_of_blocking(pipe):
     reader, writer = pipe
-    clock, handler, log = started(writer)
+    clock, handler, log = make_log(writer)
     with handler.applicationbound():
         for number in range(3000):
             clock.advance_to(clock.now() + 0.1)
@@ -84,5 +90,5 @@
         log.emit(REFUSED, request='last')
         lines += read_lines(reader)
     assert lines[-1]['request'] == 'last'
-    told = sum(one['lines'] for one in lines if one['event'] == 0)
-    assert told == dropped
+    reported = sum(line['lines'] for line in lines if line['event'] == 0)
+    assert reported == dropped
--- a/tests/runtime/test_meters.py
+++ b/tests/runtime/test_meters.py
@@ -1,4 +1,4 @@
-"""Counting before there is a collector."""
+"""Measurements that are made before a collector is started."""
 
 from __future__ import annotations
 
@@ -9,35 +9,35 @@
 
 class Collector(runtime.NoMeters):
     def __init__(self):
-        self.seen = []
+        self.measurements = []
 
     def add(self, metric, **labels):
-        self.seen.append((metric, labels))
+        self.measurements.append((metric, labels))
 
     def record(self, metric, seconds, **labels):
-        self.seen.append((metric, seconds, labels))
+        self.measurements.append((metric, seconds, labels))
 
     def show(self, metric, value, **labels):
-        self.seen.append((metric, value, labels))
+        self.measurements.append((metric, value, labels))
 
 
-def test_what_was_counted_early_is_handed_over_in_order():
-    late, collector = runtime.LateMeters(), Collector()
-    late.add(core.Metric.RETRIES, why='a')
-    late.record(core.Metric.QUEUE, 0.5, instance='i')
-    late.start(collector)
-    late.show(core.Metric.SESSIONS, 3)
-    assert collector.seen == [
+def test_buffered_measurements_are_forwarded_in_order():
+    buffering, collector = runtime.LateMeters(), Collector()
+    buffering.add(core.Metric.RETRIES, why='a')
+    buffering.record(core.Metric.QUEUE, 0.5, instance='i')
+    buffering.start(collector)
+    buffering.show(core.Metric.SESSIONS, 3)
+    assert collector.measurements == [
         (core.Metric.RETRIES, {'why': 'a'}),
         (core.Metric.QUEUE, 0.5, {'instance': 'i'}),
         (core.Metric.SESSIONS, 3, {}),
     ]
 
 
-def test_no_more_is_kept_than_the_bound():
-    late, collector = runtime.LateMeters(), Collector()
-    for number in range(meters_module.MOST_KEPT + 10):
-        late.show(core.Metric.SESSIONS, number)
-    late.start(collector)
-    assert len(collector.seen) == meters_module.MOST_KEPT
-    assert collector.seen[0][1] == 10
+def test_full_buffer_drops_the_oldest_measurements():
+    buffering, collector = runtime.LateMeters(), Collector()
+    for number in range(meters_module.MAX_BUFFERED_COUNT + 10):
+        buffering.show(core.Metric.SESSIONS, number)
+    buffering.start(collector)
+    assert len(collector.measurements) == meters_module.MAX_BUFFERED_COUNT
+    assert collector.measurements[0][1] == 10
