Reword the encodings of the MySQL protocol and their tests

Uses the terms of the protocol: responses, packets, payloads, GTID sets, connection attributes, session state.

--- a/src/chicoryusher/wire/__init__.py
+++ b/src/chicoryusher/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Encodings of the MySQL protocol shared by both edges."""
+"""MySQL protocol encodings used towards callers and instances."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/wire/answers.py
+++ b/src/chicoryusher/wire/answers.py
@@ -1,8 +1,8 @@
-"""Find the end of an instance's answer without decoding its rows.
+"""Find the end of an instance's response without decoding its rows.
 
-The bytes go to the caller as they are.  Only the closing packet is
-looked at, and an OK packet loses the session state that the caller did
-not ask for.
+The bytes are passed on to the caller unchanged, with one exception: the
+session state is removed from the OK packet that ends a response, since the
+caller did not ask for session tracking.
 """
 
 from __future__ import annotations
@@ -18,26 +18,32 @@
 
 __all__ = ['AnswerKind', 'AnswerScanner', 'Scanned', 'error_code']
 
-OK = 0x00
-EOF = 0xFE
-ERR = 0xFF
-LOCAL_INFILE = 0xFB
-EOF_MAX_BYTES = 9
+OK_PACKET = 0x00
+EOF_PACKET = 0xFE
+ERROR_PACKET = 0xFF
+LOCAL_INFILE_PACKET = 0xFB
+EOF_SIZE_LIMIT_BYTES = 9
 STATUS_IN_TRANSACTION = 0x0001
 STATUS_MORE_RESULTS = 0x0008
-STATUS_STATE_CHANGED = 0x4000
-TRACK_GTIDS = 3
-STATUS_AT_EOF = 3
+STATUS_SESSION_STATE_CHANGED = 0x4000
+SESSION_TRACK_GTIDS = 3
+EOF_STATUS_OFFSET_BYTES = 3
 
 
 class AnswerKind(enum.Enum):
-    """Shape of the answer that a command gets."""
+    """Form of the response to a command.
+
+    RESULT is an OK packet or result sets, PREPARED the response to
+    COM_STMT_PREPARE.
+    """
 
     RESULT = 'result'
     PREPARED = 'prepared'
 
 
 class _Stage(enum.Enum):
+    """Part of the response to which the next packet belongs."""
+
     FIRST = 'first'
     DEFINITIONS = 'definitions'
     ROWS = 'rows'
@@ -46,7 +52,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Scanned:
-    """What a scan found: bytes to pass on and how the answer ended."""
+    """Bytes to pass on, and how the response ended if it did.
+
+    ``position`` is the log position that the instance reported with the
+    response, ``statement_id`` the id of a newly prepared statement.
+    """
 
     data: bytes
     final: bool = False
@@ -57,118 +67,129 @@
 
 
 class AnswerScanner:
-    """Follow one answer from its first packet to its last."""
+    """Scanner of one response, from its first packet to its last."""
 
     def __init__(self, kind: AnswerKind) -> None:
         self._kind = kind
         self._stage = _Stage.FIRST
-        self._blocks_left = 0
+        self._remaining_blocks = 0
         self._buffer = bytearray()
-        self._joining = False
+        self._packet_continues = False
 
     def feed(self, data: bytes) -> Scanned:
-        """Add bytes; whole packets among them are returned.
+        """Add bytes; return the packets they complete, up to the last one.
 
-        Raise ProtocolError where the instance sends what it must not.
+        Raise ProtocolError if the instance asks the client for a local
+        file, which is not supported.
         """
         buffer = self._buffer
         buffer += data
-        found = Scanned(b'')
+        scanned = Scanned(b'')
         start = 0
         rewritten: list[bytes] = []
         copied = 0
-        size_of = int.from_bytes
+        to_int = int.from_bytes
         while len(buffer) - start >= framing.HEADER_BYTES:
-            size = size_of(buffer[start : start + 3], 'little')
+            size = to_int(buffer[start : start + 3], 'little')
             end = start + framing.HEADER_BYTES + size
             if len(buffer) < end:
                 break
-            replaced = self._packet(start, end, found)
-            if replaced is not None:
+            replacement = self._scan_packet(start, end, scanned)
+            if replacement is not None:
                 rewritten.append(bytes(buffer[copied:start]))
-                rewritten.append(replaced)
+                rewritten.append(replacement)
                 copied = end
             start = end
-            if found.final:
+            if scanned.final:
                 break
         rewritten.append(bytes(buffer[copied:start]))
         del buffer[:start]
-        found.data = b''.join(rewritten)
-        return found
+        scanned.data = b''.join(rewritten)
+        return scanned
 
-    def _packet(self, start: int, end: int, found: Scanned) -> bytes | None:
+    def _scan_packet(
+        self, start: int, end: int, scanned: Scanned
+    ) -> bytes | None:
+        """Scan one packet; return its replacement, or None to keep it."""
         size = end - start - framing.HEADER_BYTES
-        joined = self._joining
-        self._joining = size == framing.MAX_PAYLOAD
-        if joined:
+        continuation = self._packet_continues
+        self._packet_continues = size == framing.MAX_PAYLOAD
+        if continuation:
             return None
         first = self._buffer[start + framing.HEADER_BYTES] if size else 0
-        if first == ERR:
-            self._end(found)
-            found.error_code = error_code(
+        if first == ERROR_PACKET:
+            self._finish(scanned)
+            scanned.error_code = error_code(
                 bytes(self._buffer[start + framing.HEADER_BYTES : end])
             )
             return None
         if self._stage is _Stage.ROWS:
-            if first == EOF and size < EOF_MAX_BYTES:
-                self._end_of_rows(start, found)
+            if first == EOF_PACKET and size < EOF_SIZE_LIMIT_BYTES:
+                self._on_end_of_rows(start, scanned)
             return None
         if self._stage is _Stage.DEFINITIONS:
-            if first == EOF and size < EOF_MAX_BYTES:
-                self._end_of_block(found)
+            if first == EOF_PACKET and size < EOF_SIZE_LIMIT_BYTES:
+                self._on_end_of_block(scanned)
             return None
-        return self._first_packet(first, start, end, found)
+        return self._scan_first_packet(first, start, end, scanned)
 
-    def _first_packet(
-        self, first: int, start: int, end: int, found: Scanned
+    def _scan_first_packet(
+        self, first: int, start: int, end: int, scanned: Scanned
     ) -> bytes | None:
         payload = bytes(self._buffer[start + framing.HEADER_BYTES : end])
-        if first == LOCAL_INFILE:
+        if first == LOCAL_INFILE_PACKET:
             raise core.ProtocolError('the instance asked for a local file')
-        if first != OK:
+        if first != OK_PACKET:
             self._stage = _Stage.DEFINITIONS
             return None
         if self._kind is AnswerKind.PREPARED:
-            self._prepared(payload, found)
+            self._scan_prepared(payload, scanned)
             return None
-        stripped = _read_ok(payload, found)
-        if not found.final:
+        stripped = _read_ok(payload, scanned)
+        if not scanned.final:
             self._stage = _Stage.FIRST
             return None
         self._stage = _Stage.FINISHED
         return framing.frame(stripped, self._buffer[start + 3])
 
-    def _prepared(self, payload: bytes, found: Scanned) -> None:
+    def _scan_prepared(self, payload: bytes, scanned: Scanned) -> None:
+        """Read the first packet of the response to COM_STMT_PREPARE.
+
+        A block of definitions follows for the parameters, if there are
+        any, and one for the columns.
+        """
         packet = protocol.MysqlPacket(payload, 'utf8')
         packet.advance(1)
-        found.statement_id = packet.read_uint32()
+        scanned.statement_id = packet.read_uint32()
         columns = packet.read_uint16()
         params = packet.read_uint16()
-        self._blocks_left = bool(columns) + bool(params)
-        if self._blocks_left:
+        self._remaining_blocks = bool(columns) + bool(params)
+        if self._remaining_blocks:
             self._stage = _Stage.DEFINITIONS
             return
-        self._end(found)
+        self._finish(scanned)
 
-    def _end_of_block(self, found: Scanned) -> None:
+    def _on_end_of_block(self, scanned: Scanned) -> None:
+        """Handle the EOF packet after a block of definitions."""
         if self._kind is AnswerKind.RESULT:
             self._stage = _Stage.ROWS
             return
-        self._blocks_left -= 1
-        if not self._blocks_left:
-            self._end(found)
-
-    def _end_of_rows(self, start: int, found: Scanned) -> None:
-        place = start + framing.HEADER_BYTES + STATUS_AT_EOF
-        status = int.from_bytes(self._buffer[place : place + 2], 'little')
-        found.in_transaction = bool(status & STATUS_IN_TRANSACTION)
+        self._remaining_blocks -= 1
+        if not self._remaining_blocks:
+            self._finish(scanned)
+
+    def _on_end_of_rows(self, start: int, scanned: Scanned) -> None:
+        """Handle the EOF packet after the rows of a result set."""
+        offset = start + framing.HEADER_BYTES + EOF_STATUS_OFFSET_BYTES
+        status = int.from_bytes(self._buffer[offset : offset + 2], 'little')
+        scanned.in_transaction = bool(status & STATUS_IN_TRANSACTION)
         if status & STATUS_MORE_RESULTS:
             self._stage = _Stage.FIRST
             return
-        self._end(found)
+        self._finish(scanned)
 
-    def _end(self, found: Scanned) -> None:
-        found.final = True
+    def _finish(self, scanned: Scanned) -> None:
+        scanned.final = True
         self._stage = _Stage.FINISHED
 
 
@@ -177,41 +198,43 @@
     return int.from_bytes(payload[1:3], 'little')
 
 
-def _read_ok(payload: bytes, found: Scanned) -> bytes:
+def _read_ok(payload: bytes, scanned: Scanned) -> bytes:
+    """Read an OK packet; return its payload without session state."""
     packet = protocol.MysqlPacket(payload, 'utf8')
     packet.advance(1)
     packet.read_length_encoded_integer()
     packet.read_length_encoded_integer()
-    before = packet._position  # noqa: SLF001 - the library has no getter
+    status_start = packet._position  # noqa: SLF001 - the library has no getter
     status = packet.read_uint16()
     packet.advance(2)
-    after = packet._position  # noqa: SLF001
-    found.in_transaction = bool(status & STATUS_IN_TRANSACTION)
-    found.final = not status & STATUS_MORE_RESULTS
+    status_end = packet._position  # noqa: SLF001
+    scanned.in_transaction = bool(status & STATUS_IN_TRANSACTION)
+    scanned.final = not status & STATUS_MORE_RESULTS
     info = b''
-    if after < len(payload):
+    if status_end < len(payload):
         info = packet.read_length_coded_string() or b''
-    if status & STATUS_STATE_CHANGED:
-        found.position = _tracked_position(packet.read_length_coded_string())
-    kept = status & ~STATUS_STATE_CHANGED
+    if status & STATUS_SESSION_STATE_CHANGED:
+        scanned.position = _tracked_position(packet.read_length_coded_string())
+    cleared = status & ~STATUS_SESSION_STATE_CHANGED
     return b''.join(
         (
-            payload[:before],
-            kept.to_bytes(2, 'little'),
-            payload[before + 2 : after],
+            payload[:status_start],
+            cleared.to_bytes(2, 'little'),
+            payload[status_start + 2 : status_end],
             info,
         )
     )
 
 
 def _tracked_position(state: bytes | None) -> core.Position | None:
+    """Return the last log position in tracked session state, if any."""
     packet = protocol.MysqlPacket(state or b'', 'utf8')
-    left = len(state or b'')
-    while left > 0:
+    remaining = len(state or b'')
+    while remaining > 0:
         kind = packet.read_uint8()
         data = packet.read_length_coded_string() or b''
-        left -= 2 + len(data)
-        if kind == TRACK_GTIDS:
+        remaining -= 2 + len(data)
+        if kind == SESSION_TRACK_GTIDS:
             inner = protocol.MysqlPacket(data, 'utf8')
             inner.advance(1)
             text = (inner.read_length_coded_string() or b'').decode()
--- a/src/chicoryusher/wire/auth.py
+++ b/src/chicoryusher/wire/auth.py
@@ -1,7 +1,8 @@
-"""Password authentication methods, filled by decorators.
+"""Registry of password authentication methods.
 
-A method computes the response to a nonce; both ends compute it and the
-server compares the two in constant time.
+A method computes the response to the server's nonce from the password.
+Both ends compute it, and the server compares the two responses in
+constant time.
 """
 
 from __future__ import annotations
@@ -46,10 +47,10 @@
 
 
 def respond(method: str, password: str, nonce: bytes) -> bytes:
-    """Return the response to ``nonce``; UnknownName for a bad method."""
+    """Return the response to ``nonce``; UnknownName if no such method."""
     return METHODS.get(method)(password.encode(), nonce[:NONCE_BYTES])
 
 
-def verify(method: str, password: str, nonce: bytes, given: bytes) -> bool:
-    """Compare a caller's response with the expected one."""
-    return hmac.compare_digest(respond(method, password, nonce), given)
+def verify(method: str, password: str, nonce: bytes, response: bytes) -> bool:
+    """Return whether ``response`` is the expected response to ``nonce``."""
+    return hmac.compare_digest(respond(method, password, nonce), response)
--- a/src/chicoryusher/wire/framing.py
+++ b/src/chicoryusher/wire/framing.py
@@ -1,4 +1,9 @@
-"""Packets of the MySQL client/server protocol on a byte stream."""
+"""Packets of the MySQL protocol in a byte stream.
+
+A packet has a header: its size (3 bytes) and a sequence number (1 byte).
+A payload of 16 MiB - 1 byte or more is split into packets of that size and
+a shorter last one.
+"""
 
 from __future__ import annotations
 
@@ -15,27 +20,28 @@
 
 
 class Packet(NamedTuple):
-    """One whole packet: the last sequence number and the payload."""
+    """A payload, joined if it was split, and its last sequence number."""
 
     sequence: int
     payload: bytes
 
 
 class Framer:
-    """Cut a byte stream into packets, joining those over 16 MiB.
+    """Splits a byte stream into packets and joins split payloads.
 
-    ``max_bytes`` bounds one packet; it may be changed at any time.
+    ``max_bytes`` limits one payload; it may be changed at any time.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
         self._buffer = bytearray()
-        self._joined = bytearray()
+        self._split_payload = bytearray()
 
     def feed(self, data: bytes) -> list[Packet]:
         """Add bytes and return the packets they complete.
 
-        Raise OversizePacket once a packet is known to pass the bound.
+        Raise OversizePacket as soon as a header shows that a payload is
+        over the limit.
         """
         buffer = self._buffer
         buffer += data
@@ -43,7 +49,7 @@
         start = 0
         while len(buffer) - start >= HEADER_BYTES:
             size = int.from_bytes(buffer[start : start + 3], 'little')
-            if size + len(self._joined) > self.max_bytes:
+            if size + len(self._split_payload) > self.max_bytes:
                 raise core.OversizePacket(
                     f'packet of {size} bytes or more, at most'
                     f' {self.max_bytes} are allowed'
@@ -55,25 +61,25 @@
             payload = bytes(buffer[start + HEADER_BYTES : end])
             start = end
             if size == MAX_PAYLOAD:
-                self._joined += payload
+                self._split_payload += payload
                 continue
-            if self._joined:
-                payload = bytes(self._joined) + payload
-                self._joined.clear()
+            if self._split_payload:
+                payload = bytes(self._split_payload) + payload
+                self._split_payload.clear()
             packets.append(Packet(sequence, payload))
         del buffer[:start]
         return packets
 
 
 def frame(payload: bytes, sequence: int = 0) -> bytes:
-    """Return ``payload`` with its header, split where it is too long."""
-    parts = []
+    """Return ``payload`` as packets; split it if it is too long for one."""
+    packets = []
     while len(payload) >= MAX_PAYLOAD:
-        parts.append(_header(MAX_PAYLOAD, sequence) + payload[:MAX_PAYLOAD])
+        packets.append(_header(MAX_PAYLOAD, sequence) + payload[:MAX_PAYLOAD])
         payload = payload[MAX_PAYLOAD:]
         sequence = (sequence + 1) % 256
-    parts.append(_header(len(payload), sequence) + payload)
-    return b''.join(parts)
+    packets.append(_header(len(payload), sequence) + payload)
+    return b''.join(packets)
 
 
 def _header(size: int, sequence: int) -> bytes:
--- a/src/chicoryusher/wire/greeting.py
+++ b/src/chicoryusher/wire/greeting.py
@@ -1,4 +1,8 @@
-"""Connection phase of the MySQL protocol, both ends."""
+"""Connection phase of the MySQL protocol, for both ends.
+
+The server sends a greeting with a nonce, and the client answers with a
+handshake response.
+"""
 
 from __future__ import annotations
 
@@ -27,38 +31,43 @@
     'parse_hello',
 ]
 
-_CAP = types.Capabilities
+_Capabilities = types.Capabilities
 CALLER_CAPABILITIES = (
-    _CAP.CLIENT_PROTOCOL_41
-    | _CAP.CLIENT_LONG_PASSWORD
-    | _CAP.CLIENT_FOUND_ROWS
-    | _CAP.CLIENT_LONG_FLAG
-    | _CAP.CLIENT_CONNECT_WITH_DB
-    | _CAP.CLIENT_TRANSACTIONS
-    | _CAP.CLIENT_SECURE_CONNECTION
-    | _CAP.CLIENT_PLUGIN_AUTH
-    | _CAP.CLIENT_CONNECT_ATTRS
-    | _CAP.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA
+    _Capabilities.CLIENT_PROTOCOL_41
+    | _Capabilities.CLIENT_LONG_PASSWORD
+    | _Capabilities.CLIENT_FOUND_ROWS
+    | _Capabilities.CLIENT_LONG_FLAG
+    | _Capabilities.CLIENT_CONNECT_WITH_DB
+    | _Capabilities.CLIENT_TRANSACTIONS
+    | _Capabilities.CLIENT_SECURE_CONNECTION
+    | _Capabilities.CLIENT_PLUGIN_AUTH
+    | _Capabilities.CLIENT_CONNECT_ATTRS
+    | _Capabilities.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA
 )
 BACKEND_CAPABILITIES = (
-    CALLER_CAPABILITIES & ~(_CAP.CLIENT_CONNECT_ATTRS | _CAP.CLIENT_FOUND_ROWS)
-    | _CAP.CLIENT_SESSION_TRACK
+    CALLER_CAPABILITIES
+    & ~(_Capabilities.CLIENT_CONNECT_ATTRS | _Capabilities.CLIENT_FOUND_ROWS)
+    | _Capabilities.CLIENT_SESSION_TRACK
 )
 SERVER_VERSION = '8.4.0-chicoryusher'
 MAX_PACKET_BYTES = 1 << 30
-UTF8MB4 = 45
-# Bytes of a handshake response before the user's name.
-MAX_SIZE_BYTES = 4
-CHARSET_BYTES = 1
-FILLER_BYTES = 23
-# A length-encoded NULL.
-NULL = b'\xfb'
-_STATUS = types.ServerStatus
+UTF8MB4_COLLATION_ID = 45
+# Sizes of the fields of a handshake response between flags and user name.
+MAX_PACKET_FIELD_BYTES = 4
+CHARSET_FIELD_BYTES = 1
+FILLER_FIELD_BYTES = 23
+# A NULL in place of a length-encoded string.
+NULL_STRING = b'\xfb'
+_Status = types.ServerStatus
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerHello:
-    """What a caller's handshake response says."""
+    """Contents of a caller's handshake response.
+
+    ``response`` is the response to the nonce by the authentication
+    ``method``, ``attributes`` are the connection attributes.
+    """
 
     user: str
     response: bytes
@@ -69,7 +78,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerGreeting:
-    """What a server's first packet says."""
+    """Contents of a server's first packet."""
 
     connection_id: int
     nonce: bytes
@@ -88,7 +97,7 @@
         server_version=SERVER_VERSION,
         connection_id=connection_id,
         auth_data=nonce + b'\0',
-        status_flags=_STATUS.SERVER_STATUS_AUTOCOMMIT,
+        status_flags=_Status.SERVER_STATUS_AUTOCOMMIT,
         auth_plugin_name=auth.DEFAULT_METHOD,
     )
 
@@ -96,7 +105,7 @@
 def parse_hello(
     payload: bytes, capabilities: types.Capabilities = CALLER_CAPABILITIES
 ) -> CallerHello:
-    """Decode a handshake response; MalformedPacket if it can't be."""
+    """Decode a handshake response; raise MalformedPacket if malformed."""
     packet = protocol.MysqlPacket(payload, 'utf8')
     try:
         return _read_hello(packet, capabilities)
@@ -107,20 +116,22 @@
 def _read_hello(
     packet: protocol.MysqlPacket, capabilities: types.Capabilities
 ) -> CallerHello:
-    """Read the fields in their order; each read checks its bounds."""
-    flags = _CAP(packet.read_uint32()) & capabilities
-    if _CAP.CLIENT_PROTOCOL_41 not in flags:
+    """Decode the fields in their order; each read checks the bounds."""
+    flags = _Capabilities(packet.read_uint32()) & capabilities
+    if _Capabilities.CLIENT_PROTOCOL_41 not in flags:
         raise ValueError('protocol 4.1 is required')
-    packet.read(MAX_SIZE_BYTES + CHARSET_BYTES + FILLER_BYTES)
+    packet.read(
+        MAX_PACKET_FIELD_BYTES + CHARSET_FIELD_BYTES + FILLER_FIELD_BYTES
+    )
     user = _read_text(packet)
     response = _read_response(packet, flags)
     database, method = '', ''
-    if _CAP.CLIENT_CONNECT_WITH_DB in flags:
+    if _Capabilities.CLIENT_CONNECT_WITH_DB in flags:
         database = _read_text(packet)
-    if _CAP.CLIENT_PLUGIN_AUTH in flags:
+    if _Capabilities.CLIENT_PLUGIN_AUTH in flags:
         method = _read_text(packet)
     attributes: tuple[tuple[str, str], ...] = ()
-    if _CAP.CLIENT_CONNECT_ATTRS in flags:
+    if _Capabilities.CLIENT_CONNECT_ATTRS in flags:
         attributes = _read_attributes(packet)
     return CallerHello(
         user,
@@ -132,18 +143,18 @@
 
 
 def _read_text(packet: protocol.MysqlPacket) -> str:
-    found = packet.read_string()
-    if found is None:
-        raise ValueError('a text is not terminated')
-    return found.decode()
+    text = packet.read_string()
+    if text is None:
+        raise ValueError('a string is not terminated by a zero byte')
+    return text.decode()
 
 
 def _read_response(
     packet: protocol.MysqlPacket, flags: types.Capabilities
 ) -> bytes:
-    if _CAP.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA in flags:
+    if _Capabilities.CLIENT_PLUGIN_AUTH_LENENC_CLIENT_DATA in flags:
         return packet.read_length_coded_string() or b''
-    if _CAP.CLIENT_SECURE_CONNECTION in flags:
+    if _Capabilities.CLIENT_SECURE_CONNECTION in flags:
         return packet.read(packet.read_uint8())
     return packet.read_string() or b''
 
@@ -151,32 +162,39 @@
 def _read_attributes(
     packet: protocol.MysqlPacket,
 ) -> tuple[tuple[str, str], ...]:
-    """Read pairs up to the end, which a NULL is put behind."""
+    """Decode the connection attributes, which are key and value pairs.
+
+    A NULL is appended to the pairs, so that reading a key at their end
+    returns None.
+    """
     size = packet.read_length_encoded_integer()
     if size is None:
-        raise ValueError('attributes without a size')
-    part = protocol.MysqlPacket(packet.read(size) + NULL, 'utf8')
-    found = []
-    while (key := part.read_length_coded_string()) is not None:
-        value = part.read_length_coded_string() or b''
-        found.append((key.decode(), value.decode()))
-    return tuple(sorted(found))
+        raise ValueError('connection attributes without a size')
+    attributes = protocol.MysqlPacket(packet.read(size) + NULL_STRING, 'utf8')
+    pairs = []
+    while (key := attributes.read_length_coded_string()) is not None:
+        value = attributes.read_length_coded_string() or b''
+        pairs.append((key.decode(), value.decode()))
+    return tuple(sorted(pairs))
 
 
 def parse_greeting(payload: bytes) -> ServerGreeting:
-    """Decode a server's first packet; ProtocolError if it refuses."""
+    """Decode a server's first packet; ProtocolError if not version 10."""
     packet = protocol.MysqlPacket(payload, 'utf8')
     if packet.read_uint8() != 10:
-        raise core.ProtocolError('the server does not greet in version 10')
+        raise core.ProtocolError(
+            'the server does not use handshake version 10'
+        )
     packet.read_string()
     connection_id = packet.read_uint32()
-    head = packet.read(8)
+    nonce_start = packet.read(8)
+    # Filler, capabilities, character set, status flags, capabilities.
     packet.advance(1 + 2 + 1 + 2 + 2)
     size = packet.read_uint8()
     packet.advance(10)
-    rest = packet.read(max(13, size - 8))
+    nonce_end = packet.read(max(13, size - 8))
     method = (packet.read_string() or b'').decode()
-    nonce = (head + rest)[: auth.NONCE_BYTES]
+    nonce = (nonce_start + nonce_end)[: auth.NONCE_BYTES]
     return ServerGreeting(connection_id, nonce, method)
 
 
@@ -192,7 +210,7 @@
         (
             types.uint_4(capabilities),
             types.uint_4(MAX_PACKET_BYTES),
-            types.uint_1(UTF8MB4),
+            types.uint_1(UTF8MB4_COLLATION_ID),
             types.str_fixed(23, b''),
             types.str_null(user.encode()),
             types.str_len(response),
@@ -203,7 +221,7 @@
 
 
 def auth_switch(method: str, nonce: bytes) -> bytes:
-    """Return the payload that asks for another method."""
+    """Return the payload that requests another authentication method."""
     return packets.make_auth_switch_request(
         charset.CharacterSet.utf8mb4, method, nonce + b'\0'
     )
@@ -216,11 +234,11 @@
     last_insert_id: int = 0,
 ) -> bytes:
     """Return the payload of an OK packet."""
-    status = _STATUS(0)
+    status = _Status(0)
     if autocommit:
-        status |= _STATUS.SERVER_STATUS_AUTOCOMMIT
+        status |= _Status.SERVER_STATUS_AUTOCOMMIT
     if in_transaction:
-        status |= _STATUS.SERVER_STATUS_IN_TRANS
+        status |= _Status.SERVER_STATUS_IN_TRANS
     return packets.make_ok(
         CALLER_CAPABILITIES,
         status,
--- a/tests/wire/test_wire.py
+++ b/tests/wire/test_wire.py
@@ -1,3 +1,5 @@
+"""Encoding and decoding of MySQL protocol packets."""
+
 from __future__ import annotations
 
 import hypothesis
@@ -15,29 +17,29 @@
     strategies.lists(strategies.binary(max_size=300), max_size=8),
     strategies.integers(1, 50),
 )
-def test_packets_survive_any_cut_of_the_stream(payloads, step):
-    data = b''.join(wire.frame(one, 3) for one in payloads)
+def test_packets_are_read_from_fragments_of_any_size(payloads, fragment_size):
+    data = b''.join(wire.frame(item, 3) for item in payloads)
     framer = wire.Framer(1024)
-    found = []
-    for place in range(0, len(data), step):
-        found += framer.feed(data[place : place + step])
-    assert [one.payload for one in found] == payloads
+    packets = []
+    for offset in range(0, len(data), fragment_size):
+        packets += framer.feed(data[offset : offset + fragment_size])
+    assert [item.payload for item in packets] == payloads
 
 
-def test_a_packet_over_16_mib_is_joined_again():
+def test_payload_over_16_mib_is_split_and_joined():
     payload = b'x' * (wire.MAX_PAYLOAD + 5)
-    found = wire.Framer(1 << 25).feed(wire.frame(payload, 0))
-    assert [one.payload for one in found] == [payload]
+    packets = wire.Framer(1 << 25).feed(wire.frame(payload, 0))
+    assert [packet.payload for packet in packets] == [payload]
 
 
-def test_an_oversize_packet_is_refused_from_its_header():
+def test_oversize_packet_is_refused_by_its_header():
     with pytest.raises(core.OversizePacket):
         wire.Framer(100).feed(wire.frame(b'y' * 101)[:4])
 
 
 @SETTINGS
 @hypothesis.given(strategies.binary(max_size=200))
-def test_any_handshake_is_decoded_or_a_typed_error(payload):
+def test_arbitrary_handshake_decodes_or_raises_malformed_packet(payload):
     try:
         wire.parse_hello(payload)
     except core.MalformedPacket:
@@ -45,7 +47,7 @@
 
 
 @pytest.mark.parametrize('size', [33, 40, 200])
-def test_a_handshake_without_terminators_ends(size):
+def test_unterminated_handshake_decodes_or_raises_malformed_packet(size):
     capabilities = int(wire.CALLER_CAPABILITIES).to_bytes(4, 'little')
     payload = capabilities + bytes(4) + b'-' + bytes(23)
     payload += b'u' * (size - len(payload))
@@ -55,7 +57,7 @@
         return
 
 
-def hello_start():
+def handshake_start():
     capabilities = int(wire.CALLER_CAPABILITIES).to_bytes(4, 'little')
     return capabilities + bytes(4) + b'-' + bytes(23)
 
@@ -70,41 +72,41 @@
         b'clerk\0\x00stock\0method\0\xfa\x03key',
     ],
 )
-def test_a_handshake_whose_lengths_go_beyond_it_is_refused(rest):
+def test_handshake_with_lengths_beyond_its_end_is_refused(rest):
     with pytest.raises(core.MalformedPacket):
-        wire.parse_hello(hello_start() + rest)
+        wire.parse_hello(handshake_start() + rest)
 
 
 @SETTINGS
 @hypothesis.given(strategies.binary(max_size=200))
-def test_any_end_of_a_handshake_is_decoded_or_a_typed_error(rest):
+def test_arbitrary_end_of_handshake_decodes_or_raises_malformed_packet(rest):
     try:
-        wire.parse_hello(hello_start() + rest)
+        wire.parse_hello(handshake_start() + rest)
     except core.MalformedPacket:
         return
 
 
-def test_a_drivers_handshake_is_decoded():
+def test_handshake_of_a_driver_is_decoded():
     rest = b'clerk\0\x03abcstock\0caching_sha2_password\0\x08\x03key\x03val'
-    hello = wire.parse_hello(hello_start() + rest)
+    hello = wire.parse_hello(handshake_start() + rest)
     assert (hello.user, hello.response) == ('clerk', b'abc')
     assert (hello.database, hello.method) == ('stock', 'caching_sha2_password')
     assert hello.attributes == (('key', 'val'),)
 
 
 @pytest.mark.parametrize('name', sorted(wire.METHODS))
-def test_passwords_are_verified_by_every_method(name):
+def test_every_method_accepts_only_the_right_password(name):
     nonce = wire.new_nonce()
-    answer = wire.respond(name, 'secret', nonce)
-    assert wire.verify(name, 'secret', nonce, answer)
-    assert not wire.verify(name, 'other', nonce, answer)
-    assert not wire.verify(name, 'secret', wire.new_nonce(), answer)
+    response = wire.respond(name, 'secret', nonce)
+    assert wire.verify(name, 'secret', nonce, response)
+    assert not wire.verify(name, 'other', nonce, response)
+    assert not wire.verify(name, 'secret', wire.new_nonce(), response)
 
 
-def test_transaction_ids_hold_positions_and_term_starts():
-    last, starts = wire.parse_gtid_set('u:t1:1-40,u:t3:41-55')
-    assert last == core.Position(core.Term(3), core.LogPosition(55))
-    assert starts == (
+def test_gtid_set_gives_last_position_and_term_starts():
+    last_position, term_starts = wire.parse_gtid_set('u:t1:1-40,u:t3:41-55')
+    assert last_position == core.Position(core.Term(3), core.LogPosition(55))
+    assert term_starts == (
         core.TermStart(core.Term(1), core.LogPosition(0)),
         core.TermStart(core.Term(3), core.LogPosition(40)),
     )
@@ -113,14 +115,16 @@
 
 @SETTINGS
 @hypothesis.given(strategies.integers(1, 40))
-def test_an_answer_ends_where_its_last_packet_ends(step):
+def test_response_ends_with_its_last_packet(fragment_size):
     eof = b'\xfe\x00\x00\x02\x00'
-    parts = [b'\x01', b'def' + b'c' * 20, eof, b'\x011', b'\xfb', eof]
-    data = b''.join(wire.frame(p, i + 1) for i, p in enumerate(parts))
+    payloads = [b'\x01', b'def' + b'c' * 20, eof, b'\x011', b'\xfb', eof]
+    data = b''.join(
+        wire.frame(payload, i + 1) for i, payload in enumerate(payloads)
+    )
     scanner = wire.AnswerScanner(wire.AnswerKind.RESULT)
-    out, finals = b'', 0
-    for place in range(0, len(data), step):
-        found = scanner.feed(data[place : place + step])
-        out += found.data
-        finals += found.final
-    assert (out, finals) == (data, 1)
+    output, final_count = b'', 0
+    for offset in range(0, len(data), fragment_size):
+        scanned = scanner.feed(data[offset : offset + fragment_size])
+        output += scanned.data
+        final_count += scanned.final
+    assert (output, final_count) == (data, 1)
