Say more plainly what peer streams, logs and packets are limited by

Peer streams are authenticated or not, and queued messages that cannot be sent are reported as undelivered.

--- a/src/chicoryusher/peers/stream.py
+++ b/src/chicoryusher/peers/stream.py
@@ -25,9 +25,9 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 32 * 1024 * 1024
-MAX_HELLO_BYTES = 1024
+MAX_HANDSHAKE_FRAME_BYTES = 1024
 MIN_BYTES_TO_COMPRESS = 256
-BULK_HIGH_WATER_BYTES = 128 * 1024
+RESULT_HIGH_WATER_BYTES = 128 * 1024
 ZSTD_LEVEL = 3
 NONCE_BYTES = 16
 _FRAME_HEADER = struct.Struct('>IB')
@@ -44,7 +44,9 @@
 class Traffic(enum.Enum):
     """Purpose of bytes on a peer stream, by which they are counted."""
 
+    # Heartbeats and distribution of the configuration.
     CONTROL = 'control'
+    # All other messages: statements, their results and coordination.
     STATEMENTS = 'statements'
 
 
@@ -57,7 +59,8 @@
     Each end sends a nonce.  Each answers the other's nonce with a keyed
     digest (HMAC-SHA-256), which proves that it has the cluster's key.
     Short messages are sent before chunks of results, so that bulk data
-    does not delay them.
+    does not delay them.  ``peer`` is the name of the other VM once it is
+    authenticated.
     """
 
     def __init__(
@@ -72,7 +75,7 @@
         self.role = role
         self.peer: core.VmName | None = None
         self.opened_at = opened_at
-        self.sent: collections.Counter[Traffic] = collections.Counter()
+        self.bytes_sent: collections.Counter[Traffic] = collections.Counter()
         self._own_vm = own_vm
         self._key = key
         self._nonce = secrets.token_bytes(NONCE_BYTES)
@@ -87,8 +90,8 @@
         )
 
     @property
-    def ready(self) -> bool:
-        """Return whether the other end is authenticated."""
+    def authenticated(self) -> bool:
+        """Whether the other end has proved that it has the key."""
         return self.peer is not None
 
     def send(self, message: core.Message) -> None:
@@ -107,18 +110,18 @@
         Chunks of results stay queued while the socket's output buffer is
         above its high-water mark, or until the peer is authenticated.
         """
-        if self.ready and self._short_messages:
+        if self.authenticated and self._short_messages:
             self._write_frame(
                 b''.join(data for _, data in self._short_messages)
             )
             for traffic, data in self._short_messages:
-                self.sent[traffic] += len(data)
+                self.bytes_sent[traffic] += len(data)
             self._short_messages.clear()
-        while self.ready and self._result_chunks:
-            if self.stream.pending > BULK_HIGH_WATER_BYTES:
+        while self.authenticated and self._result_chunks:
+            if self.stream.pending > RESULT_HIGH_WATER_BYTES:
                 break
             data = self._result_chunks.popleft()
-            self.sent[Traffic.STATEMENTS] += len(data)
+            self.bytes_sent[Traffic.STATEMENTS] += len(data)
             self._write_frame(data)
         self.stream.flush()
 
@@ -132,7 +135,11 @@
         messages: list[core.Message] = []
         while len(self._buffer) >= _FRAME_HEADER.size:
             size, flags = _FRAME_HEADER.unpack_from(self._buffer)
-            limit = MAX_FRAME_BYTES if self.ready else MAX_HELLO_BYTES
+            limit = (
+                MAX_FRAME_BYTES
+                if self.authenticated
+                else MAX_HANDSHAKE_FRAME_BYTES
+            )
             if size > limit:
                 raise core.FrameError(f'frame of {size} bytes')
             end = _FRAME_HEADER.size + size
@@ -142,7 +149,7 @@
             del self._buffer[:end]
             if flags & _FLAG_COMPRESSED:
                 body = self._decompress(body)
-            if self.ready:
+            if self.authenticated:
                 messages += codec.unpack_frame(body)
             else:
                 self._handshake(body)
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -14,7 +14,7 @@
 HANDSHAKE_TIMEOUT_S = 1.0
 CONNECT_DELAY_S = 0.25
 RECONNECT_DELAY_S = 0.25
-MAX_QUEUED_MESSAGES = 4096
+MAX_QUEUED_MESSAGES_PER_VM = 4096
 MAX_STREAMS = 2048
 PeerStream = stream_module.PeerStream
 StreamRole = stream_module.StreamRole
@@ -43,9 +43,10 @@
 class PeerWatchers:
     """Tasks that are notified of streams and of undelivered messages.
 
-    ``up`` and ``down`` learn of authenticated streams that opened or
-    closed, ``unreachable`` of VMs to which no stream could be opened, and
-    ``undelivered`` of each message that was queued for such a VM.
+    ``up`` and ``down`` are notified when an authenticated stream opens or
+    closes.  ``unreachable`` is notified when queued messages are given up,
+    because no stream could be opened or the queue was full, and
+    ``undelivered`` of each of these messages.
     """
 
     up: tuple[core.TaskName, ...] = ()
@@ -69,7 +70,8 @@
     """Exchange messages with other VMs over one stream to each.
 
     Messages for a VM without a stream are queued until one is open.  If
-    it cannot be opened, they are returned as undelivered.
+    it cannot be opened or the queue is full, they are reported as
+    undelivered.
     """
 
     def __init__(
@@ -99,7 +101,8 @@
     def sent_bytes(self, traffic: stream_module.Traffic) -> int:
         """Return the uncompressed message bytes sent for a purpose."""
         open_stream_bytes = sum(
-            peer.sent[traffic] for peer in self._streams_by_fileno.values()
+            peer.bytes_sent[traffic]
+            for peer in self._streams_by_fileno.values()
         )
         return open_stream_bytes + self._closed_sent_bytes.get(traffic, 0)
 
@@ -138,8 +141,8 @@
             return
         queued = self._queued.setdefault(vm, [])
         queued.append(message.message)
-        if len(queued) > MAX_QUEUED_MESSAGES:
-            self._return_queued(vm)
+        if len(queued) > MAX_QUEUED_MESSAGES_PER_VM:
+            self._give_up_queued(vm)
         elif vm not in self._connecting:
             self._connect_soon(vm)
 
@@ -151,7 +154,7 @@
         streams.
         """
         if self.vm < vm:
-            self._connect_or_return_queued(vm)
+            self._connect_or_give_up(vm)
         elif vm not in self._delayed_connects:
             self._delayed_connects.add(vm)
             self.after(CONNECT_DELAY_S, _ConnectDelayOver(vm))
@@ -163,13 +166,18 @@
             delay_over.vm in self._queued
             and delay_over.vm not in self._connecting
         ):
-            self._connect_or_return_queued(delay_over.vm)
+            self._connect_or_give_up(delay_over.vm)
 
-    def _connect_or_return_queued(self, vm: core.VmName) -> None:
+    def _connect_or_give_up(self, vm: core.VmName) -> None:
         if not self._connect(vm):
-            self._return_queued(vm)
+            self._give_up_queued(vm)
 
     def _connect(self, vm: core.VmName) -> bool:
+        """Start to connect; return whether that was possible.
+
+        It is not if the address is unknown, or within the reconnect delay
+        after a failure.
+        """
         address = self._addresses.get(vm)
         if address is None or self.now() < self._no_connect_before.get(
             vm, 0.0
@@ -197,7 +205,11 @@
     @runtime.handles(_HandshakeTimeout)
     def _on_handshake_timeout(self, timeout: _HandshakeTimeout) -> None:
         peer = self._streams_by_fileno.get(timeout.fileno)
-        if peer is None or peer.ready or peer.opened_at != timeout.opened_at:
+        if (
+            peer is None
+            or peer.authenticated
+            or peer.opened_at != timeout.opened_at
+        ):
             return
         self._close_stream(peer)
 
@@ -228,7 +240,7 @@
             self._add_stream(stream, StreamRole.ACCEPTOR)
 
     def _receive(self, peer: PeerStream) -> None:
-        was_ready = peer.ready
+        was_authenticated = peer.authenticated
         data = peer.stream.read()
         try:
             messages = peer.receive(data) if data else []
@@ -240,7 +252,7 @@
             self.log.emit(core.LogEvent.PEER_FRAME_BAD, why=str(exc))
             self._close_stream(peer)
             return
-        if peer.ready and not was_ready:
+        if peer.authenticated and not was_authenticated:
             self._on_authenticated(peer)
         self._streams_to_flush.add(peer)
         for message in messages:
@@ -272,7 +284,7 @@
         """
         self._streams_by_fileno.pop(peer.stream.fileno, None)
         peer.stream.close()
-        for traffic, count in peer.sent.items():
+        for traffic, count in peer.bytes_sent.items():
             self._closed_sent_bytes[traffic] = (
                 self._closed_sent_bytes.get(traffic, 0) + count
             )
@@ -280,7 +292,7 @@
             if connecting is peer:
                 del self._connecting[vm]
                 self._no_connect_before[vm] = self.now() + RECONNECT_DELAY_S
-                self._return_queued(vm)
+                self._give_up_queued(vm)
         lost_vm = peer.peer
         if lost_vm is None or self._streams_by_vm.get(lost_vm) is not peer:
             return
@@ -298,8 +310,8 @@
         self.log.emit(core.LogEvent.PEER_LOST, peer=str(lost_vm))
         self._notify_down(lost_vm)
 
-    def _return_queued(self, vm: core.VmName) -> None:
-        """Return the queued messages as undelivered; report the VM down."""
+    def _give_up_queued(self, vm: core.VmName) -> None:
+        """Report the queued messages as undelivered, and the VM as down."""
         for message in self._queued.pop(vm, []):
             for watcher in self._watchers.undelivered:
                 self.send(watcher, tasks.Undelivered(vm, message))
--- a/src/chicoryusher/runtime/http_client.py
+++ b/src/chicoryusher/runtime/http_client.py
@@ -2,8 +2,8 @@
 
 Calls are made one after another on one persistent connection.  A call
 that was not sent fails with PlatformUnavailable.  A call that was sent
-but got no valid response fails with PlatformUnknown, since it may have had its
-effect.
+but got no valid response fails with PlatformUnknown, since it may have
+had its effect.
 """
 
 from __future__ import annotations
--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -20,7 +20,7 @@
 # Rate limit of all other events.  A VM that refuses every statement at its
 # usual load of 50 statements a second stays below it.
 MAX_OTHER_LINES_PER_S = 400.0
-# Unused lines of up to this many seconds may be written later in a burst.
+# A token bucket holds at most the lines of this many seconds.
 MAX_BURST_S = 2.0
 # Minimum time between lines that report the number of dropped lines.
 DROP_REPORT_INTERVAL_S = 1.0
@@ -73,7 +73,7 @@
 
 
 class _TokenBucket:
-    """Rate limiter of lines that allows bursts of saved-up lines."""
+    """Token bucket that limits the rate of lines but allows bursts."""
 
     def __init__(self, clock: core.Clock, lines_per_s: float) -> None:
         self._clock = clock
@@ -96,7 +96,7 @@
 
 
 class BoundedHandler(logbook.Handler):
-    """Write JSON lines to a descriptor, and never wait for its reader.
+    """Write JSON lines to a descriptor without waiting for its reader.
 
     Lines over the rate limit are dropped, and so are lines that cannot be
     written at once.  A separate line reports how many were dropped, at most
@@ -131,6 +131,7 @@
             self._count_dropped()
 
     def _allowed(self, record: logbook.LogRecord) -> bool:
+        """Return whether the rate limit of the event allows the line."""
         sampled = record.extra['number'] in core.SAMPLED_EVENTS
         bucket = self._sampled_bucket if sampled else self._other_bucket
         return bucket.try_take()
--- a/src/chicoryusher/runtime/task.py
+++ b/src/chicoryusher/runtime/task.py
@@ -33,7 +33,10 @@
 
 
 class Task(circuits.BaseComponent):
-    """A circuits component that receives typed messages only."""
+    """A circuits component that receives typed messages only.
+
+    Subclasses mark the methods that handle messages with ``handles``.
+    """
 
     handlers: ClassVar[dict[type, _Handler]] = {}
 
@@ -93,6 +96,7 @@
 
     @circuits.handler('deliver')
     def _on_deliver(self) -> None:
+        """Handle all messages in the mailbox."""
         for message in self._runtime.take_messages(self.task_name):
             handle = self.handlers.get(type(message))
             if handle is None:
--- a/src/chicoryusher/wire/answers.py
+++ b/src/chicoryusher/wire/answers.py
@@ -18,15 +18,20 @@
 
 __all__ = ['AnswerKind', 'AnswerScanner', 'Scanned', 'error_code']
 
+# The first byte of a payload shows the kind of packet.
 OK_PACKET = 0x00
 EOF_PACKET = 0xFE
 ERROR_PACKET = 0xFF
 LOCAL_INFILE_PACKET = 0xFB
+# Shorter payloads that begin with 0xFE are EOF packets, others are rows.
 EOF_SIZE_LIMIT_BYTES = 9
+# Server status flags.
 STATUS_IN_TRANSACTION = 0x0001
 STATUS_MORE_RESULTS = 0x0008
 STATUS_SESSION_STATE_CHANGED = 0x4000
+# Kind of tracked session state that holds GTIDs.
 SESSION_TRACK_GTIDS = 3
+# Place of the status flags in the payload of an EOF packet.
 EOF_STATUS_OFFSET_BYTES = 3
 
 
