--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -1,4 +1,9 @@
-"""The router: owns sessions, chooses instances, matches answers."""
+"""Router: owns callers' sessions and sends their requests to gates.
+
+Each request is sent to the gate of an instance that the routing policy
+chooses.  A request that was not run is routed again until its deadline;
+the answer goes to the front end of the session.
+"""
 
 from __future__ import annotations
 
@@ -15,16 +20,24 @@
 
 __all__ = ['Router', 'RouterSettings']
 
-SWEEP_INTERVAL = 0.25
-ANSWER_GRACE = 1.0
-_EVER = float('inf')
-_COMMITS = (core.StatementKind.COMMIT, core.StatementKind.DDL)
-_READS = (core.StatementKind.READ, core.StatementKind.PREPARE)
+# Interval between checks for requests whose gate has not answered.
+EXPIRY_CHECK_INTERVAL_S = 0.25
+# Seconds after a request's deadline for which the router still waits for
+# the gate's answer.
+ANSWER_GRACE_S = 1.0
+_UNLIMITED_STALENESS_S = float('inf')
+_COMMIT_KINDS = (core.StatementKind.COMMIT, core.StatementKind.DDL)
+_READ_KINDS = (core.StatementKind.READ, core.StatementKind.PREPARE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouterSettings:
-    """Where the router's VM is and which policy it routes by."""
+    """Settings of one VM's router.
+
+    Tokens are signed with ``token_key``; those signed with one of
+    ``old_token_keys`` are accepted too.  ``policy`` is the routing
+    policy, ``placement`` the policy that assigns instances to gates.
+    """
 
     zone: core.ZoneName
     token_key: bytes = dataclasses.field(repr=False)
@@ -36,39 +49,45 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Again(core.Message):
-    """Time to route a request that no gate could take."""
+class _RetryDue(core.Message):
+    """Timer: route a request again that no gate has accepted."""
 
     request_id: core.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Sweep(core.Message):
-    """Time to look for requests whose answer never came."""
+class _CheckExpired(core.Message):
+    """Timer: check for requests that no gate has answered in time."""
 
 
 class Router(runtime.Task):
-    """Route each request, and give each session its own answers."""
+    """Task that owns the sessions of one VM's callers.
+
+    The counters cover the time since the start: ``reads`` is how many
+    reads were answered and ``replica_reads`` how many of them by a
+    replica, ``moves`` how often a request was routed again, ``unknown``
+    how many requests ended without a known outcome.
+    """
 
     def __init__(
         self, loop: runtime.Runtime, vm: core.VmName, settings: RouterSettings
     ) -> None:
         super().__init__(loop, vm, 'router')
         self._settings = settings
-        self._policy = decisions.ROUTING.get(settings.policy)()
+        self._routing_policy = decisions.ROUTING.get(settings.policy)()
         self._directory = decisions.Directory(
             vm, settings.zone, settings.placement
         )
-        self._tokens = decisions.TokenCodec(
+        self._token_codec = decisions.TokenCodec(
             settings.token_key, settings.old_token_keys
         )
         self._chart = charts.compiled('session')
         self._groups: dict[core.DatabaseName, decisions.GroupView] = {}
         self._sessions: dict[core.SessionId, sessions.Session] = {}
-        self._pending: dict[core.RequestId, sessions.Pending] = {}
-        self._sweep_timer: core.TimerId | None = None
-        self._budgets = decisions.RetryBudgets()
-        self._dice = random.Random(vm)
+        self._pending: dict[core.RequestId, sessions.PendingRequest] = {}
+        self._expiry_timer: core.TimerId | None = None
+        self._retry_budgets = decisions.RetryBudgets()
+        self._rng = random.Random(vm)
         self.draining = False
         self.reads = 0
         self.replica_reads = 0
@@ -88,9 +107,9 @@
             for spec in config.group(database.name):
                 path = self._directory.path(spec.zone)
                 group.place(decisions.InstanceView(spec, path))
-        known = {one.name for one in config.databases}
-        for gone in set(self._groups) - known:
-            del self._groups[gone]
+        configured = {entry.name for entry in config.databases}
+        for removed in set(self._groups) - configured:
+            del self._groups[removed]
 
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
@@ -98,11 +117,11 @@
 
     @runtime.handles(core.SessionOpened)
     def _on_opened(self, opened: core.SessionOpened) -> None:
-        error = self._problem(opened.database)
+        error = self._session_error(opened.database)
         positions: dict[core.DatabaseName, core.Position] = {}
         if error is None and opened.token:
             try:
-                positions = self._tokens.decode(opened.token)
+                positions = self._token_codec.decode(opened.token)
             except core.TokenError as exc:
                 self.log.emit(core.LogEvent.TOKEN_BAD, why=str(exc))
                 error = exc
@@ -112,9 +131,10 @@
             self._sessions[opened.session_id] = session
         self.send(opened.frontend, core.SessionReply(opened.session_id, error))
 
-    def _problem(
+    def _session_error(
         self, database: core.DatabaseName | None
     ) -> core.CallerError | None:
+        """Return why no session may use the database, None if it may."""
         if self.draining:
             return core.DrainingError('the proxy is shutting down')
         if database is not None and database not in self._groups:
@@ -126,7 +146,7 @@
         session = self._sessions.get(message.session_id)
         if session is None:
             return
-        error = self._problem(message.database)
+        error = self._session_error(message.database)
         if error is None and session.transaction is not None:
             error = core.StatementUnsupported(
                 'another database inside a transaction'
@@ -142,7 +162,7 @@
     def _on_token(self, message: core.TokenRequest) -> None:
         session = self._sessions.get(message.session_id)
         if session is not None:
-            token = self._tokens.encode(session.positions)
+            token = self._token_codec.encode(session.positions)
             self.send(
                 session.frontend, core.TokenAnswer(message.session_id, token)
             )
@@ -159,42 +179,48 @@
         config = self._directory.config
         if session is None or config is None:
             return
-        self._budgets.earn(request.caller, self.now())
+        self._retry_budgets.earn(request.caller, self.now())
         marks = config.marks_for(request)
         deadline = marks.deadline or config.default_deadline
-        pending = sessions.Pending(
+        pending = sessions.PendingRequest(
             session, request, marks, self.now() + deadline
         )
-        if marks.token and not self._take_token(session, pending):
+        if marks.token and not self._merge_token(session, pending):
             return
         self._chart.fire(session, 'statement', pending)
 
-    def _take_token(
-        self, session: sessions.Session, pending: sessions.Pending
+    def _merge_token(
+        self, session: sessions.Session, pending: sessions.PendingRequest
     ) -> bool:
+        """Add the positions of a request's token to its session's.
+
+        Return False if the token is invalid and the request is rejected.
+        """
         try:
-            given = self._tokens.decode(pending.marks.token or '')
+            token_positions = self._token_codec.decode(
+                pending.marks.token or ''
+            )
         except core.TokenError as exc:
             self.log.emit(core.LogEvent.TOKEN_BAD, why=str(exc))
-            self._refuse(session, pending, exc)
+            self._reject(session, pending, exc)
             return False
-        for database, position in given.items():
-            known = session.positions.get(database, core.ORIGIN)
-            session.positions[database] = max(known, position)
-        session.known_since = float('-inf')
+        for database, position in token_positions.items():
+            current = session.positions.get(database, core.ORIGIN)
+            session.positions[database] = max(current, position)
+        session.must_see_before = float('-inf')
         return True
 
     def route(
-        self, session: sessions.Session, pending: sessions.Pending
+        self, session: sessions.Session, pending: sessions.PendingRequest
     ) -> None:
-        """Choose an instance and send the request to its gate."""
+        """Choose an instance and send a request to its gate."""
         now = self.now()
         self._pending[pending.request.request_id] = pending
         session.request_id = pending.request.request_id
         try:
-            submit = self._submit(session, pending, now)
+            submit = self._make_submit(session, pending, now)
         except core.NotRunError as exc:
-            self._not_run(pending, exc)
+            self._answer_not_run(pending, exc)
             return
         gate = session.gate if session.started else None
         gate = gate or self._directory.gate(submit.instance)
@@ -210,26 +236,33 @@
             self.send(names.gate(gate, submit.instance), submit)
         else:
             self.send(names.peers(self.vm), core.ToPeer(gate, submit))
-        if self._sweep_timer is None:
-            self._sweep_timer = self.after(SWEEP_INTERVAL, _Sweep())
+        if self._expiry_timer is None:
+            self._expiry_timer = self.after(
+                EXPIRY_CHECK_INTERVAL_S, _CheckExpired()
+            )
 
-    def _submit(
+    def _make_submit(
         self,
         session: sessions.Session,
-        pending: sessions.Pending,
+        pending: sessions.PendingRequest,
         now: float,
     ) -> core.Submit:
+        """Return the message that asks a gate to run a request.
+
+        A statement in a transaction that has started goes to the
+        transaction's instance; for any other the policy chooses one.
+        """
         request = pending.request
         if session.transaction is not None:
             request = dataclasses.replace(
                 request,
                 transaction=session.transaction,
                 begin=None if session.started else session.begin,
-                keeps_connection=session.keeps,
+                keeps_connection=session.keeps_pinned,
             )
         if pending.marks is not request.marks:
             request = dataclasses.replace(request, marks=pending.marks)
-        wanted = self._wanted(session, pending, now)
+        requirement = self._requirement(session, pending, now)
         if session.started and session.instance is not None:
             role = core.Role.PRIMARY
             route = decisions.Route(session.instance, role)
@@ -237,43 +270,54 @@
             group = self._groups.get(request.database)
             if group is None:
                 raise core.NotRunError('the database has left the register')
-            route = self._policy.choose(group, wanted, now)
+            route = self._routing_policy.choose(group, requirement, now)
         return core.Submit(
             self.vm,
             route.instance,
             request,
             pending.deadline - now - self._directory.way_back(route.instance),
             route.role,
-            wanted.position,
-            wanted.max_staleness,
+            requirement.position,
+            requirement.max_staleness,
             route.patience,
         )
 
-    def _wanted(
+    def _requirement(
         self,
         session: sessions.Session,
-        pending: sessions.Pending,
+        pending: sessions.PendingRequest,
         now: float,
     ) -> decisions.Wanted:
+        """Return what a request needs of the instance that runs it.
+
+        The staleness bound is the statement's own or the configured one.
+        It also covers ``session.must_see_before``, so that a session
+        without a token sees every write that was answered before it
+        opened.
+        """
         request = pending.request
         config = self._directory.config
         assert config is not None
-        reads = request.kind in _READS
+        is_read = request.kind in _READ_KINDS
         if session.transaction is not None:
-            reads = session.read_only
-        bound = pending.marks.max_staleness
-        if bound is None:
-            bound = config.default_staleness
+            is_read = session.read_only
+        staleness_bound = pending.marks.max_staleness
+        if staleness_bound is None:
+            staleness_bound = config.default_staleness
         if request.kind is core.StatementKind.PREPARE:
-            bound = _EVER
+            staleness_bound = _UNLIMITED_STALENESS_S
         else:
-            bound = min(bound, now - session.known_since)
-        wrote_at = session.wrote_at.get(request.database, float('-inf'))
+            staleness_bound = min(
+                staleness_bound, now - session.must_see_before
+            )
+        last_write_at = session.last_write_at.get(
+            request.database, float('-inf')
+        )
         return decisions.Wanted(
-            not reads or pending.to_primary,
+            not is_read or pending.requires_primary,
             session.positions.get(request.database),
-            bound,
-            now - wrote_at,
+            staleness_bound,
+            now - last_write_at,
         )
 
     @runtime.handles(core.ResultChunk)
@@ -304,24 +348,24 @@
         session = pending.session
         database = pending.request.database
         if answer.report is not None:
-            self._learn(answer.report, now)
+            self._apply_report(answer.report, now)
         if answer.position is not None:
-            known = session.positions.get(database, core.ORIGIN)
-            session.positions[database] = max(known, answer.position)
-            session.wrote_at[database] = now
+            current = session.positions.get(database, core.ORIGIN)
+            session.positions[database] = max(current, answer.position)
+            session.last_write_at[database] = now
         if answer.outcome is core.Outcome.UNKNOWN:
             self.unknown += 1
         if pending.request.kind is core.StatementKind.READ:
             self._count_read(pending)
         self._chart.fire(session, 'answered', answer)
 
-    def _count_read(self, pending: sessions.Pending) -> None:
+    def _count_read(self, pending: sessions.PendingRequest) -> None:
         group = self._groups.get(pending.request.database)
         self.reads += 1
         if group is not None and pending.instance != group.primary:
             self.replica_reads += 1
 
-    def _learn(self, report: core.InstanceReport, now: float) -> None:
+    def _apply_report(self, report: core.InstanceReport, now: float) -> None:
         group = self._groups.get(report.database)
         if group is not None:
             group.learn(report, now)
@@ -336,59 +380,71 @@
         if group is not None:
             group.refused(moved.instance, moved.reason, now)
         if moved.report is not None:
-            self._learn(moved.report, now)
-        self._move(pending, moved.reason)
+            self._apply_report(moved.report, now)
+        self._handle_move(pending, moved.reason)
 
-    def _move(
-        self, pending: sessions.Pending, reason: core.MoveReason
+    def _handle_move(
+        self, pending: sessions.PendingRequest, reason: core.MoveReason
     ) -> None:
+        """Route a request again that a gate did not run.
+
+        It is routed after a delay if its group has no primary or the VM
+        is not the gate, or once it has been moved too often; otherwise at
+        once.
+        """
         self.moves += 1
         pending.moves += 1
         if reason is core.MoveReason.NOT_FRESH:
-            pending.to_primary = True
-        waits = reason in (
+            pending.requires_primary = True
+        needs_delay = reason in (
             core.MoveReason.NO_PRIMARY,
             core.MoveReason.NOT_GATE,
         )
         if pending.session.started:
             self._pending.pop(pending.request.request_id, None)
             self._chart.fire(pending.session, 'moved', pending)
-        elif waits or not pending.keeps_trying:
+        elif needs_delay or not pending.may_move_at_once:
             self._retry(pending)
         else:
             self._chart.fire(pending.session, 'moved', pending)
 
-    def _retry(self, pending: sessions.Pending) -> None:
+    def _retry(self, pending: sessions.PendingRequest) -> None:
+        """Route a request again after a delay.
+
+        It fails as not run if the delay would exceed its deadline or the
+        caller's retry budget is used up.
+        """
         pending.gate = None
-        pending.waits += 1
+        pending.retry_count += 1
         now = self.now()
-        delay = decisions.retry_delay(pending.waits, self._dice)
+        delay = decisions.retry_delay(pending.retry_count, self._rng)
         if now + delay >= pending.deadline:
-            why = 'no instance took it in time'
-        elif self._budgets.spend(pending.request.caller, now):
-            self.after(delay, _Again(pending.request.request_id))
+            reason = 'no instance took it in time'
+        elif self._retry_budgets.spend(pending.request.caller, now):
+            self.after(delay, _RetryDue(pending.request.request_id))
             return
         else:
-            why = "the caller's retry budget is spent"
-        self._not_run(pending, core.NotRunError(why, delay))
+            reason = "the caller's retry budget is spent"
+        self._answer_not_run(pending, core.NotRunError(reason, delay))
 
-    @runtime.handles(_Again)
-    def _on_again(self, again: _Again) -> None:
-        pending = self._pending.get(again.request_id)
+    @runtime.handles(_RetryDue)
+    def _on_retry_due(self, due: _RetryDue) -> None:
+        pending = self._pending.get(due.request_id)
         if pending is not None:
             self._chart.fire(pending.session, 'moved', pending)
 
-    def _not_run(
-        self, pending: sessions.Pending, error: core.NotRunError
+    def _answer_not_run(
+        self, pending: sessions.PendingRequest, error: core.NotRunError
     ) -> None:
-        self._finish(pending, core.Outcome.NOT_RUN, error)
+        self._answer_with_error(pending, core.Outcome.NOT_RUN, error)
 
-    def _finish(
+    def _answer_with_error(
         self,
-        pending: sessions.Pending,
+        pending: sessions.PendingRequest,
         outcome: core.Outcome,
         error: core.CallerError,
     ) -> None:
+        """End a request, also in its session's chart, with an error."""
         request_id = pending.request.request_id
         self._pending.pop(request_id, None)
         self._chart.fire(
@@ -397,12 +453,13 @@
             core.Answer(request_id, outcome, error=error),
         )
 
-    def _refuse(
+    def _reject(
         self,
         session: sessions.Session,
-        pending: sessions.Pending,
+        pending: sessions.PendingRequest,
         error: core.CallerError,
     ) -> None:
+        """Answer a request with an error before the chart has seen it."""
         answer = core.Answer(
             pending.request.request_id,
             core.Outcome.NOT_RUN,
@@ -412,75 +469,99 @@
         self.reply(session, answer)
 
     @runtime.handles(notices.Undelivered)
-    def _on_undelivered(self, notice: notices.Undelivered) -> None:
-        message = notice.message
+    def _on_undelivered(self, undelivered: notices.Undelivered) -> None:
+        message = undelivered.message
         if not isinstance(message, core.Submit):
             return
         pending = self._pending.get(message.request.request_id)
         if pending is not None:
-            self._forget_gate(notice.vm, pending)
-            self._move(pending, core.MoveReason.NOT_GATE)
+            self._mark_down(undelivered.vm, pending)
+            self._handle_move(pending, core.MoveReason.NOT_GATE)
 
-    def _forget_gate(self, vm: core.VmName, pending: sessions.Pending) -> None:
+    def _mark_down(
+        self, vm: core.VmName, pending: sessions.PendingRequest
+    ) -> None:
+        """Route nothing to the request's instance for a short time."""
         group = self._groups.get(pending.request.database)
         if group is not None and pending.instance is not None:
             group.refused(pending.instance, core.MoveReason.DOWN, self.now())
 
     @runtime.handles(core.PeerDown)
     def _on_peer_down(self, down: core.PeerDown) -> None:
-        lost = [one for one in self._pending.values() if one.gate == down.vm]
-        for pending in lost:
-            self._forget_gate(down.vm, pending)
-            self._lost_gate(pending)
-
-    def _lost_gate(self, pending: sessions.Pending) -> None:
+        affected = [
+            entry for entry in self._pending.values() if entry.gate == down.vm
+        ]
+        for pending in affected:
+            self._mark_down(down.vm, pending)
+            self._handle_lost_gate(pending)
+
+    def _handle_lost_gate(self, pending: sessions.PendingRequest) -> None:
+        """End or move a request whose gate can no longer be reached.
+
+        A read outside of a transaction runs elsewhere.  The outcome of a
+        write or a commit is unknown, and of any statement of a session
+        that keeps its connection.  Other statements in a transaction have
+        no effect, as the instance rolls it back with the connection.
+        """
         request = pending.request
         if pending.session.transaction is not None:
-            if request.kind in _COMMITS or pending.session.keeps:
-                self._unknown(pending, 'the gate was lost during commit')
+            if request.kind in _COMMIT_KINDS or pending.session.keeps_pinned:
+                self._finish_unknown(
+                    pending, 'the gate was lost during commit'
+                )
                 return
-            self._finish(
+            self._answer_with_error(
                 pending,
                 core.Outcome.NOT_RUN,
                 core.TransactionLost('the gate was lost; it was not run'),
             )
-        elif request.kind in _READS:
-            self._move(pending, core.MoveReason.DOWN)
+        elif request.kind in _READ_KINDS:
+            self._handle_move(pending, core.MoveReason.DOWN)
         else:
-            self._unknown(pending, 'the gate was lost')
+            self._finish_unknown(pending, 'the gate was lost')
 
-    def _unknown(self, pending: sessions.Pending, why: str) -> None:
+    def _finish_unknown(
+        self, pending: sessions.PendingRequest, why: str
+    ) -> None:
         self.unknown += 1
         self.log.emit(
             core.LogEvent.REQUEST_UNKNOWN,
             request=pending.request.request_id,
             why=why,
         )
-        self._finish(
+        self._answer_with_error(
             pending, core.Outcome.UNKNOWN, core.UnknownOutcomeError(why)
         )
 
-    @runtime.handles(_Sweep)
-    def _on_sweep(self, sweep: _Sweep) -> None:
-        self._sweep_timer = None
-        late = self.now() - ANSWER_GRACE
+    @runtime.handles(_CheckExpired)
+    def _on_check_expired(self, timer: _CheckExpired) -> None:
+        self._expiry_timer = None
+        cutoff = self.now() - ANSWER_GRACE_S
         for pending in tuple(self._pending.values()):
-            if pending.deadline < late:
-                self._unknown(pending, 'no answer came from the gate')
+            if pending.deadline < cutoff:
+                self._finish_unknown(pending, 'no answer came from the gate')
         if self._pending:
-            self._sweep_timer = self.after(SWEEP_INTERVAL, _Sweep())
+            self._expiry_timer = self.after(
+                EXPIRY_CHECK_INTERVAL_S, _CheckExpired()
+            )
 
     def reply(self, session: sessions.Session, answer: core.Answer) -> None:
-        """Send an answer to the session's front end."""
-        shown = answer.in_transaction or (
+        """Send an answer to the session's front end.
+
+        A transaction counts as open before its first statement has run,
+        although the instance has not begun it yet.
+        """
+        transaction_open = answer.in_transaction or (
             session.state is core.SessionState.OPEN
         )
-        if shown != answer.in_transaction:
-            answer = dataclasses.replace(answer, in_transaction=shown)
+        if transaction_open != answer.in_transaction:
+            answer = dataclasses.replace(
+                answer, in_transaction=transaction_open
+            )
         self.send(session.frontend, answer)
 
-    def abort(self, session: sessions.Session) -> None:
-        """End the session's transaction at its gate."""
+    def abort_transaction(self, session: sessions.Session) -> None:
+        """Ask the gate to end the session's transaction."""
         if session.instance is None or session.transaction is None:
             return
         message = core.AbortTransaction(session.instance, session.transaction)
@@ -489,8 +570,8 @@
         elif session.gate is not None:
             self.send(names.peers(self.vm), core.ToPeer(session.gate, message))
 
-    def forget(self, session: sessions.Session) -> None:
-        """Drop the session and its pending request."""
+    def remove(self, session: sessions.Session) -> None:
+        """Remove a session and its pending request."""
         self._sessions.pop(session.session_id, None)
         if session.request_id is not None:
             self._pending.pop(session.request_id, None)
@@ -500,15 +581,17 @@
         self.draining = True
 
     @runtime.handles(notices.Ask)
-    def _on_ask(self, ask: notices.Ask) -> None:
+    def _on_query(self, query: notices.Ask) -> None:
         rows = tuple(
             (
-                ('session', str(one.session_id)),
-                ('caller', str(one.caller)),
-                ('database', str(one.database or '')),
-                ('state', one.state.value),
-                ('instance', str(one.instance or '')),
+                ('session', str(session.session_id)),
+                ('caller', str(session.caller)),
+                ('database', str(session.database or '')),
+                ('state', session.state.value),
+                ('instance', str(session.instance or '')),
             )
-            for one in self._sessions.values()
+            for session in self._sessions.values()
+        )
+        self.send(
+            query.reply_to, notices.Told(self.task_name, query.number, rows)
         )
-        self.send(ask.reply_to, notices.Told(self.task_name, ask.number, rows))
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -1,4 +1,8 @@
-"""Sessions, and the actions and guards of the chart ``session``."""
+"""Callers' sessions, and the guards and actions of their chart.
+
+A transaction begins at an instance only with its first statement: until
+then the session stores the command that begins it.
+"""
 
 from __future__ import annotations
 
@@ -8,17 +12,24 @@
 from chicoryusher import charts
 from chicoryusher import core
 
-__all__ = ['Pending', 'Session', 'SessionHost']
+__all__ = ['PendingRequest', 'Session', 'SessionOwner']
 
 Kind = core.StatementKind
-_BEGINS = (Kind.BEGIN, Kind.BEGIN_READ_ONLY)
-_ENDS = (Kind.COMMIT, Kind.ROLLBACK)
-_EXPECTED_MOVES = 3
+_BEGIN_KINDS = (Kind.BEGIN, Kind.BEGIN_READ_ONLY)
+_END_KINDS = (Kind.COMMIT, Kind.ROLLBACK)
+# Moves after which a request is routed again only with a delay.
+_MAX_IMMEDIATE_MOVES = 3
 
 
 @dataclasses.dataclass(slots=True)
-class Pending:
-    """A request on its way, with the marks that the rules gave it."""
+class PendingRequest:
+    """A request that has not been answered yet.
+
+    ``marks`` are its attributes from the caller and the rules.  ``moves``
+    counts how often a gate has not run it, ``retry_count`` how often it
+    was routed again after a delay.  ``requires_primary`` is set once a
+    replica was not fresh enough for it.
+    """
 
     session: Session
     request: core.Request
@@ -27,86 +38,99 @@
     instance: core.InstanceName | None = None
     gate: core.VmName | None = None
     moves: int = 0
-    waits: int = 0
-    to_primary: bool = False
+    retry_count: int = 0
+    requires_primary: bool = False
 
     @property
-    def keeps_trying(self) -> bool:
-        """Tell whether the next try may be made at once."""
-        return self.moves <= _EXPECTED_MOVES
+    def may_move_at_once(self) -> bool:
+        """Return whether the request may be routed again without delay."""
+        return self.moves <= _MAX_IMMEDIATE_MOVES
 
 
-class SessionHost(Protocol):
-    """What a session needs of the task that owns it."""
+class SessionOwner(Protocol):
+    """Task that owns a session, as the session's actions use it."""
 
     draining: bool
 
     def reply(self, session: Session, answer: core.Answer) -> None:
         """Send an answer to the session's front end."""
 
-    def route(self, session: Session, pending: Pending) -> None:
-        """Choose an instance and send the request to its gate."""
+    def route(self, session: Session, pending: PendingRequest) -> None:
+        """Choose an instance and send a request to its gate."""
 
-    def abort(self, session: Session) -> None:
-        """End the session's transaction at its gate."""
+    def abort_transaction(self, session: Session) -> None:
+        """Ask the gate to end the session's transaction."""
 
-    def forget(self, session: Session) -> None:
-        """Drop the session and its pending request."""
+    def remove(self, session: Session) -> None:
+        """Remove a session and its pending request."""
 
 
 class Session:
-    """One caller's session; lives by the chart ``session``."""
+    """One caller's session; its state chart is ``session``.
+
+    ``positions`` are the log positions that the session's reads must
+    see.  Reads also see every write that was answered before
+    ``must_see_before``; it is minus infinity once a token has given the
+    positions.  ``last_write_at`` is when the last write to each database
+    was answered.
+
+    ``begin`` is the command that begins the session's transaction at an
+    instance; ``started`` is set once it has run there.  With
+    ``keeps_pinned`` the session keeps its backend connection between
+    statements.
+    ``request_id`` is that of the last request.
+    """
 
     def __init__(
         self,
-        host: SessionHost,
+        owner: SessionOwner,
         opened: core.SessionOpened,
         positions: dict[core.DatabaseName, core.Position],
         now: float,
     ) -> None:
         self.state = core.SessionState.GREETING
-        self.host = host
+        self.owner = owner
         self.session_id = opened.session_id
         self.frontend = opened.frontend
         self.caller = opened.caller
         self.database = opened.database
         self.positions = positions
-        self.known_since = float('-inf') if opened.token else now
-        self.wrote_at: dict[core.DatabaseName, float] = {}
+        self.must_see_before = float('-inf') if opened.token else now
+        self.last_write_at: dict[core.DatabaseName, float] = {}
         self.transaction: core.TransactionId | None = None
-        self.transactions = 0
+        self.transaction_count = 0
         self.begin: core.Payload | None = None
         self.read_only = False
         self.started = False
-        self.keeps = False
+        self.keeps_pinned = False
         self.instance: core.InstanceName | None = None
         self.gate: core.VmName | None = None
         self.request_id: core.RequestId | None = None
 
 
 @charts.guard('session.draining')
-def _draining(session: Session, pending: Pending) -> bool:
-    return session.host.draining
+def _draining(session: Session, pending: PendingRequest) -> bool:
+    return session.owner.draining
 
 
 @charts.guard('session.begins')
 @charts.guard('session.rebegins')
-def _begins(session: Session, pending: Pending) -> bool:
-    return pending.request.kind in _BEGINS and not session.started
+def _begins(session: Session, pending: PendingRequest) -> bool:
+    return pending.request.kind in _BEGIN_KINDS and not session.started
 
 
 @charts.guard('session.ends')
-def _ends(session: Session, pending: Pending) -> bool:
-    return pending.request.kind in _ENDS
+def _ends(session: Session, pending: PendingRequest) -> bool:
+    return pending.request.kind in _END_KINDS
 
 
 @charts.guard('session.ends_unstarted')
-def _ends_unstarted(session: Session, pending: Pending) -> bool:
+def _ends_unstarted(session: Session, pending: PendingRequest) -> bool:
     return _ends(session, pending) and not session.started
 
 
 @charts.guard('session.pins')
-def _pins(session: Session, pending: Pending) -> bool:
+def _pins(session: Session, pending: PendingRequest) -> bool:
     return pending.request.begin is not None
 
 
@@ -118,43 +142,43 @@
             core.TransactionLost | core.UnknownOutcomeError,
         )
         return not lost and (session.started or session.begin is not None)
-    return answer.in_transaction or session.keeps
+    return answer.in_transaction or session.keeps_pinned
 
 
 @charts.guard('session.unstarted')
-def _unstarted(session: Session, pending: Pending) -> bool:
+def _unstarted(session: Session, pending: PendingRequest) -> bool:
     return not session.started
 
 
 @charts.action('session.begin')
-def _begin(session: Session, pending: Pending) -> None:
+def _begin(session: Session, pending: PendingRequest) -> None:
     request = pending.request
-    session.transactions += 1
+    session.transaction_count += 1
     session.transaction = core.TransactionId(
-        f'{session.session_id}:t{session.transactions}'
+        f'{session.session_id}:t{session.transaction_count}'
     )
     session.begin = request.begin
-    if request.kind in _BEGINS:
+    if request.kind in _BEGIN_KINDS:
         session.begin = request.payload
     session.read_only = request.kind is Kind.BEGIN_READ_ONLY
     session.started = False
-    session.keeps = request.keeps_connection
+    session.keeps_pinned = request.keeps_connection
 
 
 @charts.action('session.answer_open')
-def _answer_open(session: Session, pending: Pending) -> None:
+def _answer_open(session: Session, pending: PendingRequest) -> None:
     _answer_locally(session, pending, True)
 
 
 @charts.action('session.answer_closed')
-def _answer_closed(session: Session, pending: Pending) -> None:
+def _answer_closed(session: Session, pending: PendingRequest) -> None:
     _answer_locally(session, pending, False)
 
 
 def _answer_locally(
-    session: Session, pending: Pending, in_transaction: bool
+    session: Session, pending: PendingRequest, in_transaction: bool
 ) -> None:
-    session.host.reply(
+    session.owner.reply(
         session,
         core.Answer(
             pending.request.request_id,
@@ -165,8 +189,8 @@
 
 
 @charts.action('session.refuse_draining')
-def _refuse_draining(session: Session, pending: Pending) -> None:
-    session.host.reply(
+def _refuse_draining(session: Session, pending: PendingRequest) -> None:
+    session.owner.reply(
         session,
         core.Answer(
             pending.request.request_id,
@@ -177,8 +201,8 @@
 
 
 @charts.action('session.route')
-def _route(session: Session, pending: Pending) -> None:
-    session.host.route(session, pending)
+def _route(session: Session, pending: PendingRequest) -> None:
+    session.owner.route(session, pending)
 
 
 @charts.action('session.start')
@@ -194,19 +218,19 @@
     session.begin = None
     session.started = False
     session.read_only = False
-    session.keeps = False
+    session.keeps_pinned = False
     session.instance = None
     session.gate = None
 
 
 @charts.action('session.answer')
 def _answer(session: Session, answer: core.Answer) -> None:
-    session.host.reply(session, answer)
+    session.owner.reply(session, answer)
 
 
 @charts.action('session.lose')
-def _lose(session: Session, pending: Pending) -> None:
-    session.host.reply(
+def _lose(session: Session, pending: PendingRequest) -> None:
+    session.owner.reply(
         session,
         core.Answer(
             pending.request.request_id,
@@ -220,9 +244,9 @@
 
 @charts.action('session.abort')
 def _abort(session: Session, arg: object) -> None:
-    session.host.abort(session)
+    session.owner.abort_transaction(session)
 
 
 @charts.action('session.forget')
 def _forget(session: Session, arg: object) -> None:
-    session.host.forget(session)
+    session.owner.remove(session)
