Reword tasks/gate, tasks/items and tasks/conns

Docstrings say what is queued, returned, proved and pinned; units in the names of constants. GateItem is GateRequest, ItemHost GateRequestOwner; Conns.of is pinned_to, run is occupy, lost is drop, new is add.

--- a/src/chicoryusher/tasks/conns.py
+++ b/src/chicoryusher/tasks/conns.py
@@ -11,7 +11,12 @@
 
 
 class Conn:
-    """One backend connection; lives by the chart ``connection``."""
+    """One backend connection; its state chart is ``connection``.
+
+    ``request_id`` is the request that runs on it, ``transaction`` the
+    transaction that it is pinned to, and ``origin`` the VM whose router
+    sent the request.
+    """
 
     def __init__(self, conn_id: core.ConnId) -> None:
         self.state = core.ConnState.CONNECTING
@@ -27,66 +32,76 @@
 
 
 class Conns:
-    """The connections of one gate, never more than the cap."""
+    """Connections of one gate, at most ``max_count``.
+
+    ``connecting`` is how many are being opened, ``peak_count`` the most
+    that existed at once.
+    """
 
-    def __init__(self, cap: int) -> None:
-        self.cap = cap
+    def __init__(self, max_count: int) -> None:
+        self.max_count = max_count
         self._chart = charts.compiled('connection')
         self._numbers = itertools.count(1)
         self._conns: dict[core.ConnId, Conn] = {}
         self._idle: list[Conn] = []
         self._by_transaction: dict[core.TransactionId, Conn] = {}
         self.connecting = 0
-        self.most = 0
+        self.peak_count = 0
 
     def __len__(self) -> int:
         return len(self._conns)
 
     @property
     def idle(self) -> int:
-        """Return how many connections are free."""
+        """Return how many connections are idle."""
         return len(self._idle)
 
     def find(self, conn_id: core.ConnId) -> Conn | None:
-        """Return a connection by its id."""
+        """Return a connection by its id, None if it does not exist."""
         return self._conns.get(conn_id)
 
-    def of(self, transaction: core.TransactionId) -> Conn | None:
+    def pinned_to(self, transaction: core.TransactionId) -> Conn | None:
         """Return the connection that a transaction is pinned to."""
         return self._by_transaction.get(transaction)
 
     def transactions_from(self, vm: core.VmName) -> list[Conn]:
-        """Return the connections pinned by a VM's transactions."""
+        """Return the connections pinned to transactions of a VM's router."""
         return [
-            one for one in self._by_transaction.values() if one.origin == vm
+            conn for conn in self._by_transaction.values() if conn.origin == vm
         ]
 
     def all(self) -> list[Conn]:
         """Return every connection that is open or being opened."""
         return list(self._conns.values())
 
-    def new(self) -> Conn | None:
-        """Return a new connection to open, or None at the cap."""
-        if len(self._conns) >= self.cap:
+    def add(self) -> Conn | None:
+        """Add and return a connection to open; None at the maximum."""
+        if len(self._conns) >= self.max_count:
             return None
         conn = Conn(core.ConnId(next(self._numbers)))
         self._conns[conn.conn_id] = conn
         self.connecting += 1
-        self.most = max(self.most, len(self._conns))
+        self.peak_count = max(self.peak_count, len(self._conns))
         return conn
 
     def opened(self, conn: Conn) -> None:
-        """Note that a connection is ready."""
+        """Record that a connection was opened and is idle."""
         if self._chart.fire(conn, 'opened'):
             self.connecting -= 1
             self._idle.append(conn)
 
     def take(self) -> Conn | None:
-        """Return the idle connection that was used last, or None."""
+        """Remove and return the idle connection that was used last.
+
+        None if no connection is idle.
+        """
         return self._idle.pop() if self._idle else None
 
-    def run(self, conn: Conn, submit: core.Submit) -> None:
-        """Occupy a connection with a request."""
+    def occupy(self, conn: Conn, submit: core.Submit) -> None:
+        """Record that a request runs on a connection.
+
+        A request of a transaction pins the connection to it.
+        """
         self._chart.fire(conn, 'run')
         request = submit.request
         conn.request_id = request.request_id
@@ -96,15 +111,15 @@
             self._by_transaction[request.transaction] = conn
 
     def finished(self, conn: Conn, pinned: bool) -> None:
-        """Free a connection, or keep it for its transaction."""
+        """Mark a connection idle, or keep it pinned to its transaction."""
         self._chart.fire(conn, 'finished', pinned)
         conn.request_id = None
         if conn.state is core.ConnState.IDLE:
             self._unpin(conn)
             self._idle.append(conn)
 
-    def lost(self, conn: Conn) -> None:
-        """Forget a connection that has ended."""
+    def drop(self, conn: Conn) -> None:
+        """Remove a connection that has ended."""
         if conn.state is core.ConnState.CONNECTING:
             self.connecting -= 1
         self._chart.fire(conn, 'lost')
--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -1,4 +1,10 @@
-"""The gate of one instance: its queue, its slots, its connections."""
+"""Gate: runs the requests for one instance on its backend connections.
+
+The gate queues requests and runs at most as many at once as the instance
+has slots.  If it is the only gate of the instance, it holds a lock at the
+instance while it serves, so that two VMs never exceed the instance's
+connections together.
+"""
 
 from __future__ import annotations
 
@@ -14,27 +20,40 @@
 
 __all__ = ['Gate']
 
-RESERVED_CONNECTIONS = 2
-SPARE_CONNECTIONS = 2
-CLAIM_RETRY = 0.25
-EXPIRY_INTERVAL = 0.02
-USE_NOTICE_INTERVAL = 1.0
-CATCH_UP_POLL = 0.005
-STUCK_PATIENCE = 0.010
-DOUBT_INTERVAL = 0.1
-_REASON = core.MoveReason
+# Connections of the instance that the gate leaves unused.
+RESERVED_CONN_COUNT = 2
+# Connections that are opened beyond those in use and one for each slot.
+SPARE_CONN_COUNT = 2
+# Delay before a gate lock that was refused or lost is claimed again.
+CLAIM_RETRY_DELAY_S = 0.25
+# Interval between checks for requests whose deadline has passed.
+EXPIRY_CHECK_INTERVAL_S = 0.02
+# Shortest interval between reports to the group monitor that requests come.
+ACTIVITY_REPORT_INTERVAL_S = 1.0
+# Interval between checks while requests wait for the replica to catch up.
+CATCH_UP_POLL_INTERVAL_S = 0.005
+# Longest wait of a read in the queue while all slots are occupied by
+# statements that run much longer than expected.
+MAX_READ_WAIT_S = 0.010
+# Shortest interval between reports that statements do not end.
+SUSPICION_REPORT_INTERVAL_S = 0.1
+_Reason = core.MoveReason
 
 
-class _Expire(core.Message):
-    """Time to look for requests whose deadline has passed."""
+class _CheckExpired(core.Message):
+    """Timer: check for requests whose deadline has passed."""
 
 
-class _ClaimAgain(core.Message):
-    """Time to ask for the gate lock again."""
+class _ClaimRetryDue(core.Message):
+    """Timer: claim the gate lock again."""
 
 
 class Gate(runtime.Task):
-    """One scheduler with full knowledge of one instance's slots."""
+    """Task that schedules the requests for one instance.
+
+    Its state chart is ``gate``.  ``answered`` and ``shed`` count the
+    requests that were answered, and those that the queue refused.
+    """
 
     def __init__(
         self,
@@ -47,29 +66,29 @@
         self.spec = spec
         self.state = core.GateState.STANDBY
         self._chart = charts.compiled('gate')
-        self._requests = charts.compiled('request')
+        self._request_chart = charts.compiled('request')
         self._link = names.link(vm, spec.name)
-        self._group_task = names.group(vm, spec.database)
-        self._conns = conns.Conns(self._cap(spec))
+        self._group_monitor = names.group(vm, spec.database)
+        self._conns = conns.Conns(self._max_conns(spec))
         self._queue: decisions.Queue = decisions.QUEUES.get(policy)(spec.slots)
-        self._running: dict[core.RequestId, items.GateItem] = {}
-        self._proving: dict[core.RequestId, items.GateItem] = {}
-        self._catching_up: list[items.GateItem] = []
-        self._group: core.GroupState | None = None
+        self._running: dict[core.RequestId, items.GateRequest] = {}
+        self._awaiting_proof: dict[core.RequestId, items.GateRequest] = {}
+        self._awaiting_catch_up: list[items.GateRequest] = []
+        self._group_state: core.GroupState | None = None
         self._majority_at = self.now()
         self._hints = hints.Hints(spec.database, spec.name)
         self._expire_timer: core.TimerId | None = None
         self._assigned = False
         self._exclusive = True
-        self._used_at = float('-inf')
-        self._doubted_at = float('-inf')
+        self._activity_reported_at = float('-inf')
+        self._suspicion_reported_at = float('-inf')
         self.answered = 0
         self.shed = 0
 
     @property
     def pinned(self) -> int:
-        """Return how many connections transactions hold."""
-        return sum(1 for one in self._conns.all() if one.transaction)
+        """Return how many connections are pinned to transactions."""
+        return sum(1 for conn in self._conns.all() if conn.transaction)
 
     # -- assignment -------------------------------------------------
 
@@ -77,34 +96,34 @@
     def _on_assign(self, message: notices.AssignGate) -> None:
         self.spec = message.spec
         self._queue.slots = message.spec.slots
-        self._conns.cap = self._cap(message.spec)
+        self._conns.max_count = self._max_conns(message.spec)
         if message.assigned == self._assigned:
             return
         self._assigned = message.assigned
         self._exclusive = message.exclusive
         event = 'assigned' if message.assigned else 'unassigned'
         self._chart.fire(self, event)
-        self._release_if_empty()
+        self._release_if_idle()
 
     @staticmethod
-    def _cap(spec: decisions.InstanceSpec) -> int:
-        return max(1, spec.connections - RESERVED_CONNECTIONS)
+    def _max_conns(spec: decisions.InstanceSpec) -> int:
+        return max(1, spec.connections - RESERVED_CONN_COUNT)
 
-    def claim(self) -> None:
-        """Ask the instance for the gate lock, if it takes one."""
+    def claim_lock(self) -> None:
+        """Claim the gate lock, which only an exclusive gate needs."""
         if self._exclusive:
             self.send(self._link, core.ClaimGate())
         else:
             self.send(self.task_name, core.GateClaimed(True))
 
-    def claim_later(self) -> None:
-        """Ask for the gate lock again after a pause."""
-        self.after(CLAIM_RETRY, _ClaimAgain())
+    def claim_lock_later(self) -> None:
+        """Claim the gate lock again after a delay."""
+        self.after(CLAIM_RETRY_DELAY_S, _ClaimRetryDue())
 
-    @runtime.handles(_ClaimAgain)
-    def _on_claim_again(self, again: _ClaimAgain) -> None:
+    @runtime.handles(_ClaimRetryDue)
+    def _on_claim_retry_due(self, timer: _ClaimRetryDue) -> None:
         if self.state is core.GateState.CLAIMING:
-            self.claim()
+            self.claim_lock()
 
     @runtime.handles(core.GateClaimed)
     def _on_claimed(self, claimed: core.GateClaimed) -> None:
@@ -118,92 +137,98 @@
             )
         self._chart.fire(self, 'lost')
 
-    def serve(self) -> None:
-        """Begin to run requests; open connections ahead of demand."""
+    def start_serving(self) -> None:
+        """Start to run requests and to open connections."""
         self.log.emit(core.LogEvent.GATE_SERVING, instance=str(self.spec.name))
-        self._pump()
+        self._start_queued()
 
-    def close_all(self) -> None:
-        """Close every connection; what runs on them is lost."""
+    def close_connections(self) -> None:
+        """Close every connection and end the requests that run on them."""
         for conn in self._conns.all():
             self.send(self._link, core.CloseConn(conn.conn_id))
-            self._conn_lost(conn, 'the gate was lost')
+            self._handle_lost_conn(conn, 'the gate was lost')
 
-    def unlock(self) -> None:
-        """Give the gate lock back to the instance."""
+    def release_lock(self) -> None:
+        """Release the gate lock."""
         self.send(self._link, core.ReleaseGate())
         self.log.emit(
             core.LogEvent.GATE_RELEASED, instance=str(self.spec.name)
         )
 
-    def refuse_queue(self) -> None:
-        """Send everything that was not run to the next gate."""
-        waiting: list[items.GateItem] = [*self._catching_up]
-        self._catching_up.clear()
+    def move_queued(self) -> None:
+        """Return all requests that are not running to their routers."""
+        waiting: list[items.GateRequest] = [*self._awaiting_catch_up]
+        self._awaiting_catch_up.clear()
         for item in self._queue.drain():
-            assert isinstance(item, items.GateItem)
+            assert isinstance(item, items.GateRequest)
             waiting.append(item)
         for item in waiting:
-            self._move(item.submit, _REASON.NOT_GATE)
+            self._send_moved(item.submit, _Reason.NOT_GATE)
 
-    def _release_if_empty(self) -> None:
+    def _release_if_idle(self) -> None:
+        """Finish the release of the gate once no work remains."""
         if self.state is not core.GateState.RELEASING:
             return
-        if not self._running and not self._proving and not self.pinned:
+        if not self._running and not self._awaiting_proof and not self.pinned:
             self._chart.fire(self, 'empty')
 
     # -- requests ---------------------------------------------------
 
     @runtime.handles(core.GroupState)
     def _on_group(self, state: core.GroupState) -> None:
-        before, self._group = self._group, state
+        before, self._group_state = self._group_state, state
         if state.own.leaving and not (before and before.own.leaving):
             self.log.emit(
                 core.LogEvent.INSTANCE_LEAVING, instance=str(self.spec.name)
             )
         if state.has_majority:
             self._majority_at = self.now()
-        if before is None or _standing(before) != _standing(state):
-            self._review_queue()
-        self._pump()
+        if before is None or _admission_state(before) != _admission_state(
+            state
+        ):
+            self._recheck_queue()
+        self._start_queued()
 
-    def _review_queue(self) -> None:
-        """Give back what this instance may not run any more."""
+    def _recheck_queue(self) -> None:
+        """Return queued requests that the instance may no longer run."""
         for item in self._queue.drain():
-            assert isinstance(item, items.GateItem)
-            reason = self._refusal(item.submit)
+            assert isinstance(item, items.GateRequest)
+            reason = self._refusal_reason(item.submit)
             if reason is not None:
-                self._move(item.submit, reason)
+                self._send_moved(item.submit, reason)
             else:
                 self._enqueue(item)
 
     @runtime.handles(core.Submit)
     def _on_submit(self, submit: core.Submit) -> None:
         request = submit.request
-        self._note_use()
+        self._report_activity()
         if request.transaction is not None and request.begin is None:
-            self._continue(submit)
+            self._continue_transaction(submit)
             return
-        reason = self._refusal(submit)
+        reason = self._refusal_reason(submit)
         if reason is not None:
-            self._move(submit, reason)
+            self._send_moved(submit, reason)
             return
-        item = items.GateItem(self, submit, self.now())
-        waits = submit.role is core.Role.REPLICA and submit.patience > 0
-        if waits and not self.fresh(submit):
-            self._catching_up.append(item)
-            self.send(self._group_task, core.WatchCatchUp(self.spec.name))
-            self._watch()
+        item = items.GateRequest(self, submit, self.now())
+        must_catch_up = (
+            submit.role is core.Role.REPLICA and submit.patience > 0
+        )
+        if must_catch_up and not self.proved_fresh(submit):
+            self._awaiting_catch_up.append(item)
+            self.send(self._group_monitor, core.WatchCatchUp(self.spec.name))
+            self._schedule_expiry_check()
             return
         self._enqueue(item)
 
-    def _note_use(self) -> None:
+    def _report_activity(self) -> None:
+        """Report to the group monitor that requests come."""
         now = self.now()
-        if now - self._used_at >= USE_NOTICE_INTERVAL:
-            self._used_at = now
-            self.send(self._group_task, core.GroupUsed())
+        if now - self._activity_reported_at >= ACTIVITY_REPORT_INTERVAL_S:
+            self._activity_reported_at = now
+            self.send(self._group_monitor, core.GroupUsed())
 
-    def _enqueue(self, item: items.GateItem) -> None:
+    def _enqueue(self, item: items.GateRequest) -> None:
         shed = self._queue.offer(item, self.now())
         if shed is not None:
             self.shed += 1
@@ -212,42 +237,48 @@
                 request=str(item.request.request_id),
                 why=shed.reason,
             )
-            self._requests.fire(item, 'refused', shed)
+            self._request_chart.fire(item, 'refused', shed)
             return
-        self._watch()
-        self._pump()
+        self._schedule_expiry_check()
+        self._start_queued()
 
-    def _refusal(self, submit: core.Submit) -> core.MoveReason | None:
+    def _refusal_reason(self, submit: core.Submit) -> core.MoveReason | None:
         if self.state not in (
             core.GateState.SERVING,
             core.GateState.CLAIMING,
         ):
-            return _REASON.NOT_GATE
+            return _Reason.NOT_GATE
         return decisions.refusal(
-            self._group, self.spec.name, submit, self._majority_at, self.now()
+            self._group_state,
+            self.spec.name,
+            submit,
+            self._majority_at,
+            self.now(),
         )
 
-    def fresh(self, submit: core.Submit) -> bool:
-        """Tell whether the instance is proved as fresh as asked for."""
-        return decisions.is_fresh(self._group, submit, self.now())
+    def proved_fresh(self, submit: core.Submit) -> bool:
+        """Return whether the instance is proved fresh enough."""
+        return decisions.is_fresh(self._group_state, submit, self.now())
 
-    def _continue(self, submit: core.Submit) -> None:
+    def _continue_transaction(self, submit: core.Submit) -> None:
+        """Run a request on the connection of its transaction."""
         transaction = submit.request.transaction
         assert transaction is not None
-        conn = self._conns.of(transaction)
-        item = items.GateItem(self, submit, self.now())
+        conn = self._conns.pinned_to(transaction)
+        item = items.GateRequest(self, submit, self.now())
         if conn is None or conn.state is not core.ConnState.PINNED:
             item.reason = 'the transaction is not open here'
-            self._requests.fire(item, 'refused')
+            self._request_chart.fire(item, 'refused')
             return
         self._start(item, conn)
 
-    def _pump(self) -> None:
+    def _start_queued(self) -> None:
+        """Run queued requests while slots and connections are free."""
         if self.state is not core.GateState.SERVING:
             return
         now = self.now()
-        if self._catching_up:
-            self._admit_fresh(now)
+        if self._awaiting_catch_up:
+            self._admit_caught_up(now)
         while len(self._running) < self.spec.slots:
             if not self._conns.idle and len(self._queue):
                 break
@@ -255,42 +286,49 @@
             if item is None:
                 break
             conn = self._conns.take()
-            assert isinstance(item, items.GateItem) and conn is not None
+            assert isinstance(item, items.GateRequest) and conn is not None
             self._start(item, conn)
-        self._open_ahead()
+        self._open_connections()
+
+    def _admit_caught_up(self, now: float) -> None:
+        """Queue requests for which the replica has caught up.
 
-    def _admit_fresh(self, now: float) -> None:
-        waiting, self._catching_up = self._catching_up, []
-        self.send(self._group_task, core.WatchCatchUp(self.spec.name))
+        Those that have waited too long are returned to their routers.
+        """
+        waiting, self._awaiting_catch_up = self._awaiting_catch_up, []
+        self.send(self._group_monitor, core.WatchCatchUp(self.spec.name))
         for item in waiting:
-            if self.fresh(item.submit):
+            if self.proved_fresh(item.submit):
                 self._enqueue(item)
             elif now - item.arrived >= item.submit.patience:
-                self._move(item.submit, _REASON.NOT_FRESH)
+                self._send_moved(item.submit, _Reason.NOT_FRESH)
             else:
-                self._catching_up.append(item)
-
-    def _open_ahead(self) -> None:
-        busy = sum(1 for one in self._conns.all() if one.request_id)
-        wanted = max(busy, self.pinned) + self.spec.slots + SPARE_CONNECTIONS
-        wanted = min(wanted, self._conns.cap)
-        while len(self._conns) < wanted:
-            conn = self._conns.new()
+                self._awaiting_catch_up.append(item)
+
+    def _open_connections(self) -> None:
+        """Open connections for all slots ahead of demand."""
+        busy = sum(1 for entry in self._conns.all() if entry.request_id)
+        target_count = (
+            max(busy, self.pinned) + self.spec.slots + SPARE_CONN_COUNT
+        )
+        target_count = min(target_count, self._conns.max_count)
+        while len(self._conns) < target_count:
+            conn = self._conns.add()
             if conn is None:
                 return
             self.send(self._link, core.OpenConn(conn.conn_id))
 
-    def _start(self, item: items.GateItem, conn: conns.Conn) -> None:
+    def _start(self, item: items.GateRequest, conn: conns.Conn) -> None:
         item.conn = conn.conn_id
         item.sent_at = self.now()
         self._running[item.request.request_id] = item
         self._queue.started(item, self.now())
-        self._conns.run(conn, item.submit)
-        self._requests.fire(item, 'sent')
-        self._watch()
+        self._conns.occupy(conn, item.submit)
+        self._request_chart.fire(item, 'sent')
+        self._schedule_expiry_check()
         self._next_step(item)
 
-    def _next_step(self, item: items.GateItem) -> None:
+    def _next_step(self, item: items.GateRequest) -> None:
         assert item.conn is not None
         self.send(
             self._link,
@@ -304,26 +342,26 @@
     @runtime.handles(core.ConnAnswer)
     def _on_answer(self, answer: core.ConnAnswer) -> None:
         conn = self._conns.find(answer.conn_id)
-        item = self._item_on(conn)
+        item = self._item_running_on(conn)
         if conn is None or item is None:
             return
         if not answer.final:
             if item.steps[0].purpose is decisions.Purpose.STATEMENT:
-                item.streamed = True
+                item.partly_sent = True
                 self._reply(
                     item.submit.origin,
                     core.ResultChunk(item.request.request_id, answer.data),
                 )
             return
-        item.step_done(answer)
+        item.record_step_answer(answer)
         if item.steps:
             self._next_step(item)
             return
-        self._answered(item, conn, answer)
+        self._finish_statement(item, conn, answer)
 
-    def _answered(
+    def _finish_statement(
         self,
-        item: items.GateItem,
+        item: items.GateRequest,
         conn: conns.Conn,
         last: core.ConnAnswer,
     ) -> None:
@@ -331,31 +369,37 @@
         request_id = request.request_id
         self._running.pop(request_id, None)
         self._queue.finished(item, self.now() - item.sent_at)
-        keeps = request.keeps_connection
+        keeps_pinned = request.keeps_connection
         self._conns.finished(
             conn,
-            request.transaction is not None and (last.in_transaction or keeps),
+            request.transaction is not None
+            and (last.in_transaction or keeps_pinned),
         )
         answer = item.answer or last
-        self._requests.fire(item, 'answered', answer)
-        self._pump()
-        self._release_if_empty()
+        self._request_chart.fire(item, 'answered', answer)
+        self._start_queued()
+        self._release_if_idle()
 
-    def _item_on(self, conn: conns.Conn | None) -> items.GateItem | None:
+    def _item_running_on(
+        self, conn: conns.Conn | None
+    ) -> items.GateRequest | None:
         if conn is None or conn.request_id is None:
             return None
         return self._running.get(conn.request_id)
 
-    def await_proof(self, item: items.GateItem) -> None:
-        """Ask the group for evidence of the request's commit."""
-        state = self._group
+    def await_proof(self, item: items.GateRequest) -> None:
+        """Ask the group monitor for evidence of a commit or a read.
+
+        A read has no position; offset 0 marks it.
+        """
+        state = self._group_state
         position = item.position
         if position is None:
             term = state.term if state is not None else core.Term(0)
             position = core.Position(term, core.LogPosition(0))
-        self._proving[item.request.request_id] = item
+        self._awaiting_proof[item.request.request_id] = item
         self.send(
-            self._group_task,
+            self._group_monitor,
             core.ProveCommit(
                 self.task_name, item.request.request_id, position
             ),
@@ -363,26 +407,26 @@
 
     @runtime.handles(core.Proved)
     def _on_proved(self, proved: core.Proved) -> None:
-        item = self._proving.pop(proved.request_id, None)
+        item = self._awaiting_proof.pop(proved.request_id, None)
         if item is not None:
-            self._requests.fire(item, 'proved')
-            self._release_if_empty()
+            self._request_chart.fire(item, 'proved')
+            self._release_if_idle()
 
     @runtime.handles(core.Disproved)
     def _on_disproved(self, disproved: core.Disproved) -> None:
-        item = self._proving.pop(disproved.request_id, None)
+        item = self._awaiting_proof.pop(disproved.request_id, None)
         if item is not None:
             item.reason = 'a later term began before the commit was held'
-            self._requests.fire(item, 'disproved')
-            self._release_if_empty()
+            self._request_chart.fire(item, 'disproved')
+            self._release_if_idle()
 
     def finish(
         self,
-        item: items.GateItem,
+        item: items.GateRequest,
         outcome: core.Outcome,
         error: core.CallerError | None,
     ) -> None:
-        """Send the answer to the request's origin."""
+        """Answer the request to the router that sent it."""
         self.answered += 1
         answer = item.answer
         data = answer.data if answer is not None else b''
@@ -406,13 +450,13 @@
             ),
         )
 
-    def move(self, item: items.GateItem) -> None:
-        """Give the request back: it may run at another instance."""
-        reason = _REASON.DOWN if item.reads else _REASON.NO_PRIMARY
-        self._move(item.submit, reason)
+    def move_elsewhere(self, item: items.GateRequest) -> None:
+        """Return the request to its router, to run elsewhere."""
+        reason = _Reason.DOWN if item.is_plain_read else _Reason.NO_PRIMARY
+        self._send_moved(item.submit, reason)
 
-    def cut(self, item: items.GateItem) -> None:
-        """End the statement at the instance by closing its connection."""
+    def cancel_statement(self, item: items.GateRequest) -> None:
+        """Stop the running statement by closing its connection."""
         if item.conn is None:
             return
         self.log.emit(
@@ -423,9 +467,11 @@
         conn = self._conns.find(item.conn)
         self.send(self._link, core.CloseConn(item.conn))
         if conn is not None:
-            self._conns.lost(conn)
+            self._conns.drop(conn)
 
-    def _move(self, submit: core.Submit, reason: core.MoveReason) -> None:
+    def _send_moved(
+        self, submit: core.Submit, reason: core.MoveReason
+    ) -> None:
         self._reply(
             submit.origin,
             core.GateMoved(
@@ -439,11 +485,12 @@
     def _report(
         self, origin: core.VmName, always: bool = False
     ) -> core.InstanceReport | None:
+        """Return a report for a router, or None if one was sent recently."""
         now = self.now()
         if not always and not self._hints.due(origin, now):
             return None
         wait = self._queue.wait(now)
-        return self._hints.report(origin, self._group, wait, now)
+        return self._hints.report(origin, self._group_state, wait, now)
 
     def _reply(self, origin: core.VmName, message: core.Message) -> None:
         if origin == self.vm:
@@ -461,7 +508,7 @@
             self.log.emit(
                 core.LogEvent.CONN_OPENED, instance=str(self.spec.name)
             )
-            self._pump()
+            self._start_queued()
 
     @runtime.handles(core.ConnClosed)
     def _on_closed(self, closed: core.ConnClosed) -> None:
@@ -472,19 +519,19 @@
         if closed.refused:
             event = core.LogEvent.CONN_REFUSED
         self.log.emit(event, instance=str(self.spec.name))
-        self.send(self._group_task, core.Doubt(self.spec.name))
-        self._conn_lost(conn, 'the connection to the instance was lost')
-        self._watch()
+        self.send(self._group_monitor, core.Doubt(self.spec.name))
+        self._handle_lost_conn(conn, 'the connection to the instance was lost')
+        self._schedule_expiry_check()
 
-    def _conn_lost(self, conn: conns.Conn, why: str) -> None:
-        item = self._item_on(conn)
-        self._conns.lost(conn)
+    def _handle_lost_conn(self, conn: conns.Conn, why: str) -> None:
+        item = self._item_running_on(conn)
+        self._conns.drop(conn)
         if item is None:
             return
         self._running.pop(item.request.request_id, None)
         self._queue.finished(item, self.now() - item.sent_at)
         item.reason = why
-        self._requests.fire(item, 'conn_lost')
+        self._request_chart.fire(item, 'conn_lost')
 
     @runtime.handles(core.Consumed)
     def _on_consumed(self, consumed: core.Consumed) -> None:
@@ -494,7 +541,7 @@
 
     @runtime.handles(core.AbortTransaction)
     def _on_abort(self, abort: core.AbortTransaction) -> None:
-        conn = self._conns.of(abort.transaction)
+        conn = self._conns.pinned_to(abort.transaction)
         if conn is not None:
             self._abort(conn)
 
@@ -505,65 +552,73 @@
 
     def _abort(self, conn: conns.Conn) -> None:
         self.send(self._link, core.CloseConn(conn.conn_id))
-        self._conn_lost(conn, 'the transaction was aborted')
-        self._pump()
-        self._release_if_empty()
+        self._handle_lost_conn(conn, 'the transaction was aborted')
+        self._start_queued()
+        self._release_if_idle()
 
     # -- deadlines --------------------------------------------------
 
-    def _watch(self) -> None:
+    def _schedule_expiry_check(self) -> None:
+        """Start the timer of the next check unless it is running."""
         if self._expire_timer is None:
-            delay = CATCH_UP_POLL if self._catching_up else EXPIRY_INTERVAL
-            self._expire_timer = self.after(delay, _Expire())
+            delay = (
+                CATCH_UP_POLL_INTERVAL_S
+                if self._awaiting_catch_up
+                else EXPIRY_CHECK_INTERVAL_S
+            )
+            self._expire_timer = self.after(delay, _CheckExpired())
 
-    @runtime.handles(_Expire)
-    def _on_expire(self, tick: _Expire) -> None:
+    @runtime.handles(_CheckExpired)
+    def _on_check_expired(self, timer: _CheckExpired) -> None:
         self._expire_timer = None
         now = self.now()
         for item in self._queue.expire(now):
-            assert isinstance(item, items.GateItem)
+            assert isinstance(item, items.GateRequest)
             item.reason = 'the deadline passed in the queue'
-            self._requests.fire(item, 'expired')
+            self._request_chart.fire(item, 'expired')
         if self._queue.stuck(now):
-            self._spread_reads(now)
-            self._doubt(now)
+            self._move_waiting_reads(now)
+            self._report_suspicion(now)
         for running in [*self._running.values()]:
             if running.deadline <= now:
                 self._expire_running(running)
-        for proving in [*self._proving.values()]:
+        for proving in [*self._awaiting_proof.values()]:
             if proving.deadline <= now:
-                self._proving.pop(proving.request.request_id, None)
+                self._awaiting_proof.pop(proving.request.request_id, None)
                 proving.reason = 'no evidence of the commit in time'
-                self._requests.fire(proving, 'expired')
-        self._pump()
-        self._release_if_empty()
-        busy = self._running or self._proving or self._catching_up
+                self._request_chart.fire(proving, 'expired')
+        self._start_queued()
+        self._release_if_idle()
+        busy = self._running or self._awaiting_proof or self._awaiting_catch_up
         if busy or len(self._queue):
-            self._watch()
+            self._schedule_expiry_check()
+
+    def _report_suspicion(self, now: float) -> None:
+        """Report the instance as suspected, so that it is probed soon."""
+        if now - self._suspicion_reported_at >= SUSPICION_REPORT_INTERVAL_S:
+            self._suspicion_reported_at = now
+            self.send(self._group_monitor, core.Doubt(self.spec.name))
 
-    def _doubt(self, now: float) -> None:
-        """Let the group look whether the instance still answers."""
-        if now - self._doubted_at >= DOUBT_INTERVAL:
-            self._doubted_at = now
-            self.send(self._group_task, core.Doubt(self.spec.name))
+    def _move_waiting_reads(self, now: float) -> None:
+        """Return reads that wait behind overrun statements to their routers.
 
-    def _spread_reads(self, now: float) -> None:
-        """Let reads behind long work run at another instance."""
+        They can run at another instance.
+        """
         for item in self._queue.drain():
-            assert isinstance(item, items.GateItem)
-            if item.reads and now - item.arrived >= STUCK_PATIENCE:
-                self._move(item.submit, _REASON.BUSY)
+            assert isinstance(item, items.GateRequest)
+            if item.is_plain_read and now - item.arrived >= MAX_READ_WAIT_S:
+                self._send_moved(item.submit, _Reason.BUSY)
             else:
                 self._queue.put_back(item)
 
-    def _expire_running(self, item: items.GateItem) -> None:
+    def _expire_running(self, item: items.GateRequest) -> None:
         self._running.pop(item.request.request_id, None)
         self._queue.finished(item, self.now() - item.sent_at)
         item.reason = 'the deadline passed while the statement ran'
-        self._requests.fire(item, 'expired')
+        self._request_chart.fire(item, 'expired')
 
     @runtime.handles(notices.Ask)
-    def _on_ask(self, ask: notices.Ask) -> None:
+    def _on_query(self, query: notices.Ask) -> None:
         row = (
             ('instance', str(self.spec.name)),
             ('state', self.state.value),
@@ -575,12 +630,13 @@
             ('shed', str(self.shed)),
         )
         self.send(
-            ask.reply_to, notices.Told(self.task_name, ask.number, (row,))
+            query.reply_to, notices.Told(self.task_name, query.number, (row,))
         )
 
 
-def _standing(
+def _admission_state(
     state: core.GroupState,
 ) -> tuple[core.InstanceName | None, core.Term, bool, bool]:
+    """Return what decides which requests the instance may run."""
     own = state.own
     return state.primary, state.term, own.alive, own.leaving
--- a/src/chicoryusher/tasks/gate_actions.py
+++ b/src/chicoryusher/tasks/gate_actions.py
@@ -11,34 +11,34 @@
 
 @charts.action('gate.claim')
 def _claim(gate: Gate, arg: object) -> None:
-    gate.claim()
+    gate.claim_lock()
 
 
 @charts.action('gate.claim_later')
 def _claim_later(gate: Gate, arg: object) -> None:
-    gate.claim_later()
+    gate.claim_lock_later()
 
 
 @charts.action('gate.serve')
 def _serve(gate: Gate, arg: object) -> None:
-    gate.serve()
+    gate.start_serving()
 
 
 @charts.action('gate.close_all')
 def _close_all(gate: Gate, arg: object) -> None:
-    gate.close_all()
+    gate.close_connections()
 
 
 @charts.action('gate.unlock')
-def _unlock(gate: Gate, arg: object) -> None:
-    gate.unlock()
+def _release_lock(gate: Gate, arg: object) -> None:
+    gate.release_lock()
 
 
 @charts.action('gate.refuse_queue')
-def _refuse_queue(gate: Gate, arg: object) -> None:
-    gate.refuse_queue()
+def _move_queued(gate: Gate, arg: object) -> None:
+    gate.move_queued()
 
 
 @charts.action('gate.release')
-def _release(gate: Gate, arg: object) -> None:
-    """Wait until nothing runs; ``empty`` follows then."""
+def _wait_until_idle(gate: Gate, arg: object) -> None:
+    """Do nothing; the gate fires ``empty`` once no work remains."""
--- a/src/chicoryusher/tasks/items.py
+++ b/src/chicoryusher/tasks/items.py
@@ -1,4 +1,9 @@
-"""Requests at a gate, with the guards and actions of their chart."""
+"""Requests at a gate, with the guards and actions of their chart.
+
+A request runs as one or more steps, which are commands on one backend
+connection.  The answer of a write, and of a read of the primary, is only
+passed on with evidence that a majority of the group is in its term.
+"""
 
 from __future__ import annotations
 
@@ -10,59 +15,69 @@
 from chicoryusher import core
 from chicoryusher import decisions
 
-__all__ = ['GateItem', 'ItemHost', 'READ_ONLY_CODES']
+__all__ = ['GateRequest', 'GateRequestOwner', 'READ_ONLY_ERRNOS']
 
 Kind = core.StatementKind
-READ_ONLY_CODES = frozenset((1290, 1792, 1836))
-_READS = (Kind.READ, Kind.PREPARE)
-_WRITES = (Kind.WRITE, Kind.DDL)
+# MySQL error numbers of an instance or transaction that is read-only.
+READ_ONLY_ERRNOS = frozenset((1290, 1792, 1836))
+_READ_KINDS = (Kind.READ, Kind.PREPARE)
+_WRITE_KINDS = (Kind.WRITE, Kind.DDL)
 
 
-class ItemHost(Protocol):
-    """What a request needs of the gate that owns it."""
+class GateRequestOwner(Protocol):
+    """Gate that owns a request, as the request's actions use it."""
 
     def finish(
         self,
-        item: GateItem,
+        item: GateRequest,
         outcome: core.Outcome,
         error: core.CallerError | None,
     ) -> None:
-        """Send the answer to the request's origin."""
+        """Answer the request to the router that sent it."""
+
+    def await_proof(self, item: GateRequest) -> None:
+        """Ask the group monitor for evidence of a commit or a read."""
 
-    def await_proof(self, item: GateItem) -> None:
-        """Ask the group for evidence of the request's commit."""
+    def proved_fresh(self, submit: core.Submit) -> bool:
+        """Return whether the instance is proved fresh enough."""
 
-    def fresh(self, submit: core.Submit) -> bool:
-        """Tell whether the instance is proved as fresh as asked for."""
+    def cancel_statement(self, item: GateRequest) -> None:
+        """Stop the running statement by closing its connection."""
 
-    def cut(self, item: GateItem) -> None:
-        """End the statement at the instance by closing its connection."""
+    def move_elsewhere(self, item: GateRequest) -> None:
+        """Return the request to its router, to run elsewhere."""
 
-    def move(self, item: GateItem) -> None:
-        """Give the request back: it may run at another instance."""
 
+class GateRequest(decisions.Item):
+    """One request at its gate; its state chart is ``request``.
 
-class GateItem(decisions.Item):
-    """A request at its gate; lives by the chart ``request``."""
+    ``steps`` are the steps that have not been answered yet.  ``answer``
+    is the instance's answer for the caller, ``position`` the log position
+    of the commit, if there was one, and ``reason`` why the request
+    failed.  ``key_was_used`` is set if a request with the same
+    idempotency key has already run, ``ledger_created`` once the table of
+    keys was created for this request, and ``partly_sent`` once a part of
+    the answer was sent to the router.
+    """
 
     __slots__ = (
         'answer',
         'conn',
-        'host',
-        'keyed_before',
+        'key_was_used',
+        'ledger_created',
+        'owner',
+        'partly_sent',
         'position',
         'reason',
         'sent_at',
-        'setup_done',
         'steps',
-        'streamed',
     )
 
     def __init__(
-        self, host: ItemHost, submit: core.Submit, now: float
+        self, owner: GateRequestOwner, submit: core.Submit, now: float
     ) -> None:
         super().__init__(submit, now, now + submit.budget)
-        self.host = host
+        self.owner = owner
         self.steps: collections.deque[decisions.Step] = collections.deque(
             decisions.plan(submit.request)
         )
@@ -71,12 +86,16 @@
         self.position: core.Position | None = None
         self.sent_at = now
         self.reason = ''
-        self.keyed_before = False
-        self.setup_done = False
-        self.streamed = False
+        self.key_was_used = False
+        self.ledger_created = False
+        self.partly_sent = False
 
-    def step_done(self, answer: core.ConnAnswer) -> None:
-        """Take in the answer to the first step; plan what follows."""
+    def record_step_answer(self, answer: core.ConnAnswer) -> None:
+        """Record the answer to the first step, and set the next steps.
+
+        After an error in a transaction that was only begun for an
+        idempotency key, that transaction is rolled back.
+        """
         if answer.position is not None:
             self.position = answer.position
         step = self.steps.popleft()
@@ -85,7 +104,7 @@
         if not answer.error_code:
             return
         if step.purpose is decisions.Purpose.KEY:
-            self._key_refused(answer)
+            self._handle_key_error(answer)
             return
         self.answer = answer
         self.steps.clear()
@@ -94,54 +113,66 @@
         if statement and keyed and self.request.transaction is None:
             self.steps.append(decisions.ROLLBACK)
 
-    def _key_refused(self, answer: core.ConnAnswer) -> None:
-        """Make the ledger, or answer as the first run of the key was."""
-        alone = self.request.transaction is None
+    def _handle_key_error(self, answer: core.ConnAnswer) -> None:
+        """Set the next steps after the insert of an idempotency key failed.
+
+        If the ledger does not exist, it is created and the request run
+        again.  If the key was used before, the request succeeds without
+        running again.
+        """
+        outside_transaction = self.request.transaction is None
         code = answer.error_code
         self.steps.clear()
-        if code == decisions.NO_SUCH_TABLE and alone and not self.setup_done:
-            self.setup_done = True
+        if (
+            code == decisions.NO_SUCH_TABLE
+            and outside_transaction
+            and not self.ledger_created
+        ):
+            self.ledger_created = True
             self.steps.extend(decisions.setup_steps(self.request))
             return
         self.answer = answer
         if code == decisions.DUPLICATE_KEY:
-            self.keyed_before = True
+            self.key_was_used = True
             self.answer = dataclasses.replace(answer, data=b'', error_code=0)
-        if alone:
+        if outside_transaction:
             self.steps.append(decisions.ROLLBACK)
 
     @property
-    def _in_transaction(self) -> bool:
-        """Tell whether the instance rolls the work back by itself.
+    def _rolls_back_on_disconnect(self) -> bool:
+        """Return whether the work is lost if the connection ends now.
 
-        A session that only keeps its connection commits each statement.
+        That holds inside of a transaction.  A session that only keeps its
+        connection commits each statement by itself.
         """
         request = self.request
         return request.transaction is not None and not request.keeps_connection
 
     @property
-    def reads(self) -> bool:
-        """Tell whether the request has no effect, wherever it runs."""
-        alone = self.request.transaction is None
-        return alone and self.request.kind in _READS
+    def is_plain_read(self) -> bool:
+        """Return whether the request is a read outside of a transaction."""
+        outside_transaction = self.request.transaction is None
+        return outside_transaction and self.request.kind in _READ_KINDS
 
     @property
-    def writes(self) -> bool:
-        """Tell whether a good answer claims that an effect landed."""
-        if self._in_transaction:
+    def commits_change(self) -> bool:
+        """Return whether success means that a change was committed."""
+        if self._rolls_back_on_disconnect:
             return self.request.kind in (Kind.COMMIT, Kind.DDL)
-        return self.request.kind in _WRITES
+        return self.request.kind in _WRITE_KINDS
 
     @property
-    def may_have_landed(self) -> bool:
-        """Tell whether an effect may stay if no answer comes now.
+    def may_have_effect(self) -> bool:
+        """Return whether the request may be in effect without an answer.
 
-        Before the command that commits is sent, the instance rolls the
-        work back with the connection.
+        Until the command that commits is sent, the instance rolls the
+        work back when the connection ends.
         """
-        if not self.writes:
-            return not self.reads and not self._in_transaction
-        if not self.steps or self._in_transaction:
+        if not self.commits_change:
+            return (
+                not self.is_plain_read and not self._rolls_back_on_disconnect
+            )
+        if not self.steps or self._rolls_back_on_disconnect:
             return True
         keyed = self.request.marks.idempotency_key is not None
         if keyed and self.request.kind is Kind.WRITE:
@@ -149,80 +180,87 @@
         return True
 
     @property
-    def commits(self) -> bool:
-        """Tell whether the answer needs evidence before it is passed on."""
-        if self.keyed_before:
+    def needs_commit_proof(self) -> bool:
+        """Return whether the answer needs evidence of a commit."""
+        if self.key_was_used:
             return True
-        return self.writes or self.position is not None
+        return self.commits_change or self.position is not None
 
     @property
-    def unproved_read(self) -> bool:
-        """Tell whether its primary must still prove that it led.
+    def needs_read_proof(self) -> bool:
+        """Return whether a read still needs evidence that it is fresh.
 
-        A read of a replica was proved fresh before it ran.
+        That holds for a read of the primary, which another may have
+        replaced.  A read of a replica was proved fresh before it ran.
         """
         at_primary = self.submit.role is core.Role.PRIMARY
-        return self.reads and at_primary and not self.host.fresh(self.submit)
+        return (
+            self.is_plain_read
+            and at_primary
+            and not self.owner.proved_fresh(self.submit)
+        )
 
 
 @charts.guard('request.needs_proof')
-def _needs_proof(item: GateItem, answer: core.ConnAnswer) -> bool:
-    return not answer.error_code and (item.commits or item.unproved_read)
+def _needs_proof(item: GateRequest, answer: core.ConnAnswer) -> bool:
+    return not answer.error_code and (
+        item.needs_commit_proof or item.needs_read_proof
+    )
 
 
 @charts.guard('request.refused_here')
-def _refused_here(item: GateItem, answer: core.ConnAnswer) -> bool:
+def _refused_here(item: GateRequest, answer: core.ConnAnswer) -> bool:
     unstarted = item.request.transaction is None or item.request.begin
-    return bool(unstarted) and answer.error_code in READ_ONLY_CODES
+    return bool(unstarted) and answer.error_code in READ_ONLY_ERRNOS
 
 
 @charts.guard('request.proves_not_run')
-def _proves_not_run(item: GateItem, answer: core.ConnAnswer) -> bool:
-    return answer.error_code in READ_ONLY_CODES
+def _proves_not_run(item: GateRequest, answer: core.ConnAnswer) -> bool:
+    return answer.error_code in READ_ONLY_ERRNOS
 
 
 @charts.guard('request.may_run_again')
-def _may_run_again(item: GateItem, arg: object) -> bool:
-    return item.reads and not item.streamed
+def _may_run_again(item: GateRequest, arg: object) -> bool:
+    return item.is_plain_read and not item.partly_sent
 
 
 @charts.guard('request.may_have_landed')
-def _may_have_landed(item: GateItem, arg: object) -> bool:
-    return item.may_have_landed or item.streamed
+def _may_have_effect(item: GateRequest, arg: object) -> bool:
+    return item.may_have_effect or item.partly_sent
 
 
 @charts.action('request.move')
-def _move(item: GateItem, arg: object) -> None:
-    item.host.move(item)
+def _move(item: GateRequest, arg: object) -> None:
+    item.owner.move_elsewhere(item)
 
 
 @charts.action('request.await_proof')
-def _await_proof(item: GateItem, arg: object) -> None:
-    item.host.await_proof(item)
+def _await_proof(item: GateRequest, arg: object) -> None:
+    item.owner.await_proof(item)
 
 
 @charts.action('request.cut')
-def _cut(item: GateItem, arg: object) -> None:
-    item.host.cut(item)
+def _cancel_statement(item: GateRequest, arg: object) -> None:
+    item.owner.cancel_statement(item)
 
 
 @charts.action('request.done')
-def _done(item: GateItem, arg: object) -> None:
-    item.host.finish(item, core.Outcome.DONE, None)
+def _done(item: GateRequest, arg: object) -> None:
+    item.owner.finish(item, core.Outcome.DONE, None)
 
 
 @charts.action('request.not_run')
-def _not_run(item: GateItem, arg: object) -> None:
+def _not_run(item: GateRequest, arg: object) -> None:
     request = item.request
     error: core.CallerError = core.NotRunError(item.reason or 'refused')
     if isinstance(arg, decisions.Shed):
         error = core.NotRunError(arg.reason, arg.retry_after)
     elif request.transaction is not None and request.begin is None:
         error = core.TransactionLost('the transaction ended without commit')
-    item.host.finish(item, core.Outcome.NOT_RUN, error)
+    item.owner.finish(item, core.Outcome.NOT_RUN, error)
 
 
 @charts.action('request.unknown')
-def _unknown(item: GateItem, arg: object) -> None:
+def _unknown(item: GateRequest, arg: object) -> None:
     error = core.UnknownOutcomeError(item.reason or 'no evidence in time')
-    item.host.finish(item, core.Outcome.UNKNOWN, error)
+    item.owner.finish(item, core.Outcome.UNKNOWN, error)
