Reword tasks/group and tasks/membership

Group monitor: probes, evidence and failover in the usual terms, a comment with each interval and time-out, units in their names.

--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group.py
@@ -1,4 +1,9 @@
-"""The watch over one database group: probes, evidence, failover."""
+"""Group monitor: probes one database group and fails it over.
+
+Each VM that is the gate of an instance of the group has a monitor.  It
+probes all instances of the group, reports their state to the VM's gates,
+gives evidence for commits and reads, and replaces a lost primary.
+"""
 
 from __future__ import annotations
 
@@ -14,44 +19,67 @@
 
 __all__ = ['Group']
 
-ACTIVE_INTERVAL = 1.0
-DOUBT_LIFETIME = 1.0
-IDLE_INTERVAL = 2.0
-ACTIVE_LIFETIME = 5.0
-BUSY_INTERVAL = 0.005
-SUSPECT_INTERVAL = 0.05
-PROBE_TIMEOUT = 0.35
-CLAIM_TIMEOUT = 0.25
-FENCE_TIMEOUT = 0.50
-RANK_DELAY = 0.05
-STAND_BACK = 0.30
-CLAIM_LIFETIME = 30.0
-MAJORITY_LIFETIME = 3.0
-
-
-class _Turn(core.Message):
-    """Time to probe the group again."""
+# Interval of the probes of a group that has had requests recently.
+ACTIVE_PROBE_INTERVAL_S = 1.0
+# Time of frequent probes after a gate has reported a suspected instance.
+SUSPICION_LIFETIME_S = 1.0
+IDLE_PROBE_INTERVAL_S = 2.0
+# Time after a report of requests for which the group counts as active.
+ACTIVE_PERIOD_S = 5.0
+# Interval of the probes while requests wait for evidence.
+PROOF_PROBE_INTERVAL_S = 0.005
+# Interval of the probes while an instance is suspected or a failover runs.
+SUSPECT_PROBE_INTERVAL_S = 0.05
+PROBE_TIMEOUT_S = 0.35
+# Longest wait for the platform's table before a failover goes on without it.
+CLAIM_TIMEOUT_S = 0.25
+# Longest wait for fences, and again for the promotion.
+STEP_TIMEOUT_S = 0.50
+# Delay before a failover for each VM that is earlier in the order of VMs.
+RANK_DELAY_S = 0.05
+# Time after a failover, or a failed attempt, until this VM starts another.
+BACK_OFF_S = 0.30
+# Time after which a request for evidence is dropped.
+PROOF_REQUEST_LIFETIME_S = 30.0
+# Time for which a majority that was seen in the term counts as present.
+MAJORITY_LIFETIME_S = 3.0
+
+
+class _ProbeRoundDue(core.Message):
+    """Timer: probe all instances of the group."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _StepLate(core.Message):
-    """A step of a failover may have had no answer for too long."""
+class _StepTimeout(core.Message):
+    """Timer: a step of a failover has timed out.
+
+    It is void if the attempt or the state is no longer the current one.
+    """
 
     attempt: int
     state: core.LeadState
 
 
 @dataclasses.dataclass(slots=True)
-class _Probing:
-    """Probes of one instance: the number, and when the last began."""
+class _ProbeState:
+    """Last probe of one instance: its number and when it began.
+
+    ``pending`` is set until the probe is answered or times out.
+    """
 
     sequence: int = 0
     began_at: float = 0.0
-    open: bool = False
+    pending: bool = False
 
 
 class Group(runtime.Task):
-    """Watch one group; live by the chart ``leadership``."""
+    """Task that monitors one group; its state chart is ``leadership``.
+
+    ``members`` are the instances of the group, ``gates`` those of them
+    whose gate is this VM, and ``rank`` the place of this VM in the order
+    in which VMs fail the group over.  ``failovers`` counts the failovers
+    that this VM has done.
+    """
 
     def __init__(
         self,
@@ -70,22 +98,26 @@
         self._rank = rank
         self._health = decisions.GroupHealth(members, self.now())
         self._freshness = decisions.Freshness()
-        self._book = decisions.EvidenceBook(len(members))
-        self._probing = {name: _Probing() for name in members}
-        self._quiet_until = self.now()
+        self._pending_proofs = decisions.EvidenceBook(len(members))
+        self._probes = {name: _ProbeState() for name in members}
+        self._no_failover_before = self.now()
         self._attempt = 0
         self._candidate_term = core.Term(0)
-        self._recorded = core.Term(0)
+        self._recorded_term = core.Term(0)
         self._record_version = 0
         self._fenced: dict[core.InstanceName, core.FenceAnswer] = {}
-        self._refused = 0
+        self._refused_fence_count = 0
         self._used_at = self.now()
-        self._doubt_until = self.now()
-        self._told = (self._health.primary, self._health.term, self.state)
-        self._turn_due = 0.0
-        self._turn_timer: core.TimerId | None = None
+        self._suspected_until = self.now()
+        self._reported_leadership = (
+            self._health.primary,
+            self._health.term,
+            self.state,
+        )
+        self._round_due_at = 0.0
+        self._round_timer: core.TimerId | None = None
         self.failovers = 0
-        self._turn_within(0.0)
+        self._schedule_round(0.0)
         self.send(names.table(vm), core.TableGet(self.task_name, self._key))
 
     @property
@@ -97,148 +129,159 @@
         self._gates = message.gates
         self._rank = message.rank
         self._health.resize(message.members)
-        self._book.majority = self._health.majority
+        self._pending_proofs.majority = self._health.majority
         for name in message.members:
-            self._probing.setdefault(name, _Probing())
-        for gone in set(self._probing) - set(message.members):
-            del self._probing[gone]
-        self._turn_within(0.0)
+            self._probes.setdefault(name, _ProbeState())
+        for removed in set(self._probes) - set(message.members):
+            del self._probes[removed]
+        self._schedule_round(0.0)
 
     # -- probes -----------------------------------------------------
 
-    def _turn_within(self, delay: float) -> None:
-        """Let the next turn come after ``delay`` seconds at the latest."""
+    def _schedule_round(self, delay: float) -> None:
+        """Start the next round of probes in at most ``delay`` seconds."""
         due = self.now() + delay
-        if self._turn_timer is not None and self._turn_due <= due:
+        if self._round_timer is not None and self._round_due_at <= due:
             return
-        self.cancel(self._turn_timer)
-        self._turn_due = due
-        self._turn_timer = self.after(delay, _Turn())
-
-    @runtime.handles(_Turn)
-    def _on_turn(self, turn: _Turn) -> None:
-        self._turn_timer = None
-        for name in tuple(self._probing):
+        self.cancel(self._round_timer)
+        self._round_due_at = due
+        self._round_timer = self.after(delay, _ProbeRoundDue())
+
+    @runtime.handles(_ProbeRoundDue)
+    def _on_probe_round(self, timer: _ProbeRoundDue) -> None:
+        self._round_timer = None
+        for name in tuple(self._probes):
             self._probe(name)
-        self._turn_within(self._interval())
+        self._schedule_round(self._probe_interval())
 
     def _probe(self, name: core.InstanceName) -> None:
-        probing = self._probing.get(name)
-        if probing is None:
+        """Probe an instance unless its last probe is still pending."""
+        probe_state = self._probes.get(name)
+        if probe_state is None:
             return
         now = self.now()
-        if probing.open:
-            if now - probing.began_at < PROBE_TIMEOUT:
+        if probe_state.pending:
+            if now - probe_state.began_at < PROBE_TIMEOUT_S:
                 return
-            lost = core.ProbeAnswer(name, probing.sequence, False)
-            self._probed(lost)
-        probing.open = True
-        probing.sequence += 1
-        probing.began_at = now
-        self.send(names.agent(self.vm, name), core.Probe(probing.sequence))
+            failed = core.ProbeAnswer(name, probe_state.sequence, False)
+            self._handle_probe(failed)
+        probe_state.pending = True
+        probe_state.sequence += 1
+        probe_state.began_at = now
+        self.send(names.agent(self.vm, name), core.Probe(probe_state.sequence))
 
     @runtime.handles(core.ProbeAnswer)
     def _on_probe(self, probe: core.ProbeAnswer) -> None:
-        probing = self._probing.get(probe.instance)
-        if probing is None or probe.sequence != probing.sequence:
+        probe_state = self._probes.get(probe.instance)
+        if probe_state is None or probe.sequence != probe_state.sequence:
             return
-        if probing.open:
-            self._probed(probe)
+        if probe_state.pending:
+            self._handle_probe(probe)
 
-    def _probed(self, probe: core.ProbeAnswer) -> None:
-        probing = self._probing[probe.instance]
-        probing.open = False
+    def _handle_probe(self, probe: core.ProbeAnswer) -> None:
+        """Apply the result of a probe and report it to the gates."""
+        probe_state = self._probes[probe.instance]
+        probe_state.pending = False
         now = self.now()
-        self._health.heard(probe, probing.began_at, now)
+        self._health.heard(probe, probe_state.began_at, now)
         if probe.alive and probe.instance == self._health.primary:
             self._freshness.primary_seen(
-                probing.began_at, probe.applied, probe.starts
+                probe_state.began_at, probe.applied, probe.starts
             )
-        self._decide(probe, probing.began_at)
-        self._lead(now)
-        standing = (self._health.primary, self._health.term, self.state)
-        changed = standing != self._told
-        self._told = standing
+        self._send_verdicts(probe, probe_state.began_at)
+        self._check_primary(now)
+        leadership = (self._health.primary, self._health.term, self.state)
+        changed = leadership != self._reported_leadership
+        self._reported_leadership = leadership
         for name in self._gates:
             if changed or name == probe.instance:
-                self._tell(name, now)
-        self._turn_within(self._interval())
+                self._report_to_gate(name, now)
+        self._schedule_round(self._probe_interval())
 
-    def _decide(self, probe: core.ProbeAnswer, began_at: float) -> None:
-        """Tell gates which of their claims this probe decides."""
-        for claim, verdict in self._book.heard(probe, began_at):
-            answer: core.Message = core.Disproved(claim.request_id)
+    def _send_verdicts(self, probe: core.ProbeAnswer, began_at: float) -> None:
+        """Report to the gates the requests for evidence that are decided."""
+        for request, verdict in self._pending_proofs.heard(probe, began_at):
+            answer: core.Message = core.Disproved(request.request_id)
             if verdict is decisions.Verdict.PROVED:
-                answer = core.Proved(claim.request_id)
-            self.send(claim.gate, answer)
+                answer = core.Proved(request.request_id)
+            self.send(request.gate, answer)
+
+    def _probe_interval(self) -> float:
+        """Return the seconds until the next round of probes.
 
-    def _interval(self) -> float:
-        """Return the time until the next turn, aligned between groups."""
-        if len(self._book):
-            return BUSY_INTERVAL
+        Rounds at the usual intervals are aligned between all groups of
+        the VM.
+        """
+        if len(self._pending_proofs):
+            return PROOF_PROBE_INTERVAL_S
         if self.state is not core.LeadState.FOLLOWING:
-            return SUSPECT_INTERVAL
+            return SUSPECT_PROBE_INTERVAL_S
         now = self.now()
-        if self._health.any_failure() or now < self._doubt_until:
-            return SUSPECT_INTERVAL
-        active = now - self._used_at <= ACTIVE_LIFETIME
-        interval = ACTIVE_INTERVAL if active else IDLE_INTERVAL
+        if self._health.any_failure() or now < self._suspected_until:
+            return SUSPECT_PROBE_INTERVAL_S
+        is_active = now - self._used_at <= ACTIVE_PERIOD_S
+        interval = (
+            ACTIVE_PROBE_INTERVAL_S if is_active else IDLE_PROBE_INTERVAL_S
+        )
         return self.until_beat(interval)
 
     @runtime.handles(core.Doubt)
-    def _on_doubt(self, doubt: core.Doubt) -> None:
-        """Probe closely for a while: traffic shows trouble first."""
-        self._doubt_until = self.now() + DOUBT_LIFETIME
-        self._turn_within(0.0)
+    def _on_suspected(self, suspected: core.Doubt) -> None:
+        """Probe the group often for a while.
+
+        Requests show a failure before the usual probes do.
+        """
+        self._suspected_until = self.now() + SUSPICION_LIFETIME_S
+        self._schedule_round(0.0)
 
     @runtime.handles(core.GroupUsed)
     def _on_used(self, used: core.GroupUsed) -> None:
-        idle = self.now() - self._used_at > ACTIVE_LIFETIME
+        was_idle = self.now() - self._used_at > ACTIVE_PERIOD_S
         self._used_at = self.now()
-        if idle:
-            self._turn_within(0.0)
+        if was_idle:
+            self._schedule_round(0.0)
 
-    def _tell(self, name: core.InstanceName, now: float) -> None:
-        """Tell the instance's gate on this VM how the group stands."""
-        probing = self._probing.get(name)
-        if probing is None:
+    def _report_to_gate(self, name: core.InstanceName, now: float) -> None:
+        """Send the state of the group to the gate of an instance."""
+        probe_state = self._probes.get(name)
+        if probe_state is None:
             return
-        own = self._health.last(name)
-        if own is None:
-            own = core.ProbeAnswer(name, probing.sequence, False)
+        own_probe = self._health.last(name)
+        if own_probe is None:
+            own_probe = core.ProbeAnswer(name, probe_state.sequence, False)
         elif self._health.missing(name, now):
-            own = dataclasses.replace(own, alive=False)
-        began_at = probing.began_at
+            own_probe = dataclasses.replace(own_probe, alive=False)
+        began_at = probe_state.began_at
         delay = 0.0
         if name == self._health.primary:
             lag = max(0.0, began_at - self._health.majority_at)
         else:
-            lag = self._freshness.bound(own.applied, began_at)
-            delay = self._freshness.apply_delay(own.applied, began_at)
-        known = self.state is core.LeadState.FOLLOWING
+            lag = self._freshness.bound(own_probe.applied, began_at)
+            delay = self._freshness.apply_delay(own_probe.applied, began_at)
+        is_following = self.state is core.LeadState.FOLLOWING
         self.send(
             names.gate(self.vm, name),
             core.GroupState(
                 self.database,
-                self._health.primary if known else None,
+                self._health.primary if is_following else None,
                 self._health.term,
-                own,
+                own_probe,
                 began_at,
                 lag,
                 delay,
                 self._freshness.starts,
-                self._health.has_majority(now, MAJORITY_LIFETIME),
+                self._health.has_majority(now, MAJORITY_LIFETIME_S),
             ),
         )
 
     # -- evidence ---------------------------------------------------
 
     @runtime.handles(core.ProveCommit)
-    def _on_prove(self, claim: core.ProveCommit) -> None:
+    def _on_prove(self, request: core.ProveCommit) -> None:
         now = self.now()
-        self._book.drop_before(now - CLAIM_LIFETIME)
-        self._book.ask(claim, now)
-        for name in self._probing:
+        self._pending_proofs.drop_before(now - PROOF_REQUEST_LIFETIME_S)
+        self._pending_proofs.ask(request, now)
+        for name in self._probes:
             self._probe(name)
 
     @runtime.handles(core.WatchCatchUp)
@@ -249,39 +292,42 @@
 
     # -- failover ---------------------------------------------------
 
-    def _lead(self, now: float) -> None:
-        silent = self._health.primary_silent(now)
-        if not silent:
+    def _check_primary(self, now: float) -> None:
+        """Suspect an unreachable primary; start a failover if confirmed."""
+        unreachable = self._health.primary_silent(now)
+        if not unreachable:
             self._chart.fire(self, 'primary_heard')
             return
         self._chart.fire(self, 'primary_silent')
         if self.state is not core.LeadState.SUSPECTING:
             return
-        if now >= self._quiet_until and self._health.silence_confirmed(now):
+        if now >= self._no_failover_before and self._health.silence_confirmed(
+            now
+        ):
             self._chart.fire(self, 'silence_confirmed')
 
-    def probe_all(self) -> None:
-        """Begin to suspect: probe faster, and wait for one's turn."""
+    def start_suspecting(self) -> None:
+        """Probe all instances, and wait for this VM's turn to fail over."""
         self.log.emit(
             core.LogEvent.PRIMARY_SILENT,
             database=str(self.database),
             primary=str(self._health.primary or ''),
         )
-        self._quiet_until = max(
-            self._quiet_until, self.now() + self._rank * RANK_DELAY
+        self._no_failover_before = max(
+            self._no_failover_before, self.now() + self._rank * RANK_DELAY_S
         )
-        for name in self._probing:
+        for name in self._probes:
             self._probe(name)
 
-    def clear(self) -> None:
-        """Note that the suspected primary was heard again."""
+    def log_response(self) -> None:
+        """Log that the suspected primary has responded."""
         self.log.emit(core.LogEvent.PRIMARY_HEARD, database=str(self.database))
 
     def claim_term(self) -> None:
-        """Claim the next term by a conditional write."""
+        """Claim the next term by a conditional write to the table."""
         self._attempt += 1
         self._candidate_term = decisions.next_term(
-            self._health, self._recorded
+            self._health, self._recorded_term
         )
         self.log.emit(
             core.LogEvent.TERM_CLAIMED,
@@ -300,40 +346,44 @@
                 self._record_version,
             ),
         )
-        self._time_step(CLAIM_TIMEOUT)
+        self._start_step_timeout(CLAIM_TIMEOUT_S)
 
-    def _time_step(self, seconds: float) -> None:
-        self.after(seconds, _StepLate(self._attempt, self.state))
+    def _start_step_timeout(self, seconds: float) -> None:
+        self.after(seconds, _StepTimeout(self._attempt, self.state))
 
     @runtime.handles(core.TableAnswer)
     def _on_table(self, answer: core.TableAnswer) -> None:
         refused = isinstance(answer.error, core.PlatformRefused)
         if answer.error is None or refused:
-            self._note_record(answer)
+            self._store_record(answer)
         if not answer.put:
             return
         if answer.error is None:
             self._chart.fire(self, 'term_won')
         elif refused:
-            own = self._recorded == self._candidate_term and (
-                self._recorded_by(answer) == self.vm
+            is_own_claim = self._recorded_term == self._candidate_term and (
+                self._recorded_candidate(answer) == self.vm
             )
-            self._chart.fire(self, 'term_won' if own else 'term_lost')
+            self._chart.fire(self, 'term_won' if is_own_claim else 'term_lost')
         else:
-            self._skip_store()
+            self._continue_without_table()
 
-    def _note_record(self, answer: core.TableAnswer) -> None:
+    def _store_record(self, answer: core.TableAnswer) -> None:
         self._record_version = answer.version
         if answer.value:
             document = json.loads(answer.value)
-            self._recorded = core.Term(int(document.get('term', 0)))
+            self._recorded_term = core.Term(int(document.get('term', 0)))
 
     @staticmethod
-    def _recorded_by(answer: core.TableAnswer) -> str:
+    def _recorded_candidate(answer: core.TableAnswer) -> str:
         document = json.loads(answer.value or b'{}')
         return str(document.get('candidate', ''))
 
-    def _skip_store(self) -> None:
+    def _continue_without_table(self) -> None:
+        """Fence without a claim in the table, which does not respond.
+
+        Safety does not depend on the claim, only on the fences.
+        """
         if self.state is core.LeadState.CLAIMING:
             self.log.emit(
                 core.LogEvent.STORE_SKIPPED, database=str(self.database)
@@ -341,15 +391,15 @@
         self._chart.fire(self, 'store_silent')
 
     def fence(self) -> None:
-        """Ask every instance to accept nothing of an earlier term."""
+        """Ask every instance to reject everything of earlier terms."""
         self._fenced.clear()
-        self._refused = 0
-        for name in self._probing:
+        self._refused_fence_count = 0
+        for name in self._probes:
             self.send(
                 names.agent(self.vm, name),
                 core.Fence(self._candidate_term, self.vm),
             )
-        self._time_step(FENCE_TIMEOUT)
+        self._start_step_timeout(STEP_TIMEOUT_S)
 
     @runtime.handles(core.FenceAnswer)
     def _on_fence(self, answer: core.FenceAnswer) -> None:
@@ -358,28 +408,28 @@
         if answer.accepted and answer.term == self._candidate_term:
             self._fenced[answer.instance] = answer
         else:
-            self._refused += 1
+            self._refused_fence_count += 1
         if len(self._fenced) >= self._health.majority:
             self._chart.fire(self, 'majority_fenced')
-        elif self._refused >= self._health.majority:
+        elif self._refused_fence_count >= self._health.majority:
             self.log.emit(
                 core.LogEvent.FENCE_REFUSED, database=str(self.database)
             )
             self._chart.fire(self, 'fence_refused')
 
     def promote(self) -> None:
-        """Promote the fenced instance that has the longest log."""
+        """Promote the fenced instance with the longest log."""
         leaving = frozenset(
             name
-            for name in self._probing
+            for name in self._probes
             if (last := self._health.last(name)) is not None and last.leaving
         )
-        chosen = decisions.choose_leader(self._fenced.values(), leaving)
+        new_primary = decisions.choose_leader(self._fenced.values(), leaving)
         self.send(
-            names.agent(self.vm, chosen),
+            names.agent(self.vm, new_primary),
             core.Promote(self._candidate_term, self.vm),
         )
-        self._time_step(FENCE_TIMEOUT)
+        self._start_step_timeout(STEP_TIMEOUT_S)
 
     @runtime.handles(core.PromoteAnswer)
     def _on_promote(self, answer: core.PromoteAnswer) -> None:
@@ -391,45 +441,45 @@
             self._health.promoted(answer.instance, answer.term, self.now())
         self._chart.fire(self, event)
 
-    @runtime.handles(_StepLate)
-    def _on_step_late(self, late: _StepLate) -> None:
-        if late.attempt != self._attempt or late.state is not self.state:
+    @runtime.handles(_StepTimeout)
+    def _on_step_timeout(self, timeout: _StepTimeout) -> None:
+        if timeout.attempt != self._attempt or timeout.state is not self.state:
             return
         if self.state is core.LeadState.CLAIMING:
-            self._skip_store()
+            self._continue_without_table()
             return
         self._chart.fire(self, 'timed_out')
 
-    def announce(self) -> None:
-        """Probe at once, so that gates learn the new primary."""
+    def announce_primary(self) -> None:
+        """Report the new primary to the gates, and probe the group."""
         self.failovers += 1
         self.log.emit(
             core.LogEvent.PRIMARY_PROMOTED,
             database=str(self.database),
             term=self._candidate_term,
         )
-        self._quiet_until = self.now() + STAND_BACK
-        for name in self._probing:
+        self._no_failover_before = self.now() + BACK_OFF_S
+        for name in self._probes:
             self._probe(name)
         for name in self._gates:
-            self._tell(name, self.now())
+            self._report_to_gate(name, self.now())
 
-    def stand_back(self) -> None:
-        """Leave the failover to others for a while."""
+    def back_off(self) -> None:
+        """Leave the failover to other VMs for a while."""
         self.log.emit(
             core.LogEvent.TERM_LOST,
             database=str(self.database),
             term=self._candidate_term,
         )
-        self._quiet_until = self.now() + STAND_BACK * (1 + self._rank)
+        self._no_failover_before = self.now() + BACK_OFF_S * (1 + self._rank)
         self.send(
             names.table(self.vm), core.TableGet(self.task_name, self._key)
         )
 
     @runtime.handles(notices.Ask)
-    def _on_ask(self, ask: notices.Ask) -> None:
+    def _on_query(self, query: notices.Ask) -> None:
         rows = []
-        for name in self._probing:
+        for name in self._probes:
             last = self._health.last(name)
             alive = last is not None and not self._health.missing(
                 name, self.now()
@@ -447,6 +497,6 @@
                 )
             )
         self.send(
-            ask.reply_to,
-            notices.Told(self.task_name, ask.number, tuple(rows)),
+            query.reply_to,
+            notices.Told(self.task_name, query.number, tuple(rows)),
         )
--- a/src/chicoryusher/tasks/group_actions.py
+++ b/src/chicoryusher/tasks/group_actions.py
@@ -10,13 +10,13 @@
 
 
 @charts.action('lead.probe_all')
-def _probe_all(group: Group, arg: object) -> None:
-    group.probe_all()
+def _start_suspecting(group: Group, arg: object) -> None:
+    group.start_suspecting()
 
 
 @charts.action('lead.clear')
-def _clear(group: Group, arg: object) -> None:
-    group.clear()
+def _log_response(group: Group, arg: object) -> None:
+    group.log_response()
 
 
 @charts.action('lead.claim_term')
@@ -35,10 +35,10 @@
 
 
 @charts.action('lead.announce')
-def _announce(group: Group, arg: object) -> None:
-    group.announce()
+def _announce_primary(group: Group, arg: object) -> None:
+    group.announce_primary()
 
 
 @charts.action('lead.stand_back')
-def _stand_back(group: Group, arg: object) -> None:
-    group.stand_back()
+def _back_off(group: Group, arg: object) -> None:
+    group.back_off()
--- a/src/chicoryusher/tasks/membership.py
+++ b/src/chicoryusher/tasks/membership.py
@@ -1,4 +1,8 @@
-"""The membership task: heartbeats, the platform's list, live VMs."""
+"""Membership: which VMs are alive, for the other tasks of this VM.
+
+It exchanges heartbeats with a few other VMs, reads the platform's list
+of VMs, and reports the live VMs whenever they change.
+"""
 
 from __future__ import annotations
 
@@ -10,117 +14,128 @@
 
 __all__ = ['MembershipTask']
 
-HEARTBEAT_INTERVAL = 0.5
-LIST_READS_PER_SECOND = 80.0
-MIN_LIST_INTERVAL = 2.0
+HEARTBEAT_INTERVAL_S = 0.5
+# Reads of the platform's list by all VMs together.
+MAX_LIST_READS_PER_S = 80.0
+MIN_LIST_INTERVAL_S = 2.0
 
 
-class _Beat(core.Message):
-    """Time to send heartbeats and judge silence."""
+class _HeartbeatDue(core.Message):
+    """Timer: send heartbeats and check for missing ones."""
 
 
-class _List(core.Message):
-    """Time to read the platform's list."""
+class _ListReadDue(core.Message):
+    """Timer: read the platform's list of VMs."""
 
 
 class MembershipTask(runtime.Task):
-    """Know which VMs live, with a constant number of heartbeats."""
+    """Task that finds out which VMs are alive.
+
+    The number of its heartbeats does not grow with the number of VMs.
+    """
 
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
         super().__init__(loop, vm, 'membership')
         self._membership = decisions.Membership(vm)
         self._vms: tuple[core.VmName, ...] = ()
-        self._config = core.ConfigVersion(0)
+        self._config_version = core.ConfigVersion(0)
         self._leaving = False
-        self._told: tuple[core.VmName, ...] = ()
-        self.after(HEARTBEAT_INTERVAL, _Beat())
-        self.after(0.0, _List())
+        self._reported_live: tuple[core.VmName, ...] = ()
+        self.after(HEARTBEAT_INTERVAL_S, _HeartbeatDue())
+        self.after(0.0, _ListReadDue())
 
     @runtime.handles(notices.ConfigInForce)
     def _on_config(self, message: notices.ConfigInForce) -> None:
-        self._config = message.config.version
-        self._vms = tuple(one.name for one in message.config.vms)
+        self._config_version = message.config.version
+        self._vms = tuple(other.name for other in message.config.vms)
         self._membership.configured(self._vms, self.now())
-        watched = [
-            one
-            for one in self._vms
-            if one != self.vm
-            and self.vm in decisions.neighbours_of(one, self._vms)
+        monitored = [
+            other
+            for other in self._vms
+            if other != self.vm
+            and self.vm in decisions.neighbours_of(other, self._vms)
         ]
-        self._membership.watch(watched, self.now())
-        self._tell(True)
-        self._beat()
+        self._membership.watch(monitored, self.now())
+        self._report_live(True)
+        self._send_heartbeats()
 
-    @runtime.handles(_Beat)
-    def _on_beat(self, beat: _Beat) -> None:
-        self.after(HEARTBEAT_INTERVAL, _Beat())
+    @runtime.handles(_HeartbeatDue)
+    def _on_heartbeat_due(self, timer: _HeartbeatDue) -> None:
+        self.after(HEARTBEAT_INTERVAL_S, _HeartbeatDue())
         changed = self._membership.tick(self.now())
-        self._beat()
-        self._tell(changed)
+        self._send_heartbeats()
+        self._report_live(changed)
 
-    def _beat(self) -> None:
+    def _send_heartbeats(self) -> None:
         heartbeat = core.Heartbeat(
             self.vm,
             self._leaving,
-            self._config,
+            self._config_version,
             self._membership.suspected(),
         )
         for vm in decisions.neighbours_of(self.vm, self._vms):
             self.send(names.peers(self.vm), core.ToPeer(vm, heartbeat))
 
     @runtime.handles(core.Heartbeat)
-    def _on_heartbeat(self, beat: core.Heartbeat) -> None:
+    def _on_heartbeat(self, heartbeat: core.Heartbeat) -> None:
         now = self.now()
-        changed = self._membership.heard(beat.vm, beat.leaving, now)
-        for suspect in beat.suspects:
-            changed |= self._membership.witnessed(beat.vm, suspect, now)
-        self._tell(changed)
-        if beat.config > self._config:
+        changed = self._membership.heard(heartbeat.vm, heartbeat.leaving, now)
+        for suspect in heartbeat.suspects:
+            changed |= self._membership.witnessed(heartbeat.vm, suspect, now)
+        self._report_live(changed)
+        if heartbeat.config > self._config_version:
             self.send(
                 names.peers(self.vm),
-                core.ToPeer(beat.vm, core.ConfigFetch(self.vm, self._config)),
+                core.ToPeer(
+                    heartbeat.vm,
+                    core.ConfigFetch(self.vm, self._config_version),
+                ),
             )
 
     @runtime.handles(core.PeerUp)
     def _on_up(self, up: core.PeerUp) -> None:
-        self._tell(self._membership.heard(up.vm, False, self.now()))
+        self._report_live(self._membership.heard(up.vm, False, self.now()))
 
     @runtime.handles(core.PeerDown)
     def _on_down(self, down: core.PeerDown) -> None:
-        self._tell(self._membership.lost_stream(down.vm, self.now()))
+        self._report_live(self._membership.lost_stream(down.vm, self.now()))
 
-    @runtime.handles(_List)
-    def _on_list_turn(self, turn: _List) -> None:
+    @runtime.handles(_ListReadDue)
+    def _on_list_read_due(self, timer: _ListReadDue) -> None:
         interval = max(
-            MIN_LIST_INTERVAL, len(self._vms) / LIST_READS_PER_SECOND
+            MIN_LIST_INTERVAL_S, len(self._vms) / MAX_LIST_READS_PER_S
         )
-        self.after(interval, _List())
+        self.after(interval, _ListReadDue())
         self.send(names.table(self.vm), core.VmListRequest(self.task_name))
 
     @runtime.handles(core.VmList)
     def _on_list(self, answer: core.VmList) -> None:
         if answer.error is not None:
             return
-        listed = [core.VmName(one.name) for one in answer.vms]
-        leaving = [core.VmName(one.name) for one in answer.vms if one.leaving]
-        self._tell(self._membership.listed(listed, leaving, self.now()))
+        listed = [core.VmName(entry.name) for entry in answer.vms]
+        leaving = [
+            core.VmName(entry.name) for entry in answer.vms if entry.leaving
+        ]
+        self._report_live(self._membership.listed(listed, leaving, self.now()))
 
     @runtime.handles(core.Drain)
     def _on_drain(self, drain: core.Drain) -> None:
         self._leaving = True
-        self._beat()
+        self._send_heartbeats()
 
-    def _tell(self, changed: bool) -> None:
+    def _report_live(self, changed: bool) -> None:
+        """Report the live VMs and the states of all VMs if they changed."""
         if not self._vms:
             return
         live = self._membership.live()
         if self._leaving:
-            live = tuple(one for one in live if one != self.vm)
-        if not changed and live == self._told:
+            live = tuple(member for member in live if member != self.vm)
+        if not changed and live == self._reported_live:
             return
-        self._told = live
+        self._reported_live = live
         states = tuple(
-            (one.name, one.state) for one in self._membership.records()
+            (member.name, member.state)
+            for member in self._membership.records()
         )
         message = core.LiveVms(live, states)
         self.send(names.router(self.vm), message)
@@ -133,13 +148,13 @@
                 )
 
     @runtime.handles(notices.Ask)
-    def _on_ask(self, ask: notices.Ask) -> None:
+    def _on_query(self, query: notices.Ask) -> None:
         rows = tuple(
-            (('vm', str(one.name)), ('state', one.state.value))
-            for one in self._membership.records()
+            (('vm', str(record.name)), ('state', record.state.value))
+            for record in self._membership.records()
         )
         own = (('vm', str(self.vm)), ('state', 'live'))
         self.send(
-            ask.reply_to,
-            notices.Told(self.task_name, ask.number, (own, *rows)),
+            query.reply_to,
+            notices.Told(self.task_name, query.number, (own, *rows)),
         )
