--- a/src/chicoryusher/tasks/__init__.py
+++ b/src/chicoryusher/tasks/__init__.py
@@ -1,7 +1,7 @@
-"""Tasks: circuits components that decide by messages.
+"""Tasks: components that own their state and exchange messages.
 
-A name is imported from its module when it is first asked for: entry
-processes use the pooled tasks only, and start sooner without the others.
+A name is imported from its module when it is first used.  Entry processes
+use only ``tasks.pool``, and start faster without the other modules.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 
 from chicoryusher.tasks import names
 
-_HOMES = {
+_MODULE_OF = {
     'ApplyDocument': 'configurator',
     'ApplyResult': 'configurator',
     'Ask': 'notices',
@@ -32,13 +32,13 @@
     'audit_key': 'configurator',
 }
 
-__all__ = [*_HOMES, 'names']
+__all__ = [*_MODULE_OF, 'names']
 
 
 def __getattr__(name: str) -> Any:
     """Return a re-exported name; AttributeError for any other."""
-    home = _HOMES.get(name)
-    if home is None:
+    module_name = _MODULE_OF.get(name)
+    if module_name is None:
         raise AttributeError(f'{__name__} has no {name!r}')
-    module = importlib.import_module(f'{__name__}.{home}')
+    module = importlib.import_module(f'{__name__}.{module_name}')
     return getattr(module, name)
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -1,8 +1,9 @@
-"""The configuration task: reads, accepts and passes on versions.
+"""Configurator: reads configurations, and accepts changes of operators.
 
-The platform's table holds a pointer under one key; the key's version
-is the configuration's, and the document itself is an object.  A lower
-version never replaces a higher one, wherever it comes from.
+The platform's table has a pointer to the current document under one key,
+whose version is the version of the configuration.  The document itself is
+in the object store.  A lower version never replaces a higher one, whether
+it comes from the platform or from another VM.
 """
 
 from __future__ import annotations
@@ -25,21 +26,28 @@
 ]
 
 CONFIG_KEY = 'config'
-AUDIT_PREFIX = 'audit/'
-READS_PER_SECOND = 120.0
-MIN_READ_INTERVAL = 1.0
-READ_BACK_DELAY = 0.25
-MAX_READ_BACKS = 20
+AUDIT_KEY_PREFIX = 'audit/'
+# Reads of the pointer by all VMs together.
+MAX_READS_PER_S = 120.0
+MIN_READ_INTERVAL_S = 1.0
+# Delay before a pointer is read after a write whose result is unknown.
+READ_BACK_DELAY_S = 0.25
+# Failed reads after which the result of the write stays unknown.
+MAX_READ_BACK_FAILURES = 20
 
 
 def audit_key(version: int, suffix: str = '') -> str:
     """Return the table key of the audit record of a version."""
-    return f'{AUDIT_PREFIX}{version:010d}{suffix}'
+    return f'{AUDIT_KEY_PREFIX}{version:010d}{suffix}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApplyDocument(core.Message):
-    """An operator's new document, to replace version ``expected``."""
+    """Ask to replace the configuration with version ``expected``.
+
+    ``number`` pairs the ``ApplyResult`` with the message.  ``operator``
+    and ``at``, the time of the change, are written to the audit record.
+    """
 
     reply_to: core.TaskName
     number: int
@@ -51,35 +59,46 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApplyResult(core.Message):
-    """What became of an operator's document."""
+    """Result of an ``ApplyDocument``.
+
+    ``version`` is the version in force on this VM.
+    """
 
     number: int
     version: core.ConfigVersion
     error: core.ChicoryusherError | None = None
 
 
-class _Read(core.Message):
-    """Time to read the platform's configuration."""
+class _ReadDue(core.Message):
+    """Timer: read the pointer to the configuration."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _ReadBack(core.Message):
-    """Time to find out whether a write whose answer was lost landed."""
+class _ReadBackDue(core.Message):
+    """Timer: read whether a write with unknown result took effect."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Applying:
-    """The change being written; one at a time."""
+class _PendingChange:
+    """Change of the configuration that is being written.
+
+    Only one change is written at a time.  ``outcome_unknown`` is set while
+    it is not known whether the write of the pointer took effect;
+    ``failed_read_backs`` counts the failed reads that were to find out.
+    """
 
     message: ApplyDocument
     document: bytes
     pointer: bytes
-    read_backs: int = 0
-    unsure: bool = False
+    failed_read_backs: int = 0
+    outcome_unknown: bool = False
 
 
 class Configurator(runtime.Task):
-    """Hold the configuration in force on this VM."""
+    """Task that keeps the configuration that is in force on this VM.
+
+    Each new configuration is sent to the tasks ``receivers``.
+    """
 
     def __init__(
         self,
@@ -89,27 +108,27 @@
     ) -> None:
         super().__init__(loop, vm, 'configurator')
         self._receivers = receivers
-        self._config: decisions.Configuration | None = None
+        self._in_force: decisions.Configuration | None = None
         self._document = b''
-        self._applying: _Applying | None = None
-        self._fetching: dict[str, core.ConfigVersion] = {}
-        self._queue: list[ApplyDocument] = []
-        self.after(0.0, _Read())
+        self._pending_change: _PendingChange | None = None
+        self._requested_versions: dict[str, core.ConfigVersion] = {}
+        self._queued_documents: list[ApplyDocument] = []
+        self.after(0.0, _ReadDue())
 
     @property
     def version(self) -> core.ConfigVersion:
-        """Return the version in force, 0 before the first."""
-        if self._config is None:
+        """Return the version in force, 0 if there is none yet."""
+        if self._in_force is None:
             return core.ConfigVersion(0)
-        return self._config.version
+        return self._in_force.version
 
-    # -- taking versions into force ---------------------------------
+    # -- applying new versions --------------------------------------
 
-    @runtime.handles(_Read)
-    def _on_read(self, read: _Read) -> None:
-        vms = len(self._config.vms) if self._config is not None else 0
-        interval = max(MIN_READ_INTERVAL, vms / READS_PER_SECOND)
-        self.after(interval, _Read())
+    @runtime.handles(_ReadDue)
+    def _on_read_due(self, timer: _ReadDue) -> None:
+        vms = len(self._in_force.vms) if self._in_force is not None else 0
+        interval = max(MIN_READ_INTERVAL_S, vms / MAX_READS_PER_S)
+        self.after(interval, _ReadDue())
         self._get(CONFIG_KEY)
 
     def _get(self, key: str) -> None:
@@ -124,39 +143,42 @@
     @runtime.handles(core.TableAnswer)
     def _on_table(self, answer: core.TableAnswer) -> None:
         if answer.key != CONFIG_KEY:
-            self._audited(answer)
+            self._on_audit_written(answer)
             return
         if answer.value is not None and answer.version > self.version:
             self._fetch(answer)
         elif answer.value is not None and answer.version < self.version:
-            self._note_stale(answer.version)
+            self._log_stale(answer.version)
         if answer.put:
-            self._put_answered(answer)
-        elif self._applying is not None and self._applying.unsure:
-            self._read_back(answer)
+            self._on_pointer_written(answer)
+        elif (
+            self._pending_change is not None
+            and self._pending_change.outcome_unknown
+        ):
+            self._resolve_outcome(answer)
 
     def _fetch(self, answer: core.TableAnswer) -> None:
-        """Read the document that a newer pointer names."""
+        """Read the document that a newer pointer refers to."""
         try:
             key = decisions.decode_pointer(answer.value or b'')
         except core.ConfigError as exc:
-            self._note_bad(answer.version, exc)
+            self._log_bad(answer.version, exc)
             return
-        self._fetching[key] = core.ConfigVersion(answer.version)
+        self._requested_versions[key] = core.ConfigVersion(answer.version)
         self.send(names.table(self.vm), core.ObjectGet(self.task_name, key))
 
     @runtime.handles(core.ObjectAnswer)
     def _on_object(self, answer: core.ObjectAnswer) -> None:
         if answer.put:
-            self._object_stored(answer)
+            self._write_pointer(answer)
             return
-        version = self._fetching.pop(answer.key, None)
+        version = self._requested_versions.pop(answer.key, None)
         if version is not None and answer.value is not None:
-            self._take(version, answer.value)
+            self._apply(version, answer.value)
 
     @runtime.handles(core.ConfigOffer)
     def _on_offer(self, offer: core.ConfigOffer) -> None:
-        self._take(offer.version, offer.document)
+        self._apply(offer.version, offer.document)
 
     @runtime.handles(core.ConfigFetch)
     def _on_fetch(self, fetch: core.ConfigFetch) -> None:
@@ -168,49 +190,50 @@
                 ),
             )
 
-    def _take(self, version: core.ConfigVersion, document: bytes) -> None:
+    def _apply(self, version: core.ConfigVersion, document: bytes) -> None:
+        """Put a document in force if it is valid and newer."""
         if version <= self.version:
             if version < self.version:
-                self._note_stale(version)
+                self._log_stale(version)
             return
         try:
             parsed = json.loads(document)
             config = decisions.rebuild_document(parsed, version)
         except (ValueError, core.SettingsError) as exc:
-            self._note_bad(version, exc)
+            self._log_bad(version, exc)
             return
-        self._config = config
+        self._in_force = config
         self._document = document
         self.log.emit(core.LogEvent.CONFIG_IN_FORCE, version=version)
         for receiver in self._receivers:
             self.send(receiver, notices.ConfigInForce(config))
 
-    def _note_stale(self, version: int) -> None:
+    def _log_stale(self, version: int) -> None:
         self.log.emit(
             core.LogEvent.CONFIG_STALE,
             version=version,
             in_force=self.version,
         )
 
-    def _note_bad(self, version: int, exc: Exception) -> None:
+    def _log_bad(self, version: int, exc: Exception) -> None:
         self.log.emit(core.LogEvent.CONFIG_BAD, version=version, why=str(exc))
 
     # -- accepting a change -----------------------------------------
 
     @runtime.handles(ApplyDocument)
     def _on_apply(self, message: ApplyDocument) -> None:
-        if self._applying is not None:
-            self._queue.append(message)
+        if self._pending_change is not None:
+            self._queued_documents.append(message)
             return
         try:
             parsed = json.loads(message.document)
             decisions.compile_document(parsed, core.ConfigVersion(0))
         except ValueError as exc:
             problem = core.ConfigError('$', str(exc))
-            self._result(message, core.SettingsError((problem,)))
+            self._send_result(message, core.SettingsError((problem,)))
             return
         except core.SettingsError as exc:
-            self._result(message, exc)
+            self._send_result(message, exc)
             return
         parsed['change'] = {
             'who': message.operator,
@@ -221,7 +244,7 @@
         }
         document = json.dumps(parsed, sort_keys=True).encode()
         key = decisions.object_key(document)
-        self._applying = _Applying(
+        self._pending_change = _PendingChange(
             message, document, decisions.encode_pointer(key)
         )
         self.send(
@@ -229,86 +252,95 @@
             core.ObjectPut(self.task_name, key, document),
         )
 
-    def _object_stored(self, answer: core.ObjectAnswer) -> None:
-        """Point to the stored document, which is the change itself.
+    def _write_pointer(self, answer: core.ObjectAnswer) -> None:
+        """Write the pointer to the stored document.
 
-        Without the pointer the object has no effect, so a failure here
-        is a change that certainly was not made.
+        Only the pointer changes the configuration.  So if the object was
+        not stored, the change has certainly not been made.
         """
-        applying = self._applying
-        if applying is None:
+        change = self._pending_change
+        if change is None:
             return
         if answer.error is not None:
             error = core.PlatformUnavailable('the object was not stored')
-            self._done(error)
+            self._finish(error)
             return
-        self._put(CONFIG_KEY, applying.pointer, applying.message.expected)
+        self._put(CONFIG_KEY, change.pointer, change.message.expected)
 
-    def _put_answered(self, answer: core.TableAnswer) -> None:
-        applying = self._applying
-        if applying is None:
+    def _on_pointer_written(self, answer: core.TableAnswer) -> None:
+        change = self._pending_change
+        if change is None:
             return
         if answer.error is None:
-            self._accepted(core.ConfigVersion(answer.version))
+            self._finish_accepted(core.ConfigVersion(answer.version))
         elif isinstance(answer.error, core.PlatformRefused):
-            if answer.value == applying.pointer:
-                self._accepted(core.ConfigVersion(answer.version))
+            if answer.value == change.pointer:
+                self._finish_accepted(core.ConfigVersion(answer.version))
             else:
-                self._conflict(answer.version)
+                self._finish_conflict(answer.version)
         elif isinstance(answer.error, core.PlatformUnavailable):
-            self._done(answer.error)
+            self._finish(answer.error)
         else:
-            applying.unsure = True
-            self.after(READ_BACK_DELAY, _ReadBack())
+            change.outcome_unknown = True
+            self.after(READ_BACK_DELAY_S, _ReadBackDue())
 
-    @runtime.handles(_ReadBack)
-    def _on_read_back(self, turn: _ReadBack) -> None:
-        if self._applying is not None:
+    @runtime.handles(_ReadBackDue)
+    def _on_read_back_due(self, timer: _ReadBackDue) -> None:
+        if self._pending_change is not None:
             self._get(CONFIG_KEY)
 
-    def _read_back(self, answer: core.TableAnswer) -> None:
-        applying = self._applying
-        assert applying is not None
+    def _resolve_outcome(self, answer: core.TableAnswer) -> None:
+        """Find out by a read whether the write has taken effect.
+
+        If it has not, and the version is still the expected one, it is
+        written again.
+        """
+        change = self._pending_change
+        assert change is not None
         if answer.error is not None:
-            applying.read_backs += 1
-            if applying.read_backs >= MAX_READ_BACKS:
-                self._done(core.PlatformUnknown('the write may have landed'))
+            change.failed_read_backs += 1
+            if change.failed_read_backs >= MAX_READ_BACK_FAILURES:
+                self._finish(core.PlatformUnknown('the write may have landed'))
                 return
-            self.after(READ_BACK_DELAY, _ReadBack())
-        elif answer.value == applying.pointer:
-            self._accepted(core.ConfigVersion(answer.version))
-        elif answer.version > applying.message.expected:
-            self._conflict(answer.version)
+            self.after(READ_BACK_DELAY_S, _ReadBackDue())
+        elif answer.value == change.pointer:
+            self._finish_accepted(core.ConfigVersion(answer.version))
+        elif answer.version > change.message.expected:
+            self._finish_conflict(answer.version)
         else:
-            applying.unsure = False
-            self._put(CONFIG_KEY, applying.document, applying.message.expected)
+            change.outcome_unknown = False
+            self._put(CONFIG_KEY, change.document, change.message.expected)
 
-    def _accepted(self, version: core.ConfigVersion) -> None:
-        assert self._applying is not None
-        self._take(version, self._applying.document)
+    def _finish_accepted(self, version: core.ConfigVersion) -> None:
+        assert self._pending_change is not None
+        self._apply(version, self._pending_change.document)
         self.log.emit(core.LogEvent.CONFIG_ACCEPTED, version=version)
-        self._audit(version, 'accepted', '')
-        self._done(None)
+        self._write_audit_record(version, 'accepted', '')
+        self._finish(None)
 
-    def _conflict(self, found: int) -> None:
-        applying = self._applying
-        assert applying is not None
-        message = applying.message
+    def _finish_conflict(self, found: int) -> None:
+        change = self._pending_change
+        assert change is not None
+        message = change.message
         self.log.emit(core.LogEvent.CONFIG_CONFLICT, found=found)
-        self._audit(found, 'conflict', f'-{self.vm}-{message.number}')
-        self._done(core.ConfigConflict(message.expected, found))
+        self._write_audit_record(
+            found, 'conflict', f'-{self.vm}-{message.number}'
+        )
+        self._finish(core.ConfigConflict(message.expected, found))
 
-    def _audit(self, version: int, outcome: str, suffix: str) -> None:
-        applying = self._applying
-        assert applying is not None
+    def _write_audit_record(
+        self, version: int, outcome: str, suffix: str
+    ) -> None:
+        change = self._pending_change
+        assert change is not None
         record = {
-            **json.loads(applying.document)['change'],
+            **json.loads(change.document)['change'],
             'outcome': outcome,
             'what': 'register apply',
         }
         self._put(audit_key(version, suffix), json.dumps(record).encode(), 0)
 
-    def _audited(self, answer: core.TableAnswer) -> None:
+    def _on_audit_written(self, answer: core.TableAnswer) -> None:
         refused = isinstance(answer.error, core.PlatformRefused)
         if answer.put and answer.error is not None and not refused:
             self.log.emit(
@@ -317,14 +349,14 @@
                 why=str(answer.error),
             )
 
-    def _done(self, error: core.ChicoryusherError | None) -> None:
-        applying, self._applying = self._applying, None
-        assert applying is not None
-        self._result(applying.message, error)
-        if self._queue:
-            self._on_apply(self._queue.pop(0))
+    def _finish(self, error: core.ChicoryusherError | None) -> None:
+        change, self._pending_change = self._pending_change, None
+        assert change is not None
+        self._send_result(change.message, error)
+        if self._queued_documents:
+            self._on_apply(self._queued_documents.pop(0))
 
-    def _result(
+    def _send_result(
         self, message: ApplyDocument, error: core.ChicoryusherError | None
     ) -> None:
         self.send(
@@ -333,11 +365,11 @@
         )
 
     @runtime.handles(notices.Ask)
-    def _on_ask(self, ask: notices.Ask) -> None:
+    def _on_query(self, query: notices.Ask) -> None:
         row = (
             ('version', str(self.version)),
             ('document', self._document.decode()),
         )
         self.send(
-            ask.reply_to, notices.Told(self.task_name, ask.number, (row,))
+            query.reply_to, notices.Told(self.task_name, query.number, (row,))
         )
--- a/src/chicoryusher/tasks/hints.py
+++ b/src/chicoryusher/tasks/hints.py
@@ -1,4 +1,7 @@
-"""Hints about one instance that its gate attaches to answers."""
+"""Reports about one instance that its gate attaches to answers.
+
+Routers choose instances by these reports; see ``decisions.routing``.
+"""
 
 from __future__ import annotations
 
@@ -6,11 +9,12 @@
 
 __all__ = ['Hints']
 
-HINT_INTERVAL = 0.05
+# Shortest interval between two reports to the same router.
+REPORT_INTERVAL_S = 0.05
 
 
 class Hints:
-    """Reports for routers, not more often than they are of use."""
+    """Reports of one gate, limited in rate for each router."""
 
     def __init__(
         self, database: core.DatabaseName, instance: core.InstanceName
@@ -20,9 +24,9 @@
         self._sent_at: dict[core.VmName, float] = {}
 
     def due(self, origin: core.VmName, now: float) -> bool:
-        """Tell whether a router's last hint is old enough."""
+        """Return whether a router should get a new report."""
         last = self._sent_at.get(origin, float('-inf'))
-        return now - last >= HINT_INTERVAL
+        return now - last >= REPORT_INTERVAL_S
 
     def report(
         self,
@@ -31,7 +35,7 @@
         wait: float,
         now: float,
     ) -> core.InstanceReport | None:
-        """Return a hint for a router, or None before the first probe."""
+        """Return a report for a router, or None before the first probe."""
         if state is None:
             return None
         self._sent_at[origin] = now
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -35,14 +35,14 @@
 
 
 def _single(task: str) -> Callable[[core.VmName], core.TaskName]:
-    """Return the naming of a task that a VM has one of."""
+    """Return a function that names a task of which each VM has one."""
     return lambda vm: core.TaskName(f'{vm}/{task}')
 
 
 def _instance(
     task: str,
 ) -> Callable[[core.VmName, core.InstanceName], core.TaskName]:
-    """Return the naming of a task that is there for each instance."""
+    """Return a function that names a task that exists for each instance."""
     return lambda vm, name: core.TaskName(f'{vm}/{task}/{name}')
 
 
@@ -68,28 +68,30 @@
 
 
 def group(vm: core.VmName, name: core.DatabaseName) -> core.TaskName:
-    """Return the name of the watch over a database group."""
+    """Return the name of a database group's monitor."""
     return core.TaskName(f'{vm}/group/{name}')
 
 
 def pool_lane(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
-    """Return the name of the lane to one life of an instance."""
+    """Return the name of the instance pool of one incarnation."""
     return core.TaskName(f'{vm}/lane/{life_of(entry)}')
 
 
 def pool_link(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
-    """Return the name of the sockets to one life of an instance."""
+    """Return the name of the task with one incarnation's sockets."""
     return core.TaskName(f'{vm}/link/{life_of(entry)}')
 
 
 def life_of(entry: core.InstanceEntry) -> str:
-    """Return a word that tells the lives of one instance's name apart.
+    """Return a text that identifies one incarnation of an instance.
 
-    Messages that are still under way to an old life then reach nobody.
+    An instance that was restarted or moved has the same name but is
+    another incarnation.  Task names contain this text, so that messages
+    that are still on the way to an old incarnation reach no task.
     """
     return f'{entry.name}@{entry.host}:{entry.port}/{entry.boot}'
 
 
 def handover(vm: core.VmName, name: core.ServiceName) -> core.TaskName:
-    """Return the name of the changes of a group's primary."""
+    """Return the name of the task that changes a group's primary."""
     return core.TaskName(f'{vm}/handover/{name}')
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -1,7 +1,7 @@
-"""The node: composes the tasks of one VM and assigns its gates.
+"""Node: starts the tasks of one VM and assigns its gates.
 
-A harness can build a node with its own edges: it gives an ``Edges``
-whose methods start tasks that speak the same messages.
+The tasks with sockets are started by an ``Edges`` object.  Tests and
+simulations give another one, whose tasks handle the same messages.
 """
 
 from __future__ import annotations
@@ -25,54 +25,58 @@
 
 
 class Edges(Protocol):
-    """Ports of a node: what it starts to meet the outside.
+    """Starts the tasks of a node that have sockets.
 
-    Each method starts a task under the name that ``names`` gives it.
+    Each method starts a task with the task name from ``names``.
     """
 
     def platform(self, vm: core.VmName) -> None:
-        """Start the client of the table and the list of VMs."""
+        """Start the client of the platform: table, objects, list of VMs."""
 
     def peers(self, vm: core.VmName) -> None:
-        """Start the streams to other VMs."""
+        """Start the task with the streams to other VMs."""
 
     def link(
         self, vm: core.VmName, spec: decisions.InstanceSpec
     ) -> runtime.Task:
-        """Start the connections to one instance."""
+        """Start the task with the connections to one instance."""
 
     def agent(
         self, vm: core.VmName, spec: decisions.InstanceSpec
     ) -> runtime.Task:
-        """Start the client of one instance's group agent."""
+        """Start the client of the agent beside one instance."""
 
 
 class Node(runtime.Task):
-    """Start the VM's tasks; give gates out as the membership says."""
+    """Task that starts the other tasks of its VM.
+
+    Gates and group monitors are started when this VM becomes the gate of
+    an instance, by the configuration and the live VMs.
+    """
 
     def __init__(
         self,
         loop: runtime.Runtime,
         vm: core.VmName,
-        edges: Edges,
+        factory: Edges,
         settings: router.RouterSettings,
         policy: str = decisions.DEFAULT_POLICY,
         extra_receivers: tuple[core.TaskName, ...] = (),
     ) -> None:
         super().__init__(loop, vm, 'node')
         self._loop = loop
-        self._edges = edges
+        self._factory = factory
         self._policy = policy
         self._placement = decisions.PLACEMENTS.get(settings.placement)()
-        self._config: decisions.Configuration | None = None
-        self._live: tuple[core.VmName, ...] | None = None
+        self._configuration: decisions.Configuration | None = None
+        self._live_vms: tuple[core.VmName, ...] | None = None
         self._gates: dict[core.InstanceName, gate.Gate] = {}
         self._links: dict[core.InstanceName, runtime.Task] = {}
         self._agents: dict[core.InstanceName, runtime.Task] = {}
         self._groups: dict[core.DatabaseName, group.Group] = {}
         self._draining = False
-        edges.platform(vm)
-        edges.peers(vm)
+        factory.platform(vm)
+        factory.peers(vm)
         self.router = router.Router(loop, vm, settings)
         self.membership = membership.MembershipTask(loop, vm)
         receivers = (
@@ -86,45 +90,49 @@
 
     @property
     def gates(self) -> dict[core.InstanceName, gate.Gate]:
-        """Return the gate tasks of this VM by instance."""
+        """Return the gates of this VM by instance."""
         return self._gates
 
     @property
     def groups(self) -> dict[core.DatabaseName, group.Group]:
-        """Return the watches of this VM by database."""
+        """Return the group monitors of this VM by database."""
         return self._groups
 
     @runtime.handles(notices.ConfigInForce)
     def _on_config(self, message: notices.ConfigInForce) -> None:
-        self._config = message.config
-        self._assign()
+        self._configuration = message.config
+        self._assign_gates()
 
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
-        self._live = live.vms
-        self._assign()
+        self._live_vms = live.vms
+        self._assign_gates()
+
+    def _assign_gates(self) -> None:
+        """Start, update and release gates by the current assignment.
 
-    def _assign(self) -> None:
-        config, live = self._config, self._live
+        A gate that is no longer assigned keeps its task.
+        """
+        config, live = self._configuration, self._live_vms
         if config is None or live is None:
             return
         zones = decisions.LiveZones(config, live)
-        mine = {
+        served = {
             spec.name: self._placement.part(spec, live)
             for spec in config.instances
             if not self._draining
             and self._placement.serves(spec, zones, self.vm)
         }
-        self._watch_groups(config, zones, set(mine))
-        for name, spec in mine.items():
+        self._monitor_groups(config, zones, set(served))
+        for name, spec in served.items():
             if name not in self._gates:
-                self._add_gate(spec)
-            self._tell_gate(name, spec, True)
-        for name, one in self._gates.items():
-            if name not in mine:
-                self._tell_gate(name, one.spec, False)
+                self._start_gate(spec)
+            self._send_assignment(name, spec, True)
+        for name, gate_task in self._gates.items():
+            if name not in served:
+                self._send_assignment(name, gate_task.spec, False)
 
-    def _tell_gate(
+    def _send_assignment(
         self,
         name: core.InstanceName,
         spec: decisions.InstanceSpec,
@@ -136,46 +144,55 @@
             notices.AssignGate(spec, assigned, exclusive),
         )
 
-    def _add_gate(self, spec: decisions.InstanceSpec) -> None:
+    def _start_gate(self, spec: decisions.InstanceSpec) -> None:
         self._gates[spec.name] = gate.Gate(
             self._loop, self.vm, spec, self._policy
         )
-        self._links[spec.name] = self._edges.link(self.vm, spec)
+        self._links[spec.name] = self._factory.link(self.vm, spec)
 
-    def _watch_groups(
+    def _monitor_groups(
         self,
         config: decisions.Configuration,
         zones: decisions.LiveZones,
-        mine: set[core.InstanceName],
+        served: set[core.InstanceName],
     ) -> None:
         for database in config.databases:
-            gates = tuple(one for one in database.instances if one in mine)
+            gates = tuple(
+                entry for entry in database.instances if entry in served
+            )
             if gates:
-                self._watch_group(config, zones, database, gates)
-        watched = {
-            one.database for one in config.instances if one.name in mine
+                self._monitor_group(config, zones, database, gates)
+        monitored = {
+            entry.database
+            for entry in config.instances
+            if entry.name in served
         }
-        for name in set(self._groups) - watched:
-            self._unwatch(name)
+        for name in set(self._groups) - monitored:
+            self._stop_monitor(name)
 
-    def _watch_group(
+    def _monitor_group(
         self,
         config: decisions.Configuration,
         zones: decisions.LiveZones,
         database: decisions.DatabaseSpec,
         gates: tuple[core.InstanceName, ...],
     ) -> None:
+        """Start or update the group monitor of a database.
+
+        Its rank follows an order of the VMs that are gates of the group,
+        which every VM computes alike.
+        """
         specs = config.group(database.name)
-        watchers = {
+        monitor_vms = {
             vm
             for spec in specs
             if (vm := decisions.gate_of(spec, zones)) is not None
         }
-        order = decisions.ranked(database.name, watchers)
+        order = decisions.ranked(database.name, monitor_vms)
         rank = order.index(self.vm) if self.vm in order else len(order)
         for spec in specs:
             if spec.name not in self._agents:
-                self._agents[spec.name] = self._edges.agent(self.vm, spec)
+                self._agents[spec.name] = self._factory.agent(self.vm, spec)
         if database.name not in self._groups:
             self._groups[database.name] = group.Group(
                 self._loop,
@@ -191,12 +208,15 @@
             notices.WatchGroup(database.instances, gates, rank),
         )
 
-    def _unwatch(self, name: core.DatabaseName) -> None:
+    def _stop_monitor(self, name: core.DatabaseName) -> None:
+        """End a group monitor and the agents' clients of its instances."""
         self._groups.pop(name).end()
         members = {
-            one.name
-            for one in (self._config.instances if self._config else ())
-            if one.database == name
+            spec.name
+            for spec in (
+                self._configuration.instances if self._configuration else ()
+            )
+            if spec.database == name
         }
         for member in members & set(self._agents):
             self._agents.pop(member).end()
@@ -230,14 +250,14 @@
 
     @runtime.handles(core.Drain)
     def _on_drain(self, drain: core.Drain) -> None:
-        """Give every gate up; routers go to the next VMs."""
+        """Release every gate, so that other VMs become the gates."""
         self._draining = True
         self.send(names.membership(self.vm), drain)
         self.send(names.router(self.vm), drain)
-        self._assign()
+        self._assign_gates()
 
     @runtime.handles(notices.Ask)
-    def _on_ask(self, ask: notices.Ask) -> None:
+    def _on_query(self, query: notices.Ask) -> None:
         row = (
             ('vm', str(self.vm)),
             ('state', 'draining' if self._draining else 'running'),
@@ -249,5 +269,5 @@
             ('unknown', str(self.router.unknown)),
         )
         self.send(
-            ask.reply_to, notices.Told(self.task_name, ask.number, (row,))
+            query.reply_to, notices.Told(self.task_name, query.number, (row,))
         )
--- a/src/chicoryusher/tasks/notices.py
+++ b/src/chicoryusher/tasks/notices.py
@@ -1,4 +1,4 @@
-"""Messages between tasks that carry decision types."""
+"""Messages between tasks of one VM, with fields of ``decisions`` types."""
 
 from __future__ import annotations
 
@@ -19,17 +19,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigInForce(core.Message):
-    """A configuration is in force on this VM from now on."""
+    """Report that a configuration is now in force on this VM."""
 
     config: configuration.Configuration
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AssignGate(core.Message):
-    """Be the gate of the instance from now on, or cease to be it.
+    """Make a gate task the gate of its instance, or end that.
 
-    ``spec`` is the part of the instance that the gate may use; only an
-    ``exclusive`` gate needs the instance's lock.
+    ``spec`` is the instance, with the slots and connections that this
+    gate may use.  Only an ``exclusive`` gate, the only one of the
+    instance, needs the gate lock.
     """
 
     spec: configuration.InstanceSpec
@@ -39,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undelivered(core.Message):
-    """A message for a peer that never left this VM."""
+    """Report that a message for another VM was not sent."""
 
     vm: core.VmName
     message: core.Message
@@ -47,7 +48,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask(core.Message):
-    """An operator's question to a task; the answer is ``Told``."""
+    """Ask a task for its state, on behalf of an operator.
+
+    ``number`` pairs the ``Told`` with its ``Ask``.
+    """
 
     reply_to: core.TaskName
     number: int
@@ -55,7 +59,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Told(core.Message):
-    """A task's state as rows of named values for an operator."""
+    """Report a task's state as rows of (name, value) pairs."""
 
     task: core.TaskName
     number: int
@@ -64,9 +68,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchGroup(core.Message):
-    """Whom to watch, for which gates of this VM, and in which order.
+    """Update what a group monitor monitors.
 
-    ``rank`` 0 is the first watcher to fail the group over.
+    ``members`` are the instances of the group, ``gates`` those of them
+    whose gate is this VM.  ``rank`` is the place of this VM in the order
+    in which VMs fail the group over; 0 is the first.
     """
 
     members: tuple[core.InstanceName, ...]
