Reword services and backends/mysql

Docstrings and error texts say what the code does in the terms of the field. Renamed inside the package: Exchange to BackendCommand, Progress to ReadResult, Purpose to CommandPurpose, the fields of these, and private names of the link and of the gate lock. Constants carry their unit.

--- a/src/chicoryusher/backends/mysql/conn.py
+++ b/src/chicoryusher/backends/mysql/conn.py
@@ -1,4 +1,7 @@
-"""One connection to an instance: handshake, setup and commands."""
+"""Protocol state of one connection to an instance.
+
+Covers the handshake, the setup statements and the commands.
+"""
 
 from __future__ import annotations
 
@@ -13,23 +16,23 @@
 from chicoryusher import runtime
 from chicoryusher import wire
 
-__all__ = ['BackendConn', 'BackendUser', 'Exchange', 'Progress']
+__all__ = ['BackendCommand', 'BackendConn', 'BackendUser', 'ReadResult']
 
-MAX_PREPARED = 256
-STATEMENT_ID = slice(1, 5)
+MAX_PREPARED_STATEMENTS = 256
+STATEMENT_ID_BYTES = slice(1, 5)
 COM_STMT_CLOSE = b'\x19'
 COM_STMT_PREPARE = b'\x16'
 COM_QUERY = b'\x03'
-AUTH_SWITCH = 0xFE
-AUTH_MORE = 0x01
-FAST_AUTH_OK = 0x03
-DEADLOCK = 1213
-SETUP = (b"SET SESSION session_track_gtids='OWN_GTID'",)
+AUTH_SWITCH_REQUEST = 0xFE
+AUTH_MORE_DATA = 0x01
+FAST_AUTH_SUCCESS = 0x03
+DEADLOCK_ERRNO = 1213
+SESSION_SETUP = (b"SET SESSION session_track_gtids='OWN_GTID'",)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendUser:
-    """The account that the proxy uses at every instance."""
+    """Account with which the proxy logs in to every instance."""
 
     name: str
     password: str = dataclasses.field(repr=False)
@@ -43,38 +46,44 @@
     READY = 'ready'
 
 
-class Purpose(enum.Enum):
-    """What an exchange is for."""
+class CommandPurpose(enum.Enum):
+    """Reason for which a command is sent to the instance."""
 
-    SETUP = 'setup'
+    SESSION_SETUP = 'setup'
     PREPARE = 'prepare'
     COMMAND = 'command'
 
 
 @dataclasses.dataclass(slots=True)
-class Exchange:
-    """One command and the shape of its answer."""
+class BackendCommand:
+    """A command and the kind of answer that it gets.
 
-    purpose: Purpose
+    ``sent_before`` holds packets that are sent ahead of the command: the
+    long parameter data of a prepared statement. ``prepared_sql`` is the
+    text of the prepared statement that the command prepares or executes.
+    """
+
+    purpose: CommandPurpose
     payload: bytes
-    kind: wire.AnswerKind = wire.AnswerKind.RESULT
-    ahead: tuple[bytes, ...] = ()
-    statement: bytes = b''
+    answer_kind: wire.AnswerKind = wire.AnswerKind.RESULT
+    sent_before: tuple[bytes, ...] = ()
+    prepared_sql: bytes = b''
 
 
 @dataclasses.dataclass(slots=True)
-class Progress:
-    """What one read from the instance brought.
+class ReadResult:
+    """Result of handling the bytes of one read from the instance.
 
-    ``opened`` tells that the connection has just become ready.
+    ``became_ready`` is true if the last setup statement has just been
+    answered. ``answer`` is a part of the current command's answer, if any.
     """
 
-    opened: bool = False
+    became_ready: bool = False
     answer: wire.Scanned | None = None
 
 
 class BackendConn:
-    """Protocol state of one connection; its task does the I/O."""
+    """Protocol state of one connection; the task that owns it does the I/O."""
 
     def __init__(
         self,
@@ -82,96 +91,110 @@
         stream: runtime.Stream,
         user: BackendUser,
         database: str,
-        setup: Iterable[bytes] = SETUP,
+        setup_statements: Iterable[bytes] = SESSION_SETUP,
     ) -> None:
         self.conn_id = conn_id
         self.stream = stream
-        self.server_id = 0
-        self.unconsumed = 0
+        self.server_conn_id = 0
+        self.unconsumed_bytes = 0
         self._user = user
         self._database = database
         self._phase = _Phase.GREETING
         self._framer: wire.Framer | None = wire.Framer(wire.MAX_PAYLOAD)
         self._nonce = b''
         self._scanner: wire.AnswerScanner | None = None
-        self._script: collections.deque[Exchange] = collections.deque(
-            Exchange(Purpose.SETUP, COM_QUERY + one) for one in setup
+        self._queue: collections.deque[BackendCommand] = collections.deque(
+            BackendCommand(CommandPurpose.SESSION_SETUP, COM_QUERY + statement)
+            for statement in setup_statements
         )
         self._prepared: collections.OrderedDict[bytes, int]
         self._prepared = collections.OrderedDict()
         self._in_transaction = False
 
     @property
-    def busy(self) -> bool:
-        """Tell whether an answer is awaited."""
+    def awaits_answer(self) -> bool:
+        """Return whether a command was sent whose answer is incomplete."""
         return self._scanner is not None
 
     def run(self, payload: core.Payload) -> None:
-        """Send a command, after preparing its statement if need be."""
+        """Send a command.
+
+        A prepared statement that this connection does not have is prepared
+        first.
+        """
         if payload.prepare and payload.prepare not in self._prepared:
-            self._script.append(
-                Exchange(
-                    Purpose.PREPARE,
+            self._queue.append(
+                BackendCommand(
+                    CommandPurpose.PREPARE,
                     COM_STMT_PREPARE + payload.prepare,
                     wire.AnswerKind.PREPARED,
-                    statement=payload.prepare,
+                    prepared_sql=payload.prepare,
                 )
             )
         command = payload.command
-        kind = wire.AnswerKind.RESULT
-        statement = payload.prepare
+        answer_kind = wire.AnswerKind.RESULT
+        prepared_sql = payload.prepare
         if command[:1] == COM_STMT_PREPARE:
-            kind = wire.AnswerKind.PREPARED
-            statement = command[1:]
-        self._script.append(
-            Exchange(
-                Purpose.COMMAND, command, kind, payload.long_data, statement
+            answer_kind = wire.AnswerKind.PREPARED
+            prepared_sql = command[1:]
+        self._queue.append(
+            BackendCommand(
+                CommandPurpose.COMMAND,
+                command,
+                answer_kind,
+                payload.long_data,
+                prepared_sql,
             )
         )
         self._send_next()
 
-    def receive(self, data: bytes) -> Progress:
-        """Take in bytes of the instance; ProtocolError if they are bad."""
-        progress = Progress()
+    def receive(self, data: bytes) -> ReadResult:
+        """Handle bytes from the instance.
+
+        Raises ProtocolError if they violate the protocol.
+        """
+        read_result = ReadResult()
         if self._phase is not _Phase.READY and self._scanner is None:
-            self._handshake(data)
-            return progress
+            self._receive_handshake(data)
+            return read_result
         if self._scanner is None:
-            raise core.ProtocolError('the instance spoke unasked')
-        self._answer(data, progress)
-        return progress
+            raise core.ProtocolError(
+                'the instance sent data without a pending command'
+            )
+        self._receive_answer(data, read_result)
+        return read_result
 
-    def _handshake(self, data: bytes) -> None:
+    def _receive_handshake(self, data: bytes) -> None:
         framer = self._framer
         assert framer is not None
         for packet in framer.feed(data):
             payload = packet.payload
             if payload[:1] == b'\xff':
                 raise core.ProtocolError(
-                    f'the instance refuses: {wire.error_code(payload)}'
+                    f'handshake refused with error {wire.error_code(payload)}'
                 )
             if self._phase is _Phase.GREETING:
-                self._greeted(payload, packet.sequence + 1)
+                self._send_handshake_response(payload, packet.sequence + 1)
             else:
-                self._authenticating(payload, packet.sequence + 1)
+                self._receive_auth_packet(payload, packet.sequence + 1)
 
-    def _greeted(self, payload: bytes, sequence: int) -> None:
+    def _send_handshake_response(self, payload: bytes, sequence: int) -> None:
         greeting = wire.parse_greeting(payload)
-        self.server_id = greeting.connection_id
+        self.server_conn_id = greeting.connection_id
         self._nonce = greeting.nonce
         method = greeting.method
         if method not in wire.METHODS:
             method = wire.DEFAULT_METHOD
         response = wire.respond(method, self._user.password, self._nonce)
-        hello = wire.make_hello(
+        handshake_response = wire.make_hello(
             self._user.name, method, response, self._database
         )
-        self.stream.write(wire.frame(hello, sequence))
+        self.stream.write(wire.frame(handshake_response, sequence))
         self._phase = _Phase.AUTH
 
-    def _authenticating(self, payload: bytes, sequence: int) -> None:
-        first = payload[0]
-        if first == AUTH_SWITCH:
+    def _receive_auth_packet(self, payload: bytes, sequence: int) -> None:
+        packet_type = payload[0]
+        if packet_type == AUTH_SWITCH_REQUEST:
             packet = protocol.MysqlPacket(payload, 'utf8')
             packet.advance(1)
             method = (packet.read_string() or b'').decode()
@@ -179,88 +202,95 @@
             response = wire.respond(method, self._user.password, nonce)
             self.stream.write(wire.frame(response, sequence))
             return
-        if first == AUTH_MORE:
-            if payload[1:2] != bytes((FAST_AUTH_OK,)):
-                raise core.ProtocolError('full authentication needs TLS')
+        if packet_type == AUTH_MORE_DATA:
+            if payload[1:2] != bytes((FAST_AUTH_SUCCESS,)):
+                raise core.ProtocolError('full authentication requires TLS')
             return
         self._framer = None
         self._phase = _Phase.SETUP
         self._send_next()
 
     def _send_next(self) -> None:
-        if not self._script:
+        if not self._queue:
             return
-        exchange = self._script[0]
-        payload = exchange.payload
-        ahead = exchange.ahead
-        number = self._prepared.get(exchange.statement)
-        executes = exchange.purpose is Purpose.COMMAND and (
-            exchange.kind is wire.AnswerKind.RESULT
+        current = self._queue[0]
+        payload = current.payload
+        sent_before = current.sent_before
+        statement_id = self._prepared.get(current.prepared_sql)
+        is_execute = current.purpose is CommandPurpose.COMMAND and (
+            current.answer_kind is wire.AnswerKind.RESULT
         )
-        if executes and number is not None:
-            payload = _with_id(payload, number)
-            ahead = tuple(_with_id(one, number) for one in ahead)
-        for one in ahead:
-            self.stream.write(wire.frame(one))
+        if is_execute and statement_id is not None:
+            payload = _with_statement_id(payload, statement_id)
+            sent_before = tuple(
+                _with_statement_id(packet, statement_id)
+                for packet in sent_before
+            )
+        for packet in sent_before:
+            self.stream.write(wire.frame(packet))
         self.stream.write(wire.frame(payload))
-        self._scanner = wire.AnswerScanner(exchange.kind)
+        self._scanner = wire.AnswerScanner(current.answer_kind)
 
-    def _answer(self, data: bytes, progress: Progress) -> None:
+    def _receive_answer(self, data: bytes, read_result: ReadResult) -> None:
         assert self._scanner is not None
-        found = self._scanner.feed(data)
-        exchange = self._script[0]
-        if not found.final:
-            if exchange.purpose is Purpose.COMMAND and found.data:
-                progress.answer = found
+        scanned = self._scanner.feed(data)
+        current = self._queue[0]
+        if not scanned.final:
+            if current.purpose is CommandPurpose.COMMAND and scanned.data:
+                read_result.answer = scanned
             return
         self._scanner = None
-        self._script.popleft()
-        if found.error_code:
-            kept = found.error_code != DEADLOCK
-            found.in_transaction = self._in_transaction and kept
-        elif exchange.kind is wire.AnswerKind.PREPARED:
-            found.in_transaction = self._in_transaction
-            self._remember(exchange.statement, found.statement_id)
-        self._in_transaction = found.in_transaction
-        if exchange.purpose is Purpose.SETUP:
-            self._set_up(found, progress)
+        self._queue.popleft()
+        if scanned.error_code:
+            # An error packet carries no status flags. A deadlock rolls the
+            # transaction back; after other errors it stays open.
+            survives = scanned.error_code != DEADLOCK_ERRNO
+            scanned.in_transaction = self._in_transaction and survives
+        elif current.answer_kind is wire.AnswerKind.PREPARED:
+            scanned.in_transaction = self._in_transaction
+            self._cache_statement(current.prepared_sql, scanned.statement_id)
+        self._in_transaction = scanned.in_transaction
+        if current.purpose is CommandPurpose.SESSION_SETUP:
+            self._finish_setup_command(scanned, read_result)
             return
-        if exchange.purpose is Purpose.PREPARE:
-            if not found.error_code:
+        if current.purpose is CommandPurpose.PREPARE:
+            if not scanned.error_code:
                 self._send_next()
                 return
-            self._script.clear()
-        progress.answer = found
+            self._queue.clear()
+        read_result.answer = scanned
 
-    def _set_up(self, found: wire.Scanned, progress: Progress) -> None:
-        if found.error_code:
+    def _finish_setup_command(
+        self, scanned: wire.Scanned, read_result: ReadResult
+    ) -> None:
+        if scanned.error_code:
             raise core.ProtocolError(
-                f'setup of a connection failed: {found.error_code}'
+                f'setup statement failed with error {scanned.error_code}'
             )
-        if self._script:
+        if self._queue:
             self._send_next()
             return
         self._phase = _Phase.READY
-        progress.opened = True
-
-    def _remember(self, statement: bytes, number: int) -> None:
-        known = self._prepared.pop(statement, None)
-        if known is not None:
-            self._forget(known)
-        self._prepared[statement] = number
-        if len(self._prepared) > MAX_PREPARED:
+        read_result.became_ready = True
+
+    def _cache_statement(self, prepared_sql: bytes, statement_id: int) -> None:
+        previous_id = self._prepared.pop(prepared_sql, None)
+        if previous_id is not None:
+            self._close_statement(previous_id)
+        self._prepared[prepared_sql] = statement_id
+        if len(self._prepared) > MAX_PREPARED_STATEMENTS:
             _, oldest = self._prepared.popitem(last=False)
-            self._forget(oldest)
+            self._close_statement(oldest)
 
-    def _forget(self, number: int) -> None:
-        payload = COM_STMT_CLOSE + number.to_bytes(4, 'little')
+    def _close_statement(self, statement_id: int) -> None:
+        payload = COM_STMT_CLOSE + statement_id.to_bytes(4, 'little')
         self.stream.write(wire.frame(payload))
 
 
-def _with_id(payload: bytes, number: int) -> bytes:
-    place = STATEMENT_ID
+def _with_statement_id(payload: bytes, statement_id: int) -> bytes:
+    id_bytes = STATEMENT_ID_BYTES
     return (
-        payload[: place.start]
-        + number.to_bytes(4, 'little')
-        + payload[place.stop :]
+        payload[: id_bytes.start]
+        + statement_id.to_bytes(4, 'little')
+        + payload[id_bytes.stop :]
     )
--- a/src/chicoryusher/backends/mysql/gatelock.py
+++ b/src/chicoryusher/backends/mysql/gatelock.py
@@ -1,9 +1,10 @@
-"""The gate lock: one VM at a time is the gate of an instance.
+"""The gate lock: at most one VM at a time is the gate of an instance.
 
-The lock is the instance's own named lock, held by one connection, so
-the instance itself decides; no clock and no other service takes part.
-The new holder ends every other connection of the proxy's account,
-which are an older gate's, so that the connection cap holds.
+The lock is a named lock of the instance (GET_LOCK), which belongs to one
+connection. The instance itself decides who gets it, without clocks and
+without another service. The VM that gets the lock kills all other
+connections of the proxy's account: an earlier gate opened them, and they
+would count towards the instance's connection cap.
 """
 
 from __future__ import annotations
@@ -15,87 +16,105 @@
 from chicoryusher import core
 from chicoryusher import wire
 
-__all__ = ['GateLock', 'IDLE_SECONDS', 'LockResult', 'SETUP']
+__all__ = ['GateLock', 'LOCK_SETUP_STATEMENTS', 'LockResult']
 
-IDLE_SECONDS = 3
+# The instance closes the connection that has the lock, and so releases the
+# lock, if it gets no command from the gate for this long.
+LOCK_CONN_IDLE_TIMEOUT_S = 3
 LOCK_NAME = b'chicoryusher_gate'
 COM_QUERY = b'\x03'
-SETUP = (b'SET SESSION wait_timeout=%d' % IDLE_SECONDS,)
-_TAKE = b"SELECT GET_LOCK('%s', 0)" % LOCK_NAME
-_LIST = (
+LOCK_SETUP_STATEMENTS = (
+    b'SET SESSION wait_timeout=%d' % LOCK_CONN_IDLE_TIMEOUT_S,
+)
+_GET_LOCK = b"SELECT GET_LOCK('%s', 0)" % LOCK_NAME
+_LIST_OTHER_CONNS = (
     b'SELECT id FROM information_schema.processlist '
     b"WHERE user = '%s' AND id <> CONNECTION_ID()"
 )
-_GRANTED = [b'1']
+_LOCK_GRANTED = [b'1']
 
 
 class LockResult(enum.Enum):
-    """How far the claim has come."""
+    """Progress of an attempt to get the lock."""
 
-    GOING_ON = 'going_on'
+    IN_PROGRESS = 'going_on'
     GRANTED = 'granted'
     REFUSED = 'refused'
 
 
 class _Stage(enum.Enum):
-    TAKING = 'taking'
-    LISTING = 'listing'
-    ENDING = 'ending'
-    HELD = 'held'
+    ACQUIRING = 'taking'
+    LISTING_CONNS = 'listing'
+    KILLING_CONNS = 'ending'
+    HOLDING = 'held'
 
 
 class GateLock:
-    """Commands that take the lock, one after another's answer."""
+    """Sequence of the commands that acquire the lock.
+
+    GET_LOCK, the list of the account's other connections, and a KILL for
+    each of them; every command is sent after the answer to the previous one.
+    """
 
     def __init__(self, user: str) -> None:
         self._user = user.encode()
-        self._stage = _Stage.TAKING
+        self._stage = _Stage.ACQUIRING
         self._rows = bytearray()
-        self._others: list[bytes] = []
+        self._other_conn_ids: list[bytes] = []
 
     @property
-    def held(self) -> bool:
-        """Tell whether the lock was granted."""
-        return self._stage is _Stage.HELD
+    def is_granted(self) -> bool:
+        """Return whether this connection has the lock.
 
-    def command(self) -> core.Payload:
+        It is false until the other connections have been killed.
+        """
+        return self._stage is _Stage.HOLDING
+
+    def next_command(self) -> core.Payload:
         """Return the command to send next."""
         self._rows.clear()
-        text = _TAKE
-        if self._stage is _Stage.LISTING:
-            text = _LIST % self._user
-        elif self._stage is _Stage.ENDING:
-            text = b'KILL ' + self._others.pop()
-        return core.Payload(COM_QUERY + text)
-
-    def answered(self, data: bytes, final: bool) -> LockResult:
-        """Take in an answer and say whether to send another command."""
+        sql = _GET_LOCK
+        if self._stage is _Stage.LISTING_CONNS:
+            sql = _LIST_OTHER_CONNS % self._user
+        elif self._stage is _Stage.KILLING_CONNS:
+            sql = b'KILL ' + self._other_conn_ids.pop()
+        return core.Payload(COM_QUERY + sql)
+
+    def receive_answer(self, data: bytes, final: bool) -> LockResult:
+        """Handle a part of an answer.
+
+        If the answer is complete and the result is IN_PROGRESS, another
+        command must be sent.
+        """
         self._rows += data
-        if not final or self.held:
-            return LockResult.GOING_ON
+        if not final or self.is_granted:
+            return LockResult.IN_PROGRESS
         values = _first_column(bytes(self._rows))
-        if self._stage is _Stage.TAKING:
-            if values != _GRANTED:
+        if self._stage is _Stage.ACQUIRING:
+            if values != _LOCK_GRANTED:
                 return LockResult.REFUSED
-            self._stage = _Stage.LISTING
-            return LockResult.GOING_ON
-        if self._stage is _Stage.LISTING:
-            self._others = values
-            self._stage = _Stage.ENDING
-        if self._others:
-            return LockResult.GOING_ON
-        self._stage = _Stage.HELD
+            self._stage = _Stage.LISTING_CONNS
+            return LockResult.IN_PROGRESS
+        if self._stage is _Stage.LISTING_CONNS:
+            self._other_conn_ids = values
+            self._stage = _Stage.KILLING_CONNS
+        if self._other_conn_ids:
+            return LockResult.IN_PROGRESS
+        self._stage = _Stage.HOLDING
         return LockResult.GRANTED
 
 
 def _first_column(data: bytes) -> list[bytes]:
-    """Return the first column of a text result set's rows."""
+    """Return the values of the first column of a text result set.
+
+    An OK or error packet gives no values.
+    """
     framer = wire.Framer(wire.MAX_PAYLOAD)
-    payloads = [one.payload for one in framer.feed(data)]
+    payloads = [framed.payload for framed in framer.feed(data)]
     if not payloads or payloads[0][:1] in (b'\x00', b'\xff'):
         return []
-    columns = payloads[0][0]
-    rows = payloads[2 + columns : -1]
+    column_count = payloads[0][0]
+    rows = payloads[2 + column_count : -1]
     values = []
     for row in rows:
         packet = protocol.MysqlPacket(row, 'utf8')
--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -1,4 +1,7 @@
-"""The link to one instance: owns its sockets, decides nothing."""
+"""The task that owns the sockets to one instance.
+
+It carries out what the gate asks for and makes no decisions of its own.
+"""
 
 from __future__ import annotations
 
@@ -12,30 +15,30 @@
 
 __all__ = ['MysqlLink']
 
-LOCK_CONN = core.ConnId(0)
-KEEPALIVE_INTERVAL = 1.0
-CONNECT_TIMEOUT = 1.0
-WINDOW_BYTES = 1024 * 1024
+LOCK_CONN_ID = core.ConnId(0)
+KEEPALIVE_INTERVAL_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+MAX_UNCONSUMED_BYTES = 1024 * 1024
 COM_PING = b'\x0e'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Keepalive(core.Message):
-    """Time to show the instance that the gate is alive."""
+    """Timer: ping the instance, which closes an idle lock connection."""
 
     epoch: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _ConnectLate(core.Message):
-    """A connection may have taken too long to open."""
+class _ConnectTimeout(core.Message):
+    """Timer: the connection is closed if it is not ready by now."""
 
     conn_id: core.ConnId
     fileno: int
 
 
 class MysqlLink(runtime.Task):
-    """Statement connections and the gate lock at one instance."""
+    """Connections for statements and the gate lock at one instance."""
 
     def __init__(
         self,
@@ -53,10 +56,10 @@
         self._database = database
         self._user = user
         self._gate = gate
-        self._conns: dict[core.ConnId, conn_module.BackendConn] = {}
+        self._by_id: dict[core.ConnId, conn_module.BackendConn] = {}
         self._by_fileno: dict[int, conn_module.BackendConn] = {}
-        self._ready: set[core.ConnId] = set()
-        self._dirty: set[conn_module.BackendConn] = set()
+        self._ready_ids: set[core.ConnId] = set()
+        self._unflushed: set[conn_module.BackendConn] = set()
         self._lock = gatelock.GateLock(user.name)
         self._epoch = 0
 
@@ -64,107 +67,109 @@
 
     @runtime.handles(core.OpenConn)
     def _on_open(self, message: core.OpenConn) -> None:
-        if not self._open(message.conn_id, conn_module.SETUP):
+        if not self._open_conn(message.conn_id, conn_module.SESSION_SETUP):
             self.send(self._gate, core.ConnClosed(message.conn_id, True))
 
-    def _open(self, conn_id: core.ConnId, setup: tuple[bytes, ...]) -> bool:
+    def _open_conn(
+        self, conn_id: core.ConnId, setup_statements: tuple[bytes, ...]
+    ) -> bool:
         stream = runtime.connect(self._address, self._poller, self.task_name)
         if stream is None:
             return False
         conn = conn_module.BackendConn(
-            conn_id, stream, self._user, self._database, setup
+            conn_id, stream, self._user, self._database, setup_statements
         )
-        self._conns[conn_id] = conn
+        self._by_id[conn_id] = conn
         self._by_fileno[stream.fileno] = conn
-        self.after(CONNECT_TIMEOUT, _ConnectLate(conn_id, stream.fileno))
+        self.after(CONNECT_TIMEOUT_S, _ConnectTimeout(conn_id, stream.fileno))
         return True
 
-    @runtime.handles(_ConnectLate)
-    def _on_connect_late(self, late: _ConnectLate) -> None:
-        conn = self._conns.get(late.conn_id)
-        if conn is None or late.conn_id in self._ready:
+    @runtime.handles(_ConnectTimeout)
+    def _on_connect_timeout(self, timeout: _ConnectTimeout) -> None:
+        conn = self._by_id.get(timeout.conn_id)
+        if conn is None or timeout.conn_id in self._ready_ids:
             return
-        if conn.stream.fileno == late.fileno:
-            self._lost(conn, True)
+        if conn.stream.fileno == timeout.fileno:
+            self._report_lost(conn, True)
 
     @runtime.handles(core.CloseConn)
     def _on_close(self, message: core.CloseConn) -> None:
-        conn = self._conns.get(message.conn_id)
+        conn = self._by_id.get(message.conn_id)
         if conn is not None:
-            self._forget(conn)
+            self._close_conn(conn)
 
     @runtime.handles(core.RunOnConn)
     def _on_run(self, message: core.RunOnConn) -> None:
-        conn = self._conns.get(message.conn_id)
+        conn = self._by_id.get(message.conn_id)
         if conn is None:
             self.send(self._gate, core.ConnClosed(message.conn_id))
             return
-        conn.unconsumed = 0
+        conn.unconsumed_bytes = 0
         conn.run(message.payload)
-        self._dirty.add(conn)
+        self._unflushed.add(conn)
 
     @runtime.handles(core.ConnConsumed)
     def _on_consumed(self, message: core.ConnConsumed) -> None:
-        conn = self._conns.get(message.conn_id)
+        conn = self._by_id.get(message.conn_id)
         if conn is None:
             return
-        conn.unconsumed -= message.size
-        if conn.unconsumed < WINDOW_BYTES:
+        conn.unconsumed_bytes -= message.size
+        if conn.unconsumed_bytes < MAX_UNCONSUMED_BYTES:
             conn.stream.set_reading(True)
 
     @runtime.handles(runtime.SocketReady)
-    def _on_ready(self, ready: runtime.SocketReady) -> None:
+    def _on_socket_ready(self, ready: runtime.SocketReady) -> None:
         conn = self._by_fileno.get(ready.fileno)
         if conn is None:
             return
         if conn.stream.connecting:
             if not conn.stream.finish_connect():
-                self._lost(conn, True)
+                self._report_lost(conn, True)
             return
         if ready.writable:
-            self._dirty.add(conn)
+            self._unflushed.add(conn)
         if ready.readable:
             self._receive(conn)
 
     def _receive(self, conn: conn_module.BackendConn) -> None:
         data = conn.stream.read()
         if conn.stream.closed:
-            self._lost(conn, conn.conn_id not in self._ready)
+            self._report_lost(conn, conn.conn_id not in self._ready_ids)
             return
         if not data:
             return
         try:
-            progress = conn.receive(data)
+            read_result = conn.receive(data)
         except (core.ProtocolError, AssertionError, IndexError) as exc:
             self.log.emit(
                 core.LogEvent.CONN_REFUSED,
                 address=str(self._address),
                 why=str(exc),
             )
-            self._lost(conn, conn.conn_id not in self._ready)
+            self._report_lost(conn, conn.conn_id not in self._ready_ids)
             return
-        self._dirty.add(conn)
-        if progress.opened:
-            self._opened(conn)
-        if progress.answer is not None:
-            self._answered(conn, progress.answer)
-
-    def _opened(self, conn: conn_module.BackendConn) -> None:
-        self._ready.add(conn.conn_id)
-        if conn.conn_id == LOCK_CONN:
-            self._send_lock(conn)
+        self._unflushed.add(conn)
+        if read_result.became_ready:
+            self._on_conn_ready(conn)
+        if read_result.answer is not None:
+            self._on_answer_part(conn, read_result.answer)
+
+    def _on_conn_ready(self, conn: conn_module.BackendConn) -> None:
+        self._ready_ids.add(conn.conn_id)
+        if conn.conn_id == LOCK_CONN_ID:
+            self._send_lock_command(conn)
             return
         self.send(self._gate, core.ConnOpened(conn.conn_id))
 
-    def _answered(
-        self, conn: conn_module.BackendConn, found: wire.Scanned
+    def _on_answer_part(
+        self, conn: conn_module.BackendConn, scanned: wire.Scanned
     ) -> None:
-        if conn.conn_id == LOCK_CONN:
-            self._lock_answer(conn, found)
+        if conn.conn_id == LOCK_CONN_ID:
+            self._on_lock_answer(conn, scanned)
             return
-        if not found.final:
-            conn.unconsumed += len(found.data)
-            if conn.unconsumed >= WINDOW_BYTES:
+        if not scanned.final:
+            conn.unconsumed_bytes += len(scanned.data)
+            if conn.unconsumed_bytes >= MAX_UNCONSUMED_BYTES:
                 conn.stream.set_reading(False)
         else:
             conn.stream.set_reading(True)
@@ -172,91 +177,93 @@
             self._gate,
             core.ConnAnswer(
                 conn.conn_id,
-                found.data,
-                found.final,
-                found.error_code,
-                found.position,
-                found.in_transaction,
+                scanned.data,
+                scanned.final,
+                scanned.error_code,
+                scanned.position,
+                scanned.in_transaction,
             ),
         )
 
-    def _lost(self, conn: conn_module.BackendConn, refused: bool) -> None:
-        self._forget(conn)
-        if conn.conn_id == LOCK_CONN:
-            self._lock_lost()
+    def _report_lost(
+        self, conn: conn_module.BackendConn, refused: bool
+    ) -> None:
+        self._close_conn(conn)
+        if conn.conn_id == LOCK_CONN_ID:
+            self._report_lock_lost()
             return
         self.send(self._gate, core.ConnClosed(conn.conn_id, refused))
 
-    def _forget(self, conn: conn_module.BackendConn) -> None:
-        self._conns.pop(conn.conn_id, None)
+    def _close_conn(self, conn: conn_module.BackendConn) -> None:
+        self._by_id.pop(conn.conn_id, None)
         self._by_fileno.pop(conn.stream.fileno, None)
-        self._ready.discard(conn.conn_id)
+        self._ready_ids.discard(conn.conn_id)
         conn.stream.close()
 
     def settled(self) -> None:
-        """Send what the handled messages wrote."""
-        dirty, self._dirty = self._dirty, set()
-        for conn in dirty:
+        """Flush the output that the handled messages have written."""
+        unflushed, self._unflushed = self._unflushed, set()
+        for conn in unflushed:
             if conn.stream.fileno < 0:
                 continue
             conn.stream.flush()
             if conn.stream.closed:
-                self._lost(conn, False)
+                self._report_lost(conn, False)
 
     # -- the gate lock ----------------------------------------------
 
     @runtime.handles(core.ClaimGate)
     def _on_claim(self, claim: core.ClaimGate) -> None:
-        if LOCK_CONN in self._conns:
+        if LOCK_CONN_ID in self._by_id:
             return
         self._lock = gatelock.GateLock(self._user.name)
-        if not self._open(LOCK_CONN, gatelock.SETUP):
+        if not self._open_conn(LOCK_CONN_ID, gatelock.LOCK_SETUP_STATEMENTS):
             self.send(self._gate, core.GateClaimed(False))
 
-    def _send_lock(self, conn: conn_module.BackendConn) -> None:
-        conn.run(self._lock.command())
-        self._dirty.add(conn)
+    def _send_lock_command(self, conn: conn_module.BackendConn) -> None:
+        conn.run(self._lock.next_command())
+        self._unflushed.add(conn)
 
-    def _lock_answer(
-        self, conn: conn_module.BackendConn, found: wire.Scanned
+    def _on_lock_answer(
+        self, conn: conn_module.BackendConn, scanned: wire.Scanned
     ) -> None:
-        if self._lock.held:
+        if self._lock.is_granted:
             return
-        result = self._lock.answered(found.data, found.final)
+        result = self._lock.receive_answer(scanned.data, scanned.final)
         if result is gatelock.LockResult.REFUSED:
-            self._forget(conn)
+            self._close_conn(conn)
             self.send(self._gate, core.GateClaimed(False))
         elif result is gatelock.LockResult.GRANTED:
             self._epoch += 1
             self.after(
-                self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch)
+                self.until_beat(KEEPALIVE_INTERVAL_S), _Keepalive(self._epoch)
             )
             self.send(self._gate, core.GateClaimed(True))
-        elif found.final:
-            self._send_lock(conn)
+        elif scanned.final:
+            self._send_lock_command(conn)
 
     @runtime.handles(_Keepalive)
     def _on_keepalive(self, tick: _Keepalive) -> None:
-        conn = self._conns.get(LOCK_CONN)
+        conn = self._by_id.get(LOCK_CONN_ID)
         if conn is None or tick.epoch != self._epoch:
             return
-        if conn.busy:
-            self._lost(conn, False)
+        if conn.awaits_answer:
+            self._report_lost(conn, False)
             return
         conn.run(core.Payload(COM_PING))
-        self._dirty.add(conn)
+        self._unflushed.add(conn)
         self.after(
-            self.until_beat(KEEPALIVE_INTERVAL), _Keepalive(self._epoch)
+            self.until_beat(KEEPALIVE_INTERVAL_S), _Keepalive(self._epoch)
         )
 
     @runtime.handles(core.ReleaseGate)
     def _on_release(self, message: core.ReleaseGate) -> None:
-        conn = self._conns.get(LOCK_CONN)
+        conn = self._by_id.get(LOCK_CONN_ID)
         if conn is not None:
-            self._forget(conn)
+            self._close_conn(conn)
 
-    def _lock_lost(self) -> None:
-        if self._lock.held:
+    def _report_lock_lost(self) -> None:
+        if self._lock.is_granted:
             self.send(self._gate, core.GateLost())
         else:
             self.send(self._gate, core.GateClaimed(False))
--- a/src/chicoryusher/services/__init__.py
+++ b/src/chicoryusher/services/__init__.py
@@ -1,4 +1,4 @@
-"""The platform's services, each behind one task."""
+"""Tasks that are clients of the platform and of the group agents."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher/services/agents.py
+++ b/src/chicoryusher/services/agents.py
@@ -1,4 +1,8 @@
-"""Client of one instance's group agent: status, fence, promote."""
+"""HTTP client of the group agent of one instance.
+
+The group agent reports the replication status of its instance, and fences
+or promotes the instance.
+"""
 
 from __future__ import annotations
 
@@ -8,15 +12,15 @@
 from chicoryusher import runtime
 from chicoryusher import wire
 
-__all__ = ['GroupAgent', 'parse_status']
+__all__ = ['GroupAgent', 'probe_answer']
 
-AGENT_TIMEOUT = 0.40
+AGENT_TIMEOUT_S = 0.40
 
 
-def parse_status(
+def probe_answer(
     instance: core.InstanceName, sequence: int, document: Any
 ) -> core.ProbeAnswer:
-    """Return the probe answer in a status document."""
+    """Convert a status document of the agent into a probe answer."""
     applied, starts = wire.parse_gtid_set(document['applied'])
     received, _ = wire.parse_gtid_set(document['received'])
     return core.ProbeAnswer(
@@ -34,7 +38,7 @@
 
 
 class GroupAgent(runtime.HttpClient):
-    """Turn probes, fences and promotions into calls of the group API."""
+    """Send probes, fences and promotions as HTTP calls to the group agent."""
 
     def __init__(
         self,
@@ -44,7 +48,9 @@
         address: runtime.Address,
         group: core.TaskName,
     ) -> None:
-        super().__init__(loop, vm, f'agent/{instance}', address, AGENT_TIMEOUT)
+        super().__init__(
+            loop, vm, f'agent/{instance}', address, AGENT_TIMEOUT_S
+        )
         self._instance = instance
         self._group = group
 
@@ -54,14 +60,14 @@
 
     @runtime.handles(core.Fence)
     def _on_fence(self, fence: core.Fence) -> None:
-        self.call(self._order('/fence', fence))
+        self.call(self._command_call('/fence', fence))
 
     @runtime.handles(core.Promote)
     def _on_promote(self, promote: core.Promote) -> None:
-        self.call(self._order('/promote', promote))
+        self.call(self._command_call('/promote', promote))
 
     @staticmethod
-    def _order(
+    def _command_call(
         path: str, order: core.Fence | core.Promote
     ) -> runtime.HttpCall:
         body = {'term': order.term, 'candidate': order.candidate}
@@ -70,24 +76,24 @@
     def finished(
         self, call: runtime.HttpCall, result: runtime.HttpResult
     ) -> None:
-        """Answer the group's watch."""
+        """Send the answer to the group monitor."""
         self.send(self._group, self._answer(call.context, result))
 
     def _answer(
         self, context: core.Message, result: runtime.HttpResult
     ) -> core.Message:
-        good = result.error is None and result.status == 200
+        succeeded = result.error is None and result.status == 200
         name = self._instance
         if isinstance(context, core.Probe):
-            if not good:
+            if not succeeded:
                 return core.ProbeAnswer(name, context.sequence, False)
-            return parse_status(name, context.sequence, result.document)
+            return probe_answer(name, context.sequence, result.document)
         if isinstance(context, core.Fence):
-            accepted = good and bool(result.document['accepted'])
+            accepted = succeeded and bool(result.document['accepted'])
             received = core.ORIGIN
             if accepted:
                 received, _ = wire.parse_gtid_set(result.document['received'])
             return core.FenceAnswer(name, context.term, accepted, received)
         assert isinstance(context, core.Promote)
-        accepted = good and bool(result.document['accepted'])
+        accepted = succeeded and bool(result.document['accepted'])
         return core.PromoteAnswer(name, context.term, accepted)
--- a/src/chicoryusher/services/table.py
+++ b/src/chicoryusher/services/table.py
@@ -1,4 +1,4 @@
-"""Client of the platform's table, object store and list of VMs."""
+"""HTTP client of the platform's table, object store and VM list."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
 
 __all__ = ['PlatformClient']
 
-PLATFORM_TIMEOUT = 1.0
-OK = 200
-CONFLICT = 409
-NOT_FOUND = 404
+PLATFORM_TIMEOUT_S = 1.0
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_NOT_FOUND = 404
 
 
 class PlatformClient(runtime.HttpClient):
-    """Turn table and list messages into calls of the platform."""
+    """Send requests for rows, objects and the VM list as HTTP calls."""
 
     def __init__(
         self,
@@ -28,13 +28,13 @@
         token: str = '',
     ) -> None:
         super().__init__(
-            loop, vm, 'platform', address, PLATFORM_TIMEOUT, token
+            loop, vm, 'platform', address, PLATFORM_TIMEOUT_S, token
         )
-        self._down = False
+        self._is_down = False
 
     @runtime.handles(core.TableGet)
     def _on_get(self, message: core.TableGet) -> None:
-        self.call(runtime.HttpCall('GET', _path(message.key), message))
+        self.call(runtime.HttpCall('GET', _table_path(message.key), message))
 
     @runtime.handles(core.TablePut)
     def _on_put(self, message: core.TablePut) -> None:
@@ -42,7 +42,9 @@
             'value': base64.b64encode(message.value).decode(),
             'expected': message.expected,
         }
-        self.call(runtime.json_call('PUT', _path(message.key), message, body))
+        self.call(
+            runtime.json_call('PUT', _table_path(message.key), message, body)
+        )
 
     @runtime.handles(core.TableScan)
     def _on_scan(self, message: core.TableScan) -> None:
@@ -73,88 +75,90 @@
     def finished(
         self, call: runtime.HttpCall, result: runtime.HttpResult
     ) -> None:
-        """Answer the task that asked."""
-        self._note(result.error)
+        """Send the answer to the task that sent the request."""
+        self._log_reachability(result.error)
         context = call.context
         if isinstance(context, core.TableScan):
-            self.send(context.reply_to, _scanned(context, result))
+            self.send(context.reply_to, _scan_answer(context, result))
         elif isinstance(context, core.VmListRequest):
-            self.send(context.reply_to, _listed(result))
+            self.send(context.reply_to, _vm_list(result))
         elif isinstance(context, core.ObjectGet | core.ObjectPut):
-            self.send(context.reply_to, _object(context, result))
+            self.send(context.reply_to, _object_answer(context, result))
         elif isinstance(context, core.TableGet | core.TablePut):
-            self.send(context.reply_to, _answered(context, result))
+            self.send(context.reply_to, _table_answer(context, result))
 
-    def _note(self, error: core.PlatformError | None) -> None:
+    def _log_reachability(self, error: core.PlatformError | None) -> None:
         down = error is not None
-        if down == self._down:
+        if down == self._is_down:
             return
-        self._down = down
+        self._is_down = down
         event = core.LogEvent.PLATFORM_BACK
         if down:
             event = core.LogEvent.PLATFORM_DOWN
         self.log.emit(event, why=str(error or ''))
 
 
-def _path(key: str) -> str:
+def _table_path(key: str) -> str:
     return f'/table/{urllib.parse.quote(key, safe="")}'
 
 
-def _problem(result: runtime.HttpResult) -> core.PlatformError | None:
+def _error_of(result: runtime.HttpResult) -> core.PlatformError | None:
     if result.error is not None:
         return result.error
-    if result.status == CONFLICT:
-        return core.PlatformRefused('the version has changed')
-    if result.status not in (OK, NOT_FOUND):
-        return core.PlatformUnknown(f'status {result.status}')
+    if result.status == STATUS_CONFLICT:
+        return core.PlatformRefused(
+            'the stored version is not the expected one'
+        )
+    if result.status not in (STATUS_OK, STATUS_NOT_FOUND):
+        return core.PlatformUnknown(f'unexpected HTTP status {result.status}')
     return None
 
 
-def _answered(
+def _table_answer(
     context: core.TableGet | core.TablePut, result: runtime.HttpResult
 ) -> core.TableAnswer:
     put = isinstance(context, core.TablePut)
-    error = _problem(result)
+    error = _error_of(result)
     document = result.document if isinstance(result.document, dict) else {}
     return core.TableAnswer(
         context.key,
         int(document.get('version', 0)),
-        _value(document),
+        _decoded_value(document),
         put,
         error,
     )
 
 
-def _object(
+def _object_answer(
     context: core.ObjectGet | core.ObjectPut, result: runtime.HttpResult
 ) -> core.ObjectAnswer:
     put = isinstance(context, core.ObjectPut)
     document = result.document if isinstance(result.document, dict) else {}
     return core.ObjectAnswer(
-        context.key, _value(document), put, _problem(result)
+        context.key, _decoded_value(document), put, _error_of(result)
     )
 
 
-def _value(document: dict[str, Any]) -> bytes | None:
+def _decoded_value(document: dict[str, Any]) -> bytes | None:
     text = document.get('value')
     return base64.b64decode(text) if text else None
 
 
-def _scanned(
+def _scan_answer(
     context: core.TableScan, result: runtime.HttpResult
 ) -> core.TableScanAnswer:
-    error = _problem(result)
+    error = _error_of(result)
     if error is not None:
         return core.TableScanAnswer(context.prefix, error=error)
     rows = tuple(
-        core.TableAnswer(row['key'], int(row['version']), _value(row))
+        core.TableAnswer(row['key'], int(row['version']), _decoded_value(row))
         for row in result.document['rows']
     )
     return core.TableScanAnswer(context.prefix, rows)
 
 
-def _listed(result: runtime.HttpResult) -> core.VmList:
-    error = _problem(result)
+def _vm_list(result: runtime.HttpResult) -> core.VmList:
+    error = _error_of(result)
     if error is not None:
         return core.VmList(error=error)
     return core.VmList(
