--- a/src/chicoryusher/frontends/mysql/commands.py
+++ b/src/chicoryusher/frontends/mysql/commands.py
@@ -1,7 +1,7 @@
-"""Commands of the MySQL protocol, each registered under its number.
+"""Handlers of the MySQL protocol's commands.
 
-A command either answers on the caller's connection or returns the
-request that the router shall run.
+Each handler is registered under its command code. It either writes an
+answer to the caller's connection or returns a message for the router.
 """
 
 from __future__ import annotations
@@ -21,18 +21,27 @@
 from chicoryusher.frontends.mysql import marks
 from chicoryusher.frontends.mysql import statements
 
-__all__ = ['COMMANDS', 'Context', 'TOKEN_VARIABLE', 'run', 'token_rows']
+__all__ = [
+    'COMMAND_HANDLERS',
+    'RequestIds',
+    'SESSION_TOKEN_VARIABLE',
+    'run_command',
+    'token_result_set',
+]
 
-TOKEN_VARIABLE = '@@chicoryusher_token'
-MAX_PREPARED = 4096
+SESSION_TOKEN_VARIABLE = '@@chicoryusher_token'
+MAX_PREPARED_STATEMENTS = 4096
 MAX_LONG_DATA_BYTES = 64 * 1024 * 1024
-EXECUTE_HEAD_BYTES = 10
-STATEMENT_ID = slice(1, 5)
-_NUMBER = types.Commands
-_BEGIN = core.Payload(bytes([_NUMBER.COM_QUERY]) + b'START TRANSACTION')
-_PIN = core.Payload(bytes([_NUMBER.COM_QUERY]) + b'DO 0')
-_COMMIT = core.Payload(bytes([_NUMBER.COM_QUERY]) + b'COMMIT')
-_AUTOCOMMIT = re.compile(
+EXECUTE_HEADER_BYTES = 10
+STATEMENT_ID_BYTES = slice(1, 5)
+_CODES = types.Commands
+_BEGIN_PAYLOAD = core.Payload(bytes([_CODES.COM_QUERY]) + b'START TRANSACTION')
+# Sent as ``begin`` before a statement that changes the state of its backend
+# connection outside of a transaction. The command has no effect; with it the
+# session keeps the connection as in a transaction.
+_PIN_PAYLOAD = core.Payload(bytes([_CODES.COM_QUERY]) + b'DO 0')
+_COMMIT_PAYLOAD = core.Payload(bytes([_CODES.COM_QUERY]) + b'COMMIT')
+_SET_AUTOCOMMIT = re.compile(
     r'\s*set\s+(?:session\s+|@@(?:session\.)?)?autocommit\s*:?=\s*(\w+)',
     re.IGNORECASE,
 )
@@ -45,58 +54,64 @@
     re.IGNORECASE,
 )
 
-Command = Callable[['Context', callers.CallerConn, bytes], core.Message | None]
-COMMANDS: core.Registry[Command] = core.Registry('command')
+CommandHandler = Callable[
+    ['RequestIds', callers.CallerConn, bytes], core.Message | None
+]
+COMMAND_HANDLERS: core.Registry[CommandHandler] = core.Registry('command')
 
 
-class Context:
-    """What commands need of their front end: request numbers."""
+class RequestIds:
+    """Source of unique request ids."""
 
-    def __init__(self, vm: core.VmName, boot: str) -> None:
-        self._prefix = f'{vm}:{boot}'
+    def __init__(self, vm: core.VmName, incarnation: str) -> None:
+        self._prefix = f'{vm}:{incarnation}'
         self._numbers = itertools.count(1)
 
-    def next_request(self) -> core.RequestId:
-        """Return a request id that no other request ever has."""
+    def next_id(self) -> core.RequestId:
+        """Return a new request id, unique over all VMs and restarts."""
         return core.RequestId(f'{self._prefix}:{next(self._numbers)}')
 
 
-def run(
-    context: Context, conn: callers.CallerConn, payload: bytes
+def run_command(
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    """Run one command; CallerError tells what the caller did wrong."""
+    """Run the handler of a command.
+
+    Returns the message to send to the router, if any. Raises CallerError if
+    the command is refused.
+    """
     if not payload:
         raise core.MalformedPacket('empty command')
     name = str(payload[0])
-    if name not in COMMANDS:
+    if name not in COMMAND_HANDLERS:
         raise core.ProtocolError(f'command {payload[0]} is not known')
-    return COMMANDS.get(name)(context, conn, payload)
+    return COMMAND_HANDLERS.get(name)(request_ids, conn, payload)
 
 
-def _command(number: int) -> Callable[[Command], Command]:
-    return COMMANDS.register(str(int(number)))
+def _handles(code: int) -> Callable[[CommandHandler], CommandHandler]:
+    return COMMAND_HANDLERS.register(str(int(code)))
 
 
-@_command(_NUMBER.COM_QUIT)
+@_handles(_CODES.COM_QUIT)
 def _quit(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.closing = True
     return None
 
 
-@_command(_NUMBER.COM_PING)
-@_command(_NUMBER.COM_DEBUG)
+@_handles(_CODES.COM_PING)
+@_handles(_CODES.COM_DEBUG)
 def _ping(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.reply_ok()
     return None
 
 
-@_command(_NUMBER.COM_SET_OPTION)
+@_handles(_CODES.COM_SET_OPTION)
 def _set_option(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.reply(
         packets.make_eof(
@@ -107,195 +122,231 @@
     return None
 
 
-@_command(_NUMBER.COM_INIT_DB)
+@_handles(_CODES.COM_INIT_DB)
 def _init_db(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    name = core.DatabaseName(_text(payload[1:]))
-    conn.phase = callers.Phase.ADMISSION
+    name = core.DatabaseName(_decode_text(payload[1:]))
+    conn.phase = callers.ConnPhase.AWAITING_ROUTER
     return core.UseDatabase(conn.session_id, name)
 
 
-@_command(_NUMBER.COM_QUERY)
+@_handles(_CODES.COM_QUERY)
 def _query(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    sql = _text(payload[1:])
+    sql = _decode_text(payload[1:])
     if _GET_TOKEN.match(sql):
-        conn.phase = callers.Phase.ADMISSION
+        conn.phase = callers.ConnPhase.AWAITING_ROUTER
         return core.TokenRequest(conn.session_id)
     token = _SET_TOKEN.match(sql)
     if token is not None:
-        base = conn.marks or core.Marks()
-        conn.marks = dataclasses.replace(base, token=token.group(1))
+        session_marks = conn.marks or core.Marks()
+        conn.marks = dataclasses.replace(session_marks, token=token.group(1))
         conn.reply_ok()
         return None
     statement = statements.classify(sql)
     if statement.kind is core.StatementKind.LOCAL:
-        return _local(context, conn, sql)
-    given = marks.from_comment(sql)
-    return _request(context, conn, statement, given, core.Payload(payload))
+        return _set_session_option(request_ids, conn, sql)
+    statement_marks = marks.marks_from_comments(sql)
+    return _request(
+        request_ids, conn, statement, statement_marks, core.Payload(payload)
+    )
 
 
-def _local(
-    context: Context, conn: callers.CallerConn, sql: str
+def _set_session_option(
+    request_ids: RequestIds, conn: callers.CallerConn, sql: str
 ) -> core.Message | None:
-    found = _AUTOCOMMIT.match(sql)
-    if found is None:
+    matched = _SET_AUTOCOMMIT.match(sql)
+    if matched is None:
         conn.reply_ok()
         return None
-    conn.autocommit = found.group(1).lower() in ('1', 'on', 'true')
+    conn.autocommit = matched.group(1).lower() in ('1', 'on', 'true')
     if conn.autocommit and conn.in_transaction:
         commit = statements.classify('COMMIT')
-        return _request(context, conn, commit, None, _COMMIT)
+        return _request(request_ids, conn, commit, None, _COMMIT_PAYLOAD)
     conn.reply_ok()
     return None
 
 
-@_command(_NUMBER.COM_STMT_PREPARE)
+@_handles(_CODES.COM_STMT_PREPARE)
 def _prepare(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    if len(conn.prepared) >= MAX_PREPARED:
+    if len(conn.prepared) >= MAX_PREPARED_STATEMENTS:
         raise core.StatementUnsupported('too many prepared statements')
-    sql = _text(payload[1:])
+    sql = _decode_text(payload[1:])
     statement = statements.classify(sql)
-    prepared = callers.Prepared(sql, statement, marks.from_comment(sql))
-    request = _request(context, conn, statement, None, core.Payload(payload))
-    conn.preparing = prepared
+    prepared = callers.PreparedStatement(
+        sql, statement, marks.marks_from_comments(sql)
+    )
+    request = _request(
+        request_ids, conn, statement, None, core.Payload(payload)
+    )
+    conn.pending_prepare = prepared
     kind = core.StatementKind.PREPARE
     return dataclasses.replace(request, kind=kind, begin=None)
 
 
-@_command(_NUMBER.COM_STMT_EXECUTE)
+@_handles(_CODES.COM_STMT_EXECUTE)
 def _execute(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    prepared = _find(conn, payload)
+    prepared = _find_prepared(conn, payload)
     if payload[5:6] != b'\0':
         raise core.StatementUnsupported('cursors of prepared statements')
-    command = _with_types(prepared, payload)
+    command = _with_parameter_types(prepared, payload)
     encoded = core.Payload(
         command, prepared.sql.encode(), tuple(prepared.long_data)
     )
     prepared.long_data.clear()
-    return _request(context, conn, prepared.statement, prepared.marks, encoded)
+    return _request(
+        request_ids, conn, prepared.statement, prepared.marks, encoded
+    )
 
 
-@_command(_NUMBER.COM_STMT_SEND_LONG_DATA)
+@_handles(_CODES.COM_STMT_SEND_LONG_DATA)
 def _send_long_data(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    prepared = _find(conn, payload)
-    held = sum(len(one) for one in prepared.long_data) + len(payload)
-    if held > MAX_LONG_DATA_BYTES:
+    prepared = _find_prepared(conn, payload)
+    pending_bytes = sum(len(data) for data in prepared.long_data) + len(
+        payload
+    )
+    if pending_bytes > MAX_LONG_DATA_BYTES:
         prepared.long_data.clear()
-        raise core.OversizePacket(f'long data of {held} bytes')
+        raise core.OversizePacket(f'long data of {pending_bytes} bytes')
     prepared.long_data.append(payload)
     return None
 
 
-@_command(_NUMBER.COM_STMT_RESET)
+@_handles(_CODES.COM_STMT_RESET)
 def _reset(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    _find(conn, payload).long_data.clear()
+    _find_prepared(conn, payload).long_data.clear()
     conn.reply_ok()
     return None
 
 
-@_command(_NUMBER.COM_STMT_CLOSE)
+@_handles(_CODES.COM_STMT_CLOSE)
 def _close(
-    context: Context, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
-    conn.prepared.pop(int.from_bytes(payload[STATEMENT_ID], 'little'), None)
+    conn.prepared.pop(
+        int.from_bytes(payload[STATEMENT_ID_BYTES], 'little'), None
+    )
     return None
 
 
-def _find(conn: callers.CallerConn, payload: bytes) -> callers.Prepared:
-    number = int.from_bytes(payload[STATEMENT_ID], 'little')
-    if len(payload) < STATEMENT_ID.stop or number not in conn.prepared:
-        raise core.MalformedPacket(f'no prepared statement {number}')
-    return conn.prepared[number]
+def _find_prepared(
+    conn: callers.CallerConn, payload: bytes
+) -> callers.PreparedStatement:
+    statement_id = int.from_bytes(payload[STATEMENT_ID_BYTES], 'little')
+    if (
+        len(payload) < STATEMENT_ID_BYTES.stop
+        or statement_id not in conn.prepared
+    ):
+        raise core.MalformedPacket(f'no prepared statement {statement_id}')
+    return conn.prepared[statement_id]
 
 
-def _with_types(prepared: callers.Prepared, payload: bytes) -> bytes:
-    """Add the parameter types that a driver sends only once."""
-    count = prepared.parameters
+def _with_parameter_types(
+    prepared: callers.PreparedStatement, payload: bytes
+) -> bytes:
+    """Return an execute command that contains the parameter types.
+
+    Drivers send the types only with the first execute of a statement; the
+    types of that command are added to later ones.
+    """
+    count = prepared.parameter_count
     if not count:
         return payload
-    place = EXECUTE_HEAD_BYTES + (count + 7) // 8
-    if len(payload) <= place:
+    types_flag_at = EXECUTE_HEADER_BYTES + (count + 7) // 8
+    if len(payload) <= types_flag_at:
         raise core.MalformedPacket('execute without parameters')
-    types_end = place + 1 + 2 * count
-    if payload[place] == 1:
-        prepared.types = payload[place + 1 : types_end]
+    types_end = types_flag_at + 1 + 2 * count
+    if payload[types_flag_at] == 1:
+        prepared.parameter_types = payload[types_flag_at + 1 : types_end]
         return payload
-    if not prepared.types:
+    if not prepared.parameter_types:
         raise core.MalformedPacket('execute without parameter types')
-    return payload[:place] + b'\1' + prepared.types + payload[place + 1 :]
+    return (
+        payload[:types_flag_at]
+        + b'\1'
+        + prepared.parameter_types
+        + payload[types_flag_at + 1 :]
+    )
 
 
 def _request(
-    context: Context,
+    request_ids: RequestIds,
     conn: callers.CallerConn,
-    statement: statements.Statement,
-    given: core.Marks | None,
+    statement: statements.ClassifiedStatement,
+    statement_marks: core.Marks | None,
     payload: core.Payload,
 ) -> core.Request:
-    if statement.problem and not conn.in_transaction:
-        raise core.StatementUnsupported(statement.problem)
+    if statement.refusal_reason and not conn.in_transaction:
+        raise core.StatementUnsupported(statement.refusal_reason)
     if conn.database is None:
         raise core.UnknownDatabase('no database selected')
-    implicit = not conn.autocommit and not conn.in_transaction
-    ending = statement.kind in (
+    starts_implicitly = not conn.autocommit and not conn.in_transaction
+    ends_transaction = statement.kind in (
         core.StatementKind.COMMIT,
         core.StatementKind.ROLLBACK,
     )
-    begin = _BEGIN if implicit and not ending else None
-    if begin is None and statement.keeps and not conn.in_transaction:
-        begin = _PIN
+    begin = (
+        _BEGIN_PAYLOAD if starts_implicitly and not ends_transaction else None
+    )
+    if begin is None and statement.pins_connection and not conn.in_transaction:
+        begin = _PIN_PAYLOAD
     return core.Request(
-        context.next_request(),
+        request_ids.next_id(),
         conn.session_id,
         conn.caller,
         conn.database,
         statement.kind,
         statement.statement_class,
         payload,
-        _merged(conn.marks, given),
+        _merge_marks(conn.marks, statement_marks),
         statement.tables,
         None,
         begin,
-        statement.keeps,
+        statement.pins_connection,
     )
 
 
-def _merged(base: core.Marks | None, given: core.Marks | None) -> core.Marks:
-    if base is None or given is None:
-        return given or base or core.Marks()
-    changes = {
-        field.name: getattr(given, field.name)
+def _merge_marks(
+    session_marks: core.Marks | None, statement_marks: core.Marks | None
+) -> core.Marks:
+    if session_marks is None or statement_marks is None:
+        return statement_marks or session_marks or core.Marks()
+    overrides = {
+        field.name: getattr(statement_marks, field.name)
         for field in dataclasses.fields(core.Marks)
-        if getattr(given, field.name) not in (None, False)
+        if getattr(statement_marks, field.name) not in (None, False)
     }
-    return dataclasses.replace(base, **changes)
+    return dataclasses.replace(session_marks, **overrides)
 
 
-def _text(data: bytes) -> str:
+def _decode_text(data: bytes) -> str:
     try:
         return data.decode()
     except UnicodeDecodeError as exc:
         raise core.MalformedPacket('text is not UTF-8') from exc
 
 
-def token_rows(token: str) -> tuple[bytes, ...]:
-    """Return the payloads of a result set that holds a session token."""
-    column = results.ResultColumn(TOKEN_VARIABLE, types.ColumnType.VARCHAR)
-    caps = wire.CALLER_CAPABILITIES
-    eof = packets.make_eof(caps, types.ServerStatus.SERVER_STATUS_AUTOCOMMIT)
+def token_result_set(token: str) -> tuple[bytes, ...]:
+    """Return the packets of a result set that contains the session token."""
+    column = results.ResultColumn(
+        SESSION_TOKEN_VARIABLE, types.ColumnType.VARCHAR
+    )
+    capabilities = wire.CALLER_CAPABILITIES
+    eof = packets.make_eof(
+        capabilities, types.ServerStatus.SERVER_STATUS_AUTOCOMMIT
+    )
     return (
-        packets.make_column_count(caps, 1),
+        packets.make_column_count(capabilities, 1),
         packets.make_column_definition_41(
             column.character_set, name=column.name
         ),
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -1,4 +1,8 @@
-"""The MySQL front end: owns the callers' sockets, decides nothing."""
+"""The MySQL front end: the task that owns the callers' sockets.
+
+It converts between the MySQL protocol and messages with the router, which
+makes all decisions about requests.
+"""
 
 from __future__ import annotations
 
@@ -14,12 +18,12 @@
 
 __all__ = ['FrontendLimits', 'MysqlFrontend', 'User']
 
-Phase = callers.Phase
+ConnPhase = callers.ConnPhase
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class User:
-    """Credentials of one user, and the caller it belongs to."""
+    """Login name and password of a user, and the caller that it belongs to."""
 
     name: str
     password: str = dataclasses.field(repr=False)
@@ -28,7 +32,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FrontendLimits:
-    """Bounds on what callers may use up (bytes, connections, seconds)."""
+    """Limits on callers' connections.
+
+    ``max_newcomers`` bounds the connections in the handshake, and
+    ``handshake_timeout`` (seconds) the time that a handshake may take. The
+    router is asked for more of a result once at most ``low_water_bytes`` of
+    it wait to be sent. Reading from a caller stops at more than
+    ``max_backlog`` packets that wait for the current command.
+    """
 
     max_packet_bytes: int = 16 * 1024 * 1024
     max_callers: int = 4096
@@ -39,29 +50,29 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Sweep(core.Message):
-    """Time to look for callers that never finish their handshake."""
+class _HandshakeCheck(core.Message):
+    """Timer: close connections whose handshake has timed out."""
 
 
 class MysqlFrontend(runtime.Task):
-    """Speak the MySQL protocol with callers and requests with the router."""
+    """Serve callers over the MySQL protocol; send requests to the router."""
 
     def __init__(
         self,
         loop: runtime.Runtime,
         vm: core.VmName,
-        boot: str,
+        incarnation: str,
         address: runtime.Address,
         users: tuple[User, ...],
         limits: FrontendLimits,
         router: core.TaskName,
     ) -> None:
         super().__init__(loop, vm, 'mysql')
-        self._users = {one.name: one for one in users}
+        self._users = {user.name: user for user in users}
         self._limits = limits
         self._router = router
-        self._boot = boot
-        self._context = commands.Context(vm, boot)
+        self._incarnation = incarnation
+        self._request_ids = commands.RequestIds(vm, incarnation)
         self._listener: runtime.Listener | None = runtime.Listener(
             address, loop.poller, self.task_name
         )
@@ -69,22 +80,22 @@
         self._by_fileno: dict[int, callers.CallerConn] = {}
         self._by_session: dict[core.SessionId, callers.CallerConn] = {}
         self._by_request: dict[core.RequestId, callers.CallerConn] = {}
-        self._dirty: set[callers.CallerConn] = set()
-        self._newcomers = decisions.Newcomers(
+        self._unflushed: set[callers.CallerConn] = set()
+        self._handshakes = decisions.Newcomers(
             limits.max_newcomers, limits.handshake_timeout
         )
-        self._opened = 0
+        self._accepted_count = 0
         self._draining = False
-        self.statements = 0
-        self._sweep_timer: core.TimerId | None = None
+        self.statement_count = 0
+        self._handshake_timer: core.TimerId | None = None
 
     @property
     def callers(self) -> int:
-        """Return how many callers are connected."""
+        """Return the number of open connections of callers."""
         return len(self._by_fileno)
 
     @runtime.handles(runtime.SocketReady)
-    def _on_ready(self, ready: runtime.SocketReady) -> None:
+    def _on_socket_ready(self, ready: runtime.SocketReady) -> None:
         listener = self._listener
         if listener is not None and ready.fileno == listener.fileno:
             self._accept(listener)
@@ -93,41 +104,45 @@
         if conn is None:
             return
         if ready.writable:
-            self._dirty.add(conn)
+            self._unflushed.add(conn)
         if ready.readable:
             self._receive(conn)
 
     def _accept(self, listener: runtime.Listener) -> None:
         while (stream := listener.accept()) is not None:
-            self._opened += 1
-            session = core.SessionId(f'{self.vm}:{self._boot}:s{self._opened}')
+            self._accepted_count += 1
+            session = core.SessionId(
+                f'{self.vm}:{self._incarnation}:s{self._accepted_count}'
+            )
             conn = callers.CallerConn(session, stream, wire.new_nonce())
             self._by_fileno[stream.fileno] = conn
             self._by_session[session] = conn
-            self._dirty.add(conn)
-            full = self.callers > self._limits.max_callers
-            if full or not self._newcomers.admit(session, self.now()):
+            self._unflushed.add(conn)
+            is_full = self.callers > self._limits.max_callers
+            if is_full or not self._handshakes.admit(session, self.now()):
                 conn.reply_sequence = 0
                 self._refuse(conn, core.TooManyCallers('too many callers'))
                 continue
             stream.write(
-                wire.frame(wire.make_greeting(self._opened, conn.nonce))
+                wire.frame(
+                    wire.make_greeting(self._accepted_count, conn.nonce)
+                )
             )
-            self._sweep_later()
-
-    def _sweep_later(self) -> None:
-        delay = self._newcomers.next_late(self.now())
-        if delay is not None and self._sweep_timer is None:
-            self._sweep_timer = self.after(delay, _Sweep())
-
-    @runtime.handles(_Sweep)
-    def _on_sweep(self, sweep: _Sweep) -> None:
-        """Close callers whose handshake takes too long."""
-        self._sweep_timer = None
-        for session_id in self._newcomers.late(self.now()):
+            self._schedule_handshake_check()
+
+    def _schedule_handshake_check(self) -> None:
+        delay = self._handshakes.next_late(self.now())
+        if delay is not None and self._handshake_timer is None:
+            self._handshake_timer = self.after(delay, _HandshakeCheck())
+
+    @runtime.handles(_HandshakeCheck)
+    def _on_handshake_check(self, check: _HandshakeCheck) -> None:
+        """Close connections whose handshake has timed out."""
+        self._handshake_timer = None
+        for session_id in self._handshakes.late(self.now()):
             self.log.emit(core.LogEvent.CALLER_SILENT, session=session_id)
             self._close(self._by_session[session_id])
-        self._sweep_later()
+        self._schedule_handshake_check()
 
     def _receive(self, conn: callers.CallerConn) -> None:
         data = conn.stream.read()
@@ -144,82 +159,86 @@
             )
             self._refuse(conn, exc)
             return
-        conn.backlog.extend(packets)
-        self._work(conn)
-        if len(conn.backlog) > self._limits.max_backlog:
+        conn.pending_packets.extend(packets)
+        self._run_pending(conn)
+        if len(conn.pending_packets) > self._limits.max_backlog:
             conn.stream.set_reading(False)
 
-    def _work(self, conn: callers.CallerConn) -> None:
-        while conn.backlog and not conn.closing:
-            if conn.phase in (Phase.BUSY, Phase.ADMISSION):
+    def _run_pending(self, conn: callers.CallerConn) -> None:
+        while conn.pending_packets and not conn.closing:
+            if conn.phase in (ConnPhase.BUSY, ConnPhase.AWAITING_ROUTER):
                 return
-            packet = conn.backlog.popleft()
+            packet = conn.pending_packets.popleft()
             conn.reply_sequence = (packet.sequence + 1) % 256
             try:
-                self._packet(conn, packet.payload)
+                self._handle_packet(conn, packet.payload)
             except core.AuthError as exc:
-                self._refused(conn, exc)
+                self._refuse_login(conn, exc)
             except core.ProtocolError as exc:
                 self.log.emit(
                     core.LogEvent.PACKET_BAD,
                     session=conn.session_id,
                     why=str(exc),
                 )
-                if conn.phase is not Phase.READY:
+                if conn.phase is not ConnPhase.READY:
                     self._refuse(conn, exc)
                     return
                 conn.reply_error(exc)
             except core.CallerError as exc:
                 conn.reply_error(exc)
-            self._dirty.add(conn)
+            self._unflushed.add(conn)
 
-    def _packet(self, conn: callers.CallerConn, payload: bytes) -> None:
-        if conn.phase is Phase.HELLO:
-            self._hello(conn, payload)
+    def _handle_packet(self, conn: callers.CallerConn, payload: bytes) -> None:
+        if conn.phase is ConnPhase.HANDSHAKE_RESPONSE:
+            self._receive_handshake_response(conn, payload)
             return
-        if conn.phase is Phase.SWITCH:
+        if conn.phase is ConnPhase.AUTH_SWITCH_RESPONSE:
             self._authenticate(conn, wire.DEFAULT_METHOD, payload)
             return
-        message = commands.run(self._context, conn, payload)
+        message = commands.run_command(self._request_ids, conn, payload)
         if message is None:
             return
         if isinstance(message, core.Request):
-            conn.phase = Phase.BUSY
+            conn.phase = ConnPhase.BUSY
             conn.request_id = message.request_id
             self._by_request[message.request_id] = conn
-            self.statements += 1
+            self.statement_count += 1
         self.send(self._router, message)
 
-    def _hello(self, conn: callers.CallerConn, payload: bytes) -> None:
-        hello = wire.parse_hello(payload)
-        conn.hello = hello
-        conn.user = hello.user
-        if hello.method not in wire.METHODS:
-            conn.phase = Phase.SWITCH
+    def _receive_handshake_response(
+        self, conn: callers.CallerConn, payload: bytes
+    ) -> None:
+        handshake = wire.parse_hello(payload)
+        conn.handshake = handshake
+        conn.user = handshake.user
+        if handshake.method not in wire.METHODS:
+            conn.phase = ConnPhase.AUTH_SWITCH_RESPONSE
             conn.reply(wire.auth_switch(wire.DEFAULT_METHOD, conn.nonce))
             return
-        self._authenticate(conn, hello.method, hello.response)
+        self._authenticate(conn, handshake.method, handshake.response)
 
     def _authenticate(
         self, conn: callers.CallerConn, method: str, response: bytes
     ) -> None:
         user = self._users.get(conn.user)
-        password = user.password if user is not None else self._boot
-        good = wire.verify(method, password, conn.nonce, response)
-        if user is None or not good:
+        password = user.password if user is not None else self._incarnation
+        is_valid = wire.verify(method, password, conn.nonce, response)
+        if user is None or not is_valid:
             raise core.AuthError(f'access denied for user {conn.user!r}')
         if method == wire.DEFAULT_METHOD:
             conn.reply(b'\x01\x03')
             conn.reply_sequence = (conn.reply_sequence + 1) % 256
-        hello = conn.hello
-        assert hello is not None
+        handshake = conn.handshake
+        assert handshake is not None
         conn.caller = user.caller
         conn.framer.max_bytes = self._limits.max_packet_bytes
-        conn.marks = marks.from_pairs(hello.attributes)
-        conn.phase = Phase.ADMISSION
-        self._newcomers.settle(conn.session_id)
-        name = hello.database
-        conn.database = core.DatabaseName(name) if name else None
+        conn.marks = marks.marks_from_pairs(handshake.attributes)
+        conn.phase = ConnPhase.AWAITING_ROUTER
+        self._handshakes.settle(conn.session_id)
+        database_name = handshake.database
+        conn.database = (
+            core.DatabaseName(database_name) if database_name else None
+        )
         self.send(
             self._router,
             core.SessionOpened(
@@ -236,27 +255,27 @@
         conn = self._by_session.get(reply.session_id)
         if conn is None:
             return
-        self._dirty.add(conn)
-        first = conn.hello is not None
-        conn.hello = None
+        self._unflushed.add(conn)
+        is_login = conn.handshake is not None
+        conn.handshake = None
         if reply.error is not None:
             if isinstance(reply.error, core.UnknownDatabase):
                 self.log.emit(
                     core.LogEvent.DATABASE_UNKNOWN, why=str(reply.error)
                 )
-            if first:
+            if is_login:
                 self._refuse(conn, reply.error)
                 return
             conn.reply_error(reply.error)
         else:
             conn.reply_ok()
-            if first:
+            if is_login:
                 self.log.emit(
                     core.LogEvent.CALLER_OPENED,
                     session=conn.session_id,
                     caller=conn.caller,
                 )
-        self._ready(conn)
+        self._accept_commands(conn)
 
     @runtime.handles(core.UseDatabase)
     def _on_use_database(self, message: core.UseDatabase) -> None:
@@ -269,10 +288,10 @@
         conn = self._by_session.get(answer.session_id)
         if conn is None:
             return
-        for payload in commands.token_rows(answer.token):
+        for payload in commands.token_result_set(answer.token):
             conn.reply(payload)
             conn.reply_sequence = (conn.reply_sequence + 1) % 256
-        self._ready(conn)
+        self._accept_commands(conn)
 
     @runtime.handles(core.ResultChunk)
     def _on_chunk(self, chunk: core.ResultChunk) -> None:
@@ -280,8 +299,8 @@
         if conn is None:
             return
         conn.stream.write(chunk.data)
-        conn.unconsumed += len(chunk.data)
-        self._dirty.add(conn)
+        conn.unreported_bytes += len(chunk.data)
+        self._unflushed.add(conn)
 
     @runtime.handles(core.Answer)
     def _on_answer(self, answer: core.Answer) -> None:
@@ -289,48 +308,51 @@
         if conn is None:
             return
         conn.request_id = None
-        conn.unconsumed = 0
+        conn.unreported_bytes = 0
         conn.in_transaction = answer.in_transaction
-        preparing, conn.preparing = conn.preparing, None
+        pending_prepare, conn.pending_prepare = conn.pending_prepare, None
         if answer.error is not None:
             conn.reply_error(answer.error)
         elif not answer.data:
             conn.reply_ok()
-        elif preparing is not None:
-            self._prepared(conn, preparing, answer.data)
+        elif pending_prepare is not None:
+            self._finish_prepare(conn, pending_prepare, answer.data)
         else:
             conn.stream.write(answer.data)
-        self._ready(conn)
+        self._accept_commands(conn)
 
-    def _prepared(
-        self, conn: callers.CallerConn, prepared: callers.Prepared, data: bytes
+    def _finish_prepare(
+        self,
+        conn: callers.CallerConn,
+        prepared: callers.PreparedStatement,
+        data: bytes,
     ) -> None:
-        head = wire.HEADER_BYTES
-        if data[head] == 0:
-            number = conn.next_statement_id
+        header_bytes = wire.HEADER_BYTES
+        if data[header_bytes] == 0:
+            statement_id = conn.next_statement_id
             conn.next_statement_id += 1
-            prepared.parameters = int.from_bytes(
-                data[head + 7 : head + 9], 'little'
+            prepared.parameter_count = int.from_bytes(
+                data[header_bytes + 7 : header_bytes + 9], 'little'
             )
-            conn.prepared[number] = prepared
-            place = slice(head + 1, head + 5)
+            conn.prepared[statement_id] = prepared
+            id_bytes = slice(header_bytes + 1, header_bytes + 5)
             data = (
-                data[: place.start]
-                + number.to_bytes(4, 'little')
-                + data[place.stop :]
+                data[: id_bytes.start]
+                + statement_id.to_bytes(4, 'little')
+                + data[id_bytes.stop :]
             )
         conn.stream.write(data)
 
-    def _ready(self, conn: callers.CallerConn) -> None:
-        conn.phase = Phase.READY
-        self._dirty.add(conn)
+    def _accept_commands(self, conn: callers.CallerConn) -> None:
+        conn.phase = ConnPhase.READY
+        self._unflushed.add(conn)
         conn.stream.set_reading(True)
         if self._draining and not conn.in_transaction:
             conn.closing = True
             return
-        self._work(conn)
+        self._run_pending(conn)
 
-    def _refused(
+    def _refuse_login(
         self, conn: callers.CallerConn, error: core.CallerError
     ) -> None:
         self.log.emit(
@@ -346,12 +368,12 @@
     ) -> None:
         conn.reply_error(error)
         conn.closing = True
-        self._dirty.add(conn)
+        self._unflushed.add(conn)
 
     def settled(self) -> None:
-        """Send what the handled messages wrote."""
-        dirty, self._dirty = self._dirty, set()
-        for conn in dirty:
+        """Flush the output that the handled messages have written."""
+        unflushed, self._unflushed = self._unflushed, set()
+        for conn in unflushed:
             if conn.stream.fileno < 0:
                 continue
             conn.stream.flush()
@@ -359,27 +381,27 @@
                 self._close(conn)
             elif conn.closing and not conn.stream.pending:
                 self._close(conn)
-            elif conn.unconsumed:
-                self._consume(conn)
+            elif conn.unreported_bytes:
+                self._report_consumed(conn)
 
-    def _consume(self, conn: callers.CallerConn) -> None:
+    def _report_consumed(self, conn: callers.CallerConn) -> None:
         if conn.stream.pending > self._limits.low_water_bytes:
             return
         if conn.request_id is None:
             return
         self.send(
-            self._router, core.Consumed(conn.request_id, conn.unconsumed)
+            self._router, core.Consumed(conn.request_id, conn.unreported_bytes)
         )
-        conn.unconsumed = 0
+        conn.unreported_bytes = 0
 
     def _close(self, conn: callers.CallerConn) -> None:
         self._by_fileno.pop(conn.stream.fileno, None)
         self._by_session.pop(conn.session_id, None)
-        self._newcomers.settle(conn.session_id)
+        self._handshakes.settle(conn.session_id)
         if conn.request_id is not None:
             self._by_request.pop(conn.request_id, None)
         conn.stream.close()
-        if conn.phase is not Phase.HELLO:
+        if conn.phase is not ConnPhase.HANDSHAKE_RESPONSE:
             self.log.emit(core.LogEvent.CALLER_CLOSED, session=conn.session_id)
             self.send(self._router, core.SessionClosed(conn.session_id))
 
@@ -390,5 +412,5 @@
             self._listener.close()
             self._listener = None
         for conn in tuple(self._by_fileno.values()):
-            if conn.phase is Phase.READY and not conn.in_transaction:
+            if conn.phase is ConnPhase.READY and not conn.in_transaction:
                 self._close(conn)
--- a/src/chicoryusher/frontends/mysql/marks.py
+++ b/src/chicoryusher/frontends/mysql/marks.py
@@ -1,6 +1,7 @@
-"""Marks that a caller sets in a comment or in connection attributes.
+"""Marks: attributes of a statement that its caller sets.
 
-A comment looks as sqlcommenter writes it:
+They are read from SQL comments in the format of sqlcommenter and, for all
+statements of a session, from the connection attributes. An example:
 ``/*max_staleness='0.5',idempotency_key='lot-17'*/``.
 """
 
@@ -14,26 +15,26 @@
 
 from chicoryusher import core
 
-__all__ = ['FIELDS', 'from_comment', 'from_pairs']
+__all__ = ['MARK_PARSERS', 'marks_from_comments', 'marks_from_pairs']
 
-_COMMENT = re.compile(r'/\*(.*?)\*/', re.DOTALL)
-_PAIR = re.compile(r"([a-z_]+)='((?:[^'\\]|\\.)*)'")
+_COMMENT_PATTERN = re.compile(r'/\*(.*?)\*/', re.DOTALL)
+_MARK_PATTERN = re.compile(r"([a-z_]+)='((?:[^'\\]|\\.)*)'")
 MAX_KEY_CHARS = 128
 
-Reader = Callable[[str], Any]
-FIELDS: core.Registry[Reader] = core.Registry('mark')
+MarkParser = Callable[[str], Any]
+MARK_PARSERS: core.Registry[MarkParser] = core.Registry('mark')
 
 
 class MarkError(core.CallerError):
-    """A mark has a value that it must not have."""
+    """The value of a mark is invalid."""
 
     code = 29005
     sqlstate = '22023'
 
 
-@FIELDS.register('max_staleness')
-@FIELDS.register('deadline')
-def _seconds(text: str) -> float:
+@MARK_PARSERS.register('max_staleness')
+@MARK_PARSERS.register('deadline')
+def _parse_seconds(text: str) -> float:
     try:
         value = float(text)
     except ValueError:
@@ -43,41 +44,49 @@
     return value
 
 
-@FIELDS.register('non_idempotent')
-@FIELDS.register('may_wait')
-def _flag(text: str) -> bool:
+@MARK_PARSERS.register('non_idempotent')
+@MARK_PARSERS.register('may_wait')
+def _parse_flag(text: str) -> bool:
     if text.lower() not in ('1', '0', 'true', 'false'):
         raise MarkError(f'{text!r} is not a truth value')
     return text.lower() in ('1', 'true')
 
 
-@FIELDS.register('idempotency_key')
-def _key(text: str) -> core.IdempotencyKey:
+@MARK_PARSERS.register('idempotency_key')
+def _parse_idempotency_key(text: str) -> core.IdempotencyKey:
     if not 0 < len(text) <= MAX_KEY_CHARS:
         raise MarkError(f'a key has 1 to {MAX_KEY_CHARS} characters')
     return core.IdempotencyKey(text)
 
 
-@FIELDS.register('token')
-def _token(text: str) -> str:
+@MARK_PARSERS.register('token')
+def _parse_token(text: str) -> str:
     return text
 
 
-def from_pairs(pairs: Iterable[tuple[str, str]]) -> core.Marks | None:
-    """Return the marks among ``pairs``, or None; MarkError if bad."""
+def marks_from_pairs(pairs: Iterable[tuple[str, str]]) -> core.Marks | None:
+    """Return the marks among pairs of names and texts, None without any.
+
+    Raises MarkError if a value is invalid. Other names are ignored.
+    """
     values = {
-        name: FIELDS.get(name)(text) for name, text in pairs if name in FIELDS
+        name: MARK_PARSERS.get(name)(text)
+        for name, text in pairs
+        if name in MARK_PARSERS
     }
     return core.Marks(**values) if values else None
 
 
-def from_comment(sql: str) -> core.Marks | None:
-    """Return the marks in the statement's comments, or None."""
+def marks_from_comments(sql: str) -> core.Marks | None:
+    """Return the marks in a statement's comments, None without any.
+
+    Raises MarkError if a value is invalid. Other names are ignored.
+    """
     if '/*' not in sql:
         return None
     pairs = [
         (name, urllib.parse.unquote(text))
-        for comment in _COMMENT.findall(sql)
-        for name, text in _PAIR.findall(comment)
+        for comment in _COMMENT_PATTERN.findall(sql)
+        for name, text in _MARK_PATTERN.findall(comment)
     ]
-    return from_pairs(pairs)
+    return marks_from_pairs(pairs)
--- a/src/chicoryusher/frontends/mysql/statements.py
+++ b/src/chicoryusher/frontends/mysql/statements.py
@@ -1,7 +1,8 @@
-"""Sort statements by what they do, from their text.
+"""Classify SQL statements by their text.
 
-Literals are taken out first, so that statements of one shape share one
-cache entry and one statement class.
+The text is normalized first: literals become placeholders and comments are
+removed, so that statements that differ only in these share a cache entry
+and a statement class.
 """
 
 from __future__ import annotations
@@ -17,231 +18,300 @@
 
 from chicoryusher import core
 
-__all__ = ['Statement', 'classify', 'shape_of']
+__all__ = ['ClassifiedStatement', 'classify', 'normalize']
 
-CACHE_ENTRIES = 8192
+MAX_CACHED_STATEMENTS = 8192
 MAX_CLASSIFIED_CHARS = 64 * 1024
 
-_LITERAL = re.compile(
+_LITERAL_OR_COMMENT = re.compile(
     r"/\*.*?\*/|'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\""
     r'|\b\d+(?:\.\d+)?(?:[eE][+-]?\d+)?\b',
     re.DOTALL,
 )
-_LISTS = re.compile(r'\(\s*\?(?:\s*,\s*\?)+\s*\)')
-_UTF8 = ('utf8', 'utf8mb3', 'utf8mb4', 'default')
-_STATEFUL = frozenset(
+_VALUE_LIST = re.compile(r'\(\s*\?(?:\s*,\s*\?)+\s*\)')
+_UTF8_NAMES = ('utf8', 'utf8mb3', 'utf8mb4', 'default')
+_LOCK_FUNCTIONS = frozenset(
     ('GET_LOCK', 'RELEASE_LOCK', 'RELEASE_ALL_LOCKS', 'IS_USED_LOCK')
 )
-_OF_CONNECTION = frozenset(('LAST_INSERT_ID', 'ROW_COUNT', 'FOUND_ROWS'))
+_CONNECTION_FUNCTIONS = frozenset(
+    ('LAST_INSERT_ID', 'ROW_COUNT', 'FOUND_ROWS')
+)
 
 Kind = core.StatementKind
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Statement:
-    """Class of a statement: kind, tables and what it leaves behind.
+class ClassifiedStatement:
+    """Kind, class and tables of a statement.
 
-    ``keeps`` says that later statements of the session depend on the
-    same backend connection; ``problem`` says why it is refused.
+    ``pins_connection`` is true if the statement changes the state of its
+    backend connection, so that later statements of the session need the
+    same one. ``refusal_reason`` is empty if the statement is supported;
+    inside a transaction, unsupported statements run all the same.
     """
 
     kind: core.StatementKind
     statement_class: core.StatementClass
     tables: tuple[str, ...] = ()
-    keeps: bool = False
-    problem: str = ''
+    pins_connection: bool = False
+    refusal_reason: str = ''
+
 
+_Classifier = Callable[[exp.Expression, str], ClassifiedStatement]
+CLASSIFIERS: core.Registry[_Classifier] = core.Registry('statement classifier')
 
-_Sorter = Callable[[exp.Expression, str], Statement]
-SORTERS: core.Registry[_Sorter] = core.Registry('statement sorter')
 
+def normalize(sql: str) -> str:
+    """Return the text without comments, with placeholders for literals.
 
-def shape_of(sql: str) -> str:
-    """Return the text without literals, comments and list lengths."""
-    bare = _LITERAL.sub(_placeholder, sql)
-    return _LISTS.sub('(?)', bare).strip().rstrip(';').strip()
+    A list of literals becomes one placeholder, whatever its length.
+    """
+    without_literals = _LITERAL_OR_COMMENT.sub(_placeholder, sql)
+    return _VALUE_LIST.sub('(?)', without_literals).strip().rstrip(';').strip()
 
 
 def _placeholder(match: re.Match[str]) -> str:
     return ' ' if match.group().startswith('/*') else '?'
 
 
-def classify(sql: str) -> Statement:
-    """Return the class of ``sql``; never raises for any text."""
+def classify(sql: str) -> ClassifiedStatement:
+    """Classify a statement; never raises an exception.
+
+    A statement that is too long or can't be parsed counts as a write.
+    """
     if len(sql) > MAX_CLASSIFIED_CHARS:
-        head = sql[:MAX_CLASSIFIED_CHARS]
-        word = head.lstrip().split(None, 1)[0].upper() if head.strip() else ''
-        return Statement(Kind.WRITE, core.StatementClass(f'long {word}'))
-    return _classify_shape(shape_of(sql))
-
-
-@functools.lru_cache(maxsize=CACHE_ENTRIES)
-def _classify_shape(shape: str) -> Statement:
-    name = _class_name(shape)
-    word = shape.split(None, 1)[0].upper() if shape else ''
-    if not word:
-        return Statement(Kind.UNSUPPORTED, name, problem='empty statement')
-    if word in _BY_WORD:
-        return _BY_WORD[word](shape, name)
+        prefix = sql[:MAX_CLASSIFIED_CHARS]
+        keyword = (
+            prefix.lstrip().split(None, 1)[0].upper() if prefix.strip() else ''
+        )
+        return ClassifiedStatement(
+            Kind.WRITE, core.StatementClass(f'long {keyword}')
+        )
+    return _classify_normalized(normalize(sql))
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_STATEMENTS)
+def _classify_normalized(normalized: str) -> ClassifiedStatement:
+    class_name = _class_name(normalized)
+    keyword = normalized.split(None, 1)[0].upper() if normalized else ''
+    if not keyword:
+        return ClassifiedStatement(
+            Kind.UNSUPPORTED, class_name, refusal_reason='empty statement'
+        )
+    if keyword in _CLASSIFIERS_BY_KEYWORD:
+        return _CLASSIFIERS_BY_KEYWORD[keyword](normalized, class_name)
     try:
-        trees = sqlglot.parse(shape, dialect='mysql')
+        trees = sqlglot.parse(normalized, dialect='mysql')
     except sqlglot.errors.SqlglotError:
-        return Statement(Kind.WRITE, name)
+        return ClassifiedStatement(Kind.WRITE, class_name)
     if len(trees) != 1 or trees[0] is None:
-        return Statement(
-            Kind.UNSUPPORTED, name, problem='several statements in one'
+        return ClassifiedStatement(
+            Kind.UNSUPPORTED,
+            class_name,
+            refusal_reason='several statements in one',
         )
     tree = trees[0]
-    sorter = type(tree).__name__
-    if sorter in SORTERS:
-        return SORTERS.get(sorter)(tree, shape)
-    return Statement(Kind.WRITE, name, _tables(tree))
+    node_type = type(tree).__name__
+    if node_type in CLASSIFIERS:
+        return CLASSIFIERS.get(node_type)(tree, normalized)
+    return ClassifiedStatement(Kind.WRITE, class_name, _table_names(tree))
 
 
-def _class_name(shape: str) -> core.StatementClass:
-    digest = xxhash.xxh3_64_hexdigest(shape.lower().encode())
-    word = shape.split(None, 1)[0].lower() if shape else 'empty'
-    return core.StatementClass(f'{word[:12]}-{digest[:10]}')
+def _class_name(normalized: str) -> core.StatementClass:
+    digest = xxhash.xxh3_64_hexdigest(normalized.lower().encode())
+    keyword = normalized.split(None, 1)[0].lower() if normalized else 'empty'
+    return core.StatementClass(f'{keyword[:12]}-{digest[:10]}')
 
 
-def _tables(tree: exp.Expression) -> tuple[str, ...]:
-    names = {one.name for one in tree.find_all(exp.Table) if one.name}
+def _table_names(tree: exp.Expression) -> tuple[str, ...]:
+    names = {node.name for node in tree.find_all(exp.Table) if node.name}
     return tuple(sorted(names))
 
 
-def _functions(tree: exp.Expression) -> frozenset[str]:
-    names = {str(one.this).upper() for one in tree.find_all(exp.Anonymous)}
+def _function_names(tree: exp.Expression) -> frozenset[str]:
+    names = {str(node.this).upper() for node in tree.find_all(exp.Anonymous)}
     names |= {
-        one.sql_name().upper()
-        for one in tree.find_all(exp.Func)
-        if not isinstance(one, exp.Anonymous)
+        node.sql_name().upper()
+        for node in tree.find_all(exp.Func)
+        if not isinstance(node, exp.Anonymous)
     }
     return frozenset(names)
 
 
-@SORTERS.register('Select')
-@SORTERS.register('Union')
-@SORTERS.register('Subquery')
-@SORTERS.register('Intersect')
-@SORTERS.register('Except')
-def _sort_select(tree: exp.Expression, shape: str) -> Statement:
-    name = _class_name(shape)
-    functions = _functions(tree)
-    keeps = bool(functions & _STATEFUL) or bool(tree.find(exp.Parameter))
-    if functions & _OF_CONNECTION:
-        return Statement(
+@CLASSIFIERS.register('Select')
+@CLASSIFIERS.register('Union')
+@CLASSIFIERS.register('Subquery')
+@CLASSIFIERS.register('Intersect')
+@CLASSIFIERS.register('Except')
+def _classify_query(
+    tree: exp.Expression, normalized: str
+) -> ClassifiedStatement:
+    class_name = _class_name(normalized)
+    function_names = _function_names(tree)
+    pins_connection = bool(function_names & _LOCK_FUNCTIONS) or bool(
+        tree.find(exp.Parameter)
+    )
+    if function_names & _CONNECTION_FUNCTIONS:
+        return ClassifiedStatement(
             Kind.UNSUPPORTED,
-            name,
-            problem='a function of one connection, outside a transaction',
+            class_name,
+            refusal_reason=(
+                'a function of one connection, outside a transaction'
+            ),
         )
-    locks = bool(tree.find(exp.Lock)) or bool(tree.args.get('into'))
-    kind = Kind.WRITE if locks or keeps else Kind.READ
-    return Statement(kind, name, _tables(tree), keeps)
+    takes_locks = bool(tree.find(exp.Lock)) or bool(tree.args.get('into'))
+    kind = Kind.WRITE if takes_locks or pins_connection else Kind.READ
+    return ClassifiedStatement(
+        kind, class_name, _table_names(tree), pins_connection
+    )
 
 
-@SORTERS.register('Set')
-def _sort_set(tree: exp.Expression, shape: str) -> Statement:
-    name = _class_name(shape)
-    found = re.fullmatch(
+@CLASSIFIERS.register('Set')
+def _classify_set(
+    tree: exp.Expression, normalized: str
+) -> ClassifiedStatement:
+    class_name = _class_name(normalized)
+    matched = re.fullmatch(
         r'set\s+(?:session\s+|@@(?:session\.)?)?autocommit\s*:?=\s*(\S+)',
-        shape,
+        normalized,
         re.IGNORECASE,
     )
-    if found is not None:
-        return Statement(Kind.LOCAL, name)
-    found = re.match(
-        r'set\s+(?:names|character\s+set)\s+(\S+)', shape, re.IGNORECASE
+    if matched is not None:
+        return ClassifiedStatement(Kind.LOCAL, class_name)
+    matched = re.match(
+        r'set\s+(?:names|character\s+set)\s+(\S+)', normalized, re.IGNORECASE
     )
-    if found is not None:
-        text = found.group(1).strip('\'"').lower()
-        if text in _UTF8 or text == '?':
-            return Statement(Kind.LOCAL, name)
-        return Statement(
-            Kind.UNSUPPORTED, name, problem=f'character set {text}'
+    if matched is not None:
+        charset = matched.group(1).strip('\'"').lower()
+        if charset in _UTF8_NAMES or charset == '?':
+            return ClassifiedStatement(Kind.LOCAL, class_name)
+        return ClassifiedStatement(
+            Kind.UNSUPPORTED,
+            class_name,
+            refusal_reason=f'character set {charset}',
         )
-    if re.match(r'set\s+(global|persist|@@global)', shape, re.IGNORECASE):
-        return Statement(Kind.UNSUPPORTED, name, problem='a global setting')
-    return Statement(Kind.SESSION, name, keeps=True)
+    if re.match(r'set\s+(global|persist|@@global)', normalized, re.IGNORECASE):
+        return ClassifiedStatement(
+            Kind.UNSUPPORTED, class_name, refusal_reason='a global setting'
+        )
+    return ClassifiedStatement(Kind.SESSION, class_name, pins_connection=True)
 
 
-@SORTERS.register('Create')
-def _sort_create(tree: exp.Expression, shape: str) -> Statement:
+@CLASSIFIERS.register('Create')
+def _classify_create(
+    tree: exp.Expression, normalized: str
+) -> ClassifiedStatement:
     temporary = bool(tree.find(exp.TemporaryProperty))
     kind = Kind.WRITE if temporary else Kind.DDL
-    return Statement(kind, _class_name(shape), _tables(tree), keeps=temporary)
+    return ClassifiedStatement(
+        kind,
+        _class_name(normalized),
+        _table_names(tree),
+        pins_connection=temporary,
+    )
 
 
-@SORTERS.register('Alter')
-@SORTERS.register('Drop')
-@SORTERS.register('TruncateTable')
-def _sort_ddl(tree: exp.Expression, shape: str) -> Statement:
-    return Statement(Kind.DDL, _class_name(shape), _tables(tree))
+@CLASSIFIERS.register('Alter')
+@CLASSIFIERS.register('Drop')
+@CLASSIFIERS.register('TruncateTable')
+def _classify_ddl(
+    tree: exp.Expression, normalized: str
+) -> ClassifiedStatement:
+    return ClassifiedStatement(
+        Kind.DDL, _class_name(normalized), _table_names(tree)
+    )
 
 
-@SORTERS.register('Show')
-def _sort_show(tree: exp.Expression, shape: str) -> Statement:
-    name = _class_name(shape)
-    if re.match(r'show\s+(warnings|errors)', shape, re.IGNORECASE):
-        return Statement(
-            Kind.UNSUPPORTED, name, problem='warnings of one connection'
+@CLASSIFIERS.register('Show')
+def _classify_show(
+    tree: exp.Expression, normalized: str
+) -> ClassifiedStatement:
+    class_name = _class_name(normalized)
+    if re.match(r'show\s+(warnings|errors)', normalized, re.IGNORECASE):
+        return ClassifiedStatement(
+            Kind.UNSUPPORTED,
+            class_name,
+            refusal_reason='warnings of one connection',
         )
-    return Statement(Kind.READ, name)
+    return ClassifiedStatement(Kind.READ, class_name)
 
 
-def _sort_begin(shape: str, name: core.StatementClass) -> Statement:
-    read_only = re.search(r'read\s+only', shape, re.IGNORECASE)
+def _classify_begin(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    read_only = re.search(r'read\s+only', normalized, re.IGNORECASE)
     kind = Kind.BEGIN_READ_ONLY if read_only else Kind.BEGIN
-    return Statement(kind, name)
+    return ClassifiedStatement(kind, class_name)
 
 
-def _sort_start(shape: str, name: core.StatementClass) -> Statement:
-    if re.match(r'start\s+transaction', shape, re.IGNORECASE):
-        return _sort_begin(shape, name)
-    return Statement(Kind.UNSUPPORTED, name, problem='this START')
+def _classify_start(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    if re.match(r'start\s+transaction', normalized, re.IGNORECASE):
+        return _classify_begin(normalized, class_name)
+    return ClassifiedStatement(
+        Kind.UNSUPPORTED, class_name, refusal_reason='this START'
+    )
 
 
-def _sort_commit(shape: str, name: core.StatementClass) -> Statement:
-    if re.search(r'\bchain\b', shape, re.IGNORECASE):
-        return Statement(Kind.UNSUPPORTED, name, problem='AND CHAIN')
-    return Statement(Kind.COMMIT, name)
+def _classify_commit(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    if re.search(r'\bchain\b', normalized, re.IGNORECASE):
+        return ClassifiedStatement(
+            Kind.UNSUPPORTED, class_name, refusal_reason='AND CHAIN'
+        )
+    return ClassifiedStatement(Kind.COMMIT, class_name)
 
 
-def _sort_rollback(shape: str, name: core.StatementClass) -> Statement:
-    if re.search(r'\bto\b', shape, re.IGNORECASE):
-        return Statement(Kind.WRITE, name)
-    return Statement(Kind.ROLLBACK, name)
+def _classify_rollback(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    if re.search(r'\bto\b', normalized, re.IGNORECASE):
+        return ClassifiedStatement(Kind.WRITE, class_name)
+    return ClassifiedStatement(Kind.ROLLBACK, class_name)
 
 
-def _sort_lock(shape: str, name: core.StatementClass) -> Statement:
-    return Statement(Kind.WRITE, name, keeps=True)
+def _classify_stateful(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    return ClassifiedStatement(Kind.WRITE, class_name, pins_connection=True)
 
 
-def _sort_read(shape: str, name: core.StatementClass) -> Statement:
-    return Statement(Kind.READ, name)
+def _classify_read(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    return ClassifiedStatement(Kind.READ, class_name)
 
 
-def _sort_refused(shape: str, name: core.StatementClass) -> Statement:
-    word = shape.split(None, 1)[0].upper()
-    return Statement(Kind.UNSUPPORTED, name, problem=word)
+def _classify_unsupported(
+    normalized: str, class_name: core.StatementClass
+) -> ClassifiedStatement:
+    keyword = normalized.split(None, 1)[0].upper()
+    return ClassifiedStatement(
+        Kind.UNSUPPORTED, class_name, refusal_reason=keyword
+    )
 
 
-_BY_WORD: dict[str, Callable[[str, core.StatementClass], Statement]] = {
-    'BEGIN': _sort_begin,
-    'START': _sort_start,
-    'COMMIT': _sort_commit,
-    'ROLLBACK': _sort_rollback,
-    'LOCK': _sort_lock,
-    'UNLOCK': _sort_lock,
-    'PREPARE': _sort_lock,
-    'EXECUTE': _sort_lock,
-    'DEALLOCATE': _sort_lock,
-    'HANDLER': _sort_lock,
-    'EXPLAIN': _sort_read,
-    'DESCRIBE': _sort_read,
-    'DESC': _sort_read,
-    'XA': _sort_refused,
-    'KILL': _sort_refused,
-    'SHUTDOWN': _sort_refused,
-    'LOAD': _sort_refused,
-    'USE': _sort_refused,
+_CLASSIFIERS_BY_KEYWORD: dict[
+    str, Callable[[str, core.StatementClass], ClassifiedStatement]
+] = {
+    'BEGIN': _classify_begin,
+    'START': _classify_start,
+    'COMMIT': _classify_commit,
+    'ROLLBACK': _classify_rollback,
+    'LOCK': _classify_stateful,
+    'UNLOCK': _classify_stateful,
+    'PREPARE': _classify_stateful,
+    'EXECUTE': _classify_stateful,
+    'DEALLOCATE': _classify_stateful,
+    'HANDLER': _classify_stateful,
+    'EXPLAIN': _classify_read,
+    'DESCRIBE': _classify_read,
+    'DESC': _classify_read,
+    'XA': _classify_unsupported,
+    'KILL': _classify_unsupported,
+    'SHUTDOWN': _classify_unsupported,
+    'LOAD': _classify_unsupported,
+    'USE': _classify_unsupported,
 }
--- a/tests/frontends/test_statements.py
+++ b/tests/frontends/test_statements.py
@@ -9,7 +9,7 @@
 
 
 @pytest.mark.parametrize(
-    ('sql', 'kind', 'keeps'),
+    ('sql', 'kind', 'pins_connection'),
     [
         ('SELECT * FROM lots WHERE id = 1', Kind.READ, False),
         ('select 1 union select 2', Kind.READ, False),
@@ -34,12 +34,15 @@
         ('', Kind.UNSUPPORTED, False),
     ],
 )
-def test_statements_are_sorted_by_what_they_do(sql, kind, keeps):
-    found = mysql.classify(sql)
-    assert (found.kind, found.keeps) == (kind, keeps)
+def test_statements_are_classified(sql, kind, pins_connection):
+    statement = mysql.classify(sql)
+    assert (statement.kind, statement.pins_connection) == (
+        kind,
+        pins_connection,
+    )
 
 
-def test_literals_and_comments_do_not_change_the_class():
+def test_literals_and_comments_keep_the_statement_class():
     first = mysql.classify("SELECT a FROM t WHERE b = 'x' /*deadline='1'*/")
     second = mysql.classify('SELECT a FROM t WHERE b = 17')
     assert first.statement_class == second.statement_class
@@ -47,9 +50,9 @@
 
 
 def test_marks_are_read_from_comments():
-    marks = mysql.from_comment(
+    marks = mysql.marks_from_comments(
         "SELECT 1 /*max_staleness='0.5',idempotency_key='a%20b'*/"
     )
     assert marks.max_staleness == 0.5
     assert marks.idempotency_key == 'a b'
-    assert mysql.from_comment('SELECT 1') is None
+    assert mysql.marks_from_comments('SELECT 1') is None
