--- a/src/chicoryusher/cli/__init__.py
+++ b/src/chicoryusher/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators command line."""
+"""The command line for operators."""
--- a/src/chicoryusher/cli/client.py
+++ b/src/chicoryusher/cli/client.py
@@ -1,4 +1,4 @@
-"""Calls of a daemon's admin address."""
+"""Client of a daemon's admin server."""
 
 from __future__ import annotations
 
@@ -11,12 +11,12 @@
 
 __all__ = ['AdminClient']
 
-TIMEOUT = 10.0
-OK = 200
+CALL_TIMEOUT_S = 10.0
+STATUS_OK = 200
 
 
 class AdminClient:
-    """A daemon's admin address, as the command line sees it."""
+    """Client that calls the admin server at one address."""
 
     def __init__(self, address: str, token: str) -> None:
         host, _, port = address.rpartition(':')
@@ -27,39 +27,45 @@
         self._token = token
 
     def call(self, method: str, path: str, body: Any = None) -> Any:
-        """Return the decoded answer; AdminError if the call fails."""
+        """Return the decoded answer.
+
+        Raises AdminError if the call fails.
+        """
         conn = http.client.HTTPConnection(
-            self._host, self._port, timeout=TIMEOUT
+            self._host, self._port, timeout=CALL_TIMEOUT_S
         )
         data = json.dumps(body).encode() if body is not None else b''
         headers = {'Authorization': f'Bearer {self._token}'}
         try:
             conn.request(method, path, data, headers)
-            answer = conn.getresponse()
-            document = json.loads(answer.read() or b'null')
+            response = conn.getresponse()
+            document = json.loads(response.read() or b'null')
         except (OSError, ValueError, http.client.HTTPException) as exc:
             raise core.AdminError(0, f'no answer: {exc}') from exc
         finally:
             conn.close()
-        if answer.status != OK:
-            raise core.AdminError(answer.status, json.dumps(document))
+        if response.status != STATUS_OK:
+            raise core.AdminError(response.status, json.dumps(document))
         return document
 
-    def rows(self, path: str) -> list[dict[str, str]]:
-        """Return the rows of a question."""
+    def result_rows(self, path: str) -> list[dict[str, str]]:
+        """Return the rows that a GET call answers."""
         return list(self.call('GET', path)['rows'])
 
-    def register(self) -> tuple[int, Any]:
-        """Return the version and document in force, (0, None) if none."""
-        row = self.rows('/register')[0]
+    def fetch_register(self) -> tuple[int, Any]:
+        """Return the current version and document, (0, None) without one."""
+        row = self.result_rows('/register')[0]
         text = row['document']
         return int(row['version']), json.loads(text) if text else None
 
-    def apply(
+    def apply_register(
         self, document: bytes, expected: int, operator: str, at: str
     ) -> int:
-        """Replace version ``expected``; return the accepted version."""
-        answer = self.call(
+        """Replace the register if its version is ``expected``.
+
+        Returns the new version.
+        """
+        response = self.call(
             'PUT',
             '/register',
             {
@@ -69,4 +75,4 @@
                 'at': at,
             },
         )
-        return int(answer['version'])
+        return int(response['version'])
--- a/src/chicoryusher/cli/explain.py
+++ b/src/chicoryusher/cli/explain.py
@@ -1,4 +1,4 @@
-"""The story of one request, from the log lines of several VMs."""
+"""Timeline of one request, from the log lines of several VMs."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 from collections.abc import Iterable
 from typing import Any
 
-__all__ = ['LogLine', 'NEARBY_EVENTS', 'lines_of', 'story']
+__all__ = ['LogLine', 'STATE_EVENTS', 'parse_log_lines', 'request_timeline']
 
-# Numbers of events that change what a VM believes: primaries, instances,
-# authority, configuration, the platform, peers.
-NEARBY_EVENTS = frozenset(
+# Numbers of the events that change the state that a VM routes by: primaries,
+# instances, the primary lease, configuration, the platform, peers.
+STATE_EVENTS = frozenset(
     {
         *range(1001, 1005),
         *range(4009, 4016),
@@ -21,36 +21,37 @@
         6005,
     }
 )
-# Numbers of events that tell of connections to one instance.
+# Numbers of the events about connections to one instance.
 CONNECTION_EVENTS = frozenset({3002, 3003})
-# Numbers of events that hold until the next of their kind: the primary in
-# use, and whether primaries may be used.
+# Numbers of the events that set a state until the next such event: the primary
+# in use, and whether the VM has the primary lease.
 PRIMARY_EVENT = 4012
-STANDING_EVENTS = frozenset({PRIMARY_EVENT, 4014, 4015})
-# Seconds before and after the request within which such events are told.
-BEFORE = 3.0
-AFTER = 0.5
-_SHOWN_APART = ('time', 'event', 'vm', 'level', 'message')
+LASTING_EVENTS = frozenset({PRIMARY_EVENT, 4014, 4015})
+# The timeline includes state events up to this long before the first and after
+# the last line of the request.
+SECONDS_BEFORE = 3.0
+SECONDS_AFTER = 0.5
+_SEPARATE_FIELDS = ('time', 'event', 'vm', 'level', 'message')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogLine:
-    """One decoded line of a log; ``when`` is the VM's own time."""
+    """One decoded log line; ``logged_at`` is the time of its VM's clock."""
 
-    when: str
+    logged_at: str
     vm: str
     event: int
     message: str
     fields: tuple[tuple[str, str], ...]
 
-    def field(self, name: str) -> str:
-        """Return a field's text, empty without one."""
+    def field_text(self, name: str) -> str:
+        """Return the text of a field, empty if the line does not have it."""
         return dict(self.fields).get(name, '')
 
 
-def lines_of(texts: Iterable[str]) -> list[LogLine]:
-    """Return the log lines in texts; what is none is passed over."""
-    found = []
+def parse_log_lines(texts: Iterable[str]) -> list[LogLine]:
+    """Decode the log lines in texts, sorted by time; skip other texts."""
+    parsed = []
     for text in texts:
         start = text.find('{')
         if start < 0:
@@ -60,11 +61,11 @@
         except ValueError:
             continue
         if isinstance(document, dict) and 'event' in document:
-            found.append(_line(document))
-    return sorted(found, key=lambda one: one.when)
+            parsed.append(_to_log_line(document))
+    return sorted(parsed, key=lambda line: line.logged_at)
 
 
-def _line(document: dict[str, Any]) -> LogLine:
+def _to_log_line(document: dict[str, Any]) -> LogLine:
     return LogLine(
         str(document.get('time', '')),
         str(document.get('vm', '')),
@@ -73,68 +74,82 @@
         tuple(
             (name, str(value))
             for name, value in document.items()
-            if name not in _SHOWN_APART
+            if name not in _SEPARATE_FIELDS
         ),
     )
 
 
-def story(lines: list[LogLine], request_id: str) -> list[LogLine]:
-    """Return the request's lines and what its VMs believed by then."""
-    own = [one for one in lines if one.field('request') == request_id]
-    if not own:
+def request_timeline(lines: list[LogLine], request_id: str) -> list[LogLine]:
+    """Return the request's lines and those about the state of its VMs.
+
+    Empty if no line names the request.
+    """
+    request_lines = [
+        line for line in lines if line.field_text('request') == request_id
+    ]
+    if not request_lines:
         return []
-    vms = {one.vm for one in own}
-    first, last = _seconds(own[0].when), _seconds(own[-1].when)
-    near = [
-        one
-        for one in lines
-        if one.vm in vms
-        and first - BEFORE <= _seconds(one.when) <= last + AFTER
-        and _concerns(one, own)
+    vms = {line.vm for line in request_lines}
+    first, last = (
+        _timestamp(request_lines[0].logged_at),
+        _timestamp(request_lines[-1].logged_at),
+    )
+    nearby = [
+        line
+        for line in lines
+        if line.vm in vms
+        and first - SECONDS_BEFORE
+        <= _timestamp(line.logged_at)
+        <= last + SECONDS_AFTER
+        and _may_concern(line, request_lines)
     ]
-    standing = _standing(lines, own, first - BEFORE)
-    return sorted({*own, *near, *standing}, key=lambda one: one.when)
+    lasting = _lasting_before(lines, request_lines, first - SECONDS_BEFORE)
+    return sorted(
+        {*request_lines, *nearby, *lasting}, key=lambda line: line.logged_at
+    )
 
 
-def _standing(
-    lines: list[LogLine], own: list[LogLine], until: float
+def _lasting_before(
+    lines: list[LogLine], request_lines: list[LogLine], before: float
 ) -> list[LogLine]:
-    """Return what still held at a time, however long before it began.
+    """Return the lines that set the state of the VMs at a time.
 
-    That is the last word of each VM on the group's primary and on its
-    authority.
+    These are, for each VM of the request, the last line about the group's
+    primary and the last one about the VM's primary lease, however old.
     """
     last: dict[tuple[str, bool], LogLine] = {}
-    vms = {one.vm for one in own}
+    vms = {entry.vm for entry in request_lines}
     for line in lines:
-        if _seconds(line.when) >= until or line.vm not in vms:
+        if _timestamp(line.logged_at) >= before or line.vm not in vms:
             continue
-        if line.event in STANDING_EVENTS and _concerns(line, own):
+        if line.event in LASTING_EVENTS and _may_concern(line, request_lines):
             last[line.vm, line.event == PRIMARY_EVENT] = line
     return list(last.values())
 
 
-def _concerns(line: LogLine, own: list[LogLine]) -> bool:
-    """Tell whether a line may have decided what became of a request.
+def _may_concern(line: LogLine, request_lines: list[LogLine]) -> bool:
+    """Return whether a line may explain the outcome of a request.
 
     Lines about other groups, and about connections to instances that the
     request was not sent to, are left out.
     """
     if line.event in CONNECTION_EVENTS:
-        return line.field('instance') in _fields(own, 'instance')
-    if line.event not in NEARBY_EVENTS:
+        return line.field_text('instance') in _field_texts(
+            request_lines, 'instance'
+        )
+    if line.event not in STATE_EVENTS:
         return False
-    services = _fields(own, 'service')
-    service = line.field('service')
+    services = _field_texts(request_lines, 'service')
+    service = line.field_text('service')
     return not service or not services or service in services
 
 
-def _fields(own: list[LogLine], name: str) -> set[str]:
-    return {one.field(name) for one in own} - {'', 'None'}
+def _field_texts(request_lines: list[LogLine], name: str) -> set[str]:
+    return {line.field_text(name) for line in request_lines} - {'', 'None'}
 
 
-def _seconds(when: str) -> float:
+def _timestamp(logged_at: str) -> float:
     try:
-        return datetime.datetime.fromisoformat(when).timestamp()
+        return datetime.datetime.fromisoformat(logged_at).timestamp()
     except ValueError:
         return 0.0
--- a/src/chicoryusher/cli/main.py
+++ b/src/chicoryusher/cli/main.py
@@ -1,4 +1,4 @@
-"""Entry point of ``chicoryusher``, the operators' tool."""
+"""Entry point of ``chicoryusher``, the command line for operators."""
 
 from __future__ import annotations
 
@@ -24,8 +24,8 @@
 __all__ = ['app']
 
 DEFAULT_ADMIN = '127.0.0.1:7070'
-CONFLICT_STATUS = 409
-BAD_REQUEST_STATUS = 400
+STATUS_CONFLICT = 409
+STATUS_BAD_REQUEST = 400
 ExitCode = output.ExitCode
 
 app = typer.Typer(help='Operate chicoryusher.', no_args_is_help=True)
@@ -49,7 +49,7 @@
     ),
 ]
 JsonOption = Annotated[
-    bool, typer.Option('--json', help='Print JSON in place of a table.')
+    bool, typer.Option('--json', help='Print JSON instead of a table.')
 ]
 FileArgument = Annotated[pathlib.Path, typer.Argument(help='A JSON file.')]
 
@@ -58,9 +58,9 @@
     code = ExitCode.FAILED
     if error.status == 0:
         code = ExitCode.UNREACHABLE
-    elif error.status == CONFLICT_STATUS:
+    elif error.status == STATUS_CONFLICT:
         code = ExitCode.CONFLICT
-    elif error.status == BAD_REQUEST_STATUS:
+    elif error.status == STATUS_BAD_REQUEST:
         code = ExitCode.BAD_FILE
     if as_json:
         typer.echo(
@@ -71,40 +71,42 @@
     raise typer.Exit(code)
 
 
-def _ask(admin: str, token: str, path: str, as_json: bool) -> None:
+def _print_state(admin: str, token: str, path: str, as_json: bool) -> None:
     try:
-        rows = client_module.AdminClient(admin, token).rows(path)
+        result_rows = client_module.AdminClient(admin, token).result_rows(path)
     except core.AdminError as exc:
         _fail(exc, as_json)
-    output.show(rows, as_json)
+    output.print_rows(result_rows, as_json)
 
 
-def _refuse(error: core.SettingsError, as_json: bool) -> NoReturn:
-    rows = [{'path': one.path, 'problem': one.what} for one in error.problems]
-    output.show(rows, as_json)
+def _fail_bad_file(error: core.SettingsError, as_json: bool) -> NoReturn:
+    rows = [
+        {'path': entry.path, 'problem': entry.what} for entry in error.problems
+    ]
+    output.print_rows(rows, as_json)
     raise typer.Exit(ExitCode.BAD_FILE)
 
 
-def _read(path: pathlib.Path, as_json: bool) -> Any:
+def _read_json(path: pathlib.Path, as_json: bool) -> Any:
     try:
         return json.loads(path.read_text(encoding='utf-8'))
     except (OSError, ValueError) as exc:
         problem = core.ConfigError('$', str(exc))
-        _refuse(core.SettingsError((problem,)), as_json)
+        _fail_bad_file(core.SettingsError((problem,)), as_json)
 
 
 @app.command()
 def check(path: FileArgument, as_json: JsonOption = False) -> None:
     """Check a settings file or a register file; list every defect."""
-    document = _read(path, as_json)
+    document = _read_json(path, as_json)
     try:
         if isinstance(document, dict) and 'register' in document:
             decisions.compile_document(document, core.ConfigVersion(0))
         else:
             settings.load(path)
     except core.SettingsError as exc:
-        _refuse(exc, as_json)
-    output.show([{'file': str(path), 'problems': 0}], as_json)
+        _fail_bad_file(exc, as_json)
+    output.print_rows([{'file': str(path), 'problems': 0}], as_json)
 
 
 @app.command()
@@ -113,8 +115,8 @@
     admin: AdminOption = DEFAULT_ADMIN,
     as_json: JsonOption = False,
 ) -> None:
-    """Show how one daemon stands."""
-    _ask(admin, token, '/status', as_json)
+    """Show the state of one daemon."""
+    _print_state(admin, token, '/status', as_json)
 
 
 @app.command()
@@ -124,7 +126,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """List the sessions of one daemon."""
-    _ask(admin, token, '/sessions', as_json)
+    _print_state(admin, token, '/sessions', as_json)
 
 
 @app.command()
@@ -133,8 +135,8 @@
     admin: AdminOption = DEFAULT_ADMIN,
     as_json: JsonOption = False,
 ) -> None:
-    """List the instances that one daemon watches."""
-    _ask(admin, token, '/databases', as_json)
+    """List the instances that one daemon monitors."""
+    _print_state(admin, token, '/databases', as_json)
 
 
 @app.command()
@@ -144,7 +146,7 @@
     as_json: JsonOption = False,
 ) -> None:
     """List the gates of one daemon with their queues."""
-    _ask(admin, token, '/gates', as_json)
+    _print_state(admin, token, '/gates', as_json)
 
 
 @app.command()
@@ -153,8 +155,8 @@
     admin: AdminOption = DEFAULT_ADMIN,
     as_json: JsonOption = False,
 ) -> None:
-    """List the VMs as one daemon judges them."""
-    _ask(admin, token, '/vms', as_json)
+    """List the VMs and their status as one daemon sees it."""
+    _print_state(admin, token, '/vms', as_json)
 
 
 @app.command()
@@ -168,20 +170,20 @@
     ] = '',
     as_json: JsonOption = False,
 ) -> None:
-    """List accepted and refused changes."""
-    caller = client_module.AdminClient(admin, token)
+    """List accepted and refused changes of the register."""
+    client = client_module.AdminClient(admin, token)
     try:
-        rows = caller.rows('/audit')
+        result_rows = client.result_rows('/audit')
     except core.AdminError as exc:
         _fail(exc, as_json)
-    kept = [
+    matching = [
         row
-        for row in rows
+        for row in result_rows
         if (not who or row.get('who') == who)
         and (not outcome or row.get('outcome') == outcome)
         and (not since or str(row.get('when', '')) >= since)
     ]
-    output.show(kept, as_json)
+    output.print_rows(matching, as_json)
 
 
 @app.command()
@@ -190,12 +192,12 @@
     admin: AdminOption = DEFAULT_ADMIN,
     as_json: JsonOption = False,
 ) -> None:
-    """Let one daemon finish its work and stop."""
+    """Let one daemon finish its requests and stop."""
     try:
         answer = client_module.AdminClient(admin, token).call('POST', '/drain')
     except core.AdminError as exc:
         _fail(exc, as_json)
-    output.show([answer], as_json)
+    output.print_rows([answer], as_json)
 
 
 @register_app.command('show')
@@ -204,9 +206,11 @@
     admin: AdminOption = DEFAULT_ADMIN,
     as_json: JsonOption = False,
 ) -> None:
-    """Print the register and rules in force."""
+    """Print the current register and rules."""
     try:
-        version, document = client_module.AdminClient(admin, token).register()
+        version, document = client_module.AdminClient(
+            admin, token
+        ).fetch_register()
     except core.AdminError as exc:
         _fail(exc, as_json)
     if as_json:
@@ -223,21 +227,23 @@
     admin: AdminOption = DEFAULT_ADMIN,
     as_json: JsonOption = False,
 ) -> None:
-    """Show what applying a file would change; exits 4 if anything."""
-    document = _read(path, as_json)
+    """Show what applying a file would change; exit status 4 if anything."""
+    document = _read_json(path, as_json)
     try:
         decisions.compile_document(document, core.ConfigVersion(0))
-        _, known = client_module.AdminClient(admin, token).register()
+        _, current = client_module.AdminClient(admin, token).fetch_register()
     except core.SettingsError as exc:
-        _refuse(exc, as_json)
+        _fail_bad_file(exc, as_json)
     except core.AdminError as exc:
         _fail(exc, as_json)
     before = {
-        key: value for key, value in (known or {}).items() if key != 'change'
+        key: value for key, value in (current or {}).items() if key != 'change'
     }
-    found = decisions.differences(before, document)
-    output.show([dataclasses.asdict(one) for one in found], as_json)
-    if found:
+    changes = decisions.differences(before, document)
+    output.print_rows(
+        [dataclasses.asdict(entry) for entry in changes], as_json
+    )
+    if changes:
         raise typer.Exit(ExitCode.DIFFERENT)
 
 
@@ -248,30 +254,35 @@
     admin: AdminOption = DEFAULT_ADMIN,
     expected: Annotated[
         int | None,
-        typer.Option(help='Version to replace; the one in force if not set.'),
+        typer.Option(help='Version to replace; default: the current one.'),
     ] = None,
-    operator: Annotated[str, typer.Option(help='Who makes the change.')] = '',
+    operator: Annotated[
+        str,
+        typer.Option(
+            help='Name recorded for the change; default: the login name.'
+        ),
+    ] = '',
     as_json: JsonOption = False,
 ) -> None:
-    """Make a register file the next version."""
-    document = _read(path, as_json)
-    caller = client_module.AdminClient(admin, token)
+    """Replace the register by the contents of a file."""
+    document = _read_json(path, as_json)
+    client = client_module.AdminClient(admin, token)
     try:
         decisions.compile_document(document, core.ConfigVersion(0))
         if expected is None:
-            expected, _ = caller.register()
+            expected, _ = client.fetch_register()
         at = datetime.datetime.now(datetime.UTC).isoformat()
-        version = caller.apply(
+        version = client.apply_register(
             json.dumps(document).encode(),
             expected,
             operator or getpass.getuser(),
             at,
         )
     except core.SettingsError as exc:
-        _refuse(exc, as_json)
+        _fail_bad_file(exc, as_json)
     except core.AdminError as exc:
         _fail(exc, as_json)
-    output.show([{'version': version}], as_json)
+    output.print_rows([{'version': version}], as_json)
 
 
 @app.command()
@@ -279,11 +290,11 @@
     request_id: Annotated[str, typer.Argument(help='Id of the request.')],
     logs: Annotated[
         list[pathlib.Path] | None,
-        typer.Argument(help='Log files of VMs; standard input without any.'),
+        typer.Argument(help='Log files of VMs; default: standard input.'),
     ] = None,
     as_json: JsonOption = False,
 ) -> None:
-    """Tell what became of a request, and what its VM knew by then."""
+    """Show the log lines about a request and the state of its VMs."""
     texts: list[str] = []
     for path in logs or ():
         try:
@@ -294,24 +305,26 @@
         texts += text.splitlines()
     if not logs:
         texts = sys.stdin.read().splitlines()
-    told = explain_module.story(explain_module.lines_of(texts), request_id)
-    if not told:
+    timeline = explain_module.request_timeline(
+        explain_module.parse_log_lines(texts), request_id
+    )
+    if not timeline:
         typer.echo(
-            f'no line names {request_id}: it was answered with success,'
-            ' or its VM did not log',
+            f'no log line names {request_id}: it succeeded,'
+            ' or the log of its VM is missing',
             err=True,
         )
         raise typer.Exit(ExitCode.FAILED)
-    output.show(
+    output.print_rows(
         (
             {
-                'time': one.when,
-                'vm': one.vm,
-                'event': one.event,
-                'message': one.message,
-                'with': ' '.join(f'{k}={v}' for k, v in one.fields),
+                'time': entry.logged_at,
+                'vm': entry.vm,
+                'event': entry.event,
+                'message': entry.message,
+                'with': ' '.join(f'{k}={v}' for k, v in entry.fields),
             }
-            for one in told
+            for entry in timeline
         ),
         as_json,
     )
--- a/src/chicoryusher/cli/output.py
+++ b/src/chicoryusher/cli/output.py
@@ -1,4 +1,4 @@
-"""Tables and JSON for operators, and the exit codes of the tool."""
+"""Output as tables or JSON, and the exit codes of the command line."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 import typer
 
-__all__ = ['ExitCode', 'show']
+__all__ = ['ExitCode', 'print_rows']
 
 
 class ExitCode(enum.IntEnum):
@@ -23,8 +23,8 @@
     UNREACHABLE = 5
 
 
-def show(rows: Iterable[dict[str, Any]], as_json: bool) -> None:
-    """Print rows as an aligned table, or as one JSON array."""
+def print_rows(rows: Iterable[dict[str, Any]], as_json: bool) -> None:
+    """Print rows as an aligned table or as one JSON array."""
     table = list(rows)
     if as_json:
         typer.echo(json.dumps(table))
@@ -32,12 +32,18 @@
     if not table:
         typer.echo('nothing to show')
         return
-    names = list(table[0])
+    columns = list(table[0])
     widths = {
-        name: max(len(name), *(len(str(row.get(name, ''))) for row in table))
-        for name in names
+        column: max(
+            len(column), *(len(str(row.get(column, ''))) for row in table)
+        )
+        for column in columns
     }
-    typer.echo('  '.join(f'{name:<{widths[name]}}' for name in names).rstrip())
+    typer.echo(
+        '  '.join(f'{column:<{widths[column]}}' for column in columns).rstrip()
+    )
     for row in table:
-        cells = (f'{row.get(name, "")!s:<{widths[name]}}' for name in names)
+        cells = (
+            f'{row.get(column, "")!s:<{widths[column]}}' for column in columns
+        )
         typer.echo('  '.join(cells).rstrip())
--- a/src/chicoryusher/daemon/__init__.py
+++ b/src/chicoryusher/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon: settings, composition, admin address, metrics."""
+"""The daemon: settings, start and stop, admin server, metrics."""
--- a/src/chicoryusher/daemon/admin.py
+++ b/src/chicoryusher/daemon/admin.py
@@ -1,4 +1,4 @@
-"""The admin address: an operator's questions and changes, over HTTP."""
+"""The admin server: HTTP calls with which operators query and change."""
 
 from __future__ import annotations
 
@@ -15,41 +15,44 @@
 from chicoryusher import tasks
 from chicoryusher.runtime import http_server
 
-__all__ = ['Admin', 'CALLS']
+__all__ = ['Admin', 'CALL_HANDLERS']
 
-ASK_TIMEOUT = 5.0
-SCAN_ROWS = 500
-OK = 200
-BAD_REQUEST = 400
-UNAUTHORIZED = 401
-NOT_FOUND = 404
-CONFLICT = 409
-UNAVAILABLE = 503
+STATE_QUERY_TIMEOUT_S = 5.0
+MAX_SCAN_ROWS = 500
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
 
 _Conn = http_server.HttpConn
 _Request = http_server.HttpRequest
-Call = Callable[['Admin', _Conn, _Request], None]
-CALLS: core.Registry[Call] = core.Registry('admin call')
+CallHandler = Callable[['Admin', _Conn, _Request], None]
+CALL_HANDLERS: core.Registry[CallHandler] = core.Registry('admin call')
 
 
 @dataclasses.dataclass(slots=True)
-class _Question:
-    """An open question: who asked, and the answers still missing."""
+class _PendingCall:
+    """An HTTP call that waits for replies of tasks.
+
+    ``rows`` holds those received so far.
+    """
 
     conn: _Conn
-    missing: int
+    missing_replies: int
     rows: list[dict[str, str]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _AskLate(core.Message):
-    """A question may have had no answer for too long."""
+class _QueryTimeout(core.Message):
+    """Timer: fail the call if replies are still missing."""
 
     number: int
 
 
 class Admin(runtime.Task):
-    """Answer operators; guarded by a bearer token."""
+    """Serve operators' HTTP calls that carry the bearer token."""
 
     def __init__(
         self,
@@ -68,62 +71,68 @@
         self._token = token
         self._server = http_server.HttpServer(listener, self._handle)
         self._numbers = itertools.count(1)
-        self._questions: dict[int, _Question] = {}
-        self._scans: list[_Conn] = []
+        self._pending_calls: dict[int, _PendingCall] = {}
+        self._scan_conns: list[_Conn] = []
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready: runtime.SocketReady) -> None:
         self._server.ready(ready)
 
     def settled(self) -> None:
-        """Send the answers written so far."""
+        """Flush the answers that have been written."""
         self._server.flush()
 
     def _handle(self, conn: _Conn, request: _Request) -> None:
         path = urllib.parse.urlsplit(request.path).path
-        name = f'{request.method} {path}'
-        good = hmac.compare_digest(
+        call_name = f'{request.method} {path}'
+        is_authorized = hmac.compare_digest(
             request.token.encode(), self._token.encode()
         )
-        if not good:
-            self.log.emit(core.LogEvent.ADMIN_REFUSED, call=name)
-            _problem(conn, UNAUTHORIZED, 'the token is missing or wrong')
+        if not is_authorized:
+            self.log.emit(core.LogEvent.ADMIN_REFUSED, call=call_name)
+            _reply_problem(
+                conn, STATUS_UNAUTHORIZED, 'the token is missing or wrong'
+            )
             return
-        if name not in CALLS:
-            _problem(conn, NOT_FOUND, f'no call {name}')
+        if call_name not in CALL_HANDLERS:
+            _reply_problem(conn, STATUS_NOT_FOUND, f'no call {call_name}')
             return
-        self.log.emit(core.LogEvent.ADMIN_CALL, call=name)
-        CALLS.get(name)(self, conn, request)
+        self.log.emit(core.LogEvent.ADMIN_CALL, call=call_name)
+        CALL_HANDLERS.get(call_name)(self, conn, request)
 
-    def ask(self, conn: _Conn, receivers: list[core.TaskName]) -> None:
-        """Ask tasks for their state and reply with all rows."""
+    def query_state(self, conn: _Conn, receivers: list[core.TaskName]) -> None:
+        """Query the state of tasks; answer once all have replied."""
         if not receivers:
-            conn.reply(OK, {'rows': []})
+            conn.reply(STATUS_OK, {'rows': []})
             return
         number = next(self._numbers)
-        self._questions[number] = _Question(conn, len(receivers))
+        self._pending_calls[number] = _PendingCall(conn, len(receivers))
         for receiver in receivers:
             self.send(receiver, tasks.Ask(self.task_name, number))
-        self.after(ASK_TIMEOUT, _AskLate(number))
+        self.after(STATE_QUERY_TIMEOUT_S, _QueryTimeout(number))
 
     @runtime.handles(tasks.Told)
-    def _on_told(self, told: tasks.Told) -> None:
-        question = self._questions.get(told.number)
-        if question is None:
+    def _on_state_report(self, report: tasks.Told) -> None:
+        pending = self._pending_calls.get(report.number)
+        if pending is None:
             return
-        question.rows += [dict(row) for row in told.rows]
-        question.missing -= 1
-        if not question.missing:
-            del self._questions[told.number]
-            question.conn.reply(OK, {'rows': question.rows})
-
-    @runtime.handles(_AskLate)
-    def _on_late(self, late: _AskLate) -> None:
-        question = self._questions.pop(late.number, None)
-        if question is not None:
-            _problem(question.conn, UNAVAILABLE, 'no answer in time')
-
-    def apply(
+        pending.rows += [dict(row) for row in report.rows]
+        pending.missing_replies -= 1
+        if not pending.missing_replies:
+            del self._pending_calls[report.number]
+            pending.conn.reply(STATUS_OK, {'rows': pending.rows})
+
+    @runtime.handles(_QueryTimeout)
+    def _on_query_timeout(self, timeout: _QueryTimeout) -> None:
+        pending = self._pending_calls.pop(timeout.number, None)
+        if pending is not None:
+            _reply_problem(
+                pending.conn,
+                STATUS_UNAVAILABLE,
+                'some tasks did not reply in time',
+            )
+
+    def apply_register(
         self,
         conn: _Conn,
         document: bytes,
@@ -131,9 +140,12 @@
         operator: str,
         at: str,
     ) -> None:
-        """Hand an operator's document to the configurator."""
+        """Send a register document to the configurator.
+
+        It is applied if the current version is ``expected``.
+        """
         number = next(self._numbers)
-        self._questions[number] = _Question(conn, 1)
+        self._pending_calls[number] = _PendingCall(conn, 1)
         self.send(
             tasks.names.configurator(self.vm),
             tasks.ApplyDocument(
@@ -148,93 +160,93 @@
 
     @runtime.handles(tasks.ApplyResult)
     def _on_applied(self, result: tasks.ApplyResult) -> None:
-        question = self._questions.pop(result.number, None)
-        if question is None:
+        pending = self._pending_calls.pop(result.number, None)
+        if pending is None:
             return
         error = result.error
         if error is None:
-            question.conn.reply(OK, {'version': result.version})
+            pending.conn.reply(STATUS_OK, {'version': result.version})
         elif isinstance(error, core.SettingsError):
-            question.conn.reply(
-                BAD_REQUEST,
+            pending.conn.reply(
+                STATUS_BAD_REQUEST,
                 {
                     'problems': [
-                        {'path': one.path, 'what': one.what}
-                        for one in error.problems
+                        {'path': entry.path, 'what': entry.what}
+                        for entry in error.problems
                     ]
                 },
             )
         elif isinstance(error, core.ConfigConflict):
-            _problem(question.conn, CONFLICT, str(error))
+            _reply_problem(pending.conn, STATUS_CONFLICT, str(error))
         else:
-            _problem(
-                question.conn,
-                UNAVAILABLE,
+            _reply_problem(
+                pending.conn,
+                STATUS_UNAVAILABLE,
                 f'{type(error).__name__}: {error}',
             )
 
-    def scan(self, conn: _Conn, prefix: str, after: str) -> None:
-        """Read rows of the platform's table for an operator."""
-        self._scans.append(conn)
+    def read_table_rows(self, conn: _Conn, prefix: str, after: str) -> None:
+        """Read rows of the platform's table, with keys after ``after``."""
+        self._scan_conns.append(conn)
         self.send(
             tasks.names.table(self.vm),
-            core.TableScan(self.task_name, prefix, after, SCAN_ROWS),
+            core.TableScan(self.task_name, prefix, after, MAX_SCAN_ROWS),
         )
 
     @runtime.handles(core.TableScanAnswer)
     def _on_scan(self, answer: core.TableScanAnswer) -> None:
-        conn = self._scans.pop(0)
+        conn = self._scan_conns.pop(0)
         if answer.error is not None:
-            _problem(conn, UNAVAILABLE, str(answer.error))
+            _reply_problem(conn, STATUS_UNAVAILABLE, str(answer.error))
             return
         rows = [
-            {'key': one.key, **json.loads(one.value or b'{}')}
-            for one in answer.rows
+            {'key': entry.key, **json.loads(entry.value or b'{}')}
+            for entry in answer.rows
         ]
-        conn.reply(OK, {'rows': rows})
+        conn.reply(STATUS_OK, {'rows': rows})
 
 
-def _problem(conn: _Conn, status: int, what: str) -> None:
-    conn.reply(status, {'problem': what})
+def _reply_problem(conn: _Conn, status: int, problem: str) -> None:
+    conn.reply(status, {'problem': problem})
 
 
-@CALLS.register('GET /status')
+@CALL_HANDLERS.register('GET /status')
 def _status(admin: Admin, conn: _Conn, request: _Request) -> None:
-    admin.ask(conn, [tasks.names.node(admin.vm)])
+    admin.query_state(conn, [tasks.names.node(admin.vm)])
 
 
-@CALLS.register('GET /sessions')
+@CALL_HANDLERS.register('GET /sessions')
 def _sessions(admin: Admin, conn: _Conn, request: _Request) -> None:
-    admin.ask(conn, [tasks.names.router(admin.vm)])
+    admin.query_state(conn, [tasks.names.router(admin.vm)])
 
 
-@CALLS.register('GET /databases')
+@CALL_HANDLERS.register('GET /databases')
 def _databases(admin: Admin, conn: _Conn, request: _Request) -> None:
-    admin.ask(
+    admin.query_state(
         conn,
         [tasks.names.group(admin.vm, name) for name in admin.node.groups],
     )
 
 
-@CALLS.register('GET /gates')
+@CALL_HANDLERS.register('GET /gates')
 def _gates(admin: Admin, conn: _Conn, request: _Request) -> None:
-    admin.ask(
+    admin.query_state(
         conn,
         [tasks.names.gate(admin.vm, name) for name in admin.node.gates],
     )
 
 
-@CALLS.register('GET /vms')
+@CALL_HANDLERS.register('GET /vms')
 def _vms(admin: Admin, conn: _Conn, request: _Request) -> None:
-    admin.ask(conn, [tasks.names.membership(admin.vm)])
+    admin.query_state(conn, [tasks.names.membership(admin.vm)])
 
 
-@CALLS.register('GET /register')
+@CALL_HANDLERS.register('GET /register')
 def _register(admin: Admin, conn: _Conn, request: _Request) -> None:
-    admin.ask(conn, [tasks.names.configurator(admin.vm)])
+    admin.query_state(conn, [tasks.names.configurator(admin.vm)])
 
 
-@CALLS.register('PUT /register')
+@CALL_HANDLERS.register('PUT /register')
 def _apply(admin: Admin, conn: _Conn, request: _Request) -> None:
     try:
         body = json.loads(request.body)
@@ -242,19 +254,19 @@
         expected = int(body['expected'])
         operator, at = str(body['operator']), str(body['at'])
     except (KeyError, TypeError, ValueError) as exc:
-        _problem(conn, BAD_REQUEST, f'malformed call: {exc!r}')
+        _reply_problem(conn, STATUS_BAD_REQUEST, f'malformed call: {exc!r}')
         return
-    admin.apply(conn, document, expected, operator, at)
+    admin.apply_register(conn, document, expected, operator, at)
 
 
-@CALLS.register('GET /audit')
+@CALL_HANDLERS.register('GET /audit')
 def _audit(admin: Admin, conn: _Conn, request: _Request) -> None:
     query = urllib.parse.urlsplit(request.path).query
     after = urllib.parse.parse_qs(query).get('after', [''])[0]
-    admin.scan(conn, 'audit/', after)
+    admin.read_table_rows(conn, 'audit/', after)
 
 
-@CALLS.register('POST /drain')
+@CALL_HANDLERS.register('POST /drain')
 def _drain(admin: Admin, conn: _Conn, request: _Request) -> None:
     admin.send(admin.daemon, core.Drain(0.0))
-    conn.reply(OK, {'state': 'draining'})
+    conn.reply(STATUS_OK, {'state': 'draining'})
--- a/src/chicoryusher/daemon/app.py
+++ b/src/chicoryusher/daemon/app.py
@@ -1,4 +1,7 @@
-"""One daemon: its edges, its node, and its life by the chart."""
+"""The daemon task: starts the tasks of one VM and drains them at the end.
+
+Its states follow the chart ``daemon``.
+"""
 
 from __future__ import annotations
 
@@ -22,23 +25,23 @@
 
 __all__ = ['Daemon', 'SocketEdges']
 
-BOOT_BYTES = 4
-FLUSH_DELAY = 0.05
-DRAIN_POLL = 0.1
+INCARNATION_BYTES = 4
+FLUSH_DELAY_S = 0.05
+DRAIN_CHECK_INTERVAL_S = 0.1
 
 
 class SocketEdges:
-    """Ports of a node that are met with sockets."""
+    """Starts the tasks of a node that own sockets (``tasks.Edges``)."""
 
     def __init__(
-        self, loop: runtime.Runtime, chosen: settings_module.Settings
+        self, loop: runtime.Runtime, daemon_settings: settings_module.Settings
     ) -> None:
         self._loop = loop
-        self._settings = chosen
+        self._settings = daemon_settings
         self.peers_task: peers.Peers | None = None
 
     def platform(self, vm: core.VmName) -> None:
-        """Start the client of the table and the list of VMs."""
+        """Start the client of the platform: table, object store, VM list."""
         services.PlatformClient(
             self._loop,
             vm,
@@ -47,7 +50,7 @@
         )
 
     def peers(self, vm: core.VmName) -> None:
-        """Start the streams to other VMs."""
+        """Start the task with the streams to other VMs."""
         self.peers_task = peers.Peers(
             self._loop, vm, self._settings.peers, self._settings.cluster_key
         )
@@ -55,7 +58,7 @@
     def link(
         self, vm: core.VmName, spec: decisions.InstanceSpec
     ) -> runtime.Task:
-        """Start the connections to one instance."""
+        """Start the task with the connections to one instance."""
         return mysql_backend.MysqlLink(
             self._loop,
             vm,
@@ -80,68 +83,86 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _DrainPoll(core.Message):
-    """Time to see whether the drain has finished."""
+class _DrainCheck(core.Message):
+    """Timer: check whether the drain is complete.
+
+    At ``deadline`` the daemon stops even if it is not.
+    """
 
-    until: float
+    deadline: float
 
 
 class _Stop(core.Message):
-    """Time to leave the loop."""
+    """Timer: stop the loop."""
 
 
 class Daemon(runtime.Task):
-    """A whole daemon on one loop; lives by the chart ``daemon``."""
+    """All tasks of one daemon on one loop.
+
+    With ``owns_loop`` the daemon reacts to signals and stops the loop when it
+    stops; otherwise several daemons can share a loop.
+    """
 
     def __init__(
         self,
         loop: runtime.Runtime,
-        chosen: settings_module.Settings,
+        daemon_settings: settings_module.Settings,
         owns_loop: bool = True,
     ) -> None:
-        super().__init__(loop, chosen.vm, 'daemon')
+        super().__init__(loop, daemon_settings.vm, 'daemon')
         self.state = core.DaemonState.STARTING
-        self.settings = chosen
+        self.settings = daemon_settings
         self._loop = loop
         self._owns_loop = owns_loop
         self._chart = charts.compiled('daemon')
-        boot = secrets.token_hex(BOOT_BYTES)
-        self.edges = SocketEdges(loop, chosen)
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.edges = SocketEdges(loop, daemon_settings)
         router = tasks.RouterSettings(
-            chosen.zone, chosen.cluster_key, (), chosen.routing_policy
+            daemon_settings.zone,
+            daemon_settings.cluster_key,
+            (),
+            daemon_settings.routing_policy,
         )
         self.node = tasks.Node(
-            loop, chosen.vm, self.edges, router, chosen.queue_policy
+            loop,
+            daemon_settings.vm,
+            self.edges,
+            router,
+            daemon_settings.queue_policy,
         )
         self.frontend = mysql_frontend.MysqlFrontend(
             loop,
-            chosen.vm,
-            boot,
-            chosen.mysql,
-            chosen.users,
-            chosen.limits,
-            tasks.names.router(chosen.vm),
+            daemon_settings.vm,
+            incarnation,
+            daemon_settings.mysql,
+            daemon_settings.users,
+            daemon_settings.limits,
+            tasks.names.router(daemon_settings.vm),
         )
         self.admin = admin.Admin(
             loop,
-            chosen.vm,
-            chosen.admin,
-            chosen.admin_token,
+            daemon_settings.vm,
+            daemon_settings.admin,
+            daemon_settings.admin_token,
             self.node,
             self.task_name,
         )
-        sources = metrics.Sources(self.node, lambda: self.frontend.statements)
-        self.meters = metrics.start(chosen.metrics, sources)
+        sources = metrics.MetricSources(
+            self.node, lambda: self.frontend.statement_count
+        )
+        self.metrics_provider = metrics.start_export(
+            daemon_settings.metrics, sources
+        )
         if loop.running:
             self._chart.fire(self, 'listening')
 
     @circuits.handler('started', channel='*')
     def _on_started(self, *args: object) -> None:
-        """Tell that the daemon runs, now that signals are handled."""
+        """Enter the running state once the loop handles signals."""
         self._chart.fire(self, 'listening')
 
     def log_running(self) -> None:
-        """Tell where the daemon listens."""
+        """Log the addresses on which the daemon listens."""
         self.log.emit(
             core.LogEvent.DAEMON_RUNNING,
             mysql=str(self.frontend.address),
@@ -158,38 +179,38 @@
         self._chart.fire(self, 'terminate')
 
     def drain(self) -> None:
-        """Finish what is in flight and take nothing new."""
-        budget = self.settings.drain_seconds
-        self.log.emit(core.LogEvent.DAEMON_DRAINING, budget_s=budget)
-        message = core.Drain(budget)
+        """Accept no new work, and finish the requests in flight."""
+        timeout_s = self.settings.drain_seconds
+        self.log.emit(core.LogEvent.DAEMON_DRAINING, budget_s=timeout_s)
+        message = core.Drain(timeout_s)
         self.send(self.frontend.task_name, message)
         self.send(self.node.task_name, message)
-        self.after(DRAIN_POLL, _DrainPoll(self.now() + budget))
+        self.after(DRAIN_CHECK_INTERVAL_S, _DrainCheck(self.now() + timeout_s))
 
-    @runtime.handles(_DrainPoll)
-    def _on_poll(self, poll: _DrainPoll) -> None:
-        busy = self.frontend.callers > 0 or any(
-            one.state is not core.GateState.STANDBY
-            for one in self.node.gates.values()
+    @runtime.handles(_DrainCheck)
+    def _on_drain_check(self, check: _DrainCheck) -> None:
+        is_busy = self.frontend.callers > 0 or any(
+            gate.state is not core.GateState.STANDBY
+            for gate in self.node.gates.values()
         )
-        if not busy:
+        if not is_busy:
             self._chart.fire(self, 'drained')
-        elif self.now() >= poll.until:
+        elif self.now() >= check.deadline:
             self.log.emit(core.LogEvent.DRAIN_TIMED_OUT)
             self._chart.fire(self, 'timed_out')
         else:
-            self.after(DRAIN_POLL, poll)
+            self.after(DRAIN_CHECK_INTERVAL_S, check)
 
-    def finish(self) -> None:
-        """Leave the loop once the last messages have gone out."""
+    def stop_loop(self) -> None:
+        """Stop the loop after a delay in which the last messages are sent."""
         self.log.emit(core.LogEvent.DAEMON_STOPPED)
         if self._owns_loop:
-            self.after(FLUSH_DELAY, _Stop())
+            self.after(FLUSH_DELAY_S, _Stop())
 
     @runtime.handles(_Stop)
     def _on_stop(self, stop: _Stop) -> None:
-        if self.meters is not None:
-            self.meters.shutdown()
+        if self.metrics_provider is not None:
+            self.metrics_provider.shutdown()
         self._loop.stop()
 
 
@@ -205,4 +226,4 @@
 
 @charts.action('daemon.stop')
 def _stop(daemon: Daemon, arg: object) -> None:
-    daemon.finish()
+    daemon.stop_loop()
--- a/src/chicoryusher/daemon/main.py
+++ b/src/chicoryusher/daemon/main.py
@@ -26,15 +26,15 @@
     BAD_CHART = 4
 
 
-def run(chosen: settings.Settings) -> None:
-    """Run one daemon until it is told to stop."""
+def run(daemon_settings: settings.Settings) -> None:
+    """Run a daemon until it stops."""
     loop = runtime.Runtime()
-    app_module.Daemon(loop, chosen)
+    app_module.Daemon(loop, daemon_settings)
     loop.run()
     loop.close()
 
 
-def _command(
+def _run_command(
     path: Annotated[
         pathlib.Path, typer.Argument(help='Settings file (JSON).')
     ],
@@ -42,10 +42,10 @@
     """Run the proxy daemon on this VM."""
     log = runtime.Log('', 'daemon')
     with runtime.to_stream(core.LogLevel.INFO).applicationbound():
-        chosen = _load(path, log)
-    with runtime.to_stream(chosen.log_level).applicationbound():
+        daemon_settings = _load_settings(path, log)
+    with runtime.to_stream(daemon_settings.log_level).applicationbound():
         try:
-            run(chosen)
+            run(daemon_settings)
         except core.ChartError as exc:
             for problem in exc.problems:
                 log.emit(
@@ -57,7 +57,7 @@
             raise typer.Exit(ExitCode.CANNOT_LISTEN) from None
 
 
-def _load(path: pathlib.Path, log: runtime.Log) -> settings.Settings:
+def _load_settings(path: pathlib.Path, log: runtime.Log) -> settings.Settings:
     try:
         return settings.load(path)
     except core.SettingsError as exc:
@@ -69,8 +69,8 @@
 
 
 def main() -> None:
-    """Run ``chicoryusherd`` with the command line's arguments."""
-    typer.run(_command)
+    """Run ``chicoryusherd`` with the arguments of the command line."""
+    typer.run(_run_command)
 
 
 if __name__ == '__main__':
--- a/src/chicoryusher/daemon/metrics.py
+++ b/src/chicoryusher/daemon/metrics.py
@@ -1,4 +1,4 @@
-"""OpenTelemetry metrics, read from the tasks when they are exported."""
+"""OpenTelemetry metrics, whose values are read from the tasks on export."""
 
 from __future__ import annotations
 
@@ -13,17 +13,20 @@
 from chicoryusher import tasks
 from chicoryusher.daemon import settings
 
-__all__ = ['EXPORTERS', 'INSTRUMENTS', 'Sources', 'start']
+__all__ = ['EXPORTERS', 'INSTRUMENTS', 'MetricSources', 'start_export']
 
-Reader = Callable[[settings.MetricsSettings], export.MetricReader]
-EXPORTERS: core.Registry[Reader] = core.Registry('metrics exporter')
+ReaderFactory = Callable[[settings.MetricsSettings], export.MetricReader]
+EXPORTERS: core.Registry[ReaderFactory] = core.Registry('metrics exporter')
 
-Observe = Callable[['Sources'], Iterable[metrics.Observation]]
-INSTRUMENTS: core.Registry[Observe] = core.Registry('instrument')
+Observer = Callable[['MetricSources'], Iterable[metrics.Observation]]
+INSTRUMENTS: core.Registry[Observer] = core.Registry('instrument')
 
 
-class Sources:
-    """The tasks whose counters are exported."""
+class MetricSources:
+    """Sources of the exported counters.
+
+    ``statements`` returns the number of statements received from callers.
+    """
 
     def __init__(
         self, node: tasks.Node, statements: Callable[[], int]
@@ -33,25 +36,27 @@
 
 
 @EXPORTERS.register('console')
-def _console(chosen: settings.MetricsSettings) -> export.MetricReader:
+def _console(
+    metrics_settings: settings.MetricsSettings,
+) -> export.MetricReader:
     return export.PeriodicExportingMetricReader(
         export.ConsoleMetricExporter(),
-        export_interval_millis=chosen.interval * 1000,
+        export_interval_millis=metrics_settings.interval * 1000,
     )
 
 
 @EXPORTERS.register('memory')
-def _memory(chosen: settings.MetricsSettings) -> export.MetricReader:
+def _memory(metrics_settings: settings.MetricsSettings) -> export.MetricReader:
     return export.InMemoryMetricReader()
 
 
 @INSTRUMENTS.register('chicoryusher.statements')
-def _statements(sources: Sources) -> Iterable[metrics.Observation]:
+def _statements(sources: MetricSources) -> Iterable[metrics.Observation]:
     yield metrics.Observation(sources.statements())
 
 
 @INSTRUMENTS.register('chicoryusher.reads')
-def _reads(sources: Sources) -> Iterable[metrics.Observation]:
+def _reads(sources: MetricSources) -> Iterable[metrics.Observation]:
     router = sources.node.router
     yield metrics.Observation(router.replica_reads, {'role': 'replica'})
     primary = router.reads - router.replica_reads
@@ -59,35 +64,35 @@
 
 
 @INSTRUMENTS.register('chicoryusher.unknown_outcomes')
-def _unknown(sources: Sources) -> Iterable[metrics.Observation]:
+def _unknown_outcomes(sources: MetricSources) -> Iterable[metrics.Observation]:
     yield metrics.Observation(sources.node.router.unknown)
 
 
 @INSTRUMENTS.register('chicoryusher.shed')
-def _shed(sources: Sources) -> Iterable[metrics.Observation]:
+def _shed(sources: MetricSources) -> Iterable[metrics.Observation]:
     for name, gate in sources.node.gates.items():
         yield metrics.Observation(gate.shed, {'instance': str(name)})
 
 
 @INSTRUMENTS.register('chicoryusher.answered')
-def _answered(sources: Sources) -> Iterable[metrics.Observation]:
+def _answered(sources: MetricSources) -> Iterable[metrics.Observation]:
     for name, gate in sources.node.gates.items():
         yield metrics.Observation(gate.answered, {'instance': str(name)})
 
 
 @INSTRUMENTS.register('chicoryusher.failovers')
-def _failovers(sources: Sources) -> Iterable[metrics.Observation]:
+def _failovers(sources: MetricSources) -> Iterable[metrics.Observation]:
     for name, group in sources.node.groups.items():
         yield metrics.Observation(group.failovers, {'database': str(name)})
 
 
-def start(
-    chosen: settings.MetricsSettings, sources: Sources
+def start_export(
+    metrics_settings: settings.MetricsSettings, sources: MetricSources
 ) -> sdk.MeterProvider | None:
-    """Start exporting; None where no exporter is set."""
-    if chosen.exporter == 'none':
+    """Start the export; return None if no exporter is configured."""
+    if metrics_settings.exporter == 'none':
         return None
-    reader = EXPORTERS.get(chosen.exporter)(chosen)
+    reader = EXPORTERS.get(metrics_settings.exporter)(metrics_settings)
     provider = sdk.MeterProvider(metric_readers=[reader])
     meter = provider.get_meter('chicoryusher')
     for name in INSTRUMENTS:
@@ -96,7 +101,7 @@
 
 
 def _callback(
-    name: str, sources: Sources
+    name: str, sources: MetricSources
 ) -> Callable[[metrics.CallbackOptions], Iterable[metrics.Observation]]:
     observe = INSTRUMENTS.get(name)
 
--- a/src/chicoryusher/daemon/settings.py
+++ b/src/chicoryusher/daemon/settings.py
@@ -1,4 +1,4 @@
-"""The daemon's settings: one JSON file, secrets from the environment."""
+"""The daemon's settings: a JSON file, and secrets from the environment."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 
 __all__ = ['MetricsSettings', 'Settings', 'load', 'parse']
 
-DEFAULT_DRAIN_SECONDS = 30.0
-DEFAULT_METRICS_INTERVAL = 10.0
+DEFAULT_DRAIN_TIMEOUT_S = 30.0
+DEFAULT_METRICS_INTERVAL_S = 10.0
 MIN_SECRET_CHARS = 8
 DEFAULT_CLUSTER_KEY_ENV = 'CHICORYUSHER_CLUSTER_KEY'
 DEFAULT_ADMIN_TOKEN_ENV = 'CHICORYUSHER_ADMIN_TOKEN'
@@ -35,15 +35,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MetricsSettings:
-    """Which exporter gets the metrics, and how often (seconds)."""
+    """Exporter of the metrics, and seconds between two exports."""
 
     exporter: str = 'none'
-    interval: float = DEFAULT_METRICS_INTERVAL
+    interval: float = DEFAULT_METRICS_INTERVAL_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
-    """Everything one daemon is told at start."""
+    """Settings of one daemon.
+
+    After ``drain_seconds`` a draining daemon stops even if it is not idle.
+    """
 
     vm: core.VmName
     zone: core.ZoneName
@@ -67,7 +70,10 @@
 def load(
     path: pathlib.Path, environment: Mapping[str, str] = os.environ
 ) -> Settings:
-    """Read a settings file; SettingsError lists every defect."""
+    """Read a settings file.
+
+    Raises SettingsError with all defects of the file.
+    """
     try:
         document = json.loads(path.read_text(encoding='utf-8'))
     except (OSError, ValueError) as exc:
@@ -77,17 +83,20 @@
 
 
 def parse(document: Any, environment: Mapping[str, str]) -> Settings:
-    """Check a decoded file; SettingsError lists every defect."""
+    """Check a decoded settings file and build the settings.
+
+    Raises SettingsError with all defects of the file.
+    """
     problems = decisions.schema_problems(document, _SCHEMA)
     if isinstance(document, dict):
-        problems += _missing_secrets(document, environment)
-        problems += _repeated_users(document)
+        problems += _secret_problems(document, environment)
+        problems += _duplicate_user_problems(document)
     if problems:
         raise core.SettingsError(tuple(problems))
     return _build(document, environment)
 
 
-def _secrets(document: dict[str, Any]) -> Iterator[tuple[str, str]]:
+def _secret_variables(document: dict[str, Any]) -> Iterator[tuple[str, str]]:
     users = document.get('users')
     for i, user in enumerate(users if isinstance(users, list) else ()):
         if isinstance(user, dict) and 'password_env' in user:
@@ -105,36 +114,41 @@
     )
 
 
-def _missing_secrets(
+def _secret_problems(
     document: dict[str, Any], environment: Mapping[str, str]
 ) -> list[core.ConfigError]:
     problems = []
-    for place, name in _secrets(document):
+    for json_path, name in _secret_variables(document):
         value = environment.get(str(name), '')
         if not value:
             problems.append(
-                core.ConfigError(place, f'{name} is not in the environment')
+                core.ConfigError(
+                    json_path, f'{name} is not in the environment'
+                )
             )
         elif len(value) < MIN_SECRET_CHARS:
             problems.append(
                 core.ConfigError(
-                    place, f'{name} has under {MIN_SECRET_CHARS} characters'
+                    json_path,
+                    f'{name} has under {MIN_SECRET_CHARS} characters',
                 )
             )
     return problems
 
 
-def _repeated_users(document: dict[str, Any]) -> list[core.ConfigError]:
-    seen: set[str] = set()
+def _duplicate_user_problems(
+    document: dict[str, Any],
+) -> list[core.ConfigError]:
+    names: set[str] = set()
     problems = []
     users = document.get('users')
     for i, user in enumerate(users if isinstance(users, list) else ()):
         name = user.get('name') if isinstance(user, dict) else None
-        if name in seen:
+        if name in names:
             problems.append(
                 core.ConfigError(f'$.users[{i}].name', f'{name} used twice')
             )
-        seen.add(name)
+        names.add(name)
     return problems
 
 
@@ -157,11 +171,11 @@
         address('platform'),
         tuple(
             mysql_frontend.User(
-                one['name'],
-                environment[one['password_env']],
-                core.CallerName(one['caller']),
+                user['name'],
+                environment[user['password_env']],
+                core.CallerName(user['caller']),
             )
-            for one in document['users']
+            for user in document['users']
         ),
         mysql_backend.BackendUser(
             backend['name'], environment[backend['password_env']]
@@ -172,7 +186,7 @@
         mysql_frontend.FrontendLimits(**document.get('limits', {})),
         document.get('queue_policy', decisions.DEFAULT_POLICY),
         document.get('routing_policy', 'nearest_fresh_replica'),
-        document.get('drain_seconds', DEFAULT_DRAIN_SECONDS),
+        document.get('drain_seconds', DEFAULT_DRAIN_TIMEOUT_S),
         core.LogLevel(document.get('log_level', 'info')),
         MetricsSettings(**document.get('metrics', {})),
     )
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -44,65 +44,76 @@
 ]
 
 
-def texts():
+def log_texts():
     return [
         'front-1 | ' + json.dumps(LINES[1]),
         'no log line at all',
         '{broken',
-        *(json.dumps(LINES[one]) for one in (0, 2, 3)),
+        *(json.dumps(LINES[index]) for index in (0, 2, 3)),
     ]
 
 
-def test_a_story_is_the_requests_lines_and_what_its_vm_believed():
-    told = explain.story(explain.lines_of(texts()), 'abc')
-    assert [one.event for one in told] == [4012, 3010]
-    assert {one.vm for one in told} == {'vm1'}
-    assert told[1].field('why') == 'no instance may serve it'
+def test_the_timeline_has_the_requests_lines_and_its_vms_state():
+    timeline = explain.request_timeline(
+        explain.parse_log_lines(log_texts()), 'abc'
+    )
+    assert [entry.event for entry in timeline] == [4012, 3010]
+    assert {entry.vm for entry in timeline} == {'vm1'}
+    assert timeline[1].field_text('why') == 'no instance may serve it'
 
 
-def line(second, event, **fields):
-    when = f'2026-01-01T10:00:{second:06.3f}'
-    document = {'time': when, 'event': event, 'vm': 'vm1', 'message': 'm'}
+def log_text(second, event, **fields):
+    time = f'2026-01-01T10:00:{second:06.3f}'
+    document = {'time': time, 'event': event, 'vm': 'vm1', 'message': 'm'}
     return json.dumps({**document, **fields})
 
 
 def test_other_groups_and_other_instances_are_left_out():
-    lines = explain.lines_of(
+    lines = explain.parse_log_lines(
         [
-            line(1.0, 4012, service='s1', primary='None'),
-            line(1.1, 4012, service='s2', primary='None'),
-            line(1.2, 3003, instance='i-1', why='too_many'),
-            line(1.3, 3003, instance='i-2', why='too_many'),
-            line(1.4, 4014, age=3.1),
-            line(1.5, 3012, request='abc', service='s1', instance='i-1'),
-            line(1.6, 3010, request='abc', service='s1', instance='i-1'),
+            log_text(1.0, 4012, service='s1', primary='None'),
+            log_text(1.1, 4012, service='s2', primary='None'),
+            log_text(1.2, 3003, instance='i-1', why='too_many'),
+            log_text(1.3, 3003, instance='i-2', why='too_many'),
+            log_text(1.4, 4014, age=3.1),
+            log_text(1.5, 3012, request='abc', service='s1', instance='i-1'),
+            log_text(1.6, 3010, request='abc', service='s1', instance='i-1'),
         ]
     )
-    told = [one.when[-5:] for one in explain.story(lines, 'abc')]
-    assert told == ['1.000', '1.200', '1.400', '1.500', '1.600']
+    timeline = [
+        entry.logged_at[-5:]
+        for entry in explain.request_timeline(lines, 'abc')
+    ]
+    assert timeline == ['1.000', '1.200', '1.400', '1.500', '1.600']
 
 
-def test_what_held_since_long_before_is_told_too():
-    lines = explain.lines_of(
+def test_a_state_set_long_before_is_included():
+    lines = explain.parse_log_lines(
         [
-            line(1.0, 4014, age=3.0),
-            line(2.0, 4012, service='s1', primary='i-1'),
-            line(3.0, 4012, service='s1', primary='None'),
-            line(4.0, 4012, service='s2', primary='None'),
-            line(30.0, 3010, request='abc', service='s1'),
+            log_text(1.0, 4014, age=3.0),
+            log_text(2.0, 4012, service='s1', primary='i-1'),
+            log_text(3.0, 4012, service='s1', primary='None'),
+            log_text(4.0, 4012, service='s2', primary='None'),
+            log_text(30.0, 3010, request='abc', service='s1'),
         ]
     )
-    told = [one.when[-6:] for one in explain.story(lines, 'abc')]
-    assert told == ['01.000', '03.000', '30.000']
+    timeline = [
+        entry.logged_at[-6:]
+        for entry in explain.request_timeline(lines, 'abc')
+    ]
+    assert timeline == ['01.000', '03.000', '30.000']
 
 
-def test_an_unknown_request_has_no_story():
-    assert explain.story(explain.lines_of(texts()), 'xyz') == []
+def test_an_unknown_request_has_an_empty_timeline():
+    assert (
+        explain.request_timeline(explain.parse_log_lines(log_texts()), 'xyz')
+        == []
+    )
 
 
 @pytest.mark.parametrize('from_file', [True, False])
 def test_the_command_reads_files_and_standard_input(tmp_path, from_file):
-    text = '\n'.join(texts())
+    text = '\n'.join(log_texts())
     runner = testing.CliRunner()
     if from_file:
         path = tmp_path / 'vm1.log'
@@ -114,7 +125,7 @@
     assert 'no instance may serve it' in result.output
 
 
-def test_a_request_without_a_line_is_said_so():
+def test_a_request_without_a_line_is_an_error():
     runner = testing.CliRunner()
     result = runner.invoke(main.app, ['explain', 'xyz'], input='')
     assert result.exit_code == 1
