Describe the steps of connections in frontends and backends

Docstrings for private methods whose purpose isn't obvious; the position of a statement id is a slice, and named so.

--- a/src/chicoryusher/backends/mysql/conn.py
+++ b/src/chicoryusher/backends/mysql/conn.py
@@ -19,7 +19,7 @@
 __all__ = ['BackendCommand', 'BackendConn', 'BackendUser', 'ReadResult']
 
 MAX_PREPARED_STATEMENTS = 256
-STATEMENT_ID_BYTES = slice(1, 5)
+STATEMENT_ID_SLICE = slice(1, 5)
 COM_STMT_CLOSE = b'\x19'
 COM_STMT_PREPARE = b'\x16'
 COM_QUERY = b'\x03'
@@ -211,6 +211,7 @@
         self._send_next()
 
     def _send_next(self) -> None:
+        """Send the first queued command, if any."""
         if not self._queue:
             return
         current = self._queue[0]
@@ -244,8 +245,8 @@
         if scanned.error_code:
             # An error packet carries no status flags. A deadlock rolls the
             # transaction back; after other errors it stays open.
-            survives = scanned.error_code != DEADLOCK_ERRNO
-            scanned.in_transaction = self._in_transaction and survives
+            stays_open = scanned.error_code != DEADLOCK_ERRNO
+            scanned.in_transaction = self._in_transaction and stays_open
         elif current.answer_kind is wire.AnswerKind.PREPARED:
             scanned.in_transaction = self._in_transaction
             self._cache_statement(current.prepared_sql, scanned.statement_id)
@@ -274,6 +275,7 @@
         read_result.became_ready = True
 
     def _cache_statement(self, prepared_sql: bytes, statement_id: int) -> None:
+        """Store the id of a statement; close the oldest over the limit."""
         previous_id = self._prepared.pop(prepared_sql, None)
         if previous_id is not None:
             self._close_statement(previous_id)
@@ -288,9 +290,10 @@
 
 
 def _with_statement_id(payload: bytes, statement_id: int) -> bytes:
-    id_bytes = STATEMENT_ID_BYTES
+    """Return a command with the id that the instance gave its statement."""
+    id_slice = STATEMENT_ID_SLICE
     return (
-        payload[: id_bytes.start]
+        payload[: id_slice.start]
         + statement_id.to_bytes(4, 'little')
-        + payload[id_bytes.stop :]
+        + payload[id_slice.stop :]
     )
--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -248,6 +248,7 @@
         if conn is None or tick.epoch != self._epoch:
             return
         if conn.awaits_answer:
+            # The previous ping was not answered within an interval.
             self._report_lost(conn, False)
             return
         conn.run(core.Payload(COM_PING))
--- a/src/chicoryusher/frontends/mysql/commands.py
+++ b/src/chicoryusher/frontends/mysql/commands.py
@@ -33,7 +33,7 @@
 MAX_PREPARED_STATEMENTS = 4096
 MAX_LONG_DATA_BYTES = 64 * 1024 * 1024
 EXECUTE_HEADER_BYTES = 10
-STATEMENT_ID_BYTES = slice(1, 5)
+STATEMENT_ID_SLICE = slice(1, 5)
 _CODES = types.Commands
 _BEGIN_PAYLOAD = core.Payload(bytes([_CODES.COM_QUERY]) + b'START TRANSACTION')
 # Sent as ``begin`` before a statement that changes the state of its backend
@@ -157,6 +157,10 @@
 def _set_session_option(
     request_ids: RequestIds, conn: callers.CallerConn, sql: str
 ) -> core.Message | None:
+    """Handle a SET statement that the front end answers itself.
+
+    Turning autocommit on commits an open transaction.
+    """
     matched = _SET_AUTOCOMMIT.match(sql)
     if matched is None:
         conn.reply_ok()
@@ -234,7 +238,7 @@
     request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.prepared.pop(
-        int.from_bytes(payload[STATEMENT_ID_BYTES], 'little'), None
+        int.from_bytes(payload[STATEMENT_ID_SLICE], 'little'), None
     )
     return None
 
@@ -242,9 +246,9 @@
 def _find_prepared(
     conn: callers.CallerConn, payload: bytes
 ) -> callers.PreparedStatement:
-    statement_id = int.from_bytes(payload[STATEMENT_ID_BYTES], 'little')
+    statement_id = int.from_bytes(payload[STATEMENT_ID_SLICE], 'little')
     if (
-        len(payload) < STATEMENT_ID_BYTES.stop
+        len(payload) < STATEMENT_ID_SLICE.stop
         or statement_id not in conn.prepared
     ):
         raise core.MalformedPacket(f'no prepared statement {statement_id}')
@@ -319,6 +323,7 @@
 def _merge_marks(
     session_marks: core.Marks | None, statement_marks: core.Marks | None
 ) -> core.Marks:
+    """Return the marks of a statement, with defaults from its session."""
     if session_marks is None or statement_marks is None:
         return statement_marks or session_marks or core.Marks()
     overrides = {
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -165,6 +165,7 @@
             conn.stream.set_reading(False)
 
     def _run_pending(self, conn: callers.CallerConn) -> None:
+        """Handle queued packets until one has to wait for an answer."""
         while conn.pending_packets and not conn.closing:
             if conn.phase in (ConnPhase.BUSY, ConnPhase.AWAITING_ROUTER):
                 return
@@ -327,6 +328,10 @@
         prepared: callers.PreparedStatement,
         data: bytes,
     ) -> None:
+        """Store a prepared statement and send its answer.
+
+        The instance's statement id is replaced by one of this connection.
+        """
         header_bytes = wire.HEADER_BYTES
         if data[header_bytes] == 0:
             statement_id = conn.next_statement_id
@@ -335,15 +340,16 @@
                 data[header_bytes + 7 : header_bytes + 9], 'little'
             )
             conn.prepared[statement_id] = prepared
-            id_bytes = slice(header_bytes + 1, header_bytes + 5)
+            id_slice = slice(header_bytes + 1, header_bytes + 5)
             data = (
-                data[: id_bytes.start]
+                data[: id_slice.start]
                 + statement_id.to_bytes(4, 'little')
-                + data[id_bytes.stop :]
+                + data[id_slice.stop :]
             )
         conn.stream.write(data)
 
     def _accept_commands(self, conn: callers.CallerConn) -> None:
+        """Continue with the next command, or close the connection on drain."""
         conn.phase = ConnPhase.READY
         self._unflushed.add(conn)
         conn.stream.set_reading(True)
@@ -385,6 +391,7 @@
                 self._report_consumed(conn)
 
     def _report_consumed(self, conn: callers.CallerConn) -> None:
+        """Report written result bytes to the router, which sends more."""
         if conn.stream.pending > self._limits.low_water_bytes:
             return
         if conn.request_id is None:
