Correct the docstring of classify

It said that no text makes it raise, but the parser raises RecursionError on 200 nested parentheses. The behaviour is unchanged.

Passed: tests/frontends.

--- a/src/chicoryusher/frontends/mysql/statements.py
+++ b/src/chicoryusher/frontends/mysql/statements.py
@@ -75,9 +75,10 @@
 
 
 def classify(sql: str) -> ClassifiedStatement:
-    """Classify a statement; never raises an exception.
+    """Classify a statement.
 
-    A statement that is too long or can't be parsed counts as a write.
+    A statement that is too long, or that the parser refuses, counts as a
+    write.
     """
     if len(sql) > MAX_CLASSIFIED_CHARS:
         prefix = sql[:MAX_CLASSIFIED_CHARS]
