--- a/src/chicoryusher_standins/pool/__init__.py
+++ b/src/chicoryusher_standins/pool/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for pooled sessions: groups, links, a store, peers."""
+"""Test doubles for pooled sessions: groups, links, a store, peers."""
 
 from __future__ import annotations
 
--- a/src/chicoryusher_standins/pool/callers.py
+++ b/src/chicoryusher_standins/pool/callers.py
@@ -1,4 +1,4 @@
-"""A caller that writes statements and keeps their answers."""
+"""A caller that sends statements and records their answers."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 
 __all__ = ['Caller']
 
-_NUMBERS = itertools.count(1)
+_ID_NUMBERS = itertools.count(1)
 
 
 class Caller(runtime.Task):
-    """One session; its answers stand in ``answers``."""
+    """One session; ``answers`` lists what it received, oldest first."""
 
     def __init__(
         self,
@@ -22,9 +22,9 @@
         desk: core.TaskName,
         database: str,
     ) -> None:
-        self.session_id = core.SessionId(f's{next(_NUMBERS)}')
+        self.session_id = core.SessionId(f's{next(_ID_NUMBERS)}')
         super().__init__(loop, vm, f'caller/{self.session_id}')
-        self._desk = desk
+        self._dispatcher = desk
         self.answers: list[core.SessionAnswer] = []
         self.refused: core.Refusal | None = None
         self.closed = False
@@ -38,21 +38,21 @@
         )
 
     def ask(self, statement: core.Statement) -> core.RequestId:
-        """Send a statement; its id comes back."""
-        request_id = core.RequestId(f'r{next(_NUMBERS)}')
+        """Send a statement without waiting; return its request id."""
+        request_id = core.RequestId(f'r{next(_ID_NUMBERS)}')
         self.send(
-            self._desk,
+            self._dispatcher,
             core.PoolStatement(self.session_id, request_id, statement),
         )
         return request_id
 
     def leave(self) -> None:
-        """Break the connection off."""
-        self.send(self._desk, core.SessionLeft(self.session_id))
+        """Disconnect without ending the session in an orderly way."""
+        self.send(self._dispatcher, core.SessionLeft(self.session_id))
 
     @property
     def last(self) -> core.SessionAnswer:
-        """Return the newest answer."""
+        """Return the most recent answer."""
         return self.answers[-1]
 
     @runtime.handles(core.SessionAnswer)
@@ -64,5 +64,5 @@
         self.refused = message.refusal
 
     @runtime.handles(core.SessionVerdict)
-    def _on_verdict(self, message: core.SessionVerdict) -> None:
+    def _on_closed(self, message: core.SessionVerdict) -> None:
         self.closed = True
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -1,4 +1,7 @@
-"""A database group in memory: logs, roles, transactions."""
+"""A database group in memory: logs, roles and transactions.
+
+Tests set the attributes of instances and groups to inject faults.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +19,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Run:
-    """A statement that an instance ran, and in which circumstances."""
+    """A statement that an instance ran, and the state it ran in.
+
+    ``values`` are the connection's variables, ``position`` is the last
+    position that the instance had applied before the statement.
+    """
 
     instance: core.InstanceName
     request_id: core.RequestId | None
@@ -28,7 +35,7 @@
 
 
 class Connection:
-    """One connection's state at its instance."""
+    """State of one connection at its instance."""
 
     def __init__(self) -> None:
         self.block = Block.IDLE
@@ -39,7 +46,14 @@
 
 
 class Instance:
-    """One instance; ``dark`` answers nothing, ``crashed`` resets."""
+    """One instance and the faults injected into it.
+
+    ``dark``: accepts commands and never answers.  ``crashed``: refuses
+    and resets connections.  ``deaf``: receives no log entries from the
+    primary.  ``full``: refuses new connections because its limit is
+    reached.  ``busy``: refuses statements.  ``lose_answers``: runs
+    commands and drops their replies.
+    """
 
     def __init__(self, group: Group, entry: core.InstanceEntry) -> None:
         self.group = group
@@ -63,15 +77,15 @@
 
     @property
     def reachable(self) -> bool:
-        """Tell whether the instance answers."""
+        """Return whether the instance responds."""
         return not (self.dark or self.crashed)
 
     def position(self, number: int) -> core.Position:
-        """Return a position in the instance's term."""
+        """Return the position with this number in the instance's term."""
         return core.Position(self.term, core.LogPosition(number))
 
     def state(self) -> core.InstanceState:
-        """Return what the instance says of itself."""
+        """Return the role, term and positions that the instance reports."""
         return core.InstanceState(
             self.role,
             self.term,
@@ -80,7 +94,7 @@
         )
 
     def run(self, conn: Connection, command: core.Command) -> core.Reply:
-        """Run one command."""
+        """Run one command on a connection."""
         handler = _OPS[command.op]
         return handler(self, conn, command)
 
@@ -91,92 +105,96 @@
         rows: tuple[str, ...] = (),
         digest: str | None = None,
     ) -> core.Reply:
-        """Return a reply with the connection's state."""
+        """Return a reply that carries the connection's transaction state."""
         return core.Reply(
             conn.block, self.position(self.applied), rows, digest, refusal
         )
 
     def refuse(self, conn: Connection, refusal: core.Refusal) -> core.Reply:
-        """Refuse; an open transaction fails."""
+        """Return a refusal; an open transaction becomes failed."""
         if conn.block is not Block.IDLE:
             conn.block = Block.FAILED
         return self.reply(conn, refusal)
 
 
-def _set(one: Instance, conn: Connection, command: core.Command) -> core.Reply:
+def _set_variable(
+    instance: Instance, conn: Connection, command: core.Command
+) -> core.Reply:
     conn.values[command.name] = command.value
-    return one.reply(conn, digest='-')
+    return instance.reply(conn, digest='-')
 
 
-def _reset(
-    one: Instance, conn: Connection, command: core.Command
+def _reset_conn(
+    instance: Instance, conn: Connection, command: core.Command
 ) -> core.Reply:
     conn.values.clear()
     conn.prepared.clear()
-    return one.reply(conn, digest='-')
+    return instance.reply(conn, digest='-')
 
 
 def _prepare(
-    one: Instance, conn: Connection, command: core.Command
+    instance: Instance, conn: Connection, command: core.Command
 ) -> core.Reply:
     assert command.shape is not None
     conn.prepared[command.name] = command.shape
-    return one.reply(conn, digest='-')
+    return instance.reply(conn, digest='-')
 
 
-def _behind(one: Instance, command: core.Command) -> bool:
+def _lacks_position(instance: Instance, command: core.Command) -> bool:
     if command.after is None:
         return False
-    return command.after > one.position(one.applied)
+    return command.after > instance.position(instance.applied)
 
 
 def _begin(
-    one: Instance, conn: Connection, command: core.Command
+    instance: Instance, conn: Connection, command: core.Command
 ) -> core.Reply:
-    if _behind(one, command):
-        return one.reply(conn, core.Refusal.NOT_FRESH)
+    if _lacks_position(instance, command):
+        return instance.reply(conn, core.Refusal.NOT_FRESH)
     read_only = command.op is Op.BEGIN_READ_ONLY
-    if not read_only and one.role is core.Role.REPLICA:
-        return one.reply(conn, core.Refusal.READ_ONLY)
+    if not read_only and instance.role is core.Role.REPLICA:
+        return instance.reply(conn, core.Refusal.READ_ONLY)
     conn.block = Block.OPEN
     conn.read_only = read_only
     conn.wrote = False
-    return one.reply(conn, digest='-')
+    return instance.reply(conn, digest='-')
 
 
 def _rollback(
-    one: Instance, conn: Connection, command: core.Command
+    instance: Instance, conn: Connection, command: core.Command
 ) -> core.Reply:
     conn.block = Block.IDLE
     conn.wrote = False
-    return one.reply(conn, digest='-')
+    return instance.reply(conn, digest='-')
 
 
-def _run(one: Instance, conn: Connection, command: core.Command) -> core.Reply:
+def _run_statement(
+    instance: Instance, conn: Connection, command: core.Command
+) -> core.Reply:
     statement = command.statement
     assert statement is not None
-    if one.busy:
-        return one.refuse(conn, core.Refusal.BUSY)
-    if _behind(one, command):
-        return one.refuse(conn, core.Refusal.NOT_FRESH)
+    if instance.busy:
+        return instance.refuse(conn, core.Refusal.BUSY)
+    if _lacks_position(instance, command):
+        return instance.refuse(conn, core.Refusal.NOT_FRESH)
     shape = None
     if command.name:
         shape = conn.prepared.get(command.name)
         if shape is None:
-            return one.refuse(conn, core.Refusal.NOT_PREPARED)
+            return instance.refuse(conn, core.Refusal.NOT_PREPARED)
     commits = statement.verb is Verb.COMMIT
     writes = statement.verb is Verb.WRITE
     if shape is not None:
         writes = shape.kind is core.ShapeKind.WRITE
-    lost_lead = one.role is core.Role.REPLICA and not conn.read_only
+    is_read_only = instance.role is core.Role.REPLICA and not conn.read_only
     in_block = conn.block is Block.OPEN
-    if lost_lead and (writes or (in_block and not commits)):
-        return one.refuse(conn, core.Refusal.READ_ONLY)
-    return _land(one, conn, command, shape, writes, commits)
+    if is_read_only and (writes or (in_block and not commits)):
+        return instance.refuse(conn, core.Refusal.READ_ONLY)
+    return _execute(instance, conn, command, shape, writes, commits)
 
 
-def _land(
-    one: Instance,
+def _execute(
+    instance: Instance,
     conn: Connection,
     command: core.Command,
     shape: core.Shape | None,
@@ -184,51 +202,51 @@
     commits: bool,
 ) -> core.Reply:
     assert command.statement is not None
-    one.group.runs.append(
+    instance.group.runs.append(
         Run(
-            one.name,
+            instance.name,
             command.request_id,
             command.statement.text,
             shape,
             tuple(sorted(conn.values.items())),
             conn.block,
-            one.position(one.applied),
+            instance.position(instance.applied),
         )
     )
     if writes and conn.block is Block.OPEN:
         conn.wrote = True
     elif writes:
-        one.group.commit(one, command.request_id)
+        instance.group.commit(instance, command.request_id)
     if commits:
         if conn.wrote:
-            one.group.commit(one, command.request_id)
+            instance.group.commit(instance, command.request_id)
         conn.block = Block.IDLE
-    rows = () if writes or commits else (f'at {one.applied}',)
-    return one.reply(conn, None, rows, f'd{next(one.group.digests)}')
+    rows = () if writes or commits else (f'at {instance.applied}',)
+    return instance.reply(conn, None, rows, f'd{next(instance.group.digests)}')
 
 
-def _state(
-    one: Instance, conn: Connection, command: core.Command
+def _report_state(
+    instance: Instance, conn: Connection, command: core.Command
 ) -> core.Reply:
-    return one.reply(conn, digest='-')
+    return instance.reply(conn, digest='-')
 
 
 _OPS = {
-    Op.RUN: _run,
+    Op.RUN: _run_statement,
     Op.BEGIN: _begin,
     Op.BEGIN_READ_ONLY: _begin,
     Op.ROLLBACK: _rollback,
-    Op.SET: _set,
-    Op.RESET: _reset,
+    Op.SET: _set_variable,
+    Op.RESET: _reset_conn,
     Op.PREPARE: _prepare,
-    Op.STATUS: _state,
-    Op.DEMOTE: _state,
+    Op.STATUS: _report_state,
+    Op.DEMOTE: _report_state,
 }
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Commit:
-    """A commit, where and in which term it landed."""
+    """A commit: the instance and the log position that it got."""
 
     instance: core.InstanceName
     request_id: core.RequestId | None
@@ -236,7 +254,7 @@
 
 
 class Group:
-    """Instances of one service, the first of them its primary."""
+    """Instances of one service; the first one starts as its primary."""
 
     def __init__(
         self, service: core.ServiceName, zones: tuple[str, ...]
@@ -265,54 +283,62 @@
     def primary(self) -> Instance:
         """Return the primary of the newest term."""
         leaders = [
-            one
-            for one in self.instances.values()
-            if one.role is core.Role.PRIMARY
+            instance
+            for instance in self.instances.values()
+            if instance.role is core.Role.PRIMARY
         ]
-        return max(leaders, key=lambda one: one.term)
+        return max(leaders, key=lambda instance: instance.term)
 
-    def commit(self, one: Instance, request_id: core.RequestId | None) -> None:
+    def commit(
+        self, instance: Instance, request_id: core.RequestId | None
+    ) -> None:
         """Append a commit to an instance's log, and replicate it."""
-        one.received += 1
-        one.applied = one.received
+        instance.received += 1
+        instance.applied = instance.received
         self.commits.append(
-            Commit(one.name, request_id, one.position(one.received))
+            Commit(
+                instance.name, request_id, instance.position(instance.received)
+            )
         )
         if self.replicating:
             self.replicate()
 
     def replicate(self) -> None:
-        """Bring every replica that can hear up to the primary."""
+        """Bring every replica that the primary can reach up to date."""
         primary = self.primary()
         if not primary.reachable:
             return
-        for one in self.instances.values():
-            if one is primary or one.deaf or not one.reachable:
+        for instance in self.instances.values():
+            if instance is primary or instance.deaf or not instance.reachable:
                 continue
-            if one.term > primary.term:
+            if instance.term > primary.term:
                 continue
-            one.role = core.Role.REPLICA
-            one.term = primary.term
-            one.received = primary.received
-            one.applied = primary.received
+            instance.role = core.Role.REPLICA
+            instance.term = primary.term
+            instance.received = primary.received
+            instance.applied = primary.received
 
     def promote(self, name: core.InstanceName) -> bool:
-        """Make an instance lead the next term; False if it is down."""
-        one = self.instances[name]
-        if not one.reachable:
+        """Make an instance primary of the next term.
+
+        Return False if it is unreachable.  The primary of the newest term
+        stays in its term.
+        """
+        instance = self.instances[name]
+        if not instance.reachable:
             return False
-        newest = max(other.term for other in self.instances.values())
-        if one.role is core.Role.PRIMARY and one.term == newest:
+        newest_term = max(other.term for other in self.instances.values())
+        if instance.role is core.Role.PRIMARY and instance.term == newest_term:
             return True
-        one.role = core.Role.PRIMARY
-        one.term = core.Term(newest + 1)
-        one.applied = one.received
+        instance.role = core.Role.PRIMARY
+        instance.term = core.Term(newest_term + 1)
+        instance.applied = instance.received
         return True
 
     def entries(self) -> tuple[core.InstanceEntry, ...]:
-        """Return what the instances register."""
+        """Return the rows that running instances put in the register."""
         return tuple(
-            dataclasses.replace(one.entry, role=one.role)
-            for one in self.instances.values()
-            if not one.crashed
+            dataclasses.replace(instance.entry, role=instance.role)
+            for instance in self.instances.values()
+            if not instance.crashed
         )
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -1,4 +1,4 @@
-"""Links, probes and promotions against groups in memory."""
+"""Links, probes and promotions that act on groups in memory."""
 
 from __future__ import annotations
 
@@ -11,22 +11,26 @@
 
 __all__ = ['SimLink', 'SimProber', 'SimPromotions']
 
-# Seconds from a command to its answer.
-TRIP = 0.005
-CONNECT_TIMEOUT = 0.3
-PROMOTE_TIME = 0.3
+# Time from a command to its reply.
+REPLY_DELAY_S = 0.005
+CONNECT_TIMEOUT_S = 0.3
+PROMOTE_DELAY_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Due(core.Message):
-    """A message that has been on its way until now."""
+class _DelayedMessage(core.Message):
+    """A message for the instance pool whose network delay is over."""
 
     conn_id: core.ConnId
     message: core.Message
 
 
 class SimLink(runtime.Task):
-    """Connections to one instance in memory."""
+    """Connections of one VM to one instance in memory.
+
+    ``opened`` counts the connections that were requested.  ``cut`` holds
+    pairs of names between which no message passes.
+    """
 
     def __init__(
         self,
@@ -38,25 +42,25 @@
         super().__init__(loop, vm, f'link/{names.life_of(instance.entry)}')
         self._instance = instance
         self._cut = cut
-        self._lane = names.pool_lane(vm, instance.entry)
+        self._instance_pool = names.pool_lane(vm, instance.entry)
         self._conns: dict[core.ConnId, group_module.Connection] = {}
         self.opened = 0
 
-    def _silent(self) -> bool:
+    def _is_unresponsive(self) -> bool:
         pair = (str(self.vm), str(self._instance.name))
         return self._instance.dark or pair in self._cut
 
-    def _later(
+    def _send_delayed(
         self, conn_id: core.ConnId, message: core.Message, delay: float
     ) -> None:
-        self.after(delay, _Due(conn_id, message))
+        self.after(delay, _DelayedMessage(conn_id, message))
 
-    @runtime.handles(_Due)
-    def _on_due(self, due: _Due) -> None:
-        if due.conn_id in self._conns:
-            if isinstance(due.message, core.LinkClosed):
-                del self._conns[due.conn_id]
-            self.send(self._lane, due.message)
+    @runtime.handles(_DelayedMessage)
+    def _on_delayed_message(self, delayed: _DelayedMessage) -> None:
+        if delayed.conn_id in self._conns:
+            if isinstance(delayed.message, core.LinkClosed):
+                del self._conns[delayed.conn_id]
+            self.send(self._instance_pool, delayed.message)
 
     @runtime.handles(core.OpenLink)
     def _on_open(self, message: core.OpenLink) -> None:
@@ -64,30 +68,38 @@
         self._conns[conn_id] = group_module.Connection()
         self.opened += 1
         end = core.LinkEnd
-        if self._silent():
+        if self._is_unresponsive():
             closed = core.LinkClosed(conn_id, end.SILENT)
-            self._later(conn_id, closed, CONNECT_TIMEOUT)
+            self._send_delayed(conn_id, closed, CONNECT_TIMEOUT_S)
         elif self._instance.crashed:
-            self._later(conn_id, core.LinkClosed(conn_id, end.REFUSED), TRIP)
+            self._send_delayed(
+                conn_id, core.LinkClosed(conn_id, end.REFUSED), REPLY_DELAY_S
+            )
         elif self._instance.full:
-            self._later(conn_id, core.LinkClosed(conn_id, end.TOO_MANY), TRIP)
+            self._send_delayed(
+                conn_id, core.LinkClosed(conn_id, end.TOO_MANY), REPLY_DELAY_S
+            )
         else:
-            self._later(conn_id, core.LinkOpened(conn_id, None), TRIP)
+            self._send_delayed(
+                conn_id, core.LinkOpened(conn_id, None), REPLY_DELAY_S
+            )
 
     @runtime.handles(core.SendCommands)
     def _on_send(self, message: core.SendCommands) -> None:
         conn_id = message.conn_id
         conn = self._conns.get(conn_id)
-        if conn is None or self._silent():
+        if conn is None or self._is_unresponsive():
             return
         if self._instance.crashed:
             closed = core.LinkClosed(conn_id, core.LinkEnd.LOST)
-            self._later(conn_id, closed, TRIP)
+            self._send_delayed(conn_id, closed, REPLY_DELAY_S)
             return
         for command in message.commands:
             reply = self._instance.run(conn, command)
             if not self._instance.lose_answers:
-                self._later(conn_id, core.LinkAnswer(conn_id, reply), TRIP)
+                self._send_delayed(
+                    conn_id, core.LinkAnswer(conn_id, reply), REPLY_DELAY_S
+                )
 
     @runtime.handles(core.CloseLink)
     def _on_close(self, message: core.CloseLink) -> None:
@@ -100,7 +112,7 @@
 
 
 class SimProber(runtime.Task):
-    """Probes of instances in memory."""
+    """Probes instances in memory, and demotes them on request."""
 
     def __init__(
         self,
@@ -113,9 +125,9 @@
         self._timers = loop.timers
         self._cut = cut
         self._instances = {
-            name: one
+            name: instance
             for group in groups
-            for name, one in group.instances.items()
+            for name, instance in group.instances.items()
         }
 
     @runtime.handles(core.ProbeInstance)
@@ -124,9 +136,9 @@
 
     @runtime.handles(core.DemoteInstance)
     def _on_demote(self, message: core.DemoteInstance) -> None:
-        one = self._instances[message.entry.name]
-        if one.reachable and message.term > one.term:
-            one.role = core.Role.REPLICA
+        instance = self._instances[message.entry.name]
+        if instance.reachable and message.term > instance.term:
+            instance.role = core.Role.REPLICA
         self._probe(message.entry, message.timeout, message.reply_to)
 
     def _probe(
@@ -135,26 +147,30 @@
         timeout: float,
         reply_to: core.TaskName,
     ) -> None:
-        one = self._instances[entry.name]
-        cut = (str(self.vm), str(entry.name)) in self._cut
-        if one.reachable and not cut:
-            status = core.InstanceStatus(entry.name, True, one.state())
-            self._timers.add(TRIP, reply_to, status)
+        instance = self._instances[entry.name]
+        is_cut = (str(self.vm), str(entry.name)) in self._cut
+        if instance.reachable and not is_cut:
+            status = core.InstanceStatus(entry.name, True, instance.state())
+            self._timers.add(REPLY_DELAY_S, reply_to, status)
             return
         status = core.InstanceStatus(entry.name, False)
-        wait = TRIP if one.crashed and not cut else timeout
-        self._timers.add(wait, reply_to, status)
+        delay = REPLY_DELAY_S if instance.crashed and not is_cut else timeout
+        self._timers.add(delay, reply_to, status)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Promoted(core.Message):
-    """A promotion takes effect."""
+class _PromotionDone(core.Message):
+    """The promotion of an instance takes effect now."""
 
     message: core.PromoteInstance
 
 
 class SimPromotions(runtime.Task):
-    """The platform's promotions, which check no token."""
+    """The platform's promotion call, without its check of tokens.
+
+    The tokens are recorded, so that tests can check their order.  With
+    ``lose_answers`` promotions are done but their result is unknown.
+    """
 
     def __init__(
         self,
@@ -165,25 +181,25 @@
     ) -> None:
         super().__init__(loop, vm, 'promotions')
         self._timers = loop.timers
-        self._groups = {one.service: one for one in groups}
+        self._groups = {group.service: group for group in groups}
         self._tokens = tokens
         self.lose_answers = False
 
     @runtime.handles(core.PromoteInstance)
     def _on_promote(self, message: core.PromoteInstance) -> None:
         self._tokens.append((message.holder, message.token))
-        one = self._groups[message.service].instances[message.instance]
+        target = self._groups[message.service].instances[message.instance]
         result = core.PromoteResult.DONE
-        if not one.reachable:
+        if not target.reachable:
             result = core.PromoteResult.REFUSED
         else:
-            self.after(PROMOTE_TIME, _Promoted(message))
+            self.after(PROMOTE_DELAY_S, _PromotionDone(message))
         if self.lose_answers:
             result = core.PromoteResult.UNKNOWN
         reply = core.PromoteReplied(message.service, message.token, result)
-        self._timers.add(TRIP, message.reply_to, reply)
+        self._timers.add(REPLY_DELAY_S, message.reply_to, reply)
 
-    @runtime.handles(_Promoted)
-    def _on_promoted(self, promoted: _Promoted) -> None:
+    @runtime.handles(_PromotionDone)
+    def _on_promoted(self, promoted: _PromotionDone) -> None:
         message = promoted.message
         self._groups[message.service].promote(message.instance)
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -1,4 +1,7 @@
-"""Several entry VMs with pooled sessions on one virtual clock."""
+"""Several entry VMs with pooled sessions on one virtual clock.
+
+The VMs run the real tasks; group, store, peers and platform are simulated.
+"""
 
 from __future__ import annotations
 
@@ -26,7 +29,7 @@
     core.ZoneName('qena-mill'): core.RegionName('upper-nile'),
     core.ZoneName('alex-depot'): core.RegionName('delta'),
 }
-PEER_TRIP = 0.003
+PEER_DELAY_S = 0.003
 CONFIG = core.PoolConfig(
     core.ConfigVersion(1),
     tuple(
@@ -47,7 +50,7 @@
 
 
 class SimPeers(runtime.Task):
-    """Carries messages between keepers; ``site.cut`` parts VMs."""
+    """Carries messages between VMs, except pairs in ``site.cut``."""
 
     def __init__(
         self, loop: runtime.Runtime, vm: core.VmName, site: Site
@@ -61,23 +64,26 @@
         if self._site.parted(self.vm, message.vm):
             return
         receiver = peers.receiver_of(message.vm, message.message)
-        self._timers.add(PEER_TRIP, receiver, message.message)
+        self._timers.add(PEER_DELAY_S, receiver, message.message)
 
     @runtime.handles(core.LiveVms)
     def _on_live(self, message: core.LiveVms) -> None:
-        """End the streams to VMs that are gone, as the real task does."""
+        """Report the streams to gone VMs as down, as the real task does."""
         for vm, state in message.states:
             if state is core.VmState.GONE:
                 self.send(names.forwarder(self.vm), core.PeerDown(vm))
                 self.send(names.relay(self.vm), core.PeerDown(vm))
 
     @runtime.handles(core.PeerAddresses)
-    def _on_known(self, message: core.Message) -> None:
-        """Addresses are not needed here."""
+    def _on_addresses(self, message: core.Message) -> None:
+        """Ignore addresses: messages are delivered without sockets."""
 
 
 class Vm(runtime.Task):
-    """One entry VM: desk and keeper on the site's fakes."""
+    """One entry VM: the real tasks, connected to the site's test doubles.
+
+    ``enough`` is set once the VM has read enough of the store to serve.
+    """
 
     def __init__(self, site: Site, name: str, zone: str) -> None:
         vm = core.VmName(name)
@@ -117,14 +123,14 @@
     def pool_link(
         self, vm: core.VmName, entry: core.InstanceEntry
     ) -> runtime.Task:
-        """Start the connections to one instance."""
+        """Create the task that holds the connections to one instance."""
         instance = self._site.group.instances[entry.name]
         link = links.SimLink(self._site.loop, vm, instance, self._site.cut)
         self.links[entry.name] = link
         return link
 
     def view_age(self, kind: core.StoreView) -> float:
-        """Return the age of this VM's view of a part of the store."""
+        """Return the age of this VM's view of a partition of the store."""
         return self._exchange.view_age(kind)
 
     def handover_state(self) -> core.HandoverState:
@@ -133,14 +139,18 @@
         return core.HandoverState.IDLE if task is None else task.state
 
     def caller(self, access: core.Access) -> callers.Caller:
-        """Open a session on the route of that kind."""
+        """Open a session on the route with this kind of access."""
         return callers.Caller(
             self._site.loop, self.vm, names.desk(self.vm), access.value
         )
 
 
 class Site:
-    """VMs, one group, a store; faults are set on the parts."""
+    """VMs, one group and a store, on which tests inject faults.
+
+    ``cut`` holds pairs of names (VMs, instances) between which no message
+    passes; ``tokens`` records the VM and token of every promotion.
+    """
 
     def __init__(self, vms: int = 3) -> None:
         self.clock = core.VirtualClock(100.0)
@@ -158,12 +168,12 @@
         self.run(2.0)
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the virtual clock and run what is due."""
         self.loop.run_for(seconds)
 
-    def parted(self, one: core.VmName, other: core.VmName) -> bool:
-        """Tell whether two VMs can't reach each other."""
-        return bool({(one, other), (other, one)} & self.cut)
+    def parted(self, vm: core.VmName, other: core.VmName) -> bool:
+        """Return whether two VMs cannot reach each other."""
+        return bool({(vm, other), (other, vm)} & self.cut)
 
     def isolate(self, vm: Vm) -> None:
         """Cut a VM off from its peers and from the store."""
@@ -172,7 +182,7 @@
         self.store.shut.add(vm.vm)
 
     def register(self) -> None:
-        """Let the instances register as they are now."""
+        """Put the instances' current roles in the register."""
         self.entries[:] = self.group.entries()
         self.store.version += 1
 
--- a/src/chicoryusher_standins/pool/store.py
+++ b/src/chicoryusher_standins/pool/store.py
@@ -1,4 +1,4 @@
-"""The store in memory, and each VM's rows in it."""
+"""The store in memory, and each VM's client of it."""
 
 from __future__ import annotations
 
@@ -10,16 +10,19 @@
 
 __all__ = ['SimRows', 'Store']
 
-TRIP = 0.005
-POLL = 1.0
-WRITE_RETRY = 0.2
-WRITE_TRIES = 6
+CALL_DELAY_S = 0.005
+UNREACHABLE_POLL_INTERVAL_S = 1.0
+WRITE_RETRY_S = 0.2
+MAX_WRITE_ATTEMPTS = 6
 
 
 class Store:
-    """Lead rows and entry VMs; ``shut`` names VMs that it turns away.
+    """Leader rows and rows of entry VMs.
 
-    While it is ``read_only`` it takes no rows of entry VMs.
+    Calls of the VMs in ``shut`` are not answered, and no call is while the
+    store is ``down``.  While it is ``read_only`` it accepts no rows of
+    entry VMs.  With ``lose_answers`` leader rows are written but the
+    replies are lost.
     """
 
     def __init__(self) -> None:
@@ -33,13 +36,16 @@
         self.config: core.PoolConfig | None = None
 
     def serves(self, vm: core.VmName) -> bool:
-        """Tell whether a VM's calls are answered."""
+        """Return whether a VM's calls are answered."""
         return not self.down and vm not in self.shut
 
     def write(self, row: core.LeadRow, expected: int) -> core.LeadRow | None:
-        """Write under a condition; return the row as it is then."""
-        known = self.leads.get(row.service)
-        if (0 if known is None else known.revision) == expected:
+        """Write a leader row if its revision is ``expected``.
+
+        Return the row that the store has afterwards.
+        """
+        current = self.leads.get(row.service)
+        if (0 if current is None else current.revision) == expected:
             self.version += 1
             self.leads[row.service] = dataclasses.replace(
                 row, revision=self.version
@@ -48,33 +54,33 @@
 
 
 class _Poll(core.Message):
-    """Time to read the store."""
+    """The poll interval is over: read the store."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Read(core.Message):
-    """A read on its way."""
+class _ReadDone(core.Message):
+    """The delay of a read is over; its result goes to ``reply_to``."""
 
     reply_to: core.TaskName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Write(core.Message):
-    """A write on its way, and how often it was tried."""
+class _LeaderWrite(core.Message):
+    """A write of a leader row arrives at the store for the nth time."""
 
-    wanted: core.WriteLead
-    tries: int
+    request: core.WriteLead
+    attempts: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _NodeAgain(core.Message):
-    """Time to repeat the write of an entry VM's row."""
+class _NodeWriteRetry(core.Message):
+    """The write of an entry VM's row failed and is to be repeated."""
 
     write: core.WriteNode
 
 
 class SimRows(runtime.Task):
-    """One VM's client of the store, feeds included."""
+    """One VM's client of the store: reads, writes and change feeds."""
 
     def __init__(
         self,
@@ -87,21 +93,30 @@
         self._clock = loop.clock
         self._store = store
         self._entries = entries
-        self._follows = True
-        self._newest: dict[core.VmName, core.WriteNode] = {}
-        self.after(TRIP, _Poll())
+        self._is_polling = True
+        self._newest_node_writes: dict[core.VmName, core.WriteNode] = {}
+        self.after(CALL_DELAY_S, _Poll())
 
     @runtime.handles(_Poll)
     def _on_poll(self, poll: _Poll) -> None:
-        """Read everything; sooner where something may have changed."""
-        self.after(POLL if not self._store.serves(self.vm) else 0.1, poll)
+        """Read the whole store and send it to the view exchange.
+
+        A reachable store is read every 0.1 s, since something may have
+        changed; an unreachable one is tried less often.
+        """
+        self.after(
+            UNREACHABLE_POLL_INTERVAL_S
+            if not self._store.serves(self.vm)
+            else 0.1,
+            poll,
+        )
         if not self._store.serves(self.vm):
             return
         exchange = names.exchange(self.vm)
         store = self._store
         if store.config is not None:
             self.send(exchange, core.PoolConfigInForce(store.config))
-        if not self._follows:
+        if not self._is_polling:
             return
         self.send(
             exchange,
@@ -115,25 +130,25 @@
             self.send(exchange, core.StoreSeen(kind, now))
 
     @runtime.handles(core.FollowStore)
-    def _on_follow(self, message: core.FollowStore) -> None:
-        self._follows = message.follow
+    def _on_set_polling(self, message: core.FollowStore) -> None:
+        self._is_polling = message.follow
 
     @runtime.handles(core.WriteNode)
-    def _on_node(self, message: core.WriteNode) -> None:
-        self._newest[message.row.vm] = message
+    def _on_write_node(self, message: core.WriteNode) -> None:
+        self._newest_node_writes[message.row.vm] = message
         self._write_node(message)
 
-    @runtime.handles(_NodeAgain)
-    def _on_node_again(self, again: _NodeAgain) -> None:
-        if self._newest[again.write.row.vm] is again.write:
-            self._write_node(again.write)
+    @runtime.handles(_NodeWriteRetry)
+    def _on_node_write_retry(self, retry: _NodeWriteRetry) -> None:
+        if self._newest_node_writes[retry.write.row.vm] is retry.write:
+            self._write_node(retry.write)
 
     def _write_node(self, message: core.WriteNode) -> None:
         if not self._store.serves(self.vm) or self._store.read_only:
-            self.after(WRITE_RETRY, _NodeAgain(message))
+            self.after(WRITE_RETRY_S, _NodeWriteRetry(message))
             return
-        known = self._store.nodes.get(message.row.vm)
-        if message.expected not in (None, known and known.revision):
+        current = self._store.nodes.get(message.row.vm)
+        if message.expected not in (None, current and current.revision):
             return
         self._store.version += 1
         self._store.nodes[message.row.vm] = dataclasses.replace(
@@ -141,31 +156,33 @@
         )
 
     @runtime.handles(core.ReadNodes)
-    def _on_read(self, message: core.ReadNodes) -> None:
+    def _on_read_nodes(self, message: core.ReadNodes) -> None:
         if self._store.serves(self.vm):
-            self.after(TRIP, _Read(message.reply_to))
+            self.after(CALL_DELAY_S, _ReadDone(message.reply_to))
 
-    @runtime.handles(_Read)
-    def _on_read_due(self, read: _Read) -> None:
+    @runtime.handles(_ReadDone)
+    def _on_read_done(self, read: _ReadDone) -> None:
         rows = core.NodesInStore(tuple(self._store.nodes.values()))
         self.send(read.reply_to, rows)
 
     @runtime.handles(core.WriteLead)
-    def _on_lead(self, wanted: core.WriteLead) -> None:
-        self.after(TRIP, _Write(wanted, 1))
+    def _on_write_leader(self, request: core.WriteLead) -> None:
+        self.after(CALL_DELAY_S, _LeaderWrite(request, 1))
 
-    @runtime.handles(_Write)
-    def _on_write(self, write: _Write) -> None:
-        wanted = write.wanted
+    @runtime.handles(_LeaderWrite)
+    def _on_leader_write_due(self, write: _LeaderWrite) -> None:
+        request = write.request
         row = None
         answered = self._store.serves(self.vm)
         if answered:
-            row = self._store.write(wanted.row, wanted.expected)
+            row = self._store.write(request.row, request.expected)
             answered = not self._store.lose_answers
-        if not answered and write.tries < WRITE_TRIES:
-            self.after(WRITE_RETRY, _Write(wanted, write.tries + 1))
+        if not answered and write.attempts < MAX_WRITE_ATTEMPTS:
+            self.after(
+                WRITE_RETRY_S, _LeaderWrite(request, write.attempts + 1)
+            )
             return
         self.send(
-            wanted.reply_to,
-            core.RowWritten(wanted.row.service, row if answered else None),
+            request.reply_to,
+            core.RowWritten(request.row.service, row if answered else None),
         )
