--- a/src/chicoryusher_standins/model/authority.py
+++ b/src/chicoryusher_standins/model/authority.py
@@ -1,11 +1,11 @@
-"""Specification of authority that lapses, and of changes of primary.
-
-Two VMs, one lead row, time in ticks.  Any VM may stand still while time
-passes, any answer of the store may be late or lost, and a conditional
-write may be done long after it was sent.  ``authority`` has one VM that
-replaces primaries and one that uses them; ``holders`` has two that
-replace them.  Labels are ``chart.event`` names with the VM behind them;
-``time.passes`` is the clock.
+"""Specification of the primary lease and of changes of primary.
+
+There are two VMs and one leader row; time is counted in ticks.  Any VM
+may be paused while time passes, any reply of the store may be delayed or
+lost, and a conditional write may take effect long after it was sent.  In
+``authority`` one VM replaces primaries and the other one uses them; in
+``holders`` both VMs replace them.  Labels of transitions are
+``chart.event`` names followed by the VM; ``time.passes`` is a clock tick.
 """
 
 from __future__ import annotations
@@ -17,113 +17,123 @@
 
 import minicheck
 
-__all__ = ['HOLDER_MUTANTS', 'MUTANTS', 'Rules', 'authority', 'holders']
+__all__ = ['COORDINATOR_MUTANTS', 'MUTANTS', 'Rules', 'authority', 'holders']
 
 VMS = (0, 1)
 NOBODY = -1
-# Ticks that a view or a grant allows to use primaries: until the next one.
-LAPSE = 1
-# Ticks since its claim within which a holder may order a promotion.
-CLAIM_LASTS = 0
-# Ticks that an order may be under way before it is reset.
-ORDER_LASTS = 0
-# Ticks after which a claim that was not renewed is taken over.
-TAKEOVER = 1
-# Ages are counted up to here; none is compared with more.
-OLD = 2
+# Ticks for which a view of the store, or a grant of a peer, allows a VM to
+# use primaries: it expires at the next tick.
+LEASE_TICKS = 1
+# Age of its claim up to which a coordinator may order a promotion.
+MAX_CLAIM_AGE_TICKS = 0
+# Age at which a promotion call in flight is dropped.
+MAX_ORDER_AGE_TICKS = 0
+# Age of a claim that was not renewed at which another VM takes it over.
+TAKEOVER_AGE_TICKS = 1
+# Ages are counted up to this limit, which keeps the state space finite; no
+# rule compares an age with a larger number.
+MAX_AGE_TICKS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
-    """What the protocol demands; a mutant drops one of them."""
+    """The rules of the protocol; each mutant drops one of them."""
 
     ack_needs_authority: bool = True
     send_needs_authority: bool = True
-    age_from_question: bool = True
-    wait_for_lapse: int = LAPSE
-    fence_stops: bool = True
+    age_from_request: bool = True
+    unfenced_wait_ticks: int = LEASE_TICKS
+    fence_closes_row: bool = True
     write_is_conditional: bool = True
-    peers_rows_known: bool = True
+    peer_row_must_be_known: bool = True
     grant_needs_authority: bool = True
-    order_within: int = CLAIM_LASTS
-    takeover_after: int = TAKEOVER
+    order_within_ticks: int = MAX_CLAIM_AGE_TICKS
+    takeover_after_ticks: int = TAKEOVER_AGE_TICKS
     token_is_revision: bool = True
-    restart_forgets: bool = True
-    closing_stops: bool = True
+    restart_clears_lease: bool = True
+    closed_row_stops_use: bool = True
 
 
 MUTANTS = {
     'ack_without_authority': Rules(ack_needs_authority=False),
     'read_without_authority': Rules(send_needs_authority=False),
-    'age_from_the_answer': Rules(age_from_question=False),
-    'no_wait_for_the_silent': Rules(wait_for_lapse=0),
-    'fence_answered_without_stopping': Rules(fence_stops=False),
-    'peers_view_of_unknown_rows': Rules(peers_rows_known=False),
+    'age_from_the_answer': Rules(age_from_request=False),
+    'no_wait_for_the_silent': Rules(unfenced_wait_ticks=0),
+    'fence_answered_without_stopping': Rules(fence_closes_row=False),
+    'peers_view_of_unknown_rows': Rules(peer_row_must_be_known=False),
     'grant_after_a_lapse': Rules(grant_needs_authority=False),
-    'restart_keeps_authority': Rules(restart_forgets=False),
-    'closing_row_ignored': Rules(closing_stops=False),
+    'restart_keeps_authority': Rules(restart_clears_lease=False),
+    'closing_row_ignored': Rules(closed_row_stops_use=False),
 }
-HOLDER_MUTANTS = {
+COORDINATOR_MUTANTS = {
     'write_without_condition': Rules(write_is_conditional=False),
-    'order_at_any_time': Rules(order_within=OLD + 1),
-    'takeover_at_once': Rules(takeover_after=0),
+    'order_at_any_time': Rules(order_within_ticks=MAX_AGE_TICKS + 1),
+    'takeover_at_once': Rules(takeover_after_ticks=0),
     'token_that_stays': Rules(token_is_revision=False),
 }
 
 
-class _Row(NamedTuple):
-    """The lead row: its revision, and which term may be used."""
+class _LeaderRow(NamedTuple):
+    """The leader row: its revision, and which term may be used.
+
+    ``open`` is False while a change of primary is under way.
+    """
 
     revision: int = 0
     open: bool = True
-    holder: int = NOBODY
+    coordinator: int = NOBODY
     term: int = 1
 
 
 class _Vm(NamedTuple):
-    """One VM.
-
-    ``known`` is the newest row it has; ``age`` that of its authority.
-    ``asked`` is the age of a question without an answer, to the store or
-    to the other VM; ``unchanged`` whether its row was the newest then.
-    ``phase`` is idle, claiming, fencing, promoting or opening; ``mine`` is
-    the revision that its next write is conditional on; ``claim``
-    is the claim's age, ``closed`` the closing row's, ``order`` the age of
-    a promotion under way with ``token``; ``seen`` how long the known row
-    has not changed.
+    """State of one VM.
+
+    ``newest_row`` is the newest leader row that the VM has read, and
+    ``row_unchanged_for`` the ticks since it read it.  ``age`` is the age
+    of its primary lease.  ``requested`` is the age of its pending
+    request to the store or to the other VM, -1 without one;
+    ``row_was_current`` is whether its row was the newest when the request
+    was sent.  ``phase`` is idle,
+    claiming, fencing, promoting or opening.  ``expected_revision`` is the
+    revision that its next write is conditional on.  ``claim_age`` is the
+    age of its claim and ``closed_age`` that of the row that closes the
+    group.  ``order_age`` is the age of its promotion call in flight, which
+    carries ``token``, -1 without one.
     """
 
-    known: _Row = _Row()
+    newest_row: _LeaderRow = _LeaderRow()
     age: int = 0
-    asked: int = NOBODY
-    unchanged: bool = False
+    requested: int = NOBODY
+    row_was_current: bool = False
     phase: str = 'idle'
-    mine: int = 0
-    claim: int = 0
-    closed: int = 0
+    expected_revision: int = 0
+    claim_age: int = 0
+    closed_age: int = 0
     fenced: bool = False
-    order: int = NOBODY
+    order_age: int = NOBODY
     token: int = 0
-    seen: int = 0
+    row_unchanged_for: int = 0
 
 
 class _State(NamedTuple):
-    """Everything the specification speaks of.
-
-    ``led`` is the newest term in effect, ``token`` and ``holder`` the
-    platform's last.  ``write`` is the term that a write of the using VM
-    was sent in, 0 without one; ``done`` whether it was committed, and
-    ``late`` whether a newer term was in effect by then.
+    """State of the whole system.
+
+    ``newest_term`` is the newest term in effect.  ``token`` and
+    ``coordinator`` are those of the last promotion at the platform.
+    ``write_term`` is the term in which the VM that uses primaries sent its
+    write, 0 if it has sent none.  ``write_committed`` is whether the write
+    was committed, and ``write_superseded`` whether a newer term was in
+    effect by then.
     """
 
-    row: _Row
+    row: _LeaderRow
     vms: tuple[_Vm, ...]
-    led: int = 1
+    newest_term: int = 1
     token: int = 0
-    holder: int = NOBODY
-    write: int = 0
-    done: bool = False
-    late: bool = False
+    coordinator: int = NOBODY
+    write_term: int = 0
+    write_committed: bool = False
+    write_superseded: bool = False
     token_broken: bool = False
     restarts: int = 1
 
@@ -131,179 +141,204 @@
 _Step = tuple[str, _State]
 
 
-def _older(age: int) -> int:
-    return age if age == NOBODY else min(age + 1, OLD)
+def _increment_age(age: int) -> int:
+    return age if age == NOBODY else min(age + 1, MAX_AGE_TICKS)
 
 
 class _Spec:
-    """Transitions under some rules and bounds."""
+    """The transitions under the given rules and bounds."""
 
     def __init__(
         self,
         rules: Rules,
         max_revision: int,
-        changers: tuple[int, ...],
+        coordinators: tuple[int, ...],
         users: tuple[int, ...],
-        viewers: tuple[int, ...],
+        lease_holders: tuple[int, ...],
     ) -> None:
         self.rules = rules
         self.max_revision = max_revision
-        self.changers = changers
+        self.coordinators = coordinators
         self.users = users
-        self.viewers = viewers
-        self._plain_vm = functools.cache(self._plain_vm_of)
-        self._aged = functools.cache(self._aged_of)
+        self.lease_holders = lease_holders
+        self._canonical_vm = functools.cache(self._compute_canonical_vm)
+        self._aged_vm = functools.cache(self._compute_aged_vm)
 
     def steps(self, raw: tuple[object, ...]) -> list[tuple[str, tuple]]:
-        """Return every labelled next state."""
+        """Return every next state with its label."""
         state = _State(*raw)
-        found = list(self._time(state))
+        next_states = list(self._pass_time(state))
         for v in VMS:
-            found += self._store(state, v)
-            found += self._peers(state, v)
+            next_states += self._store(state, v)
+            next_states += self._peers(state, v)
             if v in self.users:
-                found += self._use(state, v)
-            if v in self.changers:
-                found += self._change(state, v)
-            found += self._end(state, v)
-        return [(label, tuple(self._plain(after))) for label, after in found]
-
-    def _plain(self, state: _State) -> _State:
-        """Drop what no step looks at, so that equal states are one."""
+                next_states += self._use(state, v)
+            if v in self.coordinators:
+                next_states += self._replace_primary(state, v)
+            next_states += self._finish_or_restart(state, v)
+        return [
+            (label, tuple(self._canonical_state(after)))
+            for label, after in next_states
+        ]
+
+    def _canonical_state(self, state: _State) -> _State:
+        """Reset the fields that no transition reads.
+
+        Equivalent states then become equal, and are searched once.
+        """
         return state._replace(
-            vms=tuple(self._plain_vm(v, state.vms[v]) for v in VMS)
+            vms=tuple(self._canonical_vm(v, state.vms[v]) for v in VMS)
+        )
+
+    def _compute_canonical_vm(self, v: int, vm: _Vm) -> _Vm:
+        age = (
+            min(vm.age, LEASE_TICKS)
+            if v in self.lease_holders
+            else LEASE_TICKS
+        )
+        vm = vm._replace(age=age, requested=min(vm.requested, LEASE_TICKS))
+        if vm.newest_row.open or vm.newest_row.coordinator == v:
+            vm = vm._replace(row_unchanged_for=0)
+        if vm.requested == NOBODY:
+            vm = vm._replace(row_was_current=False)
+        if vm.order_age == NOBODY:
+            vm = vm._replace(token=0)
+        if vm.phase == 'idle':
+            vm = vm._replace(expected_revision=0)
+        if vm.phase in ('idle', 'claiming', 'opening'):
+            vm = vm._replace(claim_age=0, closed_age=0, fenced=False)
+        if vm.phase == 'promoting':
+            vm = vm._replace(closed_age=0, fenced=False)
+        return vm._replace(
+            claim_age=min(vm.claim_age, MAX_CLAIM_AGE_TICKS + 1)
         )
 
-    def _plain_vm_of(self, v: int, one: _Vm) -> _Vm:
-        age = min(one.age, LAPSE) if v in self.viewers else LAPSE
-        one = one._replace(age=age, asked=min(one.asked, LAPSE))
-        if one.known.open or one.known.holder == v:
-            one = one._replace(seen=0)
-        if one.asked == NOBODY:
-            one = one._replace(unchanged=False)
-        if one.order == NOBODY:
-            one = one._replace(token=0)
-        if one.phase == 'idle':
-            one = one._replace(mine=0)
-        if one.phase in ('idle', 'claiming', 'opening'):
-            one = one._replace(claim=0, closed=0, fenced=False)
-        if one.phase == 'promoting':
-            one = one._replace(closed=0, fenced=False)
-        return one._replace(claim=min(one.claim, CLAIM_LASTS + 1))
-
-    def _with(self, state: _State, v: int, vm: _Vm, **more: object) -> _State:
+    def _replace_vm(
+        self, state: _State, v: int, vm: _Vm, **changes: object
+    ) -> _State:
         vms = (*state.vms[:v], vm, *state.vms[v + 1 :])
-        return state._replace(vms=vms, **more)
+        return state._replace(vms=vms, **changes)
 
-    def _time(self, state: _State) -> Iterator[_Step]:
-        vms = tuple(self._aged(one) for one in state.vms)
+    def _pass_time(self, state: _State) -> Iterator[_Step]:
+        vms = tuple(self._aged_vm(vm) for vm in state.vms)
         after = state._replace(vms=vms)
         if after != state:
             yield 'time.passes', after
 
-    def plain(self, v: int, one: _Vm) -> _Vm:
-        """Return a VM as a state holds it."""
-        return self._plain_vm(v, one)
-
-    def _aged_of(self, one: _Vm) -> _Vm:
-        order = _older(one.order)
-        if order > ORDER_LASTS:
-            order = NOBODY
-        return one._replace(
-            age=_older(one.age),
-            asked=_older(one.asked),
-            claim=_older(one.claim),
-            closed=_older(one.closed),
-            order=order,
-            seen=_older(one.seen),
+    def canonical_vm(self, v: int, vm: _Vm) -> _Vm:
+        """Return a VM with the fields that no transition reads reset."""
+        return self._canonical_vm(v, vm)
+
+    def _compute_aged_vm(self, vm: _Vm) -> _Vm:
+        order_age = _increment_age(vm.order_age)
+        if order_age > MAX_ORDER_AGE_TICKS:
+            order_age = NOBODY
+        return vm._replace(
+            age=_increment_age(vm.age),
+            requested=_increment_age(vm.requested),
+            claim_age=_increment_age(vm.claim_age),
+            closed_age=_increment_age(vm.closed_age),
+            order_age=order_age,
+            row_unchanged_for=_increment_age(vm.row_unchanged_for),
         )
 
     # -- views ----------------------------------------------------------
 
     def _store(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        if one.asked == NOBODY:
-            unchanged = state.row.revision == one.known.revision
-            asked = one._replace(asked=0, unchanged=unchanged)
-            yield f'feed.quiet {v}', self._with(state, v, asked)
+        vm = state.vms[v]
+        if vm.requested == NOBODY:
+            row_was_current = state.row.revision == vm.newest_row.revision
+            requested = vm._replace(
+                requested=0, row_was_current=row_was_current
+            )
+            yield f'feed.quiet {v}', self._replace_vm(state, v, requested)
             return
-        age = one.asked if self.rules.age_from_question else 0
-        told = self._know(one, state.row)._replace(asked=NOBODY)
-        told = told._replace(age=min(age, told.age))
-        yield f'feed.changed {v}', self._with(state, v, told)
-        if one.unchanged:
-            quiet = one._replace(asked=NOBODY, age=min(age, one.age))
-            yield f'feed.quiet {v}', self._with(state, v, quiet)
-        lost = one._replace(asked=NOBODY)
-        yield f'feed.failed {v}', self._with(state, v, lost)
-
-    def _know(self, one: _Vm, row: _Row) -> _Vm:
-        if row.revision <= one.known.revision:
-            return one
-        return one._replace(known=row, seen=0)
+        age = vm.requested if self.rules.age_from_request else 0
+        updated = self._learn_row(vm, state.row)._replace(requested=NOBODY)
+        updated = updated._replace(age=min(age, updated.age))
+        yield f'feed.changed {v}', self._replace_vm(state, v, updated)
+        if vm.row_was_current:
+            unchanged = vm._replace(requested=NOBODY, age=min(age, vm.age))
+            yield f'feed.quiet {v}', self._replace_vm(state, v, unchanged)
+        lost = vm._replace(requested=NOBODY)
+        yield f'feed.failed {v}', self._replace_vm(state, v, lost)
+
+    def _learn_row(self, vm: _Vm, row: _LeaderRow) -> _Vm:
+        if row.revision <= vm.newest_row.revision:
+            return vm
+        return vm._replace(newest_row=row, row_unchanged_for=0)
 
     def _peers(self, state: _State, v: int) -> Iterator[_Step]:
-        one, other = state.vms[v], state.vms[1 - v]
-        if one.asked == NOBODY:
+        vm, other = state.vms[v], state.vms[1 - v]
+        if vm.requested == NOBODY:
             return
-        done = one._replace(asked=NOBODY)
-        told = self._know(done, other.known)
-        if told != done:
-            yield f'vm.heard {v}', self._with(state, v, told)
-        knows = one.known.revision >= other.known.revision
-        if knows or not self.rules.peers_rows_known:
-            age = min(OLD, one.asked + other.age)
-            viewed = done._replace(age=min(age, one.age))
-            yield f'vm.heard {v}', self._with(state, v, viewed)
-        valid = one.age < LAPSE or not self.rules.grant_needs_authority
-        if knows and valid:
-            granted = done._replace(age=min(one.asked, one.age))
-            yield f'vm.heard {v}', self._with(state, v, granted)
+        answered = vm._replace(requested=NOBODY)
+        updated = self._learn_row(answered, other.newest_row)
+        if updated != answered:
+            yield f'vm.heard {v}', self._replace_vm(state, v, updated)
+        row_is_as_new = vm.newest_row.revision >= other.newest_row.revision
+        if row_is_as_new or not self.rules.peer_row_must_be_known:
+            age = min(MAX_AGE_TICKS, vm.requested + other.age)
+            view_received = answered._replace(age=min(age, vm.age))
+            yield f'vm.heard {v}', self._replace_vm(state, v, view_received)
+        has_lease = (
+            vm.age < LEASE_TICKS or not self.rules.grant_needs_authority
+        )
+        if row_is_as_new and has_lease:
+            granted = answered._replace(age=min(vm.requested, vm.age))
+            yield f'vm.heard {v}', self._replace_vm(state, v, granted)
 
     # -- use ------------------------------------------------------------
 
-    def _may_use(self, one: _Vm) -> bool:
-        if not one.known.open and self.rules.closing_stops:
+    def _may_use(self, vm: _Vm) -> bool:
+        if not vm.newest_row.open and self.rules.closed_row_stops_use:
             return False
-        return one.age < LAPSE
+        return vm.age < LEASE_TICKS
 
     def _use(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        if not state.write:
-            if self._may_use(one):
-                sent = state._replace(write=one.known.term)
+        vm = state.vms[v]
+        if not state.write_term:
+            if self._may_use(vm):
+                sent = state._replace(write_term=vm.newest_row.term)
                 yield f'pool_session.statement {v}', sent
             return
-        free = state._replace(write=0, done=False, late=False)
-        yield f'pool_session.closed {v}', free
-        if not state.done:
-            late = state.write < state.led
+        no_write = state._replace(
+            write_term=0, write_committed=False, write_superseded=False
+        )
+        yield f'pool_session.closed {v}', no_write
+        if not state.write_committed:
+            write_superseded = state.write_term < state.newest_term
             yield (
                 f'connection.finished {v}',
-                state._replace(done=True, late=late),
+                state._replace(
+                    write_committed=True, write_superseded=write_superseded
+                ),
             )
         elif self._may_ack(state, v):
-            yield f'pool_session.answered {v}', free
+            yield f'pool_session.answered {v}', no_write
 
     def _may_ack(self, state: _State, v: int) -> bool:
-        """Tell whether the VM would pass its write's success on."""
+        """Return whether the VM would acknowledge its write to the caller."""
         if not self.rules.ack_needs_authority:
             return True
-        one = state.vms[v]
-        return self._may_use(one) and one.known.term == state.write
+        vm = state.vms[v]
+        return self._may_use(vm) and vm.newest_row.term == state.write_term
 
     def acks_are_true(self, fields: dict[str, object]) -> bool:
-        """No write is acknowledged that a replaced primary took."""
+        """No write that a replaced primary committed is acknowledged."""
         state = _State(**fields)
-        if not state.late:
+        if not state.write_superseded:
             return True
         return not any(self._may_ack(state, v) for v in self.users)
 
     def reads_are_fresh(self, fields: dict[str, object]) -> bool:
-        """No replaced primary is read; others may have written since."""
+        """No replaced primary is read.
+
+        Its successor may have committed writes that the read would miss.
+        """
         state = _State(**fields)
         return not any(
-            state.vms[v].known.term < state.led
+            state.vms[v].newest_row.term < state.newest_term
             and (
                 self._may_use(state.vms[v])
                 or not self.rules.send_needs_authority
@@ -313,142 +348,170 @@
 
     # -- changes --------------------------------------------------------
 
-    def _change(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        if one.phase == 'idle':
+    def _replace_primary(self, state: _State, v: int) -> Iterator[_Step]:
+        vm = state.vms[v]
+        if vm.phase == 'idle':
             yield from self._begin(state, v)
-        elif one.phase == 'claiming':
+        elif vm.phase == 'claiming':
             yield from self._claim(state, v)
-        elif one.phase == 'fencing':
+        elif vm.phase == 'fencing':
             yield from self._fence(state, v)
-        elif one.phase == 'promoting':
+        elif vm.phase == 'promoting':
             yield from self._promote(state, v)
 
     def _begin(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        known = one.known
-        if not known.open and known.holder != v:
-            if one.seen < self.rules.takeover_after:
+        vm = state.vms[v]
+        newest_row = vm.newest_row
+        if not newest_row.open and newest_row.coordinator != v:
+            if vm.row_unchanged_for < self.rules.takeover_after_ticks:
                 return
-        wants = one._replace(phase='claiming', mine=known.revision)
-        yield f'handover.wanted {v}', self._with(state, v, wants)
+        claiming = vm._replace(
+            phase='claiming', expected_revision=newest_row.revision
+        )
+        yield f'handover.wanted {v}', self._replace_vm(state, v, claiming)
 
     def _claim(self, state: _State, v: int) -> Iterator[_Step]:
-        """Write the closing row, or see that it is another's."""
-        one = state.vms[v]
-        given_up = one._replace(phase='idle')
-        yield f'handover.lost {v}', self._with(state, v, given_up)
-        met = state.row.revision == one.mine
-        if self.rules.write_is_conditional and not met:
+        """Write the row that closes the group, or lose to another VM."""
+        vm = state.vms[v]
+        lost = vm._replace(phase='idle')
+        yield f'handover.lost {v}', self._replace_vm(state, v, lost)
+        condition_holds = state.row.revision == vm.expected_revision
+        if self.rules.write_is_conditional and not condition_holds:
             return
         if state.row.revision >= self.max_revision:
             return
-        row = _Row(state.row.revision + 1, False, v, state.row.term)
-        held = self._know(one, row)._replace(
+        row = _LeaderRow(state.row.revision + 1, False, v, state.row.term)
+        claimed = self._learn_row(vm, row)._replace(
             phase='fencing',
-            mine=row.revision,
-            claim=0,
-            closed=0,
+            expected_revision=row.revision,
+            claim_age=0,
+            closed_age=0,
             fenced=False,
         )
-        yield f'handover.claimed {v}', self._with(state, v, held, row=row)
+        yield (
+            f'handover.claimed {v}',
+            self._replace_vm(state, v, claimed, row=row),
+        )
 
     def _fence(self, state: _State, v: int) -> Iterator[_Step]:
-        one, other = state.vms[v], state.vms[1 - v]
-        if not one.fenced:
+        vm, other = state.vms[v], state.vms[1 - v]
+        if not vm.fenced:
             stopped = other
-            if self.rules.fence_stops:
-                stopped = self._know(other, one.known)
-            fenced = one._replace(fenced=True)
-            after = self._with(state, v, fenced)
-            yield f'handover.fenced {v}', self._with(after, 1 - v, stopped)
-        waited = one.closed >= self.rules.wait_for_lapse
-        if one.fenced or waited:
-            ready = one._replace(phase='promoting')
-            yield f'handover.asked {v}', self._with(state, v, ready)
+            if self.rules.fence_closes_row:
+                stopped = self._learn_row(other, vm.newest_row)
+            fenced = vm._replace(fenced=True)
+            after = self._replace_vm(state, v, fenced)
+            yield (
+                f'handover.fenced {v}',
+                self._replace_vm(after, 1 - v, stopped),
+            )
+        wait_is_over = vm.closed_age >= self.rules.unfenced_wait_ticks
+        if vm.fenced or wait_is_over:
+            ready = vm._replace(phase='promoting')
+            yield f'handover.asked {v}', self._replace_vm(state, v, ready)
         yield from self._renew(state, v)
 
     def _renew(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        if state.row.revision != one.mine:
-            lost = one._replace(phase='idle')
-            yield f'handover.lost {v}', self._with(state, v, lost)
+        vm = state.vms[v]
+        if state.row.revision != vm.expected_revision:
+            lost = vm._replace(phase='idle')
+            yield f'handover.lost {v}', self._replace_vm(state, v, lost)
             return
-        if state.row.revision >= self.max_revision or one.claim == 0:
+        if state.row.revision >= self.max_revision or vm.claim_age == 0:
             return
-        row = _Row(state.row.revision + 1, False, v, state.row.term)
-        renewed = self._know(one, row)._replace(claim=0, mine=row.revision)
-        yield f'handover.claimed {v}', self._with(state, v, renewed, row=row)
+        row = _LeaderRow(state.row.revision + 1, False, v, state.row.term)
+        renewed = self._learn_row(vm, row)._replace(
+            claim_age=0, expected_revision=row.revision
+        )
+        yield (
+            f'handover.claimed {v}',
+            self._replace_vm(state, v, renewed, row=row),
+        )
 
     def _promote(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        if one.order == NOBODY and one.claim <= self.rules.order_within:
-            token = one.mine
+        vm = state.vms[v]
+        if (
+            vm.order_age == NOBODY
+            and vm.claim_age <= self.rules.order_within_ticks
+        ):
+            token = vm.expected_revision
             if not self.rules.token_is_revision:
                 token = 1
-            ordered = one._replace(order=0, token=token)
-            yield f'handover.asked {v}', self._with(state, v, ordered)
+            ordered = vm._replace(order_age=0, token=token)
+            yield f'handover.asked {v}', self._replace_vm(state, v, ordered)
         yield from self._renew(state, v)
 
-    def _end(self, state: _State, v: int) -> Iterator[_Step]:
-        """Let an order arrive, the row open, or the process start again."""
-        one = state.vms[v]
-        if one.order != NOBODY:
-            yield from self._arrive(state, v)
-        if one.phase == 'opening':
+    def _finish_or_restart(self, state: _State, v: int) -> Iterator[_Step]:
+        """Complete a promotion, reopen the row, or restart the process."""
+        vm = state.vms[v]
+        if vm.order_age != NOBODY:
+            yield from self._order_arrives(state, v)
+        if vm.phase == 'opening':
             yield from self._open(state, v)
         if not state.restarts:
             return
-        again = _Vm(age=OLD, order=one.order, token=one.token)
-        if not self.rules.restart_forgets:
-            again = again._replace(age=0)
+        restarted = _Vm(
+            age=MAX_AGE_TICKS, order_age=vm.order_age, token=vm.token
+        )
+        if not self.rules.restart_clears_lease:
+            restarted = restarted._replace(age=0)
         yield (
             f'entry.knows_enough {v}',
-            self._with(state, v, again, restarts=state.restarts - 1),
+            self._replace_vm(state, v, restarted, restarts=state.restarts - 1),
         )
 
-    def _arrive(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        other = state.holder not in (NOBODY, v)
-        lower = one.token < state.token
-        shared = other and one.token == state.token
-        phase = 'opening' if one.phase == 'promoting' else one.phase
-        done = one._replace(order=NOBODY, phase=phase)
+    def _order_arrives(self, state: _State, v: int) -> Iterator[_Step]:
+        vm = state.vms[v]
+        other_coordinator = state.coordinator not in (NOBODY, v)
+        token_is_lower = vm.token < state.token
+        token_is_shared = other_coordinator and vm.token == state.token
+        phase = 'opening' if vm.phase == 'promoting' else vm.phase
+        done = vm._replace(order_age=NOBODY, phase=phase)
         yield (
             f'handover.promoted {v}',
-            self._with(
+            self._replace_vm(
                 state,
                 v,
                 done,
-                led=state.led + 1 if state.led < 3 else state.led,
-                token=max(state.token, one.token),
-                holder=v,
-                token_broken=state.token_broken or lower or shared,
+                newest_term=state.newest_term + 1
+                if state.newest_term < 3
+                else state.newest_term,
+                token=max(state.token, vm.token),
+                coordinator=v,
+                token_broken=state.token_broken
+                or token_is_lower
+                or token_is_shared,
             ),
         )
 
     def _open(self, state: _State, v: int) -> Iterator[_Step]:
-        one = state.vms[v]
-        if state.row.revision != one.mine:
-            lost = one._replace(phase='idle')
-            yield f'handover.lost {v}', self._with(state, v, lost)
+        vm = state.vms[v]
+        if state.row.revision != vm.expected_revision:
+            lost = vm._replace(phase='idle')
+            yield f'handover.lost {v}', self._replace_vm(state, v, lost)
             return
         if state.row.revision >= self.max_revision:
             return
-        row = _Row(state.row.revision + 1, True, v, state.led)
-        opened = self._know(one, row)._replace(phase='idle')
-        yield f'handover.opened {v}', self._with(state, v, opened, row=row)
+        row = _LeaderRow(state.row.revision + 1, True, v, state.newest_term)
+        opened = self._learn_row(vm, row)._replace(phase='idle')
+        yield (
+            f'handover.opened {v}',
+            self._replace_vm(state, v, opened, row=row),
+        )
 
 
 def _protocol(name: str, spec: _Spec, restarts: int) -> minicheck.Protocol:
     vms = tuple(
-        spec.plain(v, _Vm(age=0 if v in spec.viewers else LAPSE)) for v in VMS
+        spec.canonical_vm(
+            v, _Vm(age=0 if v in spec.lease_holders else LEASE_TICKS)
+        )
+        for v in VMS
     )
     return minicheck.Protocol(
         name=name,
         candidate=False,
         fields=_State._fields,
-        initial=tuple(_State(_Row(), vms, restarts=restarts)),
+        initial=tuple(_State(_LeaderRow(), vms, restarts=restarts)),
         transitions=spec.steps,
         invariants={
             'acks_are_true': spec.acks_are_true,
@@ -461,7 +524,7 @@
 def authority(
     rules: Rules | None = None, max_revision: int = 3
 ) -> minicheck.Protocol:
-    """Return the specification of one that changes and one that uses."""
+    """Return the model of one VM that replaces and one that uses primaries."""
     spec = _Spec(rules or Rules(), max_revision, (0,), (1,), VMS)
     return _protocol('authority', spec, 1)
 
@@ -469,6 +532,6 @@
 def holders(
     rules: Rules | None = None, max_revision: int = 3
 ) -> minicheck.Protocol:
-    """Return the specification of two that change primaries."""
+    """Return the model of two VMs that replace primaries."""
     spec = _Spec(rules or Rules(), max_revision, VMS, (), ())
     return _protocol('holders', spec, 1)
--- a/src/chicoryusher_standins/model/check.py
+++ b/src/chicoryusher_standins/model/check.py
@@ -1,4 +1,8 @@
-"""Run the checker on the specifications; ``make model`` goes deeper."""
+"""Run the model checker on the specifications.
+
+The tests check small bounds; ``make model`` runs this module with larger
+ones.
+"""
 
 from __future__ import annotations
 
@@ -16,12 +20,16 @@
 
 __all__ = ['Finding', 'check', 'labels', 'main']
 
-DEEP_STATES = 6_000_000
+MAX_DEEP_STATES = 6_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
-    """What a search found: states, broken invariants, shortest trace."""
+    """Result of a search.
+
+    ``broken`` names the violated invariants; ``shortest`` is the length of
+    the shortest counterexample, 0 if there is none.
+    """
 
     states: int
     exhaustive: bool
@@ -30,38 +38,38 @@
 
 
 def check(protocol: minicheck.Protocol, max_states: int) -> Finding:
-    """Search every reachable state up to ``max_states``."""
-    found = minicheck.check_safety(protocol, max_states=max_states)
+    """Search the reachable states, at most ``max_states`` of them."""
+    result = minicheck.check_safety(protocol, max_states=max_states)
     broken = {
-        name: len(one['counterexample'])
-        for name, one in found['properties'].items()
-        if one['holds'] is False
+        name: len(outcome['counterexample'])
+        for name, outcome in result['properties'].items()
+        if outcome['holds'] is False
     }
     return Finding(
-        found['reachable_states'],
-        bool(found['exhaustive']),
+        result['reachable_states'],
+        bool(result['exhaustive']),
         tuple(sorted(broken)),
         min(broken.values(), default=0),
     )
 
 
 def labels(protocol: minicheck.Protocol, max_states: int) -> frozenset[str]:
-    """Return the ``chart.event`` part of every label that is reached."""
+    """Return the ``chart.event`` part of every reachable transition label."""
     seen = {protocol.initial}
-    front = collections.deque(seen)
-    found: set[str] = set()
-    while front and len(seen) < max_states:
-        for label, after in protocol.transitions(front.popleft()):
-            found.add(label.split(' ', 1)[0])
+    frontier = collections.deque(seen)
+    reached: set[str] = set()
+    while frontier and len(seen) < max_states:
+        for label, after in protocol.transitions(frontier.popleft()):
+            reached.add(label.split(' ', 1)[0])
             if after not in seen:
                 seen.add(after)
-                front.append(after)
-    return frozenset(found)
+                frontier.append(after)
+    return frozenset(reached)
 
 
 def main() -> int:
-    """Check the deeper bounds and print states and times."""
-    deep = (
+    """Check the larger bounds; print the number of states and the time."""
+    runs = (
         ('terms, 2 terms, 2 writes', terms.protocol(max_term=2, ops=2)),
         ('terms, 3 terms, 1 write', terms.protocol(max_term=3, ops=1)),
         ('terms, 3 terms, 2 writes', terms.protocol(max_term=3, ops=2)),
@@ -70,24 +78,24 @@
         ('authority, 4 writes of a row', authority.authority(max_revision=4)),
         (
             'registration, 3 lives, 6 writes',
-            registration.registration(lives=3, revisions=6),
+            registration.registration(max_incarnations=3, max_writes=6),
         ),
         ('gate', work.gate()),
         ('ledger', work.ledger()),
     )
     failed = 0
-    for name, protocol in deep:
+    for name, protocol in runs:
         began = time.monotonic()
-        found = check(protocol, DEEP_STATES)
-        whole = 'all' if found.exhaustive else 'not all'
-        verdict = f'broken: {found.broken}' if found.broken else 'holds'
+        finding = check(protocol, MAX_DEEP_STATES)
+        coverage = 'all' if finding.exhaustive else 'not all'
+        verdict = f'broken: {finding.broken}' if finding.broken else 'holds'
         seconds = time.monotonic() - began
         print(
-            f'{name}: {found.states} states ({whole}), {verdict},'
+            f'{name}: {finding.states} states ({coverage}), {verdict},'
             f' {seconds:.1f} s',
             flush=True,
         )
-        failed += bool(found.broken)
+        failed += bool(finding.broken)
     return 1 if failed else 0
 
 
--- a/src/chicoryusher_standins/model/terms.py
+++ b/src/chicoryusher_standins/model/terms.py
@@ -1,9 +1,10 @@
-"""Specification of terms, promotion and evidence before an ack.
+"""Specification of terms, promotion and evidence before an acknowledgement.
 
-Three instances, two candidates and a bound on terms and commits.
-Whether a message passes is left open at every step, so every cut,
-pause and loss is among the runs.  Labels are ``chart.event`` names
-with the parties behind them.
+There are three instances, two candidates, and bounds on terms and writes.
+At every step a message may or may not be delivered, so the runs include
+every network cut, pause and loss.  Labels of transitions are
+``chart.event`` names followed by the operations, candidates and instances
+that take part.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
-    """What the protocol demands; a mutant drops one of them."""
+    """The rules of the protocol; each mutant drops one of them."""
 
     ack_needs_evidence: bool = True
     evidence_majority: int = 2
@@ -31,37 +32,40 @@
     fence_majority: int = 2
     fence_deposes: bool = True
     fence_once_a_term: bool = True
-    followers_check_term: bool = True
-    longest_log_leads: bool = True
+    followers_reject_old_terms: bool = True
+    longest_log_is_promoted: bool = True
 
 
 MUTANTS = {
     'ack_without_evidence': Rules(ack_needs_evidence=False),
     'evidence_of_one': Rules(evidence_majority=1),
     'evidence_of_any_term': Rules(
-        evidence_checks_term=False, followers_check_term=False
+        evidence_checks_term=False, followers_reject_old_terms=False
     ),
     'fence_of_one': Rules(fence_majority=1),
     'fence_leaves_the_leader': Rules(
-        fence_deposes=False, followers_check_term=False
+        fence_deposes=False, followers_reject_old_terms=False
     ),
     'fence_twice_a_term': Rules(fence_once_a_term=False),
-    'followers_take_old_terms': Rules(followers_check_term=False),
-    'shortest_log_leads': Rules(longest_log_leads=False),
+    'followers_take_old_terms': Rules(followers_reject_old_terms=False),
+    'shortest_log_leads': Rules(longest_log_is_promoted=False),
 }
 
 
 def terms_for(mutant: str) -> int:
-    """Return the bound on terms at which a mutant's fault can show.
+    """Return the bound on terms that a mutant needs for a counterexample.
 
-    A follower of an old term loses an acknowledged write only when a
-    third term begins without it.
+    If followers accept entries of an old term, an acknowledged write is
+    lost only when a third term begins without it.
     """
     return 3 if mutant == 'followers_take_old_terms' else 2
 
 
 class _Op(NamedTuple):
-    """One write: status, the term it was sent in, and its holders."""
+    """One write: status, term it was sent in, bit mask of its holders.
+
+    Holders are the instances known to have the write in their log.
+    """
 
     status: str = 'new'
     term: int = 0
@@ -69,7 +73,7 @@
 
 
 class _Candidate(NamedTuple):
-    """One candidate: phase, term and the instances it fenced."""
+    """One candidate: phase, term and bit mask of instances it fenced."""
 
     phase: str = 'following'
     term: int = 0
@@ -77,7 +81,11 @@
 
 
 class _State(NamedTuple):
-    """Everything the specification speaks of."""
+    """State of the whole system: instances, candidates, writes, store.
+
+    ``promised`` is the candidate that fenced each instance last;
+    ``store`` is the newest term that a candidate claimed in the store.
+    """
 
     terms: tuple[int, ...]
     promised: tuple[int, ...]
@@ -91,16 +99,16 @@
 _Step = tuple[str, tuple[object, ...]]
 
 
-def _set(values: tuple, index: int, value: object) -> tuple:
+def _with_item(values: tuple, index: int, value: object) -> tuple:
     return (*values[:index], value, *values[index + 1 :])
 
 
-def _count(mask: int) -> int:
+def _count_bits(mask: int) -> int:
     return mask.bit_count()
 
 
 class _Spec:
-    """Transitions under some rules and bounds."""
+    """The transitions under the given rules and bounds."""
 
     def __init__(self, rules: Rules, max_term: int, ops: int) -> None:
         self.rules = rules
@@ -120,7 +128,7 @@
         )
 
     def steps(self, raw: tuple[object, ...]) -> list[_Step]:
-        """Return every labelled next state."""
+        """Return every next state with its label."""
         state = _State(*raw)
         return [
             (label, tuple(after))
@@ -130,17 +138,20 @@
 
     def _writes(self, state: _State) -> Iterator[tuple[str, _State]]:
         for op in self.ops:
-            one = state.ops[op]
-            if one.status == 'new':
+            op_state = state.ops[op]
+            if op_state.status == 'new':
                 yield from self._send(state, op)
-            elif one.status == 'sent':
+            elif op_state.status == 'sent':
                 yield from self._observe(state, op)
-                enough = _count(one.holders) >= self.rules.evidence_majority
-                if enough or not self.rules.ack_needs_evidence:
-                    acked = one._replace(status='acked')
+                has_evidence = (
+                    _count_bits(op_state.holders)
+                    >= self.rules.evidence_majority
+                )
+                if has_evidence or not self.rules.ack_needs_evidence:
+                    acked = op_state._replace(status='acked')
                     yield (
                         f'request.proved {op}',
-                        state._replace(ops=_set(state.ops, op, acked)),
+                        state._replace(ops=_with_item(state.ops, op, acked)),
                     )
 
     def _send(self, state: _State, op: int) -> Iterator[tuple[str, _State]]:
@@ -152,23 +163,26 @@
             yield (
                 f'request.sent {op} {i}',
                 state._replace(
-                    logs=_set(state.logs, i, log),
-                    ops=_set(state.ops, op, sent),
+                    logs=_with_item(state.logs, i, log),
+                    ops=_with_item(state.ops, op, sent),
                 ),
             )
 
     def _observe(self, state: _State, op: int) -> Iterator[tuple[str, _State]]:
-        one = state.ops[op]
+        op_state = state.ops[op]
         for i in INSTANCES:
-            if one.holders >> i & 1 or (one.term, op) not in state.logs[i]:
+            if (
+                op_state.holders >> i & 1
+                or (op_state.term, op) not in state.logs[i]
+            ):
                 continue
             if self.rules.evidence_checks_term:
-                if state.terms[i] != one.term:
+                if state.terms[i] != op_state.term:
                     continue
-            seen = one._replace(holders=one.holders | 1 << i)
+            seen = op_state._replace(holders=op_state.holders | 1 << i)
             yield (
                 f'request.answered {op} {i}',
-                state._replace(ops=_set(state.ops, op, seen)),
+                state._replace(ops=_with_item(state.ops, op, seen)),
             )
 
     def _replication(self, state: _State) -> Iterator[tuple[str, _State]]:
@@ -181,46 +195,50 @@
         self, state: _State, i: int, j: int
     ) -> Iterator[tuple[str, _State]]:
         terms, leads = state.terms, state.leads
-        if terms[j] > terms[i] and self.rules.followers_check_term:
+        if terms[j] > terms[i] and self.rules.followers_reject_old_terms:
             yield (
                 f'leadership.primary_heard {i} {j}',
-                state._replace(leads=_set(leads, i, False)),
+                state._replace(leads=_with_item(leads, i, False)),
             )
             return
-        ours, theirs = state.logs[i], state.logs[j]
-        same = 0
-        while same < min(len(ours), len(theirs)) and (
-            ours[same] == theirs[same]
+        source_log, target_log = state.logs[i], state.logs[j]
+        common_length = 0
+        while common_length < min(len(source_log), len(target_log)) and (
+            source_log[common_length] == target_log[common_length]
         ):
-            same += 1
-        log = ours[: same + 1] if same < len(ours) else theirs[:same]
+            common_length += 1
+        log = (
+            source_log[: common_length + 1]
+            if common_length < len(source_log)
+            else target_log[:common_length]
+        )
         term = max(terms[i], terms[j])
         promised = state.promised[j]
         if term != terms[j]:
             promised = state.promised[i]
         after = state._replace(
-            terms=_set(terms, j, term),
-            promised=_set(state.promised, j, promised),
-            leads=_set(leads, j, False),
-            logs=_set(state.logs, j, log),
+            terms=_with_item(terms, j, term),
+            promised=_with_item(state.promised, j, promised),
+            leads=_with_item(leads, j, False),
+            logs=_with_item(state.logs, j, log),
         )
         if after != state:
             yield f'leadership.primary_heard {i} {j}', after
 
     def _failover(self, state: _State) -> Iterator[tuple[str, _State]]:
         for c in CANDIDATES:
-            one = state.candidates[c]
-            if one.phase == 'following':
+            candidate = state.candidates[c]
+            if candidate.phase == 'following':
                 yield from self._claim(state, c)
-            elif one.phase == 'fencing':
+            elif candidate.phase == 'fencing':
                 yield from self._fence(state, c)
-                if _count(one.fenced) >= self.rules.fence_majority:
+                if _count_bits(candidate.fenced) >= self.rules.fence_majority:
                     yield from self._promote(state, c)
                 gave_up = _Candidate()
                 yield (
                     f'leadership.timed_out {c}',
                     state._replace(
-                        candidates=_set(state.candidates, c, gave_up)
+                        candidates=_with_item(state.candidates, c, gave_up)
                     ),
                 )
 
@@ -228,7 +246,7 @@
         term = max(state.terms) + 1
         if term > self.max_term:
             return
-        claimed = _set(state.candidates, c, _Candidate('fencing', term))
+        claimed = _with_item(state.candidates, c, _Candidate('fencing', term))
         if state.store < term:
             yield (
                 f'leadership.term_won {c}',
@@ -240,49 +258,50 @@
         )
 
     def _fence(self, state: _State, c: int) -> Iterator[tuple[str, _State]]:
-        one = state.candidates[c]
+        candidate = state.candidates[c]
         for i in INSTANCES:
-            if one.fenced >> i & 1:
+            if candidate.fenced >> i & 1:
                 continue
-            newer = state.terms[i] < one.term
-            again = (
-                not self.rules.fence_once_a_term and state.terms[i] == one.term
+            is_newer = state.terms[i] < candidate.term
+            fenced_again = (
+                not self.rules.fence_once_a_term
+                and state.terms[i] == candidate.term
             )
-            if not newer and not again:
+            if not is_newer and not fenced_again:
                 continue
             leads = state.leads
             if self.rules.fence_deposes:
-                leads = _set(leads, i, False)
-            fenced = one._replace(fenced=one.fenced | 1 << i)
+                leads = _with_item(leads, i, False)
+            fenced = candidate._replace(fenced=candidate.fenced | 1 << i)
             yield (
                 f'leadership.silence_confirmed {c} {i}',
                 state._replace(
-                    terms=_set(state.terms, i, one.term),
-                    promised=_set(state.promised, i, c),
+                    terms=_with_item(state.terms, i, candidate.term),
+                    promised=_with_item(state.promised, i, c),
                     leads=leads,
-                    candidates=_set(state.candidates, c, fenced),
+                    candidates=_with_item(state.candidates, c, fenced),
                 ),
             )
 
     def _promote(self, state: _State, c: int) -> Iterator[tuple[str, _State]]:
-        one = state.candidates[c]
-        fenced = [i for i in INSTANCES if one.fenced >> i & 1]
+        candidate = state.candidates[c]
+        fenced = [i for i in INSTANCES if candidate.fenced >> i & 1]
 
-        def length(i: int) -> tuple[int, int, int]:
+        def log_order(i: int) -> tuple[int, int, int]:
             log = state.logs[i]
             return (log[-1][0] if log else 0, len(log), -i)
 
-        pick = max if self.rules.longest_log_leads else min
-        chosen = pick(fenced, key=length)
-        if state.terms[chosen] != one.term:
+        select = max if self.rules.longest_log_is_promoted else min
+        chosen = select(fenced, key=log_order)
+        if state.terms[chosen] != candidate.term:
             return
         if state.promised[chosen] != c:
             return
         yield (
             f'leadership.promoted {c} {chosen}',
             state._replace(
-                leads=_set(state.leads, chosen, True),
-                candidates=_set(state.candidates, c, _Candidate()),
+                leads=_with_item(state.leads, chosen, True),
+                candidates=_with_item(state.candidates, c, _Candidate()),
             ),
         )
 
@@ -290,18 +309,18 @@
 def _leaders(state: dict[str, object]) -> list[int]:
     leads, terms = state['leads'], state['terms']
     leading = [i for i in INSTANCES if leads[i]]
-    top = max((terms[i] for i in leading), default=0)
-    return [i for i in leading if terms[i] == top]
+    newest_term = max((terms[i] for i in leading), default=0)
+    return [i for i in leading if terms[i] == newest_term]
 
 
 def _acked_survive(state: dict[str, object]) -> bool:
     """Every acknowledged write is in the log of the newest leader."""
     return all(
-        (one.term, op) in state['logs'][i]
-        for op, one in enumerate(state['ops'])
-        if one.status == 'acked'
+        (op_state.term, op) in state['logs'][i]
+        for op, op_state in enumerate(state['ops'])
+        if op_state.status == 'acked'
         for i in _leaders(state)
-        if state['terms'][i] >= one.term
+        if state['terms'][i] >= op_state.term
     )
 
 
--- a/src/chicoryusher_standins/model/work.py
+++ b/src/chicoryusher_standins/model/work.py
@@ -1,4 +1,4 @@
-"""Specifications of exactly once and of the gate's hand-over."""
+"""Specifications of exactly-once writes and of the handover of a gate."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
     'ledger',
 ]
 
-CAP = 2
+MAX_CONNECTIONS = 2
 VMS = range(2)
-TRIES = 3
+MAX_SENDS = 3
 _Step = tuple[str, tuple[object, ...]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LedgerRules:
-    """What exactly once demands; a mutant drops one of them."""
+    """The rules of exactly-once writes; each mutant drops one of them."""
 
     key_with_effect: bool = True
     key_checked: bool = True
@@ -40,8 +40,13 @@
 }
 
 
-class _Work(NamedTuple):
-    """One request: how often it landed, and what its caller was told."""
+class _RequestState(NamedTuple):
+    """One request: how often it took effect, and its reported outcome.
+
+    ``flying`` is whether it is in flight, ``landed`` how often it took
+    effect, ``key`` whether its idempotency key is stored, and ``told`` the
+    outcome that its caller received.
+    """
 
     keyed: bool
     tries: int = 0
@@ -52,22 +57,28 @@
 
 
 def ledger(rules: LedgerRules | None = None) -> minicheck.Protocol:
-    """Return the specification of landings, retries and answers."""
-    chosen = rules or LedgerRules()
+    """Return the model of a write's effects, retries and answers."""
+    rules_used = rules or LedgerRules()
 
     def steps(raw: tuple[object, ...]) -> list[_Step]:
-        one = _Work(*raw)
-        after: list[tuple[str, _Work]] = []
-        may_send = one.keyed or not one.tries or not chosen.unkeyed_sent_once
-        if not one.flying and one.told in ('', 'unknown'):
-            if one.tries < TRIES and may_send:
-                sent = one._replace(flying=True, tries=one.tries + 1, told='')
+        request = _RequestState(*raw)
+        after: list[tuple[str, _RequestState]] = []
+        may_send = (
+            request.keyed
+            or not request.tries
+            or not rules_used.unkeyed_sent_once
+        )
+        if not request.flying and request.told in ('', 'unknown'):
+            if request.tries < MAX_SENDS and may_send:
+                sent = request._replace(
+                    flying=True, tries=request.tries + 1, told=''
+                )
                 after.append(('request.sent', sent))
-        if not one.tries:
-            refused = one._replace(told='not_run')
+        if not request.tries:
+            refused = request._replace(told='not_run')
             after.append(('request.refused', refused))
-        if one.flying:
-            after += _landings(one, chosen)
+        if request.flying:
+            after += _outcomes(request, rules_used)
         return [(label, tuple(work)) for label, work in after]
 
     return minicheck.Protocol(
@@ -77,8 +88,8 @@
         initial=(),
         transitions=lambda raw: (
             [
-                ('request.expired keyed', tuple(_Work(True))),
-                ('request.expired unkeyed', tuple(_Work(False))),
+                ('request.expired keyed', tuple(_RequestState(True))),
+                ('request.expired unkeyed', tuple(_RequestState(False))),
             ]
             if not raw
             else steps(raw)
@@ -95,28 +106,34 @@
     )
 
 
-def _landings(one: _Work, rules: LedgerRules) -> list[tuple[str, _Work]]:
-    """Return what may become of a request at the instance."""
-    down = one._replace(flying=False)
-    lost = 'unknown' if rules.lost_is_unknown else 'not_run'
-    found = one.keyed and one.key and rules.key_checked
-    effect = down
-    if not found:
-        effect = down._replace(landed=one.landed + 1, key=one.keyed)
+def _outcomes(
+    request: _RequestState, rules: LedgerRules
+) -> list[tuple[str, _RequestState]]:
+    """Return the possible results of a request in flight."""
+    received = request._replace(flying=False)
+    status_when_lost = 'unknown' if rules.lost_is_unknown else 'not_run'
+    is_duplicate = request.keyed and request.key and rules.key_checked
+    effect = received
+    if not is_duplicate:
+        effect = received._replace(
+            landed=request.landed + 1, key=request.keyed
+        )
     after = [
         ('request.answered', effect._replace(told='done')),
-        ('request.conn_lost landed', effect._replace(told=lost)),
-        ('request.conn_lost', down._replace(told='unknown')),
+        ('request.conn_lost landed', effect._replace(told=status_when_lost)),
+        ('request.conn_lost', received._replace(told='unknown')),
     ]
-    if not rules.key_with_effect and not found:
-        torn = down._replace(landed=one.landed + 1, told='unknown')
-        after.append(('request.conn_lost torn', torn))
+    if not rules.key_with_effect and not is_duplicate:
+        key_missing = received._replace(
+            landed=request.landed + 1, told='unknown'
+        )
+        after.append(('request.conn_lost torn', key_missing))
     return after
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateRules:
-    """What the hand-over demands; a mutant drops one of them."""
+    """The rules of a gate's handover; each mutant drops one of them."""
 
     lock_needed: bool = True
     old_connections_end: bool = True
@@ -128,8 +145,12 @@
 }
 
 
-class _Gates(NamedTuple):
-    """Lock holder, each VM's belief, and each VM's open connections."""
+class _GateState(NamedTuple):
+    """Holder of the gate's lock, and state of each VM.
+
+    ``serving`` is whether the VM takes itself for the gate; ``open`` counts
+    its connections to the instance.
+    """
 
     holder: int
     serving: tuple[bool, ...]
@@ -137,14 +158,14 @@
 
 
 class _GateSpec:
-    """Transitions of two VMs that take one gate in turn."""
+    """The transitions of two VMs that claim the same gate."""
 
     def __init__(self, rules: GateRules) -> None:
         self.rules = rules
 
     def steps(self, raw: tuple[object, ...]) -> list[_Step]:
-        """Return every labelled next state."""
-        state = _Gates(*raw)
+        """Return every next state with its label."""
+        state = _GateState(*raw)
         return [
             (label, tuple(after))
             for vm in VMS
@@ -152,52 +173,68 @@
             for label, after in step(state, vm)
         ]
 
-    def _claim(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+    def _claim(
+        self, state: _GateState, vm: int
+    ) -> list[tuple[str, _GateState]]:
         if state.serving[vm]:
             return []
         if self.rules.lock_needed and state.holder not in (-1, vm):
             return []
         opened = state.open
         if self.rules.old_connections_end:
-            opened = tuple(0 if one != vm else opened[one] for one in VMS)
-        after = _Gates(vm, _put(state.serving, vm, True), opened)
+            opened = tuple(
+                0 if other != vm else opened[other] for other in VMS
+            )
+        after = _GateState(vm, _with_item(state.serving, vm, True), opened)
         return [(f'gate.claimed {vm}', after)]
 
-    def _open(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
-        holds = state.holder == vm or not self.rules.lock_needed
-        if not state.serving[vm] or not holds or state.open[vm] >= CAP:
+    def _open(
+        self, state: _GateState, vm: int
+    ) -> list[tuple[str, _GateState]]:
+        may_open = state.holder == vm or not self.rules.lock_needed
+        if (
+            not state.serving[vm]
+            or not may_open
+            or state.open[vm] >= MAX_CONNECTIONS
+        ):
             return []
-        opened = _put(state.open, vm, state.open[vm] + 1)
+        opened = _with_item(state.open, vm, state.open[vm] + 1)
         return [(f'connection.opened {vm}', state._replace(open=opened))]
 
-    def _lose(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+    def _lose(
+        self, state: _GateState, vm: int
+    ) -> list[tuple[str, _GateState]]:
         if state.holder != vm:
             return []
         return [(f'gate.lost {vm}', state._replace(holder=-1))]
 
-    def _stop(self, state: _Gates, vm: int) -> list[tuple[str, _Gates]]:
+    def _stop(
+        self, state: _GateState, vm: int
+    ) -> list[tuple[str, _GateState]]:
         if not state.serving[vm] or state.holder == vm:
             return []
         stopped = state._replace(
-            serving=_put(state.serving, vm, False),
-            open=_put(state.open, vm, 0),
+            serving=_with_item(state.serving, vm, False),
+            open=_with_item(state.open, vm, 0),
         )
         return [(f'gate.unassigned {vm}', stopped)]
 
 
-def _put(values: tuple, index: int, value: object) -> tuple:
+def _with_item(values: tuple, index: int, value: object) -> tuple:
     return (*values[:index], value, *values[index + 1 :])
 
 
 def gate(rules: GateRules | None = None) -> minicheck.Protocol:
-    """Return the specification of two VMs that take one gate in turn."""
+    """Return the model of two VMs that claim the same gate."""
     return minicheck.Protocol(
         name='gate',
         candidate=False,
-        fields=_Gates._fields,
-        initial=tuple(_Gates(-1, (False, False), (0, 0))),
+        fields=_GateState._fields,
+        initial=tuple(_GateState(-1, (False, False), (0, 0))),
         transitions=_GateSpec(rules or GateRules()).steps,
         invariants={
-            'connections_within_cap': lambda s: sum(s['open']) <= CAP,
+            'connections_within_cap': lambda s: (
+                sum(s['open']) <= MAX_CONNECTIONS
+            ),
         },
     )
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -1,4 +1,4 @@
-"""The core protocol, checked exhaustively, and mutants that must fail."""
+"""Model checks of the core protocols, and of mutants that must fail."""
 
 from __future__ import annotations
 
@@ -13,20 +13,20 @@
 from chicoryusher_standins.model import work
 
 MAX_STATES = 1_000_000
-# Writes of the lead row in the runs here; ``make model`` takes more.
-REVISIONS = 2
-# States within which a mutant of the lead row's protocol must fail.
-MUTANT_STATES = {'authority': 60_000, 'holders': 60_000}
-# The clock of the specification is no event of a chart.
-CLOCK = 'time.passes'
+# Bound on writes of the leader row here; ``make model`` uses a larger one.
+MAX_REVISION = 2
+# States within which a mutant of the leader row's protocol must fail.
+MAX_MUTANT_STATES = {'authority': 60_000, 'holders': 60_000}
+# A clock tick of the specification has no event in a chart.
+CLOCK_LABEL = 'time.passes'
 MUTANTS = [
     *(
-        (name, authority.authority(rules, REVISIONS))
+        (name, authority.authority(rules, MAX_REVISION))
         for name, rules in authority.MUTANTS.items()
     ),
     *(
-        (name, authority.holders(rules, REVISIONS))
-        for name, rules in authority.HOLDER_MUTANTS.items()
+        (name, authority.holders(rules, MAX_REVISION))
+        for name, rules in authority.COORDINATOR_MUTANTS.items()
     ),
     *(
         (name, registration.registration(rules))
@@ -50,27 +50,27 @@
         terms.protocol(ops=2),
         work.gate(),
         work.ledger(),
-        authority.authority(max_revision=REVISIONS),
-        authority.holders(max_revision=REVISIONS),
+        authority.authority(max_revision=MAX_REVISION),
+        authority.holders(max_revision=MAX_REVISION),
         registration.registration(),
     ],
-    ids=lambda one: one.name,
+    ids=lambda spec: spec.name,
 )
-def test_every_reachable_state_keeps_the_promises(protocol):
-    found = check.check(protocol, MAX_STATES)
-    print(f'{protocol.name}: {found.states} states')
-    assert found.exhaustive
-    assert found.broken == ()
+def test_invariants_hold_in_every_reachable_state(protocol):
+    result = check.check(protocol, MAX_STATES)
+    print(f'{protocol.name}: {result.states} states')
+    assert result.exhaustive
+    assert result.broken == ()
 
 
 @pytest.mark.parametrize(
     ('name', 'protocol'), MUTANTS, ids=[name for name, _ in MUTANTS]
 )
-def test_every_mutant_yields_a_counterexample(name, protocol):
-    states = MUTANT_STATES.get(protocol.name, MAX_STATES)
-    found = check.check(protocol, states)
-    assert found.broken
-    assert found.shortest > 1
+def test_every_mutant_has_a_counterexample(name, protocol):
+    states = MAX_MUTANT_STATES.get(protocol.name, MAX_STATES)
+    result = check.check(protocol, states)
+    assert result.broken
+    assert result.shortest > 1
 
 
 @pytest.mark.parametrize(
@@ -79,20 +79,20 @@
         terms.protocol(ops=1),
         work.gate(),
         work.ledger(),
-        authority.authority(max_revision=REVISIONS),
-        authority.holders(max_revision=REVISIONS),
+        authority.authority(max_revision=MAX_REVISION),
+        authority.holders(max_revision=MAX_REVISION),
         registration.registration(),
     ],
-    ids=lambda one: one.name,
+    ids=lambda spec: spec.name,
 )
-def test_labels_are_events_of_the_charts(protocol):
-    labels = check.labels(protocol, MAX_STATES) - {CLOCK}
+def test_labels_are_chart_events(protocol):
+    labels = check.labels(protocol, MAX_STATES) - {CLOCK_LABEL}
     assert labels
     for label in labels:
         chart, _, event = label.partition('.')
         assert event in charts.read(chart).events(), label
 
 
-def test_the_library_refuses_what_it_cannot_finish():
-    found = minicheck.check_safety(terms.protocol(ops=1), max_states=10)
-    assert not found['exhaustive']
+def test_truncated_search_is_not_exhaustive():
+    result = minicheck.check_safety(terms.protocol(ops=1), max_states=10)
+    assert not result['exhaustive']
