--- a/src/chicoryusher_standins/lab/__init__.py
+++ b/src/chicoryusher_standins/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Experiments on the virtual clock with the real tasks."""
+"""Experiments that run the real tasks on a virtual clock."""
--- a/src/chicoryusher_standins/lab/callers.py
+++ b/src/chicoryusher_standins/lab/callers.py
@@ -1,4 +1,4 @@
-"""Callers on the virtual clock, and the checks of what they are told."""
+"""Simulated callers, and checks of the answers that they receive."""
 
 from __future__ import annotations
 
@@ -20,11 +20,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """What one kind of caller sends.
-
-    ``seconds`` is the service time of a statement; ``rate`` is for one
-    session, in statements a second; ``straggler`` is the share of
-    statements that take ``straggler_factor`` times as long.
+    """The load that one kind of caller generates.
+
+    ``seconds`` is the service time of a statement; ``rate`` is the
+    statements per second of one session; ``writes`` is the share of
+    writes; ``straggler`` is the share of statements that take
+    ``straggler_factor`` times as long.  With ``straggler_hidden`` these
+    have the same statement class as the others.  Without ``private_rows``
+    all sessions of a database use the same row.
     """
 
     name: str
@@ -45,7 +48,13 @@
 
 @dataclasses.dataclass(slots=True)
 class Violations:
-    """Counts of broken promises; all of them must be 0."""
+    """Counts of broken guarantees; all of them must be 0.
+
+    They count reads that miss a write of the same session, reads older
+    than the allowed staleness, writes that took effect twice,
+    acknowledged writes that are missing, writes reported as not run that
+    took effect, and answers to no pending request.
+    """
 
     ryw_violations: int = 0
     stale_violations: int = 0
@@ -67,9 +76,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
-    """One finished statement, as its caller saw it.
+    """One finished statement, as its caller observed it.
 
-    ``sent`` and ``ended`` are virtual seconds.
+    ``sent`` and ``ended`` are seconds of the virtual clock.
     """
 
     load: str
@@ -83,14 +92,18 @@
 
     @property
     def good(self) -> bool:
-        """Tell whether it was answered within its deadline."""
+        """Return whether the statement was done within its deadline."""
         in_time = self.ended - self.sent <= self.deadline
         return self.outcome is core.Outcome.DONE and in_time
 
 
 @dataclasses.dataclass(slots=True)
 class _Session:
-    """One caller's session and what it must be able to read."""
+    """One caller's session.
+
+    ``acked`` is the largest value whose write was acknowledged, which its
+    reads must return at least.
+    """
 
     session_id: core.SessionId
     load: Load
@@ -102,8 +115,11 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Open:
-    """One statement under way."""
+class _PendingStatement:
+    """One statement without an answer so far.
+
+    A read must return at least ``min_value``.
+    """
 
     session: _Session
     write: bool
@@ -111,14 +127,14 @@
     sent: float
     op: str = ''
     value: int = 0
-    floor: int = 0
+    min_value: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _SharedRead:
-    """A read of a row that many write, to be checked against the log.
+    """A read of a row shared by sessions, to be checked against the log.
 
-    Everything acknowledged by ``horizon`` must have been visible.
+    Writes acknowledged by the time ``horizon`` must have been visible.
     """
 
     session: _Session
@@ -127,14 +143,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Next(core.Message):
-    """Time for a session's next statement."""
+class _SendNext(core.Message):
+    """Time to send a session's next statement."""
 
     number: int
 
 
 class Callers(runtime.Task):
-    """Sessions of every load; a front end as far as routers can see."""
+    """The sessions of every load; acts as a front end towards routers."""
 
     def __init__(
         self, site: site_module.Site, seed: int, boot: str = 'b'
@@ -145,18 +161,18 @@
         self._random = random.Random(seed)
         self._numbers = itertools.count(1)
         self._sessions: list[_Session] = []
-        self._open: dict[core.RequestId, _Open] = {}
+        self._pending: dict[core.RequestId, _PendingStatement] = {}
         self._stopped = False
         self.done: list[Done] = []
         self.violations = Violations()
-        self._acked: dict[str, list[tuple[float, int]]] = {}
+        self._acked_values: dict[str, list[tuple[float, int]]] = {}
         self._acked_ops: dict[str, core.DatabaseName] = {}
         self._not_run_ops: dict[str, core.DatabaseName] = {}
-        self._values: collections.Counter[str] = collections.Counter()
-        self._reads: list[_SharedRead] = []
+        self._write_counts: collections.Counter[str] = collections.Counter()
+        self._shared_reads: list[_SharedRead] = []
 
     def start(self, load: Load, vms: list[core.VmName]) -> None:
-        """Open a load's sessions, spread over ``vms`` and databases."""
+        """Open a load's sessions, distributed over ``vms`` and databases."""
         databases = self._site.databases()
         for index in range(load.sessions):
             number = len(self._sessions)
@@ -177,23 +193,25 @@
                     database,
                 ),
             )
-            self.after(self._random.uniform(0, 1 / load.rate), _Next(number))
+            self.after(
+                self._random.uniform(0, 1 / load.rate), _SendNext(number)
+            )
 
     def stop(self) -> None:
-        """Send nothing more."""
+        """Stop sending statements."""
         self._stopped = True
 
     @property
     def open(self) -> int:
-        """Return how many statements are under way."""
-        return len(self._open)
+        """Return how many statements have no answer yet."""
+        return len(self._pending)
 
     @runtime.handles(core.SessionReply)
     def _on_reply(self, reply: core.SessionReply) -> None:
-        """Go on: the first statement is sent by its own timer."""
+        """Ignore the reply: a timer sends the first statement."""
 
-    @runtime.handles(_Next)
-    def _on_next(self, turn: _Next) -> None:
+    @runtime.handles(_SendNext)
+    def _on_send_next(self, turn: _SendNext) -> None:
         if self._stopped:
             return
         session = self._sessions[turn.number]
@@ -212,23 +230,23 @@
         request_id = core.RequestId(
             f'{session.session_id}:{next(self._numbers)}'
         )
-        under_way = _Open(session, write, straggler, now)
+        pending = _PendingStatement(session, write, straggler, now)
         if write:
-            under_way.op = f'op-{request_id}'
-            under_way.value = self._next_value(session)
+            pending.op = f'op-{request_id}'
+            pending.value = self._next_value(session)
             payload = instance_module.write_command(
-                under_way.op, session.key, under_way.value, seconds
+                pending.op, session.key, pending.value, seconds
             )
         else:
-            under_way.floor = session.acked
+            pending.min_value = session.acked
             payload = instance_module.read_command(
                 session.key, seconds, load.answer_bytes
             )
-        self._open[request_id] = under_way
+        self._pending[request_id] = pending
         kind = Kind.WRITE if write else Kind.READ
-        shown = straggler and not load.straggler_hidden
-        length = 'long' if shown else 'short'
-        key = core.IdempotencyKey(under_way.op) if load.keyed else None
+        is_marked_long = straggler and not load.straggler_hidden
+        length = 'long' if is_marked_long else 'short'
+        key = core.IdempotencyKey(pending.op) if load.keyed else None
         self.send(
             tasks.names.router(session.vm),
             core.Request(
@@ -250,17 +268,17 @@
         )
 
     def _next_value(self, session: _Session) -> int:
-        """Return a value that no other write of the row has."""
-        self._values[session.key] += 1
-        return self._values[session.key]
+        """Return a value larger than that of any earlier write of the row."""
+        self._write_counts[session.key] += 1
+        return self._write_counts[session.key]
 
     @runtime.handles(core.Answer)
     def _on_answer(self, answer: core.Answer) -> None:
-        under_way = self._open.pop(answer.request_id, None)
-        if under_way is None:
+        pending = self._pending.pop(answer.request_id, None)
+        if pending is None:
             self.violations.mixed_answers += 1
             return
-        session = under_way.session
+        session = pending.session
         session.busy = False
         outcome = answer.outcome
         if answer.error is None and answer.data in (b'ro', b'locked'):
@@ -269,91 +287,95 @@
             Done(
                 session.load.name,
                 session.database,
-                under_way.write,
-                under_way.straggler,
-                under_way.sent,
+                pending.write,
+                pending.straggler,
+                pending.sent,
                 self.now(),
                 outcome,
                 session.load.deadline,
             )
         )
-        if under_way.write:
-            self._wrote(under_way, outcome)
+        if pending.write:
+            self._record_write(pending, outcome)
         elif outcome is core.Outcome.DONE:
-            self._read(under_way, answer)
+            self._check_read(pending, answer)
 
-    def _wrote(self, under_way: _Open, outcome: core.Outcome) -> None:
-        session = under_way.session
+    def _record_write(
+        self, pending: _PendingStatement, outcome: core.Outcome
+    ) -> None:
+        session = pending.session
         if outcome is core.Outcome.DONE:
-            session.acked = max(session.acked, under_way.value)
-            self._acked_ops[under_way.op] = session.database
-            self._acked.setdefault(session.key, []).append(
-                (self.now(), under_way.value)
+            session.acked = max(session.acked, pending.value)
+            self._acked_ops[pending.op] = session.database
+            self._acked_values.setdefault(session.key, []).append(
+                (self.now(), pending.value)
             )
         elif outcome is core.Outcome.NOT_RUN:
-            self._not_run_ops[under_way.op] = session.database
+            self._not_run_ops[pending.op] = session.database
 
-    def _read(self, under_way: _Open, answer: core.Answer) -> None:
-        session, load = under_way.session, under_way.session.load
+    def _check_read(
+        self, pending: _PendingStatement, answer: core.Answer
+    ) -> None:
+        session, load = pending.session, pending.session.load
         value = int(answer.data or b'0')
         if load.private_rows:
-            if value < under_way.floor:
+            if value < pending.min_value:
                 self.violations.ryw_violations += 1
         elif load.staleness is not None:
-            horizon = under_way.sent - load.staleness
-            self._reads.append(_SharedRead(session, value, horizon))
+            horizon = pending.sent - load.staleness
+            self._shared_reads.append(_SharedRead(session, value, horizon))
 
     def check_landings(self) -> Violations:
-        """Compare what was told with the logs that survived."""
-        found = Violations(
+        """Compare the answers with the logs of the present primaries."""
+        checked = Violations(
             self.violations.ryw_violations,
             self._stale_reads(),
             mixed_answers=self.violations.mixed_answers,
         )
-        landed: dict[core.DatabaseName, collections.Counter[str]] = {}
+        effects: dict[core.DatabaseName, collections.Counter[str]] = {}
         for database, group in self._site.groups.items():
             leader = group.primary()
             log = leader.log if leader is not None else []
-            landed[database] = collections.Counter(
+            effects[database] = collections.Counter(
                 command.values[1]
                 for entry in log
                 for command in entry.statements
                 if command.values[0] == 'W'
             )
-        for counts in landed.values():
-            found.duplicate_landings += sum(
+        for counts in effects.values():
+            checked.duplicate_landings += sum(
                 count - 1 for count in counts.values()
             )
-        found.false_acks = sum(
+        checked.false_acks = sum(
             1
             for op, database in self._acked_ops.items()
-            if not landed[database][op]
+            if not effects[database][op]
         )
-        found.false_not_run = sum(
+        checked.false_not_run = sum(
             1
             for op, database in self._not_run_ops.items()
-            if landed[database][op]
+            if effects[database][op]
         )
-        return found
+        return checked
 
     def _stale_reads(self) -> int:
-        """Count reads that missed a write acknowledged long enough ago."""
-        order: dict[tuple[str, int], int] = {}
+        """Count reads that missed a write acknowledged by their horizon."""
+        log_index_of: dict[tuple[str, int], int] = {}
         for group in self._site.groups.values():
             leader = group.primary()
-            for place, entry in enumerate(leader.log if leader else ()):
+            for index, entry in enumerate(leader.log if leader else ()):
                 for command in entry.statements:
                     if command.values[0] == 'W':
                         _, _, key, value = command.values
-                        order[key, int(value)] = place
+                        log_index_of[key, int(value)] = index
         stale = 0
-        for read in self._reads:
+        for read in self._shared_reads:
             key = read.session.key
-            seen = order.get((key, read.value), -1)
-            due = [
-                order[key, value]
-                for at, value in self._acked.get(key, ())
-                if at <= read.horizon and (key, value) in order
+            read_index = log_index_of.get((key, read.value), -1)
+            required = [
+                log_index_of[key, value]
+                for acked_at, value in self._acked_values.get(key, ())
+                if acked_at <= read.horizon and (key, value) in log_index_of
             ]
-            stale += max(due, default=-1) > seen
+            stale += max(required, default=-1) > read_index
         return stale
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -1,4 +1,7 @@
-"""Edges of a node on the virtual clock: the ports of ``tasks.Node``."""
+"""Simulated edges of a node: instances, agents, platform and peers.
+
+They implement the ports that ``tasks.Node`` needs, on the virtual clock.
+"""
 
 from __future__ import annotations
 
@@ -20,19 +23,19 @@
 
 __all__ = ['SimEdges', 'SimVm']
 
-CONNECT_COST = 0.012
-MESSAGE_BYTES = 120
-FRAME_BYTES = 71
+CONNECT_DELAY_S = 0.012
+MESSAGE_OVERHEAD_BYTES = 120
+FRAME_OVERHEAD_BYTES = 71
 PROBE_BYTES = 400
 PLATFORM_BYTES = 420
 VM_ROW_BYTES = 36
-PLATFORM_TIMEOUT = 1.0
-PLATFORM_DELAY = 0.002
+PLATFORM_TIMEOUT_S = 1.0
+PLATFORM_DELAY_S = 0.002
 
 
 @dataclasses.dataclass(slots=True)
 class SimVm:
-    """One entry VM: where it is, and since when it is paused."""
+    """One entry VM: its place, and since when it is paused, if it is."""
 
     name: core.VmName
     place: network.Place
@@ -40,20 +43,23 @@
     paused_at: float | None = None
 
     def arrive(self, act: Callable[[], None]) -> None:
-        """Act, or never on a dead VM; the loop holds a pause's messages."""
+        """Call ``act`` unless the VM is dead.
+
+        While the VM is paused the event loop holds back what ``act`` sends.
+        """
         if self.alive:
             act()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Opened(core.Message):
-    """The cost of a new connection has been paid."""
+    """The connect delay of a new connection is over."""
 
     conn_id: core.ConnId
 
 
 class SimLink(runtime.Task):
-    """Connections of one gate to one simulated instance."""
+    """The connections of one gate to one simulated instance."""
 
     def __init__(
         self,
@@ -67,12 +73,12 @@
         self._server = site.servers[spec.name]
         self._gate = tasks.names.gate(vm.name, spec.name)
         self._conns: dict[core.ConnId, instance_module.SimConn] = {}
-        self._lock = False
+        self._has_gate_lock = False
 
-    def _out(self, size: int, act: Callable[[], None]) -> None:
+    def _send_to_instance(self, size: int, act: Callable[[], None]) -> None:
         self._site.network.carry(self._vm.place, self._server.place, size, act)
 
-    def _back(self, size: int, message: core.Message) -> None:
+    def _send_to_gate(self, size: int, message: core.Message) -> None:
         def arrive() -> None:
             self._vm.arrive(lambda: self.send(self._gate, message))
 
@@ -86,18 +92,22 @@
             server = self._server
             if not server.model.running:
                 if not server.model.alive:
-                    self._back(MESSAGE_BYTES, core.GateClaimed(False))
+                    self._send_to_gate(
+                        MESSAGE_OVERHEAD_BYTES, core.GateClaimed(False)
+                    )
                 return
             if not self._site.lock_is_free(server, self.vm):
-                self._back(MESSAGE_BYTES, core.GateClaimed(False))
+                self._send_to_gate(
+                    MESSAGE_OVERHEAD_BYTES, core.GateClaimed(False)
+                )
                 return
             server.lock_owner = self.vm
             server.close_others(self.vm)
-            self._lock = True
-            self._back(MESSAGE_BYTES, core.GateClaimed(True))
+            self._has_gate_lock = True
+            self._send_to_gate(MESSAGE_OVERHEAD_BYTES, core.GateClaimed(True))
             self._site.links_broken(server)
 
-        self._out(MESSAGE_BYTES, act)
+        self._send_to_instance(MESSAGE_OVERHEAD_BYTES, act)
 
     @runtime.handles(core.ReleaseGate)
     def _on_release(self, message: core.ReleaseGate) -> None:
@@ -105,32 +115,37 @@
             if self._server.lock_owner == self.vm:
                 self._server.lock_owner = None
 
-        self._out(MESSAGE_BYTES, act)
+        self._send_to_instance(MESSAGE_OVERHEAD_BYTES, act)
 
     @runtime.handles(core.OpenConn)
     def _on_open(self, message: core.OpenConn) -> None:
         def act() -> None:
             conn = self._server.connect(self.vm)
             if conn is None:
-                self._back(
-                    MESSAGE_BYTES, core.ConnClosed(message.conn_id, True)
+                self._send_to_gate(
+                    MESSAGE_OVERHEAD_BYTES,
+                    core.ConnClosed(message.conn_id, True),
                 )
                 return
             self._conns[message.conn_id] = conn
-            self.after(CONNECT_COST, _Opened(message.conn_id))
+            self.after(CONNECT_DELAY_S, _Opened(message.conn_id))
 
-        self._out(MESSAGE_BYTES, act)
+        self._send_to_instance(MESSAGE_OVERHEAD_BYTES, act)
 
     @runtime.handles(_Opened)
     def _on_opened(self, message: _Opened) -> None:
         if message.conn_id in self._conns:
-            self._back(MESSAGE_BYTES, core.ConnOpened(message.conn_id))
+            self._send_to_gate(
+                MESSAGE_OVERHEAD_BYTES, core.ConnOpened(message.conn_id)
+            )
 
     @runtime.handles(core.CloseConn)
     def _on_close(self, message: core.CloseConn) -> None:
         conn = self._conns.pop(message.conn_id, None)
         if conn is not None:
-            self._out(MESSAGE_BYTES, lambda: self._server.close(conn))
+            self._send_to_instance(
+                MESSAGE_OVERHEAD_BYTES, lambda: self._server.close(conn)
+            )
 
     @runtime.handles(core.RunOnConn)
     def _on_run(self, message: core.RunOnConn) -> None:
@@ -139,41 +154,47 @@
             self.send(self._gate, core.ConnClosed(message.conn_id))
             return
 
-        def reply(found: instance_module.Reply) -> None:
-            self._back(
-                len(found.data) + MESSAGE_BYTES,
+        def reply(result: instance_module.Reply) -> None:
+            self._send_to_gate(
+                len(result.data) + MESSAGE_OVERHEAD_BYTES,
                 core.ConnAnswer(
                     message.conn_id,
-                    found.data,
+                    result.data,
                     True,
-                    found.error_code,
-                    found.position,
-                    found.in_transaction,
+                    result.error_code,
+                    result.position,
+                    result.in_transaction,
                 ),
             )
 
         def act() -> None:
             if conn.closed:
-                self._back(MESSAGE_BYTES, core.ConnClosed(message.conn_id))
+                self._send_to_gate(
+                    MESSAGE_OVERHEAD_BYTES, core.ConnClosed(message.conn_id)
+                )
                 return
             self._server.run(conn, message.payload.command, reply)
 
-        self._out(message.payload.size() + MESSAGE_BYTES, act)
+        self._send_to_instance(
+            message.payload.size() + MESSAGE_OVERHEAD_BYTES, act
+        )
 
     @property
     def server(self) -> instance_module.SimServer:
-        """Return the instance this link goes to."""
+        """Return the instance that this link connects to."""
         return self._server
 
     def broken(self) -> None:
-        """Tell the gate which connections the instance has ended."""
+        """Report connections and locks that the instance ended to the gate."""
         for conn_id, conn in tuple(self._conns.items()):
             if conn.closed:
                 del self._conns[conn_id]
-                self._back(MESSAGE_BYTES, core.ConnClosed(conn_id))
-        if self._lock and self._server.lock_owner != self.vm:
-            self._lock = False
-            self._back(MESSAGE_BYTES, core.GateLost())
+                self._send_to_gate(
+                    MESSAGE_OVERHEAD_BYTES, core.ConnClosed(conn_id)
+                )
+        if self._has_gate_lock and self._server.lock_owner != self.vm:
+            self._has_gate_lock = False
+            self._send_to_gate(MESSAGE_OVERHEAD_BYTES, core.GateLost())
 
 
 class SimAgent(runtime.Task):
@@ -192,25 +213,29 @@
         self._group = tasks.names.group(vm.name, spec.database)
 
     def _call(self, act: Callable[[], core.Message]) -> None:
-        """Run ``act`` at the instance and send its result back."""
+        """Run ``act`` at the instance and return its result to the group."""
         site, server, vm = self._site, self._server, self._vm
 
-        def back(message: core.Message) -> None:
+        def send_back(message: core.Message) -> None:
             site.network.carry(
                 server.place,
                 vm.place,
-                MESSAGE_BYTES,
+                MESSAGE_OVERHEAD_BYTES,
                 lambda: vm.arrive(lambda: self.send(self._group, message)),
                 'control',
             )
 
-        def there() -> None:
+        def on_arrival() -> None:
             if server.model.running:
                 server.group.advance(self.now())
-                back(act())
+                send_back(act())
 
         site.network.carry(
-            vm.place, server.place, MESSAGE_BYTES, there, 'control'
+            vm.place,
+            server.place,
+            MESSAGE_OVERHEAD_BYTES,
+            on_arrival,
+            'control',
         )
 
     @runtime.handles(core.Probe)
@@ -251,15 +276,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Late(core.Message):
-    """A call of the platform had no answer."""
+class _DelayedAnswer(core.Message):
+    """The answer of a platform call, or its time-out, is due."""
 
     reply_to: core.TaskName
     answer: core.Message
 
 
 class SimPlatform(runtime.Task):
-    """Client of the simulated platform, with its faults."""
+    """Client of the simulated platform, subject to its faults."""
 
     def __init__(self, site: site_module.Site, vm: SimVm) -> None:
         super().__init__(site.loop, vm.name, 'platform')
@@ -270,34 +295,40 @@
         self,
         reply_to: core.TaskName,
         act: Callable[[], core.Message],
-        lost: core.Message,
+        timeout_answer: core.Message,
         writes: bool = False,
     ) -> None:
         site, model = self._site, self._site.platform
         site.control_bytes[self.vm] += PLATFORM_BYTES
-        cut = self._vm.place.zone in site.platform_unreachable
+        is_cut_off = self._vm.place.zone in site.platform_unreachable
         if (
-            cut
+            is_cut_off
             or model.down
             or not site.network.reaches(self._vm.place, site.platform_place)
         ):
-            self.after(PLATFORM_TIMEOUT, _Late(reply_to, lost))
+            self.after(
+                PLATFORM_TIMEOUT_S, _DelayedAnswer(reply_to, timeout_answer)
+            )
             return
         answer = act()
         if writes and model.lose_answers > 0:
             model.lose_answers -= 1
-            self.after(PLATFORM_TIMEOUT, _Late(reply_to, lost))
+            self.after(
+                PLATFORM_TIMEOUT_S, _DelayedAnswer(reply_to, timeout_answer)
+            )
             return
         delay = site.network.delay(self._vm.place, site.platform_place)
-        total = 2 * delay + PLATFORM_DELAY + model.slow
-        if total >= PLATFORM_TIMEOUT:
-            self.after(PLATFORM_TIMEOUT, _Late(reply_to, lost))
+        round_trip_s = 2 * delay + PLATFORM_DELAY_S + model.slow
+        if round_trip_s >= PLATFORM_TIMEOUT_S:
+            self.after(
+                PLATFORM_TIMEOUT_S, _DelayedAnswer(reply_to, timeout_answer)
+            )
         else:
-            self.after(total, _Late(reply_to, answer))
+            self.after(round_trip_s, _DelayedAnswer(reply_to, answer))
 
-    @runtime.handles(_Late)
-    def _on_late(self, late: _Late) -> None:
-        self._vm.arrive(lambda: self.send(late.reply_to, late.answer))
+    @runtime.handles(_DelayedAnswer)
+    def _on_delayed_answer(self, delayed: _DelayedAnswer) -> None:
+        self._vm.arrive(lambda: self.send(delayed.reply_to, delayed.answer))
 
     @runtime.handles(core.TableGet)
     def _on_get(self, message: core.TableGet) -> None:
@@ -305,10 +336,10 @@
             row = self._site.platform.get(message.key)
             return _answer(message.key, row)
 
-        lost = core.TableAnswer(
+        timeout_answer = core.TableAnswer(
             message.key, error=core.PlatformUnknown('no answer')
         )
-        self._call(message.reply_to, act, lost)
+        self._call(message.reply_to, act, timeout_answer)
 
     @runtime.handles(core.TablePut)
     def _on_put(self, message: core.TablePut) -> None:
@@ -317,15 +348,17 @@
             row = model.put(message.key, message.value, message.expected)
             if row is not None:
                 return _answer(message.key, row, put=True)
-            known = _answer(message.key, model.rows.get(message.key), put=True)
+            current = _answer(
+                message.key, model.rows.get(message.key), put=True
+            )
             return dataclasses.replace(
-                known, error=core.PlatformRefused('the version has changed')
+                current, error=core.PlatformRefused('the version has changed')
             )
 
-        lost = core.TableAnswer(
+        timeout_answer = core.TableAnswer(
             message.key, put=True, error=core.PlatformUnknown('no answer')
         )
-        self._call(message.reply_to, act, lost, True)
+        self._call(message.reply_to, act, timeout_answer, True)
 
     @runtime.handles(core.ObjectGet)
     def _on_object_get(self, message: core.ObjectGet) -> None:
@@ -334,10 +367,10 @@
             self._site.control_bytes[self.vm] += len(value or b'')
             return core.ObjectAnswer(message.key, value)
 
-        lost = core.ObjectAnswer(
+        timeout_answer = core.ObjectAnswer(
             message.key, error=core.PlatformUnknown('no answer')
         )
-        self._call(message.reply_to, act, lost)
+        self._call(message.reply_to, act, timeout_answer)
 
     @runtime.handles(core.ObjectPut)
     def _on_object_put(self, message: core.ObjectPut) -> None:
@@ -345,16 +378,16 @@
             self._site.platform.objects[message.key] = message.value
             return core.ObjectAnswer(message.key, put=True)
 
-        lost = core.ObjectAnswer(
+        timeout_answer = core.ObjectAnswer(
             message.key, put=True, error=core.PlatformUnknown('no answer')
         )
-        self._call(message.reply_to, act, lost)
+        self._call(message.reply_to, act, timeout_answer)
 
     @runtime.handles(core.VmListRequest)
     def _on_list(self, message: core.VmListRequest) -> None:
         def act() -> core.Message:
-            listed = len(self._site.platform.vms)
-            self._site.control_bytes[self.vm] += VM_ROW_BYTES * listed
+            vm_count = len(self._site.platform.vms)
+            self._site.control_bytes[self.vm] += VM_ROW_BYTES * vm_count
             return core.VmList(
                 tuple(
                     core.VmListed(name, leaving)
@@ -362,8 +395,8 @@
                 )
             )
 
-        lost = core.VmList(error=core.PlatformUnknown('no answer'))
-        self._call(message.reply_to, act, lost)
+        timeout_answer = core.VmList(error=core.PlatformUnknown('no answer'))
+        self._call(message.reply_to, act, timeout_answer)
 
 
 def _answer(
@@ -375,26 +408,28 @@
 
 
 class SimPeers(runtime.Task):
-    """Streams to other VMs; every message is really encoded."""
+    """Streams to other VMs; every message is encoded and decoded."""
 
     def __init__(self, site: site_module.Site, vm: SimVm) -> None:
         super().__init__(site.loop, vm.name, 'peers')
         self._site = site
         self._vm = vm
-        self._lost: set[core.VmName] = set()
+        self._gone_vms: set[core.VmName] = set()
 
     @runtime.handles(tasks.ConfigInForce)
     def _on_config(self, message: tasks.ConfigInForce) -> None:
-        """Nothing to learn: every VM of the site is known."""
+        """Ignore the configuration: every VM of the site is known."""
 
     @runtime.handles(core.LiveVms)
-    def _on_live(self, live: core.LiveVms) -> None:
-        lost = {
-            name for name, state in live.states if state is core.VmState.GONE
+    def _on_live(self, message: core.LiveVms) -> None:
+        gone = {
+            name
+            for name, state in message.states
+            if state is core.VmState.GONE
         }
-        for name in lost - self._lost:
+        for name in gone - self._gone_vms:
             self.peer_down(name)
-        self._lost = lost
+        self._gone_vms = gone
 
     @runtime.handles(core.ToPeer)
     def _on_send(self, message: core.ToPeer) -> None:
@@ -412,7 +447,9 @@
         received = codec.unpack_frame(data)[0]
 
         if control:
-            self._site.control_bytes[self.vm] += len(data) + FRAME_BYTES
+            self._site.control_bytes[self.vm] += (
+                len(data) + FRAME_OVERHEAD_BYTES
+            )
 
         def arrive() -> None:
             other.arrive(lambda: self._receive(other, received))
@@ -430,7 +467,7 @@
         self.send(receiver, message)
 
     def peer_down(self, name: core.VmName) -> None:
-        """Tell this VM's tasks that a stream has ended."""
+        """Report the end of a stream to this VM's tasks."""
         down = core.PeerDown(name)
         names = tasks.names
         for receiver in (
@@ -456,7 +493,7 @@
 
 
 class SimEdges:
-    """Ports of a node that are met inside the lab."""
+    """The ports of ``tasks.Node``, implemented by simulated tasks."""
 
     def __init__(self, site: site_module.Site) -> None:
         self._site = site
--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -1,4 +1,4 @@
-"""Experiments that give the keys of the measurements."""
+"""Experiments on simulated sites that yield the measured figures."""
 
 from __future__ import annotations
 
@@ -21,10 +21,10 @@
 
 __all__ = ['EXPERIMENTS', 'Job', 'run_job']
 
-BOOT_SECONDS = 3.0
-WARM_SECONDS = 2.0
-AFTER_SECONDS = 9.0
-SETTLE_SECONDS = 6.0
+BOOT_S = 3.0
+WARM_UP_S = 2.0
+OBSERVED_AFTER_FAULT_S = 9.0
+SETTLE_S = 6.0
 Site = site_module.Site
 Load = callers_module.Load
 Done = callers_module.Done
@@ -32,7 +32,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
-    """One run of one experiment: what, where, under which policies."""
+    """One run of one experiment on a deployment, under given policies.
+
+    The meaning of ``detail`` depends on the experiment.
+    """
 
     experiment: str
     deployment: str
@@ -48,7 +51,7 @@
 
 
 def run_job(job: Job) -> dict[str, Any]:
-    """Run one job and return its figures."""
+    """Run one job and return its measured figures."""
     return EXPERIMENTS.get(job.experiment)(job)
 
 
@@ -65,7 +68,7 @@
         lags,
         job.placement,
     )
-    site.run_for(BOOT_SECONDS)
+    site.run_for(BOOT_S)
     return site
 
 
@@ -79,15 +82,15 @@
 def _finish(
     site: Site, callers: callers_module.Callers
 ) -> callers_module.Violations:
-    """Stop the load, heal everything, and check what was told."""
+    """Stop the load, let the site settle, and check the answers."""
     callers.stop()
-    site.run_for(SETTLE_SECONDS)
+    site.run_for(SETTLE_S)
     return callers.check_landings()
 
 
 @EXPERIMENTS.register('steady')
 def steady(job: Job) -> dict[str, Any]:
-    """Measure replica reads, fresh reads and bytes on the slow link."""
+    """Measure the share of replica reads and the cross-region traffic."""
     site = _site(job, lags=(0.0, 0.020, 0.500))
     callers = callers_module.Callers(site, job.seed)
     vms = list(site.vms)
@@ -98,7 +101,7 @@
         vms,
     )
     callers.start(Load('batch', 7, 1.0, 0.004, 1.0, keyed=True), vms)
-    site.run_for(WARM_SECONDS)
+    site.run_for(WARM_UP_S)
     skipped = len(callers.done)
     crossed = dict(site.network.crossed)
     site.run_for(8.0)
@@ -108,11 +111,13 @@
     )
     control = site.network.crossed['control'] - crossed.get('control', 0)
     routers = [node.router for node in site.nodes.values()]
-    reads = sum(one.reads for one in routers)
+    reads = sum(router_task.reads for router_task in routers)
     violations = _finish(site, callers)
     site.close()
     return {
-        'replica_read_share': sum(one.replica_reads for one in routers)
+        'replica_read_share': sum(
+            router_task.replica_reads for router_task in routers
+        )
         / max(1, reads),
         'cross_region_bytes_per_statement': statements / max(1, done),
         'cross_region_control_bytes_per_s': control / 8.0,
@@ -122,7 +127,10 @@
 
 @EXPERIMENTS.register('failover')
 def failover(job: Job) -> dict[str, Any]:
-    """Measure the gap in writes around one fault, and broken promises."""
+    """Measure the gap in writes around a fault, and broken guarantees.
+
+    ``detail`` is the name of the fault.
+    """
     site = _site(job, databases=1)
     callers = callers_module.Callers(site, job.seed)
     vms = list(site.vms)
@@ -132,18 +140,18 @@
         Load('buyer', 7, 2.0, 0.004, 0.1, staleness=1.0, private_rows=False),
         vms,
     )
-    site.run_for(WARM_SECONDS + 0.1 * (job.seed % 10))
+    site.run_for(WARM_UP_S + 0.1 * (job.seed % 10))
     began = site.loop.clock.now()
     database = str(site.databases()[0])
     end = faults.FAULTS.get(job.detail)(site, database)
     site.run_for(faults.FAULT_SECONDS)
     if end is not None:
         end()
-    site.run_for(AFTER_SECONDS - faults.FAULT_SECONDS)
+    site.run_for(OBSERVED_AFTER_FAULT_S - faults.FAULT_SECONDS)
     stopped = site.loop.clock.now()
     violations = _finish(site, callers)
-    gap = _gap(callers.done, began, stopped)
-    most = max(one.most / one.cap for one in site.servers.values())
+    gap = _longest_write_gap(callers.done, began, stopped)
+    most = max(server.most / server.cap for server in site.servers.values())
     site.close()
     return {
         'gap_s': gap,
@@ -153,14 +161,19 @@
     }
 
 
-def _gap(done: list[Done], began: float, stopped: float) -> float:
-    """Return the longest time without a good write around a fault."""
+def _longest_write_gap(
+    done: list[Done], began: float, stopped: float
+) -> float:
+    """Return the longest time without a successful write.
+
+    It counts from the last success before the fault until ``stopped``.
+    """
     ends = [
-        one.ended
-        for one in done
-        if one.write
-        and one.outcome is core.Outcome.DONE
-        and one.ended <= stopped
+        statement.ended
+        for statement in done
+        if statement.write
+        and statement.outcome is core.Outcome.DONE
+        and statement.ended <= stopped
     ]
     before = max((at for at in ends if at <= began), default=began)
     after = [before, *(at for at in ends if at > began), stopped]
@@ -178,7 +191,7 @@
     callers = callers_module.Callers(site, job.seed)
     base = Load('usual', 70, usual / 70, seconds, 0.08, deadline)
     callers.start(base, vms)
-    site.run_for(WARM_SECONDS + 1.0)
+    site.run_for(WARM_UP_S + 1.0)
     usual_p99 = _percentile(
         (one.ended - one.sent for one in callers.done[len(vms) :]), 0.99
     )
@@ -228,19 +241,19 @@
 
 
 def _recovery(done: list[Done], ended: float, usual_p99: float) -> float:
-    """Return the time until statements take no longer than usual.
+    """Return the seconds until latencies are back to normal.
 
-    The tolerance over the usual p99 is a half; a window is 0.25 s.
+    In each window of 0.25 s the p95 may exceed the usual p99 by a half.
     """
     window = 0.25
     step = ended
     last_bad = ended
-    horizon = max((one.ended for one in done), default=ended)
+    horizon = max((statement.ended for statement in done), default=ended)
     while step < horizon:
         times = [
-            one.ended - one.sent
-            for one in done
-            if step <= one.sent < step + window
+            statement.ended - statement.sent
+            for statement in done
+            if step <= statement.sent < step + window
         ]
         if times and _percentile(times, 0.95) > usual_p99 * 1.5:
             last_bad = step + window
@@ -250,10 +263,10 @@
 
 @EXPERIMENTS.register('hol')
 def head_of_line(job: Job) -> dict[str, Any]:
-    """Measure how much stragglers delay short work.
+    """Measure how much slow statements (stragglers) delay short ones.
 
-    With ``detail`` ``hidden`` stragglers share the short work's class,
-    so that nothing tells them apart before they run.
+    With ``detail`` ``hidden`` stragglers have the statement class of the
+    short ones, so that they cannot be recognized before they run.
     """
     ratios = {}
     for name, share in (('without', 0.0), ('with', 0.02)):
@@ -273,7 +286,7 @@
             straggler_hidden=job.detail == 'hidden',
         )
         callers.start(load, list(site.vms))
-        site.run_for(WARM_SECONDS)
+        site.run_for(WARM_UP_S)
         skipped = len(callers.done)
         site.run_for(6.0)
         short = [
@@ -292,9 +305,10 @@
 
 @EXPERIMENTS.register('spread')
 def spread(job: Job) -> dict[str, Any]:
-    """Measure how long an accepted configuration takes to be in force.
+    """Measure the time until a new configuration is in force on all nodes.
 
-    ``detail`` ``cut`` cuts the last zone off from the platform alone.
+    With ``detail`` ``cut`` the last zone cannot reach the platform, but
+    can reach the other zones.
     """
     site = _site(job)
     if job.detail == 'cut':
@@ -306,14 +320,14 @@
         site.document['rules']['default_deadline'] = 9.0 - number * 0.5
         site.run_for(0.37 + 0.1 * number)
         site.put_config()
-        wanted = site.platform.rows[tasks.CONFIG_KEY].version
+        new_version = site.platform.rows[tasks.CONFIG_KEY].version
         began = site.loop.clock.now()
         while site.loop.clock.now() - began < 10.0:
             site.run_for(0.05)
             versions = [
-                one.configurator.version for one in site.nodes.values()
+                node.configurator.version for node in site.nodes.values()
             ]
-            if min(versions) >= wanted:
+            if min(versions) >= new_version:
                 break
         times.append(site.loop.clock.now() - began)
     site.close()
@@ -322,38 +336,43 @@
 
 @EXPERIMENTS.register('leaving')
 def leaving(job: Job) -> dict[str, Any]:
-    """Measure when a leaving instance gets its last new work."""
+    """Measure how long a leaving instance still gets new statements.
+
+    ``detail`` is the role of the instance: ``primary`` or ``replica``.
+    """
     site = _site(job, databases=1)
     callers = callers_module.Callers(site, job.seed)
     callers.start(Load('desk', 28, 5.0, 0.004, 0.3), list(site.vms))
-    site.run_for(WARM_SECONDS)
+    site.run_for(WARM_UP_S)
     database = str(site.databases()[0])
     server = site.primary(database)
     if job.detail == 'replica':
         server = next(
-            one for one in site.servers.values() if one is not server
+            candidate
+            for candidate in site.servers.values()
+            if candidate is not server
         )
     server.model.leaving = True
     began = site.loop.clock.now()
     site.run_for(8.0)
     violations = _finish(site, callers)
-    last = max(0.0, server.last_new_work - began)
+    last_new_work_s = max(0.0, server.last_new_work - began)
     site.close()
     return {
-        'leaving_last_work_s': last,
+        'leaving_last_work_s': last_new_work_s,
         'violations': dataclasses.asdict(violations),
     }
 
 
 @EXPERIMENTS.register('drain')
 def drain(job: Job) -> dict[str, Any]:
-    """Count requests that a graceful shutdown of each VM cuts off."""
+    """Count requests cut off by the graceful shutdown of three VMs."""
     site = _site(job, databases=1)
     callers = callers_module.Callers(site, job.seed)
     callers.start(
         Load('desk', 28, 5.0, 0.030, 0.3, keyed=True), list(site.vms)
     )
-    site.run_for(WARM_SECONDS)
+    site.run_for(WARM_UP_S)
     began = site.loop.clock.now()
     for name in list(site.vms)[:3]:
         site.loop.post(tasks.names.node(name), core.Drain(5.0))
@@ -375,12 +394,13 @@
 
 @EXPERIMENTS.register('slope')
 def slope(job: Job) -> dict[str, Any]:
-    """Measure what control costs each node of an otherwise idle site.
+    """Measure the cost of control work per node of an idle site.
 
-    ``detail`` is ``VMS:DATABASES``.  Processor time is real, time is
-    virtual; memory is what the nodes add to the process.
+    ``detail`` is ``VMS:DATABASES``.  Processor time is that of the real
+    process, elapsed time is virtual, and memory is the growth of the
+    process per node.
     """
-    vms, databases = (int(one) for one in job.detail.split(':'))
+    vms, databases = (int(item) for item in job.detail.split(':'))
     before = _resident_mb()
     site = _site(job, vms=vms, databases=databases)
     site.run_for(8.0)
@@ -392,17 +412,18 @@
     began = time.process_time()
     site.run_for(seconds)
     spent = time.process_time() - began
-    share = seconds * vms
+    node_seconds = seconds * vms
     figures = {
         'vms': vms,
         'databases': databases,
         'gates_per_vm': 3 * databases / vms,
-        'groups_per_vm': sum(len(one.groups) for one in site.nodes.values())
+        'groups_per_vm': sum(len(item.groups) for item in site.nodes.values())
         / vms,
-        'control_cpu_fraction': spent / share,
-        'control_bytes_per_s': (site.control_bytes.total() - sent) / share,
-        'platform_reads_per_s': (site.platform.reads - reads) / share,
-        'messages_per_s': (site.loop.posted - posted) / share,
+        'control_cpu_fraction': spent / node_seconds,
+        'control_bytes_per_s': (site.control_bytes.total() - sent)
+        / node_seconds,
+        'platform_reads_per_s': (site.platform.reads - reads) / node_seconds,
+        'messages_per_s': (site.loop.posted - posted) / node_seconds,
         'mb': memory,
     }
     site.close()
--- a/src/chicoryusher_standins/lab/faults.py
+++ b/src/chicoryusher_standins/lab/faults.py
@@ -1,7 +1,8 @@
-"""Fault kinds of the brief, each registered under its name.
+"""The kinds of faults, each registered under its name.
 
-A fault is brought about on a running site; its return value, if any,
-ends it again after ``FAULT_SECONDS``.
+A fault function injects the fault into a running site.  It returns a
+function that ends the fault, to be called after ``FAULT_SECONDS``, or None
+if the fault is permanent.
 """
 
 from __future__ import annotations
@@ -14,8 +15,8 @@
 __all__ = ['FAULTS', 'FAULT_SECONDS', 'Fault']
 
 FAULT_SECONDS = 4.0
-SLOWDOWN = 20.0
-SLOW_STORE_SECONDS = 0.8
+SLOWDOWN_FACTOR = 20.0
+SLOW_STORE_DELAY_S = 0.8
 Site = site_module.Site
 End = Callable[[], None]
 Fault = Callable[[Site, str], End | None]
@@ -23,7 +24,7 @@
 
 
 def _gate_vm(site: Site, database: str) -> core.VmName:
-    """Return the VM that holds the gate of the primary."""
+    """Return the VM that is the gate of the primary."""
     owner = site.primary(database).lock_owner
     assert owner is not None
     return core.VmName(owner)
@@ -51,7 +52,7 @@
 @FAULTS.register('primary_slow')
 def _primary_slow(site: Site, database: str) -> End | None:
     server = site.primary(database)
-    server.slowdown = SLOWDOWN
+    server.slowdown = SLOWDOWN_FACTOR
 
     def end() -> None:
         server.slowdown = 1.0
@@ -71,7 +72,7 @@
 
 @FAULTS.register('store_slow_and_primary_killed')
 def _store_slow(site: Site, database: str) -> End | None:
-    site.platform.slow = SLOW_STORE_SECONDS
+    site.platform.slow = SLOW_STORE_DELAY_S
     _primary_killed(site, database)
 
     def end() -> None:
--- a/src/chicoryusher_standins/lab/instance.py
+++ b/src/chicoryusher_standins/lab/instance.py
@@ -1,7 +1,8 @@
-"""One instance on the virtual clock: slots, connections, rows.
+"""One simulated instance: slots, connections and rows.
 
-Commands are the project's own steps and a small text language:
-``W op key value [seconds]`` and ``R key [seconds]``.
+It accepts the transaction and ledger statements that the proxy sends, and
+two commands of its own: ``W op key value seconds`` writes a value, and
+``R key seconds size`` reads one.  ``seconds`` is the service time.
 """
 
 from __future__ import annotations
@@ -24,28 +25,28 @@
     'write_command',
 ]
 
-READ_ONLY = 1290
-DUPLICATE = 1062
-LOCKED = 1205
-_KEY = re.compile(rb"VALUES \('(.*)'\)")
+READ_ONLY_ERROR = 1290
+DUPLICATE_KEY_ERROR = 1062
+LOCK_TIMEOUT_ERROR = 1205
+_KEY_PATTERN = re.compile(rb"VALUES \('(.*)'\)")
 
 
 def write_command(
     op: str, key: str, value: int, seconds: float, size: int = 0
 ) -> core.Payload:
-    """Return the command of a write."""
+    """Return the command that writes a value, padded by ``size`` bytes."""
     text = f'W {op} {key} {value} {seconds:.6f} ' + 'x' * size
     return core.Payload(b'\x03' + text.encode())
 
 
 def read_command(key: str, seconds: float, size: int = 0) -> core.Payload:
-    """Return the command of a read with an answer of ``size`` bytes."""
+    """Return the command that reads a value, answered in ``size`` bytes."""
     return core.Payload(b'\x03' + f'R {key} {seconds:.6f} {size}'.encode())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """What the instance answers to one command."""
+    """The instance's answer to one command."""
 
     data: bytes = b''
     error_code: int = 0
@@ -55,7 +56,10 @@
 
 @dataclasses.dataclass(slots=True)
 class SimConn:
-    """One connection: its transaction and whom to answer."""
+    """One connection: its owner and its transaction.
+
+    ``keys`` are the ledger keys that the transaction has inserted.
+    """
 
     owner: str
     commands: list[group_module.Command] = dataclasses.field(
@@ -67,8 +71,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Done(core.Message):
-    """The service time of a command has passed."""
+class _RunningCommand(core.Message):
+    """A command on a slot; it completes when its service time is over."""
 
     conn: SimConn
     command: bytes
@@ -76,7 +80,7 @@
 
 
 class SimInstance:
-    """Rows of one instance, rebuilt from what is applied."""
+    """Rows of one instance, built from the applied log entries."""
 
     def __init__(self, model: group_module.InstanceModel) -> None:
         self.model = model
@@ -85,7 +89,7 @@
         self.landed: list[str] = []
 
     def apply(self, entry: group_module.Entry) -> None:
-        """Take a replicated transaction in."""
+        """Apply a replicated transaction."""
         for command in entry.statements:
             kind, *values = command.values
             if kind == 'W':
@@ -96,14 +100,18 @@
                 self.ledger.add(values[0])
 
     def rebuild(self) -> None:
-        """Forget all rows; the log is applied again."""
+        """Drop all rows; the log is applied again from its start."""
         self.rows.clear()
         self.ledger.clear()
         self.landed.clear()
 
 
 class SimServer(runtime.Task):
-    """Run commands on slots; keep to the cap on connections."""
+    """Run commands on slots, and limit the number of connections.
+
+    ``most`` is the largest number of connections so far; ``last_new_work``
+    is when a command was started last.
+    """
 
     def __init__(
         self,
@@ -125,9 +133,9 @@
         self.last_new_work = float('-inf')
         self._slots = slots
         self._running = 0
-        self._queue: list[_Done] = []
+        self._queue: list[_RunningCommand] = []
         self._conns: list[SimConn] = []
-        self._held: list[_Done] = []
+        self._completed_during_pause: list[_RunningCommand] = []
         self.lock_owner: str | None = None
 
     @property
@@ -141,7 +149,7 @@
         return len(self._conns)
 
     def connect(self, owner: str) -> SimConn | None:
-        """Open a connection, or None at the cap or when dead."""
+        """Open a connection; return None at the limit or if not alive."""
         if not self.model.alive or len(self._conns) >= self.cap:
             return None
         conn = SimConn(owner)
@@ -164,13 +172,13 @@
                 self.close(conn)
 
     def close_others(self, owner: str) -> None:
-        """End every connection that another owner holds."""
+        """End the connections of all other owners."""
         for conn in list(self._conns):
             if conn.owner != owner:
                 self.close(conn)
 
     def die(self) -> None:
-        """Die: every connection ends."""
+        """Stop like a killed process: every connection ends."""
         self.model.alive = False
         self.lock_owner = None
         for conn in list(self._conns):
@@ -179,39 +187,42 @@
     def run(
         self, conn: SimConn, command: bytes, reply: Callable[[Reply], None]
     ) -> None:
-        """Run a command once a slot is free."""
-        self._queue.append(_Done(conn, command, reply))
-        self._pump()
+        """Queue a command; it runs once a slot is free."""
+        self._queue.append(_RunningCommand(conn, command, reply))
+        self._start_queued()
 
-    def _pump(self) -> None:
+    def _start_queued(self) -> None:
         while self._queue and self._running < self._slots:
             done = self._queue.pop(0)
             self._running += 1
             self.last_new_work = self.now()
-            seconds = _seconds(done.command) * self.slowdown
+            seconds = _service_time_s(done.command) * self.slowdown
             self.busy_seconds += seconds
             if seconds > 0:
                 self.after(seconds, done)
             else:
-                self._on_done(done)
+                self._on_command_done(done)
 
-    @runtime.handles(_Done)
-    def _on_done(self, done: _Done) -> None:
+    @runtime.handles(_RunningCommand)
+    def _on_command_done(self, done: _RunningCommand) -> None:
         if self.model.paused:
-            self._held.append(done)
+            self._completed_during_pause.append(done)
             return
         self._running -= 1
         if not done.conn.closed and self.model.alive:
             self.group.advance(self.now())
             done.reply(self._execute(done.conn, done.command))
-        self._pump()
+        self._start_queued()
 
     def resume(self) -> None:
-        """Go on after a pause."""
+        """Resume after a pause and complete the commands held back."""
         self.model.paused = False
-        held, self._held = self._held, []
-        for done in held:
-            self._on_done(done)
+        completed, self._completed_during_pause = (
+            self._completed_during_pause,
+            [],
+        )
+        for done in completed:
+            self._on_command_done(done)
 
     def _execute(self, conn: SimConn, command: bytes) -> Reply:
         text = command[1:]
@@ -223,12 +234,12 @@
         if text.startswith(b'W '):
             return self._write(conn, text)
         if text.startswith(b'INSERT INTO chicoryusher_ledger'):
-            return self._key(conn, text)
+            return self._insert_ledger_key(conn, text)
         if text.startswith(b'START'):
             conn.open = True
             return Reply(b'ok', in_transaction=True)
         if text.startswith(b'ROLLBACK'):
-            self._end(conn)
+            self._end_transaction(conn)
             return Reply(b'ok')
         if text.startswith(b'COMMIT'):
             return self._commit(conn)
@@ -236,7 +247,7 @@
 
     def _write(self, conn: SimConn, text: bytes) -> Reply:
         if self.model.role is not core.Role.PRIMARY:
-            return Reply(b'ro', READ_ONLY, in_transaction=conn.open)
+            return Reply(b'ro', READ_ONLY_ERROR, in_transaction=conn.open)
         op, key, value = text.decode().split()[1:4]
         command = group_module.Command('', ('W', op, key, value))
         conn.commands.append(command)
@@ -244,42 +255,44 @@
             return Reply(b'ok', in_transaction=True)
         return self._commit(conn)
 
-    def _key(self, conn: SimConn, text: bytes) -> Reply:
+    def _insert_ledger_key(self, conn: SimConn, text: bytes) -> Reply:
         if self.model.role is not core.Role.PRIMARY:
-            return Reply(b'ro', READ_ONLY, in_transaction=conn.open)
-        found = _KEY.search(text)
-        assert found is not None
-        key = found.group(1).decode()
-        held = any(key in one.keys for one in self._conns)
+            return Reply(b'ro', READ_ONLY_ERROR, in_transaction=conn.open)
+        match = _KEY_PATTERN.search(text)
+        assert match is not None
+        key = match.group(1).decode()
+        is_locked = any(key in other.keys for other in self._conns)
         if key in self.rows.ledger:
-            return Reply(b'dup', DUPLICATE, in_transaction=conn.open)
-        if held:
-            return Reply(b'locked', LOCKED, in_transaction=conn.open)
+            return Reply(b'dup', DUPLICATE_KEY_ERROR, in_transaction=conn.open)
+        if is_locked:
+            return Reply(
+                b'locked', LOCK_TIMEOUT_ERROR, in_transaction=conn.open
+            )
         conn.keys.append(key)
         conn.commands.append(group_module.Command('', ('K', key)))
         return Reply(b'ok', in_transaction=conn.open)
 
     def _commit(self, conn: SimConn) -> Reply:
         if not conn.commands:
-            self._end(conn)
+            self._end_transaction(conn)
             return Reply(b'ok')
         if self.model.role is not core.Role.PRIMARY:
-            self._end(conn)
-            return Reply(b'ro', READ_ONLY)
+            self._end_transaction(conn)
+            return Reply(b'ro', READ_ONLY_ERROR)
         commands = tuple(conn.commands)
         now = self.now()
         position = self.group.commit(self.model.name, commands, now)
         self.rows.apply(group_module.Entry(position, now, commands))
-        self._end(conn)
+        self._end_transaction(conn)
         return Reply(b'ok', position=position)
 
-    def _end(self, conn: SimConn) -> None:
+    def _end_transaction(self, conn: SimConn) -> None:
         conn.open = False
         conn.commands.clear()
         conn.keys.clear()
 
 
-def _seconds(command: bytes) -> float:
+def _service_time_s(command: bytes) -> float:
     text = command[1:]
     if text.startswith(b'W '):
         return float(text.split()[4])
--- a/src/chicoryusher_standins/lab/network.py
+++ b/src/chicoryusher_standins/lab/network.py
@@ -1,4 +1,4 @@
-"""Delays, cuts and bytes between places, on a virtual clock."""
+"""A simulated network: delays, cuts and bytes between places."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
 
 __all__ = ['Network', 'Place']
 
-IN_ZONE_DELAY = 0.0002
-IN_REGION_DELAY = 0.0015
-ACROSS_DELAY = 0.020
+IN_ZONE_DELAY_S = 0.0002
+IN_REGION_DELAY_S = 0.0015
+CROSS_REGION_DELAY_S = 0.020
 LINK_BYTES_PER_S = 15e6 / 8
 HEADER_BYTES = 66
 
@@ -28,8 +28,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Held:
-    """A message that a cut holds back."""
+class _DelayedMessage:
+    """A message held back because its path is cut."""
 
     source: Place
     target: Place
@@ -39,13 +39,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Deliver(core.Message):
-    """A message has arrived."""
+    """The network delay of a message is over."""
 
     deliver: Callable[[], None]
 
 
 class Network(runtime.Task):
-    """Carry messages between places; hold back what is cut."""
+    """Deliver messages between places; hold them back where cut.
+
+    ``crossed`` counts the bytes sent between regions, by purpose;
+    ``cut_at`` is when the last cut was made.
+    """
 
     def __init__(
         self, loop: runtime.Runtime, deployment: deployments.Deployment
@@ -54,7 +58,7 @@
         self._regions = dict(deployment.zones)
         self._cut_zones: set[str] = set()
         self._cut_places: set[str] = set()
-        self._held: list[_Held] = []
+        self._messages_held_back: list[_DelayedMessage] = []
         self.cut_at = float('inf')
         self._busy_until: dict[tuple[str, str], float] = {}
         self.crossed: collections.Counter[str] = collections.Counter()
@@ -70,15 +74,17 @@
         self.cut_at = self.now()
 
     def heal(self) -> None:
-        """End every cut; what was held back goes on."""
+        """End every cut and send the messages that were held back."""
         self._cut_zones.clear()
         self._cut_places.clear()
-        held, self._held = self._held, []
-        for one in held:
-            self.carry(one.source, one.target, one.size, one.deliver)
+        messages, self._messages_held_back = self._messages_held_back, []
+        for message in messages:
+            self.carry(
+                message.source, message.target, message.size, message.deliver
+            )
 
     def reaches(self, source: Place, target: Place) -> bool:
-        """Tell whether messages pass between two places."""
+        """Return whether messages pass between two places."""
         if source.name == target.name:
             return True
         if {source.name, target.name} & self._cut_places:
@@ -90,10 +96,10 @@
     def delay(self, source: Place, target: Place) -> float:
         """Return the one-way delay in seconds between two places."""
         if source.zone == target.zone:
-            return IN_ZONE_DELAY
+            return IN_ZONE_DELAY_S
         if self._region(source) == self._region(target):
-            return IN_REGION_DELAY
-        return ACROSS_DELAY
+            return IN_REGION_DELAY_S
+        return CROSS_REGION_DELAY_S
 
     def _region(self, place: Place) -> str:
         return self._regions.get(place.zone, '')
@@ -108,19 +114,21 @@
     ) -> None:
         """Call ``deliver`` once a message of ``size`` bytes arrives."""
         if not self.reaches(source, target):
-            self._held.append(_Held(source, target, size, deliver))
+            self._messages_held_back.append(
+                _DelayedMessage(source, target, size, deliver)
+            )
             return
         delay = self.delay(source, target)
         pair = self._region(source), self._region(target)
         if pair[0] != pair[1]:
             size += HEADER_BYTES
             self.crossed[purpose] += size
-            begins = max(self.now(), self._busy_until.get(pair, 0.0))
-            ends = begins + size / LINK_BYTES_PER_S
-            self._busy_until[pair] = ends
-            delay += ends - self.now()
+            send_begin = max(self.now(), self._busy_until.get(pair, 0.0))
+            send_end = send_begin + size / LINK_BYTES_PER_S
+            self._busy_until[pair] = send_end
+            delay += send_end - self.now()
         self.after(delay, _Deliver(deliver))
 
     @runtime.handles(_Deliver)
-    def _on_deliver_message(self, message: _Deliver) -> None:
+    def _on_deliver(self, message: _Deliver) -> None:
         message.deliver()
--- a/src/chicoryusher_standins/lab/pausing.py
+++ b/src/chicoryusher_standins/lab/pausing.py
@@ -1,4 +1,4 @@
-"""A runtime whose VMs can be paused and killed one by one."""
+"""A runtime that can pause and kill the tasks of single VMs."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class LabRuntime(runtime.Runtime):
-    """Hold back the messages of paused VMs, drop those of dead ones."""
+    """Runtime that holds back messages to paused VMs, drops those to dead."""
 
     def __init__(self) -> None:
         super().__init__(core.VirtualClock())
@@ -21,21 +21,21 @@
         self._dead: set[str] = set()
 
     def pause(self, vm: core.VmName) -> None:
-        """Stop a VM's tasks between two messages."""
+        """Pause a VM's tasks between two messages."""
         self._paused[vm] = []
 
     def go_on(self, vm: core.VmName) -> None:
-        """Let a paused VM's tasks go on, unaware of the pause."""
+        """Resume a VM's tasks and deliver the messages held back."""
         for task, message in self._paused.pop(vm, []):
             self.post(task, message)
 
     def kill(self, vm: core.VmName) -> None:
-        """End a VM's tasks."""
+        """Kill a VM: drop every message to its tasks from now on."""
         self._paused.pop(vm, None)
         self._dead.add(vm)
 
     def post(self, task: core.TaskName, message: core.Message) -> None:
-        """Put ``message`` into the box of ``task``, if its VM runs."""
+        """Post ``message`` to ``task``, unless its VM is paused or dead."""
         if self._dead or self._paused:
             vm = _vm_of(task)
             if vm in self._dead:
--- a/src/chicoryusher_standins/lab/scripted.py
+++ b/src/chicoryusher_standins/lab/scripted.py
@@ -1,4 +1,4 @@
-"""One caller whose statements a scenario sends one by one."""
+"""A caller whose statements a test scenario sends one at a time."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 
 __all__ = ['ScriptedCaller']
 
-STEP_SECONDS = 0.01
-_NAMES = itertools.count(1)
+POLL_INTERVAL_S = 0.01
+_CALLER_NUMBERS = itertools.count(1)
 _BEGIN = core.Payload(b'\x03START TRANSACTION')
 _COMMIT = core.Payload(b'\x03COMMIT')
 Kind = core.StatementKind
 
 
 class ScriptedCaller(runtime.Task):
-    """A session at one router, spoken to from a scenario."""
+    """A session at one router, controlled by a test scenario."""
 
     def __init__(
         self,
@@ -29,7 +29,7 @@
         database: core.DatabaseName,
         token: str | None = None,
     ) -> None:
-        self._number = next(_NAMES)
+        self._number = next(_CALLER_NUMBERS)
         super().__init__(site.loop, '', f'scripted-{self._number}')
         self._site = site
         self._router = tasks.names.router(vm)
@@ -51,7 +51,7 @@
 
     @runtime.handles(core.SessionReply)
     def _on_reply(self, reply: core.SessionReply) -> None:
-        """Go on: scenarios look at answers only."""
+        """Ignore the reply: scenarios check answers only."""
 
     @runtime.handles(core.Answer)
     def _on_answer(self, answer: core.Answer) -> None:
@@ -65,7 +65,7 @@
     def token(self) -> str:
         """Return the session's token."""
         self.send(self._router, core.TokenRequest(self.session_id))
-        self._site.run_for(STEP_SECONDS)
+        self._site.run_for(POLL_INTERVAL_S)
         assert self._token is not None
         return self._token
 
@@ -101,11 +101,11 @@
     def answer(
         self, request_id: core.RequestId, within: float = 6.0
     ) -> core.Answer:
-        """Run the site until the answer is there."""
-        until = self._site.loop.clock.now() + within
+        """Run the site until a request's answer arrives, and return it."""
+        deadline = self._site.loop.clock.now() + within
         while request_id not in self._answers:
-            assert self._site.loop.clock.now() < until, 'no answer came'
-            self._site.run_for(STEP_SECONDS)
+            assert self._site.loop.clock.now() < deadline, 'no answer came'
+            self._site.run_for(POLL_INTERVAL_S)
         return self._answers[request_id]
 
     def write(
--- a/src/chicoryusher_standins/lab/site.py
+++ b/src/chicoryusher_standins/lab/site.py
@@ -1,4 +1,4 @@
-"""A whole deployment on the virtual clock, with its real tasks."""
+"""A whole deployment on the virtual clock, running the real tasks."""
 
 from __future__ import annotations
 
@@ -20,34 +20,34 @@
 
 __all__ = ['Site']
 
-ADVANCE_INTERVAL = 0.002
-LOCK_IDLE_SECONDS = 3.0
+ADVANCE_INTERVAL_S = 0.002
+LOCK_IDLE_TIMEOUT_S = 3.0
 HOST = '127.0.0.1'
 TOKEN_KEY = b'lab-token-key'
 Place = network_module.Place
 
 
 class _Advance(core.Message):
-    """Time to pass log entries on."""
+    """Time to replicate log entries."""
 
 
 class _Replicator(runtime.Task):
-    """Advance every group's replication."""
+    """Advance the replication of every group periodically."""
 
     def __init__(self, site: Site) -> None:
         super().__init__(site.loop, '', 'replicator')
         self._site = site
-        self.after(ADVANCE_INTERVAL, _Advance())
+        self.after(ADVANCE_INTERVAL_S, _Advance())
 
     @runtime.handles(_Advance)
     def _on_advance(self, turn: _Advance) -> None:
         for group in self._site.groups.values():
             group.advance(self.now())
-        self.after(ADVANCE_INTERVAL, _Advance())
+        self.after(ADVANCE_INTERVAL_S, _Advance())
 
 
 class Site:
-    """Nodes, instances and platform of one deployment."""
+    """The nodes, instances and platform of one deployment."""
 
     def __init__(
         self,
@@ -89,35 +89,35 @@
         self, database: dict[str, Any], lags: tuple[float, ...], seed: int
     ) -> None:
         specs = database['instances']
-        names = [core.InstanceName(one['name']) for one in specs]
+        names = [core.InstanceName(member['name']) for member in specs]
         name = core.DatabaseName(database['name'])
         model = group_module.GroupModel(name, names, seed)
         self.groups[name] = model
         rows: dict[core.InstanceName, instance_module.SimInstance] = {}
         for index, spec in enumerate(specs):
-            one = model.instances[core.InstanceName(spec['name'])]
-            one.lag = lags[index % len(lags)]
+            member = model.instances[core.InstanceName(spec['name'])]
+            member.lag = lags[index % len(lags)]
             place = Place(spec['name'], spec['zone'])
-            rows[one.name] = instance_module.SimInstance(one)
-            one.link_delay = self.network.delay(
+            rows[member.name] = instance_module.SimInstance(member)
+            member.link_delay = self.network.delay(
                 Place('', specs[0]['zone']), place
             )
-            self.servers[one.name] = instance_module.SimServer(
+            self.servers[member.name] = instance_module.SimServer(
                 self.loop,
                 model,
-                rows[one.name],
+                rows[member.name],
                 place,
                 spec['slots'],
                 spec['connections'],
             )
-        model.on_apply = lambda one, entry: rows[one.name].apply(entry)
-        model.on_rebuild = lambda one: rows[one.name].rebuild()
-        model.reaches = lambda one, other: self.network.reaches(
-            self.servers[one.name].place, self.servers[other.name].place
+        model.on_apply = lambda member, entry: rows[member.name].apply(entry)
+        model.on_rebuild = lambda member: rows[member.name].rebuild()
+        model.reaches = lambda member, other: self.network.reaches(
+            self.servers[member.name].place, self.servers[other.name].place
         )
 
     def add_vm(self, name: core.VmName, zone: str) -> None:
-        """Start a VM with its node."""
+        """Start an entry VM and its node."""
         self.vms[name] = edges_module.SimVm(name, Place(name, zone))
         self.platform.vms[name] = False
         self.nodes[name] = tasks.Node(
@@ -134,7 +134,7 @@
         )
 
     def put_config(self) -> None:
-        """Write the site's document to the platform."""
+        """Publish the site's configuration document on the platform."""
         self.platform.put_config(json.dumps(self.document).encode())
 
     # -- faults -----------------------------------------------------
@@ -142,7 +142,11 @@
     def lock_is_free(
         self, server: instance_module.SimServer, claimant: core.VmName
     ) -> bool:
-        """Tell whether an instance would grant its gate lock."""
+        """Return whether an instance would grant its gate lock.
+
+        The lock of a paused or unreachable VM becomes free once its
+        connection has been idle for ``LOCK_IDLE_TIMEOUT_S``.
+        """
         holder = server.lock_owner
         if holder in (None, claimant):
             return True
@@ -150,13 +154,16 @@
         if not vm.alive:
             return True
         now = self.loop.clock.now()
-        silent_at = vm.paused_at
+        unresponsive_since = vm.paused_at
         if not self.network.reaches(vm.place, server.place):
-            silent_at = self.network.cut_at
-        return silent_at is not None and now - silent_at >= LOCK_IDLE_SECONDS
+            unresponsive_since = self.network.cut_at
+        return (
+            unresponsive_since is not None
+            and now - unresponsive_since >= LOCK_IDLE_TIMEOUT_S
+        )
 
     def links_broken(self, server: instance_module.SimServer) -> None:
-        """Let links notice which connections an instance has ended."""
+        """Make links report the connections that an instance has ended."""
         for link in self.edges.links:
             if link.server is server:
                 link.broken()
@@ -179,12 +186,12 @@
                 peers.peer_down(name)
 
     def pause_vm(self, name: core.VmName) -> None:
-        """Pause a VM, with every connection left open."""
+        """Pause a VM; its connections stay open."""
         self.vms[name].paused_at = self.loop.clock.now()
         self.loop.pause(name)
 
     def resume_vm(self, name: core.VmName) -> None:
-        """Let a paused VM go on."""
+        """Resume a paused VM."""
         self.vms[name].paused_at = None
         self.loop.go_on(name)
 
@@ -203,5 +210,5 @@
         self.loop.run_for(seconds)
 
     def close(self) -> None:
-        """Release the loop's descriptors."""
+        """Close the event loop's file descriptors."""
         self.loop.close()
