--- a/src/chicoryusher_standins/__init__.py
+++ b/src/chicoryusher_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform and the database groups, for tests."""
+"""Test doubles of the platform and the database groups."""
--- a/src/chicoryusher_standins/agent.py
+++ b/src/chicoryusher_standins/agent.py
@@ -1,4 +1,4 @@
-"""A stand-in group agent: status, fence and promote over HTTP."""
+"""Test double of a group agent: status, fence and promote over HTTP."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 
 OK = 200
 NOT_FOUND = 404
-ADVANCE_INTERVAL = 0.001
+ADVANCE_INTERVAL_S = 0.001
 
 
 class _Advance(core.Message):
-    """Time to pass log entries on."""
+    """Time to replicate log entries."""
 
 
 class AgentServer(runtime.Task):
-    """Serve the agent of one instance of a group model."""
+    """Serve the group agent of one instance of a group model."""
 
     def __init__(
         self,
@@ -35,7 +35,7 @@
         super().__init__(loop, '', f'agent-server/{name}')
         self._model = model
         self._name = name
-        self._held: list[
+        self._requests_during_pause: list[
             tuple[http_server.HttpConn, http_server.HttpRequest]
         ] = []
         listener = runtime.Listener(address, loop.poller, self.task_name)
@@ -47,26 +47,26 @@
         self._server.ready(ready)
 
     def settled(self) -> None:
-        """Send the answers written so far."""
+        """Send the answers written since the last flush."""
         self._server.flush()
 
     def kill(self) -> None:
-        """Die with the instance."""
+        """Close every socket, as when the instance is killed."""
         self._server.close()
 
     def resume(self) -> None:
-        """Answer what came during a pause."""
-        held, self._held = self._held, []
-        for conn, request in held:
+        """Answer the requests that arrived during a pause."""
+        requests, self._requests_during_pause = self._requests_during_pause, []
+        for conn, request in requests:
             self._handle(conn, request)
         self._server.flush()
 
     def _handle(
         self, conn: http_server.HttpConn, request: http_server.HttpRequest
     ) -> None:
-        one = self._model.instances[self._name]
-        if one.paused or one.cut:
-            self._held.append((conn, request))
+        instance = self._model.instances[self._name]
+        if instance.paused or instance.cut:
+            self._requests_during_pause.append((conn, request))
             return
         now = self.now()
         self._model.advance(now)
@@ -77,7 +77,7 @@
         term, candidate = core.Term(order['term']), order['candidate']
         if request.path == '/fence':
             accepted = self._model.fence(self._name, term, candidate)
-            received = self._set(one.log)
+            received = self._gtid_set(instance.log)
             conn.reply(OK, {'accepted': accepted, 'received': received})
         elif request.path == '/promote':
             accepted = self._model.promote(self._name, term, candidate, now)
@@ -85,23 +85,23 @@
         else:
             conn.reply(NOT_FOUND, {})
 
-    def _set(self, log: list[group_module.Entry]) -> str:
+    def _gtid_set(self, log: list[group_module.Entry]) -> str:
         return server_module.gtid_set(str(self._model.database), log)
 
     def _status(self, now: float) -> dict[str, Any]:
-        one = self._model.instances[self._name]
+        instance = self._model.instances[self._name]
         return {
-            'role': one.role.value,
-            'term': one.term,
-            'received': self._set(one.log),
-            'applied': self._set(one.log[: one.applied]),
+            'role': instance.role.value,
+            'term': instance.term,
+            'received': self._gtid_set(instance.log),
+            'applied': self._gtid_set(instance.log[: instance.applied]),
             'source_age': self._model.source_age(self._name, now),
-            'leaving': one.leaving,
+            'leaving': instance.leaving,
         }
 
 
 class Replicator(runtime.Task):
-    """Pass log entries on between the instances of group models."""
+    """Advance the replication of group models periodically."""
 
     def __init__(
         self,
@@ -111,10 +111,10 @@
         super().__init__(loop, '', 'replicator')
         self._models = models
         self._idle_turns = 0
-        self.after(ADVANCE_INTERVAL, _Advance())
+        self.after(ADVANCE_INTERVAL_S, _Advance())
 
     @runtime.handles(_Advance)
     def _on_advance(self, turn: _Advance) -> None:
         for model in self._models:
             model.advance(self.now())
-        self.after(ADVANCE_INTERVAL, _Advance())
+        self.after(ADVANCE_INTERVAL_S, _Advance())
--- a/src/chicoryusher_standins/control.py
+++ b/src/chicoryusher_standins/control.py
@@ -1,7 +1,8 @@
-"""What control costs a real daemon process, by the databases it watches.
+"""Measure the cost of control work in a real daemon process.
 
-One caller for each database sends a statement a second, so that every
-group counts as in use; the daemon is the gate of all their instances.
+The cost is measured for several numbers of databases.  One caller per
+database sends a statement a second, so that every group counts as in use.
+The daemon is the gate of all instances.
 """
 
 from __future__ import annotations
@@ -22,17 +23,20 @@
 
 __all__ = ['ControlPoint', 'kb_for_a_caller', 'measure']
 
-DATABASES = (1, 4, 12)
-SETTLE_SECONDS = 4.0
-MEASURED_SECONDS = 8
-STATEMENT_SECONDS = 0.0005
-MB = 1024 * 1024
-CALLERS = 400
+DATABASE_COUNTS = (1, 4, 12)
+SETTLE_S = 4.0
+MEASURED_S = 8
+STATEMENT_CPU_S = 0.0005
+BYTES_PER_MB = 1024 * 1024
+CALLER_COUNT = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlPoint:
-    """Processor time (fraction of a core) and memory (MB) at one size."""
+    """Processor time and memory of a daemon with so many databases.
+
+    Processor time is a fraction of one core; memory is in MB.
+    """
 
     databases: int
     cpu_fraction: float
@@ -40,9 +44,9 @@
 
 
 @contextlib.contextmanager
-def _daemon(databases: int) -> Iterator[tuple[int, int, Any]]:
-    """Run stand-ins and a daemon; yield its pid, port and register."""
-    standins, found = throughput.start(
+def _running_daemon(databases: int) -> Iterator[tuple[int, int, Any]]:
+    """Run test doubles and a daemon; yield its pid, port and register."""
+    standins, addresses = throughput.start(
         str(throughput.BIN / 'chicoryusher-standins'),
         '--databases',
         str(databases),
@@ -50,12 +54,12 @@
     processes = [standins]
     ports = throughput.free_ports(3)
     document = world_module.settings_document(
-        'vm1', 'akhmim-yard', found['platform_port'], ports[0]
+        'vm1', 'akhmim-yard', addresses['platform_port'], ports[0]
     )
     document['mysql']['port'] = ports[1]
     document['admin']['port'] = ports[2]
     document['log_level'] = 'error'
-    register = found['register']
+    register = addresses['register']
     register['register']['vms'] = [
         {
             'name': 'vm1',
@@ -83,50 +87,48 @@
 
 def _resident_mb(pid: int) -> float:
     pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
-    return pages * resource.getpagesize() / MB
+    return pages * resource.getpagesize() / BYTES_PER_MB
 
 
 def kb_for_a_caller() -> float:
-    """Return the memory in KB that an idle caller's connection takes."""
-    with _daemon(1) as (pid, port, register):
-        time.sleep(SETTLE_SECONDS)
+    """Return the memory in KB of one idle connection of a caller."""
+    with _running_daemon(1) as (pid, port, register):
+        time.sleep(SETTLE_S)
         name = register['register']['databases'][0]['name']
         password = world_module.ENVIRONMENT['CLERK_PASSWORD']
         before = _resident_mb(pid)
         conns = [
             throughput.connect(port, 'clerk', password, name)
-            for _ in range(CALLERS)
+            for _ in range(CALLER_COUNT)
         ]
         after = _resident_mb(pid)
         for conn in conns:
             conn.close()
-    return (after - before) * 1024 / CALLERS
+    return (after - before) * 1024 / CALLER_COUNT
 
 
-def _point(databases: int) -> ControlPoint:
-    with _daemon(databases) as (pid, port, register):
-        time.sleep(SETTLE_SECONDS)
+def _measure_point(databases: int) -> ControlPoint:
+    with _running_daemon(databases) as (pid, port, register):
+        time.sleep(SETTLE_S)
         password = world_module.ENVIRONMENT['CLERK_PASSWORD']
         conns = [
-            throughput.connect(port, 'clerk', password, one['name'])
-            for one in register['register']['databases']
+            throughput.connect(port, 'clerk', password, database['name'])
+            for database in register['register']['databases']
         ]
         before = throughput.processor_seconds(pid)
-        for _ in range(MEASURED_SECONDS):
+        for _ in range(MEASURED_S):
             for conn in conns:
                 with conn.cursor() as cursor:
                     cursor.execute('SELECT 1')
             time.sleep(1.0)
         spent = throughput.processor_seconds(pid) - before
-        spent -= MEASURED_SECONDS * databases * STATEMENT_SECONDS
-        return ControlPoint(
-            databases, spent / MEASURED_SECONDS, _resident_mb(pid)
-        )
+        spent -= MEASURED_S * databases * STATEMENT_CPU_S
+        return ControlPoint(databases, spent / MEASURED_S, _resident_mb(pid))
 
 
 def measure() -> list[ControlPoint]:
     """Measure one daemon process at each number of databases."""
-    return [_point(one) for one in DATABASES]
+    return [_measure_point(count) for count in DATABASE_COUNTS]
 
 
 if __name__ == '__main__':
--- a/src/chicoryusher_standins/demo.py
+++ b/src/chicoryusher_standins/demo.py
@@ -1,4 +1,4 @@
-"""The demo: a scripted caller, three proxies, and a primary that dies."""
+"""The demo: a scripted caller, three proxies, and a killed primary."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
 __all__ = ['main']
 
 DATABASE = 'spoonbook_1'
-READY_TIMEOUT = 10.0
-RETRY_PAUSE = 0.05
-FAILOVER_TIMEOUT = 10.0
+READY_TIMEOUT_S = 10.0
+RETRY_INTERVAL_S = 0.05
+FAILOVER_TIMEOUT_S = 10.0
 PROXIES = (
     ('vm1', 'akhmim-yard'),
     ('vm2', 'qena-mill'),
@@ -41,7 +41,7 @@
 
 
 class Script:
-    """What the scripted caller does, step by step."""
+    """The steps of the scripted caller, and their results."""
 
     def __init__(self, world: world_module.World) -> None:
         self.world = world
@@ -61,14 +61,18 @@
         )
 
     def step(self, what: str, act: Callable[[], str]) -> None:
-        """Run one step and note its result and time."""
+        """Run one step; record its result and duration."""
         began = time.monotonic()
         result = act()
         self.steps.append(Step(what, result, time.monotonic() - began))
 
     def run(self) -> float:
-        """Run the whole script; return the failover gap in seconds."""
-        first = self._when_ready()
+        """Run every step; return the failover time in seconds.
+
+        The failover time is from the kill of the primary to the first write
+        that succeeds.
+        """
+        first = self._connect_when_ready()
         with first.cursor() as cursor:
             cursor.execute(
                 'CREATE TABLE lots (id INT PRIMARY KEY, '
@@ -83,18 +87,18 @@
             self.step('read it back through vm2', lambda: self._read(cursor))
         self.step('transaction through vm3', self._transaction)
         gap = self._failover(first)
-        self.step('every row is still there', self._count)
+        self.step('every row is still there', self._count_rows)
         return gap
 
-    def _when_ready(self) -> pymysql.Connection:
-        until = time.monotonic() + READY_TIMEOUT
+    def _connect_when_ready(self) -> pymysql.Connection:
+        deadline = time.monotonic() + READY_TIMEOUT_S
         while True:
             try:
                 return self.connect('vm1')
             except pymysql.Error:
-                if time.monotonic() > until:
+                if time.monotonic() > deadline:
                     raise
-                time.sleep(RETRY_PAUSE)
+                time.sleep(RETRY_INTERVAL_S)
 
     @staticmethod
     def _write(cursor: Any) -> str:
@@ -128,7 +132,7 @@
 
     @staticmethod
     def _until_written(conn: pymysql.Connection) -> str:
-        until = time.monotonic() + FAILOVER_TIMEOUT
+        deadline = time.monotonic() + FAILOVER_TIMEOUT_S
         tries = 0
         while True:
             tries += 1
@@ -140,11 +144,11 @@
                     )
                 return f'landed at try {tries}'
             except pymysql.Error:
-                if time.monotonic() > until:
+                if time.monotonic() > deadline:
                     raise
-                time.sleep(RETRY_PAUSE)
+                time.sleep(RETRY_INTERVAL_S)
 
-    def _count(self) -> str:
+    def _count_rows(self) -> str:
         conn = self.connect('vm2')
         with conn.cursor() as cursor:
             cursor.execute("SELECT COUNT(*) FROM lots /*max_staleness='0'*/")
@@ -156,7 +160,7 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Run the demo; ``--stay`` keeps it up until a key press."""
+    """Run the demo; ``--stay`` keeps it running until Enter is pressed."""
     world = world_module.World(deployments.DEPLOYMENTS['nile-grain'])
     for vm, zone in PROXIES:
         world.add_daemon(vm, zone)
@@ -166,27 +170,27 @@
         thread.start()
         script = Script(world)
         gap = script.run()
-        _show(script.steps)
+        _print_steps(script.steps)
         outcome = {
             'ok': True,
             'failover_gap_s': round(gap, 3),
-            'steps': [dataclasses.asdict(one) for one in script.steps],
+            'steps': [dataclasses.asdict(step) for step in script.steps],
         }
         if '--stay' in arguments:
-            _stay(world)
+            _wait_for_key(world)
         print(json.dumps(outcome))
         world.loop.stop()
-        thread.join(timeout=READY_TIMEOUT)
+        thread.join(timeout=READY_TIMEOUT_S)
     return 0
 
 
-def _show(steps: list[Step]) -> None:
-    width = max(len(one.what) for one in steps)
-    for one in steps:
-        print(f'{one.what:<{width}}  {one.seconds:7.3f} s  {one.result}')
+def _print_steps(steps: list[Step]) -> None:
+    width = max(len(step.what) for step in steps)
+    for step in steps:
+        print(f'{step.what:<{width}}  {step.seconds:7.3f} s  {step.result}')
 
 
-def _stay(world: world_module.World) -> None:
+def _wait_for_key(world: world_module.World) -> None:
     for name, daemon in world.daemons.items():
         print(
             f'{name}: mysql -h {world_module.HOST} '
--- a/src/chicoryusher_standins/deployments.py
+++ b/src/chicoryusher_standins/deployments.py
@@ -1,4 +1,4 @@
-"""The two deployments at their sizes of today, as register documents."""
+"""The two known deployments at their present sizes."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 class Deployment:
     """Names and sizes of one deployment.
 
-    ``zones`` maps availability zones to regions; the store is in the
-    region named by ``store``.  Instances have ``slots`` and
-    ``connections``; ``vms`` is how many entry VMs there are.  Databases
-    are numbered from ``first``.
+    ``zones`` lists availability zones with their regions; ``store`` is the
+    region of the store.  ``slots`` is how many statements an instance runs
+    at once, ``connections`` its connection limit, ``vms`` the number of
+    entry VMs.  Databases are numbered from ``first``.
     """
 
     name: str
@@ -30,8 +30,8 @@
 
 
 DEPLOYMENTS = {
-    one.name: one
-    for one in (
+    deployment.name: deployment
+    for deployment in (
         Deployment(
             'nile-grain',
             'spoonbook',
@@ -61,7 +61,7 @@
 
 
 def document(deployment: Deployment, host: str, port: int) -> dict[str, Any]:
-    """Return a register document; ports count up from ``port``."""
+    """Return a register document, with ports assigned from ``port`` on."""
     zones = [zone for zone, _ in deployment.zones]
     ports = iter(range(port, port + 10_000))
     return {
@@ -84,7 +84,7 @@
                     'name': f'{deployment.group}_{number + 1}',
                     'instances': [
                         {
-                            'name': f'{deployment.group}_{number + 1}-{at}',
+                            'name': f'{deployment.group}_{number + 1}-{i}',
                             'zone': zone,
                             'host': host,
                             'port': next(ports),
@@ -92,7 +92,7 @@
                             'slots': deployment.slots,
                             'connections': deployment.connections,
                         }
-                        for at, zone in enumerate(zones)
+                        for i, zone in enumerate(zones)
                     ],
                 }
                 for number in range(
--- a/src/chicoryusher_standins/engine.py
+++ b/src/chicoryusher_standins/engine.py
@@ -1,4 +1,4 @@
-"""Rows of one stand-in instance, held by sqlite3 in memory."""
+"""Rows of one simulated instance, stored by sqlite3 in memory."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 
 __all__ = ['Engine', 'EngineSession', 'Locked', 'Rows', 'SqlError']
 
-TRANSLATIONS = 4096
+MAX_CACHED_TRANSLATIONS = 4096
 DUPLICATE_KEY = 1062
 NO_SUCH_TABLE = 1146
 SYNTAX_ERROR = 1064
-_NUMBERS = itertools.count(1)
-_READS = re.compile(r'\s*(select|with|values|pragma|explain)\b', re.I)
+_DATABASE_NUMBERS = itertools.count(1)
+_READ_PATTERN = re.compile(r'\s*(select|with|values|pragma|explain)\b', re.I)
 
 
 class SqlError(core.ChicoryusherError):
@@ -34,7 +34,7 @@
 
 
 class Locked(core.ChicoryusherError):
-    """Another transaction holds the rows: try again later."""
+    """Another transaction has locked the rows; the caller may retry."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,26 +47,29 @@
     last_id: int = 0
 
 
-@functools.lru_cache(maxsize=TRANSLATIONS)
+@functools.lru_cache(maxsize=MAX_CACHED_TRANSLATIONS)
 def translate(sql: str) -> str:
-    """Return MySQL text as sqlite text; SqlError if it can't be read."""
+    """Translate a MySQL statement to sqlite; raise SqlError if invalid."""
     try:
-        found = sqlglot.transpile(sql, read='mysql', write='sqlite')
+        translations = sqlglot.transpile(sql, read='mysql', write='sqlite')
     except sqlglot.errors.SqlglotError as exc:
         raise SqlError(SYNTAX_ERROR, '42000', str(exc)) from exc
-    return found[0]
+    return translations[0]
 
 
 def is_read(sql: str) -> bool:
-    """Tell whether a statement leaves no change."""
-    return _READS.match(sql) is not None
+    """Return whether a statement only reads."""
+    return _READ_PATTERN.match(sql) is not None
 
 
 class Engine:
-    """One instance's rows."""
+    """One instance's rows.
+
+    The in-memory database exists as long as ``_owner_conn`` is open.
+    """
 
     def __init__(self) -> None:
-        self._keeper = self._connect(next(_NUMBERS))
+        self._owner_conn = self._connect(next(_DATABASE_NUMBERS))
 
     def _connect(self, number: int) -> sqlite3.Connection:
         self._number = number
@@ -79,21 +82,21 @@
         )
 
     def session(self) -> EngineSession:
-        """Return a new session on the rows."""
+        """Open a new session on the rows."""
         return EngineSession(self._open())
 
     def apply(self, statements: tuple[group.Command, ...]) -> None:
         """Run a replicated transaction."""
         if not statements:
             return
-        self._keeper.execute('BEGIN')
+        self._owner_conn.execute('BEGIN')
         for sql, values in statements:
-            self._keeper.execute(translate(sql), values)
-        self._keeper.execute('COMMIT')
+            self._owner_conn.execute(translate(sql), values)
+        self._owner_conn.execute('COMMIT')
 
     def rebuild(self) -> None:
-        """Forget all rows; the log is applied again from its start."""
-        self._keeper = self._connect(next(_NUMBERS))
+        """Drop all rows; the log is applied again from its start."""
+        self._owner_conn = self._connect(next(_DATABASE_NUMBERS))
 
 
 class EngineSession:
@@ -105,7 +108,7 @@
 
     @property
     def in_transaction(self) -> bool:
-        """Tell whether a transaction is open."""
+        """Return whether a transaction is open."""
         return self._conn.in_transaction
 
     def begin(self) -> None:
@@ -116,22 +119,22 @@
 
     @property
     def has_written(self) -> bool:
-        """Tell whether the transaction has changed anything."""
+        """Return whether the transaction has run a write."""
         return bool(self._written)
 
     def execute(self, sql: str, values: tuple[Any, ...] = ()) -> Rows:
-        """Run one statement; SqlError or Locked if it can't."""
+        """Run one statement; raise SqlError or Locked if it fails."""
         try:
             cursor = self._conn.execute(translate(sql), values)
             rows = tuple(cursor.fetchall())
         except sqlite3.OperationalError as exc:
-            raise _operational(exc) from exc
+            raise _convert_operational_error(exc) from exc
         except sqlite3.IntegrityError as exc:
             raise SqlError(DUPLICATE_KEY, '23000', str(exc)) from exc
         except sqlite3.Error as exc:
             raise SqlError(SYNTAX_ERROR, '42000', str(exc)) from exc
         if cursor.description is not None:
-            columns = tuple(one[0] for one in cursor.description)
+            columns = tuple(column[0] for column in cursor.description)
             return Rows(columns, rows)
         if not is_read(sql):
             self._written.append(group.Command(sql, values))
@@ -140,18 +143,18 @@
         )
 
     def written(self) -> tuple[group.Command, ...]:
-        """Return the statements to replicate, and forget them."""
+        """Return the statements to replicate, and clear them."""
         statements = tuple(self._written)
         self._written.clear()
         return statements
 
     def commit(self) -> None:
-        """End the transaction and keep it."""
+        """Commit the open transaction, if any."""
         if self.in_transaction:
             self._conn.execute('COMMIT')
 
     def rollback(self) -> None:
-        """End the transaction and drop it."""
+        """Roll back the open transaction, if any."""
         if self.in_transaction:
             self._conn.execute('ROLLBACK')
         self._written.clear()
@@ -162,7 +165,9 @@
         self._conn.close()
 
 
-def _operational(exc: sqlite3.OperationalError) -> core.ChicoryusherError:
+def _convert_operational_error(
+    exc: sqlite3.OperationalError,
+) -> core.ChicoryusherError:
     text = str(exc)
     if 'locked' in text:
         return Locked(text)
--- a/src/chicoryusher_standins/faults.py
+++ b/src/chicoryusher_standins/faults.py
@@ -1,4 +1,4 @@
-"""Faults ordered from another thread, done on the loop's own."""
+"""Faults requested from another thread and injected on the event loop."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class Fault(enum.Enum):
-    """What may befall an instance."""
+    """Kind of fault of an instance."""
 
     KILL = 'kill'
     PAUSE = 'pause'
@@ -23,21 +23,21 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Order(core.Message):
-    """Bring a fault about."""
+class _InjectFault(core.Message):
+    """Inject a fault into an instance."""
 
     target: instance.Standin
     fault: Fault
 
 
 class FaultTask(runtime.Task):
-    """Bring faults about between other tasks' messages."""
+    """Inject faults, between the messages of other tasks."""
 
     def __init__(self, loop: runtime.Runtime) -> None:
         super().__init__(loop, '', 'faults')
 
-    @runtime.handles(_Order)
-    def _on_order(self, message: _Order) -> None:
+    @runtime.handles(_InjectFault)
+    def _on_inject_fault(self, message: _InjectFault) -> None:
         if message.fault is Fault.KILL:
             message.target.kill()
         elif message.fault is Fault.PAUSE:
@@ -49,5 +49,5 @@
 def order(
     loop: runtime.Runtime, target: instance.Standin, fault: Fault
 ) -> None:
-    """Order a fault; it happens on the world's loop, soon."""
-    loop.post(FAULT_TASK, _Order(target, fault))
+    """Request a fault; the event loop injects it asynchronously."""
+    loop.post(FAULT_TASK, _InjectFault(target, fault))
--- a/src/chicoryusher_standins/group.py
+++ b/src/chicoryusher_standins/group.py
@@ -1,7 +1,8 @@
 """A model of one database group: logs, terms, lag and faults.
 
-It has no sockets; the MySQL and agent stand-ins and the experiments
-all drive the same model.  Times are seconds of the caller's clock.
+It has no sockets: the test doubles of MySQL servers and group agents, and
+the experiments, all use this model.  Times are seconds of the clock that
+the caller passes in.
 """
 
 from __future__ import annotations
@@ -17,11 +18,11 @@
 
 __all__ = ['Command', 'Entry', 'GroupModel', 'InstanceModel', 'NotPrimary']
 
-RECEIVE_DELAY = 0.002
+RECEIVE_DELAY_S = 0.002
 
 
 class NotPrimary(core.ChicoryusherError):
-    """The instance takes no writes."""
+    """The instance is not the primary and accepts no writes."""
 
 
 class Command(NamedTuple):
@@ -42,15 +43,19 @@
 
 @dataclasses.dataclass(slots=True)
 class InstanceModel:
-    """One instance: its log, its promise and its faults.
-
-    ``lag`` is the time from a commit to its being applied here;
-    ``link_delay`` the time until it is received.
+    """One instance: its log, its term and the faults injected into it.
+
+    ``promised_to`` is the candidate that fenced the instance for its term.
+    ``lag`` is the time in seconds from a commit at the primary until this
+    instance applies it, ``link_delay`` the time until it receives it.
+    ``cut`` isolates it from the network; ``leaving`` marks it as about to
+    be removed; ``heard_at`` is when the primary last reached it; and
+    ``rebuilt`` counts how often its rows were built again from the log.
     """
 
     name: core.InstanceName
     lag: float = 0.05
-    link_delay: float = RECEIVE_DELAY
+    link_delay: float = RECEIVE_DELAY_S
     role: core.Role = core.Role.REPLICA
     term: core.Term = core.Term(0)
     promised_to: str = ''
@@ -65,7 +70,7 @@
 
     @property
     def running(self) -> bool:
-        """Tell whether the process answers."""
+        """Return whether the process is alive and not paused."""
         return self.alive and not self.paused
 
     def received_position(self) -> core.Position:
@@ -79,7 +84,7 @@
         return self.log[self.applied - 1].position
 
     def term_starts(self) -> tuple[core.TermStart, ...]:
-        """Return where each term began, as far as entries are applied."""
+        """Return the log position before each term, up to the last applied."""
         starts: dict[core.Term, int] = {}
         for entry in self.log[: self.applied]:
             starts.setdefault(entry.position.term, entry.position.offset - 1)
@@ -90,7 +95,7 @@
 
 
 class GroupModel:
-    """The instances of a group and what passes between them."""
+    """The instances of a group and the replication between them."""
 
     def __init__(
         self,
@@ -104,30 +109,33 @@
         self.on_apply: Callable[[InstanceModel, Entry], None] | None = None
         self.on_rebuild: Callable[[InstanceModel], None] | None = None
         self.reaches: Callable[[InstanceModel, InstanceModel], bool] = (
-            lambda one, other: not (one.cut or other.cut)
+            lambda instance, other: not (instance.cut or other.cut)
         )
         first = next(iter(self.instances.values()))
-        for one in self.instances.values():
-            one.term = core.Term(1)
+        for instance in self.instances.values():
+            instance.term = core.Term(1)
         first.role = core.Role.PRIMARY
         self._append(first, (), 0.0)
 
     def primary(self) -> InstanceModel | None:
         """Return the running primary of the highest term, or None."""
         leading = [
-            one
-            for one in self.instances.values()
-            if one.role is core.Role.PRIMARY and one.alive
+            instance
+            for instance in self.instances.values()
+            if instance.role is core.Role.PRIMARY and instance.alive
         ]
-        return max(leading, key=lambda one: one.term, default=None)
+        return max(leading, key=lambda instance: instance.term, default=None)
 
     def _append(
-        self, one: InstanceModel, statements: tuple[Command, ...], now: float
+        self,
+        instance: InstanceModel,
+        statements: tuple[Command, ...],
+        now: float,
     ) -> core.Position:
-        offset = len(one.log) + 1
-        position = core.Position(one.term, core.LogPosition(offset))
-        one.log.append(Entry(position, now, statements))
-        one.applied = len(one.log)
+        offset = len(instance.log) + 1
+        position = core.Position(instance.term, core.LogPosition(offset))
+        instance.log.append(Entry(position, now, statements))
+        instance.applied = len(instance.log)
         return position
 
     def commit(
@@ -136,89 +144,107 @@
         statements: tuple[Command, ...],
         now: float,
     ) -> core.Position:
-        """Append a transaction at the primary; NotPrimary if it is not."""
-        one = self.instances[name]
-        if one.role is not core.Role.PRIMARY:
+        """Append a transaction to the log; raise NotPrimary at a replica."""
+        instance = self.instances[name]
+        if instance.role is not core.Role.PRIMARY:
             raise NotPrimary(name)
-        return self._append(one, statements, now)
+        return self._append(instance, statements, now)
 
-    def _reach(self, one: InstanceModel, other: InstanceModel) -> bool:
-        return one.running and other.running and self.reaches(one, other)
+    def _can_replicate(
+        self, source: InstanceModel, other: InstanceModel
+    ) -> bool:
+        return source.running and other.running and self.reaches(source, other)
 
     def advance(self, now: float) -> None:
-        """Pass entries on and apply what is due by ``now``."""
-        for primary in self._leading():
+        """Replicate and apply the entries that are due by ``now``."""
+        for primary in self._running_primaries():
             for other in self.instances.values():
-                if other is not primary and self._reach(primary, other):
+                if other is not primary and self._can_replicate(
+                    primary, other
+                ):
                     self._replicate(primary, other, now)
-        for one in self.instances.values():
-            if one.running:
-                self._apply_due(one, now)
+        for instance in self.instances.values():
+            if instance.running:
+                self._apply_due(instance, now)
 
-    def _leading(self) -> list[InstanceModel]:
+    def _running_primaries(self) -> list[InstanceModel]:
         leading = [
-            one
-            for one in self.instances.values()
-            if one.role is core.Role.PRIMARY and one.running
+            instance
+            for instance in self.instances.values()
+            if instance.role is core.Role.PRIMARY and instance.running
         ]
-        return sorted(leading, key=lambda one: one.term, reverse=True)
+        return sorted(
+            leading, key=lambda instance: instance.term, reverse=True
+        )
 
     def _replicate(
-        self, primary: InstanceModel, other: InstanceModel, now: float
+        self, primary: InstanceModel, replica: InstanceModel, now: float
     ) -> None:
-        if other.term > primary.term:
+        if replica.term > primary.term:
             primary.role = core.Role.REPLICA
             return
-        if other.term < primary.term:
-            other.term = primary.term
-            other.promised_to = primary.promised_to
-            other.role = core.Role.REPLICA
-        other.heard_at = now
-        self._truncate(primary, other)
-        due = now - other.link_delay
-        while len(other.log) < len(primary.log):
-            entry = primary.log[len(other.log)]
-            if entry.at > due:
+        if replica.term < primary.term:
+            replica.term = primary.term
+            replica.promised_to = primary.promised_to
+            replica.role = core.Role.REPLICA
+        replica.heard_at = now
+        self._truncate(primary, replica)
+        received_until = now - replica.link_delay
+        while len(replica.log) < len(primary.log):
+            entry = primary.log[len(replica.log)]
+            if entry.at > received_until:
                 break
-            other.log.append(entry)
+            replica.log.append(entry)
 
-    def _truncate(self, primary: InstanceModel, other: InstanceModel) -> None:
-        same = min(len(other.log), len(primary.log))
-        while same and other.log[same - 1] is not primary.log[same - 1]:
-            same -= 1
-        if same == len(other.log):
+    def _truncate(
+        self, primary: InstanceModel, replica: InstanceModel
+    ) -> None:
+        common_length = min(len(replica.log), len(primary.log))
+        while (
+            common_length
+            and replica.log[common_length - 1]
+            is not primary.log[common_length - 1]
+        ):
+            common_length -= 1
+        if common_length == len(replica.log):
             return
-        del other.log[same:]
-        if other.applied > same:
-            other.applied = 0
-            other.rebuilt += 1
+        del replica.log[common_length:]
+        if replica.applied > common_length:
+            replica.applied = 0
+            replica.rebuilt += 1
             if self.on_rebuild is not None:
-                self.on_rebuild(other)
-
-    def _apply_due(self, one: InstanceModel, now: float) -> None:
-        due = now - one.lag
-        while one.applied < len(one.log):
-            entry = one.log[one.applied]
-            if one.role is not core.Role.PRIMARY and entry.at > due:
+                self.on_rebuild(replica)
+
+    def _apply_due(self, instance: InstanceModel, now: float) -> None:
+        applied_until = now - instance.lag
+        while instance.applied < len(instance.log):
+            entry = instance.log[instance.applied]
+            if (
+                instance.role is not core.Role.PRIMARY
+                and entry.at > applied_until
+            ):
                 break
-            one.applied += 1
+            instance.applied += 1
             if self.on_apply is not None:
-                self.on_apply(one, entry)
+                self.on_apply(instance, entry)
 
     def fence(
         self, name: core.InstanceName, term: core.Term, candidate: str
     ) -> bool:
-        """Promise to accept nothing of an earlier term."""
-        one = self.instances[name]
-        if term > one.term:
-            one.term = term
-            one.promised_to = candidate
-            one.role = core.Role.REPLICA
+        """Enter a candidate's term and accept no entries of earlier terms.
+
+        Return whether the instance is fenced for this candidate.
+        """
+        instance = self.instances[name]
+        if term > instance.term:
+            instance.term = term
+            instance.promised_to = candidate
+            instance.role = core.Role.REPLICA
             return True
         return (
-            term == one.term
-            and one.promised_to == candidate
-            and one.role is core.Role.REPLICA
+            term == instance.term
+            and instance.promised_to == candidate
+            and instance.role is core.Role.REPLICA
         )
 
     def promote(
@@ -228,42 +254,45 @@
         candidate: str,
         now: float,
     ) -> bool:
-        """Lead a term that the instance was fenced for."""
-        one = self.instances[name]
-        if one.term != term or one.promised_to != candidate:
+        """Become primary of a term that the instance was fenced for.
+
+        Return whether it is the primary now.
+        """
+        instance = self.instances[name]
+        if instance.term != term or instance.promised_to != candidate:
             return False
-        if one.role is core.Role.PRIMARY:
+        if instance.role is core.Role.PRIMARY:
             return True
-        while one.applied < len(one.log):
-            entry = one.log[one.applied]
-            one.applied += 1
+        while instance.applied < len(instance.log):
+            entry = instance.log[instance.applied]
+            instance.applied += 1
             if self.on_apply is not None:
-                self.on_apply(one, entry)
-        one.role = core.Role.PRIMARY
-        self._append(one, (), now)
+                self.on_apply(instance, entry)
+        instance.role = core.Role.PRIMARY
+        self._append(instance, (), now)
         return True
 
     def source_age(self, name: core.InstanceName, now: float) -> float:
-        """Return how long ago an instance heard from its primary."""
-        one = self.instances[name]
-        if one.role is core.Role.PRIMARY:
+        """Return the seconds since an instance was reached by its primary."""
+        instance = self.instances[name]
+        if instance.role is core.Role.PRIMARY:
             return 0.0
-        return max(0.0, now - one.heard_at)
+        return max(0.0, now - instance.heard_at)
 
     def probe(
         self, name: core.InstanceName, sequence: int, now: float
     ) -> core.ProbeAnswer:
-        """Return what a probe of a running instance would see."""
-        one = self.instances[name]
+        """Return the answer of a running instance to a probe."""
+        instance = self.instances[name]
         return core.ProbeAnswer(
             name,
             sequence,
             True,
-            one.role,
-            one.term,
-            one.received_position(),
-            one.applied_position(),
+            instance.role,
+            instance.term,
+            instance.received_position(),
+            instance.applied_position(),
             self.source_age(name, now),
-            one.leaving,
-            one.term_starts(),
+            instance.leaving,
+            instance.term_starts(),
         )
--- a/src/chicoryusher_standins/instance.py
+++ b/src/chicoryusher_standins/instance.py
@@ -1,4 +1,4 @@
-"""One stand-in instance: its server, agent and rows."""
+"""Test double of one instance: MySQL server, group agent and rows."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Standin:
-    """One stand-in instance: its server, agent and rows."""
+    """Test double of one instance."""
 
     name: core.InstanceName
     model: group_module.GroupModel
@@ -29,10 +29,10 @@
         self.agent.kill()
 
     def pause(self) -> None:
-        """Stop the instance's answers, with its sockets open."""
+        """Stop answering, and keep every socket open."""
         self.server.pause()
 
     def resume(self) -> None:
-        """Let a paused instance go on."""
+        """Resume after a pause."""
         self.server.resume()
         self.agent.resume()
--- a/src/chicoryusher_standins/main.py
+++ b/src/chicoryusher_standins/main.py
@@ -1,4 +1,4 @@
-"""Entry point of ``chicoryusher-standins``: stand-ins on loopback."""
+"""Entry point of ``chicoryusher-standins``: test doubles on loopback."""
 
 from __future__ import annotations
 
@@ -19,30 +19,34 @@
 
 def _serve(
     deployment: Annotated[
-        str, typer.Option(help='Which deployment to stand in for.')
+        str, typer.Option(help='Name of the deployment to simulate.')
     ] = 'nile-grain',
-    databases: Annotated[int, typer.Option(help='How many databases.')] = 3,
+    databases: Annotated[int, typer.Option(help='Number of databases.')] = 3,
     first: Annotated[
         int, typer.Option(help='Number of the first database.')
     ] = 1,
     slots: Annotated[
-        int, typer.Option(help='Slots of an instance; 0: as deployed.')
+        int, typer.Option(help='Slots per instance; 0: as deployed.')
     ] = 0,
     connections: Annotated[
-        int, typer.Option(help='Connection cap; 0: as deployed.')
+        int,
+        typer.Option(help='Connection limit per instance; 0: as deployed.'),
     ] = 0,
 ) -> None:
-    """Serve stand-ins until killed; print where they are as JSON."""
-    chosen = dataclasses.replace(
+    """Serve test doubles until killed.
+
+    The register and the port of the platform are printed as JSON.
+    """
+    sized = dataclasses.replace(
         deployments.DEPLOYMENTS[deployment],
         databases=databases,
         first=first,
     )
     limits = server.ServerLimits(
-        slots or chosen.slots, connections or chosen.connections
+        slots or sized.slots, connections or sized.connections
     )
     with runtime.to_stream(core.LogLevel.WARNING).applicationbound():
-        world = world_module.World(chosen, limits=limits)
+        world = world_module.World(sized, limits=limits)
         typer.echo(
             json.dumps(
                 {
--- a/src/chicoryusher_standins/measure.py
+++ b/src/chicoryusher_standins/measure.py
@@ -24,13 +24,13 @@
 __all__ = ['main']
 
 SEED = 1
-FAILOVER_SEEDS = 4
-WORKERS = 5
+FAILOVER_SEED_COUNT = 4
+WORKER_COUNT = 5
 LATEST = pathlib.Path('measurements') / 'latest.json'
-DESIGN_NODES = 580
-DESIGN_DATABASES = 1200
-DESIGN_CONNECTIONS = 1_900_000
-SLOPES = ('2:3', '4:3', '8:3', '16:3', '32:3', '8:1', '8:10', '8:100')
+DESIGN_NODE_COUNT = 580
+DESIGN_DATABASE_COUNT = 1200
+DESIGN_CONNECTION_COUNT = 1_900_000
+SLOPE_SIZES = ('2:3', '4:3', '8:3', '16:3', '32:3', '8:1', '8:10', '8:100')
 Job = experiments.Job
 Figures = dict[str, Any]
 BASELINES = (
@@ -51,18 +51,18 @@
 )
 
 
-def _run(job: Job) -> tuple[Job, Figures]:
+def _run_job(job: Job) -> tuple[Job, Figures]:
     with runtime.to_stream(core.LogLevel.ERROR).applicationbound():
         return job, experiments.run_job(job)
 
 
 def _jobs(deployment: str) -> list[Job]:
-    plain = [
+    jobs = [
         Job(name, deployment, SEED)
         for name in ('steady', 'crest', 'hol', 'drain')
     ]
-    plain += [Job('hol', deployment, SEED, detail='hidden')]
-    plain += [
+    jobs += [Job('hol', deployment, SEED, detail='hidden')]
+    jobs += [
         Job(name, deployment, SEED, detail=detail)
         for name, detail in (
             ('spread', ''),
@@ -71,45 +71,51 @@
             ('leaving', 'replica'),
         )
     ]
-    plain += [
+    jobs += [
         Job('failover', deployment, seed, detail=name)
         for name in faults.FAULTS
-        for seed in range(1, FAILOVER_SEEDS + 1)
+        for seed in range(1, FAILOVER_SEED_COUNT + 1)
     ]
-    plain += [
+    jobs += [
         Job(name, deployment, SEED, queue, routing, placement=placement)
         for _, queue, routing, placement in BASELINES
         for name in ('steady', 'crest', 'hol')
     ]
-    return plain
+    return jobs
 
 
-def _keys(found: list[tuple[Job, Figures]]) -> Figures:
-    """Return the keys of one deployment from its runs."""
-    ours = [
+def _deployment_figures(runs: list[tuple[Job, Figures]]) -> Figures:
+    """Combine the runs of one deployment into its measured figures."""
+    default_runs = [
         (job, figures)
-        for job, figures in found
+        for job, figures in runs
         if job.queue_policy == decisions.DEFAULT_POLICY
         and job.routing_policy == 'nearest_fresh_replica'
         and job.placement == decisions.DEFAULT_PLACEMENT
     ]
     keys: Figures = {}
     violations: collections.Counter[str] = collections.Counter()
-    for _, figures in ours:
+    for _, figures in default_runs:
         violations.update(figures.get('violations', {}))
-    names = dataclasses.fields(callers_module.Violations)
-    keys.update({one.name: violations[one.name] for one in names})
-    gaps = [one['gap_s'] for job, one in ours if job.experiment == 'failover']
+    violation_fields = dataclasses.fields(callers_module.Violations)
+    keys.update(
+        {item.name: violations[item.name] for item in violation_fields}
+    )
+    gaps = [
+        item['gap_s']
+        for job, item in default_runs
+        if job.experiment == 'failover'
+    ]
     keys['failover_runs'] = len(gaps)
     keys['failover_gap_p50_s'] = statistics.median(gaps)
     keys['failover_gap_max_s'] = max(gaps)
     by_fault: dict[str, float] = {}
-    for job, one in ours:
+    for job, item in default_runs:
         if job.experiment == 'failover':
-            known = by_fault.get(job.detail, 0.0)
-            by_fault[job.detail] = max(known, one['gap_s'])
+            largest = by_fault.get(job.detail, 0.0)
+            by_fault[job.detail] = max(largest, item['gap_s'])
     keys['failover_gap_max_s_by_fault'] = by_fault
-    for job, figures in ours:
+    for job, figures in default_runs:
         if job.experiment == 'failover':
             continue
         for name, value in figures.items():
@@ -118,13 +124,15 @@
             shown = name
             if job.detail == 'hidden':
                 shown = f'hidden_{name}'
-            known = keys.get(shown)
-            worst = isinstance(known, float) and known > value
-            keys[shown] = known if worst else value
+            largest = keys.get(shown)
+            worst = isinstance(largest, float) and largest > value
+            keys[shown] = largest if worst else value
     keys['connections_max'] = max(
-        one['connections_max'] for _, one in ours if 'connections_max' in one
+        item['connections_max']
+        for _, item in default_runs
+        if 'connections_max' in item
     )
-    keys['baselines'] = _baselines(found)
+    keys['baselines'] = _baselines(runs)
     baseline = keys['baselines']['primary_only'].get(
         'cross_region_bytes_per_statement', 0.0
     )
@@ -133,20 +141,24 @@
     return keys
 
 
-def _baselines(found: list[tuple[Job, Figures]]) -> Figures:
+def _baselines(runs: list[tuple[Job, Figures]]) -> Figures:
     result: Figures = {}
     for name, *policies in BASELINES:
         merged: Figures = {}
-        for job, figures in found:
-            used = [job.queue_policy, job.routing_policy, job.placement]
-            if used == policies:
+        for job, figures in runs:
+            job_policies = [
+                job.queue_policy,
+                job.routing_policy,
+                job.placement,
+            ]
+            if job_policies == policies:
                 merged.update(figures)
         result[name] = merged
     return result
 
 
 def fit(points: list[tuple[float, float]]) -> tuple[float, float, float]:
-    """Return intercept, slope and largest error of a straight line."""
+    """Fit a straight line; return intercept, slope and largest error."""
     xs = [x for x, _ in points]
     ys = [y for _, y in points]
     slope, intercept = statistics.linear_regression(xs, ys)
@@ -154,64 +166,67 @@
     return intercept, slope, error
 
 
-def _slopes(found: list[Figures]) -> Figures:
-    """Extrapolate control costs to the size to design for.
+def _extrapolate_simulated_cost(points: list[Figures]) -> Figures:
+    """Extrapolate simulated control costs to the design size.
 
-    Costs are fitted against the groups a VM watches, at 8 VMs, and
-    against the number of VMs, at 3 databases.
+    Costs are fitted against the number of groups that a VM monitors, at 8
+    VMs, and against the number of VMs, at 3 databases.
     """
-    by_groups = [one for one in found if one['vms'] == 8]
-    groups = 3 * DESIGN_DATABASES / DESIGN_NODES
-    result: Figures = {'points': found, 'groups_per_vm': groups}
+    by_groups = [point for point in points if point['vms'] == 8]
+    groups_per_vm = 3 * DESIGN_DATABASE_COUNT / DESIGN_NODE_COUNT
+    result: Figures = {'points': points, 'groups_per_vm': groups_per_vm}
     for name in ('control_cpu_fraction', 'control_bytes_per_s', 'mb'):
-        start, slope, error = fit(
-            [(one['groups_per_vm'], one[name]) for one in by_groups]
+        intercept, slope, error = fit(
+            [(point['groups_per_vm'], point[name]) for point in by_groups]
         )
-        by_vms = [one for one in found if one['databases'] == 3]
-        rest = [
-            (one['vms'], one[name] - slope * one['groups_per_vm'])
-            for one in by_vms
+        by_vms = [point for point in points if point['databases'] == 3]
+        remainders = [
+            (point['vms'], point[name] - slope * point['groups_per_vm'])
+            for point in by_vms
         ]
-        _, per_vm, vm_error = fit(rest)
+        _, per_vm, vm_error = fit(remainders)
         result[name] = {
             'at_8_nodes': next(
-                one[name]
-                for one in found
-                if (one['vms'], one['databases']) == (8, 3)
+                point[name]
+                for point in points
+                if (point['vms'], point['databases']) == (8, 3)
             ),
             'per_group': slope,
             'per_vm': per_vm,
             'fit_error': error,
             'vm_fit_error': vm_error,
-            'at_580_nodes': start
-            + slope * groups
-            + max(0.0, per_vm) * (DESIGN_NODES - 8),
+            'at_580_nodes': intercept
+            + slope * groups_per_vm
+            + max(0.0, per_vm) * (DESIGN_NODE_COUNT - 8),
         }
     return result
 
 
-def _process(points: list[control.ControlPoint], caller_kb: float) -> Figures:
+def _extrapolate_process_cost(
+    points: list[control.ControlPoint], caller_kb: float
+) -> Figures:
     """Extrapolate a real daemon's control cost to the design size.
 
-    A point has three gates for each group; a node has one for each, so
-    the result is an upper bound.
+    At each measured point the daemon has three gates per group; at the
+    design size a node has one per group.  The result is therefore an upper
+    bound.
     """
-    groups = 3 * DESIGN_DATABASES / DESIGN_NODES
-    cpu = fit([(one.databases, one.cpu_fraction) for one in points])
-    memory = fit([(one.databases, one.memory_mb) for one in points])
-    callers = DESIGN_CONNECTIONS / DESIGN_NODES * caller_kb / 1024
+    groups_per_node = 3 * DESIGN_DATABASE_COUNT / DESIGN_NODE_COUNT
+    cpu = fit([(point.databases, point.cpu_fraction) for point in points])
+    memory = fit([(point.databases, point.memory_mb) for point in points])
+    callers = DESIGN_CONNECTION_COUNT / DESIGN_NODE_COUNT * caller_kb / 1024
     return {
-        'points': [dataclasses.asdict(one) for one in points],
+        'points': [dataclasses.asdict(point) for point in points],
         'kb_for_a_caller': caller_kb,
         'cpu_per_group': cpu[1],
         'cpu_fit_error': cpu[2],
-        'control_cpu_fraction_at_580': cpu[0] + cpu[1] * groups,
-        'control_mb_at_580': memory[0] + memory[1] * groups,
+        'control_cpu_fraction_at_580': cpu[0] + cpu[1] * groups_per_node,
+        'control_mb_at_580': memory[0] + memory[1] * groups_per_node,
         'callers_mb_at_580': callers,
     }
 
 
-def _table(document: Figures) -> None:
+def _print_table(document: Figures) -> None:
     for name, keys in document['deployments'].items():
         print(name)
         for key, value in keys.items():
@@ -223,29 +238,29 @@
     """Run the experiments and write ``measurements/latest.json``."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--no-sockets', action='store_true')
-    parser.add_argument('--workers', type=int, default=WORKERS)
-    chosen = parser.parse_args()
+    parser.add_argument('--workers', type=int, default=WORKER_COUNT)
+    arguments = parser.parse_args()
     names = list(deployments.DEPLOYMENTS)
     jobs = [job for name in names for job in _jobs(name)]
-    jobs += [Job('slope', names[0], SEED, detail=one) for one in SLOPES]
+    jobs += [Job('slope', names[0], SEED, detail=size) for size in SLOPE_SIZES]
     with concurrent.futures.ProcessPoolExecutor(
-        chosen.workers, max_tasks_per_child=1
+        arguments.workers, max_tasks_per_child=1
     ) as pool:
-        found = list(pool.map(_run, jobs))
+        results = list(pool.map(_run_job, jobs))
     document: Figures = {'seed': SEED, 'deployments': {}}
     for name in names:
-        document['deployments'][name] = _keys(
+        document['deployments'][name] = _deployment_figures(
             [
                 (job, figures)
-                for job, figures in found
+                for job, figures in results
                 if job.deployment == name and job.experiment != 'slope'
             ]
         )
-    document['control'] = _slopes(
-        [figures for job, figures in found if job.experiment == 'slope']
+    document['control'] = _extrapolate_simulated_cost(
+        [figures for job, figures in results if job.experiment == 'slope']
     )
-    if not chosen.no_sockets:
-        document['control_process_noisy'] = _process(
+    if not arguments.no_sockets:
+        document['control_process_noisy'] = _extrapolate_process_cost(
             control.measure(), control.kb_for_a_caller()
         )
         sockets = throughput.measure()
@@ -255,17 +270,17 @@
         }
     LATEST.parent.mkdir(exist_ok=True)
     LATEST.write_text(json.dumps(document, indent=1) + '\n')
-    _table(document)
+    _print_table(document)
     for key, value in document['control'].items():
         if isinstance(value, dict):
             print(f'  {key:<36} {value["at_580_nodes"]:10.4f} at 580 nodes')
     process = document.get('control_process_noisy', {})
-    for key, value in (*process.items(), *_sockets(document)):
+    for key, value in (*process.items(), *_socket_figures(document)):
         if isinstance(value, (int, float)):
             print(f'  {key:<36} {value:10.4f} (noisy)')
 
 
-def _sockets(document: Figures) -> tuple[tuple[str, Any], ...]:
+def _socket_figures(document: Figures) -> tuple[tuple[str, Any], ...]:
     return tuple(document.get('sockets_noisy', {}).items())
 
 
--- a/src/chicoryusher_standins/params.py
+++ b/src/chicoryusher_standins/params.py
@@ -14,14 +14,14 @@
 
 __all__ = ['READERS', 'read_params']
 
-HEAD_BYTES = 10
+HEADER_BYTES = 10
 UNSIGNED = 0x80
 Reader = Callable[[io.BytesIO], Any]
 READERS: core.Registry[Reader] = core.Registry('parameter type')
 _TYPE = types.ColumnType
 
 
-def _reads(*kinds: types.ColumnType) -> Callable[[Reader], Reader]:
+def _register_reader(*kinds: types.ColumnType) -> Callable[[Reader], Reader]:
     def store(reader: Reader) -> Reader:
         for kind in kinds:
             READERS.register(kind.name)(reader)
@@ -30,47 +30,51 @@
     return store
 
 
-@_reads(_TYPE.VARCHAR, _TYPE.VAR_STRING, _TYPE.STRING, _TYPE.NEWDECIMAL)
+@_register_reader(
+    _TYPE.VARCHAR, _TYPE.VAR_STRING, _TYPE.STRING, _TYPE.NEWDECIMAL
+)
 def _text(data: io.BytesIO) -> Any:
     return types.read_str_len(data).decode()
 
 
-@_reads(_TYPE.BLOB, _TYPE.TINY_BLOB, _TYPE.MEDIUM_BLOB, _TYPE.LONG_BLOB)
+@_register_reader(
+    _TYPE.BLOB, _TYPE.TINY_BLOB, _TYPE.MEDIUM_BLOB, _TYPE.LONG_BLOB
+)
 def _blob(data: io.BytesIO) -> Any:
     return types.read_str_len(data)
 
 
-@_reads(_TYPE.TINY)
+@_register_reader(_TYPE.TINY)
 def _tiny(data: io.BytesIO) -> Any:
     return types.read_int_1(data)
 
 
-@_reads(_TYPE.SHORT, _TYPE.YEAR)
+@_register_reader(_TYPE.SHORT, _TYPE.YEAR)
 def _short(data: io.BytesIO) -> Any:
     return types.read_int_2(data)
 
 
-@_reads(_TYPE.LONG, _TYPE.INT24)
+@_register_reader(_TYPE.LONG, _TYPE.INT24)
 def _long(data: io.BytesIO) -> Any:
     return types.read_int_4(data)
 
 
-@_reads(_TYPE.LONGLONG)
+@_register_reader(_TYPE.LONGLONG)
 def _longlong(data: io.BytesIO) -> Any:
     return types.read_int_8(data)
 
 
-@_reads(_TYPE.FLOAT)
+@_register_reader(_TYPE.FLOAT)
 def _float(data: io.BytesIO) -> Any:
     return types.read_float(data)
 
 
-@_reads(_TYPE.DOUBLE)
+@_register_reader(_TYPE.DOUBLE)
 def _double(data: io.BytesIO) -> Any:
     return types.read_double(data)
 
 
-@_reads(_TYPE.NULL)
+@_register_reader(_TYPE.NULL)
 def _null(data: io.BytesIO) -> Any:
     return None
 
@@ -81,7 +85,7 @@
     """Return the parameter values of an execute command."""
     if not count:
         return ()
-    data = io.BytesIO(payload[HEAD_BYTES:])
+    data = io.BytesIO(payload[HEADER_BYTES:])
     nulls = results.NullBitmap.from_buffer(data, count)
     types.read_uint_1(data)
     kinds = []
--- a/src/chicoryusher_standins/platform.py
+++ b/src/chicoryusher_standins/platform.py
@@ -1,4 +1,4 @@
-"""A stand-in platform: a table and a list of VMs, with faults."""
+"""Test double of the platform: table, object store and list of VMs."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """One key's value and version."""
+    """Value and version of one key."""
 
     version: int
     value: bytes
@@ -31,10 +31,11 @@
 
 @dataclasses.dataclass(slots=True)
 class PlatformModel:
-    """The table and the list; faults are switched on by tests.
+    """Table, object store and list of VMs, with faults set by tests.
 
-    ``down`` loses every call, ``slow`` answers after so many seconds,
-    and ``lose_answers`` runs so many writes and keeps their answers.
+    While ``down`` no call is answered.  Every answer is delayed by
+    ``slow`` seconds.  The next ``lose_answers`` writes are done, but their
+    answers are dropped.
     """
 
     rows: dict[str, Row] = dataclasses.field(default_factory=dict)
@@ -52,28 +53,28 @@
         return self.rows.get(key)
 
     def put(self, key: str, value: bytes, expected: int) -> Row | None:
-        """Write if the version is still ``expected``; None if not."""
+        """Write a row if its version is ``expected``; else return None."""
         self.writes += 1
-        known = self.rows.get(key)
-        if (known.version if known is not None else 0) != expected:
+        current = self.rows.get(key)
+        if (current.version if current is not None else 0) != expected:
             return None
         row = Row(expected + 1, value)
         self.rows[key] = row
         return row
 
     def put_config(self, document: bytes) -> None:
-        """Make a document the next version, as an operator would."""
+        """Publish a document as the next version of the configuration."""
         key = decisions.object_key(document)
         self.objects[key] = document
-        known = self.rows.get(tasks.CONFIG_KEY)
+        current = self.rows.get(tasks.CONFIG_KEY)
         pointer = decisions.encode_pointer(key)
-        expected = known.version if known is not None else 0
+        expected = current.version if current is not None else 0
         self.put(tasks.CONFIG_KEY, pointer, expected)
 
     def scan(
         self, prefix: str, after: str, limit: int
     ) -> list[tuple[str, Row]]:
-        """Return rows in key order."""
+        """Return rows in key order, beginning after the key ``after``."""
         self.reads += 1
         keys = sorted(
             key for key in self.rows if key.startswith(prefix) and key > after
@@ -82,8 +83,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Late(core.Message):
-    """A slow answer is due."""
+class _DelayedAnswer(core.Message):
+    """The delay of an answer is over."""
 
     number: int
 
@@ -102,17 +103,17 @@
         listener = runtime.Listener(address, loop.poller, self.task_name)
         self.address = listener.address
         self._server = http_server.HttpServer(listener, self._handle)
-        self._late: dict[
+        self._delayed_requests: dict[
             int, tuple[http_server.HttpConn, http_server.HttpRequest]
         ] = {}
-        self._number = 0
+        self._last_delayed_id = 0
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready: runtime.SocketReady) -> None:
         self._server.ready(ready)
 
     def settled(self) -> None:
-        """Send the answers written so far."""
+        """Send the answers written since the last flush."""
         self._server.flush()
 
     def _handle(
@@ -121,15 +122,15 @@
         if self.model.down:
             return
         if self.model.slow > 0:
-            self._number += 1
-            self._late[self._number] = (conn, request)
-            self.after(self.model.slow, _Late(self._number))
+            self._last_delayed_id += 1
+            self._delayed_requests[self._last_delayed_id] = (conn, request)
+            self.after(self.model.slow, _DelayedAnswer(self._last_delayed_id))
             return
         self._answer(conn, request)
 
-    @runtime.handles(_Late)
-    def _on_late(self, late: _Late) -> None:
-        self._answer(*self._late.pop(late.number))
+    @runtime.handles(_DelayedAnswer)
+    def _on_delayed_answer(self, delayed: _DelayedAnswer) -> None:
+        self._answer(*self._delayed_requests.pop(delayed.number))
 
     def _answer(
         self, conn: http_server.HttpConn, request: http_server.HttpRequest
@@ -152,11 +153,11 @@
             conn.reply(NOT_FOUND, {})
 
     def _scan(self, query: str) -> list[dict[str, Any]]:
-        asked = dict(urllib.parse.parse_qsl(query))
+        parameters = dict(urllib.parse.parse_qsl(query))
         rows = self.model.scan(
-            asked.get('prefix', ''),
-            asked.get('after', ''),
-            int(asked.get('limit', 1000)),
+            parameters.get('prefix', ''),
+            parameters.get('after', ''),
+            int(parameters.get('limit', 1000)),
         )
         return [{'key': key, **_document(row)} for key, row in rows]
 
--- a/src/chicoryusher_standins/report.py
+++ b/src/chicoryusher_standins/report.py
@@ -1,4 +1,4 @@
-"""``make report``: draw the last measurement as one HTML page."""
+"""``make report``: draw the last measurements as one HTML page."""
 
 from __future__ import annotations
 
@@ -20,13 +20,13 @@
 
 __all__ = ['PLOTS', 'main']
 
-LATEST = pathlib.Path('measurements') / 'latest.json'
-PAGE = pathlib.Path('measurements') / 'report.html'
+MEASUREMENTS_PATH = pathlib.Path('measurements') / 'latest.json'
+REPORT_PATH = pathlib.Path('measurements') / 'report.html'
 SIZE_INCHES = (7.0, 3.2)
 Figures = dict[str, Any]
 Plot = Callable[[str, Figures, Any], None]
 PLOTS: core.Registry[Plot] = core.Registry('plot')
-_SHOWN = (
+_TABLE_KEYS = (
     'replica_read_share',
     'failover_gap_p50_s',
     'failover_gap_max_s',
@@ -48,12 +48,12 @@
         axes.axvline(goal, color='#a83232', linestyle='--')
 
 
-def _against_baselines(key: str, keys: Figures) -> dict[str, float]:
-    found = {'chicoryusher': keys[key]}
+def _values_with_baselines(key: str, keys: Figures) -> dict[str, float]:
+    values = {'chicoryusher': keys[key]}
     for name, figures in keys['baselines'].items():
         if key in figures:
-            found[name] = figures[key]
-    return found
+            values[name] = figures[key]
+    return values
 
 
 @PLOTS.register('failover')
@@ -64,23 +64,23 @@
 
 @PLOTS.register('crest')
 def _crest(name: str, keys: Figures, axes: Any) -> None:
-    _bars(axes, _against_baselines('crest_goodput', keys), 0.95)
+    _bars(axes, _values_with_baselines('crest_goodput', keys), 0.95)
     axes.set_title(f'{name}: goodput at five times the demand')
 
 
 @PLOTS.register('stragglers')
 def _stragglers(name: str, keys: Figures, axes: Any) -> None:
-    _bars(axes, _against_baselines('hol_ratio', keys), 1.5)
+    _bars(axes, _values_with_baselines('hol_ratio', keys), 1.5)
     axes.set_title(f'{name}: short p99 with stragglers / without')
 
 
 @PLOTS.register('replicas')
 def _replicas(name: str, keys: Figures, axes: Any) -> None:
-    _bars(axes, _against_baselines('replica_read_share', keys), 0.95)
+    _bars(axes, _values_with_baselines('replica_read_share', keys), 0.95)
     axes.set_title(f'{name}: share of reads served by replicas')
 
 
-def _draw(plot: Plot, name: str, keys: Figures) -> str:
+def _draw_png_base64(plot: Plot, name: str, keys: Figures) -> str:
     figure, axes = pyplot.subplots(figsize=SIZE_INCHES)
     plot(name, keys, axes)
     figure.tight_layout()
@@ -93,7 +93,7 @@
 def _table(keys: Figures) -> str:
     rows = ''.join(
         f'<tr><td>{html.escape(key)}</td><td>{keys[key]:.4g}</td></tr>'
-        for key in _SHOWN
+        for key in _TABLE_KEYS
         if key in keys
     )
     return f'<table>{rows}</table>'
@@ -101,7 +101,7 @@
 
 def main() -> None:
     """Write ``measurements/report.html``."""
-    document = json.loads(LATEST.read_text(encoding='utf-8'))
+    document = json.loads(MEASUREMENTS_PATH.read_text(encoding='utf-8'))
     parts = [
         '<!doctype html><meta charset="utf-8"><title>chicoryusher</title>'
         '<style>body{font-family:sans-serif;margin:2em}'
@@ -110,12 +110,12 @@
     for name, keys in document['deployments'].items():
         parts.append(f'<h2>{html.escape(name)}</h2>{_table(keys)}')
         for plot in PLOTS:
-            image = _draw(PLOTS.get(plot), name, keys)
+            image = _draw_png_base64(PLOTS.get(plot), name, keys)
             parts.append(
                 f'<p><img alt="{plot}" src="data:image/png;base64,{image}">'
             )
-    PAGE.write_text('\n'.join(parts) + '\n', encoding='utf-8')
-    print(f'wrote {PAGE}')
+    REPORT_PATH.write_text('\n'.join(parts) + '\n', encoding='utf-8')
+    print(f'wrote {REPORT_PATH}')
 
 
 if __name__ == '__main__':
--- a/src/chicoryusher_standins/server.py
+++ b/src/chicoryusher_standins/server.py
@@ -1,4 +1,4 @@
-"""A stand-in instance that speaks the MySQL protocol."""
+"""Test double of an instance that speaks the MySQL protocol."""
 
 from __future__ import annotations
 
@@ -22,25 +22,30 @@
 
 __all__ = ['InstanceServer', 'ServerLimits', 'gtid_set']
 
-LOCK_RETRY = 0.002
-LOCK_WAIT = 1.0
+LOCK_RETRY_S = 0.002
+MAX_LOCK_WAIT_S = 1.0
 MAX_PACKET_BYTES = 64 * 1024 * 1024
-READ_ONLY = 1290
-LOCK_TIMEOUT = 1205
-TOO_MANY = 1040
-DENIED = 1045
-NO_THREAD = 1094
+READ_ONLY_ERROR = 1290
+LOCK_TIMEOUT_ERROR = 1205
+TOO_MANY_CONNECTIONS_ERROR = 1040
+ACCESS_DENIED_ERROR = 1045
+NO_SUCH_THREAD_ERROR = 1094
 CAPABILITIES = (
     wire.CALLER_CAPABILITIES | types.Capabilities.CLIENT_SESSION_TRACK
 )
 _STATUS = types.ServerStatus
-_SLEEP = re.compile(r'sleep\(\s*([\d.]+)\s*\)', re.I)
+_SLEEP_PATTERN = re.compile(r'sleep\(\s*([\d.]+)\s*\)', re.I)
 _Rows = engine_module.Rows
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerLimits:
-    """What one instance can take; times in seconds."""
+    """Capacity of one instance.
+
+    ``slots`` is how many statements run at once.  ``connect_cost`` is the
+    time in seconds until a new connection is greeted, ``service_time`` that
+    of every statement.
+    """
 
     slots: int = 3
     connections: int = 20
@@ -49,38 +54,38 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Greet(core.Message):
-    """The cost of a new connection has been paid."""
+class _SendGreeting(core.Message):
+    """The connect delay of a new connection is over: greet the client."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Run(core.Message):
-    """The service time of a statement has passed."""
+class _RunStatement(core.Message):
+    """The service time of a statement is over: execute it."""
 
     number: int
-    since: float
+    started_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _IdleCheck(core.Message):
-    """A connection may have been idle for longer than it may."""
+    """Check whether a connection has reached its idle time-out."""
 
     number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Held(core.Message):
-    """A packet that came during a pause."""
+class _DelayedPacket(core.Message):
+    """A packet that was received during a pause."""
 
     number: int
     payload: bytes
 
 
 @dataclasses.dataclass(slots=True)
-class _Job:
-    """One statement: text, values, and whether rows go out in binary."""
+class _Statement:
+    """One statement: text, values, and whether rows are sent in binary."""
 
     sql: str
     values: tuple[Any, ...] = ()
@@ -98,13 +103,15 @@
         self.user: str | None = None
         self.session: engine_module.EngineSession | None = None
         self.sequence = 0
-        self.tracks = False
+        self.tracks_positions = False
         self.wait_timeout = 0.0
         self.last_used = 0.0
-        self.job: _Job | None = None
-        self.statements: dict[int, prepared_module.PreparedStatement] = {}
-        self.numbers = itertools.count(1)
-        self.waiting: list[bytes] = []
+        self.statement: _Statement | None = None
+        self.prepared_statements: dict[
+            int, prepared_module.PreparedStatement
+        ] = {}
+        self.statement_numbers = itertools.count(1)
+        self.pending_packets: list[bytes] = []
 
 
 class InstanceServer(runtime.Task):
@@ -132,16 +139,16 @@
         self._numbers = itertools.count(1)
         self._conns: dict[int, _Conn] = {}
         self._by_fileno: dict[int, _Conn] = {}
-        self._dirty: set[_Conn] = set()
+        self._conns_to_flush: set[_Conn] = set()
         self._queue: list[_Conn] = []
         self._running = 0
         self._lock_holder: _Conn | None = None
-        self._held: list[core.Message] = []
+        self._messages_during_pause: list[core.Message] = []
         self.most_connections = 0
 
     @property
     def running(self) -> int:
-        """Return how many statements run at this moment."""
+        """Return how many statements are running."""
         return self._running
 
     @property
@@ -151,21 +158,21 @@
     # -- faults -----------------------------------------------------
 
     def kill(self) -> None:
-        """Die: drop every connection and refuse new ones."""
+        """Drop every connection and refuse new ones, like a killed process."""
         self._instance.alive = False
         self._listener.close()
         for conn in tuple(self._conns.values()):
             self._drop(conn)
 
     def pause(self) -> None:
-        """Stop answering, with every socket left open."""
+        """Stop answering, and keep every socket open."""
         self._instance.paused = True
 
     def resume(self) -> None:
-        """Go on after a pause, unaware of it."""
+        """Handle the messages of a pause as if it had not happened."""
         self._instance.paused = False
-        held, self._held = self._held, []
-        for message in held:
+        messages, self._messages_during_pause = self._messages_during_pause, []
+        for message in messages:
             self.send(self.task_name, message)
 
     # -- sockets ----------------------------------------------------
@@ -179,7 +186,7 @@
         if conn is None:
             return
         if ready.writable:
-            self._dirty.add(conn)
+            self._conns_to_flush.add(conn)
         if not ready.readable:
             return
         data = conn.stream.read()
@@ -190,9 +197,11 @@
             conn.sequence = packet.sequence + 1
             conn.last_used = self.now()
             if self._instance.paused:
-                self._held.append(_Held(conn.number, packet.payload))
+                self._messages_during_pause.append(
+                    _DelayedPacket(conn.number, packet.payload)
+                )
             else:
-                self._packet(conn, packet.payload)
+                self._handle_packet(conn, packet.payload)
 
     def _accept(self) -> None:
         while (stream := self._listener.accept()) is not None:
@@ -200,32 +209,37 @@
             conn.last_used = self.now()
             self._conns[conn.number] = conn
             self._by_fileno[stream.fileno] = conn
-            self._dirty.add(conn)
+            self._conns_to_flush.add(conn)
             self.most_connections = max(
                 self.most_connections, len(self._conns)
             )
             if len(self._conns) > self._limits.connections:
-                self._error(conn, TOO_MANY, '08004', 'too many connections')
+                self._error(
+                    conn,
+                    TOO_MANY_CONNECTIONS_ERROR,
+                    '08004',
+                    'too many connections',
+                )
                 conn.stream.flush()
                 self._drop(conn)
                 continue
-            self.after(self._limits.connect_cost, _Greet(conn.number))
+            self.after(self._limits.connect_cost, _SendGreeting(conn.number))
 
-    @runtime.handles(_Greet)
-    def _on_greet(self, greet: _Greet) -> None:
+    @runtime.handles(_SendGreeting)
+    def _on_greet(self, greet: _SendGreeting) -> None:
         conn = self._conns.get(greet.number)
         if conn is None:
             return
         if self._instance.paused:
-            self._held.append(greet)
+            self._messages_during_pause.append(greet)
             return
         payload = wire.make_greeting(conn.number, conn.nonce, CAPABILITIES)
         conn.stream.write(wire.frame(payload))
-        self._dirty.add(conn)
+        self._conns_to_flush.add(conn)
 
     def settled(self) -> None:
-        """Send what the handled messages wrote."""
-        dirty, self._dirty = self._dirty, set()
+        """Flush the connections that the handled messages wrote to."""
+        dirty, self._conns_to_flush = self._conns_to_flush, set()
         for conn in dirty:
             if conn.stream.fileno >= 0:
                 conn.stream.flush()
@@ -239,27 +253,27 @@
         conn.stream.close()
         if conn in self._queue:
             self._queue.remove(conn)
-            conn.job = None
-        if conn.session is not None and conn.job is None:
+            conn.statement = None
+        if conn.session is not None and conn.statement is None:
             conn.session.close()
         if self._lock_holder is conn:
             self._lock_holder = None
 
     # -- protocol ---------------------------------------------------
 
-    @runtime.handles(_Held)
-    def _on_held(self, held: _Held) -> None:
-        conn = self._conns.get(held.number)
+    @runtime.handles(_DelayedPacket)
+    def _on_delayed_packet(self, delayed: _DelayedPacket) -> None:
+        conn = self._conns.get(delayed.number)
         if conn is not None:
-            self._packet(conn, held.payload)
+            self._handle_packet(conn, delayed.payload)
 
-    def _packet(self, conn: _Conn, payload: bytes) -> None:
-        self._dirty.add(conn)
+    def _handle_packet(self, conn: _Conn, payload: bytes) -> None:
+        self._conns_to_flush.add(conn)
         if conn.user is None:
-            self._hello(conn, payload)
+            self._handle_login(conn, payload)
             return
-        if conn.job is not None:
-            conn.waiting.append(payload)
+        if conn.statement is not None:
+            conn.pending_packets.append(payload)
             return
         command = _COMMANDS.get(payload[0])
         if command is None:
@@ -267,18 +281,18 @@
             return
         command(self, conn, payload)
 
-    def _hello(self, conn: _Conn, payload: bytes) -> None:
-        hello = wire.parse_hello(payload, CAPABILITIES)
+    def _handle_login(self, conn: _Conn, payload: bytes) -> None:
+        login = wire.parse_hello(payload, CAPABILITIES)
         name, password = self._user
-        good = hello.user == name and wire.verify(
-            hello.method, password, conn.nonce, hello.response
+        is_valid = login.user == name and wire.verify(
+            login.method, password, conn.nonce, login.response
         )
-        if not good:
-            self._error(conn, DENIED, '28000', 'access denied')
+        if not is_valid:
+            self._error(conn, ACCESS_DENIED_ERROR, '28000', 'access denied')
             return
-        if hello.method == wire.DEFAULT_METHOD:
+        if login.method == wire.DEFAULT_METHOD:
             self._reply(conn, b'\x01\x03')
-        conn.user = hello.user
+        conn.user = login.user
         conn.session = self._engine.session()
         self._ok(conn)
 
@@ -303,7 +317,7 @@
     ) -> None:
         status = self._status(conn)
         tail = b''
-        if position is not None and conn.tracks:
+        if position is not None and conn.tracks_positions:
             text = wire.format_gtid(str(self.model.database), position)
             data = b'\0' + types.str_len(text.encode())
             state = types.uint_1(3) + types.str_len(data)
@@ -341,72 +355,74 @@
 
     # -- statements -------------------------------------------------
 
-    def query(self, conn: _Conn, job: _Job) -> None:
-        """Run a statement now, or once a slot is free."""
-        for pattern, special in _SPECIALS:
-            found = pattern.match(job.sql)
-            if found is not None:
-                special(self, conn, found)
+    def query(self, conn: _Conn, statement: _Statement) -> None:
+        """Answer a special statement at once; queue any other for a slot."""
+        for pattern, handler in _SPECIAL_STATEMENTS:
+            matched = pattern.match(statement.sql)
+            if matched is not None:
+                handler(self, conn, matched)
                 return
-        conn.job = job
+        conn.statement = statement
         self._queue.append(conn)
-        self._pump()
+        self._start_queued()
 
-    def _pump(self) -> None:
+    def _start_queued(self) -> None:
         while self._queue and self._running < self._limits.slots:
             conn = self._queue.pop(0)
             self._running += 1
-            job = conn.job
-            assert job is not None
+            statement = conn.statement
+            assert statement is not None
             seconds = self._limits.service_time
-            sleep = _SLEEP.search(job.sql)
+            sleep = _SLEEP_PATTERN.search(statement.sql)
             if sleep is not None:
                 seconds += float(sleep.group(1))
-            run = _Run(conn.number, self.now())
+            run = _RunStatement(conn.number, self.now())
             if seconds > 0:
                 self.after(seconds, run)
             else:
                 self._on_run(run)
 
-    @runtime.handles(_Run)
-    def _on_run(self, run: _Run) -> None:
+    @runtime.handles(_RunStatement)
+    def _on_run(self, run: _RunStatement) -> None:
         conn = self._conns.get(run.number)
         if self._instance.paused:
-            self._held.append(run)
+            self._messages_during_pause.append(run)
             return
-        if conn is None or conn.job is None:
-            self._freed()
+        if conn is None or conn.statement is None:
+            self._release_slot()
             return
         try:
-            self._execute(conn, conn.job)
+            self._execute(conn, conn.statement)
         except engine_module.Locked:
-            if self.now() - run.since < LOCK_WAIT:
-                self.after(LOCK_RETRY, run)
+            if self.now() - run.started_at < MAX_LOCK_WAIT_S:
+                self.after(LOCK_RETRY_S, run)
                 return
-            self._error(conn, LOCK_TIMEOUT, 'HY000', 'lock wait timeout')
+            self._error(conn, LOCK_TIMEOUT_ERROR, 'HY000', 'lock wait timeout')
         except engine_module.SqlError as exc:
             self._error(conn, exc.code, exc.sqlstate, str(exc))
-        conn.job = None
-        self._dirty.add(conn)
-        self._freed()
-        if conn.waiting:
-            self._packet(conn, conn.waiting.pop(0))
+        conn.statement = None
+        self._conns_to_flush.add(conn)
+        self._release_slot()
+        if conn.pending_packets:
+            self._handle_packet(conn, conn.pending_packets.pop(0))
 
-    def _freed(self) -> None:
+    def _release_slot(self) -> None:
         self._running -= 1
-        self._pump()
+        self._start_queued()
 
-    def _execute(self, conn: _Conn, job: _Job) -> None:
+    def _execute(self, conn: _Conn, statement: _Statement) -> None:
         session = conn.session
         assert session is not None
-        sql = _SLEEP.sub('0', job.sql)
+        sql = _SLEEP_PATTERN.sub('0', statement.sql)
         if engine_module.is_read(sql):
-            self._result(conn, session.execute(sql, job.values), job.binary)
+            self._result(
+                conn, session.execute(sql, statement.values), statement.binary
+            )
             return
         self._check_writable()
-        rows = session.execute(sql, job.values)
+        rows = session.execute(sql, statement.values)
         if rows.columns:
-            self._result(conn, rows, job.binary)
+            self._result(conn, rows, statement.binary)
             return
         position = None
         if not session.in_transaction:
@@ -416,7 +432,7 @@
     def _check_writable(self) -> None:
         if self._instance.role is not core.Role.PRIMARY:
             raise engine_module.SqlError(
-                READ_ONLY, 'HY000', 'the server is read only'
+                READ_ONLY_ERROR, 'HY000', 'the server is read only'
             )
 
     def _commit(
@@ -427,17 +443,17 @@
             return None
         return self.model.commit(self.instance_name, written, self.now())
 
-    def begin(self, conn: _Conn, found: re.Match[str]) -> None:
+    def begin(self, conn: _Conn, match: re.Match[str]) -> None:
         """Open a transaction."""
         assert conn.session is not None
         conn.session.begin()
         self._ok(conn)
 
-    def end(self, conn: _Conn, found: re.Match[str]) -> None:
+    def end(self, conn: _Conn, match: re.Match[str]) -> None:
         """Commit or roll back a transaction."""
         session = conn.session
         assert session is not None
-        if found.group(1).lower() == 'rollback':
+        if match.group(1).lower() == 'rollback':
             session.rollback()
             self._ok(conn)
             return
@@ -446,16 +462,18 @@
             and self._instance.role is not core.Role.PRIMARY
         ):
             session.rollback()
-            self._error(conn, READ_ONLY, 'HY000', 'the server is read only')
+            self._error(
+                conn, READ_ONLY_ERROR, 'HY000', 'the server is read only'
+            )
             return
         session.commit()
         self._ok(conn, position=self._commit(session))
 
-    def set(self, conn: _Conn, found: re.Match[str]) -> None:
-        """Take the settings that the proxy uses; accept all others."""
-        name, value = found.group(1).lower(), found.group(2)
+    def set(self, conn: _Conn, match: re.Match[str]) -> None:
+        """Apply the settings that the proxy uses; accept and ignore others."""
+        name, value = match.group(1).lower(), match.group(2)
         if name == 'session_track_gtids':
-            conn.tracks = 'OWN_GTID' in value
+            conn.tracks_positions = 'OWN_GTID' in value
         elif name == 'wait_timeout':
             conn.wait_timeout = float(value)
             self.after(conn.wait_timeout, _IdleCheck(conn.number))
@@ -466,62 +484,64 @@
         conn = self._conns.get(check.number)
         if conn is None or not self._instance.alive:
             return
-        left = conn.last_used + conn.wait_timeout - self.now()
-        if left <= 0:
+        idle_time_left = conn.last_used + conn.wait_timeout - self.now()
+        if idle_time_left <= 0:
             self._drop(conn)
         else:
-            self.after(left, check)
+            self.after(idle_time_left, check)
 
-    def lock(self, conn: _Conn, found: re.Match[str]) -> None:
-        """Grant the named lock to one connection."""
+    def lock(self, conn: _Conn, match: re.Match[str]) -> None:
+        """Grant the named lock if no other connection has it."""
         granted = self._lock_holder in (None, conn)
         if granted:
             self._lock_holder = conn
         self._result(conn, _Rows(('lock',), ((int(granted),),)), False)
 
-    def processes(self, conn: _Conn, found: re.Match[str]) -> None:
+    def processes(self, conn: _Conn, match: re.Match[str]) -> None:
         """List the other connections."""
         rows = tuple(
             (number,) for number in self._conns if number != conn.number
         )
         self._result(conn, _Rows(('id',), rows), False)
 
-    def end_process(self, conn: _Conn, found: re.Match[str]) -> None:
+    def end_process(self, conn: _Conn, match: re.Match[str]) -> None:
         """End another connection."""
-        other = self._conns.get(int(found.group(1)))
+        other = self._conns.get(int(match.group(1)))
         if other is None:
-            self._error(conn, NO_THREAD, 'HY000', 'no such thread')
+            self._error(conn, NO_SUCH_THREAD_ERROR, 'HY000', 'no such thread')
             return
         self._drop(other)
         self._ok(conn)
 
-    def variable(self, conn: _Conn, found: re.Match[str]) -> None:
-        """Answer a question for a system variable."""
-        self._result(conn, _Rows((found.group(1),), (('',),)), False)
+    def variable(self, conn: _Conn, match: re.Match[str]) -> None:
+        """Return an empty value for a system variable."""
+        self._result(conn, _Rows((match.group(1),), (('',),)), False)
 
-    def nothing(self, conn: _Conn, found: re.Match[str]) -> None:
-        """Accept a statement that does nothing."""
+    def nothing(self, conn: _Conn, match: re.Match[str]) -> None:
+        """Accept a statement without any effect."""
         self._ok(conn)
 
 
-_Special = Callable[[InstanceServer, _Conn, re.Match[str]], None]
-_SPECIALS: tuple[tuple[re.Pattern[str], _Special], ...] = tuple(
-    (re.compile(pattern, re.I | re.S), special)
-    for pattern, special in (
-        (r'\s*(?:begin|start\s+transaction)\b', InstanceServer.begin),
-        (r'\s*(commit|rollback)\s*;?\s*$', InstanceServer.end),
-        (
-            r'\s*set\s+(?:session\s+)?([@\w.]+)\s*:?=?\s*(.*)$',
-            InstanceServer.set,
-        ),
-        (r'\s*select\s+get_lock\(', InstanceServer.lock),
-        (
-            r'\s*select\s+id\s+from\s+information_schema\.processlist',
-            InstanceServer.processes,
-        ),
-        (r'\s*kill\s+(\d+)', InstanceServer.end_process),
-        (r'\s*select\s+(@@[\w.]+)\s*$', InstanceServer.variable),
-        (r'\s*do\s+', InstanceServer.nothing),
+_SpecialStatement = Callable[[InstanceServer, _Conn, re.Match[str]], None]
+_SPECIAL_STATEMENTS: tuple[tuple[re.Pattern[str], _SpecialStatement], ...] = (
+    tuple(
+        (re.compile(pattern, re.I | re.S), handler)
+        for pattern, handler in (
+            (r'\s*(?:begin|start\s+transaction)\b', InstanceServer.begin),
+            (r'\s*(commit|rollback)\s*;?\s*$', InstanceServer.end),
+            (
+                r'\s*set\s+(?:session\s+)?([@\w.]+)\s*:?=?\s*(.*)$',
+                InstanceServer.set,
+            ),
+            (r'\s*select\s+get_lock\(', InstanceServer.lock),
+            (
+                r'\s*select\s+id\s+from\s+information_schema\.processlist',
+                InstanceServer.processes,
+            ),
+            (r'\s*kill\s+(\d+)', InstanceServer.end_process),
+            (r'\s*select\s+(@@[\w.]+)\s*$', InstanceServer.variable),
+            (r'\s*do\s+', InstanceServer.nothing),
+        )
     )
 )
 
@@ -530,25 +550,25 @@
     columns = []
     for index, name in enumerate(rows.columns):
         values = (row[index] for row in rows.rows)
-        value = next((one for one in values if one is not None), '')
+        value = next((item for item in values if item is not None), '')
         columns.append(results.ResultColumn(name, results.infer_type(value)))
     return tuple(columns)
 
 
 def gtid_set(group: str, log: list[group_module.Entry]) -> str:
-    """Return a log as a tagged transaction id set."""
-    runs: dict[int, list[int]] = {}
+    """Return the positions of a log as a set of tagged GTIDs."""
+    offset_ranges: dict[int, list[int]] = {}
     for entry in log:
         term, offset = entry.position
-        runs.setdefault(term, [offset, offset])[1] = offset
+        offset_ranges.setdefault(term, [offset, offset])[1] = offset
     return ','.join(
         f'{group}:t{term}:{first}-{last}'
-        for term, (first, last) in sorted(runs.items())
+        for term, (first, last) in sorted(offset_ranges.items())
     )
 
 
-def _text(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
-    server.query(conn, _Job(payload[1:].decode()))
+def _query(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
+    server.query(conn, _Statement(payload[1:].decode()))
 
 
 def _ping(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
@@ -562,10 +582,10 @@
 def _prepare(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
     sql = payload[1:].decode()
     count = len(prepared_module.REGEX_PARAM.findall(sql))
-    number = next(conn.numbers)
-    statement = prepared_module.PreparedStatement(number, sql, count)
-    conn.statements[number] = statement
-    server._reply(conn, packets.make_com_stmt_prepare_ok(statement))  # noqa: SLF001
+    number = next(conn.statement_numbers)
+    prepared_statement = prepared_module.PreparedStatement(number, sql, count)
+    conn.prepared_statements[number] = prepared_statement
+    server._reply(conn, packets.make_com_stmt_prepare_ok(prepared_statement))  # noqa: SLF001
     if not count:
         return
     for _ in range(count):
@@ -579,31 +599,35 @@
 
 def _execute(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
     number = int.from_bytes(payload[1:5], 'little')
-    statement = conn.statements[number]
-    long_data = statement.param_buffers or {}
-    values = params.read_params(payload, statement.num_params, long_data)
-    statement.param_buffers = None
-    server.query(conn, _Job(statement.sql, values, binary=True))
+    prepared_statement = conn.prepared_statements[number]
+    long_data = prepared_statement.param_buffers or {}
+    values = params.read_params(
+        payload, prepared_statement.num_params, long_data
+    )
+    prepared_statement.param_buffers = None
+    server.query(conn, _Statement(prepared_statement.sql, values, binary=True))
 
 
 def _long_data(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
     data = packets.parse_com_stmt_send_long_data(payload[1:])
-    statement = conn.statements[data.stmt_id]
-    if statement.param_buffers is None:
-        statement.param_buffers = {}
-    held = statement.param_buffers.setdefault(data.param_id, bytearray())
-    held.extend(data.data)
+    prepared_statement = conn.prepared_statements[data.stmt_id]
+    if prepared_statement.param_buffers is None:
+        prepared_statement.param_buffers = {}
+    buffer = prepared_statement.param_buffers.setdefault(
+        data.param_id, bytearray()
+    )
+    buffer.extend(data.data)
 
 
 def _close(server: InstanceServer, conn: _Conn, payload: bytes) -> None:
-    conn.statements.pop(int.from_bytes(payload[1:5], 'little'), None)
+    conn.prepared_statements.pop(int.from_bytes(payload[1:5], 'little'), None)
 
 
 _COMMANDS: dict[int, Callable[[InstanceServer, _Conn, bytes], None]] = {
     types.Commands.COM_QUIT: _quit,
     types.Commands.COM_PING: _ping,
     types.Commands.COM_INIT_DB: _ping,
-    types.Commands.COM_QUERY: _text,
+    types.Commands.COM_QUERY: _query,
     types.Commands.COM_STMT_PREPARE: _prepare,
     types.Commands.COM_STMT_EXECUTE: _execute,
     types.Commands.COM_STMT_SEND_LONG_DATA: _long_data,
--- a/src/chicoryusher_standins/throughput.py
+++ b/src/chicoryusher_standins/throughput.py
@@ -1,7 +1,7 @@
-"""Statements a second of one daemon process, on real sockets.
+"""Measure the throughput of one daemon process on real sockets.
 
-The stand-ins, the daemon and the callers are processes of their own.
-The figures depend on the processor and are marked as noisy.
+The test doubles, the daemon and the callers are separate processes.  The
+figures depend on the processor and are marked as noisy.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 import pymysql
 
 from chicoryusher import core
-from chicoryusher import peers  # noqa: F401 - the codecs are warmed up
+from chicoryusher import peers  # noqa: F401 - warms up the codecs
 from chicoryusher_standins import world as world_module
 
 __all__ = [
@@ -37,20 +37,23 @@
     'start',
 ]
 
-WARM_UP_SECONDS = 1.0
-SETTLE_SECONDS = 8.0
-SLOTS = 16
-CONNECTIONS = 64
-CALLER_TIMEOUT = 60.0
-LONE_STATEMENTS = 400
-READY_SECONDS = 15.0
-IDLE_SECONDS = 8.0
+WARM_UP_S = 1.0
+SETTLE_S = 8.0
+SLOT_COUNT = 16
+MAX_CONNECTIONS = 64
+CALLER_TIMEOUT_S = 60.0
+LATENCY_STATEMENT_COUNT = 400
+READY_TIMEOUT_S = 15.0
+IDLE_S = 8.0
 BIN = pathlib.Path(sys.executable).parent
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Throughput:
-    """Rates in statements/s, times in ms, processor time in fractions."""
+    """Throughput and latency, through the proxy and directly.
+
+    Rates are in statements per second; ``p50`` is the median latency.
+    """
 
     statements_per_s_per_process: float
     direct_statements_per_s: float
@@ -61,17 +64,17 @@
 
     @property
     def proxy_added_ms_p50(self) -> float:
-        """Return the time that the proxy adds for a lone caller."""
+        """Return the latency that the proxy adds for a single caller."""
         return self.proxy_p50_ms - self.direct_p50_ms
 
 
 def environment() -> dict[str, str]:
-    """Return the environment of the processes: secrets for tests."""
+    """Return the processes' environment, with the secrets for tests."""
     return {**os.environ, **world_module.ENVIRONMENT}
 
 
 def start(*command: str) -> tuple[subprocess.Popen[str], Any]:
-    """Start stand-ins; return the process and what it printed."""
+    """Start test doubles; return the process and the JSON it printed."""
     process = subprocess.Popen(
         command, env=environment(), stdout=subprocess.PIPE, text=True
     )
@@ -91,7 +94,7 @@
     )
 
 
-def _caller(
+def _run_caller(
     port: int,
     user: str,
     password: str,
@@ -99,14 +102,14 @@
     seconds: float,
     connections: int,
     counts: Any,
-    begin: Any,
+    start_barrier: Any,
 ) -> None:
-    """Run statements from several connections until time is up."""
+    """Run statements on several connections until the time is over."""
     conns = [connect(port, user, password, name) for _ in range(connections)]
-    begin.wait()
-    until = time.monotonic() + seconds
+    start_barrier.wait()
+    deadline = time.monotonic() + seconds
     count = 0
-    while time.monotonic() < until:
+    while time.monotonic() < deadline:
         for conn in conns:
             conn._execute_command(3, 'SELECT 1')  # noqa: SLF001
         for conn in conns:
@@ -115,7 +118,7 @@
     counts.put(count)
 
 
-def _rate(
+def _measure_rate(
     targets: list[tuple[int, str]],
     user: str,
     password: str,
@@ -125,13 +128,13 @@
 ) -> float:
     context = multiprocessing.get_context('spawn')
     counts = context.Queue()
-    begin = context.Barrier(callers + 1, timeout=CALLER_TIMEOUT)
+    start_barrier = context.Barrier(callers + 1, timeout=CALLER_TIMEOUT_S)
     processes = []
     for number in range(callers):
         port, name = targets[number % len(targets)]
         processes.append(
             context.Process(
-                target=_caller,
+                target=_run_caller,
                 args=(
                     port,
                     user,
@@ -140,29 +143,29 @@
                     seconds,
                     connections,
                     counts,
-                    begin,
+                    start_barrier,
                 ),
             )
         )
     for process in processes:
         process.start()
-    begin.wait()
-    total = sum(counts.get(timeout=CALLER_TIMEOUT) for _ in processes)
+    start_barrier.wait()
+    total = sum(counts.get(timeout=CALLER_TIMEOUT_S) for _ in processes)
     for process in processes:
         process.join()
     return total / seconds
 
 
-def _lone(conn: Any) -> float:
-    """Return the median time of a lone statement in ms."""
+def _measure_latency_ms(conn: Any) -> float:
+    """Return the median latency in ms of statements sent one at a time."""
     times = []
     with conn.cursor() as cursor:
-        for _ in range(LONE_STATEMENTS):
+        for _ in range(LATENCY_STATEMENT_COUNT):
             began = time.perf_counter()
             cursor.execute('SELECT 1')
             cursor.fetchall()
             times.append(time.perf_counter() - began)
-    return statistics.median(times[LONE_STATEMENTS // 4 :]) * 1000
+    return statistics.median(times[LATENCY_STATEMENT_COUNT // 4 :]) * 1000
 
 
 def processor_seconds(pid: int) -> float:
@@ -173,42 +176,42 @@
 
 
 def measure(seconds: float = 4.0, callers: int = 3) -> Throughput:
-    """Measure one daemon process beside a direct connection."""
+    """Measure one daemon process, and direct connections to compare."""
     standins, register = [], None
-    started = []
+    processes = []
     for number in range(1, 4):
-        process, found = start(
+        process, addresses = start(
             str(BIN / 'chicoryusher-standins'),
             '--databases',
             '1',
             '--first',
             str(number),
             '--slots',
-            str(SLOTS),
+            str(SLOT_COUNT),
             '--connections',
-            str(CONNECTIONS),
+            str(MAX_CONNECTIONS),
         )
-        started.append(process)
-        standins.append(found)
+        processes.append(process)
+        standins.append(addresses)
     register = standins[0]['register']
-    for found in standins[1:]:
-        register['register']['databases'] += found['register']['register'][
+    for addresses in standins[1:]:
+        register['register']['databases'] += addresses['register']['register'][
             'databases'
         ]
     try:
-        return _with_standins(
-            register, standins[0]['platform_port'], started, seconds, callers
+        return _measure_daemon(
+            register, standins[0]['platform_port'], processes, seconds, callers
         )
     finally:
-        for process in started:
+        for process in processes:
             process.kill()
             process.wait()
 
 
-def _with_standins(
+def _measure_daemon(
     register: Any,
     platform_port: int,
-    started: Any,
+    processes: Any,
     seconds: float,
     callers: int,
 ) -> Throughput:
@@ -230,35 +233,40 @@
         ]
         for database in register['register']['databases']:
             for instance in database['instances']:
-                instance['slots'] = SLOTS
+                instance['slots'] = SLOT_COUNT
         path = pathlib.Path(folder) / 'settings.json'
         path.write_text(json.dumps(document))
         daemon = subprocess.Popen(
             [BIN / 'chicoryusherd', path], env=environment()
         )
-        started.append(daemon)
+        processes.append(daemon)
         apply(folder, register, ports[2])
-        return _measured(register, daemon.pid, ports[1], seconds, callers)
+        return _measure_running_daemon(
+            register, daemon.pid, ports[1], seconds, callers
+        )
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free at this moment."""
+    """Return ports that are free now."""
     socks = [
         socket.create_server((world_module.HOST, 0)) for _ in range(count)
     ]
-    ports = [one.getsockname()[1] for one in socks]
-    for one in socks:
-        one.close()
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
     return ports
 
 
 def apply(folder: str, register: Any, admin_port: int) -> None:
-    """Apply a register with the operators' tool, once it can."""
+    """Apply a register with the command line tool.
+
+    Retry until the daemon is ready.
+    """
     path = pathlib.Path(folder) / 'register.json'
     path.write_text(json.dumps(register))
-    until = time.monotonic() + READY_SECONDS
+    deadline = time.monotonic() + READY_TIMEOUT_S
     while True:
-        found = subprocess.run(
+        result = subprocess.run(
             [
                 BIN / 'chicoryusher',
                 'register',
@@ -271,42 +279,45 @@
             capture_output=True,
             check=False,
         )
-        if found.returncode == 0:
+        if result.returncode == 0:
             return
-        if time.monotonic() > until:
-            raise core.ChicoryusherError(found.stdout.decode())
+        if time.monotonic() > deadline:
+            raise core.ChicoryusherError(result.stdout.decode())
 
 
-def _measured(
+def _measure_running_daemon(
     register: Any, pid: int, port: int, seconds: float, callers: int
 ) -> Throughput:
     databases = register['register']['databases']
     user, password = world_module.BACKEND_USER
-    time.sleep(SETTLE_SECONDS)
+    time.sleep(SETTLE_S)
     before = processor_seconds(pid)
-    time.sleep(IDLE_SECONDS)
-    idle = (processor_seconds(pid) - before) / IDLE_SECONDS
+    time.sleep(IDLE_S)
+    idle_fraction = (processor_seconds(pid) - before) / IDLE_S
     clerk = 'clerk', world_module.ENVIRONMENT['CLERK_PASSWORD']
     name = databases[0]['name']
-    proxied = _lone(connect(port, *clerk, name))
-    first = databases[0]['instances'][0]['port']
-    direct = _lone(connect(first, user, password, name))
-    through = [(port, one['name']) for one in databases]
-    _rate(through, *clerk, WARM_UP_SECONDS, callers, 8)
+    proxied_ms = _measure_latency_ms(connect(port, *clerk, name))
+    first_port = databases[0]['instances'][0]['port']
+    direct_ms = _measure_latency_ms(connect(first_port, user, password, name))
+    proxy_targets = [(port, database['name']) for database in databases]
+    _measure_rate(proxy_targets, *clerk, WARM_UP_S, callers, 8)
     before = processor_seconds(pid)
-    rate = _rate(through, *clerk, seconds, callers, 8)
-    spent = processor_seconds(pid) - before
-    straight = [
-        (one['instances'][0]['port'], one['name']) for one in databases
+    rate = _measure_rate(proxy_targets, *clerk, seconds, callers, 8)
+    cpu_s = processor_seconds(pid) - before
+    direct_targets = [
+        (database['instances'][0]['port'], database['name'])
+        for database in databases
     ]
-    direct_rate = _rate(straight, user, password, seconds, callers, 5)
+    direct_rate = _measure_rate(
+        direct_targets, user, password, seconds, callers, 5
+    )
     return Throughput(
         rate,
         direct_rate,
-        proxied,
-        direct,
-        idle,
-        spent / (rate * seconds) * 1e6,
+        proxied_ms,
+        direct_ms,
+        idle_fraction,
+        cpu_s / (rate * seconds) * 1e6,
     )
 
 
--- a/src/chicoryusher_standins/world.py
+++ b/src/chicoryusher_standins/world.py
@@ -1,4 +1,4 @@
-"""A small world on loopback: groups, platform and daemons together."""
+"""Groups, platform and daemons together on the loopback interface."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 __all__ = ['ENVIRONMENT', 'HOST', 'World', 'settings_document']
 
 HOST = '127.0.0.1'
-LAGS = (0.0, 0.020, 0.080)
+REPLICA_LAGS_S = (0.0, 0.020, 0.080)
 BACKEND_USER = ('chicoryusher', 'backend-password')
 ENVIRONMENT = {
     'CHICORYUSHER_CLUSTER_KEY': 'cluster-key-for-tests',
@@ -34,7 +34,7 @@
 def settings_document(
     vm: str, zone: str, platform_port: int, peers_port: int = 0
 ) -> dict[str, Any]:
-    """Return the settings file of one daemon on loopback."""
+    """Return the settings document of a daemon on loopback."""
 
     def address(port: int) -> dict[str, Any]:
         return {'host': HOST, 'port': port}
@@ -62,7 +62,7 @@
 
 
 class World:
-    """Stand-ins, and daemons that use them, on one loop."""
+    """Test doubles, and daemons that use them, on one event loop."""
 
     def __init__(
         self,
@@ -92,18 +92,21 @@
 
     def _add_group(self, database: dict[str, Any]) -> None:
         names = [
-            core.InstanceName(one['name']) for one in database['instances']
+            core.InstanceName(member['name'])
+            for member in database['instances']
         ]
         model = group_module.GroupModel(
             core.DatabaseName(database['name']), names
         )
         self.groups[model.database] = model
         engines = {name: engine_module.Engine() for name in names}
-        model.on_apply = lambda one, entry: engines[one.name].apply(
+        model.on_apply = lambda member, entry: engines[member.name].apply(
             entry.statements
         )
-        model.on_rebuild = lambda one: engines[one.name].rebuild()
-        for lag, spec in zip(LAGS, database['instances'], strict=False):
+        model.on_rebuild = lambda member: engines[member.name].rebuild()
+        for lag, spec in zip(
+            REPLICA_LAGS_S, database['instances'], strict=False
+        ):
             name = core.InstanceName(spec['name'])
             model.instances[name].lag = lag
             server = server_module.InstanceServer(
@@ -122,17 +125,17 @@
             )
 
     def add_daemon(self, vm: str, zone: str, **changes: Any) -> app.Daemon:
-        """Start a daemon on this world's loop."""
+        """Start a daemon on this world's event loop."""
         document = settings_document(vm, zone, self.platform_server.address[1])
         document.update(changes)
-        chosen = settings.parse(document, ENVIRONMENT)
-        daemon = app.Daemon(self.loop, chosen, owns_loop=False)
-        self.daemons[chosen.vm] = daemon
+        parsed = settings.parse(document, ENVIRONMENT)
+        daemon = app.Daemon(self.loop, parsed, owns_loop=False)
+        self.daemons[parsed.vm] = daemon
         self.platform.vms[vm] = False
         return daemon
 
     def configure(self) -> None:
-        """Write the register to the platform, as version 1."""
+        """Write the register to the platform as its first version."""
         zones = dict(self.deployment.zones)
         vms = []
         for name, daemon in self.daemons.items():
@@ -151,7 +154,7 @@
         self.platform.put_config(json.dumps(self.register).encode())
 
     def primary_of(self, database: str) -> instance.Standin:
-        """Return the stand-in that leads a database's group."""
+        """Return the test double of the primary of a database's group."""
         model = self.groups[core.DatabaseName(database)]
         leader = model.primary()
         assert leader is not None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 from chicoryusher_standins import deployments
 from chicoryusher_standins import world as world_module
 
-PROXIES = (
+PROXY_ZONES = (
     ('vm1', 'akhmim-yard'),
     ('vm2', 'qena-mill'),
     ('vm3', 'alex-depot'),
@@ -19,11 +19,11 @@
 
 
 class Site:
-    """A world on its own thread, with stock drivers as its callers."""
+    """A world that runs in its own thread, used through a stock driver."""
 
     def __init__(self, **changes):
         self.world = world_module.World(deployments.DEPLOYMENTS['nile-grain'])
-        for vm, zone in PROXIES:
+        for vm, zone in PROXY_ZONES:
             self.world.add_daemon(vm, zone, **changes)
         self.world.configure()
         self._thread = threading.Thread(
@@ -34,15 +34,15 @@
         self._thread.start()
         self.poll(lambda: self.connect('vm1').close())
 
-    def poll(self, act, seconds=15.0):
-        """Repeat ``act`` until it raises nothing; bounded in count."""
+    def poll(self, action, seconds=15.0):
+        """Repeat ``action`` until it raises nothing, for about ``seconds``."""
         pause = threading.Event()
         for _ in range(int(seconds / 0.05)):
             try:
-                return act()
+                return action()
             except (pymysql.Error, AssertionError):
                 pause.wait(0.05)
-        return act()
+        return action()
 
     def connect(self, vm, database='spoonbook_1', **options):
         daemon = self.world.daemons[vm]
@@ -81,6 +81,6 @@
 
 @pytest.fixture
 def loop() -> Iterator[runtime.Runtime]:
-    one = runtime.Runtime(core.VirtualClock())
-    yield one
-    one.close()
+    runtime_loop = runtime.Runtime(core.VirtualClock())
+    yield runtime_loop
+    runtime_loop.close()
