--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -193,27 +193,27 @@
     callers.start(base, vms)
     site.run_for(WARM_UP_S + 1.0)
     usual_p99 = _percentile(
-        (one.ended - one.sent for one in callers.done[len(vms) :]), 0.99
+        (item.ended - item.sent for item in callers.done[len(vms) :]), 0.99
     )
     crowd = callers_module.Callers(site, job.seed + 1, 'crowd')
     surge = Load('surge', 1400, 4 * usual / 1400, seconds, 0.08, deadline)
     crowd.start(surge, vms)
     began = site.loop.clock.now()
-    busy = sum(one.busy_seconds for one in site.servers.values())
+    busy = sum(item.busy_seconds for item in site.servers.values())
     site.run_for(crest_seconds)
     ended = site.loop.clock.now()
-    busy = sum(one.busy_seconds for one in site.servers.values()) - busy
+    busy = sum(item.busy_seconds for item in site.servers.values()) - busy
     crowd.stop()
     site.run_for(5.0)
     good = sum(
         1
-        for one in (*callers.done, *crowd.done)
-        if one.good and began <= one.ended <= ended
+        for item in (*callers.done, *crowd.done)
+        if item.good and began <= item.ended <= ended
     )
     capacity = slots * crest_seconds / seconds
     recovery = _recovery(callers.done, ended, usual_p99)
     refused = sum(
-        1 for one in crowd.done if one.outcome is core.Outcome.NOT_RUN
+        1 for item in crowd.done if item.outcome is core.Outcome.NOT_RUN
     )
     violations = _finish(site, callers)
     violations.add(crowd.check_landings())
@@ -226,7 +226,7 @@
         'usual_p99_s': usual_p99,
         'violations': dataclasses.asdict(violations),
         'connections_max': max(
-            one.most / one.cap for one in site.servers.values()
+            item.most / item.cap for item in site.servers.values()
         ),
     }
 
@@ -290,9 +290,9 @@
         skipped = len(callers.done)
         site.run_for(6.0)
         short = [
-            one.ended - one.sent
-            for one in callers.done[skipped:]
-            if not one.straggler
+            statement.ended - statement.sent
+            for statement in callers.done[skipped:]
+            if not statement.straggler
         ]
         ratios[name] = _percentile(short, 0.99)
         site.close()
@@ -380,10 +380,10 @@
     violations = _finish(site, callers)
     cut = sum(
         1
-        for one in callers.done
-        if one.outcome is core.Outcome.UNKNOWN and one.ended > began
+        for item in callers.done
+        if item.outcome is core.Outcome.UNKNOWN and item.ended > began
     )
-    most = max(one.most / one.cap for one in site.servers.values())
+    most = max(item.most / item.cap for item in site.servers.values())
     site.close()
     return {
         'drain_cut_requests': cut + callers.open,
