--- a/src/chicoryusher_standins/model/authority.py
+++ b/src/chicoryusher_standins/model/authority.py
@@ -26,7 +26,7 @@
 LEASE_TICKS = 1
 # Age of its claim up to which a coordinator may order a promotion.
 MAX_CLAIM_AGE_TICKS = 0
-# Age at which a promotion call in flight is dropped.
+# Age above which a promotion call in flight is dropped.
 MAX_ORDER_AGE_TICKS = 0
 # Age of a claim that was not renewed at which another VM takes it over.
 TAKEOVER_AGE_TICKS = 1
@@ -37,38 +37,50 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
-    """The rules of the protocol; each mutant drops one of them."""
+    """The rules of the protocol; each mutant drops one of them.
+
+    A VM acknowledges a write, sends statements to a primary and grants a
+    peer's request only while it has a primary lease.  The lease counts
+    from when the request was sent, not from its reply.  A coordinator
+    waits ``unfenced_wait_ticks`` for a VM that it could not fence; a fenced
+    VM learns the row that closes the group.  A peer's view renews the
+    lease only if the VM has the peer's row.  A promotion is ordered only
+    up to the age ``max_claim_age_ticks`` of the claim, with the row's
+    revision as its token.  A claim is taken over from the age
+    ``takeover_age_ticks`` on.  A restart ends the lease, and a closed row
+    stops the use of primaries.
+    """
 
-    ack_needs_authority: bool = True
-    send_needs_authority: bool = True
-    age_from_request: bool = True
+    ack_needs_lease: bool = True
+    send_needs_lease: bool = True
+    lease_starts_at_request: bool = True
     unfenced_wait_ticks: int = LEASE_TICKS
     fence_closes_row: bool = True
     write_is_conditional: bool = True
-    peer_row_must_be_known: bool = True
-    grant_needs_authority: bool = True
-    order_within_ticks: int = MAX_CLAIM_AGE_TICKS
-    takeover_after_ticks: int = TAKEOVER_AGE_TICKS
+    peer_row_is_checked: bool = True
+    grant_needs_lease: bool = True
+    max_claim_age_ticks: int = MAX_CLAIM_AGE_TICKS
+    takeover_age_ticks: int = TAKEOVER_AGE_TICKS
     token_is_revision: bool = True
     restart_clears_lease: bool = True
     closed_row_stops_use: bool = True
 
 
 MUTANTS = {
-    'ack_without_authority': Rules(ack_needs_authority=False),
-    'read_without_authority': Rules(send_needs_authority=False),
-    'age_from_the_answer': Rules(age_from_request=False),
+    'ack_without_authority': Rules(ack_needs_lease=False),
+    'read_without_authority': Rules(send_needs_lease=False),
+    'age_from_the_answer': Rules(lease_starts_at_request=False),
     'no_wait_for_the_silent': Rules(unfenced_wait_ticks=0),
     'fence_answered_without_stopping': Rules(fence_closes_row=False),
-    'peers_view_of_unknown_rows': Rules(peer_row_must_be_known=False),
-    'grant_after_a_lapse': Rules(grant_needs_authority=False),
+    'peers_view_of_unknown_rows': Rules(peer_row_is_checked=False),
+    'grant_after_a_lapse': Rules(grant_needs_lease=False),
     'restart_keeps_authority': Rules(restart_clears_lease=False),
     'closing_row_ignored': Rules(closed_row_stops_use=False),
 }
 COORDINATOR_MUTANTS = {
     'write_without_condition': Rules(write_is_conditional=False),
-    'order_at_any_time': Rules(order_within_ticks=MAX_AGE_TICKS + 1),
-    'takeover_at_once': Rules(takeover_after_ticks=0),
+    'order_at_any_time': Rules(max_claim_age_ticks=MAX_AGE_TICKS + 1),
+    'takeover_at_once': Rules(takeover_age_ticks=0),
     'token_that_stays': Rules(token_is_revision=False),
 }
 
@@ -88,17 +100,17 @@
 class _Vm(NamedTuple):
     """State of one VM.
 
-    ``newest_row`` is the newest leader row that the VM has read, and
-    ``row_unchanged_for`` the ticks since it read it.  ``age`` is the age
+    ``newest_row`` is the newest leader row that the VM has received, and
+    ``row_unchanged_for`` the ticks since then.  ``age`` is the age
     of its primary lease.  ``requested`` is the age of its pending
     request to the store or to the other VM, -1 without one;
     ``row_was_current`` is whether its row was the newest when the request
-    was sent.  ``phase`` is idle,
-    claiming, fencing, promoting or opening.  ``expected_revision`` is the
-    revision that its next write is conditional on.  ``claim_age`` is the
-    age of its claim and ``closed_age`` that of the row that closes the
-    group.  ``order_age`` is the age of its promotion call in flight, which
-    carries ``token``, -1 without one.
+    was sent.  ``phase`` is idle, claiming, fencing, promoting or opening.
+    ``expected_revision`` is the revision that its next write is
+    conditional on.  ``claim_age`` is the age of its claim and
+    ``closed_age`` that of the row that closes the group.  ``order_age`` is
+    the age of its promotion call in flight, -1 without one; ``token`` is
+    the token of that call.
     """
 
     newest_row: _LeaderRow = _LeaderRow()
@@ -253,7 +265,7 @@
             )
             yield f'feed.quiet {v}', self._replace_vm(state, v, requested)
             return
-        age = vm.requested if self.rules.age_from_request else 0
+        age = vm.requested if self.rules.lease_starts_at_request else 0
         updated = self._learn_row(vm, state.row)._replace(requested=NOBODY)
         updated = updated._replace(age=min(age, updated.age))
         yield f'feed.changed {v}', self._replace_vm(state, v, updated)
@@ -277,13 +289,11 @@
         if updated != answered:
             yield f'vm.heard {v}', self._replace_vm(state, v, updated)
         row_is_as_new = vm.newest_row.revision >= other.newest_row.revision
-        if row_is_as_new or not self.rules.peer_row_must_be_known:
+        if row_is_as_new or not self.rules.peer_row_is_checked:
             age = min(MAX_AGE_TICKS, vm.requested + other.age)
             view_received = answered._replace(age=min(age, vm.age))
             yield f'vm.heard {v}', self._replace_vm(state, v, view_received)
-        has_lease = (
-            vm.age < LEASE_TICKS or not self.rules.grant_needs_authority
-        )
+        has_lease = vm.age < LEASE_TICKS or not self.rules.grant_needs_lease
         if row_is_as_new and has_lease:
             granted = answered._replace(age=min(vm.requested, vm.age))
             yield f'vm.heard {v}', self._replace_vm(state, v, granted)
@@ -319,7 +329,7 @@
 
     def _may_ack(self, state: _State, v: int) -> bool:
         """Return whether the VM would acknowledge its write to the caller."""
-        if not self.rules.ack_needs_authority:
+        if not self.rules.ack_needs_lease:
             return True
         vm = state.vms[v]
         return self._may_use(vm) and vm.newest_row.term == state.write_term
@@ -340,8 +350,7 @@
         return not any(
             state.vms[v].newest_row.term < state.newest_term
             and (
-                self._may_use(state.vms[v])
-                or not self.rules.send_needs_authority
+                self._may_use(state.vms[v]) or not self.rules.send_needs_lease
             )
             for v in self.users
         )
@@ -363,7 +372,7 @@
         vm = state.vms[v]
         newest_row = vm.newest_row
         if not newest_row.open and newest_row.coordinator != v:
-            if vm.row_unchanged_for < self.rules.takeover_after_ticks:
+            if vm.row_unchanged_for < self.rules.takeover_age_ticks:
                 return
         claiming = vm._replace(
             phase='claiming', expected_revision=newest_row.revision
@@ -432,7 +441,7 @@
         vm = state.vms[v]
         if (
             vm.order_age == NOBODY
-            and vm.claim_age <= self.rules.order_within_ticks
+            and vm.claim_age <= self.rules.max_claim_age_ticks
         ):
             token = vm.expected_revision
             if not self.rules.token_is_revision:
--- a/src/chicoryusher_standins/model/registration.py
+++ b/src/chicoryusher_standins/model/registration.py
@@ -25,7 +25,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
-    """The rules of the protocol; each mutant drops one of them."""
+    """The rules of the protocol; each mutant drops one of them.
+
+    The status ``left`` is written only over the VM's own row with the
+    status ``leaving``, on the condition that this row is unchanged, and
+    after the VM has stopped using primaries.  A primary lease needs a row
+    with the status ``serving`` or the VM's own present row; a row with the
+    status ``leaving`` of an earlier incarnation gives none.
+    """
 
     left_is_conditional: bool = True
     left_requires_leaving: bool = True
--- a/src/chicoryusher_standins/model/terms.py
+++ b/src/chicoryusher_standins/model/terms.py
@@ -24,7 +24,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rules:
-    """The rules of the protocol; each mutant drops one of them."""
+    """The rules of the protocol; each mutant drops one of them.
+
+    A write is acknowledged on evidence from a majority of instances in the
+    write's term.  A candidate fences a majority before it promotes an
+    instance; a fenced instance is no longer primary and can be fenced once
+    per term.  Replicas reject entries of older terms, and the fenced
+    instance with the longest log is promoted.
+    """
 
     ack_needs_evidence: bool = True
     evidence_majority: int = 2
--- a/src/chicoryusher_standins/model/work.py
+++ b/src/chicoryusher_standins/model/work.py
@@ -24,7 +24,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LedgerRules:
-    """The rules of exactly-once writes; each mutant drops one of them."""
+    """The rules of exactly-once writes; each mutant drops one of them.
+
+    The idempotency key is stored in one transaction with the write, and a
+    write whose key is stored is not repeated.  A write without a key is
+    sent once.  If the connection is lost, the outcome is unknown.
+    """
 
     key_with_effect: bool = True
     key_checked: bool = True
@@ -133,7 +138,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GateRules:
-    """The rules of a gate's handover; each mutant drops one of them."""
+    """The rules of a gate's handover; each mutant drops one of them.
+
+    A VM needs the instance's lock to become its gate, and the connections
+    of the previous gate are ended then.
+    """
 
     lock_needed: bool = True
     old_connections_end: bool = True
