Reword tests/soak

Comments, docstrings and violation texts are in plain terms. Private names follow: Chaos is FaultInjector, Way is Mode, Seen is RequestRecord, dice is rng, and constants show their units. Registry names of faults, options and printed keys stay.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -1,4 +1,4 @@
-"""Instances on real sockets, over the group in memory."""
+"""Stand-ins on real sockets for instances and the promotions service."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 HOST = '127.0.0.1'
 Op = core.Op
 Verb = core.Verb
-_PLAIN = {
+_COMMANDS_WITHOUT_ARGUMENTS = {
     'BEGIN': Op.BEGIN,
     'BEGIN READ': Op.BEGIN_READ_ONLY,
     'ROLLBACK': Op.ROLLBACK,
@@ -25,33 +25,33 @@
 }
 
 
-def command_of(request_id, text):
-    """Return the command in a query's text, as an instance reads it."""
+def decode_command(request_id, text):
+    """Return the command that a QUERY line's text asks an instance for."""
     after = None
     if text.startswith('WAITLSN '):
-        _, where, text = text.split(' ', 2)
-        after = statements.read_position(where)
-    if text in _PLAIN:
-        return core.Command(_PLAIN[text], after=after)
+        _, position_text, text = text.split(' ', 2)
+        after = statements.read_position(position_text)
+    if text in _COMMANDS_WITHOUT_ARGUMENTS:
+        return core.Command(_COMMANDS_WITHOUT_ARGUMENTS[text], after=after)
     if text.startswith('DEMOTE '):
         return core.Command(Op.DEMOTE, value=text.split(' ')[1])
-    found = statements.decode(text)
-    if found.verb is Verb.SET:
-        return core.Command(Op.SET, name=found.name, value=found.rest)
-    if found.verb is Verb.PREPARE:
-        return core.Command(Op.PREPARE, name=found.name, shape=found.shape)
-    name = found.name if found.verb is Verb.EXECUTE else ''
+    decoded = statements.decode(text)
+    if decoded.verb is Verb.SET:
+        return core.Command(Op.SET, name=decoded.name, value=decoded.rest)
+    if decoded.verb is Verb.PREPARE:
+        return core.Command(Op.PREPARE, name=decoded.name, shape=decoded.shape)
+    name = decoded.name if decoded.verb is Verb.EXECUTE else ''
     return core.Command(
         Op.RUN,
         request_id=core.RequestId(request_id),
-        statement=found,
+        statement=decoded,
         name=name,
         after=after,
     )
 
 
-def encoded(reply):
-    """Return the lines of an instance's reply."""
+def encode_reply(reply):
+    """Return an instance's reply as encoded lines."""
     return replies.answer(
         core.SessionAnswer(
             core.SessionId(''),
@@ -67,6 +67,8 @@
 
 
 class _Conn:
+    """One connection to an instance."""
+
     def __init__(self, stream):
         self.stream = stream
         self.lines = lines.Lines()
@@ -74,7 +76,7 @@
 
 
 class Backend(runtime.Task):
-    """One instance; answers at once."""
+    """One instance, which answers each line without delay."""
 
     def __init__(self, loop, instance):
         super().__init__(loop, 'soak', f'instance/{instance.name}')
@@ -96,61 +98,66 @@
             return
         data = conn.stream.read()
         for line in conn.lines.feed(data) if data else ():
-            self._take(conn, line)
+            self._handle_line(conn, line)
         conn.stream.flush()
         if conn.stream.closed:
             del self._conns[ready.fileno]
             conn.stream.close()
 
-    def _take(self, conn, line):
-        word, _, rest = line.partition(' ')
-        one = self._instance
-        if word == 'START':
-            where = one.position(one.applied)
-            conn.stream.write(replies.ready(core.BlockState.IDLE, where))
+    def _handle_line(self, conn, line):
+        line_type, _, rest = line.partition(' ')
+        instance = self._instance
+        if line_type == 'START':
+            log_position = instance.position(instance.applied)
+            conn.stream.write(
+                replies.ready(core.BlockState.IDLE, log_position)
+            )
             return
         request_id, _, text = rest.partition(' ')
-        command = command_of(request_id, text)
-        if command.op is Op.DEMOTE and int(command.value) > one.term:
-            one.role = core.Role.REPLICA
-        reply = one.run(conn.state, command)
+        command = decode_command(request_id, text)
+        if command.op is Op.DEMOTE and int(command.value) > instance.term:
+            instance.role = core.Role.REPLICA
+        reply = instance.run(conn.state, command)
         if command.op in (Op.STATUS, Op.DEMOTE):
-            role = one.role.value
-            where = statements.position(one.position(one.received))
-            row = f'{role} {one.term} {where} 0 0 0 0'
-            reply = one.reply(conn.state, rows=(row,), digest='-')
-        conn.stream.write(encoded(reply))
+            role = instance.role.value
+            log_position = statements.position(
+                instance.position(instance.received)
+            )
+            row = f'{role} {instance.term} {log_position} 0 0 0 0'
+            reply = instance.reply(conn.state, rows=(row,), digest='-')
+        conn.stream.write(encode_reply(reply))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Promote(core.Message):
-    """A promotion takes effect."""
+class _ApplyPromotion(core.Message):
+    """Makes a requested promotion take effect."""
 
     name: core.InstanceName
 
 
 class Promotions(stand_ins.HttpTask):
-    """Promotions that take effect a little later.
+    """Promotions service whose promotions take effect after a delay.
 
-    ``terms`` has, for each, the commits before it and the term it began.
+    ``started_terms`` has, for each promotion, the number of commits
+    before it and the term that it started.
     """
 
-    DELAY = 0.3
+    PROMOTION_DELAY_S = 0.3
 
-    def __init__(self, loop, group, told):
+    def __init__(self, loop, group, on_promotion):
         super().__init__(loop, 'promote')
         self._group = group
-        self._told = told
-        self.terms = []
+        self._notify_promotion = on_promotion
+        self.started_terms = []
 
     def answer(self, conn, path, args, body):
         name = core.InstanceName(json.loads(body)['id'])
         conn.reply(200, {})
-        self.after(self.DELAY, _Promote(name))
+        self.after(self.PROMOTION_DELAY_S, _ApplyPromotion(name))
 
-    @runtime.handles(_Promote)
-    def _on_promote(self, message):
+    @runtime.handles(_ApplyPromotion)
+    def _on_apply_promotion(self, message):
         self._group.promote(message.name)
         term = self._group.instances[message.name].term
-        self.terms.append((len(self._group.commits), term))
-        self._told()
+        self.started_terms.append((len(self._group.commits), term))
+        self._notify_promotion()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,4 +1,4 @@
-"""The promises, from what callers and instances saw."""
+"""Checks of the guarantees, from the records of callers and instances."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 
 from chicoryusher import core
 
-_NOT_KEPT = (
+# Refusals that promise that the request was not committed.
+_REFUSALS_WITHOUT_COMMIT = (
     core.Refusal.BUSY,
     core.Refusal.ABORTED,
     core.Refusal.NOT_FRESH,
@@ -14,122 +15,151 @@
 )
 
 
-def broken(seen, group, terms, staleness):
-    """Return a line for each broken promise."""
+def violations(requests, group, started_terms, max_staleness):
+    """Return a line for each violation of a guarantee."""
     return [
-        *_twice(group),
-        *_refused_and_kept(seen, group),
-        *_acknowledged_late(seen, group, terms),
-        *_not_the_instances(seen, group),
-        *_stale(seen, group, staleness),
+        *_committed_twice(group),
+        *_refused_but_committed(requests, group),
+        *_acknowledged_by_replaced_primary(requests, group, started_terms),
+        *_not_from_an_instance(requests, group),
+        *_stale_reads(requests, group, max_staleness),
     ]
 
 
-def _twice(group):
-    counts = collections.Counter(one.request_id for one in group.commits)
-    return [f'landed {n} times: {one}' for one, n in counts.items() if n > 1]
+def _committed_twice(group):
+    counts = collections.Counter(
+        request.request_id for request in group.commits
+    )
+    return [
+        f'committed {n} times: {request}'
+        for request, n in counts.items()
+        if n > 1
+    ]
 
 
-def _refused_and_kept(seen, group):
-    landed = {one.request_id for one in group.commits}
+def _refused_but_committed(requests, group):
+    committed_ids = {request.request_id for request in group.commits}
     return [
-        f'{one.reply.refusal.value} though it landed: {one.request_id}'
-        for one in seen
-        if one.reply is not None
-        and one.reply.refusal in _NOT_KEPT
-        and one.request_id in landed
+        f'{request.reply.refusal.value} but committed: {request.request_id}'
+        for request in requests
+        if request.reply is not None
+        and request.reply.refusal in _REFUSALS_WITHOUT_COMMIT
+        and request.request_id in committed_ids
     ]
 
 
-def _acknowledged(seen):
+def _acknowledged(requests):
     return {
-        one.request_id: one
-        for one in seen
-        if one.reply is not None and one.reply.refusal is None
+        request.request_id: request
+        for request in requests
+        if request.reply is not None and request.reply.refusal is None
     }
 
 
-def _acknowledged_late(seen, group, terms):
-    """Return acknowledged commits of a primary that was replaced."""
-    acked = _acknowledged(seen)
-    found = []
-    for place, one in enumerate(group.commits):
+def _acknowledged_by_replaced_primary(requests, group, started_terms):
+    """Return acknowledged commits of a primary that was replaced before."""
+    acknowledged = _acknowledged(requests)
+    violations = []
+    for index, commit in enumerate(group.commits):
         newest = max(
-            (term for before, term in terms if before <= place), default=1
+            (
+                term
+                for commits_before, term in started_terms
+                if commits_before <= index
+            ),
+            default=1,
         )
-        if one.request_id in acked and one.position.term < newest:
-            found.append(f'of term {one.position.term}: {one.request_id}')
-    return found
-
-
-def _not_the_instances(seen, group):
-    ran = {one.request_id for one in group.runs}
-    found = []
-    for request_id, one in _acknowledged(seen).items():
-        digest = one.reply.digest
-        if one.kind in ('read', 'write') and request_id not in ran:
-            found.append(f'success without a run: {one}')
-        if one.kind in ('read', 'write') and digest in (None, '-'):
-            found.append(f'success without a digest: {request_id}')
-    return found + _ran_twice(seen, group)
-
-
-def _ran_twice(seen, group):
-    """Return single writes that ran more than once."""
-    single = {one.request_id for one in seen if one.kind == 'write'}
+        if commit.request_id in acknowledged and commit.position.term < newest:
+            violations.append(
+                f'acknowledged in replaced term {commit.position.term}: '
+                f'{commit.request_id}'
+            )
+    return violations
+
+
+def _not_from_an_instance(requests, group):
+    """Return successful answers that no instance can have given."""
+    executed_ids = {request.request_id for request in group.runs}
+    violations = []
+    for request_id, request in _acknowledged(requests).items():
+        digest = request.reply.digest
+        if (
+            request.kind in ('read', 'write')
+            and request_id not in executed_ids
+        ):
+            violations.append(f'success without a run: {request}')
+        if request.kind in ('read', 'write') and digest in (None, '-'):
+            violations.append(f'success without a digest: {request_id}')
+    return violations + _executed_twice(requests, group)
+
+
+def _executed_twice(requests, group):
+    """Return single writes that instances ran more than once."""
+    single_write_ids = {
+        request.request_id for request in requests if request.kind == 'write'
+    }
     runs = collections.Counter(
-        one.request_id for one in group.runs if one.request_id in single
+        request.request_id
+        for request in group.runs
+        if request.request_id in single_write_ids
     )
-    return [f'ran {n} times: {one}' for one, n in runs.items() if n > 1]
+    return [
+        f'ran {n} times: {request}' for request, n in runs.items() if n > 1
+    ]
 
 
-def _stale(seen, group, staleness):
-    """Return reads whose log lacked what they had to see."""
-    at = {one.request_id: one.position for one in group.commits}
-    acks = sorted(
-        (one.done_at, at[request_id], one)
-        for request_id, one in _acknowledged(seen).items()
-        if request_id in at
+def _stale_reads(requests, group, max_staleness):
+    """Return reads at instances that lacked a commit the read had to see."""
+    commit_positions = {
+        request.request_id: request.position for request in group.commits
+    }
+    acknowledgements = sorted(
+        (request.done_at, commit_positions[request_id], request)
+        for request_id, request in _acknowledged(requests).items()
+        if request_id in commit_positions
     )
-    ran = {}
-    for one in group.runs:
-        ran[one.request_id] = one.position
-    found = []
-    for request_id, one in _acknowledged(seen).items():
-        if one.kind != 'read' or request_id not in ran:
+    run_positions = {}
+    for request in group.runs:
+        run_positions[request.request_id] = request.position
+    violations = []
+    for request_id, request in _acknowledged(requests).items():
+        if request.kind != 'read' or request_id not in run_positions:
             continue
-        where = ran[request_id]
-        for done_at, position, writer in acks:
-            if done_at >= one.sent_at:
+        run_position = run_positions[request_id]
+        for done_at, position, write in acknowledgements:
+            if done_at >= request.sent_at:
                 break
-            if not _must_see(one, writer, done_at, staleness):
+            if not _must_see(request, write, done_at, max_staleness):
                 continue
-            if _lacks(where, position):
-                found.append(
-                    f'{request_id} at {where} lacks {position} of '
-                    f'{writer.request_id}, {one.sent_at - done_at:.3f} s old'
+            if _lacks(run_position, position):
+                violations.append(
+                    f'{request_id} at {run_position} lacks {position} of '
+                    f'{write.request_id}, '
+                    f'{request.sent_at - done_at:.3f} s old'
                 )
                 break
-    return found
+    return violations
 
 
-def _must_see(read, writer, done_at, staleness):
+def _must_see(read, write, done_at, max_staleness):
+    """Return whether a read must show an acknowledged write."""
     if read.database == core.Access.PRIMARY.value:
         return True
-    if read.sent_at - done_at > staleness:
+    if read.sent_at - done_at > max_staleness:
         return True
     if read.database != core.Access.OWN_WRITES.value:
         return False
-    own = read.request_id.partition('.')[0]
-    same = writer.request_id.partition('.')[0] == own
-    return same and writer.session == read.session
+    reader = read.request_id.partition('.')[0]
+    is_same_caller = write.request_id.partition('.')[0] == reader
+    return is_same_caller and write.session == read.session
 
 
-def _lacks(where, position):
-    """Tell whether a log lacks a commit that no promotion rolled back.
+def _lacks(log_position, commit_position):
+    """Return whether a log lacks a commit that no promotion rolled back.
 
-    Of two terms only the newer acknowledged one is known to be kept.
+    A promotion may roll back commits of older terms. A commit of an older
+    term than the log's is therefore not counted as missing.
     """
-    if position.term == where.term:
-        return position.offset > where.offset
-    return position.term > where.term
+    if commit_position.term == log_position.term:
+        return commit_position.offset > log_position.offset
+    return commit_position.term > log_position.term
--- a/tests/soak/consumers.py
+++ b/tests/soak/consumers.py
@@ -1,4 +1,4 @@
-"""Callers that write and read without end, and note what they saw."""
+"""Callers that write and read continuously and record the replies."""
 
 from __future__ import annotations
 
@@ -9,19 +9,21 @@
 from fleet import lines
 from fleet import replies
 
-# Seconds without an answer after which a caller gives up.
-GIVE_UP = 4.0
-# Seconds between operations, and before a lost connection is made anew.
-PAUSE = 0.03
-RECONNECT = 0.2
+# A caller closes its session if a request has no reply after this time.
+REQUEST_TIMEOUT_S = 4.0
+# Times between two operations, and from the loss of a connection to the
+# next attempt to connect.
+OPERATION_INTERVAL_S = 0.03
+RECONNECT_DELAY_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
-class Seen:
-    """One request as its caller saw it; times are the harness's own.
+class RequestRecord:
+    """One request as its caller saw it, on the clock of the soak process.
 
-    ``kind`` is a read, a single write, or the commit of a transaction;
-    ``reply`` is None where no answer came.
+    ``kind`` is ``read`` or ``write`` for a statement outside a transaction,
+    ``commit`` for the commit of a transaction, and empty for any other
+    statement. ``reply`` is None if no reply came.
     """
 
     request_id: str
@@ -33,106 +35,106 @@
     reply: core.Reply | None = None
 
 
-class _Next(core.Message):
-    """Time for the next operation."""
+class _NextOperation(core.Message):
+    """Starts the next operation, or connects if there is no connection."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Late(core.Message):
-    """An answer may not have come in time."""
+class _RequestTimeout(core.Message):
+    """The timeout of a request has passed; its reply may have come."""
 
     request_id: str
 
 
 class Consumer(runtime.Task):
-    """One caller after another on one route of one VM."""
+    """Runs sessions on one route one after another, each at a random VM."""
 
-    def __init__(self, loop, name, addresses, database, dice, seen):
+    def __init__(self, loop, name, addresses, database, rng, requests):
         super().__init__(loop, 'soak', f'consumer/{name}')
         self._poller = loop.poller
         self._addresses = addresses
         self._database = database
-        self._dice = dice
+        self._rng = rng
         self._name = name
-        self._seen = seen
+        self._requests = requests
         self._stream = None
         self._replies = replies.Replies()
         self._session = 0
         self._number = 0
-        self._script = []
-        self._waiting = None
-        self.going = True
-        self.after(dice.random() * PAUSE, _Next())
+        self._unsent_steps = []
+        self._open_request = None
+        self.is_active = True
+        self.after(rng.random() * OPERATION_INTERVAL_S, _NextOperation())
 
     # -- operations -----------------------------------------------------
 
-    @runtime.handles(_Next)
-    def _on_next(self, message):
-        if self._waiting is not None or not self.going:
+    @runtime.handles(_NextOperation)
+    def _on_next_operation(self, message):
+        if self._open_request is not None or not self.is_active:
             return
         if self._stream is None:
             self._connect()
             return
-        self._script = self._operation()
-        self._step()
-
-    def _operation(self):
-        writes = self._dice.random() < 0.4
-        single = f'{"WRITE" if writes else "READ"} 1a4'
-        single += ' x' if writes else ''
-        if self._dice.random() < 0.75:
-            return [('write' if writes else 'read', single)]
+        self._unsent_steps = self._random_operation()
+        self._send_next_step()
+
+    def _random_operation(self):
+        writes = self._rng.random() < 0.4
+        statement = f'{"WRITE" if writes else "READ"} 1a4'
+        statement += ' x' if writes else ''
+        if self._rng.random() < 0.75:
+            return [('write' if writes else 'read', statement)]
         begin, commit = ('', 'BEGIN'), ('commit', 'COMMIT')
-        return [begin, ('', single), commit]
+        return [begin, ('', statement), commit]
 
-    def _step(self):
-        kind, text = self._script.pop(0)
+    def _send_next_step(self):
+        kind, text = self._unsent_steps.pop(0)
         self._number += 1
         request_id = f'{self._name}.{self._number}'
-        seen = Seen(
+        record = RequestRecord(
             request_id,
             self._database,
             kind,
             self._session,
             self.now(),
         )
-        self._waiting = seen
-        self._seen.append(seen)
+        self._open_request = record
+        self._requests.append(record)
         self._stream.write(lines.join('QUERY', request_id, text))
         self._stream.flush()
-        self.after(GIVE_UP, _Late(request_id))
+        self.after(REQUEST_TIMEOUT_S, _RequestTimeout(request_id))
 
-    @runtime.handles(_Late)
-    def _on_late(self, late):
-        waiting = self._waiting
-        if waiting is not None and waiting.request_id == late.request_id:
-            self._lost()
+    @runtime.handles(_RequestTimeout)
+    def _on_request_timeout(self, timeout):
+        request = self._open_request
+        if request is not None and request.request_id == timeout.request_id:
+            self._reconnect_later()
 
     # -- the connection -------------------------------------------------
 
     def _connect(self):
-        address = self._dice.choice(self._addresses)
+        address = self._rng.choice(self._addresses)
         self._session += 1
         self._replies = replies.Replies()
         stream = runtime.connect(address, self._poller, self.task_name)
         if stream is None:
-            self.after(RECONNECT, _Next())
+            self.after(RECONNECT_DELAY_S, _NextOperation())
             return
         stream.write(lines.join('START', self._database, 'u1'))
         self._stream = stream
         request_id = f'{self._name}.start{self._session}'
-        self._waiting = Seen(
+        self._open_request = RequestRecord(
             request_id, self._database, '', self._session, self.now()
         )
-        self.after(GIVE_UP, _Late(request_id))
+        self.after(REQUEST_TIMEOUT_S, _RequestTimeout(request_id))
 
-    def _lost(self):
-        self._waiting = None
-        self._script = []
+    def _reconnect_later(self):
+        self._open_request = None
+        self._unsent_steps = []
         if self._stream is not None:
             self._stream.abort()
             self._stream = None
-        self.after(RECONNECT, _Next())
+        self.after(RECONNECT_DELAY_S, _NextOperation())
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready):
@@ -140,24 +142,24 @@
         if stream is None or ready.fileno != stream.fileno:
             return
         if stream.connecting and not stream.finish_connect():
-            self._lost()
+            self._reconnect_later()
             return
         stream.flush()
         data = stream.read() if ready.readable else b''
         for reply in self._replies.feed(data) if data else ():
-            self._take(reply)
+            self._handle_reply(reply)
         if self._stream is stream and stream.closed:
-            self._lost()
-
-    def _take(self, reply):
-        waiting, self._waiting = self._waiting, None
-        assert waiting is not None, 'an answer that nobody waits for'
-        waiting.done_at = self.now()
-        waiting.reply = reply
-        if self._script and reply.refusal is None:
-            self._step()
+            self._reconnect_later()
+
+    def _handle_reply(self, reply):
+        request, self._open_request = self._open_request, None
+        assert request is not None, 'reply without an open request'
+        request.done_at = self.now()
+        request.reply = reply
+        if self._unsent_steps and reply.refusal is None:
+            self._send_next_step()
         elif reply.block is not core.BlockState.IDLE:
-            self._lost()
+            self._reconnect_later()
         else:
-            self._script = []
-            self.after(PAUSE, _Next())
+            self._unsent_steps = []
+            self.after(OPERATION_INTERVAL_S, _NextOperation())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,4 +1,4 @@
-"""Faults that the soak injects from outside of the processes."""
+"""Faults that the soak injects from outside the entry processes."""
 
 from __future__ import annotations
 
@@ -10,219 +10,225 @@
 from soak import proxies
 
 FAULTS: core.Registry = core.Registry('soak fault')
-Way = proxies.Way
-# Seconds between the beginnings of faults, and how long each lasts.
-GAPS = (0.2, 1.5)
-LENGTHS = (0.3, 4.0)
-# Seconds between looks at processes that have to start again.
-LOOK = 0.2
+Mode = proxies.Mode
+# The time from the start of a fault to the start of the next, and the
+# duration of a fault, are drawn from these ranges.
+FAULT_INTERVAL_RANGE_S = (0.2, 1.5)
+FAULT_DURATION_RANGE_S = (0.3, 4.0)
+# Entry processes that have ended are started again at this interval.
+PROCESS_CHECK_INTERVAL_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Heal(core.Message):
-    """A fault ends; ``undo`` takes nothing."""
+class _FaultEnd(core.Message):
+    """The duration of a fault is over; ``undo()`` ends the fault."""
 
     undo: object
 
 
-class _Next(core.Message):
-    """Time for the next fault."""
+class _NextFault(core.Message):
+    """Starts the next fault."""
 
 
-class _Look(core.Message):
-    """Time to start processes that have ended."""
+class _ProcessCheck(core.Message):
+    """Starts the processes that have ended again."""
 
 
-class Chaos(runtime.Task):
-    """Begin faults in series; several may be under way at once."""
+class FaultInjector(runtime.Task):
+    """Starts random faults at random intervals; faults may overlap."""
 
-    def __init__(self, world, names):
+    def __init__(self, world, fault_names):
         super().__init__(world.loop, 'soak', 'chaos')
         self._world = world
-        self._names = names
-        self._open = []
+        self._fault_names = fault_names
+        self._active_undos = []
         self.log_lines = []
-        self.going = True
-        self.broken = []
-        self.after(world.dice.uniform(*GAPS), _Next())
-        self.after(LOOK, _Look())
-
-    @runtime.handles(_Next)
-    def _on_next(self, message):
-        if not self.going:
+        self.is_active = True
+        self.violations = []
+        self.after(world.rng.uniform(*FAULT_INTERVAL_RANGE_S), _NextFault())
+        self.after(PROCESS_CHECK_INTERVAL_S, _ProcessCheck())
+
+    @runtime.handles(_NextFault)
+    def _on_next_fault(self, message):
+        if not self.is_active:
             return
-        dice = self._world.dice
-        name = dice.choice(self._names)
-        undo = FAULTS.get(name)(self._world, dice)
+        rng = self._world.rng
+        name = rng.choice(self._fault_names)
+        undo = FAULTS.get(name)(self._world, rng)
         self.log_lines.append(f'{self.now():.3f} {name}')
         if undo is not None:
-            self._open.append(undo)
-            self.after(dice.uniform(*LENGTHS), _Heal(undo))
-        self.after(dice.uniform(*GAPS), message)
-
-    @runtime.handles(_Heal)
-    def _on_heal(self, heal):
-        if heal.undo in self._open:
-            self._open.remove(heal.undo)
-            heal.undo()
-
-    @runtime.handles(_Look)
-    def _on_look(self, look):
-        self.after(LOOK, look)
+            self._active_undos.append(undo)
+            self.after(rng.uniform(*FAULT_DURATION_RANGE_S), _FaultEnd(undo))
+        self.after(rng.uniform(*FAULT_INTERVAL_RANGE_S), message)
+
+    @runtime.handles(_FaultEnd)
+    def _on_fault_end(self, ended):
+        if ended.undo in self._active_undos:
+            self._active_undos.remove(ended.undo)
+            ended.undo()
+
+    @runtime.handles(_ProcessCheck)
+    def _on_process_check(self, check):
+        self.after(PROCESS_CHECK_INTERVAL_S, check)
         for vm in self._world.vms:
-            if vm.ended_by_itself():
-                self.broken.append(f'{vm.name} ended by itself')
+            if vm.ended_unexpectedly():
+                self.violations.append(f'{vm.name} ended unexpectedly')
             if vm.process.poll() is not None:
                 vm.start()
 
     def stop(self):
-        """End every fault and begin no more."""
-        self.going = False
-        while self._open:
-            self._open.pop()()
+        """End the active faults and start no more."""
+        self.is_active = False
+        while self._active_undos:
+            self._active_undos.pop()()
 
 
 @FAULTS.register('kill')
-def _kill(world, dice):
-    vm = dice.choice(world.vms)
-    vm.wanted = False
+def _kill(world, rng):
+    vm = rng.choice(world.vms)
+    vm.expected_running = False
     vm.signal(signal.SIGKILL)
 
 
 @FAULTS.register('kill_all')
-def _kill_all(world, dice):
+def _kill_all(world, rng):
     for vm in world.vms:
-        vm.wanted = False
+        vm.expected_running = False
         vm.signal(signal.SIGKILL)
 
 
 @FAULTS.register('terminate')
-def _terminate(world, dice):
-    vm = dice.choice(world.vms)
-    vm.wanted = False
+def _terminate(world, rng):
+    vm = rng.choice(world.vms)
+    vm.expected_running = False
     vm.signal(signal.SIGTERM)
 
 
 @FAULTS.register('hang_up')
-def _hang_up(world, dice):
-    dice.choice(world.vms).signal(signal.SIGHUP)
+def _hang_up(world, rng):
+    rng.choice(world.vms).signal(signal.SIGHUP)
 
 
 @FAULTS.register('pause')
-def _pause(world, dice):
-    vm = dice.choice(world.vms)
+def _pause(world, rng):
+    vm = rng.choice(world.vms)
     vm.signal(signal.SIGSTOP)
     return lambda: vm.signal(signal.SIGCONT)
 
 
-def _turn(proxy, way, delay=0.0):
-    """Change what a proxy does, unless something else changed it."""
-    if proxy.way is not Way.PASS:
+def _set_mode(proxy, mode, delay=0.0):
+    """Set a proxy's mode and return the function that resets it.
+
+    Does nothing if another fault has already changed the mode.
+    """
+    if proxy.mode is not Mode.PASS:
         return lambda: None
-    proxy.way, proxy.delay = way, delay
+    proxy.mode, proxy.delay = mode, delay
 
     def undo():
-        proxy.way = Way.PASS
+        proxy.mode = Mode.PASS
 
     return undo
 
 
 @FAULTS.register('store_silent')
-def _store_silent(world, dice):
-    return _turn(dice.choice(world.vms).store, Way.SILENT)
+def _store_silent(world, rng):
+    return _set_mode(rng.choice(world.vms).store, Mode.SILENT)
 
 
 @FAULTS.register('store_slow')
-def _store_slow(world, dice):
-    delay = dice.uniform(0.05, 1.0)
-    return _turn(dice.choice(world.vms).store, Way.DELAY, delay)
+def _store_slow(world, rng):
+    delay = rng.uniform(0.05, 1.0)
+    return _set_mode(rng.choice(world.vms).store, Mode.DELAY, delay)
 
 
 @FAULTS.register('store_one_way')
-def _store_one_way(world, dice):
-    """Writes are done and their answers are lost."""
-    return _turn(dice.choice(world.vms).store, Way.ONE_WAY)
+def _store_one_way(world, rng):
+    """The store applies writes, but its answers are lost."""
+    return _set_mode(rng.choice(world.vms).store, Mode.ONE_WAY)
 
 
 @FAULTS.register('store_reset')
-def _store_reset(world, dice):
+def _store_reset(world, rng):
     for vm in world.vms:
-        if dice.random() < 0.5:
+        if rng.random() < 0.5:
             vm.store.reset()
 
 
 @FAULTS.register('store_down')
-def _store_down(world, dice):
-    part = dice.choice(['all', 'a', 'b', 'c'])
-    world.store.shut.add(part)
-    return lambda: world.store.shut.discard(part)
+def _store_down(world, rng):
+    partition = rng.choice(['all', 'a', 'b', 'c'])
+    world.store.shut.add(partition)
+    return lambda: world.store.shut.discard(partition)
 
 
 @FAULTS.register('store_forgets')
-def _store_forgets(world, dice):
+def _store_forgets(world, rng):
     world.store.forgotten = world.store.version
 
 
 @FAULTS.register('instance_silent')
-def _instance_silent(world, dice):
-    """An instance is cut off from everybody, its peers included."""
-    one = dice.choice(list(world.group.instances.values()))
-    proxy = world.proxies[one.name]
-    if one.deaf:
+def _instance_silent(world, rng):
+    """An instance is cut off from the entry processes and its peers."""
+    instance = rng.choice(list(world.group.instances.values()))
+    proxy = world.proxies[instance.name]
+    if instance.deaf:
         return None
-    one.deaf = True
-    undo = _turn(proxy, dice.choice([Way.SILENT, Way.ONE_WAY]))
+    instance.deaf = True
+    undo = _set_mode(proxy, rng.choice([Mode.SILENT, Mode.ONE_WAY]))
 
-    def heal():
-        one.deaf = False
+    def end_fault():
+        instance.deaf = False
         undo()
         proxy.reset()
 
-    return heal
+    return end_fault
 
 
 @FAULTS.register('primary_silent')
-def _primary_silent(world, dice):
-    """The primary's machine answers nothing, and hears nothing."""
-    one = world.group.primary()
-    proxy = world.proxies[one.name]
-    if one.deaf or proxy.way is not Way.PASS:
+def _primary_silent(world, rng):
+    """The primary's machine sends nothing and receives nothing."""
+    instance = world.group.primary()
+    proxy = world.proxies[instance.name]
+    if instance.deaf or proxy.mode is not Mode.PASS:
         return None
-    one.deaf = True
-    proxy.darken()
+    instance.deaf = True
+    proxy.block_all()
 
-    def heal():
-        one.deaf = False
-        proxy.lighten()
+    def end_fault():
+        instance.deaf = False
+        proxy.unblock_all()
 
-    return heal
+    return end_fault
 
 
 @FAULTS.register('instance_slow')
-def _instance_slow(world, dice):
-    one = dice.choice(list(world.group.instances))
-    return _turn(world.proxies[one], Way.DELAY, dice.uniform(0.01, 0.4))
+def _instance_slow(world, rng):
+    instance_name = rng.choice(list(world.group.instances))
+    return _set_mode(
+        world.proxies[instance_name], Mode.DELAY, rng.uniform(0.01, 0.4)
+    )
 
 
 @FAULTS.register('instance_reset')
-def _instance_reset(world, dice):
-    world.proxies[dice.choice(list(world.group.instances))].reset()
+def _instance_reset(world, rng):
+    world.proxies[rng.choice(list(world.group.instances))].reset()
 
 
 @FAULTS.register('replica_deaf')
-def _replica_deaf(world, dice):
-    one = dice.choice(list(world.group.instances.values()))
-    if one.deaf:
+def _replica_deaf(world, rng):
+    instance = rng.choice(list(world.group.instances.values()))
+    if instance.deaf:
         return None
-    one.deaf = True
+    instance.deaf = True
 
-    def heal():
-        one.deaf = False
+    def end_fault():
+        instance.deaf = False
 
-    return heal
+    return end_fault
 
 
 @FAULTS.register('configure')
-def _configure(world, dice):
-    for _ in range(dice.randrange(1, 4)):
-        world.configure()
+def _configure(world, rng):
+    for _ in range(rng.randrange(1, 4)):
+        world.write_config()
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -1,4 +1,4 @@
-"""Play the soak: ``python -m soak.play --seeds 50`` (see ``make soak``)."""
+"""Run the soak: ``python -m soak.play --seeds 50`` (see ``make soak``)."""
 
 from __future__ import annotations
 
@@ -14,18 +14,22 @@
 from soak import faults
 from soak import world as world_module
 
-# Seconds for processes to start, and to be well again after the last fault.
-WARM_UP = 2.5
-RECOVERY = 8.0
-# Part of the requests after the recovery that must succeed.
-SERVED = 0.9
-KEPT = pathlib.Path('build') / 'soak'
+# Time for the processes to start, and to recover after the last fault.
+WARM_UP_S = 2.5
+RECOVERY_S = 8.0
+# Share of the requests sent after the recovery that must succeed.
+MIN_SERVED_RATIO = 0.9
+LOG_ROOT = pathlib.Path('build') / 'soak'
 app = typer.Typer()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
-    """What one seed showed."""
+    """The result of one seed.
+
+    ``served`` is the share of requests after the recovery that succeeded;
+    ``broken`` has a line for each violated guarantee.
+    """
 
     seed: int
     requests: int
@@ -35,56 +39,61 @@
     broken: tuple[str, ...]
 
 
-def play(seed, folder, seconds=8.0, vms=3, names=None):
-    """Run one seed; its logs are left in ``folder``."""
-    chosen = names or tuple(faults.FAULTS)
+def play(seed, folder, seconds=8.0, vms=3, fault_names=None):
+    """Run one seed and leave its logs in ``folder``."""
+    injected_faults = fault_names or tuple(faults.FAULTS)
     world = world_module.World(seed, folder, vms)
     try:
         world.start()
-        world.run(WARM_UP)
-        chaos = faults.Chaos(world, chosen)
+        world.run(WARM_UP_S)
+        injector = faults.FaultInjector(world, injected_faults)
         world.run(seconds)
-        chaos.stop()
-        world.run(RECOVERY)
-        good_from = world.loop.clock.now()
+        injector.stop()
+        world.run(RECOVERY_S)
+        recovered_at = world.loop.clock.now()
         world.run(2.0)
-        for one in world.consumers:
-            one.going = False
+        for consumer in world.consumers:
+            consumer.is_active = False
         world.run(1.0)
-        return _verdict(seed, world, chaos, good_from, folder)
+        return _verdict(seed, world, injector, recovered_at, folder)
     finally:
         world.close()
 
 
-def _verdict(seed, world, chaos, good_from, folder):
-    broken = list(chaos.broken)
-    broken += checks.broken(
-        world.seen,
+def _verdict(seed, world, injector, recovered_at, folder):
+    violations = list(injector.violations)
+    violations += checks.violations(
+        world.requests,
         world.group,
-        world.promotions.terms,
-        world_module.STALENESS,
+        world.promotions.started_terms,
+        world_module.MAX_STALENESS_S,
     )
-    late = [one for one in world.seen if one.sent_at >= good_from]
-    good = sum(
-        one.reply is not None and one.reply.refusal is None for one in late
+    after_recovery = [
+        record for record in world.requests if record.sent_at >= recovered_at
+    ]
+    success_count = sum(
+        record.reply is not None and record.reply.refusal is None
+        for record in after_recovery
     )
-    served = good / len(late) if late else 0.0
-    if served < SERVED:
-        broken.append(f'{served:.2f} served after the recovery')
-    folder.joinpath('faults.txt').write_text('\n'.join(chaos.log_lines))
-    folder.joinpath('broken.txt').write_text('\n'.join(broken))
+    served = success_count / len(after_recovery) if after_recovery else 0.0
+    if served < MIN_SERVED_RATIO:
+        violations.append(
+            f'{served:.2f} of requests served after the recovery'
+        )
+    folder.joinpath('faults.txt').write_text('\n'.join(injector.log_lines))
+    folder.joinpath('broken.txt').write_text('\n'.join(violations))
     return Verdict(
         seed,
-        len(world.seen),
+        len(world.requests),
         served,
         len(world.group.commits),
-        len(world.promotions.terms),
-        tuple(broken),
+        len(world.promotions.started_terms),
+        tuple(violations),
     )
 
 
-def _play_kept(seed, seconds, vms):
-    folder = KEPT / str(seed)
+def _play_with_logs(seed, seconds, vms):
+    folder = LOG_ROOT / str(seed)
     folder.mkdir(parents=True, exist_ok=True)
     return play(seed, folder, seconds, vms)
 
@@ -97,13 +106,13 @@
     vms: int = 3,
     jobs: int = 2,
 ) -> None:
-    """Play seeds; without ``first`` they are fresh ones."""
-    start = first or random.SystemRandom().randrange(10**6)
+    """Run consecutive seeds, from a random one if ``first`` is 0."""
+    first_seed = first or random.SystemRandom().randrange(10**6)
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(jobs) as workers:
         runs = [
-            workers.submit(_play_kept, start + one, seconds, vms)
-            for one in range(seeds)
+            workers.submit(_play_with_logs, first_seed + offset, seconds, vms)
+            for offset in range(seeds)
         ]
         for run in concurrent.futures.as_completed(runs):
             verdict = run.result()
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,4 +1,4 @@
-"""Loopback proxies that delay, silence, reset or cut connections."""
+"""Loopback proxies that delay, block or reset connections."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 from chicoryusher import runtime
 
 HOST = '127.0.0.1'
-BACKLOG = 1024
-# Connections that fill a queue of length 0.
-FILLERS = 2
+LISTEN_BACKLOG = 1024
+# Number of connections that fill a listen backlog of 0.
+BACKLOG_FILLER_COUNT = 2
 
 
-class Way(enum.Enum):
-    """What a proxy does with bytes and new connections."""
+class Mode(enum.Enum):
+    """How a proxy treats bytes and new connections."""
 
     PASS = 'pass'
     DELAY = 'delay'
@@ -25,18 +25,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Due(core.Message):
-    """Bytes whose delay is over, and the stream that they came from."""
+class _DelayedBytes(core.Message):
+    """Bytes from ``stream`` that are due to be forwarded."""
 
     stream: runtime.Stream
     data: bytes
 
 
 class Proxy(runtime.Task):
-    """Carries connections to one address; faults are set on ``way``.
+    """Forwards connections to one address; ``mode`` selects a fault.
 
-    A silent proxy takes connections and bytes and passes nothing on; one
-    that is cut one way passes only what callers send.
+    ``PASS`` forwards all bytes, and ``DELAY`` does so after ``delay``
+    seconds. ``SILENT`` accepts connections and bytes and forwards no bytes.
+    ``ONE_WAY`` forwards only bytes towards the target.
     """
 
     def __init__(self, loop, name, target):
@@ -47,14 +48,14 @@
             (HOST, 0), loop.poller, self.task_name
         )
         self.address = self._listener.address
-        self.way = Way.PASS
+        self.mode = Mode.PASS
         self.delay = 0.0
         self._streams = {}
-        self._other = {}
-        self._outward = set()
-        self._due = {}
-        self._fillers = []
-        self._dirty = set()
+        self._paired_filenos = {}
+        self._caller_filenos = set()
+        self._last_delivery_at = {}
+        self._backlog_fillers = []
+        self._unflushed = set()
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready):
@@ -65,98 +66,99 @@
         if stream is None:
             return
         if stream.connecting and not stream.finish_connect():
-            self._drop(ready.fileno)
+            self._abort_pair(ready.fileno)
             return
-        self._dirty.add(ready.fileno)
+        self._unflushed.add(ready.fileno)
         if ready.readable:
             self._read(ready.fileno, stream)
 
     def _accept(self):
-        while (one := self._listener.accept()) is not None:
+        while (accepted := self._listener.accept()) is not None:
             other = runtime.connect(self._target, self._poller, self.task_name)
             if other is None:
-                one.abort()
+                accepted.abort()
                 continue
-            self._streams[one.fileno] = one
+            self._streams[accepted.fileno] = accepted
             self._streams[other.fileno] = other
-            self._other[one.fileno] = other.fileno
-            self._other[other.fileno] = one.fileno
-            self._outward.add(one.fileno)
+            self._paired_filenos[accepted.fileno] = other.fileno
+            self._paired_filenos[other.fileno] = accepted.fileno
+            self._caller_filenos.add(accepted.fileno)
 
     def _read(self, fileno, stream):
         data = stream.read()
         if data:
-            self._carry(fileno, data)
+            self._forward(fileno, data)
         if stream.closed:
-            self._drop(fileno)
+            self._abort_pair(fileno)
 
-    def _carry(self, fileno, data):
-        silent = self.way is Way.SILENT
-        inward = fileno not in self._outward
-        if silent or (self.way is Way.ONE_WAY and inward):
+    def _forward(self, fileno, data):
+        is_silent = self.mode is Mode.SILENT
+        from_target = fileno not in self._caller_filenos
+        if is_silent or (self.mode is Mode.ONE_WAY and from_target):
             return
         now = self.now()
-        delay = self.delay if self.way is Way.DELAY else 0.0
-        # Bytes never pass those before them, whatever the delay is now.
-        due = max(now + delay, self._due.get(fileno, now))
-        self._due[fileno] = due
-        self.after(due - now, _Due(self._streams[fileno], data))
-
-    @runtime.handles(_Due)
-    def _on_due(self, due):
-        if self._streams.get(due.stream.fileno) is due.stream:
-            self._write(due.stream.fileno, due.data)
+        delay = self.delay if self.mode is Mode.DELAY else 0.0
+        # Bytes must not overtake earlier bytes when the delay has become
+        # shorter.
+        due = max(now + delay, self._last_delivery_at.get(fileno, now))
+        self._last_delivery_at[fileno] = due
+        self.after(due - now, _DelayedBytes(self._streams[fileno], data))
+
+    @runtime.handles(_DelayedBytes)
+    def _on_delayed_bytes(self, delayed):
+        if self._streams.get(delayed.stream.fileno) is delayed.stream:
+            self._write(delayed.stream.fileno, delayed.data)
 
     def _write(self, fileno, data):
-        other = self._streams.get(self._other.get(fileno))
+        other = self._streams.get(self._paired_filenos.get(fileno))
         if other is not None:
             other.write(data)
-            self._dirty.add(other.fileno)
-
-    def _drop(self, fileno):
-        for one in (fileno, self._other.get(fileno)):
-            stream = self._streams.pop(one, None)
-            self._other.pop(one, None)
-            self._outward.discard(one)
-            self._due.pop(one, None)
+            self._unflushed.add(other.fileno)
+
+    def _abort_pair(self, fileno):
+        for closing_fileno in (fileno, self._paired_filenos.get(fileno)):
+            stream = self._streams.pop(closing_fileno, None)
+            self._paired_filenos.pop(closing_fileno, None)
+            self._caller_filenos.discard(closing_fileno)
+            self._last_delivery_at.pop(closing_fileno, None)
             if stream is not None:
                 stream.abort()
 
-    def darken(self):
-        """Answer nothing, not even the opening of a connection.
+    def block_all(self):
+        """Forward no bytes and accept no connection.
 
-        The queue of new connections is made short and filled, so that
-        the system drops what comes after.
+        The listen backlog is shortened and filled, so that the operating
+        system drops further connection attempts.
         """
-        self.way = Way.SILENT
+        self.mode = Mode.SILENT
         self._poller.forget(self._listener.fileno)
         self._listener._sock.listen(0)
-        for _ in range(FILLERS):
+        for _ in range(BACKLOG_FILLER_COUNT):
             sock = socket.socket()
             sock.setblocking(False)
             sock.connect_ex(self.address)
-            self._fillers.append(sock)
+            self._backlog_fillers.append(sock)
 
-    def lighten(self):
-        """Take connections and pass bytes on again."""
-        self.way = Way.PASS
-        for sock in self._fillers:
+    def unblock_all(self):
+        """Accept connections and forward bytes again."""
+        self.mode = Mode.PASS
+        for sock in self._backlog_fillers:
             sock.close()
-        self._fillers.clear()
-        self._listener._sock.listen(BACKLOG)
+        self._backlog_fillers.clear()
+        self._listener._sock.listen(LISTEN_BACKLOG)
         self._poller.watch(self._listener.fileno, self.task_name, True, False)
 
     def reset(self):
         """Reset every connection."""
         for fileno in tuple(self._streams):
-            self._drop(fileno)
+            self._abort_pair(fileno)
 
     def settled(self):
-        dirty, self._dirty = self._dirty, set()
-        for fileno in dirty:
+        unflushed, self._unflushed = self._unflushed, set()
+        for fileno in unflushed:
             stream = self._streams.get(fileno)
             if stream is None:
                 continue
             stream.flush()
             if stream.closed:
-                self._drop(fileno)
+                self._abort_pair(fileno)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""A short soak of the real processes, and every seed that ever failed."""
+"""A short soak of real processes, with every seed that has ever failed."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 from soak import play
 
-# Seeds that failed once, and the cause that was found.
-FAILED = (
-    # A process that was still being loaded ended by SIGHUP.
+# Seeds that have failed before, each with its cause.
+FAILED_SEEDS = (
+    # SIGHUP ended a process that was still loading its modules.
     103,
 )
 
 
-@pytest.mark.parametrize('seed', [1, *FAILED])
+@pytest.mark.parametrize('seed', [1, *FAILED_SEEDS])
 def test_no_promise_is_broken_under_faults(seed, tmp_path):
     verdict = play.play(seed, tmp_path, seconds=5.0)
     assert verdict.commits
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,4 +1,8 @@
-"""Entry processes, and the stand-ins around them in one loop."""
+"""The processes and stand-ins of the soak.
+
+The entry processes are real; the store, the promotions service, the
+instances and the callers are tasks of one event loop in this process.
+"""
 
 from __future__ import annotations
 
@@ -22,115 +26,123 @@
 HOST = '127.0.0.1'
 SERVICE = core.ServiceName('spoonbook')
 ZONES = ('akhmim-yard', 'qena-mill', 'alex-depot')
-REGIONS = {
+REGION_BY_ZONE = {
     'akhmim-yard': 'upper-nile',
     'qena-mill': 'upper-nile',
     'alex-depot': 'delta',
 }
-ACCESS = {
+ROUTE_TYPES = {
     core.Access.PRIMARY: 'primary',
     core.Access.BOUNDED: 'bounded_staleness',
     core.Access.OWN_WRITES: 'read_your_writes',
 }
-STALENESS = 1.5
-CONSUMERS_EACH = 2
-GRACE = 4
-# Seconds between the instances' looks at the primary's log.
-REPLICATE = 0.02
+MAX_STALENESS_S = 1.5
+CONSUMERS_PER_VM_AND_ROUTE = 2
+GRACE_PERIOD_S = 4
+# Replicas copy the primary's log at this interval.
+REPLICATION_INTERVAL_S = 0.02
 
 
-class _Replicate(core.Message):
-    """Time for replicas to receive what the primary has."""
+class _ReplicationTick(core.Message):
+    """Makes the replicas copy the primary's log."""
 
 
 class Replication(runtime.Task):
-    """Keeps replicas a little behind."""
+    """Copies the primary's log to the replicas with a short delay."""
 
     def __init__(self, loop, group):
         super().__init__(loop, 'soak', 'replication')
         self._group = group
-        self.after(REPLICATE, _Replicate())
+        self.after(REPLICATION_INTERVAL_S, _ReplicationTick())
 
-    @runtime.handles(_Replicate)
+    @runtime.handles(_ReplicationTick)
     def _on_replicate(self, message):
         self._group.replicate()
-        self.after(REPLICATE, message)
+        self.after(REPLICATION_INTERVAL_S, message)
 
 
 class Vm:
-    """One entry process and the settings that it starts with."""
+    """One entry process and its settings.
+
+    ``store`` is the proxy through which this VM reaches the store.
+    """
 
     def __init__(self, world, number, folder):
         self.name = f'front-{number}'
         self.store = proxies.Proxy(
             world.loop, f'store/{number}', world.store.address
         )
-        self.callers = (HOST, stand_ins.free_port())
-        self._log = folder / f'{self.name}.log'
-        self._settings = folder / f'{self.name}.json'
+        self.caller_address = (HOST, stand_ins.free_port())
+        self._log_path = folder / f'{self.name}.log'
+        self._settings_path = folder / f'{self.name}.json'
         self.process = None
-        self.wanted = False
+        self.expected_running = False
         document = {
             'name': self.name,
             'host': HOST,
             'zone': ZONES[number % len(ZONES)],
-            'regions': REGIONS,
-            'callers': f'{HOST}:{self.callers[1]}',
+            'regions': REGION_BY_ZONE,
+            'callers': f'{HOST}:{self.caller_address[1]}',
             'ready': f'{HOST}:{stand_ins.free_port()}',
             'peer_port': stand_ins.free_port(),
             'store': f'{HOST}:{self.store.address[1]}',
             'promotions': f'{HOST}:{world.promotions.address[1]}',
             'metrics': f'{HOST}:{stand_ins.free_port()}',
             'spread': True,
-            'grace_s': GRACE,
+            'grace_s': GRACE_PERIOD_S,
         }
-        # Two VMs of one host are told apart by their names.
-        self._settings.write_text(json.dumps(document))
+        # All VMs run on one host, so each has a name of its own.
+        self._settings_path.write_text(json.dumps(document))
 
     def start(self):
-        """Start the process; its log goes on where it was."""
-        self.wanted = True
-        with self._log.open('ab') as log:
+        """Start the process and append its output to its log."""
+        self.expected_running = True
+        with self._log_path.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, str(ROOT / 'platform' / 'serve.py')],
                 env={
                     **os.environ,
-                    'CHICORYUSHER_SETTINGS': str(self._settings),
+                    'CHICORYUSHER_SETTINGS': str(self._settings_path),
                 },
                 stdout=log,
                 stderr=log,
                 cwd=ROOT,
             )
 
-    def signal(self, number):
-        """Send a signal to the process that was started here."""
+    def signal(self, signal_number):
+        """Send a signal to the process if it is running."""
         if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
+            self.process.send_signal(signal_number)
 
-    def ended_by_itself(self):
-        """Tell whether the process ended though nobody asked it to."""
-        return self.wanted and self.process.poll() is not None
+    def ended_unexpectedly(self):
+        """Return whether the process ended without having been stopped."""
+        return self.expected_running and self.process.poll() is not None
 
-    def end(self):
+    def kill_and_wait(self):
         """Kill the process and wait for it."""
-        self.wanted = False
+        self.expected_running = False
         if self.process is not None:
             self.process.kill()
             self.process.wait()
 
 
 class World:
-    """A store, promotions, a group, entry processes and their callers."""
+    """The system under test of one seed, with its callers.
+
+    It has a store, a promotions service, a database group and entry
+    processes. Fault proxies stand between the entry processes and the
+    store, and between the entry processes and each instance.
+    """
 
     def __init__(self, seed, folder, vms):
-        self.dice = random.Random(seed)
+        self.rng = random.Random(seed)
         self.loop = runtime.Runtime()
         self.group = pool.Group(SERVICE, ZONES)
         self.group.replicating = False
         Replication(self.loop, self.group)
         self.store = stand_ins.StoreServer(self.loop)
         self.promotions = backends.Promotions(
-            self.loop, self.group, self.register
+            self.loop, self.group, self.register_instances
         )
         self.proxies = {}
         for instance in self.group.instances.values():
@@ -138,39 +150,39 @@
             self.proxies[instance.name] = proxies.Proxy(
                 self.loop, f'to/{instance.name}', backend.address
             )
-        self.version = 0
-        self.configure()
-        self.register()
+        self.config_version = 0
+        self.write_config()
+        self.register_instances()
         self.vms = [Vm(self, number, folder) for number in range(vms)]
-        self.seen = []
+        self.requests = []
         self.consumers = []
 
-    def configure(self):
-        """Write the next version of the configuration."""
-        self.version += self.dice.randrange(1, 4)
+    def write_config(self):
+        """Write a newer configuration with a random timeout to the store."""
+        self.config_version += self.rng.randrange(1, 4)
         routes = [
             {
                 'name': access.value,
                 'host': access.value,
-                'routeType': word,
-                'maxStalenessMs': STALENESS * 1000,
-                'timeoutMs': self.dice.choice([900, 1000, 1100]),
+                'routeType': route_type,
+                'maxStalenessMs': MAX_STALENESS_S * 1000,
+                'timeoutMs': self.rng.choice([900, 1000, 1100]),
                 'targetLatencyMs': 600,
                 'priority': 1,
                 'service': SERVICE,
             }
-            for access, word in ACCESS.items()
+            for access, route_type in ROUTE_TYPES.items()
         ]
         document = {
-            'version': self.version,
+            'version': self.config_version,
             'routes': routes,
             'services': [{'name': SERVICE, 'maxConnections': 21}],
             'limits': {'txIdleMs': 3000},
         }
         self._put('op', 'config', document)
 
-    def register(self):
-        """Let the instances register as they are now."""
+    def register_instances(self):
+        """Write the instances' present state and role to the store."""
         for entry in self.group.entries():
             port = self.proxies[entry.name].address[1]
             document = {
@@ -190,12 +202,12 @@
         self.store.put(table, key, data)
 
     def start(self):
-        """Start every process and its callers."""
+        """Start every entry process and the callers."""
         for vm in self.vms:
             vm.start()
-        addresses = [vm.callers for vm in self.vms]
+        addresses = [vm.caller_address for vm in self.vms]
         for access in core.Access:
-            for number in range(CONSUMERS_EACH * len(self.vms)):
+            for number in range(CONSUMERS_PER_VM_AND_ROUTE * len(self.vms)):
                 name = f'{access.value}-{number}'
                 self.consumers.append(
                     consumers.Consumer(
@@ -203,22 +215,22 @@
                         name,
                         addresses,
                         access.value,
-                        random.Random(f'{name} {self.dice.random()}'),
-                        self.seen,
+                        random.Random(f'{name} {self.rng.random()}'),
+                        self.requests,
                     )
                 )
 
     def run(self, seconds):
-        """Let real time pass."""
-        until = self.loop.clock.now() + seconds
+        """Run the event loop for a span of real time."""
+        end_at = self.loop.clock.now() + seconds
         stand_ins.run_until(
             self.loop,
-            lambda: self.loop.clock.now() >= until,
+            lambda: self.loop.clock.now() >= end_at,
             turns=10_000_000,
         )
 
     def close(self):
-        """End every process that was started here."""
+        """Kill the entry processes and close the event loop."""
         for vm in self.vms:
-            vm.end()
+            vm.kill_and_wait()
         self.loop.close()
