--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,4 @@
-"""Give each scenario a site of its own on the virtual clock."""
+"""Hooks that set up error logging and close the site of each scenario."""
 
 from __future__ import annotations
 
--- a/tools/make_docs.py
+++ b/tools/make_docs.py
@@ -1,4 +1,4 @@
-"""Write the pages that are generated from the code."""
+"""Generate the documentation pages that are derived from the code."""
 
 from __future__ import annotations
 
@@ -20,8 +20,10 @@
         '| number | level | meaning |',
         '| --- | --- | --- |',
     ]
-    for one in sorted(core.LogEvent, key=lambda one: one.number):
-        lines.append(f'| {one.number} | {one.level.value} | {one.meaning} |')
+    for event in sorted(core.LogEvent, key=lambda event: event.number):
+        lines.append(
+            f'| {event.number} | {event.level.value} | {event.meaning} |'
+        )
     return '\n'.join(lines) + '\n'
 
 
@@ -35,11 +37,11 @@
         '| name | kind | unit | labels | meaning |',
         '| --- | --- | --- | --- | --- |',
     ]
-    for one in core.Metric:
-        labels = ', '.join(one.labels)
+    for metric in core.Metric:
+        labels = ', '.join(metric.labels)
         lines.append(
-            f'| {one.full_name} | {one.kind.value} | {one.unit} | {labels} '
-            f'| {one.meaning} |'
+            f'| {metric.full_name} | {metric.kind.value} | {metric.unit} '
+            f'| {labels} | {metric.meaning} |'
         )
     return '\n'.join(lines) + '\n'
 
@@ -55,7 +57,7 @@
 
 
 def main() -> None:
-    """Write every generated page."""
+    """Write all generated pages to the docs folder."""
     (DOCS / 'events.md').write_text(_events(), encoding='utf-8')
     (DOCS / 'metrics.md').write_text(_metrics(), encoding='utf-8')
     design = DOCS / 'design'
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,4 +1,4 @@
-"""Run the tests and the features, and close with one plain line."""
+"""Run pytest and behave, and print the counts of passed and failed tests."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 def _known_red() -> frozenset[str]:
-    """Return the test names listed as known to fail."""
+    """Return the names of the tests listed in KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
         return frozenset()
     lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
@@ -31,32 +31,36 @@
 
 
 def main() -> int:
-    """Return 0 if every test that is not known to fail has passed."""
+    """Run all tests and return the exit status.
+
+    The status is 1 if a test failed that KNOWN-RED.txt does not list, or if
+    no test passed.
+    """
     REPORTS.mkdir(parents=True, exist_ok=True)
-    for old in REPORTS.glob('*.xml'):
-        old.unlink()
+    for old_report in REPORTS.glob('*.xml'):
+        old_report.unlink()
     codes = [
         _run('pytest', f'--junitxml={REPORTS / "pytest.xml"}'),
         _run('behave', '--junit', f'--junit-directory={REPORTS}'),
     ]
-    passed, failed, known = 0, 0, 0
-    red = _known_red()
+    passed, failed, known_failed = 0, 0, 0
+    known_red = _known_red()
     for report in sorted(REPORTS.glob('*.xml')):
         for case in ElementTree.parse(report).iter('testcase'):
             name = case.get('name', '')
             if case.find('skipped') is not None:
                 continue
-            bad = any(
+            has_failed = any(
                 case.find(kind) is not None for kind in ('failure', 'error')
             )
-            if bad and name in red:
-                known += 1
+            if has_failed and name in known_red:
+                known_failed += 1
                 print(f'known to fail (KNOWN-RED.txt): {name}')
-            elif bad:
+            elif has_failed:
                 failed += 1
             else:
                 passed += 1
-    if any(codes) and not failed and not known:
+    if any(codes) and not failed and not known_failed:
         failed += 1
     if not passed:
         failed += 1
