--- a/tests/soak/consumers.py
+++ b/tests/soak/consumers.py
@@ -27,7 +27,7 @@
     """
 
     request_id: str
-    database: str
+    route: str
     kind: str
     session: int
     sent_at: float
@@ -49,18 +49,18 @@
 class Consumer(runtime.Task):
     """Runs sessions on one route one after another, each at a random VM."""
 
-    def __init__(self, loop, name, addresses, database, rng, requests):
+    def __init__(self, loop, name, addresses, route, rng, requests):
         super().__init__(loop, 'soak', f'consumer/{name}')
         self._poller = loop.poller
         self._addresses = addresses
-        self._database = database
+        self._route = route
         self._rng = rng
         self._name = name
         self._requests = requests
         self._stream = None
         self._replies = replies.Replies()
-        self._session = 0
-        self._number = 0
+        self._session_number = 0
+        self._request_number = 0
         self._unsent_steps = []
         self._open_request = None
         self.is_active = True
@@ -89,13 +89,13 @@
 
     def _send_next_step(self):
         kind, text = self._unsent_steps.pop(0)
-        self._number += 1
-        request_id = f'{self._name}.{self._number}'
+        self._request_number += 1
+        request_id = f'{self._name}.{self._request_number}'
         record = RequestRecord(
             request_id,
-            self._database,
+            self._route,
             kind,
-            self._session,
+            self._session_number,
             self.now(),
         )
         self._open_request = record
@@ -114,17 +114,17 @@
 
     def _connect(self):
         address = self._rng.choice(self._addresses)
-        self._session += 1
+        self._session_number += 1
         self._replies = replies.Replies()
         stream = runtime.connect(address, self._poller, self.task_name)
         if stream is None:
             self.after(RECONNECT_DELAY_S, _NextOperation())
             return
-        stream.write(lines.join('START', self._database, 'u1'))
+        stream.write(lines.join('START', self._route, 'u1'))
         self._stream = stream
-        request_id = f'{self._name}.start{self._session}'
+        request_id = f'{self._name}.start{self._session_number}'
         self._open_request = RequestRecord(
-            request_id, self._database, '', self._session, self.now()
+            request_id, self._route, '', self._session_number, self.now()
         )
         self.after(REQUEST_TIMEOUT_S, _RequestTimeout(request_id))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -116,14 +116,14 @@
     return lambda: vm.signal(signal.SIGCONT)
 
 
-def _set_mode(proxy, mode, delay=0.0):
+def _set_mode(proxy, mode, delay_s=0.0):
     """Set a proxy's mode and return the function that resets it.
 
     Does nothing if another fault has already changed the mode.
     """
     if proxy.mode is not Mode.PASS:
         return lambda: None
-    proxy.mode, proxy.delay = mode, delay
+    proxy.mode, proxy.delay_s = mode, delay_s
 
     def undo():
         proxy.mode = Mode.PASS
@@ -138,8 +138,8 @@
 
 @FAULTS.register('store_slow')
 def _store_slow(world, rng):
-    delay = rng.uniform(0.05, 1.0)
-    return _set_mode(rng.choice(world.vms).store, Mode.DELAY, delay)
+    delay_s = rng.uniform(0.05, 1.0)
+    return _set_mode(rng.choice(world.vms).store, Mode.DELAY, delay_s)
 
 
 @FAULTS.register('store_one_way')
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _DelayedBytes(core.Message):
-    """Bytes from ``stream`` that are due to be forwarded."""
+    """Bytes from ``stream`` whose delay is over, to be forwarded now."""
 
     stream: runtime.Stream
     data: bytes
@@ -35,9 +35,9 @@
 class Proxy(runtime.Task):
     """Forwards connections to one address; ``mode`` selects a fault.
 
-    ``PASS`` forwards all bytes, and ``DELAY`` does so after ``delay``
-    seconds. ``SILENT`` accepts connections and bytes and forwards no bytes.
-    ``ONE_WAY`` forwards only bytes towards the target.
+    ``PASS`` forwards all bytes, and ``DELAY`` does so ``delay_s``
+    seconds later. ``SILENT`` accepts connections and bytes but forwards no
+    bytes. ``ONE_WAY`` forwards bytes towards the target only.
     """
 
     def __init__(self, loop, name, target):
@@ -49,7 +49,7 @@
         )
         self.address = self._listener.address
         self.mode = Mode.PASS
-        self.delay = 0.0
+        self.delay_s = 0.0
         self._streams = {}
         self._paired_filenos = {}
         self._caller_filenos = set()
@@ -74,14 +74,16 @@
 
     def _accept(self):
         while (accepted := self._listener.accept()) is not None:
-            other = runtime.connect(self._target, self._poller, self.task_name)
-            if other is None:
+            paired = runtime.connect(
+                self._target, self._poller, self.task_name
+            )
+            if paired is None:
                 accepted.abort()
                 continue
             self._streams[accepted.fileno] = accepted
-            self._streams[other.fileno] = other
-            self._paired_filenos[accepted.fileno] = other.fileno
-            self._paired_filenos[other.fileno] = accepted.fileno
+            self._streams[paired.fileno] = paired
+            self._paired_filenos[accepted.fileno] = paired.fileno
+            self._paired_filenos[paired.fileno] = accepted.fileno
             self._caller_filenos.add(accepted.fileno)
 
     def _read(self, fileno, stream):
@@ -97,12 +99,16 @@
         if is_silent or (self.mode is Mode.ONE_WAY and from_target):
             return
         now = self.now()
-        delay = self.delay if self.mode is Mode.DELAY else 0.0
+        delay_s = self.delay_s if self.mode is Mode.DELAY else 0.0
         # Bytes must not overtake earlier bytes when the delay has become
         # shorter.
-        due = max(now + delay, self._last_delivery_at.get(fileno, now))
-        self._last_delivery_at[fileno] = due
-        self.after(due - now, _DelayedBytes(self._streams[fileno], data))
+        delivery_at = max(
+            now + delay_s, self._last_delivery_at.get(fileno, now)
+        )
+        self._last_delivery_at[fileno] = delivery_at
+        self.after(
+            delivery_at - now, _DelayedBytes(self._streams[fileno], data)
+        )
 
     @runtime.handles(_DelayedBytes)
     def _on_delayed_bytes(self, delayed):
@@ -110,10 +116,10 @@
             self._write(delayed.stream.fileno, delayed.data)
 
     def _write(self, fileno, data):
-        other = self._streams.get(self._paired_filenos.get(fileno))
-        if other is not None:
-            other.write(data)
-            self._unflushed.add(other.fileno)
+        paired = self._streams.get(self._paired_filenos.get(fileno))
+        if paired is not None:
+            paired.write(data)
+            self._unflushed.add(paired.fileno)
 
     def _abort_pair(self, fileno):
         for closing_fileno in (fileno, self._paired_filenos.get(fileno)):
