--- a/features/environment.py
+++ b/features/environment.py
@@ -7,7 +7,7 @@
 
 
 def before_all(context):
-    handler = runtime.to_stream(core.LogLevel.ERROR)
+    handler = runtime.json_handler(core.LogLevel.ERROR)
     handler.push_application()
 
 
--- a/src/chicoryusher/backends/mysql/conn.py
+++ b/src/chicoryusher/backends/mysql/conn.py
@@ -65,7 +65,7 @@
 
     purpose: CommandPurpose
     payload: bytes
-    answer_kind: wire.AnswerKind = wire.AnswerKind.RESULT
+    answer_kind: wire.ResponseKind = wire.ResponseKind.RESULT
     sent_before: tuple[bytes, ...] = ()
     prepared_sql: bytes = b''
 
@@ -79,7 +79,7 @@
     """
 
     became_ready: bool = False
-    answer: wire.Scanned | None = None
+    answer: wire.ScanResult | None = None
 
 
 class BackendConn:
@@ -100,9 +100,11 @@
         self._user = user
         self._database = database
         self._phase = _Phase.GREETING
-        self._framer: wire.Framer | None = wire.Framer(wire.MAX_PAYLOAD)
+        self._framer: wire.PacketReader | None = wire.PacketReader(
+            wire.MAX_PAYLOAD_BYTES
+        )
         self._nonce = b''
-        self._scanner: wire.AnswerScanner | None = None
+        self._scanner: wire.ResponseScanner | None = None
         self._queue: collections.deque[BackendCommand] = collections.deque(
             BackendCommand(CommandPurpose.SESSION_SETUP, COM_QUERY + statement)
             for statement in setup_statements
@@ -127,15 +129,15 @@
                 BackendCommand(
                     CommandPurpose.PREPARE,
                     COM_STMT_PREPARE + payload.prepare,
-                    wire.AnswerKind.PREPARED,
+                    wire.ResponseKind.PREPARED,
                     prepared_sql=payload.prepare,
                 )
             )
         command = payload.command
-        answer_kind = wire.AnswerKind.RESULT
+        answer_kind = wire.ResponseKind.RESULT
         prepared_sql = payload.prepare
         if command[:1] == COM_STMT_PREPARE:
-            answer_kind = wire.AnswerKind.PREPARED
+            answer_kind = wire.ResponseKind.PREPARED
             prepared_sql = command[1:]
         self._queue.append(
             BackendCommand(
@@ -183,13 +185,15 @@
         self.server_conn_id = greeting.connection_id
         self._nonce = greeting.nonce
         method = greeting.method
-        if method not in wire.METHODS:
+        if method not in wire.AUTH_METHODS:
             method = wire.DEFAULT_METHOD
-        response = wire.respond(method, self._user.password, self._nonce)
-        handshake_response = wire.make_hello(
+        response = wire.make_auth_response(
+            method, self._user.password, self._nonce
+        )
+        handshake_response = wire.make_handshake_response(
             self._user.name, method, response, self._database
         )
-        self.stream.write(wire.frame(handshake_response, sequence))
+        self.stream.write(wire.make_packets(handshake_response, sequence))
         self._phase = _Phase.AUTH
 
     def _receive_auth_packet(self, payload: bytes, sequence: int) -> None:
@@ -199,8 +203,10 @@
             packet.advance(1)
             method = (packet.read_string() or b'').decode()
             nonce = packet.read_all()
-            response = wire.respond(method, self._user.password, nonce)
-            self.stream.write(wire.frame(response, sequence))
+            response = wire.make_auth_response(
+                method, self._user.password, nonce
+            )
+            self.stream.write(wire.make_packets(response, sequence))
             return
         if packet_type == AUTH_MORE_DATA:
             if payload[1:2] != bytes((FAST_AUTH_SUCCESS,)):
@@ -219,7 +225,7 @@
         sent_before = current.sent_before
         statement_id = self._prepared.get(current.prepared_sql)
         is_execute = current.purpose is CommandPurpose.COMMAND and (
-            current.answer_kind is wire.AnswerKind.RESULT
+            current.answer_kind is wire.ResponseKind.RESULT
         )
         if is_execute and statement_id is not None:
             payload = _with_statement_id(payload, statement_id)
@@ -228,9 +234,9 @@
                 for packet in sent_before
             )
         for packet in sent_before:
-            self.stream.write(wire.frame(packet))
-        self.stream.write(wire.frame(payload))
-        self._scanner = wire.AnswerScanner(current.answer_kind)
+            self.stream.write(wire.make_packets(packet))
+        self.stream.write(wire.make_packets(payload))
+        self._scanner = wire.ResponseScanner(current.answer_kind)
 
     def _receive_answer(self, data: bytes, read_result: ReadResult) -> None:
         assert self._scanner is not None
@@ -247,7 +253,7 @@
             # transaction back; after other errors it stays open.
             stays_open = scanned.error_code != DEADLOCK_ERRNO
             scanned.in_transaction = self._in_transaction and stays_open
-        elif current.answer_kind is wire.AnswerKind.PREPARED:
+        elif current.answer_kind is wire.ResponseKind.PREPARED:
             scanned.in_transaction = self._in_transaction
             self._cache_statement(current.prepared_sql, scanned.statement_id)
         self._in_transaction = scanned.in_transaction
@@ -262,7 +268,7 @@
         read_result.answer = scanned
 
     def _finish_setup_command(
-        self, scanned: wire.Scanned, read_result: ReadResult
+        self, scanned: wire.ScanResult, read_result: ReadResult
     ) -> None:
         if scanned.error_code:
             raise core.ProtocolError(
@@ -286,7 +292,7 @@
 
     def _close_statement(self, statement_id: int) -> None:
         payload = COM_STMT_CLOSE + statement_id.to_bytes(4, 'little')
-        self.stream.write(wire.frame(payload))
+        self.stream.write(wire.make_packets(payload))
 
 
 def _with_statement_id(payload: bytes, statement_id: int) -> bytes:
--- a/src/chicoryusher/backends/mysql/gatelock.py
+++ b/src/chicoryusher/backends/mysql/gate_lock.py
@@ -109,7 +109,7 @@
 
     An OK or error packet gives no values.
     """
-    framer = wire.Framer(wire.MAX_PAYLOAD)
+    framer = wire.PacketReader(wire.MAX_PAYLOAD_BYTES)
     payloads = [framed.payload for framed in framer.feed(data)]
     if not payloads or payloads[0][:1] in (b'\x00', b'\xff'):
         return []
--- a/src/chicoryusher/backends/mysql/link.py
+++ b/src/chicoryusher/backends/mysql/link.py
@@ -11,7 +11,7 @@
 from chicoryusher import runtime
 from chicoryusher import wire
 from chicoryusher.backends.mysql import conn as conn_module
-from chicoryusher.backends.mysql import gatelock
+from chicoryusher.backends.mysql import gate_lock
 
 __all__ = ['MysqlLink']
 
@@ -60,7 +60,7 @@
         self._by_fileno: dict[int, conn_module.BackendConn] = {}
         self._ready_ids: set[core.ConnId] = set()
         self._unflushed: set[conn_module.BackendConn] = set()
-        self._lock = gatelock.GateLock(user.name)
+        self._lock = gate_lock.GateLock(user.name)
         self._epoch = 0
 
     # -- statement connections --------------------------------------
@@ -108,8 +108,8 @@
         conn.run(message.payload)
         self._unflushed.add(conn)
 
-    @runtime.handles(core.ConnConsumed)
-    def _on_consumed(self, message: core.ConnConsumed) -> None:
+    @runtime.handles(core.ConnAnswerConsumed)
+    def _on_consumed(self, message: core.ConnAnswerConsumed) -> None:
         conn = self._by_id.get(message.conn_id)
         if conn is None:
             return
@@ -162,7 +162,7 @@
         self.send(self._gate, core.ConnOpened(conn.conn_id))
 
     def _on_answer_part(
-        self, conn: conn_module.BackendConn, scanned: wire.Scanned
+        self, conn: conn_module.BackendConn, scanned: wire.ScanResult
     ) -> None:
         if conn.conn_id == LOCK_CONN_ID:
             self._on_lock_answer(conn, scanned)
@@ -216,8 +216,8 @@
     def _on_claim(self, claim: core.ClaimGate) -> None:
         if LOCK_CONN_ID in self._by_id:
             return
-        self._lock = gatelock.GateLock(self._user.name)
-        if not self._open_conn(LOCK_CONN_ID, gatelock.LOCK_SETUP_STATEMENTS):
+        self._lock = gate_lock.GateLock(self._user.name)
+        if not self._open_conn(LOCK_CONN_ID, gate_lock.LOCK_SETUP_STATEMENTS):
             self.send(self._gate, core.GateClaimed(False))
 
     def _send_lock_command(self, conn: conn_module.BackendConn) -> None:
@@ -225,15 +225,15 @@
         self._unflushed.add(conn)
 
     def _on_lock_answer(
-        self, conn: conn_module.BackendConn, scanned: wire.Scanned
+        self, conn: conn_module.BackendConn, scanned: wire.ScanResult
     ) -> None:
         if self._lock.is_granted:
             return
         result = self._lock.receive_answer(scanned.data, scanned.final)
-        if result is gatelock.LockResult.REFUSED:
+        if result is gate_lock.LockResult.REFUSED:
             self._close_conn(conn)
             self.send(self._gate, core.GateClaimed(False))
-        elif result is gatelock.LockResult.GRANTED:
+        elif result is gate_lock.LockResult.GRANTED:
             self._epoch += 1
             self.after(
                 self.until_beat(KEEPALIVE_INTERVAL_S), _Keepalive(self._epoch)
--- a/src/chicoryusher/charts/diagram.py
+++ b/src/chicoryusher/charts/diagram.py
@@ -9,7 +9,7 @@
 
 def mermaid(chart: model.Chart) -> str:
     """Return the Mermaid ``stateDiagram-v2`` source of a chart."""
-    lines = ['stateDiagram-v2', f'    [*] --> {chart.initial.value}']
+    lines = ['stateDiagram-v2', f'    [*] --> {chart.initial_state.value}']
     for state, by_event in chart.transitions.items():
         for event, alternatives in by_event.items():
             for transition in alternatives:
@@ -23,6 +23,6 @@
                 )
     lines += [
         f'    {end.value} --> [*]'
-        for end in sorted(chart.final, key=lambda end: end.value)
+        for end in sorted(chart.final_states, key=lambda end: end.value)
     ]
     return '\n'.join(lines) + '\n'
--- a/src/chicoryusher/charts/interpreter.py
+++ b/src/chicoryusher/charts/interpreter.py
@@ -17,7 +17,7 @@
 from chicoryusher.charts import model
 
 __all__ = ['ACTIONS', 'GUARDS', 'Machine', 'Subject', 'action']
-__all__ += ['compiled', 'guard']
+__all__ += ['load_machine', 'guard']
 
 Handler = Callable[[Any, Any], Any]
 
@@ -43,8 +43,8 @@
 
     def __init__(self, chart: model.Chart) -> None:
         self.name = chart.name
-        self.initial = chart.initial
-        self.final = chart.final
+        self.initial = chart.initial_state
+        self.final = chart.final_states
         self._table: dict[tuple[enum.Enum, str], tuple[_Transition, ...]] = {}
         problems: list[core.ChartProblem] = []
         for state, by_event in chart.transitions.items():
@@ -107,10 +107,10 @@
 
 
 @functools.cache
-def compiled(name: str) -> Machine:
+def load_machine(name: str) -> Machine:
     """Return the compiled chart of a chart file of this package.
 
     Raise ChartError if the file is not valid or names a guard or an
     action that is not registered.
     """
-    return Machine(model.read(name))
+    return Machine(model.load_chart(name))
--- a/src/chicoryusher/charts/model.py
+++ b/src/chicoryusher/charts/model.py
@@ -10,7 +10,7 @@
 
 from chicoryusher import core
 
-__all__ = ['Chart', 'Transition', 'chart_names', 'parse', 'read']
+__all__ = ['Chart', 'Transition', 'chart_names', 'parse_chart', 'load_chart']
 
 _FOLDER = pathlib.Path(__file__).parent
 _SCHEMA = json.loads(
@@ -38,8 +38,8 @@
     """
 
     name: str
-    initial: enum.Enum
-    final: frozenset[enum.Enum]
+    initial_state: enum.Enum
+    final_states: frozenset[enum.Enum]
     transitions: dict[enum.Enum, dict[str, tuple[Transition, ...]]]
 
     def events(self) -> frozenset[str]:
@@ -63,7 +63,7 @@
     )
 
 
-def read(name: str) -> Chart:
+def load_chart(name: str) -> Chart:
     """Return the chart of this package's chart file ``name``.
 
     Raise ChartError if the file can't be read or is not valid.  The file
@@ -80,7 +80,7 @@
     return _checked(name, document)
 
 
-def parse(name: str, document: typing.Any) -> Chart:
+def parse_chart(name: str, document: typing.Any) -> Chart:
     """Return the chart in a decoded chart file.
 
     Raise ChartError with all defects if it does not match the schema or
--- a/src/chicoryusher/cli/main.py
+++ b/src/chicoryusher/cli/main.py
@@ -81,7 +81,8 @@
 
 def _fail_bad_file(error: core.SettingsError, as_json: bool) -> NoReturn:
     rows = [
-        {'path': entry.path, 'problem': entry.what} for entry in error.problems
+        {'path': entry.path, 'problem': entry.defect}
+        for entry in error.problems
     ]
     output.print_rows(rows, as_json)
     raise typer.Exit(ExitCode.BAD_FILE)
@@ -239,7 +240,7 @@
     before = {
         key: value for key, value in (current or {}).items() if key != 'change'
     }
-    changes = decisions.differences(before, document)
+    changes = decisions.config_differences(before, document)
     output.print_rows(
         [dataclasses.asdict(entry) for entry in changes], as_json
     )
--- a/src/chicoryusher/core/clock.py
+++ b/src/chicoryusher/core/clock.py
@@ -1,7 +1,7 @@
 """Clocks: those of the operating system, and one that tests advance.
 
 ``now`` is the monotonic clock, which stands still while the machine is
-suspended.  ``running_on`` is the boot-time clock, which counts that time
+suspended.  ``boottime`` is the boot-time clock, which counts that time
 too; what must not outlast a suspension is measured by it.
 """
 
@@ -22,7 +22,7 @@
         Time for which the machine was suspended is not counted.
         """
 
-    def running_on(self) -> float:
+    def boottime(self) -> float:
         """Return monotonic seconds that include suspended time."""
 
 
@@ -33,7 +33,7 @@
         """Return the seconds of CLOCK_MONOTONIC."""
         return time.monotonic()
 
-    def running_on(self) -> float:
+    def boottime(self) -> float:
         """Return the seconds of CLOCK_BOOTTIME."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
@@ -49,12 +49,12 @@
         """Return the virtual seconds without suspended time."""
         return self._now
 
-    def running_on(self) -> float:
+    def boottime(self) -> float:
         """Return the virtual seconds with suspended time."""
         return self._now + self._suspended_s
 
     def suspend(self, seconds: float) -> None:
-        """Advance only ``running_on``, as a suspension does."""
+        """Advance only ``boottime``, as a suspension does."""
         self._suspended_s += seconds
 
     def advance_to(self, when: float) -> None:
--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -15,12 +15,12 @@
 from chicoryusher.core import position
 
 __all__ = [
-    'Disproved',
-    'Doubt',
+    'CommitDisproved',
+    'InstanceSuspected',
     'Fence',
     'FenceAnswer',
     'GroupState',
-    'GroupUsed',
+    'GroupActive',
     'LiveVms',
     'ObjectAnswer',
     'ObjectGet',
@@ -29,18 +29,18 @@
     'PeerUp',
     'Promote',
     'PromoteAnswer',
-    'Proved',
+    'CommitProved',
     'ProveCommit',
     'TableAnswer',
     'TableGet',
     'TablePut',
     'TableScan',
     'TableScanAnswer',
-    'ToPeer',
+    'SendToPeer',
     'VmList',
-    'VmListed',
+    'ListedVm',
     'VmListRequest',
-    'WatchCatchUp',
+    'CatchUpAwaited',
 ]
 
 Message = messages.Message
@@ -50,10 +50,10 @@
 class GroupState(Message):
     """State of a database group, from its monitor to a gate in it.
 
-    ``own`` is the answer of the gate's instance to its last probe and
-    ``observed_at`` when that probe began.  ``lag`` is an upper bound of
+    ``own_probe`` is the answer of the gate's instance to its last probe and
+    ``observed_at`` when that probe began.  ``staleness`` is an upper bound of
     the instance's staleness, proved for that moment; ``apply_delay`` is
-    an estimate of how many seconds it is behind its primary.  ``starts``
+    an estimate of how many seconds it is behind its primary.  ``term_starts``
     are the log offsets at which terms began.  ``has_majority`` is set if
     a majority of the group's instances was recently seen in the term.
     """
@@ -61,16 +61,16 @@
     database: ids.DatabaseName
     primary: ids.InstanceName | None
     term: ids.Term
-    own: messages.ProbeAnswer
+    own_probe: messages.ProbeAnswer
     observed_at: float
-    lag: float
+    staleness: float
     apply_delay: float
-    starts: tuple[position.TermStart, ...]
+    term_starts: tuple[position.TermStart, ...]
     has_majority: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Doubt(Message):
+class InstanceSuspected(Message):
     """Report that an instance is suspected to have failed.
 
     It lost a connection, or its statements do not end.
@@ -80,7 +80,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class GroupUsed(Message):
+class GroupActive(Message):
     """Report that a group has requests, so that it is probed often."""
 
 
@@ -94,21 +94,21 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Proved(Message):
+class CommitProved(Message):
     """Reply that a majority has the commit in the term it was made in."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Disproved(Message):
+class CommitDisproved(Message):
     """Reply that a later term began before a majority had the commit."""
 
     request_id: ids.RequestId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WatchCatchUp(Message):
+class CatchUpAwaited(Message):
     """Report that requests of a gate wait for its replica to catch up."""
 
     instance: ids.InstanceName
@@ -165,7 +165,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TablePut(Message):
-    """Write one key if its version is still ``expected``.
+    """Write one key if its version is still ``expected_version``.
 
     Version 0 stands for a key that does not exist.
     """
@@ -173,7 +173,7 @@
     reply_to: ids.TaskName
     key: str
     value: bytes
-    expected: int
+    expected_version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -188,7 +188,7 @@
     key: str
     version: int = 0
     value: bytes | None = None
-    put: bool = False
+    is_put: bool = False
     error: errors.PlatformError | None = None
 
 
@@ -196,12 +196,12 @@
 class TableScan(Message):
     """Read up to ``limit`` keys with a prefix, in key order.
 
-    Only keys that sort after the key ``after`` are read.
+    Only keys that sort after the key ``after_key`` are read.
     """
 
     reply_to: ids.TaskName
     prefix: str
-    after: str = ''
+    after_key: str = ''
     limit: int = 1000
 
 
@@ -240,7 +240,7 @@
 
     key: str
     value: bytes | None = None
-    put: bool = False
+    is_put: bool = False
     error: errors.PlatformError | None = None
 
 
@@ -252,7 +252,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class VmListed(Message):
+class ListedVm(Message):
     """Entry of the platform's list of VMs.
 
     ``leaving`` is set if the platform is about to stop the VM.
@@ -266,12 +266,12 @@
 class VmList(Message):
     """The platform's list of VMs, which may be out of date."""
 
-    vms: tuple[VmListed, ...] = ()
+    vms: tuple[ListedVm, ...] = ()
     error: errors.PlatformError | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ToPeer(Message):
+class SendToPeer(Message):
     """Send a message to a task of another VM."""
 
     vm: ids.VmName
--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -9,23 +9,23 @@
 import enum
 
 __all__ = [
-    'Access',
-    'Begins',
-    'BlockState',
+    'ReadAccess',
+    'TransactionKind',
+    'TransactionStatus',
     'ConnState',
     'DaemonState',
-    'Ended',
-    'EntryState',
+    'Completion',
+    'EntryProcessState',
     'FeedState',
     'ForwardedState',
     'GateState',
     'HandoverState',
-    'LeadRowState',
-    'LeadState',
-    'LinkEnd',
+    'LeaderRowState',
+    'GroupMonitorState',
+    'LinkCloseReason',
     'MoveReason',
-    'Nearness',
-    'NodeLife',
+    'ZoneDistance',
+    'EntryVmStatus',
     'Op',
     'Outcome',
     'PoolSessionState',
@@ -34,7 +34,7 @@
     'RequestState',
     'Role',
     'SessionState',
-    'ShapeKind',
+    'PreparedQueryKind',
     'StatementKind',
     'StoreView',
     'Verb',
@@ -154,7 +154,7 @@
     RELEASING = 'releasing'
 
 
-class LeadState(enum.Enum):
+class GroupMonitorState(enum.Enum):
     """State of a VM's monitor of one group (chart ``leadership``).
 
     FOLLOWING: the group has a primary.  SUSPECTING: the primary does not
@@ -192,7 +192,7 @@
     STOPPED = 'stopped'
 
 
-class Access(enum.Enum):
+class ReadAccess(enum.Enum):
     """Consistency of a route's reads, and where they may run.
 
     PRIMARY: reads run at the primary only.  BOUNDED and OWN_WRITES:
@@ -220,21 +220,21 @@
     DEALLOCATE = 'deallocate'
 
 
-class ShapeKind(enum.Enum):
+class PreparedQueryKind(enum.Enum):
     """Whether a prepared statement reads or writes."""
 
     READ = 'read'
     WRITE = 'write'
 
 
-class Begins(enum.Enum):
+class TransactionKind(enum.Enum):
     """Kind of the transaction that a piece of work begins."""
 
     READ_ONLY = 'read_only'
     READ_WRITE = 'read_write'
 
 
-class BlockState(enum.Enum):
+class TransactionStatus(enum.Enum):
     """State of the transaction of a pooled session.
 
     IDLE: no transaction.  OPEN: in a transaction.  FAILED: in a
@@ -282,7 +282,7 @@
     DEMOTE = 'demote'
 
 
-class LinkEnd(enum.Enum):
+class LinkCloseReason(enum.Enum):
     """Why a connection to an instance has ended.
 
     REFUSED: it was not accepted.  SILENT: it was not accepted in time.
@@ -293,13 +293,13 @@
 
     LOST = 'lost'
     REFUSED = 'refused'
-    SILENT = 'silent'
+    TIMED_OUT = 'silent'
     WRONG_INSTANCE = 'wrong_instance'
-    TOO_MANY = 'too_many'
-    GARBLED = 'garbled'
+    TOO_MANY_CONNECTIONS = 'too_many'
+    MALFORMED_REPLY = 'garbled'
 
 
-class Ended(enum.Enum):
+class Completion(enum.Enum):
     """How a piece of work ended at its instance.
 
     ANSWERED: the instance replied to the statement.  NOT_STARTED: the
@@ -312,8 +312,8 @@
     ANSWERED = 'answered'
     NOT_STARTED = 'not_started'
     NOT_RUN = 'not_run'
-    LOST = 'lost'
-    OVERTIME = 'overtime'
+    CONNECTION_LOST = 'lost'
+    TIMED_OUT = 'overtime'
 
 
 class PoolSessionState(enum.Enum):
@@ -343,11 +343,11 @@
     needed.
     """
 
-    AWAY = 'away'
+    REMOTE = 'away'
     SETTLED = 'settled'
 
 
-class NodeLife(enum.Enum):
+class EntryVmStatus(enum.Enum):
     """Status of an entry VM, as its row in the store records it.
 
     LEAVING: it is about to stop.  LEFT: it uses no primary any more, so
@@ -359,7 +359,7 @@
     LEFT = 'left'
 
 
-class LeadRowState(enum.Enum):
+class LeaderRowState(enum.Enum):
     """Whether a group's primary may be used.
 
     OPEN: it may be used.  CLOSING: it is being replaced, so that VMs
@@ -405,7 +405,7 @@
     NOT_REACHED = 'not_reached'
 
 
-class EntryState(enum.Enum):
+class EntryProcessState(enum.Enum):
     """State of an entry process (chart ``entry``).
 
     LEAVING: it finishes its work and accepts no more.
@@ -426,19 +426,19 @@
 
     READING = 'reading'
     FOLLOWING = 'following'
-    MISSING = 'missing'
+    POLL_FAILED = 'missing'
 
 
 class StoreView(enum.Enum):
     """Kind of rows of which VMs keep a view (a copy of the store's)."""
 
-    LEADS = 'leads'
+    LEADERS = 'leads'
     INSTANCES = 'instances'
-    NODES = 'nodes'
+    ENTRY_VMS = 'nodes'
     CONFIG = 'config'
 
 
-class Nearness(enum.Enum):
+class ZoneDistance(enum.Enum):
     """Distance between two availability zones."""
 
     SAME_ZONE = 'same_zone'
--- a/src/chicoryusher/core/errors.py
+++ b/src/chicoryusher/core/errors.py
@@ -59,8 +59,8 @@
 
     def __init__(self, where: str, what: str) -> None:
         super().__init__(f'{where}: {what}')
-        self.where = where
-        self.what = what
+        self.location = where
+        self.defect = what
 
 
 class ConfigError(ChicoryusherError):
@@ -69,7 +69,7 @@
     def __init__(self, path: str, what: str) -> None:
         super().__init__(f'{path}: {what}')
         self.path = path
-        self.what = what
+        self.defect = what
 
 
 class SettingsError(ChicoryusherError):
@@ -89,7 +89,7 @@
     def __init__(self, expected: int, found: int) -> None:
         super().__init__(f'expected version {expected}, found {found}')
         self.expected = expected
-        self.found = found
+        self.actual = found
 
 
 class AdminError(ChicoryusherError):
--- a/src/chicoryusher/core/forwarding.py
+++ b/src/chicoryusher/core/forwarding.py
@@ -13,17 +13,17 @@
 from chicoryusher.core import enums
 from chicoryusher.core import ids
 from chicoryusher.core import messages
-from chicoryusher.core import placement
 from chicoryusher.core import pooling
 from chicoryusher.core import position
+from chicoryusher.core import topology
 
 __all__ = [
     'ForwardCancel',
-    'ForwardEnd',
-    'ForwardStop',
+    'ForwardRollback',
+    'StopForwarding',
     'ForwardWork',
-    'LiveNodes',
-    'NodePlace',
+    'LiveEntryVms',
+    'EntryVmZone',
     'RelayCancel',
     'RelayEnded',
     'RelayRollback',
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class NodePlace:
+class EntryVmZone:
     """Entry VM that responds, with its availability zone."""
 
     vm: ids.VmName
@@ -40,18 +40,18 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LiveNodes(messages.Message):
+class LiveEntryVms(messages.Message):
     """Entry VMs that respond and this VM, in order of name."""
 
-    nodes: tuple[NodePlace, ...]
+    nodes: tuple[EntryVmZone, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardWork(messages.Message):
-    """Forward a piece of work for an instance to the VM ``via``."""
+    """Forward a piece of work for an instance to the VM ``conn_owner``."""
 
-    via: ids.VmName
-    entry: placement.InstanceEntry
+    conn_owner: ids.VmName
+    entry: topology.InstanceEntry
     work: pooling.Work
 
 
@@ -63,14 +63,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ForwardEnd(messages.Message):
+class ForwardRollback(messages.Message):
     """Roll back a transaction that is open at another VM."""
 
     transaction: ids.TransactionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ForwardStop(messages.Message):
+class StopForwarding(messages.Message):
     """End all work for an instance that was forwarded to other VMs."""
 
     instance: ids.InstanceName
@@ -80,26 +80,26 @@
 class RelayWork(messages.Message):
     """Run a piece of work of the VM ``vm`` at an instance.
 
-    ``boot`` is the instance's incarnation.  ``start_in`` is how many
-    seconds the work may wait for a connection.  The other fields have
-    the meaning that they have in ``Work``.
+    ``incarnation`` is the instance's incarnation.  ``start_timeout`` is how
+    many seconds the work may wait for a connection.  The other fields have the
+    meaning that they have in ``Work``.
     """
 
     vm: ids.VmName
     instance: ids.InstanceName
-    boot: int
+    incarnation: int
     work_id: ids.WorkId
     request_id: ids.RequestId
     statement: pooling.Statement
-    shape: pooling.Shape | None
-    values: tuple[tuple[str, str], ...]
+    prepared: pooling.PreparedQuery | None
+    session_values: tuple[tuple[str, str], ...]
     priority: int
-    start_in: float
-    limit: float
-    patience: float
+    start_timeout: float
+    timeout: float
+    retryable_timeout: float
     transaction: ids.TransactionId | None = None
-    begins: enums.Begins | None = None
-    after: position.Position | None = None
+    begin_kind: enums.TransactionKind | None = None
+    min_position: position.Position | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,14 +114,14 @@
     vm: ids.VmName
     work_id: ids.WorkId
     instance: ids.InstanceName
-    ended: enums.Ended
+    completion: enums.Completion
     sent: bool
     rows: tuple[str, ...] = ()
     digest: str | None = None
     refusal: enums.Refusal | None = None
     detail: str = ''
     position: position.Position | None = None
-    block: enums.BlockState = enums.BlockState.IDLE
+    transaction_status: enums.TransactionStatus = enums.TransactionStatus.IDLE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/catalogue.py
+++ b/src/chicoryusher/core/log_events.py
@@ -58,7 +58,7 @@
         LogLevel.ERROR,
         'an address to listen on cannot be used',
     )
-    SERVING = (
+    ENTRY_SERVING = (
         1010,
         LogLevel.INFO,
         'configuration, instances and leader rows were read; serving callers',
@@ -77,7 +77,7 @@
         LogLevel.WARNING,
         'a caller named an unknown database',
     )
-    CALLER_SILENT = (
+    HANDSHAKE_TIMED_OUT = (
         2007,
         LogLevel.WARNING,
         'a caller did not finish its handshake in time',
@@ -110,12 +110,12 @@
         LogLevel.WARNING,
         'a request ended with an unknown outcome',
     )
-    REQUEST_SHED = (
+    REQUEST_NOT_ADMITTED = (
         3008,
         LogLevel.DEBUG,
         'a request was not admitted to the queue of a gate',
     )
-    REQUEST_CUT = (
+    STATEMENT_TIMED_OUT = (
         3009,
         LogLevel.WARNING,
         'a statement was stopped at its deadline',
@@ -130,7 +130,7 @@
         LogLevel.INFO,
         'a statement was sent to the pool of an instance',
     )
-    STATEMENT_HELD = (
+    STATEMENT_RETRIED = (
         3012,
         LogLevel.INFO,
         'a statement has not been run yet and will be retried',
@@ -140,11 +140,19 @@
         LogLevel.INFO,
         "another VM's statement was sent to the pool of an instance",
     )
-    PRIMARY_SILENT = (4001, LogLevel.WARNING, 'a primary does not respond')
-    PRIMARY_HEARD = (4002, LogLevel.INFO, 'a suspected primary has responded')
+    PRIMARY_UNRESPONSIVE = (
+        4001,
+        LogLevel.WARNING,
+        'a primary does not respond',
+    )
+    PRIMARY_RESPONDED = (
+        4002,
+        LogLevel.INFO,
+        'a suspected primary has responded',
+    )
     TERM_CLAIMED = (4003, LogLevel.WARNING, 'this VM claims a new term')
     TERM_LOST = (4004, LogLevel.INFO, 'another VM has the term')
-    STORE_SKIPPED = (
+    TERM_TABLE_UNRESPONSIVE = (
         4005,
         LogLevel.WARNING,
         "the platform's table does not respond; the term is claimed by "
@@ -161,7 +169,7 @@
         LogLevel.INFO,
         'an instance is leaving and gets no new work',
     )
-    INSTANCE_MISSED = (
+    INSTANCE_UNREACHABLE = (
         4009,
         LogLevel.WARNING,
         'an instance could not be reached',
@@ -176,29 +184,33 @@
         LogLevel.WARNING,
         'this VM stopped using a primary',
     )
-    PRIMARY_IN_FORCE = (
+    PRIMARY_IN_USE = (
         4012,
         LogLevel.INFO,
         'the primary that this VM uses has changed',
     )
-    INSTANCES_IN_FORCE = (
+    INSTANCES_CHANGED = (
         4013,
         LogLevel.INFO,
         'the instances of a group have changed',
     )
-    AUTHORITY_LAPSED = (
+    LEASE_EXPIRED = (
         4014,
         LogLevel.WARNING,
-        'authority has expired: no recent view of the leader rows',
+        'the primary lease has expired: no recent view of the leader rows',
     )
-    AUTHORITY_BACK = (
+    LEASE_REGAINED = (
         4015,
         LogLevel.INFO,
-        'authority was regained; primaries may be used',
+        'the primary lease was regained; primaries may be used',
+    )
+    PLATFORM_UNRESPONSIVE = (
+        5001,
+        LogLevel.WARNING,
+        'the platform does not respond',
     )
-    PLATFORM_DOWN = (5001, LogLevel.WARNING, 'the platform does not respond')
-    PLATFORM_BACK = (5002, LogLevel.INFO, 'the platform responds again')
-    CONFIG_IN_FORCE = (5003, LogLevel.INFO, 'a configuration was applied')
+    PLATFORM_RESPONDED = (5002, LogLevel.INFO, 'the platform responds again')
+    CONFIG_APPLIED = (5003, LogLevel.INFO, 'a configuration was applied')
     CONFIG_STALE = (
         5004,
         LogLevel.INFO,
@@ -242,7 +254,7 @@
     event.number
     for event in (
         LogEvent.STATEMENT_SENT,
-        LogEvent.STATEMENT_HELD,
+        LogEvent.STATEMENT_RETRIED,
         LogEvent.STATEMENT_RELAYED,
     )
 )
--- a/src/chicoryusher/core/messages.py
+++ b/src/chicoryusher/core/messages.py
@@ -20,14 +20,14 @@
     'CloseConn',
     'ConnAnswer',
     'ConnClosed',
-    'ConnConsumed',
+    'ConnAnswerConsumed',
     'ConnOpened',
     'ClaimGate',
-    'Consumed',
+    'AnswerConsumed',
     'Drain',
     'GateClaimed',
     'GateLost',
-    'GateMoved',
+    'RequestMoved',
     'InstanceReport',
     'Marks',
     'Message',
@@ -94,8 +94,8 @@
 class Request(Message):
     """Statement of a session.
 
-    ``begin`` is the command that begins a transaction before the
-    statement.  With ``keeps_connection`` the session keeps its backend
+    ``begin_payload`` is the command that begins a transaction before the
+    statement.  With ``pins_connection`` the session keeps its backend
     connection after the statement.
     """
 
@@ -109,8 +109,8 @@
     marks: Marks = Marks()
     tables: tuple[str, ...] = ()
     transaction: ids.TransactionId | None = None
-    begin: Payload | None = None
-    keeps_connection: bool = False
+    begin_payload: Payload | None = None
+    pins_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,8 +118,8 @@
     """Ask a gate to run a request on its instance.
 
     The instance must have the role ``role``.  A replica must have
-    applied its log up to ``after`` and be at most ``max_staleness``
-    seconds behind; the gate waits up to ``patience`` seconds of the
+    applied its log up to ``min_position`` and be at most ``max_staleness``
+    seconds behind; the gate waits up to ``catch_up_timeout`` seconds of the
     budget for the replica to catch up.
     """
 
@@ -128,9 +128,9 @@
     request: Request
     budget: float
     role: enums.Role
-    after: position.Position | None = None
+    min_position: position.Position | None = None
     max_staleness: float = float('inf')
-    patience: float = 0.0
+    catch_up_timeout: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,7 +142,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Consumed(Message):
+class AnswerConsumed(Message):
     """Report that ``size`` bytes of an answer were sent to the caller.
 
     The router adds the instance, whose gate the report is for.
@@ -154,7 +154,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ConnConsumed(Message):
+class ConnAnswerConsumed(Message):
     """Report to a link that ``size`` bytes of an answer were sent on."""
 
     conn_id: ids.ConnId
@@ -197,7 +197,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class GateMoved(Message):
+class RequestMoved(Message):
     """Reply that a gate did not run a request, and why.
 
     The router chooses another gate or instance by ``reason`` and
@@ -361,9 +361,9 @@
     """State of one instance; ``alive`` is unset if it did not answer.
 
     ``received`` and ``applied`` are the ends of the log that it has
-    received and applied.  ``source_age`` is how many seconds ago, by the
-    instance's own clock, it last received anything from its primary; 0
-    on the primary itself.  ``starts`` are the log offsets at which terms
+    received and applied.  ``primary_contact_age`` is how many seconds ago, by
+    the instance's own clock, it last received anything from its primary; 0 on
+    the primary itself.  ``term_starts`` are the log offsets at which terms
     began.
     """
 
@@ -374,9 +374,9 @@
     term: ids.Term = ids.Term(0)
     received: position.Position = position.ORIGIN
     applied: position.Position = position.ORIGIN
-    source_age: float = 0.0
+    primary_contact_age: float = 0.0
     leaving: bool = False
-    starts: tuple[position.TermStart, ...] = ()
+    term_starts: tuple[position.TermStart, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/peering.py
+++ b/src/chicoryusher/core/peers.py
@@ -7,30 +7,30 @@
 from chicoryusher.core import ids
 from chicoryusher.core import messages
 
-__all__ = ['ConfigFetch', 'ConfigOffer', 'Heartbeat']
+__all__ = ['FetchConfig', 'ConfigOffer', 'Heartbeat']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat(messages.Message):
     """Heartbeat of a VM.
 
-    ``leaving`` is set if the VM is about to stop; ``config`` is the
+    ``leaving`` is set if the VM is about to stop; ``config_version`` is the
     version of its configuration; ``suspects`` are the VMs from which it
     no longer receives heartbeats.
     """
 
     vm: ids.VmName
     leaving: bool
-    config: ids.ConfigVersion
+    config_version: ids.ConfigVersion
     suspects: tuple[ids.VmName, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ConfigFetch(messages.Message):
-    """Ask a peer for its configuration if it is newer than ``above``."""
+class FetchConfig(messages.Message):
+    """Ask a peer for its configuration if it is newer than ``newer_than``."""
 
     vm: ids.VmName
-    above: ids.ConfigVersion
+    newer_than: ids.ConfigVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -20,32 +20,32 @@
     'CancelWork',
     'Command',
     'EndTransaction',
-    'LinkAnswer',
+    'LinkReply',
     'LinkClosed',
     'LinkOpened',
     'OpenLink',
     'CloseLink',
     'PoolStatement',
-    'Reply',
+    'CommandReply',
     'SendCommands',
     'SessionAnswer',
-    'SessionLeft',
+    'CallerDisconnected',
     'SessionStarted',
-    'SessionVerdict',
-    'Shape',
+    'CloseSession',
+    'PreparedQuery',
     'StartSession',
     'Statement',
-    'StopLane',
+    'StopInstancePool',
     'Work',
     'WorkEnded',
 ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Shape:
+class PreparedQuery:
     """Definition of a prepared statement: its kind and its template."""
 
-    kind: enums.ShapeKind
+    kind: enums.PreparedQueryKind
     template: str
 
 
@@ -62,8 +62,8 @@
     verb: enums.Verb
     text: str
     name: str = ''
-    rest: str = ''
-    shape: Shape | None = None
+    arguments: str = ''
+    prepared: PreparedQuery | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,13 +100,14 @@
     """Answer to a session's statement.
 
     ``digest`` is the instance's proof that it ran the statement, None
-    for a statement that this VM answered without an instance.  ``block``
-    is the state of the session's transaction after the statement.
+    for a statement that this VM answered without an instance.
+    ``transaction_status`` is the state of the session's transaction after the
+    statement.
     """
 
     session_id: ids.SessionId
     request_id: ids.RequestId
-    block: enums.BlockState
+    transaction_status: enums.TransactionStatus
     rows: tuple[str, ...] = ()
     digest: str | None = None
     refusal: enums.Refusal | None = None
@@ -115,14 +116,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SessionLeft(messages.Message):
+class CallerDisconnected(messages.Message):
     """Report that the caller's connection has ended."""
 
     session_id: ids.SessionId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SessionVerdict(messages.Message):
+class CloseSession(messages.Message):
     """Close the caller's connection, on which no answer is outstanding."""
 
     session_id: ids.SessionId
@@ -132,32 +133,32 @@
 class Work(messages.Message):
     """Statement to run on a connection of an instance's pool.
 
-    The session values ``values`` are set on the connection, and the
-    prepared statement ``shape`` is prepared on it, before the statement
-    is sent.  ``begins`` is the kind of the transaction to begin before
+    The session values ``session_values`` are set on the connection, and the
+    prepared statement ``prepared`` is prepared on it, before the statement
+    is sent.  ``begin_kind`` is the kind of the transaction to begin before
     the statement.  The instance must have reached the log position
-    ``after``.  Among waiting work, a lower number of ``priority`` goes
-    first.  Work that has not started by ``start_by`` is refused.
-    ``limit`` is the timeout of its execution in seconds, and
-    ``patience`` the timeout of a statement that may be run again at
-    another instance.  ``offered_at`` is when the work was sent to the
-    instance pool.  ``owner`` is the task that receives the result.
+    ``min_position``.  Among waiting work, a lower number of ``priority`` goes
+    first.  Work that has not started by ``start_deadline`` is refused.
+    ``timeout`` is the timeout of its execution in seconds, and
+    ``retryable_timeout`` the timeout of a statement that may be run again at
+    another instance.  ``enqueued_at`` is when the work was sent to the
+    instance pool.  ``reply_to`` is the task that receives the result.
     """
 
     work_id: ids.WorkId
-    owner: ids.TaskName
+    reply_to: ids.TaskName
     request_id: ids.RequestId
     statement: Statement
-    shape: Shape | None
-    values: tuple[tuple[str, str], ...]
+    prepared: PreparedQuery | None
+    session_values: tuple[tuple[str, str], ...]
     priority: int
-    start_by: float
-    limit: float
-    patience: float
-    offered_at: float
+    start_deadline: float
+    timeout: float
+    retryable_timeout: float
+    enqueued_at: float
     transaction: ids.TransactionId | None = None
-    begins: enums.Begins | None = None
-    after: position.Position | None = None
+    begin_kind: enums.TransactionKind | None = None
+    min_position: position.Position | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,22 +166,22 @@
     """Result of a piece of work at its instance.
 
     ``sent_at`` is when the work was sent to the instance, None if it was
-    not sent.  ``asked_at`` is that time by the boot-time clock
-    (``Clock.running_on``), which also counts the time for which the
+    not sent.  ``sent_at_boottime`` is that time by the boot-time clock
+    (``Clock.boottime``), which also counts the time for which the
     machine was suspended.
     """
 
     work_id: ids.WorkId
     instance: ids.InstanceName
-    ended: enums.Ended
+    completion: enums.Completion
     rows: tuple[str, ...] = ()
     digest: str | None = None
     refusal: enums.Refusal | None = None
     detail: str = ''
     position: position.Position | None = None
-    block: enums.BlockState = enums.BlockState.IDLE
+    transaction_status: enums.TransactionStatus = enums.TransactionStatus.IDLE
     sent_at: float | None = None
-    asked_at: float | None = None
+    sent_at_boottime: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,7 +199,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StopLane(messages.Message):
+class StopInstancePool(messages.Message):
     """Close every connection to the instance and end its work."""
 
 
@@ -206,7 +207,7 @@
 class Command:
     """Command to send on a connection to an instance.
 
-    ``after`` is a log position that the instance must have reached
+    ``min_position`` is a log position that the instance must have reached
     before it executes a read or begins a transaction.
     """
 
@@ -215,15 +216,15 @@
     statement: Statement | None = None
     name: str = ''
     value: str = ''
-    shape: Shape | None = None
-    after: position.Position | None = None
+    prepared: PreparedQuery | None = None
+    min_position: position.Position | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
+class CommandReply:
     """The instance's reply to one command."""
 
-    block: enums.BlockState
+    transaction_status: enums.TransactionStatus
     position: position.Position | None
     rows: tuple[str, ...] = ()
     digest: str | None = None
@@ -249,7 +250,7 @@
 class SendCommands(messages.Message):
     """Send several commands in one write.
 
-    Each command gets a ``LinkAnswer`` of its own.
+    Each command gets a ``LinkReply`` of its own.
     """
 
     conn_id: ids.ConnId
@@ -269,12 +270,12 @@
     """Report that a connection has ended, and why."""
 
     conn_id: ids.ConnId
-    reason: enums.LinkEnd
+    reason: enums.LinkCloseReason
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LinkAnswer(messages.Message):
+class LinkReply(messages.Message):
     """Reply to the oldest unanswered command of a connection."""
 
     conn_id: ids.ConnId
-    reply: Reply
+    reply: CommandReply
--- a/src/chicoryusher/core/position.py
+++ b/src/chicoryusher/core/position.py
@@ -7,7 +7,7 @@
 
 from chicoryusher.core import ids
 
-__all__ = ['Position', 'TermStart', 'covers', 'ORIGIN']
+__all__ = ['Position', 'TermStart', 'log_contains', 'ORIGIN']
 
 
 class Position(NamedTuple):
@@ -33,7 +33,7 @@
 ORIGIN = Position(ids.Term(0), ids.LogPosition(0))
 
 
-def covers(
+def log_contains(
     applied: Position, target: Position, starts: Iterable[TermStart]
 ) -> bool:
     """Return whether a log applied up to ``applied`` contains ``target``.
--- a/src/chicoryusher/core/stewardship.py
+++ b/src/chicoryusher/core/primaries.py
@@ -10,85 +10,85 @@
 from chicoryusher.core import enums
 from chicoryusher.core import ids
 from chicoryusher.core import messages
-from chicoryusher.core import placement
 from chicoryusher.core import position
+from chicoryusher.core import topology
 
 __all__ = [
     'HandoverEnded',
-    'WantHandover',
-    'Authority',
-    'ChangesUnderWay',
+    'StartHandover',
+    'PrimaryLeaseUpdate',
+    'HandoversInProgress',
     'DemoteInstance',
     'FencePrimary',
     'InstanceState',
-    'InstanceStatus',
-    'InstanceTrouble',
-    'KnowsEnough',
-    'LeadRow',
-    'LeadsInStore',
-    'Opinion',
+    'InstanceProbeResult',
+    'InstanceFault',
+    'ReadyToServe',
+    'LeaderRow',
+    'LeaderRowsRead',
+    'ReachabilityReply',
     'PrimaryFenced',
-    'PrimaryMissed',
+    'PrimaryUnreachable',
     'PrimaryStopped',
     'ProbeInstance',
     'PromoteInstance',
-    'PromoteReplied',
-    'Reopened',
-    'RowWritten',
+    'PromotionReply',
+    'PrimaryReopened',
+    'LeaderRowWritten',
     'StopPrimary',
-    'Suspicion',
-    'WriteLead',
+    'ReachabilityQuery',
+    'WriteLeaderRow',
 ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LeadRow:
+class LeaderRow:
     """Row of the store that records a group's current primary.
 
-    ``holder`` is the VM that coordinates the current or the last change
+    ``coordinator`` is the VM that coordinates the current or the last change
     of primary.  ``revision`` is the store's version of the row; it rises
     with every write and so serves as the token of a change of primary.
     """
 
     service: ids.ServiceName
     revision: int
-    state: enums.LeadRowState
+    state: enums.LeaderRowState
     primary: ids.InstanceName
-    holder: ids.VmName
+    coordinator: ids.VmName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LeadsInStore(messages.Message):
+class LeaderRowsRead(messages.Message):
     """Leader rows that were read from the store or written to it."""
 
-    rows: tuple[LeadRow, ...]
+    rows: tuple[LeaderRow, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ChangesUnderWay(messages.Message):
+class HandoversInProgress(messages.Message):
     """Report whether this VM is changing the primary of any group."""
 
-    any: bool
+    any_in_progress: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PrimaryMissed(messages.Message):
+class PrimaryUnreachable(messages.Message):
     """Report that most of the voting VMs can't reach an instance."""
 
     instance: ids.InstanceName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WriteLead(messages.Message):
-    """Write a leader row if the stored revision is still ``expected``."""
+class WriteLeaderRow(messages.Message):
+    """Write a leader row if its revision is still ``expected_revision``."""
 
-    row: LeadRow
-    expected: int
+    row: LeaderRow
+    expected_revision: int
     reply_to: ids.TaskName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class RowWritten(messages.Message):
+class LeaderRowWritten(messages.Message):
     """Result of a conditional write of a leader row.
 
     ``row`` is the row that the store has now, whether or not it is the
@@ -96,11 +96,11 @@
     """
 
     service: ids.ServiceName
-    row: LeadRow | None
+    row: LeaderRow | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Suspicion(messages.Message):
+class ReachabilityQuery(messages.Message):
     """Ask other VMs whether they can reach an instance that ``vm`` can't."""
 
     vm: ids.VmName
@@ -108,7 +108,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Opinion(messages.Message):
+class ReachabilityReply(messages.Message):
     """Reply whether ``vm`` could reach an instance just now."""
 
     vm: ids.VmName
@@ -120,13 +120,13 @@
 class FencePrimary(messages.Message):
     """Ask a VM to stop using the primary that ``row`` replaces.
 
-    ``patience`` is the grace period in seconds for statements and
+    ``grace_period`` is the grace period in seconds for statements and
     transactions in progress.
     """
 
     vm: ids.VmName
-    row: LeadRow
-    patience: float
+    row: LeaderRow
+    grace_period: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,36 +142,36 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Reopened(messages.Message):
+class PrimaryReopened(messages.Message):
     """Report that a group has a primary that may be used again.
 
-    ``closing`` is the revision of the row in state CLOSING that ``row``
-    replaces.
+    ``closing_revision`` is the revision of the row in state CLOSING that
+    ``row`` replaces.
     """
 
-    closing: int
-    row: LeadRow
+    closing_revision: int
+    row: LeaderRow
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Authority(messages.Message):
+class PrimaryLeaseUpdate(messages.Message):
     """Time until which this VM may use primaries.
 
-    It is a time of the boot-time clock (``Clock.running_on``), which
+    It is a time of the boot-time clock (``Clock.boottime``), which
     also counts the time for which the machine was suspended.
     """
 
-    until: float
+    expires_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopPrimary(messages.Message):
-    """Stop using a group's primary within ``patience`` seconds."""
+    """Stop using a group's primary within ``grace_period`` seconds."""
 
     service: ids.ServiceName
     primary: ids.InstanceName
     revision: int
-    patience: float
+    grace_period: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -183,7 +183,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class InstanceTrouble(messages.Message):
+class InstanceFault(messages.Message):
     """Report that an instance timed out or closed a connection in use."""
 
     instance: ids.InstanceName
@@ -193,13 +193,13 @@
 class ProbeInstance(messages.Message):
     """Probe an instance within ``timeout`` seconds.
 
-    With ``status`` the instance must report its state; without it the
+    With ``read_status`` the instance must report its state; without it the
     probe succeeds once the instance has accepted a connection.
     """
 
-    entry: placement.InstanceEntry
+    entry: topology.InstanceEntry
     timeout: float
-    status: bool
+    read_status: bool
     reply_to: ids.TaskName
 
 
@@ -207,10 +207,10 @@
 class DemoteInstance(messages.Message):
     """Make an instance a replica in ``term``.
 
-    The reply is an ``InstanceStatus``.
+    The reply is an ``InstanceProbeResult``.
     """
 
-    entry: placement.InstanceEntry
+    entry: topology.InstanceEntry
     term: ids.Term
     timeout: float
     reply_to: ids.TaskName
@@ -231,7 +231,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class InstanceStatus(messages.Message):
+class InstanceProbeResult(messages.Message):
     """Result of a probe; ``state`` is None if none was reported."""
 
     instance: ids.InstanceName
@@ -243,20 +243,20 @@
 class PromoteInstance(messages.Message):
     """Ask the platform to promote an instance.
 
-    ``holder`` is the VM that coordinates the change of primary.
+    ``coordinator`` is the VM that coordinates the change of primary.
     ``token`` is the revision of its leader row, by which the platform
     refuses the order of an older change.
     """
 
     service: ids.ServiceName
     instance: ids.InstanceName
-    holder: ids.VmName
+    coordinator: ids.VmName
     token: int
     reply_to: ids.TaskName
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PromoteReplied(messages.Message):
+class PromotionReply(messages.Message):
     """The platform's reply to the promotion with that ``token``."""
 
     service: ids.ServiceName
@@ -265,7 +265,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class KnowsEnough(messages.Message):
+class ReadyToServe(messages.Message):
     """Report that this VM can serve callers.
 
     It has the configuration, the instances and the leader rows.
@@ -273,19 +273,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WantHandover(messages.Message):
+class StartHandover(messages.Message):
     """Replace the primary of a group.
 
     ``revision`` is that of the leader row, 0 if there is no row.
-    ``planned`` is set while the old primary still serves.  ``vms`` are
-    the other VMs that must be fenced.
+    ``planned`` is set while the old primary still serves.  ``vms_to_fence``
+    are the other VMs that must be fenced.
     """
 
-    entries: tuple[placement.InstanceEntry, ...]
-    old: ids.InstanceName
+    entries: tuple[topology.InstanceEntry, ...]
+    old_primary: ids.InstanceName
     revision: int
     planned: bool
-    vms: tuple[ids.VmName, ...]
+    vms_to_fence: tuple[ids.VmName, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/placement.py
+++ b/src/chicoryusher/core/topology.py
@@ -9,10 +9,10 @@
 from chicoryusher.core import messages
 
 __all__ = [
-    'GroupInForce',
+    'GroupUpdate',
     'InstanceEntry',
     'PoolConfig',
-    'PoolConfigInForce',
+    'PoolConfigUpdate',
     'PoolRoute',
     'PoolService',
     'RegisteredInstances',
@@ -24,17 +24,17 @@
     """Route of the requests for one database name.
 
     ``service`` is the database group that serves them.
-    ``max_staleness``, ``limit`` (the timeout of one statement) and
-    ``target`` (the latency target of a whole operation) are seconds.
+    ``max_staleness``, ``statement_timeout`` (the timeout of one statement) and
+    ``latency_target`` (the latency target of a whole operation) are seconds.
     Among waiting work, a lower number of ``priority`` goes first.
     """
 
     database: ids.DatabaseName
     service: ids.ServiceName
-    access: enums.Access
+    access: enums.ReadAccess
     max_staleness: float
-    limit: float
-    target: float
+    statement_timeout: float
+    latency_target: float
     priority: int
 
 
@@ -54,18 +54,18 @@
 class PoolConfig:
     """One version of the configuration.
 
-    ``tx_idle`` is the time in seconds after which a transaction without
-    a statement is rolled back.
+    ``transaction_idle_timeout`` is the time in seconds after which a
+    transaction without a statement is rolled back.
     """
 
     version: ids.ConfigVersion
     routes: tuple[PoolRoute, ...]
     services: tuple[PoolService, ...]
-    tx_idle: float
+    transaction_idle_timeout: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PoolConfigInForce(messages.Message):
+class PoolConfigUpdate(messages.Message):
     """Configuration to use from now on."""
 
     config: PoolConfig
@@ -76,8 +76,8 @@
     """Row of the store by which an instance registers itself.
 
     ``slots`` is how many statements the instance runs at once.
-    ``leaving`` is set if the instance is about to stop.  ``boot`` is the
-    number of its incarnation: it differs after each start of an instance
+    ``leaving`` is set if the instance is about to stop.  ``incarnation`` is
+    the number of its incarnation: it differs after each start of an instance
     of the same name.
     """
 
@@ -89,7 +89,7 @@
     slots: int
     leaving: bool
     role: enums.Role
-    boot: int
+    incarnation: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +101,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class GroupInForce(messages.Message):
+class GroupUpdate(messages.Message):
     """Current instances of a database group.
 
     ``primary`` is the primary that may be used, None if there is none.
--- a/src/chicoryusher/core/exchanging.py
+++ b/src/chicoryusher/core/views.py
@@ -4,7 +4,7 @@
 copy of one kind of rows of the store.  An age is the number of seconds
 between an observation and the sending of the message that reports it;
 VMs exchange ages and not times, so that clocks of two machines are never
-compared.  Times are those of the boot-time clock (``Clock.running_on``),
+compared.  Times are those of the boot-time clock (``Clock.boottime``),
 which also counts the time for which the machine was suspended.
 """
 
@@ -18,31 +18,31 @@
 from chicoryusher.core import position
 
 __all__ = [
-    'FollowStore',
-    'Leave',
-    'LivePeers',
-    'NodeRow',
-    'NodesInStore',
-    'Observed',
+    'SetStorePolling',
+    'VmStopping',
+    'PeerSets',
+    'EntryVmRow',
+    'EntryVmRowsRead',
+    'ObservedPosition',
     'PeerAddress',
     'PeerAddresses',
-    'PeerView',
+    'ViewState',
     'Ping',
     'Pong',
-    'PrimaryObserved',
-    'ReadNodes',
-    'StoreSeen',
-    'ViewFetch',
-    'WriteNode',
+    'PrimaryPositionObserved',
+    'ReadEntryVmRows',
+    'StorePolled',
+    'FetchView',
+    'WriteEntryVmRow',
 ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class NodeRow:
+class EntryVmRow:
     """Row of the store by which an entry VM registers itself.
 
-    ``boot`` identifies the incarnation of the VM's entry process.
-    ``missing`` is set by a peer to which the VM has not responded for
+    ``incarnation`` identifies the incarnation of the VM's entry process.
+    ``unreachable`` is set by a peer to which the VM has not responded for
     several seconds.  ``revision`` is the store's version of the row, 0
     for a row that is yet to be written.
     """
@@ -51,30 +51,33 @@
     host: str
     port: int
     zone: ids.ZoneName
-    boot: str
-    life: enums.NodeLife = enums.NodeLife.SERVING
-    missing: bool = False
+    incarnation: str
+    status: enums.EntryVmStatus = enums.EntryVmStatus.SERVING
+    unreachable: bool = False
     revision: int = dataclasses.field(default=0, compare=False)
 
     @property
-    def is_callable(self) -> bool:
+    def may_be_contacted(self) -> bool:
         """Return whether peers should try to connect to the VM."""
-        return self.life is not enums.NodeLife.LEFT and not self.missing
+        return (
+            self.status is not enums.EntryVmStatus.LEFT
+            and not self.unreachable
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class NodesInStore(messages.Message):
+class EntryVmRowsRead(messages.Message):
     """Rows of all registered entry VMs at one revision of the store."""
 
-    rows: tuple[NodeRow, ...]
+    rows: tuple[EntryVmRow, ...]
     revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReadNodes(messages.Message):
+class ReadEntryVmRows(messages.Message):
     """Read the rows of all registered entry VMs from the store.
 
-    The reply to ``reply_to`` is a ``NodesInStore``; there is no reply
+    The reply to ``reply_to`` is a ``EntryVmRowsRead``; there is no reply
     while the store can't be read.
     """
 
@@ -82,54 +85,54 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WriteNode(messages.Message):
+class WriteEntryVmRow(messages.Message):
     """Write an entry VM's row.
 
-    If ``expected`` is set, the row is written only if that is its
+    If ``expected_revision`` is set, the row is written only if that is its
     stored revision.
     """
 
-    row: NodeRow
-    expected: int | None = None
+    row: EntryVmRow
+    expected_revision: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Leave(messages.Message):
+class VmStopping(messages.Message):
     """Report that this VM is stopping and no longer uses any primary."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class FollowStore(messages.Message):
+class SetStorePolling(messages.Message):
     """Set whether a feed polls the store.
 
     A feed that does not poll relies on the views of the VMs that do.
     """
 
-    follow: bool
+    enabled: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class StoreSeen(messages.Message):
-    """Report that a view has all changes made before ``asked_at``.
+class StorePolled(messages.Message):
+    """Report that a view has all changes made before ``requested_at``.
 
-    ``asked_at`` is when the read that the store answered was sent.
+    ``requested_at`` is when the read that the store answered was sent.
     """
 
-    kind: enums.StoreView
-    asked_at: float
+    view: enums.StoreView
+    requested_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class LivePeers(messages.Message):
+class PeerSets(messages.Message):
     """Sets of other VMs that matter to a change of primary.
 
-    ``live`` are the VMs that respond; ``concerned`` are those that may
+    ``live`` are the VMs that respond; ``must_fence`` are those that may
     use or change a primary and must therefore be fenced; a majority of
     the ``voters`` must find a primary unreachable before it is replaced.
     """
 
     live: tuple[ids.VmName, ...]
-    concerned: tuple[ids.VmName, ...]
+    must_fence: tuple[ids.VmName, ...]
     voters: tuple[ids.VmName, ...] = ()
 
 
@@ -150,7 +153,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Observed:
+class ObservedPosition:
     """Log position of a group's primary ``age`` seconds ago."""
 
     service: ids.ServiceName
@@ -159,38 +162,38 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PrimaryObserved(messages.Message):
+class PrimaryPositionObserved(messages.Message):
     """Report a log position that a group's primary has reached.
 
-    ``asked_at`` is when the request to the primary was sent, by this
+    ``requested_at`` is when the request to the primary was sent, by this
     VM's boot-time clock.
     """
 
     service: ids.ServiceName
     position: position.Position
-    asked_at: float
+    requested_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping(messages.Message):
     """Ask a peer for the state of its views.
 
-    ``number`` pairs the ``Pong`` with its ``Ping``.
+    ``sequence`` pairs the ``Pong`` with its ``Ping``.
     """
 
     vm: ids.VmName
-    number: int
+    sequence: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PeerView:
+class ViewState:
     """State of a VM's view of one kind of rows of the store.
 
     ``revision`` is the newest revision that the view has; ``age`` is how
     many seconds ago the view was last confirmed as up to date.
     """
 
-    kind: enums.StoreView
+    view: enums.StoreView
     age: float
     revision: int
 
@@ -199,20 +202,20 @@
 class Pong(messages.Message):
     """Reply to a ``Ping`` with the state of the peer's views.
 
-    ``quiet`` is set if the peer has the leader rows and is not changing
-    any primary; such a reply is its grant of authority.
+    ``grants_lease`` is set if the peer has the leader rows and is not changing
+    any primary; such a reply is its grant of a lease.
     """
 
     vm: ids.VmName
-    number: int
-    quiet: bool
-    views: tuple[PeerView, ...]
-    observed: tuple[Observed, ...] = ()
+    sequence: int
+    grants_lease: bool
+    views: tuple[ViewState, ...]
+    positions: tuple[ObservedPosition, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ViewFetch(messages.Message):
-    """Ask a peer for the rows of its view of that ``kind``."""
+class FetchView(messages.Message):
+    """Ask a peer for the rows of its view of that ``view``."""
 
     vm: ids.VmName
-    kind: enums.StoreView
+    view: enums.StoreView
--- a/src/chicoryusher/daemon/admin.py
+++ b/src/chicoryusher/daemon/admin.py
@@ -15,7 +15,7 @@
 from chicoryusher import tasks
 from chicoryusher.runtime import http_server
 
-__all__ = ['Admin', 'CALL_HANDLERS']
+__all__ = ['AdminServer', 'CALL_HANDLERS']
 
 STATE_QUERY_TIMEOUT_S = 5.0
 MAX_SCAN_ROWS = 500
@@ -28,7 +28,7 @@
 
 _Conn = http_server.HttpConn
 _Request = http_server.HttpRequest
-CallHandler = Callable[['Admin', _Conn, _Request], None]
+CallHandler = Callable[['AdminServer', _Conn, _Request], None]
 CALL_HANDLERS: core.Registry[CallHandler] = core.Registry('admin call')
 
 
@@ -51,7 +51,7 @@
     number: int
 
 
-class Admin(runtime.Task):
+class AdminServer(runtime.Task):
     """Serve operators' HTTP calls that carry the bearer token."""
 
     def __init__(
@@ -108,11 +108,11 @@
         number = next(self._numbers)
         self._pending_calls[number] = _PendingCall(conn, len(receivers))
         for receiver in receivers:
-            self.send(receiver, tasks.Ask(self.task_name, number))
+            self.send(receiver, tasks.StateQuery(self.task_name, number))
         self.after(STATE_QUERY_TIMEOUT_S, _QueryTimeout(number))
 
-    @runtime.handles(tasks.Told)
-    def _on_state_report(self, report: tasks.Told) -> None:
+    @runtime.handles(tasks.StateReport)
+    def _on_state_report(self, report: tasks.StateReport) -> None:
         pending = self._pending_calls.get(report.number)
         if pending is None:
             return
@@ -171,7 +171,7 @@
                 STATUS_BAD_REQUEST,
                 {
                     'problems': [
-                        {'path': entry.path, 'what': entry.what}
+                        {'path': entry.path, 'what': entry.defect}
                         for entry in error.problems
                     ]
                 },
@@ -189,7 +189,7 @@
         """Read rows of the platform's table, with keys after ``after``."""
         self._scan_conns.append(conn)
         self.send(
-            tasks.names.table(self.vm),
+            tasks.names.platform_client(self.vm),
             core.TableScan(self.task_name, prefix, after, MAX_SCAN_ROWS),
         )
 
@@ -211,25 +211,28 @@
 
 
 @CALL_HANDLERS.register('GET /status')
-def _status(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _status(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(conn, [tasks.names.node(admin.vm)])
 
 
 @CALL_HANDLERS.register('GET /sessions')
-def _sessions(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _sessions(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(conn, [tasks.names.router(admin.vm)])
 
 
 @CALL_HANDLERS.register('GET /databases')
-def _databases(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _databases(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(
         conn,
-        [tasks.names.group(admin.vm, name) for name in admin.node.groups],
+        [
+            tasks.names.group_monitor(admin.vm, name)
+            for name in admin.node.groups
+        ],
     )
 
 
 @CALL_HANDLERS.register('GET /gates')
-def _gates(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _gates(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(
         conn,
         [tasks.names.gate(admin.vm, name) for name in admin.node.gates],
@@ -237,17 +240,17 @@
 
 
 @CALL_HANDLERS.register('GET /vms')
-def _vms(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _vms(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(conn, [tasks.names.membership(admin.vm)])
 
 
 @CALL_HANDLERS.register('GET /register')
-def _register(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _register(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(conn, [tasks.names.configurator(admin.vm)])
 
 
 @CALL_HANDLERS.register('PUT /register')
-def _apply(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _apply(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     try:
         body = json.loads(request.body)
         document = base64.b64decode(body['document'])
@@ -260,13 +263,13 @@
 
 
 @CALL_HANDLERS.register('GET /audit')
-def _audit(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _audit(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     query = urllib.parse.urlsplit(request.path).query
     after = urllib.parse.parse_qs(query).get('after', [''])[0]
     admin.read_table_rows(conn, 'audit/', after)
 
 
 @CALL_HANDLERS.register('POST /drain')
-def _drain(admin: Admin, conn: _Conn, request: _Request) -> None:
+def _drain(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.send(admin.daemon, core.Drain(0.0))
     conn.reply(STATUS_OK, {'state': 'draining'})
--- a/src/chicoryusher/daemon/app.py
+++ b/src/chicoryusher/daemon/app.py
@@ -23,15 +23,15 @@
 from chicoryusher.daemon import settings as settings_module
 from chicoryusher.frontends import mysql as mysql_frontend
 
-__all__ = ['Daemon', 'SocketEdges']
+__all__ = ['Daemon', 'SocketTaskFactory']
 
 INCARNATION_BYTES = 4
 FLUSH_DELAY_S = 0.05
 DRAIN_CHECK_INTERVAL_S = 0.1
 
 
-class SocketEdges:
-    """Starts the tasks of a node that own sockets (``tasks.Edges``)."""
+class SocketTaskFactory:
+    """Starts the tasks of a node that own sockets (``tasks.TaskFactory``)."""
 
     def __init__(
         self, loop: runtime.Runtime, daemon_settings: settings_module.Settings
@@ -78,7 +78,7 @@
             vm,
             spec.name,
             (spec.host, spec.control_port),
-            tasks.names.group(vm, spec.database),
+            tasks.names.group_monitor(vm, spec.database),
         )
 
 
@@ -114,9 +114,9 @@
         self.settings = daemon_settings
         self._loop = loop
         self._owns_loop = owns_loop
-        self._chart = charts.compiled('daemon')
+        self._chart = charts.load_machine('daemon')
         incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self.edges = SocketEdges(loop, daemon_settings)
+        self.edges = SocketTaskFactory(loop, daemon_settings)
         router = tasks.RouterSettings(
             daemon_settings.zone,
             daemon_settings.cluster_key,
@@ -139,7 +139,7 @@
             daemon_settings.limits,
             tasks.names.router(daemon_settings.vm),
         )
-        self.admin = admin.Admin(
+        self.admin = admin.AdminServer(
             loop,
             daemon_settings.vm,
             daemon_settings.admin,
--- a/src/chicoryusher/daemon/main.py
+++ b/src/chicoryusher/daemon/main.py
@@ -41,9 +41,9 @@
 ) -> None:
     """Run the proxy daemon on this VM."""
     log = runtime.Log('', 'daemon')
-    with runtime.to_stream(core.LogLevel.INFO).applicationbound():
+    with runtime.json_handler(core.LogLevel.INFO).applicationbound():
         daemon_settings = _load_settings(path, log)
-    with runtime.to_stream(daemon_settings.log_level).applicationbound():
+    with runtime.json_handler(daemon_settings.log_level).applicationbound():
         try:
             run(daemon_settings)
         except core.ChartError as exc:
@@ -63,7 +63,9 @@
     except core.SettingsError as exc:
         for problem in exc.problems:
             log.emit(
-                core.LogEvent.SETTINGS_BAD, path=problem.path, why=problem.what
+                core.LogEvent.SETTINGS_BAD,
+                path=problem.path,
+                why=problem.defect,
             )
         raise typer.Exit(ExitCode.BAD_SETTINGS) from None
 
--- a/src/chicoryusher/daemon/settings.py
+++ b/src/chicoryusher/daemon/settings.py
@@ -184,7 +184,7 @@
         secret('admin_token_env', DEFAULT_ADMIN_TOKEN_ENV),
         secret('platform_token_env', DEFAULT_PLATFORM_TOKEN_ENV),
         mysql_frontend.FrontendLimits(**document.get('limits', {})),
-        document.get('queue_policy', decisions.DEFAULT_POLICY),
+        document.get('queue_policy', decisions.DEFAULT_QUEUE_POLICY),
         document.get('routing_policy', 'nearest_fresh_replica'),
         document.get('drain_seconds', DEFAULT_DRAIN_TIMEOUT_S),
         core.LogLevel(document.get('log_level', 'info')),
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -3,105 +3,105 @@
 from __future__ import annotations
 
 from chicoryusher.decisions import admission
-from chicoryusher.decisions import authority
-from chicoryusher.decisions import claiming
+from chicoryusher.decisions import config_pointers
 from chicoryusher.decisions import configuration
-from chicoryusher.decisions import directory
+from chicoryusher.decisions import conn_owners
+from chicoryusher.decisions import conn_setup
+from chicoryusher.decisions import conn_shares
 from chicoryusher.decisions import evidence
+from chicoryusher.decisions import failover
 from chicoryusher.decisions import fencing
-from chicoryusher.decisions import freshness
+from chicoryusher.decisions import gate_directory
 from chicoryusher.decisions import gates
-from chicoryusher.decisions import holders
-from chicoryusher.decisions import leadership
-from chicoryusher.decisions import ledger
+from chicoryusher.decisions import group_health
+from chicoryusher.decisions import handshakes
+from chicoryusher.decisions import heartbeat_targets
+from chicoryusher.decisions import idempotency
+from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import membership
-from chicoryusher.decisions import neighbours
-from chicoryusher.decisions import newcomers
-from chicoryusher.decisions import observing
-from chicoryusher.decisions import pointers
-from chicoryusher.decisions import reading
+from chicoryusher.decisions import primary_lease
+from chicoryusher.decisions import primary_positions
+from chicoryusher.decisions import reader_selection
 from chicoryusher.decisions import register
 from chicoryusher.decisions import retry
-from chicoryusher.decisions import sessions
-from chicoryusher.decisions import shares
-from chicoryusher.decisions import succession
-from chicoryusher.decisions import suiting
-from chicoryusher.decisions import waiting
+from chicoryusher.decisions import session_tokens
+from chicoryusher.decisions import staleness
+from chicoryusher.decisions import work_queue
 from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
-from chicoryusher.decisions.authority import *  # noqa: F403
-from chicoryusher.decisions.claiming import *  # noqa: F403
+from chicoryusher.decisions.config_pointers import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
-from chicoryusher.decisions.directory import *  # noqa: F403
+from chicoryusher.decisions.conn_owners import *  # noqa: F403
+from chicoryusher.decisions.conn_setup import *  # noqa: F403
+from chicoryusher.decisions.conn_shares import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
+from chicoryusher.decisions.failover import *  # noqa: F403
 from chicoryusher.decisions.fencing import *  # noqa: F403
-from chicoryusher.decisions.freshness import *  # noqa: F403
+from chicoryusher.decisions.gate_directory import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
-from chicoryusher.decisions.holders import *  # noqa: F403
-from chicoryusher.decisions.leadership import *  # noqa: F403
-from chicoryusher.decisions.ledger import *  # noqa: F403
+from chicoryusher.decisions.group_health import *  # noqa: F403
+from chicoryusher.decisions.handshakes import *  # noqa: F403
+from chicoryusher.decisions.heartbeat_targets import *  # noqa: F403
+from chicoryusher.decisions.idempotency import *  # noqa: F403
+from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
-from chicoryusher.decisions.neighbours import *  # noqa: F403
-from chicoryusher.decisions.newcomers import *  # noqa: F403
-from chicoryusher.decisions.observing import *  # noqa: F403
-from chicoryusher.decisions.pointers import *  # noqa: F403
-from chicoryusher.decisions.reading import *  # noqa: F403
+from chicoryusher.decisions.primary_lease import *  # noqa: F403
+from chicoryusher.decisions.primary_positions import *  # noqa: F403
+from chicoryusher.decisions.reader_selection import *  # noqa: F403
 from chicoryusher.decisions.register import *  # noqa: F403
 from chicoryusher.decisions.retry import *  # noqa: F403
-from chicoryusher.decisions.routing import GroupView
-from chicoryusher.decisions.routing import InstanceView
-from chicoryusher.decisions.routing import POLICIES as ROUTING
+from chicoryusher.decisions.routing import GroupHints
+from chicoryusher.decisions.routing import InstanceHints
+from chicoryusher.decisions.routing import POLICIES as ROUTING_POLICIES
 from chicoryusher.decisions.routing import Route
-from chicoryusher.decisions.routing import Wanted
-from chicoryusher.decisions.scheduling import DEFAULT_POLICY
-from chicoryusher.decisions.scheduling import Item
-from chicoryusher.decisions.scheduling import POLICIES as QUEUES
-from chicoryusher.decisions.scheduling import Queue
+from chicoryusher.decisions.routing import RouteRequirement
+from chicoryusher.decisions.scheduling import DEFAULT_QUEUE_POLICY
+from chicoryusher.decisions.scheduling import POLICIES as QUEUE_POLICIES
+from chicoryusher.decisions.scheduling import QueuedRequest
+from chicoryusher.decisions.scheduling import QueuePolicy
+from chicoryusher.decisions.scheduling import Rejection
 from chicoryusher.decisions.scheduling import ServiceTimes
-from chicoryusher.decisions.scheduling import Shed
-from chicoryusher.decisions.sessions import *  # noqa: F403
-from chicoryusher.decisions.shares import *  # noqa: F403
-from chicoryusher.decisions.succession import *  # noqa: F403
-from chicoryusher.decisions.suiting import *  # noqa: F403
-from chicoryusher.decisions.waiting import *  # noqa: F403
+from chicoryusher.decisions.session_tokens import *  # noqa: F403
+from chicoryusher.decisions.staleness import *  # noqa: F403
+from chicoryusher.decisions.work_queue import *  # noqa: F403
 from chicoryusher.decisions.zones import *  # noqa: F403
 
 __all__ = [
     *admission.__all__,
     *configuration.__all__,
-    *directory.__all__,
+    *gate_directory.__all__,
     *evidence.__all__,
     *fencing.__all__,
-    *freshness.__all__,
+    *staleness.__all__,
     *gates.__all__,
-    *holders.__all__,
-    *leadership.__all__,
-    *ledger.__all__,
+    *conn_owners.__all__,
+    *group_health.__all__,
+    *idempotency.__all__,
     *membership.__all__,
-    *neighbours.__all__,
-    *pointers.__all__,
+    *heartbeat_targets.__all__,
+    *config_pointers.__all__,
     *register.__all__,
     *retry.__all__,
-    *authority.__all__,
-    *claiming.__all__,
-    *newcomers.__all__,
-    *observing.__all__,
-    *reading.__all__,
-    *shares.__all__,
-    *succession.__all__,
-    *suiting.__all__,
-    *waiting.__all__,
+    *primary_lease.__all__,
+    *leader_claim.__all__,
+    *handshakes.__all__,
+    *primary_positions.__all__,
+    *reader_selection.__all__,
+    *conn_shares.__all__,
+    *failover.__all__,
+    *conn_setup.__all__,
+    *work_queue.__all__,
     *zones.__all__,
-    *sessions.__all__,
-    'DEFAULT_POLICY',
-    'GroupView',
-    'InstanceView',
-    'Item',
-    'QUEUES',
-    'Queue',
-    'ROUTING',
+    *session_tokens.__all__,
+    'DEFAULT_QUEUE_POLICY',
+    'GroupHints',
+    'InstanceHints',
+    'QueuedRequest',
+    'QUEUE_POLICIES',
+    'QueuePolicy',
+    'ROUTING_POLICIES',
     'Route',
     'ServiceTimes',
-    'Shed',
-    'Wanted',
+    'Rejection',
+    'RouteRequirement',
 ]
--- a/src/chicoryusher/decisions/admission.py
+++ b/src/chicoryusher/decisions/admission.py
@@ -4,7 +4,7 @@
 
 from chicoryusher import core
 
-__all__ = ['is_fresh', 'refusal']
+__all__ = ['is_fresh_enough', 'refusal_reason']
 
 # Seconds after which the state of a group is too old to admit requests.
 MAX_STATE_AGE_S = 5.0
@@ -13,7 +13,7 @@
 _REASON = core.MoveReason
 
 
-def is_fresh(
+def is_fresh_enough(
     state: core.GroupState | None, submit: core.Submit, now: float
 ) -> bool:
     """Return whether the instance is proved fresh enough for a request.
@@ -23,16 +23,16 @@
     """
     if state is None:
         return False
-    after = submit.after
-    if after is not None and not core.covers(
-        state.own.applied, after, state.starts
+    after = submit.min_position
+    if after is not None and not core.log_contains(
+        state.own_probe.applied, after, state.term_starts
     ):
         return False
     age = now - state.observed_at
-    return state.lag + age <= submit.max_staleness
+    return state.staleness + age <= submit.max_staleness
 
 
-def refusal(
+def refusal_reason(
     state: core.GroupState | None,
     instance: core.InstanceName,
     submit: core.Submit,
@@ -43,15 +43,15 @@
 
     ``majority_at`` is when a majority was last seen in the term.
     """
-    if state is None or not state.own.alive:
+    if state is None or not state.own_probe.alive:
         return _REASON.DOWN
     if now - state.observed_at > MAX_STATE_AGE_S:
         return _REASON.DOWN
     if submit.role is core.Role.PRIMARY:
         return _primary_refusal(state, instance, majority_at, now)
-    if state.own.leaving:
+    if state.own_probe.leaving:
         return _REASON.LEAVING
-    if not submit.patience and not is_fresh(state, submit, now):
+    if not submit.catch_up_timeout and not is_fresh_enough(state, submit, now):
         return _REASON.NOT_FRESH
     return None
 
--- a/src/chicoryusher/decisions/pointers.py
+++ b/src/chicoryusher/decisions/config_pointers.py
@@ -14,22 +14,26 @@
 
 from chicoryusher import core
 
-__all__ = ['decode_pointer', 'encode_pointer', 'object_key']
+__all__ = [
+    'decode_config_pointer',
+    'encode_config_pointer',
+    'config_object_key',
+]
 
 OBJECT_PREFIX = 'config/'
 
 
-def object_key(document: bytes) -> str:
+def config_object_key(document: bytes) -> str:
     """Return the key of the object that holds ``document``."""
     return OBJECT_PREFIX + xxhash.xxh3_128_hexdigest(document)
 
 
-def encode_pointer(key: str) -> bytes:
+def encode_config_pointer(key: str) -> bytes:
     """Return the value to store in the table for the object ``key``."""
     return json.dumps({'object': key}).encode()
 
 
-def decode_pointer(value: bytes) -> str:
+def decode_config_pointer(value: bytes) -> str:
     """Return the key of the object that a stored pointer names.
 
     Raise ConfigError if the value is not a pointer.
--- a/src/chicoryusher/decisions/holders.py
+++ b/src/chicoryusher/decisions/conn_owners.py
@@ -15,10 +15,10 @@
 import xxhash
 
 from chicoryusher import core
-from chicoryusher.decisions import shares
+from chicoryusher.decisions import conn_shares
 from chicoryusher.decisions import zones
 
-__all__ = ['holder_count', 'holders_of', 'nearest_holder']
+__all__ = ['conn_owner_count', 'choose_conn_owners', 'nearest_conn_owner']
 
 # Connections that an owner keeps open.  An instance runs 3 to 6 statements
 # at once, so two owners can keep it busy.
@@ -32,48 +32,48 @@
 
 RegionOf = Callable[[core.ZoneName], core.RegionName | None]
 _NEAREST_FIRST = (
-    core.Nearness.SAME_ZONE,
-    core.Nearness.SAME_REGION,
-    core.Nearness.OTHER_REGION,
+    core.ZoneDistance.SAME_ZONE,
+    core.ZoneDistance.SAME_REGION,
+    core.ZoneDistance.OTHER_REGION,
 )
 
 
-def holder_count(cap: int, vms: int) -> int:
+def conn_owner_count(cap: int, vms: int) -> int:
     """Return how many VMs own connections to an instance.
 
     ``cap`` is the most connections that the instance accepts, ``vms`` the
     number of VMs.  All VMs are owners if each can keep a connection open
     and bursts stay within the overcommit ratio; otherwise only a few are.
     """
-    kept_open = int(cap * shares.KEPT_OPEN_RATIO)
-    burst = vms * (kept_open // max(1, vms) + shares.MAX_BURST_CONNS)
+    kept_open = int(cap * conn_shares.KEPT_OPEN_RATIO)
+    burst = vms * (kept_open // max(1, vms) + conn_shares.MAX_BURST_CONNS)
     if kept_open >= vms and burst <= cap * MAX_OVERCOMMIT_RATIO:
         return vms
     return min(vms, max(MIN_OWNERS, kept_open // KEPT_CONNS_PER_OWNER))
 
 
-def holders_of(
+def choose_conn_owners(
     entry: core.InstanceEntry,
-    nodes: Iterable[core.NodePlace],
+    nodes: Iterable[core.EntryVmZone],
     count: int,
     region_of: RegionOf,
-) -> tuple[core.NodePlace, ...]:
+) -> tuple[core.EntryVmZone, ...]:
     """Return the ``count`` connection owners of an instance.
 
     VMs near the instance go first; among equally near VMs the order is
     rendezvous hashing.
     """
 
-    def rank(node: core.NodePlace) -> tuple[int, int]:
+    def rank(node: core.EntryVmZone) -> tuple[int, int]:
         near = zones.nearness(entry.zone, node.zone, region_of)
         return _NEAREST_FIRST.index(near), _hash(entry.name, node.vm)
 
     return tuple(sorted(nodes, key=rank)[:count])
 
 
-def nearest_holder(
-    own: core.NodePlace,
-    owners: Iterable[core.NodePlace],
+def nearest_conn_owner(
+    own: core.EntryVmZone,
+    owners: Iterable[core.EntryVmZone],
     region_of: RegionOf,
 ) -> core.VmName | None:
     """Return the connection owner that a VM sends its work through.
@@ -81,7 +81,7 @@
     A VM that is an owner itself uses its own connections.
     """
 
-    def rank(node: core.NodePlace) -> tuple[bool, int, int]:
+    def rank(node: core.EntryVmZone) -> tuple[bool, int, int]:
         near = zones.nearness(own.zone, node.zone, region_of)
         return (
             node.vm != own.vm,
--- a/src/chicoryusher/decisions/suiting.py
+++ b/src/chicoryusher/decisions/conn_setup.py
@@ -6,23 +6,31 @@
 
 from chicoryusher import core
 
-__all__ = ['ConnMemory', 'begin_command', 'fits', 'may_repeat', 'suit']
+__all__ = [
+    'ConnSessionState',
+    'begin_command',
+    'setup_cost',
+    'is_repeatable',
+    'setup_commands',
+]
 
 # Prepared statements that a connection has before it is reset.
 MAX_PREPARED_STATEMENTS = 256
 
 
 @dataclasses.dataclass(slots=True)
-class ConnMemory:
+class ConnSessionState:
     """Session variables and prepared statements set on a connection."""
 
     values: dict[str, str] = dataclasses.field(default_factory=dict)
-    prepared: dict[core.Shape, str] = dataclasses.field(default_factory=dict)
+    prepared: dict[core.PreparedQuery, str] = dataclasses.field(
+        default_factory=dict
+    )
 
 
-def fits(memory: ConnMemory, work: core.Work) -> int:
+def setup_cost(memory: ConnSessionState, work: core.Work) -> int:
     """Return how many setup commands the connection needs for the work."""
-    required = dict(work.values)
+    required = dict(work.session_values)
     if any(name not in required for name in memory.values):
         cost = 1 + len(required)
     else:
@@ -31,12 +39,14 @@
             for name, value in required.items()
             if memory.values.get(name) != value
         )
-    if work.shape is not None and work.shape not in memory.prepared:
+    if work.prepared is not None and work.prepared not in memory.prepared:
         cost += 1
     return cost
 
 
-def suit(memory: ConnMemory, work: core.Work) -> list[core.Command]:
+def setup_commands(
+    memory: ConnSessionState, work: core.Work
+) -> list[core.Command]:
     """Return the setup commands that the connection needs for the work.
 
     ``memory`` is updated as if the commands had run.  A connection with
@@ -44,10 +54,10 @@
     prepared statements, is reset first; but in an open transaction it is
     not reset for its prepared statements.
     """
-    required = dict(work.values)
+    required = dict(work.session_values)
     commands = []
     has_surplus = any(name not in required for name in memory.values)
-    in_transaction = work.transaction is not None and work.begins is None
+    in_transaction = work.transaction is not None and work.begin_kind is None
     is_full = (
         len(memory.prepared) >= MAX_PREPARED_STATEMENTS and not in_transaction
     )
@@ -59,29 +69,33 @@
         if memory.values.get(name) != value:
             commands.append(core.Command(core.Op.SET, name=name, value=value))
             memory.values[name] = value
-    shape = work.shape
+    shape = work.prepared
     if shape is not None and shape not in memory.prepared:
         name = f'p{len(memory.prepared)}'
         memory.prepared[shape] = name
-        commands.append(core.Command(core.Op.PREPARE, name=name, shape=shape))
+        commands.append(
+            core.Command(core.Op.PREPARE, name=name, prepared=shape)
+        )
     return commands
 
 
 def begin_command(work: core.Work) -> core.Command:
     """Return the command that begins the work's transaction."""
-    if work.begins is core.Begins.READ_ONLY:
-        return core.Command(core.Op.BEGIN_READ_ONLY, after=work.after)
-    return core.Command(core.Op.BEGIN, after=work.after)
+    if work.begin_kind is core.TransactionKind.READ_ONLY:
+        return core.Command(
+            core.Op.BEGIN_READ_ONLY, min_position=work.min_position
+        )
+    return core.Command(core.Op.BEGIN, min_position=work.min_position)
 
 
-def may_repeat(work: core.Work) -> bool:
+def is_repeatable(work: core.Work) -> bool:
     """Return whether the work may run again on another connection.
 
     That is the case even if it may have run: a read changes nothing, and
     a transaction that has only begun is rolled back with its connection.
     """
     if work.transaction is not None:
-        return work.begins is not None
-    if work.shape is not None:
-        return work.shape.kind is core.ShapeKind.READ
+        return work.begin_kind is not None
+    if work.prepared is not None:
+        return work.prepared.kind is core.PreparedQueryKind.READ
     return work.statement.verb is core.Verb.READ
--- a/src/chicoryusher/decisions/shares.py
+++ b/src/chicoryusher/decisions/conn_shares.py
@@ -7,7 +7,7 @@
 __all__ = [
     'KEPT_OPEN_RATIO',
     'MAX_BURST_CONNS',
-    'NO_SHARE',
+    'NON_OWNER_SHARE',
     'ConnShare',
     'connection_share',
 ]
@@ -24,14 +24,14 @@
 class ConnShare:
     """Connections that a VM keeps open, and the most that it may open."""
 
-    kept: int
-    most: int
+    kept_open: int
+    max_open: int
 
 
 # Share of a VM that is no connection owner.  It may open one connection
 # for work that another VM sends it while the two VMs don't agree yet on
 # which VMs are the owners.
-NO_SHARE = ConnShare(0, 1)
+NON_OWNER_SHARE = ConnShare(0, 1)
 
 
 def connection_share(cap: int, owner_count: int) -> ConnShare:
--- a/src/chicoryusher/decisions/evidence.py
+++ b/src/chicoryusher/decisions/evidence.py
@@ -14,7 +14,7 @@
 
 from chicoryusher import core
 
-__all__ = ['EvidenceBook', 'PendingProof', 'Verdict']
+__all__ = ['PendingProofs', 'PendingProof', 'Verdict']
 
 
 class Verdict(enum.Enum):
@@ -53,7 +53,7 @@
         return self.request.position.offset == 0
 
 
-class EvidenceBook:
+class PendingProofs:
     """Pending proofs of one group, decided by the probes' answers."""
 
     def __init__(self, size: int) -> None:
@@ -63,11 +63,11 @@
     def __len__(self) -> int:
         return len(self._pending)
 
-    def ask(self, request: core.ProveCommit, now: float) -> None:
+    def add(self, request: core.ProveCommit, now: float) -> None:
         """Add a request for a proof."""
         self._pending[request.request_id] = PendingProof(request, now)
 
-    def drop_before(self, cutoff: float) -> None:
+    def drop_requested_before(self, cutoff: float) -> None:
         """Remove the proofs that were requested before ``cutoff``."""
         expired = [
             key
@@ -77,7 +77,7 @@
         for key in expired:
             del self._pending[key]
 
-    def heard(
+    def record_probe(
         self, probe: core.ProbeAnswer, began_at: float
     ) -> list[tuple[core.ProveCommit, Verdict]]:
         """Apply the answer to a probe; return the proofs it decides."""
--- a/src/chicoryusher/decisions/succession.py
+++ b/src/chicoryusher/decisions/failover.py
@@ -10,15 +10,15 @@
 from chicoryusher import core
 
 __all__ = [
-    'Candidates',
+    'SuccessorCandidates',
     'best_successor',
     'has_caught_up',
-    'missed_by_most',
-    'rank_of',
+    'unreachable_for_majority',
+    'failover_rank',
 ]
 
 
-def rank_of(
+def failover_rank(
     vm: core.VmName, live: Iterable[core.VmName], service: core.ServiceName
 ) -> int:
     """Return a VM's rank in the order in which VMs start a failover.
@@ -34,7 +34,7 @@
     return order.index(vm)
 
 
-def missed_by_most(
+def unreachable_for_majority(
     reachable: Mapping[core.VmName, bool], voters: Iterable[core.VmName]
 ) -> bool:
     """Return whether over half of the voters cannot reach an instance.
@@ -76,7 +76,7 @@
     return states[successor].received >= states[old].received
 
 
-class Candidates:
+class SuccessorCandidates:
     """The instances of a group that may follow its old primary.
 
     They are asked for their state in rounds.  Once all have answered,
@@ -89,19 +89,19 @@
         old: core.InstanceName,
     ) -> None:
         self.entries = {entry.name: entry for entry in entries}
-        self.old = old
+        self.old_primary = old
         self.successor: core.InstanceName | None = None
         self._states: dict[core.InstanceName, core.InstanceState] = {}
         self._excluded: set[core.InstanceName] = set()
         self._unanswered: set[core.InstanceName] = set()
 
-    def ask(self) -> tuple[core.InstanceEntry, ...]:
+    def start_round(self) -> tuple[core.InstanceEntry, ...]:
         """Start a new round: drop all answers, return whom to ask."""
         self._states = {}
         self._unanswered = set(self.entries)
         return tuple(self.entries.values())
 
-    def answered(self, status: core.InstanceStatus) -> bool:
+    def record_status(self, status: core.InstanceProbeResult) -> bool:
         """Record an instance's answer; choose a successor after the last.
 
         Return whether this was the last answer of the round.
@@ -118,12 +118,12 @@
         )
         return True
 
-    def refuse(self) -> None:
+    def exclude_successor(self) -> None:
         """Exclude the successor, whose promotion the platform refused."""
         if self.successor is not None:
             self._excluded.add(self.successor)
 
-    def nobody_left(self) -> bool:
+    def reset_if_none_left(self) -> bool:
         """Return whether there is no successor.
 
         If so, readmit the excluded instances for the next round.
@@ -138,7 +138,7 @@
         return {
             name: state
             for name, state in self._states.items()
-            if name != self.old and name not in self._excluded
+            if name != self.old_primary and name not in self._excluded
         }
 
     def _leaving_names(self) -> frozenset[core.InstanceName]:
@@ -150,7 +150,7 @@
         """Return the newest term that an instance has answered with."""
         return max((state.term for state in self._states.values()), default=0)
 
-    def one_leads(self) -> bool:
+    def adopt_current_leader(self) -> bool:
         """Return whether another instance is primary in the newest term.
 
         If so, it becomes the successor.
@@ -162,11 +162,11 @@
                 return True
         return False
 
-    def old_leads(self) -> bool:
+    def old_primary_leads(self) -> bool:
         """Return whether the old primary has answered as a primary."""
-        state = self._states.get(self.old)
+        state = self._states.get(self.old_primary)
         return state is not None and state.role is core.Role.PRIMARY
 
-    def has_all(self) -> bool:
+    def successor_caught_up(self) -> bool:
         """Return whether the successor has the old primary's whole log."""
-        return has_caught_up(self._states, self.old, self.successor)
+        return has_caught_up(self._states, self.old_primary, self.successor)
--- a/src/chicoryusher/decisions/fencing.py
+++ b/src/chicoryusher/decisions/fencing.py
@@ -6,10 +6,10 @@
 
 from chicoryusher import core
 
-__all__ = ['Fencing']
+__all__ = ['FencingProgress']
 
 
-class Fencing:
+class FencingProgress:
     """VMs that have not confirmed yet that they stopped using a primary.
 
     VMs that had registered in the store by the time of the claim must be
@@ -19,22 +19,22 @@
 
     def __init__(self, vms: Iterable[core.VmName] = ()) -> None:
         self.vms = set(vms)
-        self.silent = set(self.vms)
+        self.pending = set(self.vms)
         self._store_listed = False
 
     @property
     def done(self) -> bool:
         """Return whether all VMs are known and have stopped."""
-        return self._store_listed and not self.silent
+        return self._store_listed and not self.pending
 
-    def listed(self, rows: Iterable[core.NodeRow]) -> bool:
+    def add_registered(self, rows: Iterable[core.EntryVmRow]) -> bool:
         """Add the VMs that the store lists; return whether any is new."""
-        new = {row.vm for row in rows if row.is_callable} - self.vms
+        new = {row.vm for row in rows if row.may_be_contacted} - self.vms
         self.vms |= new
-        self.silent |= new
+        self.pending |= new
         self._store_listed = True
         return bool(new)
 
-    def stopped(self, vm: core.VmName) -> None:
+    def record_stopped(self, vm: core.VmName) -> None:
         """Record that a VM has stopped using the primary."""
-        self.silent.discard(vm)
+        self.pending.discard(vm)
--- a/src/chicoryusher/decisions/directory.py
+++ b/src/chicoryusher/decisions/gate_directory.py
@@ -7,18 +7,18 @@
 from chicoryusher.decisions import gates
 from chicoryusher.decisions import zones
 
-__all__ = ['Directory']
+__all__ = ['GateDirectory']
 
 # Expected seconds of a round trip between two VMs, by their zones.
 IN_ZONE_ROUND_TRIP_S = 0.0005
 ROUND_TRIPS_S = {
-    core.Nearness.SAME_ZONE: IN_ZONE_ROUND_TRIP_S,
-    core.Nearness.SAME_REGION: 0.003,
-    core.Nearness.OTHER_REGION: 0.040,
+    core.ZoneDistance.SAME_ZONE: IN_ZONE_ROUND_TRIP_S,
+    core.ZoneDistance.SAME_REGION: 0.003,
+    core.ZoneDistance.OTHER_REGION: 0.040,
 }
 
 
-class Directory:
+class GateDirectory:
     """Gates of all instances, as one VM computes them.
 
     Round trips are in seconds; they are not measured, but expected from
@@ -30,18 +30,18 @@
     ) -> None:
         self._vm = vm
         self._zone = zone
-        self._placement = gates.PLACEMENTS.get(placement)()
+        self._placement = gates.GATE_PLACEMENTS.get(placement)()
         self._live: tuple[core.VmName, ...] = (vm,)
-        self._zones: gates.LiveZones | None = None
+        self._zones: gates.LiveVmsByZone | None = None
         self._gates: dict[core.InstanceName, core.VmName | None] = {}
         self.config: configuration.Configuration | None = None
 
-    def take_config(self, config: configuration.Configuration) -> None:
+    def set_config(self, config: configuration.Configuration) -> None:
         """Set the configuration that is in force now."""
         self.config = config
         self._clear_gates()
 
-    def take_live(self, live: tuple[core.VmName, ...]) -> None:
+    def set_live_vms(self, live: tuple[core.VmName, ...]) -> None:
         """Set the VMs that may be gates."""
         self._live = live
         self._clear_gates()
@@ -50,7 +50,7 @@
         """Drop the computed gates, as they depend on what has changed."""
         self._gates.clear()
         if self.config is not None:
-            self._zones = gates.LiveZones(self.config, self._live)
+            self._zones = gates.LiveVmsByZone(self.config, self._live)
 
     def gate(self, name: core.InstanceName) -> core.VmName | None:
         """Return the gate that this VM sends an instance's work to.
@@ -67,14 +67,14 @@
             )
         return self._gates[name]
 
-    def path(self, zone: core.ZoneName) -> float:
+    def round_trip(self, zone: core.ZoneName) -> float:
         """Return the expected round trip to a zone in seconds."""
         config = self.config
         if config is None:
             return IN_ZONE_ROUND_TRIP_S
         return ROUND_TRIPS_S[zones.nearness(self._zone, zone, config.region)]
 
-    def way_back(self, name: core.InstanceName) -> float:
+    def reply_time(self, name: core.InstanceName) -> float:
         """Return the most seconds that an answer of a gate travels.
 
         It is the round trip to the instance's zone, 0 if the instance is
@@ -82,4 +82,4 @@
         """
         config = self.config
         spec = config.instance(name) if config is not None else None
-        return self.path(spec.zone) if spec is not None else 0.0
+        return self.round_trip(spec.zone) if spec is not None else 0.0
--- a/src/chicoryusher/decisions/gates.py
+++ b/src/chicoryusher/decisions/gates.py
@@ -18,20 +18,20 @@
 from chicoryusher.decisions import configuration
 
 __all__ = [
-    'DEFAULT_PLACEMENT',
+    'DEFAULT_GATE_PLACEMENT',
     'EqualShares',
-    'LiveZones',
+    'LiveVmsByZone',
     'OneGate',
-    'PLACEMENTS',
-    'Placement',
+    'GATE_PLACEMENTS',
+    'GatePlacement',
     'gate_of',
-    'ranked',
+    'rank_vms',
 ]
 
-DEFAULT_PLACEMENT = 'one_gate'
+DEFAULT_GATE_PLACEMENT = 'one_gate'
 
 
-def ranked(key: str, vms: Iterable[core.VmName]) -> tuple[core.VmName, ...]:
+def rank_vms(key: str, vms: Iterable[core.VmName]) -> tuple[core.VmName, ...]:
     """Return the VMs from the highest weight for ``key`` to the lowest."""
     return tuple(sorted(vms, key=lambda vm: _weight(key, vm), reverse=True))
 
@@ -40,7 +40,7 @@
     return xxhash.xxh3_64_intdigest(f'{key}\0{vm}'.encode()), vm
 
 
-class LiveZones:
+class LiveVmsByZone:
     """Live VMs by availability zone.
 
     It is built once for all instances, and again when the VMs change.
@@ -59,7 +59,7 @@
             if vm is not None:
                 self._zones.setdefault(vm.zone, []).append(name)
 
-    def candidates(self, zone: core.ZoneName) -> frozenset[core.VmName]:
+    def nearest_vms(self, zone: core.ZoneName) -> frozenset[core.VmName]:
         """Return the VMs nearest to a zone.
 
         These are the VMs in the zone itself.  If it has none, they are
@@ -84,16 +84,16 @@
 
 
 def gate_of(
-    instance: configuration.InstanceSpec, zones: LiveZones
+    instance: configuration.InstanceSpec, zones: LiveVmsByZone
 ) -> core.VmName | None:
     """Return the gate: of the nearest VMs the one with the highest weight."""
-    nearest = zones.candidates(instance.zone)
+    nearest = zones.nearest_vms(instance.zone)
     return max(
         nearest, key=lambda vm: _weight(instance.name, vm), default=None
     )
 
 
-class Placement(Protocol):
+class GatePlacement(Protocol):
     """A policy that assigns instances to gates.
 
     ``exclusive`` says whether an instance has only one gate.
@@ -104,20 +104,20 @@
     def gate(
         self,
         instance: configuration.InstanceSpec,
-        zones: LiveZones,
+        zones: LiveVmsByZone,
         vm: core.VmName,
     ) -> core.VmName | None:
         """Return the gate that ``vm`` sends an instance's work to."""
 
-    def serves(
+    def is_gate(
         self,
         instance: configuration.InstanceSpec,
-        zones: LiveZones,
+        zones: LiveVmsByZone,
         vm: core.VmName,
     ) -> bool:
         """Return whether ``vm`` is a gate of an instance."""
 
-    def part(
+    def share(
         self,
         instance: configuration.InstanceSpec,
         live: Sequence[core.VmName],
@@ -125,10 +125,10 @@
         """Return the specification reduced to one gate's share."""
 
 
-PLACEMENTS: core.Registry[type] = core.Registry('gate placement')
+GATE_PLACEMENTS: core.Registry[type] = core.Registry('gate placement')
 
 
-@PLACEMENTS.register(DEFAULT_PLACEMENT)
+@GATE_PLACEMENTS.register(DEFAULT_GATE_PLACEMENT)
 class OneGate:
     """One gate for each instance, which may use all of the instance."""
 
@@ -137,24 +137,24 @@
     def gate(
         self,
         instance: configuration.InstanceSpec,
-        zones: LiveZones,
+        zones: LiveVmsByZone,
         vm: core.VmName,
     ) -> core.VmName | None:
         """Return the instance's only gate."""
         return gate_of(instance, zones)
 
-    def serves(
+    def is_gate(
         self,
         instance: configuration.InstanceSpec,
-        zones: LiveZones,
+        zones: LiveVmsByZone,
         vm: core.VmName,
     ) -> bool:
         """Return whether ``vm`` is the instance's only gate."""
-        if vm not in zones.candidates(instance.zone):
+        if vm not in zones.nearest_vms(instance.zone):
             return False
         return gate_of(instance, zones) == vm
 
-    def part(
+    def share(
         self,
         instance: configuration.InstanceSpec,
         live: Sequence[core.VmName],
@@ -163,7 +163,7 @@
         return instance
 
 
-@PLACEMENTS.register('shares')
+@GATE_PLACEMENTS.register('shares')
 class EqualShares:
     """Every VM is a gate with an equal share; a baseline for comparison."""
 
@@ -172,22 +172,22 @@
     def gate(
         self,
         instance: configuration.InstanceSpec,
-        zones: LiveZones,
+        zones: LiveVmsByZone,
         vm: core.VmName,
     ) -> core.VmName | None:
         """Return the VM itself."""
         return vm
 
-    def serves(
+    def is_gate(
         self,
         instance: configuration.InstanceSpec,
-        zones: LiveZones,
+        zones: LiveVmsByZone,
         vm: core.VmName,
     ) -> bool:
         """Return True, since every VM is a gate."""
         return True
 
-    def part(
+    def share(
         self,
         instance: configuration.InstanceSpec,
         live: Sequence[core.VmName],
--- a/src/chicoryusher/decisions/leadership.py
+++ b/src/chicoryusher/decisions/group_health.py
@@ -17,7 +17,7 @@
 
 from chicoryusher import core
 
-__all__ = ['GroupHealth', 'InstanceProbes', 'choose_leader', 'next_term']
+__all__ = ['GroupHealth', 'InstanceProbes', 'choose_new_primary', 'next_term']
 
 # Seconds after the start in which a group without a known primary isn't
 # failed over yet.
@@ -50,7 +50,7 @@
         self._probes = {name: InstanceProbes(name) for name in names}
         self.primary: core.InstanceName | None = None
         self.term = core.Term(0)
-        self.majority_at = float('-inf')
+        self.majority_seen_at = float('-inf')
         self._seen_in_term: dict[core.InstanceName, float] = {}
 
     @property
@@ -62,7 +62,7 @@
         """Return the instances of the group."""
         return tuple(self._probes)
 
-    def resize(self, names: Iterable[core.InstanceName]) -> None:
+    def set_instances(self, names: Iterable[core.InstanceName]) -> None:
         """Replace the list of the group's instances."""
         members = tuple(names)
         for name in members:
@@ -71,17 +71,17 @@
             del self._probes[removed]
             self._seen_in_term.pop(removed, None)
 
-    def last(self, name: core.InstanceName) -> core.ProbeAnswer | None:
+    def last_answer(self, name: core.InstanceName) -> core.ProbeAnswer | None:
         """Return the last answer of an instance, or None."""
         probes = self._probes.get(name)
         return probes.last if probes is not None else None
 
-    def missing(self, name: core.InstanceName, now: float) -> bool:
+    def is_unreachable(self, name: core.InstanceName, now: float) -> bool:
         """Return whether an instance is unreachable at present."""
         probes = self._probes.get(name)
         return probes is None or probes.failures >= UNREACHABLE_PROBE_COUNT
 
-    def any_failure(self) -> bool:
+    def has_recent_failure(self) -> bool:
         """Return whether the last probe of an instance failed.
 
         Instances that have been unreachable for longer don't count.
@@ -91,7 +91,7 @@
             for probes in self._probes.values()
         )
 
-    def heard(
+    def record_probe(
         self, probe: core.ProbeAnswer, began_at: float, now: float
     ) -> None:
         """Record the result of a probe that began at ``began_at``."""
@@ -117,9 +117,11 @@
         self._seen_in_term[probe.instance] = began_at
         began = sorted(self._seen_in_term.values(), reverse=True)
         if len(began) >= self.majority and self.primary in self._seen_in_term:
-            self.majority_at = max(self.majority_at, began[self.majority - 1])
+            self.majority_seen_at = max(
+                self.majority_seen_at, began[self.majority - 1]
+            )
 
-    def promoted(
+    def record_promotion(
         self, name: core.InstanceName, term: core.Term, now: float
     ) -> None:
         """Record a promotion before the next probe shows it."""
@@ -139,18 +141,18 @@
         of the instances answered in it began at most ``within`` seconds
         ago.
         """
-        return now - self.majority_at <= within
+        return now - self.majority_seen_at <= within
 
-    def primary_silent(self, now: float) -> bool:
+    def primary_unreachable(self, now: float) -> bool:
         """Return whether the primary is unreachable, unknown or leaving."""
         if self.primary is None:
             return now - self._started_at >= NO_PRIMARY_GRACE_S
         probes = self._probes[self.primary]
         if probes.last is not None and probes.last.leaving:
             return True
-        return self.missing(self.primary, now)
+        return self.is_unreachable(self.primary, now)
 
-    def silence_confirmed(self, now: float) -> bool:
+    def failover_confirmed(self, now: float) -> bool:
         """Return whether the group may fail over to another instance.
 
         The reachable instances besides the primary must be a majority of
@@ -168,9 +170,9 @@
         for name, probes in self._probes.items():
             if name == primary or probes.last is None:
                 continue
-            if self.missing(name, now):
+            if self.is_unreachable(name, now):
                 continue
-            age = probes.last.source_age + now - probes.answered_at
+            age = probes.last.primary_contact_age + now - probes.answered_at
             if age < REPLICA_SOURCE_TIMEOUT_S:
                 return False
             missing += 1
@@ -186,7 +188,7 @@
             if name != primary
             and probes.last is not None
             and not probes.last.leaving
-            and not self.missing(name, now)
+            and not self.is_unreachable(name, now)
         ]
         return bool(staying)
 
@@ -199,7 +201,7 @@
     return core.Term(max(health.term, recorded) + 1)
 
 
-def choose_leader(
+def choose_new_primary(
     fenced: Iterable[core.FenceAnswer],
     leaving: frozenset[core.InstanceName],
 ) -> core.InstanceName:
--- a/src/chicoryusher/decisions/newcomers.py
+++ b/src/chicoryusher/decisions/handshakes.py
@@ -4,10 +4,10 @@
 
 from chicoryusher import core
 
-__all__ = ['Newcomers']
+__all__ = ['PendingHandshakes']
 
 
-class Newcomers:
+class PendingHandshakes:
     """Limits the pending handshakes in number and in time (seconds)."""
 
     def __init__(self, max_pending: int, timeout: float) -> None:
@@ -25,11 +25,11 @@
         self._began_at[session_id] = now
         return True
 
-    def settle(self, session_id: core.SessionId) -> None:
+    def finish(self, session_id: core.SessionId) -> None:
         """Remove a handshake that is complete or whose caller has left."""
         self._began_at.pop(session_id, None)
 
-    def late(self, now: float) -> tuple[core.SessionId, ...]:
+    def expired(self, now: float) -> tuple[core.SessionId, ...]:
         """Return the sessions whose handshake has timed out.
 
         The handshakes are in the order in which they began.
@@ -41,7 +41,7 @@
             expired.append(session_id)
         return tuple(expired)
 
-    def next_late(self, now: float) -> float | None:
+    def seconds_to_expiry(self, now: float) -> float | None:
         """Return the seconds until the next time-out, None without any."""
         for began_at in self._began_at.values():
             return max(0.0, began_at + self._timeout - now)
--- a/src/chicoryusher/decisions/neighbours.py
+++ b/src/chicoryusher/decisions/heartbeat_targets.py
@@ -12,12 +12,12 @@
 from chicoryusher import core
 from chicoryusher.decisions import gates
 
-__all__ = ['MAX_HEARTBEAT_TARGETS', 'neighbours_of']
+__all__ = ['MAX_HEARTBEAT_TARGETS', 'choose_heartbeat_targets']
 
 MAX_HEARTBEAT_TARGETS = 4
 
 
-def neighbours_of(
+def choose_heartbeat_targets(
     vm: core.VmName, vms: Iterable[core.VmName]
 ) -> tuple[core.VmName, ...]:
     """Return the VMs that ``vm`` sends heartbeats to.
@@ -31,7 +31,7 @@
     following = next((name for name in others if name > vm), others[0])
     chosen = [
         name
-        for name in gates.ranked(vm, others)[: MAX_HEARTBEAT_TARGETS + 1]
+        for name in gates.rank_vms(vm, others)[: MAX_HEARTBEAT_TARGETS + 1]
         if name != following
     ]
     return (following, *chosen[: MAX_HEARTBEAT_TARGETS - 1])
--- a/src/chicoryusher/decisions/ledger.py
+++ b/src/chicoryusher/decisions/idempotency.py
@@ -13,25 +13,25 @@
 from chicoryusher import core
 
 __all__ = [
-    'DUPLICATE_KEY',
+    'DUPLICATE_KEY_ERRNO',
     'LEDGER_TABLE',
-    'NO_SUCH_TABLE',
-    'Purpose',
+    'NO_SUCH_TABLE_ERRNO',
+    'StepPurpose',
     'ROLLBACK',
-    'Step',
-    'plan',
-    'setup_steps',
+    'RequestStep',
+    'request_steps',
+    'steps_with_ledger_setup',
 ]
 
 LEDGER_TABLE = 'chicoryusher_ledger'
 # MySQL error numbers.
-DUPLICATE_KEY = 1062
-NO_SUCH_TABLE = 1146
+DUPLICATE_KEY_ERRNO = 1062
+NO_SUCH_TABLE_ERRNO = 1146
 # Command byte of COM_QUERY in the MySQL protocol.
 COM_QUERY = b'\x03'
 
 
-class Purpose(enum.Enum):
+class StepPurpose(enum.Enum):
     """What one step of a request does."""
 
     BEGIN = 'begin'
@@ -42,10 +42,10 @@
     ROLLBACK = 'rollback'
 
 
-class Step(NamedTuple):
+class RequestStep(NamedTuple):
     """One command that is sent to the instance for a request."""
 
-    purpose: Purpose
+    purpose: StepPurpose
     payload: core.Payload
 
 
@@ -53,11 +53,11 @@
     return core.Payload(COM_QUERY + sql.encode())
 
 
-_BEGIN = Step(Purpose.BEGIN, _query('START TRANSACTION'))
-_COMMIT = Step(Purpose.COMMIT, _query('COMMIT'))
-ROLLBACK = Step(Purpose.ROLLBACK, _query('ROLLBACK'))
-_CREATE_LEDGER = Step(
-    Purpose.SETUP,
+_BEGIN = RequestStep(StepPurpose.BEGIN, _query('START TRANSACTION'))
+_COMMIT = RequestStep(StepPurpose.COMMIT, _query('COMMIT'))
+ROLLBACK = RequestStep(StepPurpose.ROLLBACK, _query('ROLLBACK'))
+_CREATE_LEDGER = RequestStep(
+    StepPurpose.SETUP,
     _query(
         f'CREATE TABLE IF NOT EXISTS {LEDGER_TABLE} ('
         'idempotency_key VARCHAR(128) NOT NULL PRIMARY KEY, '
@@ -66,17 +66,17 @@
 )
 
 
-def _insert_key(key: core.IdempotencyKey) -> Step:
+def _insert_key(key: core.IdempotencyKey) -> RequestStep:
     quoted = key.replace('\\', '\\\\').replace("'", "''")
-    return Step(
-        Purpose.KEY,
+    return RequestStep(
+        StepPurpose.KEY,
         _query(
             f"INSERT INTO {LEDGER_TABLE} (idempotency_key) VALUES ('{quoted}')"
         ),
     )
 
 
-def plan(request: core.Request) -> list[Step]:
+def request_steps(request: core.Request) -> list[RequestStep]:
     """Return the steps of a request, in order.
 
     A write with an idempotency key outside of a transaction gets a
@@ -85,18 +85,18 @@
     steps = []
     key = request.marks.idempotency_key
     uses_key = key is not None and request.kind is core.StatementKind.WRITE
-    if request.begin is not None:
-        steps.append(Step(Purpose.BEGIN, request.begin))
+    if request.begin_payload is not None:
+        steps.append(RequestStep(StepPurpose.BEGIN, request.begin_payload))
     elif uses_key and request.transaction is None:
         steps.append(_BEGIN)
     if uses_key and key is not None:
         steps.append(_insert_key(key))
-    steps.append(Step(Purpose.STATEMENT, request.payload))
+    steps.append(RequestStep(StepPurpose.STATEMENT, request.payload))
     if uses_key and request.transaction is None:
         steps.append(_COMMIT)
     return steps
 
 
-def setup_steps(request: core.Request) -> list[Step]:
+def steps_with_ledger_setup(request: core.Request) -> list[RequestStep]:
     """Return the steps that create the ledger and run the request again."""
-    return [ROLLBACK, _CREATE_LEDGER, *plan(request)]
+    return [ROLLBACK, _CREATE_LEDGER, *request_steps(request)]
--- a/src/chicoryusher/decisions/claiming.py
+++ b/src/chicoryusher/decisions/leader_claim.py
@@ -7,26 +7,31 @@
 from __future__ import annotations
 
 from chicoryusher import core
-from chicoryusher.decisions import authority
+from chicoryusher.decisions import primary_lease
 
-__all__ = ['CLAIM_LASTS', 'CLAIM_RENEWAL_S', 'TAKEOVER', 'LeadClaim']
+__all__ = [
+    'CLAIM_VALID_S',
+    'CLAIM_RENEWAL_S',
+    'CLAIM_TAKEOVER_S',
+    'LeaderClaim',
+]
 
 # Seconds after which another VM takes over a closing row that its
 # coordinator has not renewed.
-TAKEOVER = 2.5
+CLAIM_TAKEOVER_S = 2.5
 # Seconds since its last claim within which a coordinator may order a
 # promotion.  An order without an answer is reset after 0.8 s, so it
 # arrives before that of a VM that takes the claim over.
-CLAIM_LASTS = 1.0
+CLAIM_VALID_S = 1.0
 # Seconds after which a coordinator renews its claim.
 CLAIM_RENEWAL_S = 0.7
 
 
-class LeadClaim:
+class LeaderClaim:
     """The leader rows that one change of primary writes.
 
-    ``first`` is the revision of the change's first closing row, 0 before
-    that row is written; ``closed_at`` is when this VM learned that the
+    ``first_revision`` is the revision of the change's first closing row, 0
+    before that row is written; ``closed_at`` is when this VM learned that the
     row was written.
     """
 
@@ -44,8 +49,8 @@
         self._write_began_at = 0.0
         self._claimed_at = 0.0
         self._write_pending = False
-        self.row: core.LeadRow | None = None
-        self.first = 0
+        self.row: core.LeaderRow | None = None
+        self.first_revision = 0
         self.closed_at = 0.0
 
     @property
@@ -54,30 +59,30 @@
         return 0 if self.row is None else self.row.revision
 
     @property
-    def expected(self) -> int:
+    def expected_revision(self) -> int:
         """Return the revision that the next write is conditional on."""
         return self.revision or self._prior_revision
 
-    def closing(self, boottime: float) -> core.LeadRow:
+    def closing_row(self, boottime: float) -> core.LeaderRow:
         """Return the row to write to claim the group or renew the claim.
 
         The claim's time begins before the write is sent.
         """
         self._write_began_at = boottime
         self._write_pending = True
-        return self._row(core.LeadRowState.CLOSING, self._old_primary)
+        return self._row(core.LeaderRowState.CLOSING, self._old_primary)
 
-    def opening(self, successor: core.InstanceName) -> core.LeadRow:
+    def opening_row(self, successor: core.InstanceName) -> core.LeaderRow:
         """Return the row to write to end the change."""
-        return self._row(core.LeadRowState.OPEN, successor)
+        return self._row(core.LeaderRowState.OPEN, successor)
 
     def _row(
-        self, state: core.LeadRowState, primary: core.InstanceName
-    ) -> core.LeadRow:
+        self, state: core.LeaderRowState, primary: core.InstanceName
+    ) -> core.LeaderRow:
         """Return a row to write; the store gives it its revision."""
-        return core.LeadRow(self._service, 0, state, primary, self._vm)
+        return core.LeaderRow(self._service, 0, state, primary, self._vm)
 
-    def written(self, row: core.LeadRow | None) -> bool:
+    def record_write(self, row: core.LeaderRow | None) -> bool:
         """Record the row that the store has after a write.
 
         None means that the outcome of the write is unknown.  Return
@@ -90,15 +95,15 @@
         self._claimed_at = self._write_began_at
         return True
 
-    def is_ours(self, row: core.LeadRow) -> bool:
+    def is_ours(self, row: core.LeaderRow) -> bool:
         """Return whether a row says that this VM changes the primary."""
-        closing = row.state is core.LeadRowState.CLOSING
-        return closing and row.holder == self._vm
+        closing = row.state is core.LeaderRowState.CLOSING
+        return closing and row.coordinator == self._vm
 
-    def begins(self, boottime: float) -> None:
+    def record_first_closing(self, boottime: float) -> None:
         """Record that the first closing row is written."""
-        if not self.first:
-            self.first = self.revision
+        if not self.first_revision:
+            self.first_revision = self.revision
             self.closed_at = boottime
 
     def renewal_due(self, boottime: float) -> bool:
@@ -108,10 +113,10 @@
             and boottime - self._claimed_at >= CLAIM_RENEWAL_S
         )
 
-    def overdue(self, boottime: float) -> bool:
+    def is_expired(self, boottime: float) -> bool:
         """Return whether the claim is too old to order a promotion."""
-        return boottime - self._claimed_at > CLAIM_LASTS
+        return boottime - self._claimed_at > CLAIM_VALID_S
 
-    def all_lapsed(self, boottime: float) -> bool:
-        """Return whether all authority from before the claim has expired."""
-        return boottime - self.closed_at >= authority.LAPSE_WAIT
+    def earlier_leases_expired(self, boottime: float) -> bool:
+        """Return whether all leases from before the claim have expired."""
+        return boottime - self.closed_at >= primary_lease.LEASE_EXPIRY_WAIT_S
--- a/src/chicoryusher/decisions/membership.py
+++ b/src/chicoryusher/decisions/membership.py
@@ -50,14 +50,14 @@
 
     def __init__(self, own: core.VmName) -> None:
         self._own = own
-        self._chart = charts.compiled('vm')
+        self._chart = charts.load_machine('vm')
         self._records: dict[core.VmName, VmRecord] = {}
 
     def records(self) -> tuple[VmRecord, ...]:
         """Return every record in name order."""
         return tuple(self._records[name] for name in sorted(self._records))
 
-    def live(self) -> tuple[core.VmName, ...]:
+    def usable(self) -> tuple[core.VmName, ...]:
         """Return the VMs that may be gates: live, suspected and this one."""
         usable_states = (core.VmState.LIVE, core.VmState.SUSPECTED)
         names = {
@@ -75,7 +75,7 @@
             if record.suspected_at is not None
         )
 
-    def configured(self, names: Iterable[core.VmName], now: float) -> None:
+    def set_configured(self, names: Iterable[core.VmName], now: float) -> None:
         """Add and remove records to match the configured VMs."""
         configured_names = set(names) - {self._own}
         for name in configured_names - set(self._records):
@@ -83,7 +83,7 @@
         for removed in set(self._records) - configured_names:
             del self._records[removed]
 
-    def watch(self, names: Iterable[core.VmName], now: float) -> None:
+    def set_monitored(self, names: Iterable[core.VmName], now: float) -> None:
         """Set which VMs this VM expects heartbeats from."""
         monitored_names = set(names)
         for record in self._records.values():
@@ -92,7 +92,9 @@
                 record.contact_at = now
             record.monitored = monitored
 
-    def heard(self, name: core.VmName, leaving: bool, now: float) -> bool:
+    def record_contact(
+        self, name: core.VmName, leaving: bool, now: float
+    ) -> bool:
         """Record a message from a VM; return whether its state changed."""
         record = self._records.get(name)
         if record is None:
@@ -104,7 +106,7 @@
             return self._fire(record, 'said_leaving')
         return self._fire(record, 'heard')
 
-    def witnessed(
+    def record_unreachable_report(
         self, reporter: core.VmName, name: core.VmName, now: float
     ) -> bool:
         """Record that ``reporter`` cannot reach the VM ``name``.
@@ -117,7 +119,7 @@
         record.unreachable_reports[reporter] = now
         return self._confirm_gone(record, now)
 
-    def lost_stream(self, name: core.VmName, now: float) -> bool:
+    def record_stream_loss(self, name: core.VmName, now: float) -> bool:
         """Suspect a VM whose stream broke and cannot be opened again.
 
         Return whether its state changed.
@@ -128,7 +130,7 @@
         record.suspected_at = now
         return self._fire(record, 'silent')
 
-    def listed(
+    def apply_vm_list(
         self,
         names: Iterable[core.VmName],
         leaving: Iterable[core.VmName],
@@ -147,7 +149,7 @@
                     changed |= self._fire(record, 'confirmed')
         return changed
 
-    def tick(self, now: float) -> bool:
+    def check_timeouts(self, now: float) -> bool:
         """Suspect monitored VMs whose heartbeats have timed out.
 
         Return whether a state changed.
--- a/src/chicoryusher/decisions/authority.py
+++ b/src/chicoryusher/decisions/primary_lease.py
@@ -1,34 +1,34 @@
-"""How long a VM may use primaries: the VM's authority.
+"""How long a VM may use primaries: the VM's primary lease.
 
 A VM that changes a group's primary first writes the change to the store.
 It then waits until every VM has stopped using the old primary, or until
-the authority of the VMs that did not respond has certainly expired.
-A VM's authority begins when the request for its newest view of the
+the leases of the VMs that did not respond have certainly expired.
+A VM's lease begins when the request for its newest view of the
 leader rows was sent, not when the answer arrived.
 
-While no VM can reach the store, grants extend an authority that has not
+While no VM can reach the store, grants extend a lease that has not
 expired.  A grant is the answer of a VM that could begin a change of
 primary: it has the current leader rows and no change under way.  If that
 VM begins a change afterwards, the change waits, as every change does,
-until the authority extended by its grant has expired.
+until the lease extended by its grant has expired.
 """
 
 from __future__ import annotations
 
-__all__ = ['LAPSE', 'LAPSE_WAIT', 'Views']
+__all__ = ['LEASE_DURATION_S', 'LEASE_EXPIRY_WAIT_S', 'PrimaryLease']
 
-# Seconds of authority that a view of the leader rows, or a grant, gives.
+# Seconds that a lease lasts after a view of the leader rows, or a grant.
 # When a primary and a VM fail at the same time, the primary is still
 # replaced within the accepted outage of 5 s: this time passes, and
 # detection and promotion take another 1 to 1.5 s.
-LAPSE = 3.0
+LEASE_DURATION_S = 3.0
 # Seconds that a change of primary waits for a VM that does not respond:
-# the duration of authority, 4% for clocks that run at different speeds,
+# the duration of a lease, 4% for clocks that run at different speeds,
 # and 0.1 s for timers that fire late.
-LAPSE_WAIT = LAPSE * 1.04 + 0.1
+LEASE_EXPIRY_WAIT_S = LEASE_DURATION_S * 1.04 + 0.1
 
 
-class Views:
+class PrimaryLease:
     """Time and revision of the newest view of one kind of store rows.
 
     The view was read from the store by this VM, or by a peer that passed
@@ -36,50 +36,52 @@
     """
 
     def __init__(self) -> None:
-        self.seen_at = float('-inf')
-        self.revision = 0
+        self.valid_from = float('-inf')
+        self.newest_revision = 0
 
-    def know(self, revision: int) -> None:
+    def note_revision(self, revision: int) -> None:
         """Record the revision of a row that this VM has received."""
-        self.revision = max(self.revision, revision)
+        self.newest_revision = max(self.newest_revision, revision)
 
-    def own(self, asked_at: float) -> bool:
+    def extend_from_store(self, asked_at: float) -> bool:
         """Record a read of the store that was sent at ``asked_at``.
 
         Return whether it is newer than the view so far, so that the
-        authority is extended.
+        lease is extended.
         """
-        if asked_at <= self.seen_at:
+        if asked_at <= self.valid_from:
             return False
-        self.seen_at = asked_at
+        self.valid_from = asked_at
         return True
 
-    def passed_on(self, sent_at: float, age: float, revision: int) -> bool:
+    def extend_from_peer(
+        self, sent_at: float, age: float, revision: int
+    ) -> bool:
         """Adopt a peer's view, received in reply to a request.
 
         ``sent_at`` is when the request was sent, ``age`` the age of the
         peer's view in seconds.  The view is adopted only if this VM has
         every row that the peer has.  Return whether it was newer.
         """
-        if revision > self.revision:
+        if revision > self.newest_revision:
             return False
-        return self.own(sent_at - age)
+        return self.extend_from_store(sent_at - age)
 
-    def granted(self, sent_at: float, now: float) -> bool:
-        """Extend the authority by grants that all VMs have sent.
+    def extend_by_grants(self, sent_at: float, now: float) -> bool:
+        """Extend the lease by grants that all VMs have sent.
 
         ``sent_at`` is when the oldest of the granted requests was sent.
-        Grants cannot renew an authority that has expired; that takes a
-        new view.  Return whether the authority was extended.
+        Grants cannot renew a lease that has expired; that takes a
+        new view.  Return whether the lease was extended.
         """
-        if now >= self.until():
+        if now >= self.expires_at():
             return False
-        return self.own(sent_at)
+        return self.extend_from_store(sent_at)
 
     def age(self, now: float) -> float:
         """Return the age of the view in seconds."""
-        return now - self.seen_at
+        return now - self.valid_from
 
-    def until(self) -> float:
-        """Return the time at which the authority expires."""
-        return self.seen_at + LAPSE
+    def expires_at(self) -> float:
+        """Return the time at which the lease expires."""
+        return self.valid_from + LEASE_DURATION_S
--- a/src/chicoryusher/decisions/observing.py
+++ b/src/chicoryusher/decisions/primary_positions.py
@@ -11,7 +11,7 @@
 
 from chicoryusher import core
 
-__all__ = ['Observations', 'Observation']
+__all__ = ['PrimaryPositions', 'PrimaryPosition']
 
 # Seconds for which observations are retained.  The largest staleness bound
 # of a route is 2.5 s, so the oldest observation that proves it is still
@@ -25,19 +25,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Observation:
+class PrimaryPosition:
     """The primary's position, and when it was requested (seconds)."""
 
     asked_at: float
     position: core.Position
 
 
-class Observations:
+class PrimaryPositions:
     """Recent observations of one group's primary."""
 
     def __init__(self) -> None:
-        self._retained: list[Observation] = []
-        self.newest: Observation | None = None
+        self._retained: list[PrimaryPosition] = []
+        self.newest: PrimaryPosition | None = None
 
     def add(self, asked_at: float, position: core.Position) -> None:
         """Record an answer of the primary; ignore one of an older term."""
@@ -47,7 +47,7 @@
             self.newest = newest = None
         if newest is not None and position.term < newest.position.term:
             return
-        observation = Observation(asked_at, position)
+        observation = PrimaryPosition(asked_at, position)
         if newest is None or asked_at >= newest.asked_at:
             self.newest = observation
         if (
@@ -59,7 +59,9 @@
         while self._retained[0].asked_at < asked_at - RETENTION_S:
             self._retained.pop(0)
 
-    def needed(self, arrived: float, bound: float) -> Observation | None:
+    def lowest_sufficient(
+        self, arrived: float, bound: float
+    ) -> PrimaryPosition | None:
         """Return the observation that a read's replica must contain.
 
         ``arrived`` is when the read arrived and ``bound`` its staleness
--- a/src/chicoryusher/decisions/reading.py
+++ b/src/chicoryusher/decisions/reader_selection.py
@@ -7,7 +7,7 @@
 
 from chicoryusher import core
 
-__all__ = ['PoolInstance', 'ReadNeeds', 'choose_reader']
+__all__ = ['InstanceLoad', 'ReadRequirement', 'choose_instance']
 
 # Expected seconds of a statement before an instance has run any; the
 # middle of the statement times that users have stated (7 to 47 ms).
@@ -35,66 +35,70 @@
 PARALLEL_STATEMENT_COUNT = 2.0
 
 
-class PoolInstance:
+class InstanceLoad:
     """Load and lag of an instance, learned from one VM's own traffic.
 
-    ``distance`` is the round trip to the instance in seconds.
+    ``round_trip_s`` is the round trip to the instance in seconds.
     """
 
     def __init__(self, entry: core.InstanceEntry, distance: float) -> None:
         self.entry = entry
-        self.distance = distance
-        self.service = INITIAL_SERVICE_TIME_S
-        self.outstanding = 0
-        self.position: core.Position | None = None
+        self.round_trip_s = distance
+        self.service_time_s = INITIAL_SERVICE_TIME_S
+        self.outstanding_count = 0
+        self.applied_position: core.Position | None = None
         self.lag = 0.0
-        self.lag_seen_at = 0.0
-        self.trouble_until = 0.0
+        self.lag_estimated_at = 0.0
+        self.penalty_until = 0.0
 
-    def answered(self, seconds: float) -> None:
+    def record_service_time(self, seconds: float) -> None:
         """Update the service time with the time of one statement."""
-        self.service += SERVICE_TIME_SAMPLE_RATIO * (seconds - self.service)
+        self.service_time_s += SERVICE_TIME_SAMPLE_RATIO * (
+            seconds - self.service_time_s
+        )
 
-    def troubled(self, now: float) -> None:
+    def penalize(self, now: float) -> None:
         """Start the penalty after the instance failed to respond."""
-        self.trouble_until = now + FAILURE_PENALTY_S
+        self.penalty_until = now + FAILURE_PENALTY_S
 
-    def fell_behind(self, age: float, now: float) -> None:
+    def raise_lag_estimate(self, age: float, now: float) -> None:
         """Raise the lag estimate after a refused read.
 
         The instance's log did not have a position at which the primary
         had been ``age`` seconds before.
         """
         self.lag = max(self.expected_lag(now), age) + LAG_INCREMENT_S
-        self.lag_seen_at = now
+        self.lag_estimated_at = now
 
     def expected_lag(self, now: float) -> float:
         """Return the estimated lag in seconds, which decays with age."""
-        return self.lag * 0.5 ** ((now - self.lag_seen_at) / LAG_HALF_LIFE_S)
+        return self.lag * 0.5 ** (
+            (now - self.lag_estimated_at) / LAG_HALF_LIFE_S
+        )
 
     def cost(self) -> float:
         """Return the expected seconds until one more statement is done."""
-        rounds = 1.0 + self.outstanding / PARALLEL_STATEMENT_COUNT
-        return self.distance + self.service * rounds
+        rounds = 1.0 + self.outstanding_count / PARALLEL_STATEMENT_COUNT
+        return self.round_trip_s + self.service_time_s * rounds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReadNeeds:
+class ReadRequirement:
     """How current an instance must be to serve a read.
 
-    ``after`` is the position that its log must contain; None means that
-    only the primary may serve.  ``age`` is how many seconds ago the
+    ``min_position`` is the position that its log must contain; None means that
+    only the primary may serve.  ``position_age`` is how many seconds ago the
     primary was seen at that position.
     """
 
-    after: core.Position | None
-    age: float
+    min_position: core.Position | None
+    position_age: float
 
 
-def choose_reader(
-    instances: Iterable[PoolInstance],
+def choose_instance(
+    instances: Iterable[InstanceLoad],
     primary: core.InstanceName | None,
-    needs: ReadNeeds,
+    needs: ReadRequirement,
     excluded: frozenset[core.InstanceName],
     now: float,
     boottime: float,
@@ -122,7 +126,7 @@
         cost = instance.cost()
         if name == primary:
             cost *= PRIMARY_COST_RATIO
-        if now < instance.trouble_until:
+        if now < instance.penalty_until:
             cost += FAILURE_PENALTY_S
         if cost < best_cost:
             best, best_cost = name, cost
@@ -130,11 +134,14 @@
 
 
 def _is_probably_fresh(
-    instance: PoolInstance, needs: ReadNeeds, boottime: float
+    instance: InstanceLoad, needs: ReadRequirement, boottime: float
 ) -> bool:
     """Return whether a replica is expected to have the needed position."""
-    if needs.after is None:
+    if needs.min_position is None:
         return False
-    if instance.position is not None and instance.position >= needs.after:
+    if (
+        instance.applied_position is not None
+        and instance.applied_position >= needs.min_position
+    ):
         return True
-    return needs.age >= instance.expected_lag(boottime) + LAG_MARGIN_S
+    return needs.position_age >= instance.expected_lag(boottime) + LAG_MARGIN_S
--- a/src/chicoryusher/decisions/register.py
+++ b/src/chicoryusher/decisions/register.py
@@ -19,7 +19,7 @@
 __all__ = [
     'ConfigDifference',
     'compile_document',
-    'differences',
+    'config_differences',
     'rebuild_document',
     'schema_problems',
 ]
@@ -187,7 +187,9 @@
     )
 
 
-def differences(before: Any, after: Any) -> tuple[ConfigDifference, ...]:
+def config_differences(
+    before: Any, after: Any
+) -> tuple[ConfigDifference, ...]:
     """Return the values that differ between two documents, by path.
 
     A value that one document does not have is an empty text there.
--- a/src/chicoryusher/decisions/routing.py
+++ b/src/chicoryusher/decisions/routing.py
@@ -14,7 +14,13 @@
 from chicoryusher import core
 from chicoryusher.decisions import configuration
 
-__all__ = ['GroupView', 'InstanceView', 'POLICIES', 'Route', 'Wanted']
+__all__ = [
+    'GroupHints',
+    'InstanceHints',
+    'POLICIES',
+    'Route',
+    'RouteRequirement',
+]
 
 # Seconds that a read may wait at a replica until it has caught up.
 CATCH_UP_TIMEOUT_S = 0.050
@@ -36,104 +42,104 @@
 
 
 @dataclasses.dataclass(slots=True)
-class InstanceView:
+class InstanceHints:
     """A router's hints about one instance.
 
-    ``path`` is the round trip in seconds to the instance through its
+    ``round_trip`` is the round trip in seconds to the instance through its
     gate.  New work is kept away until ``refused_until``.  Until
     ``busy_until`` all slots of the instance are assumed to be occupied
     by long statements.
     """
 
     spec: configuration.InstanceSpec
-    path: float = 0.0
+    round_trip: float = 0.0
     report: core.InstanceReport | None = None
-    heard_at: float = float('-inf')
+    reported_at: float = float('-inf')
     refused_until: float = float('-inf')
     busy_until: float = float('-inf')
 
     def lag(self, now: float) -> float:
         """Return the last reported lag in seconds, or an assumed one."""
-        if self.report is None or now - self.heard_at > REPORT_LIFETIME_S:
+        if self.report is None or now - self.reported_at > REPORT_LIFETIME_S:
             return ASSUMED_LAG_S
         return self.report.lag
 
     def cost(self, now: float) -> float:
         """Return the expected wait in seconds before an answer."""
         if self.busy_until > now:
-            return self.path + BUSY_WAIT_S
-        if self.report is None or now - self.heard_at > REPORT_LIFETIME_S:
-            return self.path
-        return self.path + self.report.queue_wait
+            return self.round_trip + BUSY_WAIT_S
+        if self.report is None or now - self.reported_at > REPORT_LIFETIME_S:
+            return self.round_trip
+        return self.round_trip + self.report.queue_wait
 
 
 class Route(NamedTuple):
     """The chosen instance, and the role that it must have.
 
-    ``patience`` is how many seconds the request may wait there until a
+    ``catch_up_timeout`` is how many seconds the request may wait there until a
     replica has caught up.
     """
 
     instance: core.InstanceName
     role: core.Role
-    patience: float = 0.0
+    catch_up_timeout: float = 0.0
 
 
-class Wanted(NamedTuple):
+class RouteRequirement(NamedTuple):
     """Requirements of a statement on the instance that runs it.
 
-    The instance must have applied ``position`` and be stale by at most
+    The instance must have applied ``min_position`` and be stale by at most
     ``max_staleness`` seconds.  ``since_write`` is how many seconds ago
     this router saw the session's last write finish; infinity without a
     write.
     """
 
     writes: bool
-    position: core.Position | None
+    min_position: core.Position | None
     max_staleness: float
     since_write: float = float('inf')
 
 
-class GroupView:
+class GroupHints:
     """A router's hints about one database group."""
 
     def __init__(self, database: core.DatabaseName) -> None:
         self.database = database
-        self.instances: dict[core.InstanceName, InstanceView] = {}
+        self.instances: dict[core.InstanceName, InstanceHints] = {}
         self.primary: core.InstanceName | None = None
         self.term = core.Term(0)
         self.turn = 0
 
-    def place(self, view: InstanceView) -> None:
+    def put_instance(self, view: InstanceHints) -> None:
         """Add an instance, or replace its specification and path."""
         previous = self.instances.get(view.spec.name)
         if previous is not None:
             view.report = previous.report
-            view.heard_at = previous.heard_at
+            view.reported_at = previous.reported_at
             view.refused_until = previous.refused_until
             view.busy_until = previous.busy_until
         self.instances[view.spec.name] = view
 
-    def keep_only(self, names: frozenset[core.InstanceName]) -> None:
+    def retain(self, names: frozenset[core.InstanceName]) -> None:
         """Remove the instances that are no longer in the register."""
         for removed in set(self.instances) - names:
             del self.instances[removed]
         if self.primary not in names:
             self.primary = None
 
-    def learn(self, report: core.InstanceReport, now: float) -> None:
+    def apply_report(self, report: core.InstanceReport, now: float) -> None:
         """Store a report; ignore its primary if its term is older."""
         view = self.instances.get(report.instance)
         if view is not None:
             view.report = report
-            view.heard_at = now
+            view.reported_at = now
             if not report.alive:
                 view.refused_until = now + DOWN_PAUSE_S
         if report.primary is not None and report.term >= self.term:
             self.term = report.term
             self.primary = report.primary
 
-    def refused(
+    def record_refusal(
         self, name: core.InstanceName, reason: core.MoveReason, now: float
     ) -> None:
         """Update the hints after an instance refused a request."""
@@ -150,7 +156,7 @@
         if reason in (core.MoveReason.DOWN, core.MoveReason.LEAVING):
             view.refused_until = now + DOWN_PAUSE_S
 
-    def writer(self, now: float) -> Route:
+    def primary_route(self, now: float) -> Route:
         """Return a route to the primary.
 
         While the primary is unknown or gets no new work, the route is to
@@ -186,14 +192,14 @@
     """
 
     def choose(
-        self, group: GroupView, requirement: Wanted, now: float
+        self, group: GroupHints, requirement: RouteRequirement, now: float
     ) -> Route:
         """Return where to run a statement.
 
         Raise NotRunError if the group has no instance.
         """
         if requirement.writes or requirement.max_staleness <= 0:
-            return group.writer(now)
+            return group.primary_route(now)
         best: tuple[float, core.InstanceName, float] | None = None
         for name, view in group.instances.items():
             if name == group.primary or view.refused_until > now:
@@ -204,17 +210,17 @@
             rank = (view.cost(now) + catch_up, name, catch_up)
             best = rank if best is None else min(best, rank)
         if best is None:
-            return group.writer(now)
+            return group.primary_route(now)
         cost, name, catch_up = best
         primary = group.instances.get(group.primary or name)
         if primary is not None and primary.refused_until <= now:
             if primary.cost(now) + PRIMARY_PENALTY_S < cost - catch_up:
-                return group.writer(now)
+                return group.primary_route(now)
         return Route(name, core.Role.REPLICA, CATCH_UP_TIMEOUT_S)
 
 
 def _catch_up_wait(
-    view: InstanceView, requirement: Wanted, now: float
+    view: InstanceHints, requirement: RouteRequirement, now: float
 ) -> float | None:
     """Return the expected seconds until a replica has caught up.
 
@@ -223,7 +229,7 @@
     lag = view.lag(now)
     if lag > requirement.max_staleness:
         return None
-    if requirement.position is None:
+    if requirement.min_position is None:
         return 0.0
     wait = max(0.0, lag * LAG_MARGIN_RATIO - requirement.since_write)
     return wait if wait <= CATCH_UP_TIMEOUT_S else None
@@ -234,10 +240,10 @@
     """Run every statement on the primary; a baseline for comparison."""
 
     def choose(
-        self, group: GroupView, requirement: Wanted, now: float
+        self, group: GroupHints, requirement: RouteRequirement, now: float
     ) -> Route:
         """Return the primary."""
-        return group.writer(now)
+        return group.primary_route(now)
 
 
 @POLICIES.register('round_robin')
@@ -248,14 +254,14 @@
         self._turn = 0
 
     def choose(
-        self, group: GroupView, requirement: Wanted, now: float
+        self, group: GroupHints, requirement: RouteRequirement, now: float
     ) -> Route:
         """Return the primary for a write, else the next instance."""
         if requirement.writes:
-            return group.writer(now)
+            return group.primary_route(now)
         names = sorted(group.instances)
         self._turn += 1
         name = names[self._turn % len(names)]
         if name == group.primary:
-            return group.writer(now)
+            return group.primary_route(now)
         return Route(name, core.Role.REPLICA, CATCH_UP_TIMEOUT_S)
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -14,12 +14,12 @@
 from chicoryusher import core
 
 __all__ = [
-    'DEFAULT_POLICY',
-    'Item',
+    'DEFAULT_QUEUE_POLICY',
+    'QueuedRequest',
     'POLICIES',
-    'Queue',
+    'QueuePolicy',
     'ServiceTimes',
-    'Shed',
+    'Rejection',
 ]
 
 # Expected seconds of a statement before any has run.
@@ -42,23 +42,23 @@
 # A running statement is overrun once it has taken this many times its
 # expected time.
 OVERRUN_RATIO = 3.0
-DEFAULT_POLICY = 'fair_short_first'
+DEFAULT_QUEUE_POLICY = 'fair_short_first'
 
 
 @dataclasses.dataclass(slots=True)
-class Item:
+class QueuedRequest:
     """One queued request.
 
-    ``arrived`` is when it came, ``deadline`` when it must be answered and
-    ``started`` when it began to run; ``expected`` is its expected service
-    time in seconds.
+    ``arrived_at`` is when it came, ``deadline`` when it must be answered and
+    ``started_at`` when it began to run; ``expected_service`` is its expected
+    service time in seconds.
     """
 
     submit: core.Submit
-    arrived: float
+    arrived_at: float
     deadline: float
-    expected: float = 0.0
-    started: float = 0.0
+    expected_service: float = 0.0
+    started_at: float = 0.0
     state: core.RequestState = core.RequestState.QUEUED
 
     @property
@@ -68,7 +68,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Shed:
+class Rejection:
     """Refusal to queue a request; ``retry_after`` is in seconds."""
 
     reason: str
@@ -98,36 +98,36 @@
             self._means.popitem(last=False)
 
 
-class Queue(Protocol):
+class QueuePolicy(Protocol):
     """A scheduling policy of one instance's queue."""
 
     slots: int
 
-    def offer(self, item: Item, now: float) -> Shed | None:
+    def offer(self, item: QueuedRequest, now: float) -> Rejection | None:
         """Queue the item, or return why it is refused."""
 
-    def take(self, now: float) -> Item | None:
+    def pop_next(self, now: float) -> QueuedRequest | None:
         """Remove and return the item to run next, None if none may run."""
 
-    def put_back(self, item: Item) -> None:
+    def requeue(self, item: QueuedRequest) -> None:
         """Queue an item again that was accepted before."""
 
-    def stuck(self, now: float) -> bool:
+    def all_slots_overrun(self, now: float) -> bool:
         """Return whether all slots are occupied by overrun statements."""
 
-    def started(self, item: Item, now: float) -> None:
+    def record_start(self, item: QueuedRequest, now: float) -> None:
         """Record that an item occupies a slot."""
 
-    def finished(self, item: Item, seconds: float) -> None:
+    def record_finish(self, item: QueuedRequest, seconds: float) -> None:
         """Record that an item released its slot after ``seconds``."""
 
-    def expire(self, now: float) -> list[Item]:
+    def remove_expired(self, now: float) -> list[QueuedRequest]:
         """Remove and return the items whose deadline has passed."""
 
-    def drain(self) -> list[Item]:
+    def drain(self) -> list[QueuedRequest]:
         """Remove and return every queued item."""
 
-    def wait(self, now: float) -> float:
+    def expected_wait(self, now: float) -> float:
         """Return the expected wait of a new item in seconds."""
 
     def __len__(self) -> int: ...
@@ -142,8 +142,8 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.times = ServiceTimes()
-        self._items: list[Item] = []
-        self._running: dict[core.RequestId, Item] = {}
+        self._items: list[QueuedRequest] = []
+        self._running: dict[core.RequestId, QueuedRequest] = {}
 
     def __len__(self) -> int:
         return len(self._items)
@@ -153,30 +153,30 @@
         """Return how many slots are occupied."""
         return len(self._running)
 
-    def put_back(self, item: Item) -> None:
+    def requeue(self, item: QueuedRequest) -> None:
         """Queue an item again that was accepted before."""
         self._items.append(item)
 
-    def started(self, item: Item, now: float) -> None:
+    def record_start(self, item: QueuedRequest, now: float) -> None:
         """Record that an item occupies a slot."""
-        item.started = now
+        item.started_at = now
         self._running[item.request.request_id] = item
 
-    def stuck(self, now: float) -> bool:
+    def all_slots_overrun(self, now: float) -> bool:
         """Return whether all slots are occupied by overrun statements."""
         if self.running < self.slots:
             return False
         return all(
-            now - item.started > OVERRUN_RATIO * item.expected
+            now - item.started_at > OVERRUN_RATIO * item.expected_service
             for item in self._running.values()
         )
 
-    def finished(self, item: Item, seconds: float) -> None:
+    def record_finish(self, item: QueuedRequest, seconds: float) -> None:
         """Record that an item released its slot."""
         if self._running.pop(item.request.request_id, None) is not None:
             self.times.observe(item.request.statement_class, seconds)
 
-    def expire(self, now: float) -> list[Item]:
+    def remove_expired(self, now: float) -> list[QueuedRequest]:
         """Remove and return the items that can't finish in time."""
         expired = [item for item in self._items if self._expired(item, now)]
         if expired:
@@ -185,19 +185,19 @@
             ]
         return expired
 
-    def _expired(self, item: Item, now: float) -> bool:
+    def _expired(self, item: QueuedRequest, now: float) -> bool:
         return item.deadline <= now
 
-    def drain(self) -> list[Item]:
+    def drain(self) -> list[QueuedRequest]:
         """Remove and return every queued item."""
         items, self._items = self._items, []
         return items
 
-    def wait(self, now: float) -> float:
+    def expected_wait(self, now: float) -> float:
         """Return the expected wait of a new item in seconds."""
         if self.running < self.slots and not self._items:
             return 0.0
-        work = sum(item.expected for item in self._items)
+        work = sum(item.expected_service for item in self._items)
         return self._until_free(now) + work / self.slots
 
     def _until_free(self, now: float) -> float:
@@ -210,14 +210,16 @@
             return 0.0
         remaining = []
         for item in self._running.values():
-            elapsed = now - item.started
-            overrun = elapsed > item.expected
-            remaining.append(elapsed if overrun else item.expected - elapsed)
+            elapsed = now - item.started_at
+            overrun = elapsed > item.expected_service
+            remaining.append(
+                elapsed if overrun else item.expected_service - elapsed
+            )
         return min(remaining)
 
-    def _set_expected(self, item: Item) -> None:
+    def _set_expected(self, item: QueuedRequest) -> None:
         name = item.request.statement_class
-        item.expected = self.times.expected(name)
+        item.expected_service = self.times.expected(name)
 
 
 @POLICIES.register('fifo')
@@ -226,20 +228,20 @@
 
     max_items = 256
 
-    def offer(self, item: Item, now: float) -> Shed | None:
+    def offer(self, item: QueuedRequest, now: float) -> Rejection | None:
         """Queue the item unless the queue is full."""
         self._set_expected(item)
         if len(self._items) >= self.max_items:
-            return Shed('the queue is full', MIN_RETRY_AFTER_S)
+            return Rejection('the queue is full', MIN_RETRY_AFTER_S)
         self._items.append(item)
         return None
 
-    def take(self, now: float) -> Item | None:
+    def pop_next(self, now: float) -> QueuedRequest | None:
         """Remove and return the oldest item."""
         return self._items.pop(0) if self._items else None
 
 
-@POLICIES.register(DEFAULT_POLICY)
+@POLICIES.register(DEFAULT_QUEUE_POLICY)
 class FairShortFirstQueue(_BaseQueue):
     """Short statements first, fair between callers, bounded by the wait.
 
@@ -253,17 +255,17 @@
         self._consumed: dict[core.CallerName, float] = {}
         self._baseline = 0.0
 
-    def offer(self, item: Item, now: float) -> Shed | None:
+    def offer(self, item: QueuedRequest, now: float) -> Rejection | None:
         """Queue the item if it can be answered by its deadline."""
         self._set_expected(item)
         if len(self._items) >= MAX_QUEUE_ITEMS:
-            return Shed('the queue is full', MIN_RETRY_AFTER_S)
+            return Rejection('the queue is full', MIN_RETRY_AFTER_S)
         expected_wait = self._work_ahead(item) / self._usable_slots(item)
         expected_wait += self._until_free(now)
-        max_wait = item.deadline - now - item.expected
+        max_wait = item.deadline - now - item.expected_service
         if expected_wait > max_wait:
             retry_after = max(MIN_RETRY_AFTER_S, expected_wait - max_wait)
-            return Shed('the expected wait is too long', retry_after)
+            return Rejection('the expected wait is too long', retry_after)
         self._items.append(item)
         caller = item.request.caller
         self._consumed[caller] = max(
@@ -271,23 +273,23 @@
         )
         return None
 
-    def wait(self, now: float) -> float:
+    def expected_wait(self, now: float) -> float:
         """Return the expected wait of a new short statement in seconds."""
         short = [
-            item.expected
+            item.expected_service
             for item in self._items
-            if not self._is_long(item.expected)
+            if not self._is_long(item.expected_service)
         ]
         if self.running < self.slots and not short:
             return 0.0
         usable_slots = max(1, self.slots - self._long_running())
         return self._until_free(now) + sum(short) / usable_slots
 
-    def _expired(self, item: Item, now: float) -> bool:
+    def _expired(self, item: QueuedRequest, now: float) -> bool:
         """Return whether the item is not expected to finish in time."""
-        return item.deadline <= now + item.expected
+        return item.deadline <= now + item.expected_service
 
-    def take(self, now: float) -> Item | None:
+    def pop_next(self, now: float) -> QueuedRequest | None:
         """Remove and return the best item that may have a slot now.
 
         In the first half of its time, a request marked ``may_wait`` is
@@ -296,15 +298,15 @@
         """
         may_be_long = self._long_running() < self._max_long_slots()
         busy = self.running > 0
-        best: Item | None = None
+        best: QueuedRequest | None = None
         best_rank = float('inf')
         for item in self._items:
             if self._expired(item, now) or self._needs_reserved_slot(item):
                 continue
-            if self._is_long(item.expected) and not may_be_long:
+            if self._is_long(item.expected_service) and not may_be_long:
                 continue
             if item.request.marks.may_wait and busy and self._has_urgent():
-                if now - item.arrived < item.deadline - now:
+                if now - item.arrived_at < item.deadline - now:
                     continue
             rank = self._rank(item, now)
             if rank < best_rank:
@@ -313,27 +315,27 @@
             self._items.remove(best)
         return best
 
-    def started(self, item: Item, now: float) -> None:
+    def record_start(self, item: QueuedRequest, now: float) -> None:
         """Charge the item's expected time to its caller."""
-        super().started(item, now)
+        super().record_start(item, now)
         caller = item.request.caller
         consumed = self._consumed.get(caller, self._baseline)
         self._baseline = max(
             self._baseline, min(self._consumed.values(), default=0)
         )
-        self._consumed[caller] = consumed + item.expected
+        self._consumed[caller] = consumed + item.expected_service
 
-    def finished(self, item: Item, seconds: float) -> None:
+    def record_finish(self, item: QueuedRequest, seconds: float) -> None:
         """Correct the caller's charge to the measured time."""
-        super().finished(item, seconds)
+        super().record_finish(item, seconds)
         caller = item.request.caller
         if caller in self._consumed:
-            self._consumed[caller] += seconds - item.expected
+            self._consumed[caller] += seconds - item.expected_service
         if not self._items and not self._running:
             self._consumed.clear()
             self._baseline = 0.0
 
-    def _needs_reserved_slot(self, item: Item) -> bool:
+    def _needs_reserved_slot(self, item: QueuedRequest) -> bool:
         """Return whether the item would take the slot reserved for writes.
 
         A primary with several slots reserves one of them for writes.
@@ -345,12 +347,12 @@
         )
         return reads >= self.slots - 1
 
-    def _rank(self, item: Item, now: float) -> float:
+    def _rank(self, item: QueuedRequest, now: float) -> float:
         """Return the rank in seconds; the lowest rank runs first."""
-        waited = now - item.arrived
+        waited = now - item.arrived_at
         consumed = self._consumed.get(item.request.caller, self._baseline)
         return (
-            item.expected
+            item.expected_service
             + FAIRNESS_RATIO * (consumed - self._baseline) / self.slots
             - AGEING_RATIO * waited
         )
@@ -374,28 +376,28 @@
         return sum(
             1
             for item in self._running.values()
-            if self._is_long(item.expected)
+            if self._is_long(item.expected_service)
         )
 
     def _max_long_slots(self) -> int:
         """Return how many slots long statements may occupy at once."""
         return max(1, self.slots - 1)
 
-    def _usable_slots(self, item: Item) -> int:
+    def _usable_slots(self, item: QueuedRequest) -> int:
         """Return how many slots can run the item."""
-        if self._is_long(item.expected):
+        if self._is_long(item.expected_service):
             return self._max_long_slots()
         return max(1, self.slots - self._long_running())
 
-    def _work_ahead(self, item: Item) -> float:
+    def _work_ahead(self, item: QueuedRequest) -> float:
         """Return the seconds of queued work that goes before the item."""
         return sum(
-            other.expected
+            other.expected_service
             for other in self._items
-            if other.expected <= item.expected
+            if other.expected_service <= item.expected_service
         )
 
 
-def _is_primary_read(item: Item) -> bool:
+def _is_primary_read(item: QueuedRequest) -> bool:
     at_primary = item.submit.role is core.Role.PRIMARY
     return at_primary and item.request.kind is core.StatementKind.READ
--- a/src/chicoryusher/decisions/freshness.py
+++ b/src/chicoryusher/decisions/staleness.py
@@ -13,7 +13,7 @@
 
 from chicoryusher import core
 
-__all__ = ['Freshness']
+__all__ = ['StalenessBounds']
 
 MAX_HISTORY_ENTRIES = 256
 
@@ -25,20 +25,20 @@
     position: core.Position
 
 
-class Freshness:
+class StalenessBounds:
     """Positions of a group's primary over time.
 
-    ``starts`` are the positions at which terms began; they are needed to
+    ``term_starts`` are the positions at which terms began; they are needed to
     compare positions of different terms.
     """
 
     def __init__(self) -> None:
-        self.starts: tuple[core.TermStart, ...] = ()
+        self.term_starts: tuple[core.TermStart, ...] = ()
         self._history: collections.deque[_Observation] = collections.deque(
             maxlen=MAX_HISTORY_ENTRIES
         )
 
-    def primary_seen(
+    def record_primary(
         self,
         began_at: float,
         applied: core.Position,
@@ -50,18 +50,20 @@
         later, so ``applied`` includes everything committed before
         ``began_at``.
         """
-        self.starts = starts
+        self.term_starts = starts
         if self._history and self._history[-1].at >= began_at:
             return
         self._history.append(_Observation(began_at, applied))
 
-    def bound(self, applied: core.Position, now: float) -> float:
+    def max_staleness(self, applied: core.Position, now: float) -> float:
         """Return the most seconds that ``applied`` is stale by.
 
         Infinity if no recorded position of the primary proves a bound.
         """
         for observation in reversed(self._history):
-            if core.covers(applied, observation.position, self.starts):
+            if core.log_contains(
+                applied, observation.position, self.term_starts
+            ):
                 return max(0.0, now - observation.at)
         return float('inf')
 
@@ -73,7 +75,9 @@
         """
         missing_since = at
         for observation in reversed(self._history):
-            if core.covers(applied, observation.position, self.starts):
+            if core.log_contains(
+                applied, observation.position, self.term_starts
+            ):
                 break
             missing_since = min(missing_since, observation.at)
         return max(0.0, at - missing_since)
--- a/src/chicoryusher/decisions/waiting.py
+++ b/src/chicoryusher/decisions/work_queue.py
@@ -6,10 +6,10 @@
 
 from chicoryusher import core
 
-__all__ = ['WaitingWork']
+__all__ = ['WorkQueue']
 
 
-class WaitingWork:
+class WorkQueue:
     """Work ordered by its priority, then by its latest start time.
 
     Work with the lowest ``priority`` number runs first.
@@ -25,21 +25,23 @@
         """Queue a piece of work."""
         bisect.insort(self._items, work, key=_rank)
 
-    def take(self, now: float) -> core.Work | None:
+    def pop_next(self, now: float) -> core.Work | None:
         """Remove and return the first work that can start in time, or None.
 
-        Work whose start time has passed stays queued until ``expire``.
+        Work whose start time has passed stays queued until ``remove_expired``.
         """
         for index, work in enumerate(self._items):
-            if work.start_by > now:
+            if work.start_deadline > now:
                 return self._items.pop(index)
         return None
 
-    def expire(self, now: float) -> list[core.Work]:
+    def remove_expired(self, now: float) -> list[core.Work]:
         """Remove and return the work whose latest start time has passed."""
-        expired = [work for work in self._items if work.start_by <= now]
+        expired = [work for work in self._items if work.start_deadline <= now]
         if expired:
-            self._items = [work for work in self._items if work.start_by > now]
+            self._items = [
+                work for work in self._items if work.start_deadline > now
+            ]
         return expired
 
     def cancel(self, work_id: core.WorkId) -> bool:
@@ -57,4 +59,4 @@
 
 
 def _rank(work: core.Work) -> tuple[int, float]:
-    return work.priority, work.start_by
+    return work.priority, work.start_deadline
--- a/src/chicoryusher/decisions/zones.py
+++ b/src/chicoryusher/decisions/zones.py
@@ -13,10 +13,10 @@
     own: core.ZoneName,
     other: core.ZoneName,
     region_of: Callable[[core.ZoneName], core.RegionName | None],
-) -> core.Nearness:
+) -> core.ZoneDistance:
     """Return whether two zones are the same, or are in the same region."""
     if own == other:
-        return core.Nearness.SAME_ZONE
+        return core.ZoneDistance.SAME_ZONE
     if region_of(own) == region_of(other):
-        return core.Nearness.SAME_REGION
-    return core.Nearness.OTHER_REGION
+        return core.ZoneDistance.SAME_REGION
+    return core.ZoneDistance.OTHER_REGION
--- a/src/chicoryusher/frontends/mysql/callers.py
+++ b/src/chicoryusher/frontends/mysql/caller_conn.py
@@ -65,9 +65,9 @@
         self.session_id = session_id
         self.stream = stream
         self.nonce = nonce
-        self.framer = wire.Framer(MAX_HANDSHAKE_BYTES)
+        self.framer = wire.PacketReader(MAX_HANDSHAKE_BYTES)
         self.phase = ConnPhase.HANDSHAKE_RESPONSE
-        self.handshake: wire.CallerHello | None = None
+        self.handshake: wire.HandshakeResponse | None = None
         self.caller = core.CallerName('')
         self.user = ''
         self.database: core.DatabaseName | None = None
@@ -87,7 +87,7 @@
 
     def reply(self, payload: bytes) -> None:
         """Write one packet as the answer to the current command."""
-        self.stream.write(wire.frame(payload, self.reply_sequence))
+        self.stream.write(wire.make_packets(payload, self.reply_sequence))
 
     def reply_ok(self) -> None:
         """Write an OK packet with the session's status flags."""
--- a/src/chicoryusher/frontends/mysql/commands.py
+++ b/src/chicoryusher/frontends/mysql/commands.py
@@ -17,7 +17,7 @@
 
 from chicoryusher import core
 from chicoryusher import wire
-from chicoryusher.frontends.mysql import callers
+from chicoryusher.frontends.mysql import caller_conn
 from chicoryusher.frontends.mysql import marks
 from chicoryusher.frontends.mysql import statements
 
@@ -55,7 +55,7 @@
 )
 
 CommandHandler = Callable[
-    ['RequestIds', callers.CallerConn, bytes], core.Message | None
+    ['RequestIds', caller_conn.CallerConn, bytes], core.Message | None
 ]
 COMMAND_HANDLERS: core.Registry[CommandHandler] = core.Registry('command')
 
@@ -73,7 +73,7 @@
 
 
 def run_command(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     """Run the handler of a command.
 
@@ -94,7 +94,7 @@
 
 @_handles(_CODES.COM_QUIT)
 def _quit(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.closing = True
     return None
@@ -103,7 +103,7 @@
 @_handles(_CODES.COM_PING)
 @_handles(_CODES.COM_DEBUG)
 def _ping(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.reply_ok()
     return None
@@ -111,7 +111,7 @@
 
 @_handles(_CODES.COM_SET_OPTION)
 def _set_option(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.reply(
         packets.make_eof(
@@ -124,20 +124,20 @@
 
 @_handles(_CODES.COM_INIT_DB)
 def _init_db(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     name = core.DatabaseName(_decode_text(payload[1:]))
-    conn.phase = callers.ConnPhase.AWAITING_ROUTER
+    conn.phase = caller_conn.ConnPhase.AWAITING_ROUTER
     return core.UseDatabase(conn.session_id, name)
 
 
 @_handles(_CODES.COM_QUERY)
 def _query(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     sql = _decode_text(payload[1:])
     if _GET_TOKEN.match(sql):
-        conn.phase = callers.ConnPhase.AWAITING_ROUTER
+        conn.phase = caller_conn.ConnPhase.AWAITING_ROUTER
         return core.TokenRequest(conn.session_id)
     token = _SET_TOKEN.match(sql)
     if token is not None:
@@ -155,7 +155,7 @@
 
 
 def _set_session_option(
-    request_ids: RequestIds, conn: callers.CallerConn, sql: str
+    request_ids: RequestIds, conn: caller_conn.CallerConn, sql: str
 ) -> core.Message | None:
     """Handle a SET statement that the front end answers itself.
 
@@ -175,13 +175,13 @@
 
 @_handles(_CODES.COM_STMT_PREPARE)
 def _prepare(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     if len(conn.prepared) >= MAX_PREPARED_STATEMENTS:
         raise core.StatementUnsupported('too many prepared statements')
     sql = _decode_text(payload[1:])
     statement = statements.classify(sql)
-    prepared = callers.PreparedStatement(
+    prepared = caller_conn.PreparedStatement(
         sql, statement, marks.marks_from_comments(sql)
     )
     request = _request(
@@ -189,12 +189,12 @@
     )
     conn.pending_prepare = prepared
     kind = core.StatementKind.PREPARE
-    return dataclasses.replace(request, kind=kind, begin=None)
+    return dataclasses.replace(request, kind=kind, begin_payload=None)
 
 
 @_handles(_CODES.COM_STMT_EXECUTE)
 def _execute(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     prepared = _find_prepared(conn, payload)
     if payload[5:6] != b'\0':
@@ -211,7 +211,7 @@
 
 @_handles(_CODES.COM_STMT_SEND_LONG_DATA)
 def _send_long_data(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     prepared = _find_prepared(conn, payload)
     pending_bytes = sum(len(data) for data in prepared.long_data) + len(
@@ -226,7 +226,7 @@
 
 @_handles(_CODES.COM_STMT_RESET)
 def _reset(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     _find_prepared(conn, payload).long_data.clear()
     conn.reply_ok()
@@ -235,7 +235,7 @@
 
 @_handles(_CODES.COM_STMT_CLOSE)
 def _close(
-    request_ids: RequestIds, conn: callers.CallerConn, payload: bytes
+    request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     conn.prepared.pop(
         int.from_bytes(payload[STATEMENT_ID_SLICE], 'little'), None
@@ -244,8 +244,8 @@
 
 
 def _find_prepared(
-    conn: callers.CallerConn, payload: bytes
-) -> callers.PreparedStatement:
+    conn: caller_conn.CallerConn, payload: bytes
+) -> caller_conn.PreparedStatement:
     statement_id = int.from_bytes(payload[STATEMENT_ID_SLICE], 'little')
     if (
         len(payload) < STATEMENT_ID_SLICE.stop
@@ -256,7 +256,7 @@
 
 
 def _with_parameter_types(
-    prepared: callers.PreparedStatement, payload: bytes
+    prepared: caller_conn.PreparedStatement, payload: bytes
 ) -> bytes:
     """Return an execute command that contains the parameter types.
 
@@ -285,7 +285,7 @@
 
 def _request(
     request_ids: RequestIds,
-    conn: callers.CallerConn,
+    conn: caller_conn.CallerConn,
     statement: statements.ClassifiedStatement,
     statement_marks: core.Marks | None,
     payload: core.Payload,
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -12,13 +12,13 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher import wire
-from chicoryusher.frontends.mysql import callers
+from chicoryusher.frontends.mysql import caller_conn
 from chicoryusher.frontends.mysql import commands
 from chicoryusher.frontends.mysql import marks
 
 __all__ = ['FrontendLimits', 'MysqlFrontend', 'User']
 
-ConnPhase = callers.ConnPhase
+ConnPhase = caller_conn.ConnPhase
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,11 +77,11 @@
             address, loop.poller, self.task_name
         )
         self.address = self._listener.address
-        self._by_fileno: dict[int, callers.CallerConn] = {}
-        self._by_session: dict[core.SessionId, callers.CallerConn] = {}
-        self._by_request: dict[core.RequestId, callers.CallerConn] = {}
-        self._unflushed: set[callers.CallerConn] = set()
-        self._handshakes = decisions.Newcomers(
+        self._by_fileno: dict[int, caller_conn.CallerConn] = {}
+        self._by_session: dict[core.SessionId, caller_conn.CallerConn] = {}
+        self._by_request: dict[core.RequestId, caller_conn.CallerConn] = {}
+        self._unflushed: set[caller_conn.CallerConn] = set()
+        self._handshakes = decisions.PendingHandshakes(
             limits.max_newcomers, limits.handshake_timeout
         )
         self._accepted_count = 0
@@ -114,7 +114,7 @@
             session = core.SessionId(
                 f'{self.vm}:{self._incarnation}:s{self._accepted_count}'
             )
-            conn = callers.CallerConn(session, stream, wire.new_nonce())
+            conn = caller_conn.CallerConn(session, stream, wire.new_nonce())
             self._by_fileno[stream.fileno] = conn
             self._by_session[session] = conn
             self._unflushed.add(conn)
@@ -124,14 +124,14 @@
                 self._refuse(conn, core.TooManyCallers('too many callers'))
                 continue
             stream.write(
-                wire.frame(
+                wire.make_packets(
                     wire.make_greeting(self._accepted_count, conn.nonce)
                 )
             )
             self._schedule_handshake_check()
 
     def _schedule_handshake_check(self) -> None:
-        delay = self._handshakes.next_late(self.now())
+        delay = self._handshakes.seconds_to_expiry(self.now())
         if delay is not None and self._handshake_timer is None:
             self._handshake_timer = self.after(delay, _HandshakeCheck())
 
@@ -139,12 +139,14 @@
     def _on_handshake_check(self, check: _HandshakeCheck) -> None:
         """Close connections whose handshake has timed out."""
         self._handshake_timer = None
-        for session_id in self._handshakes.late(self.now()):
-            self.log.emit(core.LogEvent.CALLER_SILENT, session=session_id)
+        for session_id in self._handshakes.expired(self.now()):
+            self.log.emit(
+                core.LogEvent.HANDSHAKE_TIMED_OUT, session=session_id
+            )
             self._close(self._by_session[session_id])
         self._schedule_handshake_check()
 
-    def _receive(self, conn: callers.CallerConn) -> None:
+    def _receive(self, conn: caller_conn.CallerConn) -> None:
         data = conn.stream.read()
         if conn.stream.closed:
             self._close(conn)
@@ -164,7 +166,7 @@
         if len(conn.pending_packets) > self._limits.max_backlog:
             conn.stream.set_reading(False)
 
-    def _run_pending(self, conn: callers.CallerConn) -> None:
+    def _run_pending(self, conn: caller_conn.CallerConn) -> None:
         """Handle queued packets until one has to wait for an answer."""
         while conn.pending_packets and not conn.closing:
             if conn.phase in (ConnPhase.BUSY, ConnPhase.AWAITING_ROUTER):
@@ -189,7 +191,9 @@
                 conn.reply_error(exc)
             self._unflushed.add(conn)
 
-    def _handle_packet(self, conn: callers.CallerConn, payload: bytes) -> None:
+    def _handle_packet(
+        self, conn: caller_conn.CallerConn, payload: bytes
+    ) -> None:
         if conn.phase is ConnPhase.HANDSHAKE_RESPONSE:
             self._receive_handshake_response(conn, payload)
             return
@@ -207,23 +211,25 @@
         self.send(self._router, message)
 
     def _receive_handshake_response(
-        self, conn: callers.CallerConn, payload: bytes
+        self, conn: caller_conn.CallerConn, payload: bytes
     ) -> None:
-        handshake = wire.parse_hello(payload)
+        handshake = wire.parse_handshake_response(payload)
         conn.handshake = handshake
         conn.user = handshake.user
-        if handshake.method not in wire.METHODS:
+        if handshake.method not in wire.AUTH_METHODS:
             conn.phase = ConnPhase.AUTH_SWITCH_RESPONSE
-            conn.reply(wire.auth_switch(wire.DEFAULT_METHOD, conn.nonce))
+            conn.reply(wire.make_auth_switch(wire.DEFAULT_METHOD, conn.nonce))
             return
         self._authenticate(conn, handshake.method, handshake.response)
 
     def _authenticate(
-        self, conn: callers.CallerConn, method: str, response: bytes
+        self, conn: caller_conn.CallerConn, method: str, response: bytes
     ) -> None:
         user = self._users.get(conn.user)
         password = user.password if user is not None else self._incarnation
-        is_valid = wire.verify(method, password, conn.nonce, response)
+        is_valid = wire.verify_auth_response(
+            method, password, conn.nonce, response
+        )
         if user is None or not is_valid:
             raise core.AuthError(f'access denied for user {conn.user!r}')
         if method == wire.DEFAULT_METHOD:
@@ -235,7 +241,7 @@
         conn.framer.max_bytes = self._limits.max_packet_bytes
         conn.marks = marks.marks_from_pairs(handshake.attributes)
         conn.phase = ConnPhase.AWAITING_ROUTER
-        self._handshakes.settle(conn.session_id)
+        self._handshakes.finish(conn.session_id)
         database_name = handshake.database
         conn.database = (
             core.DatabaseName(database_name) if database_name else None
@@ -324,8 +330,8 @@
 
     def _finish_prepare(
         self,
-        conn: callers.CallerConn,
-        prepared: callers.PreparedStatement,
+        conn: caller_conn.CallerConn,
+        prepared: caller_conn.PreparedStatement,
         data: bytes,
     ) -> None:
         """Store a prepared statement and send its answer.
@@ -348,7 +354,7 @@
             )
         conn.stream.write(data)
 
-    def _accept_commands(self, conn: callers.CallerConn) -> None:
+    def _accept_commands(self, conn: caller_conn.CallerConn) -> None:
         """Continue with the next command, or close the connection on drain."""
         conn.phase = ConnPhase.READY
         self._unflushed.add(conn)
@@ -359,7 +365,7 @@
         self._run_pending(conn)
 
     def _refuse_login(
-        self, conn: callers.CallerConn, error: core.CallerError
+        self, conn: caller_conn.CallerConn, error: core.CallerError
     ) -> None:
         self.log.emit(
             core.LogEvent.CALLER_REFUSED,
@@ -370,7 +376,7 @@
         self._refuse(conn, error)
 
     def _refuse(
-        self, conn: callers.CallerConn, error: core.CallerError
+        self, conn: caller_conn.CallerConn, error: core.CallerError
     ) -> None:
         conn.reply_error(error)
         conn.closing = True
@@ -390,21 +396,22 @@
             elif conn.unreported_bytes:
                 self._report_consumed(conn)
 
-    def _report_consumed(self, conn: callers.CallerConn) -> None:
+    def _report_consumed(self, conn: caller_conn.CallerConn) -> None:
         """Report written result bytes to the router, which sends more."""
         if conn.stream.pending > self._limits.low_water_bytes:
             return
         if conn.request_id is None:
             return
         self.send(
-            self._router, core.Consumed(conn.request_id, conn.unreported_bytes)
+            self._router,
+            core.AnswerConsumed(conn.request_id, conn.unreported_bytes),
         )
         conn.unreported_bytes = 0
 
-    def _close(self, conn: callers.CallerConn) -> None:
+    def _close(self, conn: caller_conn.CallerConn) -> None:
         self._by_fileno.pop(conn.stream.fileno, None)
         self._by_session.pop(conn.session_id, None)
-        self._handshakes.settle(conn.session_id)
+        self._handshakes.finish(conn.session_id)
         if conn.request_id is not None:
             self._by_request.pop(conn.request_id, None)
         conn.stream.close()
--- a/src/chicoryusher/peers/__init__.py
+++ b/src/chicoryusher/peers/__init__.py
@@ -4,7 +4,7 @@
 
 from chicoryusher.peers.stream import Traffic
 from chicoryusher.peers.task import Peers
-from chicoryusher.peers.task import PeerWatchers
-from chicoryusher.peers.task import receiver_of
+from chicoryusher.peers.task import PeerSubscribers
+from chicoryusher.peers.task import receiving_task
 
-__all__ = ['PeerWatchers', 'Peers', 'Traffic', 'receiver_of']
+__all__ = ['PeerSubscribers', 'Peers', 'Traffic', 'receiving_task']
--- a/src/chicoryusher/peers/stream.py
+++ b/src/chicoryusher/peers/stream.py
@@ -50,7 +50,7 @@
     STATEMENTS = 'statements'
 
 
-_CONTROL_MESSAGES = (core.Heartbeat, core.ConfigFetch, core.ConfigOffer)
+_CONTROL_MESSAGES = (core.Heartbeat, core.FetchConfig, core.ConfigOffer)
 
 
 class PeerStream:
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -9,7 +9,7 @@
 from chicoryusher import tasks
 from chicoryusher.peers import stream as stream_module
 
-__all__ = ['PeerWatchers', 'Peers', 'receiver_of']
+__all__ = ['PeerSubscribers', 'Peers', 'receiving_task']
 
 HANDSHAKE_TIMEOUT_S = 1.0
 CONNECT_DELAY_S = 0.25
@@ -40,7 +40,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PeerWatchers:
+class PeerSubscribers:
     """Tasks that are notified of streams and of undelivered messages.
 
     ``up`` and ``down`` are notified when an authenticated stream opens or
@@ -55,10 +55,10 @@
     undelivered: tuple[core.TaskName, ...] = ()
 
 
-def _default_watchers(vm: core.VmName) -> PeerWatchers:
+def _default_watchers(vm: core.VmName) -> PeerSubscribers:
     router = tasks.names.router(vm)
     membership = tasks.names.membership(vm)
-    return PeerWatchers(
+    return PeerSubscribers(
         up=(membership,),
         down=(router, membership, tasks.names.node(vm)),
         unreachable=(membership,),
@@ -80,7 +80,7 @@
         vm: core.VmName,
         address: runtime.Address,
         key: bytes,
-        watchers: PeerWatchers | None = None,
+        watchers: PeerSubscribers | None = None,
     ) -> None:
         super().__init__(loop, vm, 'peers')
         self._watchers = watchers or _default_watchers(vm)
@@ -106,8 +106,8 @@
         )
         return open_stream_bytes + self._closed_sent_bytes.get(traffic, 0)
 
-    @runtime.handles(tasks.ConfigInForce)
-    def _on_config(self, message: tasks.ConfigInForce) -> None:
+    @runtime.handles(tasks.ConfigUpdate)
+    def _on_config(self, message: tasks.ConfigUpdate) -> None:
         self._addresses = {
             entry.name: (entry.host, entry.port)
             for entry in message.config.vms
@@ -131,8 +131,8 @@
             if state is core.VmState.GONE and peer is not None:
                 self._close_stream(peer)
 
-    @runtime.handles(core.ToPeer)
-    def _on_send(self, message: core.ToPeer) -> None:
+    @runtime.handles(core.SendToPeer)
+    def _on_send(self, message: core.SendToPeer) -> None:
         vm = message.vm
         peer = self._streams_by_vm.get(vm)
         if peer is not None:
@@ -275,7 +275,7 @@
     def _dispatch(self, message: core.Message) -> None:
         """Pass a message on to its task; ignore those without one."""
         if type(message) in _RECEIVER_BY_TYPE:
-            self.send(receiver_of(self.vm, message), message)
+            self.send(receiving_task(self.vm, message), message)
 
     def _close_stream(self, peer: PeerStream) -> None:
         """Close a stream and notify the tasks that depend on it.
@@ -353,17 +353,17 @@
 def _to_primary_manager(
     vm: core.VmName, message: core.Message
 ) -> core.TaskName:
-    return tasks.names.keeper(vm)
+    return tasks.names.primary_manager(vm)
 
 
 def _to_view_exchange(vm: core.VmName, message: core.Message) -> core.TaskName:
-    return tasks.names.exchange(vm)
+    return tasks.names.view_exchange(vm)
 
 
 def _to_reachability_monitor(
     vm: core.VmName, message: core.Message
 ) -> core.TaskName:
-    return tasks.names.watch(vm)
+    return tasks.names.reachability_monitor(vm)
 
 
 def _to_forwarder(vm: core.VmName, message: core.Message) -> core.TaskName:
@@ -381,28 +381,28 @@
     core.RelayEnded: _to_forwarder,
     core.Ping: _to_view_exchange,
     core.Pong: _to_view_exchange,
-    core.ViewFetch: _to_view_exchange,
-    core.LeadsInStore: _to_view_exchange,
-    core.PoolConfigInForce: _to_view_exchange,
+    core.FetchView: _to_view_exchange,
+    core.LeaderRowsRead: _to_view_exchange,
+    core.PoolConfigUpdate: _to_view_exchange,
     core.RegisteredInstances: _to_view_exchange,
-    core.NodesInStore: _to_view_exchange,
-    core.Suspicion: _to_reachability_monitor,
-    core.Opinion: _to_reachability_monitor,
+    core.EntryVmRowsRead: _to_view_exchange,
+    core.ReachabilityQuery: _to_reachability_monitor,
+    core.ReachabilityReply: _to_reachability_monitor,
     core.FencePrimary: _to_primary_manager,
     core.PrimaryFenced: _to_primary_manager,
-    core.Reopened: _to_primary_manager,
+    core.PrimaryReopened: _to_primary_manager,
     core.Submit: _to_node,
     core.AbortTransaction: _to_node,
-    core.Consumed: _to_node,
+    core.AnswerConsumed: _to_node,
     core.Answer: _to_router,
     core.ResultChunk: _to_router,
-    core.GateMoved: _to_router,
+    core.RequestMoved: _to_router,
     core.Heartbeat: _to_membership,
-    core.ConfigFetch: _to_configurator,
+    core.FetchConfig: _to_configurator,
     core.ConfigOffer: _to_configurator,
 }
 
 
-def receiver_of(vm: core.VmName, message: core.Message) -> core.TaskName:
+def receiving_task(vm: core.VmName, message: core.Message) -> core.TaskName:
     """Return the task of this VM that handles a peer's message."""
     return _RECEIVER_BY_TYPE[type(message)](vm, message)
--- a/src/chicoryusher/runtime/logs.py
+++ b/src/chicoryusher/runtime/logs.py
@@ -13,7 +13,7 @@
 
 from chicoryusher import core
 
-__all__ = ['BoundedHandler', 'Log', 'to_stream']
+__all__ = ['RateLimitedHandler', 'Log', 'json_handler']
 
 # Rate limit of sampled events.  At 20 us a line they use 0.1% of a core.
 MAX_SAMPLED_LINES_PER_S = 40.0
@@ -61,7 +61,7 @@
     return json.dumps(line, default=str)
 
 
-def to_stream(
+def json_handler(
     level: core.LogLevel, stream: TextIO | None = None
 ) -> logbook.Handler:
     """Return a handler that writes JSON lines; the default is stderr."""
@@ -95,7 +95,7 @@
         return True
 
 
-class BoundedHandler(logbook.Handler):
+class RateLimitedHandler(logbook.Handler):
     """Write JSON lines to a descriptor without waiting for its reader.
 
     Lines over the rate limit are dropped, and so are lines that cannot be
--- a/src/chicoryusher/runtime/loop.py
+++ b/src/chicoryusher/runtime/loop.py
@@ -33,7 +33,7 @@
     ) -> None:
         super().__init__(channel='runtime')
         self.clock = clock or core.SystemClock()
-        self.meters = meters or meters_module.NoMeters()
+        self.meters = meters or meters_module.NullMeters()
         self._mailboxes: dict[core.TaskName, list[core.Message]] = {}
         self._log = logs.Log('', 'runtime')
         self.posted = 0
--- a/src/chicoryusher/runtime/meters.py
+++ b/src/chicoryusher/runtime/meters.py
@@ -8,7 +8,7 @@
 
 from chicoryusher import core
 
-__all__ = ['LateMeters', 'Meters', 'NoMeters']
+__all__ = ['BufferingMeters', 'Meters', 'NullMeters']
 
 # Measurements that are buffered for a collector that starts later; a VM makes
 # some 200 a second.  The oldest ones are dropped.
@@ -30,7 +30,7 @@
         """Set a gauge."""
 
 
-class NoMeters:
+class NullMeters:
     """Collector that ignores all measurements."""
 
     def add(self, metric: core.Metric, **labels: str) -> None:
@@ -45,7 +45,7 @@
         """Ignore the value."""
 
 
-class LateMeters:
+class BufferingMeters:
     """Buffer measurements until a collector is started."""
 
     def __init__(self) -> None:
--- a/src/chicoryusher/services/__init__.py
+++ b/src/chicoryusher/services/__init__.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from chicoryusher.services import agents
-from chicoryusher.services import table
-from chicoryusher.services.agents import *  # noqa: F403
-from chicoryusher.services.table import *  # noqa: F403
+from chicoryusher.services import group_agent
+from chicoryusher.services import platform_client
+from chicoryusher.services.group_agent import *  # noqa: F403
+from chicoryusher.services.platform_client import *  # noqa: F403
 
-__all__ = agents.__all__ + table.__all__
+__all__ = group_agent.__all__ + platform_client.__all__
--- a/src/chicoryusher/services/table.py
+++ b/src/chicoryusher/services/platform_client.py
@@ -40,7 +40,7 @@
     def _on_put(self, message: core.TablePut) -> None:
         body = {
             'value': base64.b64encode(message.value).decode(),
-            'expected': message.expected,
+            'expected': message.expected_version,
         }
         self.call(
             runtime.json_call('PUT', _table_path(message.key), message, body)
@@ -51,7 +51,7 @@
         query = urllib.parse.urlencode(
             {
                 'prefix': message.prefix,
-                'after': message.after,
+                'after': message.after_key,
                 'limit': message.limit,
             }
         )
@@ -92,9 +92,9 @@
         if down == self._is_down:
             return
         self._is_down = down
-        event = core.LogEvent.PLATFORM_BACK
+        event = core.LogEvent.PLATFORM_RESPONDED
         if down:
-            event = core.LogEvent.PLATFORM_DOWN
+            event = core.LogEvent.PLATFORM_UNRESPONSIVE
         self.log.emit(event, why=str(error or ''))
 
 
@@ -163,7 +163,7 @@
         return core.VmList(error=error)
     return core.VmList(
         tuple(
-            core.VmListed(row['name'], bool(row['leaving']))
+            core.ListedVm(row['name'], bool(row['leaving']))
             for row in result.document['vms']
         )
     )
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -15,7 +15,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
+from chicoryusher.tasks import task_messages
 
 __all__ = [
     'CONFIG_KEY',
@@ -132,11 +132,13 @@
         self._get(CONFIG_KEY)
 
     def _get(self, key: str) -> None:
-        self.send(names.table(self.vm), core.TableGet(self.task_name, key))
+        self.send(
+            names.platform_client(self.vm), core.TableGet(self.task_name, key)
+        )
 
     def _put(self, key: str, value: bytes, expected: int) -> None:
         self.send(
-            names.table(self.vm),
+            names.platform_client(self.vm),
             core.TablePut(self.task_name, key, value, expected),
         )
 
@@ -149,7 +151,7 @@
             self._fetch(answer)
         elif answer.value is not None and answer.version < self.version:
             self._log_stale(answer.version)
-        if answer.put:
+        if answer.is_put:
             self._on_pointer_written(answer)
         elif (
             self._pending_change is not None
@@ -160,16 +162,18 @@
     def _fetch(self, answer: core.TableAnswer) -> None:
         """Read the document that a newer pointer refers to."""
         try:
-            key = decisions.decode_pointer(answer.value or b'')
+            key = decisions.decode_config_pointer(answer.value or b'')
         except core.ConfigError as exc:
             self._log_bad(answer.version, exc)
             return
         self._requested_versions[key] = core.ConfigVersion(answer.version)
-        self.send(names.table(self.vm), core.ObjectGet(self.task_name, key))
+        self.send(
+            names.platform_client(self.vm), core.ObjectGet(self.task_name, key)
+        )
 
     @runtime.handles(core.ObjectAnswer)
     def _on_object(self, answer: core.ObjectAnswer) -> None:
-        if answer.put:
+        if answer.is_put:
             self._write_pointer(answer)
             return
         version = self._requested_versions.pop(answer.key, None)
@@ -180,12 +184,12 @@
     def _on_offer(self, offer: core.ConfigOffer) -> None:
         self._apply(offer.version, offer.document)
 
-    @runtime.handles(core.ConfigFetch)
-    def _on_fetch(self, fetch: core.ConfigFetch) -> None:
-        if self.version > fetch.above:
+    @runtime.handles(core.FetchConfig)
+    def _on_fetch(self, fetch: core.FetchConfig) -> None:
+        if self.version > fetch.newer_than:
             self.send(
                 names.peers(self.vm),
-                core.ToPeer(
+                core.SendToPeer(
                     fetch.vm, core.ConfigOffer(self.version, self._document)
                 ),
             )
@@ -204,9 +208,9 @@
             return
         self._in_force = config
         self._document = document
-        self.log.emit(core.LogEvent.CONFIG_IN_FORCE, version=version)
+        self.log.emit(core.LogEvent.CONFIG_APPLIED, version=version)
         for receiver in self._receivers:
-            self.send(receiver, notices.ConfigInForce(config))
+            self.send(receiver, task_messages.ConfigUpdate(config))
 
     def _log_stale(self, version: int) -> None:
         self.log.emit(
@@ -243,12 +247,12 @@
             'id': f'{self.vm}:{message.number}:{message.at}',
         }
         document = json.dumps(parsed, sort_keys=True).encode()
-        key = decisions.object_key(document)
+        key = decisions.config_object_key(document)
         self._pending_change = _PendingChange(
-            message, document, decisions.encode_pointer(key)
+            message, document, decisions.encode_config_pointer(key)
         )
         self.send(
-            names.table(self.vm),
+            names.platform_client(self.vm),
             core.ObjectPut(self.task_name, key, document),
         )
 
@@ -342,7 +346,7 @@
 
     def _on_audit_written(self, answer: core.TableAnswer) -> None:
         refused = isinstance(answer.error, core.PlatformRefused)
-        if answer.put and answer.error is not None and not refused:
+        if answer.is_put and answer.error is not None and not refused:
             self.log.emit(
                 core.LogEvent.AUDIT_FAILED,
                 key=answer.key,
@@ -364,12 +368,13 @@
             ApplyResult(message.number, self.version, error),
         )
 
-    @runtime.handles(notices.Ask)
-    def _on_query(self, query: notices.Ask) -> None:
+    @runtime.handles(task_messages.StateQuery)
+    def _on_query(self, query: task_messages.StateQuery) -> None:
         row = (
             ('version', str(self.version)),
             ('document', self._document.decode()),
         )
         self.send(
-            query.reply_to, notices.Told(self.task_name, query.number, (row,))
+            query.reply_to,
+            task_messages.StateReport(self.task_name, query.number, (row,)),
         )
--- a/src/chicoryusher/tasks/conns.py
+++ b/src/chicoryusher/tasks/conns.py
@@ -40,7 +40,7 @@
 
     def __init__(self, max_count: int) -> None:
         self.max_count = max_count
-        self._chart = charts.compiled('connection')
+        self._chart = charts.load_machine('connection')
         self._numbers = itertools.count(1)
         self._conns: dict[core.ConnId, Conn] = {}
         self._idle: list[Conn] = []
