--- a/src/chicoryusher/tasks/gate.py
+++ b/src/chicoryusher/tasks/gate.py
@@ -16,7 +16,7 @@
 from chicoryusher.tasks import hints
 from chicoryusher.tasks import items
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
+from chicoryusher.tasks import task_messages
 
 __all__ = ['Gate']
 
@@ -60,17 +60,19 @@
         loop: runtime.Runtime,
         vm: core.VmName,
         spec: decisions.InstanceSpec,
-        policy: str = decisions.DEFAULT_POLICY,
+        policy: str = decisions.DEFAULT_QUEUE_POLICY,
     ) -> None:
         super().__init__(loop, vm, f'gate/{spec.name}')
         self.spec = spec
         self.state = core.GateState.STANDBY
-        self._chart = charts.compiled('gate')
-        self._request_chart = charts.compiled('request')
+        self._chart = charts.load_machine('gate')
+        self._request_chart = charts.load_machine('request')
         self._link = names.link(vm, spec.name)
-        self._group_monitor = names.group(vm, spec.database)
+        self._group_monitor = names.group_monitor(vm, spec.database)
         self._conns = conns.Conns(self._max_conns(spec))
-        self._queue: decisions.Queue = decisions.QUEUES.get(policy)(spec.slots)
+        self._queue: decisions.QueuePolicy = decisions.QUEUE_POLICIES.get(
+            policy
+        )(spec.slots)
         self._running: dict[core.RequestId, items.GateRequest] = {}
         self._awaiting_proof: dict[core.RequestId, items.GateRequest] = {}
         self._awaiting_catch_up: list[items.GateRequest] = []
@@ -92,8 +94,8 @@
 
     # -- assignment -------------------------------------------------
 
-    @runtime.handles(notices.AssignGate)
-    def _on_assign(self, message: notices.AssignGate) -> None:
+    @runtime.handles(task_messages.AssignGate)
+    def _on_assign(self, message: task_messages.AssignGate) -> None:
         self.spec = message.spec
         self._queue.slots = message.spec.slots
         self._conns.max_count = self._max_conns(message.spec)
@@ -177,7 +179,9 @@
     @runtime.handles(core.GroupState)
     def _on_group(self, state: core.GroupState) -> None:
         before, self._group_state = self._group_state, state
-        if state.own.leaving and not (before and before.own.leaving):
+        if state.own_probe.leaving and not (
+            before and before.own_probe.leaving
+        ):
             self.log.emit(
                 core.LogEvent.INSTANCE_LEAVING, instance=str(self.spec.name)
             )
@@ -203,7 +207,7 @@
     def _on_submit(self, submit: core.Submit) -> None:
         request = submit.request
         self._report_activity()
-        if request.transaction is not None and request.begin is None:
+        if request.transaction is not None and request.begin_payload is None:
             self._continue_transaction(submit)
             return
         reason = self._refusal_reason(submit)
@@ -212,11 +216,11 @@
             return
         item = items.GateRequest(self, submit, self.now())
         must_catch_up = (
-            submit.role is core.Role.REPLICA and submit.patience > 0
+            submit.role is core.Role.REPLICA and submit.catch_up_timeout > 0
         )
         if must_catch_up and not self.proved_fresh(submit):
             self._awaiting_catch_up.append(item)
-            self.send(self._group_monitor, core.WatchCatchUp(self.spec.name))
+            self.send(self._group_monitor, core.CatchUpAwaited(self.spec.name))
             self._schedule_expiry_check()
             return
         self._enqueue(item)
@@ -226,14 +230,14 @@
         now = self.now()
         if now - self._activity_reported_at >= ACTIVITY_REPORT_INTERVAL_S:
             self._activity_reported_at = now
-            self.send(self._group_monitor, core.GroupUsed())
+            self.send(self._group_monitor, core.GroupActive())
 
     def _enqueue(self, item: items.GateRequest) -> None:
         shed = self._queue.offer(item, self.now())
         if shed is not None:
             self.shed += 1
             self.log.emit(
-                core.LogEvent.REQUEST_SHED,
+                core.LogEvent.REQUEST_NOT_ADMITTED,
                 request=str(item.request.request_id),
                 why=shed.reason,
             )
@@ -248,7 +252,7 @@
             core.GateState.CLAIMING,
         ):
             return _Reason.NOT_GATE
-        return decisions.refusal(
+        return decisions.refusal_reason(
             self._group_state,
             self.spec.name,
             submit,
@@ -258,7 +262,7 @@
 
     def proved_fresh(self, submit: core.Submit) -> bool:
         """Return whether the instance is proved fresh enough."""
-        return decisions.is_fresh(self._group_state, submit, self.now())
+        return decisions.is_fresh_enough(self._group_state, submit, self.now())
 
     def _continue_transaction(self, submit: core.Submit) -> None:
         """Run a request on the connection of its transaction."""
@@ -282,7 +286,7 @@
         while len(self._running) < self.spec.slots:
             if not self._conns.idle and len(self._queue):
                 break
-            item = self._queue.take(now)
+            item = self._queue.pop_next(now)
             if item is None:
                 break
             conn = self._conns.take()
@@ -296,11 +300,11 @@
         Those that have waited too long are returned to their routers.
         """
         waiting, self._awaiting_catch_up = self._awaiting_catch_up, []
-        self.send(self._group_monitor, core.WatchCatchUp(self.spec.name))
+        self.send(self._group_monitor, core.CatchUpAwaited(self.spec.name))
         for item in waiting:
             if self.proved_fresh(item.submit):
                 self._enqueue(item)
-            elif now - item.arrived >= item.submit.patience:
+            elif now - item.arrived_at >= item.submit.catch_up_timeout:
                 self._send_moved(item.submit, _Reason.NOT_FRESH)
             else:
                 self._awaiting_catch_up.append(item)
@@ -322,7 +326,7 @@
         item.conn = conn.conn_id
         item.sent_at = self.now()
         self._running[item.request.request_id] = item
-        self._queue.started(item, self.now())
+        self._queue.record_start(item, self.now())
         self._conns.occupy(conn, item.submit)
         self._request_chart.fire(item, 'sent')
         self._schedule_expiry_check()
@@ -346,7 +350,7 @@
         if conn is None or item is None:
             return
         if not answer.final:
-            if item.steps[0].purpose is decisions.Purpose.STATEMENT:
+            if item.steps[0].purpose is decisions.StepPurpose.STATEMENT:
                 item.partly_sent = True
                 self._reply(
                     item.submit.origin,
@@ -368,8 +372,8 @@
         request = item.request
         request_id = request.request_id
         self._running.pop(request_id, None)
-        self._queue.finished(item, self.now() - item.sent_at)
-        keeps_pinned = request.keeps_connection
+        self._queue.record_finish(item, self.now() - item.sent_at)
+        keeps_pinned = request.pins_connection
         self._conns.finished(
             conn,
             request.transaction is not None
@@ -405,15 +409,15 @@
             ),
         )
 
-    @runtime.handles(core.Proved)
-    def _on_proved(self, proved: core.Proved) -> None:
+    @runtime.handles(core.CommitProved)
+    def _on_proved(self, proved: core.CommitProved) -> None:
         item = self._awaiting_proof.pop(proved.request_id, None)
         if item is not None:
             self._request_chart.fire(item, 'proved')
             self._release_if_idle()
 
-    @runtime.handles(core.Disproved)
-    def _on_disproved(self, disproved: core.Disproved) -> None:
+    @runtime.handles(core.CommitDisproved)
+    def _on_disproved(self, disproved: core.CommitDisproved) -> None:
         item = self._awaiting_proof.pop(disproved.request_id, None)
         if item is not None:
             item.reason = 'a later term began before the commit was held'
@@ -460,7 +464,7 @@
         if item.conn is None:
             return
         self.log.emit(
-            core.LogEvent.REQUEST_CUT,
+            core.LogEvent.STATEMENT_TIMED_OUT,
             request=str(item.request.request_id),
             statement=str(item.request.statement_class),
         )
@@ -474,7 +478,7 @@
     ) -> None:
         self._reply(
             submit.origin,
-            core.GateMoved(
+            core.RequestMoved(
                 submit.request.request_id,
                 self.spec.name,
                 reason,
@@ -489,14 +493,14 @@
         now = self.now()
         if not always and not self._hints.due(origin, now):
             return None
-        wait = self._queue.wait(now)
+        wait = self._queue.expected_wait(now)
         return self._hints.report(origin, self._group_state, wait, now)
 
     def _reply(self, origin: core.VmName, message: core.Message) -> None:
         if origin == self.vm:
             self.send(names.router(self.vm), message)
         else:
-            self.send(names.peers(self.vm), core.ToPeer(origin, message))
+            self.send(names.peers(self.vm), core.SendToPeer(origin, message))
 
     # -- connections ------------------------------------------------
 
@@ -519,7 +523,7 @@
         if closed.refused:
             event = core.LogEvent.CONN_REFUSED
         self.log.emit(event, instance=str(self.spec.name))
-        self.send(self._group_monitor, core.Doubt(self.spec.name))
+        self.send(self._group_monitor, core.InstanceSuspected(self.spec.name))
         self._handle_lost_conn(conn, 'the connection to the instance was lost')
         self._schedule_expiry_check()
 
@@ -529,15 +533,17 @@
         if item is None:
             return
         self._running.pop(item.request.request_id, None)
-        self._queue.finished(item, self.now() - item.sent_at)
+        self._queue.record_finish(item, self.now() - item.sent_at)
         item.reason = why
         self._request_chart.fire(item, 'conn_lost')
 
-    @runtime.handles(core.Consumed)
-    def _on_consumed(self, consumed: core.Consumed) -> None:
+    @runtime.handles(core.AnswerConsumed)
+    def _on_consumed(self, consumed: core.AnswerConsumed) -> None:
         item = self._running.get(consumed.request_id)
         if item is not None and item.conn is not None:
-            self.send(self._link, core.ConnConsumed(item.conn, consumed.size))
+            self.send(
+                self._link, core.ConnAnswerConsumed(item.conn, consumed.size)
+            )
 
     @runtime.handles(core.AbortTransaction)
     def _on_abort(self, abort: core.AbortTransaction) -> None:
@@ -572,11 +578,11 @@
     def _on_check_expired(self, timer: _CheckExpired) -> None:
         self._expire_timer = None
         now = self.now()
-        for item in self._queue.expire(now):
+        for item in self._queue.remove_expired(now):
             assert isinstance(item, items.GateRequest)
             item.reason = 'the deadline passed in the queue'
             self._request_chart.fire(item, 'expired')
-        if self._queue.stuck(now):
+        if self._queue.all_slots_overrun(now):
             self._move_waiting_reads(now)
             self._report_suspicion(now)
         for running in [*self._running.values()]:
@@ -597,7 +603,9 @@
         """Report the instance as suspected, so that it is probed soon."""
         if now - self._suspicion_reported_at >= SUSPICION_REPORT_INTERVAL_S:
             self._suspicion_reported_at = now
-            self.send(self._group_monitor, core.Doubt(self.spec.name))
+            self.send(
+                self._group_monitor, core.InstanceSuspected(self.spec.name)
+            )
 
     def _move_waiting_reads(self, now: float) -> None:
         """Return reads that wait behind overrun statements to their routers.
@@ -606,31 +614,32 @@
         """
         for item in self._queue.drain():
             assert isinstance(item, items.GateRequest)
-            if item.is_plain_read and now - item.arrived >= MAX_READ_WAIT_S:
+            if item.is_plain_read and now - item.arrived_at >= MAX_READ_WAIT_S:
                 self._send_moved(item.submit, _Reason.BUSY)
             else:
-                self._queue.put_back(item)
+                self._queue.requeue(item)
 
     def _expire_running(self, item: items.GateRequest) -> None:
         self._running.pop(item.request.request_id, None)
-        self._queue.finished(item, self.now() - item.sent_at)
+        self._queue.record_finish(item, self.now() - item.sent_at)
         item.reason = 'the deadline passed while the statement ran'
         self._request_chart.fire(item, 'expired')
 
-    @runtime.handles(notices.Ask)
-    def _on_query(self, query: notices.Ask) -> None:
+    @runtime.handles(task_messages.StateQuery)
+    def _on_query(self, query: task_messages.StateQuery) -> None:
         row = (
             ('instance', str(self.spec.name)),
             ('state', self.state.value),
             ('queued', str(len(self._queue))),
             ('running', str(len(self._running))),
             ('connections', str(len(self._conns))),
-            ('wait_s', f'{self._queue.wait(self.now()):.4f}'),
+            ('wait_s', f'{self._queue.expected_wait(self.now()):.4f}'),
             ('answered', str(self.answered)),
             ('shed', str(self.shed)),
         )
         self.send(
-            query.reply_to, notices.Told(self.task_name, query.number, (row,))
+            query.reply_to,
+            task_messages.StateReport(self.task_name, query.number, (row,)),
         )
 
 
@@ -638,5 +647,5 @@
     state: core.GroupState,
 ) -> tuple[core.InstanceName | None, core.Term, bool, bool]:
     """Return what decides which requests the instance may run."""
-    own = state.own
+    own = state.own_probe
     return state.primary, state.term, own.alive, own.leaving
--- a/src/chicoryusher/tasks/gate_actions.py
+++ b/src/chicoryusher/tasks/gate_actions.py
@@ -29,16 +29,16 @@
     gate.close_connections()
 
 
-@charts.action('gate.unlock')
+@charts.action('gate.release_lock')
 def _release_lock(gate: Gate, arg: object) -> None:
     gate.release_lock()
 
 
-@charts.action('gate.refuse_queue')
+@charts.action('gate.move_queued')
 def _move_queued(gate: Gate, arg: object) -> None:
     gate.move_queued()
 
 
-@charts.action('gate.release')
+@charts.action('gate.wait_until_idle')
 def _wait_until_idle(gate: Gate, arg: object) -> None:
     """Do nothing; the gate fires ``empty`` once no work remains."""
--- a/src/chicoryusher/tasks/group.py
+++ b/src/chicoryusher/tasks/group_monitor.py
@@ -15,9 +15,9 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
+from chicoryusher.tasks import task_messages
 
-__all__ = ['Group']
+__all__ = ['GroupMonitor']
 
 # Interval of the probes of a group that has had requests recently.
 ACTIVE_PROBE_INTERVAL_S = 1.0
@@ -57,7 +57,7 @@
     """
 
     attempt: int
-    state: core.LeadState
+    state: core.GroupMonitorState
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,7 +72,7 @@
     pending: bool = False
 
 
-class Group(runtime.Task):
+class GroupMonitor(runtime.Task):
     """Task that monitors one group; its state chart is ``leadership``.
 
     ``members`` are the instances of the group, ``gates`` those of them
@@ -91,14 +91,14 @@
         rank: int,
     ) -> None:
         super().__init__(loop, vm, f'group/{database}')
-        self.state = core.LeadState.FOLLOWING
+        self.state = core.GroupMonitorState.FOLLOWING
         self.database = database
-        self._chart = charts.compiled('leadership')
+        self._chart = charts.load_machine('leadership')
         self._gates = gates
         self._rank = rank
         self._health = decisions.GroupHealth(members, self.now())
-        self._freshness = decisions.Freshness()
-        self._pending_proofs = decisions.EvidenceBook(len(members))
+        self._freshness = decisions.StalenessBounds()
+        self._pending_proofs = decisions.PendingProofs(len(members))
         self._probes = {name: _ProbeState() for name in members}
         self._no_failover_before = self.now()
         self._attempt = 0
@@ -118,17 +118,19 @@
         self._round_timer: core.TimerId | None = None
         self.failovers = 0
         self._schedule_round(0.0)
-        self.send(names.table(vm), core.TableGet(self.task_name, self._key))
+        self.send(
+            names.platform_client(vm), core.TableGet(self.task_name, self._key)
+        )
 
     @property
     def _key(self) -> str:
         return f'lead/{self.database}'
 
-    @runtime.handles(notices.WatchGroup)
-    def _on_watch(self, message: notices.WatchGroup) -> None:
+    @runtime.handles(task_messages.MonitorGroup)
+    def _on_watch(self, message: task_messages.MonitorGroup) -> None:
         self._gates = message.gates
         self._rank = message.rank
-        self._health.resize(message.members)
+        self._health.set_instances(message.members)
         self._pending_proofs.majority = self._health.majority
         for name in message.members:
             self._probes.setdefault(name, _ProbeState())
@@ -183,10 +185,10 @@
         probe_state = self._probes[probe.instance]
         probe_state.pending = False
         now = self.now()
-        self._health.heard(probe, probe_state.began_at, now)
+        self._health.record_probe(probe, probe_state.began_at, now)
         if probe.alive and probe.instance == self._health.primary:
-            self._freshness.primary_seen(
-                probe_state.began_at, probe.applied, probe.starts
+            self._freshness.record_primary(
+                probe_state.began_at, probe.applied, probe.term_starts
             )
         self._send_verdicts(probe, probe_state.began_at)
         self._check_primary(now)
@@ -200,10 +202,12 @@
 
     def _send_verdicts(self, probe: core.ProbeAnswer, began_at: float) -> None:
         """Report to the gates the requests for evidence that are decided."""
-        for request, verdict in self._pending_proofs.heard(probe, began_at):
-            answer: core.Message = core.Disproved(request.request_id)
+        for request, verdict in self._pending_proofs.record_probe(
+            probe, began_at
+        ):
+            answer: core.Message = core.CommitDisproved(request.request_id)
             if verdict is decisions.Verdict.PROVED:
-                answer = core.Proved(request.request_id)
+                answer = core.CommitProved(request.request_id)
             self.send(request.gate, answer)
 
     def _probe_interval(self) -> float:
@@ -214,10 +218,10 @@
         """
         if len(self._pending_proofs):
             return PROOF_PROBE_INTERVAL_S
-        if self.state is not core.LeadState.FOLLOWING:
+        if self.state is not core.GroupMonitorState.FOLLOWING:
             return SUSPECT_PROBE_INTERVAL_S
         now = self.now()
-        if self._health.any_failure() or now < self._suspected_until:
+        if self._health.has_recent_failure() or now < self._suspected_until:
             return SUSPECT_PROBE_INTERVAL_S
         is_active = now - self._used_at <= ACTIVE_PERIOD_S
         interval = (
@@ -225,8 +229,8 @@
         )
         return self.until_beat(interval)
 
-    @runtime.handles(core.Doubt)
-    def _on_suspected(self, suspected: core.Doubt) -> None:
+    @runtime.handles(core.InstanceSuspected)
+    def _on_suspected(self, suspected: core.InstanceSuspected) -> None:
         """Probe the group often for a while.
 
         Requests show a failure before the usual probes do.
@@ -234,8 +238,8 @@
         self._suspected_until = self.now() + SUSPICION_LIFETIME_S
         self._schedule_round(0.0)
 
-    @runtime.handles(core.GroupUsed)
-    def _on_used(self, used: core.GroupUsed) -> None:
+    @runtime.handles(core.GroupActive)
+    def _on_used(self, used: core.GroupActive) -> None:
         was_idle = self.now() - self._used_at > ACTIVE_PERIOD_S
         self._used_at = self.now()
         if was_idle:
@@ -246,19 +250,19 @@
         probe_state = self._probes.get(name)
         if probe_state is None:
             return
-        own_probe = self._health.last(name)
+        own_probe = self._health.last_answer(name)
         if own_probe is None:
             own_probe = core.ProbeAnswer(name, probe_state.sequence, False)
-        elif self._health.missing(name, now):
+        elif self._health.is_unreachable(name, now):
             own_probe = dataclasses.replace(own_probe, alive=False)
         began_at = probe_state.began_at
         delay = 0.0
         if name == self._health.primary:
-            lag = max(0.0, began_at - self._health.majority_at)
+            lag = max(0.0, began_at - self._health.majority_seen_at)
         else:
-            lag = self._freshness.bound(own_probe.applied, began_at)
+            lag = self._freshness.max_staleness(own_probe.applied, began_at)
             delay = self._freshness.apply_delay(own_probe.applied, began_at)
-        is_following = self.state is core.LeadState.FOLLOWING
+        is_following = self.state is core.GroupMonitorState.FOLLOWING
         self.send(
             names.gate(self.vm, name),
             core.GroupState(
@@ -269,7 +273,7 @@
                 began_at,
                 lag,
                 delay,
-                self._freshness.starts,
+                self._freshness.term_starts,
                 self._health.has_majority(now, MAJORITY_LIFETIME_S),
             ),
         )
@@ -279,13 +283,15 @@
     @runtime.handles(core.ProveCommit)
     def _on_prove(self, request: core.ProveCommit) -> None:
         now = self.now()
-        self._pending_proofs.drop_before(now - PROOF_REQUEST_LIFETIME_S)
-        self._pending_proofs.ask(request, now)
+        self._pending_proofs.drop_requested_before(
+            now - PROOF_REQUEST_LIFETIME_S
+        )
+        self._pending_proofs.add(request, now)
         for name in self._probes:
             self._probe(name)
 
-    @runtime.handles(core.WatchCatchUp)
-    def _on_catch_up(self, watch: core.WatchCatchUp) -> None:
+    @runtime.handles(core.CatchUpAwaited)
+    def _on_catch_up(self, watch: core.CatchUpAwaited) -> None:
         if self._health.primary is not None:
             self._probe(self._health.primary)
         self._probe(watch.instance)
@@ -294,14 +300,14 @@
 
     def _check_primary(self, now: float) -> None:
         """Suspect an unreachable primary; start a failover if confirmed."""
-        unreachable = self._health.primary_silent(now)
+        unreachable = self._health.primary_unreachable(now)
         if not unreachable:
             self._chart.fire(self, 'primary_heard')
             return
         self._chart.fire(self, 'primary_silent')
-        if self.state is not core.LeadState.SUSPECTING:
+        if self.state is not core.GroupMonitorState.SUSPECTING:
             return
-        if now >= self._no_failover_before and self._health.silence_confirmed(
+        if now >= self._no_failover_before and self._health.failover_confirmed(
             now
         ):
             self._chart.fire(self, 'silence_confirmed')
@@ -309,7 +315,7 @@
     def start_suspecting(self) -> None:
         """Probe all instances, and wait for this VM's turn to fail over."""
         self.log.emit(
-            core.LogEvent.PRIMARY_SILENT,
+            core.LogEvent.PRIMARY_UNRESPONSIVE,
             database=str(self.database),
             primary=str(self._health.primary or ''),
         )
@@ -321,7 +327,9 @@
 
     def log_response(self) -> None:
         """Log that the suspected primary has responded."""
-        self.log.emit(core.LogEvent.PRIMARY_HEARD, database=str(self.database))
+        self.log.emit(
+            core.LogEvent.PRIMARY_RESPONDED, database=str(self.database)
+        )
 
     def claim_term(self) -> None:
         """Claim the next term by a conditional write to the table."""
@@ -338,7 +346,7 @@
             {'term': self._candidate_term, 'candidate': self.vm}
         )
         self.send(
-            names.table(self.vm),
+            names.platform_client(self.vm),
             core.TablePut(
                 self.task_name,
                 self._key,
@@ -356,7 +364,7 @@
         refused = isinstance(answer.error, core.PlatformRefused)
         if answer.error is None or refused:
             self._store_record(answer)
-        if not answer.put:
+        if not answer.is_put:
             return
         if answer.error is None:
             self._chart.fire(self, 'term_won')
@@ -384,9 +392,10 @@
 
         Safety does not depend on the claim, only on the fences.
         """
-        if self.state is core.LeadState.CLAIMING:
+        if self.state is core.GroupMonitorState.CLAIMING:
             self.log.emit(
-                core.LogEvent.STORE_SKIPPED, database=str(self.database)
+                core.LogEvent.TERM_TABLE_UNRESPONSIVE,
+                database=str(self.database),
             )
         self._chart.fire(self, 'store_silent')
 
@@ -403,7 +412,7 @@
 
     @runtime.handles(core.FenceAnswer)
     def _on_fence(self, answer: core.FenceAnswer) -> None:
-        if self.state is not core.LeadState.FENCING:
+        if self.state is not core.GroupMonitorState.FENCING:
             return
         if answer.accepted and answer.term == self._candidate_term:
             self._fenced[answer.instance] = answer
@@ -422,9 +431,12 @@
         leaving = frozenset(
             name
             for name in self._probes
-            if (last := self._health.last(name)) is not None and last.leaving
+            if (last := self._health.last_answer(name)) is not None
+            and last.leaving
+        )
+        new_primary = decisions.choose_new_primary(
+            self._fenced.values(), leaving
         )
-        new_primary = decisions.choose_leader(self._fenced.values(), leaving)
         self.send(
             names.agent(self.vm, new_primary),
             core.Promote(self._candidate_term, self.vm),
@@ -438,14 +450,16 @@
         event = 'promote_refused'
         if answer.accepted:
             event = 'promoted'
-            self._health.promoted(answer.instance, answer.term, self.now())
+            self._health.record_promotion(
+                answer.instance, answer.term, self.now()
+            )
         self._chart.fire(self, event)
 
     @runtime.handles(_StepTimeout)
     def _on_step_timeout(self, timeout: _StepTimeout) -> None:
         if timeout.attempt != self._attempt or timeout.state is not self.state:
             return
-        if self.state is core.LeadState.CLAIMING:
+        if self.state is core.GroupMonitorState.CLAIMING:
             self._continue_without_table()
             return
         self._chart.fire(self, 'timed_out')
@@ -473,15 +487,16 @@
         )
         self._no_failover_before = self.now() + BACK_OFF_S * (1 + self._rank)
         self.send(
-            names.table(self.vm), core.TableGet(self.task_name, self._key)
+            names.platform_client(self.vm),
+            core.TableGet(self.task_name, self._key),
         )
 
-    @runtime.handles(notices.Ask)
-    def _on_query(self, query: notices.Ask) -> None:
+    @runtime.handles(task_messages.StateQuery)
+    def _on_query(self, query: task_messages.StateQuery) -> None:
         rows = []
         for name in self._probes:
-            last = self._health.last(name)
-            alive = last is not None and not self._health.missing(
+            last = self._health.last_answer(name)
+            alive = last is not None and not self._health.is_unreachable(
                 name, self.now()
             )
             rows.append(
@@ -498,5 +513,7 @@
             )
         self.send(
             query.reply_to,
-            notices.Told(self.task_name, query.number, tuple(rows)),
+            task_messages.StateReport(
+                self.task_name, query.number, tuple(rows)
+            ),
         )
--- a/src/chicoryusher/tasks/group_actions.py
+++ b/src/chicoryusher/tasks/group_monitor_actions.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from chicoryusher import charts
-from chicoryusher.tasks import group as group_module
+from chicoryusher.tasks import group_monitor as group_module
 
 __all__: list[str] = []
-Group = group_module.Group
+Group = group_module.GroupMonitor
 
 
 @charts.action('lead.probe_all')
@@ -14,7 +14,7 @@
     group.start_suspecting()
 
 
-@charts.action('lead.clear')
+@charts.action('lead.log_response')
 def _log_response(group: Group, arg: object) -> None:
     group.log_response()
 
@@ -39,6 +39,6 @@
     group.announce_primary()
 
 
-@charts.action('lead.stand_back')
+@charts.action('lead.back_off')
 def _back_off(group: Group, arg: object) -> None:
     group.back_off()
--- a/src/chicoryusher/tasks/hints.py
+++ b/src/chicoryusher/tasks/hints.py
@@ -42,7 +42,7 @@
         return core.InstanceReport(
             self._database,
             self._instance,
-            state.own.alive and not state.own.leaving,
+            state.own_probe.alive and not state.own_probe.leaving,
             state.apply_delay,
             wait,
             state.primary,
--- a/src/chicoryusher/tasks/items.py
+++ b/src/chicoryusher/tasks/items.py
@@ -48,7 +48,7 @@
         """Return the request to its router, to run elsewhere."""
 
 
-class GateRequest(decisions.Item):
+class GateRequest(decisions.QueuedRequest):
     """One request at its gate; its state chart is ``request``.
 
     ``steps`` are the steps that have not been answered yet.  ``answer``
@@ -78,8 +78,8 @@
     ) -> None:
         super().__init__(submit, now, now + submit.budget)
         self.owner = owner
-        self.steps: collections.deque[decisions.Step] = collections.deque(
-            decisions.plan(submit.request)
+        self.steps: collections.deque[decisions.RequestStep] = (
+            collections.deque(decisions.request_steps(submit.request))
         )
         self.answer: core.ConnAnswer | None = None
         self.conn: core.ConnId | None = None
@@ -99,17 +99,17 @@
         if answer.position is not None:
             self.position = answer.position
         step = self.steps.popleft()
-        if step.purpose is decisions.Purpose.STATEMENT:
+        if step.purpose is decisions.StepPurpose.STATEMENT:
             self.answer = answer
         if not answer.error_code:
             return
-        if step.purpose is decisions.Purpose.KEY:
+        if step.purpose is decisions.StepPurpose.KEY:
             self._handle_key_error(answer)
             return
         self.answer = answer
         self.steps.clear()
         keyed = self.request.marks.idempotency_key is not None
-        statement = step.purpose is decisions.Purpose.STATEMENT
+        statement = step.purpose is decisions.StepPurpose.STATEMENT
         if statement and keyed and self.request.transaction is None:
             self.steps.append(decisions.ROLLBACK)
 
@@ -124,15 +124,15 @@
         code = answer.error_code
         self.steps.clear()
         if (
-            code == decisions.NO_SUCH_TABLE
+            code == decisions.NO_SUCH_TABLE_ERRNO
             and outside_transaction
             and not self.ledger_created
         ):
             self.ledger_created = True
-            self.steps.extend(decisions.setup_steps(self.request))
+            self.steps.extend(decisions.steps_with_ledger_setup(self.request))
             return
         self.answer = answer
-        if code == decisions.DUPLICATE_KEY:
+        if code == decisions.DUPLICATE_KEY_ERRNO:
             self.key_was_used = True
             self.answer = dataclasses.replace(answer, data=b'', error_code=0)
         if outside_transaction:
@@ -146,7 +146,7 @@
         connection commits each statement by itself.
         """
         request = self.request
-        return request.transaction is not None and not request.keeps_connection
+        return request.transaction is not None and not request.pins_connection
 
     @property
     def is_plain_read(self) -> bool:
@@ -176,7 +176,7 @@
             return True
         keyed = self.request.marks.idempotency_key is not None
         if keyed and self.request.kind is Kind.WRITE:
-            return self.steps[0].purpose is decisions.Purpose.COMMIT
+            return self.steps[0].purpose is decisions.StepPurpose.COMMIT
         return True
 
     @property
@@ -208,9 +208,9 @@
     )
 
 
-@charts.guard('request.refused_here')
+@charts.guard('request.refused_read_only')
 def _refused_here(item: GateRequest, answer: core.ConnAnswer) -> bool:
-    unstarted = item.request.transaction is None or item.request.begin
+    unstarted = item.request.transaction is None or item.request.begin_payload
     return bool(unstarted) and answer.error_code in READ_ONLY_ERRNOS
 
 
@@ -224,7 +224,7 @@
     return item.is_plain_read and not item.partly_sent
 
 
-@charts.guard('request.may_have_landed')
+@charts.guard('request.may_have_run')
 def _may_have_effect(item: GateRequest, arg: object) -> bool:
     return item.may_have_effect or item.partly_sent
 
@@ -239,7 +239,7 @@
     item.owner.await_proof(item)
 
 
-@charts.action('request.cut')
+@charts.action('request.cancel_statement')
 def _cancel_statement(item: GateRequest, arg: object) -> None:
     item.owner.cancel_statement(item)
 
@@ -253,9 +253,9 @@
 def _not_run(item: GateRequest, arg: object) -> None:
     request = item.request
     error: core.CallerError = core.NotRunError(item.reason or 'refused')
-    if isinstance(arg, decisions.Shed):
+    if isinstance(arg, decisions.Rejection):
         error = core.NotRunError(arg.reason, arg.retry_after)
-    elif request.transaction is not None and request.begin is None:
+    elif request.transaction is not None and request.begin_payload is None:
         error = core.TransactionLost('the transaction ended without commit')
     item.owner.finish(item, core.Outcome.NOT_RUN, error)
 
--- a/src/chicoryusher/tasks/membership.py
+++ b/src/chicoryusher/tasks/membership.py
@@ -10,7 +10,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
+from chicoryusher.tasks import task_messages
 
 __all__ = ['MembershipTask']
 
@@ -44,25 +44,25 @@
         self.after(HEARTBEAT_INTERVAL_S, _HeartbeatDue())
         self.after(0.0, _ListReadDue())
 
-    @runtime.handles(notices.ConfigInForce)
-    def _on_config(self, message: notices.ConfigInForce) -> None:
+    @runtime.handles(task_messages.ConfigUpdate)
+    def _on_config(self, message: task_messages.ConfigUpdate) -> None:
         self._config_version = message.config.version
         self._vms = tuple(other.name for other in message.config.vms)
-        self._membership.configured(self._vms, self.now())
+        self._membership.set_configured(self._vms, self.now())
         monitored = [
             other
             for other in self._vms
             if other != self.vm
-            and self.vm in decisions.neighbours_of(other, self._vms)
+            and self.vm in decisions.choose_heartbeat_targets(other, self._vms)
         ]
-        self._membership.watch(monitored, self.now())
+        self._membership.set_monitored(monitored, self.now())
         self._report_live(True)
         self._send_heartbeats()
 
     @runtime.handles(_HeartbeatDue)
     def _on_heartbeat_due(self, timer: _HeartbeatDue) -> None:
         self.after(HEARTBEAT_INTERVAL_S, _HeartbeatDue())
-        changed = self._membership.tick(self.now())
+        changed = self._membership.check_timeouts(self.now())
         self._send_heartbeats()
         self._report_live(changed)
 
@@ -73,32 +73,40 @@
             self._config_version,
             self._membership.suspected(),
         )
-        for vm in decisions.neighbours_of(self.vm, self._vms):
-            self.send(names.peers(self.vm), core.ToPeer(vm, heartbeat))
+        for vm in decisions.choose_heartbeat_targets(self.vm, self._vms):
+            self.send(names.peers(self.vm), core.SendToPeer(vm, heartbeat))
 
     @runtime.handles(core.Heartbeat)
     def _on_heartbeat(self, heartbeat: core.Heartbeat) -> None:
         now = self.now()
-        changed = self._membership.heard(heartbeat.vm, heartbeat.leaving, now)
+        changed = self._membership.record_contact(
+            heartbeat.vm, heartbeat.leaving, now
+        )
         for suspect in heartbeat.suspects:
-            changed |= self._membership.witnessed(heartbeat.vm, suspect, now)
+            changed |= self._membership.record_unreachable_report(
+                heartbeat.vm, suspect, now
+            )
         self._report_live(changed)
-        if heartbeat.config > self._config_version:
+        if heartbeat.config_version > self._config_version:
             self.send(
                 names.peers(self.vm),
-                core.ToPeer(
+                core.SendToPeer(
                     heartbeat.vm,
-                    core.ConfigFetch(self.vm, self._config_version),
+                    core.FetchConfig(self.vm, self._config_version),
                 ),
             )
 
     @runtime.handles(core.PeerUp)
     def _on_up(self, up: core.PeerUp) -> None:
-        self._report_live(self._membership.heard(up.vm, False, self.now()))
+        self._report_live(
+            self._membership.record_contact(up.vm, False, self.now())
+        )
 
     @runtime.handles(core.PeerDown)
     def _on_down(self, down: core.PeerDown) -> None:
-        self._report_live(self._membership.lost_stream(down.vm, self.now()))
+        self._report_live(
+            self._membership.record_stream_loss(down.vm, self.now())
+        )
 
     @runtime.handles(_ListReadDue)
     def _on_list_read_due(self, timer: _ListReadDue) -> None:
@@ -106,7 +114,9 @@
             MIN_LIST_INTERVAL_S, len(self._vms) / MAX_LIST_READS_PER_S
         )
         self.after(interval, _ListReadDue())
-        self.send(names.table(self.vm), core.VmListRequest(self.task_name))
+        self.send(
+            names.platform_client(self.vm), core.VmListRequest(self.task_name)
+        )
 
     @runtime.handles(core.VmList)
     def _on_list(self, answer: core.VmList) -> None:
@@ -116,7 +126,9 @@
         leaving = [
             core.VmName(entry.name) for entry in answer.vms if entry.leaving
         ]
-        self._report_live(self._membership.listed(listed, leaving, self.now()))
+        self._report_live(
+            self._membership.apply_vm_list(listed, leaving, self.now())
+        )
 
     @runtime.handles(core.Drain)
     def _on_drain(self, drain: core.Drain) -> None:
@@ -127,7 +139,7 @@
         """Report the live VMs and the states of all VMs if they changed."""
         if not self._vms:
             return
-        live = self._membership.live()
+        live = self._membership.usable()
         if self._leaving:
             live = tuple(member for member in live if member != self.vm)
         if not changed and live == self._reported_live:
@@ -147,8 +159,8 @@
                     core.LogEvent.VM_STATE, other=str(name), state=state.value
                 )
 
-    @runtime.handles(notices.Ask)
-    def _on_query(self, query: notices.Ask) -> None:
+    @runtime.handles(task_messages.StateQuery)
+    def _on_query(self, query: task_messages.StateQuery) -> None:
         rows = tuple(
             (('vm', str(record.name)), ('state', record.state.value))
             for record in self._membership.records()
@@ -156,5 +168,7 @@
         own = (('vm', str(self.vm)), ('state', 'live'))
         self.send(
             query.reply_to,
-            notices.Told(self.task_name, query.number, (own, *rows)),
+            task_messages.StateReport(
+                self.task_name, query.number, (own, *rows)
+            ),
         )
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -10,27 +10,27 @@
     'admin',
     'agent',
     'configurator',
-    'desk',
-    'exchange',
+    'dispatcher',
+    'view_exchange',
     'forwarder',
     'gate',
     'handover',
-    'keeper',
-    'group',
-    'life_of',
+    'primary_manager',
+    'group_monitor',
+    'incarnation_name',
     'link',
     'membership',
     'node',
     'promotions',
     'relay',
     'prober',
-    'rows',
+    'row_client',
     'peers',
-    'pool_lane',
+    'instance_pool',
     'pool_link',
     'router',
-    'table',
-    'watch',
+    'platform_client',
+    'reachability_monitor',
 ]
 
 
@@ -48,10 +48,10 @@
 
 admin = _single('admin')
 configurator = _single('configurator')
-desk = _single('desk')
-exchange = _single('exchange')
+dispatcher = _single('desk')
+view_exchange = _single('exchange')
 forwarder = _single('forwarder')
-keeper = _single('keeper')
+primary_manager = _single('keeper')
 membership = _single('membership')
 node = _single('node')
 peers = _single('peers')
@@ -59,37 +59,37 @@
 promotions = _single('promotions')
 relay = _single('relay')
 router = _single('router')
-rows = _single('rows')
-table = _single('platform')
-watch = _single('watch')
+row_client = _single('rows')
+platform_client = _single('platform')
+reachability_monitor = _single('watch')
 agent = _instance('agent')
 gate = _instance('gate')
 link = _instance('link')
 
 
-def group(vm: core.VmName, name: core.DatabaseName) -> core.TaskName:
+def group_monitor(vm: core.VmName, name: core.DatabaseName) -> core.TaskName:
     """Return the name of a database group's monitor."""
     return core.TaskName(f'{vm}/group/{name}')
 
 
-def pool_lane(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
+def instance_pool(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
     """Return the name of the instance pool of one incarnation."""
-    return core.TaskName(f'{vm}/lane/{life_of(entry)}')
+    return core.TaskName(f'{vm}/lane/{incarnation_name(entry)}')
 
 
 def pool_link(vm: core.VmName, entry: core.InstanceEntry) -> core.TaskName:
     """Return the name of the task with one incarnation's sockets."""
-    return core.TaskName(f'{vm}/link/{life_of(entry)}')
+    return core.TaskName(f'{vm}/link/{incarnation_name(entry)}')
 
 
-def life_of(entry: core.InstanceEntry) -> str:
+def incarnation_name(entry: core.InstanceEntry) -> str:
     """Return a text that identifies one incarnation of an instance.
 
     An instance that was restarted or moved has the same name but is
     another incarnation.  Task names contain this text, so that messages
     that are still on the way to an old incarnation reach no task.
     """
-    return f'{entry.name}@{entry.host}:{entry.port}/{entry.boot}'
+    return f'{entry.name}@{entry.host}:{entry.port}/{entry.incarnation}'
 
 
 def handover(vm: core.VmName, name: core.ServiceName) -> core.TaskName:
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -1,6 +1,6 @@
 """Node: starts the tasks of one VM and assigns its gates.
 
-The tasks with sockets are started by an ``Edges`` object.  Tests and
+The tasks with sockets are started by an ``TaskFactory`` object.  Tests and
 simulations give another one, whose tasks handle the same messages.
 """
 
@@ -14,17 +14,17 @@
 from chicoryusher.tasks import configurator
 from chicoryusher.tasks import gate
 from chicoryusher.tasks import gate_actions  # noqa: F401 - fills a registry
-from chicoryusher.tasks import group
-from chicoryusher.tasks import group_actions  # noqa: F401 - fills a registry
+from chicoryusher.tasks import group_monitor
+from chicoryusher.tasks import group_monitor_actions  # noqa: F401 - fills a registry
 from chicoryusher.tasks import membership
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
 from chicoryusher.tasks import router
+from chicoryusher.tasks import task_messages
 
-__all__ = ['Edges', 'Node']
+__all__ = ['TaskFactory', 'Node']
 
 
-class Edges(Protocol):
+class TaskFactory(Protocol):
     """Starts the tasks of a node that have sockets.
 
     Each method starts a task with the task name from ``names``.
@@ -58,22 +58,22 @@
         self,
         loop: runtime.Runtime,
         vm: core.VmName,
-        factory: Edges,
+        factory: TaskFactory,
         settings: router.RouterSettings,
-        policy: str = decisions.DEFAULT_POLICY,
+        policy: str = decisions.DEFAULT_QUEUE_POLICY,
         extra_receivers: tuple[core.TaskName, ...] = (),
     ) -> None:
         super().__init__(loop, vm, 'node')
         self._loop = loop
         self._factory = factory
         self._policy = policy
-        self._placement = decisions.PLACEMENTS.get(settings.placement)()
+        self._placement = decisions.GATE_PLACEMENTS.get(settings.placement)()
         self._configuration: decisions.Configuration | None = None
         self._live_vms: tuple[core.VmName, ...] | None = None
         self._gates: dict[core.InstanceName, gate.Gate] = {}
         self._links: dict[core.InstanceName, runtime.Task] = {}
         self._agents: dict[core.InstanceName, runtime.Task] = {}
-        self._groups: dict[core.DatabaseName, group.Group] = {}
+        self._groups: dict[core.DatabaseName, group_monitor.GroupMonitor] = {}
         self._draining = False
         factory.platform(vm)
         factory.peers(vm)
@@ -94,12 +94,12 @@
         return self._gates
 
     @property
-    def groups(self) -> dict[core.DatabaseName, group.Group]:
+    def groups(self) -> dict[core.DatabaseName, group_monitor.GroupMonitor]:
         """Return the group monitors of this VM by database."""
         return self._groups
 
-    @runtime.handles(notices.ConfigInForce)
-    def _on_config(self, message: notices.ConfigInForce) -> None:
+    @runtime.handles(task_messages.ConfigUpdate)
+    def _on_config(self, message: task_messages.ConfigUpdate) -> None:
         self._configuration = message.config
         self._assign_gates()
 
@@ -116,12 +116,12 @@
         config, live = self._configuration, self._live_vms
         if config is None or live is None:
             return
-        zones = decisions.LiveZones(config, live)
+        zones = decisions.LiveVmsByZone(config, live)
         served = {
-            spec.name: self._placement.part(spec, live)
+            spec.name: self._placement.share(spec, live)
             for spec in config.instances
             if not self._draining
-            and self._placement.serves(spec, zones, self.vm)
+            and self._placement.is_gate(spec, zones, self.vm)
         }
         self._monitor_groups(config, zones, set(served))
         for name, spec in served.items():
@@ -141,7 +141,7 @@
         exclusive = self._placement.exclusive
         self.send(
             names.gate(self.vm, name),
-            notices.AssignGate(spec, assigned, exclusive),
+            task_messages.AssignGate(spec, assigned, exclusive),
         )
 
     def _start_gate(self, spec: decisions.InstanceSpec) -> None:
@@ -153,7 +153,7 @@
     def _monitor_groups(
         self,
         config: decisions.Configuration,
-        zones: decisions.LiveZones,
+        zones: decisions.LiveVmsByZone,
         served: set[core.InstanceName],
     ) -> None:
         for database in config.databases:
@@ -173,7 +173,7 @@
     def _monitor_group(
         self,
         config: decisions.Configuration,
-        zones: decisions.LiveZones,
+        zones: decisions.LiveVmsByZone,
         database: decisions.DatabaseSpec,
         gates: tuple[core.InstanceName, ...],
     ) -> None:
@@ -188,13 +188,13 @@
             for spec in specs
             if (vm := decisions.gate_of(spec, zones)) is not None
         }
-        order = decisions.ranked(database.name, monitor_vms)
+        order = decisions.rank_vms(database.name, monitor_vms)
         rank = order.index(self.vm) if self.vm in order else len(order)
         for spec in specs:
             if spec.name not in self._agents:
                 self._agents[spec.name] = self._factory.agent(self.vm, spec)
         if database.name not in self._groups:
-            self._groups[database.name] = group.Group(
+            self._groups[database.name] = group_monitor.GroupMonitor(
                 self._loop,
                 self.vm,
                 database.name,
@@ -204,8 +204,8 @@
             )
             return
         self.send(
-            names.group(self.vm, database.name),
-            notices.WatchGroup(database.instances, gates, rank),
+            names.group_monitor(self.vm, database.name),
+            task_messages.MonitorGroup(database.instances, gates, rank),
         )
 
     def _stop_monitor(self, name: core.DatabaseName) -> None:
@@ -226,20 +226,20 @@
         if submit.instance in self._gates:
             self.send(names.gate(self.vm, submit.instance), submit)
             return
-        moved = core.GateMoved(
+        moved = core.RequestMoved(
             submit.request.request_id,
             submit.instance,
             core.MoveReason.NOT_GATE,
         )
-        self.send(names.peers(self.vm), core.ToPeer(submit.origin, moved))
+        self.send(names.peers(self.vm), core.SendToPeer(submit.origin, moved))
 
     @runtime.handles(core.AbortTransaction)
     def _on_abort(self, abort: core.AbortTransaction) -> None:
         if abort.instance in self._gates:
             self.send(names.gate(self.vm, abort.instance), abort)
 
-    @runtime.handles(core.Consumed)
-    def _on_consumed(self, consumed: core.Consumed) -> None:
+    @runtime.handles(core.AnswerConsumed)
+    def _on_consumed(self, consumed: core.AnswerConsumed) -> None:
         if consumed.instance in self._gates:
             self.send(names.gate(self.vm, consumed.instance), consumed)
 
@@ -256,8 +256,8 @@
         self.send(names.router(self.vm), drain)
         self._assign_gates()
 
-    @runtime.handles(notices.Ask)
-    def _on_query(self, query: notices.Ask) -> None:
+    @runtime.handles(task_messages.StateQuery)
+    def _on_query(self, query: task_messages.StateQuery) -> None:
         row = (
             ('vm', str(self.vm)),
             ('state', 'draining' if self._draining else 'running'),
@@ -269,5 +269,6 @@
             ('unknown', str(self.router.unknown)),
         )
         self.send(
-            query.reply_to, notices.Told(self.task_name, query.number, (row,))
+            query.reply_to,
+            task_messages.StateReport(self.task_name, query.number, (row,)),
         )
--- a/src/chicoryusher/tasks/pool/attempt_notes.py
+++ b/src/chicoryusher/tasks/pool/attempt_log.py
@@ -6,13 +6,13 @@
 from chicoryusher import runtime
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['AttemptNotes']
+__all__ = ['AttemptLog']
 
 _OUTCOME_DONE = 'done'
 _NO_ROLE = 'none'
 
 
-class AttemptNotes:
+class AttemptLog:
     """Write the log lines and metrics of one dispatcher's attempts.
 
     ``authority`` is for how many seconds primaries may still be used.
@@ -36,12 +36,12 @@
             access=attempt.route.access.value,
             service=attempt.route.service,
             instance=attempt.instance,
-            via=attempt.via,
+            via=attempt.conn_owner,
             primary=attempt.at_primary,
             after=after,
-            proved=round(attempt.needs_age, 3),
+            proved=round(attempt.position_age, 3),
             authority=round(authority, 3),
-            tries=attempt.tries,
+            tries=attempt.try_count,
         )
 
     def log_delay(
@@ -50,12 +50,12 @@
         """Log and count that a statement waits or is retried."""
         self._dispatcher.meters.add(core.Metric.RETRIES, why=why)
         self._dispatcher.log.emit(
-            core.LogEvent.STATEMENT_HELD,
+            core.LogEvent.STATEMENT_RETRIED,
             request=attempt.message.request_id,
             why=why,
             service=attempt.route.service,
             instance=attempt.instance,
-            tries=attempt.tries,
+            tries=attempt.try_count,
             waited=round(self._waited(attempt), 4),
             authority=round(authority, 3),
         )
@@ -77,7 +77,7 @@
             database=attempt.session.database,
             service=attempt.route.service,
             instance=attempt.instance,
-            tries=attempt.tries,
+            tries=attempt.try_count,
             waited=round(self._waited(attempt), 4),
             authority=round(authority, 3),
         )
@@ -87,7 +87,7 @@
         self._record_latency(attempt, _OUTCOME_DONE)
 
     def _waited(self, attempt: sessions.Attempt) -> float:
-        return self._dispatcher.now() - attempt.arrived
+        return self._dispatcher.now() - attempt.arrived_at
 
     def _record_latency(self, attempt: sessions.Attempt, outcome: str) -> None:
         role = core.Role.REPLICA
@@ -98,5 +98,5 @@
             self._waited(attempt),
             access=attempt.route.access.value,
             outcome=outcome,
-            role=role.value if attempt.tries else _NO_ROLE,
+            role=role.value if attempt.try_count else _NO_ROLE,
         )
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -13,10 +13,10 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import attempt_notes
-from chicoryusher.tasks.pool import choosing
-from chicoryusher.tasks.pool import endings
-from chicoryusher.tasks.pool import roster as roster_module
+from chicoryusher.tasks.pool import attempt_log
+from chicoryusher.tasks.pool import completions
+from chicoryusher.tasks.pool import group_table as roster_module
+from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import sessions
 
 __all__ = ['Attempts', 'RetrySelection']
@@ -30,7 +30,7 @@
 RETRY_PAUSE_S = 0.02
 # A statement with less run time than this left is refused and not sent.
 MIN_RUN_TIME_S = 0.05
-_Block = core.BlockState
+_Block = core.TransactionStatus
 _Metric = core.Metric
 
 
@@ -44,30 +44,30 @@
 class Attempts:
     """Run the statements of the dispatcher that owns this object.
 
-    ``until`` is when the authority to use primaries ends, on the
+    ``lease_expires_at`` is when the primary lease ends, on the
     clock that also counts time while the machine is suspended.
     """
 
     def __init__(
         self,
         dispatcher: runtime.Task,
-        roster: roster_module.Roster,
+        roster: roster_module.GroupTable,
         clock: core.Clock,
     ) -> None:
         self._dispatcher = dispatcher
         self._roster = roster
         self._clock = clock
         self._numbers = itertools.count(1)
-        self._log = attempt_notes.AttemptNotes(dispatcher)
+        self._log = attempt_log.AttemptLog(dispatcher)
         self._running: dict[core.WorkId, sessions.Attempt] = {}
-        self.until = float('-inf')
+        self.lease_expires_at = float('-inf')
 
-    def authority(self) -> bool:
+    def has_lease(self) -> bool:
         """Return whether this VM may use primaries now."""
-        return self._authority_left() > 0.0
+        return self._lease_seconds_left() > 0.0
 
-    def _authority_left(self) -> float:
-        return self.until - self._clock.running_on()
+    def _lease_seconds_left(self) -> float:
+        return self.lease_expires_at - self._clock.boottime()
 
     # -- instance selection ---------------------------------------------
 
@@ -76,7 +76,7 @@
         session: sessions.PoolSession,
         message: core.PoolStatement,
         route: core.PoolRoute,
-        shape: core.Shape | None,
+        shape: core.PreparedQuery | None,
     ) -> None:
         """Start an attempt to run a statement."""
         attempt = sessions.Attempt(
@@ -85,7 +85,7 @@
             route,
             shape,
             self._dispatcher.now(),
-            self._clock.running_on(),
+            self._clock.boottime(),
         )
         session.attempt = attempt
         self._dispatch(attempt)
@@ -105,22 +105,24 @@
         if group is None:
             self._wait_or_refuse(attempt, 'no instance of the group is known')
             return
-        needs = choosing.read_needs_of(attempt, group)
-        name = choosing.select_instance(
+        needs = instance_selection.read_needs_of(attempt, group)
+        name = instance_selection.select_instance(
             attempt,
             group,
             needs,
-            self.authority(),
+            self.has_lease(),
             self._dispatcher.now(),
-            self._clock.running_on(),
+            self._clock.boottime(),
         )
         if name is None:
             self._wait_or_refuse(attempt, 'no instance may serve it')
             return
-        attempt.needs_age = needs.age
+        attempt.position_age = needs.position_age
         attempt.at_primary = name == group.primary
-        after = None if attempt.at_primary else needs.after
-        self._submit(attempt, name, choosing.begin_kind_of(transaction), after)
+        after = None if attempt.at_primary else needs.min_position
+        self._submit(
+            attempt, name, instance_selection.begin_kind_of(transaction), after
+        )
 
     def _continue_transaction(
         self, attempt: sessions.Attempt, instance: core.InstanceName
@@ -139,30 +141,32 @@
         self,
         attempt: sessions.Attempt,
         name: core.InstanceName,
-        begin_kind: core.Begins | None,
+        begin_kind: core.TransactionKind | None,
         min_position: core.Position | None,
     ) -> None:
         """Queue the statement at an instance, or refuse it if too late."""
         now = self._dispatcher.now()
-        time_left = attempt.arrived + attempt.route.limit - now
+        time_left = attempt.arrived_at + attempt.route.statement_timeout - now
         if time_left < MIN_RUN_TIME_S:
             self.refuse(
                 attempt,
-                endings.timeout_refusal(attempt),
+                completions.timeout_refusal(attempt),
                 'no time left to run the statement',
             )
             return
         work_id = core.WorkId(next(self._numbers))
         attempt.work_id = work_id
         attempt.instance = name
-        attempt.via = self._conn_owner_of(attempt, name)
-        attempt.tries += 1
+        attempt.conn_owner = self._conn_owner_of(attempt, name)
+        attempt.try_count += 1
         self._running[work_id] = attempt
         pool_instance = self._pool_instance(attempt)
         if pool_instance is not None:
-            pool_instance.outstanding += 1
-        self._log.log_dispatch(attempt, min_position, self._authority_left())
-        work = choosing.make_work(
+            pool_instance.outstanding_count += 1
+        self._log.log_dispatch(
+            attempt, min_position, self._lease_seconds_left()
+        )
+        work = instance_selection.make_work(
             attempt,
             work_id,
             self._dispatcher.task_name,
@@ -182,10 +186,12 @@
 
         The forwarder sends it to the VM that owns the connections.
         """
-        if attempt.via is None:
-            self._dispatcher.send(self._roster.lane(name), work)
+        if attempt.conn_owner is None:
+            self._dispatcher.send(self._roster.pool_task(name), work)
             return
-        forward = core.ForwardWork(attempt.via, self._roster.entry(name), work)
+        forward = core.ForwardWork(
+            attempt.conn_owner, self._roster.entry(name), work
+        )
         self._dispatcher.send(names.forwarder(self._dispatcher.vm), forward)
 
     def _conn_owner_of(
@@ -197,10 +203,10 @@
         """
         transaction = attempt.session.transaction
         if transaction is None:
-            return self._roster.via(name)
+            return self._roster.conn_owner(name)
         if transaction.instance is None:
-            transaction.via = self._roster.via(name)
-        return transaction.via
+            transaction.conn_owner = self._roster.conn_owner(name)
+        return transaction.conn_owner
 
     def _wait_or_refuse(self, attempt: sessions.Attempt, why: str) -> None:
         """Retry after a pause, or refuse if the statement waited too long.
@@ -208,27 +214,27 @@
         If a primary is expected soon or an instance was tried already, the
         statement may wait as long as it can still be started in time.
         """
-        if attempt.refused:
-            attempt.refused = frozenset()
+        if attempt.excluded:
+            attempt.excluded = frozenset()
         now = self._dispatcher.now()
         group = self._roster.groups.get(attempt.route.service)
         primary_expected = group is not None and group.expects_primary(now)
         share = (
-            choosing.START_TARGET_SHARE
-            if attempt.offered or primary_expected
+            instance_selection.START_TARGET_SHARE
+            if attempt.was_dispatched or primary_expected
             else MAX_WAIT_TARGET_SHARE
         )
-        if now >= attempt.arrived + attempt.route.target * share:
+        if now >= attempt.arrived_at + attempt.route.latency_target * share:
             self.refuse(attempt, core.Refusal.BUSY, why)
             return
-        if attempt.held_for != why:
-            attempt.held_for = why
-            self._log.log_delay(attempt, why, self._authority_left())
+        if attempt.wait_reason != why:
+            attempt.wait_reason = why
+            self._log.log_delay(attempt, why, self._lease_seconds_left())
         self._dispatcher.after(RETRY_PAUSE_S, RetrySelection(attempt))
 
     # -- results --------------------------------------------------------
 
-    def ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
+    def work_ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
         """Process a finished piece of work.
 
         Return the database group that it was for, None if the attempt was
@@ -239,7 +245,7 @@
             return None
         self._decrement_outstanding(attempt)
         self._record_result(attempt, ended)
-        endings.COMPLETIONS.get(ended.ended)(self, attempt, ended)
+        completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
         return attempt.route.service
 
     def fail_work_at(self, name: core.InstanceName) -> None:
@@ -247,24 +253,26 @@
         for attempt in tuple(self._running.values()):
             if attempt.instance == name:
                 assert attempt.work_id is not None
-                ended = core.WorkEnded(attempt.work_id, name, core.Ended.LOST)
+                ended = core.WorkEnded(
+                    attempt.work_id, name, core.Completion.CONNECTION_LOST
+                )
                 self._dispatcher.send(self._dispatcher.task_name, ended)
 
-    def abandon(self, session: sessions.PoolSession) -> None:
+    def cancel_statement(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone."""
         attempt = session.attempt
         if attempt is None or attempt.work_id is None:
             return
         self._running.pop(attempt.work_id, None)
         self._decrement_outstanding(attempt)
-        if attempt.via is not None:
+        if attempt.conn_owner is not None:
             self._dispatcher.send(
                 names.forwarder(self._dispatcher.vm),
                 core.ForwardCancel(attempt.work_id),
             )
         elif attempt.instance in self._roster:
             self._dispatcher.send(
-                self._roster.lane(attempt.instance),
+                self._roster.pool_task(attempt.instance),
                 core.CancelWork(attempt.work_id),
             )
 
@@ -273,17 +281,17 @@
         transaction = session.transaction
         if transaction is None:
             return
-        if transaction.via is not None:
+        if transaction.conn_owner is not None:
             self._dispatcher.send(
                 names.forwarder(self._dispatcher.vm),
-                core.ForwardEnd(transaction.number),
+                core.ForwardRollback(transaction.transaction_id),
             )
             return
         if transaction.instance not in self._roster:
             return
         self._dispatcher.send(
-            self._roster.lane(transaction.instance),
-            core.EndTransaction(transaction.number),
+            self._roster.pool_task(transaction.instance),
+            core.EndTransaction(transaction.transaction_id),
         )
 
     def has_work_at(self, name: core.InstanceName) -> bool:
@@ -299,40 +307,47 @@
         """
         for attempt in self._running.values():
             if attempt.instance == name:
-                attempt.fenced = True
+                attempt.result_untrusted = True
 
     def _pool_instance(
         self, attempt: sessions.Attempt
-    ) -> decisions.PoolInstance | None:
+    ) -> decisions.InstanceLoad | None:
         return self._roster.instance(attempt.route.service, attempt.instance)
 
     def _decrement_outstanding(self, attempt: sessions.Attempt) -> None:
         pool_instance = self._pool_instance(attempt)
         if pool_instance is not None:
-            pool_instance.outstanding = max(0, pool_instance.outstanding - 1)
+            pool_instance.outstanding_count = max(
+                0, pool_instance.outstanding_count - 1
+            )
 
     def _record_result(
         self, attempt: sessions.Attempt, ended: core.WorkEnded
     ) -> None:
         """Record the position, run time and lag that the result shows.
 
-        A position of the primary counts only if this VM had authority over
+        A position of the primary counts only if this VM had a lease on
         it; it is passed on to the view exchange, which sends it to the peers.
         """
         group = self._roster.groups.get(attempt.route.service)
         if group is None:
             return
-        boot_now = self._clock.running_on()
+        boot_now = self._clock.boottime()
         trusted = (
-            attempt.at_primary and self.authority() and not attempt.fenced
+            attempt.at_primary
+            and self.has_lease()
+            and not attempt.result_untrusted
         )
         if group.record_position(ended, trusted, boot_now):
-            assert ended.position is not None and ended.asked_at is not None
-            observed = core.PrimaryObserved(
-                group.service, ended.position, ended.asked_at
+            assert (
+                ended.position is not None
+                and ended.sent_at_boottime is not None
+            )
+            observed = core.PrimaryPositionObserved(
+                group.service, ended.position, ended.sent_at_boottime
             )
             self._dispatcher.send(
-                names.exchange(self._dispatcher.vm), observed
+                names.view_exchange(self._dispatcher.vm), observed
             )
         pool_instance = group.instances.get(ended.instance)
         if pool_instance is None:
@@ -342,11 +357,11 @@
                 pool_instance, ended, self._dispatcher.now() - ended.sent_at
             )
         if ended.refusal is core.Refusal.NOT_FRESH:
-            pool_instance.fell_behind(attempt.needs_age, boot_now)
+            pool_instance.raise_lag_estimate(attempt.position_age, boot_now)
 
     def _record_run_time(
         self,
-        pool_instance: decisions.PoolInstance,
+        pool_instance: decisions.InstanceLoad,
         ended: core.WorkEnded,
         seconds: float,
     ) -> None:
@@ -354,18 +369,18 @@
             _Metric.RUN,
             seconds,
             instance=ended.instance,
-            ended=ended.ended.value,
+            ended=ended.completion.value,
         )
-        if ended.ended is core.Ended.ANSWERED:
-            pool_instance.answered(seconds)
+        if ended.completion is core.Completion.ANSWERED:
+            pool_instance.record_service_time(seconds)
 
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
     ) -> None:
         """Retry at another instance; the statement may safely run again."""
-        attempt.refused |= {avoid}
+        attempt.excluded |= {avoid}
         self._reset_instance(attempt)
-        self._log.log_delay(attempt, why, self._authority_left())
+        self._log.log_delay(attempt, why, self._lease_seconds_left())
         self._dispatch(attempt)
 
     def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
@@ -375,7 +390,7 @@
 
     def _reset_instance(self, attempt: sessions.Attempt) -> None:
         """Detach the statement from its instance so that it may run at any."""
-        attempt.offered = True
+        attempt.was_dispatched = True
         transaction = attempt.session.transaction
         if transaction is not None:
             transaction.instance = None
@@ -383,7 +398,8 @@
     def report_trouble(self, name: core.InstanceName) -> None:
         """Have the reachability monitor check an instance."""
         self._dispatcher.send(
-            names.watch(self._dispatcher.vm), core.InstanceTrouble(name)
+            names.reachability_monitor(self._dispatcher.vm),
+            core.InstanceFault(name),
         )
 
     # -- answers --------------------------------------------------------
@@ -393,14 +409,14 @@
         attempt: sessions.Attempt,
         refusal: core.Refusal,
         why: str,
-        block: core.BlockState = _Block.IDLE,
+        block: core.TransactionStatus = _Block.IDLE,
     ) -> None:
         """Answer with a refusal, and log the reason."""
         session = attempt.session
         if block is _Block.IDLE:
             self.roll_back(session)
-        authority_left = self._authority_left()
-        self._log.log_refusal(attempt, refusal, why, authority_left)
+        lease_seconds_left = self._lease_seconds_left()
+        self._log.log_refusal(attempt, refusal, why, lease_seconds_left)
         answer = core.SessionAnswer(
             session.session_id,
             attempt.message.request_id,
@@ -408,13 +424,13 @@
             refusal=refusal,
             detail=str(attempt.instance or ''),
         )
-        session.host.answered(session, answer)
+        session.owner.attempt_answered(session, answer)
 
     def deliver(
         self,
         attempt: sessions.Attempt,
         ended: core.WorkEnded,
-        block: core.BlockState,
+        block: core.TransactionStatus,
     ) -> None:
         """Send the instance's answer to the caller."""
         session = attempt.session
@@ -422,8 +438,10 @@
             self._log.record_success(attempt)
         else:
             why = 'the statement failed at the instance'
-            authority_left = self._authority_left()
-            self._log.log_refusal(attempt, ended.refusal, why, authority_left)
+            lease_seconds_left = self._lease_seconds_left()
+            self._log.log_refusal(
+                attempt, ended.refusal, why, lease_seconds_left
+            )
         answer = core.SessionAnswer(
             session.session_id,
             attempt.message.request_id,
@@ -434,4 +452,4 @@
             ended.detail,
             ended.position,
         )
-        session.host.answered(session, answer)
+        session.owner.attempt_answered(session, answer)
--- a/src/chicoryusher/tasks/pool/endings.py
+++ b/src/chicoryusher/tasks/pool/completions.py
@@ -14,7 +14,7 @@
 
 __all__ = ['COMPLETIONS', 'timeout_refusal']
 
-_Block = core.BlockState
+_Block = core.TransactionStatus
 _Refusal = core.Refusal
 # Refusals that prove that the instance did not run the statement.
 _NOT_RUN = (
@@ -25,10 +25,10 @@
 )
 
 
-class Host(Protocol):
+class AttemptRunner(Protocol):
     """The operations of ``Attempts`` that completions use."""
 
-    def authority(self) -> bool:
+    def has_lease(self) -> bool:
         """Return whether this VM may use primaries now."""
 
     def try_elsewhere(
@@ -47,7 +47,7 @@
         attempt: sessions.Attempt,
         refusal: core.Refusal,
         why: str,
-        block: core.BlockState = _Block.IDLE,
+        block: core.TransactionStatus = _Block.IDLE,
     ) -> None:
         """Answer with a refusal, and log the reason."""
 
@@ -55,13 +55,15 @@
         self,
         attempt: sessions.Attempt,
         ended: core.WorkEnded,
-        block: core.BlockState,
+        block: core.TransactionStatus,
     ) -> None:
         """Send the instance's answer to the caller."""
 
 
-Completion = Callable[[Host, sessions.Attempt, core.WorkEnded], None]
-COMPLETIONS: core.Registry[Completion] = core.Registry('work ending')
+CompletionHandler = Callable[
+    [AttemptRunner, sessions.Attempt, core.WorkEnded], None
+]
+COMPLETIONS: core.Registry[CompletionHandler] = core.Registry('work ending')
 
 
 def timeout_refusal(attempt: sessions.Attempt) -> core.Refusal:
@@ -81,9 +83,9 @@
     return transaction is not None and transaction.instance is not None
 
 
-@COMPLETIONS.register(core.Ended.ANSWERED)
+@COMPLETIONS.register(core.Completion.ANSWERED)
 def _answered(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     if ended.refusal is None:
         _succeeded(host, attempt, ended)
@@ -94,31 +96,31 @@
 
 
 def _succeeded(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Answer a statement that the instance ran.
 
-    A committed change is answered with UNKNOWN if this VM had no authority
+    A committed change is answered with UNKNOWN if this VM had no primary lease
     over the primary any more.  Otherwise its log position is stored, so that
     later reads of the session see the change.
     """
     session = attempt.session
     transaction = session.transaction
-    commits_change = attempt.commits
+    commits_change = attempt.may_commit
     if transaction is not None:
-        commits_change = attempt.commits and transaction.wrote
-    if commits_change and (attempt.fenced or not host.authority()):
+        commits_change = attempt.may_commit and transaction.wrote
+    if commits_change and (attempt.result_untrusted or not host.has_lease()):
         host.refuse(
             attempt,
             _Refusal.UNKNOWN,
-            'authority expired before the answer came',
+            'primary lease expired before the answer came',
         )
         return
     if commits_change and ended.position is not None:
-        last_write = session.wrote_at
+        last_write = session.last_write_position
         if last_write is None or ended.position > last_write:
-            session.wrote_at = ended.position
-    if transaction is None or attempt.commits:
+            session.last_write_position = ended.position
+    if transaction is None or attempt.may_commit:
         host.deliver(attempt, ended, _Block.IDLE)
         return
     transaction.instance = ended.instance
@@ -127,7 +129,7 @@
 
 
 def _not_run(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Retry a statement that the instance refused without running it.
 
@@ -153,29 +155,29 @@
 
 
 def _ran_and_failed(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Deliver the error; an open transaction has failed."""
     if attempt.session.transaction is None:
         host.deliver(attempt, ended, _Block.IDLE)
         return
-    if attempt.commits:
+    if attempt.may_commit:
         host.deliver(attempt, ended, _Block.IDLE)
         return
     host.deliver(attempt, ended, _Block.FAILED)
 
 
-@COMPLETIONS.register(core.Ended.NOT_RUN)
+@COMPLETIONS.register(core.Completion.NOT_RUN)
 def _begin_not_run(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Retry a transaction whose begin the instance refused."""
     _not_run(host, attempt, ended)
 
 
-@COMPLETIONS.register(core.Ended.NOT_STARTED)
+@COMPLETIONS.register(core.Completion.NOT_STARTED)
 def _not_started(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Retry work that got no connection to the instance."""
     if attempt.at_primary:
@@ -185,9 +187,9 @@
         host.try_elsewhere(attempt, ended.instance, why)
 
 
-@COMPLETIONS.register(core.Ended.LOST)
+@COMPLETIONS.register(core.Completion.CONNECTION_LOST)
 def _lost(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Retry or refuse a statement whose connection was lost.
 
@@ -198,14 +200,14 @@
     sent = ended.sent_at is not None
     if _continues_transaction(attempt):
         assert transaction is not None
-        if attempt.commits and transaction.wrote and sent:
+        if attempt.may_commit and transaction.wrote and sent:
             host.refuse(
                 attempt, _Refusal.UNKNOWN, 'connection lost during a commit'
             )
         else:
             host.refuse(attempt, _Refusal.ABORTED, 'connection lost')
         return
-    if attempt.commits and transaction is None and sent:
+    if attempt.may_commit and transaction is None and sent:
         host.refuse(
             attempt, _Refusal.UNKNOWN, 'connection lost during a write'
         )
@@ -216,9 +218,9 @@
         host.try_elsewhere(attempt, ended.instance, why)
 
 
-@COMPLETIONS.register(core.Ended.OVERTIME)
+@COMPLETIONS.register(core.Completion.TIMED_OUT)
 def _overtime(
-    host: Host, attempt: sessions.Attempt, ended: core.WorkEnded
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
     """Refuse a statement that ran longer than its time limit.
 
@@ -227,9 +229,9 @@
     transaction = attempt.session.transaction
     if transaction is None:
         refusal = _Refusal.TIMEOUT
-        if attempt.commits:
+        if attempt.may_commit:
             refusal = _Refusal.UNKNOWN
-    elif attempt.commits and transaction.wrote:
+    elif attempt.may_commit and transaction.wrote:
         refusal = _Refusal.UNKNOWN
     else:
         refusal = _Refusal.ABORTED
--- a/src/chicoryusher/tasks/pool/desk.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -10,13 +10,13 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempts as attempts_module
-from chicoryusher.tasks.pool import groups as groups_module
-from chicoryusher.tasks.pool import roster as roster_module
+from chicoryusher.tasks.pool import group_state as groups_module
+from chicoryusher.tasks.pool import group_table as roster_module
 from chicoryusher.tasks.pool import sessions
-from chicoryusher.tasks.pool.roster import DeskSettings
-from chicoryusher.tasks.pool.roster import LaneEdges
+from chicoryusher.tasks.pool.group_table import DispatcherSettings
+from chicoryusher.tasks.pool.group_table import LinkFactory
 
-__all__ = ['Desk', 'DeskSettings', 'LaneEdges']
+__all__ = ['Dispatcher', 'DispatcherSettings', 'LinkFactory']
 
 # Seconds between checks for idle sessions with an open transaction.
 IDLE_CHECK_INTERVAL_S = 0.5
@@ -34,23 +34,23 @@
     service: core.ServiceName
 
 
-class Desk(runtime.Task):
+class Dispatcher(runtime.Task):
     """Own the pooled sessions; run their statements as attempts."""
 
     def __init__(
         self,
         loop: runtime.Runtime,
         vm: core.VmName,
-        edges: LaneEdges,
-        settings: DeskSettings,
+        edges: LinkFactory,
+        settings: DispatcherSettings,
     ) -> None:
         super().__init__(loop, vm, 'desk')
         self._clock = loop.clock
-        self._chart = charts.compiled('pool_session')
+        self._chart = charts.load_machine('pool_session')
         self._numbers = itertools.count(1)
         self._config: core.PoolConfig | None = None
         self._routes: dict[core.DatabaseName, core.PoolRoute] = {}
-        self._roster = roster_module.Roster(self, loop, edges, settings)
+        self._roster = roster_module.GroupTable(self, loop, edges, settings)
         self._attempts = attempts_module.Attempts(
             self, self._roster, loop.clock
         )
@@ -60,38 +60,38 @@
         self.after(IDLE_CHECK_INTERVAL_S, _CheckIdle())
 
     @property
-    def sessions(self) -> int:
+    def session_count(self) -> int:
         """Return the number of open sessions."""
         return len(self._sessions)
 
-    def authority(self) -> bool:
+    def has_lease(self) -> bool:
         """Return whether this VM may use primaries now."""
-        return self._attempts.authority()
+        return self._attempts.has_lease()
 
-    # -- configuration, authority and instances -------------------------
+    # -- configuration, lease and instances -------------------------
 
-    @runtime.handles(core.PoolConfigInForce)
-    def _on_config(self, message: core.PoolConfigInForce) -> None:
+    @runtime.handles(core.PoolConfigUpdate)
+    def _on_config(self, message: core.PoolConfigUpdate) -> None:
         self._config = message.config
         self._routes = {
             route.database: route for route in message.config.routes
         }
-        self._roster.take_config(message.config)
+        self._roster.apply_config(message.config)
         waiting_starts, self._waiting_starts = self._waiting_starts, []
         for start in waiting_starts:
             self._on_start(start)
 
-    @runtime.handles(core.Authority)
-    def _on_authority(self, message: core.Authority) -> None:
-        self._attempts.until = message.until
+    @runtime.handles(core.PrimaryLeaseUpdate)
+    def _on_lease_update(self, message: core.PrimaryLeaseUpdate) -> None:
+        self._attempts.lease_expires_at = message.expires_at
 
-    @runtime.handles(core.LiveNodes)
-    def _on_live(self, message: core.LiveNodes) -> None:
-        self._roster.take_live(message.nodes)
+    @runtime.handles(core.LiveEntryVms)
+    def _on_live(self, message: core.LiveEntryVms) -> None:
+        self._roster.apply_live_vms(message.nodes)
 
-    @runtime.handles(core.GroupInForce)
-    def _on_group(self, message: core.GroupInForce) -> None:
-        for name in self._roster.take_group(message):
+    @runtime.handles(core.GroupUpdate)
+    def _on_group(self, message: core.GroupUpdate) -> None:
+        for name in self._roster.apply_group(message):
             self._attempts.fail_work_at(name)
 
     # -- sessions -------------------------------------------------------
@@ -119,8 +119,8 @@
             core.SessionStarted(message.session_id, refusal),
         )
 
-    @runtime.handles(core.SessionLeft)
-    def _on_left(self, message: core.SessionLeft) -> None:
+    @runtime.handles(core.CallerDisconnected)
+    def _on_left(self, message: core.CallerDisconnected) -> None:
         session = self._sessions.get(message.session_id)
         if session is not None:
             self._chart.fire(session, 'closed')
@@ -130,7 +130,7 @@
         session = self._sessions.get(message.session_id)
         if session is None:
             return
-        session.used_at = self.now()
+        session.last_used_at = self.now()
         self._chart.fire(session, 'statement', message)
 
     @runtime.handles(_CheckIdle)
@@ -140,14 +140,14 @@
         self._show_metrics()
         if self._config is None:
             return
-        oldest = self.now() - self._config.tx_idle
+        oldest = self.now() - self._config.transaction_idle_timeout
         for session in self._sessions.values():
-            if session.used_at < oldest:
+            if session.last_used_at < oldest:
                 self._chart.fire(session, 'lost')
 
     def _show_metrics(self) -> None:
         self.meters.show(core.Metric.SESSIONS, len(self._sessions))
-        boot_now = self._clock.running_on()
+        boot_now = self._clock.boottime()
         for service, group in self._roster.groups.items():
             newest = group.observations.newest
             if newest is not None:
@@ -156,46 +156,44 @@
                     core.Metric.POSITION_AGE, age, service=service
                 )
 
-    def begun(
+    def new_transaction(
         self, session: sessions.PoolSession, read_only: bool
     ) -> sessions.Transaction:
         """Create a transaction for the session."""
         number = core.TransactionId(f't{next(self._numbers)}')
-        return sessions.Transaction(
-            number, read_only, self._clock.running_on()
-        )
+        return sessions.Transaction(number, read_only, self._clock.boottime())
 
-    def answered(
+    def attempt_answered(
         self, session: sessions.PoolSession, answer: core.SessionAnswer
     ) -> None:
         """Process the answer of the session's attempt."""
         self._chart.fire(session, 'answered', answer)
 
-    def reply(
+    def send_reply(
         self, session: sessions.PoolSession, answer: core.SessionAnswer
     ) -> None:
         """Send an answer to the session's caller."""
         session.attempt = None
-        session.used_at = self.now()
+        session.last_used_at = self.now()
         self.send(session.frontend, answer)
         if self._draining:
             self._close_if_idle(session)
 
-    def abandon(self, session: sessions.PoolSession) -> None:
+    def cancel_statement(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone."""
-        self._attempts.abandon(session)
+        self._attempts.cancel_statement(session)
 
     def roll_back(self, session: sessions.PoolSession) -> None:
         """Roll the session's transaction back at its instance."""
         self._attempts.roll_back(session)
 
-    def forget(self, session: sessions.PoolSession) -> None:
+    def remove_session(self, session: sessions.PoolSession) -> None:
         """Remove the session."""
         self._sessions.pop(session.session_id, None)
 
     # -- statements -----------------------------------------------------
 
-    def route(
+    def start_attempt(
         self, session: sessions.PoolSession, message: core.PoolStatement
     ) -> None:
         """Start an attempt to run the statement, or refuse it at once."""
@@ -232,9 +230,9 @@
         refusal: core.Refusal,
     ) -> None:
         """Answer with a refusal; the transaction, if any, has failed."""
-        block = core.BlockState.IDLE
+        block = core.TransactionStatus.IDLE
         if session.transaction is not None:
-            block = core.BlockState.FAILED
+            block = core.TransactionStatus.FAILED
             self.roll_back(session)
         self.log.emit(
             core.LogEvent.STATEMENT_REFUSED,
@@ -254,22 +252,22 @@
 
     @runtime.handles(core.WorkEnded)
     def _on_ended(self, ended: core.WorkEnded) -> None:
-        service = self._attempts.ended(ended)
+        service = self._attempts.work_ended(ended)
         if service is not None:
             self._stop_if_unused(service)
 
-    @runtime.handles(core.InstanceTrouble)
-    def _on_trouble(self, message: core.InstanceTrouble) -> None:
+    @runtime.handles(core.InstanceFault)
+    def _on_trouble(self, message: core.InstanceFault) -> None:
         for group in self._roster.groups.values():
             pool_instance = group.instances.get(message.instance)
             if pool_instance is not None:
-                pool_instance.troubled(self.now())
+                pool_instance.penalize(self.now())
 
-    @runtime.handles(core.PrimaryObserved)
-    def _on_observed(self, message: core.PrimaryObserved) -> None:
+    @runtime.handles(core.PrimaryPositionObserved)
+    def _on_observed(self, message: core.PrimaryPositionObserved) -> None:
         group = self._roster.groups.get(message.service)
         if group is not None:
-            group.observations.add(message.asked_at, message.position)
+            group.observations.add(message.requested_at, message.position)
 
     # -- stopping a primary ---------------------------------------------
 
@@ -283,7 +281,8 @@
         group.stopping = message
         group.stopped_at = self.now()
         self.after(
-            message.patience, _StopTimeout(message.revision, message.service)
+            message.grace_period,
+            _StopTimeout(message.revision, message.service),
         )
         self._stop_if_unused(message.service)
 
@@ -318,14 +317,16 @@
         group.stopping = None
         self._attempts.fence(stopping.primary)
         if stopping.primary in self._roster:
-            lane = self._roster.lane(stopping.primary)
-            self.send(lane, core.StopLane())
-        self.send(names.forwarder(self.vm), core.ForwardStop(stopping.primary))
+            lane = self._roster.pool_task(stopping.primary)
+            self.send(lane, core.StopInstancePool())
+        self.send(
+            names.forwarder(self.vm), core.StopForwarding(stopping.primary)
+        )
         self._report_stopped(stopping)
 
     def _report_stopped(self, message: core.StopPrimary) -> None:
         self.send(
-            names.keeper(self.vm),
+            names.primary_manager(self.vm),
             core.PrimaryStopped(message.service, message.revision),
         )
 
@@ -340,6 +341,4 @@
 
     def _close_if_idle(self, session: sessions.PoolSession) -> None:
         if session.state is core.PoolSessionState.IDLE:
-            self.send(
-                session.frontend, core.SessionVerdict(session.session_id)
-            )
+            self.send(session.frontend, core.CloseSession(session.session_id))
--- a/src/chicoryusher/tasks/pool/crew.py
+++ b/src/chicoryusher/tasks/pool/entry_vms.py
@@ -7,14 +7,14 @@
 from chicoryusher import core
 from chicoryusher import decisions
 
-__all__ = ['Crew']
+__all__ = ['EntryVms']
 
 # Seconds without a response after which a VM is marked as missing.
 MISSING_AFTER_S = 6.0
-# Seconds after the mark until a missing VM is assumed to have no authority.
+# Seconds after the mark until a missing VM is assumed to have no lease.
 # If it reaches the store, it sees the mark and registers again; if it does
-# not, its authority has expired by then.
-MARK_ENDS_AUTHORITY_S = 2.0 * decisions.LAPSE
+# not, its lease has expired by then.
+MARK_ENDS_LEASE_S = 2.0 * decisions.LEASE_DURATION_S
 # Seconds after the mark until a missing VM has no vote.  If it reaches the
 # store, it has written its row again by then.
 MARK_ENDS_VOTE_S = 1.0
@@ -22,16 +22,18 @@
 MARK_INTERVAL_S = 3.0
 
 
-class Crew:
+class EntryVms:
     """Rows of the other VMs, and since when each row is unchanged."""
 
     def __init__(self, own: core.VmName) -> None:
         self._own = own
-        self._rows: dict[core.VmName, core.NodeRow] = {}
+        self._rows: dict[core.VmName, core.EntryVmRow] = {}
         self._unchanged_since: dict[core.VmName, float] = {}
         self._marked_at: dict[core.VmName, float] = {}
 
-    def replace_rows(self, rows: tuple[core.NodeRow, ...], now: float) -> None:
+    def replace_rows(
+        self, rows: tuple[core.EntryVmRow, ...], now: float
+    ) -> None:
         """Replace all rows by those of the store."""
         others = {node.vm: node for node in rows if node.vm != self._own}
         for vm, row in others.items():
@@ -39,17 +41,19 @@
                 self._unchanged_since[vm] = now
         self._rows = others
 
-    def contactable(self) -> tuple[core.NodeRow, ...]:
+    def contactable(self) -> tuple[core.EntryVmRow, ...]:
         """Return the VMs that have not left and are not marked as missing."""
-        return tuple(row for row in self._rows.values() if row.is_callable)
+        return tuple(
+            row for row in self._rows.values() if row.may_be_contacted
+        )
 
-    def authority_users(self, now: float) -> tuple[core.VmName, ...]:
+    def possible_lease_holders(self, now: float) -> tuple[core.VmName, ...]:
         """Return the VMs that may still use or change a primary."""
         return tuple(
             vm
             for vm, row in self._rows.items()
-            if row.life is not core.NodeLife.LEFT
-            and not self._is_marked_for(row, MARK_ENDS_AUTHORITY_S, now)
+            if row.status is not core.EntryVmStatus.LEFT
+            and not self._is_marked_for(row, MARK_ENDS_LEASE_S, now)
         )
 
     def voters(self, now: float) -> tuple[core.VmName, ...]:
@@ -62,18 +66,20 @@
         return tuple(
             vm
             for vm, row in self._rows.items()
-            if row.life is not core.NodeLife.LEFT
+            if row.status is not core.EntryVmStatus.LEFT
             and not self._is_marked_for(row, MARK_ENDS_VOTE_S, now)
         )
 
     def _is_marked_for(
-        self, row: core.NodeRow, seconds: float, now: float
+        self, row: core.EntryVmRow, seconds: float, now: float
     ) -> bool:
-        return row.missing and now - self._unchanged_since[row.vm] >= seconds
+        return (
+            row.unreachable and now - self._unchanged_since[row.vm] >= seconds
+        )
 
     def newly_missing(
         self, response_times: Mapping[core.VmName, float], now: float
-    ) -> tuple[core.NodeRow, ...]:
+    ) -> tuple[core.EntryVmRow, ...]:
         """Return the rows of the VMs to mark as missing now.
 
         ``response_times`` is when each VM last responded.
--- a/src/chicoryusher/tasks/pool/forwarded.py
+++ b/src/chicoryusher/tasks/pool/forwarded_work.py
@@ -9,7 +9,7 @@
 
 __all__ = ['ForwardedWork']
 
-_ENDED = core.Ended
+_ENDED = core.Completion
 
 
 class Host(Protocol):
@@ -40,7 +40,7 @@
         sent_at: float,
         asked_at: float,
     ) -> None:
-        self.state = core.ForwardedState.AWAY
+        self.state = core.ForwardedState.REMOTE
         self.host = host
         self.via = via
         self.instance = instance
@@ -48,23 +48,25 @@
         self.sent_at = sent_at
         self.asked_at = asked_at
 
-    def unreported_end(self, ended: core.Ended, sent: bool) -> core.WorkEnded:
+    def unreported_end(
+        self, ended: core.Completion, sent: bool
+    ) -> core.WorkEnded:
         """Create the result if the connection owner sent none."""
         return core.WorkEnded(
             self.work.work_id,
             self.instance,
             ended,
             sent_at=self.sent_at if sent else None,
-            asked_at=self.asked_at,
+            sent_at_boottime=self.asked_at,
         )
 
 
-@charts.guard('forwarded.continues')
+@charts.guard('forwarded.in_transaction')
 def _continues(remote_work: ForwardedWork, arg: object) -> bool:
     """Return whether the work continues a transaction begun earlier."""
     return (
         remote_work.work.transaction is not None
-        and remote_work.work.begins is None
+        and remote_work.work.begin_kind is None
     )
 
 
@@ -73,23 +75,23 @@
     remote_work.host.report(remote_work, ended)
 
 
-@charts.action('forwarded.lose')
+@charts.action('forwarded.report_lost')
 def _lose(remote_work: ForwardedWork, arg: object) -> None:
     """Report the work as lost; it may have been run."""
     remote_work.host.report(
-        remote_work, remote_work.unreported_end(_ENDED.LOST, True)
+        remote_work, remote_work.unreported_end(_ENDED.CONNECTION_LOST, True)
     )
 
 
-@charts.action('forwarded.lose_unsent')
+@charts.action('forwarded.report_lost_unsent')
 def _lose_unsent(remote_work: ForwardedWork, arg: object) -> None:
     """Report work that was not sent as lost, with its transaction."""
     remote_work.host.report(
-        remote_work, remote_work.unreported_end(_ENDED.LOST, False)
+        remote_work, remote_work.unreported_end(_ENDED.CONNECTION_LOST, False)
     )
 
 
-@charts.action('forwarded.give_back')
+@charts.action('forwarded.report_not_started')
 def _give_back(remote_work: ForwardedWork, arg: object) -> None:
     """Report the work as not started, so that it may be retried."""
     remote_work.host.report(
@@ -97,14 +99,14 @@
     )
 
 
-@charts.action('forwarded.overrun')
+@charts.action('forwarded.report_timed_out')
 def _time_out(remote_work: ForwardedWork, arg: object) -> None:
     """Report that the work exceeded its time limit."""
     remote_work.host.report(
-        remote_work, remote_work.unreported_end(_ENDED.OVERTIME, True)
+        remote_work, remote_work.unreported_end(_ENDED.TIMED_OUT, True)
     )
 
 
-@charts.action('forwarded.call_back')
+@charts.action('forwarded.cancel_remote')
 def _cancel_remote(remote_work: ForwardedWork, arg: object) -> None:
     remote_work.host.cancel_remote(remote_work)
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -7,8 +7,8 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
-from chicoryusher.tasks.pool import forwarded
+from chicoryusher.tasks import task_messages
+from chicoryusher.tasks.pool import forwarded_work
 
 __all__ = ['Forwarder']
 
@@ -30,8 +30,8 @@
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
         super().__init__(loop, vm, 'forwarder')
         self._clock = loop.clock
-        self._chart = charts.compiled('forwarded')
-        self._in_flight: dict[core.WorkId, forwarded.ForwardedWork] = {}
+        self._chart = charts.load_machine('forwarded')
+        self._in_flight: dict[core.WorkId, forwarded_work.ForwardedWork] = {}
         self._conn_owners: dict[core.TransactionId, core.VmName] = {}
         self._check_scheduled = False
 
@@ -41,18 +41,20 @@
     def _on_work(self, message: core.ForwardWork) -> None:
         work, entry = message.work, message.entry
         now = self.now()
-        self._in_flight[work.work_id] = forwarded.ForwardedWork(
+        self._in_flight[work.work_id] = forwarded_work.ForwardedWork(
             self,
-            message.via,
+            message.conn_owner,
             entry.name,
             work,
             now,
-            self._clock.running_on(),
+            self._clock.boottime(),
         )
         if work.transaction is not None:
-            self._conn_owners[work.transaction] = message.via
+            self._conn_owners[work.transaction] = message.conn_owner
         self.meters.add(core.Metric.FORWARDED, instance=entry.name)
-        self._send_to_peer(message.via, self._relay_message(entry, work, now))
+        self._send_to_peer(
+            message.conn_owner, self._relay_message(entry, work, now)
+        )
         self._schedule_check()
 
     def _relay_message(
@@ -61,29 +63,29 @@
         return core.RelayWork(
             self.vm,
             entry.name,
-            entry.boot,
+            entry.incarnation,
             work.work_id,
             work.request_id,
             work.statement,
-            work.shape,
-            work.values,
+            work.prepared,
+            work.session_values,
             work.priority,
-            work.start_by - now,
-            work.limit,
-            work.patience,
+            work.start_deadline - now,
+            work.timeout,
+            work.retryable_timeout,
             work.transaction,
-            work.begins,
-            work.after,
+            work.begin_kind,
+            work.min_position,
         )
 
     def _send_to_peer(self, vm: core.VmName, message: core.Message) -> None:
-        self.send(names.peers(self.vm), core.ToPeer(vm, message))
+        self.send(names.peers(self.vm), core.SendToPeer(vm, message))
 
     # -- results and cancellation ---------------------------------------
 
     def _settle(
         self,
-        remote_work: forwarded.ForwardedWork,
+        remote_work: forwarded_work.ForwardedWork,
         event: str,
         arg: core.WorkEnded | None = None,
     ) -> None:
@@ -91,15 +93,18 @@
         self._chart.fire(remote_work, event, arg)
 
     def report(
-        self, remote_work: forwarded.ForwardedWork, ended: core.WorkEnded
+        self, remote_work: forwarded_work.ForwardedWork, ended: core.WorkEnded
     ) -> None:
         """Report the result to the task that sent the work."""
         transaction = remote_work.work.transaction
-        if transaction is not None and ended.block is core.BlockState.IDLE:
+        if (
+            transaction is not None
+            and ended.transaction_status is core.TransactionStatus.IDLE
+        ):
             self._conn_owners.pop(transaction, None)
-        self.send(remote_work.work.owner, ended)
+        self.send(remote_work.work.reply_to, ended)
 
-    def cancel_remote(self, remote_work: forwarded.ForwardedWork) -> None:
+    def cancel_remote(self, remote_work: forwarded_work.ForwardedWork) -> None:
         """Cancel the work at the connection owner."""
         self._send_to_peer(
             remote_work.via,
@@ -114,13 +119,13 @@
         ended = core.WorkEnded(
             message.work_id,
             message.instance,
-            message.ended,
+            message.completion,
             message.rows,
             message.digest,
             message.refusal,
             message.detail,
             message.position,
-            message.block,
+            message.transaction_status,
             remote_work.sent_at if message.sent else None,
             remote_work.asked_at,
         )
@@ -132,15 +137,15 @@
         if remote_work is not None:
             self._settle(remote_work, 'cancelled')
 
-    @runtime.handles(core.ForwardEnd)
-    def _on_end(self, message: core.ForwardEnd) -> None:
+    @runtime.handles(core.ForwardRollback)
+    def _on_end(self, message: core.ForwardRollback) -> None:
         via = self._conn_owners.pop(message.transaction, None)
         if via is not None:
             rollback = core.RelayRollback(self.vm, message.transaction)
             self._send_to_peer(via, rollback)
 
-    @runtime.handles(core.ForwardStop)
-    def _on_stop(self, message: core.ForwardStop) -> None:
+    @runtime.handles(core.StopForwarding)
+    def _on_stop(self, message: core.StopForwarding) -> None:
         for remote_work in tuple(self._in_flight.values()):
             if remote_work.instance == message.instance:
                 self._settle(remote_work, 'stopped')
@@ -154,8 +159,8 @@
             if via == message.vm:
                 del self._conn_owners[transaction]
 
-    @runtime.handles(notices.Undelivered)
-    def _on_undelivered(self, message: notices.Undelivered) -> None:
+    @runtime.handles(task_messages.Undelivered)
+    def _on_undelivered(self, message: task_messages.Undelivered) -> None:
         """Settle work that could not be sent to the connection owner."""
         relayed = message.message
         if not isinstance(relayed, core.RelayWork):
@@ -178,13 +183,13 @@
         now = self.now()
         for remote_work in tuple(self._in_flight.values()):
             elapsed = now - remote_work.sent_at
-            repeats = decisions.may_repeat(remote_work.work)
+            repeats = decisions.is_repeatable(remote_work.work)
             if (
                 repeats
                 and elapsed
-                > remote_work.work.patience + FORWARDING_ALLOWANCE_S
+                > remote_work.work.retryable_timeout + FORWARDING_ALLOWANCE_S
             ):
                 self._settle(remote_work, 'silent')
-            elif elapsed >= remote_work.work.limit:
+            elif elapsed >= remote_work.work.timeout:
                 self._settle(remote_work, 'overtime')
         self._schedule_check()
--- a/src/chicoryusher/tasks/pool/groups.py
+++ b/src/chicoryusher/tasks/pool/group_state.py
@@ -5,14 +5,14 @@
 from chicoryusher import core
 from chicoryusher import decisions
 
-__all__ = ['DISTANCES', 'PoolGroup']
+__all__ = ['ROUND_TRIP_S', 'PoolGroup']
 
 # Seconds of a round trip to an instance.  One way takes 0.5 to 1.4 ms
 # between zones and 20 ms between regions, as the users state.
-DISTANCES = {
-    core.Nearness.SAME_ZONE: 0.001,
-    core.Nearness.SAME_REGION: 0.003,
-    core.Nearness.OTHER_REGION: 0.042,
+ROUND_TRIP_S = {
+    core.ZoneDistance.SAME_ZONE: 0.001,
+    core.ZoneDistance.SAME_REGION: 0.003,
+    core.ZoneDistance.OTHER_REGION: 0.042,
 }
 # Seconds that a change of primary usually takes; the promotion is 300 to
 # 1,000 ms of that.
@@ -30,15 +30,15 @@
 
     def __init__(self, service: core.ServiceName) -> None:
         self.service = service
-        self.instances: dict[core.InstanceName, decisions.PoolInstance] = {}
+        self.instances: dict[core.InstanceName, decisions.InstanceLoad] = {}
         self.primary: core.InstanceName | None = None
-        self.observations = decisions.Observations()
+        self.observations = decisions.PrimaryPositions()
         self.stopping: core.StopPrimary | None = None
         self.stopped_at = float('-inf')
         self._seen_before = False
         self._leaving_since: dict[core.InstanceName, float] = {}
 
-    def take_primary(
+    def set_primary(
         self, primary: core.InstanceName | None, now: float
     ) -> None:
         """Store the primary in use.
@@ -50,7 +50,7 @@
             self.stopped_at = now
         self.primary = primary
 
-    def note_leaving(self, entry: core.InstanceEntry, now: float) -> None:
+    def record_leaving(self, entry: core.InstanceEntry, now: float) -> None:
         """Record since when an instance is registered as leaving."""
         if entry.leaving:
             self._leaving_since.setdefault(entry.name, now)
@@ -86,18 +86,18 @@
         if position is None or pool_instance is None:
             return False
         if ended.instance == self.primary:
-            if not authority or ended.asked_at is None:
+            if not authority or ended.sent_at_boottime is None:
                 return False
-            self.observations.add(ended.asked_at, position)
+            self.observations.add(ended.sent_at_boottime, position)
             return True
-        pool_instance.position = position
+        pool_instance.applied_position = position
         pool_instance.lag = self.observations.lag(position, boot_now)
-        pool_instance.lag_seen_at = boot_now
+        pool_instance.lag_estimated_at = boot_now
         return False
 
     def read_needs(
         self, arrived_at: float, bound: float, last_write: core.Position | None
-    ) -> decisions.ReadNeeds:
+    ) -> decisions.ReadRequirement:
         """Return the log position that a read must see.
 
         It proves the staleness bound and contains the session's last write.
@@ -106,10 +106,10 @@
         ``arrived_at`` is when the read arrived, on the clock that also
         counts suspended time; ``bound`` is the allowed staleness in seconds.
         """
-        observation = self.observations.needed(arrived_at, bound)
+        observation = self.observations.lowest_sufficient(arrived_at, bound)
         if observation is None:
-            return decisions.ReadNeeds(None, 0.0)
+            return decisions.ReadRequirement(None, 0.0)
         age = arrived_at - observation.asked_at
         if last_write is not None and last_write > observation.position:
-            return decisions.ReadNeeds(last_write, 0.0)
-        return decisions.ReadNeeds(observation.position, age)
+            return decisions.ReadRequirement(last_write, 0.0)
+        return decisions.ReadRequirement(observation.position, age)
--- a/src/chicoryusher/tasks/pool/roster.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -8,13 +8,13 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import groups as groups_module
-from chicoryusher.tasks.pool import lane as lane_module
+from chicoryusher.tasks.pool import group_state as groups_module
+from chicoryusher.tasks.pool import instance_pool as lane_module
 
-__all__ = ['DeskSettings', 'LaneEdges', 'Roster']
+__all__ = ['DispatcherSettings', 'LinkFactory', 'GroupTable']
 
 
-class LaneEdges(Protocol):
+class LinkFactory(Protocol):
     """Starts the tasks that own the sockets to instances."""
 
     def pool_link(
@@ -24,14 +24,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class DeskSettings:
+class DispatcherSettings:
     """The availability zone of this VM, and the region of each zone."""
 
     zone: core.ZoneName
     regions: dict[core.ZoneName, core.RegionName]
 
 
-class Roster:
+class GroupTable:
     """Groups by service, with the instance pool of each instance.
 
     Decides which VMs own connections to an instance, and so whether its
@@ -42,29 +42,29 @@
         self,
         dispatcher: runtime.Task,
         loop: runtime.Runtime,
-        factory: LaneEdges,
-        settings: DeskSettings,
+        factory: LinkFactory,
+        settings: DispatcherSettings,
     ) -> None:
         self._dispatcher = dispatcher
         self._loop = loop
         self._factory = factory
         self._settings = settings
         self._config: core.PoolConfig | None = None
-        self._own_place = core.NodePlace(dispatcher.vm, settings.zone)
-        self._live_vms: tuple[core.NodePlace, ...] = (self._own_place,)
+        self._own_place = core.EntryVmZone(dispatcher.vm, settings.zone)
+        self._live_vms: tuple[core.EntryVmZone, ...] = (self._own_place,)
         self._forward_to: dict[core.InstanceName, core.VmName] = {}
         self._links: dict[core.InstanceName, runtime.Task] = {}
-        self._pools: dict[core.InstanceName, lane_module.Lane] = {}
+        self._pools: dict[core.InstanceName, lane_module.InstancePool] = {}
         self.groups: dict[core.ServiceName, groups_module.PoolGroup] = {}
 
     def __contains__(self, name: core.InstanceName) -> bool:
         return name in self._pools
 
-    def lane(self, name: core.InstanceName) -> core.TaskName:
+    def pool_task(self, name: core.InstanceName) -> core.TaskName:
         """Return the task name of a registered instance's pool."""
         return self._pools[name].task_name
 
-    def via(self, name: core.InstanceName) -> core.VmName | None:
+    def conn_owner(self, name: core.InstanceName) -> core.VmName | None:
         """Return the VM to forward an instance's work to, None for this VM."""
         return self._forward_to.get(name)
 
@@ -74,26 +74,26 @@
 
     def instance(
         self, service: core.ServiceName, name: core.InstanceName | None
-    ) -> decisions.PoolInstance | None:
+    ) -> decisions.InstanceLoad | None:
         """Return an instance's state for routing, None if not registered."""
         group = self.groups.get(service)
         if group is None or name is None:
             return None
         return group.instances.get(name)
 
-    def take_config(self, config: core.PoolConfig) -> None:
+    def apply_config(self, config: core.PoolConfig) -> None:
         """Apply the connection limits of a configuration."""
         self._config = config
         self._send_shares()
 
-    def take_live(self, nodes: tuple[core.NodePlace, ...]) -> None:
+    def apply_live_vms(self, nodes: tuple[core.EntryVmZone, ...]) -> None:
         """Distribute the connections among these VMs."""
         if nodes != self._live_vms:
             self._live_vms = nodes
             self._send_shares()
 
-    def take_group(
-        self, message: core.GroupInForce
+    def apply_group(
+        self, message: core.GroupUpdate
     ) -> tuple[core.InstanceName, ...]:
         """Apply a group's members and primary.
 
@@ -116,7 +116,7 @@
             self._close_pool(name)
         for entry in message.entries:
             self._add_or_update(group, entry)
-        group.take_primary(message.primary, self._dispatcher.now())
+        group.set_primary(message.primary, self._dispatcher.now())
         self._send_shares()
         return removed
 
@@ -124,7 +124,7 @@
         self, group: groups_module.PoolGroup, entry: core.InstanceEntry
     ) -> None:
         dispatcher = self._dispatcher
-        group.note_leaving(entry, dispatcher.now())
+        group.record_leaving(entry, dispatcher.now())
         registered = group.instances.get(entry.name)
         if registered is not None:
             registered.entry = entry
@@ -132,10 +132,10 @@
         near = decisions.nearness(
             self._settings.zone, entry.zone, self._settings.regions.get
         )
-        distance = groups_module.DISTANCES[near]
-        group.instances[entry.name] = decisions.PoolInstance(entry, distance)
+        distance = groups_module.ROUND_TRIP_S[near]
+        group.instances[entry.name] = decisions.InstanceLoad(entry, distance)
         self._links[entry.name] = self._factory.pool_link(dispatcher.vm, entry)
-        pool = lane_module.Lane(self._loop, dispatcher.vm, entry)
+        pool = lane_module.InstancePool(self._loop, dispatcher.vm, entry)
         self._pools[entry.name] = pool
 
     def _close_pool(self, name: core.InstanceName) -> None:
@@ -145,7 +145,7 @@
         if pool is not None:
             pool.end()
         if link is not None:
-            self._dispatcher.send(link.task_name, core.StopLane())
+            self._dispatcher.send(link.task_name, core.StopInstancePool())
 
     def _send_shares(self) -> None:
         """Send each instance pool its share of the connections."""
@@ -172,16 +172,26 @@
         """
         self._forward_to.pop(entry.name, None)
         region_of = self._settings.regions.get
-        count = decisions.holder_count(max_connections, len(self._live_vms))
-        owners = decisions.holders_of(entry, self._live_vms, count, region_of)
+        count = decisions.conn_owner_count(
+            max_connections, len(self._live_vms)
+        )
+        owners = decisions.choose_conn_owners(
+            entry, self._live_vms, count, region_of
+        )
         if self._own_place in owners:
             return decisions.connection_share(max_connections, count)
-        nearest = decisions.nearest_holder(self._own_place, owners, region_of)
+        nearest = decisions.nearest_conn_owner(
+            self._own_place, owners, region_of
+        )
         if nearest is not None:
             self._forward_to[entry.name] = nearest
-        return decisions.NO_SHARE
+        return decisions.NON_OWNER_SHARE
 
 
 def _is_restarted(old: core.InstanceEntry, new: core.InstanceEntry) -> bool:
     """Return whether the instance has restarted or has another address."""
-    return (old.host, old.port, old.boot) != (new.host, new.port, new.boot)
+    return (old.host, old.port, old.incarnation) != (
+        new.host,
+        new.port,
+        new.incarnation,
+    )
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -80,14 +80,16 @@
         self.state = core.HandoverState.IDLE
         self.service = service
         self._clock = loop.clock
-        self._chart = charts.compiled('handover')
-        self._request: core.WantHandover | None = None
-        self.candidates = decisions.Candidates((), core.InstanceName(''))
-        self._claim = decisions.LeadClaim(
+        self._chart = charts.load_machine('handover')
+        self._request: core.StartHandover | None = None
+        self.candidates = decisions.SuccessorCandidates(
+            (), core.InstanceName('')
+        )
+        self._claim = decisions.LeaderClaim(
             vm, service, core.InstanceName(''), 0
         )
         self._old_primary_fenced = False
-        self._fencing = decisions.Fencing()
+        self._fencing = decisions.FencingProgress()
         self._catch_up_deadline = 0.0
         self._confirm_deadline = 0.0
 
@@ -105,19 +107,21 @@
                 state=self.state.value,
                 revision=self._claim.revision,
                 successor=self.candidates.successor,
-                silent=sorted(self._fencing.silent),
+                silent=sorted(self._fencing.pending),
             )
 
     # -- claim ----------------------------------------------------------
 
-    @runtime.handles(core.WantHandover)
-    def _on_start(self, request: core.WantHandover) -> None:
+    @runtime.handles(core.StartHandover)
+    def _on_start(self, request: core.StartHandover) -> None:
         if self.state is not core.HandoverState.IDLE:
             return
         self._request = request
-        self.candidates = decisions.Candidates(request.entries, request.old)
-        self._claim = decisions.LeadClaim(
-            self.vm, self.service, request.old, request.revision
+        self.candidates = decisions.SuccessorCandidates(
+            request.entries, request.old_primary
+        )
+        self._claim = decisions.LeaderClaim(
+            self.vm, self.service, request.old_primary, request.revision
         )
         self._old_primary_fenced = False
         self._fire('wanted')
@@ -128,20 +132,20 @@
         Writes a closing leader row on condition that the row in the store
         still has the expected revision.
         """
-        self._write_row(self._claim.closing(self._clock.running_on()))
+        self._write_row(self._claim.closing_row(self._clock.boottime()))
 
-    def _write_row(self, row: core.LeadRow) -> None:
-        expected = self._claim.expected
-        write = core.WriteLead(row, expected, self.task_name)
-        self.send(names.rows(self.vm), write)
+    def _write_row(self, row: core.LeaderRow) -> None:
+        expected = self._claim.expected_revision
+        write = core.WriteLeaderRow(row, expected, self.task_name)
+        self.send(names.row_client(self.vm), write)
 
     def renew(self) -> None:
         """Renew the claim when due, so that no other VM takes it over."""
-        if self._claim.renewal_due(self._clock.running_on()):
+        if self._claim.renewal_due(self._clock.boottime()):
             self.write_closing_row()
 
-    @runtime.handles(core.RowWritten)
-    def _on_written(self, message: core.RowWritten) -> None:
+    @runtime.handles(core.LeaderRowWritten)
+    def _on_written(self, message: core.LeaderRowWritten) -> None:
         row = message.row
         if row is not None:
             self._share_row(row)
@@ -150,30 +154,34 @@
         elif self.state is core.HandoverState.CLAIMING:
             self._on_claim_written(row)
         elif self.state is not core.HandoverState.IDLE:
-            if not self._claim.written(row) and row is not None:
+            if not self._claim.record_write(row) and row is not None:
                 self._fire('lost')
 
-    def _on_claim_written(self, row: core.LeadRow | None) -> None:
-        if not self._claim.written(row):
+    def _on_claim_written(self, row: core.LeaderRow | None) -> None:
+        if not self._claim.record_write(row):
             self._fire('lost')
             return
-        self._claim.begins(self._clock.running_on())
+        self._claim.record_first_closing(self._clock.boottime())
         self._fire('claimed')
 
-    def _share_row(self, row: core.LeadRow) -> None:
-        rows = core.LeadsInStore((row,))
-        self.send(names.exchange(self.vm), rows)
-        self.send(names.keeper(self.vm), rows)
+    def _share_row(self, row: core.LeaderRow) -> None:
+        rows = core.LeaderRowsRead((row,))
+        self.send(names.view_exchange(self.vm), rows)
+        self.send(names.primary_manager(self.vm), rows)
 
     # -- fence ----------------------------------------------------------
 
     def fence_old_primary(self) -> None:
         """Ask every VM to stop using the old primary."""
         assert self._request is not None
-        self._fencing = decisions.Fencing((*self._request.vms, self.vm))
-        self.send(names.rows(self.vm), core.ReadNodes(self.task_name))
+        self._fencing = decisions.FencingProgress(
+            (*self._request.vms_to_fence, self.vm)
+        )
+        self.send(
+            names.row_client(self.vm), core.ReadEntryVmRows(self.task_name)
+        )
         self._send_fences()
-        self.after(FENCE_RETRY_S, _RetryFencing(self._claim.first))
+        self.after(FENCE_RETRY_S, _RetryFencing(self._claim.first_revision))
 
     def _send_fences(self) -> None:
         """Send a fence to each VM that has not confirmed one yet."""
@@ -181,21 +189,21 @@
         assert request is not None and row is not None
         grace_s = PLANNED_GRACE_S if request.planned else 0.0
         fence = core.FencePrimary(self.vm, row, grace_s)
-        for vm in sorted(self._fencing.silent):
+        for vm in sorted(self._fencing.pending):
             if vm == self.vm:
-                self.send(names.keeper(vm), fence)
+                self.send(names.primary_manager(vm), fence)
             else:
-                self.send(names.peers(self.vm), core.ToPeer(vm, fence))
+                self.send(names.peers(self.vm), core.SendToPeer(vm, fence))
 
-    @runtime.handles(core.NodesInStore)
-    def _on_nodes(self, message: core.NodesInStore) -> None:
+    @runtime.handles(core.EntryVmRowsRead)
+    def _on_nodes(self, message: core.EntryVmRowsRead) -> None:
         """Also fence VMs that are not in the request but in the store.
 
         They had registered by the time of the claim.
         """
         if self.state is not core.HandoverState.FENCING:
             return
-        has_new_vms = self._fencing.listed(message.rows)
+        has_new_vms = self._fencing.add_registered(message.rows)
         if self._fencing.done:
             self._fire('fenced')
         elif has_new_vms:
@@ -203,9 +211,9 @@
 
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
-        if message.revision < self._claim.first:
+        if message.revision < self._claim.first_revision:
             return
-        self._fencing.stopped(message.vm)
+        self._fencing.record_stopped(message.vm)
         if self._fencing.done:
             self._fire('fenced')
 
@@ -213,14 +221,14 @@
     def _on_retry_fencing(self, message: _RetryFencing) -> None:
         """Fence the remaining VMs again, or go on without them.
 
-        Once every authority from before the claim has expired, no VM may
+        Once every lease from before the claim has expired, no VM may
         use the old primary any more.
         """
         if self.state is not core.HandoverState.FENCING:
             return
-        if message.revision != self._claim.first:
+        if message.revision != self._claim.first_revision:
             return
-        if self._claim.all_lapsed(self._clock.running_on()):
+        if self._claim.earlier_leases_expired(self._clock.boottime()):
             self._fire('fenced')
             return
         self.renew()
@@ -229,10 +237,10 @@
 
     # -- choose a successor ---------------------------------------------
 
-    def ask(self) -> None:
+    def start_round(self) -> None:
         """Query the status of every instance of the group."""
         self._old_primary_fenced = True
-        entries = self.candidates.ask()
+        entries = self.candidates.start_round()
         for entry in entries:
             self.send(
                 names.prober(self.vm),
@@ -245,7 +253,10 @@
 
     def _status_timeout(self, entry: core.InstanceEntry) -> float:
         assert self._request is not None
-        if entry.name == self._request.old and not self._request.planned:
+        if (
+            entry.name == self._request.old_primary
+            and not self._request.planned
+        ):
             return OLD_PRIMARY_TIMEOUT_S
         return STATUS_TIMEOUT_S
 
@@ -255,28 +266,28 @@
         While the promotion is being confirmed, this queries the successor
         only, otherwise every instance.
         """
-        self.after(delay, _QueryAgain(self._claim.first))
+        self.after(delay, _QueryAgain(self._claim.first_revision))
 
     @runtime.handles(_QueryAgain)
     def _on_query_again(self, message: _QueryAgain) -> None:
-        if message.revision != self._claim.first:
+        if message.revision != self._claim.first_revision:
             return
         if self.state is core.HandoverState.CONFIRMING:
             self.query_successor()
         elif self.state in _QUERYING_STATES:
-            self.ask()
+            self.start_round()
 
-    @runtime.handles(core.InstanceStatus)
-    def _on_status(self, status: core.InstanceStatus) -> None:
+    @runtime.handles(core.InstanceProbeResult)
+    def _on_status(self, status: core.InstanceProbeResult) -> None:
         if self.state is core.HandoverState.CONFIRMING:
             self._check_successor(status)
             return
-        if self.candidates.answered(status):
+        if self.candidates.record_status(status):
             self._fire('asked')
 
-    def overdue(self) -> bool:
+    def is_expired(self) -> bool:
         """Return whether the claim is too old to order a promotion."""
-        return self._claim.overdue(self._clock.running_on())
+        return self._claim.is_expired(self._clock.boottime())
 
     def old_primary_fenced(self) -> bool:
         """Return whether no VM uses the old primary any more."""
@@ -289,22 +300,22 @@
         log entries that the successor has not received, for at most
         ``CATCH_UP_LIMIT_S`` seconds.
         """
-        if not self.candidates.old_leads():
+        if not self.candidates.old_primary_leads():
             return False
         now = self.now()
         if self.state is core.HandoverState.CHOOSING:
             self._catch_up_deadline = now + CATCH_UP_LIMIT_S
         if now >= self._catch_up_deadline:
             return False
-        return not self.candidates.has_all()
+        return not self.candidates.successor_caught_up()
 
     # -- promote --------------------------------------------------------
 
     def demote_old_primary(self) -> None:
         """Demote the old primary if it still answers as primary."""
         assert self._request is not None
-        entry = self.candidates.entries.get(self._request.old)
-        if entry is None or not self.candidates.old_leads():
+        entry = self.candidates.entries.get(self._request.old_primary)
+        if entry is None or not self.candidates.old_primary_leads():
             return
         newest = self.candidates.newest_term()
         self.send(
@@ -335,15 +346,15 @@
             ),
         )
 
-    @runtime.handles(core.PromoteReplied)
-    def _on_promoted(self, message: core.PromoteReplied) -> None:
+    @runtime.handles(core.PromotionReply)
+    def _on_promoted(self, message: core.PromotionReply) -> None:
         if self.state is not core.HandoverState.PROMOTING:
             return
         if message.result is core.PromoteResult.DONE:
             self._fire('promoted')
             return
         if message.result is core.PromoteResult.REFUSED:
-            self.candidates.refuse()
+            self.candidates.exclude_successor()
         self._fire('refused')
 
     def start_confirming(self) -> None:
@@ -364,7 +375,7 @@
             core.ProbeInstance(entry, STATUS_TIMEOUT_S, True, self.task_name),
         )
 
-    def _check_successor(self, status: core.InstanceStatus) -> None:
+    def _check_successor(self, status: core.InstanceProbeResult) -> None:
         if status.instance != self.candidates.successor:
             return
         state = status.state
@@ -382,18 +393,18 @@
     def announce_primary(self) -> None:
         """Send the new primary to every VM, then write it to the store."""
         row = self._open_row()
-        reopened = core.Reopened(self._claim.revision, row)
+        reopened = core.PrimaryReopened(self._claim.revision, row)
         assert self._request is not None
-        self.send(names.keeper(self.vm), reopened)
+        self.send(names.primary_manager(self.vm), reopened)
         for vm in sorted(self._fencing.vms):
             if vm != self.vm:
-                self.send(names.peers(self.vm), core.ToPeer(vm, reopened))
+                self.send(names.peers(self.vm), core.SendToPeer(vm, reopened))
         self.write_open_row()
 
-    def _open_row(self) -> core.LeadRow:
+    def _open_row(self) -> core.LeaderRow:
         successor = self.candidates.successor
         assert successor is not None
-        return self._claim.opening(successor)
+        return self._claim.opening_row(successor)
 
     def write_open_row(self) -> None:
         """Replace this change's closing leader row by the open one."""
@@ -410,20 +421,22 @@
         """Write the open leader row again after a pause."""
         self.after(OPEN_ROW_RETRY_S, _RetryOpenRow(self._claim.revision))
 
-    def _on_open_written(self, row: core.LeadRow | None) -> None:
+    def _on_open_written(self, row: core.LeaderRow | None) -> None:
         if row is None:
             self._fire('unsure')
             return
-        if self._claim.written(row):
+        if self._claim.record_write(row):
             # A pending renewal of the closing row was written first, so
             # the write of the open row failed.
             self._fire('unsure')
-        elif row.state is core.LeadRowState.OPEN:
+        elif row.state is core.LeaderRowState.OPEN:
             self._fire('opened')
         else:
             self._fire('lost')
 
     def report_end(self) -> None:
         """Report to the primary manager that this change has ended here."""
-        self._fencing = decisions.Fencing()
-        self.send(names.keeper(self.vm), core.HandoverEnded(self.service))
+        self._fencing = decisions.FencingProgress()
+        self.send(
+            names.primary_manager(self.vm), core.HandoverEnded(self.service)
+        )
--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/handover_actions.py
@@ -12,7 +12,7 @@
 Handover = handover.Handover
 
 
-@charts.action('handover.claim')
+@charts.action('handover.write_closing_row')
 def _write_closing_row(task: Handover, arg: object) -> None:
     task.write_closing_row()
 
@@ -22,17 +22,17 @@
     task.fence_old_primary()
 
 
-@charts.action('handover.ask')
+@charts.action('handover.probe_instances')
 def _query_instances(task: Handover, arg: object) -> None:
-    task.ask()
+    task.start_round()
 
 
-@charts.action('handover.ask_later')
+@charts.action('handover.probe_later')
 def _query_instances_after_pause(task: Handover, arg: object) -> None:
     task.query_after(handover.QUERY_PAUSE_S)
 
 
-@charts.action('handover.ask_soon')
+@charts.action('handover.probe_during_catch_up')
 def _wait_for_catch_up(task: Handover, arg: object) -> None:
     task.query_after(handover.CATCH_UP_PAUSE_S)
 
@@ -47,57 +47,57 @@
     task.request_promotion()
 
 
-@charts.action('handover.confirm')
+@charts.action('handover.confirm_promotion')
 def _start_confirming(task: Handover, arg: object) -> None:
     task.start_confirming()
 
 
-@charts.action('handover.confirm_later')
+@charts.action('handover.confirm_promotion_later')
 def _query_successor_after_pause(task: Handover, arg: object) -> None:
     task.query_after(handover.CONFIRM_PAUSE_S)
 
 
-@charts.action('handover.open')
+@charts.action('handover.write_open_row')
 def _announce_primary(task: Handover, arg: object) -> None:
     task.announce_primary()
 
 
-@charts.action('handover.open_later')
+@charts.action('handover.write_open_row_later')
 def _retry_open_row(task: Handover, arg: object) -> None:
     task.retry_open_row()
 
 
-@charts.action('handover.done')
+@charts.action('handover.finish')
 @charts.action('handover.give_up')
 def _report_end(task: Handover, arg: object) -> None:
     task.report_end()
 
 
-@charts.guard('handover.overdue')
+@charts.guard('handover.timed_out')
 def _claim_expired(task: Handover, arg: object) -> bool:
-    return task.overdue()
+    return task.is_expired()
 
 
-@charts.guard('handover.was_fenced')
+@charts.guard('handover.old_primary_fenced')
 def _old_primary_fenced(task: Handover, arg: object) -> bool:
     return task.old_primary_fenced()
 
 
-@charts.guard('handover.already_led')
+@charts.guard('handover.candidate_leads')
 def _successor_already_promoted(task: Handover, arg: object) -> bool:
-    return task.candidates.one_leads()
+    return task.candidates.adopt_current_leader()
 
 
-@charts.guard('handover.nobody')
+@charts.guard('handover.no_candidate')
 def _no_candidate(task: Handover, arg: object) -> bool:
-    return task.candidates.nobody_left()
+    return task.candidates.reset_if_none_left()
 
 
-@charts.guard('handover.behind')
+@charts.guard('handover.successor_behind')
 def _successor_behind(task: Handover, arg: object) -> bool:
     return task.successor_behind()
 
 
-@charts.guard('handover.confirm_overdue')
+@charts.guard('handover.confirm_timed_out')
 def _confirmation_timed_out(task: Handover, arg: object) -> bool:
     return task.confirmation_timed_out()
--- a/src/chicoryusher/tasks/pool/choosing.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -4,7 +4,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import groups as groups_module
+from chicoryusher.tasks.pool import group_state as groups_module
 from chicoryusher.tasks.pool import sessions
 
 __all__ = [
@@ -26,7 +26,7 @@
 
 def read_needs_of(
     attempt: sessions.Attempt, group: groups_module.PoolGroup
-) -> decisions.ReadNeeds:
+) -> decisions.ReadRequirement:
     """Return the log position that a replica needs to run the statement.
 
     A write and a statement of a route to the primary have no such position:
@@ -37,18 +37,18 @@
     reads = not attempt.writes
     if transaction is not None:
         reads = transaction.read_only
-    if not reads or route.access is core.Access.PRIMARY:
-        return decisions.ReadNeeds(None, 0.0)
-    last_write = attempt.session.wrote_at
+    if not reads or route.access is core.ReadAccess.PRIMARY:
+        return decisions.ReadRequirement(None, 0.0)
+    last_write = attempt.session.last_write_position
     return group.read_needs(
-        attempt.arrived_on, route.max_staleness, last_write
+        attempt.arrived_at_boottime, route.max_staleness, last_write
     )
 
 
 def select_instance(
     attempt: sessions.Attempt,
     group: groups_module.PoolGroup,
-    needs: decisions.ReadNeeds,
+    needs: decisions.ReadRequirement,
     authority: bool,
     now: float,
     boot_now: float,
@@ -66,20 +66,20 @@
             for instance in instances
             if instance.entry.name != group.primary
         ]
-    return decisions.choose_reader(
-        instances, primary, needs, attempt.refused, now, boot_now
+    return decisions.choose_instance(
+        instances, primary, needs, attempt.excluded, now, boot_now
     )
 
 
 def begin_kind_of(
     transaction: sessions.Transaction | None,
-) -> core.Begins | None:
+) -> core.TransactionKind | None:
     """Return the kind of transaction to begin first, None for no begin."""
     if transaction is None:
         return None
     if transaction.read_only:
-        return core.Begins.READ_ONLY
-    return core.Begins.READ_WRITE
+        return core.TransactionKind.READ_ONLY
+    return core.TransactionKind.READ_WRITE
 
 
 def make_work(
@@ -87,7 +87,7 @@
     work_id: core.WorkId,
     owner: core.TaskName,
     now: float,
-    begin_kind: core.Begins | None,
+    begin_kind: core.TransactionKind | None,
     min_position: core.Position | None,
 ) -> core.Work:
     """Create the work for an instance pool from the statement.
@@ -105,11 +105,14 @@
         attempt.shape,
         tuple(session.values.items()),
         route.priority,
-        attempt.arrived + route.target * START_TARGET_SHARE,
-        attempt.arrived + route.limit - now,
-        min(route.target * READ_TIMEOUT_TARGET_SHARE, MAX_READ_TIMEOUT_S),
+        attempt.arrived_at + route.latency_target * START_TARGET_SHARE,
+        attempt.arrived_at + route.statement_timeout - now,
+        min(
+            route.latency_target * READ_TIMEOUT_TARGET_SHARE,
+            MAX_READ_TIMEOUT_S,
+        ),
         now,
-        None if transaction is None else transaction.number,
+        None if transaction is None else transaction.transaction_id,
         begin_kind,
         min_position,
     )
--- a/src/chicoryusher/tasks/pool/leads.py
+++ b/src/chicoryusher/tasks/pool/leaders.py
@@ -6,24 +6,25 @@
 
 from chicoryusher import core
 
-__all__ = ['Leads']
+__all__ = ['LeaderTable']
 
 _NO_INSTANCE = core.InstanceName('')
 
 
-class Leads:
+class LeaderTable:
     """The newest leader row of each group, and pending stops.
 
-    A ``Reopened`` message from a VM that ends a change of primary makes the
+    A ``PrimaryReopened`` message from a VM that ends a change of primary
+    makes the
     new primary usable before the open row arrives from the store.
     """
 
     def __init__(self) -> None:
-        self._rows: dict[core.ServiceName, core.LeadRow] = {}
-        self._reopened: dict[core.ServiceName, core.Reopened] = {}
+        self._rows: dict[core.ServiceName, core.LeaderRow] = {}
+        self._reopened: dict[core.ServiceName, core.PrimaryReopened] = {}
         self._stopping: dict[core.ServiceName, int] = {}
 
-    def take(self, row: core.LeadRow) -> bool:
+    def add_if_newer(self, row: core.LeaderRow) -> bool:
         """Store a row if it is newer; return whether it was stored."""
         stored = self._rows.get(row.service)
         if stored is not None and stored.revision >= row.revision:
@@ -31,7 +32,7 @@
         self._rows[row.service] = row
         return True
 
-    def rows(self) -> tuple[core.LeadRow, ...]:
+    def rows(self) -> tuple[core.LeaderRow, ...]:
         """Return the newest row of every group."""
         return tuple(self._rows.values())
 
@@ -45,21 +46,21 @@
         row = self._rows.get(service)
         return _NO_INSTANCE if row is None else row.primary
 
-    def holder(self, service: core.ServiceName) -> core.VmName | None:
+    def coordinator(self, service: core.ServiceName) -> core.VmName | None:
         """Return the VM that wrote the group's row, None without a row.
 
         For a closing row this is the coordinator of the change.
         """
         row = self._rows.get(service)
-        return None if row is None else row.holder
+        return None if row is None else row.coordinator
 
-    def apply_reopened(self, message: core.Reopened) -> bool:
+    def apply_reopened(self, message: core.PrimaryReopened) -> bool:
         """Store the end of a change, unless it is of an older change.
 
         Return whether it was stored.
         """
         service = message.row.service
-        if self.revision(service) > message.closing:
+        if self.revision(service) > message.closing_revision:
             return False
         self._reopened[service] = message
         return True
@@ -67,10 +68,10 @@
     def is_closing(self, service: core.ServiceName) -> bool:
         """Return whether a change of the group's primary is in progress."""
         row = self._rows.get(service)
-        if row is None or row.state is core.LeadRowState.OPEN:
+        if row is None or row.state is core.LeaderRowState.OPEN:
             return False
         reopened = self._reopened.get(service)
-        return reopened is None or reopened.closing != row.revision
+        return reopened is None or reopened.closing_revision != row.revision
 
     def primary(
         self,
@@ -85,7 +86,7 @@
         row = self._rows.get(service)
         if row is None:
             return _registered_primary(entries)
-        if row.state is core.LeadRowState.OPEN:
+        if row.state is core.LeaderRowState.OPEN:
             return row.primary
         if self.is_closing(service):
             return None
--- a/src/chicoryusher/tasks/pool/conns.py
+++ b/src/chicoryusher/tasks/pool/pool_conns.py
@@ -16,31 +16,31 @@
 class PoolConn:
     """One connection with its session state and the commands in flight.
 
-    ``sent`` are the operations whose replies have not come yet;
-    ``doubtful`` is set when the instance refused a setup command, so that
+    ``pending_ops`` are the operations whose replies have not come yet;
+    ``setup_failed`` is set when the instance refused a setup command, so that
     the connection must be closed and not used.  ``sent_at`` is when the
-    last commands were sent, on the runtime's clock, and ``asked_at`` when
-    the work was sent, on the clock that also counts suspended time.
+    last commands were sent, on the runtime's clock, and ``sent_at_boottime``
+    when the work was sent, on the clock that also counts suspended time.
     """
 
     def __init__(self, conn_id: core.ConnId, now: float) -> None:
         self.state = core.ConnState.CONNECTING
         self.conn_id = conn_id
-        self.memory = decisions.ConnMemory()
-        self.sent: collections.deque[core.Op] = collections.deque()
+        self.session_state = decisions.ConnSessionState()
+        self.pending_ops: collections.deque[core.Op] = collections.deque()
         self.work: core.Work | None = None
         self.transaction: core.TransactionId | None = None
         self.sent_at = now
-        self.asked_at = 0.0
+        self.sent_at_boottime = 0.0
         self.idle_since = now
-        self.doubtful = False
+        self.setup_failed = False
 
 
 class PoolConns:
     """The connections of one instance pool."""
 
     def __init__(self) -> None:
-        self._chart = charts.compiled('connection')
+        self._chart = charts.load_machine('connection')
         self._numbers = itertools.count(1)
         self._conns: dict[core.ConnId, PoolConn] = {}
         self._pinned: dict[core.TransactionId, PoolConn] = {}
@@ -49,7 +49,7 @@
         return len(self._conns)
 
     @property
-    def connecting(self) -> int:
+    def connecting_count(self) -> int:
         """Return the number of connections that are being opened."""
         return len(self._in_state(core.ConnState.CONNECTING))
 
@@ -64,30 +64,30 @@
         """Return the connections that are free for new work."""
         return self._in_state(core.ConnState.IDLE)
 
-    def busy(self) -> list[PoolConn]:
+    def awaiting_reply(self) -> list[PoolConn]:
         """Return the connections that wait for a reply."""
-        return [conn for conn in self._conns.values() if conn.sent]
+        return [conn for conn in self._conns.values() if conn.pending_ops]
 
     def find(self, conn_id: core.ConnId) -> PoolConn | None:
         """Return the connection with an id, None if it is closed."""
         return self._conns.get(conn_id)
 
-    def of(self, transaction: core.TransactionId) -> PoolConn | None:
+    def pinned_to(self, transaction: core.TransactionId) -> PoolConn | None:
         """Return the connection that is pinned to a transaction, if any."""
         return self._pinned.get(transaction)
 
-    def new(self, now: float) -> PoolConn:
+    def add(self, now: float) -> PoolConn:
         """Create a connection, which the caller must open."""
         conn = PoolConn(core.ConnId(next(self._numbers)), now)
         self._conns[conn.conn_id] = conn
         return conn
 
-    def opened(self, conn: PoolConn, now: float) -> None:
+    def mark_opened(self, conn: PoolConn, now: float) -> None:
         """Record that a connection is open and idle."""
         self._chart.fire(conn, 'opened')
         conn.idle_since = now
 
-    def run(self, conn: PoolConn, work: core.Work | None) -> None:
+    def mark_running(self, conn: PoolConn, work: core.Work | None) -> None:
         """Mark a connection as running work, and pin it to its transaction.
 
         Without ``work`` the connection rolls a transaction back.
@@ -98,7 +98,7 @@
             conn.transaction = work.transaction
             self._pinned[work.transaction] = conn
 
-    def finished(self, conn: PoolConn, pinned: bool, now: float) -> None:
+    def release(self, conn: PoolConn, pinned: bool, now: float) -> None:
         """Free a connection, or leave it pinned to its transaction."""
         self._chart.fire(conn, 'finished', pinned)
         conn.work = None
@@ -106,7 +106,7 @@
         if not pinned:
             self._unpin(conn)
 
-    def lost(self, conn: PoolConn) -> None:
+    def remove(self, conn: PoolConn) -> None:
         """Remove a closed connection."""
         self._chart.fire(conn, 'lost')
         self._conns.pop(conn.conn_id, None)
--- a/src/chicoryusher/tasks/pool/keeper.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -10,16 +10,16 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import handover
 from chicoryusher.tasks.pool import handover_actions  # noqa: F401
-from chicoryusher.tasks.pool import leads as leads_module
+from chicoryusher.tasks.pool import leaders as leads_module
 
-__all__ = ['Keeper']
+__all__ = ['PrimaryManager']
 
 # Extra wait of each VM after the one before it in the order in which VMs
 # replace a primary.
 TURN_INTERVAL_S = 0.06
 # Extra wait before a planned change of a VM that receives responses from
 # less than half of the other VMs. It leaves the change to the others: it
-# could not fence most VMs, and would have to wait until their authority
+# could not fence most VMs, and would have to wait until their leases
 # expires.
 MINORITY_PAUSE_S = 2.0
 # Time without a registered primary after which one is chosen; longer than
@@ -50,7 +50,7 @@
     planned: bool
 
 
-class Keeper(runtime.Task):
+class PrimaryManager(runtime.Task):
     """Publish each group's usable primary, and start changes of primaries."""
 
     def __init__(
@@ -62,16 +62,16 @@
         self._owner = owner
         self._ready_reported = False
         self._leaving = False
-        self._leaders = leads_module.Leads()
+        self._leaders = leads_module.LeaderTable()
         self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
         self._instances_read_at = float('-inf')
-        self._peers = core.LivePeers((), ())
+        self._peers = core.PeerSets((), ())
         self._fences: dict[core.ServiceName, list[core.FencePrimary]] = {}
         self.handovers: dict[core.ServiceName, handover.Handover] = {}
         self._running_handovers: set[core.ServiceName] = set()
         self._pending_turns: set[core.ServiceName] = set()
         self._no_primary_since: dict[core.ServiceName, float] = {}
-        self._groups: dict[core.ServiceName, core.GroupInForce] = {}
+        self._groups: dict[core.ServiceName, core.GroupUpdate] = {}
         self._leaving_since: dict[core.ServiceName, float] = {}
         self._closing_first_seen: dict[
             core.ServiceName, tuple[int, float]
@@ -94,19 +94,19 @@
         )
         if is_ready and not self._ready_reported:
             self._ready_reported = True
-            self.send(self._owner, core.KnowsEnough())
+            self.send(self._owner, core.ReadyToServe())
 
     # -- views of the store ---------------------------------------------
 
-    @runtime.handles(core.PoolConfigInForce)
-    def _on_config(self, message: core.PoolConfigInForce) -> None:
+    @runtime.handles(core.PoolConfigUpdate)
+    def _on_config(self, message: core.PoolConfigUpdate) -> None:
         version = message.config.version
         if self.config is not None and version <= self.config.version:
             return
         self.config = message.config
-        self.log.emit(core.LogEvent.CONFIG_IN_FORCE, version=version)
+        self.log.emit(core.LogEvent.CONFIG_APPLIED, version=version)
         self.meters.show(core.Metric.CONFIG_VERSION, version)
-        self.send(names.desk(self.vm), message)
+        self.send(names.dispatcher(self.vm), message)
 
     @runtime.handles(core.RegisteredInstances)
     def _on_instances(self, message: core.RegisteredInstances) -> None:
@@ -116,19 +116,19 @@
         for service in services | set(self._groups):
             self._publish(service)
 
-    @runtime.handles(core.StoreSeen)
-    def _on_store_seen(self, message: core.StoreSeen) -> None:
-        self._instances_read_at = message.asked_at
+    @runtime.handles(core.StorePolled)
+    def _on_store_seen(self, message: core.StorePolled) -> None:
+        self._instances_read_at = message.requested_at
 
-    @runtime.handles(core.LeadsInStore)
-    def _on_leaders(self, message: core.LeadsInStore) -> None:
+    @runtime.handles(core.LeaderRowsRead)
+    def _on_leaders(self, message: core.LeaderRowsRead) -> None:
         self._leaders_received = True
         for row in message.rows:
-            if self._leaders.take(row):
+            if self._leaders.add_if_newer(row):
                 self._publish(row.service)
 
-    @runtime.handles(core.LivePeers)
-    def _on_live_peers(self, message: core.LivePeers) -> None:
+    @runtime.handles(core.PeerSets)
+    def _on_live_peers(self, message: core.PeerSets) -> None:
         self._peers = message
 
     # -- usable primaries -----------------------------------------------
@@ -142,7 +142,7 @@
         )
         primary = self._leaders.primary(service, entries)
         before = self._groups.get(service)
-        message = core.GroupInForce(service, entries, primary)
+        message = core.GroupUpdate(service, entries, primary)
         if message == before:
             self._answer_fences(service)
             return
@@ -152,14 +152,14 @@
             self._request_stop(service, old)
         if primary != old:
             self.log.emit(
-                core.LogEvent.PRIMARY_IN_FORCE,
+                core.LogEvent.PRIMARY_IN_USE,
                 service=service,
                 primary=primary,
                 before=old,
                 revision=self._leaders.revision(service),
             )
-        self.send(names.desk(self.vm), message)
-        self.send(names.watch(self.vm), message)
+        self.send(names.dispatcher(self.vm), message)
+        self.send(names.reachability_monitor(self.vm), message)
         self.send(names.relay(self.vm), message)
         self._answer_fences(service)
 
@@ -172,13 +172,13 @@
         pending fences.
         """
         patience = max(
-            (fence.patience for fence in self._fences.get(service, ())),
+            (fence.grace_period for fence in self._fences.get(service, ())),
             default=0.0,
         )
         revision = self._leaders.revision(service)
         self._leaders.stop_requested(service, revision)
         self.send(
-            names.desk(self.vm),
+            names.dispatcher(self.vm),
             core.StopPrimary(service, old, revision, patience),
         )
 
@@ -190,9 +190,9 @@
         """
         service = fence.row.service
         self._fences.setdefault(service, []).append(fence)
-        rows = core.LeadsInStore((fence.row,))
+        rows = core.LeaderRowsRead((fence.row,))
         self._on_leaders(rows)
-        self.send(names.exchange(self.vm), rows)
+        self.send(names.view_exchange(self.vm), rows)
         self._answer_fences(service)
 
     @runtime.handles(core.PrimaryStopped)
@@ -222,7 +222,8 @@
                 self.send(names.handover(self.vm, service), confirmation)
             else:
                 self.send(
-                    names.peers(self.vm), core.ToPeer(fence.vm, confirmation)
+                    names.peers(self.vm),
+                    core.SendToPeer(fence.vm, confirmation),
                 )
         if unmet:
             self._fences[service] = unmet
@@ -232,15 +233,15 @@
         if message.service in self.handovers:
             self.send(names.handover(self.vm, message.service), message)
 
-    @runtime.handles(core.Reopened)
-    def _on_reopened(self, message: core.Reopened) -> None:
+    @runtime.handles(core.PrimaryReopened)
+    def _on_reopened(self, message: core.PrimaryReopened) -> None:
         if self._leaders.apply_reopened(message):
             self._publish(message.row.service)
 
     # -- replacing primaries --------------------------------------------
 
-    @runtime.handles(core.PrimaryMissed)
-    def _on_unreachable(self, message: core.PrimaryMissed) -> None:
+    @runtime.handles(core.PrimaryUnreachable)
+    def _on_unreachable(self, message: core.PrimaryUnreachable) -> None:
         for service, group in self._groups.items():
             if group.primary == message.instance:
                 self._schedule_turn(service, False)
@@ -266,18 +267,18 @@
         revision = self._leaders.revision(service)
         now = self.now()
         first_seen = self._closing_first_seen.get(service)
-        if self._leaders.holder(service) == self.vm:
+        if self._leaders.coordinator(service) == self.vm:
             self._schedule_turn(service, False)
         elif first_seen is None or first_seen[0] != revision:
             self._closing_first_seen[service] = (revision, now)
-        elif now - first_seen[1] > decisions.TAKEOVER:
+        elif now - first_seen[1] > decisions.CLAIM_TAKEOVER_S:
             self._schedule_turn(service, False)
 
     def _check_primary(
-        self, service: core.ServiceName, group: core.GroupInForce
+        self, service: core.ServiceName, group: core.GroupUpdate
     ) -> None:
         """Schedule a change if the primary is leaving or has left."""
-        age = self._clock.running_on() - self._instances_read_at
+        age = self._clock.boottime() - self._instances_read_at
         if age > MAX_INSTANCES_VIEW_AGE_S:
             return
         by_name = {entry.name: entry for entry in group.entries}
@@ -301,7 +302,7 @@
         """
         now = self.now()
         since = self._leaving_since.setdefault(service, now)
-        unresponsive = set(self._peers.concerned) - set(self._peers.live)
+        unresponsive = set(self._peers.must_fence) - set(self._peers.live)
         may_begin = not unresponsive or now - since >= UNRESPONSIVE_VM_WAIT_S
         if may_begin:
             del self._leaving_since[service]
@@ -320,7 +321,7 @@
         if is_pending or self._leaving:
             return
         self._pending_turns.add(service)
-        rank = decisions.rank_of(self.vm, self._peers.live, service)
+        rank = decisions.failover_rank(self.vm, self._peers.live, service)
         pause = rank * TURN_INTERVAL_S
         in_minority = 2 * len(self._peers.live) < len(self._peers.voters)
         if planned and in_minority:
@@ -347,18 +348,18 @@
         self._report_changes()
         self.send(
             names.handover(self.vm, service),
-            core.WantHandover(
+            core.StartHandover(
                 group.entries,
                 group.primary or self._leaders.last_primary(service),
                 message.revision,
                 message.planned,
-                self._peers.concerned,
+                self._peers.must_fence,
             ),
         )
 
     def _report_changes(self) -> None:
-        changes = core.ChangesUnderWay(bool(self._running_handovers))
-        self.send(names.exchange(self.vm), changes)
+        changes = core.HandoversInProgress(bool(self._running_handovers))
+        self.send(names.view_exchange(self.vm), changes)
 
     @runtime.handles(core.HandoverEnded)
     def _on_handover_ended(self, message: core.HandoverEnded) -> None:
--- a/src/chicoryusher/tasks/pool/watch.py
+++ b/src/chicoryusher/tasks/pool/reachability.py
@@ -9,7 +9,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 
-__all__ = ['Watch']
+__all__ = ['ReachabilityMonitor']
 
 # Timeout for a connection to a suspected instance; a round trip between
 # regions is 42 ms.
@@ -39,7 +39,7 @@
     reached_by: dict[core.VmName, bool]
 
 
-class Watch(runtime.Task):
+class ReachabilityMonitor(runtime.Task):
     """Ask other VMs about a suspected primary, and count their replies."""
 
     def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
@@ -50,13 +50,13 @@
         self._voters: tuple[core.VmName, ...] = ()
         self._checks: dict[core.InstanceName, _Check] = {}
 
-    @runtime.handles(core.LivePeers)
-    def _on_live_peers(self, message: core.LivePeers) -> None:
+    @runtime.handles(core.PeerSets)
+    def _on_live_peers(self, message: core.PeerSets) -> None:
         self._live = message.live
         self._voters = message.voters
 
-    @runtime.handles(core.GroupInForce)
-    def _on_group(self, message: core.GroupInForce) -> None:
+    @runtime.handles(core.GroupUpdate)
+    def _on_group(self, message: core.GroupUpdate) -> None:
         for name, entry in tuple(self._entries.items()):
             if entry.service == message.service:
                 del self._entries[name]
@@ -67,8 +67,8 @@
         if message.primary is not None:
             self._primaries[message.service] = message.primary
 
-    @runtime.handles(core.InstanceTrouble)
-    def _on_trouble(self, message: core.InstanceTrouble) -> None:
+    @runtime.handles(core.InstanceFault)
+    def _on_trouble(self, message: core.InstanceFault) -> None:
         """Probe a primary on which traffic has failed."""
         if message.instance not in self._primaries.values():
             return
@@ -100,30 +100,32 @@
         check = self._checks.get(message.instance)
         if check is None or check.reached_by.get(self.vm, False):
             return
-        self._send_to_live_vms(core.Suspicion(self.vm, message.instance))
+        self._send_to_live_vms(
+            core.ReachabilityQuery(self.vm, message.instance)
+        )
 
     def _send_to_live_vms(self, message: core.Message) -> None:
         for vm in self._live:
-            self.send(names.peers(self.vm), core.ToPeer(vm, message))
+            self.send(names.peers(self.vm), core.SendToPeer(vm, message))
 
-    @runtime.handles(core.Suspicion)
-    def _on_query(self, message: core.Suspicion) -> None:
+    @runtime.handles(core.ReachabilityQuery)
+    def _on_query(self, message: core.ReachabilityQuery) -> None:
         self._start_check(message.instance)
 
-    @runtime.handles(core.InstanceStatus)
-    def _on_status(self, status: core.InstanceStatus) -> None:
+    @runtime.handles(core.InstanceProbeResult)
+    def _on_status(self, status: core.InstanceProbeResult) -> None:
         self._record_probe(status.instance, status.reached)
 
     def _record_probe(self, name: core.InstanceName, reached: bool) -> None:
         """Count this VM's own result, and send it to the other VMs."""
         if not reached:
-            self.log.emit(core.LogEvent.INSTANCE_MISSED, instance=name)
-        reply = core.Opinion(self.vm, name, reached)
+            self.log.emit(core.LogEvent.INSTANCE_UNREACHABLE, instance=name)
+        reply = core.ReachabilityReply(self.vm, name, reached)
         self._on_reply(reply)
         self._send_to_live_vms(reply)
 
-    @runtime.handles(core.Opinion)
-    def _on_reply(self, reply: core.Opinion) -> None:
+    @runtime.handles(core.ReachabilityReply)
+    def _on_reply(self, reply: core.ReachabilityReply) -> None:
         """Report the primary as unreachable if most voters say so."""
         check = self._checks.get(reply.instance)
         now = self.now()
@@ -132,7 +134,8 @@
             self._checks[reply.instance] = check
         check.reached_by[reply.vm] = reply.reached
         voters = (*self._voters, self.vm)
-        if decisions.missed_by_most(check.reached_by, voters):
+        if decisions.unreachable_for_majority(check.reached_by, voters):
             self.send(
-                names.keeper(self.vm), core.PrimaryMissed(reply.instance)
+                names.primary_manager(self.vm),
+                core.PrimaryUnreachable(reply.instance),
             )
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -11,7 +11,7 @@
 
 __all__ = ['Relay']
 
-_Ended = core.Ended
+_Ended = core.Completion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,15 +52,15 @@
         self._relayed: dict[core.WorkId, _RelayedWork] = {}
         self._by_transaction: dict[core.TransactionId, _RelayedWork] = {}
 
-    @runtime.handles(core.GroupInForce)
-    def _on_group(self, message: core.GroupInForce) -> None:
+    @runtime.handles(core.GroupUpdate)
+    def _on_group(self, message: core.GroupUpdate) -> None:
         """Update the instance pools; end the work of replaced incarnations."""
         for entry in message.entries:
-            task = names.pool_lane(self.vm, entry)
+            task = names.instance_pool(self.vm, entry)
             pool = self._pools.get(entry.name)
             if pool is not None and pool.task != task:
                 self._report_lost(entry.name, pool.task)
-            self._pools[entry.name] = _InstancePool(entry.boot, task)
+            self._pools[entry.name] = _InstancePool(entry.incarnation, task)
 
     def _report_lost(
         self, instance: core.InstanceName, pool_task: core.TaskName
@@ -68,14 +68,16 @@
         """Report all work of an instance pool as lost."""
         for local_id, relayed in tuple(self._relayed.items()):
             if relayed.pool_task == pool_task:
-                ended = core.WorkEnded(local_id, instance, _Ended.LOST)
+                ended = core.WorkEnded(
+                    local_id, instance, _Ended.CONNECTION_LOST
+                )
                 # Any time marks the work as sent to the instance.
                 self._on_ended(dataclasses.replace(ended, sent_at=0.0))
 
     @runtime.handles(core.RelayWork)
     def _on_work(self, message: core.RelayWork) -> None:
         pool = self._pools.get(message.instance)
-        if pool is None or pool.boot != message.boot:
+        if pool is None or pool.boot != message.incarnation:
             self._answer(
                 message.vm,
                 core.RelayEnded(
@@ -107,7 +109,7 @@
             request=message.request_id,
             peer=message.vm,
             instance=message.instance,
-            after=message.after,
+            after=message.min_position,
         )
 
     def _local_work(
@@ -123,16 +125,16 @@
             self.task_name,
             message.request_id,
             message.statement,
-            message.shape,
-            message.values,
+            message.prepared,
+            message.session_values,
             message.priority,
-            now + message.start_in,
-            message.limit,
-            message.patience,
+            now + message.start_timeout,
+            message.timeout,
+            message.retryable_timeout,
             now,
             transaction,
-            message.begins,
-            message.after,
+            message.begin_kind,
+            message.min_position,
         )
 
     @runtime.handles(core.WorkEnded)
@@ -140,7 +142,7 @@
         relayed = self._relayed.pop(ended.work_id, None)
         if relayed is None:
             return
-        if ended.block is core.BlockState.IDLE:
+        if ended.transaction_status is core.TransactionStatus.IDLE:
             self._forget_transaction(relayed)
         self._answer(
             relayed.vm,
@@ -148,14 +150,14 @@
                 self.vm,
                 relayed.work_id,
                 ended.instance,
-                ended.ended,
+                ended.completion,
                 ended.sent_at is not None,
                 ended.rows,
                 ended.digest,
                 ended.refusal,
                 ended.detail,
                 ended.position,
-                ended.block,
+                ended.transaction_status,
             ),
         )
 
@@ -164,7 +166,7 @@
             self._by_transaction.pop(relayed.transaction, None)
 
     def _answer(self, vm: core.VmName, message: core.RelayEnded) -> None:
-        self.send(names.peers(self.vm), core.ToPeer(vm, message))
+        self.send(names.peers(self.vm), core.SendToPeer(vm, message))
 
     @runtime.handles(core.RelayCancel)
     def _on_cancel(self, message: core.RelayCancel) -> None:
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -8,10 +8,10 @@
 from chicoryusher import charts
 from chicoryusher import core
 
-__all__ = ['Attempt', 'Host', 'PoolSession', 'Transaction']
+__all__ = ['Attempt', 'SessionOwner', 'PoolSession', 'Transaction']
 
 Verb = core.Verb
-Block = core.BlockState
+Block = core.TransactionStatus
 _BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ_ONLY)
 _LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
 
@@ -20,16 +20,16 @@
 class Transaction:
     """A session's open transaction.
 
-    ``arrived`` is when its BEGIN arrived, on the clock that also counts
-    suspended time (``Clock.running_on``). ``via`` is the VM that owns its
-    connection, None for this VM.
+    ``began_at_boottime`` is when its BEGIN arrived, on the clock that also
+    counts suspended time (``Clock.boottime``). ``conn_owner`` is the VM that
+    owns its connection, None for this VM.
     """
 
-    number: core.TransactionId
+    transaction_id: core.TransactionId
     read_only: bool
-    arrived: float
+    began_at_boottime: float
     instance: core.InstanceName | None = None
-    via: core.VmName | None = None
+    conn_owner: core.VmName | None = None
     wrote: bool = False
     route: core.PoolRoute | None = None
 
@@ -38,74 +38,80 @@
 class Attempt:
     """A statement that has not been answered yet.
 
-    ``arrived`` is when it arrived, on the runtime's clock; ``arrived_on``
-    is the same on the clock that also counts suspended time
-    (``Clock.running_on``). ``needs_age`` is the age in seconds of the log
-    position that a read must see. ``refused`` holds instances that did not
-    run the statement. ``offered`` is set once an instance has given the
-    statement back to be run again. ``fenced`` is set if its instance was
-    fenced meanwhile: its result then proves nothing about where the primary
-    stands, and its commit is reported as unknown. ``held_for`` is the
-    reason why it waits for an instance. ``via`` is the VM that runs it,
-    None for this VM.
+    ``arrived_at`` is when it arrived, on the runtime's clock;
+    ``arrived_at_boottime`` is the same on the clock that also counts suspended
+    time (``Clock.boottime``). ``position_age`` is the age in seconds of the
+    log position that a read must see. ``excluded`` holds instances that did
+    not run the statement. ``was_dispatched`` is set once an instance has given
+    the statement back to be run again. ``result_untrusted`` is set if its
+    instance was fenced meanwhile: its result then proves nothing about where
+    the primary stands, and its commit is reported as unknown. ``wait_reason``
+    is the reason why it waits for an instance. ``conn_owner`` is the VM that
+    runs it, None for this VM.
     """
 
     session: PoolSession
     message: core.PoolStatement
     route: core.PoolRoute
-    shape: core.Shape | None
-    arrived: float
-    arrived_on: float
+    shape: core.PreparedQuery | None
+    arrived_at: float
+    arrived_at_boottime: float
     work_id: core.WorkId | None = None
     instance: core.InstanceName | None = None
-    via: core.VmName | None = None
+    conn_owner: core.VmName | None = None
     at_primary: bool = False
-    needs_age: float = 0.0
-    refused: frozenset[core.InstanceName] = frozenset()
-    tries: int = 0
-    offered: bool = False
-    fenced: bool = False
-    held_for: str = ''
+    position_age: float = 0.0
+    excluded: frozenset[core.InstanceName] = frozenset()
+    try_count: int = 0
+    was_dispatched: bool = False
+    result_untrusted: bool = False
+    wait_reason: str = ''
 
     @property
     def writes(self) -> bool:
         """Return whether the statement changes data."""
         if self.shape is not None:
-            return self.shape.kind is core.ShapeKind.WRITE
+            return self.shape.kind is core.PreparedQueryKind.WRITE
         return self.message.statement.verb is Verb.WRITE
 
     @property
-    def commits(self) -> bool:
+    def may_commit(self) -> bool:
         """Return whether the statement may commit a change."""
         if self.message.statement.verb is Verb.COMMIT:
             return True
         return self.writes and self.session.transaction is None
 
 
-class Host(Protocol):
+class SessionOwner(Protocol):
     """The methods of the sessions' owner that chart actions call."""
 
-    def route(self, session: PoolSession, message: core.PoolStatement) -> None:
+    def start_attempt(
+        self, session: PoolSession, message: core.PoolStatement
+    ) -> None:
         """Send the statement to an instance."""
 
-    def answered(
+    def attempt_answered(
         self, session: PoolSession, answer: core.SessionAnswer
     ) -> None:
         """Apply the answer to the session's running statement."""
 
-    def reply(self, session: PoolSession, answer: core.SessionAnswer) -> None:
+    def send_reply(
+        self, session: PoolSession, answer: core.SessionAnswer
+    ) -> None:
         """Send an answer to the session's caller."""
 
-    def abandon(self, session: PoolSession) -> None:
+    def cancel_statement(self, session: PoolSession) -> None:
         """Cancel the session's statement: its caller has disconnected."""
 
     def roll_back(self, session: PoolSession) -> None:
         """Roll back the session's transaction at its instance."""
 
-    def forget(self, session: PoolSession) -> None:
+    def remove_session(self, session: PoolSession) -> None:
         """Remove the session."""
 
-    def begun(self, session: PoolSession, read_only: bool) -> Transaction:
+    def new_transaction(
+        self, session: PoolSession, read_only: bool
+    ) -> Transaction:
         """Return a new transaction for the session."""
 
 
@@ -114,29 +120,29 @@
 
     def __init__(
         self,
-        host: Host,
+        host: SessionOwner,
         session_id: core.SessionId,
         frontend: core.TaskName,
         database: core.DatabaseName,
     ) -> None:
         self.state = core.PoolSessionState.IDLE
-        self.host = host
+        self.owner = host
         self.session_id = session_id
         self.frontend = frontend
         self.database = database
         self.values: dict[str, str] = {}
-        self.prepared: dict[str, core.Shape] = {}
+        self.prepared: dict[str, core.PreparedQuery] = {}
         self.transaction: Transaction | None = None
         self.attempt: Attempt | None = None
-        self.wrote_at: core.Position | None = None
-        self.used_at = 0.0
+        self.last_write_position: core.Position | None = None
+        self.last_used_at = 0.0
 
 
 def _verb(message: core.PoolStatement) -> core.Verb:
     return message.statement.verb
 
 
-@charts.guard('pool.local')
+@charts.guard('pool.needs_no_instance')
 def _is_local(session: PoolSession, message: core.PoolStatement) -> bool:
     """Return whether the statement can be answered without an instance."""
     return _verb(message) in _LOCAL_VERBS
@@ -159,29 +165,29 @@
     return _verb(message) is Verb.COMMIT
 
 
-@charts.guard('pool.still_open')
+@charts.guard('pool.transaction_open')
 def _transaction_is_open(
     session: PoolSession, answer: core.SessionAnswer
 ) -> bool:
-    return answer.block is Block.OPEN
+    return answer.transaction_status is Block.OPEN
 
 
-@charts.guard('pool.has_failed')
+@charts.guard('pool.transaction_failed')
 def _transaction_has_failed(
     session: PoolSession, answer: core.SessionAnswer
 ) -> bool:
-    return answer.block is Block.FAILED
+    return answer.transaction_status is Block.FAILED
 
 
-@charts.action('pool.begin')
+@charts.action('pool.begin_transaction')
 def _begin_transaction(
     session: PoolSession, message: core.PoolStatement
 ) -> None:
     read_only = _verb(message) is Verb.BEGIN_READ_ONLY
-    session.transaction = session.host.begun(session, read_only)
+    session.transaction = session.owner.new_transaction(session, read_only)
 
 
-@charts.action('pool.end')
+@charts.action('pool.clear_transaction')
 def _end_transaction(session: PoolSession, arg: object) -> None:
     session.transaction = None
 
@@ -191,7 +197,7 @@
     """Apply a statement that needs no instance, and answer it."""
     apply_effect = _LOCAL_EFFECTS.get(_verb(message), _change_nothing)
     apply_effect(session, message.statement)
-    session.host.reply(
+    session.owner.send_reply(
         session,
         core.SessionAnswer(
             session.session_id, message.request_id, _block_state(session)
@@ -214,7 +220,7 @@
 def _refuse(
     session: PoolSession, message: core.PoolStatement, reason: core.Refusal
 ) -> None:
-    session.host.reply(
+    session.owner.send_reply(
         session,
         core.SessionAnswer(
             session.session_id,
@@ -229,27 +235,27 @@
 def _route_statement(
     session: PoolSession, message: core.PoolStatement
 ) -> None:
-    session.host.route(session, message)
+    session.owner.start_attempt(session, message)
 
 
 @charts.action('pool.answer')
 def _answer(session: PoolSession, answer: core.SessionAnswer) -> None:
-    session.host.reply(session, answer)
+    session.owner.send_reply(session, answer)
 
 
-@charts.action('pool.abandon')
+@charts.action('pool.cancel_statement')
 def _cancel_statement(session: PoolSession, arg: object) -> None:
-    session.host.abandon(session)
+    session.owner.cancel_statement(session)
 
 
 @charts.action('pool.roll_back')
 def _roll_back(session: PoolSession, arg: object) -> None:
-    session.host.roll_back(session)
+    session.owner.roll_back(session)
 
 
-@charts.action('pool.forget')
+@charts.action('pool.remove_session')
 def _remove_session(session: PoolSession, arg: object) -> None:
-    session.host.forget(session)
+    session.owner.remove_session(session)
 
 
 _BLOCK_STATES = {
@@ -259,7 +265,7 @@
 }
 
 
-def _block_state(session: PoolSession) -> core.BlockState:
+def _block_state(session: PoolSession) -> core.TransactionStatus:
     return _BLOCK_STATES.get(session.state, Block.IDLE)
 
 
@@ -268,12 +274,12 @@
 
 
 def _set_value(session: PoolSession, statement: core.Statement) -> None:
-    session.values[statement.name] = statement.rest
+    session.values[statement.name] = statement.arguments
 
 
 def _add_prepared(session: PoolSession, statement: core.Statement) -> None:
-    assert statement.shape is not None
-    session.prepared[statement.name] = statement.shape
+    assert statement.prepared is not None
+    session.prepared[statement.name] = statement.prepared
 
 
 def _remove_prepared(session: PoolSession, statement: core.Statement) -> None:
--- a/src/chicoryusher/tasks/pool/exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -3,7 +3,7 @@
 A view is this VM's copy of one partition of the store, such as the leader
 rows.  A few VMs poll the store; the others get their views from them.  All
 VMs ping each other regularly.  The pings also show which VMs are live, and
-extend the authority to use primaries while the store can't be reached.
+extend the lease to use primaries while the store can't be reached.
 """
 
 from __future__ import annotations
@@ -14,10 +14,10 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import crew
-from chicoryusher.tasks.pool import leads as leads_module
+from chicoryusher.tasks.pool import entry_vms
+from chicoryusher.tasks.pool import leaders as leads_module
 
-__all__ = ['Exchange']
+__all__ = ['ViewExchange']
 
 # Seconds between pings to each peer of this VM's region.
 PING_INTERVAL_S = 0.5
@@ -35,28 +35,28 @@
 # for the leader rows, 2.5 s for the instances), and a peer of another region
 # is pinged only once a second.
 MAX_VIEW_AGE_S = {
-    core.StoreView.LEADS: 2.4,
+    core.StoreView.LEADERS: 2.4,
     core.StoreView.INSTANCES: 6.5,
 }
 # Keys of the VM rankings that select the store pollers, and the VM that marks
 # other VMs as missing.
 _POLLER_RANKING = core.ServiceName('follow')
 _MARKER_RANKING = core.ServiceName('mark')
-_LEADERS = core.StoreView.LEADS
+_LEADERS = core.StoreView.LEADERS
 
 
 class _Tick(core.Message):
     """Ping the peers and do the periodic checks."""
 
 
-class Exchange(runtime.Task):
+class ViewExchange(runtime.Task):
     """Keep a view of each store partition and exchange it with the peers."""
 
     def __init__(
         self,
         loop: runtime.Runtime,
         vm: core.VmName,
-        own: core.NodeRow,
+        own: core.EntryVmRow,
         regions: dict[core.ZoneName, core.RegionName],
         feeds: tuple[core.TaskName, ...],
     ) -> None:
@@ -67,24 +67,28 @@
         self._feeds = feeds
         self._polling = True
         self._row_registered = False
-        self._stored_row: core.NodeRow | None = None
+        self._stored_row: core.EntryVmRow | None = None
         self._has_left = False
         self._change_under_way = False
-        self._entry_vms = crew.Crew(vm)
-        self._views = {kind: decisions.Views() for kind in core.StoreView}
+        self._entry_vms = entry_vms.EntryVms(vm)
+        self._views = {
+            kind: decisions.PrimaryLease() for kind in core.StoreView
+        }
         self._contents: dict[core.StoreView, core.Message] = {}
-        self._leaders = leads_module.Leads()
-        self._observed: dict[core.ServiceName, core.PrimaryObserved] = {}
+        self._leaders = leads_module.LeaderTable()
+        self._observed: dict[
+            core.ServiceName, core.PrimaryPositionObserved
+        ] = {}
         self._ping_times: dict[int, float] = {}
         self._ping_number = 0
         self._response_times: dict[core.VmName, float] = {}
         self._grant_times: dict[core.VmName, float] = {}
-        self._had_authority = False
+        self._had_lease = False
         self.after(PING_INTERVAL_S, _Tick())
 
-    def view_age(self, kind: core.StoreView) -> float:
+    def view_age_s(self, kind: core.StoreView) -> float:
         """Return for how many seconds a view has not been confirmed."""
-        return self._views[kind].age(self._clock.running_on())
+        return self._views[kind].age(self._clock.boottime())
 
     # -- store partitions, polled or received from a peer ---------------
 
@@ -96,27 +100,27 @@
         Return whether it was stored.
         """
         views = self._views[kind]
-        if kind in self._contents and revision <= views.revision:
+        if kind in self._contents and revision <= views.newest_revision:
             return False
-        views.know(revision)
+        views.note_revision(revision)
         self._contents[kind] = message
         return True
 
-    @runtime.handles(core.PoolConfigInForce)
-    def _on_config(self, message: core.PoolConfigInForce) -> None:
+    @runtime.handles(core.PoolConfigUpdate)
+    def _on_config(self, message: core.PoolConfigUpdate) -> None:
         version = message.config.version
         if self._store_if_newer(core.StoreView.CONFIG, version, message):
-            self.send(names.keeper(self.vm), message)
+            self.send(names.primary_manager(self.vm), message)
 
     @runtime.handles(core.RegisteredInstances)
     def _on_instances(self, message: core.RegisteredInstances) -> None:
         kind = core.StoreView.INSTANCES
         if self._store_if_newer(kind, message.revision, message):
-            self.send(names.keeper(self.vm), message)
+            self.send(names.primary_manager(self.vm), message)
 
-    @runtime.handles(core.NodesInStore)
-    def _on_nodes(self, message: core.NodesInStore) -> None:
-        kind = core.StoreView.NODES
+    @runtime.handles(core.EntryVmRowsRead)
+    def _on_nodes(self, message: core.EntryVmRowsRead) -> None:
+        kind = core.StoreView.ENTRY_VMS
         if not self._store_if_newer(kind, message.revision, message):
             return
         self._entry_vms.replace_rows(message.rows, self.now())
@@ -128,7 +132,7 @@
         self._check_own_row(message.rows)
         self._report_live()
 
-    def _check_own_row(self, rows: tuple[core.NodeRow, ...]) -> None:
+    def _check_own_row(self, rows: tuple[core.EntryVmRow, ...]) -> None:
         """Write this VM's row again if the stored row differs from it.
 
         The row of an earlier incarnation also counts as a registration if
@@ -141,64 +145,70 @@
         self._stored_row = row
         self._row_registered = row is not None and self._registers_this_vm(row)
         if row != self._own_row and not self._has_left:
-            self.send(names.rows(self.vm), core.WriteNode(self._own_row))
+            self.send(
+                names.row_client(self.vm), core.WriteEntryVmRow(self._own_row)
+            )
 
-    def _registers_this_vm(self, row: core.NodeRow) -> bool:
+    def _registers_this_vm(self, row: core.EntryVmRow) -> bool:
         """Return whether the row makes this VM count as registered."""
         if row == self._own_row:
             return True
-        serving = row.life is core.NodeLife.SERVING and not row.missing
+        serving = (
+            row.status is core.EntryVmStatus.SERVING and not row.unreachable
+        )
         address = (self._own_row.host, self._own_row.port)
         return serving and (row.host, row.port) == address
 
-    @runtime.handles(core.LeadsInStore)
-    def _on_leads(self, message: core.LeadsInStore) -> None:
+    @runtime.handles(core.LeaderRowsRead)
+    def _on_leads(self, message: core.LeaderRowsRead) -> None:
         newer = tuple(
             leader_row
             for leader_row in message.rows
-            if self._leaders.take(leader_row)
+            if self._leaders.add_if_newer(leader_row)
         )
         for row in newer:
-            self._views[_LEADERS].know(row.revision)
-        self._contents[_LEADERS] = core.LeadsInStore(self._leaders.rows())
-        self.send(names.keeper(self.vm), message)
+            self._views[_LEADERS].note_revision(row.revision)
+        self._contents[_LEADERS] = core.LeaderRowsRead(self._leaders.rows())
+        self.send(names.primary_manager(self.vm), message)
         if newer:
-            self._send_to_live(core.LeadsInStore(newer))
+            self._send_to_live(core.LeaderRowsRead(newer))
 
-    @runtime.handles(core.StoreSeen)
-    def _on_seen(self, message: core.StoreSeen) -> None:
+    @runtime.handles(core.StorePolled)
+    def _on_seen(self, message: core.StorePolled) -> None:
         """Record that a poll of the store confirmed a view.
 
         A change of primary does not wait for a VM that is not registered in
         the store yet, so a view of the leader rows gives such a VM no
-        authority.
+        lease.
         """
-        if message.kind is _LEADERS and not self._row_registered:
+        if message.view is _LEADERS and not self._row_registered:
             return
-        if self._views[message.kind].own(message.asked_at):
-            self._on_view_confirmed(message.kind)
+        if self._views[message.view].extend_from_store(message.requested_at):
+            self._on_view_confirmed(message.view)
 
     def _on_view_confirmed(self, kind: core.StoreView) -> None:
         if kind is _LEADERS:
-            self._send_authority()
+            self._send_lease_update()
         elif kind is core.StoreView.INSTANCES:
-            seen_at = self._views[kind].seen_at
-            self.send(names.keeper(self.vm), core.StoreSeen(kind, seen_at))
+            seen_at = self._views[kind].valid_from
+            self.send(
+                names.primary_manager(self.vm), core.StorePolled(kind, seen_at)
+            )
 
-    def _send_authority(self) -> None:
-        """Send the end of this VM's authority to the dispatcher."""
+    def _send_lease_update(self) -> None:
+        """Send the end of this VM's lease to the dispatcher."""
         if self._has_left:
             return
-        until = self._views[_LEADERS].until()
-        self.send(names.desk(self.vm), core.Authority(until))
-        valid = self._clock.running_on() < until
-        if valid and not self._had_authority:
-            self._had_authority = True
-            self.log.emit(core.LogEvent.AUTHORITY_BACK)
-
-    @runtime.handles(core.ViewFetch)
-    def _on_fetch(self, fetch: core.ViewFetch) -> None:
-        content = self._contents.get(fetch.kind)
+        until = self._views[_LEADERS].expires_at()
+        self.send(names.dispatcher(self.vm), core.PrimaryLeaseUpdate(until))
+        valid = self._clock.boottime() < until
+        if valid and not self._had_lease:
+            self._had_lease = True
+            self.log.emit(core.LogEvent.LEASE_REGAINED)
+
+    @runtime.handles(core.FetchView)
+    def _on_fetch(self, fetch: core.FetchView) -> None:
+        content = self._contents.get(fetch.view)
         if content is not None:
             self._send_to_peer(fetch.vm, content)
 
@@ -218,31 +228,31 @@
             self._send_to_peer(vm, message)
 
     def _send_to_peer(self, vm: core.VmName, message: core.Message) -> None:
-        self.send(names.peers(self.vm), core.ToPeer(vm, message))
+        self.send(names.peers(self.vm), core.SendToPeer(vm, message))
 
     def _report_live(self) -> None:
         """Send the live VMs to the tasks of this VM that use them."""
         live = self._live_vms()
         self.meters.show(core.Metric.LIVE_VMS, len(live) + 1)
         now = self.now()
-        message = core.LivePeers(
+        message = core.PeerSets(
             live,
-            self._entry_vms.authority_users(now),
+            self._entry_vms.possible_lease_holders(now),
             self._entry_vms.voters(now),
         )
-        self.send(names.keeper(self.vm), message)
-        self.send(names.watch(self.vm), message)
-        self.send(names.desk(self.vm), self._live_nodes(live))
+        self.send(names.primary_manager(self.vm), message)
+        self.send(names.reachability_monitor(self.vm), message)
+        self.send(names.dispatcher(self.vm), self._live_nodes(live))
 
-    def _live_nodes(self, live: tuple[core.VmName, ...]) -> core.LiveNodes:
-        own = core.NodePlace(self.vm, self._own_row.zone)
+    def _live_nodes(self, live: tuple[core.VmName, ...]) -> core.LiveEntryVms:
+        own = core.EntryVmZone(self.vm, self._own_row.zone)
         others = [
-            core.NodePlace(node.vm, node.zone)
+            core.EntryVmZone(node.vm, node.zone)
             for node in self._entry_vms.contactable()
             if node.vm in live
         ]
         nodes = sorted([own, *others], key=lambda node: node.vm)
-        return core.LiveNodes(tuple(nodes))
+        return core.LiveEntryVms(tuple(nodes))
 
     @runtime.handles(_Tick)
     def _on_tick(self, tick: _Tick) -> None:
@@ -252,11 +262,11 @@
         self._disconnect_unresponsive()
         self._mark_missing()
         self._update_polling()
-        self._log_expired_authority()
+        self._log_expired_lease()
 
     def _ping_peers(self) -> None:
         self._ping_number += 1
-        self._ping_times[self._ping_number] = self._clock.running_on()
+        self._ping_times[self._ping_number] = self._clock.boottime()
         self._ping_times.pop(self._ping_number - MAX_OPEN_PINGS, None)
         ping = core.Ping(self.vm, self._ping_number)
         for row in self._entry_vms.contactable():
@@ -266,11 +276,11 @@
             ):
                 self._send_to_peer(row.vm, ping)
 
-    def _is_near(self, row: core.NodeRow) -> bool:
+    def _is_near(self, row: core.EntryVmRow) -> bool:
         near = decisions.nearness(
             self._own_row.zone, row.zone, self._regions.get
         )
-        return near is not core.Nearness.OTHER_REGION
+        return near is not core.ZoneDistance.OTHER_REGION
 
     def _disconnect_unresponsive(self) -> None:
         """Close the streams to peers that time out; new streams may work."""
@@ -290,26 +300,30 @@
 
         Of the live VMs only the first in the ranking writes the mark.
         """
-        if self._own_row.life is not core.NodeLife.SERVING:
+        if self._own_row.status is not core.EntryVmStatus.SERVING:
             return
         for row in self._entry_vms.newly_missing(
             self._response_times, self.now()
         ):
             if (
-                decisions.rank_of(self.vm, self._live_vms(), _MARKER_RANKING)
+                decisions.failover_rank(
+                    self.vm, self._live_vms(), _MARKER_RANKING
+                )
                 == 0
             ):
                 self.log.emit(core.LogEvent.VM_STATE, peer=row.vm)
-                missing = dataclasses.replace(row, missing=True)
+                missing = dataclasses.replace(row, unreachable=True)
                 self.send(
-                    names.rows(self.vm),
-                    core.WriteNode(missing, row.revision),
+                    names.row_client(self.vm),
+                    core.WriteEntryVmRow(missing, row.revision),
                 )
 
     def _update_polling(self) -> None:
         """Poll the store if this VM is ranked as poller or has old views."""
-        boot_now = self._clock.running_on()
-        rank = decisions.rank_of(self.vm, self._live_vms(), _POLLER_RANKING)
+        boot_now = self._clock.boottime()
+        rank = decisions.failover_rank(
+            self.vm, self._live_vms(), _POLLER_RANKING
+        )
         views_too_old = any(
             self._views[kind].age(boot_now) > max_age
             for kind, max_age in MAX_VIEW_AGE_S.items()
@@ -318,41 +332,45 @@
         if poll != self._polling:
             self._polling = poll
             for feed in self._feeds:
-                self.send(feed, core.FollowStore(poll))
+                self.send(feed, core.SetStorePolling(poll))
 
-    def _log_expired_authority(self) -> None:
-        """Show the remaining authority; log once when it has expired."""
+    def _log_expired_lease(self) -> None:
+        """Show the remaining lease time; log once when it has expired."""
         views = self._views[_LEADERS]
-        boot_now = self._clock.running_on()
-        seconds_left = views.until() - boot_now
+        boot_now = self._clock.boottime()
+        seconds_left = views.expires_at() - boot_now
         self.meters.show(core.Metric.AUTHORITY_LEFT, seconds_left)
-        if self._had_authority and seconds_left <= 0.0:
-            self._had_authority = False
+        if self._had_lease and seconds_left <= 0.0:
+            self._had_lease = False
             self.log.emit(
-                core.LogEvent.AUTHORITY_LAPSED,
+                core.LogEvent.LEASE_EXPIRED,
                 age=round(views.age(boot_now), 3),
             )
 
     @runtime.handles(core.Ping)
     def _on_ping(self, ping: core.Ping) -> None:
-        boot_now = self._clock.running_on()
+        boot_now = self._clock.boottime()
         pong = core.Pong(
             self.vm,
-            ping.number,
+            ping.sequence,
             _LEADERS in self._contents
             and not self._change_under_way
             and not self._has_left,
             tuple(
-                core.PeerView(kind, entry.age(boot_now), entry.revision)
+                core.ViewState(
+                    kind, entry.age(boot_now), entry.newest_revision
+                )
                 for kind, entry in self._views.items()
                 if kind in self._contents
             ),
             tuple(
-                core.Observed(
-                    entry.service, entry.position, boot_now - entry.asked_at
+                core.ObservedPosition(
+                    entry.service,
+                    entry.position,
+                    boot_now - entry.requested_at,
                 )
                 for entry in self._observed.values()
-                if boot_now - entry.asked_at < decisions.LAPSE
+                if boot_now - entry.requested_at < decisions.LEASE_DURATION_S
             ),
         )
         self._send_to_peer(ping.vm, pong)
@@ -360,31 +378,33 @@
     @runtime.handles(core.Pong)
     def _on_pong(self, pong: core.Pong) -> None:
         self._response_times[pong.vm] = self.now()
-        sent_at = self._ping_times.get(pong.number)
+        sent_at = self._ping_times.get(pong.sequence)
         if sent_at is None:
             return
         leaders_current = True
         for peer_view in pong.views:
-            own_view = self._views[peer_view.kind]
-            if peer_view.revision > own_view.revision or (
-                peer_view.kind not in self._contents
+            own_view = self._views[peer_view.view]
+            if peer_view.revision > own_view.newest_revision or (
+                peer_view.view not in self._contents
             ):
-                fetch = core.ViewFetch(self.vm, peer_view.kind)
+                fetch = core.FetchView(self.vm, peer_view.view)
                 self._send_to_peer(pong.vm, fetch)
                 leaders_current = (
-                    leaders_current and peer_view.kind is not _LEADERS
+                    leaders_current and peer_view.view is not _LEADERS
                 )
-            elif self._may_confirm(peer_view.kind) and own_view.passed_on(
+            elif self._may_confirm(
+                peer_view.view
+            ) and own_view.extend_from_peer(
                 sent_at, peer_view.age, peer_view.revision
             ):
-                self._on_view_confirmed(peer_view.kind)
-        if pong.quiet and leaders_current:
+                self._on_view_confirmed(peer_view.view)
+        if pong.grants_lease and leaders_current:
             self._grant_times[pong.vm] = sent_at
-            self._extend_authority()
-        for observation in pong.observed:
+            self._extend_lease()
+        for observation in pong.positions:
             self.send(
-                names.desk(self.vm),
-                core.PrimaryObserved(
+                names.dispatcher(self.vm),
+                core.PrimaryPositionObserved(
                     observation.service,
                     observation.position,
                     sent_at - observation.age,
@@ -395,32 +415,32 @@
         """Return whether a peer's view may renew this VM's view."""
         return kind is not _LEADERS or self._row_registered
 
-    def _extend_authority(self) -> None:
-        """Extend the authority if all VMs that could change a primary agree.
+    def _extend_lease(self) -> None:
+        """Extend the lease if all VMs that could change a primary agree.
 
         Each of them has granted it by its response to a ping: no change of
         primary was under way there.
         """
-        boot_now = self._clock.running_on()
+        boot_now = self._clock.boottime()
         granted_at = [
             self._grant_times.get(vm, float('-inf'))
-            for vm in self._entry_vms.authority_users(self.now())
+            for vm in self._entry_vms.possible_lease_holders(self.now())
         ]
         oldest = min(granted_at, default=boot_now)
-        if self._views[_LEADERS].granted(oldest, boot_now):
-            self._send_authority()
+        if self._views[_LEADERS].extend_by_grants(oldest, boot_now):
+            self._send_lease_update()
 
     # -- messages from this VM's tasks ----------------------------------
 
-    @runtime.handles(core.PrimaryObserved)
-    def _on_observed(self, message: core.PrimaryObserved) -> None:
+    @runtime.handles(core.PrimaryPositionObserved)
+    def _on_observed(self, message: core.PrimaryPositionObserved) -> None:
         previous = self._observed.get(message.service)
-        if previous is None or message.asked_at > previous.asked_at:
+        if previous is None or message.requested_at > previous.requested_at:
             self._observed[message.service] = message
 
-    @runtime.handles(core.ChangesUnderWay)
-    def _on_changes(self, message: core.ChangesUnderWay) -> None:
-        self._change_under_way = message.any
+    @runtime.handles(core.HandoversInProgress)
+    def _on_changes(self, message: core.HandoversInProgress) -> None:
+        self._change_under_way = message.any_in_progress
 
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
@@ -428,25 +448,34 @@
 
         A change of primary that it coordinates goes on.
         """
-        life = core.NodeLife.LEAVING
-        self._own_row = dataclasses.replace(self._own_row, life=life)
-        self.send(names.rows(self.vm), core.WriteNode(self._own_row))
+        life = core.EntryVmStatus.LEAVING
+        self._own_row = dataclasses.replace(self._own_row, status=life)
+        self.send(
+            names.row_client(self.vm), core.WriteEntryVmRow(self._own_row)
+        )
 
-    @runtime.handles(core.Leave)
-    def _on_leave(self, message: core.Leave) -> None:
+    @runtime.handles(core.VmStopping)
+    def _on_leave(self, message: core.VmStopping) -> None:
         """End the use of primaries and register this VM as having left.
 
         Changes of primary then no longer wait for this VM.  The row is
         written only over the row that registers this VM as leaving.  The
-        next incarnation of this VM gets no authority from a leaving row, so
-        a delayed write can't replace a row that gives it authority.
+        next incarnation of this VM gets no lease from a leaving row, so
+        a delayed write can't replace a row that gives it a lease.
         """
         self._has_left = True
         self._row_registered = False
-        self.send(names.desk(self.vm), core.Authority(float('-inf')))
+        self.send(
+            names.dispatcher(self.vm), core.PrimaryLeaseUpdate(float('-inf'))
+        )
         row = self._stored_row
         if row != self._own_row:
             return
-        left_row = dataclasses.replace(self._own_row, life=core.NodeLife.LEFT)
+        left_row = dataclasses.replace(
+            self._own_row, status=core.EntryVmStatus.LEFT
+        )
         assert row is not None
-        self.send(names.rows(self.vm), core.WriteNode(left_row, row.revision))
+        self.send(
+            names.row_client(self.vm),
+            core.WriteEntryVmRow(left_row, row.revision),
+        )
