--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -15,8 +15,8 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks import notices
 from chicoryusher.tasks import sessions
+from chicoryusher.tasks import task_messages
 
 __all__ = ['Router', 'RouterSettings']
 
@@ -45,7 +45,7 @@
         default=(), repr=False
     )
     policy: str = 'nearest_fresh_replica'
-    placement: str = decisions.DEFAULT_PLACEMENT
+    placement: str = decisions.DEFAULT_GATE_PLACEMENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,15 +74,17 @@
     ) -> None:
         super().__init__(loop, vm, 'router')
         self._settings = settings
-        self._routing_policy = decisions.ROUTING.get(settings.policy)()
-        self._directory = decisions.Directory(
+        self._routing_policy = decisions.ROUTING_POLICIES.get(
+            settings.policy
+        )()
+        self._directory = decisions.GateDirectory(
             vm, settings.zone, settings.placement
         )
         self._token_codec = decisions.TokenCodec(
             settings.token_key, settings.old_token_keys
         )
-        self._chart = charts.compiled('session')
-        self._groups: dict[core.DatabaseName, decisions.GroupView] = {}
+        self._chart = charts.load_machine('session')
+        self._groups: dict[core.DatabaseName, decisions.GroupHints] = {}
         self._sessions: dict[core.SessionId, sessions.Session] = {}
         self._pending: dict[core.RequestId, sessions.PendingRequest] = {}
         self._expiry_timer: core.TimerId | None = None
@@ -94,26 +96,26 @@
         self.moves = 0
         self.unknown = 0
 
-    @runtime.handles(notices.ConfigInForce)
-    def _on_config(self, message: notices.ConfigInForce) -> None:
+    @runtime.handles(task_messages.ConfigUpdate)
+    def _on_config(self, message: task_messages.ConfigUpdate) -> None:
         config = message.config
-        self._directory.take_config(config)
+        self._directory.set_config(config)
         for database in config.databases:
             group = self._groups.get(database.name)
             if group is None:
-                group = decisions.GroupView(database.name)
+                group = decisions.GroupHints(database.name)
                 self._groups[database.name] = group
-            group.keep_only(frozenset(database.instances))
+            group.retain(frozenset(database.instances))
             for spec in config.group(database.name):
-                path = self._directory.path(spec.zone)
-                group.place(decisions.InstanceView(spec, path))
+                path = self._directory.round_trip(spec.zone)
+                group.put_instance(decisions.InstanceHints(spec, path))
         configured = {entry.name for entry in config.databases}
         for removed in set(self._groups) - configured:
             del self._groups[removed]
 
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
-        self._directory.take_live(live.vms)
+        self._directory.set_live_vms(live.vms)
 
     @runtime.handles(core.SessionOpened)
     def _on_opened(self, opened: core.SessionOpened) -> None:
@@ -235,7 +237,7 @@
         if gate == self.vm:
             self.send(names.gate(gate, submit.instance), submit)
         else:
-            self.send(names.peers(self.vm), core.ToPeer(gate, submit))
+            self.send(names.peers(self.vm), core.SendToPeer(gate, submit))
         if self._expiry_timer is None:
             self._expiry_timer = self.after(
                 EXPIRY_CHECK_INTERVAL_S, _CheckExpired()
@@ -257,8 +259,8 @@
             request = dataclasses.replace(
                 request,
                 transaction=session.transaction,
-                begin=None if session.started else session.begin,
-                keeps_connection=session.keeps_pinned,
+                begin_payload=None if session.started else session.begin,
+                pins_connection=session.keeps_pinned,
             )
         if pending.marks is not request.marks:
             request = dataclasses.replace(request, marks=pending.marks)
@@ -275,11 +277,13 @@
             self.vm,
             route.instance,
             request,
-            pending.deadline - now - self._directory.way_back(route.instance),
+            pending.deadline
+            - now
+            - self._directory.reply_time(route.instance),
             route.role,
-            requirement.position,
+            requirement.min_position,
             requirement.max_staleness,
-            route.patience,
+            route.catch_up_timeout,
         )
 
     def _requirement(
@@ -287,7 +291,7 @@
         session: sessions.Session,
         pending: sessions.PendingRequest,
         now: float,
-    ) -> decisions.Wanted:
+    ) -> decisions.RouteRequirement:
         """Return what a request needs of the instance that runs it.
 
         The staleness bound is the statement's own or the configured one.
@@ -313,7 +317,7 @@
         last_write_at = session.last_write_at.get(
             request.database, float('-inf')
         )
-        return decisions.Wanted(
+        return decisions.RouteRequirement(
             not is_read or pending.requires_primary,
             session.positions.get(request.database),
             staleness_bound,
@@ -326,8 +330,8 @@
         if pending is not None:
             self.send(pending.session.frontend, chunk)
 
-    @runtime.handles(core.Consumed)
-    def _on_consumed(self, consumed: core.Consumed) -> None:
+    @runtime.handles(core.AnswerConsumed)
+    def _on_consumed(self, consumed: core.AnswerConsumed) -> None:
         pending = self._pending.get(consumed.request_id)
         if pending is None or pending.instance is None:
             return
@@ -336,7 +340,7 @@
             self.send(names.gate(self.vm, pending.instance), consumed)
         elif pending.gate is not None:
             self.send(
-                names.peers(self.vm), core.ToPeer(pending.gate, consumed)
+                names.peers(self.vm), core.SendToPeer(pending.gate, consumed)
             )
 
     @runtime.handles(core.Answer)
@@ -368,17 +372,17 @@
     def _apply_report(self, report: core.InstanceReport, now: float) -> None:
         group = self._groups.get(report.database)
         if group is not None:
-            group.learn(report, now)
+            group.apply_report(report, now)
 
-    @runtime.handles(core.GateMoved)
-    def _on_moved(self, moved: core.GateMoved) -> None:
+    @runtime.handles(core.RequestMoved)
+    def _on_moved(self, moved: core.RequestMoved) -> None:
         pending = self._pending.get(moved.request_id)
         if pending is None:
             return
         now = self.now()
         group = self._groups.get(pending.request.database)
         if group is not None:
-            group.refused(moved.instance, moved.reason, now)
+            group.record_refusal(moved.instance, moved.reason, now)
         if moved.report is not None:
             self._apply_report(moved.report, now)
         self._handle_move(pending, moved.reason)
@@ -468,8 +472,8 @@
         )
         self.reply(session, answer)
 
-    @runtime.handles(notices.Undelivered)
-    def _on_undelivered(self, undelivered: notices.Undelivered) -> None:
+    @runtime.handles(task_messages.Undelivered)
+    def _on_undelivered(self, undelivered: task_messages.Undelivered) -> None:
         message = undelivered.message
         if not isinstance(message, core.Submit):
             return
@@ -484,7 +488,9 @@
         """Route nothing to the request's instance for a short time."""
         group = self._groups.get(pending.request.database)
         if group is not None and pending.instance is not None:
-            group.refused(pending.instance, core.MoveReason.DOWN, self.now())
+            group.record_refusal(
+                pending.instance, core.MoveReason.DOWN, self.now()
+            )
 
     @runtime.handles(core.PeerDown)
     def _on_peer_down(self, down: core.PeerDown) -> None:
@@ -568,7 +574,9 @@
         if session.gate == self.vm:
             self.send(names.gate(self.vm, session.instance), message)
         elif session.gate is not None:
-            self.send(names.peers(self.vm), core.ToPeer(session.gate, message))
+            self.send(
+                names.peers(self.vm), core.SendToPeer(session.gate, message)
+            )
 
     def remove(self, session: sessions.Session) -> None:
         """Remove a session and its pending request."""
@@ -580,8 +588,8 @@
     def _on_drain(self, drain: core.Drain) -> None:
         self.draining = True
 
-    @runtime.handles(notices.Ask)
-    def _on_query(self, query: notices.Ask) -> None:
+    @runtime.handles(task_messages.StateQuery)
+    def _on_query(self, query: task_messages.StateQuery) -> None:
         rows = tuple(
             (
                 ('session', str(session.session_id)),
@@ -593,5 +601,6 @@
             for session in self._sessions.values()
         )
         self.send(
-            query.reply_to, notices.Told(self.task_name, query.number, rows)
+            query.reply_to,
+            task_messages.StateReport(self.task_name, query.number, rows),
         )
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -124,17 +124,17 @@
     return pending.request.kind in _END_KINDS
 
 
-@charts.guard('session.ends_unstarted')
+@charts.guard('session.ends_not_started')
 def _ends_unstarted(session: Session, pending: PendingRequest) -> bool:
     return _ends(session, pending) and not session.started
 
 
-@charts.guard('session.pins')
+@charts.guard('session.pins_connection')
 def _pins(session: Session, pending: PendingRequest) -> bool:
-    return pending.request.begin is not None
+    return pending.request.begin_payload is not None
 
 
-@charts.guard('session.still_open')
+@charts.guard('session.transaction_open')
 def _still_open(session: Session, answer: core.Answer) -> bool:
     if answer.error is not None:
         lost = isinstance(
@@ -145,24 +145,24 @@
     return answer.in_transaction or session.keeps_pinned
 
 
-@charts.guard('session.unstarted')
+@charts.guard('session.transaction_not_started')
 def _unstarted(session: Session, pending: PendingRequest) -> bool:
     return not session.started
 
 
-@charts.action('session.begin')
+@charts.action('session.begin_transaction')
 def _begin(session: Session, pending: PendingRequest) -> None:
     request = pending.request
     session.transaction_count += 1
     session.transaction = core.TransactionId(
         f'{session.session_id}:t{session.transaction_count}'
     )
-    session.begin = request.begin
+    session.begin = request.begin_payload
     if request.kind in _BEGIN_KINDS:
         session.begin = request.payload
     session.read_only = request.kind is Kind.BEGIN_READ_ONLY
     session.started = False
-    session.keeps_pinned = request.keeps_connection
+    session.keeps_pinned = request.pins_connection
 
 
 @charts.action('session.answer_open')
@@ -205,14 +205,14 @@
     session.owner.route(session, pending)
 
 
-@charts.action('session.start')
+@charts.action('session.mark_started')
 def _start(session: Session, answer: core.Answer) -> None:
     if answer.outcome is core.Outcome.DONE:
         session.started = True
         session.begin = None
 
 
-@charts.action('session.end')
+@charts.action('session.clear_transaction')
 def _end(session: Session, arg: core.Message) -> None:
     session.transaction = None
     session.begin = None
@@ -228,7 +228,7 @@
     session.owner.reply(session, answer)
 
 
-@charts.action('session.lose')
+@charts.action('session.report_transaction_lost')
 def _lose(session: Session, pending: PendingRequest) -> None:
     session.owner.reply(
         session,
@@ -247,6 +247,6 @@
     session.owner.abort_transaction(session)
 
 
-@charts.action('session.forget')
+@charts.action('session.remove')
 def _forget(session: Session, arg: object) -> None:
     session.owner.remove(session)
--- a/src/chicoryusher/tasks/notices.py
+++ b/src/chicoryusher/tasks/task_messages.py
@@ -8,17 +8,17 @@
 from chicoryusher.decisions import configuration
 
 __all__ = [
-    'Ask',
+    'StateQuery',
     'AssignGate',
-    'ConfigInForce',
-    'Told',
+    'ConfigUpdate',
+    'StateReport',
     'Undelivered',
-    'WatchGroup',
+    'MonitorGroup',
 ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ConfigInForce(core.Message):
+class ConfigUpdate(core.Message):
     """Report that a configuration is now in force on this VM."""
 
     config: configuration.Configuration
@@ -47,10 +47,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Ask(core.Message):
-    """Ask a task for its state, on behalf of an operator.
+class StateQuery(core.Message):
+    """StateQuery a task for its state, on behalf of an operator.
 
-    ``number`` pairs the ``Told`` with its ``Ask``.
+    ``number`` pairs the ``StateReport`` with its ``StateQuery``.
     """
 
     reply_to: core.TaskName
@@ -58,7 +58,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Told(core.Message):
+class StateReport(core.Message):
     """Report a task's state as rows of (name, value) pairs."""
 
     task: core.TaskName
@@ -67,7 +67,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class WatchGroup(core.Message):
+class MonitorGroup(core.Message):
     """Update what a group monitor monitors.
 
     ``members`` are the instances of the group, ``gates`` those of them
--- a/src/chicoryusher/wire/auth.py
+++ b/src/chicoryusher/wire/auth.py
@@ -17,26 +17,26 @@
 
 __all__ = [
     'DEFAULT_METHOD',
-    'METHODS',
+    'AUTH_METHODS',
     'NONCE_BYTES',
     'new_nonce',
-    'respond',
-    'verify',
+    'make_auth_response',
+    'verify_auth_response',
 ]
 
 NONCE_BYTES = 20
 DEFAULT_METHOD = 'caching_sha2_password'
 
 Method = Callable[[bytes, bytes], bytes]
-METHODS: core.Registry[Method] = core.Registry('authentication method')
+AUTH_METHODS: core.Registry[Method] = core.Registry('authentication method')
 
 
-@METHODS.register('mysql_native_password')
+@AUTH_METHODS.register('mysql_native_password')
 def _native(password: bytes, nonce: bytes) -> bytes:
     return _auth.scramble_native_password(password, nonce)
 
 
-@METHODS.register('caching_sha2_password')
+@AUTH_METHODS.register('caching_sha2_password')
 def _caching_sha2(password: bytes, nonce: bytes) -> bytes:
     return _auth.scramble_caching_sha2(password, nonce)
 
@@ -46,11 +46,15 @@
     return bytes(1 + secrets.randbelow(126) for _ in range(NONCE_BYTES))
 
 
-def respond(method: str, password: str, nonce: bytes) -> bytes:
+def make_auth_response(method: str, password: str, nonce: bytes) -> bytes:
     """Return the response to ``nonce``; UnknownName if no such method."""
-    return METHODS.get(method)(password.encode(), nonce[:NONCE_BYTES])
+    return AUTH_METHODS.get(method)(password.encode(), nonce[:NONCE_BYTES])
 
 
-def verify(method: str, password: str, nonce: bytes, response: bytes) -> bool:
+def verify_auth_response(
+    method: str, password: str, nonce: bytes, response: bytes
+) -> bool:
     """Return whether ``response`` is the expected response to ``nonce``."""
-    return hmac.compare_digest(respond(method, password, nonce), response)
+    return hmac.compare_digest(
+        make_auth_response(method, password, nonce), response
+    )
--- a/src/chicoryusher/wire/framing.py
+++ b/src/chicoryusher/wire/framing.py
@@ -13,10 +13,16 @@
 
 from chicoryusher import core
 
-__all__ = ['HEADER_BYTES', 'MAX_PAYLOAD', 'Framer', 'Packet', 'frame']
+__all__ = [
+    'HEADER_BYTES',
+    'MAX_PAYLOAD_BYTES',
+    'PacketReader',
+    'Packet',
+    'make_packets',
+]
 
 HEADER_BYTES = 4
-MAX_PAYLOAD = 0xFFFFFF
+MAX_PAYLOAD_BYTES = 0xFFFFFF
 
 
 class Packet(NamedTuple):
@@ -26,7 +32,7 @@
     payload: bytes
 
 
-class Framer:
+class PacketReader:
     """Splits a byte stream into packets and joins split payloads.
 
     ``max_bytes`` limits one payload; it may be changed at any time.
@@ -60,7 +66,7 @@
             sequence = buffer[start + 3]
             payload = bytes(buffer[start + HEADER_BYTES : end])
             start = end
-            if size == MAX_PAYLOAD:
+            if size == MAX_PAYLOAD_BYTES:
                 self._split_payload += payload
                 continue
             if self._split_payload:
@@ -71,12 +77,14 @@
         return packets
 
 
-def frame(payload: bytes, sequence: int = 0) -> bytes:
+def make_packets(payload: bytes, sequence: int = 0) -> bytes:
     """Return ``payload`` as packets; split it if it is too long for one."""
     packets = []
-    while len(payload) >= MAX_PAYLOAD:
-        packets.append(_header(MAX_PAYLOAD, sequence) + payload[:MAX_PAYLOAD])
-        payload = payload[MAX_PAYLOAD:]
+    while len(payload) >= MAX_PAYLOAD_BYTES:
+        packets.append(
+            _header(MAX_PAYLOAD_BYTES, sequence) + payload[:MAX_PAYLOAD_BYTES]
+        )
+        payload = payload[MAX_PAYLOAD_BYTES:]
         sequence = (sequence + 1) % 256
     packets.append(_header(len(payload), sequence) + payload)
     return b''.join(packets)
--- a/src/chicoryusher/wire/greeting.py
+++ b/src/chicoryusher/wire/handshake.py
@@ -20,15 +20,15 @@
 __all__ = [
     'BACKEND_CAPABILITIES',
     'CALLER_CAPABILITIES',
-    'CallerHello',
+    'HandshakeResponse',
     'ServerGreeting',
-    'auth_switch',
+    'make_auth_switch',
     'make_error',
     'make_greeting',
-    'make_hello',
+    'make_handshake_response',
     'make_ok',
     'parse_greeting',
-    'parse_hello',
+    'parse_handshake_response',
 ]
 
 _Capabilities = types.Capabilities
@@ -62,7 +62,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CallerHello:
+class HandshakeResponse:
     """Contents of a caller's handshake response.
 
     ``response`` is the response to the nonce by the authentication
@@ -102,9 +102,9 @@
     )
 
 
-def parse_hello(
+def parse_handshake_response(
     payload: bytes, capabilities: types.Capabilities = CALLER_CAPABILITIES
-) -> CallerHello:
+) -> HandshakeResponse:
     """Decode a handshake response; raise MalformedPacket if malformed."""
     packet = protocol.MysqlPacket(payload, 'utf8')
     try:
@@ -115,7 +115,7 @@
 
 def _read_hello(
     packet: protocol.MysqlPacket, capabilities: types.Capabilities
-) -> CallerHello:
+) -> HandshakeResponse:
     """Decode the fields in their order; each read checks the bounds."""
     flags = _Capabilities(packet.read_uint32()) & capabilities
     if _Capabilities.CLIENT_PROTOCOL_41 not in flags:
@@ -133,7 +133,7 @@
     attributes: tuple[tuple[str, str], ...] = ()
     if _Capabilities.CLIENT_CONNECT_ATTRS in flags:
         attributes = _read_attributes(packet)
-    return CallerHello(
+    return HandshakeResponse(
         user,
         response,
         method or 'mysql_native_password',
@@ -198,7 +198,7 @@
     return ServerGreeting(connection_id, nonce, method)
 
 
-def make_hello(
+def make_handshake_response(
     user: str,
     method: str,
     response: bytes,
@@ -220,7 +220,7 @@
     )
 
 
-def auth_switch(method: str, nonce: bytes) -> bytes:
+def make_auth_switch(method: str, nonce: bytes) -> bytes:
     """Return the payload that requests another authentication method."""
     return packets.make_auth_switch_request(
         charset.CharacterSet.utf8mb4, method, nonce + b'\0'
--- a/src/chicoryusher/wire/answers.py
+++ b/src/chicoryusher/wire/responses.py
@@ -16,7 +16,7 @@
 from chicoryusher.wire import framing
 from chicoryusher.wire import gtid
 
-__all__ = ['AnswerKind', 'AnswerScanner', 'Scanned', 'error_code']
+__all__ = ['ResponseKind', 'ResponseScanner', 'ScanResult', 'error_code']
 
 # The first byte of a payload shows the kind of packet.
 OK_PACKET = 0x00
@@ -35,7 +35,7 @@
 EOF_STATUS_OFFSET_BYTES = 3
 
 
-class AnswerKind(enum.Enum):
+class ResponseKind(enum.Enum):
     """Form of the response to a command.
 
     RESULT is an OK packet or result sets, PREPARED the response to
@@ -56,7 +56,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Scanned:
+class ScanResult:
     """Bytes to pass on, and how the response ended if it did.
 
     ``position`` is the log position that the instance reported with the
@@ -71,17 +71,17 @@
     statement_id: int = 0
 
 
-class AnswerScanner:
+class ResponseScanner:
     """Scanner of one response, from its first packet to its last."""
 
-    def __init__(self, kind: AnswerKind) -> None:
+    def __init__(self, kind: ResponseKind) -> None:
         self._kind = kind
         self._stage = _Stage.FIRST
         self._remaining_blocks = 0
         self._buffer = bytearray()
         self._packet_continues = False
 
-    def feed(self, data: bytes) -> Scanned:
+    def feed(self, data: bytes) -> ScanResult:
         """Add bytes; return the packets they complete, up to the last one.
 
         Raise ProtocolError if the instance asks the client for a local
@@ -89,7 +89,7 @@
         """
         buffer = self._buffer
         buffer += data
-        scanned = Scanned(b'')
+        scanned = ScanResult(b'')
         start = 0
         rewritten: list[bytes] = []
         copied = 0
@@ -113,12 +113,12 @@
         return scanned
 
     def _scan_packet(
-        self, start: int, end: int, scanned: Scanned
+        self, start: int, end: int, scanned: ScanResult
     ) -> bytes | None:
         """Scan one packet; return its replacement, or None to keep it."""
         size = end - start - framing.HEADER_BYTES
         continuation = self._packet_continues
-        self._packet_continues = size == framing.MAX_PAYLOAD
+        self._packet_continues = size == framing.MAX_PAYLOAD_BYTES
         if continuation:
             return None
         first = self._buffer[start + framing.HEADER_BYTES] if size else 0
@@ -139,7 +139,7 @@
         return self._scan_first_packet(first, start, end, scanned)
 
     def _scan_first_packet(
-        self, first: int, start: int, end: int, scanned: Scanned
+        self, first: int, start: int, end: int, scanned: ScanResult
     ) -> bytes | None:
         payload = bytes(self._buffer[start + framing.HEADER_BYTES : end])
         if first == LOCAL_INFILE_PACKET:
@@ -147,7 +147,7 @@
         if first != OK_PACKET:
             self._stage = _Stage.DEFINITIONS
             return None
-        if self._kind is AnswerKind.PREPARED:
+        if self._kind is ResponseKind.PREPARED:
             self._scan_prepared(payload, scanned)
             return None
         stripped = _read_ok(payload, scanned)
@@ -155,9 +155,9 @@
             self._stage = _Stage.FIRST
             return None
         self._stage = _Stage.FINISHED
-        return framing.frame(stripped, self._buffer[start + 3])
+        return framing.make_packets(stripped, self._buffer[start + 3])
 
-    def _scan_prepared(self, payload: bytes, scanned: Scanned) -> None:
+    def _scan_prepared(self, payload: bytes, scanned: ScanResult) -> None:
         """Read the first packet of the response to COM_STMT_PREPARE.
 
         A block of definitions follows for the parameters, if there are
@@ -174,16 +174,16 @@
             return
         self._finish(scanned)
 
-    def _on_end_of_block(self, scanned: Scanned) -> None:
+    def _on_end_of_block(self, scanned: ScanResult) -> None:
         """Handle the EOF packet after a block of definitions."""
-        if self._kind is AnswerKind.RESULT:
+        if self._kind is ResponseKind.RESULT:
             self._stage = _Stage.ROWS
             return
         self._remaining_blocks -= 1
         if not self._remaining_blocks:
             self._finish(scanned)
 
-    def _on_end_of_rows(self, start: int, scanned: Scanned) -> None:
+    def _on_end_of_rows(self, start: int, scanned: ScanResult) -> None:
         """Handle the EOF packet after the rows of a result set."""
         offset = start + framing.HEADER_BYTES + EOF_STATUS_OFFSET_BYTES
         status = int.from_bytes(self._buffer[offset : offset + 2], 'little')
@@ -193,7 +193,7 @@
             return
         self._finish(scanned)
 
-    def _finish(self, scanned: Scanned) -> None:
+    def _finish(self, scanned: ScanResult) -> None:
         scanned.final = True
         self._stage = _Stage.FINISHED
 
@@ -203,7 +203,7 @@
     return int.from_bytes(payload[1:3], 'little')
 
 
-def _read_ok(payload: bytes, scanned: Scanned) -> bytes:
+def _read_ok(payload: bytes, scanned: ScanResult) -> bytes:
     """Read an OK packet; return its payload without session state."""
     packet = protocol.MysqlPacket(payload, 'utf8')
     packet.advance(1)
--- a/src/chicoryusher_standins/demo.py
+++ b/src/chicoryusher_standins/demo.py
@@ -165,7 +165,7 @@
     for vm, zone in PROXIES:
         world.add_daemon(vm, zone)
     world.configure()
-    with runtime.to_stream(core.LogLevel.ERROR).applicationbound():
+    with runtime.json_handler(core.LogLevel.ERROR).applicationbound():
         thread = threading.Thread(target=world.loop.run, daemon=True)
         thread.start()
         script = Script(world)
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -210,7 +210,7 @@
         self._site = site
         self._vm = vm
         self._server = site.servers[spec.name]
-        self._group = tasks.names.group(vm.name, spec.database)
+        self._group = tasks.names.group_monitor(vm.name, spec.database)
 
     def _call(self, act: Callable[[], core.Message]) -> None:
         """Run ``act`` at the instance and return its result to the group."""
@@ -345,7 +345,9 @@
     def _on_put(self, message: core.TablePut) -> None:
         def act() -> core.Message:
             model = self._site.platform
-            row = model.put(message.key, message.value, message.expected)
+            row = model.put(
+                message.key, message.value, message.expected_version
+            )
             if row is not None:
                 return _answer(message.key, row, put=True)
             current = _answer(
@@ -356,7 +358,7 @@
             )
 
         timeout_answer = core.TableAnswer(
-            message.key, put=True, error=core.PlatformUnknown('no answer')
+            message.key, is_put=True, error=core.PlatformUnknown('no answer')
         )
         self._call(message.reply_to, act, timeout_answer, True)
 
@@ -376,10 +378,10 @@
     def _on_object_put(self, message: core.ObjectPut) -> None:
         def act() -> core.Message:
             self._site.platform.objects[message.key] = message.value
-            return core.ObjectAnswer(message.key, put=True)
+            return core.ObjectAnswer(message.key, is_put=True)
 
         timeout_answer = core.ObjectAnswer(
-            message.key, put=True, error=core.PlatformUnknown('no answer')
+            message.key, is_put=True, error=core.PlatformUnknown('no answer')
         )
         self._call(message.reply_to, act, timeout_answer)
 
@@ -390,7 +392,7 @@
             self._site.control_bytes[self.vm] += VM_ROW_BYTES * vm_count
             return core.VmList(
                 tuple(
-                    core.VmListed(name, leaving)
+                    core.ListedVm(name, leaving)
                     for name, leaving in self._site.platform.vms.items()
                 )
             )
@@ -403,7 +405,7 @@
     key: str, row: platform_module.Row | None, put: bool = False
 ) -> core.TableAnswer:
     if row is None:
-        return core.TableAnswer(key, put=put)
+        return core.TableAnswer(key, is_put=put)
     return core.TableAnswer(key, row.version, row.value, put)
 
 
@@ -416,8 +418,8 @@
         self._vm = vm
         self._gone_vms: set[core.VmName] = set()
 
-    @runtime.handles(tasks.ConfigInForce)
-    def _on_config(self, message: tasks.ConfigInForce) -> None:
+    @runtime.handles(tasks.ConfigUpdate)
+    def _on_config(self, message: tasks.ConfigUpdate) -> None:
         """Ignore the configuration: every VM of the site is known."""
 
     @runtime.handles(core.LiveVms)
@@ -431,8 +433,8 @@
             self.peer_down(name)
         self._gone_vms = gone
 
-    @runtime.handles(core.ToPeer)
-    def _on_send(self, message: core.ToPeer) -> None:
+    @runtime.handles(core.SendToPeer)
+    def _on_send(self, message: core.SendToPeer) -> None:
         other = self._site.vms.get(message.vm)
         if other is None or not other.alive:
             router = tasks.names.router(self.vm)
@@ -442,7 +444,7 @@
         data = codec.encode(message.message)
         control = isinstance(
             message.message,
-            core.Heartbeat | core.ConfigFetch | core.ConfigOffer,
+            core.Heartbeat | core.FetchConfig | core.ConfigOffer,
         )
         received = codec.unpack_frame(data)[0]
 
@@ -482,12 +484,12 @@
 _RECEIVERS: dict[type, Callable[[core.VmName], core.TaskName]] = {
     core.Submit: _NAMES.node,
     core.AbortTransaction: _NAMES.node,
-    core.Consumed: _NAMES.node,
+    core.AnswerConsumed: _NAMES.node,
     core.Answer: _NAMES.router,
     core.ResultChunk: _NAMES.router,
-    core.GateMoved: _NAMES.router,
+    core.RequestMoved: _NAMES.router,
     core.Heartbeat: _NAMES.membership,
-    core.ConfigFetch: _NAMES.configurator,
+    core.FetchConfig: _NAMES.configurator,
     core.ConfigOffer: _NAMES.configurator,
 }
 
--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -40,10 +40,10 @@
     experiment: str
     deployment: str
     seed: int
-    queue_policy: str = decisions.DEFAULT_POLICY
+    queue_policy: str = decisions.DEFAULT_QUEUE_POLICY
     routing_policy: str = 'nearest_fresh_replica'
     detail: str = ''
-    placement: str = decisions.DEFAULT_PLACEMENT
+    placement: str = decisions.DEFAULT_GATE_PLACEMENT
 
 
 Experiment = Callable[[Job], dict[str, Any]]
--- a/src/chicoryusher_standins/lab/site.py
+++ b/src/chicoryusher_standins/lab/site.py
@@ -53,10 +53,10 @@
         self,
         deployment: deployments.Deployment,
         seed: int = 1,
-        queue_policy: str = decisions.DEFAULT_POLICY,
+        queue_policy: str = decisions.DEFAULT_QUEUE_POLICY,
         routing_policy: str = 'nearest_fresh_replica',
         lags: tuple[float, ...] = (0.0, 0.020, 0.080),
-        placement: str = decisions.DEFAULT_PLACEMENT,
+        placement: str = decisions.DEFAULT_GATE_PLACEMENT,
         **rules: Any,
     ) -> None:
         self.loop = pausing.LabRuntime()
--- a/src/chicoryusher_standins/main.py
+++ b/src/chicoryusher_standins/main.py
@@ -45,7 +45,7 @@
     limits = server.ServerLimits(
         slots or sized.slots, connections or sized.connections
     )
-    with runtime.to_stream(core.LogLevel.WARNING).applicationbound():
+    with runtime.json_handler(core.LogLevel.WARNING).applicationbound():
         world = world_module.World(sized, limits=limits)
         typer.echo(
             json.dumps(
--- a/src/chicoryusher_standins/measure.py
+++ b/src/chicoryusher_standins/measure.py
@@ -38,13 +38,13 @@
     ('fifo', 'fifo', 'nearest_fresh_replica', 'one_gate'),
     (
         'primary_only',
-        decisions.DEFAULT_POLICY,
+        decisions.DEFAULT_QUEUE_POLICY,
         'primary_only',
         'one_gate',
     ),
     (
         'shares',
-        decisions.DEFAULT_POLICY,
+        decisions.DEFAULT_QUEUE_POLICY,
         'nearest_fresh_replica',
         'shares',
     ),
@@ -52,7 +52,7 @@
 
 
 def _run_job(job: Job) -> tuple[Job, Figures]:
-    with runtime.to_stream(core.LogLevel.ERROR).applicationbound():
+    with runtime.json_handler(core.LogLevel.ERROR).applicationbound():
         return job, experiments.run_job(job)
 
 
@@ -89,9 +89,9 @@
     default_runs = [
         (job, figures)
         for job, figures in runs
-        if job.queue_policy == decisions.DEFAULT_POLICY
+        if job.queue_policy == decisions.DEFAULT_QUEUE_POLICY
         and job.routing_policy == 'nearest_fresh_replica'
-        and job.placement == decisions.DEFAULT_PLACEMENT
+        and job.placement == decisions.DEFAULT_GATE_PLACEMENT
     ]
     keys: Figures = {}
     violations: collections.Counter[str] = collections.Counter()
--- a/src/chicoryusher_standins/platform.py
+++ b/src/chicoryusher_standins/platform.py
@@ -64,10 +64,10 @@
 
     def put_config(self, document: bytes) -> None:
         """Publish a document as the next version of the configuration."""
-        key = decisions.object_key(document)
+        key = decisions.config_object_key(document)
         self.objects[key] = document
         current = self.rows.get(tasks.CONFIG_KEY)
-        pointer = decisions.encode_pointer(key)
+        pointer = decisions.encode_config_pointer(key)
         expected = current.version if current is not None else 0
         self.put(tasks.CONFIG_KEY, pointer, expected)
 
--- a/src/chicoryusher_standins/pool/__init__.py
+++ b/src/chicoryusher_standins/pool/__init__.py
@@ -10,4 +10,12 @@
 from chicoryusher_standins.pool.site import Vm
 from chicoryusher_standins.pool.store import Store
 
-__all__ = ['SERVICE', 'Caller', 'Group', 'Instance', 'Site', 'Store', 'Vm']
+__all__ = [
+    'SERVICE',
+    'Caller',
+    'Group',
+    'Instance',
+    'Site',
+    'Store',
+    'Vm',
+]
--- a/src/chicoryusher_standins/pool/callers.py
+++ b/src/chicoryusher_standins/pool/callers.py
@@ -48,7 +48,7 @@
 
     def leave(self) -> None:
         """Disconnect without ending the session in an orderly way."""
-        self.send(self._dispatcher, core.SessionLeft(self.session_id))
+        self.send(self._dispatcher, core.CallerDisconnected(self.session_id))
 
     @property
     def last(self) -> core.SessionAnswer:
@@ -63,6 +63,6 @@
     def _on_started(self, message: core.SessionStarted) -> None:
         self.refused = message.refusal
 
-    @runtime.handles(core.SessionVerdict)
-    def _on_closed(self, message: core.SessionVerdict) -> None:
+    @runtime.handles(core.CloseSession)
+    def _on_closed(self, message: core.CloseSession) -> None:
         self.closed = True
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -13,7 +13,7 @@
 __all__ = ['Connection', 'Group', 'Instance', 'Run']
 
 Op = core.Op
-Block = core.BlockState
+Block = core.TransactionStatus
 Verb = core.Verb
 
 
@@ -28,9 +28,9 @@
     instance: core.InstanceName
     request_id: core.RequestId | None
     text: str
-    shape: core.Shape | None
+    shape: core.PreparedQuery | None
     values: tuple[tuple[str, str], ...]
-    block: core.BlockState
+    block: core.TransactionStatus
     position: core.Position
 
 
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self.block = Block.IDLE
         self.values: dict[str, str] = {}
-        self.prepared: dict[str, core.Shape] = {}
+        self.prepared: dict[str, core.PreparedQuery] = {}
         self.wrote = False
         self.read_only = False
 
@@ -93,7 +93,9 @@
             self.position(self.applied),
         )
 
-    def run(self, conn: Connection, command: core.Command) -> core.Reply:
+    def run(
+        self, conn: Connection, command: core.Command
+    ) -> core.CommandReply:
         """Run one command on a connection."""
         handler = _OPS[command.op]
         return handler(self, conn, command)
@@ -104,13 +106,15 @@
         refusal: core.Refusal | None = None,
         rows: tuple[str, ...] = (),
         digest: str | None = None,
-    ) -> core.Reply:
+    ) -> core.CommandReply:
         """Return a reply that carries the connection's transaction state."""
-        return core.Reply(
+        return core.CommandReply(
             conn.block, self.position(self.applied), rows, digest, refusal
         )
 
-    def refuse(self, conn: Connection, refusal: core.Refusal) -> core.Reply:
+    def refuse(
+        self, conn: Connection, refusal: core.Refusal
+    ) -> core.CommandReply:
         """Return a refusal; an open transaction becomes failed."""
         if conn.block is not Block.IDLE:
             conn.block = Block.FAILED
@@ -119,14 +123,14 @@
 
 def _set_variable(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
+) -> core.CommandReply:
     conn.values[command.name] = command.value
     return instance.reply(conn, digest='-')
 
 
 def _reset_conn(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
+) -> core.CommandReply:
     conn.values.clear()
     conn.prepared.clear()
     return instance.reply(conn, digest='-')
@@ -134,21 +138,21 @@
 
 def _prepare(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
-    assert command.shape is not None
-    conn.prepared[command.name] = command.shape
+) -> core.CommandReply:
+    assert command.prepared is not None
+    conn.prepared[command.name] = command.prepared
     return instance.reply(conn, digest='-')
 
 
 def _lacks_position(instance: Instance, command: core.Command) -> bool:
-    if command.after is None:
+    if command.min_position is None:
         return False
-    return command.after > instance.position(instance.applied)
+    return command.min_position > instance.position(instance.applied)
 
 
 def _begin(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
+) -> core.CommandReply:
     if _lacks_position(instance, command):
         return instance.reply(conn, core.Refusal.NOT_FRESH)
     read_only = command.op is Op.BEGIN_READ_ONLY
@@ -162,7 +166,7 @@
 
 def _rollback(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
+) -> core.CommandReply:
     conn.block = Block.IDLE
     conn.wrote = False
     return instance.reply(conn, digest='-')
@@ -170,7 +174,7 @@
 
 def _run_statement(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
+) -> core.CommandReply:
     statement = command.statement
     assert statement is not None
     if instance.busy:
@@ -185,7 +189,7 @@
     commits = statement.verb is Verb.COMMIT
     writes = statement.verb is Verb.WRITE
     if shape is not None:
-        writes = shape.kind is core.ShapeKind.WRITE
+        writes = shape.kind is core.PreparedQueryKind.WRITE
     is_read_only = instance.role is core.Role.REPLICA and not conn.read_only
     in_block = conn.block is Block.OPEN
     if is_read_only and (writes or (in_block and not commits)):
@@ -197,10 +201,10 @@
     instance: Instance,
     conn: Connection,
     command: core.Command,
-    shape: core.Shape | None,
+    shape: core.PreparedQuery | None,
     writes: bool,
     commits: bool,
-) -> core.Reply:
+) -> core.CommandReply:
     assert command.statement is not None
     instance.group.runs.append(
         Run(
@@ -227,7 +231,7 @@
 
 def _report_state(
     instance: Instance, conn: Connection, command: core.Command
-) -> core.Reply:
+) -> core.CommandReply:
     return instance.reply(conn, digest='-')
 
 
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -39,10 +39,12 @@
         instance: group_module.Instance,
         cut: set[tuple[str, str]],
     ) -> None:
-        super().__init__(loop, vm, f'link/{names.life_of(instance.entry)}')
+        super().__init__(
+            loop, vm, f'link/{names.incarnation_name(instance.entry)}'
+        )
         self._instance = instance
         self._cut = cut
-        self._instance_pool = names.pool_lane(vm, instance.entry)
+        self._instance_pool = names.instance_pool(vm, instance.entry)
         self._conns: dict[core.ConnId, group_module.Connection] = {}
         self.opened = 0
 
@@ -67,9 +69,9 @@
         conn_id = message.conn_id
         self._conns[conn_id] = group_module.Connection()
         self.opened += 1
-        end = core.LinkEnd
+        end = core.LinkCloseReason
         if self._is_unresponsive():
-            closed = core.LinkClosed(conn_id, end.SILENT)
+            closed = core.LinkClosed(conn_id, end.TIMED_OUT)
             self._send_delayed(conn_id, closed, CONNECT_TIMEOUT_S)
         elif self._instance.crashed:
             self._send_delayed(
@@ -77,7 +79,9 @@
             )
         elif self._instance.full:
             self._send_delayed(
-                conn_id, core.LinkClosed(conn_id, end.TOO_MANY), REPLY_DELAY_S
+                conn_id,
+                core.LinkClosed(conn_id, end.TOO_MANY_CONNECTIONS),
+                REPLY_DELAY_S,
             )
         else:
             self._send_delayed(
@@ -91,22 +95,22 @@
         if conn is None or self._is_unresponsive():
             return
         if self._instance.crashed:
-            closed = core.LinkClosed(conn_id, core.LinkEnd.LOST)
+            closed = core.LinkClosed(conn_id, core.LinkCloseReason.LOST)
             self._send_delayed(conn_id, closed, REPLY_DELAY_S)
             return
         for command in message.commands:
             reply = self._instance.run(conn, command)
             if not self._instance.lose_answers:
                 self._send_delayed(
-                    conn_id, core.LinkAnswer(conn_id, reply), REPLY_DELAY_S
+                    conn_id, core.LinkReply(conn_id, reply), REPLY_DELAY_S
                 )
 
     @runtime.handles(core.CloseLink)
     def _on_close(self, message: core.CloseLink) -> None:
         self._conns.pop(message.conn_id, None)
 
-    @runtime.handles(core.StopLane)
-    def _on_stop(self, message: core.StopLane) -> None:
+    @runtime.handles(core.StopInstancePool)
+    def _on_stop(self, message: core.StopInstancePool) -> None:
         self._conns.clear()
         self.end()
 
@@ -150,10 +154,12 @@
         instance = self._instances[entry.name]
         is_cut = (str(self.vm), str(entry.name)) in self._cut
         if instance.reachable and not is_cut:
-            status = core.InstanceStatus(entry.name, True, instance.state())
+            status = core.InstanceProbeResult(
+                entry.name, True, instance.state()
+            )
             self._timers.add(REPLY_DELAY_S, reply_to, status)
             return
-        status = core.InstanceStatus(entry.name, False)
+        status = core.InstanceProbeResult(entry.name, False)
         delay = REPLY_DELAY_S if instance.crashed and not is_cut else timeout
         self._timers.add(delay, reply_to, status)
 
@@ -187,7 +193,7 @@
 
     @runtime.handles(core.PromoteInstance)
     def _on_promote(self, message: core.PromoteInstance) -> None:
-        self._tokens.append((message.holder, message.token))
+        self._tokens.append((message.coordinator, message.token))
         target = self._groups[message.service].instances[message.instance]
         result = core.PromoteResult.DONE
         if not target.reachable:
@@ -196,7 +202,7 @@
             self.after(PROMOTE_DELAY_S, _PromotionDone(message))
         if self.lose_answers:
             result = core.PromoteResult.UNKNOWN
-        reply = core.PromoteReplied(message.service, message.token, result)
+        reply = core.PromotionReply(message.service, message.token, result)
         self._timers.add(REPLY_DELAY_S, message.reply_to, reply)
 
     @runtime.handles(_PromotionDone)
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -9,12 +9,12 @@
 from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import desk as desk_module
-from chicoryusher.tasks.pool import exchange
+from chicoryusher.tasks.pool import dispatcher as desk_module
 from chicoryusher.tasks.pool import forwarder
-from chicoryusher.tasks.pool import keeper as keeper_module
+from chicoryusher.tasks.pool import primary_manager as keeper_module
+from chicoryusher.tasks.pool import reachability
 from chicoryusher.tasks.pool import relay
-from chicoryusher.tasks.pool import watch
+from chicoryusher.tasks.pool import view_exchange
 from chicoryusher_standins.pool import callers
 from chicoryusher_standins.pool import group as group_module
 from chicoryusher_standins.pool import links
@@ -42,7 +42,7 @@
             0.6,
             1,
         )
-        for access in core.Access
+        for access in core.ReadAccess
     ),
     (core.PoolService(SERVICE, 21),),
     3.0,
@@ -59,11 +59,11 @@
         self._site = site
         self._timers = loop.timers
 
-    @runtime.handles(core.ToPeer)
-    def _on_send(self, message: core.ToPeer) -> None:
+    @runtime.handles(core.SendToPeer)
+    def _on_send(self, message: core.SendToPeer) -> None:
         if self._site.parted(self.vm, message.vm):
             return
-        receiver = peers.receiver_of(message.vm, message.message)
+        receiver = peers.receiving_task(message.vm, message.message)
         self._timers.add(PEER_DELAY_S, receiver, message.message)
 
     @runtime.handles(core.LiveVms)
@@ -89,35 +89,37 @@
         vm = core.VmName(name)
         super().__init__(site.loop, vm, 'entry')
         self._site = site
-        self.row = core.NodeRow(
+        self.row = core.EntryVmRow(
             vm, '10.0.0.1', 7440, core.ZoneName(zone), 'b1'
         )
         self.enough = False
         self.links: dict[core.InstanceName, links.SimLink] = {}
         SimPeers(site.loop, vm, site)
-        self.keeper = keeper_module.Keeper(site.loop, vm, self.task_name)
-        watch.Watch(site.loop, vm)
+        self.keeper = keeper_module.PrimaryManager(
+            site.loop, vm, self.task_name
+        )
+        reachability.ReachabilityMonitor(site.loop, vm)
         forwarder.Forwarder(site.loop, vm)
         relay.Relay(site.loop, vm)
         rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
-        self._exchange = exchange.Exchange(
+        self._exchange = view_exchange.ViewExchange(
             site.loop, vm, self.row, REGIONS, (rows.task_name,)
         )
-        self.desk = desk_module.Desk(
+        self.desk = desk_module.Dispatcher(
             site.loop,
             vm,
             self,
-            desk_module.DeskSettings(core.ZoneName(zone), REGIONS),
+            desk_module.DispatcherSettings(core.ZoneName(zone), REGIONS),
         )
         groups = (site.group,)
         links.SimProber(site.loop, vm, groups, site.cut)
         self.promotions = links.SimPromotions(
             site.loop, vm, groups, site.tokens
         )
-        self.send(names.rows(vm), core.WriteNode(self.row))
+        self.send(names.row_client(vm), core.WriteEntryVmRow(self.row))
 
-    @runtime.handles(core.KnowsEnough)
-    def _on_knows(self, message: core.KnowsEnough) -> None:
+    @runtime.handles(core.ReadyToServe)
+    def _on_knows(self, message: core.ReadyToServe) -> None:
         self.enough = True
 
     def pool_link(
@@ -131,17 +133,17 @@
 
     def view_age(self, kind: core.StoreView) -> float:
         """Return the age of this VM's view of a partition of the store."""
-        return self._exchange.view_age(kind)
+        return self._exchange.view_age_s(kind)
 
     def handover_state(self) -> core.HandoverState:
         """Return the step of this VM's change of primary."""
         task = self.keeper.handovers.get(SERVICE)
         return core.HandoverState.IDLE if task is None else task.state
 
-    def caller(self, access: core.Access) -> callers.Caller:
+    def caller(self, access: core.ReadAccess) -> callers.Caller:
         """Open a session on the route with this kind of access."""
         return callers.Caller(
-            self._site.loop, self.vm, names.desk(self.vm), access.value
+            self._site.loop, self.vm, names.dispatcher(self.vm), access.value
         )
 
 
--- a/src/chicoryusher_standins/pool/store.py
+++ b/src/chicoryusher_standins/pool/store.py
@@ -27,8 +27,8 @@
 
     def __init__(self) -> None:
         self.version = 0
-        self.leads: dict[core.ServiceName, core.LeadRow] = {}
-        self.nodes: dict[core.VmName, core.NodeRow] = {}
+        self.leads: dict[core.ServiceName, core.LeaderRow] = {}
+        self.nodes: dict[core.VmName, core.EntryVmRow] = {}
         self.shut: set[core.VmName] = set()
         self.down = False
         self.read_only = False
@@ -39,7 +39,9 @@
         """Return whether a VM's calls are answered."""
         return not self.down and vm not in self.shut
 
-    def write(self, row: core.LeadRow, expected: int) -> core.LeadRow | None:
+    def write(
+        self, row: core.LeaderRow, expected: int
+    ) -> core.LeaderRow | None:
         """Write a leader row if its revision is ``expected``.
 
         Return the row that the store has afterwards.
@@ -68,7 +70,7 @@
 class _LeaderWrite(core.Message):
     """A write of a leader row arrives at the store for the nth time."""
 
-    request: core.WriteLead
+    request: core.WriteLeaderRow
     attempts: int
 
 
@@ -76,7 +78,7 @@
 class _NodeWriteRetry(core.Message):
     """The write of an entry VM's row failed and is to be repeated."""
 
-    write: core.WriteNode
+    write: core.WriteEntryVmRow
 
 
 class SimRows(runtime.Task):
@@ -94,7 +96,7 @@
         self._store = store
         self._entries = entries
         self._is_polling = True
-        self._newest_node_writes: dict[core.VmName, core.WriteNode] = {}
+        self._newest_node_writes: dict[core.VmName, core.WriteEntryVmRow] = {}
         self.after(CALL_DELAY_S, _Poll())
 
     @runtime.handles(_Poll)
@@ -112,29 +114,29 @@
         )
         if not self._store.serves(self.vm):
             return
-        exchange = names.exchange(self.vm)
+        exchange = names.view_exchange(self.vm)
         store = self._store
         if store.config is not None:
-            self.send(exchange, core.PoolConfigInForce(store.config))
+            self.send(exchange, core.PoolConfigUpdate(store.config))
         if not self._is_polling:
             return
         self.send(
             exchange,
             core.RegisteredInstances(tuple(self._entries), store.version),
         )
-        self.send(exchange, core.LeadsInStore(tuple(store.leads.values())))
+        self.send(exchange, core.LeaderRowsRead(tuple(store.leads.values())))
         nodes = tuple(store.nodes.values())
-        self.send(exchange, core.NodesInStore(nodes, store.version))
-        now = self._clock.running_on()
+        self.send(exchange, core.EntryVmRowsRead(nodes, store.version))
+        now = self._clock.boottime()
         for kind in core.StoreView:
-            self.send(exchange, core.StoreSeen(kind, now))
+            self.send(exchange, core.StorePolled(kind, now))
 
-    @runtime.handles(core.FollowStore)
-    def _on_set_polling(self, message: core.FollowStore) -> None:
-        self._is_polling = message.follow
+    @runtime.handles(core.SetStorePolling)
+    def _on_set_polling(self, message: core.SetStorePolling) -> None:
+        self._is_polling = message.enabled
 
-    @runtime.handles(core.WriteNode)
-    def _on_write_node(self, message: core.WriteNode) -> None:
+    @runtime.handles(core.WriteEntryVmRow)
+    def _on_write_node(self, message: core.WriteEntryVmRow) -> None:
         self._newest_node_writes[message.row.vm] = message
         self._write_node(message)
 
@@ -143,30 +145,33 @@
         if self._newest_node_writes[retry.write.row.vm] is retry.write:
             self._write_node(retry.write)
 
-    def _write_node(self, message: core.WriteNode) -> None:
+    def _write_node(self, message: core.WriteEntryVmRow) -> None:
         if not self._store.serves(self.vm) or self._store.read_only:
             self.after(WRITE_RETRY_S, _NodeWriteRetry(message))
             return
         current = self._store.nodes.get(message.row.vm)
-        if message.expected not in (None, current and current.revision):
+        if message.expected_revision not in (
+            None,
+            current and current.revision,
+        ):
             return
         self._store.version += 1
         self._store.nodes[message.row.vm] = dataclasses.replace(
             message.row, revision=self._store.version
         )
 
-    @runtime.handles(core.ReadNodes)
-    def _on_read_nodes(self, message: core.ReadNodes) -> None:
+    @runtime.handles(core.ReadEntryVmRows)
+    def _on_read_nodes(self, message: core.ReadEntryVmRows) -> None:
         if self._store.serves(self.vm):
             self.after(CALL_DELAY_S, _ReadDone(message.reply_to))
 
     @runtime.handles(_ReadDone)
     def _on_read_done(self, read: _ReadDone) -> None:
-        rows = core.NodesInStore(tuple(self._store.nodes.values()))
+        rows = core.EntryVmRowsRead(tuple(self._store.nodes.values()))
         self.send(read.reply_to, rows)
 
-    @runtime.handles(core.WriteLead)
-    def _on_write_leader(self, request: core.WriteLead) -> None:
+    @runtime.handles(core.WriteLeaderRow)
+    def _on_write_leader(self, request: core.WriteLeaderRow) -> None:
         self.after(CALL_DELAY_S, _LeaderWrite(request, 1))
 
     @runtime.handles(_LeaderWrite)
@@ -175,7 +180,7 @@
         row = None
         answered = self._store.serves(self.vm)
         if answered:
-            row = self._store.write(request.row, request.expected)
+            row = self._store.write(request.row, request.expected_revision)
             answered = not self._store.lose_answers
         if not answered and write.attempts < MAX_WRITE_ATTEMPTS:
             self.after(
@@ -184,5 +189,7 @@
             return
         self.send(
             request.reply_to,
-            core.RowWritten(request.row.service, row if answered else None),
+            core.LeaderRowWritten(
+                request.row.service, row if answered else None
+            ),
         )
--- a/src/chicoryusher_standins/server.py
+++ b/src/chicoryusher_standins/server.py
@@ -98,7 +98,7 @@
     def __init__(self, number: int, stream: runtime.Stream) -> None:
         self.number = number
         self.stream = stream
-        self.framer = wire.Framer(MAX_PACKET_BYTES)
+        self.framer = wire.PacketReader(MAX_PACKET_BYTES)
         self.nonce = wire.new_nonce()
         self.user: str | None = None
         self.session: engine_module.EngineSession | None = None
@@ -234,7 +234,7 @@
             self._messages_during_pause.append(greet)
             return
         payload = wire.make_greeting(conn.number, conn.nonce, CAPABILITIES)
-        conn.stream.write(wire.frame(payload))
+        conn.stream.write(wire.make_packets(payload))
         self._conns_to_flush.add(conn)
 
     def settled(self) -> None:
@@ -282,9 +282,9 @@
         command(self, conn, payload)
 
     def _handle_login(self, conn: _Conn, payload: bytes) -> None:
-        login = wire.parse_hello(payload, CAPABILITIES)
+        login = wire.parse_handshake_response(payload, CAPABILITIES)
         name, password = self._user
-        is_valid = login.user == name and wire.verify(
+        is_valid = login.user == name and wire.verify_auth_response(
             login.method, password, conn.nonce, login.response
         )
         if not is_valid:
@@ -297,7 +297,7 @@
         self._ok(conn)
 
     def _reply(self, conn: _Conn, payload: bytes) -> None:
-        conn.stream.write(wire.frame(payload, conn.sequence % 256))
+        conn.stream.write(wire.make_packets(payload, conn.sequence % 256))
         conn.sequence += 1
 
     def _error(self, conn: _Conn, code: int, sqlstate: str, text: str) -> None:
--- a/tests/charts/test_model.py
+++ b/tests/charts/test_model.py
@@ -10,7 +10,7 @@
 from chicoryusher import core
 from chicoryusher.daemon import app  # noqa: F401 - registers actions
 from chicoryusher.tasks import node  # noqa: F401 - registers actions
-from fleet import entry  # noqa: F401 - registers actions
+from fleet import entry_process  # noqa: F401 - registers actions
 
 CHART_FOLDER = pathlib.Path(charts.__file__).parent
 CHARTS_PAGE = (
@@ -65,7 +65,7 @@
 )
 def test_parse_names_the_defect_of_an_invalid_chart(change, words):
     with pytest.raises(core.ChartError) as raised:
-        charts.parse('daemon', _with_change(change))
+        charts.parse_chart('daemon', _with_change(change))
     assert words in str(raised.value)
 
 
@@ -73,15 +73,15 @@
     document = copy.deepcopy(VALID_CHART)
     document['states']['starting']['go'][0]['actions'] = ['no.such']
     with pytest.raises(core.ChartError, match=r'no handler for no\.such'):
-        charts.Machine(charts.parse('daemon', document))
+        charts.Machine(charts.parse_chart('daemon', document))
 
 
 @pytest.mark.parametrize('name', charts.chart_names())
 def test_chart_files_compile_and_their_diagrams_are_up_to_date(name):
-    chart = charts.read(name)
+    chart = charts.load_chart(name)
     document = json.loads((CHART_FOLDER / f'{name}.json').read_text('utf-8'))
-    assert charts.parse(name, document) == chart
-    charts.compiled(name)
+    assert charts.parse_chart(name, document) == chart
+    charts.load_machine(name)
     assert charts.mermaid(chart) in CHARTS_PAGE.read_text(encoding='utf-8')
 
 
@@ -89,7 +89,7 @@
     class Subject:
         state = core.SessionState.GREETING
 
-    machine = charts.compiled('session')
+    machine = charts.load_machine('session')
     subject = Subject()
     assert not machine.fire(subject, 'answered')
     assert subject.state is core.SessionState.GREETING
--- a/tests/decisions/test_holders.py
+++ b/tests/decisions/test_conn_owners.py
@@ -17,7 +17,7 @@
 
 def nodes(count):
     return tuple(
-        core.NodePlace(core.VmName(f'vm{n}'), NAMES[n % len(NAMES)])
+        core.EntryVmZone(core.VmName(f'vm{n}'), NAMES[n % len(NAMES)])
         for n in range(count)
     )
 
@@ -50,47 +50,47 @@
     ],
 )
 def test_all_vms_own_connections_if_the_cap_allows_else_few(cap, vms, count):
-    assert decisions.holder_count(cap, vms) == count
+    assert decisions.conn_owner_count(cap, vms) == count
 
 
 @pytest.mark.parametrize('cap', [8, 21, 46, 205])
 @pytest.mark.parametrize('vms', [40, 62, 88, 580])
 def test_few_owners_stay_within_the_cap(cap, vms):
-    count = decisions.holder_count(cap, vms)
+    count = decisions.conn_owner_count(cap, vms)
     if count == vms:
         return
     share = decisions.connection_share(cap, count)
-    assert count * share.kept <= cap
-    assert share.most >= share.kept
+    assert count * share.kept_open <= cap
+    assert share.max_open >= share.kept_open
 
 
 def test_vms_in_the_instances_zone_are_owners_first():
-    owners = decisions.holders_of(entry(), nodes(12), 5, ZONES.get)
+    owners = decisions.choose_conn_owners(entry(), nodes(12), 5, ZONES.get)
     assert [node.zone for node in owners[:4]] == ['akhmim-yard'] * 4
     assert owners[4].zone == 'qena-mill'
 
 
 def test_a_removed_owner_is_replaced_and_the_others_stay():
-    before = decisions.holders_of(entry(), nodes(30), 5, ZONES.get)
+    before = decisions.choose_conn_owners(entry(), nodes(30), 5, ZONES.get)
     removed = before[2]
     remaining = tuple(node for node in nodes(30) if node != removed)
-    after = decisions.holders_of(entry(), remaining, 5, ZONES.get)
+    after = decisions.choose_conn_owners(entry(), remaining, 5, ZONES.get)
     assert [node for node in before if node != removed] == list(after[:4])
 
 
 def test_connection_owners_differ_between_instances():
     chosen = {
-        decisions.holders_of(entry(f'i-{n}'), nodes(60), 5, ZONES.get)
+        decisions.choose_conn_owners(entry(f'i-{n}'), nodes(60), 5, ZONES.get)
         for n in range(12)
     }
     assert len(chosen) > 6
 
 
 def test_work_goes_through_the_vm_itself_or_the_nearest_owner():
-    own = core.NodePlace(core.VmName('vm2'), core.ZoneName('alex-depot'))
-    near = core.NodePlace(core.VmName('vm5'), core.ZoneName('alex-depot'))
-    far = core.NodePlace(core.VmName('vm1'), core.ZoneName('qena-mill'))
-    via = decisions.nearest_holder
+    own = core.EntryVmZone(core.VmName('vm2'), core.ZoneName('alex-depot'))
+    near = core.EntryVmZone(core.VmName('vm5'), core.ZoneName('alex-depot'))
+    far = core.EntryVmZone(core.VmName('vm1'), core.ZoneName('qena-mill'))
+    via = decisions.nearest_conn_owner
     assert via(own, (far, near, own), ZONES.get) == own.vm
     assert via(own, (far, near), ZONES.get) == near.vm
     assert via(own, (far,), ZONES.get) == far.vm
--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_failover.py
@@ -28,27 +28,27 @@
     if received is not None:
         at = core.Position(core.Term(term), core.LogPosition(received))
         state = core.InstanceState(role, core.Term(term), at, at)
-    return core.InstanceStatus(name(number), state is not None, state)
+    return core.InstanceProbeResult(name(number), state is not None, state)
 
 
 @pytest.fixture
 def candidates():
-    made = decisions.Candidates(
+    made = decisions.SuccessorCandidates(
         [entry(number) for number in range(3)], name(0)
     )
-    made.ask()
+    made.start_round()
     return made
 
 
 def answer(candidates, *statuses):
-    return [candidates.answered(status) for status in statuses]
+    return [candidates.record_status(status) for status in statuses]
 
 
 def test_the_successor_is_chosen_once_all_have_answered(candidates):
     complete = answer(candidates, status(0), status(1, 5), status(2, 9))
     assert complete == [False, False, True]
     assert candidates.successor == name(2)
-    assert not candidates.answered(status(1, 50))
+    assert not candidates.record_status(status(1, 50))
 
 
 def test_a_newer_term_goes_before_a_longer_log(candidates):
@@ -58,28 +58,28 @@
 
 def test_the_old_primary_and_refused_instances_are_not_chosen(candidates):
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
-    candidates.refuse()
-    candidates.ask()
+    candidates.exclude_successor()
+    candidates.start_round()
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
     assert candidates.successor == name(1)
-    candidates.refuse()
-    candidates.ask()
+    candidates.exclude_successor()
+    candidates.start_round()
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
-    assert candidates.nobody_left()
-    candidates.ask()
+    assert candidates.reset_if_none_left()
+    candidates.start_round()
     answer(candidates, status(0, 99), status(1, 5), status(2, 9))
     assert candidates.successor == name(2)
-    assert not candidates.nobody_left()
+    assert not candidates.reset_if_none_left()
 
 
 def test_a_leaving_instance_is_chosen_only_if_no_other_answers():
-    made = decisions.Candidates(
+    made = decisions.SuccessorCandidates(
         [entry(0), entry(1), entry(2, leaving=True)], name(0)
     )
-    made.ask()
+    made.start_round()
     answer(made, status(0), status(1, 5), status(2, 9))
     assert made.successor == name(1)
-    made.ask()
+    made.start_round()
     answer(made, status(0), status(1), status(2, 9))
     assert made.successor == name(2)
 
@@ -91,14 +91,14 @@
         status(1, 3, term=2, role=PRIMARY),
         status(2, 8),
     )
-    assert candidates.one_leads()
+    assert candidates.adopt_current_leader()
     assert candidates.successor == name(1)
 
 
 def test_a_successor_catches_up_with_an_old_primary_that_answers(candidates):
     answer(candidates, status(0, 9, role=PRIMARY), status(1, 5), status(2, 8))
-    assert candidates.old_leads()
-    assert not candidates.has_all()
-    candidates.ask()
+    assert candidates.old_primary_leads()
+    assert not candidates.successor_caught_up()
+    candidates.start_round()
     answer(candidates, status(0, 9, role=PRIMARY), status(1, 5), status(2, 9))
-    assert candidates.has_all()
+    assert candidates.successor_caught_up()
--- /dev/null
+++ b/tests/decisions/test_leader_claim.py
@@ -0,0 +1,65 @@
+"""A claim to change a primary, with suspended VMs and lost answers."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from chicoryusher import core
+from chicoryusher import decisions
+
+VM = core.VmName('vm1')
+SERVICE = core.ServiceName('spoonbook')
+OLD = core.InstanceName('i-1')
+
+
+def claimed(boottime=10.0, revision=7):
+    claim = decisions.LeaderClaim(VM, SERVICE, OLD, 3)
+    row = claim.closing_row(boottime)
+    assert claim.expected_revision == 3
+    assert claim.record_write(dataclasses.replace(row, revision=revision))
+    claim.record_first_closing(boottime + 0.1)
+    return claim
+
+
+def test_a_claim_is_timed_from_before_its_write():
+    claim = decisions.LeaderClaim(VM, SERVICE, OLD, 3)
+    row = claim.closing_row(10.0)
+    claim.record_write(dataclasses.replace(row, revision=7))
+    assert not claim.is_expired(10.0 + decisions.CLAIM_VALID_S)
+    assert claim.is_expired(10.01 + decisions.CLAIM_VALID_S)
+
+
+def test_a_row_of_another_vm_or_an_open_row_is_not_ours():
+    claim = claimed()
+    row = claim.row
+    other = dataclasses.replace(
+        row, coordinator=core.VmName('vm2'), revision=8
+    )
+    assert not claim.record_write(other)
+    assert not claim.record_write(claim.opening_row(OLD))
+    assert not claim.record_write(None)
+    assert claim.revision == 7
+
+
+def test_a_claim_is_renewed_over_its_own_row_one_write_at_a_time():
+    claim = claimed()
+    assert not claim.renewal_due(10.0 + decisions.CLAIM_RENEWAL_S / 2)
+    assert claim.renewal_due(10.01 + decisions.CLAIM_RENEWAL_S)
+    row = claim.closing_row(11.0)
+    assert claim.expected_revision == 7
+    assert not claim.renewal_due(20.0)
+    claim.record_write(dataclasses.replace(row, revision=9))
+    assert claim.renewal_due(20.0)
+    assert claim.first_revision == 7
+
+
+def test_leases_from_before_the_claim_expire_after_the_wait():
+    claim = claimed()
+    assert not claim.earlier_leases_expired(
+        10.0 + decisions.LEASE_EXPIRY_WAIT_S
+    )
+    assert claim.earlier_leases_expired(10.2 + decisions.LEASE_EXPIRY_WAIT_S)
+
+
+def test_another_vm_takes_over_after_every_order_of_the_coordinator():
+    assert decisions.CLAIM_TAKEOVER_S > decisions.CLAIM_VALID_S + 0.8
--- a/tests/decisions/test_nodes.py
+++ b/tests/decisions/test_nodes.py
@@ -75,16 +75,18 @@
     before, after = _document(), _document()
     after['rules']['default_deadline'] = 5.0
     del after['register']['databases'][2]
-    paths = {change.path for change in decisions.differences(before, after)}
+    paths = {
+        change.path for change in decisions.config_differences(before, after)
+    }
     assert '$.rules.default_deadline' in paths
     assert any('[spoonbook_3]' in change for change in paths)
-    assert decisions.differences(before, copy.deepcopy(before)) == ()
+    assert decisions.config_differences(before, copy.deepcopy(before)) == ()
 
 
 def test_a_removed_vm_changes_only_the_gates_of_its_instances():
     config = _config()
     live = [entry.name for entry in config.vms]
-    zones = decisions.LiveZones(config, live)
+    zones = decisions.LiveVmsByZone(config, live)
     before = {
         spec.name: decisions.gate_of(spec, zones) for spec in config.instances
     }
@@ -93,7 +95,7 @@
         for name, gate in before.items()
     )
     removed = live[0]
-    remaining = decisions.LiveZones(config, live[1:])
+    remaining = decisions.LiveVmsByZone(config, live[1:])
     for spec in config.instances:
         after = decisions.gate_of(spec, remaining)
         if before[spec.name] != removed:
@@ -103,7 +105,7 @@
 
 
 def test_the_heartbeat_graph_is_sparse_and_connected():
-    graph = {vm: decisions.neighbours_of(vm, VMS) for vm in VMS}
+    graph = {vm: decisions.choose_heartbeat_targets(vm, VMS) for vm in VMS}
     assert (
         max(len(targets) for targets in graph.values())
         <= decisions.MAX_HEARTBEAT_TARGETS
@@ -119,46 +121,46 @@
 
 def _membership():
     membership = decisions.Membership(VMS[0])
-    membership.configured(VMS[:4], 0.0)
-    membership.watch(VMS[1:4], 0.0)
+    membership.set_configured(VMS[:4], 0.0)
+    membership.set_monitored(VMS[1:4], 0.0)
     return membership
 
 
 def test_a_suspected_vm_stays_usable_at_first():
     membership = _membership()
-    membership.heard(VMS[1], False, 1.5)
-    membership.tick(1.6)
+    membership.record_contact(VMS[1], False, 1.5)
+    membership.check_timeouts(1.6)
     assert VMS[2] in membership.suspected()
-    assert VMS[2] in membership.live()
-    membership.heard(VMS[2], False, 1.7)
+    assert VMS[2] in membership.usable()
+    membership.record_contact(VMS[2], False, 1.7)
     assert membership.suspected() == (VMS[3],)
 
 
 def test_a_second_vms_report_confirms_that_a_vm_is_gone():
     membership = _membership()
-    membership.tick(1.1)
-    membership.witnessed(VMS[1], VMS[2], 1.2)
-    assert VMS[2] not in membership.live()
-    membership.heard(VMS[2], False, 2.0)
-    assert VMS[2] in membership.live()
+    membership.check_timeouts(1.1)
+    membership.record_unreachable_report(VMS[1], VMS[2], 1.2)
+    assert VMS[2] not in membership.usable()
+    membership.record_contact(VMS[2], False, 2.0)
+    assert VMS[2] in membership.usable()
 
 
 def test_a_vm_missing_from_the_list_stays_usable_until_it_is_suspected():
     membership = _membership()
-    membership.listed(VMS[:2], (), 0.5)
-    assert VMS[2] in membership.live()
-    membership.listed(VMS[:4], (VMS[1],), 0.6)
-    assert VMS[1] not in membership.live()
+    membership.apply_vm_list(VMS[:2], (), 0.5)
+    assert VMS[2] in membership.usable()
+    membership.apply_vm_list(VMS[:4], (VMS[1],), 0.6)
+    assert VMS[1] not in membership.usable()
 
 
 def test_equal_shares_divide_an_instance_between_all_gates():
     config = _config()
-    shares = decisions.PLACEMENTS.get('shares')()
+    shares = decisions.GATE_PLACEMENTS.get('shares')()
     live = [vm.name for vm in config.vms]
     spec = config.instances[0]
-    part = shares.part(spec, live)
+    part = shares.share(spec, live)
     assert part.connections * len(live) <= spec.connections
-    zones = decisions.LiveZones(config, live)
+    zones = decisions.LiveVmsByZone(config, live)
     assert shares.gate(spec, zones, live[3]) == live[3]
 
 
@@ -167,31 +169,33 @@
     return dataclasses.replace(base, term=core.Term(1), **changes)
 
 
-def _health(source_age):
+def _health(primary_contact_age):
     health = decisions.GroupHealth([core.InstanceName(n) for n in 'abc'], 0.0)
-    health.heard(_probe('a', role=core.Role.PRIMARY), 0.0, 0.0)
+    health.record_probe(_probe('a', role=core.Role.PRIMARY), 0.0, 0.0)
     for name in 'bc':
-        health.heard(_probe(name, source_age=source_age), 0.0, 0.0)
+        health.record_probe(
+            _probe(name, primary_contact_age=primary_contact_age), 0.0, 0.0
+        )
     for _ in range(2):
-        health.heard(_probe('a', alive=False), 0.5, 0.5)
+        health.record_probe(_probe('a', alive=False), 0.5, 0.5)
     return health
 
 
 def test_a_primary_that_its_replicas_can_reach_is_not_replaced():
-    health = _health(source_age=0.0)
-    assert health.primary_silent(0.1)
-    assert not health.silence_confirmed(0.1)
+    health = _health(primary_contact_age=0.0)
+    assert health.primary_unreachable(0.1)
+    assert not health.failover_confirmed(0.1)
 
 
 def test_a_primary_that_a_majority_cannot_reach_is_replaced():
-    assert _health(source_age=0.5).silence_confirmed(0.1)
+    assert _health(primary_contact_age=0.5).failover_confirmed(0.1)
 
 
 def test_a_minority_does_not_replace_a_primary():
-    health = _health(source_age=0.5)
+    health = _health(primary_contact_age=0.5)
     for _ in range(2):
-        health.heard(_probe('b', alive=False), 0.6, 0.6)
-    assert not health.silence_confirmed(0.7)
+        health.record_probe(_probe('b', alive=False), 0.6, 0.6)
+    assert not health.failover_confirmed(0.7)
 
 
 def test_a_zone_without_a_vm_is_served_from_its_region():
@@ -200,9 +204,9 @@
         entry for entry in config.instances if entry.zone == 'akhmim-yard'
     )
     live = [entry.name for entry in config.vms if entry.zone != spec.zone]
-    gate = decisions.gate_of(spec, decisions.LiveZones(config, live))
+    gate = decisions.gate_of(spec, decisions.LiveVmsByZone(config, live))
     assert config.vm(gate).zone == 'qena-mill'
-    without_vms = decisions.LiveZones(config, ())
+    without_vms = decisions.LiveVmsByZone(config, ())
     assert decisions.gate_of(spec, without_vms) is None
 
 
--- a/tests/decisions/test_pool_decisions.py
+++ b/tests/decisions/test_pool_decisions.py
@@ -1,4 +1,4 @@
-"""Decisions of the connection pool: queue, setup, authority, failover."""
+"""Decisions of the connection pool: queue, setup, leases, failover."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from chicoryusher import core
 from chicoryusher import decisions
 
-SHAPE = core.Shape(core.ShapeKind.READ, 'q2c')
+SHAPE = core.PreparedQuery(core.PreparedQueryKind.READ, 'q2c')
 SERVICE = core.ServiceName('spoonbook')
 Op = core.Op
 
@@ -33,28 +33,28 @@
 
 
 def test_work_is_ordered_by_priority_then_by_latest_start():
-    queue = decisions.WaitingWork()
+    queue = decisions.WorkQueue()
     queue.add(work(1, priority=2, start_by=3.0))
     queue.add(work(2, priority=1, start_by=9.0))
     queue.add(work(3, priority=1, start_by=5.0))
-    order = [queue.take(0.0).work_id for _ in range(3)]
+    order = [queue.pop_next(0.0).work_id for _ in range(3)]
     assert order == [3, 2, 1]
 
 
 def test_work_that_cannot_start_in_time_expires_and_is_not_returned():
-    queue = decisions.WaitingWork()
+    queue = decisions.WorkQueue()
     queue.add(work(1, start_by=3.0))
-    assert queue.take(3.0) is None
-    assert [expired.work_id for expired in queue.expire(3.0)] == [1]
+    assert queue.pop_next(3.0) is None
+    assert [expired.work_id for expired in queue.remove_expired(3.0)] == [1]
     assert len(queue) == 0
 
 
 def test_cancelled_work_is_not_returned():
-    queue = decisions.WaitingWork()
+    queue = decisions.WorkQueue()
     queue.add(work(1))
     assert queue.cancel(core.WorkId(1))
     assert not queue.cancel(core.WorkId(1))
-    assert queue.take(0.0) is None
+    assert queue.pop_next(0.0) is None
 
 
 # -- connection setup ----------------------------------------------------
@@ -69,12 +69,12 @@
         elif command.op is Op.SET:
             values[command.name] = command.value
         elif command.op is Op.PREPARE:
-            prepared[command.name] = command.shape
+            prepared[command.name] = command.prepared
 
 
 NAMES = st.sampled_from(['tz', 'role', 'lang'])
 SHAPES = st.sampled_from(
-    [SHAPE, core.Shape(core.ShapeKind.WRITE, 'q3d'), None]
+    [SHAPE, core.PreparedQuery(core.PreparedQueryKind.WRITE, 'q3d'), None]
 )
 
 
@@ -82,12 +82,12 @@
     st.lists(st.tuples(st.dictionaries(NAMES, st.sampled_from('abc')), SHAPES))
 )
 def test_a_suited_connection_has_just_the_sessions_values_and_shape(steps):
-    memory = decisions.ConnMemory()
+    memory = decisions.ConnSessionState()
     values, prepared = {}, {}
     for session_values, shape in steps:
         item = work(values=tuple(session_values.items()), shape=shape)
-        cost = decisions.fits(memory, item)
-        commands = decisions.suit(memory, item)
+        cost = decisions.setup_cost(memory, item)
+        commands = decisions.setup_commands(memory, item)
         assert len(commands) <= cost + 1
         apply(commands, values, prepared)
         assert values == session_values
@@ -96,11 +96,11 @@
 
 
 def test_a_prepared_connection_needs_no_setup_command():
-    memory = decisions.ConnMemory()
+    memory = decisions.ConnSessionState()
     item = work(values=(('tz', 'a'),), shape=SHAPE)
-    decisions.suit(memory, item)
-    assert decisions.fits(memory, item) == 0
-    assert decisions.suit(memory, item) == []
+    decisions.setup_commands(memory, item)
+    assert decisions.setup_cost(memory, item) == 0
+    assert decisions.setup_commands(memory, item) == []
 
 
 # -- connection shares ---------------------------------------------------
@@ -109,39 +109,39 @@
 @given(st.integers(1, 300), st.integers(1, 600))
 def test_kept_connections_of_all_vms_stay_under_the_cap(cap, vms):
     share = decisions.connection_share(cap, vms)
-    assert 1 <= share.kept <= share.most <= cap
+    assert 1 <= share.kept_open <= share.max_open <= cap
     if vms * 2 <= cap:
-        assert share.kept * vms <= cap
+        assert share.kept_open * vms <= cap
 
 
-# -- authority -----------------------------------------------------------
+# -- primary lease -------------------------------------------------------
 
 
-def test_authority_is_timed_from_the_request_not_from_the_answer():
-    views = decisions.Views()
-    views.own(10.0)
-    assert views.until() == 10.0 + decisions.LAPSE
+def test_the_lease_is_timed_from_the_request_not_from_the_answer():
+    views = decisions.PrimaryLease()
+    views.extend_from_store(10.0)
+    assert views.expires_at() == 10.0 + decisions.LEASE_DURATION_S
 
 
 def test_a_peers_view_is_adopted_only_if_all_its_rows_are_known():
-    views = decisions.Views()
-    views.own(10.0)
-    assert not views.passed_on(12.0, 0.5, 7)
-    views.know(7)
-    assert views.passed_on(12.0, 0.5, 7)
-    assert views.seen_at == 11.5
+    views = decisions.PrimaryLease()
+    views.extend_from_store(10.0)
+    assert not views.extend_from_peer(12.0, 0.5, 7)
+    views.note_revision(7)
+    assert views.extend_from_peer(12.0, 0.5, 7)
+    assert views.valid_from == 11.5
 
 
-def test_an_older_view_does_not_shorten_the_authority():
-    views = decisions.Views()
-    views.own(10.0)
-    assert not views.own(9.0)
-    assert not views.passed_on(9.5, 0.2, 0)
-    assert views.seen_at == 10.0
+def test_an_older_view_does_not_shorten_the_lease():
+    views = decisions.PrimaryLease()
+    views.extend_from_store(10.0)
+    assert not views.extend_from_store(9.0)
+    assert not views.extend_from_peer(9.5, 0.2, 0)
+    assert views.valid_from == 10.0
 
 
-def test_a_change_waits_longer_than_any_authority_lasts():
-    assert decisions.LAPSE_WAIT > decisions.LAPSE
+def test_a_change_waits_longer_than_any_lease_lasts():
+    assert decisions.LEASE_EXPIRY_WAIT_S > decisions.LEASE_DURATION_S
 
 
 # -- failover ------------------------------------------------------------
@@ -154,22 +154,22 @@
 
 def test_every_vm_has_its_own_failover_rank():
     live = [core.VmName(f'vm{vm}') for vm in range(5)]
-    ranks = {decisions.rank_of(vm, live, SERVICE) for vm in live}
+    ranks = {decisions.failover_rank(vm, live, SERVICE) for vm in live}
     assert ranks == set(range(5))
 
 
 def test_half_of_the_vms_are_not_a_majority():
     live = [core.VmName(f'vm{number}') for number in range(4)]
     reachable = {live[0]: False, live[1]: False}
-    assert not decisions.missed_by_most(reachable, live)
+    assert not decisions.unreachable_for_majority(reachable, live)
     reachable[live[2]] = False
-    assert decisions.missed_by_most(reachable, live)
+    assert decisions.unreachable_for_majority(reachable, live)
 
 
 def test_replies_of_vms_that_are_no_voters_do_not_count():
     live = [core.VmName('vm0'), core.VmName('vm1')]
     reachable = {core.VmName(f'vm{number}'): False for number in (7, 8, 9)}
-    assert not decisions.missed_by_most(reachable, live)
+    assert not decisions.unreachable_for_majority(reachable, live)
 
 
 def test_the_newest_term_and_the_longest_log_win():
--- a/tests/decisions/test_observing.py
+++ b/tests/decisions/test_primary_positions.py
@@ -12,38 +12,38 @@
 
 
 def test_the_lowest_position_that_proves_the_bound_is_returned():
-    observations = decisions.Observations()
+    observations = decisions.PrimaryPositions()
     observations.add(10.0, at(1, 5))
     observations.add(11.0, at(1, 9))
-    needed = observations.needed(11.2, 1.5)
+    needed = observations.lowest_sufficient(11.2, 1.5)
     assert needed is not None and needed.position == at(1, 5)
-    needed = observations.needed(11.6, 1.5)
+    needed = observations.lowest_sufficient(11.6, 1.5)
     assert needed is not None and needed.position == at(1, 9)
 
 
 def test_no_position_is_returned_without_a_recent_observation():
-    observations = decisions.Observations()
+    observations = decisions.PrimaryPositions()
     observations.add(10.0, at(1, 5))
-    assert observations.needed(11.6, 1.5) is None
+    assert observations.lowest_sufficient(11.6, 1.5) is None
 
 
 def test_positions_of_an_older_term_prove_nothing_after_a_newer_one():
-    observations = decisions.Observations()
+    observations = decisions.PrimaryPositions()
     observations.add(10.0, at(1, 50))
     observations.add(10.5, at(2, 48))
     observations.add(10.6, at(1, 51))
-    needed = observations.needed(10.7, 5.0)
+    needed = observations.lowest_sufficient(10.7, 5.0)
     assert needed is not None and needed.position == at(2, 48)
 
 
 def test_a_log_at_the_newest_position_has_no_lag():
-    observations = decisions.Observations()
+    observations = decisions.PrimaryPositions()
     observations.add(10.0, at(1, 5))
     assert observations.lag(at(1, 5), 14.0) == 0.0
 
 
 def test_the_lag_is_the_time_since_the_primary_had_the_position():
-    observations = decisions.Observations()
+    observations = decisions.PrimaryPositions()
     observations.add(10.0, at(1, 5))
     observations.add(12.0, at(1, 8))
     assert observations.lag(at(1, 6), 12.5) == 2.5
@@ -58,7 +58,7 @@
     steps, bound, wait
 ):
     """The primary commits over time; each answer has its log position."""
-    observations = decisions.Observations()
+    observations = decisions.PrimaryPositions()
     now, log_offset = 0.0, 0
     commits = []
     for pause, commit_count in steps:
@@ -69,7 +69,7 @@
             commits.append((now, log_offset))
         observations.add(asked_at, at(1, log_offset))
     arrived = now + wait
-    needed = observations.needed(arrived, bound)
+    needed = observations.lowest_sufficient(arrived, bound)
     if needed is None:
         return
     required = [commit for when, commit in commits if when < arrived - bound]
--- a/tests/decisions/test_scheduling.py
+++ b/tests/decisions/test_scheduling.py
@@ -28,11 +28,11 @@
         deadline,
         core.Role.REPLICA,
     )
-    return decisions.Item(submit, now, now + deadline)
+    return decisions.QueuedRequest(submit, now, now + deadline)
 
 
-def _queue(slots=3, policy=decisions.DEFAULT_POLICY):
-    queue = decisions.QUEUES.get(policy)(slots)
+def _queue(slots=3, policy=decisions.DEFAULT_QUEUE_POLICY):
+    queue = decisions.QUEUE_POLICIES.get(policy)(slots)
     for _ in range(60):
         queue.times.observe(SHORT, 0.005)
     for _ in range(5):
@@ -43,9 +43,9 @@
 
 
 def _start_next(queue, now):
-    item = queue.take(now)
+    item = queue.pop_next(now)
     if item is not None:
-        queue.started(item, now)
+        queue.record_start(item, now)
     return item
 
 
@@ -54,7 +54,7 @@
     long, short = _item(1, kind=LONG, deadline=5.0), _item(2)
     assert queue.offer(long, 0.0) is None
     assert queue.offer(short, 0.0) is None
-    assert queue.take(0.0) is short
+    assert queue.pop_next(0.0) is short
 
 
 def test_long_work_never_takes_the_last_slot():
@@ -68,7 +68,7 @@
     ]
     short = _item(9)
     queue.offer(short, 0.0)
-    assert queue.take(0.0) is short
+    assert queue.pop_next(0.0) is short
 
 
 def test_long_work_ages_and_is_not_starved():
@@ -80,7 +80,7 @@
         queue.offer(_item(number, now), now)
         started = _start_next(queue, now)
         now += 0.005
-        queue.finished(started, 0.005)
+        queue.record_finish(started, 0.005)
         if started is long:
             break
     assert started is long
@@ -97,7 +97,7 @@
     for turn in range(20):
         item = _start_next(queue, turn * 0.005)
         order.append(item.request.caller)
-        queue.finished(item, 0.005)
+        queue.record_finish(item, 0.005)
     assert order.count('few') == 10
 
 
@@ -113,7 +113,7 @@
 def test_the_queue_bound_follows_the_service_time(factor):
     counts = []
     for seconds in (0.005, 0.005 * factor):
-        queue = decisions.QUEUES.get(decisions.DEFAULT_POLICY)(1)
+        queue = decisions.QUEUE_POLICIES.get(decisions.DEFAULT_QUEUE_POLICY)(1)
         for _ in range(80):
             queue.times.observe(SHORT, seconds)
         offers = [queue.offer(_item(n), 0.0) for n in range(300)]
@@ -124,19 +124,19 @@
 def test_work_that_would_miss_its_deadline_gets_no_slot():
     queue = _queue(slots=1)
     queue.offer(_item(1, deadline=0.02), 0.0)
-    assert queue.take(0.018) is None
-    assert len(queue.expire(0.018)) == 1
+    assert queue.pop_next(0.018) is None
+    assert len(queue.remove_expired(0.018)) == 1
 
 
 def test_work_that_may_wait_yields_to_other_work():
     queue = _queue(slots=2)
-    queue.started(_item(0), 0.0)
+    queue.record_start(_item(0), 0.0)
     waiting = _item(1, deadline=10.0, may_wait=True)
     queue.offer(waiting, 0.0)
     urgent = _item(2)
     queue.offer(urgent, 0.0)
-    assert queue.take(0.0) is urgent
-    assert queue.take(0.0) is waiting
+    assert queue.pop_next(0.0) is urgent
+    assert queue.pop_next(0.0) is waiting
 
 
 def test_a_queue_detects_that_all_its_slots_are_overrun():
@@ -144,6 +144,6 @@
     for number in (1, 2):
         queue.offer(_item(number), 0.0)
         _start_next(queue, 0.0)
-    assert not queue.stuck(0.010)
-    assert queue.stuck(0.050)
-    assert queue.wait(0.050) >= 0.050
+    assert not queue.all_slots_overrun(0.010)
+    assert queue.all_slots_overrun(0.050)
+    assert queue.expected_wait(0.050) >= 0.050
--- a/tests/decisions/test_sessions.py
+++ b/tests/decisions/test_session_tokens.py
@@ -75,20 +75,20 @@
         core.TermStart(core.Term(2), core.LogPosition(6)),
         core.TermStart(core.Term(3), core.LogPosition(8)),
     )
-    result = core.covers(_position(*applied), _position(*wanted), starts)
+    result = core.log_contains(_position(*applied), _position(*wanted), starts)
     assert result is covered
 
 
 def test_an_unknown_term_start_proves_nothing():
-    assert not core.covers(_position(2, 9), _position(1, 5), ())
+    assert not core.log_contains(_position(2, 9), _position(1, 5), ())
 
 
 def test_staleness_is_bounded_by_past_positions_of_the_primary():
-    freshness = decisions.Freshness()
+    freshness = decisions.StalenessBounds()
     for at, offset in ((1.0, 10), (2.0, 20), (3.0, 30)):
-        freshness.primary_seen(at, _position(1, offset), ())
-    assert freshness.bound(_position(1, 20), 3.5) == 1.5
-    assert freshness.bound(_position(1, 30), 3.5) == 0.5
-    assert freshness.bound(_position(1, 5), 3.5) == float('inf')
+        freshness.record_primary(at, _position(1, offset), ())
+    assert freshness.max_staleness(_position(1, 20), 3.5) == 1.5
+    assert freshness.max_staleness(_position(1, 30), 3.5) == 0.5
+    assert freshness.max_staleness(_position(1, 5), 3.5) == float('inf')
     assert freshness.apply_delay(_position(1, 30), 3.5) == 0.0
     assert freshness.apply_delay(_position(1, 10), 3.5) == 1.5
--- a/tests/decisions/test_stateful_terms.py
+++ b/tests/decisions/test_stateful_terms.py
@@ -25,7 +25,7 @@
         super().__init__()
         self.now = 0.0
         self.group = group_module.GroupModel(core.DatabaseName('d'), NAMES)
-        self.proofs = decisions.EvidenceBook(len(NAMES))
+        self.proofs = decisions.PendingProofs(len(NAMES))
         self.cut_off_names = set()
         self.group.reaches = lambda instance, other: (
             not ({instance.name, other.name} & self.cut_off_names)
@@ -53,7 +53,7 @@
         command = group_module.Command(op)
         position = self.group.commit(name, (command,), self.now)
         self.committed[core.RequestId(op)] = position
-        self.proofs.ask(
+        self.proofs.add(
             core.ProveCommit(
                 core.TaskName('gate'), core.RequestId(op), position
             ),
@@ -63,7 +63,7 @@
     @stateful.rule(name=INSTANCES)
     def probe(self, name):
         answer = self.group.probe(name, 1, self.now)
-        for request, verdict in self.proofs.heard(answer, self.now):
+        for request, verdict in self.proofs.record_probe(answer, self.now):
             if verdict is decisions.Verdict.PROVED:
                 self.acked[request.request_id] = request.position
 
@@ -87,7 +87,7 @@
         term, answers = self.fenced.pop(candidate, (core.Term(0), {}))
         if len(answers) < self.proofs.majority:
             return
-        chosen = decisions.choose_leader(answers.values(), frozenset())
+        chosen = decisions.choose_new_primary(answers.values(), frozenset())
         self.group.promote(chosen, term, candidate, self.now)
 
     @stateful.invariant()
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -90,7 +90,7 @@
     assert labels
     for label in labels:
         chart, _, event = label.partition('.')
-        assert event in charts.read(chart).events(), label
+        assert event in charts.load_chart(chart).events(), label
 
 
 def test_truncated_search_is_not_exhaustive():
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -44,7 +44,7 @@
         error=core.UnknownOutcomeError('lost'),
     ),
     core.ResultChunk(core.RequestId('r'), b'rows'),
-    core.GateMoved(
+    core.RequestMoved(
         core.RequestId('r'), core.InstanceName('i'), core.MoveReason.DOWN
     ),
     core.Heartbeat(
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -75,8 +75,8 @@
         self.rows = {}
         self.deleted = {}
         self.version = 0
-        self.shut = set()
-        self.forgotten = 0
+        self.unavailable_partitions = set()
+        self.oldest_kept_version = 0
         self.answers_to_lose = 0
         self.max_page_rows = 500
         self._polls = {}
@@ -108,7 +108,10 @@
         parts = {args.get('part', '')} if path == '/api/rows-get' else set()
         if path == '/api/rows-tx':
             parts = {put['part'] for put in json.loads(body)['puts']}
-        if parts & self.shut or 'all' in self.shut:
+        if (
+            parts & self.unavailable_partitions
+            or 'all' in self.unavailable_partitions
+        ):
             conn.reply(503, {})
         elif path == '/api/rows-get':
             self._get(conn, args)
@@ -145,7 +148,7 @@
 
     def _feed(self, conn, args):
         after = int(args['after'])
-        if after < self.forgotten:
+        if after < self.oldest_kept_version:
             conn.reply(410, {})
             return
         self._number += 1
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -44,13 +44,13 @@
             core.SessionAnswer(
                 message.session_id,
                 message.request_id,
-                core.BlockState.IDLE,
+                core.TransactionStatus.IDLE,
                 (message.statement.text,),
                 'd1',
             ),
         )
 
-    @runtime.handles(core.SessionLeft)
+    @runtime.handles(core.CallerDisconnected)
     def _on_left(self, message):
         self.sessions_left += 1
 
--- a/tests/platform/test_line_statements.py
+++ b/tests/platform/test_line_statements.py
@@ -29,7 +29,7 @@
 )
 def test_statement_texts(text, verb, name, rest):
     statement = statements.decode(text)
-    assert (statement.verb, statement.name, statement.rest) == (
+    assert (statement.verb, statement.name, statement.arguments) == (
         verb,
         name,
         rest,
@@ -39,7 +39,9 @@
 
 def test_prepare_names_a_kind_and_a_template():
     statement = statements.decode('PREPARE s1 WRITE q2c')
-    assert statement.shape == core.Shape(core.ShapeKind.WRITE, 'q2c')
+    assert statement.prepared == core.PreparedQuery(
+        core.PreparedQueryKind.WRITE, 'q2c'
+    )
 
 
 @pytest.mark.parametrize(
@@ -77,7 +79,9 @@
 
 def test_a_statement_follows_unchanged_after_the_position_to_wait_for():
     read = statements.decode('READ 1a4')
-    command = core.Command(Op.RUN, core.RequestId('5c0e'), read, after=AFTER)
+    command = core.Command(
+        Op.RUN, core.RequestId('5c0e'), read, min_position=AFTER
+    )
     line = b'QUERY 5c0e WAITLSN 3.1207 READ 1a4\r\n'
     assert statements.encode(command) == line
 
@@ -100,7 +104,9 @@
             core.Command(
                 Op.PREPARE,
                 name='p0',
-                shape=core.Shape(core.ShapeKind.READ, 'q2c'),
+                prepared=core.PreparedQuery(
+                    core.PreparedQueryKind.READ, 'q2c'
+                ),
             ),
             'PREPARE p0 READ q2c',
         ),
@@ -114,9 +120,11 @@
 
 @pytest.mark.parametrize('text', ['-', '', '3', '3.', '.5', 'a.b', '3.5.7'])
 def test_a_text_that_is_not_a_position_is_none(text):
-    assert statements.read_position(text) is None
+    assert statements.decode_position(text) is None
 
 
 def test_positions_are_encoded_and_decoded():
-    assert statements.read_position(statements.position(AFTER)) == AFTER
-    assert statements.position(None) == '-'
+    assert (
+        statements.decode_position(statements.encode_position(AFTER)) == AFTER
+    )
+    assert statements.encode_position(None) == '-'
--- a/tests/platform/test_replies.py
+++ b/tests/platform/test_replies.py
@@ -8,7 +8,7 @@
 from fleet import lines
 from fleet import replies
 
-Block = core.BlockState
+Block = core.TransactionStatus
 Refusal = core.Refusal
 
 
@@ -17,31 +17,33 @@
 
 
 def test_a_reply_is_rows_a_digest_and_a_state():
-    decoded = replies.Replies().feed(
+    decoded = replies.ReplyParser().feed(
         b'ROW abc\r\nROW\r\nCOMPLETE 7.1f\r\nREADY T 3.1209\r\n'
     )
     assert decoded == [
-        core.Reply(Block.OPEN, log_position(3, 1209), ('abc', ''), '7.1f')
+        core.CommandReply(
+            Block.OPEN, log_position(3, 1209), ('abc', ''), '7.1f'
+        )
     ]
 
 
 def test_a_refusal_has_a_code_and_a_detail():
-    (reply,) = replies.Replies().feed(
+    (reply,) = replies.ReplyParser().feed(
         b'ERROR READONLY i-7f3a\r\nREADY E 3.1209\r\n'
     )
     assert reply.refusal is Refusal.READ_ONLY
     assert reply.detail == 'i-7f3a'
-    assert reply.block is Block.FAILED
+    assert reply.transaction_status is Block.FAILED
 
 
 def test_a_refusal_without_ready_is_available_when_the_stream_closes():
-    parser = replies.Replies()
+    parser = replies.ReplyParser()
     assert parser.feed(b'ERROR CONNLIMIT full\r\n') == []
     assert parser.refusal() is Refusal.TOO_MANY_CONNECTIONS
 
 
 def test_an_unknown_code_is_a_failure():
-    (reply,) = replies.Replies().feed(b'ERROR ODD x\r\nREADY I -\r\n')
+    (reply,) = replies.ReplyParser().feed(b'ERROR ODD x\r\nREADY I -\r\n')
     assert reply.refusal is Refusal.FAILED
 
 
@@ -56,19 +58,19 @@
 )
 def test_lines_that_are_not_a_reply_are_an_error(data):
     with pytest.raises(lines.LineError):
-        replies.Replies().feed(data)
+        replies.ReplyParser().feed(data)
 
 
 @given(st.binary(max_size=120))
 def test_any_bytes_give_replies_or_a_typed_error(data):
     try:
-        replies.Replies().feed(data + b'\r\n')
+        replies.ReplyParser().feed(data + b'\r\n')
     except lines.LineError:
         return
 
 
 def test_the_status_row():
-    reply = core.Reply(
+    reply = core.CommandReply(
         Block.IDLE, log_position(3, 1204), ('replica 3 3.1209 0 12 2 17',), '-'
     )
     assert replies.decode_status(reply) == core.InstanceState(
@@ -83,7 +85,7 @@
     'row', ['', 'king 3 3.1 0', 'replica x 3.1 0', 'replica 3 - 0']
 )
 def test_a_status_that_cannot_be_read_is_none(row):
-    reply = core.Reply(Block.IDLE, None, (row,), '-')
+    reply = core.CommandReply(Block.IDLE, None, (row,), '-')
     assert replies.decode_status(reply) is None
 
 
@@ -97,14 +99,14 @@
         position=log_position(3, 9),
     )
     expected = b'ROW abc\r\nCOMPLETE 7.1f\r\nREADY T 3.9\r\n'
-    assert replies.answer(message) == expected
+    assert replies.encode_answer(message) == expected
 
 
 def test_an_answer_without_an_instance_has_no_digest():
     message = core.SessionAnswer(
         core.SessionId('s1'), core.RequestId('r1'), Block.IDLE
     )
-    assert replies.answer(message) == b'COMPLETE -\r\nREADY I -\r\n'
+    assert replies.encode_answer(message) == b'COMPLETE -\r\nREADY I -\r\n'
 
 
 @pytest.mark.parametrize('refusal', list(Refusal))
@@ -115,5 +117,5 @@
         Block.IDLE,
         refusal=refusal,
     )
-    (reply,) = replies.Replies().feed(replies.answer(message))
+    (reply,) = replies.ReplyParser().feed(replies.encode_answer(message))
     assert reply.refusal is refusal
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,15 +10,15 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from fleet import promotion_client
+from fleet import row_client
 from fleet import row_codec
-from fleet import rows
 from fleet import store
 
 VM = core.VmName('vm0')
 SERVICE = core.ServiceName('spoonbook')
 PARTITIONS = row_codec.PROXY_PARTITIONS
-ROW = core.LeadRow(
-    SERVICE, 0, core.LeadRowState.CLOSING, core.InstanceName('i-1'), VM
+ROW = core.LeaderRow(
+    SERVICE, 0, core.LeaderRowState.CLOSING, core.InstanceName('i-1'), VM
 )
 ENTRY = {
     'service': 'spoonbook',
@@ -88,7 +88,7 @@
 ):
     settings = store.FeedSettings('servers', 0.1, relaxed_wait_s=7.0)
     task = store.TableFeed(loop, VM, server.address, settings)
-    loop.post(task.task_name, core.FollowStore(False))
+    loop.post(task.task_name, core.SetStorePolling(False))
     stand_ins.run_until(loop, lambda: 7.0 in poll_waits_s(server))
     server.put('servers', 'i-1', encode_value(ENTRY))
     stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
@@ -100,9 +100,9 @@
     """The connection may have been lost during the relaxed wait."""
     settings = store.FeedSettings('servers', 0.1, relaxed_wait_s=7.0)
     task = store.TableFeed(loop, VM, server.address, settings)
-    loop.post(task.task_name, core.FollowStore(False))
+    loop.post(task.task_name, core.SetStorePolling(False))
     stand_ins.run_until(loop, lambda: 7.0 in poll_waits_s(server))
-    loop.post(task.task_name, core.FollowStore(True))
+    loop.post(task.task_name, core.SetStorePolling(True))
     stand_ins.run_until(loop, lambda: poll_waits_s(server)[-1] == 0.1)
     server.put('servers', 'i-1', encode_value(ENTRY))
     stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
@@ -124,7 +124,7 @@
     stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1'])
     server.rows.clear()
     server.version += 5
-    server.forgotten = server.version
+    server.oldest_kept_version = server.version
     server._put('servers', 'i-9', encode_value(ENTRY))
     stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-1', 'i-9'])
     stand_ins.run_until(loop, lambda: instance_names(inbox) == ['i-9'])
@@ -145,31 +145,33 @@
 def test_any_partition_has_all_rows_while_the_others_are_lost(
     loop, server, inbox, remaining
 ):
-    task = rows.RowClient(loop, VM, server.address, PARTITIONS)
-    loop.post(task.task_name, core.WriteLead(ROW, 0, inbox.task_name))
-    stand_ins.run_until(loop, lambda: inbox.received(core.RowWritten))
-    server.shut = {item for item in PARTITIONS if item != remaining}
+    task = row_client.RowClient(loop, VM, server.address, PARTITIONS)
+    loop.post(task.task_name, core.WriteLeaderRow(ROW, 0, inbox.task_name))
+    stand_ins.run_until(loop, lambda: inbox.received(core.LeaderRowWritten))
+    server.unavailable_partitions = {
+        item for item in PARTITIONS if item != remaining
+    }
     start_feed(loop, server, row_codec.PROXY_TABLE, partitions=PARTITIONS)
-    stand_ins.run_until(loop, lambda: inbox.received(core.LeadsInStore))
-    leader_rows = inbox.received(core.LeadsInStore)[0].rows
+    stand_ins.run_until(loop, lambda: inbox.received(core.LeaderRowsRead))
+    leader_rows = inbox.received(core.LeaderRowsRead)[0].rows
     assert [item.service for item in leader_rows] == [SERVICE]
-    stand_ins.run_until(loop, lambda: inbox.received(core.StoreSeen))
+    stand_ins.run_until(loop, lambda: inbox.received(core.StorePolled))
 
 
 def test_a_change_in_every_partition_is_applied_once(loop, server, inbox):
     start_feed(loop, server, row_codec.PROXY_TABLE, partitions=PARTITIONS)
-    stand_ins.run_until(loop, lambda: inbox.received(core.NodesInStore))
+    stand_ins.run_until(loop, lambda: inbox.received(core.EntryVmRowsRead))
     value = base64.b64encode(row_codec.encode_leader_row(ROW)).decode()
     key = row_codec.leader_row_key(SERVICE)
     server.put(row_codec.PROXY_TABLE, key, value, PARTITIONS)
     stand_ins.run_until(
-        loop, lambda: inbox.received(core.LeadsInStore)[-1].rows
+        loop, lambda: inbox.received(core.LeaderRowsRead)[-1].rows
     )
-    assert len(inbox.received(core.LeadsInStore)[-1].rows) == 1
+    assert len(inbox.received(core.LeaderRowsRead)[-1].rows) == 1
 
 
 def test_a_write_is_done_in_every_partition_or_in_none(loop, server, inbox):
-    server.shut = {PARTITIONS[1]}
+    server.unavailable_partitions = {PARTITIONS[1]}
     assert write_leader_row(loop, server, inbox) is None
     assert server.rows == {}
 
@@ -177,16 +179,16 @@
 def test_a_repeated_write_does_not_overwrite_a_newer_row_of_the_vm(
     loop, server, inbox
 ):
-    task = rows.RowClient(loop, VM, server.address, PARTITIONS)
+    task = row_client.RowClient(loop, VM, server.address, PARTITIONS)
     zone = core.ZoneName('akhmim-yard')
-    row = core.NodeRow(VM, '10.0.0.1', 7440, zone, 'b1')
-    leaving = dataclasses.replace(row, life=core.NodeLife.LEAVING)
-    server.shut = {'all'}
-    loop.post(task.task_name, core.WriteNode(row))
+    row = core.EntryVmRow(VM, '10.0.0.1', 7440, zone, 'b1')
+    leaving = dataclasses.replace(row, status=core.EntryVmStatus.LEAVING)
+    server.unavailable_partitions = {'all'}
+    loop.post(task.task_name, core.WriteEntryVmRow(row))
     stand_ins.run_until(loop, lambda: server.calls)
-    loop.post(task.task_name, core.WriteNode(leaving))
+    loop.post(task.task_name, core.WriteEntryVmRow(leaving))
     stand_ins.run_until(loop, lambda: len(server.calls) > 1)
-    server.shut = set()
+    server.unavailable_partitions = set()
     key = row_codec.node_row_key(VM)
     stand_ins.run_until(
         loop,
@@ -205,25 +207,27 @@
 
 
 def write_leader_row(loop, server, inbox, expected=0, row=ROW):
-    task = rows.RowClient(loop, VM, server.address, PARTITIONS)
-    loop.post(task.task_name, core.WriteLead(row, expected, inbox.task_name))
-    stand_ins.run_until(loop, lambda: inbox.received(core.RowWritten))
-    return inbox.received(core.RowWritten)[0].row
+    task = row_client.RowClient(loop, VM, server.address, PARTITIONS)
+    loop.post(
+        task.task_name, core.WriteLeaderRow(row, expected, inbox.task_name)
+    )
+    stand_ins.run_until(loop, lambda: inbox.received(core.LeaderRowWritten))
+    return inbox.received(core.LeaderRowWritten)[0].row
 
 
 def test_a_write_that_meets_its_condition_has_a_revision(loop, server, inbox):
     row = write_leader_row(loop, server, inbox)
     assert row.revision == server.version
-    assert row.holder == VM
+    assert row.coordinator == VM
 
 
 def test_a_write_that_fails_its_condition_returns_the_stored_row(
     loop, server, inbox
 ):
-    other = core.LeadRow(
+    other = core.LeaderRow(
         SERVICE,
         0,
-        core.LeadRowState.OPEN,
+        core.LeaderRowState.OPEN,
         core.InstanceName('i-2'),
         core.VmName('vm9'),
     )
@@ -231,7 +235,7 @@
     key = row_codec.leader_row_key(SERVICE)
     server.put(row_codec.PROXY_TABLE, key, value, PARTITIONS)
     row = write_leader_row(loop, server, inbox)
-    assert row.holder == 'vm9'
+    assert row.coordinator == 'vm9'
     assert row.revision == server.version
 
 
@@ -241,14 +245,14 @@
 ):
     server.answers_to_lose = losses
     row = write_leader_row(loop, server, inbox)
-    assert row.holder == VM
+    assert row.coordinator == VM
     assert server.version == 1
 
 
 def test_the_outcome_is_unknown_while_the_store_is_unavailable(
     loop, server, inbox
 ):
-    server.shut.add('all')
+    server.unavailable_partitions.add('all')
     assert write_leader_row(loop, server, inbox) is None
 
 
@@ -271,9 +275,9 @@
         SERVICE, core.InstanceName('i-2'), VM, 55, inbox.task_name
     )
     loop.post(task.task_name, request)
-    stand_ins.run_until(loop, lambda: inbox.received(core.PromoteReplied))
-    assert inbox.received(core.PromoteReplied) == [
-        core.PromoteReplied(SERVICE, 55, result)
+    stand_ins.run_until(loop, lambda: inbox.received(core.PromotionReply))
+    assert inbox.received(core.PromotionReply) == [
+        core.PromotionReply(SERVICE, 55, result)
     ]
     assert json.loads(server.calls[0][2]) == {
         'service': 'spoonbook',
@@ -289,6 +293,6 @@
         SERVICE, core.InstanceName('i-2'), VM, 55, inbox.task_name
     )
     loop.post(task.task_name, request)
-    stand_ins.run_until(loop, lambda: inbox.received(core.PromoteReplied))
-    replied = inbox.received(core.PromoteReplied)[0]
+    stand_ins.run_until(loop, lambda: inbox.received(core.PromotionReply))
+    replied = inbox.received(core.PromotionReply)[0]
     assert replied.result is core.PromoteResult.UNKNOWN
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -35,7 +35,7 @@
 
 def make_log(writer):
     clock = core.VirtualClock(100.0)
-    handler = runtime.BoundedHandler(writer, core.LogLevel.INFO, clock)
+    handler = runtime.RateLimitedHandler(writer, core.LogLevel.INFO, clock)
     return clock, handler, runtime.Log('vm1', 'desk')
 
 
--- a/tests/runtime/test_meters.py
+++ b/tests/runtime/test_meters.py
@@ -7,7 +7,7 @@
 from chicoryusher.runtime import meters as meters_module
 
 
-class Collector(runtime.NoMeters):
+class Collector(runtime.NullMeters):
     def __init__(self):
         self.measurements = []
 
@@ -22,7 +22,7 @@
 
 
 def test_buffered_measurements_are_forwarded_in_order():
-    buffering, collector = runtime.LateMeters(), Collector()
+    buffering, collector = runtime.BufferingMeters(), Collector()
     buffering.add(core.Metric.RETRIES, why='a')
     buffering.record(core.Metric.QUEUE, 0.5, instance='i')
     buffering.start(collector)
@@ -35,7 +35,7 @@
 
 
 def test_full_buffer_drops_the_oldest_measurements():
-    buffering, collector = runtime.LateMeters(), Collector()
+    buffering, collector = runtime.BufferingMeters(), Collector()
     for number in range(meters_module.MAX_BUFFERED_COUNT + 10):
         buffering.show(core.Metric.SESSIONS, number)
     buffering.start(collector)
--- a/tests/runtime/test_exposition.py
+++ b/tests/runtime/test_metrics_export.py
@@ -10,7 +10,7 @@
 
 from chicoryusher import core
 from chicoryusher import runtime
-from chicoryusher.runtime import exposition
+from chicoryusher.runtime import metrics_export
 
 HOST = '127.0.0.1'
 VM = core.VmName('vm1')
@@ -18,9 +18,9 @@
 
 @pytest.fixture
 def server():
-    meters = exposition.OtelMeters()
+    meters = metrics_export.OtelMeters()
     loop = runtime.Runtime(meters=meters)
-    metrics_server = exposition.MetricsServer(loop, VM, (HOST, 0), meters)
+    metrics_server = metrics_export.MetricsServer(loop, VM, (HOST, 0), meters)
     thread = threading.Thread(target=loop.run, daemon=True)
     thread.start()
     yield metrics_server
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -30,33 +30,37 @@
     after = None
     if text.startswith('WAITLSN '):
         _, position_text, text = text.split(' ', 2)
-        after = statements.read_position(position_text)
+        after = statements.decode_position(position_text)
     if text in _COMMANDS_WITHOUT_ARGUMENTS:
-        return core.Command(_COMMANDS_WITHOUT_ARGUMENTS[text], after=after)
+        return core.Command(
+            _COMMANDS_WITHOUT_ARGUMENTS[text], min_position=after
+        )
     if text.startswith('DEMOTE '):
         return core.Command(Op.DEMOTE, value=text.split(' ')[1])
     decoded = statements.decode(text)
     if decoded.verb is Verb.SET:
-        return core.Command(Op.SET, name=decoded.name, value=decoded.rest)
+        return core.Command(Op.SET, name=decoded.name, value=decoded.arguments)
     if decoded.verb is Verb.PREPARE:
-        return core.Command(Op.PREPARE, name=decoded.name, shape=decoded.shape)
+        return core.Command(
+            Op.PREPARE, name=decoded.name, prepared=decoded.prepared
+        )
     name = decoded.name if decoded.verb is Verb.EXECUTE else ''
     return core.Command(
         Op.RUN,
         request_id=core.RequestId(request_id),
         statement=decoded,
         name=name,
-        after=after,
+        min_position=after,
     )
 
 
 def encode_reply(reply):
     """Return an instance's reply as encoded lines."""
-    return replies.answer(
+    return replies.encode_answer(
         core.SessionAnswer(
             core.SessionId(''),
             core.RequestId(''),
-            reply.block,
+            reply.transaction_status,
             reply.rows,
             reply.digest,
             reply.refusal,
@@ -71,7 +75,7 @@
 
     def __init__(self, stream):
         self.stream = stream
-        self.lines = lines.Lines()
+        self.lines = lines.LineSplitter()
         self.state = group_module.Connection()
 
 
@@ -110,7 +114,7 @@
         if line_type == 'START':
             log_position = instance.position(instance.applied)
             conn.stream.write(
-                replies.ready(core.BlockState.IDLE, log_position)
+                replies.encode_ready(core.TransactionStatus.IDLE, log_position)
             )
             return
         request_id, _, text = rest.partition(' ')
@@ -120,7 +124,7 @@
         reply = instance.run(conn.state, command)
         if command.op in (Op.STATUS, Op.DEMOTE):
             role = instance.role.value
-            log_position = statements.position(
+            log_position = statements.encode_position(
                 instance.position(instance.received)
             )
             row = f'{role} {instance.term} {log_position} 0 0 0 0'
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -143,11 +143,11 @@
 
 def _must_see(read, write, done_at, max_staleness):
     """Return whether a read must show an acknowledged write."""
-    if read.route == core.Access.PRIMARY.value:
+    if read.route == core.ReadAccess.PRIMARY.value:
         return True
     if read.sent_at - done_at > max_staleness:
         return True
-    if read.route != core.Access.OWN_WRITES.value:
+    if read.route != core.ReadAccess.OWN_WRITES.value:
         return False
     reader = read.request_id.partition('.')[0]
     is_same_caller = write.request_id.partition('.')[0] == reader
--- a/tests/soak/consumers.py
+++ b/tests/soak/consumers.py
@@ -32,7 +32,7 @@
     session: int
     sent_at: float
     done_at: float = 0.0
-    reply: core.Reply | None = None
+    reply: core.CommandReply | None = None
 
 
 class _NextOperation(core.Message):
@@ -58,7 +58,7 @@
         self._name = name
         self._requests = requests
         self._stream = None
-        self._replies = replies.Replies()
+        self._replies = replies.ReplyParser()
         self._session_number = 0
         self._request_number = 0
         self._unsent_steps = []
@@ -100,7 +100,7 @@
         )
         self._open_request = record
         self._requests.append(record)
-        self._stream.write(lines.join('QUERY', request_id, text))
+        self._stream.write(lines.encode_line('QUERY', request_id, text))
         self._stream.flush()
         self.after(REQUEST_TIMEOUT_S, _RequestTimeout(request_id))
 
@@ -115,12 +115,12 @@
     def _connect(self):
         address = self._rng.choice(self._addresses)
         self._session_number += 1
-        self._replies = replies.Replies()
+        self._replies = replies.ReplyParser()
         stream = runtime.connect(address, self._poller, self.task_name)
         if stream is None:
             self.after(RECONNECT_DELAY_S, _NextOperation())
             return
-        stream.write(lines.join('START', self._route, 'u1'))
+        stream.write(lines.encode_line('START', self._route, 'u1'))
         self._stream = stream
         request_id = f'{self._name}.start{self._session_number}'
         self._open_request = RequestRecord(
@@ -158,7 +158,7 @@
         request.reply = reply
         if self._unsent_steps and reply.refusal is None:
             self._send_next_step()
-        elif reply.block is not core.BlockState.IDLE:
+        elif reply.transaction_status is not core.TransactionStatus.IDLE:
             self._reconnect_later()
         else:
             self._unsent_steps = []
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -158,13 +158,13 @@
 @FAULTS.register('store_down')
 def _store_down(world, rng):
     partition = rng.choice(['all', 'a', 'b', 'c'])
-    world.store.shut.add(partition)
-    return lambda: world.store.shut.discard(partition)
+    world.store.unavailable_partitions.add(partition)
+    return lambda: world.store.unavailable_partitions.discard(partition)
 
 
 @FAULTS.register('store_forgets')
 def _store_forgets(world, rng):
-    world.store.forgotten = world.store.version
+    world.store.oldest_kept_version = world.store.version
 
 
 @FAULTS.register('instance_silent')
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -32,9 +32,9 @@
     'alex-depot': 'delta',
 }
 ROUTE_TYPES = {
-    core.Access.PRIMARY: 'primary',
-    core.Access.BOUNDED: 'bounded_staleness',
-    core.Access.OWN_WRITES: 'read_your_writes',
+    core.ReadAccess.PRIMARY: 'primary',
+    core.ReadAccess.BOUNDED: 'bounded_staleness',
+    core.ReadAccess.OWN_WRITES: 'read_your_writes',
 }
 MAX_STALENESS_S = 1.5
 CONSUMERS_PER_VM_AND_ROUTE = 2
@@ -193,7 +193,7 @@
                 'state': 'draining' if entry.leaving else 'ready',
                 'dbRole': entry.role.value,
                 'seq': 1,
-                'born': entry.boot,
+                'born': entry.incarnation,
             }
             self._put('servers', entry.name, document)
 
@@ -206,7 +206,7 @@
         for vm in self.vms:
             vm.start()
         addresses = [vm.caller_address for vm in self.vms]
-        for access in core.Access:
+        for access in core.ReadAccess:
             for number in range(CONSUMERS_PER_VM_AND_ROUTE * len(self.vms)):
                 name = f'{access.value}-{number}'
                 self.consumers.append(
--- a/tests/tasks/test_pool_failover.py
+++ b/tests/tasks/test_pool_failover.py
@@ -17,7 +17,7 @@
 
 Verb = core.Verb
 Refusal = core.Refusal
-PRIMARY = core.Access.PRIMARY
+PRIMARY = core.ReadAccess.PRIMARY
 # Accepted time from the failure of a primary to the next successful write.
 MAX_GAP_S = 5.0
 
@@ -150,7 +150,7 @@
     assert successes_after(answers, start)
 
 
-def test_an_isolated_vm_has_no_authority_at_the_promotion(site):
+def test_an_isolated_vm_has_no_lease_at_the_promotion(site):
     write_load(site, 1.0)
     isolated = site.vms[3]
     site.isolate(isolated)
@@ -161,16 +161,18 @@
     answers = write_load(site, 9.0)
     assert site.group.primary() is not old
     check_terms(site, answers)
-    successes = successes_after(answers, start + decisions.LAPSE_WAIT + 2.0)
+    successes = successes_after(
+        answers, start + decisions.LEASE_EXPIRY_WAIT_S + 2.0
+    )
     assert successes
-    assert not isolated.desk.authority()
+    assert not isolated.desk.has_lease()
 
 
 def test_an_isolated_vm_refuses_writes_and_commits_none(site):
     write_load(site, 1.0)
     isolated = site.vms[3]
     site.isolate(isolated)
-    site.run(decisions.LAPSE + 0.5)
+    site.run(decisions.LEASE_DURATION_S + 0.5)
     caller = isolated.caller(PRIMARY)
     request_id = caller.ask(write())
     site.run(1.0)
@@ -180,12 +182,12 @@
     )
 
 
-def test_a_suspended_vm_has_no_authority_when_it_resumes(site):
+def test_a_suspended_vm_has_no_lease_when_it_resumes(site):
     write_load(site, 1.0)
-    site.clock.suspend(decisions.LAPSE + 1.0)
-    assert not site.vms[0].desk.authority()
+    site.clock.suspend(decisions.LEASE_DURATION_S + 1.0)
+    assert not site.vms[0].desk.has_lease()
     site.run(1.5)
-    assert site.vms[0].desk.authority()
+    assert site.vms[0].desk.has_lease()
 
 
 def test_a_short_store_outage_refuses_no_writes(site):
@@ -195,24 +197,24 @@
     assert all(answer.refusal is None for _, answer in answers)
 
 
-def test_grants_extend_authority_through_a_long_store_outage(site):
+def test_grants_extend_the_lease_through_a_long_store_outage(site):
     write_load(site, 1.0)
     site.store.down = True
-    site.run(decisions.LAPSE * 3)
-    assert all(vm.desk.authority() for vm in site.vms)
+    site.run(decisions.LEASE_DURATION_S * 3)
+    assert all(vm.desk.has_lease() for vm in site.vms)
     answers = write_load(site, 1.0)
     assert all(answer.refusal is None for _, answer in answers)
 
 
-def test_without_the_grant_of_every_vm_authority_expires(site):
+def test_without_the_grant_of_every_vm_the_lease_expires(site):
     write_load(site, 1.0)
     site.store.down = True
     site.isolate(site.vms[3])
-    site.run(decisions.LAPSE + 1.0)
-    assert not any(vm.desk.authority() for vm in site.vms)
+    site.run(decisions.LEASE_DURATION_S + 1.0)
+    assert not any(vm.desk.has_lease() for vm in site.vms)
     site.store.down = False
     site.run(2.0)
-    assert all(vm.desk.authority() for vm in site.vms[:3])
+    assert all(vm.desk.has_lease() for vm in site.vms[:3])
 
 
 def test_a_vm_marked_as_missing_does_not_delay_a_change_of_primary(site):
@@ -220,7 +222,7 @@
     gone = site.vms[3]
     site.isolate(gone)
     site.run(15.0)
-    assert site.store.nodes[gone.vm].missing
+    assert site.store.nodes[gone.vm].unreachable
     broken_at = site.clock.now()
     site.group.primary().crashed = True
     answers = write_load(site, 3.0, site.vms[:3])
@@ -234,8 +236,8 @@
     site.cut.clear()
     site.store.shut.clear()
     site.run(3.0)
-    assert not site.store.nodes[gone.vm].missing
-    assert gone.desk.authority()
+    assert not site.store.nodes[gone.vm].unreachable
+    assert gone.desk.has_lease()
 
 
 STEPS = [
@@ -275,7 +277,7 @@
     ]
     answers = write_load(site, 10.0, others)
     successes = successes_after(answers, broken_at)
-    assert min(successes) - broken_at < decisions.LAPSE_WAIT + 4.5
+    assert min(successes) - broken_at < decisions.LEASE_EXPIRY_WAIT_S + 4.5
     check_terms(site, answers)
     check_commits(site, answers)
 
@@ -336,11 +338,11 @@
 
 
 def drain(site, vm):
-    for task in (names.keeper(vm.vm), names.exchange(vm.vm)):
+    for task in (names.primary_manager(vm.vm), names.view_exchange(vm.vm)):
         site.loop.post(task, core.Drain(6.0))
 
 
-def test_a_change_of_primary_waits_until_a_leaving_vm_has_no_authority(site):
+def test_a_change_of_primary_waits_until_a_leaving_vm_has_no_lease(site):
     """It may use the old primary until its grace period ends."""
     leaving = site.vms[0]
     drain(site, leaving)
@@ -348,24 +350,24 @@
     site.vms.append(pool.Vm(site, 'vm7', 'akhmim-yard'))
     site.run(1.0)
     row = site.store.nodes[leaving.vm]
-    assert row.life is core.NodeLife.LEAVING
-    assert leaving.desk.authority()
+    assert row.status is core.EntryVmStatus.LEAVING
+    assert leaving.desk.has_lease()
     site.isolate(leaving)
     old = site.group.primary()
     old.dark = True
     while not site.tokens:
         write_load(site, 0.1, site.vms[1:])
-    assert not leaving.desk.authority()
+    assert not leaving.desk.has_lease()
 
 
-def test_a_vm_that_has_left_is_registered_as_left_without_authority(site):
+def test_a_vm_that_has_left_is_registered_as_left_without_a_lease(site):
     gone = site.vms[0]
     drain(site, gone)
     site.run(1.0)
-    site.loop.post(names.exchange(gone.vm), core.Leave())
+    site.loop.post(names.view_exchange(gone.vm), core.VmStopping())
     site.run(1.0)
-    assert site.store.nodes[gone.vm].life is core.NodeLife.LEFT
-    assert not gone.desk.authority()
+    assert site.store.nodes[gone.vm].status is core.EntryVmStatus.LEFT
+    assert not gone.desk.has_lease()
 
 
 def test_a_vm_is_not_registered_as_left_over_an_unexpected_row(site):
@@ -379,38 +381,38 @@
     drain(site, gone)
     site.run(1.0)
     site.store.read_only = False
-    site.loop.post(names.exchange(gone.vm), core.Leave())
+    site.loop.post(names.view_exchange(gone.vm), core.VmStopping())
     site.run(1.0)
-    assert site.store.nodes[gone.vm].life is not core.NodeLife.LEFT
-    assert not gone.desk.authority()
+    assert site.store.nodes[gone.vm].status is not core.EntryVmStatus.LEFT
+    assert not gone.desk.has_lease()
 
 
 @pytest.mark.parametrize(
     ('changes', 'counts'),
     [
         ({}, True),
-        ({'life': core.NodeLife.LEAVING}, False),
-        ({'life': core.NodeLife.LEFT}, False),
-        ({'missing': True}, False),
+        ({'status': core.EntryVmStatus.LEAVING}, False),
+        ({'status': core.EntryVmStatus.LEFT}, False),
+        ({'unreachable': True}, False),
         ({'host': '10.9.9.9'}, False),
     ],
 )
-def test_a_restarted_vm_has_authority_by_its_old_row_if_that_served(
+def test_a_restarted_vm_has_a_lease_by_its_old_row_if_that_served(
     site, changes, counts
 ):
     """After a power loss the store may be readable but not writable."""
     past = dataclasses.replace(
-        site.vms[0].row, vm=core.VmName('vm9'), boot='b0', **changes
+        site.vms[0].row, vm=core.VmName('vm9'), incarnation='b0', **changes
     )
     site.store.nodes[past.vm] = past
     site.store.version += 1
     site.store.read_only = True
     restarted = pool.Vm(site, 'vm9', 'akhmim-yard')
     site.run(2.0)
-    assert restarted.desk.authority() is counts
+    assert restarted.desk.has_lease() is counts
     site.store.read_only = False
     site.run(2.0)
-    assert restarted.desk.authority()
+    assert restarted.desk.has_lease()
     assert site.store.nodes[past.vm] == restarted.row
 
 
@@ -420,10 +422,10 @@
     Its first statement must wait for the change to end, not be refused.
     """
     primary = site.group.primary().name
-    closing = core.LeadRow(
+    closing = core.LeaderRow(
         pool.SERVICE,
         0,
-        core.LeadRowState.CLOSING,
+        core.LeaderRowState.CLOSING,
         primary,
         core.VmName('vm5'),
     )
@@ -435,7 +437,7 @@
     site.run(0.3)
     assert caller.answers == []
     site.store.write(
-        dataclasses.replace(closing, state=core.LeadRowState.OPEN),
+        dataclasses.replace(closing, state=core.LeaderRowState.OPEN),
         row.revision,
     )
     site.run(0.3)
@@ -484,7 +486,7 @@
 
 @pytest.mark.parametrize('alone', [0, 1, 2, 3])
 def test_an_isolated_vm_leaves_a_planned_change_to_the_others(site, alone):
-    """It would have to wait until the authority of all others expires."""
+    """It would have to wait until the leases of all others expire."""
     write_load(site, 1.0)
     cut_from_peers(site, site.vms[alone])
     site.run(3.0)
@@ -500,10 +502,10 @@
 def test_a_restarted_coordinator_continues_its_change_at_once(site):
     """All power is lost while a primary is being replaced."""
     old = site.group.primary()
-    closing = core.LeadRow(
+    closing = core.LeaderRow(
         pool.SERVICE,
         0,
-        core.LeadRowState.CLOSING,
+        core.LeaderRowState.CLOSING,
         old.name,
         core.VmName('vm9'),
     )
--- a/tests/tasks/test_pool_forwarding.py
+++ b/tests/tasks/test_pool_forwarding.py
@@ -13,12 +13,12 @@
 
 Verb = core.Verb
 Refusal = core.Refusal
-PRIMARY = core.Access.PRIMARY
-OWN = core.Access.OWN_WRITES
+PRIMARY = core.ReadAccess.PRIMARY
+OWN = core.ReadAccess.OWN_WRITES
 # Of 21 connections to an instance, 10 are distributed: three VMs own some.
 VM_COUNT = 12
 MAX_CONNECTIONS = 21
-READ_SHAPE = core.Shape(core.ShapeKind.READ, 'q2c')
+READ_SHAPE = core.PreparedQuery(core.PreparedQueryKind.READ, 'q2c')
 
 
 def bare(verb):
@@ -86,13 +86,13 @@
     shape = core.Statement(Verb.PREPARE, 'PREPARE', 's1', '', READ_SHAPE)
     execute = core.Statement(Verb.EXECUTE, 'EXECUTE s1 1a4', 's1', '1a4')
     ask(site, caller, value, shape, bare(Verb.BEGIN), write())
-    assert caller.last.block is core.BlockState.OPEN
+    assert caller.last.transaction_status is core.TransactionStatus.OPEN
     ask(site, caller, execute, bare(Verb.COMMIT))
     assert [result.refusal for result in caller.answers] == [None] * 6
-    assert caller.last.block is core.BlockState.IDLE
+    assert caller.last.transaction_status is core.TransactionStatus.IDLE
     runs = [result for result in site.group.runs if result.shape == READ_SHAPE]
     assert runs[-1].values == (('tenant', '7'),)
-    assert runs[-1].block is core.BlockState.OPEN
+    assert runs[-1].block is core.TransactionStatus.OPEN
 
 
 def test_a_forwarded_session_reads_its_own_writes(site):
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -12,12 +12,12 @@
 
 Verb = core.Verb
 Refusal = core.Refusal
-Block = core.BlockState
-PRIMARY = core.Access.PRIMARY
-OWN = core.Access.OWN_WRITES
-BOUNDED = core.Access.BOUNDED
-READ_SHAPE = core.Shape(core.ShapeKind.READ, 'q2c')
-WRITE_SHAPE = core.Shape(core.ShapeKind.WRITE, 'q3d')
+Block = core.TransactionStatus
+PRIMARY = core.ReadAccess.PRIMARY
+OWN = core.ReadAccess.OWN_WRITES
+BOUNDED = core.ReadAccess.BOUNDED
+READ_SHAPE = core.PreparedQuery(core.PreparedQueryKind.READ, 'q2c')
+WRITE_SHAPE = core.PreparedQuery(core.PreparedQueryKind.WRITE, 'q3d')
 
 
 def bare(verb):
@@ -145,10 +145,10 @@
 def test_a_transaction_stays_on_its_connection_and_commits_once(site):
     caller = site.vms[0].caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), read(), write())
-    assert caller.last.block is Block.OPEN
+    assert caller.last.transaction_status is Block.OPEN
     answer = ask(site, caller, bare(Verb.COMMIT))
     assert answer.refusal is None
-    assert answer.block is Block.IDLE
+    assert answer.transaction_status is Block.IDLE
     assert len(site.group.commits) == 1
     assert {run.block for run in site.group.runs} == {Block.OPEN}
 
@@ -156,7 +156,7 @@
 def test_a_rolled_back_transaction_commits_nothing(site):
     caller = site.vms[0].caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), write(), bare(Verb.ROLLBACK))
-    assert caller.last.block is Block.IDLE
+    assert caller.last.transaction_status is Block.IDLE
     ask(site, caller, read())
     assert site.group.commits == []
 
@@ -189,12 +189,12 @@
 def test_a_failed_transaction_accepts_only_its_end(site):
     caller = site.vms[0].caller(PRIMARY)
     ask(site, caller, bare(Verb.BEGIN), read(), execute('s9'))
-    assert caller.last.block is Block.FAILED
+    assert caller.last.transaction_status is Block.FAILED
     answer = ask(site, caller, read())
     assert answer.refusal is Refusal.MALFORMED
     answer = ask(site, caller, bare(Verb.COMMIT))
     assert answer.refusal is Refusal.ABORTED
-    assert answer.block is Block.IDLE
+    assert answer.transaction_status is Block.IDLE
 
 
 def test_a_read_whose_answer_is_lost_runs_elsewhere(site):
@@ -289,7 +289,7 @@
     )
     site.run(2.0)
     assert site.vms[2].keeper.config.version == 9
-    assert site.vms[2].desk.authority()
+    assert site.vms[2].desk.has_lease()
 
 
 def test_a_configuration_arrives_though_the_store_rejects_two_vms():
@@ -319,7 +319,9 @@
     assert ask(site, caller, write()).refusal is None
     old_links = tuple(site.vms[0].links.values())
     for item in site.group.instances.values():
-        item.entry = dataclasses.replace(item.entry, boot=item.entry.boot + 1)
+        item.entry = dataclasses.replace(
+            item.entry, incarnation=item.entry.incarnation + 1
+        )
     site.register()
     site.run(2.0)
     assert all(item.root is not site.loop for item in old_links)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -219,7 +219,7 @@
     for _ in range(count):
         payload = rng.choice([b'', start, start + b'clerk\0'])
         payload += rng.randbytes(rng.randrange(200))
-        data = wire.frame(payload, 1)
+        data = wire.make_packets(payload, 1)
         yield data[: rng.randrange(1, len(data) + 1)]
 
 
--- a/tools/make_docs.py
+++ b/tools/make_docs.py
@@ -51,7 +51,7 @@
         '# State charts\n\nWritten by `make docs` from `charts/*.json`.\n'
     ]
     for name in charts.chart_names():
-        diagram = charts.mermaid(charts.read(name))
+        diagram = charts.mermaid(charts.load_chart(name))
         parts.append(f'## {name}\n\n```mermaid\n{diagram}```\n')
     return '\n'.join(parts)
 
