Call the group table and module aliases by one name

Cause: fields, arguments and import aliases still used the old words (roster, lane, leads, desk, keeper) for things that have new names.

Change: renamed by tokens; a docstring names the field retryable_timeout.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -15,7 +15,7 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempt_log
 from chicoryusher.tasks.pool import completions
-from chicoryusher.tasks.pool import group_table as roster_module
+from chicoryusher.tasks.pool import group_table as group_table_module
 from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import sessions
 
@@ -51,11 +51,11 @@
     def __init__(
         self,
         dispatcher: runtime.Task,
-        roster: roster_module.GroupTable,
+        group_table: group_table_module.GroupTable,
         clock: core.Clock,
     ) -> None:
         self._dispatcher = dispatcher
-        self._roster = roster
+        self._group_table = group_table
         self._clock = clock
         self._numbers = itertools.count(1)
         self._log = attempt_log.AttemptLog(dispatcher)
@@ -101,7 +101,7 @@
         if transaction is not None and transaction.instance is not None:
             self._continue_transaction(attempt, transaction.instance)
             return
-        group = self._roster.groups.get(attempt.route.service)
+        group = self._group_table.groups.get(attempt.route.service)
         if group is None:
             self._wait_or_refuse(attempt, 'no instance of the group is known')
             return
@@ -128,7 +128,7 @@
         self, attempt: sessions.Attempt, instance: core.InstanceName
     ) -> None:
         """Run a further statement at the instance of its transaction."""
-        if instance in self._roster:
+        if instance in self._group_table:
             self._submit(attempt, instance, None, None)
         else:
             self.refuse(
@@ -187,10 +187,10 @@
         The forwarder sends it to the VM that owns the connections.
         """
         if attempt.conn_owner is None:
-            self._dispatcher.send(self._roster.pool_task(name), work)
+            self._dispatcher.send(self._group_table.pool_task(name), work)
             return
         forward = core.ForwardWork(
-            attempt.conn_owner, self._roster.entry(name), work
+            attempt.conn_owner, self._group_table.entry(name), work
         )
         self._dispatcher.send(names.forwarder(self._dispatcher.vm), forward)
 
@@ -203,9 +203,9 @@
         """
         transaction = attempt.session.transaction
         if transaction is None:
-            return self._roster.conn_owner(name)
+            return self._group_table.conn_owner(name)
         if transaction.instance is None:
-            transaction.conn_owner = self._roster.conn_owner(name)
+            transaction.conn_owner = self._group_table.conn_owner(name)
         return transaction.conn_owner
 
     def _wait_or_refuse(self, attempt: sessions.Attempt, why: str) -> None:
@@ -217,7 +217,7 @@
         if attempt.excluded:
             attempt.excluded = frozenset()
         now = self._dispatcher.now()
-        group = self._roster.groups.get(attempt.route.service)
+        group = self._group_table.groups.get(attempt.route.service)
         primary_expected = group is not None and group.expects_primary(now)
         share = (
             instance_selection.START_TARGET_SHARE
@@ -270,9 +270,9 @@
                 names.forwarder(self._dispatcher.vm),
                 core.ForwardCancel(attempt.work_id),
             )
-        elif attempt.instance in self._roster:
+        elif attempt.instance in self._group_table:
             self._dispatcher.send(
-                self._roster.pool_task(attempt.instance),
+                self._group_table.pool_task(attempt.instance),
                 core.CancelWork(attempt.work_id),
             )
 
@@ -287,10 +287,10 @@
                 core.ForwardRollback(transaction.transaction_id),
             )
             return
-        if transaction.instance not in self._roster:
+        if transaction.instance not in self._group_table:
             return
         self._dispatcher.send(
-            self._roster.pool_task(transaction.instance),
+            self._group_table.pool_task(transaction.instance),
             core.EndTransaction(transaction.transaction_id),
         )
 
@@ -312,7 +312,9 @@
     def _pool_instance(
         self, attempt: sessions.Attempt
     ) -> decisions.InstanceLoad | None:
-        return self._roster.instance(attempt.route.service, attempt.instance)
+        return self._group_table.instance(
+            attempt.route.service, attempt.instance
+        )
 
     def _decrement_outstanding(self, attempt: sessions.Attempt) -> None:
         pool_instance = self._pool_instance(attempt)
@@ -329,7 +331,7 @@
         A position of the primary counts only if this VM had a lease on
         it; it is passed on to the view exchange, which sends it to the peers.
         """
-        group = self._roster.groups.get(attempt.route.service)
+        group = self._group_table.groups.get(attempt.route.service)
         if group is None:
             return
         boot_now = self._clock.boottime()
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -10,8 +10,8 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempts as attempts_module
-from chicoryusher.tasks.pool import group_state as groups_module
-from chicoryusher.tasks.pool import group_table as roster_module
+from chicoryusher.tasks.pool import group_state as group_state_module
+from chicoryusher.tasks.pool import group_table as group_table_module
 from chicoryusher.tasks.pool import sessions
 from chicoryusher.tasks.pool.group_table import DispatcherSettings
 from chicoryusher.tasks.pool.group_table import LinkFactory
@@ -50,9 +50,11 @@
         self._numbers = itertools.count(1)
         self._config: core.PoolConfig | None = None
         self._routes: dict[core.DatabaseName, core.PoolRoute] = {}
-        self._roster = roster_module.GroupTable(self, loop, edges, settings)
+        self._group_table = group_table_module.GroupTable(
+            self, loop, edges, settings
+        )
         self._attempts = attempts_module.Attempts(
-            self, self._roster, loop.clock
+            self, self._group_table, loop.clock
         )
         self._sessions: dict[core.SessionId, sessions.PoolSession] = {}
         self._draining = False
@@ -76,7 +78,7 @@
         self._routes = {
             route.database: route for route in message.config.routes
         }
-        self._roster.apply_config(message.config)
+        self._group_table.apply_config(message.config)
         waiting_starts, self._waiting_starts = self._waiting_starts, []
         for start in waiting_starts:
             self._on_start(start)
@@ -87,11 +89,11 @@
 
     @runtime.handles(core.LiveEntryVms)
     def _on_live(self, message: core.LiveEntryVms) -> None:
-        self._roster.apply_live_vms(message.nodes)
+        self._group_table.apply_live_vms(message.nodes)
 
     @runtime.handles(core.GroupUpdate)
     def _on_group(self, message: core.GroupUpdate) -> None:
-        for name in self._roster.apply_group(message):
+        for name in self._group_table.apply_group(message):
             self._attempts.fail_work_at(name)
 
     # -- sessions -------------------------------------------------------
@@ -148,7 +150,7 @@
     def _show_metrics(self) -> None:
         self.meters.show(core.Metric.SESSIONS, len(self._sessions))
         boot_now = self._clock.boottime()
-        for service, group in self._roster.groups.items():
+        for service, group in self._group_table.groups.items():
             newest = group.observations.newest
             if newest is not None:
                 age = boot_now - newest.asked_at
@@ -258,14 +260,14 @@
 
     @runtime.handles(core.InstanceFault)
     def _on_trouble(self, message: core.InstanceFault) -> None:
-        for group in self._roster.groups.values():
+        for group in self._group_table.groups.values():
             pool_instance = group.instances.get(message.instance)
             if pool_instance is not None:
                 pool_instance.penalize(self.now())
 
     @runtime.handles(core.PrimaryPositionObserved)
     def _on_observed(self, message: core.PrimaryPositionObserved) -> None:
-        group = self._roster.groups.get(message.service)
+        group = self._group_table.groups.get(message.service)
         if group is not None:
             group.observations.add(message.requested_at, message.position)
 
@@ -273,7 +275,7 @@
 
     @runtime.handles(core.StopPrimary)
     def _on_stop(self, message: core.StopPrimary) -> None:
-        group = self._roster.groups.get(message.service)
+        group = self._group_table.groups.get(message.service)
         if group is None:
             self._report_stopped(message)
             return
@@ -287,7 +289,7 @@
         self._stop_if_unused(message.service)
 
     def _stop_if_unused(self, service: core.ServiceName) -> None:
-        group = self._roster.groups.get(service)
+        group = self._group_table.groups.get(service)
         if group is None or group.stopping is None:
             return
         if not self._is_used(group.stopping.primary):
@@ -304,21 +306,21 @@
 
     @runtime.handles(_StopTimeout)
     def _on_stop_timeout(self, message: _StopTimeout) -> None:
-        group = self._roster.groups.get(message.service)
+        group = self._group_table.groups.get(message.service)
         if group is None or group.stopping is None:
             return
         if group.stopping.revision == message.revision:
             self._stop(group)
 
-    def _stop(self, group: groups_module.PoolGroup) -> None:
+    def _stop(self, group: group_state_module.PoolGroup) -> None:
         """Close all connections to the primary and fence its running work."""
         stopping = group.stopping
         assert stopping is not None
         group.stopping = None
         self._attempts.fence(stopping.primary)
-        if stopping.primary in self._roster:
-            lane = self._roster.pool_task(stopping.primary)
-            self.send(lane, core.StopInstancePool())
+        if stopping.primary in self._group_table:
+            pool_task = self._group_table.pool_task(stopping.primary)
+            self.send(pool_task, core.StopInstancePool())
         self.send(
             names.forwarder(self.vm), core.StopForwarding(stopping.primary)
         )
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -8,8 +8,8 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import group_state as groups_module
-from chicoryusher.tasks.pool import instance_pool as lane_module
+from chicoryusher.tasks.pool import group_state as group_state_module
+from chicoryusher.tasks.pool import instance_pool as instance_pool_module
 
 __all__ = ['DispatcherSettings', 'LinkFactory', 'GroupTable']
 
@@ -54,8 +54,10 @@
         self._live_vms: tuple[core.EntryVmZone, ...] = (self._own_place,)
         self._forward_to: dict[core.InstanceName, core.VmName] = {}
         self._links: dict[core.InstanceName, runtime.Task] = {}
-        self._pools: dict[core.InstanceName, lane_module.InstancePool] = {}
-        self.groups: dict[core.ServiceName, groups_module.PoolGroup] = {}
+        self._pools: dict[
+            core.InstanceName, instance_pool_module.InstancePool
+        ] = {}
+        self.groups: dict[core.ServiceName, group_state_module.PoolGroup] = {}
 
     def __contains__(self, name: core.InstanceName) -> bool:
         return name in self._pools
@@ -102,7 +104,7 @@
         """
         group = self.groups.get(message.service)
         if group is None:
-            group = groups_module.PoolGroup(message.service)
+            group = group_state_module.PoolGroup(message.service)
             self.groups[message.service] = group
         by_name = {instance.name: instance for instance in message.entries}
         removed = tuple(
@@ -121,7 +123,7 @@
         return removed
 
     def _add_or_update(
-        self, group: groups_module.PoolGroup, entry: core.InstanceEntry
+        self, group: group_state_module.PoolGroup, entry: core.InstanceEntry
     ) -> None:
         dispatcher = self._dispatcher
         group.record_leaving(entry, dispatcher.now())
@@ -132,10 +134,12 @@
         near = decisions.nearness(
             self._settings.zone, entry.zone, self._settings.regions.get
         )
-        distance = groups_module.ROUND_TRIP_S[near]
+        distance = group_state_module.ROUND_TRIP_S[near]
         group.instances[entry.name] = decisions.InstanceLoad(entry, distance)
         self._links[entry.name] = self._factory.pool_link(dispatcher.vm, entry)
-        pool = lane_module.InstancePool(self._loop, dispatcher.vm, entry)
+        pool = instance_pool_module.InstancePool(
+            self._loop, dispatcher.vm, entry
+        )
         self._pools[entry.name] = pool
 
     def _close_pool(self, name: core.InstanceName) -> None:
@@ -160,7 +164,7 @@
                 continue
             share = self._own_share(pool.entry, max_connections)
             self._dispatcher.send(
-                pool.task_name, lane_module.SetConnectionShare(share)
+                pool.task_name, instance_pool_module.SetConnectionShare(share)
             )
 
     def _own_share(
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -407,7 +407,7 @@
         """Close a connection whose command exceeded its time limit.
 
         A statement that may run again elsewhere is reported as lost after
-        its ``patience``, so that it can run at another instance.
+        its ``retryable_timeout``, so that it can run at another instance.
         """
         work = conn.work
         elapsed = now - conn.sent_at
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -4,7 +4,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import group_state as groups_module
+from chicoryusher.tasks.pool import group_state as group_state_module
 from chicoryusher.tasks.pool import sessions
 
 __all__ = [
@@ -25,7 +25,7 @@
 
 
 def read_needs_of(
-    attempt: sessions.Attempt, group: groups_module.PoolGroup
+    attempt: sessions.Attempt, group: group_state_module.PoolGroup
 ) -> decisions.ReadRequirement:
     """Return the log position that a replica needs to run the statement.
 
@@ -47,7 +47,7 @@
 
 def select_instance(
     attempt: sessions.Attempt,
-    group: groups_module.PoolGroup,
+    group: group_state_module.PoolGroup,
     needs: decisions.ReadRequirement,
     authority: bool,
     now: float,
--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -10,7 +10,7 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import handover
 from chicoryusher.tasks.pool import handover_actions  # noqa: F401
-from chicoryusher.tasks.pool import leaders as leads_module
+from chicoryusher.tasks.pool import leaders as leaders_module
 
 __all__ = ['PrimaryManager']
 
@@ -62,7 +62,7 @@
         self._owner = owner
         self._ready_reported = False
         self._leaving = False
-        self._leaders = leads_module.LeaderTable()
+        self._leaders = leaders_module.LeaderTable()
         self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
         self._instances_read_at = float('-inf')
         self._peers = core.PeerSets((), ())
@@ -171,7 +171,7 @@
         Open transactions get the longest grace period of the group's
         pending fences.
         """
-        patience = max(
+        grace_period = max(
             (fence.grace_period for fence in self._fences.get(service, ())),
             default=0.0,
         )
@@ -179,7 +179,7 @@
         self._leaders.stop_requested(service, revision)
         self.send(
             names.dispatcher(self.vm),
-            core.StopPrimary(service, old, revision, patience),
+            core.StopPrimary(service, old, revision, grace_period),
         )
 
     @runtime.handles(core.FencePrimary)
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -15,7 +15,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import entry_vms
-from chicoryusher.tasks.pool import leaders as leads_module
+from chicoryusher.tasks.pool import leaders as leaders_module
 
 __all__ = ['ViewExchange']
 
@@ -75,7 +75,7 @@
             kind: decisions.PrimaryLease() for kind in core.StoreView
         }
         self._contents: dict[core.StoreView, core.Message] = {}
-        self._leaders = leads_module.LeaderTable()
+        self._leaders = leaders_module.LeaderTable()
         self._observed: dict[
             core.ServiceName, core.PrimaryPositionObserved
         ] = {}
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -9,9 +9,9 @@
 from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import dispatcher as desk_module
+from chicoryusher.tasks.pool import dispatcher as dispatcher_module
 from chicoryusher.tasks.pool import forwarder
-from chicoryusher.tasks.pool import primary_manager as keeper_module
+from chicoryusher.tasks.pool import primary_manager as primary_manager_module
 from chicoryusher.tasks.pool import reachability
 from chicoryusher.tasks.pool import relay
 from chicoryusher.tasks.pool import view_exchange
@@ -95,7 +95,7 @@
         self.enough = False
         self.links: dict[core.InstanceName, links.SimLink] = {}
         SimPeers(site.loop, vm, site)
-        self.keeper = keeper_module.PrimaryManager(
+        self.keeper = primary_manager_module.PrimaryManager(
             site.loop, vm, self.task_name
         )
         reachability.ReachabilityMonitor(site.loop, vm)
@@ -105,11 +105,11 @@
         self._exchange = view_exchange.ViewExchange(
             site.loop, vm, self.row, REGIONS, (rows.task_name,)
         )
-        self.desk = desk_module.Dispatcher(
+        self.desk = dispatcher_module.Dispatcher(
             site.loop,
             vm,
             self,
-            desk_module.DispatcherSettings(core.ZoneName(zone), REGIONS),
+            dispatcher_module.DispatcherSettings(core.ZoneName(zone), REGIONS),
         )
         groups = (site.group,)
         links.SimProber(site.loop, vm, groups, site.cut)
