Name the renamed fields in five docstrings

Cause: docstrings of Statement, Work, FetchView, RelayWork and PrimaryLease still used old field names, repeated a word, or described only a view.

Change: docstrings only.

--- a/src/chicoryusher/core/forwarding.py
+++ b/src/chicoryusher/core/forwarding.py
@@ -80,7 +80,7 @@
 class RelayWork(messages.Message):
     """Run a piece of work of the VM ``vm`` at an instance.
 
-    ``incarnation`` is the instance's incarnation.  ``start_timeout`` is how
+    ``incarnation`` numbers the instance's starts.  ``start_timeout`` is how
     many seconds the work may wait for a connection.  The other fields have the
     meaning that they have in ``Work``.
     """
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -54,9 +54,9 @@
     """Decoded statement of a session.
 
     ``text`` is the statement as the caller sent it; ``name`` is the
-    session value or prepared statement that it refers to; ``rest`` is
-    the text after that name, such as the value or the arguments;
-    ``shape`` is the definition if it is a PREPARE.
+    session value or prepared statement that it refers to; ``arguments``
+    is the text after that name, such as the value or the arguments;
+    ``prepared`` is the definition if it is a PREPARE.
     """
 
     verb: enums.Verb
@@ -133,8 +133,8 @@
 class Work(messages.Message):
     """Statement to run on a connection of an instance's pool.
 
-    The session values ``session_values`` are set on the connection, and the
-    prepared statement ``prepared`` is prepared on it, before the statement
+    The values in ``session_values`` are set on the connection, and the
+    statement ``prepared`` is prepared on it, before the statement
     is sent.  ``begin_kind`` is the kind of the transaction to begin before
     the statement.  The instance must have reached the log position
     ``min_position``.  Among waiting work, a lower number of ``priority`` goes
--- a/src/chicoryusher/core/views.py
+++ b/src/chicoryusher/core/views.py
@@ -215,7 +215,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchView(messages.Message):
-    """Ask a peer for the rows of its view of that ``view``."""
+    """Ask a peer for the rows of its view ``view``."""
 
     vm: ids.VmName
     view: enums.StoreView
--- a/src/chicoryusher/decisions/primary_lease.py
+++ b/src/chicoryusher/decisions/primary_lease.py
@@ -29,10 +29,11 @@
 
 
 class PrimaryLease:
-    """Time and revision of the newest view of one kind of store rows.
+    """A lease that begins with the newest view of one kind of store rows.
 
     The view was read from the store by this VM, or by a peer that passed
-    it on.
+    it on.  For rows other than the leader rows only the view's age and
+    revision are used.
     """
 
     def __init__(self) -> None:
