Let the review's stand-ins roll back what a new primary lacks

A replica kept its applied position when it took over another log, and a caller can name the id of a request. A stress of our own needs both: 3 to 16 VMs that are killed, paused and stopped while primaries crash and the store loses answers.

--- a/review/standins/callers.py
+++ b/review/standins/callers.py
@@ -50,13 +50,13 @@
         line = await self._reader.readuntil(b'\r\n')
         return line[:-2].decode('latin-1')
 
-    async def query(self, text):
+    async def query(self, text, request_id=None):
         """Send a request; return its answer.
 
         The answer has the id, the rows and the last line. ``end`` is 'CUT' if
         the connection ended without a complete answer.
         """
-        request_id = secrets.token_hex(8)
+        request_id = request_id or secrets.token_hex(8)
         self._record.add('sent', session=self.name, id=request_id,
                          database=self._database, text=text[:60])
         rows, end = [], 'CUT'
--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -53,6 +53,17 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    def follow(self, primary):
+        """Take over the primary's log; roll back what it doesn't have."""
+        common = 0
+        for mine, theirs in zip(self.log, primary.log):
+            if mine != theirs:
+                break
+            common += 1
+        self.term = primary.term
+        self.log = list(primary.log)
+        self.applied = min(self.applied, common)
+
     def position(self, length=None):
         length = len(self.log) if length is None else length
         return f'{self.term}.{length}'
@@ -301,8 +312,7 @@
             return
         if source.term < target.term or not source.up:
             return
-        target.term = source.term
-        target.log = list(source.log)
+        target.follow(source)
         received.release()
         asyncio.get_running_loop().call_later(
             APPLY_S, self._apply, target, len(target.log)
@@ -348,8 +358,8 @@
             if other is primary or not other.up or other.term > primary.term:
                 continue
             changed = other.role != 'replica'
-            other.role, other.term = 'replica', primary.term
-            other.log = list(primary.log)
+            other.role = 'replica'
+            other.follow(primary)
             other.applied = len(other.log)
             if changed:
                 self.register(other)
