Show that VMs that are cut off use a replaced primary (STALE)

Cause: a lease is extended by the grants of the VMs in this VM's own list. A VM that registers while the others are cut off from the store is in none of their lists, and replaces their primary 3.2 s after its claim.

--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -32,6 +32,8 @@
         self.deaf = False
         self.busy = 0
         self.up = True
+        self.state = 'ready'
+        self.born = int(time.time() * 1000)
         self.writers = set()
         self._host = host
         self._free = asyncio.Semaphore(slots)
@@ -206,6 +208,7 @@
     async def _finish(self, conn, word, rest, request_id):
         """Take effect at the end of the work."""
         if word == 'READ':
+            self.group.reads[request_id] = (self.name, self.log, self.applied)
             return (f'value-of-{rest.split(" ")[0][:40]}',), self._digest(request_id)
         if word == 'WRITE' and conn.state == 'T':
             conn.writes.append(request_id)
@@ -215,7 +218,7 @@
             return (), f'ERROR READONLY {self.name}'
         conn.state, conn.writes = 'I', []
         if writes:
-            self.log.append((self.term, request_id))
+            self.log = [*self.log, (self.term, request_id)]
             self.applied = len(self.log)
             await self.group.committed(self, request_id, writes)
         return (), self._digest(request_id)
@@ -252,6 +255,9 @@
         self.sync_replicas = sync_replicas
         self.instances = {}
         self.promotions = []
+        # For each read, where it ran: the instance, its log and how much of
+        # the log was applied.
+        self.reads = {}
         # Ids of the requests that have reached an instance.
         self.arrived = set()
         self._store = store
@@ -278,14 +284,19 @@
             default=None,
         )
 
+    def drain(self, instance):
+        """Report that the instance is going to leave."""
+        instance.state = 'draining'
+        self.register(instance)
+
     def register(self, instance):
         """Write the instance's entry to the store."""
         host, port = instance.address
         self._store.put('servers', instance.name, {
             'service': self.service, 'address': f'{host}:{port}',
             'zone': instance.zone, 'version': 'v1', 'slots': instance.slots,
-            'state': 'ready', 'warmupLeftMs': 0, 'dbRole': instance.role,
-            'seq': 1, 'born': int(time.time() * 1000),
+            'state': instance.state, 'warmupLeftMs': 0, 'dbRole': instance.role,
+            'seq': 1, 'born': instance.born,
         })
 
     def work_s(self, instance, word, rest, request_id):
--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -9,6 +9,7 @@
 
 from standins import callers
 from standins import instances
+from standins import network
 from standins import platform
 from standins import record as record_module
 from standins import vms
@@ -34,11 +35,16 @@
         self.vms = []
 
     async def set_up(self, services, vm_count, sync_replicas=0,
-                     slots=5, connections=55):
-        """Start the platform, the groups and the VMs; wait for the VMs."""
+                     slots=5, connections=55, spare=0,
+                     vm_zones=tuple(ZONES)):
+        """Start the platform, the groups and the VMs; wait for the VMs.
+
+        The last ``spare`` VMs are not started yet.
+        """
         await self.store.listen(f'{self.network}.250')
         await self.promotions.listen(f'{self.network}.251')
         names = list(ZONES)
+        self.network_links = network.Network(self.store)
         for number, service in enumerate(services):
             group = instances.Group(
                 self.record, self.store, service, sync_replicas
@@ -50,15 +56,20 @@
                 name = f'i-{service}-{index + 1}'
                 await group.add(name, host, zone, slots, connections)
         self.configure(services, sync_replicas, connections)
-        for number in range(vm_count):
+        for number in range(vm_count + spare):
+            name = f'front-{number + 1}'
+            host = f'{self.network}.{number + 1}'
+            peer_port = vms.free_port(host)
+            store = await self.network_links.add(
+                name, (host, peer_port), f'{self.network}.{200 + number}'
+            )
             self.vms.append(vms.Vm(
-                f'front-{number + 1}', f'{self.network}.{number + 1}',
-                names[number % len(names)], ZONES, self.store.address,
-                self.promotions.address,
+                name, host, vm_zones[number % len(vm_zones)], ZONES, store,
+                self.promotions.address, peer_port=peer_port,
             ))
-        for vm in self.vms:
+        for vm in self.vms[:vm_count]:
             vm.start()
-        for vm in self.vms:
+        for vm in self.vms[:vm_count]:
             await vm.until_ready()
 
     def configure(self, services, sync_replicas, connections):
--- a/review/standins/vms.py
+++ b/review/standins/vms.py
@@ -77,7 +77,8 @@
 
     folder = None
 
-    def __init__(self, name, host, zone, zones, store, promotions, grace_s=6):
+    def __init__(self, name, host, zone, zones, store, promotions,
+                 grace_s=6, peer_port=None):
         if Vm.folder is None:
             Vm.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.name = name
@@ -92,7 +93,7 @@
             'listen': {
                 'front': '%s:%d' % self.callers, 'ready': '%s:%d' % self.ready,
             },
-            'internalPorts': [free_port(host), 0],
+            'internalPorts': [peer_port or free_port(host), 0],
             'platform': {
                 'address': '%s:%d' % store, 'crossPartition': True,
             },
