--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,6 +14,7 @@
 
 DEAF_S = 6.0
 SLOW_X = 5.0
+SLOW_S = 6.5
 READ_WORK_S = 0.047
 WRITE_WORK_S = 0.0093
 READERS = 40
@@ -54,13 +55,20 @@
         await asyncio.sleep(0.5)
         scene.record.add('slow', instance=second.name)
         slow.add(second.name)
+        loop.call_later(SLOW_S, slow.clear)
         await asyncio.sleep(0.5)
         scene.record.add('crash', instance=first.name)
         first.crash()
+        running.append(asyncio.ensure_future(come_back(first, DEAF_S - 1.0)))
     await asyncio.gather(*running)
     return list(violations(group, acknowledged))
 
 
+async def come_back(instance, after):
+    await asyncio.sleep(after)
+    await instance.restart()
+
+
 async def read(session, end):
     loop = asyncio.get_running_loop()
     number = 0
--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -55,6 +55,18 @@
         for writer in tuple(self.writers):
             writer.transport.abort()
 
+    async def restart(self):
+        """Come back with the log, as a replica if another one leads."""
+        primary = self.group.primary
+        self.up = True
+        if primary is not None:
+            self.role = 'replica'
+            self.follow(primary)
+            self.applied = len(self.log)
+        self.born = int(time.time() * 1000)
+        await self.listen()
+        self.group.register(self)
+
     def follow(self, primary):
         """Take over the primary's log; roll back what it doesn't have."""
         common = 0
--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -36,7 +36,7 @@
 
     async def set_up(self, services, vm_count, sync_replicas=0,
                      slots=5, connections=55, spare=0,
-                     vm_zones=tuple(ZONES)):
+                     vm_zones=tuple(ZONES), primaries_in_one_zone=False):
         """Start the platform, the groups and the VMs; wait for the VMs.
 
         The last ``spare`` VMs are not started yet.
@@ -51,7 +51,8 @@
             )
             self.groups[service] = group
             for index in range(3):
-                zone = names[(number + index) % len(names)]
+                first = 0 if primaries_in_one_zone else number
+                zone = names[(first + index) % len(names)]
                 host = f'{self.network}.{100 + 3 * number + index}'
                 name = f'i-{service}-{index + 1}'
                 await group.add(name, host, zone, slots, connections)
