Give callers teams: keys, rights that end, and connections of their own

Callers of the platform name a key when a session starts; it was dropped, and all connections to instances carried one name. Configurations may have teams now. The front end turns the key into a digest; the team of the digest is checked when the session starts and before every try of a statement, and is named on the connections that its work runs on. A key that was taken away is not used when the configuration was not confirmed within the bound for revocations. Owners of connections are tried in one order for each team, and an idle connection of another team makes way. Without teams nothing changes.

Not measured yet.

--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -252,10 +252,13 @@
     """Why a statement or a connection of a pooled session failed.
 
     NOT_FRESH: the replica lacks a log position that the statement needs.
-    UNKNOWN: the statement may have been run.
+    UNKNOWN: the statement may have been run.  OVER_LIMIT: its team sends more
+    than its limit allows.  UNKNOWN_KEY: no team has the caller's key.
     """
 
     BUSY = 'busy'
+    OVER_LIMIT = 'over_limit'
+    UNKNOWN_KEY = 'unknown_key'
     ABORTED = 'aborted'
     NOT_FRESH = 'not_fresh'
     READ_ONLY = 'read_only'
--- a/src/chicoryusher/core/forwarding.py
+++ b/src/chicoryusher/core/forwarding.py
@@ -108,6 +108,7 @@
     transaction: ids.TransactionId | None = None
     begin_kind: enums.TransactionKind | None = None
     min_position: position.Position | None = None
+    team: ids.TeamName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/ids.py
+++ b/src/chicoryusher/core/ids.py
@@ -14,6 +14,7 @@
     'DatabaseName',
     'IdempotencyKey',
     'InstanceName',
+    'KeyDigest',
     'LogPosition',
     'OperatorName',
     'PeerProcessId',
@@ -24,6 +25,7 @@
     'SetDigest',
     'StatementClass',
     'TaskName',
+    'TeamName',
     'Term',
     'TimerId',
     'TransactionId',
@@ -38,6 +40,8 @@
 DatabaseName = NewType('DatabaseName', str)
 IdempotencyKey = NewType('IdempotencyKey', str)
 InstanceName = NewType('InstanceName', str)
+# Digest of a caller's key; the key itself stays in the adapter.
+KeyDigest = NewType('KeyDigest', str)
 LogPosition = NewType('LogPosition', int)
 OperatorName = NewType('OperatorName', str)
 PeerProcessId = NewType('PeerProcessId', bytes)
@@ -49,6 +53,7 @@
 SessionId = NewType('SessionId', str)
 StatementClass = NewType('StatementClass', str)
 TaskName = NewType('TaskName', str)
+TeamName = NewType('TeamName', str)
 Term = NewType('Term', int)
 TimerId = NewType('TimerId', int)
 TransactionId = NewType('TransactionId', str)
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -72,6 +72,11 @@
         LogLevel.WARNING,
         'a caller sent a packet over the size limit',
     )
+    KEY_UNKNOWN = (
+        2009,
+        LogLevel.INFO,
+        "a session was refused because no team has the caller's key",
+    )
     DATABASE_UNKNOWN = (
         2006,
         LogLevel.WARNING,
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -68,11 +68,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartSession(messages.Message):
-    """Start a session of a caller with a database."""
+    """Start a session of a caller with a database.
+
+    ``key`` is the digest of the caller's key, None without one.
+    """
 
     session_id: ids.SessionId
     frontend: ids.TaskName
     database: ids.DatabaseName
+    key: ids.KeyDigest | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +147,8 @@
     ``retryable_timeout`` the timeout of a statement that may be run again at
     another instance.  ``enqueued_at`` is when the work was sent to the
     instance pool.  ``reply_to`` is the task that receives the result.
+    ``team`` is the team of the caller, None without teams; the work runs on
+    a connection of that team.
     """
 
     work_id: ids.WorkId
@@ -159,6 +165,7 @@
     transaction: ids.TransactionId | None = None
     begin_kind: enums.TransactionKind | None = None
     min_position: position.Position | None = None
+    team: ids.TeamName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -234,9 +241,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenLink(messages.Message):
-    """Open a connection to the instance of the link."""
+    """Open a connection to the instance of the link, for a team if any."""
 
     conn_id: ids.ConnId
+    team: ids.TeamName | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/topology.py
+++ b/src/chicoryusher/core/topology.py
@@ -16,6 +16,7 @@
     'PoolRoute',
     'PoolService',
     'RegisteredInstances',
+    'Team',
 ]
 
 
@@ -26,7 +27,8 @@
     ``service`` is the database group that serves them.
     ``max_staleness``, ``statement_timeout`` (the timeout of one statement) and
     ``latency_target`` (the latency target of a whole operation) are seconds.
-    Among waiting work, a lower number of ``priority`` goes first.
+    Among waiting work, a lower number of ``priority`` goes first.  A
+    ``public`` route needs no key of a team.
     """
 
     database: ids.DatabaseName
@@ -36,6 +38,23 @@
     statement_timeout: float
     latency_target: float
     priority: int
+    public: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Team:
+    """Team of callers: the digests of its keys, and its limit.
+
+    All VMs together start at most ``rate`` of its operations a second, and
+    ``burst`` more at once; None is no limit.  Among teams that wait, a lower
+    number of ``priority`` goes first.
+    """
+
+    name: ids.TeamName
+    keys: tuple[ids.KeyDigest, ...]
+    priority: int = 0
+    rate: float | None = None
+    burst: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,13 +76,15 @@
     """One version of the configuration.
 
     ``transaction_idle_timeout`` is the time in seconds after which a
-    transaction without a statement is rolled back.
+    transaction without a statement is rolled back.  Without ``teams`` callers
+    need no key.
     """
 
     version: ids.ConfigVersion
     routes: tuple[PoolRoute, ...]
     services: tuple[PoolService, ...]
     transaction_idle_timeout: float
+    teams: tuple[Team, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/views.py
+++ b/src/chicoryusher/core/views.py
@@ -24,6 +24,7 @@
     'SetStorePolling',
     'VmStopping',
     'PeerSets',
+    'ConfigConfirmed',
     'EntryVmRow',
     'EntryVmRowsRead',
     'ObservedPosition',
@@ -131,6 +132,17 @@
     requested_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigConfirmed(messages.Message):
+    """Report that this VM's configuration was the newest at a time.
+
+    ``confirmed_at`` is on the boot-time clock (``Clock.boottime``): when the
+    request was sent that the store has answered, to this VM or to a peer.
+    """
+
+    confirmed_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreReached(messages.Message):
     """Report whether the store has answered this VM's last poll."""
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -31,6 +31,8 @@
 from chicoryusher.decisions import session_tokens
 from chicoryusher.decisions import staleness
 from chicoryusher.decisions import store_pollers
+from chicoryusher.decisions import team_conns
+from chicoryusher.decisions import team_rights
 from chicoryusher.decisions import vm_listing
 from chicoryusher.decisions import vm_liveness
 from chicoryusher.decisions import work_queue
@@ -75,6 +77,8 @@
 from chicoryusher.decisions.session_tokens import *  # noqa: F403
 from chicoryusher.decisions.staleness import *  # noqa: F403
 from chicoryusher.decisions.store_pollers import *  # noqa: F403
+from chicoryusher.decisions.team_conns import *  # noqa: F403
+from chicoryusher.decisions.team_rights import *  # noqa: F403
 from chicoryusher.decisions.vm_listing import *  # noqa: F403
 from chicoryusher.decisions.vm_liveness import *  # noqa: F403
 from chicoryusher.decisions.work_queue import *  # noqa: F403
@@ -102,6 +106,8 @@
     *leader_digest.__all__,
     *lease_grants.__all__,
     *store_pollers.__all__,
+    *team_conns.__all__,
+    *team_rights.__all__,
     *vm_listing.__all__,
     *vm_liveness.__all__,
     *exchange_graph.__all__,
--- a/src/chicoryusher/decisions/conn_owners.py
+++ b/src/chicoryusher/decisions/conn_owners.py
@@ -18,7 +18,12 @@
 from chicoryusher.decisions import conn_shares
 from chicoryusher.decisions import zones
 
-__all__ = ['conn_owner_count', 'choose_conn_owners', 'sort_conn_owners']
+__all__ = [
+    'conn_owner_count',
+    'choose_conn_owners',
+    'sort_conn_owners',
+    'sort_team_owners',
+]
 
 # Connections that an owner keeps open.  An instance runs 3 to 6 statements
 # at once, so two owners can keep it busy.
@@ -93,5 +98,16 @@
     return tuple(node.vm for node in sorted(owners, key=rank))
 
 
+def sort_team_owners(
+    team: core.TeamName, owners: Iterable[core.VmName]
+) -> tuple[core.VmName, ...]:
+    """Return the connection owners in the order in which a team uses them.
+
+    All VMs use the same order, so that the few connections of a team stand
+    at one VM, where its next statement finds them.
+    """
+    return tuple(sorted(owners, key=lambda vm: _hash(team, vm)))
+
+
 def _hash(first: str, second: str) -> int:
     return xxhash.xxh64_intdigest(f'{first} {second}'.encode())
--- /dev/null
+++ b/src/chicoryusher/decisions/team_rights.py
@@ -0,0 +1,85 @@
+"""Which team a caller belongs to, and until when its key may be used.
+
+A key may have been taken away since the configuration of this VM was last
+confirmed.  So a team's statement is admitted only if the configuration was
+the newest one less than the bound for revocations before.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from chicoryusher import core
+
+__all__ = ['Right', 'TeamRights']
+
+# Share of the bound for revocations for which a confirmation serves: clocks
+# may run at different speeds.
+EVIDENCE_SHARE = 0.95
+
+
+class Right(enum.Enum):
+    """Whether a caller may use a route.
+
+    UNPROVED: its key was valid, but may have been taken away since.
+    """
+
+    GRANTED = 'granted'
+    UNKNOWN_KEY = 'unknown_key'
+    UNPROVED = 'unproved'
+
+
+class TeamRights:
+    """The teams of the configuration in force, by the digests of their keys.
+
+    ``revocation_s`` is the time after which a key that was taken away must
+    not be used, in seconds; None is no bound.  Times are on the boot-time
+    clock, which also counts suspended time.
+    """
+
+    def __init__(self, revocation_s: float | None) -> None:
+        self._revocation_s = revocation_s
+        self._confirmed_at = float('-inf')
+        self._teams: dict[core.TeamName, core.Team] = {}
+        self._names: dict[core.KeyDigest, core.TeamName] = {}
+
+    def apply(self, teams: tuple[core.Team, ...]) -> None:
+        """Replace the teams by those of a newer configuration."""
+        self._teams = {team.name: team for team in teams}
+        self._names = {key: team.name for team in teams for key in team.keys}
+
+    def confirm(self, at: float) -> None:
+        """Record that the configuration was the newest at a time."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    @property
+    def in_force(self) -> bool:
+        """Return whether callers need a key at all."""
+        return bool(self._teams)
+
+    def team(self, name: core.TeamName | None) -> core.Team | None:
+        """Return a team of the configuration in force."""
+        return None if name is None else self._teams.get(name)
+
+    def team_of(self, key: core.KeyDigest | None) -> core.TeamName | None:
+        """Return the team that has a key, None if none has it."""
+        return None if key is None else self._names.get(key)
+
+    def evidence_age_s(self, now: float) -> float:
+        """Return for how long the configuration has not been confirmed."""
+        return now - self._confirmed_at
+
+    def right(
+        self, key: core.KeyDigest | None, public: bool, now: float
+    ) -> Right:
+        """Return whether a caller with this key may use a route now."""
+        if not self.in_force or (public and key is None):
+            return Right.GRANTED
+        if self.team_of(key) is None:
+            return Right.GRANTED if public else Right.UNKNOWN_KEY
+        if self._revocation_s is None:
+            return Right.GRANTED
+        max_age_s = self._revocation_s * EVIDENCE_SHARE
+        if self.evidence_age_s(now) < max_age_s:
+            return Right.GRANTED
+        return Right.UNPROVED
--- a/src/chicoryusher/decisions/work_queue.py
+++ b/src/chicoryusher/decisions/work_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Set
 
 from chicoryusher import core
 
@@ -25,16 +26,26 @@
         """Queue a piece of work."""
         bisect.insort(self._items, work, key=_rank)
 
-    def pop_next(self, now: float) -> core.Work | None:
+    def pop_next(
+        self, now: float, teams: Set[core.TeamName | None] | None = None
+    ) -> core.Work | None:
         """Remove and return the first work that can start in time, or None.
 
+        Only work of these ``teams`` is considered, None for any team.
+
         Work whose start time has passed stays queued until ``remove_expired``.
         """
         for index, work in enumerate(self._items):
-            if work.start_deadline > now:
+            if work.start_deadline <= now:
+                continue
+            if teams is None or work.team in teams:
                 return self._items.pop(index)
         return None
 
+    def teams(self) -> list[core.TeamName | None]:
+        """Return the team of each piece of work, in their order."""
+        return [work.team for work in self._items]
+
     def remove_expired(self, now: float) -> list[core.Work]:
         """Remove and return the work whose latest start time has passed."""
         expired = [work for work in self._items if work.start_deadline <= now]
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -59,10 +59,12 @@
         self,
         dispatcher: runtime.Task,
         group_table: group_table_module.GroupTable,
+        rights: decisions.TeamRights,
         clock: core.Clock,
     ) -> None:
         self._dispatcher = dispatcher
         self._group_table = group_table
+        self._rights = rights
         self._clock = clock
         self._numbers = itertools.count(work_numbers.first_work_number())
         self._log = attempt_log.AttemptLog(dispatcher)
@@ -84,6 +86,7 @@
         message: core.PoolStatement,
         route: core.PoolRoute,
         shape: core.PreparedQuery | None,
+        team: core.TeamName | None,
     ) -> None:
         """Start an attempt to run a statement."""
         attempt = sessions.Attempt(
@@ -93,6 +96,7 @@
             shape,
             self._dispatcher.now(),
             self._clock.boottime(),
+            team=team,
         )
         session.attempt = attempt
         self._dispatch(attempt)
@@ -104,6 +108,8 @@
 
     def _dispatch(self, attempt: sessions.Attempt) -> None:
         """Send the statement to the best instance, or make it wait."""
+        if not self._is_entitled(attempt):
+            return
         transaction = attempt.session.transaction
         if transaction is not None and transaction.instance is not None:
             self._continue_transaction(attempt, transaction.instance)
@@ -131,6 +137,28 @@
             attempt, name, instance_selection.begin_kind_of(transaction), after
         )
 
+    def _is_entitled(self, attempt: sessions.Attempt) -> bool:
+        """Return whether the caller's key may be used; else end or delay.
+
+        A key that has been taken away also ends statements that wait.
+        """
+        right = self._rights.right(
+            attempt.session.key, attempt.route.public, self._clock.boottime()
+        )
+        if right is decisions.Right.GRANTED:
+            return True
+        if right is decisions.Right.UNKNOWN_KEY:
+            why = 'no team has the key'
+            self.refuse(attempt, core.Refusal.UNKNOWN_KEY, why)
+            return False
+        why = 'the configuration may be outdated'
+        transaction = attempt.session.transaction
+        if transaction is not None and transaction.instance is not None:
+            self.refuse(attempt, core.Refusal.ABORTED, why)
+        else:
+            self._wait_or_refuse(attempt, why)
+        return False
+
     def _continue_transaction(
         self, attempt: sessions.Attempt, instance: core.InstanceName
     ) -> None:
@@ -211,10 +239,10 @@
         transaction = attempt.session.transaction
         avoided = attempt.avoided_owners
         if transaction is None:
-            return self._group_table.conn_owner(name, avoided)
+            return self._group_table.conn_owner(name, attempt.team, avoided)
         if transaction.instance is None:
             transaction.conn_owner = self._group_table.conn_owner(
-                name, avoided
+                name, attempt.team, avoided
             )
         return transaction.conn_owner
 
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -7,6 +7,7 @@
 
 from chicoryusher import charts
 from chicoryusher import core
+from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempts as attempts_module
@@ -51,11 +52,12 @@
         self._numbers = itertools.count(work_numbers.first_work_number())
         self._config: core.PoolConfig | None = None
         self._routes: dict[core.DatabaseName, core.PoolRoute] = {}
+        self._rights = decisions.TeamRights(settings.revocation_s)
         self._group_table = group_table_module.GroupTable(
             self, loop, edges, settings
         )
         self._attempts = attempts_module.Attempts(
-            self, self._group_table, loop.clock
+            self, self._group_table, self._rights, loop.clock
         )
         self._sessions: dict[core.SessionId, sessions.PoolSession] = {}
         self._drain_stage: core.DrainStage | None = None
@@ -79,11 +81,31 @@
         self._routes = {
             route.database: route for route in message.config.routes
         }
+        self._rights.apply(message.config.teams)
         self._group_table.apply_config(message.config)
+        self._end_unentitled()
         waiting_starts, self._waiting_starts = self._waiting_starts, []
         for start in waiting_starts:
             self._on_start(start)
 
+    def _end_unentitled(self) -> None:
+        """End the sessions whose key has been taken away.
+
+        A statement that runs is answered; the next one is refused.
+        """
+        for session in tuple(self._sessions.values()):
+            route = self._routes.get(session.database)
+            public = route is not None and route.public
+            right = self._rights.right(session.key, public, 0.0)
+            if right is not decisions.Right.UNKNOWN_KEY:
+                continue
+            self._chart.fire(session, 'lost')
+            self._close_if_idle(session)
+
+    @runtime.handles(core.ConfigConfirmed)
+    def _on_config_confirmed(self, message: core.ConfigConfirmed) -> None:
+        self._rights.confirm(message.confirmed_at)
+
     @runtime.handles(core.PrimaryLeaseUpdate)
     def _on_lease_update(self, message: core.PrimaryLeaseUpdate) -> None:
         self._attempts.lease_expires_at = message.expires_at
@@ -112,24 +134,48 @@
         if self._config is None:
             self._waiting_starts.append(message)
             return
-        refusal = None
-        if message.database not in self._routes:
-            refusal = core.Refusal.NO_DATABASE
+        refusal = self._start_refusal(message)
+        if refusal is core.Refusal.NO_DATABASE:
             self.log.emit(
                 core.LogEvent.DATABASE_UNKNOWN,
                 session=message.session_id,
                 database=message.database,
                 config=self._config.version,
             )
+        elif refusal is core.Refusal.UNKNOWN_KEY:
+            self.log.emit(
+                core.LogEvent.KEY_UNKNOWN,
+                session=message.session_id,
+                database=message.database,
+                config=self._config.version,
+            )
         else:
             self._sessions[message.session_id] = sessions.PoolSession(
-                self, message.session_id, message.frontend, message.database
+                self,
+                message.session_id,
+                message.frontend,
+                message.database,
+                message.key,
             )
         self.send(
             message.frontend,
             core.SessionStarted(message.session_id, refusal),
         )
 
+    def _start_refusal(
+        self, message: core.StartSession
+    ) -> core.Refusal | None:
+        """Return why a session cannot start, None if it can."""
+        route = self._routes.get(message.database)
+        if route is None:
+            return core.Refusal.NO_DATABASE
+        right = self._rights.right(
+            message.key, route.public, self._clock.boottime()
+        )
+        if right is decisions.Right.UNKNOWN_KEY:
+            return core.Refusal.UNKNOWN_KEY
+        return None
+
     @runtime.handles(core.CallerDisconnected)
     def _on_left(self, message: core.CallerDisconnected) -> None:
         session = self._sessions.get(message.session_id)
@@ -230,7 +276,15 @@
         if route is None:
             self._refuse_at_once(session, message, core.Refusal.NO_DATABASE)
             return
-        self._attempts.start(session, message, route, shape)
+        team = self._rights.team_of(session.key)
+        transaction = session.transaction
+        if transaction is not None and transaction.instance is not None:
+            if transaction.team != team and self._rights.in_force:
+                self._refuse_at_once(session, message, core.Refusal.ABORTED)
+                return
+        elif transaction is not None:
+            transaction.team = team
+        self._attempts.start(session, message, route, shape, team)
 
     def _route_of(
         self, session: sessions.PoolSession
@@ -380,8 +434,13 @@
 
         The front end keeps it open while a statement waits for its answer.
         """
-        is_idle = session.state is core.PoolSessionState.IDLE
-        if is_idle or self._drain_stage is core.DrainStage.ANSWERING:
+        if self._drain_stage is core.DrainStage.ANSWERING:
+            self.send(session.frontend, core.CloseSession(session.session_id))
+            return
+        self._close_if_idle(session)
+
+    def _close_if_idle(self, session: sessions.PoolSession) -> None:
+        if session.state is core.PoolSessionState.IDLE:
             self.send(session.frontend, core.CloseSession(session.session_id))
 
     def _drain_refusal(
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -113,6 +113,7 @@
             work.transaction,
             work.begin_kind,
             work.min_position,
+            work.team,
         )
 
     def _send_to_peer(self, vm: core.VmName, message: core.Message) -> None:
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -31,10 +31,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DispatcherSettings:
-    """The availability zone of this VM, and the region of each zone."""
+    """The availability zone of this VM, and the region of each zone.
+
+    ``revocation_s`` is how many seconds after its removal a team's key may
+    still be used, None for no bound.
+    """
 
     zone: core.ZoneName
     regions: dict[core.ZoneName, core.RegionName]
+    revocation_s: float | None = None
 
 
 class GroupTable:
@@ -76,13 +81,18 @@
         return self._pools[name].task_name
 
     def conn_owner(
-        self, name: core.InstanceName, avoided: Set[core.VmName] = frozenset()
+        self,
+        name: core.InstanceName,
+        team: core.TeamName | None,
+        avoided: Set[core.VmName] = frozenset(),
     ) -> core.VmName | None:
         """Return the VM to forward an instance's work to, None for this VM.
 
         VMs in ``avoided`` are passed over unless there are no others.
         """
         owners = self._owners.get(name, ())
+        if team is not None:
+            owners = decisions.sort_team_owners(team, owners)
         candidates = [vm for vm in owners if vm not in avoided] or owners
         owner = candidates[0] if candidates else self._dispatcher.vm
         return None if owner == self._dispatcher.vm else owner
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -76,6 +76,16 @@
         """Return how many connections are open or being opened."""
         return len(self._conns)
 
+    @property
+    def _kept_open(self) -> int:
+        """Connections that stay open while they are idle.
+
+        Those of teams all do: the next statement of a team finds none but
+        its own.
+        """
+        teams = self._conns.has_teams
+        return self._share.max_open if teams else self._share.kept_open
+
     @runtime.handles(SetConnectionShare)
     def _on_share(self, message: SetConnectionShare) -> None:
         self._share = message.share
@@ -107,9 +117,13 @@
         """Start queued work on the idle connections that need least setup."""
         now = self.now()
         idle = self._conns.idle()
-        while idle and (work := self._queue.pop_next(now)) is not None:
+        while idle:
+            teams = {conn.team for conn in idle}
+            work = self._queue.pop_next(now, teams)
+            if work is None:
+                break
             conn = min(
-                idle,
+                (conn for conn in idle if conn.team == work.team),
                 key=lambda idle_conn: decisions.setup_cost(
                     idle_conn.session_state, work
                 ),
@@ -123,18 +137,35 @@
         """Open a connection for each queued work, up to this VM's limit."""
         if now < self._connect_paused_until:
             return
-        connecting = self._conns.connecting_count
-        wanted = min(
-            len(self._queue) - connecting,
-            MAX_CONNECTING_CONNS - connecting,
-            self._share.max_open - len(self._conns),
+        connecting = self._conns.connecting_teams()
+        wanted = decisions.conns_to_open(
+            self._queue.teams(),
+            connecting,
+            MAX_CONNECTING_CONNS - len(connecting),
         )
-        for _ in range(wanted):
-            self._open_connection(now)
+        for team in wanted:
+            if len(self._conns) >= self._share.max_open:
+                if not self._make_way_for(team):
+                    return
+            self._open_connection(now, team)
 
-    def _open_connection(self, now: float) -> None:
-        conn = self._conns.add(now)
-        self.send(self._link, core.OpenLink(conn.conn_id))
+    def _make_way_for(self, team: core.TeamName | None) -> bool:
+        """Close the connection of another team that was idle longest.
+
+        Return whether there was one.
+        """
+        others = [conn for conn in self._conns.idle() if conn.team != team]
+        if not others:
+            return False
+        conn = min(others, key=lambda conn: conn.idle_since)
+        self._close(conn, _Ended.CONNECTION_LOST)
+        return True
+
+    def _open_connection(
+        self, now: float, team: core.TeamName | None = None
+    ) -> None:
+        conn = self._conns.add(now, team)
+        self.send(self._link, core.OpenLink(conn.conn_id, team))
         opened = core.Metric.CONNECTIONS_OPENED
         self.meters.add(opened, instance=self.entry.name)
         self._show_connections()
@@ -432,7 +463,7 @@
 
     def _schedule_sweep(self) -> None:
         has_work = len(self._queue) or self._conns.awaiting_reply()
-        has_surplus = len(self._conns) > self._share.kept_open
+        has_surplus = len(self._conns) > self._kept_open
         if (has_work or has_surplus) and not self._sweep_scheduled:
             self._sweep_scheduled = True
             self.after(SWEEP_INTERVAL_S, _Sweep())
@@ -487,7 +518,7 @@
         self._open_connection(now)
 
     def _close_surplus(self, now: float) -> None:
-        surplus = len(self._conns) - self._share.kept_open
+        surplus = len(self._conns) - self._kept_open
         for conn in self._conns.idle():
             if surplus <= 0:
                 return
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -122,4 +122,5 @@
         None if transaction is None else transaction.transaction_id,
         begin_kind,
         min_position,
+        attempt.team,
     )
--- a/src/chicoryusher/tasks/pool/pool_conns.py
+++ b/src/chicoryusher/tasks/pool/pool_conns.py
@@ -21,11 +21,18 @@
     the connection must be closed and not used.  ``sent_at`` is when the
     last commands were sent, on the runtime's clock, and ``sent_at_boottime``
     when the work was sent, on the clock that also counts suspended time.
+    ``team`` is the team that the connection belongs to for its life.
     """
 
-    def __init__(self, conn_id: core.ConnId, now: float) -> None:
+    def __init__(
+        self,
+        conn_id: core.ConnId,
+        now: float,
+        team: core.TeamName | None = None,
+    ) -> None:
         self.state = core.ConnState.CONNECTING
         self.conn_id = conn_id
+        self.team = team
         self.session_state = decisions.ConnSessionState()
         self.pending_ops: collections.deque[core.Op] = collections.deque()
         self.work: core.Work | None = None
@@ -56,9 +63,20 @@
         """Return the number of connections that are being opened."""
         return len(self._in_state(core.ConnState.CONNECTING))
 
+    def connecting_teams(self) -> list[core.TeamName | None]:
+        """Return the team of each connection that is being opened."""
+        return [
+            conn.team for conn in self._in_state(core.ConnState.CONNECTING)
+        ]
+
     def _in_state(self, state: core.ConnState) -> list[PoolConn]:
         return [conn for conn in self._conns.values() if conn.state is state]
 
+    @property
+    def has_teams(self) -> bool:
+        """Return whether a connection belongs to a team."""
+        return any(conn.team is not None for conn in self._conns.values())
+
     def all(self) -> list[PoolConn]:
         """Return every connection."""
         return list(self._conns.values())
@@ -79,9 +97,9 @@
         """Return the connection that is pinned to a transaction, if any."""
         return self._pinned.get(transaction)
 
-    def add(self, now: float) -> PoolConn:
-        """Create a connection, which the caller must open."""
-        conn = PoolConn(core.ConnId(next(self._numbers)), now)
+    def add(self, now: float, team: core.TeamName | None = None) -> PoolConn:
+        """Create a connection for a team, which the caller must open."""
+        conn = PoolConn(core.ConnId(next(self._numbers)), now, team)
         self._conns[conn.conn_id] = conn
         return conn
 
--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -130,7 +130,14 @@
 
     @runtime.handles(core.StorePolled)
     def _on_store_seen(self, message: core.StorePolled) -> None:
-        self._instances_read_at = message.requested_at
+        if message.view is core.StoreView.INSTANCES:
+            self._instances_read_at = message.requested_at
+            return
+        # On this way it arrives after the configuration that it confirms.
+        self.send(
+            names.dispatcher(self.vm),
+            core.ConfigConfirmed(message.requested_at),
+        )
 
     @runtime.handles(core.LeaderRowsRead)
     def _on_leaders(self, message: core.LeaderRowsRead) -> None:
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -143,6 +143,7 @@
             transaction,
             message.begin_kind,
             message.min_position,
+            message.team,
         )
 
     @runtime.handles(core.WorkEnded)
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -22,7 +22,8 @@
 
     ``began_at_boottime`` is when its BEGIN arrived, on the clock that also
     counts suspended time (``Clock.boottime``). ``conn_owner`` is the VM that
-    owns its connection, None for this VM.
+    owns its connection, None for this VM. ``team`` is the caller's team when
+    its first statement was sent.
     """
 
     transaction_id: core.TransactionId
@@ -32,6 +33,7 @@
     conn_owner: core.VmName | None = None
     wrote: bool = False
     route: core.PoolRoute | None = None
+    team: core.TeamName | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +53,8 @@
     ``owner_changes`` counts how often another one was tried.
     ``lacked_connection`` is set while a pool had no connection for it since
     the last pause. ``was_sent`` is whether one of its tries may have
-    reached an instance, None before the first try has ended.
+    reached an instance, None before the first try has ended. ``team`` is the
+    caller's team, None without teams.
     """
 
     session: PoolSession
@@ -74,6 +77,7 @@
     was_sent: bool | None = None
     result_untrusted: bool = False
     wait_reason: str = ''
+    team: core.TeamName | None = None
 
     @property
     def writes(self) -> bool:
@@ -135,12 +139,14 @@
         session_id: core.SessionId,
         frontend: core.TaskName,
         database: core.DatabaseName,
+        key: core.KeyDigest | None = None,
     ) -> None:
         self.state = core.PoolSessionState.IDLE
         self.owner = host
         self.session_id = session_id
         self.frontend = frontend
         self.database = database
+        self.key = key
         self.values: dict[str, str] = {}
         self.prepared: dict[str, core.PreparedQuery] = {}
         self.transaction: Transaction | None = None
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -234,7 +234,7 @@
             is_newer = valid_from - self._passed_on >= MIN_PASS_ON_S
             if is_newer and (from_store or not meshed):
                 self._pass_on()
-        elif kind is core.StoreView.INSTANCES:
+        elif kind in (core.StoreView.INSTANCES, core.StoreView.CONFIG):
             self.send(
                 names.primary_manager(self.vm),
                 core.StorePolled(kind, valid_from),
--- a/src/chicoryusher_standins/pool/__init__.py
+++ b/src/chicoryusher_standins/pool/__init__.py
@@ -6,6 +6,7 @@
 from chicoryusher_standins.pool.group import Group
 from chicoryusher_standins.pool.group import Instance
 from chicoryusher_standins.pool.site import CONFIG
+from chicoryusher_standins.pool.site import REVOCATION_S
 from chicoryusher_standins.pool.site import SERVICE
 from chicoryusher_standins.pool.site import Site
 from chicoryusher_standins.pool.site import Vm
@@ -14,6 +15,7 @@
 
 __all__ = [
     'CONFIG',
+    'REVOCATION_S',
     'SERVICE',
     'Caller',
     'Group',
--- a/src/chicoryusher_standins/pool/callers.py
+++ b/src/chicoryusher_standins/pool/callers.py
@@ -21,6 +21,7 @@
         vm: core.VmName,
         desk: core.TaskName,
         database: str,
+        key: core.KeyDigest | None = None,
     ) -> None:
         self.session_id = core.SessionId(f's{next(_ID_NUMBERS)}')
         super().__init__(loop, vm, f'caller/{self.session_id}')
@@ -34,6 +35,7 @@
                 self.session_id,
                 self.task_name,
                 core.DatabaseName(database),
+                key,
             ),
         )
 
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -22,7 +22,7 @@
 from chicoryusher_standins.pool import links
 from chicoryusher_standins.pool import store as store_module
 
-__all__ = ['CONFIG', 'SERVICE', 'Site', 'Vm']
+__all__ = ['CONFIG', 'REVOCATION_S', 'SERVICE', 'Site', 'Vm']
 
 SERVICE = core.ServiceName('spoonbook')
 ZONES = ('akhmim-yard', 'qena-mill', 'alex-depot')
@@ -32,6 +32,8 @@
     core.ZoneName('alex-depot'): core.RegionName('delta'),
 }
 PEER_DELAY_S = 0.003
+# Seconds for which a team's key may still be used after its removal.
+REVOCATION_S = 5.0
 CONFIG = core.PoolConfig(
     core.ConfigVersion(1),
     tuple(
@@ -119,7 +121,9 @@
             site.loop,
             vm,
             self,
-            dispatcher_module.DispatcherSettings(core.ZoneName(zone), REGIONS),
+            dispatcher_module.DispatcherSettings(
+                core.ZoneName(zone), REGIONS, REVOCATION_S
+            ),
         )
         groups = (site.group,)
         links.SimProber(site.loop, vm, groups, site.cut)
@@ -150,10 +154,16 @@
         task = self.keeper.handovers.get(SERVICE)
         return core.HandoverState.IDLE if task is None else task.state
 
-    def caller(self, access: core.ReadAccess) -> callers.Caller:
+    def caller(
+        self, access: core.ReadAccess, key: core.KeyDigest | None = None
+    ) -> callers.Caller:
         """Open a session on the route with this kind of access."""
         return callers.Caller(
-            self._site.loop, self.vm, names.dispatcher(self.vm), access.value
+            self._site.loop,
+            self.vm,
+            names.dispatcher(self.vm),
+            access.value,
+            key,
         )
 
 
