--- a/src/chicoryusher/decisions/conn_owners.py
+++ b/src/chicoryusher/decisions/conn_owners.py
@@ -43,16 +43,18 @@
 )
 
 
-def conn_owner_count(cap: int, vms: int) -> int:
+def conn_owner_count(cap: int, vms: int, teams: bool = False) -> int:
     """Return how many VMs own connections to an instance.
 
     ``cap`` is the most connections that the instance accepts, ``vms`` the
     number of VMs.  All VMs are owners if each can keep a connection open
     and bursts stay within the overcommit ratio; otherwise only a few are.
+    With ``teams`` there are always few: a connection serves one team only,
+    so a team's statements must meet at few VMs near the instance.
     """
     kept_open = int(cap * conn_shares.KEPT_OPEN_RATIO)
     burst = vms * (kept_open // max(1, vms) + conn_shares.MAX_BURST_CONNS)
-    if kept_open >= vms and burst <= cap * MAX_OVERCOMMIT_RATIO:
+    if not teams and kept_open >= vms and burst <= cap * MAX_OVERCOMMIT_RATIO:
         return vms
     return min(vms, max(MIN_OWNERS, kept_open // KEPT_CONNS_PER_OWNER))
 
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -210,7 +210,9 @@
         """Return this VM's share of the connections to an instance."""
         region_of = self._settings.regions.get
         count = decisions.conn_owner_count(
-            max_connections, len(self._live_vms)
+            max_connections,
+            len(self._live_vms),
+            self._config is not None and bool(self._config.teams),
         )
         owners = decisions.choose_conn_owners(
             entry, self._live_vms, count, region_of
--- a/tests/decisions/test_conn_owners.py
+++ b/tests/decisions/test_conn_owners.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import pytest
 
 from chicoryusher import core
@@ -98,3 +100,21 @@
     )
     assert order(own, (far, near), ZONES.get) == (near.vm, far.vm)
     assert order(own, (), ZONES.get) == ()
+
+
+def test_teams_meet_at_few_owners_though_all_vms_could_own_connections():
+    """Load: more teams than the connections that each VM may keep."""
+    assert decisions.conn_owner_count(70, 23) == 23
+    assert decisions.conn_owner_count(70, 23, teams=True) == 8
+
+
+def test_all_vms_try_the_owners_of_a_team_in_one_order():
+    owners = tuple(core.VmName(f'vm{number}') for number in range(8))
+    teams = [core.TeamName(f'team{number}') for number in range(74)]
+    orders = {
+        team: decisions.sort_team_owners(team, owners) for team in teams
+    }
+    for team, order in orders.items():
+        assert decisions.sort_team_owners(team, reversed(owners)) == order
+    firsts = collections.Counter(order[0] for order in orders.values())
+    assert max(firsts.values()) <= 3 * len(teams) / len(owners)
