--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -76,16 +76,6 @@
         """Return how many connections are open or being opened."""
         return len(self._conns)
 
-    @property
-    def _kept_open(self) -> int:
-        """Connections that stay open while they are idle.
-
-        Those of teams all do: the next statement of a team finds none but
-        its own.
-        """
-        teams = self._conns.has_teams
-        return self._share.max_open if teams else self._share.kept_open
-
     @runtime.handles(SetConnectionShare)
     def _on_share(self, message: SetConnectionShare) -> None:
         self._share = message.share
@@ -463,7 +453,7 @@
 
     def _schedule_sweep(self) -> None:
         has_work = len(self._queue) or self._conns.awaiting_reply()
-        has_surplus = len(self._conns) > self._kept_open
+        has_surplus = len(self._conns) > self._share.kept_open
         if (has_work or has_surplus) and not self._sweep_scheduled:
             self._sweep_scheduled = True
             self.after(SWEEP_INTERVAL_S, _Sweep())
@@ -518,7 +508,7 @@
         self._open_connection(now)
 
     def _close_surplus(self, now: float) -> None:
-        surplus = len(self._conns) - self._kept_open
+        surplus = len(self._conns) - self._share.kept_open
         for conn in self._conns.idle():
             if surplus <= 0:
                 return
--- a/src/chicoryusher/tasks/pool/pool_conns.py
+++ b/src/chicoryusher/tasks/pool/pool_conns.py
@@ -72,11 +72,6 @@
     def _in_state(self, state: core.ConnState) -> list[PoolConn]:
         return [conn for conn in self._conns.values() if conn.state is state]
 
-    @property
-    def has_teams(self) -> bool:
-        """Return whether a connection belongs to a team."""
-        return any(conn.team is not None for conn in self._conns.values())
-
     def all(self) -> list[PoolConn]:
         """Return every connection."""
         return list(self._conns.values())
