Add the decisions of limits that all VMs share

Cause: a team's rate and burst are read from the configuration, and nothing keeps them.

Change: messages between VMs (numbers 26 to 29), which VM keeps a team's limit and with which share, how its bucket grants operations, when a VM may follow another keeper, and how operations wait at a VM. The chart limit_follower has the states of a VM towards its keepers.

Measured: not measured; nothing uses them yet.

--- a/src/chicoryusher/core/__init__.py
+++ b/src/chicoryusher/core/__init__.py
@@ -9,6 +9,7 @@
 from chicoryusher.core import forwarding
 from chicoryusher.core import ids
 from chicoryusher.core import json_documents
+from chicoryusher.core import limits
 from chicoryusher.core import log_events
 from chicoryusher.core import messages
 from chicoryusher.core import metrics
@@ -27,6 +28,7 @@
 from chicoryusher.core.forwarding import *  # noqa: F403
 from chicoryusher.core.ids import *  # noqa: F403
 from chicoryusher.core.json_documents import *  # noqa: F403
+from chicoryusher.core.limits import *  # noqa: F403
 from chicoryusher.core.log_events import *  # noqa: F403
 from chicoryusher.core.messages import *  # noqa: F403
 from chicoryusher.core.metrics import *  # noqa: F403
@@ -49,6 +51,7 @@
     + forwarding.__all__
     + ids.__all__
     + json_documents.__all__
+    + limits.__all__
     + messages.__all__
     + metrics.__all__
     + peers.__all__
--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -9,6 +9,7 @@
 import enum
 
 __all__ = [
+    'AllowanceOutcome',
     'ReadAccess',
     'TransactionKind',
     'TransactionStatus',
@@ -22,6 +23,7 @@
     'GateState',
     'HandoverState',
     'LeaderRowState',
+    'LimitFollowerState',
     'GroupMonitorState',
     'LinkCloseReason',
     'MoveReason',
@@ -352,6 +354,30 @@
     SETTLED = 'settled'
 
 
+class AllowanceOutcome(enum.Enum):
+    """Whether an operation of a team with a limit may start.
+
+    OVER_LIMIT: not within the time for which it can wait.  UNANSWERED: no
+    keeper of the limit could tell within that time.
+    """
+
+    GRANTED = 'granted'
+    OVER_LIMIT = 'over_limit'
+    UNANSWERED = 'unanswered'
+
+
+class LimitFollowerState(enum.Enum):
+    """State of a VM towards the keepers of a slot (chart ``limit_follower``).
+
+    LEAVING: a keeper may still count it.  FREE: none counts it.  FOLLOWING:
+    one keeper may count it.
+    """
+
+    LEAVING = 'leaving'
+    FREE = 'free'
+    FOLLOWING = 'following'
+
+
 class EntryVmStatus(enum.Enum):
     """Status of an entry VM, as its row in the store records it.
 
--- a/src/chicoryusher/core/ids.py
+++ b/src/chicoryusher/core/ids.py
@@ -8,6 +8,7 @@
 from typing import NewType
 
 __all__ = [
+    'AllowanceId',
     'CallerName',
     'ConfigVersion',
     'ConnId',
@@ -15,6 +16,7 @@
     'IdempotencyKey',
     'InstanceName',
     'KeyDigest',
+    'LimitSlot',
     'LogPosition',
     'OperatorName',
     'PeerProcessId',
@@ -34,6 +36,8 @@
     'ZoneName',
 ]
 
+# Identifies a request for an allowance within one process.
+AllowanceId = NewType('AllowanceId', int)
 CallerName = NewType('CallerName', str)
 ConfigVersion = NewType('ConfigVersion', int)
 ConnId = NewType('ConnId', int)
@@ -42,6 +46,8 @@
 InstanceName = NewType('InstanceName', str)
 # Digest of a caller's key; the key itself stays in the adapter.
 KeyDigest = NewType('KeyDigest', str)
+# Part of the teams whose limits one keeper holds.
+LimitSlot = NewType('LimitSlot', int)
 LogPosition = NewType('LogPosition', int)
 OperatorName = NewType('OperatorName', str)
 PeerProcessId = NewType('PeerProcessId', bytes)
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -145,6 +145,11 @@
         LogLevel.INFO,
         "another VM's statement was sent to the pool of an instance",
     )
+    OPERATION_OVER_LIMIT = (
+        3014,
+        LogLevel.INFO,
+        "an operation got no part of its team's limit in time",
+    )
     PRIMARY_UNRESPONSIVE = (
         4001,
         LogLevel.WARNING,
@@ -268,6 +273,11 @@
     )
     PEER_REFUSED = (6004, LogLevel.WARNING, 'a peer failed to authenticate')
     VM_STATE = (6005, LogLevel.INFO, 'the state of another VM has changed')
+    LIMIT_KEEPER_CHOSEN = (
+        6006,
+        LogLevel.INFO,
+        "this VM follows another keeper of teams' limits",
+    )
     ADMIN_CALL = (7001, LogLevel.INFO, 'an operator sent an admin request')
     ADMIN_REFUSED = (7002, LogLevel.WARNING, 'an admin request was refused')
 
--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -83,6 +83,18 @@
         ('instance',),
         'connections to an instance that were begun',
     )
+    ALLOWANCE = (
+        MetricKind.HISTOGRAM,
+        's',
+        ('outcome',),
+        "wait of an operation for its part of its team's limit",
+    )
+    LIMIT_FOLLOWERS = (
+        MetricKind.GAUGE,
+        '1',
+        ('slot',),
+        "VMs whose share of the teams' limits this VM keeps",
+    )
     SESSIONS = (MetricKind.GAUGE, '1', (), 'open sessions of callers')
     AUTHORITY_LEFT = (
         MetricKind.GAUGE,
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -22,6 +22,10 @@
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
 from chicoryusher.decisions import lease_grants
+from chicoryusher.decisions import limit_allowances
+from chicoryusher.decisions import limit_buckets
+from chicoryusher.decisions import limit_following
+from chicoryusher.decisions import limit_shares
 from chicoryusher.decisions import membership
 from chicoryusher.decisions import primary_lease
 from chicoryusher.decisions import primary_positions
@@ -57,6 +61,10 @@
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
 from chicoryusher.decisions.lease_grants import *  # noqa: F403
+from chicoryusher.decisions.limit_allowances import *  # noqa: F403
+from chicoryusher.decisions.limit_buckets import *  # noqa: F403
+from chicoryusher.decisions.limit_following import *  # noqa: F403
+from chicoryusher.decisions.limit_shares import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
 from chicoryusher.decisions.primary_lease import *  # noqa: F403
 from chicoryusher.decisions.primary_positions import *  # noqa: F403
@@ -105,6 +113,10 @@
     *leader_claim.__all__,
     *leader_digest.__all__,
     *lease_grants.__all__,
+    *limit_allowances.__all__,
+    *limit_buckets.__all__,
+    *limit_following.__all__,
+    *limit_shares.__all__,
     *store_pollers.__all__,
     *team_conns.__all__,
     *team_rights.__all__,
--- /dev/null
+++ b/src/chicoryusher/decisions/limit_allowances.py
@@ -0,0 +1,186 @@
+"""The operations of one team that wait at a VM, and those it may start.
+
+A VM asks the keeper for what waits, and for a little more if its demand
+would use that soon.  While the keeper has given the VM a turn, operations
+that can't wait for it are refused at once.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+
+from chicoryusher import core
+
+__all__ = ['AllowanceQuestion', 'TeamAllowances']
+
+# Seconds without an answer after which a question is asked again.
+ANSWER_TIMEOUT_S = 0.4
+# Seconds until the next question if the keeper can't tell when to ask.
+RETRY_S = 0.1
+# Seconds over which the demand is averaged, and seconds of it that a VM asks
+# for in advance.
+DEMAND_PERIOD_S = 1.0
+PREFETCH_S = 0.25
+# Share of the validity within which what was asked for in advance is used.
+PREFETCH_VALIDITY_SHARE = 0.5
+_NEVER = math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AllowanceQuestion:
+    """What to ask the keeper for."""
+
+    sequence: int
+    wanted: int
+    max_wait_s: float
+
+
+class TeamAllowances:
+    """One team's waiting operations and allowances at one VM.
+
+    Times are those of the boot-time clock, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self._validity_s = 0.0
+        self._waiting: dict[core.AllowanceId, float] = {}
+        self._held: collections.deque[list[float]] = collections.deque()
+        self._sequence = 0
+        self._asked_at: float | None = None
+        self._asked_count = 0
+        self._next_at = -_NEVER
+        self._knows_turn = False
+        self._is_short = False
+        self._demand = 0.0
+        self._demand_at = 0.0
+
+    def set_validity(self, seconds: float) -> None:
+        """Set for how long allowances are valid, when the limit changes.
+
+        What the keeper said about the next turn no longer holds.
+        """
+        self._validity_s = seconds
+        self._next_at = -_NEVER
+        self._knows_turn = False
+
+    # -- operations -----------------------------------------------------
+
+    def add(
+        self, allowance_id: core.AllowanceId, deadline: float, now: float
+    ) -> None:
+        """Add an operation that can wait until a deadline."""
+        self._waiting[allowance_id] = deadline
+        self._demand = self._demand_now(now) + 1.0 / DEMAND_PERIOD_S
+        self._demand_at = now
+
+    def cancel(self, allowance_id: core.AllowanceId) -> None:
+        """Remove an operation that no longer waits."""
+        self._waiting.pop(allowance_id, None)
+
+    def settle(self, now: float) -> list[core.AllowanceDecided]:
+        """Remove and return the operations that are decided.
+
+        They are in the order of their arrival.
+        """
+        self._drop_expired(now)
+        refusal = core.AllowanceOutcome.UNANSWERED
+        earliest = now
+        if self._knows_turn:
+            refusal = core.AllowanceOutcome.OVER_LIMIT
+            # An answer under way may still bring an allowance.
+            if self._asked_at is None:
+                earliest = max(now, self._next_at)
+        decided: list[core.AllowanceDecided] = []
+        for allowance_id, deadline in tuple(self._waiting.items()):
+            if self._held:
+                outcome = core.AllowanceOutcome.GRANTED
+                decision = core.AllowanceDecided(
+                    allowance_id, outcome, self._use_held()
+                )
+            elif deadline <= now or deadline < earliest:
+                decision = core.AllowanceDecided(allowance_id, refusal)
+            else:
+                continue
+            del self._waiting[allowance_id]
+            decided.append(decision)
+        return decided
+
+    def _use_held(self) -> float:
+        batch = self._held[0]
+        batch[1] -= 1
+        if batch[1] <= 0:
+            self._held.popleft()
+        return batch[0]
+
+    def _drop_expired(self, now: float) -> None:
+        while self._held and self._held[0][0] <= now:
+            self._held.popleft()
+
+    def _demand_now(self, now: float) -> float:
+        """Return the operations a second of the last time."""
+        elapsed = max(0.0, now - self._demand_at)
+        return self._demand * math.exp(-elapsed / DEMAND_PERIOD_S)
+
+    # -- the keeper -----------------------------------------------------
+
+    def question(self, now: float) -> AllowanceQuestion | None:
+        """Return what to ask the keeper for now, None for nothing."""
+        if self._asked_at is not None:
+            if now < self._asked_at + ANSWER_TIMEOUT_S:
+                return None
+            self._asked_at = None
+        prefetch = self._prefetch(now)
+        held = sum(int(count) for _, count in self._held)
+        is_low = bool(prefetch) and 2 * held < prefetch
+        if not self._waiting and not is_low:
+            return None
+        if now < self._next_at:
+            return None
+        self._sequence += 1
+        self._asked_at = now
+        self._asked_count = len(self._waiting) + max(0, prefetch - held)
+        latest = max(self._waiting.values(), default=now)
+        return AllowanceQuestion(
+            self._sequence, self._asked_count, max(0.0, latest - now)
+        )
+
+    def _prefetch(self, now: float) -> int:
+        if self._is_short:
+            return 0
+        seconds = min(PREFETCH_S, PREFETCH_VALIDITY_SHARE * self._validity_s)
+        return int(self._demand_now(now) * seconds)
+
+    def record_grant(self, grant: core.GrantAllowance, now: float) -> None:
+        """Record the keeper's answer; one to an older question is ignored.
+
+        Allowances are valid from when they were asked for.
+        """
+        if grant.sequence != self._sequence or self._asked_at is None:
+            return
+        asked_at, self._asked_at = self._asked_at, None
+        expires_at = asked_at + self._validity_s
+        if grant.granted > 0 and expires_at > now:
+            self._held.append([expires_at, grant.granted])
+        self._is_short = grant.granted < self._asked_count
+        self._knows_turn = grant.next_s is not None
+        if not self._is_short:
+            self._next_at = now
+            return
+        wait_s = RETRY_S if grant.next_s is None else grant.next_s
+        self._next_at = now + wait_s
+
+    def wake_at(self, now: float) -> float:
+        """Return when to settle and ask again, infinite if never."""
+        if not self._waiting:
+            return _NEVER
+        times = [min(self._waiting.values())]
+        if self._asked_at is not None:
+            times.append(self._asked_at + ANSWER_TIMEOUT_S)
+        elif self._next_at > now:
+            times.append(self._next_at)
+        else:
+            # There is no keeper to ask.
+            times.append(now + RETRY_S)
+        return min(times)
--- /dev/null
+++ b/src/chicoryusher/decisions/limit_shares.py
@@ -0,0 +1,158 @@
+"""Which VM keeps a team's limit, and which share of it that VM may use.
+
+Teams are divided into slots.  In each slot every VM follows one keeper at a
+time, and each keeper uses the share of the limits that its followers are of
+all VMs.  A follower is counted for a time after a stamp of the keeper that
+it has returned; it follows another keeper only after that time, on its own
+boot-time clock from the receipt of the stamp, so that no VM is counted
+twice whatever is late, lost, frozen or restarted.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+from collections.abc import Iterable
+
+import xxhash
+
+from chicoryusher import core
+
+__all__ = [
+    'LIMIT_SLOTS',
+    'FollowTiming',
+    'FollowerCount',
+    'follow_timing',
+    'limit_slot',
+    'sort_limit_keepers',
+]
+
+LIMIT_SLOTS = tuple(core.LimitSlot(number) for number in range(4))
+# Seconds between two messages of a follower to its keeper, and the VMs a
+# second that one keeper answers at most.
+MIN_FOLLOW_INTERVAL_S = 0.5
+FOLLOWERS_PER_S = 200
+# Intervals without an answer after which a keeper counts as silent, and for
+# which it counts a follower.
+SILENT_INTERVALS = 1.6
+COUNTED_INTERVALS = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowTiming:
+    """Seconds between messages, until silence, and for which one counts."""
+
+    interval_s: float
+    silent_s: float
+    counted_s: float
+
+
+def follow_timing(vm_count: int) -> FollowTiming:
+    """Return how often followers ask their keeper among ``vm_count`` VMs."""
+    interval_s = max(MIN_FOLLOW_INTERVAL_S, vm_count / FOLLOWERS_PER_S)
+    return FollowTiming(
+        interval_s,
+        interval_s * SILENT_INTERVALS,
+        interval_s * COUNTED_INTERVALS,
+    )
+
+
+def limit_slot(team: core.TeamName) -> core.LimitSlot:
+    """Return the slot of a team."""
+    digest = xxhash.xxh64_intdigest(team.encode())
+    return LIMIT_SLOTS[digest % len(LIMIT_SLOTS)]
+
+
+def sort_limit_keepers(
+    slot: core.LimitSlot, vms: Iterable[core.VmName]
+) -> tuple[core.VmName, ...]:
+    """Return the VMs in the order in which they are keepers of a slot."""
+
+    def digest(vm: core.VmName) -> int:
+        return xxhash.xxh64_intdigest(f'limits {slot} {vm}'.encode())
+
+    return tuple(sorted(vms, key=digest))
+
+
+class FollowerCount:
+    """The followers that a keeper counts in one slot.
+
+    ``share`` is their share of all VMs; ``covered_s`` is the integral of the
+    share over the time since the start, in seconds.  Times are those of the
+    keeper's boot-time clock.  Stamps of an earlier process are not valid.
+    """
+
+    def __init__(self, started_at: float) -> None:
+        self._started_at = started_at
+        self._advanced_to = started_at
+        self._until: dict[core.VmName, float] = {}
+        self._released_at: dict[core.VmName, float] = {}
+        self._ends: list[tuple[float, core.VmName]] = []
+        self._vm_count = 1
+        self.covered_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._until)
+
+    @property
+    def share(self) -> float:
+        """Return the share of all VMs that is counted now, at most 1."""
+        return len(self._until) / max(1, self._vm_count, len(self._until))
+
+    def set_vm_count(self, vm_count: int) -> None:
+        """Set the number of all VMs, after ``advance``."""
+        self._vm_count = vm_count
+
+    def advance(self, now: float) -> float | None:
+        """Cover the time until ``now``.
+
+        Return the lowest share that was reached because followers were no
+        longer counted, None if none was lost.
+        """
+        lowest: float | None = None
+        while self._ends and self._ends[0][0] <= now:
+            until, vm = heapq.heappop(self._ends)
+            current = self._until.get(vm)
+            if current is None:
+                continue
+            if current > until:
+                heapq.heappush(self._ends, (current, vm))
+                continue
+            self._cover(until)
+            del self._until[vm]
+            lowest = self.share
+        self._cover(now)
+        return lowest
+
+    def _cover(self, until: float) -> None:
+        if until > self._advanced_to:
+            self.covered_s += self.share * (until - self._advanced_to)
+            self._advanced_to = until
+
+    def record(
+        self, vm: core.VmName, stamp: float, counted_s: float, now: float
+    ) -> None:
+        """Count a follower for a time after the stamp that it returned."""
+        is_valid = self._started_at <= stamp <= now
+        until = stamp + counted_s
+        if not is_valid or until <= now:
+            return
+        if stamp <= self._released_at.get(vm, float('-inf')):
+            return
+        if vm not in self._until:
+            heapq.heappush(self._ends, (until, vm))
+        self._until[vm] = max(until, self._until.get(vm, until))
+
+    def release(self, vm: core.VmName, now: float) -> bool:
+        """Stop counting a follower; stamps so far are no longer valid.
+
+        Return whether it was counted.
+        """
+        self._released_at[vm] = now
+        return self._until.pop(vm, None) is not None
+
+    def forget_released(self, before: float) -> None:
+        """Forget releases whose stamps are too old to be returned."""
+        self._released_at = {
+            vm: at for vm, at in self._released_at.items() if at >= before
+        }
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -56,6 +56,10 @@
     23: core.RelayEnded,
     24: core.RelayCancel,
     25: core.RelayRollback,
+    26: core.FollowLimitKeeper,
+    27: core.LimitKeeperStamp,
+    28: core.AskAllowance,
+    29: core.GrantAllowance,
 }
 _NUMBER_BY_TYPE = {kind: number for number, kind in TYPE_BY_NUMBER.items()}
 _ERROR_BY_NAME = {
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -18,6 +18,8 @@
     'primary_manager',
     'group_monitor',
     'incarnation_name',
+    'limit_keeper',
+    'limiter',
     'link',
     'membership',
     'node',
@@ -52,6 +54,8 @@
 view_exchange = _single('exchange')
 forwarder = _single('forwarder')
 primary_manager = _single('keeper')
+limit_keeper = _single('limit_keeper')
+limiter = _single('limiter')
 membership = _single('membership')
 node = _single('node')
 peers = _single('peers')
