Keep the limits of teams over all VMs

Cause: a team could start any number of operations.

Change: the limiter of a VM follows a keeper in each slot of teams and asks for its operations; the limit keeper grants them. An attempt waits for its allowance before its first try, and keeps it over tries that were not run. The check of the caller's key moves to a module of its own.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -15,10 +15,12 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempt_log
 from chicoryusher.tasks.pool import completions
+from chicoryusher.tasks.pool import entitlement
 from chicoryusher.tasks.pool import group_table as group_table_module
 from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import sessions
 from chicoryusher.tasks.pool import work_numbers
+from chicoryusher.tasks.pool.limits import attempt_allowances
 
 __all__ = ['Attempts', 'RetrySelection']
 
@@ -39,6 +41,10 @@
 MIN_RUN_TIME_S = 0.05
 _Block = core.TransactionStatus
 _Metric = core.Metric
+_REFUSAL_BY_OUTCOME = {
+    core.AllowanceOutcome.OVER_LIMIT: core.Refusal.OVER_LIMIT,
+    core.AllowanceOutcome.UNANSWERED: core.Refusal.BUSY,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +74,9 @@
         self._clock = clock
         self._numbers = itertools.count(work_numbers.first_work_number())
         self._log = attempt_log.AttemptLog(dispatcher)
+        self._allowances = attempt_allowances.AttemptAllowances(
+            dispatcher, rights, clock
+        )
         self._running: dict[core.WorkId, sessions.Attempt] = {}
         self.lease_expires_at = float('-inf')
 
@@ -130,6 +139,8 @@
         if name is None:
             self._wait_or_refuse(attempt, 'no instance may serve it')
             return
+        if not self._allowances.may_start(attempt):
+            return
         attempt.position_age = needs.position_age
         attempt.at_primary = name == group.primary
         after = None if attempt.at_primary else needs.min_position
@@ -138,27 +149,29 @@
         )
 
     def _is_entitled(self, attempt: sessions.Attempt) -> bool:
-        """Return whether the caller's key may be used; else end or delay.
-
-        A key that has been taken away also ends statements that wait.
-        """
-        right = self._rights.right(
-            attempt.session.key, attempt.route.public, self._clock.boottime()
+        """Return whether the caller's key may be used; else end or delay."""
+        objection = entitlement.objection_to(
+            attempt, self._rights, self._clock.boottime()
         )
-        if right is decisions.Right.GRANTED:
+        if objection is None:
             return True
-        if right is decisions.Right.UNKNOWN_KEY:
-            why = 'no team has the key'
-            self.refuse(attempt, core.Refusal.UNKNOWN_KEY, why)
-            return False
-        why = 'the configuration may be outdated'
-        transaction = attempt.session.transaction
-        if transaction is not None and transaction.instance is not None:
-            self.refuse(attempt, core.Refusal.ABORTED, why)
+        if objection.refusal is None:
+            self._wait_or_refuse(attempt, objection.why)
         else:
-            self._wait_or_refuse(attempt, why)
+            self.refuse(attempt, objection.refusal, objection.why)
         return False
 
+    def allowance_decided(self, decision: core.AllowanceDecided) -> None:
+        """Go on with an operation of a team with a limit, or refuse it."""
+        attempt = self._allowances.decided(decision)
+        if attempt is None:
+            return
+        refusal = _REFUSAL_BY_OUTCOME.get(decision.outcome)
+        if refusal is None:
+            self._dispatch(attempt)
+        else:
+            self.refuse(attempt, refusal, decision.outcome.value)
+
     def _continue_transaction(
         self, attempt: sessions.Attempt, instance: core.InstanceName
     ) -> None:
@@ -288,6 +301,7 @@
         self._decrement_outstanding(attempt)
         was_sent = ended.sent_at is not None
         attempt.was_sent = bool(attempt.was_sent) or was_sent
+        self._allowances.record_end(attempt, ended)
         self._record_result(attempt, ended)
         completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
         return attempt.route.service
@@ -298,7 +312,10 @@
         A statement that waits for an instance is not run any more.
         """
         attempt, session.attempt = session.attempt, None
-        if attempt is None or attempt.work_id not in self._running:
+        if attempt is None:
+            return
+        self._allowances.cancel(attempt)
+        if attempt.work_id not in self._running:
             return
         del self._running[attempt.work_id]
         self._decrement_outstanding(attempt)
@@ -323,6 +340,7 @@
         A change that may have been committed is refused with UNKNOWN.
         """
         refusal = completions.timeout_refusal(attempt)
+        self._allowances.cancel(attempt)
         if attempt.work_id in self._running:
             transaction = attempt.session.transaction
             wrote = transaction is None or transaction.wrote
--- a/src/chicoryusher/tasks/pool/completions.py
+++ b/src/chicoryusher/tasks/pool/completions.py
@@ -12,7 +12,7 @@
 from chicoryusher import core
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['COMPLETIONS', 'timeout_refusal']
+__all__ = ['COMPLETIONS', 'proves_not_run', 'timeout_refusal']
 
 _Block = core.TransactionStatus
 _Refusal = core.Refusal
@@ -69,6 +69,18 @@
 COMPLETIONS: core.Registry[CompletionHandler] = core.Registry('work ending')
 
 
+def proves_not_run(ended: core.WorkEnded) -> bool:
+    """Return whether the work was certainly not run."""
+    if ended.completion is core.Completion.ANSWERED:
+        return ended.refusal in _NOT_RUN
+    if ended.completion in (
+        core.Completion.NOT_STARTED,
+        core.Completion.NOT_RUN,
+    ):
+        return True
+    return ended.sent_at is None
+
+
 def timeout_refusal(attempt: sessions.Attempt) -> core.Refusal:
     """Return the refusal for a statement whose time limit has passed.
 
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -329,6 +329,10 @@
     def _on_retry(self, retry: attempts_module.RetrySelection) -> None:
         self._attempts.retry_selection(retry.attempt)
 
+    @runtime.handles(core.AllowanceDecided)
+    def _on_allowance(self, decision: core.AllowanceDecided) -> None:
+        self._attempts.allowance_decided(decision)
+
     @runtime.handles(core.WorkEnded)
     def _on_ended(self, ended: core.WorkEnded) -> None:
         service = self._attempts.work_ended(ended)
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/limits/attempt_allowances.py
@@ -0,0 +1,99 @@
+"""How attempts wait for their part of their team's limit."""
+
+from __future__ import annotations
+
+import itertools
+
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher import runtime
+from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import completions
+from chicoryusher.tasks.pool import sessions
+
+__all__ = ['AttemptAllowances']
+
+# Share of the latency target within which a statement must have its part of
+# the limit; the rest is for the queue of the instance.
+MAX_WAIT_TARGET_SHARE = 0.4
+# Seconds for which a statement may wait that has waited for an instance
+# before: a question to a keeper of another region.
+MIN_WAIT_S = 0.15
+
+
+class AttemptAllowances:
+    """Request allowances from the limiter for the dispatcher's attempts.
+
+    An operation is a single statement or the first statement of a transaction
+    that is sent.  A try that was certainly not run leaves its allowance to the
+    next one.
+    """
+
+    def __init__(
+        self,
+        dispatcher: runtime.Task,
+        rights: decisions.TeamRights,
+        clock: core.Clock,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._rights = rights
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._waiting: dict[core.AllowanceId, sessions.Attempt] = {}
+
+    def may_start(self, attempt: sessions.Attempt) -> bool:
+        """Return whether an operation may start; else request an allowance.
+
+        The attempt goes on when the limiter has decided.
+        """
+        if attempt.allowance_id is not None:
+            return False
+        team = self._rights.team(attempt.team)
+        if team is None or team.rate is None:
+            return True
+        if self._clock.boottime() < attempt.allowance_expires_at:
+            return True
+        allowance_id = core.AllowanceId(next(self._numbers))
+        attempt.allowance_id = allowance_id
+        self._waiting[allowance_id] = attempt
+        self._send(
+            core.RequestAllowance(
+                allowance_id, team.name, self._max_wait_s(attempt)
+            )
+        )
+        return False
+
+    def _max_wait_s(self, attempt: sessions.Attempt) -> float:
+        waited_s = self._dispatcher.now() - attempt.arrived_at
+        max_s = attempt.route.latency_target * MAX_WAIT_TARGET_SHARE
+        return max(MIN_WAIT_S, max_s - waited_s)
+
+    def _send(self, message: core.Message) -> None:
+        self._dispatcher.send(names.limiter(self._dispatcher.vm), message)
+
+    def decided(
+        self, decision: core.AllowanceDecided
+    ) -> sessions.Attempt | None:
+        """Apply the limiter's decision; None if nobody waits for it."""
+        attempt = self._waiting.pop(decision.allowance_id, None)
+        if attempt is None:
+            return None
+        attempt.allowance_id = None
+        attempt.allowance_expires_at = decision.expires_at
+        return attempt
+
+    def cancel(self, attempt: sessions.Attempt) -> None:
+        """Withdraw the request of an attempt that has ended."""
+        allowance_id = attempt.allowance_id
+        if allowance_id is None:
+            return
+        attempt.allowance_id = None
+        del self._waiting[allowance_id]
+        self._send(core.CancelAllowance(allowance_id))
+
+    def record_end(
+        self, attempt: sessions.Attempt, ended: core.WorkEnded
+    ) -> None:
+        """Record that a try has ended; one that may have run was counted."""
+        if not completions.proves_not_run(ended):
+            attempt.allowance_expires_at = float('-inf')
--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -118,6 +118,9 @@
         self.config = message.config
         self.log.emit(core.LogEvent.CONFIG_APPLIED, version=version)
         self.meters.show(core.Metric.CONFIG_VERSION, version)
+        # The limiter must know a team before the dispatcher asks for it.
+        self.send(names.limiter(self.vm), message)
+        self.send(names.limit_keeper(self.vm), message)
         self.send(names.dispatcher(self.vm), message)
 
     @runtime.handles(core.RegisteredInstances)
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -54,7 +54,9 @@
     ``lacked_connection`` is set while a pool had no connection for it since
     the last pause. ``was_sent`` is whether one of its tries may have
     reached an instance, None before the first try has ended. ``team`` is the
-    caller's team, None without teams.
+    caller's team, None without teams. ``allowance_id`` is set while it waits
+    for its part of its team's limit; it may be sent until
+    ``allowance_expires_at`` (``Clock.boottime``).
     """
 
     session: PoolSession
@@ -78,6 +80,8 @@
     result_untrusted: bool = False
     wait_reason: str = ''
     team: core.TeamName | None = None
+    allowance_id: core.AllowanceId | None = None
+    allowance_expires_at: float = float('-inf')
 
     @property
     def writes(self) -> bool:
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -290,6 +290,8 @@
         self._peer_sets = message
         self.send(names.primary_manager(self.vm), message)
         self.send(names.reachability_monitor(self.vm), message)
+        self.send(names.limiter(self.vm), message)
+        self.send(names.limit_keeper(self.vm), message)
         live = core.LiveEntryVms(self._peers.live_nodes())
         self.send(names.dispatcher(self.vm), live)
 
--- a/src/chicoryusher_standins/pool/fleet.py
+++ b/src/chicoryusher_standins/pool/fleet.py
@@ -15,6 +15,8 @@
 from chicoryusher.peers import codec
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import view_exchange
+from chicoryusher.tasks.pool.limits import limit_keeper
+from chicoryusher.tasks.pool.limits import limiter
 from chicoryusher_standins.pool import store as store_module
 
 __all__ = ['Fleet', 'FleetVm']
@@ -132,6 +134,8 @@
             self._manager,
             rows,
             exchange,
+            limiter.Limiter(loop, name, core.LimitTolerance()),
+            limit_keeper.LimitKeeper(loop, name),
             _Peers(loop, name, fleet),
             _Receiver(loop, name, names.reachability_monitor(name)),
         )
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -17,6 +17,8 @@
 from chicoryusher.tasks.pool import reachability
 from chicoryusher.tasks.pool import relay
 from chicoryusher.tasks.pool import view_exchange
+from chicoryusher.tasks.pool.limits import limit_keeper
+from chicoryusher.tasks.pool.limits import limiter
 from chicoryusher_standins.pool import callers
 from chicoryusher_standins.pool import group as group_module
 from chicoryusher_standins.pool import links
@@ -109,6 +111,8 @@
         reachability.ReachabilityMonitor(site.loop, vm, self.row.zone)
         forwarder.Forwarder(site.loop, vm)
         relay.Relay(site.loop, vm)
+        limiter.Limiter(site.loop, vm, core.LimitTolerance())
+        limit_keeper.LimitKeeper(site.loop, vm)
         rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
         self._exchange = view_exchange.ViewExchange(
             site.loop,
