--- a/src/chicoryusher/decisions/limit_allowances.py
+++ b/src/chicoryusher/decisions/limit_allowances.py
@@ -25,6 +25,9 @@
 PREFETCH_S = 0.25
 # Share of the validity within which what was asked for in advance is used.
 PREFETCH_VALIDITY_SHARE = 0.5
+# Share of the last round trip by which a question goes out before the turn.
+ROUND_TRIP_SHARE = 0.9
+FIRST_ROUND_TRIP_S = 0.01
 _NEVER = math.inf
 
 
@@ -50,7 +53,9 @@
         self._sequence = 0
         self._asked_at: float | None = None
         self._asked_count = 0
+        self._round_trip_s = FIRST_ROUND_TRIP_S
         self._next_at = -_NEVER
+        self._expected_at = -_NEVER
         self._knows_turn = False
         self._is_short = False
         self._demand = 0.0
@@ -91,7 +96,7 @@
             refusal = core.AllowanceOutcome.OVER_LIMIT
             # An answer under way may still bring an allowance.
             if self._asked_at is None:
-                earliest = max(now, self._next_at)
+                earliest = max(now, self._expected_at)
         decided: list[core.AllowanceDecided] = []
         for allowance_id, deadline in tuple(self._waiting.items()):
             if self._held:
@@ -141,7 +146,8 @@
         self._sequence += 1
         self._asked_at = now
         self._asked_count = len(self._waiting) + max(0, prefetch - held)
-        latest = max(self._waiting.values(), default=now)
+        # The operations that a turn is for must still wait when it is known.
+        latest = max(self._waiting.values(), default=now) - self._round_trip_s
         return AllowanceQuestion(
             self._sequence, self._asked_count, max(0.0, latest - now)
         )
@@ -160,6 +166,7 @@
         if grant.sequence != self._sequence or self._asked_at is None:
             return
         asked_at, self._asked_at = self._asked_at, None
+        self._round_trip_s = now - asked_at
         expires_at = asked_at + self._validity_s
         if grant.granted > 0 and expires_at > now:
             self._held.append([expires_at, grant.granted])
@@ -169,7 +176,10 @@
             self._next_at = now
             return
         wait_s = RETRY_S if grant.next_s is None else grant.next_s
-        self._next_at = now + wait_s
+        self._expected_at = now + wait_s
+        # The question is to reach the keeper when the turn comes.
+        ahead_s = ROUND_TRIP_SHARE * self._round_trip_s
+        self._next_at = max(now, self._expected_at - ahead_s)
 
     def wake_at(self, now: float) -> float:
         """Return when to settle and ask again, infinite if never."""
--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -30,7 +30,7 @@
 # turns.
 TURN_LENGTH_S = 0.05
 # Seconds after which a turn that was not used is given up.
-TURN_GRACE_S = 0.25
+TURN_GRACE_S = 0.1
 # Slack for rounding in sums of times.
 _ROUNDING = 1e-6
 
--- a/src/chicoryusher/decisions/limit_following.py
+++ b/src/chicoryusher/decisions/limit_following.py
@@ -74,8 +74,9 @@
 
     def avoid(self, vm: core.VmName, now: float) -> None:
         """Choose others for a while."""
+        if self._avoided_until.get(vm, now) <= now:
+            self._answers = 0
         self._avoided_until[vm] = now + AVOID_S
-        self._answers = 0
 
     def first(
         self, now: float, besides: core.VmName | None = None
