Split connection opening and timeouts off the instance pool

Change: opening and closing of connections go to conn_opening.py, time limits and signs of life to pool_timeouts.py. No change of behaviour.

--- /dev/null
+++ b/src/chicoryusher/tasks/pool/conn_opening.py
@@ -0,0 +1,122 @@
+"""Opens an instance pool's connections, within the share of its VM."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from chicoryusher import core
+from chicoryusher import decisions
+from chicoryusher import runtime
+from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import pool_conns
+
+__all__ = ['MAX_CONNECTING_CONNS', 'ConnOpener']
+
+# Pause in opening connections after one could not be opened.
+CONNECT_PAUSE_S = 0.3
+# Connections that are opened at once.  Each takes a slot of the instance for
+# some 12 ms, also if it is given up, so many of them would keep it busy.
+MAX_CONNECTING_CONNS = 2
+# Idle time after which a connection above this VM's share is closed.
+SURPLUS_IDLE_S = 1.5
+
+
+class ConnOpener:
+    """Open and close the connections of the pool ``host``.
+
+    ``share`` is how many connections the VM may have to the instance.
+    """
+
+    def __init__(
+        self,
+        host: runtime.Task,
+        entry: core.InstanceEntry,
+        conns: pool_conns.PoolConns,
+    ) -> None:
+        self._host = host
+        self._name = entry.name
+        self._link = names.pool_link(host.vm, entry)
+        self._conns = conns
+        self._paused_until = 0.0
+        self.share = decisions.ConnShare(1, 1)
+
+    @property
+    def has_surplus(self) -> bool:
+        """Return whether there are more connections than are kept open."""
+        return len(self._conns) > self._kept_open
+
+    @property
+    def _kept_open(self) -> int:
+        """Connections that stay open while they are idle.
+
+        Those of teams all do: the next statement of a team finds none but
+        its own.
+        """
+        teams = self._conns.has_teams
+        return self.share.max_open if teams else self.share.kept_open
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether no connection is opened at the moment."""
+        return now < self._paused_until
+
+    def pause(self, now: float) -> None:
+        """Open none for a while, since one could not be opened."""
+        self._paused_until = now + CONNECT_PAUSE_S
+
+    def open_for_queue(
+        self, queued: Iterable[core.TeamName | None], now: float
+    ) -> None:
+        """Open a connection for each queued work, up to this VM's limit.
+
+        ``queued`` has the team of each piece of work.
+        """
+        if self.is_paused(now):
+            return
+        connecting = self._conns.connecting_teams()
+        wanted = decisions.conns_to_open(
+            queued, connecting, MAX_CONNECTING_CONNS - len(connecting)
+        )
+        for team in wanted:
+            if len(self._conns) >= self.share.max_open:
+                if not self._make_way_for(team):
+                    return
+            self.open(now, team)
+
+    def _make_way_for(self, team: core.TeamName | None) -> bool:
+        """Close the connection of another team that was idle longest.
+
+        Return whether there was one.
+        """
+        others = [conn for conn in self._conns.idle() if conn.team != team]
+        if not others:
+            return False
+        self._close_idle(min(others, key=lambda conn: conn.idle_since))
+        return True
+
+    def open(self, now: float, team: core.TeamName | None = None) -> None:
+        """Open a connection, for a team if any."""
+        conn = self._conns.add(now, team)
+        self._host.send(self._link, core.OpenLink(conn.conn_id, team))
+        opened = core.Metric.CONNECTIONS_OPENED
+        self._host.meters.add(opened, instance=self._name)
+        self.show_connections()
+
+    def show_connections(self) -> None:
+        """Update the gauge of connections."""
+        metric = core.Metric.CONNECTIONS
+        self._host.meters.show(metric, len(self._conns), instance=self._name)
+
+    def close_surplus(self, now: float) -> None:
+        """Close connections above the share that were idle for long."""
+        surplus = len(self._conns) - self._kept_open
+        for conn in self._conns.idle():
+            if surplus <= 0:
+                return
+            if now - conn.idle_since >= SURPLUS_IDLE_S:
+                self._close_idle(conn)
+                surplus -= 1
+
+    def _close_idle(self, conn: pool_conns.PoolConn) -> None:
+        self._host.send(self._link, core.CloseLink(conn.conn_id))
+        self._conns.remove(conn)
+        self.show_connections()
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -10,25 +10,15 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import command_results
+from chicoryusher.tasks.pool import conn_opening
 from chicoryusher.tasks.pool import pool_conns as conns_module
+from chicoryusher.tasks.pool import pool_timeouts
+from chicoryusher.tasks.pool.conn_opening import MAX_CONNECTING_CONNS
 
-__all__ = ['InstancePool', 'SetConnectionShare']
+__all__ = ['MAX_CONNECTING_CONNS', 'InstancePool', 'SetConnectionShare']
 
 # Interval between checks for work that has timed out, while there is work.
 SWEEP_INTERVAL_S = 0.05
-# Time without a byte from an instance with unanswered commands after which
-# a new connection to it is tried; longer than most statements take (7 to
-# 47 ms on average).
-RESPONSE_TIMEOUT_S = 0.25
-# Time limit of a rollback, after which the connection is closed.
-ROLLBACK_LIMIT_S = 0.6
-# Pause in was_connecting connections after one could not be opened.
-CONNECT_PAUSE_S = 0.3
-# Connections that are opened at once.  Each takes a slot of the instance for
-# some 12 ms, also if it is given up, so many of them would keep it busy.
-MAX_CONNECTING_CONNS = 2
-# Idle time after which a connection above this VM's share is closed.
-SURPLUS_IDLE_S = 1.5
 _Ended = core.Completion
 # Used in results of work that the instance sent no reply to.
 _NO_REPLY = core.CommandReply(core.TransactionStatus.IDLE, None)
@@ -61,14 +51,8 @@
         self._link = names.pool_link(vm, entry)
         self._conns = conns_module.PoolConns(conn_numbers)
         self._queue = decisions.WorkQueue()
-        self._share = decisions.ConnShare(1, 1)
-        self._connect_paused_until = 0.0
-        # When the instance last sent something, or when commands were sent
-        # to it after a time without any.
-        self._last_response_at = 0.0
-        # When the instance last sent something.
-        self._last_received_at = float('-inf')
-        self._suspected = False
+        self._opener = conn_opening.ConnOpener(self, entry, self._conns)
+        self._responses = pool_timeouts.Responsiveness()
         self._sweep_scheduled = False
 
     @property
@@ -76,19 +60,9 @@
         """Return how many connections are open or being opened."""
         return len(self._conns)
 
-    @property
-    def _kept_open(self) -> int:
-        """Connections that stay open while they are idle.
-
-        Those of teams all do: the next statement of a team finds none but
-        its own.
-        """
-        teams = self._conns.has_teams
-        return self._share.max_open if teams else self._share.kept_open
-
     @runtime.handles(SetConnectionShare)
     def _on_share(self, message: SetConnectionShare) -> None:
-        self._share = message.share
+        self._opener.share = message.share
 
     # -- new work -------------------------------------------------------
 
@@ -98,7 +72,7 @@
             self._continue_transaction(work)
             return
         self._queue.add(work)
-        if not len(self._conns) and self.now() < self._connect_paused_until:
+        if not len(self._conns) and self._opener.is_paused(self.now()):
             # Another VM may have a connection.
             self._return_queued(_Ended.NOT_STARTED)
             return
@@ -130,50 +104,9 @@
             )
             idle.remove(conn)
             self._start_work(conn, work)
-        self._open_for_queue(now)
+        self._opener.open_for_queue(self._queue.teams(), now)
         self._schedule_sweep()
 
-    def _open_for_queue(self, now: float) -> None:
-        """Open a connection for each queued work, up to this VM's limit."""
-        if now < self._connect_paused_until:
-            return
-        connecting = self._conns.connecting_teams()
-        wanted = decisions.conns_to_open(
-            self._queue.teams(),
-            connecting,
-            MAX_CONNECTING_CONNS - len(connecting),
-        )
-        for team in wanted:
-            if len(self._conns) >= self._share.max_open:
-                if not self._make_way_for(team):
-                    return
-            self._open_connection(now, team)
-
-    def _make_way_for(self, team: core.TeamName | None) -> bool:
-        """Close the connection of another team that was idle longest.
-
-        Return whether there was one.
-        """
-        others = [conn for conn in self._conns.idle() if conn.team != team]
-        if not others:
-            return False
-        conn = min(others, key=lambda conn: conn.idle_since)
-        self._close(conn, _Ended.CONNECTION_LOST)
-        return True
-
-    def _open_connection(
-        self, now: float, team: core.TeamName | None = None
-    ) -> None:
-        conn = self._conns.add(now, team)
-        self.send(self._link, core.OpenLink(conn.conn_id, team))
-        opened = core.Metric.CONNECTIONS_OPENED
-        self.meters.add(opened, instance=self.entry.name)
-        self._show_connections()
-
-    def _show_connections(self) -> None:
-        metric, name = core.Metric.CONNECTIONS, self.entry.name
-        self.meters.show(metric, len(self._conns), instance=name)
-
     def _start_work(
         self, conn: conns_module.PoolConn, work: core.Work
     ) -> None:
@@ -219,7 +152,7 @@
         self, conn: conns_module.PoolConn, commands: list[core.Command]
     ) -> None:
         if not self._conns.awaiting_reply():
-            self._last_response_at = self.now()
+            self._responses.record_first_command(self.now())
         conn.pending_ops.extend(command.op for command in commands)
         self.send(self._link, core.SendCommands(conn.conn_id, tuple(commands)))
 
@@ -230,7 +163,7 @@
         conn = self._conns.find(message.conn_id)
         if conn is None:
             return
-        self._record_response()
+        self._responses.record_response(self.now())
         self._conns.mark_opened(conn, self.now())
         self._dispatch()
 
@@ -239,7 +172,7 @@
         conn = self._conns.find(message.conn_id)
         if conn is None:
             return
-        self._record_response()
+        self._responses.record_response(self.now())
         if not conn.pending_ops:
             self._close(conn, _Ended.CONNECTION_LOST)
             return
@@ -248,14 +181,9 @@
 
     @runtime.handles(core.LastResponseQuery)
     def _on_last_response_query(self, query: core.LastResponseQuery) -> None:
-        reply = core.LastResponse(self.entry.name, self._last_received_at)
+        reply = core.LastResponse(self.entry.name, self._responses.received_at)
         self.send(query.reply_to, reply)
 
-    def _record_response(self) -> None:
-        self._last_received_at = self.now()
-        self._last_response_at = self.now()
-        self._suspected = False
-
     def on_begun(
         self, conn: conns_module.PoolConn, reply: core.CommandReply
     ) -> None:
@@ -351,7 +279,7 @@
             return
         was_connecting = conn.state is core.ConnState.CONNECTING
         if message.reason is core.LinkCloseReason.TOO_MANY_CONNECTIONS:
-            self._connect_paused_until = self.now() + CONNECT_PAUSE_S
+            self._opener.pause(self.now())
         self._remove(conn, _Ended.CONNECTION_LOST)
         if was_connecting:
             self._on_open_failed(message.reason, conn.sent_at)
@@ -371,16 +299,16 @@
             if not len(self._conns):
                 self._return_queued(_Ended.NOT_STARTED)
             return
-        self._connect_paused_until = self.now() + CONNECT_PAUSE_S
+        self._opener.pause(self.now())
         timed_out = reason is core.LinkCloseReason.TIMED_OUT
-        if timed_out and self._last_received_at > began_at:
+        if timed_out and self._responses.received_at > began_at:
             if not len(self._conns):
                 self._return_queued(_Ended.NOT_STARTED)
             return
         self._report_trouble()
         self._return_queued(_Ended.NOT_STARTED)
         if timed_out:
-            self._suspected = True
+            self._responses.suspected = True
             for conn in self._conns.all():
                 if conn.state is not core.ConnState.CONNECTING:
                     self._close(conn, _Ended.CONNECTION_LOST)
@@ -428,7 +356,7 @@
         work = conn.work
         conn.work = None
         self._conns.remove(conn)
-        self._show_connections()
+        self._opener.show_connections()
         if work is not None:
             self._report_end(
                 work, ended, _NO_REPLY, conn.sent_at, conn.sent_at_boottime
@@ -463,7 +391,7 @@
 
     def _schedule_sweep(self) -> None:
         has_work = len(self._queue) or self._conns.awaiting_reply()
-        has_surplus = len(self._conns) > self._kept_open
+        has_surplus = self._opener.has_surplus
         if (has_work or has_surplus) and not self._sweep_scheduled:
             self._sweep_scheduled = True
             self.after(SWEEP_INTERVAL_S, _Sweep())
@@ -475,53 +403,27 @@
         for work in self._queue.remove_expired(now):
             self._report_end(work, _Ended.NOT_STARTED)
         for conn in self._conns.awaiting_reply():
-            self._check_limits(conn, now)
+            ended = pool_timeouts.passed_limit(conn, now)
+            if ended is not None:
+                self._close(conn, ended)
         self._check_unresponsive(now)
-        self._close_surplus(now)
-        self._open_for_queue(now)
+        self._opener.close_surplus(now)
+        self._opener.open_for_queue(self._queue.teams(), now)
         self._schedule_sweep()
 
-    def _check_limits(self, conn: conns_module.PoolConn, now: float) -> None:
-        """Close a connection whose command exceeded its time limit.
-
-        A statement that may run again elsewhere is reported as lost after
-        its ``retryable_timeout``, so that it can run at another instance.
-        """
-        work = conn.work
-        elapsed = now - conn.sent_at
-        if work is None:
-            if elapsed > ROLLBACK_LIMIT_S:
-                self._close(conn, _Ended.CONNECTION_LOST)
-        elif elapsed >= work.timeout:
-            self._close(conn, _Ended.TIMED_OUT)
-        elif (
-            decisions.is_repeatable(work) and elapsed > work.retryable_timeout
-        ):
-            self._close(conn, _Ended.CONNECTION_LOST)
-
     def _check_unresponsive(self, now: float) -> None:
         """Open a test connection if an instance sends no replies.
 
         The reachability monitor is asked to check the instance too.
         """
         busy = self._conns.awaiting_reply()
-        if not busy or self._conns.connecting_count or self._suspected:
+        if self._conns.connecting_count:
             return
-        oldest = min(conn.sent_at for conn in busy)
-        if now - max(oldest, self._last_response_at) < RESPONSE_TIMEOUT_S:
+        if not self._responses.is_silent(busy, now):
             return
-        self._suspected = True
+        self._responses.suspected = True
         self.send(
             names.reachability_monitor(self.vm),
             core.InstanceFault(self.entry.name),
         )
-        self._open_connection(now)
-
-    def _close_surplus(self, now: float) -> None:
-        surplus = len(self._conns) - self._kept_open
-        for conn in self._conns.idle():
-            if surplus <= 0:
-                return
-            if now - conn.idle_since >= SURPLUS_IDLE_S:
-                self._close(conn, _Ended.CONNECTION_LOST)
-                surplus -= 1
+        self._opener.open(now)
