Decide the pace of an instance from its answers

Cause: an instance that has just started or recovered is either flooded by what waits or left idle, and nothing limits what an owner runs at once but its connections. Change: a controller of concurrent statements for each connection owner. It starts at 1, grows by successes, halves on BUSY and timeouts, and shrinks when the lower quartile of answers passes twice the best. Nothing uses it yet.

--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -24,6 +24,7 @@
     'LeaderRowState',
     'GroupMonitorState',
     'LinkCloseReason',
+    'LoadPolicy',
     'MoveReason',
     'ExchangeRole',
     'ZoneDistance',
@@ -36,6 +37,7 @@
     'RequestState',
     'Role',
     'SessionState',
+    'Standing',
     'PreparedQueryKind',
     'StatementKind',
     'StoreView',
@@ -44,6 +46,29 @@
 ]
 
 
+class LoadPolicy(enum.Enum):
+    """How a VM loads the instances.
+
+    PLAIN: as far as connections allow.  PACED: as far as the instance's
+    answers show that it can run the work, and fair between teams.
+    """
+
+    PLAIN = 'plain'
+    PACED = 'paced'
+
+
+class Standing(enum.Enum):
+    """Standing of an instance for reads (chart ``standing``).
+
+    EJECTED: it gets none while others can serve them.  TRIAL: a few reads
+    try it.
+    """
+
+    SERVING = 'serving'
+    EJECTED = 'ejected'
+    TRIAL = 'trial'
+
+
 class Outcome(enum.Enum):
     """Outcome of a request, as far as it can be proved.
 
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -19,6 +19,7 @@
 from chicoryusher.decisions import handshakes
 from chicoryusher.decisions import heartbeat_targets
 from chicoryusher.decisions import idempotency
+from chicoryusher.decisions import instance_pace
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
 from chicoryusher.decisions import lease_grants
@@ -54,6 +55,7 @@
 from chicoryusher.decisions.handshakes import *  # noqa: F403
 from chicoryusher.decisions.heartbeat_targets import *  # noqa: F403
 from chicoryusher.decisions.idempotency import *  # noqa: F403
+from chicoryusher.decisions.instance_pace import *  # noqa: F403
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
 from chicoryusher.decisions.lease_grants import *  # noqa: F403
@@ -96,6 +98,7 @@
     *conn_owners.__all__,
     *group_health.__all__,
     *idempotency.__all__,
+    *instance_pace.__all__,
     *membership.__all__,
     *heartbeat_targets.__all__,
     *config_pointers.__all__,
