Decide a fair order of work between teams

Cause: one queue by priority and deadline lets a hot team fill the queue that all teams share. Change: a queue with start-time fair queueing between teams, by the seconds that their statements used; within a team by priority, which rises with waiting. Work without a team keeps its order. Deficit round robin would need the cost before a statement has run. Result: tests of a hot team, heavy statements, the last kind and callers that left pass; not measured on a deployment.

--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -12,6 +12,7 @@
 from chicoryusher.decisions import evidence
 from chicoryusher.decisions import exchange_graph
 from chicoryusher.decisions import failover
+from chicoryusher.decisions import fair_queue
 from chicoryusher.decisions import fencing
 from chicoryusher.decisions import gate_directory
 from chicoryusher.decisions import gates
@@ -48,6 +49,7 @@
 from chicoryusher.decisions.evidence import *  # noqa: F403
 from chicoryusher.decisions.exchange_graph import *  # noqa: F403
 from chicoryusher.decisions.failover import *  # noqa: F403
+from chicoryusher.decisions.fair_queue import *  # noqa: F403
 from chicoryusher.decisions.fencing import *  # noqa: F403
 from chicoryusher.decisions.gate_directory import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
@@ -92,6 +94,7 @@
     *configuration.__all__,
     *gate_directory.__all__,
     *evidence.__all__,
+    *fair_queue.__all__,
     *fencing.__all__,
     *staleness.__all__,
     *gates.__all__,
--- a/src/chicoryusher/decisions/work_queue.py
+++ b/src/chicoryusher/decisions/work_queue.py
@@ -3,20 +3,30 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 from collections.abc import Set
 
 from chicoryusher import core
 
-__all__ = ['WorkQueue']
+__all__ = ['WorkQueue', 'plain_rank']
+
+Rank = Callable[[core.Work], tuple[float, float]]
+
+
+def plain_rank(work: core.Work) -> tuple[float, float]:
+    """Rank work by its priority, then by its latest start time."""
+    return work.priority, work.start_deadline
 
 
 class WorkQueue:
     """Work ordered by its priority, then by its latest start time.
 
-    Work with the lowest ``priority`` number runs first.
+    Work with the lowest ``priority`` number runs first.  Another ``rank``
+    replaces this order; it may not change while work is queued.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rank: Rank = plain_rank) -> None:
+        self._rank = rank
         self._items: list[core.Work] = []
 
     def __len__(self) -> int:
@@ -24,7 +34,7 @@
 
     def add(self, work: core.Work) -> None:
         """Queue a piece of work."""
-        bisect.insort(self._items, work, key=_rank)
+        bisect.insort(self._items, work, key=self._rank)
 
     def pop_next(
         self, now: float, teams: Set[core.TeamName | None] | None = None
@@ -46,6 +56,13 @@
         """Return the team of each piece of work, in their order."""
         return [work.team for work in self._items]
 
+    def count_ahead_of(self, team: core.TeamName | None) -> int:
+        """Return how much work is queued."""
+        return len(self._items)
+
+    def record_use(self, team: core.TeamName | None, seconds: float) -> None:
+        """Ignore the use: the order does not depend on it."""
+
     def remove_expired(self, now: float) -> list[core.Work]:
         """Remove and return the work whose latest start time has passed."""
         expired = [work for work in self._items if work.start_deadline <= now]
@@ -67,7 +84,3 @@
         """Remove and return all work."""
         items, self._items = self._items, []
         return items
-
-
-def _rank(work: core.Work) -> tuple[int, float]:
-    return work.priority, work.start_deadline
