Decide which instances are outliers, and choose by known waits

Cause: a replica that fails 45% of its reads or is 7.5 times as slow got as many as the others while its health was good; a service time that nothing updated kept a recovered one idle. Change: instances are compared with their peers, ejected and readmitted by a trickle (chart standing); the choice of a replica counts reported waits and draws among those that are alike.

--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -25,6 +25,8 @@
 from chicoryusher.decisions import leader_digest
 from chicoryusher.decisions import lease_grants
 from chicoryusher.decisions import membership
+from chicoryusher.decisions import outliers
+from chicoryusher.decisions import paced_selection
 from chicoryusher.decisions import primary_lease
 from chicoryusher.decisions import primary_positions
 from chicoryusher.decisions import reader_selection
@@ -62,6 +64,8 @@
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
 from chicoryusher.decisions.lease_grants import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
+from chicoryusher.decisions.outliers import *  # noqa: F403
+from chicoryusher.decisions.paced_selection import *  # noqa: F403
 from chicoryusher.decisions.primary_lease import *  # noqa: F403
 from chicoryusher.decisions.primary_positions import *  # noqa: F403
 from chicoryusher.decisions.reader_selection import *  # noqa: F403
@@ -103,6 +107,8 @@
     *idempotency.__all__,
     *instance_pace.__all__,
     *membership.__all__,
+    *outliers.__all__,
+    *paced_selection.__all__,
     *heartbeat_targets.__all__,
     *config_pointers.__all__,
     *register.__all__,
--- a/src/chicoryusher/decisions/reader_selection.py
+++ b/src/chicoryusher/decisions/reader_selection.py
@@ -31,6 +31,11 @@
 # connection, has a penalty; also the seconds that the penalty adds to its
 # cost.  It gets new reads only if the others cost more or are unsuitable.
 FAILURE_PENALTY_S = 0.5
+# Half-life in seconds of a learned service time, where it is aged.  While a
+# long one keeps statements away, nothing updates it.
+SERVICE_TIME_HALF_LIFE_S = 2.0
+# Half-life in seconds of a reported wait for a connection.
+WAIT_HALF_LIFE_S = 0.25
 # Statements that an instance runs at once for one VM before they queue.
 PARALLEL_STATEMENT_COUNT = 2.0
 
@@ -45,11 +50,14 @@
         self.entry = entry
         self.round_trip_s = distance
         self.service_time_s = INITIAL_SERVICE_TIME_S
+        self.served_at: float | None = None
         self.outstanding_count = 0
         self.applied_position: core.Position | None = None
         self.lag = 0.0
         self.lag_estimated_at = 0.0
         self.penalty_until = 0.0
+        # For each team the wait that was last reported, and when.
+        self._waits: dict[core.TeamName | None, tuple[float, float]] = {}
 
     def record_service_time(self, seconds: float) -> None:
         """Update the service time with the time of one statement."""
@@ -57,6 +65,32 @@
             seconds - self.service_time_s
         )
 
+    def expected_service_time(self, now: float) -> float:
+        """Return the service time, which decays with its age.
+
+        So an instance that was slow is tried again in the end.  ``served_at``
+        is when the time was learned.
+        """
+        if self.served_at is None:
+            return self.service_time_s
+        age = now - self.served_at
+        return self.service_time_s * 0.5 ** (age / SERVICE_TIME_HALF_LIFE_S)
+
+    def record_wait(
+        self, team: core.TeamName | None, seconds: float, now: float
+    ) -> None:
+        """Record the wait that a connection owner reports for a team."""
+        self._waits[team] = (seconds, now)
+
+    def expected_wait(self, team: core.TeamName | None, now: float) -> float:
+        """Return the wait for a connection in seconds, 0 if not known.
+
+        It decays with the age of the report.
+        """
+        seconds, reported_at = self._waits.get(team, (0.0, now))
+        age = now - reported_at
+        return seconds * 0.5 ** (age / WAIT_HALF_LIFE_S)
+
     def penalize(self, now: float) -> None:
         """Start the penalty after the instance failed to respond."""
         self.penalty_until = now + FAILURE_PENALTY_S
@@ -76,10 +110,15 @@
             (now - self.lag_estimated_at) / LAG_HALF_LIFE_S
         )
 
-    def cost(self) -> float:
-        """Return the expected seconds until one more statement is done."""
+    def cost(self, service_time: float | None = None) -> float:
+        """Return the expected seconds until one more statement is done.
+
+        ``service_time`` replaces the learned one.
+        """
+        if service_time is None:
+            service_time = self.service_time_s
         rounds = 1.0 + self.outstanding_count / PARALLEL_STATEMENT_COUNT
-        return self.round_trip_s + self.service_time_s * rounds
+        return self.round_trip_s + service_time * rounds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,13 +154,7 @@
     best_cost = float('inf')
     for instance in instances:
         name = instance.entry.name
-        if name in excluded:
-            continue
-        if instance.entry.leaving and name != primary:
-            continue
-        if name != primary and not _is_probably_fresh(
-            instance, needs, boottime
-        ):
+        if not is_suitable(instance, primary, needs, excluded, boottime):
             continue
         cost = instance.cost()
         if name == primary:
@@ -133,6 +166,24 @@
     return best
 
 
+def is_suitable(
+    instance: InstanceLoad,
+    primary: core.InstanceName | None,
+    needs: ReadRequirement,
+    excluded: frozenset[core.InstanceName],
+    boottime: float,
+) -> bool:
+    """Return whether an instance may be sent a read; see above."""
+    name = instance.entry.name
+    if name in excluded:
+        return False
+    if name == primary:
+        return True
+    if instance.entry.leaving:
+        return False
+    return _is_probably_fresh(instance, needs, boottime)
+
+
 def _is_probably_fresh(
     instance: InstanceLoad, needs: ReadRequirement, boottime: float
 ) -> bool:
