Run instance pools at the pace of their instance, and tell waits

Cause: a burst, a start or a new primary got all that connections allow, and a VM that sent work learned of a full queue only when its time was over. Change: with the setting paces_instances (contracts with "health") an instance pool starts work and opens connections at the pace of its instance, takes it from the fair queue, tells the expected wait and the run time with each result, and gives back at once what can't start in time. A lost answer no longer counts after 0.25 s: at a pace of 1 it kept all other work of the owner waiting until it had timed out. Without the setting nothing changes. Result: tests/tasks, tests/decisions, tests/peers and the tests of link and process pass; not measured on a deployment.

--- a/src/chicoryusher/core/forwarding.py
+++ b/src/chicoryusher/core/forwarding.py
@@ -131,6 +131,8 @@
     detail: str = ''
     position: position.Position | None = None
     transaction_status: enums.TransactionStatus = enums.TransactionStatus.IDLE
+    expected_wait: float | None = None
+    run_time: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -219,6 +219,21 @@
         LogLevel.INFO,
         'the primary lease was regained; primaries may be used',
     )
+    PACE_RESTARTED = (
+        4021,
+        LogLevel.INFO,
+        'an instance is loaded slowly at first',
+    )
+    INSTANCE_EJECTED = (
+        4022,
+        LogLevel.WARNING,
+        'an instance fails or is slow, and gets few reads',
+    )
+    INSTANCE_READMITTED = (
+        4023,
+        LogLevel.INFO,
+        'an instance that was ejected gets reads as before',
+    )
     PLATFORM_UNRESPONSIVE = (
         5001,
         LogLevel.WARNING,
--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -83,6 +83,24 @@
         ('instance',),
         'connections to an instance that were begun',
     )
+    PACE = (
+        MetricKind.GAUGE,
+        '1',
+        ('instance',),
+        'statements that this VM runs at an instance at once, at most',
+    )
+    GIVEN_BACK = (
+        MetricKind.COUNTER,
+        '1',
+        ('instance',),
+        'statements that could not have started in time and were given back',
+    )
+    EJECTED = (
+        MetricKind.GAUGE,
+        '1',
+        ('instance',),
+        'whether this VM sends an instance no first tries of reads',
+    )
     SESSIONS = (MetricKind.GAUGE, '1', (), 'open sessions of callers')
     AUTHORITY_LEFT = (
         MetricKind.GAUGE,
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -175,7 +175,9 @@
     ``sent_at`` is when the work was sent to the instance, None if it was
     not sent.  ``sent_at_boottime`` is that time by the boot-time clock
     (``Clock.boottime``), which also counts the time for which the
-    machine was suspended.
+    machine was suspended.  ``expected_wait`` is how many seconds new work of
+    the same team waits for a connection there, and ``run_time`` how many the
+    instance took; None if the connection owner did not tell.
     """
 
     work_id: ids.WorkId
@@ -189,6 +191,8 @@
     transaction_status: enums.TransactionStatus = enums.TransactionStatus.IDLE
     sent_at: float | None = None
     sent_at_boottime: float | None = None
+    expected_wait: float | None = None
+    run_time: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/conn_setup.py
+++ b/src/chicoryusher/decisions/conn_setup.py
@@ -8,8 +8,9 @@
 
 __all__ = [
     'ConnSessionState',
-    'begin_command',
+    'run_command',
     'setup_cost',
+    'start_commands',
     'is_repeatable',
     'setup_commands',
 ]
@@ -79,7 +80,38 @@
     return commands
 
 
-def begin_command(work: core.Work) -> core.Command:
+def start_commands(
+    memory: ConnSessionState, work: core.Work
+) -> list[core.Command]:
+    """Return the setup commands and the statement, or its BEGIN."""
+    commands = setup_commands(memory, work)
+    if work.begin_kind is None:
+        commands.append(run_command(memory, work))
+    else:
+        commands.append(_begin_command(work))
+    return commands
+
+
+def run_command(memory: ConnSessionState, work: core.Work) -> core.Command:
+    """Return the command that runs the statement.
+
+    Inside a transaction, the BEGIN has carried the condition on the
+    log position already.
+    """
+    name = ''
+    if work.prepared is not None:
+        name = memory.prepared[work.prepared]
+    after = work.min_position if work.transaction is None else None
+    return core.Command(
+        core.Op.RUN,
+        request_id=work.request_id,
+        statement=work.statement,
+        name=name,
+        min_position=after,
+    )
+
+
+def _begin_command(work: core.Work) -> core.Command:
     """Return the command that begins the work's transaction."""
     if work.begin_kind is core.TransactionKind.READ_ONLY:
         return core.Command(
--- a/src/chicoryusher/decisions/fair_queue.py
+++ b/src/chicoryusher/decisions/fair_queue.py
@@ -13,6 +13,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Set
 from typing import Protocol
 
@@ -44,7 +46,7 @@
         Only work of these ``teams`` is considered, None for any team.
         """
 
-    def teams(self) -> list[core.TeamName | None]:
+    def teams(self) -> Iterable[core.TeamName | None]:
         """Return the team of each piece of work, in their order."""
 
     def count_ahead_of(self, team: core.TeamName | None) -> int:
@@ -116,16 +118,14 @@
             if team not in self._queues and used <= self._served_at_s:
                 del self._used_s[team]
 
-    def teams(self) -> list[core.TeamName | None]:
-        """Return the team of each piece of work, one of each in turn."""
+    def teams(self) -> Iterator[core.TeamName | None]:
+        """Yield the team of each piece of work, one of each in turn."""
         counts = [(team, len(self._queues[team])) for team in self._order()]
-        longest = max((count for _, count in counts), default=0)
-        return [
-            team
-            for turn in range(longest)
-            for team, count in counts
-            if turn < count
-        ]
+        turn = 0
+        while counts:
+            yield from (team for team, _ in counts)
+            turn += 1
+            counts = [item for item in counts if item[1] > turn]
 
     def count_ahead_of(self, team: core.TeamName | None) -> int:
         """Return how much work would run before new work of a team.
--- a/src/chicoryusher/decisions/instance_pace.py
+++ b/src/chicoryusher/decisions/instance_pace.py
@@ -43,6 +43,11 @@
 # Share of the difference by which the best estimate follows a slow one at the
 # floor: what is slow with so few statements is not slow from their number.
 BEST_DRIFT_RATIO = 0.2
+# A statement without an answer no longer counts as running after this many
+# seconds, and this many times the mean service time: the answer may be lost,
+# and others need not wait for it.
+OVERDUE_S = 0.25
+OVERDUE_RATIO = 4.0
 # Mean service time in seconds before any answer, and the weight of a sample.
 INITIAL_SERVICE_TIME_S = 0.02
 MEAN_SAMPLE_RATIO = 0.1
@@ -60,6 +65,9 @@
     def connecting_limit(self, running: int, most: int) -> int:
         """Return how many connections may be opened at once."""
 
+    def is_overdue(self, seconds: float) -> bool:
+        """Return whether an answer is missing for so long that it is lost."""
+
     def limit(self, most: int) -> int:
         """Return how many statements may run at once, at least 1."""
 
@@ -92,6 +100,10 @@
         """Return the limit for all instances."""
         return MAX_CONNECTING_CONNS
 
+    def is_overdue(self, seconds: float) -> bool:
+        """Return False: all that was sent counts."""
+        return False
+
     def limit(self, most: int) -> int:
         """Return the number of connections."""
         return most
@@ -139,6 +151,10 @@
         free = self.limit(most) - running
         return max(1, min(MAX_CONNECTING_CONNS, free))
 
+    def is_overdue(self, seconds: float) -> bool:
+        """Return whether an answer is missing for so long that it is lost."""
+        return seconds > max(OVERDUE_S, OVERDUE_RATIO * self._mean_s)
+
     def limit(self, most: int) -> int:
         """Return the limit, at least 1 and at most ``most``."""
         return max(1, min(int(self._limit), most))
--- a/src/chicoryusher/tasks/pool/conn_opening.py
+++ b/src/chicoryusher/tasks/pool/conn_opening.py
@@ -10,13 +10,10 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import pool_conns
 
-__all__ = ['MAX_CONNECTING_CONNS', 'ConnOpener']
+__all__ = ['ConnOpener']
 
 # Pause in opening connections after one could not be opened.
 CONNECT_PAUSE_S = 0.3
-# Connections that are opened at once.  Each takes a slot of the instance for
-# some 12 ms, also if it is given up, so many of them would keep it busy.
-MAX_CONNECTING_CONNS = 2
 # Idle time after which a connection above this VM's share is closed.
 SURPLUS_IDLE_S = 1.5
 
@@ -64,17 +61,23 @@
         self._paused_until = now + CONNECT_PAUSE_S
 
     def open_for_queue(
-        self, queued: Iterable[core.TeamName | None], now: float
+        self,
+        queued: Iterable[core.TeamName | None],
+        free: Iterable[core.TeamName | None],
+        at_once: int,
+        now: float,
     ) -> None:
         """Open a connection for each queued work, up to this VM's limit.
 
-        ``queued`` has the team of each piece of work.
+        ``queued`` has the team of each piece of work, and ``free`` that of
+        each connection that waits for its turn.  No more than ``at_once``
+        connections are being opened together.
         """
         if self.is_paused(now):
             return
         connecting = self._conns.connecting_teams()
         wanted = decisions.conns_to_open(
-            queued, connecting, MAX_CONNECTING_CONNS - len(connecting)
+            queued, [*connecting, *free], at_once - len(connecting)
         )
         for team in wanted:
             if len(self._conns) >= self.share.max_open:
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -171,6 +171,8 @@
             message.transaction_status,
             remote_work.sent_at if message.sent else None,
             remote_work.asked_at,
+            message.expected_wait,
+            message.run_time,
         )
         self._settle(remote_work, 'ended', ended)
 
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -34,12 +34,21 @@
     """The availability zone of this VM, and the region of each zone.
 
     ``revocation_s`` is how many seconds after its removal a team's key may
-    still be used, None for no bound.
+    still be used, None for no bound.  With ``paces_instances`` instances are
+    loaded as far as their answers show that they can run the work.
     """
 
     zone: core.ZoneName
     regions: dict[core.ZoneName, core.RegionName]
     revocation_s: float | None = None
+    paces_instances: bool = False
+
+    @property
+    def load_policy(self) -> core.LoadPolicy:
+        """Return how the instances are loaded."""
+        if self.paces_instances:
+            return core.LoadPolicy.PACED
+        return core.LoadPolicy.PLAIN
 
 
 class GroupTable:
@@ -71,11 +80,17 @@
         self._pools: dict[
             core.InstanceName, instance_pool_module.InstancePool
         ] = {}
+        self._last_primaries: dict[core.ServiceName, core.InstanceName] = {}
         self.groups: dict[core.ServiceName, group_state_module.PoolGroup] = {}
 
     def __contains__(self, name: core.InstanceName) -> bool:
         return name in self._pools
 
+    @property
+    def load_policy(self) -> core.LoadPolicy:
+        """Return how the instances are loaded."""
+        return self._settings.load_policy
+
     def pool_task(self, name: core.InstanceName) -> core.TaskName:
         """Return the task name of a registered instance's pool."""
         return self._pools[name].task_name
@@ -153,6 +168,7 @@
         for entry in message.entries:
             self._add_or_update(group, entry)
         group.set_primary(message.primary, self._dispatcher.now())
+        self._note_promotion(message)
         self._send_shares(by_name)
         return removed
 
@@ -172,10 +188,31 @@
         group.instances[entry.name] = decisions.InstanceLoad(entry, distance)
         self._links[entry.name] = self._factory.pool_link(dispatcher.vm, entry)
         pool = instance_pool_module.InstancePool(
-            self._loop, dispatcher.vm, entry, self._conn_numbers
+            self._loop,
+            dispatcher.vm,
+            entry,
+            self._conn_numbers,
+            self._settings.load_policy,
         )
         self._pools[entry.name] = pool
 
+    def _note_promotion(self, message: core.GroupUpdate) -> None:
+        """Have an instance that has become the primary loaded slowly."""
+        primary = message.primary
+        if primary is None:
+            return
+        last = self._last_primaries.get(message.service, primary)
+        self._last_primaries[message.service] = primary
+        if primary != last:
+            self.restart_pace(primary, 'the instance was promoted')
+
+    def restart_pace(self, name: core.InstanceName, why: str) -> None:
+        """Have this VM's pool load an instance slowly at first."""
+        pool = self._pools.get(name)
+        if pool is not None:
+            restart = instance_pool_module.RestartPace(why)
+            self._dispatcher.send(pool.task_name, restart)
+
     def _close_pool(self, name: core.InstanceName) -> None:
         pool = self._pools.pop(name, None)
         link = self._links.pop(name, None)
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -12,10 +12,17 @@
 from chicoryusher.tasks.pool import command_results
 from chicoryusher.tasks.pool import conn_opening
 from chicoryusher.tasks.pool import pool_conns as conns_module
+from chicoryusher.tasks.pool import pool_pace
 from chicoryusher.tasks.pool import pool_timeouts
-from chicoryusher.tasks.pool.conn_opening import MAX_CONNECTING_CONNS
 
-__all__ = ['MAX_CONNECTING_CONNS', 'InstancePool', 'SetConnectionShare']
+__all__ = [
+    'MAX_CONNECTING_CONNS',
+    'InstancePool',
+    'RestartPace',
+    'SetConnectionShare',
+]
+
+MAX_CONNECTING_CONNS = decisions.MAX_CONNECTING_CONNS
 
 # Interval between checks for work that has timed out, while there is work.
 SWEEP_INTERVAL_S = 0.05
@@ -31,6 +38,13 @@
     share: decisions.ConnShare
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestartPace(core.Message):
+    """Load the instance slowly at first, since something has changed."""
+
+    why: str
+
+
 class _Sweep(core.Message):
     """Timer: check for work and connections that have timed out."""
 
@@ -44,14 +58,18 @@
         vm: core.VmName,
         entry: core.InstanceEntry,
         conn_numbers: Iterator[int],
+        policy: core.LoadPolicy = core.LoadPolicy.PLAIN,
     ) -> None:
         super().__init__(loop, vm, f'lane/{names.incarnation_name(entry)}')
         self.entry = entry
         self._clock = loop.clock
         self._link = names.pool_link(vm, entry)
         self._conns = conns_module.PoolConns(conn_numbers)
-        self._queue = decisions.WorkQueue()
+        self._queue = decisions.WORK_QUEUES.get(policy)()
         self._opener = conn_opening.ConnOpener(self, entry, self._conns)
+        self._pace = pool_pace.PoolPace(
+            self, entry, policy, self._conns, self._opener
+        )
         self._responses = pool_timeouts.Responsiveness()
         self._sweep_scheduled = False
 
@@ -64,6 +82,10 @@
     def _on_share(self, message: SetConnectionShare) -> None:
         self._opener.share = message.share
 
+    @runtime.handles(RestartPace)
+    def _on_restart_pace(self, message: RestartPace) -> None:
+        self._pace.restart(message.why)
+
     # -- new work -------------------------------------------------------
 
     @runtime.handles(core.Work)
@@ -71,27 +93,32 @@
         if work.transaction is not None and work.begin_kind is None:
             self._continue_transaction(work)
             return
+        ahead = self._queue.count_ahead_of(work.team)
+        if self._pace.starts_too_late(work, ahead):
+            self.meters.add(core.Metric.GIVEN_BACK, instance=self.entry.name)
+            self.report_end(work, _Ended.NOT_STARTED)
+            return
         self._queue.add(work)
         if not len(self._conns) and self._opener.is_paused(self.now()):
             # Another VM may have a connection.
             self._return_queued(_Ended.NOT_STARTED)
             return
-        self._dispatch()
+        self.dispatch()
 
     def _continue_transaction(self, work: core.Work) -> None:
         """Run a statement on the connection of its open transaction."""
         assert work.transaction is not None
         conn = self._conns.pinned_to(work.transaction)
         if conn is None or conn.state is not core.ConnState.PINNED:
-            self._report_end(work, _Ended.CONNECTION_LOST)
+            self.report_end(work, _Ended.CONNECTION_LOST)
             return
         self._start_work(conn, work)
 
-    def _dispatch(self) -> None:
+    def dispatch(self) -> None:
         """Start queued work on the idle connections that need least setup."""
         now = self.now()
         idle = self._conns.idle()
-        while idle:
+        while idle and self._pace.allows_start():
             teams = {conn.team for conn in idle}
             work = self._queue.pop_next(now, teams)
             if work is None:
@@ -104,18 +131,14 @@
             )
             idle.remove(conn)
             self._start_work(conn, work)
-        self._opener.open_for_queue(self._queue.teams(), now)
+        self._pace.open_for_queue(self._queue.teams(), now)
         self._schedule_sweep()
 
     def _start_work(
         self, conn: conns_module.PoolConn, work: core.Work
     ) -> None:
         """Send setup commands, then the statement or its BEGIN."""
-        commands = decisions.setup_commands(conn.session_state, work)
-        if work.begin_kind is None:
-            commands.append(self._run_command(conn, work))
-        else:
-            commands.append(decisions.begin_command(work))
+        commands = decisions.start_commands(conn.session_state, work)
         self._conns.mark_running(conn, work)
         conn.sent_at = self.now()
         self.meters.record(
@@ -124,33 +147,13 @@
             instance=self.entry.name,
         )
         conn.sent_at_boottime = self._clock.boottime()
-        self._send_commands(conn, commands)
+        self.send_commands(conn, commands)
         self._schedule_sweep()
 
-    @staticmethod
-    def _run_command(
-        conn: conns_module.PoolConn, work: core.Work
-    ) -> core.Command:
-        """Return the command that runs the statement.
-
-        Inside a transaction, the BEGIN has carried the condition on the
-        log position already.
-        """
-        name = ''
-        if work.prepared is not None:
-            name = conn.session_state.prepared[work.prepared]
-        after = work.min_position if work.transaction is None else None
-        return core.Command(
-            core.Op.RUN,
-            request_id=work.request_id,
-            statement=work.statement,
-            name=name,
-            min_position=after,
-        )
-
-    def _send_commands(
+    def send_commands(
         self, conn: conns_module.PoolConn, commands: list[core.Command]
     ) -> None:
+        """Send commands on a connection."""
         if not self._conns.awaiting_reply():
             self._responses.record_first_command(self.now())
         conn.pending_ops.extend(command.op for command in commands)
@@ -165,7 +168,7 @@
             return
         self._responses.record_response(self.now())
         self._conns.mark_opened(conn, self.now())
-        self._dispatch()
+        self.dispatch()
 
     @runtime.handles(core.LinkReply)
     def _on_answer(self, message: core.LinkReply) -> None:
@@ -174,7 +177,7 @@
             return
         self._responses.record_response(self.now())
         if not conn.pending_ops:
-            self._close(conn, _Ended.CONNECTION_LOST)
+            self.close(conn, _Ended.CONNECTION_LOST)
             return
         op = conn.pending_ops.popleft()
         command_results.RESULT_HANDLERS.get(op)(self, conn, message.reply)
@@ -184,64 +187,22 @@
         reply = core.LastResponse(self.entry.name, self._responses.received_at)
         self.send(query.reply_to, reply)
 
-    def on_begun(
-        self, conn: conns_module.PoolConn, reply: core.CommandReply
-    ) -> None:
-        """Send the statement after its BEGIN, or report it as not run."""
-        work = conn.work
-        if work is None or conn.setup_failed:
-            self._close(conn, _Ended.CONNECTION_LOST)
-        elif reply.refusal is None:
-            conn.sent_at = self.now()
-            self._send_commands(conn, [self._run_command(conn, work)])
-        else:
-            self._conns.release(conn, False, self.now())
-            self._report_end(work, _Ended.NOT_RUN, reply)
-            self._dispatch()
-
     def on_statement_result(
         self, conn: conns_module.PoolConn, reply: core.CommandReply
     ) -> None:
         """Report the result of the statement to the owner of the work."""
-        work = conn.work
-        if work is None or conn.setup_failed:
-            self._close(conn, _Ended.CONNECTION_LOST)
-            return
-        sent_at, asked_at = conn.sent_at, conn.sent_at_boottime
-        is_open = reply.transaction_status is core.TransactionStatus.OPEN
-        reusable = (
-            reply.transaction_status is core.TransactionStatus.IDLE or is_open
-        )
-        if is_open and work.transaction is None:
-            reusable = False
-        if reusable:
-            self._conns.release(conn, is_open, self.now())
-        else:
-            conn.work = None
-            self._roll_back(conn, work)
-        self._report_end(work, _Ended.ANSWERED, reply, sent_at, asked_at)
-        self._dispatch()
-
-    def _roll_back(self, conn: conns_module.PoolConn, work: core.Work) -> None:
-        """Roll back a failed transaction, and keep its connection.
-
-        If the work was in no transaction, the connection's state is not
-        known, and it is closed.
-        """
-        if work.transaction is None:
-            self._close(conn, _Ended.CONNECTION_LOST)
-            return
-        self._send_commands(conn, [core.Command(core.Op.ROLLBACK)])
+        command_results.report_statement(self, conn, reply)
 
-    def on_rolled_back(
-        self, conn: conns_module.PoolConn, reply: core.CommandReply
+    def release(self, conn: conns_module.PoolConn, pinned: bool) -> None:
+        """Free a connection, or leave it pinned to its transaction."""
+        self._conns.release(conn, pinned, self.now())
+
+    def record_answer(
+        self, work: core.Work, seconds: float, refusal: core.Refusal | None
     ) -> None:
-        """Release the connection of a transaction that was rolled back."""
-        if reply.transaction_status is not core.TransactionStatus.IDLE:
-            self._close(conn, _Ended.CONNECTION_LOST)
-            return
-        self._conns.release(conn, False, self.now())
-        self._dispatch()
+        """Record how fast the instance answered a piece of work."""
+        self._pace.record_answer(seconds, refusal)
+        self._queue.record_use(work.team, seconds)
 
     # -- cancelled work and closed connections --------------------------
 
@@ -255,11 +216,11 @@
                 not conn.pending_ops
                 or conn.pending_ops[-1] is not core.Op.ROLLBACK
             ):
-                self._close(conn, _Ended.CONNECTION_LOST)
+                self.close(conn, _Ended.CONNECTION_LOST)
             return
         self._conns.mark_running(conn, None)
         conn.sent_at = self.now()
-        self._send_commands(conn, [core.Command(core.Op.ROLLBACK)])
+        self.send_commands(conn, [core.Command(core.Op.ROLLBACK)])
 
     @runtime.handles(core.CancelWork)
     def _on_cancel(self, message: core.CancelWork) -> None:
@@ -270,7 +231,7 @@
             if work is not None and work.work_id == message.work_id:
                 conn.work = None
                 if work.transaction is not None:
-                    self._close(conn, _Ended.CONNECTION_LOST)
+                    self.close(conn, _Ended.CONNECTION_LOST)
 
     @runtime.handles(core.LinkClosed)
     def _on_closed(self, message: core.LinkClosed) -> None:
@@ -285,7 +246,7 @@
             self._on_open_failed(message.reason, conn.sent_at)
         elif message.reason is not core.LinkCloseReason.MALFORMED_REPLY:
             self._report_trouble()
-        self._dispatch()
+        self.dispatch()
 
     def _on_open_failed(
         self, reason: core.LinkCloseReason, began_at: float
@@ -311,10 +272,11 @@
             self._responses.suspected = True
             for conn in self._conns.all():
                 if conn.state is not core.ConnState.CONNECTING:
-                    self._close(conn, _Ended.CONNECTION_LOST)
+                    self.close(conn, _Ended.CONNECTION_LOST)
 
     def _report_trouble(self) -> None:
         """Report a failed connection to the monitor and the dispatcher."""
+        self._pace.restart('a connection failed')
         message = core.InstanceFault(self.entry.name)
         self.send(names.reachability_monitor(self.vm), message)
         self.send(names.dispatcher(self.vm), message)
@@ -322,13 +284,13 @@
     def _return_queued(self, ended: core.Completion) -> None:
         """End all queued work with this outcome."""
         for work in self._queue.drain():
-            self._report_end(work, ended)
+            self.report_end(work, ended)
 
     @runtime.handles(core.StopInstancePool)
     def _on_stop(self, message: core.StopInstancePool) -> None:
         self._return_queued(_Ended.NOT_STARTED)
         for conn in self._conns.all():
-            self._close(conn, _Ended.CONNECTION_LOST)
+            self.close(conn, _Ended.CONNECTION_LOST)
 
     def remove(self) -> None:
         """End all work, and this task, since the instance has gone.
@@ -342,7 +304,7 @@
             self._remove(conn, _Ended.CONNECTION_LOST)
         self.end()
 
-    def _close(
+    def close(
         self, conn: conns_module.PoolConn, ended: core.Completion
     ) -> None:
         """Close a connection; its work, if any, ends with this outcome."""
@@ -358,11 +320,11 @@
         self._conns.remove(conn)
         self._opener.show_connections()
         if work is not None:
-            self._report_end(
+            self.report_end(
                 work, ended, _NO_REPLY, conn.sent_at, conn.sent_at_boottime
             )
 
-    def _report_end(
+    def report_end(
         self,
         work: core.Work,
         ended: core.Completion,
@@ -370,6 +332,8 @@
         sent_at: float | None = None,
         asked_at: float | None = None,
     ) -> None:
+        """Report the end of a piece of work to its owner."""
+        ahead = self._queue.count_ahead_of(work.team)
         self.send(
             work.reply_to,
             core.WorkEnded(
@@ -384,6 +348,8 @@
                 reply.transaction_status,
                 sent_at,
                 asked_at,
+                self._pace.expected_wait(ahead),
+                None if sent_at is None else self.now() - sent_at,
             ),
         )
 
@@ -401,15 +367,15 @@
         self._sweep_scheduled = False
         now = self.now()
         for work in self._queue.remove_expired(now):
-            self._report_end(work, _Ended.NOT_STARTED)
+            self.report_end(work, _Ended.NOT_STARTED)
         for conn in self._conns.awaiting_reply():
             ended = pool_timeouts.passed_limit(conn, now)
             if ended is not None:
-                self._close(conn, ended)
+                self._pace.record_timeout()
+                self.close(conn, ended)
         self._check_unresponsive(now)
         self._opener.close_surplus(now)
-        self._opener.open_for_queue(self._queue.teams(), now)
-        self._schedule_sweep()
+        self.dispatch()
 
     def _check_unresponsive(self, now: float) -> None:
         """Open a test connection if an instance sends no replies.
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -167,6 +167,8 @@
                 ended.detail,
                 ended.position,
                 ended.transaction_status,
+                ended.expected_wait,
+                ended.run_time,
             ),
         )
 
--- a/tests/decisions/test_instance_pace.py
+++ b/tests/decisions/test_instance_pace.py
@@ -180,6 +180,20 @@
     assert min(done) > 0.4 * max(done)
 
 
+def test_a_lost_answer_holds_up_others_for_a_moment_only():
+    """One lost answer kept all other work of its owner waiting."""
+    pace = decisions.InstancePace(SLOTS)
+    assert not pace.is_overdue(0.2)
+    assert pace.is_overdue(0.3)
+
+
+def test_a_slow_answer_is_not_taken_for_lost():
+    pace = decisions.InstancePace(SLOTS)
+    for _ in range(50):
+        pace.record_success(0.3, 2, CONNECTIONS, 1.0)
+    assert not pace.is_overdue(0.5)
+
+
 def test_the_wait_is_that_of_the_work_ahead():
     pace = decisions.InstancePace(SLOTS)
     for _ in range(400):
