Keep reads away from outliers, and repeat a failed read elsewhere once

Cause: a grey replica got its share of reads, and each error went to the caller although another replica could have answered. Change: with paced instances a selector (registered by load policy) compares the instances' reads, logs ejections and readmissions, and uses reported waits. A read outside of transactions that an instance answered with FAILED runs once more at another instance, if one can serve it in time. Writes and transactions are not repeated.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -17,6 +17,7 @@
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import group_table as group_table_module
 from chicoryusher.tasks.pool import instance_selection
+from chicoryusher.tasks.pool import selectors
 from chicoryusher.tasks.pool import sessions
 from chicoryusher.tasks.pool import work_numbers
 
@@ -67,6 +68,8 @@
         self._rights = rights
         self._clock = clock
         self._numbers = itertools.count(work_numbers.first_work_number())
+        make_selector = selectors.SELECTORS.get(group_table.load_policy)
+        self._selector = make_selector(dispatcher, group_table)
         self._log = attempt_log.AttemptLog(dispatcher)
         self._running: dict[core.WorkId, sessions.Attempt] = {}
         self.lease_expires_at = float('-inf')
@@ -126,6 +129,7 @@
             self.has_lease(),
             self._dispatcher.now(),
             self._clock.boottime(),
+            self._selector,
         )
         if name is None:
             self._wait_or_refuse(attempt, 'no instance may serve it')
@@ -410,26 +414,30 @@
         if pool_instance is None:
             return
         if ended.sent_at is not None:
-            self._record_run_time(
-                pool_instance, ended, self._dispatcher.now() - ended.sent_at
+            self._dispatcher.meters.record(
+                _Metric.RUN,
+                self._dispatcher.now() - ended.sent_at,
+                instance=ended.instance,
+                ended=ended.completion.value,
             )
+        self._selector.record(attempt, group, ended, self._dispatcher.now())
         if ended.refusal is core.Refusal.NOT_FRESH:
             pool_instance.raise_lag_estimate(attempt.position_age, boot_now)
 
-    def _record_run_time(
-        self,
-        pool_instance: decisions.InstanceLoad,
-        ended: core.WorkEnded,
-        seconds: float,
-    ) -> None:
-        self._dispatcher.meters.record(
-            _Metric.RUN,
-            seconds,
-            instance=ended.instance,
-            ended=ended.completion.value,
+    def repeats_failed(
+        self, attempt: sessions.Attempt, ended: core.WorkEnded
+    ) -> bool:
+        """Return whether a failed statement runs again elsewhere."""
+        group = self._group_table.groups.get(attempt.route.service)
+        if group is None or not self._selector.may_repeat(attempt, ended):
+            return False
+        return instance_selection.can_run_elsewhere(
+            attempt,
+            group,
+            self.has_lease(),
+            self._dispatcher.now(),
+            self._clock.boottime(),
         )
-        if ended.completion is core.Completion.ANSWERED:
-            pool_instance.record_service_time(seconds)
 
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
--- a/src/chicoryusher/tasks/pool/completions.py
+++ b/src/chicoryusher/tasks/pool/completions.py
@@ -39,6 +39,11 @@
     def try_other_owner(self, attempt: sessions.Attempt, why: str) -> None:
         """Retry through another VM that owns connections to the instance."""
 
+    def repeats_failed(
+        self, attempt: sessions.Attempt, ended: core.WorkEnded
+    ) -> bool:
+        """Return whether a failed statement runs again elsewhere."""
+
     def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
         """Retry at any instance of the group after a pause."""
 
@@ -160,7 +165,14 @@
 def _ran_and_failed(
     host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
-    """Deliver the error; an open transaction has failed."""
+    """Deliver the error; an open transaction has failed.
+
+    A read outside of transactions may run once more at another instance.
+    """
+    if host.repeats_failed(attempt, ended):
+        attempt.was_failed = True
+        host.try_elsewhere(attempt, ended.instance, 'an instance failed it')
+        return
     if attempt.session.transaction is None:
         host.deliver(attempt, ended, _Block.IDLE)
         return
--- a/src/chicoryusher/tasks/pool/group_state.py
+++ b/src/chicoryusher/tasks/pool/group_state.py
@@ -33,6 +33,7 @@
         self.instances: dict[core.InstanceName, decisions.InstanceLoad] = {}
         self.primary: core.InstanceName | None = None
         self.observations = decisions.PrimaryPositions()
+        self.outliers = decisions.Outliers()
         self.stopping: core.StopPrimary | None = None
         self.stopped_at = float('-inf')
         self._seen_before = False
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -164,6 +164,7 @@
         )
         for name in removed:
             del group.instances[name]
+            group.outliers.forget(name)
             self._close_pool(name)
         for entry in message.entries:
             self._add_or_update(group, entry)
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -5,11 +5,13 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher.tasks.pool import group_state as group_state_module
+from chicoryusher.tasks.pool import selectors
 from chicoryusher.tasks.pool import sessions
 
 __all__ = [
     'START_TARGET_SHARE',
     'begin_kind_of',
+    'can_run_elsewhere',
     'latest_start',
     'make_work',
     'read_needs_of',
@@ -53,6 +55,7 @@
     authority: bool,
     now: float,
     boot_now: float,
+    selector: selectors.Selector,
 ) -> core.InstanceName | None:
     """Return the best instance, or None if no instance may run the statement.
 
@@ -60,6 +63,46 @@
     on the clock that also counts time while the machine is suspended.
     """
     primary = group.usable_primary(now) if authority else None
+    return selector.choose(
+        attempt,
+        group,
+        _candidates(group, primary),
+        primary,
+        needs,
+        now,
+        boot_now,
+    )
+
+
+def can_run_elsewhere(
+    attempt: sessions.Attempt,
+    group: group_state_module.PoolGroup,
+    authority: bool,
+    now: float,
+    boot_now: float,
+) -> bool:
+    """Return whether another instance may run a statement in time."""
+    if now >= latest_start(attempt):
+        return False
+    primary = group.usable_primary(now) if authority else None
+    excluded = attempt.excluded
+    if attempt.instance is not None:
+        excluded |= {attempt.instance}
+    name = decisions.choose_instance(
+        _candidates(group, primary),
+        primary,
+        read_needs_of(attempt, group),
+        excluded,
+        now,
+        boot_now,
+    )
+    return name is not None
+
+
+def _candidates(
+    group: group_state_module.PoolGroup, primary: core.InstanceName | None
+) -> list[decisions.InstanceLoad]:
+    """Return the instances, without a primary that may not be used."""
     instances = list(group.instances.values())
     if primary is None and group.primary is not None:
         instances = [
@@ -67,9 +110,7 @@
             for instance in instances
             if instance.entry.name != group.primary
         ]
-    return decisions.choose_instance(
-        instances, primary, needs, attempt.excluded, now, boot_now
-    )
+    return instances
 
 
 def begin_kind_of(
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -54,7 +54,8 @@
     ``lacked_connection`` is set while a pool had no connection for it since
     the last pause. ``was_sent`` is whether one of its tries may have
     reached an instance, None before the first try has ended. ``team`` is the
-    caller's team, None without teams.
+    caller's team, None without teams. ``was_failed`` is set once it runs again
+    because an instance has failed it.
     """
 
     session: PoolSession
@@ -78,6 +79,7 @@
     result_untrusted: bool = False
     wait_reason: str = ''
     team: core.TeamName | None = None
+    was_failed: bool = False
 
     @property
     def writes(self) -> bool:
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -12,6 +12,9 @@
 
 __all__ = ['Connection', 'Group', 'Instance', 'Run']
 
+# Usual time from a command to its reply.
+REPLY_DELAY_S = 0.005
+
 Op = core.Op
 Block = core.TransactionStatus
 Verb = core.Verb
@@ -53,7 +56,8 @@
     primary.  ``full``: refuses new connections because its limit is
     reached.  ``backlogged``: answers on open connections, and accepts no
     new one in time.  ``busy``: refuses statements.  ``lose_answers``: runs
-    commands and drops their replies.
+    commands and drops their replies.  ``fails_every``: fails one statement
+    of so many.  ``reply_delay``: seconds from a command to its reply.
     """
 
     def __init__(self, group: Group, entry: core.InstanceEntry) -> None:
@@ -70,6 +74,9 @@
         self.backlogged = False
         self.busy = False
         self.lose_answers = False
+        self.fails_every = 0
+        self.reply_delay = REPLY_DELAY_S
+        self.run_count = 0
         self.leads_at = 0.0
 
     @property
@@ -183,6 +190,9 @@
         return instance.refuse(conn, core.Refusal.BUSY)
     if _lacks_position(instance, command):
         return instance.refuse(conn, core.Refusal.NOT_FRESH)
+    instance.run_count += 1
+    if instance.fails_every and instance.run_count % instance.fails_every == 0:
+        return instance.refuse(conn, core.Refusal.FAILED)
     shape = None
     if command.name:
         shape = conn.prepared.get(command.name)
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -11,7 +11,7 @@
 
 __all__ = ['SimLink', 'SimProber', 'SimPromotions']
 
-# Time from a command to its reply.
+# Time in which a connection is accepted or refused.
 REPLY_DELAY_S = 0.005
 CONNECT_TIMEOUT_S = 0.3
 PROMOTE_DELAY_S = 0.3
@@ -102,7 +102,9 @@
             reply = self._instance.run(conn, command)
             if not self._instance.lose_answers:
                 self._send_delayed(
-                    conn_id, core.LinkReply(conn_id, reply), REPLY_DELAY_S
+                    conn_id,
+                    core.LinkReply(conn_id, reply),
+                    self._instance.reply_delay,
                 )
 
     @runtime.handles(core.CloseLink)
