--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -95,6 +95,24 @@
         ('slot',),
         "VMs whose share of the teams' limits this VM keeps",
     )
+    PACE = (
+        MetricKind.GAUGE,
+        '1',
+        ('instance',),
+        'statements that this VM runs at an instance at once, at most',
+    )
+    GIVEN_BACK = (
+        MetricKind.COUNTER,
+        '1',
+        ('instance',),
+        'statements that could not have started in time and were given back',
+    )
+    EJECTED = (
+        MetricKind.GAUGE,
+        '1',
+        ('instance',),
+        'whether this VM sends an instance no first tries of reads',
+    )
     SESSIONS = (MetricKind.GAUGE, '1', (), 'open sessions of callers')
     AUTHORITY_LEFT = (
         MetricKind.GAUGE,
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -12,6 +12,7 @@
 from chicoryusher.decisions import evidence
 from chicoryusher.decisions import exchange_graph
 from chicoryusher.decisions import failover
+from chicoryusher.decisions import fair_queue
 from chicoryusher.decisions import fencing
 from chicoryusher.decisions import gate_directory
 from chicoryusher.decisions import gates
@@ -19,6 +20,7 @@
 from chicoryusher.decisions import handshakes
 from chicoryusher.decisions import heartbeat_targets
 from chicoryusher.decisions import idempotency
+from chicoryusher.decisions import instance_pace
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
 from chicoryusher.decisions import lease_grants
@@ -27,6 +29,8 @@
 from chicoryusher.decisions import limit_following
 from chicoryusher.decisions import limit_shares
 from chicoryusher.decisions import membership
+from chicoryusher.decisions import outliers
+from chicoryusher.decisions import paced_selection
 from chicoryusher.decisions import primary_lease
 from chicoryusher.decisions import primary_positions
 from chicoryusher.decisions import reader_selection
@@ -51,6 +55,7 @@
 from chicoryusher.decisions.evidence import *  # noqa: F403
 from chicoryusher.decisions.exchange_graph import *  # noqa: F403
 from chicoryusher.decisions.failover import *  # noqa: F403
+from chicoryusher.decisions.fair_queue import *  # noqa: F403
 from chicoryusher.decisions.fencing import *  # noqa: F403
 from chicoryusher.decisions.gate_directory import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
@@ -58,6 +63,7 @@
 from chicoryusher.decisions.handshakes import *  # noqa: F403
 from chicoryusher.decisions.heartbeat_targets import *  # noqa: F403
 from chicoryusher.decisions.idempotency import *  # noqa: F403
+from chicoryusher.decisions.instance_pace import *  # noqa: F403
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
 from chicoryusher.decisions.lease_grants import *  # noqa: F403
@@ -66,6 +72,8 @@
 from chicoryusher.decisions.limit_following import *  # noqa: F403
 from chicoryusher.decisions.limit_shares import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
+from chicoryusher.decisions.outliers import *  # noqa: F403
+from chicoryusher.decisions.paced_selection import *  # noqa: F403
 from chicoryusher.decisions.primary_lease import *  # noqa: F403
 from chicoryusher.decisions.primary_positions import *  # noqa: F403
 from chicoryusher.decisions.reader_selection import *  # noqa: F403
@@ -98,13 +106,17 @@
     *configuration.__all__,
     *gate_directory.__all__,
     *evidence.__all__,
+    *fair_queue.__all__,
     *fencing.__all__,
     *staleness.__all__,
     *gates.__all__,
     *conn_owners.__all__,
     *group_health.__all__,
     *idempotency.__all__,
+    *instance_pace.__all__,
     *membership.__all__,
+    *outliers.__all__,
+    *paced_selection.__all__,
     *heartbeat_targets.__all__,
     *config_pointers.__all__,
     *register.__all__,
--- a/tests/decisions/test_conn_owners.py
+++ b/tests/decisions/test_conn_owners.py
@@ -111,9 +111,7 @@
 def test_all_vms_try_the_owners_of_a_team_in_one_order():
     owners = tuple(core.VmName(f'vm{number}') for number in range(8))
     teams = [core.TeamName(f'team{number}') for number in range(74)]
-    orders = {
-        team: decisions.sort_team_owners(team, owners) for team in teams
-    }
+    orders = {team: decisions.sort_team_owners(team, owners) for team in teams}
     for team, order in orders.items():
         assert decisions.sort_team_owners(team, reversed(owners)) == order
     firsts = collections.Counter(order[0] for order in orders.values())
--- a/tests/tasks/test_pool_limits.py
+++ b/tests/tasks/test_pool_limits.py
@@ -5,9 +5,9 @@
 keeper or all VMs restart, VMs are cut off, a keeper freezes and wakes.
 """
 
+import limit_sites
 import pytest
 
-import limit_sites
 from chicoryusher import core
 from chicoryusher import decisions
 
