--- a/src/chicoryusher_standins/model/check.py
+++ b/src/chicoryusher_standins/model/check.py
@@ -15,6 +15,7 @@
 
 from chicoryusher_standins.model import authority
 from chicoryusher_standins.model import joining
+from chicoryusher_standins.model import limits
 from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import restored
 from chicoryusher_standins.model import restored_rules
@@ -85,6 +86,7 @@
         ),
         ('joining, no restart', joining.joining()),
         ('joining, a restart', joining.joining(restarts=1)),
+        ('limits, 2 restarts', limits.limits(restarts=2)),
         ('restored, 2 writes of a row', restored.restored()),
         (
             'restored, 3 terms',
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -9,6 +9,7 @@
 from chicoryusher_standins.model import authority
 from chicoryusher_standins.model import check
 from chicoryusher_standins.model import joining
+from chicoryusher_standins.model import limits
 from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import restored
 from chicoryusher_standins.model import restored_rules
@@ -28,6 +29,7 @@
     'late_registration': 40_000,
     'late_grants': 60_000,
     'joining': 40_000,
+    'limits': 60_000,
     'mark_by_an_unlisted_vm': 200_000,
     'grant_to_a_marked_vm': 200_000,
 }
@@ -54,6 +56,10 @@
         (name, joining.joining(rules))
         for name, rules in joining.MUTANTS.items()
     ),
+    *(
+        (name, limits.limits(rules, int(name in limits.MUTANTS_WITH_RESTART)))
+        for name, rules in limits.MUTANTS.items()
+    ),
     *(
         (name, protocol(rules))
         for protocol, mutants in (
@@ -87,6 +93,7 @@
         authority.authority(max_revision=MAX_REVISION),
         authority.holders(max_revision=MAX_REVISION),
         joining.joining(),
+        limits.limits(),
         registration.registration(),
         *RESTORED,
     ],
@@ -119,6 +126,7 @@
         authority.authority(max_revision=MAX_REVISION),
         authority.holders(max_revision=MAX_REVISION),
         joining.joining(),
+        limits.limits(),
         registration.registration(),
         *RESTORED,
     ],
