--- a/src/chicoryusher/decisions/limit_allowances.py
+++ b/src/chicoryusher/decisions/limit_allowances.py
@@ -25,6 +25,9 @@
 PREFETCH_S = 0.25
 # Share of the validity within which what was asked for in advance is used.
 PREFETCH_VALIDITY_SHARE = 0.5
+# Share of the time for which an operation can wait that it waits for a turn.
+# In an overload a longer wait delays every operation and serves no more.
+TURN_WAIT_SHARE = 0.5
 # Share of the last round trip by which a question goes out before the turn.
 ROUND_TRIP_SHARE = 0.9
 FIRST_ROUND_TRIP_S = 0.01
@@ -40,6 +43,14 @@
     max_wait_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Operation:
+    """Until when an operation can wait, for an answer and for a turn."""
+
+    deadline: float
+    turn_deadline: float
+
+
 class TeamAllowances:
     """One team's waiting operations and allowances at one VM.
 
@@ -48,7 +59,7 @@
 
     def __init__(self) -> None:
         self._validity_s = 0.0
-        self._waiting: dict[core.AllowanceId, float] = {}
+        self._waiting: dict[core.AllowanceId, _Operation] = {}
         self._held: collections.deque[list[float]] = collections.deque()
         self._sequence = 0
         self._asked_at: float | None = None
@@ -73,10 +84,12 @@
     # -- operations -----------------------------------------------------
 
     def add(
-        self, allowance_id: core.AllowanceId, deadline: float, now: float
+        self, allowance_id: core.AllowanceId, max_wait_s: float, now: float
     ) -> None:
-        """Add an operation that can wait until a deadline."""
-        self._waiting[allowance_id] = deadline
+        """Add an operation that can wait for some seconds."""
+        self._waiting[allowance_id] = _Operation(
+            now + max_wait_s, now + max_wait_s * TURN_WAIT_SHARE
+        )
         self._demand = self._demand_now(now) + 1.0 / DEMAND_PERIOD_S
         self._demand_at = now
 
@@ -98,13 +111,15 @@
             if self._asked_at is None:
                 earliest = max(now, self._expected_at)
         decided: list[core.AllowanceDecided] = []
-        for allowance_id, deadline in tuple(self._waiting.items()):
+        for allowance_id, operation in tuple(self._waiting.items()):
             if self._held:
                 outcome = core.AllowanceOutcome.GRANTED
                 decision = core.AllowanceDecided(
                     allowance_id, outcome, self._use_held()
                 )
-            elif deadline <= now or deadline < earliest:
+            elif operation.deadline <= now or (
+                earliest > now and operation.turn_deadline < earliest
+            ):
                 decision = core.AllowanceDecided(allowance_id, refusal)
             else:
                 continue
@@ -147,10 +162,12 @@
         self._asked_at = now
         self._asked_count = len(self._waiting) + max(0, prefetch - held)
         # The operations that a turn is for must still wait when it is known.
-        latest = max(self._waiting.values(), default=now) - self._round_trip_s
-        return AllowanceQuestion(
-            self._sequence, self._asked_count, max(0.0, latest - now)
+        latest = max(
+            (operation.turn_deadline for operation in self._waiting.values()),
+            default=now,
         )
+        max_wait_s = max(0.0, latest - self._round_trip_s - now)
+        return AllowanceQuestion(self._sequence, self._asked_count, max_wait_s)
 
     def _prefetch(self, now: float) -> int:
         if self._is_short:
@@ -185,7 +202,9 @@
         """Return when to settle and ask again, infinite if never."""
         if not self._waiting:
             return _NEVER
-        times = [min(self._waiting.values())]
+        times = [
+            min(operation.deadline for operation in self._waiting.values())
+        ]
         if self._asked_at is not None:
             times.append(self._asked_at + ANSWER_TIMEOUT_S)
         elif self._next_at > now:
--- a/src/chicoryusher/tasks/pool/limits/attempt_allowances.py
+++ b/src/chicoryusher/tasks/pool/limits/attempt_allowances.py
@@ -9,13 +9,11 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import completions
+from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import sessions
 
 __all__ = ['AttemptAllowances']
 
-# Share of the latency target within which a statement must have its part of
-# the limit; the rest is for the queue of the instance.
-MAX_WAIT_TARGET_SHARE = 0.4
 # Seconds for which a statement may wait that has waited for an instance
 # before: a question to a keeper of another region.
 MIN_WAIT_S = 0.15
@@ -64,9 +62,8 @@
         return False
 
     def _max_wait_s(self, attempt: sessions.Attempt) -> float:
-        waited_s = self._dispatcher.now() - attempt.arrived_at
-        max_s = attempt.route.latency_target * MAX_WAIT_TARGET_SHARE
-        return max(MIN_WAIT_S, max_s - waited_s)
+        latest_start = instance_selection.latest_start(attempt)
+        return max(MIN_WAIT_S, latest_start - self._dispatcher.now())
 
     def _send(self, message: core.Message) -> None:
         self._dispatcher.send(names.limiter(self._dispatcher.vm), message)
--- a/src/chicoryusher/tasks/pool/limits/limit_keeper.py
+++ b/src/chicoryusher/tasks/pool/limits/limit_keeper.py
@@ -155,7 +155,7 @@
         self._refill(kept, bucket)
         granted, next_s = bucket.take(
             message.vm,
-            message.wanted,
+            max(0, message.wanted),
             message.max_wait_s,
             kept.followers.share,
             now,
--- a/src/chicoryusher/tasks/pool/limits/limiter.py
+++ b/src/chicoryusher/tasks/pool/limits/limiter.py
@@ -202,7 +202,7 @@
             allowances = decisions.TeamAllowances()
             self._set_validity(team, allowances)
             self._allowances[team] = allowances
-        allowances.add(request.allowance_id, now + request.max_wait_s, now)
+        allowances.add(request.allowance_id, request.max_wait_s, now)
         self._settle(team, allowances)
 
     @runtime.handles(core.CancelAllowance)
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -51,6 +51,16 @@
         core.VmName('v'), False, core.ConfigVersion(3), (core.VmName('w'),)
     ),
     core.ConfigOffer(core.ConfigVersion(3), b'{}'),
+    core.FollowLimitKeeper(core.VmName('v'), core.LimitSlot(3)),
+    core.FollowLimitKeeper(
+        core.VmName('v'), core.LimitSlot(0), 12.5, 1.5, leaves=True
+    ),
+    core.LimitKeeperStamp(
+        core.VmName('v'), core.LimitSlot(0), 12.5, 1.5, 11.0, True, True
+    ),
+    core.AskAllowance(core.VmName('v'), core.TeamName('t'), 7, 3, 0.5),
+    core.GrantAllowance(core.VmName('v'), core.TeamName('t'), 7, 2, 0.1),
+    core.GrantAllowance(core.VmName('v'), core.TeamName('t'), 7, 0),
 ]
 
 
