Move what results show out of the attempts

Change: the recording of positions, run times and lags is a module of its own.

Measured: the tests of sessions, retries, teams and limits pass.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -14,6 +14,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempt_log
+from chicoryusher.tasks.pool import attempt_results
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import entitlement
 from chicoryusher.tasks.pool import group_table as group_table_module
@@ -40,7 +41,6 @@
 # A statement with less run time than this left is refused and not sent.
 MIN_RUN_TIME_S = 0.05
 _Block = core.TransactionStatus
-_Metric = core.Metric
 _REFUSAL_BY_OUTCOME = {
     core.AllowanceOutcome.OVER_LIMIT: core.Refusal.OVER_LIMIT,
     core.AllowanceOutcome.UNANSWERED: core.Refusal.BUSY,
@@ -77,6 +77,9 @@
         self._allowances = attempt_allowances.AttemptAllowances(
             dispatcher, rights, clock
         )
+        self._results = attempt_results.AttemptResults(
+            dispatcher, group_table, clock
+        )
         self._running: dict[core.WorkId, sessions.Attempt] = {}
         self.lease_expires_at = float('-inf')
 
@@ -302,7 +305,7 @@
         was_sent = ended.sent_at is not None
         attempt.was_sent = bool(attempt.was_sent) or was_sent
         self._allowances.record_end(attempt, ended)
-        self._record_result(attempt, ended)
+        self._results.record(attempt, ended, self.has_lease())
         completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
         return attempt.route.service
 
@@ -396,59 +399,6 @@
                 0, pool_instance.outstanding_count - 1
             )
 
-    def _record_result(
-        self, attempt: sessions.Attempt, ended: core.WorkEnded
-    ) -> None:
-        """Record the position, run time and lag that the result shows.
-
-        A position of the primary counts only if this VM had a lease on
-        it; it is passed on to the view exchange, which sends it to the peers.
-        """
-        group = self._group_table.groups.get(attempt.route.service)
-        if group is None:
-            return
-        boot_now = self._clock.boottime()
-        trusted = (
-            attempt.at_primary
-            and self.has_lease()
-            and not attempt.result_untrusted
-        )
-        if group.record_position(ended, trusted, boot_now):
-            assert (
-                ended.position is not None
-                and ended.sent_at_boottime is not None
-            )
-            observed = core.PrimaryPositionObserved(
-                group.service, ended.position, ended.sent_at_boottime
-            )
-            self._dispatcher.send(
-                names.view_exchange(self._dispatcher.vm), observed
-            )
-        pool_instance = group.instances.get(ended.instance)
-        if pool_instance is None:
-            return
-        if ended.sent_at is not None:
-            self._record_run_time(
-                pool_instance, ended, self._dispatcher.now() - ended.sent_at
-            )
-        if ended.refusal is core.Refusal.NOT_FRESH:
-            pool_instance.raise_lag_estimate(attempt.position_age, boot_now)
-
-    def _record_run_time(
-        self,
-        pool_instance: decisions.InstanceLoad,
-        ended: core.WorkEnded,
-        seconds: float,
-    ) -> None:
-        self._dispatcher.meters.record(
-            _Metric.RUN,
-            seconds,
-            instance=ended.instance,
-            ended=ended.completion.value,
-        )
-        if ended.completion is core.Completion.ANSWERED:
-            pool_instance.record_service_time(seconds)
-
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
     ) -> None:
