--- a/src/chicoryusher/decisions/limit_shares.py
+++ b/src/chicoryusher/decisions/limit_shares.py
@@ -32,10 +32,10 @@
 # second that one keeper answers at most.
 MIN_FOLLOW_INTERVAL_S = 0.5
 FOLLOWERS_PER_S = 200
-# Intervals without an answer after which a keeper counts as silent, and for
-# which it counts a follower.
-SILENT_INTERVALS = 1.6
+# Intervals for which a keeper counts a follower, and after which it counts as
+# silent.  A follower that finds out earlier may not follow another one sooner.
 COUNTED_INTERVALS = 3.0
+SILENT_INTERVALS = 2.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/tasks/pool/limits/slot_follower.py
+++ b/src/chicoryusher/tasks/pool/limits/slot_follower.py
@@ -16,6 +16,8 @@
 
 # Seconds between two messages to a keeper that this VM leaves.
 LEAVE_INTERVAL_S = 0.2
+# Share of the interval after which a message is due at a check.
+DUE_SHARE = 0.9
 _State = core.LimitFollowerState
 
 
@@ -71,7 +73,7 @@
         if self.state is _State.FOLLOWING:
             if now - self._heard_at > timing.silent_s:
                 self._chart.fire(self, 'silent', now)
-            elif now - self._sent_at >= timing.interval_s:
+            elif now - self._sent_at >= timing.interval_s * DUE_SHARE:
                 self.send_echo(now)
                 self._try_better_keeper(now)
         elif self.state is _State.LEAVING:
