Refuse at once what not even the whole limit can serve

Cause: of a crowd at one VM all waited for the turn of the first.

Change: operations that come after more than the limit grants in the time for which they can wait are refused with the first answer. A batch of requests is decided together. A keeper that stops answering no longer counts as having refused.

--- a/src/chicoryusher/decisions/limit_allowances.py
+++ b/src/chicoryusher/decisions/limit_allowances.py
@@ -58,6 +58,7 @@
     """
 
     def __init__(self) -> None:
+        self._rate = 0.0
         self._validity_s = 0.0
         self._waiting: dict[core.AllowanceId, _Operation] = {}
         self._held: collections.deque[list[float]] = collections.deque()
@@ -72,12 +73,13 @@
         self._demand = 0.0
         self._demand_at = 0.0
 
-    def set_validity(self, seconds: float) -> None:
-        """Set for how long allowances are valid, when the limit changes.
+    def set_limit(self, rate: float, validity_s: float) -> None:
+        """Set the team's rate, and for how long allowances are valid.
 
         What the keeper said about the next turn no longer holds.
         """
-        self._validity_s = seconds
+        self._rate = rate
+        self._validity_s = validity_s
         self._next_at = -_NEVER
         self._knows_turn = False
 
@@ -104,13 +106,10 @@
         """
         self._drop_expired(now)
         refusal = core.AllowanceOutcome.UNANSWERED
-        earliest = now
         if self._knows_turn:
             refusal = core.AllowanceOutcome.OVER_LIMIT
-            # An answer under way may still bring an allowance.
-            if self._asked_at is None:
-                earliest = max(now, self._expected_at)
         decided: list[core.AllowanceDecided] = []
+        ahead = 0
         for allowance_id, operation in tuple(self._waiting.items()):
             if self._held:
                 outcome = core.AllowanceOutcome.GRANTED
@@ -118,15 +117,30 @@
                     allowance_id, outcome, self._use_held()
                 )
             elif operation.deadline <= now or (
-                earliest > now and operation.turn_deadline < earliest
+                operation.turn_deadline < self._earliest(ahead, now)
             ):
                 decision = core.AllowanceDecided(allowance_id, refusal)
             else:
+                ahead += 1
                 continue
             del self._waiting[allowance_id]
             decided.append(decision)
         return decided
 
+    def _earliest(self, ahead: int, now: float) -> float:
+        """Return when an operation may be granted with others ahead of it.
+
+        Even the whole limit grants the others first.  It is not known while
+        an answer is under way.
+        """
+        if not self._knows_turn or not self._is_short:
+            return -_NEVER
+        if self._asked_at is not None or self._expected_at <= now:
+            return -_NEVER
+        if self._rate <= 0.0:
+            return _NEVER
+        return max(self._expected_at, now + ahead / self._rate)
+
     def _use_held(self) -> float:
         batch = self._held[0]
         batch[1] -= 1
@@ -151,6 +165,7 @@
             if now < self._asked_at + ANSWER_TIMEOUT_S:
                 return None
             self._asked_at = None
+            self._knows_turn = False
         prefetch = self._prefetch(now)
         held = sum(int(count) for _, count in self._held)
         is_low = bool(prefetch) and 2 * held < prefetch
--- a/src/chicoryusher/tasks/pool/limits/limiter.py
+++ b/src/chicoryusher/tasks/pool/limits/limiter.py
@@ -19,8 +19,8 @@
 
 # Checks of the followed keepers for each interval between messages to them.
 CHECKS_PER_INTERVAL = 5
-# Seconds by which a deadline must have passed when its timer is handled.
-MIN_WAKE_DELAY_S = 0.001
+# Seconds after a deadline at which its timer fires, so that it has passed.
+WAKE_DELAY_S = 0.001
 
 
 class _CheckKeepers(core.Message):
@@ -59,6 +59,8 @@
         self._allowances: dict[core.TeamName, decisions.TeamAllowances] = {}
         self._requests: dict[core.AllowanceId, _Request] = {}
         self._wake_at: dict[core.TeamName, float] = {}
+        # Teams of which something has changed in this batch of messages.
+        self._changed: set[core.TeamName] = set()
         self._followers: dict[core.LimitSlot, slot_follower.SlotFollower] = {}
         self._is_checking = False
         self._live: frozenset[core.VmName] = frozenset()
@@ -75,22 +77,21 @@
         }
         for name, allowances in tuple(self._allowances.items()):
             if name in self._limits:
-                self._set_validity(name, allowances)
+                self._set_limit(name, allowances)
             else:
                 self._grant_all(name)
         if self._limits:
             self._start_following()
 
-    def _set_validity(
+    def _set_limit(
         self, name: core.TeamName, allowances: decisions.TeamAllowances
     ) -> None:
         team = self._limits[name]
         assert team.rate is not None
-        allowances.set_validity(
-            decisions.allowance_validity_s(
-                team.rate, team.burst, self._tolerance
-            )
+        validity_s = decisions.allowance_validity_s(
+            team.rate, team.burst, self._tolerance
         )
+        allowances.set_limit(team.rate, validity_s)
 
     def _grant_all(self, name: core.TeamName) -> None:
         """Let the operations of a team go that has no limit any more."""
@@ -179,7 +180,7 @@
         allowances = self._allowances.get(grant.team)
         if allowances is not None:
             allowances.record_grant(grant, self._clock.boottime())
-            self._settle(grant.team, allowances)
+            self._changed.add(grant.team)
 
     # -- requests of the dispatcher -------------------------------------
 
@@ -200,10 +201,10 @@
         allowances = self._allowances.get(team)
         if allowances is None:
             allowances = decisions.TeamAllowances()
-            self._set_validity(team, allowances)
+            self._set_limit(team, allowances)
             self._allowances[team] = allowances
         allowances.add(request.allowance_id, request.max_wait_s, now)
-        self._settle(team, allowances)
+        self._changed.add(team)
 
     @runtime.handles(core.CancelAllowance)
     def _on_cancel(self, message: core.CancelAllowance) -> None:
@@ -214,6 +215,14 @@
         if allowances is not None:
             allowances.cancel(message.allowance_id)
 
+    def settled(self) -> None:
+        """Decide once for all messages of a batch."""
+        changed, self._changed = self._changed, set()
+        for team in changed:
+            allowances = self._allowances.get(team)
+            if allowances is not None:
+                self._settle(team, allowances)
+
     def _settle(
         self, team: core.TeamName, allowances: decisions.TeamAllowances
     ) -> None:
@@ -225,7 +234,7 @@
         wake_at = allowances.wake_at(now)
         if wake_at < self._wake_at.get(team, float('inf')):
             self._wake_at[team] = wake_at
-            delay = max(wake_at - now, 0.0) + MIN_WAKE_DELAY_S
+            delay = max(wake_at - now, 0.0) + WAKE_DELAY_S
             self.after(delay, _CheckTeam(team))
 
     def _ask(
@@ -255,9 +264,7 @@
     @runtime.handles(_CheckTeam)
     def _on_check_team(self, message: _CheckTeam) -> None:
         self._wake_at.pop(message.team, None)
-        allowances = self._allowances.get(message.team)
-        if allowances is not None:
-            self._settle(message.team, allowances)
+        self._changed.add(message.team)
 
     def _answer(self, decision: core.AllowanceDecided) -> None:
         request = self._requests.pop(decision.allowance_id, None)
--- a/tests/decisions/test_limit_buckets.py
+++ b/tests/decisions/test_limit_buckets.py
@@ -93,7 +93,7 @@
 @pytest.fixture
 def allowances():
     allowances = decisions.TeamAllowances()
-    allowances.set_validity(1.0)
+    allowances.set_limit(100.0, 1.0)
     return allowances
 
 
@@ -173,3 +173,24 @@
         assert question.wanted == 1
         answer(allowances, question, 1, now=float(second))
         allowances.settle(float(second))
+
+
+def test_a_rate_of_nothing_refuses_at_once(allowances):
+    allowances.set_limit(0.0, 2.0)
+    allowances.add(core.AllowanceId(1), 1.0, 0.0)
+    answer(allowances, allowances.question(0.0), 0, next_s=math.inf)
+    assert decided(allowances, 0.0) == [(1, OVER_LIMIT)]
+    allowances.set_limit(5.0, 2.0)
+    allowances.add(core.AllowanceId(2), 1.0, 0.1)
+    assert allowances.question(0.1) is not None
+
+
+def test_more_than_the_whole_limit_can_serve_is_refused_at_once(allowances):
+    """A crowd of one team at one VM at the same moment."""
+    allowances.set_limit(10.0, 2.0)
+    for number in range(100):
+        allowances.add(core.AllowanceId(number), 1.0, 0.0)
+    answer(allowances, allowances.question(0.0), 0, next_s=0.1)
+    refused = decided(allowances, 0.0)
+    # Half a second of the limit may still wait for its turn.
+    assert [number for number, _ in refused] == list(range(6, 100))
--- a/tests/tasks/test_pool_limits.py
+++ b/tests/tasks/test_pool_limits.py
@@ -225,6 +225,16 @@
     assert site.outcomes[waiting] is core.AllowanceOutcome.UNANSWERED
 
 
+def test_a_crowd_at_one_vm_is_one_question(site):
+    """Two thousand callers of one team at the same moment."""
+    for _ in range(2000):
+        site.request(site.vms[0], HOT)
+    site.sent.clear()
+    site.run(0.2)
+    assert site.refused['hot'] > 1900
+    assert sum(site.sent[core.AskAllowance].values()) < 20
+
+
 def test_a_limit_that_is_taken_away_lets_what_waits_go(site):
     site.load(2.0, hot_load(site))
     waiting = [site.request(site.vms[0], HOT) for _ in range(20)]
