Move running work and answers out of the attempts

Change: the table of running work, with its sending and cancelling, and the making of answers are modules of their own; the logic stays.

Measured: the tests of sessions, retries, teams, limits, forwarding, departures and draining pass.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -7,20 +7,20 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import attempt_answers
 from chicoryusher.tasks.pool import attempt_log
 from chicoryusher.tasks.pool import attempt_results
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import entitlement
 from chicoryusher.tasks.pool import group_table as group_table_module
 from chicoryusher.tasks.pool import instance_selection
+from chicoryusher.tasks.pool import running_work
 from chicoryusher.tasks.pool import sessions
-from chicoryusher.tasks.pool import work_numbers
 from chicoryusher.tasks.pool.limits import attempt_allowances
 
 __all__ = ['Attempts', 'RetrySelection']
@@ -72,7 +72,6 @@
         self._group_table = group_table
         self._rights = rights
         self._clock = clock
-        self._numbers = itertools.count(work_numbers.first_work_number())
         self._log = attempt_log.AttemptLog(dispatcher)
         self._allowances = attempt_allowances.AttemptAllowances(
             dispatcher, rights, clock
@@ -80,7 +79,7 @@
         self._results = attempt_results.AttemptResults(
             dispatcher, group_table, clock
         )
-        self._running: dict[core.WorkId, sessions.Attempt] = {}
+        self._running = running_work.RunningWork(dispatcher, group_table)
         self.lease_expires_at = float('-inf')
 
     def has_lease(self) -> bool:
@@ -205,62 +204,11 @@
                 'no time left to run the statement',
             )
             return
-        work_id = core.WorkId(next(self._numbers))
-        attempt.work_id = work_id
-        attempt.instance = name
-        attempt.conn_owner = self._conn_owner_of(attempt, name)
-        attempt.try_count += 1
-        self._running[work_id] = attempt
-        pool_instance = self._pool_instance(attempt)
-        if pool_instance is not None:
-            pool_instance.outstanding_count += 1
+        work = self._running.add(attempt, name, begin_kind, min_position)
         self._log.log_dispatch(
             attempt, min_position, self._lease_seconds_left()
         )
-        work = instance_selection.make_work(
-            attempt,
-            work_id,
-            self._dispatcher.task_name,
-            now,
-            begin_kind,
-            min_position,
-        )
-        self._send_work(attempt, name, work)
-
-    def _send_work(
-        self,
-        attempt: sessions.Attempt,
-        name: core.InstanceName,
-        work: core.Work,
-    ) -> None:
-        """Send work to the instance pool of this VM, or to the forwarder.
-
-        The forwarder sends it to the VM that owns the connections.
-        """
-        if attempt.conn_owner is None:
-            self._dispatcher.send(self._group_table.pool_task(name), work)
-            return
-        forward = core.ForwardWork(
-            attempt.conn_owner, self._group_table.entry(name), work
-        )
-        self._dispatcher.send(names.forwarder(self._dispatcher.vm), forward)
-
-    def _conn_owner_of(
-        self, attempt: sessions.Attempt, name: core.InstanceName
-    ) -> core.VmName | None:
-        """Return the VM whose connections are used, None for this VM.
-
-        All statements of a transaction use the same VM.
-        """
-        transaction = attempt.session.transaction
-        avoided = attempt.avoided_owners
-        if transaction is None:
-            return self._group_table.conn_owner(name, attempt.team, avoided)
-        if transaction.instance is None:
-            transaction.conn_owner = self._group_table.conn_owner(
-                name, attempt.team, avoided
-            )
-        return transaction.conn_owner
+        self._running.send(attempt, work)
 
     def _wait_or_refuse(self, attempt: sessions.Attempt, why: str) -> None:
         """Retry after a pause, or refuse if the statement waited too long.
@@ -298,12 +246,10 @@
         Return the database group that it was for, None if the attempt was
         cancelled in the meantime.
         """
-        attempt = self._running.pop(ended.work_id, None)
+        attempt = self._running.remove(ended.work_id)
         if attempt is None:
             return None
-        self._decrement_outstanding(attempt)
-        was_sent = ended.sent_at is not None
-        attempt.was_sent = bool(attempt.was_sent) or was_sent
+        attempt.was_sent = bool(attempt.was_sent) or ended.sent_at is not None
         self._allowances.record_end(attempt, ended)
         self._results.record(attempt, ended, self.has_lease())
         completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
@@ -318,24 +264,7 @@
         if attempt is None:
             return
         self._allowances.cancel(attempt)
-        if attempt.work_id not in self._running:
-            return
-        del self._running[attempt.work_id]
-        self._decrement_outstanding(attempt)
-        transaction = session.transaction
-        if transaction is not None:
-            # The work may have ended, so that the transaction is open there.
-            transaction.instance = attempt.instance
-        if attempt.conn_owner is not None:
-            self._dispatcher.send(
-                names.forwarder(self._dispatcher.vm),
-                core.ForwardCancel(attempt.work_id),
-            )
-        elif attempt.instance in self._group_table:
-            self._dispatcher.send(
-                self._group_table.pool_task(attempt.instance),
-                core.CancelWork(attempt.work_id),
-            )
+        self._running.cancel(attempt)
 
     def end_statement(self, attempt: sessions.Attempt) -> None:
         """End a statement that waits or runs, and answer its caller.
@@ -344,7 +273,7 @@
         """
         refusal = completions.timeout_refusal(attempt)
         self._allowances.cancel(attempt)
-        if attempt.work_id in self._running:
+        if self._running.has(attempt):
             transaction = attempt.session.transaction
             wrote = transaction is None or transaction.wrote
             if attempt.may_commit and wrote:
@@ -354,50 +283,18 @@
 
     def roll_back(self, session: sessions.PoolSession) -> None:
         """Roll the session's transaction back at its instance."""
-        transaction = session.transaction
-        if transaction is None:
-            return
-        if transaction.conn_owner is not None:
-            self._dispatcher.send(
-                names.forwarder(self._dispatcher.vm),
-                core.ForwardRollback(transaction.transaction_id),
-            )
-            return
-        if transaction.instance not in self._group_table:
-            return
-        self._dispatcher.send(
-            self._group_table.pool_task(transaction.instance),
-            core.EndTransaction(transaction.transaction_id),
-        )
+        self._running.roll_back(session)
 
     def has_work_at(self, name: core.InstanceName) -> bool:
         """Return whether a statement runs or is queued at an instance."""
-        return any(
-            attempt.instance == name for attempt in self._running.values()
-        )
+        return self._running.is_at(name)
 
     def fence(self, name: core.InstanceName) -> None:
         """Fence the running work of an instance that is being replaced.
 
         Its answers no longer prove a commit or the primary's position.
         """
-        for attempt in self._running.values():
-            if attempt.instance == name:
-                attempt.result_untrusted = True
-
-    def _pool_instance(
-        self, attempt: sessions.Attempt
-    ) -> decisions.InstanceLoad | None:
-        return self._group_table.instance(
-            attempt.route.service, attempt.instance
-        )
-
-    def _decrement_outstanding(self, attempt: sessions.Attempt) -> None:
-        pool_instance = self._pool_instance(attempt)
-        if pool_instance is not None:
-            pool_instance.outstanding_count = max(
-                0, pool_instance.outstanding_count - 1
-            )
+        self._running.distrust(name)
 
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
@@ -479,13 +376,7 @@
             self.roll_back(session)
         lease_seconds_left = self._lease_seconds_left()
         self._log.log_refusal(attempt, refusal, why, lease_seconds_left)
-        answer = core.SessionAnswer(
-            session.session_id,
-            attempt.message.request_id,
-            block,
-            refusal=refusal,
-            detail=str(attempt.instance or ''),
-        )
+        answer = attempt_answers.refusal_answer(attempt, refusal, block)
         session.owner.attempt_answered(session, answer)
 
     def deliver(
@@ -504,14 +395,5 @@
             self._log.log_refusal(
                 attempt, ended.refusal, why, lease_seconds_left
             )
-        answer = core.SessionAnswer(
-            session.session_id,
-            attempt.message.request_id,
-            block,
-            ended.rows,
-            ended.digest,
-            ended.refusal,
-            ended.detail,
-            ended.position,
-        )
+        answer = attempt_answers.result_answer(attempt, ended, block)
         session.owner.attempt_answered(session, answer)
