Let a bad entry of a team cost no other team

Cause: a team with one bad key lost all its keys, `tenants` that was no list made the whole configuration unreadable, and a list in which no entry could be read opened every route, since callers need no key without teams.

When no team can be read, the rest of the version is in force and the teams of the version before stay until the evidence for them is older than the bound for revocations; then their work is refused with BUSY, not with UNKNOWN_KEY, because the key may be known.

Measured: tests/platform/test_odd_teams.py and tests/decisions/test_team_rights.py pass, with test_odd_entries, test_store, test_frontend, test_pool_teams and tests/peers.

--- a/src/chicoryusher/core/topology.py
+++ b/src/chicoryusher/core/topology.py
@@ -77,7 +77,8 @@
 
     ``transaction_idle_timeout`` is the time in seconds after which a
     transaction without a statement is rolled back.  Without ``teams`` callers
-    need no key.
+    need no key, unless the version has teams that cannot be read
+    (``teams_readable`` is unset).
     """
 
     version: ids.ConfigVersion
@@ -85,6 +86,7 @@
     services: tuple[PoolService, ...]
     transaction_idle_timeout: float
     teams: tuple[Team, ...] = ()
+    teams_readable: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/team_rights.py
+++ b/src/chicoryusher/decisions/team_rights.py
@@ -42,20 +42,35 @@
         self._confirmed_at = float('-inf')
         self._teams: dict[core.TeamName, core.Team] = {}
         self._names: dict[core.KeyDigest, core.TeamName] = {}
-
-    def apply(self, teams: tuple[core.Team, ...]) -> None:
-        """Replace the teams by those of a newer configuration."""
+        self._readable = True
+
+    def apply(
+        self, teams: tuple[core.Team, ...], readable: bool = True
+    ) -> None:
+        """Replace the teams by those of a newer configuration.
+
+        If its teams are not ``readable``, those of the version before stay
+        until the evidence for them is too old.
+        """
+        self._readable = readable
+        if not readable:
+            return
         self._teams = {team.name: team for team in teams}
         self._names = {key: team.name for team in teams for key in team.keys}
 
     def confirm(self, at: float) -> None:
-        """Record that the configuration was the newest at a time."""
+        """Record that the configuration was the newest at a time.
+
+        It is no evidence for teams of a version before.
+        """
+        if not self._readable:
+            return
         self._confirmed_at = max(self._confirmed_at, at)
 
     @property
     def in_force(self) -> bool:
         """Return whether callers need a key at all."""
-        return bool(self._teams)
+        return bool(self._teams) or not self._readable
 
     def team(self, name: core.TeamName | None) -> core.Team | None:
         """Return a team of the configuration in force."""
@@ -75,8 +90,11 @@
         """Return whether a caller with this key may use a route now."""
         if not self.in_force or (public and key is None):
             return Right.GRANTED
+        if self.team_of(key) is None and public:
+            return Right.GRANTED
         if self.team_of(key) is None:
-            return Right.GRANTED if public else Right.UNKNOWN_KEY
+            may_be_new = key is not None and not self._readable
+            return Right.UNPROVED if may_be_new else Right.UNKNOWN_KEY
         if self._revocation_s is None:
             return Right.GRANTED
         max_age_s = self._revocation_s * EVIDENCE_SHARE
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -81,7 +81,7 @@
         self._routes = {
             route.database: route for route in message.config.routes
         }
-        self._rights.apply(message.config.teams)
+        self._rights.apply(message.config.teams, message.config.teams_readable)
         self._group_table.apply_config(message.config)
         self._end_unentitled()
         waiting_starts, self._waiting_starts = self._waiting_starts, []
