Check a register for entries without effect and limits that exclude each other

Cause: `chicoryusher check` named what a daemon refuses, and stopped at the first kind of error; the register had no teams.

Checks are functions in decisions/config_checks that a decorator puts into a registry; each says which sections it reads and runs if these have the right format, so that a defect hides no other. Teams are not enforced for MySQL callers yet.

Measured: tests/decisions/test_config_checks.py, test_nodes.py, tests/cli and tests/daemon/test_processes.py pass.

--- a/src/chicoryusher/cli/main.py
+++ b/src/chicoryusher/cli/main.py
@@ -9,112 +9,40 @@
 import pathlib
 import sys
 from typing import Annotated
-from typing import Any
-from typing import NoReturn
 
 import typer
 
 from chicoryusher import core
 from chicoryusher import decisions
+from chicoryusher.cli import check as check_module
 from chicoryusher.cli import client as client_module
 from chicoryusher.cli import explain as explain_module
+from chicoryusher.cli import options
 from chicoryusher.cli import output
-from chicoryusher.daemon import settings
 
 __all__ = ['app']
 
-DEFAULT_ADMIN = '127.0.0.1:7070'
-STATUS_CONFLICT = 409
-STATUS_BAD_REQUEST = 400
 ExitCode = output.ExitCode
 
 app = typer.Typer(help='Operate chicoryusher.', no_args_is_help=True)
 register_app = typer.Typer(help='The asset register and its rules.')
 app.add_typer(register_app, name='register')
-
-AdminOption = Annotated[
-    str,
-    typer.Option(
-        '--admin',
-        envvar='CHICORYUSHER_ADMIN',
-        help='Admin address of any daemon, HOST:PORT.',
-    ),
-]
-TokenOption = Annotated[
-    str,
-    typer.Option(
-        '--token',
-        envvar='CHICORYUSHER_ADMIN_TOKEN',
-        help='Bearer token of the admin address.',
-    ),
-]
-JsonOption = Annotated[
-    bool, typer.Option('--json', help='Print JSON instead of a table.')
-]
-FileArgument = Annotated[pathlib.Path, typer.Argument(help='A JSON file.')]
-
-
-def _fail(error: core.AdminError, as_json: bool = False) -> NoReturn:
-    code = ExitCode.FAILED
-    if error.status == 0:
-        code = ExitCode.UNREACHABLE
-    elif error.status == STATUS_CONFLICT:
-        code = ExitCode.CONFLICT
-    elif error.status == STATUS_BAD_REQUEST:
-        code = ExitCode.BAD_FILE
-    if as_json:
-        typer.echo(
-            json.dumps({'status': error.status, 'problem': error.detail})
-        )
-    else:
-        typer.echo(str(error), err=True)
-    raise typer.Exit(code)
+app.command()(check_module.check)
 
 
 def _print_state(admin: str, token: str, path: str, as_json: bool) -> None:
     try:
         result_rows = client_module.AdminClient(admin, token).result_rows(path)
     except core.AdminError as exc:
-        _fail(exc, as_json)
+        output.fail(exc, as_json)
     output.print_rows(result_rows, as_json)
 
 
-def _fail_bad_file(error: core.SettingsError, as_json: bool) -> NoReturn:
-    rows = [
-        {'path': entry.path, 'problem': entry.defect}
-        for entry in error.problems
-    ]
-    output.print_rows(rows, as_json)
-    raise typer.Exit(ExitCode.BAD_FILE)
-
-
-def _read_json(path: pathlib.Path, as_json: bool) -> Any:
-    try:
-        return json.loads(path.read_text(encoding='utf-8'))
-    except (OSError, ValueError) as exc:
-        problem = core.ConfigError('$', str(exc))
-        _fail_bad_file(core.SettingsError((problem,)), as_json)
-
-
-@app.command()
-def check(path: FileArgument, as_json: JsonOption = False) -> None:
-    """Check a settings file or a register file; list every defect."""
-    document = _read_json(path, as_json)
-    try:
-        if isinstance(document, dict) and 'register' in document:
-            decisions.compile_document(document, core.ConfigVersion(0))
-        else:
-            settings.load(path)
-    except core.SettingsError as exc:
-        _fail_bad_file(exc, as_json)
-    output.print_rows([{'file': str(path), 'problems': 0}], as_json)
-
-
 @app.command()
 def status(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """Show the state of one daemon."""
     _print_state(admin, token, '/status', as_json)
@@ -122,9 +50,9 @@
 
 @app.command()
 def sessions(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """List the sessions of one daemon."""
     _print_state(admin, token, '/sessions', as_json)
@@ -132,9 +60,9 @@
 
 @app.command()
 def databases(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """List the instances that one daemon monitors."""
     _print_state(admin, token, '/databases', as_json)
@@ -142,9 +70,9 @@
 
 @app.command()
 def gates(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """List the gates of one daemon with their queues."""
     _print_state(admin, token, '/gates', as_json)
@@ -152,9 +80,9 @@
 
 @app.command()
 def vms(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """List the VMs and their status as one daemon sees it."""
     _print_state(admin, token, '/vms', as_json)
@@ -162,21 +90,21 @@
 
 @app.command()
 def audit(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
     who: Annotated[str, typer.Option(help='Only this operator.')] = '',
     outcome: Annotated[str, typer.Option(help='Only this outcome.')] = '',
     since: Annotated[
         str, typer.Option(help='Only from this time on (ISO 8601).')
     ] = '',
-    as_json: JsonOption = False,
+    as_json: options.JsonOption = False,
 ) -> None:
     """List accepted and refused changes of the register."""
     client = client_module.AdminClient(admin, token)
     try:
         result_rows = client.result_rows('/audit')
     except core.AdminError as exc:
-        _fail(exc, as_json)
+        output.fail(exc, as_json)
     matching = [
         row
         for row in result_rows
@@ -189,23 +117,23 @@
 
 @app.command()
 def drain(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """Let one daemon finish its requests and stop."""
     try:
         answer = client_module.AdminClient(admin, token).call('POST', '/drain')
     except core.AdminError as exc:
-        _fail(exc, as_json)
+        output.fail(exc, as_json)
     output.print_rows([answer], as_json)
 
 
 @register_app.command('show')
 def register_show(
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """Print the current register and rules."""
     try:
@@ -213,7 +141,7 @@
             admin, token
         ).fetch_register()
     except core.AdminError as exc:
-        _fail(exc, as_json)
+        output.fail(exc, as_json)
     if as_json:
         typer.echo(json.dumps({'version': version, 'document': document}))
         return
@@ -223,20 +151,20 @@
 
 @register_app.command('diff')
 def register_diff(
-    path: FileArgument,
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
-    as_json: JsonOption = False,
+    path: options.FileArgument,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
 ) -> None:
     """Show what applying a file would change; exit status 4 if anything."""
-    document = _read_json(path, as_json)
+    document = output.read_json(path, as_json)
     try:
         decisions.compile_document(document, core.ConfigVersion(0))
         _, current = client_module.AdminClient(admin, token).fetch_register()
     except core.SettingsError as exc:
-        _fail_bad_file(exc, as_json)
+        output.fail_bad_file(exc, as_json)
     except core.AdminError as exc:
-        _fail(exc, as_json)
+        output.fail(exc, as_json)
     before = {
         key: value for key, value in (current or {}).items() if key != 'change'
     }
@@ -250,9 +178,9 @@
 
 @register_app.command('apply')
 def register_apply(
-    path: FileArgument,
-    token: TokenOption = '',
-    admin: AdminOption = DEFAULT_ADMIN,
+    path: options.FileArgument,
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
     expected: Annotated[
         int | None,
         typer.Option(help='Version to replace; default: the current one.'),
@@ -263,10 +191,10 @@
             help='Name recorded for the change; default: the login name.'
         ),
     ] = '',
-    as_json: JsonOption = False,
+    as_json: options.JsonOption = False,
 ) -> None:
     """Replace the register by the contents of a file."""
-    document = _read_json(path, as_json)
+    document = output.read_json(path, as_json)
     client = client_module.AdminClient(admin, token)
     try:
         decisions.compile_document(document, core.ConfigVersion(0))
@@ -280,9 +208,9 @@
             at,
         )
     except core.SettingsError as exc:
-        _fail_bad_file(exc, as_json)
+        output.fail_bad_file(exc, as_json)
     except core.AdminError as exc:
-        _fail(exc, as_json)
+        output.fail(exc, as_json)
     output.print_rows([{'version': version}], as_json)
 
 
@@ -293,7 +221,7 @@
         list[pathlib.Path] | None,
         typer.Argument(help='Log files of VMs; default: standard input.'),
     ] = None,
-    as_json: JsonOption = False,
+    as_json: options.JsonOption = False,
 ) -> None:
     """Show the log lines about a request and the state of its VMs."""
     texts: list[str] = []
--- a/src/chicoryusher/core/ids.py
+++ b/src/chicoryusher/core/ids.py
@@ -29,6 +29,7 @@
     'Term',
     'TimerId',
     'TransactionId',
+    'UserName',
     'VmName',
     'WorkId',
     'ZoneName',
@@ -57,6 +58,8 @@
 Term = NewType('Term', int)
 TimerId = NewType('TimerId', int)
 TransactionId = NewType('TransactionId', str)
+# Login name of a caller.
+UserName = NewType('UserName', str)
 VmName = NewType('VmName', str)
 WorkId = NewType('WorkId', int)
 ZoneName = NewType('ZoneName', str)
--- /dev/null
+++ b/src/chicoryusher/decisions/config_checks/__init__.py
@@ -0,0 +1,55 @@
+"""Checks of a configuration before it is put in force."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from chicoryusher import core
+from chicoryusher.decisions.config_checks import error_checks  # noqa: F401 - fills a registry
+from chicoryusher.decisions.config_checks import findings
+from chicoryusher.decisions.config_checks import limit_checks  # noqa: F401 - fills a registry
+from chicoryusher.decisions.config_checks import match_checks  # noqa: F401 - fills a registry
+from chicoryusher.decisions.config_checks import pool_checks  # noqa: F401 - fills a registry
+from chicoryusher.decisions.config_checks.findings import *  # noqa: F403
+
+__all__ = [*findings.__all__, 'check_pool_config', 'check_register']
+
+
+def check_register(
+    document: Any, malformed: Iterable[str] = ()
+) -> tuple[findings.ConfigFinding, ...]:
+    """Return the findings in a register document.
+
+    ``malformed`` are the paths that have not the right format; what depends
+    on them is not checked.
+    """
+    paths = tuple(malformed)
+    readable = {
+        section
+        for section in findings.Section
+        if not any(_overlap(section.value, path) for path in paths)
+    }
+    register = findings.RegisterDocument(document if readable else {})
+    return tuple(
+        finding
+        for name in findings.REGISTER_CHECKS
+        if readable.issuperset(findings.REGISTER_CHECKS.get(name).sections)
+        for finding in findings.REGISTER_CHECKS.get(name).run(register)
+    )
+
+
+def _overlap(section: str, path: str) -> bool:
+    """Return whether a defect at a path may concern a section."""
+    return path.startswith(section) or section.startswith(path)
+
+
+def check_pool_config(
+    config: core.PoolConfig,
+) -> tuple[findings.ConfigFinding, ...]:
+    """Return the findings in routes, database groups and teams."""
+    return tuple(
+        finding
+        for name in findings.POOL_CHECKS
+        for finding in findings.POOL_CHECKS.get(name).run(config)
+    )
--- a/src/chicoryusher/decisions/config_pointers.py
+++ b/src/chicoryusher/decisions/config_pointers.py
@@ -18,9 +18,13 @@
     'decode_config_pointer',
     'encode_config_pointer',
     'config_object_key',
+    'read_interval_s',
 ]
 
 OBJECT_PREFIX = 'config/'
+# Reads of the pointer by all VMs together.
+MAX_READS_PER_S = 120.0
+MIN_READ_INTERVAL_S = 1.0
 
 
 def config_object_key(document: bytes) -> str:
@@ -42,3 +46,8 @@
         return str(json.loads(value)['object'])
     except (KeyError, TypeError, ValueError) as exc:
         raise core.ConfigError('$', 'not a pointer to an object') from exc
+
+
+def read_interval_s(vms: int) -> float:
+    """Return the seconds between two reads of the pointer by one VM."""
+    return max(MIN_READ_INTERVAL_S, vms / MAX_READS_PER_S)
--- a/src/chicoryusher/decisions/configuration.py
+++ b/src/chicoryusher/decisions/configuration.py
@@ -59,10 +59,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatabaseSpec:
-    """A database and the instances of its group."""
+    """A database and the instances of its group.
+
+    A ``public`` one may be used by users of no team.
+    """
 
     name: core.DatabaseName
     instances: tuple[core.InstanceName, ...]
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +96,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """One accepted version of the register and the rules."""
+    """One accepted version of the register and the rules.
+
+    ``revocation_s`` is how many seconds after it was taken from its team a
+    user may still be served; None is no bound.
+    """
 
     version: core.ConfigVersion
     zones: tuple[ZoneSpec, ...]
@@ -102,6 +110,8 @@
     rules: tuple[Rule, ...] = ()
     default_deadline: float = DEFAULT_DEADLINE_S
     default_staleness: float = DEFAULT_MAX_STALENESS_S
+    teams: tuple[core.Team, ...] = ()
+    revocation_s: float | None = None
 
     @functools.cached_property
     def _instances(self) -> dict[core.InstanceName, InstanceSpec]:
--- a/src/chicoryusher/decisions/register.py
+++ b/src/chicoryusher/decisions/register.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import importlib.resources
 import json
@@ -14,13 +13,17 @@
 from typing import Any
 
 from chicoryusher import core
+from chicoryusher.decisions import config_checks
 from chicoryusher.decisions import configuration
+from chicoryusher.decisions import team_rights
 
 __all__ = [
+    'check_document',
     'ConfigDifference',
     'compile_document',
     'config_differences',
     'rebuild_document',
+    'register_errors',
     'schema_problems',
 ]
 
@@ -63,18 +66,32 @@
 
     Raise SettingsError with all defects if the document is invalid.
     """
-    problems = schema_problems(document, _SCHEMA)
-    if problems:
-        raise core.SettingsError(tuple(problems))
-    register, rules = document['register'], document['rules']
-    problems = [
-        *_duplicate_names(register),
-        *_unknown_zones(register),
-        *_unknown_databases(register, rules),
-    ]
+    problems = register_errors(document)
     if problems:
-        raise core.SettingsError(tuple(problems))
-    return _build(register, rules, version)
+        raise core.SettingsError(problems)
+    return _build(document['register'], document['rules'], version)
+
+
+def check_document(document: Any) -> tuple[config_checks.ConfigFinding, ...]:
+    """Return all findings in a register document."""
+    problems = schema_problems(document, _SCHEMA)
+    malformed = [problem.path for problem in problems]
+    errors = (
+        config_checks.ConfigFinding(
+            config_checks.FindingKind.ERROR, problem.path, problem.defect
+        )
+        for problem in problems
+    )
+    return (*errors, *config_checks.check_register(document, malformed))
+
+
+def register_errors(document: Any) -> tuple[core.ConfigError, ...]:
+    """Return all errors of a register document."""
+    return tuple(
+        core.ConfigError(finding.path, finding.text)
+        for finding in check_document(document)
+        if finding.kind is config_checks.FindingKind.ERROR
+    )
 
 
 def rebuild_document(
@@ -92,65 +109,6 @@
         return compile_document(document, version)
 
 
-def _instances(register: Document) -> Iterator[tuple[str, Document]]:
-    """Yield the path and the entry of every instance."""
-    for i, database in enumerate(register['databases']):
-        for j, instance in enumerate(database['instances']):
-            path = f'$.register.databases[{i}].instances[{j}]'
-            yield path, instance
-
-
-def _duplicate_names(register: Document) -> list[core.ConfigError]:
-    named = [
-        (f'$.register.{kind}[{i}].name', kind, entry['name'])
-        for kind in ('zones', 'vms', 'databases')
-        for i, entry in enumerate(register[kind])
-    ]
-    named += [
-        (f'{path}.name', 'instances', entry['name'])
-        for path, entry in _instances(register)
-    ]
-    counts: collections.Counter[tuple[str, str]] = collections.Counter()
-    problems = []
-    for path, kind, name in named:
-        counts[kind, name] += 1
-        if counts[kind, name] > 1:
-            problems.append(core.ConfigError(path, f'{name} is used twice'))
-    return problems
-
-
-def _unknown_zones(register: Document) -> list[core.ConfigError]:
-    zones = {entry['name'] for entry in register['zones']}
-    zones_by_path = [
-        (f'$.register.vms[{i}].zone', entry['zone'])
-        for i, entry in enumerate(register['vms'])
-    ]
-    zones_by_path += [
-        (f'{path}.zone', entry['zone']) for path, entry in _instances(register)
-    ]
-    return [
-        core.ConfigError(path, f'unknown availability zone {zone}')
-        for path, zone in zones_by_path
-        if zone not in zones
-    ]
-
-
-def _unknown_databases(
-    register: Document, rules: Document
-) -> list[core.ConfigError]:
-    """Return the errors of rules for databases that don't exist."""
-    databases = {entry['name'] for entry in register['databases']}
-    return [
-        core.ConfigError(
-            f'$.rules.statements[{i}].databases[{j}]',
-            f'unknown database {name}',
-        )
-        for i, rule in enumerate(rules.get('statements', ()))
-        for j, name in enumerate(rule.get('databases', ()))
-        if name not in databases
-    ]
-
-
 def _build(
     register: Document, rules: Document, version: core.ConfigVersion
 ) -> configuration.Configuration:
@@ -163,6 +121,7 @@
             configuration.DatabaseSpec(
                 database['name'],
                 tuple(entry['name'] for entry in database['instances']),
+                database.get('public', False),
             )
             for database in register['databases']
         ),
@@ -174,6 +133,18 @@
         tuple(_build_rule(entry) for entry in rules.get('statements', ())),
         rules.get('default_deadline', configuration.DEFAULT_DEADLINE_S),
         rules.get('default_staleness', configuration.DEFAULT_MAX_STALENESS_S),
+        tuple(_build_team(entry) for entry in register.get('teams', ())),
+        rules.get('revocation_seconds'),
+    )
+
+
+def _build_team(entry: Document) -> core.Team:
+    return core.Team(
+        core.TeamName(entry['name']),
+        tuple(team_rights.key_of_user(user) for user in entry['users']),
+        entry.get('priority', 0),
+        entry.get('rate'),
+        entry.get('burst', 0.0),
     )
 
 
--- a/src/chicoryusher/decisions/team_rights.py
+++ b/src/chicoryusher/decisions/team_rights.py
@@ -11,13 +11,18 @@
 
 from chicoryusher import core
 
-__all__ = ['Right', 'TeamRights']
+__all__ = ['Right', 'TeamRights', 'key_of_user']
 
 # Share of the bound for revocations for which a confirmation serves: clocks
 # may run at different speeds.
 EVIDENCE_SHARE = 0.95
 
 
+def key_of_user(name: core.UserName) -> core.KeyDigest:
+    """Return the key that stands for a user whose password was proved."""
+    return core.KeyDigest(f'user/{name}')
+
+
 class Right(enum.Enum):
     """Whether a caller may use a route.
 
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -27,9 +27,6 @@
 
 CONFIG_KEY = 'config'
 AUDIT_KEY_PREFIX = 'audit/'
-# Reads of the pointer by all VMs together.
-MAX_READS_PER_S = 120.0
-MIN_READ_INTERVAL_S = 1.0
 # Delay before a pointer is read after a write whose result is unknown.
 READ_BACK_DELAY_S = 0.25
 # Failed reads after which the result of the write stays unknown.
@@ -127,8 +124,7 @@
     @runtime.handles(_ReadDue)
     def _on_read_due(self, timer: _ReadDue) -> None:
         vms = len(self._in_force.vms) if self._in_force is not None else 0
-        interval = max(MIN_READ_INTERVAL_S, vms / MAX_READS_PER_S)
-        self.after(interval, _ReadDue())
+        self.after(decisions.read_interval_s(vms), _ReadDue())
         self._get(CONFIG_KEY)
 
     def _get(self, key: str) -> None:
