Hold MySQL callers to the teams of the register

Cause: the register's teams had no effect on MySQL callers.

Change: the front end passes on which user a password has proved; the router maps it to a team with TeamRights, when a session starts or changes its database and before every try of a statement. The configurator tells the router when the store was last asked and had no newer version; without such evidence within revocation_seconds a team's work is refused with NOT_RUN. A transaction whose user was taken away or moved is rolled back, and its next statement, also a commit, is told so (state `lost` of the chart session). A gate's queue shares slots between teams as it does between callers. `chicoryusher teams`, `status` and the metric team_statements show who exists, sessions, outcomes and the last refusal.

A VM that the store turns away has no evidence from its peers yet, as the pooled sessions have: it refuses the teams' work after the bound.

--- a/src/chicoryusher/cli/main.py
+++ b/src/chicoryusher/cli/main.py
@@ -58,6 +58,16 @@
     _print_state(admin, token, '/sessions', as_json)
 
 
+@app.command()
+def teams(
+    token: options.TokenOption = '',
+    admin: options.AdminOption = options.DEFAULT_ADMIN,
+    as_json: options.JsonOption = False,
+) -> None:
+    """List the teams with their sessions and refusals at one daemon."""
+    _print_state(admin, token, '/teams', as_json)
+
+
 @app.command()
 def databases(
     token: options.TokenOption = '',
--- a/src/chicoryusher/core/control.py
+++ b/src/chicoryusher/core/control.py
@@ -157,10 +157,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableGet(Message):
-    """Read one key of the platform's table."""
+    """Read one key of the platform's table.
+
+    ``requested_at`` is on the boot-time clock; the answer repeats it.
+    """
 
     reply_to: ids.TaskName
     key: str
+    requested_at: float = float('-inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,7 +186,8 @@
 
     ``version`` is the key's version after the call, 0 if the key does
     not exist.  After a refused put ``error`` is PlatformRefused and
-    ``version`` the version that the key has.
+    ``version`` the version that the key has.  ``requested_at`` is that of
+    the get.
     """
 
     key: str
@@ -190,6 +195,7 @@
     value: bytes | None = None
     is_put: bool = False
     error: errors.PlatformError | None = None
+    requested_at: float = float('-inf')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -100,7 +100,8 @@
 
     GREETING: the caller has not authenticated.  OPEN: a transaction is
     open.  RUNNING and OPEN_RUNNING: a statement is being run, without
-    and with an open transaction.
+    and with an open transaction.  LOST: the open transaction was rolled
+    back, and the caller has not been told.
     """
 
     GREETING = 'greeting'
@@ -108,6 +109,7 @@
     RUNNING = 'running'
     OPEN = 'open'
     OPEN_RUNNING = 'open_running'
+    LOST = 'lost'
     CLOSED = 'closed'
 
 
--- a/src/chicoryusher/core/errors.py
+++ b/src/chicoryusher/core/errors.py
@@ -22,6 +22,7 @@
     'FrameError',
     'JsonError',
     'MalformedPacket',
+    'NoTeam',
     'NotRunError',
     'OversizePacket',
     'PlatformError',
@@ -169,6 +170,10 @@
     sqlstate = '28000'
 
 
+class NoTeam(AuthError):
+    """The user belongs to no team."""
+
+
 class TooManyCallers(CallerError):
     """The daemon has its maximum number of caller connections."""
 
--- a/src/chicoryusher/core/messages.py
+++ b/src/chicoryusher/core/messages.py
@@ -97,7 +97,8 @@
 
     ``begin_payload`` is the command that begins a transaction before the
     statement.  With ``pins_connection`` the session keeps its backend
-    connection after the statement.
+    connection after the statement.  ``team`` is that of the session, if the
+    configuration has teams.
     """
 
     request_id: ids.RequestId
@@ -112,6 +113,12 @@
     transaction: ids.TransactionId | None = None
     begin_payload: Payload | None = None
     pins_connection: bool = False
+    team: ids.TeamName | None = None
+
+    @property
+    def sharer(self) -> str:
+        """Return the team, or else the caller, that shares with others."""
+        return self.team or self.caller
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,7 +230,8 @@
 class SessionOpened(Message):
     """Report that a caller has authenticated.
 
-    ``frontend`` is the task that receives the answers of the session.
+    ``frontend`` is the task that receives the answers of the session;
+    ``key`` stands for the user in the teams.
     """
 
     session_id: ids.SessionId
@@ -231,6 +239,7 @@
     caller: ids.CallerName
     database: ids.DatabaseName | None
     token: str | None = None
+    key: ids.KeyDigest | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/daemon/admin.py
+++ b/src/chicoryusher/daemon/admin.py
@@ -100,7 +100,12 @@
         self.log.emit(core.LogEvent.ADMIN_CALL, call=call_name)
         CALL_HANDLERS.get(call_name)(self, conn, request)
 
-    def query_state(self, conn: _Conn, receivers: list[core.TaskName]) -> None:
+    def query_state(
+        self,
+        conn: _Conn,
+        receivers: list[core.TaskName],
+        query: type[tasks.StateQuery] = tasks.StateQuery,
+    ) -> None:
         """Query the state of tasks; answer once all have replied."""
         if not receivers:
             conn.reply(STATUS_OK, {'rows': []})
@@ -108,7 +113,7 @@
         number = next(self._numbers)
         self._pending_calls[number] = _PendingCall(conn, len(receivers))
         for receiver in receivers:
-            self.send(receiver, tasks.StateQuery(self.task_name, number))
+            self.send(receiver, query(self.task_name, number))
         self.after(STATE_QUERY_TIMEOUT_S, _QueryTimeout(number))
 
     @runtime.handles(tasks.StateReport)
@@ -220,6 +225,11 @@
     admin.query_state(conn, [tasks.names.router(admin.vm)])
 
 
+@CALL_HANDLERS.register('GET /teams')
+def _teams(admin: AdminServer, conn: _Conn, request: _Request) -> None:
+    admin.query_state(conn, [tasks.names.router(admin.vm)], tasks.TeamsQuery)
+
+
 @CALL_HANDLERS.register('GET /databases')
 def _databases(admin: AdminServer, conn: _Conn, request: _Request) -> None:
     admin.query_state(
--- a/src/chicoryusher/daemon/metrics.py
+++ b/src/chicoryusher/daemon/metrics.py
@@ -86,6 +86,14 @@
         yield metrics.Observation(group.failovers, {'database': str(name)})
 
 
+@INSTRUMENTS.register('chicoryusher.team_statements')
+def _team_statements(sources: MetricSources) -> Iterable[metrics.Observation]:
+    answers = sources.node.router.team_counts.answers
+    for (team, outcome), count in tuple(answers.items()):
+        labels = {'team': str(team), 'outcome': outcome.value}
+        yield metrics.Observation(count, labels)
+
+
 def start_export(
     metrics_settings: settings.MetricsSettings, sources: MetricSources
 ) -> sdk.MeterProvider | None:
--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -245,14 +245,14 @@
 class FairShortFirstQueue(_BaseQueue):
     """Short statements first, fair between callers, bounded by the wait.
 
-    ``_consumed`` is the slot time in seconds that each caller is charged
-    with.  ``_baseline`` is the charge that a new caller starts with; it
-    rises to the least charge of all callers.
+    A team shares as one caller.  ``_consumed`` is the slot time in seconds
+    that each is charged with.  ``_baseline`` is the charge that a new caller
+    starts with; it rises to the least charge of all callers.
     """
 
     def __init__(self, slots: int) -> None:
         super().__init__(slots)
-        self._consumed: dict[core.CallerName, float] = {}
+        self._consumed: dict[str, float] = {}
         self._baseline = 0.0
 
     def offer(self, item: QueuedRequest, now: float) -> Rejection | None:
@@ -267,9 +267,9 @@
             retry_after = max(MIN_RETRY_AFTER_S, expected_wait - max_wait)
             return Rejection('the expected wait is too long', retry_after)
         self._items.append(item)
-        caller = item.request.caller
-        self._consumed[caller] = max(
-            self._consumed.get(caller, 0.0), self._baseline
+        sharer = item.request.sharer
+        self._consumed[sharer] = max(
+            self._consumed.get(sharer, 0.0), self._baseline
         )
         return None
 
@@ -318,19 +318,19 @@
     def record_start(self, item: QueuedRequest, now: float) -> None:
         """Charge the item's expected time to its caller."""
         super().record_start(item, now)
-        caller = item.request.caller
-        consumed = self._consumed.get(caller, self._baseline)
+        sharer = item.request.sharer
+        consumed = self._consumed.get(sharer, self._baseline)
         self._baseline = max(
             self._baseline, min(self._consumed.values(), default=0)
         )
-        self._consumed[caller] = consumed + item.expected_service
+        self._consumed[sharer] = consumed + item.expected_service
 
     def record_finish(self, item: QueuedRequest, seconds: float) -> None:
         """Correct the caller's charge to the measured time."""
         super().record_finish(item, seconds)
-        caller = item.request.caller
-        if caller in self._consumed:
-            self._consumed[caller] += seconds - item.expected_service
+        sharer = item.request.sharer
+        if sharer in self._consumed:
+            self._consumed[sharer] += seconds - item.expected_service
         if not self._items and not self._running:
             self._consumed.clear()
             self._baseline = 0.0
@@ -350,7 +350,7 @@
     def _rank(self, item: QueuedRequest, now: float) -> float:
         """Return the rank in seconds; the lowest rank runs first."""
         waited = now - item.arrived_at
-        consumed = self._consumed.get(item.request.caller, self._baseline)
+        consumed = self._consumed.get(item.request.sharer, self._baseline)
         return (
             item.expected_service
             + FAIRNESS_RATIO * (consumed - self._baseline) / self.slots
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -254,6 +254,7 @@
                 conn.caller,
                 conn.database,
                 conn.marks.token if conn.marks else None,
+                decisions.key_of_user(core.UserName(user.name)),
             ),
         )
 
@@ -318,7 +319,9 @@
         conn.unreported_bytes = 0
         conn.in_transaction = answer.in_transaction
         pending_prepare, conn.pending_prepare = conn.pending_prepare, None
-        if answer.error is not None:
+        if isinstance(answer.error, core.NoTeam):
+            self._refuse_login(conn, answer.error)
+        elif answer.error is not None:
             conn.reply_error(answer.error)
         elif not answer.data:
             conn.reply_ok()
--- a/src/chicoryusher/services/platform_client.py
+++ b/src/chicoryusher/services/platform_client.py
@@ -120,12 +120,16 @@
     put = isinstance(context, core.TablePut)
     error = _error_of(result)
     document = result.document if isinstance(result.document, dict) else {}
+    requested_at = float('-inf')
+    if isinstance(context, core.TableGet):
+        requested_at = context.requested_at
     return core.TableAnswer(
         context.key,
         int(document.get('version', 0)),
         _decoded_value(document),
         put,
         error,
+        requested_at,
     )
 
 
--- a/src/chicoryusher/tasks/__init__.py
+++ b/src/chicoryusher/tasks/__init__.py
@@ -27,6 +27,7 @@
     'Router': 'router',
     'RouterSettings': 'router',
     'StateReport': 'task_messages',
+    'TeamsQuery': 'task_messages',
     'Undelivered': 'task_messages',
     'MonitorGroup': 'task_messages',
     'audit_key': 'configurator',
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -108,7 +108,12 @@
         self._in_force: decisions.Configuration | None = None
         self._document = b''
         self._pending_change: _PendingChange | None = None
-        self._requested_versions: dict[str, core.ConfigVersion] = {}
+        # Versions of the documents that are being read, by their keys, with
+        # the time of the request that showed them as the newest.
+        self._requested_versions: dict[
+            str, tuple[core.ConfigVersion, float]
+        ] = {}
+        self._clock = loop.clock
         self._queued_documents: list[ApplyDocument] = []
         self.after(0.0, _ReadDue())
 
@@ -129,7 +134,8 @@
 
     def _get(self, key: str) -> None:
         self.send(
-            names.platform_client(self.vm), core.TableGet(self.task_name, key)
+            names.platform_client(self.vm),
+            core.TableGet(self.task_name, key, self._clock.boottime()),
         )
 
     def _put(self, key: str, value: bytes, expected: int) -> None:
@@ -147,6 +153,8 @@
             self._fetch(answer)
         elif answer.value is not None and answer.version < self.version:
             self._log_stale(answer.version)
+        elif answer.value is not None:
+            self._confirm(answer.requested_at)
         if answer.is_put:
             self._on_pointer_written(answer)
         elif (
@@ -162,7 +170,10 @@
         except core.ConfigError as exc:
             self._log_bad(answer.version, exc)
             return
-        self._requested_versions[key] = core.ConfigVersion(answer.version)
+        self._requested_versions[key] = (
+            core.ConfigVersion(answer.version),
+            answer.requested_at,
+        )
         self.send(
             names.platform_client(self.vm), core.ObjectGet(self.task_name, key)
         )
@@ -172,9 +183,17 @@
         if answer.is_put:
             self._write_pointer(answer)
             return
-        version = self._requested_versions.pop(answer.key, None)
-        if version is not None and answer.value is not None:
-            self._apply(version, answer.value)
+        requested = self._requested_versions.pop(answer.key, None)
+        if requested is None or answer.value is None:
+            return
+        version, requested_at = requested
+        self._apply(version, answer.value)
+        if self.version == version:
+            self._confirm(requested_at)
+
+    def _confirm(self, requested_at: float) -> None:
+        """Report that the version in force was the newest at a time."""
+        self.send(names.router(self.vm), core.ConfigConfirmed(requested_at))
 
     @runtime.handles(core.ConfigOffer)
     def _on_offer(self, offer: core.ConfigOffer) -> None:
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -267,8 +267,23 @@
             ('replica_reads', str(self.router.replica_reads)),
             ('moves', str(self.router.moves)),
             ('unknown', str(self.router.unknown)),
+            *self._team_fields(),
         )
         self.send(
             query.reply_to,
             task_messages.StateReport(self.task_name, query.number, (row,)),
         )
+
+    def _team_fields(self) -> tuple[tuple[str, str], ...]:
+        """Return the fields that only deployments with teams have.
+
+        ``confirmed`` is how many seconds ago the configuration was last known
+        to be the newest.
+        """
+        rights = self.router.rights
+        if not rights.teams:
+            return ()
+        return (
+            ('teams', str(len(rights.teams))),
+            ('confirmed', f'{rights.evidence_age_s:.1f}'),
+        )
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -15,8 +15,10 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks import session_rights
 from chicoryusher.tasks import sessions
 from chicoryusher.tasks import task_messages
+from chicoryusher.tasks import team_counts
 
 __all__ = ['Router', 'RouterSettings']
 
@@ -90,6 +92,8 @@
         self._expiry_timer: core.TimerId | None = None
         self._retry_budgets = decisions.RetryBudgets()
         self._rng = random.Random(vm)
+        self.rights = session_rights.SessionRights(loop.clock)
+        self.team_counts = team_counts.TeamCounts()
         self.draining = False
         self.reads = 0
         self.replica_reads = 0
@@ -112,6 +116,18 @@
         configured = {entry.name for entry in config.databases}
         for removed in set(self._groups) - configured:
             del self._groups[removed]
+        self.rights.apply(config)
+        self._end_unentitled()
+
+    def _end_unentitled(self) -> None:
+        """Roll back the transactions of users that have left their team."""
+        for session in tuple(self._sessions.values()):
+            if session.started and self.rights.is_unentitled(session):
+                self._chart.fire(session, 'unentitled')
+
+    @runtime.handles(core.ConfigConfirmed)
+    def _on_config_confirmed(self, message: core.ConfigConfirmed) -> None:
+        self.rights.confirm(message.confirmed_at)
 
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
@@ -119,7 +135,7 @@
 
     @runtime.handles(core.SessionOpened)
     def _on_opened(self, opened: core.SessionOpened) -> None:
-        error = self._session_error(opened.database)
+        error = self._session_error(opened.database, opened.key)
         positions: dict[core.DatabaseName, core.Position] = {}
         if error is None and opened.token:
             try:
@@ -131,16 +147,27 @@
             session = sessions.Session(self, opened, positions, self.now())
             self._chart.fire(session, 'authenticated')
             self._sessions[opened.session_id] = session
+        elif isinstance(error, core.NoTeam):
+            self.log.emit(
+                core.LogEvent.KEY_UNKNOWN,
+                session=opened.session_id,
+                caller=opened.caller,
+                database=opened.database,
+            )
         self.send(opened.frontend, core.SessionReply(opened.session_id, error))
 
     def _session_error(
-        self, database: core.DatabaseName | None
+        self,
+        database: core.DatabaseName | None,
+        key: core.KeyDigest | None,
     ) -> core.CallerError | None:
         """Return why no session may use the database, None if it may."""
         if self.draining:
             return core.DrainingError('the proxy is shutting down')
         if database is not None and database not in self._groups:
             return core.UnknownDatabase(f'unknown database {database!r}')
+        if not self.rights.may_start(key, database):
+            return core.NoTeam('the user belongs to no team')
         return None
 
     @runtime.handles(core.UseDatabase)
@@ -148,7 +175,7 @@
         session = self._sessions.get(message.session_id)
         if session is None:
             return
-        error = self._session_error(message.database)
+        error = self._session_error(message.database, session.key)
         if error is None and session.transaction is not None:
             error = core.StatementUnsupported(
                 'another database inside a transaction'
@@ -219,6 +246,12 @@
         now = self.now()
         self._pending[pending.request.request_id] = pending
         session.request_id = pending.request.request_id
+        refusal = self.rights.refusal(session, pending.request.database)
+        if refusal is not None:
+            self._refuse_unentitled(session, pending, refusal)
+            return
+        if not session.started:
+            session.team = self.rights.team_of(session)
         try:
             submit = self._make_submit(session, pending, now)
         except core.NotRunError as exc:
@@ -243,6 +276,18 @@
                 EXPIRY_CHECK_INTERVAL_S, _CheckExpired()
             )
 
+    def _refuse_unentitled(
+        self,
+        session: sessions.Session,
+        pending: sessions.PendingRequest,
+        error: core.CallerError,
+    ) -> None:
+        """Refuse a statement; roll back a transaction that has started."""
+        if session.started:
+            self.abort_transaction(session)
+            error = core.TransactionLost(f'{error}; it was rolled back')
+        self._answer_with_error(pending, core.Outcome.NOT_RUN, error)
+
     def _make_submit(
         self,
         session: sessions.Session,
@@ -262,6 +307,8 @@
                 begin_payload=None if session.started else session.begin,
                 pins_connection=session.keeps_pinned,
             )
+        if session.team is not None:
+            request = dataclasses.replace(request, team=session.team)
         if pending.marks is not request.marks:
             request = dataclasses.replace(request, marks=pending.marks)
         requirement = self._requirement(session, pending, now)
@@ -564,6 +611,7 @@
             answer = dataclasses.replace(
                 answer, in_transaction=transaction_open
             )
+        self.team_counts.record(session.team, answer)
         self.send(session.frontend, answer)
 
     def abort_transaction(self, session: sessions.Session) -> None:
@@ -594,6 +642,7 @@
             (
                 ('session', str(session.session_id)),
                 ('caller', str(session.caller)),
+                ('team', str(session.team or '')),
                 ('database', str(session.database or '')),
                 ('state', session.state.value),
                 ('instance', str(session.instance or '')),
@@ -604,3 +653,17 @@
             query.reply_to,
             task_messages.StateReport(self.task_name, query.number, rows),
         )
+
+    @runtime.handles(task_messages.TeamsQuery)
+    def _on_teams_query(self, query: task_messages.TeamsQuery) -> None:
+        rows = self.team_counts.rows(
+            self.rights.teams,
+            (
+                self.rights.team_of(session)
+                for session in self._sessions.values()
+            ),
+        )
+        self.send(
+            query.reply_to,
+            task_messages.StateReport(self.task_name, query.number, rows),
+        )
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -78,7 +78,8 @@
     instance; ``started`` is set once it has run there.  With
     ``keeps_pinned`` the session keeps its backend connection between
     statements.
-    ``request_id`` is that of the last request.
+    ``request_id`` is that of the last request.  ``key`` stands for the user
+    in the teams; ``team`` is the one that the last statement ran for.
     """
 
     def __init__(
@@ -106,6 +107,8 @@
         self.instance: core.InstanceName | None = None
         self.gate: core.VmName | None = None
         self.request_id: core.RequestId | None = None
+        self.key = opened.key
+        self.team: core.TeamName | None = None
 
 
 @charts.guard('session.draining')
--- a/src/chicoryusher/tasks/task_messages.py
+++ b/src/chicoryusher/tasks/task_messages.py
@@ -12,6 +12,7 @@
     'AssignGate',
     'ConfigUpdate',
     'StateReport',
+    'TeamsQuery',
     'Undelivered',
     'MonitorGroup',
 ]
@@ -57,6 +58,11 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamsQuery(StateQuery):
+    """Query the router for the teams in place of its sessions."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateReport(core.Message):
     """Report a task's state as rows of (name, value) pairs."""
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -334,7 +334,9 @@
     def _on_get(self, message: core.TableGet) -> None:
         def act() -> core.Message:
             row = self._site.platform.get(message.key)
-            return _answer(message.key, row)
+            return dataclasses.replace(
+                _answer(message.key, row), requested_at=message.requested_at
+            )
 
         timeout_answer = core.TableAnswer(
             message.key, error=core.PlatformUnknown('no answer')
--- a/src/chicoryusher_standins/lab/scripted.py
+++ b/src/chicoryusher_standins/lab/scripted.py
@@ -5,6 +5,7 @@
 import itertools
 
 from chicoryusher import core
+from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher import tasks
 from chicoryusher_standins.lab import instance as instance_module
@@ -16,6 +17,7 @@
 _CALLER_NUMBERS = itertools.count(1)
 _BEGIN = core.Payload(b'\x03START TRANSACTION')
 _COMMIT = core.Payload(b'\x03COMMIT')
+_ROLLBACK = core.Payload(b'\x03ROLLBACK')
 Kind = core.StatementKind
 
 
@@ -28,6 +30,7 @@
         vm: core.VmName,
         database: core.DatabaseName,
         token: str | None = None,
+        user: core.UserName | None = None,
     ) -> None:
         self._number = next(_CALLER_NUMBERS)
         super().__init__(site.loop, '', f'scripted-{self._number}')
@@ -37,6 +40,7 @@
         self._requests = itertools.count(1)
         self._answers: dict[core.RequestId, core.Answer] = {}
         self._token: str | None = None
+        self.refused: core.CallerError | None = None
         self.session_id = core.SessionId(f'{vm}:scripted{self._number}')
         self.send(
             self._router,
@@ -46,12 +50,14 @@
                 core.CallerName('scripted'),
                 database,
                 token,
+                None if user is None else decisions.key_of_user(user),
             ),
         )
 
     @runtime.handles(core.SessionReply)
     def _on_reply(self, reply: core.SessionReply) -> None:
-        """Ignore the reply: scenarios check answers only."""
+        """Record why the session was refused."""
+        self.refused = reply.error
 
     @runtime.handles(core.Answer)
     def _on_answer(self, answer: core.Answer) -> None:
@@ -132,6 +138,10 @@
         """Open a transaction."""
         return self.answer(self.send_off(Kind.BEGIN, _BEGIN))
 
+    def roll_back(self) -> core.Answer:
+        """Roll the transaction back."""
+        return self.answer(self.send_off(Kind.ROLLBACK, _ROLLBACK))
+
     def commit(self) -> core.Answer:
         """Commit the transaction."""
         return self.answer(self.send_off(Kind.COMMIT, _COMMIT))
