Keep callers' keys out of logs, and name the team of a refusal

Cause: a line that began with a key, or a START with the key in place of the database, put the key into the log. The line of a refused statement did not name the team, so that a team's refusals could not be told from others.

Event 3010 names the team; the metric team_refused counts its refusals by team and refusal.

--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -41,6 +41,12 @@
         ('access', 'outcome', 'role'),
         'from a statement to its answer, by route and by who ran it',
     )
+    TEAM_REFUSED = (
+        MetricKind.COUNTER,
+        '1',
+        ('team', 'refusal'),
+        'statements of a team that ended without success',
+    )
     RUN = (
         MetricKind.HISTOGRAM,
         's',
--- a/src/chicoryusher/tasks/pool/attempt_log.py
+++ b/src/chicoryusher/tasks/pool/attempt_log.py
@@ -69,12 +69,19 @@
     ) -> None:
         """Log and measure a statement that ended without success."""
         self._record_latency(attempt, refusal.value)
+        if attempt.team is not None:
+            self._dispatcher.meters.add(
+                core.Metric.TEAM_REFUSED,
+                team=attempt.team,
+                refusal=refusal.value,
+            )
         transaction = attempt.session.transaction
         self._dispatcher.log.emit(
             core.LogEvent.STATEMENT_REFUSED,
             request=attempt.message.request_id,
             refusal=refusal.value,
             why=why,
+            team=attempt.team,
             database=attempt.session.database,
             service=attempt.route.service,
             instance=attempt.instance,
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -136,10 +136,13 @@
             return
         refusal = self._start_refusal(message)
         if refusal is core.Refusal.NO_DATABASE:
+            # Where callers have keys, the name may be a key that was sent in
+            # its place.
+            keyed = self._rights.in_force
             self.log.emit(
                 core.LogEvent.DATABASE_UNKNOWN,
                 session=message.session_id,
-                database=message.database,
+                database=None if keyed else message.database,
                 config=self._config.version,
             )
         elif refusal is core.Refusal.UNKNOWN_KEY:
@@ -318,6 +321,7 @@
             request=message.request_id,
             refusal=refusal.value,
             why='refused before an instance was selected',
+            team=self._rights.team_of(session.key),
             database=session.database,
         )
         answer = core.SessionAnswer(
--- a/tests/tasks/test_refusal_log.py
+++ b/tests/tasks/test_refusal_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import logbook
 import pytest
 
@@ -45,6 +47,24 @@
     return {name: fields[name] for name in ('sent', 'wrote', 'via')}
 
 
+def test_a_refused_statement_names_its_team_and_not_the_key(site):
+    key = core.KeyDigest('5f0c31')
+    config = site.store.config
+    site.store.config = dataclasses.replace(
+        config,
+        version=core.ConfigVersion(config.version + 1),
+        teams=(core.Team(core.TeamName('red'), (key,)),),
+    )
+    site.run(3.0)
+    site.group.primary().full = True
+    ask(site, site.vms[0].caller(PRIMARY, key), write())
+    (record,) = [
+        record for record in site.records if record.extra['number'] == REFUSED
+    ]
+    assert record.extra['fields']['team'] == 'red'
+    assert key not in str([record.extra for record in site.records])
+
+
 def test_a_refused_statement_that_was_never_tried_says_so(site):
     site.group.primary().full = True
     caller = site.vms[0].caller(PRIMARY)
