--- a/src/chicoryusher/cli/check.py
+++ b/src/chicoryusher/cli/check.py
@@ -10,11 +10,12 @@
 import typer
 
 from chicoryusher import core
-from chicoryusher import decisions
 from chicoryusher.cli import client as client_module
 from chicoryusher.cli import options
 from chicoryusher.cli import output
 from chicoryusher.daemon import settings
+from chicoryusher.decisions import config_changes
+from chicoryusher.decisions import config_checks
 
 __all__ = ['check']
 
@@ -59,9 +60,9 @@
             output.fail_bad_file(core.SettingsError((problem,)), as_json)
         _check_settings(path, as_json)
         return
-    findings = decisions.check_document(document)
+    findings = config_checks.check_document(document)
     has_errors = any(
-        finding.kind is decisions.FindingKind.ERROR for finding in findings
+        finding.kind is config_checks.FindingKind.ERROR for finding in findings
     )
     rows = [
         _row(finding.kind.value, finding.path, finding.text)
@@ -71,7 +72,7 @@
         before = _register_before(against, admin, token, as_json)
         rows += [
             _row(change.kind.value, change.entry, change.detail)
-            for change in decisions.compare_registers(before, document)
+            for change in config_changes.compare_registers(before, document)
         ]
     output.print_rows(rows or [_nothing_wrong(path)], as_json)
     if has_errors:
@@ -107,7 +108,7 @@
         except core.AdminError as exc:
             output.fail(exc, as_json)
     document = output.read_json(pathlib.Path(against), as_json)
-    errors = decisions.register_errors(document)
+    errors = config_checks.register_errors(document)
     if errors:
         problems = tuple(
             core.ConfigError(f'{against}: {error.path}', error.defect)
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -4,8 +4,6 @@
 
 from chicoryusher.decisions import admission
 from chicoryusher.decisions import bulk_queue
-from chicoryusher.decisions import config_changes
-from chicoryusher.decisions import config_checks
 from chicoryusher.decisions import config_pointers
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import conn_owners
@@ -41,8 +39,6 @@
 from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.bulk_queue import *  # noqa: F403
-from chicoryusher.decisions.config_changes import *  # noqa: F403
-from chicoryusher.decisions.config_checks import *  # noqa: F403
 from chicoryusher.decisions.config_pointers import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.conn_owners import *  # noqa: F403
@@ -102,8 +98,6 @@
     *idempotency.__all__,
     *membership.__all__,
     *heartbeat_targets.__all__,
-    *config_changes.__all__,
-    *config_checks.__all__,
     *config_pointers.__all__,
     *register.__all__,
     *retry.__all__,
--- a/src/chicoryusher/decisions/config_checks/__init__.py
+++ b/src/chicoryusher/decisions/config_checks/__init__.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from chicoryusher import core
+from chicoryusher.decisions import register
 from chicoryusher.decisions.config_checks import error_checks  # noqa: F401 - fills a registry
 from chicoryusher.decisions.config_checks import findings
 from chicoryusher.decisions.config_checks import limit_checks  # noqa: F401 - fills a registry
@@ -13,13 +14,40 @@
 from chicoryusher.decisions.config_checks import pool_checks  # noqa: F401 - fills a registry
 from chicoryusher.decisions.config_checks.findings import *  # noqa: F403
 
-__all__ = [*findings.__all__, 'check_pool_config', 'check_register']
+__all__ = [
+    *findings.__all__,
+    'check_document',
+    'check_pool_config',
+    'register_errors',
+]
 
 
-def check_register(
-    document: Any, malformed: Iterable[str] = ()
+def check_document(document: Any) -> tuple[findings.ConfigFinding, ...]:
+    """Return all findings in a register document."""
+    problems = register.schema_problems(document, register.REGISTER_SCHEMA)
+    malformed = [problem.path for problem in problems]
+    errors = (
+        findings.ConfigFinding(
+            findings.FindingKind.ERROR, problem.path, problem.defect
+        )
+        for problem in problems
+    )
+    return (*errors, *_check_register(document, malformed))
+
+
+def register_errors(document: Any) -> tuple[core.ConfigError, ...]:
+    """Return all errors of a register document."""
+    return tuple(
+        core.ConfigError(finding.path, finding.text)
+        for finding in check_document(document)
+        if finding.kind is findings.FindingKind.ERROR
+    )
+
+
+def _check_register(
+    document: Any, malformed: Iterable[str]
 ) -> tuple[findings.ConfigFinding, ...]:
-    """Return the findings in a register document.
+    """Return what the checks of the registry find.
 
     ``malformed`` are the paths that have not the right format; what depends
     on them is not checked.
@@ -30,12 +58,12 @@
         for section in findings.Section
         if not any(_overlap(section.value, path) for path in paths)
     }
-    register = findings.RegisterDocument(document if readable else {})
+    entries = findings.RegisterDocument(document if readable else {})
     return tuple(
         finding
         for name in findings.REGISTER_CHECKS
         if readable.issuperset(findings.REGISTER_CHECKS.get(name).sections)
-        for finding in findings.REGISTER_CHECKS.get(name).run(register)
+        for finding in findings.REGISTER_CHECKS.get(name).run(entries)
     )
 
 
--- a/src/chicoryusher/decisions/register.py
+++ b/src/chicoryusher/decisions/register.py
@@ -13,23 +13,21 @@
 from typing import Any
 
 from chicoryusher import core
-from chicoryusher.decisions import config_checks
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import team_rights
 
 __all__ = [
-    'check_document',
+    'REGISTER_SCHEMA',
     'ConfigDifference',
     'compile_document',
     'config_differences',
     'rebuild_document',
-    'register_errors',
     'schema_problems',
 ]
 
 Document = dict[str, Any]
 
-_SCHEMA = json.loads(
+REGISTER_SCHEMA = json.loads(
     importlib.resources.files('chicoryusher.decisions')
     .joinpath('register.schema.json')
     .read_text(encoding='utf-8')
@@ -66,34 +64,15 @@
 
     Raise SettingsError with all defects if the document is invalid.
     """
-    problems = register_errors(document)
+    # Imported here because only the check of operators' documents needs it.
+    from chicoryusher.decisions import config_checks
+
+    problems = config_checks.register_errors(document)
     if problems:
         raise core.SettingsError(problems)
     return _build(document['register'], document['rules'], version)
 
 
-def check_document(document: Any) -> tuple[config_checks.ConfigFinding, ...]:
-    """Return all findings in a register document."""
-    problems = schema_problems(document, _SCHEMA)
-    malformed = [problem.path for problem in problems]
-    errors = (
-        config_checks.ConfigFinding(
-            config_checks.FindingKind.ERROR, problem.path, problem.defect
-        )
-        for problem in problems
-    )
-    return (*errors, *config_checks.check_register(document, malformed))
-
-
-def register_errors(document: Any) -> tuple[core.ConfigError, ...]:
-    """Return all errors of a register document."""
-    return tuple(
-        core.ConfigError(finding.path, finding.text)
-        for finding in check_document(document)
-        if finding.kind is config_checks.FindingKind.ERROR
-    )
-
-
 def rebuild_document(
     document: Any, version: core.ConfigVersion
 ) -> configuration.Configuration:
--- a/tests/decisions/test_config_checks.py
+++ b/tests/decisions/test_config_checks.py
@@ -8,14 +8,16 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
+from chicoryusher.decisions import config_changes
+from chicoryusher.decisions import config_checks
 from chicoryusher_standins import deployments
 
 DEPLOYMENT = deployments.DEPLOYMENTS['nile-grain']
 RED = {'name': 'red', 'users': ['ana'], 'rate': 20, 'burst': 5, 'priority': 1}
 BLUE = {'name': 'blue', 'users': ['ben']}
-ERROR = decisions.FindingKind.ERROR
-NEVER = decisions.FindingKind.NEVER_MATCHES
-CONTRADICTION = decisions.FindingKind.CONTRADICTION
+ERROR = config_checks.FindingKind.ERROR
+NEVER = config_checks.FindingKind.NEVER_MATCHES
+CONTRADICTION = config_checks.FindingKind.CONTRADICTION
 HUGE = 10**400
 
 
@@ -29,7 +31,7 @@
 def places(document):
     return [
         (finding.kind, finding.path)
-        for finding in decisions.check_document(document)
+        for finding in config_checks.check_document(document)
     ]
 
 
@@ -120,8 +122,7 @@
     [None, 7, [], {}, {'register': 7, 'rules': {}}, {'register': {}}],
 )
 def test_no_document_ends_the_check(document):
-    kinds = {finding.kind for finding in decisions.check_document(document)}
-    assert kinds == {ERROR}
+    assert {kind for kind, _ in places(document)} == {ERROR}
 
 
 @pytest.mark.parametrize(
@@ -264,7 +265,7 @@
     after['rules']['default_deadline'] = 5.0
     changes = [
         (change.kind.value, change.entry, change.detail)
-        for change in decisions.compare_registers(document, after)
+        for change in config_changes.compare_registers(document, after)
     ]
     assert changes == [
         ('removed', 'database spoonbook_3', ''),
@@ -282,14 +283,14 @@
             'rate 20 becomes 40, users with eva, users without ana',
         ),
     ]
-    assert decisions.compare_registers(after, after) == ()
+    assert config_changes.compare_registers(after, after) == ()
 
 
 def test_the_first_and_the_last_team_are_told_as_what_they_mean(document):
     without = copy.deepcopy(document)
     del without['register']['teams']
-    first = decisions.compare_registers(without, document)[0]
-    last = decisions.compare_registers(document, without)[0]
+    first = config_changes.compare_registers(without, document)[0]
+    last = config_changes.compare_registers(document, without)[0]
     assert first.detail == 'users of no team are refused from now on'
     assert last.detail == 'every user is served without a limit'
 
@@ -298,5 +299,5 @@
     document['rules']['statements'] = [rule(), rule(tables=['stock'])]
     after = copy.deepcopy(document)
     after['rules']['statements'].reverse()
-    (change,) = decisions.compare_registers(document, after)
+    (change,) = config_changes.compare_registers(document, after)
     assert change.entry == 'rules'
