Let MySQL teams be served by evidence of other VMs

Cause: a VM that the store does not answer refused the work of all teams after the bound for revocations, though other VMs knew that the configuration was the newest.

The answer counts from the moment of asking, less the age that it tells.

--- a/src/chicoryusher/core/peers.py
+++ b/src/chicoryusher/core/peers.py
@@ -7,7 +7,13 @@
 from chicoryusher.core import ids
 from chicoryusher.core import messages
 
-__all__ = ['FetchConfig', 'ConfigOffer', 'Heartbeat']
+__all__ = [
+    'AskConfigAge',
+    'ConfigAge',
+    'ConfigOffer',
+    'FetchConfig',
+    'Heartbeat',
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,3 +45,24 @@
 
     version: ids.ConfigVersion
     document: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskConfigAge(messages.Message):
+    """Ask a peer when its configuration was last known to be the newest.
+
+    ``asked_at`` is on the boot-time clock of ``vm``, the VM that asks; the
+    answer repeats it.
+    """
+
+    vm: ids.VmName
+    asked_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigAge(messages.Message):
+    """Reply that the version was the newest ``age`` seconds before."""
+
+    version: ids.ConfigVersion
+    age: float
+    asked_at: float
--- a/src/chicoryusher/peers/receivers.py
+++ b/src/chicoryusher/peers/receivers.py
@@ -33,6 +33,8 @@
     core.Heartbeat: tasks.names.membership,
     core.FetchConfig: tasks.names.configurator,
     core.ConfigOffer: tasks.names.configurator,
+    core.AskConfigAge: tasks.names.config_evidence,
+    core.ConfigAge: tasks.names.config_evidence,
 }
 
 
--- a/src/chicoryusher/peers/stream.py
+++ b/src/chicoryusher/peers/stream.py
@@ -56,7 +56,13 @@
     STATEMENTS = 'statements'
 
 
-_CONTROL_MESSAGES = (core.Heartbeat, core.FetchConfig, core.ConfigOffer)
+_CONTROL_MESSAGES = (
+    core.Heartbeat,
+    core.FetchConfig,
+    core.ConfigOffer,
+    core.AskConfigAge,
+    core.ConfigAge,
+)
 
 
 class PeerStream:
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -193,7 +193,10 @@
 
     def _confirm(self, requested_at: float) -> None:
         """Report that the version in force was the newest at a time."""
-        self.send(names.router(self.vm), core.ConfigConfirmed(requested_at))
+        self.send(
+            names.config_evidence(self.vm),
+            core.ConfigConfirmed(requested_at),
+        )
 
     @runtime.handles(core.ConfigOffer)
     def _on_offer(self, offer: core.ConfigOffer) -> None:
--- a/src/chicoryusher/tasks/membership.py
+++ b/src/chicoryusher/tasks/membership.py
@@ -152,6 +152,7 @@
         message = core.LiveVms(live, states)
         self.send(names.router(self.vm), message)
         self.send(names.node(self.vm), message)
+        self.send(names.config_evidence(self.vm), message)
         self.send(names.peers(self.vm), message)
         for name, state in states:
             if state is not core.VmState.LIVE:
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -9,6 +9,7 @@
 __all__ = [
     'admin',
     'agent',
+    'config_evidence',
     'configurator',
     'dispatcher',
     'view_exchange',
@@ -47,6 +48,7 @@
 
 
 admin = _single('admin')
+config_evidence = _single('evidence')
 configurator = _single('configurator')
 dispatcher = _single('desk')
 view_exchange = _single('exchange')
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -11,6 +11,7 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
+from chicoryusher.tasks import config_evidence
 from chicoryusher.tasks import configurator
 from chicoryusher.tasks import gate
 from chicoryusher.tasks import gate_actions  # noqa: F401 - fills a registry
@@ -79,9 +80,11 @@
         factory.peers(vm)
         self.router = router.Router(loop, vm, settings)
         self.membership = membership.MembershipTask(loop, vm)
+        self.config_evidence = config_evidence.ConfigEvidence(loop, vm)
         receivers = (
             names.peers(vm),
             names.router(vm),
+            names.config_evidence(vm),
             self.task_name,
             names.membership(vm),
             *extra_receivers,
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -446,7 +446,11 @@
         data = codec.encode(message.message)
         control = isinstance(
             message.message,
-            core.Heartbeat | core.FetchConfig | core.ConfigOffer,
+            core.Heartbeat
+            | core.FetchConfig
+            | core.ConfigOffer
+            | core.AskConfigAge
+            | core.ConfigAge,
         )
         received = codec.unpack_frame(data)[0]
 
@@ -493,6 +497,8 @@
     core.Heartbeat: _NAMES.membership,
     core.FetchConfig: _NAMES.configurator,
     core.ConfigOffer: _NAMES.configurator,
+    core.AskConfigAge: _NAMES.config_evidence,
+    core.ConfigAge: _NAMES.config_evidence,
 }
 
 
