Compare a register's users and callers with a daemon's settings

Cause: a user of a team, or a caller of a rule, that no daemon's settings have never matches, and the check did not see it.

Measured: tests/cli/test_check.py and tests/decisions/test_config_checks.py pass.

--- a/src/chicoryusher/cli/check.py
+++ b/src/chicoryusher/cli/check.py
@@ -38,6 +38,13 @@
             f' the version that a daemon has ({IN_FORCE}).'
         ),
     ] = '',
+    settings_path: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            '--settings',
+            help="Also compare users and callers with a daemon's settings.",
+        ),
+    ] = None,
     token: options.TokenOption = '',
     admin: options.AdminOption = options.DEFAULT_ADMIN,
     output_format: Annotated[
@@ -60,7 +67,10 @@
             output.fail_bad_file(core.SettingsError((problem,)), as_json)
         _check_settings(path, as_json)
         return
-    findings = config_checks.check_document(document)
+    logins = None
+    if settings_path is not None:
+        logins = _read_logins(settings_path, as_json)
+    findings = config_checks.check_document(document, logins)
     has_errors = any(
         finding.kind is config_checks.FindingKind.ERROR for finding in findings
     )
@@ -85,6 +95,25 @@
     return {'finding': finding, 'path': path, 'problem': problem}
 
 
+def _read_logins(path: pathlib.Path, as_json: bool) -> dict[str, str]:
+    try:
+        return settings.read_logins(output.read_json(path, as_json))
+    except core.SettingsError as exc:
+        output.fail_bad_file(_in_file(exc, path), as_json)
+
+
+def _in_file(
+    error: core.SettingsError, path: pathlib.Path
+) -> core.SettingsError:
+    """Return the error with the file's name before each place."""
+    return core.SettingsError(
+        tuple(
+            core.ConfigError(f'{path}: {problem.path}', problem.defect)
+            for problem in error.problems
+        )
+    )
+
+
 def _check_settings(path: pathlib.Path, as_json: bool) -> None:
     try:
         settings.load(path)
@@ -107,12 +136,10 @@
             return client.fetch_register()[1]
         except core.AdminError as exc:
             output.fail(exc, as_json)
-    document = output.read_json(pathlib.Path(against), as_json)
+    path = pathlib.Path(against)
+    document = output.read_json(path, as_json)
     errors = config_checks.register_errors(document)
     if errors:
-        problems = tuple(
-            core.ConfigError(f'{against}: {error.path}', error.defect)
-            for error in errors
-        )
-        output.fail_bad_file(core.SettingsError(problems), as_json)
+        error = _in_file(core.SettingsError(errors), path)
+        output.fail_bad_file(error, as_json)
     return document
--- a/src/chicoryusher/daemon/settings.py
+++ b/src/chicoryusher/daemon/settings.py
@@ -17,7 +17,7 @@
 from chicoryusher.backends import mysql as mysql_backend
 from chicoryusher.frontends import mysql as mysql_frontend
 
-__all__ = ['MetricsSettings', 'Settings', 'load', 'parse']
+__all__ = ['MetricsSettings', 'Settings', 'load', 'parse', 'read_logins']
 
 DEFAULT_DRAIN_TIMEOUT_S = 30.0
 DEFAULT_METRICS_INTERVAL_S = 10.0
@@ -96,6 +96,18 @@
     return _build(document, environment)
 
 
+def read_logins(document: Any) -> dict[str, str]:
+    """Return the callers of a settings document's users.
+
+    Raises SettingsError if the document does not have the right format.
+    Secrets need not be in the environment.
+    """
+    problems = decisions.schema_problems(document, _SCHEMA)
+    if problems:
+        raise core.SettingsError(tuple(problems))
+    return {user['name']: user['caller'] for user in document['users']}
+
+
 def _secret_variables(document: dict[str, Any]) -> Iterator[tuple[str, str]]:
     users = document.get('users')
     for i, user in enumerate(users if isinstance(users, list) else ()):
--- a/src/chicoryusher/decisions/config_checks/__init__.py
+++ b/src/chicoryusher/decisions/config_checks/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 
 from chicoryusher import core
@@ -22,8 +23,14 @@
 ]
 
 
-def check_document(document: Any) -> tuple[findings.ConfigFinding, ...]:
-    """Return all findings in a register document."""
+def check_document(
+    document: Any, logins: Mapping[str, str] | None = None
+) -> tuple[findings.ConfigFinding, ...]:
+    """Return all findings in a register document.
+
+    With ``logins``, the callers of the settings' users, the names in the
+    document are compared with these.
+    """
     problems = register.schema_problems(document, register.REGISTER_SCHEMA)
     malformed = [problem.path for problem in problems]
     errors = (
@@ -32,7 +39,7 @@
         )
         for problem in problems
     )
-    return (*errors, *_check_register(document, malformed))
+    return (*errors, *_check_register(document, malformed, logins))
 
 
 def register_errors(document: Any) -> tuple[core.ConfigError, ...]:
@@ -45,7 +52,9 @@
 
 
 def _check_register(
-    document: Any, malformed: Iterable[str]
+    document: Any,
+    malformed: Iterable[str],
+    logins: Mapping[str, str] | None,
 ) -> tuple[findings.ConfigFinding, ...]:
     """Return what the checks of the registry find.
 
@@ -58,7 +67,7 @@
         for section in findings.Section
         if not any(_overlap(section.value, path) for path in paths)
     }
-    entries = findings.RegisterDocument(document if readable else {})
+    entries = findings.RegisterDocument(document if readable else {}, logins)
     return tuple(
         finding
         for name in findings.REGISTER_CHECKS
--- a/src/chicoryusher/decisions/config_checks/findings.py
+++ b/src/chicoryusher/decisions/config_checks/findings.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -81,9 +82,16 @@
 
 
 class RegisterDocument:
-    """The entries of a register document with their paths."""
+    """The entries of a register document with their paths.
 
-    def __init__(self, document: Document) -> None:
+    ``logins`` maps the users of the daemons' settings to their callers; it
+    is None if the settings are not known.
+    """
+
+    def __init__(
+        self, document: Document, logins: Mapping[str, str] | None = None
+    ) -> None:
+        self.logins = logins
         register = document.get('register')
         if not isinstance(register, dict):
             register = {}
--- a/src/chicoryusher/decisions/config_checks/match_checks.py
+++ b/src/chicoryusher/decisions/config_checks/match_checks.py
@@ -55,6 +55,31 @@
             yield path, f'team {team["name"]} has no user'
 
 
+@findings.register_check('users without a login', _NEVER, _Section.TEAMS)
+def _users_without_login(register: _Register) -> Iterator[_Place]:
+    """Find users of teams that the settings do not have."""
+    if register.logins is None:
+        return
+    for i, team in enumerate(register.teams):
+        for j, user in enumerate(team['users']):
+            if user not in register.logins:
+                path = f'{_Section.TEAMS.value}[{i}].users[{j}]'
+                yield path, f'user {user} is not in the settings'
+
+
+@findings.register_check('callers of rules', _NEVER, _Section.RULES)
+def _unknown_callers(register: _Register) -> Iterator[_Place]:
+    """Find callers of rules that no user of the settings belongs to."""
+    if register.logins is None:
+        return
+    callers = set(register.logins.values())
+    for i, rule in enumerate(register.statement_rules):
+        for j, caller in enumerate(rule.get('callers', ())):
+            if caller not in callers:
+                path = f'{_Section.RULES.value}.statements[{i}].callers[{j}]'
+                yield path, f'caller {caller} is not in the settings'
+
+
 @findings.register_check(
     'teams without a route', _NEVER, _Section.TEAMS, _Section.DATABASES
 )
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -10,6 +10,7 @@
 from chicoryusher.cli import client
 from chicoryusher.cli import main
 from chicoryusher_standins import deployments
+from chicoryusher_standins import world
 
 DEPLOYMENT = deployments.DEPLOYMENTS['nile-grain']
 TEAM = {'name': 'red', 'users': ['ana'], 'rate': 20, 'burst': 5}
@@ -122,6 +123,19 @@
     assert result_code == 5
 
 
+def test_users_are_compared_with_the_settings(check, tmp_path):
+    path = tmp_path / 'settings.json'
+    settings = world.settings_document('vm1', 'akhmim-yard', 1)
+    path.write_text(json.dumps(settings))
+    code, rows = check(register(), '--settings', str(path))
+    assert code == 1
+    assert kinds(rows) == [('never_matches', '$.register.teams[0].users[0]')]
+    path.write_text(json.dumps({**settings, 'users': 7}))
+    code, rows = check(register(), '--settings', str(path))
+    assert code == 2
+    assert rows[0]['path'] == f'{path}: $.users'
+
+
 def test_a_file_to_compare_with_that_has_errors_is_named(check, tmp_path):
     before = tmp_path / 'before.json'
     before.write_text(json.dumps(register(rate=-1)))
--- a/tests/decisions/test_config_checks.py
+++ b/tests/decisions/test_config_checks.py
@@ -167,6 +167,16 @@
     assert places(document) == [(NEVER, '$.register.teams[1].users')]
 
 
+def test_names_that_the_settings_do_not_have_never_match(document):
+    document['rules']['statements'] = [rule(callers=['order-desk', 'night'])]
+    logins = {'ana': 'order-desk'}
+    found = config_checks.check_document(document, logins)
+    assert [(finding.kind, finding.path) for finding in found] == [
+        (NEVER, '$.rules.statements[0].callers[1]'),
+        (NEVER, '$.register.teams[1].users[0]'),
+    ]
+
+
 def test_teams_have_no_effect_if_every_database_is_public(document):
     for database in document['register']['databases']:
         database['public'] = True
