Log when the work of teams begins and ends to be refused

Cause: nothing but the refusals themselves said that a VM lacked evidence of its configuration.

Change: events 5020 and 5021 of the task ConfigEvidence, shown by `explain`; whether the evidence is young enough is decided by TeamRights, as for the refusals.

Measured: tests/tasks/test_session_teams.py, test_docs.py and tests/cli pass.

--- a/src/chicoryusher/cli/explain.py
+++ b/src/chicoryusher/cli/explain.py
@@ -17,6 +17,8 @@
         *range(1001, 1005),
         *range(4009, 4016),
         *range(5001, 5004),
+        5020,
+        5021,
         6002,
         6005,
     }
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -259,6 +259,16 @@
         LogLevel.WARNING,
         'the era that the store names is not valid and was ignored',
     )
+    CONFIG_UNPROVED = (
+        5020,
+        LogLevel.WARNING,
+        'the configuration may be outdated; work of teams is refused',
+    )
+    CONFIG_PROVED = (
+        5021,
+        LogLevel.INFO,
+        'the configuration is known to be the newest again',
+    )
     PEER_CONNECTED = (6001, LogLevel.INFO, 'a peer stream opened')
     PEER_LOST = (6002, LogLevel.WARNING, 'a peer stream closed')
     PEER_FRAME_BAD = (
--- a/src/chicoryusher/decisions/team_rights.py
+++ b/src/chicoryusher/decisions/team_rights.py
@@ -100,9 +100,11 @@
         if self.team_of(key) is None:
             may_be_new = key is not None and not self._readable
             return Right.UNPROVED if may_be_new else Right.UNKNOWN_KEY
+        return Right.GRANTED if self.is_proved(now) else Right.UNPROVED
+
+    def is_proved(self, now: float) -> bool:
+        """Return whether the configuration was confirmed lately enough."""
         if self._revocation_s is None:
-            return Right.GRANTED
+            return True
         max_age_s = self._revocation_s * EVIDENCE_SHARE
-        if self.evidence_age_s(now) < max_age_s:
-            return Right.GRANTED
-        return Right.UNPROVED
+        return self.evidence_age_s(now) < max_age_s
--- a/src/chicoryusher/tasks/config_evidence.py
+++ b/src/chicoryusher/tasks/config_evidence.py
@@ -41,7 +41,8 @@
         self._clock = loop.clock
         self._rng = random.Random(f'{vm} evidence')
         self._version = core.ConfigVersion(0)
-        self._has_teams = False
+        self._rights = decisions.TeamRights(None)
+        self._was_proved = True
         self._max_age_s = float('inf')
         self._live: tuple[core.VmName, ...] = ()
         self._confirmed_at = float('-inf')
@@ -51,7 +52,9 @@
     def _on_config(self, message: task_messages.ConfigUpdate) -> None:
         config = message.config
         self._version = config.version
-        self._has_teams = bool(config.teams)
+        self._rights = decisions.TeamRights(config.revocation_s)
+        self._rights.apply(config.teams)
+        self._rights.confirm(self._confirmed_at)
         interval_s = decisions.read_interval_s(len(config.vms))
         self._max_age_s = READS_BEFORE_ASKING * interval_s
 
@@ -67,19 +70,38 @@
         if at <= self._confirmed_at:
             return
         self._confirmed_at = at
+        self._rights.confirm(at)
         self.send(names.router(self.vm), core.ConfigConfirmed(at))
 
     @runtime.handles(_CheckAge)
     def _on_check(self, check: _CheckAge) -> None:
         self.after(CHECK_INTERVAL_S, check)
+        if not self._rights.in_force:
+            return
         now = self._clock.boottime()
-        is_old = now - self._confirmed_at > self._max_age_s
-        if not self._has_teams or not is_old:
+        self._log_proof(now)
+        age_s = now - self._confirmed_at
+        if age_s <= self._max_age_s:
             return
         count = min(VMS_ASKED_AT_ONCE, len(self._live))
         for vm in self._rng.sample(self._live, count):
             self._send_to_peer(vm, core.AskConfigAge(self.vm, now))
 
+    def _log_proof(self, now: float) -> None:
+        """Log when the teams' work begins to be refused, and when it ends."""
+        proved = self._rights.is_proved(now)
+        if proved == self._was_proved:
+            return
+        self._was_proved = proved
+        event = core.LogEvent.CONFIG_UNPROVED
+        if proved:
+            event = core.LogEvent.CONFIG_PROVED
+        self.log.emit(
+            event,
+            version=self._version,
+            age=round(self._rights.evidence_age_s(now), 3),
+        )
+
     @runtime.handles(core.AskConfigAge)
     def _on_asked(self, question: core.AskConfigAge) -> None:
         age_s = self._clock.boottime() - self._confirmed_at
--- a/tests/tasks/test_session_teams.py
+++ b/tests/tasks/test_session_teams.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+import logbook
 import pytest
 
 from chicoryusher import core
@@ -172,6 +173,21 @@
     assert core.Heartbeat in asked
 
 
+def test_operators_see_when_teams_are_refused_and_served_again(site):
+    with logbook.TestHandler() as handler:
+        cut_off_from_store(site)
+        site.run_for(2 * REVOCATION_S)
+        site.platform_unreachable.clear()
+        site.run_for(3.0)
+        records = [
+            (record.extra['number'], record.extra['vm'])
+            for record in handler.records
+        ]
+    unproved = core.LogEvent.CONFIG_UNPROVED.number
+    proved = core.LogEvent.CONFIG_PROVED.number
+    assert [number for number, vm in records if vm == VM] == [unproved, proved]
+
+
 def test_a_vm_without_the_store_serves_public_databases(site):
     set_teams(site, *TEAMS, public=True)
     caller = caller_of(site, None)
