Test evidence over a real platform client, and teams that cannot be read

Cause: the echo of the time of a read was tested in the lab only, and teams that cannot be read only as a decision.

Change: tests only.

--- a/tests/daemon/test_secrets.py
+++ b/tests/daemon/test_secrets.py
@@ -12,6 +12,7 @@
 
 from chicoryusher_standins import world as world_module
 
+REVOCATION_S = 30
 WRONG_PASSWORD = 'stolen-password'
 BACKUP_PASSWORD = 'backup-password'
 ENVIRONMENT = {
@@ -105,6 +106,7 @@
     shown = run_tool(admin, 'register', 'show', '--json')
     document = json.loads(shown.stdout)['document']
     document['register']['teams'] = TEAMS
+    document['rules']['revocation_seconds'] = REVOCATION_S
     path = tmp_path / 'register.json'
     path.write_text(json.dumps(document))
     outputs = [
@@ -126,6 +128,9 @@
         ('red', '1'),
         ('blue', '0'),
     ]
+    (status,) = json.loads(run_tool(admin, 'status', '--json').stdout)
+    assert status['teams'] == '2'
+    assert float(status['confirmed']) < REVOCATION_S
     clerk.close()
     process.send_signal(signal.SIGTERM)
     assert process.wait(timeout=30) == 0
--- a/tests/tasks/test_pool_teams.py
+++ b/tests/tasks/test_pool_teams.py
@@ -135,3 +135,27 @@
     site.store.shut.add(vm.vm)
     site.run(3 * pool.REVOCATION_S)
     assert write(site, vm.caller(PRIMARY, KEY)).refusal is None
+
+
+def test_teams_that_cannot_be_read_are_served_until_the_bound(site):
+    """A version with a defect ended, or opened, the routes of all teams."""
+    caller = site.vms[0].caller(PRIMARY, KEY)
+    config = site.store.config
+    site.store.config = dataclasses.replace(
+        config,
+        version=core.ConfigVersion(config.version + 1),
+        teams=(),
+        teams_readable=False,
+    )
+    site.run(0.5)
+    assert write(site, caller).refusal is None
+    site.run(pool.REVOCATION_S)
+    assert write(site, caller).refusal is core.Refusal.BUSY
+    newcomer = site.vms[0].caller(PRIMARY, core.KeyDigest('c3'))
+    assert write(site, newcomer).refusal is core.Refusal.BUSY
+    site.store.config = dataclasses.replace(
+        config, version=core.ConfigVersion(config.version + 1)
+    )
+    set_teams(site, RED)
+    assert write(site, caller).refusal is None
+    assert write(site, newcomer).refusal is core.Refusal.UNKNOWN_KEY
