--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -60,6 +60,8 @@
     27: core.LimitKeeperStamp,
     28: core.AskAllowance,
     29: core.GrantAllowance,
+    40: core.AskConfigAge,
+    41: core.ConfigAge,
 }
 _NUMBER_BY_TYPE = {kind: number for number, kind in TYPE_BY_NUMBER.items()}
 _ERROR_BY_NAME = {
--- a/src/chicoryusher/tasks/configurator.py
+++ b/src/chicoryusher/tasks/configurator.py
@@ -27,9 +27,6 @@
 
 CONFIG_KEY = 'config'
 AUDIT_KEY_PREFIX = 'audit/'
-# Reads of the pointer by all VMs together.
-MAX_READS_PER_S = 120.0
-MIN_READ_INTERVAL_S = 1.0
 # Delay before a pointer is read after a write whose result is unknown.
 READ_BACK_DELAY_S = 0.25
 # Failed reads after which the result of the write stays unknown.
@@ -111,7 +108,12 @@
         self._in_force: decisions.Configuration | None = None
         self._document = b''
         self._pending_change: _PendingChange | None = None
-        self._requested_versions: dict[str, core.ConfigVersion] = {}
+        # Versions of the documents that are being read, by their keys, with
+        # the time of the request that showed them as the newest.
+        self._requested_versions: dict[
+            str, tuple[core.ConfigVersion, float]
+        ] = {}
+        self._clock = loop.clock
         self._queued_documents: list[ApplyDocument] = []
         self.after(0.0, _ReadDue())
 
@@ -127,13 +129,13 @@
     @runtime.handles(_ReadDue)
     def _on_read_due(self, timer: _ReadDue) -> None:
         vms = len(self._in_force.vms) if self._in_force is not None else 0
-        interval = max(MIN_READ_INTERVAL_S, vms / MAX_READS_PER_S)
-        self.after(interval, _ReadDue())
+        self.after(decisions.read_interval_s(vms), _ReadDue())
         self._get(CONFIG_KEY)
 
     def _get(self, key: str) -> None:
         self.send(
-            names.platform_client(self.vm), core.TableGet(self.task_name, key)
+            names.platform_client(self.vm),
+            core.TableGet(self.task_name, key, self._clock.boottime()),
         )
 
     def _put(self, key: str, value: bytes, expected: int) -> None:
@@ -151,6 +153,8 @@
             self._fetch(answer)
         elif answer.value is not None and answer.version < self.version:
             self._log_stale(answer.version)
+        elif answer.value is not None:
+            self._confirm(answer.requested_at)
         if answer.is_put:
             self._on_pointer_written(answer)
         elif (
@@ -166,7 +170,10 @@
         except core.ConfigError as exc:
             self._log_bad(answer.version, exc)
             return
-        self._requested_versions[key] = core.ConfigVersion(answer.version)
+        self._requested_versions[key] = (
+            core.ConfigVersion(answer.version),
+            answer.requested_at,
+        )
         self.send(
             names.platform_client(self.vm), core.ObjectGet(self.task_name, key)
         )
@@ -176,9 +183,20 @@
         if answer.is_put:
             self._write_pointer(answer)
             return
-        version = self._requested_versions.pop(answer.key, None)
-        if version is not None and answer.value is not None:
-            self._apply(version, answer.value)
+        requested = self._requested_versions.pop(answer.key, None)
+        if requested is None or answer.value is None:
+            return
+        version, requested_at = requested
+        self._apply(version, answer.value)
+        if self.version == version:
+            self._confirm(requested_at)
+
+    def _confirm(self, requested_at: float) -> None:
+        """Report that the version in force was the newest at a time."""
+        self.send(
+            names.config_evidence(self.vm),
+            core.ConfigConfirmed(requested_at),
+        )
 
     @runtime.handles(core.ConfigOffer)
     def _on_offer(self, offer: core.ConfigOffer) -> None:
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -11,6 +11,7 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
+from chicoryusher.tasks import config_evidence
 from chicoryusher.tasks import configurator
 from chicoryusher.tasks import gate
 from chicoryusher.tasks import gate_actions  # noqa: F401 - fills a registry
@@ -79,9 +80,11 @@
         factory.peers(vm)
         self.router = router.Router(loop, vm, settings)
         self.membership = membership.MembershipTask(loop, vm)
+        self.config_evidence = config_evidence.ConfigEvidence(loop, vm)
         receivers = (
             names.peers(vm),
             names.router(vm),
+            names.config_evidence(vm),
             self.task_name,
             names.membership(vm),
             *extra_receivers,
@@ -267,8 +270,23 @@
             ('replica_reads', str(self.router.replica_reads)),
             ('moves', str(self.router.moves)),
             ('unknown', str(self.router.unknown)),
+            *self._team_fields(),
         )
         self.send(
             query.reply_to,
             task_messages.StateReport(self.task_name, query.number, (row,)),
         )
+
+    def _team_fields(self) -> tuple[tuple[str, str], ...]:
+        """Return the fields that only deployments with teams have.
+
+        ``confirmed`` is how many seconds ago the configuration was last known
+        to be the newest.
+        """
+        rights = self.router.rights
+        if not rights.teams:
+            return ()
+        return (
+            ('teams', str(len(rights.teams))),
+            ('confirmed', f'{rights.evidence_age_s:.1f}'),
+        )
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -334,7 +334,9 @@
     def _on_get(self, message: core.TableGet) -> None:
         def act() -> core.Message:
             row = self._site.platform.get(message.key)
-            return _answer(message.key, row)
+            return dataclasses.replace(
+                _answer(message.key, row), requested_at=message.requested_at
+            )
 
         timeout_answer = core.TableAnswer(
             message.key, error=core.PlatformUnknown('no answer')
@@ -444,7 +446,11 @@
         data = codec.encode(message.message)
         control = isinstance(
             message.message,
-            core.Heartbeat | core.FetchConfig | core.ConfigOffer,
+            core.Heartbeat
+            | core.FetchConfig
+            | core.ConfigOffer
+            | core.AskConfigAge
+            | core.ConfigAge,
         )
         received = codec.unpack_frame(data)[0]
 
@@ -491,6 +497,8 @@
     core.Heartbeat: _NAMES.membership,
     core.FetchConfig: _NAMES.configurator,
     core.ConfigOffer: _NAMES.configurator,
+    core.AskConfigAge: _NAMES.config_evidence,
+    core.ConfigAge: _NAMES.config_evidence,
 }
 
 
