Use part of the tolerance of a limit for arrivals that are bunched

Change: of what is tolerated in a window, keepers put half into the rate and a fifth into the burst, and a fifth is left to operations that are sent late.

--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -14,10 +14,19 @@
 
 from chicoryusher import core
 
-__all__ = ['LimitBucket', 'allowance_validity_s', 'bucket_capacity']
-
-# Share of the tolerance that allowances which are used late may take up.
-VALIDITY_TOLERANCE_SHARE = 0.5
+__all__ = [
+    'LimitBucket',
+    'allowance_validity_s',
+    'bucket_capacity',
+    'granted_limit',
+]
+
+# Shares of the tolerance that go into the rate, into the burst, and to
+# allowances which are used late.  Arrivals that are bunched by chance, above
+# all those of small teams, are not over the limit.
+RATE_TOLERANCE_SHARE = 0.5
+BURST_TOLERANCE_SHARE = 0.2
+VALIDITY_TOLERANCE_SHARE = 0.2
 MAX_VALIDITY_S = 2.0
 MIN_VALIDITY_S = 0.1
 # Least share with which a keeper holds one operation of a team whose burst
@@ -43,12 +52,36 @@
     What is started in a window was granted in the window or up to this time
     before it.
     """
-    tolerated = (
+    tolerated = _tolerated(rate, burst, tolerance)
+    granted_rate, _ = granted_limit(rate, burst, tolerance)
+    late = VALIDITY_TOLERANCE_SHARE * tolerated
+    validity_s = late / max(granted_rate, _ROUNDING)
+    return min(MAX_VALIDITY_S, max(MIN_VALIDITY_S, validity_s))
+
+
+def _tolerated(
+    rate: float, burst: float, tolerance: core.LimitTolerance
+) -> float:
+    """Return how many operations more than the limit a window may have."""
+    return (
         tolerance.ratio * (rate * tolerance.window_s + burst)
         + tolerance.requests
     )
-    validity_s = VALIDITY_TOLERANCE_SHARE * tolerated / max(rate, _ROUNDING)
-    return min(MAX_VALIDITY_S, max(MIN_VALIDITY_S, validity_s))
+
+
+def granted_limit(
+    rate: float, burst: float, tolerance: core.LimitTolerance
+) -> tuple[float, float]:
+    """Return the rate and the burst with which keepers grant a limit.
+
+    A team without any operation gets none.
+    """
+    if rate <= 0.0 and burst <= 0.0:
+        return 0.0, 0.0
+    tolerated = _tolerated(rate, burst, tolerance)
+    extra_rate = RATE_TOLERANCE_SHARE * tolerated / tolerance.window_s
+    extra_burst = BURST_TOLERANCE_SHARE * tolerated
+    return rate + extra_rate, burst + extra_burst
 
 
 def bucket_capacity(rate: float, burst: float, share: float) -> float:
--- a/src/chicoryusher/tasks/pool/limits/limit_keeper.py
+++ b/src/chicoryusher/tasks/pool/limits/limit_keeper.py
@@ -26,8 +26,14 @@
 class LimitKeeper(runtime.Task):
     """Count followers, and share the teams' limits out to them."""
 
-    def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        tolerance: core.LimitTolerance,
+    ) -> None:
         super().__init__(loop, vm, 'limit_keeper')
+        self._tolerance = tolerance
         self._clock = loop.clock
         self._limits: dict[core.TeamName, core.Team] = {}
         self._vm_count = 1
@@ -55,7 +61,7 @@
                     del kept.buckets[name]
                     continue
                 self._refill(kept, bucket)
-                bucket.set_limit(team.rate, team.burst)
+                bucket.set_limit(*self._granted_limit(team))
             if kept.buckets:
                 self._add_buckets(slot, kept)
 
@@ -64,11 +70,14 @@
         for name, team in self._limits.items():
             if name in kept.buckets or decisions.limit_slot(name) != slot:
                 continue
-            assert team.rate is not None
             kept.buckets[name] = decisions.LimitBucket(
-                team.rate, team.burst, kept.followers.covered_s
+                *self._granted_limit(team), kept.followers.covered_s
             )
 
+    def _granted_limit(self, team: core.Team) -> tuple[float, float]:
+        assert team.rate is not None
+        return decisions.granted_limit(team.rate, team.burst, self._tolerance)
+
     @runtime.handles(core.PeerSets)
     def _on_peer_sets(self, message: core.PeerSets) -> None:
         self._vm_count = len(message.must_fence) + 1
--- a/src/chicoryusher_standins/pool/fleet.py
+++ b/src/chicoryusher_standins/pool/fleet.py
@@ -135,7 +135,7 @@
             rows,
             exchange,
             limiter.Limiter(loop, name, core.LimitTolerance()),
-            limit_keeper.LimitKeeper(loop, name),
+            limit_keeper.LimitKeeper(loop, name, core.LimitTolerance()),
             _Peers(loop, name, fleet),
             _Receiver(loop, name, names.reachability_monitor(name)),
         )
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -112,7 +112,9 @@
         forwarder.Forwarder(site.loop, vm)
         relay.Relay(site.loop, vm)
         limiter.Limiter(site.loop, vm, core.LimitTolerance())
-        self.limit_keeper = limit_keeper.LimitKeeper(site.loop, vm)
+        self.limit_keeper = limit_keeper.LimitKeeper(
+            site.loop, vm, core.LimitTolerance()
+        )
         rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
         self._exchange = view_exchange.ViewExchange(
             site.loop,
--- a/tests/decisions/test_limit_buckets.py
+++ b/tests/decisions/test_limit_buckets.py
@@ -194,3 +194,29 @@
     refused = decided(allowances, 0.0)
     # Half a second of the limit may still wait for its turn.
     assert [number for number, _ in refused] == list(range(6, 100))
+
+
+@pytest.mark.parametrize(
+    ('rate', 'burst'), [(0.5, 0.5), (2.0, 2.0), (40.0, 40.0), (123.0, 10.0)]
+)
+def test_what_is_granted_stays_within_what_is_tolerated(rate, burst):
+    """Load: a hot team that uses all that keepers grant, as late as it may."""
+    granted_rate, granted_burst = decisions.granted_limit(
+        rate, burst, TOLERANCE
+    )
+    validity_s = decisions.allowance_validity_s(rate, burst, TOLERANCE)
+    window_s = TOLERANCE.window_s
+    most = granted_burst + granted_rate * (window_s + validity_s)
+    limit = rate * window_s + burst
+    allowed = limit * (1.0 + TOLERANCE.ratio) + TOLERANCE.requests
+    assert limit < most <= allowed
+
+
+def test_a_small_team_may_send_several_operations_at_once():
+    """Load: operations of a team of one a second that arrive bunched."""
+    _, burst = decisions.granted_limit(1.0, 1.0, TOLERANCE)
+    assert burst >= 4.0
+
+
+def test_a_team_that_may_start_nothing_gets_nothing():
+    assert decisions.granted_limit(0.0, 0.0, TOLERANCE) == (0.0, 0.0)
--- a/tests/tasks/limit_sites.py
+++ b/tests/tasks/limit_sites.py
@@ -15,6 +15,8 @@
 from chicoryusher.tasks.pool.limits import limiter
 
 TOLERANCE = core.LimitTolerance()
+# Keepers that grant the limit itself and nothing of what is tolerated.
+EXACT = core.LimitTolerance(ratio=0.0, requests=0.0)
 PEER_DELAY_S = 0.003
 # Seconds for which an operation can wait, by default.
 MAX_WAIT_S = 1.0
@@ -94,7 +96,7 @@
         self.loop.run_for(0.0)
         self._tasks[vm] = (
             limiter.Limiter(self.loop, vm, TOLERANCE),
-            limit_keeper.LimitKeeper(self.loop, vm),
+            limit_keeper.LimitKeeper(self.loop, vm, EXACT),
         )
         for task in self._tasks[vm]:
             task.handlers = {
