Model answers by evidence from the instances

Cause: a VM whose primary lease has ended refuses everything, also where no primary was replaced and it reaches all instances of the group.

Change: the specification 'evidence' asks every known replica after the statement has run.

--- a/src/chicoryusher_standins/model/check.py
+++ b/src/chicoryusher_standins/model/check.py
@@ -14,6 +14,7 @@
 import minicheck
 
 from chicoryusher_standins.model import authority
+from chicoryusher_standins.model import evidence
 from chicoryusher_standins.model import joining
 from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import restored
@@ -85,6 +86,8 @@
         ),
         ('joining, no restart', joining.joining()),
         ('joining, a restart', joining.joining(restarts=1)),
+        ('evidence, no restart', evidence.evidence()),
+        ('evidence, a restart', evidence.evidence(restarts=1)),
         ('restored, 2 writes of a row', restored.restored()),
         (
             'restored, 3 terms',
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -8,6 +8,7 @@
 from chicoryusher import charts
 from chicoryusher_standins.model import authority
 from chicoryusher_standins.model import check
+from chicoryusher_standins.model import evidence
 from chicoryusher_standins.model import joining
 from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import restored
@@ -23,6 +24,7 @@
 MAX_MUTANT_STATES = {
     'authority': 60_000,
     'holders': 60_000,
+    'evidence': 60_000,
     'restored': 40_000,
     'paused_coordinator': 20_000,
     'late_registration': 40_000,
@@ -54,6 +56,14 @@
         (name, joining.joining(rules))
         for name, rules in joining.MUTANTS.items()
     ),
+    *(
+        (name, evidence.evidence(rules))
+        for name, rules in evidence.MUTANTS.items()
+    ),
+    *(
+        (name, evidence.evidence(rules, restarts=1))
+        for name, rules in evidence.RESTART_MUTANTS.items()
+    ),
     *(
         (name, protocol(rules))
         for protocol, mutants in (
@@ -87,6 +97,7 @@
         authority.authority(max_revision=MAX_REVISION),
         authority.holders(max_revision=MAX_REVISION),
         joining.joining(),
+        evidence.evidence(),
         registration.registration(),
         *RESTORED,
     ],
@@ -119,6 +130,7 @@
         authority.authority(max_revision=MAX_REVISION),
         authority.holders(max_revision=MAX_REVISION),
         joining.joining(),
+        evidence.evidence(),
         registration.registration(),
         *RESTORED,
     ],
