Answer by evidence from the instances when the lease has ended

Cause: a VM whose primary lease has ended refuses all statements at primaries, also where no primary was replaced and it reaches the group's instances.

Change: with the setting instance_evidence 'use', the answer of a statement at the primary is held until every known replica, asked afterwards on connections from before the end of the lease, still follows the term in which the statement ran; for a commit each must have received it. Without that a read is retried and a commit is unknown. A change of primary promotes an instance that a VM may not list only once no VM uses evidence; with 'guard' a VM does just that. The default is 'off'.

--- a/src/chicoryusher/core/__init__.py
+++ b/src/chicoryusher/core/__init__.py
@@ -8,6 +8,7 @@
 from chicoryusher.core import errors
 from chicoryusher.core import forwarding
 from chicoryusher.core import ids
+from chicoryusher.core import instance_evidence
 from chicoryusher.core import json_documents
 from chicoryusher.core import log_events
 from chicoryusher.core import messages
@@ -26,6 +27,7 @@
 from chicoryusher.core.errors import *  # noqa: F403
 from chicoryusher.core.forwarding import *  # noqa: F403
 from chicoryusher.core.ids import *  # noqa: F403
+from chicoryusher.core.instance_evidence import *  # noqa: F403
 from chicoryusher.core.json_documents import *  # noqa: F403
 from chicoryusher.core.log_events import *  # noqa: F403
 from chicoryusher.core.messages import *  # noqa: F403
@@ -48,6 +50,7 @@
     + views.__all__
     + forwarding.__all__
     + ids.__all__
+    + instance_evidence.__all__
     + json_documents.__all__
     + messages.__all__
     + metrics.__all__
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -140,6 +140,16 @@
         LogLevel.INFO,
         'a statement has not been run yet and will be retried',
     )
+    ANSWER_PROVED = (
+        3030,
+        LogLevel.INFO,
+        'instances gave evidence for an answer of the primary',
+    )
+    ANSWER_NOT_PROVED = (
+        3031,
+        LogLevel.INFO,
+        'instances gave no evidence for an answer of the primary',
+    )
     STATEMENT_RELAYED = (
         3013,
         LogLevel.INFO,
@@ -189,6 +199,11 @@
         LogLevel.WARNING,
         'a change of primary waits for the logs of instances',
     )
+    HANDOVER_WAITS_FOR_EVIDENCE = (
+        4030,
+        LogLevel.WARNING,
+        'a change of primary waits: a VM may not know the new instance',
+    )
     HANDOVER_WAITS = (
         4016,
         LogLevel.WARNING,
--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -114,6 +114,12 @@
         ('service', 'step'),
         'steps of changes of primaries that this VM holds',
     )
+    EVIDENCE = (
+        MetricKind.COUNTER,
+        '1',
+        ('service', 'outcome'),
+        'answers of primaries without a lease, by evidence of instances',
+    )
     STORE_CALLS = (
         MetricKind.COUNTER,
         '1',
--- a/src/chicoryusher/core/primaries.py
+++ b/src/chicoryusher/core/primaries.py
@@ -13,6 +13,7 @@
 from chicoryusher.core import position
 from chicoryusher.core import revisions
 from chicoryusher.core import topology
+from chicoryusher.core import views
 
 __all__ = [
     'HandoverEnded',
@@ -26,6 +27,8 @@
     'LastResponse',
     'LastResponseQuery',
     'InstanceFault',
+    'InstanceListings',
+    'ListedSince',
     'ReadyToServe',
     'LeaderRow',
     'LeaderRowsRead',
@@ -334,6 +337,28 @@
     """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedSince:
+    """The list from which on an instance was in each newer list."""
+
+    instance: ids.InstanceName
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceListings(messages.Message):
+    """Which VMs have which instances in their lists.
+
+    ``in_every_list`` are those that every list has that may still be used for
+    evidence.  ``since`` and ``shown`` are the revisions of the first list
+    that has an instance, and of the newest one that a VM has shown.
+    """
+
+    in_every_list: frozenset[ids.InstanceName]
+    since: tuple[ListedSince, ...] = ()
+    shown: tuple[views.ShownList, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartHandover(messages.Message):
     """Replace the primary of a group.
@@ -344,7 +369,9 @@
     before ``not_before``, a time of the boot-time clock.  With
     ``may_keep_primary`` the old primary is kept if it leads.  ``listers`` and
     ``listed_by_all_at`` are those of ``PeerSets``.  Each acknowledged commit
-    is in the logs of ``sync_replicas`` replicas at least.
+    is in the logs of ``sync_replicas`` replicas at least.  ``listings``
+    says which VMs list which instances, None if no VM uses evidence from
+    instances.
     """
 
     entries: tuple[topology.InstanceEntry, ...]
@@ -357,6 +384,7 @@
     listers: frozenset[ids.VmName] = frozenset()
     listed_by_all_at: float = float('-inf')
     sync_replicas: int = 0
+    listings: InstanceListings | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/core/views.py
+++ b/src/chicoryusher/core/views.py
@@ -24,6 +24,7 @@
     'SetStorePolling',
     'VmStopping',
     'PeerSets',
+    'ShownList',
     'ConfigConfirmed',
     'EntryVmRow',
     'EntryVmRowsRead',
@@ -150,6 +151,14 @@
     reached: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShownList:
+    """The newest list of instances that another VM has shown."""
+
+    vm: ids.VmName
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerSets(messages.Message):
     """Sets of other VMs that matter to a change of primary.
@@ -158,7 +167,8 @@
     use or change a primary and must therefore be fenced; ``voters`` are
     those that judge whether a primary is unreachable; ``listers`` are known
     to have this VM in their list of VMs.  From ``listed_by_all_at`` on, a
-    time of the boot-time clock, every VM has.
+    time of the boot-time clock, every VM has.  ``instance_lists`` are
+    the lists of instances that the VMs have.
     """
 
     live: tuple[ids.VmName, ...]
@@ -166,6 +176,7 @@
     voters: tuple[forwarding.EntryVmZone, ...] = ()
     listers: frozenset[ids.VmName] = frozenset()
     listed_by_all_at: float = math.inf
+    instance_lists: tuple[ShownList, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -264,7 +275,8 @@
     identifies them and is 0 without a report.  ``reaches_store`` is unset
     if the store has turned the peer away lately.  ``era`` is the newest era
     of the store that the peer knows of, 0 if none.  Each VM that the peer
-    reports as live has a list of VMs of ``list_revision`` at least.
+    reports as live has a list of VMs of ``list_revision`` at least, and a list
+    of instances of ``instances_revision``.
     """
 
     vm: ids.VmName
@@ -278,6 +290,7 @@
     reaches_store: bool = True
     era: revisions.StoreEra = revisions.StoreEra(0)
     list_revision: int = 0
+    instances_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -19,6 +19,7 @@
 from chicoryusher.decisions import handshakes
 from chicoryusher.decisions import heartbeat_targets
 from chicoryusher.decisions import idempotency
+from chicoryusher.decisions import instance_evidence
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
 from chicoryusher.decisions import lease_grants
@@ -54,6 +55,7 @@
 from chicoryusher.decisions.handshakes import *  # noqa: F403
 from chicoryusher.decisions.heartbeat_targets import *  # noqa: F403
 from chicoryusher.decisions.idempotency import *  # noqa: F403
+from chicoryusher.decisions.instance_evidence import *  # noqa: F403
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
 from chicoryusher.decisions.lease_grants import *  # noqa: F403
@@ -102,6 +104,7 @@
     *register.__all__,
     *retry.__all__,
     *primary_lease.__all__,
+    *instance_evidence.__all__,
     *leader_claim.__all__,
     *leader_digest.__all__,
     *lease_grants.__all__,
--- a/src/chicoryusher/decisions/failover.py
+++ b/src/chicoryusher/decisions/failover.py
@@ -104,6 +104,7 @@
         self._states: dict[core.InstanceName, core.InstanceState] = {}
         self._excluded: set[core.InstanceName] = set()
         self._unanswered: set[core.InstanceName] = set()
+        self._avoided: frozenset[core.InstanceName] = frozenset()
 
     def update_entries(
         self, entries: Iterable[core.InstanceEntry], now: float
@@ -139,8 +140,15 @@
             return ()
         return tuple(unknown)
 
-    def start_round(self) -> tuple[core.InstanceEntry, ...]:
-        """Start a new round: drop all answers, return whom to ask."""
+    def start_round(
+        self, avoided: frozenset[core.InstanceName] = frozenset()
+    ) -> tuple[core.InstanceEntry, ...]:
+        """Start a new round: drop all answers, return whom to ask.
+
+        An instance in ``avoided`` is chosen, like a leaving one, only if no
+        other has answered.
+        """
+        self._avoided = avoided
         self._states = {}
         self._unanswered = set(self.entries)
         return tuple(self.entries.values())
@@ -189,9 +197,10 @@
         }
 
     def _leaving_names(self) -> frozenset[core.InstanceName]:
-        return frozenset(
+        leaving = (
             entry.name for entry in self.entries.values() if entry.leaving
         )
+        return self._avoided.union(leaving)
 
     def newest_term(self) -> int:
         """Return the newest term that an instance has answered with."""
--- a/src/chicoryusher/decisions/fencing.py
+++ b/src/chicoryusher/decisions/fencing.py
@@ -36,7 +36,9 @@
         self._listers = frozenset(listers)
         self._listed_by_all_at = listed_by_all_at
         self._store_listed = False
+        self._stopped: set[core.VmName] = set()
         self._without_lease: set[core.VmName] = set()
+        self._marked: frozenset[core.VmName] = frozenset()
 
     @property
     def done(self) -> bool:
@@ -45,12 +47,28 @@
 
     def add_registered(self, rows: Iterable[core.EntryVmRow]) -> bool:
         """Add the VMs that the store lists; return whether any is new."""
+        rows = tuple(rows)
+        self._marked = frozenset(
+            row.vm
+            for row in rows
+            if row.unreachable and row.status is not core.EntryVmStatus.LEFT
+        )
         new = {row.vm for row in rows if row.may_be_contacted} - self.vms
         self.vms |= new
         self.pending |= new
         self._store_listed = True
         return bool(new)
 
+    def unfenced(self) -> frozenset[core.VmName] | None:
+        """Return the VMs that have not confirmed, None if not all are known.
+
+        Those that are marked as missing are among them: they have no lease,
+        but may still use evidence from instances.
+        """
+        if not self._store_listed:
+            return None
+        return self._marked.difference(self._stopped).union(self.pending)
+
     def record_stopped(
         self,
         vm: core.VmName,
@@ -63,6 +81,7 @@
         ``closed_for`` seconds.
         """
         self.pending.discard(vm)
+        self._stopped.add(vm)
         if closed_for >= primary_lease.LEASE_EXPIRY_WAIT_S:
             self._without_lease.update(listed_by)
 
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -56,6 +56,8 @@
     23: core.RelayEnded,
     24: core.RelayCancel,
     25: core.RelayRollback,
+    30: core.StatusQuery,
+    31: core.StatusReport,
 }
 _NUMBER_BY_TYPE = {kind: number for number, kind in TYPE_BY_NUMBER.items()}
 _ERROR_BY_NAME = {
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -11,6 +11,7 @@
     'agent',
     'configurator',
     'dispatcher',
+    'evidence_collector',
     'view_exchange',
     'forwarder',
     'gate',
@@ -49,6 +50,7 @@
 admin = _single('admin')
 configurator = _single('configurator')
 dispatcher = _single('desk')
+evidence_collector = _single('evidence')
 view_exchange = _single('exchange')
 forwarder = _single('forwarder')
 primary_manager = _single('keeper')
--- a/src/chicoryusher/tasks/pool/attempt_log.py
+++ b/src/chicoryusher/tasks/pool/attempt_log.py
@@ -10,6 +10,8 @@
 
 _OUTCOME_DONE = 'done'
 _NO_ROLE = 'none'
+_PROVED = 'proved'
+_NOT_PROVED = 'not_proved'
 
 
 class AttemptLog:
@@ -60,6 +62,31 @@
             authority=round(authority, 3),
         )
 
+    def log_evidence(
+        self, attempt: sessions.Attempt, authority: float
+    ) -> None:
+        """Log and count whether instances confirm an answer."""
+        given = attempt.evidence
+        assert given is not None
+        outcome = _PROVED if given.proved else _NOT_PROVED
+        service = attempt.route.service
+        self._dispatcher.meters.add(
+            core.Metric.EVIDENCE, service=service, outcome=outcome
+        )
+        self._dispatcher.log.emit(
+            core.LogEvent.ANSWER_PROVED
+            if given.proved
+            else core.LogEvent.ANSWER_NOT_PROVED,
+            request=attempt.message.request_id,
+            service=service,
+            instance=attempt.instance,
+            evidence='instances',
+            asked=given.instances,
+            took=round(given.seconds, 4),
+            why=given.why,
+            authority=round(authority, 3),
+        )
+
     def log_refusal(
         self,
         attempt: sessions.Attempt,
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -16,6 +16,7 @@
 from chicoryusher.tasks.pool import attempt_log
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import group_table as group_table_module
+from chicoryusher.tasks.pool import held_answers
 from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import sessions
 from chicoryusher.tasks.pool import work_numbers
@@ -61,6 +62,7 @@
         group_table: group_table_module.GroupTable,
         rights: decisions.TeamRights,
         clock: core.Clock,
+        evidence: core.EvidenceMode,
     ) -> None:
         self._dispatcher = dispatcher
         self._group_table = group_table
@@ -69,6 +71,9 @@
         self._numbers = itertools.count(work_numbers.first_work_number())
         self._log = attempt_log.AttemptLog(dispatcher)
         self._running: dict[core.WorkId, sessions.Attempt] = {}
+        self._held = held_answers.HeldAnswers(
+            dispatcher, group_table, clock, evidence
+        )
         self.lease_expires_at = float('-inf')
 
     def has_lease(self) -> bool:
@@ -119,11 +124,13 @@
             self._wait_or_refuse(attempt, 'no instance of the group is known')
             return
         needs = instance_selection.read_needs_of(attempt, group)
+        has_lease = self.has_lease()
         name = instance_selection.select_instance(
             attempt,
             group,
             needs,
-            self.has_lease(),
+            has_lease
+            or self._held.may_use_primary(group, self.lease_expires_at),
             self._dispatcher.now(),
             self._clock.boottime(),
         )
@@ -132,6 +139,8 @@
             return
         attempt.position_age = needs.position_age
         attempt.at_primary = name == group.primary
+        attempt.sent_without_lease = attempt.at_primary and not has_lease
+        attempt.evidence = None
         after = None if attempt.at_primary else needs.min_position
         self._submit(
             attempt, name, instance_selection.begin_kind_of(transaction), after
@@ -257,9 +266,10 @@
         now = self._dispatcher.now()
         group = self._group_table.groups.get(attempt.route.service)
         primary_expected = group is not None and group.expects_primary(now)
+        is_asking = self._held.is_asking(attempt.route.service)
         share = (
             instance_selection.START_TARGET_SHARE
-            if attempt.was_dispatched or primary_expected
+            if attempt.was_dispatched or primary_expected or is_asking
             else MAX_WAIT_TARGET_SHARE
         )
         if now >= attempt.arrived_at + attempt.route.latency_target * share:
@@ -282,15 +292,43 @@
         Return the database group that it was for, None if the attempt was
         cancelled in the meantime.
         """
-        attempt = self._running.pop(ended.work_id, None)
+        attempt = self._running.get(ended.work_id)
         if attempt is None:
             return None
         self._decrement_outstanding(attempt)
         was_sent = ended.sent_at is not None
         attempt.was_sent = bool(attempt.was_sent) or was_sent
+        has_lease = self.has_lease()
+        if self._held.needs_evidence(attempt, ended, has_lease):
+            if not self._held.hold(attempt, ended):
+                self._finish(attempt, ended)
+        else:
+            self._finish(attempt, ended)
+        return attempt.route.service
+
+    def evidence_given(
+        self, message: core.EvidenceGiven
+    ) -> core.ServiceName | None:
+        """Answer a statement that was held for this evidence, if any."""
+        released = self._held.release(message)
+        if released is None:
+            return None
+        attempt, ended = released
+        # Its caller may have gone meanwhile.
+        if self._running.get(ended.work_id) is not attempt:
+            return None
+        attempt.evidence = message
+        self._log.log_evidence(attempt, self._lease_seconds_left())
+        self._finish(attempt, ended)
+        return attempt.route.service
+
+    def _finish(
+        self, attempt: sessions.Attempt, ended: core.WorkEnded
+    ) -> None:
+        """Answer, refuse or retry a statement whose work has ended."""
+        del self._running[ended.work_id]
         self._record_result(attempt, ended)
         completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
-        return attempt.route.service
 
     def cancel_statement(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone.
@@ -363,6 +401,9 @@
         for attempt in self._running.values():
             if attempt.instance == name:
                 attempt.result_untrusted = True
+        for attempt, ended in self._held.release_all(name):
+            if self._running.get(ended.work_id) is attempt:
+                self._finish(attempt, ended)
 
     def _pool_instance(
         self, attempt: sessions.Attempt
@@ -384,7 +425,8 @@
         """Record the position, run time and lag that the result shows.
 
         A position of the primary counts only if this VM had a lease on
-        it; it is passed on to the view exchange, which sends it to the peers.
+        it, or evidence; it is passed on to the view exchange, which sends it
+        to the peers.
         """
         group = self._group_table.groups.get(attempt.route.service)
         if group is None:
@@ -392,7 +434,7 @@
         boot_now = self._clock.boottime()
         trusted = (
             attempt.at_primary
-            and self.has_lease()
+            and completions.may_trust(self, attempt)
             and not attempt.result_untrusted
         )
         if group.record_position(ended, trusted, boot_now):
--- a/src/chicoryusher/tasks/pool/command_results.py
+++ b/src/chicoryusher/tasks/pool/command_results.py
@@ -29,6 +29,11 @@
     ) -> None:
         """Release the connection of a transaction that was rolled back."""
 
+    def on_status(
+        self, conn: pool_conns.PoolConn, reply: core.CommandReply
+    ) -> None:
+        """Report the status of the instance to the task that asked."""
+
 
 ResultHandler = Callable[
     [ResultReceiver, pool_conns.PoolConn, core.CommandReply], None
@@ -76,3 +81,12 @@
     reply: core.CommandReply,
 ) -> None:
     receiver.on_rolled_back(conn, reply)
+
+
+@RESULT_HANDLERS.register(core.Op.STATUS)
+def _on_status(
+    receiver: ResultReceiver,
+    conn: pool_conns.PoolConn,
+    reply: core.CommandReply,
+) -> None:
+    receiver.on_status(conn, reply)
--- a/src/chicoryusher/tasks/pool/completions.py
+++ b/src/chicoryusher/tasks/pool/completions.py
@@ -12,7 +12,7 @@
 from chicoryusher import core
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['COMPLETIONS', 'timeout_refusal']
+__all__ = ['COMPLETIONS', 'may_trust', 'timeout_refusal']
 
 _Block = core.TransactionStatus
 _Refusal = core.Refusal
@@ -80,6 +80,17 @@
     return _Refusal.BUSY
 
 
+def may_trust(host: AttemptRunner, attempt: sessions.Attempt) -> bool:
+    """Return whether the primary led when it ran the statement.
+
+    A lease that was regained says nothing about a statement that was sent
+    without one.
+    """
+    if attempt.is_proved:
+        return True
+    return host.has_lease() and not attempt.sent_without_lease
+
+
 def _continues_transaction(attempt: sessions.Attempt) -> bool:
     """Return whether an earlier statement of its transaction was run."""
     transaction = attempt.session.transaction
@@ -104,21 +115,23 @@
     """Answer a statement that the instance ran.
 
     A committed change is answered with UNKNOWN if this VM had no primary lease
-    over the primary any more.  Otherwise its log position is stored, so that
-    later reads of the session see the change.
+    over the primary any more, and no evidence from instances.  Otherwise its
+    log position is stored, so that later reads of the session see the change.
     """
     session = attempt.session
     transaction = session.transaction
-    commits_change = attempt.may_commit
-    if transaction is not None:
-        commits_change = attempt.may_commit and transaction.wrote
-    if commits_change and (attempt.result_untrusted or not host.has_lease()):
+    commits_change = attempt.commits_change
+    is_trusted = may_trust(host, attempt) and not attempt.result_untrusted
+    if commits_change and not is_trusted:
         host.refuse(
             attempt,
             _Refusal.UNKNOWN,
             'primary lease expired before the answer came',
         )
         return
+    if attempt.sent_without_lease and not is_trusted:
+        _answered_without_evidence(host, attempt, ended)
+        return
     if commits_change and ended.position is not None:
         last_write = session.last_write_position
         if last_write is None or ended.position > last_write:
@@ -131,6 +144,22 @@
     host.deliver(attempt, ended, _Block.OPEN)
 
 
+def _answered_without_evidence(
+    host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
+) -> None:
+    """Retry a statement that may have run at a replaced primary.
+
+    A transaction that it began is rolled back.
+    """
+    why = 'no evidence that the primary leads'
+    transaction = attempt.session.transaction
+    if transaction is None:
+        host.wait_and_retry(attempt, why)
+        return
+    transaction.instance = ended.instance
+    host.refuse(attempt, _Refusal.ABORTED, why)
+
+
 def _not_run(
     host: AttemptRunner, attempt: sessions.Attempt, ended: core.WorkEnded
 ) -> None:
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -57,7 +57,11 @@
             self, loop, edges, settings
         )
         self._attempts = attempts_module.Attempts(
-            self, self._group_table, self._rights, loop.clock
+            self,
+            self._group_table,
+            self._rights,
+            loop.clock,
+            settings.evidence,
         )
         self._sessions: dict[core.SessionId, sessions.PoolSession] = {}
         self._drain_stage: core.DrainStage | None = None
@@ -335,6 +339,12 @@
         if service is not None:
             self._stop_if_unused(service)
 
+    @runtime.handles(core.EvidenceGiven)
+    def _on_evidence(self, message: core.EvidenceGiven) -> None:
+        service = self._attempts.evidence_given(message)
+        if service is not None:
+            self._stop_if_unused(service)
+
     @runtime.handles(core.InstanceFault)
     def _on_trouble(self, message: core.InstanceFault) -> None:
         for group in self._group_table.groups.values():
--- a/src/chicoryusher/tasks/pool/exchange_peers.py
+++ b/src/chicoryusher/tasks/pool/exchange_peers.py
@@ -36,6 +36,7 @@
             tuple[core.EntryVmZone, ...], frozenset[core.VmName]
         ] = ((), frozenset())
         self.listing = decisions.VmListing()
+        self.instance_lists = decisions.InstanceLists()
         self._liveness = decisions.VmLiveness()
         self._last_live: dict[core.VmName, float] = {}
 
@@ -107,11 +108,14 @@
         for view in pong.views:
             if view.view is core.StoreView.ENTRY_VMS:
                 self.listing.record_list(pong.vm, view.revision)
+            elif view.view is core.StoreView.INSTANCES:
+                self.instance_lists.record(pong.vm, view.revision)
         self._liveness.record_response(pong.vm, now)
         self._liveness.record_report(pong.vm, pong.live_digest, pong.live, now)
         if pong.list_revision and self._has_report(pong):
             for vm in self._liveness.reported(pong.vm):
                 self.listing.record_list(vm, pong.list_revision)
+                self.instance_lists.record(vm, pong.instances_revision)
 
     def _has_report(self, pong: core.Pong) -> bool:
         """Return whether the VMs that a peer reports as live are known."""
@@ -128,17 +132,18 @@
 
     def live_report(
         self, ping: core.Ping, now: float
-    ) -> tuple[core.SetDigest, tuple[core.VmName, ...] | None, int]:
+    ) -> tuple[core.SetDigest, tuple[core.VmName, ...] | None, int, int]:
         """Return the digest of the live VMs to report, and the VMs if new.
 
-        The third value is the lowest revision of these VMs' lists.
+        The last values are the lowest revisions of these VMs' lists of VMs
+        and of instances.
 
         A relay reports all live VMs to the members of its zone, and those
         of its region to other regions.  Within the region it reports which
         VMs of its zone respond to itself, and so does a member.
         """
         if ping.live_digest is None:
-            return core.SetDigest(0), None, 0
+            return core.SetDigest(0), None, 0, 0
         distance = self._distance(ping.vm)
         is_relay = self.role is core.ExchangeRole.RELAY
         if is_relay and distance is core.ZoneDistance.SAME_ZONE:
@@ -155,7 +160,9 @@
         digest = decisions.digest_of_vms(vms)
         is_known = digest == ping.live_digest
         lowest_list = self.listing.lowest_list(vms)
-        return digest, None if is_known else vms, lowest_list
+        lowest_instances = self.instance_lists.lowest(vms)
+        shown = None if is_known else vms
+        return digest, shown, lowest_list, lowest_instances
 
     def live_nodes(self) -> tuple[core.EntryVmZone, ...]:
         """Return the live VMs and this VM, in order of name."""
@@ -172,6 +179,7 @@
             self.rows.voters(now),
             self.listing.listers(),
             self.listing.listed_by_all_at(),
+            self.instance_lists.shown(),
         )
 
     def rows_to_mark(
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -34,12 +34,14 @@
     """The availability zone of this VM, and the region of each zone.
 
     ``revocation_s`` is how many seconds after its removal a team's key may
-    still be used, None for no bound.
+    still be used, None for no bound.  ``evidence`` is whether instances are
+    asked for evidence when the primary lease has ended.
     """
 
     zone: core.ZoneName
     regions: dict[core.ZoneName, core.RegionName]
     revocation_s: float | None = None
+    evidence: core.EvidenceMode = core.EvidenceMode.OFF
 
 
 class GroupTable:
@@ -97,6 +99,11 @@
         owner = candidates[0] if candidates else self._dispatcher.vm
         return None if owner == self._dispatcher.vm else owner
 
+    def other_owners(self, name: core.InstanceName) -> tuple[core.VmName, ...]:
+        """Return the other VMs that keep connections, the nearest first."""
+        owners = self._owners.get(name, ())
+        return tuple(vm for vm in owners if vm != self._dispatcher.vm)
+
     def has_other_owner(
         self, name: core.InstanceName, avoided: Set[core.VmName]
     ) -> bool:
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -12,6 +12,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import new_successors
 
 __all__ = ['Handover']
 
@@ -108,6 +109,7 @@
         self._fencing = decisions.FencingProgress()
         self._wait_logged = False
         self._status_timeout_s = STATUS_TIMEOUT_S
+        self._new_successors = new_successors.NewSuccessors()
         # Kept while the claim is renewed; None before the first wait.
         self._catch_up_deadline: float | None = None
         self._confirm_deadline = 0.0
@@ -146,6 +148,7 @@
         self._claim = decisions.LeaderClaim(
             self.vm, self.service, request.old_primary, request.revision
         )
+        self._new_successors = new_successors.NewSuccessors(request.listings)
         self._old_primary_fenced = False
         self._catch_up_deadline = None
         self._fire('wanted')
@@ -343,7 +346,9 @@
     def start_round(self) -> None:
         """Query the status of every instance of the group."""
         self._old_primary_fenced = True
-        entries = self.candidates.start_round()
+        self._new_successors.start_round(self._evidence_users())
+        avoided = self._new_successors.avoided(self.candidates.entries)
+        entries = self.candidates.start_round(avoided)
         for entry in entries:
             self.send(
                 names.prober(self.vm),
@@ -420,6 +425,43 @@
         if self.candidates.record_status(status):
             self._fire('asked')
 
+    @runtime.handles(core.InstanceListings)
+    def _on_listings(self, message: core.InstanceListings) -> None:
+        self._new_successors.update(message)
+
+    def _evidence_wait(self) -> float:
+        """Return the seconds until no VM uses evidence from instances."""
+        lease_wait = self._lease_wait(self._clock.boottime())
+        return lease_wait + decisions.EVIDENCE_EXPIRY_WAIT_S
+
+    def _evidence_users(self) -> frozenset[core.VmName] | None:
+        """Return the VMs that may use evidence, None if all may.
+
+        A VM that has confirmed the fence uses none.
+        """
+        if self._evidence_wait() <= 0.0:
+            return frozenset()
+        return self._fencing.unfenced()
+
+    def successor_is_new(self) -> bool:
+        """Return whether a VM may use evidence without the successor.
+
+        Its list of instances may be from before the successor registered.
+        """
+        successor = self.candidates.successor
+        assert successor is not None
+        if not self._new_successors.must_wait_for(successor):
+            return False
+        if self._new_successors.log_wait():
+            self.log.emit(
+                core.LogEvent.HANDOVER_WAITS_FOR_EVIDENCE,
+                service=self.service,
+                successor=successor,
+                vms=sorted(self._evidence_users() or ()),
+                seconds=round(self._evidence_wait(), 1),
+            )
+        return True
+
     def is_expired(self) -> bool:
         """Return whether the claim is too old to order a promotion."""
         return self._claim.is_expired(self._clock.boottime())
--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/handover_actions.py
@@ -108,6 +108,11 @@
     return bool(task.candidates.missing_evidence())
 
 
+@charts.guard('handover.successor_is_new')
+def _successor_is_new(task: Handover, arg: object) -> bool:
+    return task.successor_is_new()
+
+
 @charts.guard('handover.successor_behind')
 def _successor_behind(task: Handover, arg: object) -> bool:
     return task.successor_behind()
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -11,6 +11,7 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import command_results
 from chicoryusher.tasks.pool import pool_conns as conns_module
+from chicoryusher.tasks.pool import status_queries
 
 __all__ = ['InstancePool', 'SetConnectionShare']
 
@@ -61,6 +62,7 @@
         self._link = names.pool_link(vm, entry)
         self._conns = conns_module.PoolConns(conn_numbers)
         self._queue = decisions.WorkQueue()
+        self._status_queries = status_queries.StatusQueries(self, entry.name)
         self._share = decisions.ConnShare(1, 1)
         self._connect_paused_until = 0.0
         # When the instance last sent something, or when commands were sent
@@ -231,6 +233,7 @@
         if conn is None:
             return
         self._record_response()
+        conn.opened_at_boottime = self._clock.boottime()
         self._conns.mark_opened(conn, self.now())
         self._dispatch()
 
@@ -315,6 +318,26 @@
         self._conns.release(conn, False, self.now())
         self._dispatch()
 
+    # -- status queries -------------------------------------------------
+
+    @runtime.handles(core.ReadInstanceStatus)
+    def _on_read_status(self, query: core.ReadInstanceStatus) -> None:
+        conn = self._status_queries.start(query, self._conns.idle())
+        if conn is None:
+            return
+        self._conns.mark_running(conn, None)
+        conn.sent_at = self.now()
+        self._send_commands(conn, [core.Command(core.Op.STATUS)])
+        self._schedule_sweep()
+
+    def on_status(
+        self, conn: conns_module.PoolConn, reply: core.CommandReply
+    ) -> None:
+        """Report the status of the instance to the task that asked."""
+        self._status_queries.end(conn.conn_id, reply)
+        self._conns.release(conn, False, self.now())
+        self._dispatch()
+
     # -- cancelled work and closed connections --------------------------
 
     @runtime.handles(core.EndTransaction)
@@ -428,6 +451,7 @@
         work = conn.work
         conn.work = None
         self._conns.remove(conn)
+        self._status_queries.end(conn.conn_id, None)
         self._show_connections()
         if work is not None:
             self._report_end(
--- a/src/chicoryusher/tasks/pool/pool_conns.py
+++ b/src/chicoryusher/tasks/pool/pool_conns.py
@@ -21,7 +21,8 @@
     the connection must be closed and not used.  ``sent_at`` is when the
     last commands were sent, on the runtime's clock, and ``sent_at_boottime``
     when the work was sent, on the clock that also counts suspended time.
-    ``team`` is the team that the connection belongs to for its life.
+    ``team`` is the team that the connection belongs to for its life;
+    ``opened_at_boottime`` is when the instance had accepted it.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self.transaction: core.TransactionId | None = None
         self.sent_at = now
         self.sent_at_boottime = 0.0
+        self.opened_at_boottime = float('inf')
         self.idle_since = now
         self.setup_failed = False
 
--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -58,9 +58,15 @@
     """Publish each group's usable primary, and start changes of primaries."""
 
     def __init__(
-        self, loop: runtime.Runtime, vm: core.VmName, owner: core.TaskName
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        owner: core.TaskName,
+        evidence: core.EvidenceMode = core.EvidenceMode.OFF,
     ) -> None:
         super().__init__(loop, vm, 'keeper')
+        self._evidence = evidence
+        self._known = decisions.KnownInstances()
         self._loop = loop
         self._clock = loop.clock
         self._owner = owner
@@ -123,6 +129,8 @@
     @runtime.handles(core.RegisteredInstances)
     def _on_instances(self, message: core.RegisteredInstances) -> None:
         self._entries = {entry.name: entry for entry in message.entries}
+        boot_now = self._clock.boottime()
+        self._known.update(self._entries, message.revision, boot_now)
         self._entries_received = True
         services = {entry.service for entry in self._entries.values()}
         for service in services | set(self._groups):
@@ -132,6 +140,9 @@
     def _on_store_seen(self, message: core.StorePolled) -> None:
         if message.view is core.StoreView.INSTANCES:
             self._instances_read_at = message.requested_at
+            boot_now = self._clock.boottime()
+            self._known.confirm(message.requested_at, boot_now)
+            self.send(names.evidence_collector(self.vm), message)
             return
         # On this way it arrives after the configuration that it confirms.
         self.send(
@@ -196,6 +207,7 @@
         self.send(names.dispatcher(self.vm), message)
         self.send(names.reachability_monitor(self.vm), message)
         self.send(names.relay(self.vm), message)
+        self.send(names.evidence_collector(self.vm), message)
         self._answer_fences(service)
 
     def _request_stop(
@@ -305,6 +317,7 @@
         for service, group in self._groups.items():
             if service in self._running_handovers:
                 self.send(names.handover(self.vm, service), group)
+                self._send_listings(service)
                 continue
             if not group.entries:
                 continue
@@ -502,9 +515,22 @@
                 self._peers.listers,
                 self._peers.listed_by_all_at,
                 self._sync_replicas(service),
+                self._instance_listings(),
             ),
         )
 
+    def _send_listings(self, service: core.ServiceName) -> None:
+        listings = self._instance_listings()
+        if listings is not None:
+            self.send(names.handover(self.vm, service), listings)
+
+    def _instance_listings(self) -> core.InstanceListings | None:
+        """Return which VMs list which instances, None if it is not used."""
+        if self._evidence is core.EvidenceMode.OFF:
+            return None
+        shown = self._peers.instance_lists
+        return self._known.listings(shown, self._clock.boottime())
+
     def _sync_replicas(self, service: core.ServiceName) -> int:
         """Return how many replicas have each acknowledged commit."""
         services = () if self.config is None else self.config.services
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -54,7 +54,9 @@
     ``lacked_connection`` is set while a pool had no connection for it since
     the last pause. ``was_sent`` is whether one of its tries may have
     reached an instance, None before the first try has ended. ``team`` is the
-    caller's team, None without teams.
+    caller's team, None without teams. ``sent_without_lease`` is whether it was
+    sent to the primary without a lease, and ``evidence`` what instances have
+    said about its answer.
     """
 
     session: PoolSession
@@ -78,6 +80,13 @@
     result_untrusted: bool = False
     wait_reason: str = ''
     team: core.TeamName | None = None
+    sent_without_lease: bool = False
+    evidence: core.EvidenceGiven | None = None
+
+    @property
+    def is_proved(self) -> bool:
+        """Return whether instances have confirmed its answer."""
+        return self.evidence is not None and self.evidence.proved
 
     @property
     def writes(self) -> bool:
@@ -93,6 +102,12 @@
             return True
         return self.writes and self.session.transaction is None
 
+    @property
+    def commits_change(self) -> bool:
+        """Return whether its success means that a change was committed."""
+        transaction = self.session.transaction
+        return self.may_commit and (transaction is None or transaction.wrote)
+
 
 class SessionOwner(Protocol):
     """The methods of the sessions' owner that chart actions call."""
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -149,6 +149,7 @@
         kind = core.StoreView.INSTANCES
         self._note_era(core.era_of(message.revision))
         if self._store_if_newer(kind, message.revision, message):
+            self._peers.instance_lists.record(self.vm, message.revision)
             self.send(names.primary_manager(self.vm), message)
             self._pass_on()
 
@@ -245,7 +246,9 @@
         if self._own_row.has_left:
             return
         until = self._views[_LEADERS].expires_at()
-        self.send(names.dispatcher(self.vm), core.PrimaryLeaseUpdate(until))
+        lease = core.PrimaryLeaseUpdate(until)
+        self.send(names.dispatcher(self.vm), lease)
+        self.send(names.evidence_collector(self.vm), lease)
         valid = self._clock.boottime() < until
         if valid and not self._had_lease:
             self._had_lease = True
@@ -461,7 +464,9 @@
                 grants,
                 asked_at,
             )
-        digest, live, list_revision = self._peers.live_report(ping, self.now())
+        digest, live, list_revision, instances_revision = (
+            self._peers.live_report(ping, self.now())
+        )
         pong = core.Pong(
             self.vm,
             ping.sequence,
@@ -474,6 +479,7 @@
             not self._polling.is_turned_away(self.vm, self.now()),
             self._era,
             list_revision,
+            instances_revision,
         )
         self._send_to_peer(ping.vm, pong)
 
@@ -655,7 +661,7 @@
 
         Changes of primary then no longer wait for this VM.
         """
-        self.send(
-            names.dispatcher(self.vm), core.PrimaryLeaseUpdate(float('-inf'))
-        )
+        no_lease = core.PrimaryLeaseUpdate(float('-inf'))
+        self.send(names.dispatcher(self.vm), no_lease)
+        self.send(names.evidence_collector(self.vm), no_lease)
         self._write_row(self._own_row.leave())
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -10,7 +10,7 @@
 
 from chicoryusher import core
 
-__all__ = ['Connection', 'Group', 'Instance', 'Run']
+__all__ = ['Connection', 'Group', 'Instance', 'Run', 'decode_status']
 
 Op = core.Op
 Block = core.TransactionStatus
@@ -53,7 +53,8 @@
     primary.  ``full``: refuses new connections because its limit is
     reached.  ``backlogged``: answers on open connections, and accepts no
     new one in time.  ``busy``: refuses statements.  ``lose_answers``: runs
-    commands and drops their replies.
+    commands and drops their replies.  ``statuses`` counts the status commands
+    on its connections.
     """
 
     def __init__(self, group: Group, entry: core.InstanceEntry) -> None:
@@ -71,6 +72,7 @@
         self.busy = False
         self.lose_answers = False
         self.leads_at = 0.0
+        self.statuses = 0
 
     @property
     def name(self) -> core.InstanceName:
@@ -234,7 +236,24 @@
 def _report_state(
     instance: Instance, conn: Connection, command: core.Command
 ) -> core.CommandReply:
-    return instance.reply(conn, digest='-')
+    instance.statuses += 1
+    if instance.busy:
+        return instance.refuse(conn, core.Refusal.BUSY)
+    fields = (instance.role.value, instance.term, instance.received)
+    return instance.reply(conn, None, tuple(map(str, fields)), '-')
+
+
+def decode_status(reply: core.CommandReply) -> core.InstanceState | None:
+    """Return the state in the reply to STATUS, None in other replies."""
+    if reply.refusal is not None or len(reply.rows) != 3:
+        return None
+    role, term, received = reply.rows
+    position = core.Position(
+        core.Term(int(term)), core.LogPosition(int(received))
+    )
+    return core.InstanceState(
+        core.Role(role), position.term, position, position
+    )
 
 
 _OPS = {
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -105,6 +105,12 @@
                     conn_id, core.LinkReply(conn_id, reply), REPLY_DELAY_S
                 )
 
+    def lose_connections(self) -> None:
+        """Lose all connections, as when the instance restarts."""
+        for conn_id in self._conns:
+            closed = core.LinkClosed(conn_id, core.LinkCloseReason.LOST)
+            self._send_delayed(conn_id, closed, 0.0)
+
     @runtime.handles(core.CloseLink)
     def _on_close(self, message: core.CloseLink) -> None:
         self._conns.pop(message.conn_id, None)
@@ -134,6 +140,10 @@
             for name, instance in group.instances.items()
         }
 
+    def add(self, instance: group_module.Instance) -> None:
+        """Add an instance that was registered later."""
+        self._instances[instance.name] = instance
+
     @runtime.handles(core.ProbeInstance)
     def _on_probe(self, message: core.ProbeInstance) -> None:
         self._probe(message.entry, message.timeout, message.reply_to)
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -12,6 +12,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import dispatcher as dispatcher_module
+from chicoryusher.tasks.pool import evidence_collector
 from chicoryusher.tasks.pool import forwarder
 from chicoryusher.tasks.pool import primary_manager as primary_manager_module
 from chicoryusher.tasks.pool import reachability
@@ -104,7 +105,10 @@
         self.links: dict[core.InstanceName, links.SimLink] = {}
         SimPeers(site.loop, vm, site)
         self.keeper = primary_manager_module.PrimaryManager(
-            site.loop, vm, self.task_name
+            site.loop, vm, self.task_name, site.evidence
+        )
+        evidence_collector.EvidenceCollector(
+            site.loop, vm, site.evidence, group_module.decode_status
         )
         reachability.ReachabilityMonitor(site.loop, vm, self.row.zone)
         forwarder.Forwarder(site.loop, vm)
@@ -122,11 +126,11 @@
             vm,
             self,
             dispatcher_module.DispatcherSettings(
-                core.ZoneName(zone), REGIONS, REVOCATION_S
+                core.ZoneName(zone), REGIONS, REVOCATION_S, site.evidence
             ),
         )
         groups = (site.group,)
-        links.SimProber(site.loop, vm, groups, site.cut)
+        self.prober = links.SimProber(site.loop, vm, groups, site.cut)
         self.promotions = links.SimPromotions(
             site.loop, vm, groups, site.tokens
         )
@@ -177,8 +181,12 @@
     """
 
     def __init__(
-        self, vms: int = 3, store: store_module.Store | None = None
+        self,
+        vms: int = 3,
+        store: store_module.Store | None = None,
+        evidence: core.EvidenceMode = core.EvidenceMode.OFF,
     ) -> None:
+        self.evidence = evidence
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.group = group_module.Group(SERVICE, ZONES)
