--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -142,7 +142,7 @@
             self._instances_read_at = message.requested_at
             boot_now = self._clock.boottime()
             self._known.confirm(message.requested_at, boot_now)
-            self.send(names.evidence_collector(self.vm), message)
+            self._tell_evidence_collector(message)
             return
         # On this way it arrives after the configuration that it confirms.
         self.send(
@@ -207,7 +207,7 @@
         self.send(names.dispatcher(self.vm), message)
         self.send(names.reachability_monitor(self.vm), message)
         self.send(names.relay(self.vm), message)
-        self.send(names.evidence_collector(self.vm), message)
+        self._tell_evidence_collector(message)
         self._answer_fences(service)
 
     def _request_stop(
@@ -519,6 +519,10 @@
             ),
         )
 
+    def _tell_evidence_collector(self, message: core.Message) -> None:
+        if self._evidence is core.EvidenceMode.USE:
+            self.send(names.evidence_collector(self.vm), message)
+
     def _send_listings(self, service: core.ServiceName) -> None:
         listings = self._instance_listings()
         if listings is not None:
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -75,8 +75,13 @@
         own: core.EntryVmRow,
         regions: dict[core.ZoneName, core.RegionName],
         feeds: dict[core.StoreView, core.TaskName],
+        evidence: core.EvidenceMode = core.EvidenceMode.OFF,
     ) -> None:
         super().__init__(loop, vm, 'exchange')
+        # The tasks that need to know until when this VM has its lease.
+        self._lease_users = (names.dispatcher(vm),)
+        if evidence is core.EvidenceMode.USE:
+            self._lease_users += (names.evidence_collector(vm),)
         self._clock = loop.clock
         self._own_row = own_row.OwnRow(own)
         self._own_place = core.EntryVmZone(vm, own.zone)
@@ -246,9 +251,8 @@
         if self._own_row.has_left:
             return
         until = self._views[_LEADERS].expires_at()
-        lease = core.PrimaryLeaseUpdate(until)
-        self.send(names.dispatcher(self.vm), lease)
-        self.send(names.evidence_collector(self.vm), lease)
+        for user in self._lease_users:
+            self.send(user, core.PrimaryLeaseUpdate(until))
         valid = self._clock.boottime() < until
         if valid and not self._had_lease:
             self._had_lease = True
@@ -661,7 +665,6 @@
 
         Changes of primary then no longer wait for this VM.
         """
-        no_lease = core.PrimaryLeaseUpdate(float('-inf'))
-        self.send(names.dispatcher(self.vm), no_lease)
-        self.send(names.evidence_collector(self.vm), no_lease)
+        for user in self._lease_users:
+            self.send(user, core.PrimaryLeaseUpdate(float('-inf')))
         self._write_row(self._own_row.leave())
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -107,7 +107,7 @@
         self.keeper = primary_manager_module.PrimaryManager(
             site.loop, vm, self.task_name, site.evidence
         )
-        evidence_collector.EvidenceCollector(
+        self.collector = evidence_collector.EvidenceCollector(
             site.loop, vm, site.evidence, group_module.decode_status
         )
         reachability.ReachabilityMonitor(site.loop, vm, self.row.zone)
@@ -120,6 +120,7 @@
             self.row,
             REGIONS,
             dict.fromkeys(store_module.POLLED_VIEWS, rows.task_name),
+            site.evidence,
         )
         self.desk = dispatcher_module.Dispatcher(
             site.loop,
--- a/tests/tasks/test_pool_evidence.py
+++ b/tests/tasks/test_pool_evidence.py
@@ -75,20 +75,26 @@
     assert not vm.desk.has_lease()
 
 
+def evidence_serves(site, vm):
+    """Return whether the VM's list of instances serves for evidence."""
+    lease_end = vm.collector._lease_end
+    (group,) = vm.collector._groups.values()
+    return group.witnesses.serves(lease_end, site.clock.boottime())
+
+
 def replace_primary(site, vm):
     """Let the other VMs replace the primary, which only ``vm`` reaches."""
     old = site.group.primary()
-    for other in site.vms:
-        if other is not vm:
-            site.cut.add((str(other.vm), str(old.name)))
-    site.group.replicating = False
     others = [other for other in site.vms if other is not vm]
+    for other in others:
+        site.cut.add((str(other.vm), str(old.name)))
+    site.isolate(vm)
     for _ in range(100):
         for other in others:
             other.caller(core.ReadAccess.PRIMARY).ask(pool_sites.WRITE)
         site.run(0.1)
         if site.group.primary() is not old:
-            return old
+            return
     raise AssertionError('the primary was not replaced')
 
 
@@ -166,17 +172,33 @@
     assert caller.last.refusal is None
 
 
-def test_a_replaced_primary_serves_nothing_by_evidence(site):
-    """The others replace the primary that only the cut-off VM reaches."""
+@pytest.mark.parametrize('replicating', [True, False])
+def test_a_replaced_primary_serves_nothing_by_evidence(site, replicating):
+    """The others replace the primary that only the cut-off VM reaches.
+
+    The other replica may follow the new primary, or still the old one.
+    """
     vm = site.vms[0]
-    cut_off(site, vm)
-    assert ask(site, vm, READ).refusal is None
-    old = replace_primary(site, vm)
-    # Old statements were sent by a hint that is still fresh.
-    for statement in (pool_sites.WRITE, READ, pool_sites.WRITE):
-        answer = ask(site, vm, statement)
-        assert answer.refusal in (Refusal.BUSY, Refusal.UNKNOWN)
-    assert old is not site.group.primary()
+    old = site.group.primary()
+    site.group.replicating = replicating
+    old.deaf = True
+    replace_primary(site, vm)
+    # The hint that the instances give evidence may be fresh.
+    vm.desk._attempts._held._proved_at[pool.SERVICE] = site.clock.now()
+    for statement in (READ, pool_sites.WRITE, BEGIN):
+        vm.desk._attempts._held._proved_at[pool.SERVICE] = site.clock.now()
+        assert old.role is core.Role.PRIMARY
+        assert evidence_serves(site, vm)
+        if statement is BEGIN:
+            answer = ask(site, vm, BEGIN, READ, seconds=0.5)
+        else:
+            answer = ask(site, vm, statement, seconds=0.5)
+        assert answer.refusal in (
+            Refusal.BUSY,
+            Refusal.UNKNOWN,
+            Refusal.ABORTED,
+        )
+    assert any(run.instance == old.name for run in site.group.runs[-3:])
 
 
 def test_answers_around_a_change_of_primary_are_current(site):
@@ -215,10 +237,14 @@
     vm = site.vms[0]
     cut_off(site, vm)
     assert ask(site, vm, READ).refusal is None
+    name = replicas(site)[0].name
     for one in site.vms:
-        link = one.links[replicas(site)[0].name]
-        link.lose_connections()
+        one.links[name].lose_connections()
+    site.run(0.5)
+    instance_pool = vm.desk._group_table._pools[name]
+    instance_pool._open_connection(site.clock.now())
     site.run(0.1)
+    assert instance_pool._conns.idle()
     assert ask(site, vm, READ).refusal is Refusal.BUSY
 
 
