--- a/src/chicoryusher/cli/explain.py
+++ b/src/chicoryusher/cli/explain.py
@@ -16,6 +16,7 @@
     {
         *range(1001, 1005),
         *range(4009, 4016),
+        4030,
         *range(5001, 5004),
         6002,
         6005,
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -296,5 +296,6 @@
         LogEvent.STATEMENT_SENT,
         LogEvent.STATEMENT_RETRIED,
         LogEvent.STATEMENT_RELAYED,
+        LogEvent.ANSWER_PROVED,
     )
 )
