Let statements wait for a change of primary by its stage

Cause: a statement waited for a fixed share of its latency target, whether the change was about to end or had to wait 3.2 s for leases.

Change: with the setting announce_changes a coordinator announces when its change ends at the earliest; a statement that can start by then waits, another one is refused at once. Off by default.

Not measured on a deployment.

--- a/src/chicoryusher/core/primaries.py
+++ b/src/chicoryusher/core/primaries.py
@@ -18,6 +18,7 @@
 __all__ = [
     'HandoverEnded',
     'StartHandover',
+    'PrimaryExpected',
     'PrimaryLeaseUpdate',
     'HandoversInProgress',
     'DemoteInstance',
@@ -197,6 +198,18 @@
     row: LeaderRow
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimaryExpected(messages.Message):
+    """Announce in how many seconds a change of primary is expected to end.
+
+    ``revision`` is that of a closing row of the change.
+    """
+
+    service: ids.ServiceName
+    revision: int
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrimaryLeaseUpdate(messages.Message):
     """Time until which this VM may use primaries.
@@ -369,9 +382,10 @@
     before ``not_before``, a time of the boot-time clock.  With
     ``may_keep_primary`` the old primary is kept if it leads.  ``listers`` and
     ``listed_by_all_at`` are those of ``PeerSets``.  Each acknowledged commit
-    is in the logs of ``sync_replicas`` replicas at least.  ``listings``
-    says which VMs list which instances, None if no VM uses evidence from
-    instances.
+    is in the logs of ``sync_replicas`` replicas at least.  With
+    ``announces`` the VMs are told when the change is expected to end.
+    ``listings`` says which VMs list which instances, None if no VM uses
+    evidence from instances.
     """
 
     entries: tuple[topology.InstanceEntry, ...]
@@ -385,6 +399,7 @@
     listed_by_all_at: float = float('-inf')
     sync_replicas: int = 0
     listings: InstanceListings | None = None
+    announces: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -4,6 +4,7 @@
 
 from chicoryusher.decisions import admission
 from chicoryusher.decisions import bulk_queue
+from chicoryusher.decisions import change_estimate
 from chicoryusher.decisions import config_pointers
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import conn_owners
@@ -40,6 +41,7 @@
 from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.bulk_queue import *  # noqa: F403
+from chicoryusher.decisions.change_estimate import *  # noqa: F403
 from chicoryusher.decisions.config_pointers import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.conn_owners import *  # noqa: F403
@@ -89,6 +91,7 @@
 __all__ = [
     *admission.__all__,
     *bulk_queue.__all__,
+    *change_estimate.__all__,
     *configuration.__all__,
     *gate_directory.__all__,
     *evidence.__all__,
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -58,6 +58,7 @@
     25: core.RelayRollback,
     30: core.StatusQuery,
     31: core.StatusReport,
+    32: core.PrimaryExpected,
 }
 _NUMBER_BY_TYPE = {kind: number for number, kind in TYPE_BY_NUMBER.items()}
 _ERROR_BY_NAME = {
--- a/src/chicoryusher/peers/receivers.py
+++ b/src/chicoryusher/peers/receivers.py
@@ -24,6 +24,7 @@
     core.FencePrimary: tasks.names.primary_manager,
     core.PrimaryFenced: tasks.names.primary_manager,
     core.PrimaryReopened: tasks.names.primary_manager,
+    core.PrimaryExpected: tasks.names.primary_manager,
     core.StatusQuery: tasks.names.evidence_collector,
     core.StatusReport: tasks.names.evidence_collector,
     core.Submit: tasks.names.node,
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -264,15 +264,7 @@
         if attempt.excluded:
             attempt.excluded = frozenset()
         now = self._dispatcher.now()
-        group = self._group_table.groups.get(attempt.route.service)
-        primary_expected = group is not None and group.expects_primary(now)
-        is_asking = self._held.is_asking(attempt.route.service)
-        share = (
-            instance_selection.START_TARGET_SHARE
-            if attempt.was_dispatched or primary_expected or is_asking
-            else MAX_WAIT_TARGET_SHARE
-        )
-        if now >= attempt.arrived_at + attempt.route.latency_target * share:
+        if now >= self._wait_ends_at(attempt, now):
             self.refuse(attempt, core.Refusal.BUSY, why)
             return
         if attempt.wait_reason != why:
@@ -284,6 +276,27 @@
             pause_s = NO_CONNECTION_PAUSE_S
         self._dispatcher.after(pause_s, RetrySelection(attempt))
 
+    def _wait_ends_at(self, attempt: sessions.Attempt, now: float) -> float:
+        """Return until when a statement waits for an instance."""
+        route = attempt.route
+        group = self._group_table.groups.get(route.service)
+        change = None if group is None else group.announced_change(now)
+        if change is not None:
+            limit = route.statement_timeout
+            attempt.waits_for_change = change.waits(attempt.arrived_at, limit)
+            if not attempt.waits_for_change:
+                return now
+            return instance_selection.latest_start(attempt)
+        if (
+            attempt.was_dispatched
+            or (group is not None and group.expects_primary(now))
+            or self._held.is_asking(route.service)
+        ):
+            return instance_selection.latest_start(attempt)
+        return (
+            attempt.arrived_at + route.latency_target * MAX_WAIT_TARGET_SHARE
+        )
+
     # -- results --------------------------------------------------------
 
     def work_ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -358,6 +358,14 @@
         if group is not None:
             group.observations.add(message.requested_at, message.position)
 
+    @runtime.handles(core.PrimaryExpected)
+    def _on_primary_expected(self, message: core.PrimaryExpected) -> None:
+        group = self._group_table.groups.get(message.service)
+        if group is not None and group.primary is None:
+            group.change = decisions.ChangeEstimate(
+                message.revision, self.now() + message.seconds
+            )
+
     # -- stopping a primary ---------------------------------------------
 
     @runtime.handles(core.StopPrimary)
--- a/src/chicoryusher/tasks/pool/group_state.py
+++ b/src/chicoryusher/tasks/pool/group_state.py
@@ -25,7 +25,8 @@
 class PoolGroup:
     """The instances of a group, its primary and the primary's log positions.
 
-    ``stopped_at`` is since when the group has no primary in use.
+    ``stopped_at`` is since when the group has no primary in use, and
+    ``change`` when the change of primary is expected to end, if announced.
     """
 
     def __init__(self, service: core.ServiceName) -> None:
@@ -35,6 +36,7 @@
         self.observations = decisions.PrimaryPositions()
         self.stopping: core.StopPrimary | None = None
         self.stopped_at = float('-inf')
+        self.change: decisions.ChangeEstimate | None = None
         self._seen_before = False
         self._leaving_since: dict[core.InstanceName, float] = {}
 
@@ -48,6 +50,8 @@
         seen_before, self._seen_before = self._seen_before, True
         if primary is None and (self.primary is not None or not seen_before):
             self.stopped_at = now
+        if primary is not None:
+            self.change = None
         self.primary = primary
 
     def record_leaving(self, entry: core.InstanceEntry, now: float) -> None:
@@ -73,6 +77,12 @@
         """Return whether a change of primary is likely to end soon."""
         return now - self.stopped_at < PRIMARY_CHANGE_S
 
+    def announced_change(self, now: float) -> decisions.ChangeEstimate | None:
+        """Return the announced end of the change under way, if any."""
+        if self.change is None or not self.change.is_believed(now):
+            return None
+        return self.change
+
     def record_position(
         self, ended: core.WorkEnded, authority: bool, boot_now: float
     ) -> bool:
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/handover.py
@@ -337,10 +337,30 @@
             self._fire('fenced')
             return
         self._log_wait()
+        self.announce_end(self._lease_wait(self._clock.boottime()))
         self.renew()
         self._send_fences()
         self._retry_fencing_later(message)
 
+    def announce_end(self, lease_wait: float) -> None:
+        """Tell the VMs when this change is expected to end, if they ask so.
+
+        ``lease_wait`` is for how many seconds it waits for leases.
+        """
+        assert self._request is not None
+        if not self._request.announces:
+            return
+        expected = core.PrimaryExpected(
+            self.service,
+            self._claim.first_revision,
+            decisions.announced_seconds(lease_wait),
+        )
+        for vm in sorted(self._fencing.vms):
+            if vm == self.vm:
+                self.send(names.primary_manager(vm), expected)
+            else:
+                self.send(names.peers(self.vm), core.SendToPeer(vm, expected))
+
     # -- choose a successor ---------------------------------------------
 
     def start_round(self) -> None:
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -84,7 +84,14 @@
 
 
 def latest_start(attempt: sessions.Attempt) -> float:
-    """Return until when the statement may start, on the runtime's clock."""
+    """Return until when the statement may start, on the runtime's clock.
+
+    One that has waited for a change of primary is better served late.
+    """
+    if attempt.waits_for_change:
+        return decisions.latest_start_after_change(
+            attempt.arrived_at, attempt.route.statement_timeout
+        )
     target = attempt.route.latency_target
     return attempt.arrived_at + target * START_TARGET_SHARE
 
--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/primary_manager.py
@@ -63,8 +63,10 @@
         vm: core.VmName,
         owner: core.TaskName,
         evidence: core.EvidenceMode = core.EvidenceMode.OFF,
+        announces: bool = False,
     ) -> None:
         super().__init__(loop, vm, 'keeper')
+        self._announces = announces
         self._evidence = evidence
         self._known = decisions.KnownInstances()
         self._loop = loop
@@ -296,6 +298,14 @@
         if self._leaders.apply_reopened(message):
             self._publish(message.row.service)
 
+    @runtime.handles(core.PrimaryExpected)
+    def _on_expected(self, message: core.PrimaryExpected) -> None:
+        """Pass on when a change ends that this VM knows of."""
+        service = message.service
+        is_known = self._leaders.revision(service) >= message.revision
+        if is_known and self._leaders.is_closing(service):
+            self.send(names.dispatcher(self.vm), message)
+
     # -- replacing primaries --------------------------------------------
 
     @runtime.handles(core.PrimaryUnreachable)
@@ -516,6 +526,7 @@
                 self._peers.listed_by_all_at,
                 self._sync_replicas(service),
                 self._instance_listings(),
+                self._announces,
             ),
         )
 
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -54,9 +54,10 @@
     ``lacked_connection`` is set while a pool had no connection for it since
     the last pause. ``was_sent`` is whether one of its tries may have
     reached an instance, None before the first try has ended. ``team`` is the
-    caller's team, None without teams. ``sent_without_lease`` is whether it was
-    sent to the primary without a lease, and ``evidence`` what instances have
-    said about its answer.
+    caller's team, None without teams. ``waits_for_change`` is whether it
+    waits, or has waited, for the announced end of a change of primary.
+    ``sent_without_lease`` is whether it was sent to the primary without a
+    lease, and ``evidence`` what instances have said about its answer.
     """
 
     session: PoolSession
@@ -80,6 +81,7 @@
     result_untrusted: bool = False
     wait_reason: str = ''
     team: core.TeamName | None = None
+    waits_for_change: bool = False
     sent_without_lease: bool = False
     evidence: core.EvidenceGiven | None = None
 
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -105,7 +105,11 @@
         self.links: dict[core.InstanceName, links.SimLink] = {}
         SimPeers(site.loop, vm, site)
         self.keeper = primary_manager_module.PrimaryManager(
-            site.loop, vm, self.task_name, site.evidence
+            site.loop,
+            vm,
+            self.task_name,
+            site.evidence,
+            site.announces_changes,
         )
         self.collector = evidence_collector.EvidenceCollector(
             site.loop, vm, site.evidence, group_module.decode_status
@@ -186,8 +190,10 @@
         vms: int = 3,
         store: store_module.Store | None = None,
         evidence: core.EvidenceMode = core.EvidenceMode.OFF,
+        announces_changes: bool = False,
     ) -> None:
         self.evidence = evidence
+        self.announces_changes = announces_changes
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.group = group_module.Group(SERVICE, ZONES)
--- a/tests/tasks/pool_sites.py
+++ b/tests/tasks/pool_sites.py
@@ -15,10 +15,10 @@
 
 
 @contextlib.contextmanager
-def checked_site(vm_count, evidence=core.EvidenceMode.OFF):
+def checked_site(vm_count, **settings):
     """Yield a site whose ``records`` is the log; check that no task failed."""
     with logbook.TestHandler() as handler:
-        site = pool.Site(vm_count, evidence=evidence)
+        site = pool.Site(vm_count, **settings)
         site.records = handler.records
         yield site
         site.close()
