Split attempts into selection and answers

Change: what callers are told and how statements end is in attempt_answers.py; how long a statement waits is decided in instance_selection.py; no change of logic.

Measured: the tests of sessions, retries, teams, evidence and waiting pass.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -13,7 +13,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import attempt_log
+from chicoryusher.tasks.pool import attempt_answers
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import group_table as group_table_module
 from chicoryusher.tasks.pool import held_answers
@@ -23,10 +23,6 @@
 
 __all__ = ['Attempts', 'RetrySelection']
 
-# Share of the latency target for which a statement may wait until a primary
-# or another suitable instance is available.  The caller can make better use
-# of the remaining time itself.
-MAX_WAIT_TARGET_SHARE = 0.2
 # Seconds between two selections of an instance for a waiting statement, and
 # before a refused statement is retried.
 RETRY_PAUSE_S = 0.02
@@ -49,12 +45,8 @@
     attempt: sessions.Attempt
 
 
-class Attempts:
-    """Run the statements of the dispatcher that owns this object.
-
-    ``lease_expires_at`` is when the primary lease ends, on the
-    clock that also counts time while the machine is suspended.
-    """
+class Attempts(attempt_answers.AttemptAnswers):
+    """Run the statements of the dispatcher that owns this object."""
 
     def __init__(
         self,
@@ -64,24 +56,12 @@
         clock: core.Clock,
         evidence: core.EvidenceMode,
     ) -> None:
-        self._dispatcher = dispatcher
-        self._group_table = group_table
+        super().__init__(dispatcher, group_table, clock)
         self._rights = rights
-        self._clock = clock
         self._numbers = itertools.count(work_numbers.first_work_number())
-        self._log = attempt_log.AttemptLog(dispatcher)
-        self._running: dict[core.WorkId, sessions.Attempt] = {}
         self._held = held_answers.HeldAnswers(
             dispatcher, group_table, clock, evidence
         )
-        self.lease_expires_at = float('-inf')
-
-    def has_lease(self) -> bool:
-        """Return whether this VM may use primaries now."""
-        return self._lease_seconds_left() > 0.0
-
-    def _lease_seconds_left(self) -> float:
-        return self.lease_expires_at - self._clock.boottime()
 
     # -- instance selection ---------------------------------------------
 
@@ -264,7 +244,12 @@
         if attempt.excluded:
             attempt.excluded = frozenset()
         now = self._dispatcher.now()
-        if now >= self._wait_ends_at(attempt, now):
+        group = self._group_table.groups.get(attempt.route.service)
+        is_asking = self._held.is_asking(attempt.route.service)
+        ends_at = instance_selection.wait_ends_at(
+            attempt, group, is_asking, now
+        )
+        if now >= ends_at:
             self.refuse(attempt, core.Refusal.BUSY, why)
             return
         if attempt.wait_reason != why:
@@ -276,27 +261,6 @@
             pause_s = NO_CONNECTION_PAUSE_S
         self._dispatcher.after(pause_s, RetrySelection(attempt))
 
-    def _wait_ends_at(self, attempt: sessions.Attempt, now: float) -> float:
-        """Return until when a statement waits for an instance."""
-        route = attempt.route
-        group = self._group_table.groups.get(route.service)
-        change = None if group is None else group.announced_change(now)
-        if change is not None:
-            limit = route.statement_timeout
-            attempt.waits_for_change = change.waits(attempt.arrived_at, limit)
-            if not attempt.waits_for_change:
-                return now
-            return instance_selection.latest_start(attempt)
-        if (
-            attempt.was_dispatched
-            or (group is not None and group.expects_primary(now))
-            or self._held.is_asking(route.service)
-        ):
-            return instance_selection.latest_start(attempt)
-        return (
-            attempt.arrived_at + route.latency_target * MAX_WAIT_TARGET_SHARE
-        )
-
     # -- results --------------------------------------------------------
 
     def work_ended(self, ended: core.WorkEnded) -> core.ServiceName | None:
@@ -343,69 +307,6 @@
         self._record_result(attempt, ended)
         completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
 
-    def cancel_statement(self, session: sessions.PoolSession) -> None:
-        """Cancel the statement of a session whose caller is gone.
-
-        A statement that waits for an instance is not run any more.
-        """
-        attempt, session.attempt = session.attempt, None
-        if attempt is None or attempt.work_id not in self._running:
-            return
-        del self._running[attempt.work_id]
-        self._decrement_outstanding(attempt)
-        transaction = session.transaction
-        if transaction is not None:
-            # The work may have ended, so that the transaction is open there.
-            transaction.instance = attempt.instance
-        if attempt.conn_owner is not None:
-            self._dispatcher.send(
-                names.forwarder(self._dispatcher.vm),
-                core.ForwardCancel(attempt.work_id),
-            )
-        elif attempt.instance in self._group_table:
-            self._dispatcher.send(
-                self._group_table.pool_task(attempt.instance),
-                core.CancelWork(attempt.work_id),
-            )
-
-    def end_statement(self, attempt: sessions.Attempt) -> None:
-        """End a statement that waits or runs, and answer its caller.
-
-        A change that may have been committed is refused with UNKNOWN.
-        """
-        refusal = completions.timeout_refusal(attempt)
-        if attempt.work_id in self._running:
-            transaction = attempt.session.transaction
-            wrote = transaction is None or transaction.wrote
-            if attempt.may_commit and wrote:
-                refusal = core.Refusal.UNKNOWN
-            self.cancel_statement(attempt.session)
-        self.refuse(attempt, refusal, 'this VM shuts down')
-
-    def roll_back(self, session: sessions.PoolSession) -> None:
-        """Roll the session's transaction back at its instance."""
-        transaction = session.transaction
-        if transaction is None:
-            return
-        if transaction.conn_owner is not None:
-            self._dispatcher.send(
-                names.forwarder(self._dispatcher.vm),
-                core.ForwardRollback(transaction.transaction_id),
-            )
-            return
-        if transaction.instance not in self._group_table:
-            return
-        self._dispatcher.send(
-            self._group_table.pool_task(transaction.instance),
-            core.EndTransaction(transaction.transaction_id),
-        )
-
-    def has_work_at(self, name: core.InstanceName) -> bool:
-        """Return whether a statement runs or is queued at an instance."""
-        return any(
-            attempt.instance == name for attempt in self._running.values()
-        )
-
     def fence(self, name: core.InstanceName) -> None:
         """Fence the running work of an instance that is being replaced.
 
@@ -418,74 +319,6 @@
             if self._running.get(ended.work_id) is attempt:
                 self._finish(attempt, ended)
 
-    def _pool_instance(
-        self, attempt: sessions.Attempt
-    ) -> decisions.InstanceLoad | None:
-        return self._group_table.instance(
-            attempt.route.service, attempt.instance
-        )
-
-    def _decrement_outstanding(self, attempt: sessions.Attempt) -> None:
-        pool_instance = self._pool_instance(attempt)
-        if pool_instance is not None:
-            pool_instance.outstanding_count = max(
-                0, pool_instance.outstanding_count - 1
-            )
-
-    def _record_result(
-        self, attempt: sessions.Attempt, ended: core.WorkEnded
-    ) -> None:
-        """Record the position, run time and lag that the result shows.
-
-        A position of the primary counts only if this VM had a lease on
-        it, or evidence; it is passed on to the view exchange, which sends it
-        to the peers.
-        """
-        group = self._group_table.groups.get(attempt.route.service)
-        if group is None:
-            return
-        boot_now = self._clock.boottime()
-        trusted = (
-            attempt.at_primary
-            and completions.may_trust(self, attempt)
-            and not attempt.result_untrusted
-        )
-        if group.record_position(ended, trusted, boot_now):
-            assert (
-                ended.position is not None
-                and ended.sent_at_boottime is not None
-            )
-            observed = core.PrimaryPositionObserved(
-                group.service, ended.position, ended.sent_at_boottime
-            )
-            self._dispatcher.send(
-                names.view_exchange(self._dispatcher.vm), observed
-            )
-        pool_instance = group.instances.get(ended.instance)
-        if pool_instance is None:
-            return
-        if ended.sent_at is not None:
-            self._record_run_time(
-                pool_instance, ended, self._dispatcher.now() - ended.sent_at
-            )
-        if ended.refusal is core.Refusal.NOT_FRESH:
-            pool_instance.raise_lag_estimate(attempt.position_age, boot_now)
-
-    def _record_run_time(
-        self,
-        pool_instance: decisions.InstanceLoad,
-        ended: core.WorkEnded,
-        seconds: float,
-    ) -> None:
-        self._dispatcher.meters.record(
-            _Metric.RUN,
-            seconds,
-            instance=ended.instance,
-            ended=ended.completion.value,
-        )
-        if ended.completion is core.Completion.ANSWERED:
-            pool_instance.record_service_time(seconds)
-
     def try_elsewhere(
         self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
     ) -> None:
@@ -543,62 +376,3 @@
             self.roll_back(session)
         transaction.instance = None
         transaction.transaction_id = session.owner.new_transaction_id()
-
-    def report_trouble(self, name: core.InstanceName) -> None:
-        """Have the reachability monitor check an instance."""
-        self._dispatcher.send(
-            names.reachability_monitor(self._dispatcher.vm),
-            core.InstanceFault(name),
-        )
-
-    # -- answers --------------------------------------------------------
-
-    def refuse(
-        self,
-        attempt: sessions.Attempt,
-        refusal: core.Refusal,
-        why: str,
-        block: core.TransactionStatus = _Block.IDLE,
-    ) -> None:
-        """Answer with a refusal, and log the reason."""
-        session = attempt.session
-        if block is _Block.IDLE:
-            self.roll_back(session)
-        lease_seconds_left = self._lease_seconds_left()
-        self._log.log_refusal(attempt, refusal, why, lease_seconds_left)
-        answer = core.SessionAnswer(
-            session.session_id,
-            attempt.message.request_id,
-            block,
-            refusal=refusal,
-            detail=str(attempt.instance or ''),
-        )
-        session.owner.attempt_answered(session, answer)
-
-    def deliver(
-        self,
-        attempt: sessions.Attempt,
-        ended: core.WorkEnded,
-        block: core.TransactionStatus,
-    ) -> None:
-        """Send the instance's answer to the caller."""
-        session = attempt.session
-        if ended.refusal is None:
-            self._log.record_success(attempt)
-        else:
-            why = 'the statement failed at the instance'
-            lease_seconds_left = self._lease_seconds_left()
-            self._log.log_refusal(
-                attempt, ended.refusal, why, lease_seconds_left
-            )
-        answer = core.SessionAnswer(
-            session.session_id,
-            attempt.message.request_id,
-            block,
-            ended.rows,
-            ended.digest,
-            ended.refusal,
-            ended.detail,
-            ended.position,
-        )
-        session.owner.attempt_answered(session, answer)
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -14,10 +14,15 @@
     'make_work',
     'read_needs_of',
     'select_instance',
+    'wait_ends_at',
 ]
 
 # Share of the latency target within which work must get a connection.
 START_TARGET_SHARE = 0.8
+# Share of the latency target for which a statement may wait until a primary
+# or another suitable instance is available.  The caller can make better use
+# of the remaining time itself.
+MAX_WAIT_TARGET_SHARE = 0.2
 # Share of the latency target after which a read is retried at another
 # instance, and the upper limit of that time in seconds.  The limit is above
 # the run time of the longest usual statements (0.5 s).
@@ -96,6 +101,28 @@
     return attempt.arrived_at + target * START_TARGET_SHARE
 
 
+def wait_ends_at(
+    attempt: sessions.Attempt,
+    group: group_state_module.PoolGroup | None,
+    is_asking: bool,
+    now: float,
+) -> float:
+    """Return until when a statement waits for an instance.
+
+    ``is_asking`` is whether instances are being asked for evidence.
+    """
+    route = attempt.route
+    change = None if group is None else group.announced_change(now)
+    if change is not None:
+        limit = route.statement_timeout
+        attempt.waits_for_change = change.waits(attempt.arrived_at, limit)
+        return latest_start(attempt) if attempt.waits_for_change else now
+    is_expected = group is not None and group.expects_primary(now)
+    if attempt.was_dispatched or is_expected or is_asking:
+        return latest_start(attempt)
+    return attempt.arrived_at + route.latency_target * MAX_WAIT_TARGET_SHARE
+
+
 def make_work(
     attempt: sessions.Attempt,
     work_id: core.WorkId,
