Merge evidence from instances; grant what a limit's window may have

Evidence from instances and the announced end of a change are merged with the limits of teams and the paced choice of instances; attempts keep one module for each of selection, running work, results and answers.

Change: keepers grant what a window may have, less a margin, as a burst and a rate; the VMs of a region with many VMs follow keepers of their own, which have its share.

--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -4,6 +4,7 @@
 
 from chicoryusher.decisions import admission
 from chicoryusher.decisions import bulk_queue
+from chicoryusher.decisions import change_estimate
 from chicoryusher.decisions import config_pointers
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import conn_owners
@@ -20,6 +21,7 @@
 from chicoryusher.decisions import handshakes
 from chicoryusher.decisions import heartbeat_targets
 from chicoryusher.decisions import idempotency
+from chicoryusher.decisions import instance_evidence
 from chicoryusher.decisions import instance_pace
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
@@ -47,6 +49,7 @@
 from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.bulk_queue import *  # noqa: F403
+from chicoryusher.decisions.change_estimate import *  # noqa: F403
 from chicoryusher.decisions.config_pointers import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.conn_owners import *  # noqa: F403
@@ -63,6 +66,7 @@
 from chicoryusher.decisions.handshakes import *  # noqa: F403
 from chicoryusher.decisions.heartbeat_targets import *  # noqa: F403
 from chicoryusher.decisions.idempotency import *  # noqa: F403
+from chicoryusher.decisions.instance_evidence import *  # noqa: F403
 from chicoryusher.decisions.instance_pace import *  # noqa: F403
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
@@ -103,6 +107,7 @@
 __all__ = [
     *admission.__all__,
     *bulk_queue.__all__,
+    *change_estimate.__all__,
     *configuration.__all__,
     *gate_directory.__all__,
     *evidence.__all__,
@@ -122,6 +127,7 @@
     *register.__all__,
     *retry.__all__,
     *primary_lease.__all__,
+    *instance_evidence.__all__,
     *leader_claim.__all__,
     *leader_digest.__all__,
     *lease_grants.__all__,
--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -21,14 +21,18 @@
     'granted_limit',
 ]
 
-# Shares of the tolerance that go into the rate, into the burst, and to
-# allowances which are used late.  Arrivals that are bunched by chance, above
-# all those of small teams, are not over the limit.
-RATE_TOLERANCE_SHARE = 0.5
-BURST_TOLERANCE_SHARE = 0.2
-VALIDITY_TOLERANCE_SHARE = 0.2
+# Share of what a window may have that may be started at once, so that
+# arrivals which are bunched by chance are not over the limit.
+BURST_SHARE = 0.15
+# The same for small teams, and up to how many operations.
+SMALL_BURST_SHARE = 0.3
+SMALL_BURST = 10.0
+# Share of what a window may have that is not granted.
+MARGIN_SHARE = 0.03
+# Seconds by which an operation may be started later than it was granted.
+LATE_START_S = 0.3
 MAX_VALIDITY_S = 2.0
-MIN_VALIDITY_S = 0.1
+MIN_VALIDITY_S = 0.2
 # Least share with which a keeper holds one operation of a team whose burst
 # is smaller; at most ten keepers have it at a time.
 MIN_OPERATION_SHARE = 0.1
@@ -52,21 +56,26 @@
     What is started in a window was granted in the window or up to this time
     before it.
     """
-    tolerated = _tolerated(rate, burst, tolerance)
-    granted_rate, _ = granted_limit(rate, burst, tolerance)
-    late = VALIDITY_TOLERANCE_SHARE * tolerated
+    granted_rate, granted_burst = granted_limit(rate, burst, tolerance)
+    window_s = tolerance.window_s
+    late = _window_limit(rate, burst, tolerance)
+    late -= _most_held(granted_rate, granted_burst) + granted_rate * window_s
+    late -= 1.0 / MIN_OPERATION_SHARE
     validity_s = late / max(granted_rate, _ROUNDING)
     return min(MAX_VALIDITY_S, max(MIN_VALIDITY_S, validity_s))
 
 
-def _tolerated(
+def _window_limit(
     rate: float, burst: float, tolerance: core.LimitTolerance
 ) -> float:
-    """Return how many operations more than the limit a window may have."""
-    return (
-        tolerance.ratio * (rate * tolerance.window_s + burst)
-        + tolerance.requests
-    )
+    """Return how many operations a window may have."""
+    limit = rate * tolerance.window_s + burst
+    return limit * (1.0 + tolerance.ratio) + tolerance.requests
+
+
+def _most_held(rate: float, burst: float) -> float:
+    """Return how many operations all keepers hold together at most."""
+    return max(burst, rate * MIN_CAPACITY_S, 1.0 / MIN_OPERATION_SHARE)
 
 
 def granted_limit(
@@ -74,14 +83,19 @@
 ) -> tuple[float, float]:
     """Return the rate and the burst with which keepers grant a limit.
 
-    A team without any operation gets none.
+    Together with late starts they stay within what a window may have.  A
+    team without any operation gets none.
     """
     if rate <= 0.0 and burst <= 0.0:
         return 0.0, 0.0
-    tolerated = _tolerated(rate, burst, tolerance)
-    extra_rate = RATE_TOLERANCE_SHARE * tolerated / tolerance.window_s
-    extra_burst = BURST_TOLERANCE_SHARE * tolerated
-    return rate + extra_rate, burst + extra_burst
+    usable = _window_limit(rate, burst, tolerance) * (1.0 - MARGIN_SHARE)
+    small = min(SMALL_BURST, usable * SMALL_BURST_SHARE)
+    granted_burst = max(burst, usable * BURST_SHARE, small)
+    seconds = tolerance.window_s + LATE_START_S
+    granted_rate = (usable - _most_held(rate, granted_burst)) / seconds
+    if granted_rate < rate:
+        return rate, burst
+    return granted_rate, granted_burst
 
 
 def bucket_capacity(rate: float, burst: float, share: float) -> float:
--- a/src/chicoryusher/decisions/limit_shares.py
+++ b/src/chicoryusher/decisions/limit_shares.py
@@ -12,7 +12,8 @@
 
 import dataclasses
 import heapq
-from collections.abc import Iterable
+from collections.abc import Collection
+from collections.abc import Set
 
 import xxhash
 
@@ -27,6 +28,10 @@
     'sort_limit_keepers',
 ]
 
+# Least VMs in a region whose VMs follow keepers of their own, and least
+# share of all VMs.
+MIN_NEAR_VMS = 8
+MIN_NEAR_SHARE = 0.4
 LIMIT_SLOTS = tuple(core.LimitSlot(number) for number in range(4))
 # Seconds between two messages of a follower to its keeper, and the VMs a
 # second that one keeper answers at most.
@@ -64,14 +69,24 @@
 
 
 def sort_limit_keepers(
-    slot: core.LimitSlot, vms: Iterable[core.VmName]
+    slot: core.LimitSlot,
+    vms: Collection[core.VmName],
+    near: Set[core.VmName] = frozenset(),
 ) -> tuple[core.VmName, ...]:
-    """Return the VMs in the order in which they are keepers of a slot."""
+    """Return the VMs in the order in which they are keepers of a slot.
 
-    def digest(vm: core.VmName) -> int:
-        return xxhash.xxh64_intdigest(f'limits {slot} {vm}'.encode())
+    The VMs of the own region (``near``) go first if they are many, so that an
+    operation does not wait for another region.  Each region then has the
+    part of the limits that its VMs have of all VMs; for a region with few
+    VMs that would be too little.
+    """
+    many = len(near) >= max(MIN_NEAR_VMS, MIN_NEAR_SHARE * len(vms))
+
+    def rank(vm: core.VmName) -> tuple[bool, int]:
+        digest = xxhash.xxh64_intdigest(f'limits {slot} {vm}'.encode())
+        return many and vm not in near, digest
 
-    return tuple(sorted(vms, key=digest))
+    return tuple(sorted(vms, key=rank))
 
 
 class FollowerCount:
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -60,6 +60,9 @@
     27: core.LimitKeeperStamp,
     28: core.AskAllowance,
     29: core.GrantAllowance,
+    30: core.StatusQuery,
+    31: core.StatusReport,
+    32: core.PrimaryExpected,
     40: core.AskConfigAge,
     41: core.ConfigAge,
 }
--- a/src/chicoryusher/tasks/names.py
+++ b/src/chicoryusher/tasks/names.py
@@ -12,6 +12,7 @@
     'config_evidence',
     'configurator',
     'dispatcher',
+    'evidence_collector',
     'view_exchange',
     'forwarder',
     'gate',
@@ -53,6 +54,7 @@
 config_evidence = _single('evidence')
 configurator = _single('configurator')
 dispatcher = _single('desk')
+evidence_collector = _single('evidence')
 view_exchange = _single('exchange')
 forwarder = _single('forwarder')
 primary_manager = _single('keeper')
--- a/src/chicoryusher/tasks/pool/attempt_results.py
+++ b/src/chicoryusher/tasks/pool/attempt_results.py
@@ -31,19 +31,20 @@
         self,
         attempt: sessions.Attempt,
         ended: core.WorkEnded,
-        has_lease: bool,
+        is_trusted: bool,
     ) -> None:
         """Record the position, run time and lag that the result shows.
 
         A position of the primary counts only if this VM had a lease on
-        it; it is passed on to the view exchange, which sends it to the peers.
+        it, or evidence (``is_trusted``); it is passed on to the view exchange,
+        which sends it to the peers.
         """
         group = self._group_table.groups.get(attempt.route.service)
         if group is None:
             return
         boot_now = self._clock.boottime()
         trusted = (
-            attempt.at_primary and has_lease and not attempt.result_untrusted
+            attempt.at_primary and is_trusted and not attempt.result_untrusted
         )
         if group.record_position(ended, trusted, boot_now):
             assert (
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -18,6 +18,7 @@
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import entitlement
 from chicoryusher.tasks.pool import group_table as group_table_module
+from chicoryusher.tasks.pool import held_answers
 from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import running_work
 from chicoryusher.tasks.pool import selectors
@@ -68,6 +69,7 @@
         group_table: group_table_module.GroupTable,
         rights: decisions.TeamRights,
         clock: core.Clock,
+        evidence: core.EvidenceMode,
     ) -> None:
         self._dispatcher = dispatcher
         self._group_table = group_table
@@ -83,6 +85,9 @@
             dispatcher, group_table, self._selector, clock
         )
         self._running = running_work.RunningWork(dispatcher, group_table)
+        self._held = held_answers.HeldAnswers(
+            dispatcher, group_table, clock, evidence
+        )
         self.lease_expires_at = float('-inf')
 
     def has_lease(self) -> bool:
@@ -133,11 +138,13 @@
             self._wait_or_refuse(attempt, 'no instance of the group is known')
             return
         needs = instance_selection.read_needs_of(attempt, group)
+        has_lease = self.has_lease()
         name = instance_selection.select_instance(
             attempt,
             group,
             needs,
-            self.has_lease(),
+            has_lease
+            or self._held.may_use_primary(group, self.lease_expires_at),
             self._dispatcher.now(),
             self._clock.boottime(),
             self._selector,
@@ -149,6 +156,8 @@
             return
         attempt.position_age = needs.position_age
         attempt.at_primary = name == group.primary
+        attempt.sent_without_lease = attempt.at_primary and not has_lease
+        attempt.evidence = None
         after = None if attempt.at_primary else needs.min_position
         self._submit(
             attempt, name, instance_selection.begin_kind_of(transaction), after
@@ -224,13 +233,11 @@
             attempt.excluded = frozenset()
         now = self._dispatcher.now()
         group = self._group_table.groups.get(attempt.route.service)
-        primary_expected = group is not None and group.expects_primary(now)
-        share = (
-            instance_selection.START_TARGET_SHARE
-            if attempt.was_dispatched or primary_expected
-            else MAX_WAIT_TARGET_SHARE
+        is_asking = self._held.is_asking(attempt.route.service)
+        ends_at = instance_selection.wait_ends_at(
+            attempt, group, is_asking, now
         )
-        if now >= attempt.arrived_at + attempt.route.latency_target * share:
+        if now >= ends_at:
             self.refuse(attempt, core.Refusal.BUSY, why)
             return
         if attempt.wait_reason != why:
@@ -250,14 +257,42 @@
         Return the database group that it was for, None if the attempt was
         cancelled in the meantime.
         """
-        attempt = self._running.remove(ended.work_id)
+        attempt = self._running.get(ended.work_id)
         if attempt is None:
             return None
         attempt.was_sent = bool(attempt.was_sent) or ended.sent_at is not None
+        is_held = self._held.needs_evidence(
+            attempt, ended, self.has_lease()
+        ) and self._held.hold(attempt, ended)
+        if not is_held:
+            self._finish(attempt, ended)
+        return attempt.route.service
+
+    def evidence_given(
+        self, message: core.EvidenceGiven
+    ) -> core.ServiceName | None:
+        """Answer a statement that was held for this evidence, if any."""
+        released = self._held.release(message)
+        if released is None:
+            return None
+        attempt, ended = released
+        # Its caller may have gone meanwhile.
+        if self._running.get(ended.work_id) is not attempt:
+            return None
+        attempt.evidence = message
+        self._log.log_evidence(attempt, self._lease_seconds_left())
+        self._finish(attempt, ended)
+        return attempt.route.service
+
+    def _finish(
+        self, attempt: sessions.Attempt, ended: core.WorkEnded
+    ) -> None:
+        """Answer, refuse or retry a statement whose work has ended."""
+        self._running.remove(ended.work_id)
         self._allowances.record_end(attempt, ended)
-        self._results.record(attempt, ended, self.has_lease())
+        is_trusted = completions.may_trust(self, attempt)
+        self._results.record(attempt, ended, is_trusted)
         completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
-        return attempt.route.service
 
     def cancel_statement(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone.
@@ -299,6 +334,9 @@
         Its answers no longer prove a commit or the primary's position.
         """
         self._running.distrust(name)
+        for attempt, ended in self._held.release_all(name):
+            if self._running.get(ended.work_id) is attempt:
+                self._finish(attempt, ended)
 
     def repeats_failed(
         self, attempt: sessions.Attempt, ended: core.WorkEnded
--- a/src/chicoryusher/tasks/pool/command_results.py
+++ b/src/chicoryusher/tasks/pool/command_results.py
@@ -55,6 +55,11 @@
     def dispatch(self) -> None:
         """Start queued work on idle connections."""
 
+    def on_status(
+        self, conn: pool_conns.PoolConn, reply: core.CommandReply
+    ) -> None:
+        """Report the status of the instance to the task that asked."""
+
 
 ResultHandler = Callable[
     [ResultReceiver, pool_conns.PoolConn, core.CommandReply], None
@@ -159,3 +164,12 @@
         return
     receiver.release(conn, False)
     receiver.dispatch()
+
+
+@RESULT_HANDLERS.register(core.Op.STATUS)
+def _on_status(
+    receiver: ResultReceiver,
+    conn: pool_conns.PoolConn,
+    reply: core.CommandReply,
+) -> None:
+    receiver.on_status(conn, reply)
--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/handover_actions.py
@@ -22,6 +22,11 @@
     task.fence_old_primary()
 
 
+@charts.action('handover.announce')
+def _announce_end(task: Handover, arg: object) -> None:
+    task.announce_end(0.0)
+
+
 @charts.action('handover.probe_instances')
 def _query_instances(task: Handover, arg: object) -> None:
     task.start_round()
@@ -108,6 +113,11 @@
     return bool(task.candidates.missing_evidence())
 
 
+@charts.guard('handover.successor_is_new')
+def _successor_is_new(task: Handover, arg: object) -> bool:
+    return task.successor_is_new()
+
+
 @charts.guard('handover.successor_behind')
 def _successor_behind(task: Handover, arg: object) -> bool:
     return task.successor_behind()
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -14,6 +14,7 @@
 from chicoryusher.tasks.pool import pool_conns as conns_module
 from chicoryusher.tasks.pool import pool_pace
 from chicoryusher.tasks.pool import pool_timeouts
+from chicoryusher.tasks.pool import status_queries
 
 __all__ = [
     'MAX_CONNECTING_CONNS',
@@ -71,6 +72,7 @@
             self, entry, policy, self._conns, self._opener
         )
         self._responses = pool_timeouts.Responsiveness()
+        self._status_queries = status_queries.StatusQueries(self, entry.name)
         self._sweep_scheduled = False
 
     @property
@@ -167,6 +169,7 @@
         if conn is None:
             return
         self._responses.record_response(self.now())
+        conn.opened_at_boottime = self._clock.boottime()
         self._conns.mark_opened(conn, self.now())
         self.dispatch()
 
@@ -204,6 +207,26 @@
         self._pace.record_answer(seconds, refusal)
         self._queue.record_use(work.team, seconds)
 
+    # -- status queries -------------------------------------------------
+
+    @runtime.handles(core.ReadInstanceStatus)
+    def _on_read_status(self, query: core.ReadInstanceStatus) -> None:
+        conn = self._status_queries.start(query, self._conns.idle())
+        if conn is None:
+            return
+        self._conns.mark_running(conn, None)
+        conn.sent_at = self.now()
+        self.send_commands(conn, [core.Command(core.Op.STATUS)])
+        self._schedule_sweep()
+
+    def on_status(
+        self, conn: conns_module.PoolConn, reply: core.CommandReply
+    ) -> None:
+        """Report the status of the instance to the task that asked."""
+        self._status_queries.end(conn.conn_id, reply)
+        self._conns.release(conn, False, self.now())
+        self.dispatch()
+
     # -- cancelled work and closed connections --------------------------
 
     @runtime.handles(core.EndTransaction)
@@ -319,6 +342,7 @@
         conn.work = None
         self._conns.remove(conn)
         self._opener.show_connections()
+        self._status_queries.end(conn.conn_id, None)
         if work is not None:
             self.report_end(
                 work, ended, _NO_REPLY, conn.sent_at, conn.sent_at_boottime
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -16,10 +16,15 @@
     'make_work',
     'read_needs_of',
     'select_instance',
+    'wait_ends_at',
 ]
 
 # Share of the latency target within which work must get a connection.
 START_TARGET_SHARE = 0.8
+# Share of the latency target for which a statement may wait until a primary
+# or another suitable instance is available.  The caller can make better use
+# of the remaining time itself.
+MAX_WAIT_TARGET_SHARE = 0.2
 # Share of the latency target after which a read is retried at another
 # instance, and the upper limit of that time in seconds.  The limit is above
 # the run time of the longest usual statements (0.5 s).
@@ -125,11 +130,40 @@
 
 
 def latest_start(attempt: sessions.Attempt) -> float:
-    """Return until when the statement may start, on the runtime's clock."""
+    """Return until when the statement may start, on the runtime's clock.
+
+    One that has waited for a change of primary is better served late.
+    """
+    if attempt.waits_for_change:
+        return decisions.latest_start_after_change(
+            attempt.arrived_at, attempt.route.statement_timeout
+        )
     target = attempt.route.latency_target
     return attempt.arrived_at + target * START_TARGET_SHARE
 
 
+def wait_ends_at(
+    attempt: sessions.Attempt,
+    group: group_state_module.PoolGroup | None,
+    is_asking: bool,
+    now: float,
+) -> float:
+    """Return until when a statement waits for an instance.
+
+    ``is_asking`` is whether instances are being asked for evidence.
+    """
+    route = attempt.route
+    change = None if group is None else group.announced_change(now)
+    if change is not None:
+        limit = route.statement_timeout
+        attempt.waits_for_change = change.waits(attempt.arrived_at, limit)
+        return latest_start(attempt) if attempt.waits_for_change else now
+    is_expected = group is not None and group.expects_primary(now)
+    if attempt.was_dispatched or is_expected or is_asking:
+        return latest_start(attempt)
+    return attempt.arrived_at + route.latency_target * MAX_WAIT_TARGET_SHARE
+
+
 def make_work(
     attempt: sessions.Attempt,
     work_id: core.WorkId,
--- a/src/chicoryusher/tasks/pool/limits/limiter.py
+++ b/src/chicoryusher/tasks/pool/limits/limiter.py
@@ -50,10 +50,14 @@
         loop: runtime.Runtime,
         vm: core.VmName,
         tolerance: core.LimitTolerance,
+        zone: core.ZoneName,
+        regions: dict[core.ZoneName, core.RegionName],
     ) -> None:
         super().__init__(loop, vm, 'limiter')
         self._clock = loop.clock
         self._tolerance = tolerance
+        self._zone = zone
+        self._regions = regions
         self._unheld_since = self._clock.boottime()
         self._limits: dict[core.TeamName, core.Team] = {}
         self._allowances: dict[core.TeamName, decisions.TeamAllowances] = {}
@@ -64,6 +68,7 @@
         self._followers: dict[core.LimitSlot, slot_follower.SlotFollower] = {}
         self._is_checking = False
         self._live: frozenset[core.VmName] = frozenset()
+        self._near: frozenset[core.VmName] = frozenset()
         self._timing = decisions.follow_timing(1)
 
     # -- configuration and VMs ------------------------------------------
@@ -109,11 +114,20 @@
     @runtime.handles(core.PeerSets)
     def _on_peer_sets(self, message: core.PeerSets) -> None:
         self._live = frozenset({self.vm, *message.live})
+        near = {
+            place.vm for place in message.voters if self._is_near(place.zone)
+        }
+        self._near = (near | {self.vm}) & self._live
         self._timing = decisions.follow_timing(len(message.must_fence) + 1)
         for follower in self._followers.values():
-            follower.set_live(self._live)
+            follower.set_live(self._live, self._near)
         self._start_following()
 
+    def _is_near(self, zone: core.ZoneName) -> bool:
+        region_of = self._regions.get
+        distance = decisions.nearness(self._zone, zone, region_of)
+        return distance is not core.ZoneDistance.OTHER_REGION
+
     def _start_following(self) -> None:
         if self._is_checking or not self._limits or not self._live:
             return
@@ -125,7 +139,7 @@
                 self._unheld_since, self._timing.counted_s
             )
             follower = slot_follower.SlotFollower(self, self.vm, slot, hold)
-            follower.set_live(self._live)
+            follower.set_live(self._live, self._near)
             self._followers[slot] = follower
         self._check_keepers()
 
--- a/src/chicoryusher/tasks/pool/limits/slot_follower.py
+++ b/src/chicoryusher/tasks/pool/limits/slot_follower.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Set
 from typing import Protocol
 
 from chicoryusher import charts
@@ -58,9 +58,11 @@
         self._sent_at = float('-inf')
         self._heard_at = float('-inf')
 
-    def set_live(self, live: Iterable[core.VmName]) -> None:
-        """Set the live VMs, of which this VM is one."""
-        self.choice.set_order(decisions.sort_limit_keepers(self.slot, live))
+    def set_live(self, live: Set[core.VmName], near: Set[core.VmName]) -> None:
+        """Set the live VMs, and those of them in this VM's region."""
+        self.choice.set_order(
+            decisions.sort_limit_keepers(self.slot, live, near)
+        )
 
     def asked_keeper(self, now: float) -> core.VmName | None:
         """Return the keeper to ask for operations, None if there is none."""
--- a/src/chicoryusher/tasks/pool/running_work.py
+++ b/src/chicoryusher/tasks/pool/running_work.py
@@ -88,6 +88,10 @@
             )
         return transaction.conn_owner
 
+    def get(self, work_id: core.WorkId) -> sessions.Attempt | None:
+        """Return the attempt of a piece of work, None if it has none."""
+        return self._attempts.get(work_id)
+
     def has(self, attempt: sessions.Attempt) -> bool:
         """Return whether an attempt has work at an instance."""
         return attempt.work_id in self._attempts
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -57,7 +57,11 @@
     caller's team, None without teams. ``allowance_id`` is set while it waits
     for its part of its team's limit; it may be sent until
     ``allowance_expires_at`` (``Clock.boottime``). ``was_failed`` is set once
-    it runs again because an instance has failed it.
+    it runs again because an instance has failed it. ``waits_for_change`` is
+    whether it waits, or has waited, for the announced end of a change of
+    primary.
+    ``sent_without_lease`` is whether it was sent to the primary without a
+    lease, and ``evidence`` what instances have said about its answer.
     """
 
     session: PoolSession
@@ -84,6 +88,14 @@
     allowance_id: core.AllowanceId | None = None
     allowance_expires_at: float = float('-inf')
     was_failed: bool = False
+    waits_for_change: bool = False
+    sent_without_lease: bool = False
+    evidence: core.EvidenceGiven | None = None
+
+    @property
+    def is_proved(self) -> bool:
+        """Return whether instances have confirmed its answer."""
+        return self.evidence is not None and self.evidence.proved
 
     @property
     def writes(self) -> bool:
@@ -99,6 +111,12 @@
             return True
         return self.writes and self.session.transaction is None
 
+    @property
+    def commits_change(self) -> bool:
+        """Return whether its success means that a change was committed."""
+        transaction = self.session.transaction
+        return self.may_commit and (transaction is None or transaction.wrote)
+
 
 class SessionOwner(Protocol):
     """The methods of the sessions' owner that chart actions call."""
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -75,8 +75,13 @@
         own: core.EntryVmRow,
         regions: dict[core.ZoneName, core.RegionName],
         feeds: dict[core.StoreView, core.TaskName],
+        evidence: core.EvidenceMode = core.EvidenceMode.OFF,
     ) -> None:
         super().__init__(loop, vm, 'exchange')
+        # The tasks that need to know until when this VM has its lease.
+        self._lease_users = (names.dispatcher(vm),)
+        if evidence is core.EvidenceMode.USE:
+            self._lease_users += (names.evidence_collector(vm),)
         self._clock = loop.clock
         self._own_row = own_row.OwnRow(own)
         self._own_place = core.EntryVmZone(vm, own.zone)
@@ -149,6 +154,7 @@
         kind = core.StoreView.INSTANCES
         self._note_era(core.era_of(message.revision))
         if self._store_if_newer(kind, message.revision, message):
+            self._peers.instance_lists.record(self.vm, message.revision)
             self.send(names.primary_manager(self.vm), message)
             self._pass_on()
 
@@ -245,7 +251,8 @@
         if self._own_row.has_left:
             return
         until = self._views[_LEADERS].expires_at()
-        self.send(names.dispatcher(self.vm), core.PrimaryLeaseUpdate(until))
+        for user in self._lease_users:
+            self.send(user, core.PrimaryLeaseUpdate(until))
         valid = self._clock.boottime() < until
         if valid and not self._had_lease:
             self._had_lease = True
@@ -463,7 +470,9 @@
                 grants,
                 asked_at,
             )
-        digest, live, list_revision = self._peers.live_report(ping, self.now())
+        digest, live, list_revision, instances_revision = (
+            self._peers.live_report(ping, self.now())
+        )
         pong = core.Pong(
             self.vm,
             ping.sequence,
@@ -476,6 +485,7 @@
             not self._polling.is_turned_away(self.vm, self.now()),
             self._era,
             list_revision,
+            instances_revision,
         )
         self._send_to_peer(ping.vm, pong)
 
@@ -657,7 +667,6 @@
 
         Changes of primary then no longer wait for this VM.
         """
-        self.send(
-            names.dispatcher(self.vm), core.PrimaryLeaseUpdate(float('-inf'))
-        )
+        for user in self._lease_users:
+            self.send(user, core.PrimaryLeaseUpdate(float('-inf')))
         self._write_row(self._own_row.leave())
--- a/src/chicoryusher_standins/pool/fleet.py
+++ b/src/chicoryusher_standins/pool/fleet.py
@@ -134,7 +134,7 @@
             self._manager,
             rows,
             exchange,
-            limiter.Limiter(loop, name, core.LimitTolerance()),
+            limiter.Limiter(loop, name, core.LimitTolerance(), zone, REGIONS),
             limit_keeper.LimitKeeper(loop, name, core.LimitTolerance()),
             _Peers(loop, name, fleet),
             _Receiver(loop, name, names.reachability_monitor(name)),
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -10,7 +10,7 @@
 
 from chicoryusher import core
 
-__all__ = ['Connection', 'Group', 'Instance', 'Run']
+__all__ = ['Connection', 'Group', 'Instance', 'Run', 'decode_status']
 
 # Usual time from a command to its reply.
 REPLY_DELAY_S = 0.005
@@ -58,6 +58,7 @@
     new one in time.  ``busy``: refuses statements.  ``lose_answers``: runs
     commands and drops their replies.  ``fails_every``: fails one statement
     of so many.  ``reply_delay``: seconds from a command to its reply.
+    ``statuses`` counts the status commands on its connections.
     """
 
     def __init__(self, group: Group, entry: core.InstanceEntry) -> None:
@@ -78,6 +79,7 @@
         self.reply_delay = REPLY_DELAY_S
         self.run_count = 0
         self.leads_at = 0.0
+        self.statuses = 0
 
     @property
     def name(self) -> core.InstanceName:
@@ -244,7 +246,24 @@
 def _report_state(
     instance: Instance, conn: Connection, command: core.Command
 ) -> core.CommandReply:
-    return instance.reply(conn, digest='-')
+    instance.statuses += 1
+    if instance.busy:
+        return instance.refuse(conn, core.Refusal.BUSY)
+    fields = (instance.role.value, instance.term, instance.received)
+    return instance.reply(conn, None, tuple(map(str, fields)), '-')
+
+
+def decode_status(reply: core.CommandReply) -> core.InstanceState | None:
+    """Return the state in the reply to STATUS, None in other replies."""
+    if reply.refusal is not None or len(reply.rows) != 3:
+        return None
+    role, term, received = reply.rows
+    position = core.Position(
+        core.Term(int(term)), core.LogPosition(int(received))
+    )
+    return core.InstanceState(
+        core.Role(role), position.term, position, position
+    )
 
 
 _OPS = {
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -12,6 +12,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import dispatcher as dispatcher_module
+from chicoryusher.tasks.pool import evidence_collector
 from chicoryusher.tasks.pool import forwarder
 from chicoryusher.tasks.pool import primary_manager as primary_manager_module
 from chicoryusher.tasks.pool import reachability
@@ -106,14 +107,23 @@
         self.links: dict[core.InstanceName, links.SimLink] = {}
         SimPeers(site.loop, vm, site)
         self.keeper = primary_manager_module.PrimaryManager(
-            site.loop, vm, self.task_name
+            site.loop,
+            vm,
+            self.task_name,
+            site.evidence,
+            site.announces_changes,
+        )
+        self.collector = evidence_collector.EvidenceCollector(
+            site.loop, vm, site.evidence, group_module.decode_status
         )
         reachability.ReachabilityMonitor(site.loop, vm, self.row.zone)
         forwarder.Forwarder(site.loop, vm)
         relay.Relay(site.loop, vm)
-        limiter.Limiter(site.loop, vm, core.LimitTolerance())
+        limiter.Limiter(
+            site.loop, vm, core.LimitTolerance(), self.row.zone, REGIONS
+        )
         self.limit_keeper = limit_keeper.LimitKeeper(
-            site.loop, vm, core.LimitTolerance()
+            site.loop, vm, site.limit_tolerance
         )
         rows = store_module.SimRows(site.loop, vm, site.store, site.entries)
         self._exchange = view_exchange.ViewExchange(
@@ -122,6 +132,7 @@
             self.row,
             REGIONS,
             dict.fromkeys(store_module.POLLED_VIEWS, rows.task_name),
+            site.evidence,
         )
         self.desk = dispatcher_module.Dispatcher(
             site.loop,
@@ -132,10 +143,11 @@
                 REGIONS,
                 REVOCATION_S,
                 site.paces_instances,
+                site.evidence,
             ),
         )
         groups = (site.group,)
-        links.SimProber(site.loop, vm, groups, site.cut)
+        self.prober = links.SimProber(site.loop, vm, groups, site.cut)
         self.promotions = links.SimPromotions(
             site.loop, vm, groups, site.tokens
         )
@@ -190,8 +202,14 @@
         vms: int = 3,
         store: store_module.Store | None = None,
         paces_instances: bool = False,
+        evidence: core.EvidenceMode = core.EvidenceMode.OFF,
+        announces_changes: bool = False,
+        limit_tolerance: core.LimitTolerance | None = None,
     ) -> None:
+        self.limit_tolerance = limit_tolerance or core.LimitTolerance()
         self.paces_instances = paces_instances
+        self.evidence = evidence
+        self.announces_changes = announces_changes
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.group = group_module.Group(SERVICE, ZONES)
--- a/tests/decisions/test_limit_shares.py
+++ b/tests/decisions/test_limit_shares.py
@@ -123,3 +123,17 @@
     assert not choice.record_answer(C, 0.2)
     assert choice.record_answer(A, 0.6)
     assert choice.better(A, 0.7) is None
+
+
+def test_each_of_two_equal_regions_has_keepers_of_its_own():
+    vms = [core.VmName(f'vm{number}') for number in range(64)]
+    near = frozenset(vms[:32])
+    order = decisions.sort_limit_keepers(SLOT, vms, near)
+    assert set(order[:32]) == near
+    assert sorted(order) == sorted(vms)
+
+
+def test_a_region_with_few_vms_shares_the_keepers_of_the_others():
+    vms = [core.VmName(f'vm{number}') for number in range(64)]
+    order = decisions.sort_limit_keepers(SLOT, vms, frozenset(vms[:8]))
+    assert order == decisions.sort_limit_keepers(SLOT, vms)
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -8,6 +8,7 @@
 from chicoryusher import charts
 from chicoryusher_standins.model import authority
 from chicoryusher_standins.model import check
+from chicoryusher_standins.model import evidence
 from chicoryusher_standins.model import joining
 from chicoryusher_standins.model import limits
 from chicoryusher_standins.model import registration
@@ -24,6 +25,7 @@
 MAX_MUTANT_STATES = {
     'authority': 60_000,
     'holders': 60_000,
+    'evidence': 60_000,
     'restored': 40_000,
     'paused_coordinator': 20_000,
     'late_registration': 40_000,
@@ -60,6 +62,14 @@
         (name, limits.limits(rules, int(name in limits.MUTANTS_WITH_RESTART)))
         for name, rules in limits.MUTANTS.items()
     ),
+    *(
+        (name, evidence.evidence(rules))
+        for name, rules in evidence.MUTANTS.items()
+    ),
+    *(
+        (name, evidence.evidence(rules, restarts=1))
+        for name, rules in evidence.RESTART_MUTANTS.items()
+    ),
     *(
         (name, protocol(rules))
         for protocol, mutants in (
@@ -94,6 +104,7 @@
         authority.holders(max_revision=MAX_REVISION),
         joining.joining(),
         limits.limits(),
+        evidence.evidence(),
         registration.registration(),
         *RESTORED,
     ],
@@ -127,6 +138,7 @@
         authority.holders(max_revision=MAX_REVISION),
         joining.joining(),
         limits.limits(),
+        evidence.evidence(),
         registration.registration(),
         *RESTORED,
     ],
--- a/tests/tasks/limit_sites.py
+++ b/tests/tasks/limit_sites.py
@@ -16,6 +16,7 @@
 
 TOLERANCE = core.LimitTolerance()
 # Keepers that grant the limit itself and nothing of what is tolerated.
+ZONE = core.ZoneName('akhmim-yard')
 EXACT = core.LimitTolerance(ratio=0.0, requests=0.0)
 PEER_DELAY_S = 0.003
 # Seconds for which an operation can wait, by default.
@@ -95,7 +96,7 @@
             task.end()
         self.loop.run_for(0.0)
         self._tasks[vm] = (
-            limiter.Limiter(self.loop, vm, TOLERANCE),
+            limiter.Limiter(self.loop, vm, TOLERANCE, ZONE, {}),
             limit_keeper.LimitKeeper(self.loop, vm, EXACT),
         )
         for task in self._tasks[vm]:
--- a/tests/tasks/test_pool_limited_statements.py
+++ b/tests/tasks/test_pool_limited_statements.py
@@ -9,6 +9,8 @@
 
 KEY = core.KeyDigest('a1')
 RED = core.Team(core.TeamName('red'), (KEY,), rate=4.0, burst=4.0)
+# Keepers grant the limit itself and nothing of what is tolerated.
+EXACT = core.LimitTolerance(ratio=0.0, requests=0.0)
 PRIMARY = core.ReadAccess.PRIMARY
 BEGIN = core.Statement(core.Verb.BEGIN, 'BEGIN')
 COMMIT = core.Statement(core.Verb.COMMIT, 'COMMIT')
@@ -22,7 +24,7 @@
 
 @pytest.fixture
 def site():
-    with pool_sites.checked_site(3) as site:
+    with pool_sites.checked_site(3, limit_tolerance=EXACT) as site:
         set_teams(site, RED)
         yield site
 
