Let small teams use nearly all that a limit's window may have

Change: the burst that keepers hold for small teams is smaller, and fewer keepers may hold a whole operation of it.

--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -25,17 +25,19 @@
 # arrivals which are bunched by chance are not over the limit.
 BURST_SHARE = 0.15
 # The same for small teams, and up to how many operations.
-SMALL_BURST_SHARE = 0.3
-SMALL_BURST = 10.0
+SMALL_BURST_SHARE = 0.2
+SMALL_BURST = 4.0
 # Share of what a window may have that is not granted.
 MARGIN_SHARE = 0.03
 # Seconds by which an operation may be started later than it was granted.
-LATE_START_S = 0.3
+LATE_START_S = 0.5
+# Share of what a window may have that late starts leave free as well.
+LATE_MARGIN_SHARE = 0.001
 MAX_VALIDITY_S = 2.0
 MIN_VALIDITY_S = 0.2
 # Least share with which a keeper holds one operation of a team whose burst
-# is smaller; at most ten keepers have it at a time.
-MIN_OPERATION_SHARE = 0.1
+# is smaller; at most three keepers have it at a time.
+MIN_OPERATION_SHARE = 0.33
 # Seconds of the rate that a bucket holds at least, so that none is lost while
 # the VM whose turn it is asks.
 MIN_CAPACITY_S = 0.1
@@ -58,9 +60,8 @@
     """
     granted_rate, granted_burst = granted_limit(rate, burst, tolerance)
     window_s = tolerance.window_s
-    late = _window_limit(rate, burst, tolerance)
+    late = _window_limit(rate, burst, tolerance) * (1.0 - LATE_MARGIN_SHARE)
     late -= _most_held(granted_rate, granted_burst) + granted_rate * window_s
-    late -= 1.0 / MIN_OPERATION_SHARE
     validity_s = late / max(granted_rate, _ROUNDING)
     return min(MAX_VALIDITY_S, max(MIN_VALIDITY_S, validity_s))
 
