Leave ejections to faults, not to load, and count what was given up

Cause: with slots that are counted, four faults showed. Replicas that were overloaded were ejected, which moved their load on. Reads waited at a slow replica until no time was left. Owners opened connections for work that the pace held back. Service times and waits lacked what was given up. Change: an outlier is slower than its slowest peer, over ten read times, and reads given up count as slow, not as failed; the first try of a read waits at a replica for 0.4 of the target; a team that has a connection needs no further ones while the pace holds work back; timeouts count in the mean and the wait; times decay, so that a slow replica is tried again.

--- a/src/chicoryusher/decisions/instance_pace.py
+++ b/src/chicoryusher/decisions/instance_pace.py
@@ -83,7 +83,10 @@
         """
 
     def record_refusal(self, now: float) -> None:
-        """Record that the instance was busy, or did not answer in time."""
+        """Record that the instance was busy."""
+
+    def record_timeout(self, seconds: float, now: float) -> None:
+        """Record a statement that was given up after so many seconds."""
 
     def expected_wait(self, ahead: int, running: int, most: int) -> float:
         """Return the seconds that new work waits behind ``ahead`` others."""
@@ -119,6 +122,9 @@
     def record_refusal(self, now: float) -> None:
         """Ignore the refusal."""
 
+    def record_timeout(self, seconds: float, now: float) -> None:
+        """Ignore the timeout."""
+
     def expected_wait(self, ahead: int, running: int, most: int) -> float:
         """Return 0: no wait is known."""
         return 0.0
@@ -195,7 +201,7 @@
         self._limit = min(self._limit + step, float(max(1, most)))
 
     def record_refusal(self, now: float) -> None:
-        """Record that the instance was busy, or did not answer in time.
+        """Record that the instance was busy.
 
         Further refusals within the time of one statement answer what was
         sent before the decrease, and change nothing.
@@ -203,6 +209,14 @@
         if now - self._decreased_at >= self._mean_s:
             self._decrease(REFUSAL_RATIO, 1.0, now)
 
+    def record_timeout(self, seconds: float, now: float) -> None:
+        """Record a statement that was given up after so many seconds.
+
+        It would have taken longer still.
+        """
+        self._mean_s += MEAN_SAMPLE_RATIO * (seconds - self._mean_s)
+        self.record_refusal(now)
+
     def _decrease(self, ratio: float, floor: float, now: float) -> None:
         self._limit = max(self._limit * ratio, floor)
         self._fast_until = self._limit
--- a/src/chicoryusher/decisions/outliers.py
+++ b/src/chicoryusher/decisions/outliers.py
@@ -20,8 +20,9 @@
 # Results of an instance that are compared, and seconds for which they count.
 WINDOW_RESULTS = 20
 RESULT_LIFETIME_S = 10.0
-# Results that an instance needs before it can be an outlier.
+# Results, and read times, that an instance needs before they are compared.
 MIN_RESULTS = 5
+MIN_TIMES = 10
 # Failed reads, and their share, from which an instance is an outlier.  Its
 # peers must fail at less than half of its share: a statement that fails
 # everywhere is no fault of an instance.
@@ -29,10 +30,11 @@
 FAILURE_SHARE = 0.3
 PEER_FAILURE_RATIO = 0.5
 # Read times are compared by this quantile, which a few long statements don't
-# move.  An outlier takes this many times as long as the fastest of its
-# peers, and this many seconds longer: a round trip to another region is none.
+# move.  An outlier takes this many times as long as the slowest of its
+# peers, since load makes all of them slow, and this many seconds longer: a
+# round trip to another region is none.
 QUANTILE = 0.25
-SLOW_RATIO = 3.0
+SLOW_RATIO = 4.0
 SLOW_EXCESS_S = 0.03
 # Seconds without reads after an ejection; each one that follows doubles it.
 MIN_PAUSE_S = 0.5
@@ -87,7 +89,7 @@
         """Return the share of failed reads."""
         return self.failures / len(self._results) if self._results else 0.0
 
-    def typical_time(self, min_count: int = MIN_RESULTS) -> float | None:
+    def typical_time(self, min_count: int = MIN_TIMES) -> float | None:
         """Return the compared time in seconds, None with too few results."""
         times = sorted(
             seconds
@@ -128,6 +130,8 @@
     ) -> bool:
         """Record a read; return whether the standing has changed.
 
+        A read that was given up after ``seconds`` has not failed: it counts
+        as that slow, since load may be the reason.
         ``seconds`` is how long the instance took, None if that is not known.
         ``replicas`` are those that may serve reads.
         """
@@ -175,15 +179,15 @@
         )
 
     def _is_slow(
-        self, results: InstanceResults, min_count: int = MIN_RESULTS
+        self, results: InstanceResults, min_count: int = MIN_TIMES
     ) -> bool:
         own = results.typical_time(min_count)
         times = [peer.typical_time() for peer in self._peers_of(results)]
         known = [seconds for seconds in times if seconds is not None]
         if own is None or not known:
             return False
-        best = min(known)
-        return own > SLOW_RATIO * best and own > best + SLOW_EXCESS_S
+        slowest = max(known)
+        return own > max(SLOW_RATIO * slowest, slowest + SLOW_EXCESS_S)
 
     def _peers_of(self, results: InstanceResults) -> list[InstanceResults]:
         """Return the results of the other instances that serve."""
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -212,6 +212,7 @@
             now,
             begin_kind,
             min_position,
+            self._selector.queue_limit(attempt),
         )
         self._send_work(attempt, name, work)
 
--- a/src/chicoryusher/tasks/pool/conn_opening.py
+++ b/src/chicoryusher/tasks/pool/conn_opening.py
@@ -63,21 +63,19 @@
     def open_for_queue(
         self,
         queued: Iterable[core.TeamName | None],
-        free: Iterable[core.TeamName | None],
         at_once: int,
         now: float,
     ) -> None:
         """Open a connection for each queued work, up to this VM's limit.
 
-        ``queued`` has the team of each piece of work, and ``free`` that of
-        each connection that waits for its turn.  No more than ``at_once``
-        connections are being opened together.
+        ``queued`` has the team of each piece of work.  No more than
+        ``at_once`` connections are being opened together.
         """
         if self.is_paused(now):
             return
         connecting = self._conns.connecting_teams()
         wanted = decisions.conns_to_open(
-            queued, [*connecting, *free], at_once - len(connecting)
+            queued, connecting, at_once - len(connecting)
         )
         for team in wanted:
             if len(self._conns) >= self.share.max_open:
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -348,7 +348,7 @@
                 reply.transaction_status,
                 sent_at,
                 asked_at,
-                self._pace.expected_wait(ahead),
+                self._pace.known_wait(work, ahead, ended),
                 None if sent_at is None else self.now() - sent_at,
             ),
         )
@@ -371,7 +371,7 @@
         for conn in self._conns.awaiting_reply():
             ended = pool_timeouts.passed_limit(conn, now)
             if ended is not None:
-                self._pace.record_timeout()
+                self._pace.record_timeout(now - conn.sent_at)
                 self.close(conn, ended)
         self._check_unresponsive(now)
         self._opener.close_surplus(now)
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -137,9 +137,11 @@
     now: float,
     begin_kind: core.TransactionKind | None,
     min_position: core.Position | None,
+    queue_limit: float,
 ) -> core.Work:
     """Create the work for an instance pool from the statement.
 
+    It waits for a connection for ``queue_limit`` seconds at most.
     ``min_position`` is the log position that a replica must have reached.
     """
     session = attempt.session
@@ -153,7 +155,7 @@
         attempt.shape,
         tuple(session.values.items()),
         route.priority,
-        latest_start(attempt),
+        min(latest_start(attempt), now + queue_limit),
         attempt.arrived_at + route.statement_timeout - now,
         min(
             route.latency_target * READ_TIMEOUT_TARGET_SHARE,
--- a/src/chicoryusher/tasks/pool/pool_pace.py
+++ b/src/chicoryusher/tasks/pool/pool_pace.py
@@ -34,6 +34,7 @@
         self._pace = decisions.PACES.get(policy)(entry.slots)
         self._conns = conns
         self._opener = opener
+        self._shown_limit = 0
 
     @property
     def _running(self) -> int:
@@ -54,12 +55,28 @@
     def open_for_queue(
         self, queued: Iterable[core.TeamName | None], now: float
     ) -> None:
-        """Open connections for queued work that has none."""
-        free = []
+        """Open connections for queued work that has none.
+
+        While the pace holds work back, a team that has a connection needs no
+        more of them.
+        """
         if not self.allows_start():
-            free = [conn.team for conn in self._conns.idle()]
+            teams = {conn.team for conn in self._conns.all()}
+            queued = (team for team in queued if team not in teams)
         at_once = self._pace.connecting_limit(self._running, self._most)
-        self._opener.open_for_queue(queued, free, at_once, now)
+        self._opener.open_for_queue(queued, at_once, now)
+
+    def known_wait(
+        self, work: core.Work, ahead: int, ended: core.Completion
+    ) -> float:
+        """Return the seconds that work like ``work`` waits now.
+
+        Work that was not started has waited for so long already.
+        """
+        wait = self.expected_wait(ahead)
+        if ended is core.Completion.NOT_STARTED:
+            wait = max(wait, self._host.now() - work.enqueued_at)
+        return wait
 
     def expected_wait(self, ahead: int) -> float:
         """Return the seconds that new work waits behind ``ahead`` others."""
@@ -101,15 +118,18 @@
             self._pace.record_refusal(now)
         self._show()
 
-    def record_timeout(self) -> None:
-        """Record that a statement was given up."""
-        self._pace.record_refusal(self._host.now())
+    def record_timeout(self, seconds: float) -> None:
+        """Record that a statement was given up after so many seconds."""
+        self._pace.record_timeout(seconds, self._host.now())
         self._show()
 
     def _show(self) -> None:
         if self._policy is core.LoadPolicy.PLAIN:
             return
         limit = self._pace.limit(self._most)
+        if limit == self._shown_limit:
+            return
+        self._shown_limit = limit
         self._host.meters.show(
             core.Metric.PACE, float(limit), instance=self._name
         )
--- a/src/chicoryusher/tasks/pool/selectors.py
+++ b/src/chicoryusher/tasks/pool/selectors.py
@@ -18,6 +18,10 @@
 
 __all__ = ['SELECTORS', 'Selector']
 
+# Seconds from which a read that was given up counts as slow, not as failed.
+GIVEN_UP_S = 0.2
+# Share of the latency target for which a read waits for a replica.
+QUEUE_TARGET_SHARE = 0.4
 # Refusals of a statement that the instance has run.
 _RAN = (core.Refusal.FAILED, core.Refusal.TIMEOUT)
 
@@ -55,6 +59,12 @@
     ) -> bool:
         """Return whether a statement that failed may run once more."""
 
+    def queue_limit(self, attempt: sessions.Attempt) -> float:
+        """Return how many seconds a statement may wait for a connection.
+
+        It may not wait beyond its latest start in any case.
+        """
+
 
 SELECTORS: core.Registry[
     Callable[[runtime.Task, group_table_module.GroupTable], Selector]
@@ -107,6 +117,10 @@
         """Return False: the caller gets the error."""
         return False
 
+    def queue_limit(self, attempt: sessions.Attempt) -> float:
+        """Return no limit."""
+        return float('inf')
+
 
 @SELECTORS.register(core.LoadPolicy.PACED)
 class PacedSelector:
@@ -164,10 +178,11 @@
             load.record_wait(attempt.team, ended.expected_wait, now)
         if ended.sent_at is None:
             return
-        seconds = ended.run_time
-        if seconds is None:
-            seconds = now - ended.sent_at
-        if ended.completion is core.Completion.ANSWERED:
+        seconds = now - ended.sent_at
+        if (
+            ended.completion is core.Completion.ANSWERED
+            or seconds >= GIVEN_UP_S
+        ):
             load.record_service_time(seconds)
             load.served_at = now
         if _is_plain_read(attempt):
@@ -202,6 +217,18 @@
         failed = ended.refusal is core.Refusal.FAILED
         return failed and not attempt.was_failed and _is_plain_read(attempt)
 
+    def queue_limit(self, attempt: sessions.Attempt) -> float:
+        """Return a part of the target for the first try of a read.
+
+        So a read that waited in vain at a replica has time left for another
+        instance.  There it waits as long as it can: where all are full,
+        going on would only bring the reads of replicas to the primary.
+        """
+        first = attempt.try_count <= 1 and not attempt.at_primary
+        if not first or not _is_plain_read(attempt):
+            return float('inf')
+        return attempt.route.latency_target * QUEUE_TARGET_SHARE
+
     def _report(
         self, name: core.InstanceName, standing: core.Standing
     ) -> None:
@@ -233,5 +260,6 @@
         if ended.refusal is None:
             return False
         return True if ended.refusal in _RAN else None
-    by_owner = attempt.conn_owner is None or ended.expected_wait is not None
-    return True if by_owner else None
+    if attempt.conn_owner is not None and ended.expected_wait is None:
+        return None
+    return ended.run_time is None or ended.run_time < GIVEN_UP_S
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
 import itertools
+from collections.abc import Callable
 
 from chicoryusher import core
 
@@ -58,6 +60,8 @@
     new one in time.  ``busy``: refuses statements.  ``lose_answers``: runs
     commands and drops their replies.  ``fails_every``: fails one statement
     of so many.  ``reply_delay``: seconds from a command to its reply.
+    ``work_time``: returns the seconds that a statement takes one of the slots;
+    without it, slots are not counted.
     """
 
     def __init__(self, group: Group, entry: core.InstanceEntry) -> None:
@@ -77,6 +81,9 @@
         self.fails_every = 0
         self.reply_delay = REPLY_DELAY_S
         self.run_count = 0
+        self.work_time: Callable[[], float] | None = None
+        # When each slot has done the work that was given to it.
+        self._slots_free_at = [0.0] * entry.slots
         self.leads_at = 0.0
 
     @property
@@ -102,6 +109,20 @@
             self.position(self.applied),
         )
 
+    def delay(self, now: float, seconds: float) -> float:
+        """Return the seconds until a free slot has done so much work."""
+        if self.work_time is None:
+            return self.reply_delay
+        start = max(now, heapq.heappop(self._slots_free_at))
+        heapq.heappush(self._slots_free_at, start + seconds)
+        return self.reply_delay + start + seconds - now
+
+    def statement_delay(self, now: float, op: core.Op) -> float:
+        """Return the seconds from a command to its reply."""
+        if self.work_time is None or op is not Op.RUN:
+            return self.reply_delay
+        return self.delay(now, self.work_time())
+
     def run(
         self, conn: Connection, command: core.Command
     ) -> core.CommandReply:
--- a/src/chicoryusher_standins/pool/links.py
+++ b/src/chicoryusher_standins/pool/links.py
@@ -14,6 +14,8 @@
 # Time in which a connection is accepted or refused.
 REPLY_DELAY_S = 0.005
 CONNECT_TIMEOUT_S = 0.3
+# Seconds for which a new connection takes a slot, where slots are counted.
+OPENING_WORK_S = 0.012
 PROMOTE_DELAY_S = 0.3
 
 
@@ -84,9 +86,8 @@
                 REPLY_DELAY_S,
             )
         else:
-            self._send_delayed(
-                conn_id, core.LinkOpened(conn_id, None), REPLY_DELAY_S
-            )
+            delay = self._instance.delay(self.now(), OPENING_WORK_S)
+            self._send_delayed(conn_id, core.LinkOpened(conn_id, None), delay)
 
     @runtime.handles(core.SendCommands)
     def _on_send(self, message: core.SendCommands) -> None:
@@ -104,7 +105,7 @@
                 self._send_delayed(
                     conn_id,
                     core.LinkReply(conn_id, reply),
-                    self._instance.reply_delay,
+                    self._instance.statement_delay(self.now(), command.op),
                 )
 
     @runtime.handles(core.CloseLink)
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -94,6 +94,24 @@
     assert group.standing(FAR) is SERVING
 
 
+def test_instances_that_are_all_overloaded_are_not_ejected():
+    """Ejections under load sent it all to one replica, and then the other."""
+    group = Group()
+    group.slowness = {NEAR: 6.0, FAR: 4.0}
+    group.run(20.0)
+    assert {group.standing(name) for name in group.reads} == {SERVING}
+
+
+def test_a_replica_on_which_reads_are_given_up_is_ejected():
+    group = Group()
+    for number in range(60):
+        now = 100.0 + number * 0.1
+        group.outliers.record(PRIMARY, False, 0.02, REPLICAS, now)
+        group.outliers.record(NEAR, False, 0.27, REPLICAS, now)
+        group.outliers.record(FAR, False, 0.02, REPLICAS, now)
+    assert group.standing(NEAR) is not SERVING
+
+
 def test_a_statement_that_fails_everywhere_ejects_nobody():
     group = Group()
     group.failing = dict.fromkeys((PRIMARY, NEAR, FAR), 0.5)
