Don't take a replica for fast because it fails fast

Cause: the time of errors and refusals counted as service time, so a grey instance that failed at once looked like the fastest and drew reads. The gauge of ejected instances also stayed at 1 when such an instance started again. Change: with paced instances only the time of answers, and of what was given up, counts; the gauge is reset when an instance has gone.

--- a/src/chicoryusher/decisions/outliers.py
+++ b/src/chicoryusher/decisions/outliers.py
@@ -116,9 +116,14 @@
         results = self._results.get(name)
         return core.Standing.SERVING if results is None else results.state
 
-    def forget(self, name: core.InstanceName) -> None:
-        """Forget an instance that has gone or has started again."""
+    def forget(self, name: core.InstanceName) -> bool:
+        """Forget an instance that has gone or has started again.
+
+        Return whether its standing has changed.
+        """
+        changed = self.standing(name) is not core.Standing.SERVING
         self._results.pop(name, None)
+        return changed
 
     def record(
         self,
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -164,7 +164,9 @@
         )
         for name in removed:
             del group.instances[name]
-            group.outliers.forget(name)
+            if group.outliers.forget(name):
+                ejected = core.Metric.EJECTED
+                self._dispatcher.meters.show(ejected, 0.0, instance=name)
             self._close_pool(name)
         for entry in message.entries:
             self._add_or_update(group, entry)
--- a/src/chicoryusher/tasks/pool/selectors.py
+++ b/src/chicoryusher/tasks/pool/selectors.py
@@ -170,7 +170,10 @@
         ended: core.WorkEnded,
         now: float,
     ) -> None:
-        """Record the wait, the time and the outcome of a statement."""
+        """Record the wait, the time and the outcome of a statement.
+
+        Refusals and errors come fast; their time says nothing.
+        """
         load = group.instances.get(ended.instance)
         if load is None:
             return
@@ -179,10 +182,8 @@
         if ended.sent_at is None:
             return
         seconds = now - ended.sent_at
-        if (
-            ended.completion is core.Completion.ANSWERED
-            or seconds >= GIVEN_UP_S
-        ):
+        answered = ended.completion is core.Completion.ANSWERED
+        if answered and ended.refusal is None or seconds >= GIVEN_UP_S:
             load.record_service_time(seconds)
             load.served_at = now
         if _is_plain_read(attempt):
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -179,5 +179,6 @@
     group = Group()
     group.failing[NEAR] = 1.0
     group.run(3.0)
-    group.outliers.forget(NEAR)
+    assert group.outliers.forget(NEAR)
     assert group.standing(NEAR) is SERVING
+    assert not group.outliers.forget(NEAR)
--- a/tests/tasks/test_pool_outliers.py
+++ b/tests/tasks/test_pool_outliers.py
@@ -65,6 +65,17 @@
     assert runs_at(site, grey) - before < 0.2 * (len(site.group.runs) - others)
 
 
+def test_a_replica_does_not_look_fast_because_it_fails_fast(site):
+    """Errors that come sooner than answers brought it more reads."""
+    grey, other = replicas(site)
+    loads = site.vms[0].desk._group_table.groups[grey.entry.service].instances
+    before = loads[grey.name].service_time_s
+    grey.fails_every, grey.reply_delay = 1, 0.0001
+    other.reply_delay = 0.02
+    use(site, 2.0)
+    assert loads[grey.name].service_time_s > 0.9 * before
+
+
 def test_a_replica_that_recovers_is_readmitted(site):
     grey = replicas(site)[0]
     grey.fails_every = 1
