--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -217,7 +217,13 @@
                 'no time left to run the statement',
             )
             return
-        work = self._running.add(attempt, name, begin_kind, min_position)
+        work = self._running.add(
+            attempt,
+            name,
+            begin_kind,
+            min_position,
+            self._selector.queue_limit(attempt),
+        )
         self._log.log_dispatch(
             attempt, min_position, self._lease_seconds_left()
         )
--- a/src/chicoryusher/tasks/pool/running_work.py
+++ b/src/chicoryusher/tasks/pool/running_work.py
@@ -39,6 +39,7 @@
         name: core.InstanceName,
         begin_kind: core.TransactionKind | None,
         min_position: core.Position | None,
+        queue_limit: float,
     ) -> core.Work:
         """Create the work of an attempt for an instance."""
         work_id = core.WorkId(next(self._numbers))
@@ -57,6 +58,7 @@
             self._dispatcher.now(),
             begin_kind,
             min_position,
+            queue_limit,
         )
 
     def send(self, attempt: sessions.Attempt, work: core.Work) -> None:
