Guard evidence from instances against random faults and early ends

Cause: the tests brought one failure about each; a list of a restored store could count as newer than one of the era before.

--- a/src/chicoryusher/decisions/instance_evidence.py
+++ b/src/chicoryusher/decisions/instance_evidence.py
@@ -183,7 +183,15 @@
     shown = {one.vm: one.revision for one in listings.shown}
     if name not in since:
         return False
-    return all(shown.get(vm, 0) >= since[name] for vm in vms)
+    return all(_is_newer(shown.get(vm, 0), since[name]) for vm in vms)
+
+
+def _is_newer(shown: int, since: int) -> bool:
+    """Return whether a list has what was in all lists from ``since`` on.
+
+    A list of another era of the store may be a copy from before.
+    """
+    return core.era_of(shown) == core.era_of(since) and shown >= since
 
 
 def judge_statuses(
--- a/tests/decisions/test_instance_evidence.py
+++ b/tests/decisions/test_instance_evidence.py
@@ -127,6 +127,15 @@
     assert decisions.is_in_lists(SECOND, (), listings)
 
 
+def test_a_list_of_a_restored_store_may_lack_an_instance():
+    """The store has come back older, and counts a new era."""
+    known = known_instances()
+    newer_era = core.revision_in(core.StoreEra(2), 50)
+    lists = (core.ShownList(VM, newer_era),)
+    listings = known.listings(lists, 1.0)
+    assert not decisions.is_in_lists(FIRST, {VM}, listings)
+
+
 @pytest.mark.parametrize('returns', [True, False])
 def test_an_instance_is_new_after_an_absence(returns):
     """It left the list and came back; or nothing confirmed the list."""
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -19,7 +19,9 @@
 import pytest
 
 import stand_ins
+from chicoryusher import core
 from chicoryusher import runtime
+from fleet import settings as fleet_settings
 
 ROOT = pathlib.Path(__file__).parents[2]
 HOST = '127.0.0.1'
@@ -135,6 +137,24 @@
     assert {1001, 1002, 1003, 1010, 5003, 5010} <= set(events)
 
 
+def test_settings_that_are_absent_switch_nothing_on(settings):
+    loaded = fleet_settings.load(settings)
+    assert loaded.evidence is core.EvidenceMode.OFF
+    assert not loaded.announces_changes
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [('instance_evidence', 'on'), ('announce_changes', 'use')],
+)
+def test_a_switch_with_another_value_is_refused(settings, name, value):
+    document = json.loads(settings.read_text())
+    settings.write_text(json.dumps({**document, name: value}))
+    with pytest.raises(core.SettingsError) as refused:
+        fleet_settings.load(settings)
+    assert name in str(refused.value)
+
+
 def test_bad_settings_are_refused_with_every_defect(settings):
     document = json.loads(settings.read_text())
     document.update(grace_s=0, store='nowhere', zone=7)
--- a/tests/tasks/test_pool_evidence.py
+++ b/tests/tasks/test_pool_evidence.py
@@ -248,6 +248,53 @@
     assert ask(site, vm, READ).refusal is Refusal.BUSY
 
 
+def hold_answer(site, vm, *statements):
+    """Return a caller whose last answer is held: a replica is behind."""
+    caller = vm.caller(core.ReadAccess.PRIMARY)
+    for statement in statements[:-1]:
+        pool_sites.ask(site, caller, statement, seconds=0.3)
+    replicas(site)[0].deaf = True
+    before = len(caller.answers)
+    caller.ask(statements[-1])
+    site.run(0.15)
+    assert len(caller.answers) == before
+    return caller
+
+
+def test_a_caller_leaves_while_its_answer_is_held(site):
+    vm = site.vms[0]
+    cut_off(site, vm)
+    assert ask(site, vm, READ).refusal is None
+    caller = hold_answer(site, vm, BEGIN, pool_sites.WRITE, COMMIT)
+    caller.leave()
+    site.run(2.0)
+    assert not pool_sites.pinned_conns(site)
+
+
+def test_a_held_commit_is_unknown_when_the_vm_shuts_down(site):
+    vm = site.vms[0]
+    cut_off(site, vm)
+    assert ask(site, vm, READ).refusal is None
+    caller = hold_answer(site, vm, pool_sites.WRITE)
+    vm.send(vm.desk.task_name, core.AdvanceDrain(core.DrainStage.ANSWERING))
+    site.run(0.01)
+    assert caller.last.refusal is Refusal.UNKNOWN
+
+
+def test_a_transaction_without_evidence_is_rolled_back(site):
+    """A replica is lost after evidence was found, before the transaction."""
+    vm = site.vms[0]
+    cut_off(site, vm)
+    assert ask(site, vm, READ, seconds=0.2).refusal is None
+    replicas(site)[0].dark = True
+    caller = vm.caller(core.ReadAccess.PRIMARY)
+    pool_sites.ask(site, caller, BEGIN, seconds=0.05)
+    caller.ask(READ)
+    site.run(1.5)
+    assert caller.last.refusal is Refusal.ABORTED
+    assert not pool_sites.pinned_conns(site)
+
+
 def test_evidence_ends_some_time_after_the_lease(site):
     vm = site.vms[0]
     cut_off(site, vm)
