Bound what the line protocol's front end holds for callers

Cause: a caller's waiting lines were limited in number and not in bytes, the sum over callers, unread answers and what sessions keep not at all; half a message was awaited for ever; each piece of a line was searched from its start. Change: decisions.CallerWatch accounts what is held for each caller and stops reading, then refuses large statements with BUSY, then closes the largest holders. The limits follow from the memory and descriptors in the settings.

--- a/src/chicoryusher/core/enums.py
+++ b/src/chicoryusher/core/enums.py
@@ -12,6 +12,7 @@
     'ReadAccess',
     'TransactionKind',
     'TransactionStatus',
+    'CallerLimit',
     'ConnState',
     'DaemonState',
     'DrainStage',
@@ -273,6 +274,20 @@
     TOO_LARGE = 'too_large'
 
 
+class CallerLimit(enum.Enum):
+    """Limit that a caller has exceeded.
+
+    OWN_BYTES and ALL_BYTES: what is held for the caller, and for all of them.
+    MESSAGE_TIME: a message did not end in time.  ANSWER_TIME: an answer was
+    not taken in time.
+    """
+
+    OWN_BYTES = 'own_bytes'
+    ALL_BYTES = 'all_bytes'
+    MESSAGE_TIME = 'message_time'
+    ANSWER_TIME = 'answer_time'
+
+
 class Op(enum.Enum):
     """Command that is sent on a connection to an instance."""
 
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -88,6 +88,16 @@
         'a caller did not finish its handshake in time',
     )
     TOKEN_BAD = (2008, LogLevel.WARNING, 'a session token was refused')
+    CALLER_OVER_LIMIT = (
+        2010,
+        LogLevel.WARNING,
+        "a caller's connection was closed because of a limit",
+    )
+    NO_ROOM = (
+        2011,
+        LogLevel.WARNING,
+        'a statement was refused: too much is held for callers',
+    )
     CONN_OPENED = (3001, LogLevel.DEBUG, 'a backend connection is ready')
     CONN_LOST = (3002, LogLevel.WARNING, 'a backend connection was lost')
     CONN_REFUSED = (
--- a/src/chicoryusher/core/metrics.py
+++ b/src/chicoryusher/core/metrics.py
@@ -90,6 +90,24 @@
         (),
         'time for which primaries may still be used; below 0: not any more',
     )
+    HELD_BYTES = (
+        MetricKind.GAUGE,
+        'By',
+        (),
+        'bytes that are held for callers',
+    )
+    CALLERS_CLOSED = (
+        MetricKind.COUNTER,
+        '1',
+        ('limit',),
+        'connections of callers that were closed because of a limit',
+    )
+    STATEMENTS_WITHOUT_ROOM = (
+        MetricKind.COUNTER,
+        '1',
+        ('place',),
+        'statements that were refused because too much is held for callers',
+    )
     POSITION_AGE = (
         MetricKind.GAUGE,
         's',
--- a/src/chicoryusher/core/pooling.py
+++ b/src/chicoryusher/core/pooling.py
@@ -106,7 +106,8 @@
     ``digest`` is the instance's proof that it ran the statement, None
     for a statement that this VM answered without an instance.
     ``transaction_status`` is the state of the session's transaction after the
-    statement.
+    statement. ``kept_bytes`` is what the session keeps for its later
+    statements, None if that has not changed.
     """
 
     session_id: ids.SessionId
@@ -117,6 +118,7 @@
     refusal: enums.Refusal | None = None
     detail: str = ''
     position: position.Position | None = None
+    kept_bytes: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -4,11 +4,13 @@
 
 from chicoryusher.decisions import admission
 from chicoryusher.decisions import bulk_queue
+from chicoryusher.decisions import caller_limits
 from chicoryusher.decisions import config_pointers
 from chicoryusher.decisions import configuration
 from chicoryusher.decisions import conn_owners
 from chicoryusher.decisions import conn_setup
 from chicoryusher.decisions import conn_shares
+from chicoryusher.decisions import deadlines
 from chicoryusher.decisions import evidence
 from chicoryusher.decisions import exchange_graph
 from chicoryusher.decisions import failover
@@ -18,6 +20,7 @@
 from chicoryusher.decisions import group_health
 from chicoryusher.decisions import handshakes
 from chicoryusher.decisions import heartbeat_targets
+from chicoryusher.decisions import held_bytes
 from chicoryusher.decisions import idempotency
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
@@ -39,11 +42,13 @@
 from chicoryusher.decisions import zones
 from chicoryusher.decisions.admission import *  # noqa: F403
 from chicoryusher.decisions.bulk_queue import *  # noqa: F403
+from chicoryusher.decisions.caller_limits import *  # noqa: F403
 from chicoryusher.decisions.config_pointers import *  # noqa: F403
 from chicoryusher.decisions.configuration import *  # noqa: F403
 from chicoryusher.decisions.conn_owners import *  # noqa: F403
 from chicoryusher.decisions.conn_setup import *  # noqa: F403
 from chicoryusher.decisions.conn_shares import *  # noqa: F403
+from chicoryusher.decisions.deadlines import *  # noqa: F403
 from chicoryusher.decisions.evidence import *  # noqa: F403
 from chicoryusher.decisions.exchange_graph import *  # noqa: F403
 from chicoryusher.decisions.failover import *  # noqa: F403
@@ -53,6 +58,7 @@
 from chicoryusher.decisions.group_health import *  # noqa: F403
 from chicoryusher.decisions.handshakes import *  # noqa: F403
 from chicoryusher.decisions.heartbeat_targets import *  # noqa: F403
+from chicoryusher.decisions.held_bytes import *  # noqa: F403
 from chicoryusher.decisions.idempotency import *  # noqa: F403
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
@@ -87,6 +93,7 @@
 __all__ = [
     *admission.__all__,
     *bulk_queue.__all__,
+    *caller_limits.__all__,
     *configuration.__all__,
     *gate_directory.__all__,
     *evidence.__all__,
@@ -112,9 +119,11 @@
     *vm_liveness.__all__,
     *exchange_graph.__all__,
     *handshakes.__all__,
+    *held_bytes.__all__,
     *primary_positions.__all__,
     *reader_selection.__all__,
     *conn_shares.__all__,
+    *deadlines.__all__,
     *failover.__all__,
     *conn_setup.__all__,
     *work_queue.__all__,
--- a/src/chicoryusher/decisions/conn_setup.py
+++ b/src/chicoryusher/decisions/conn_setup.py
@@ -16,22 +16,64 @@
 
 # Prepared statements that a connection has before it is reset.
 MAX_PREPARED_STATEMENTS = 256
+# Bytes of values and prepared statements that are remembered for a connection
+# while it is free.
+MAX_REMEMBERED_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(slots=True)
 class ConnSessionState:
-    """Session variables and prepared statements set on a connection."""
+    """Session variables and prepared statements set on a connection.
+
+    ``prepared_count`` is how many statements were prepared since the last
+    reset, and ``prepared_bytes`` the size of those in ``prepared``.
+    ``must_reset`` is set if the connection has more than is remembered here.
+    """
 
     values: dict[str, str] = dataclasses.field(default_factory=dict)
     prepared: dict[core.PreparedQuery, str] = dataclasses.field(
         default_factory=dict
     )
+    prepared_count: int = 0
+    prepared_bytes: int = 0
+    must_reset: bool = False
+
+    def clear(self) -> None:
+        """Forget everything: the connection is reset."""
+        self.values.clear()
+        self._forget_prepared()
+        self.prepared_count = 0
+        self.must_reset = False
+
+    def add_prepared(self, shape: core.PreparedQuery) -> str:
+        """Remember a statement; return the name to prepare it under."""
+        if self.prepared_bytes > MAX_REMEMBERED_BYTES:
+            self._forget_prepared()
+            self.must_reset = True
+        name = f'p{self.prepared_count}'
+        self.prepared[shape] = name
+        self.prepared_count += 1
+        self.prepared_bytes += len(shape.template)
+        return name
+
+    def trim(self) -> None:
+        """Forget what is too large to be remembered."""
+        value_bytes = sum(map(len, self.values.values()))
+        if self.prepared_bytes + value_bytes > MAX_REMEMBERED_BYTES:
+            self.values.clear()
+            self._forget_prepared()
+            self.must_reset = True
+
+    def _forget_prepared(self) -> None:
+        self.prepared.clear()
+        self.prepared_bytes = 0
 
 
 def setup_cost(memory: ConnSessionState, work: core.Work) -> int:
     """Return how many setup commands the connection needs for the work."""
     required = dict(work.session_values)
-    if any(name not in required for name in memory.values):
+    has_surplus = any(name not in required for name in memory.values)
+    if has_surplus or memory.must_reset:
         cost = 1 + len(required)
     else:
         cost = sum(
@@ -59,20 +101,18 @@
     has_surplus = any(name not in required for name in memory.values)
     in_transaction = work.transaction is not None and work.begin_kind is None
     is_full = (
-        len(memory.prepared) >= MAX_PREPARED_STATEMENTS and not in_transaction
+        memory.prepared_count >= MAX_PREPARED_STATEMENTS or memory.must_reset
     )
-    if has_surplus or is_full:
+    if has_surplus or (is_full and not in_transaction):
         commands.append(core.Command(core.Op.RESET))
-        memory.values.clear()
-        memory.prepared.clear()
+        memory.clear()
     for name, value in required.items():
         if memory.values.get(name) != value:
             commands.append(core.Command(core.Op.SET, name=name, value=value))
             memory.values[name] = value
     shape = work.prepared
     if shape is not None and shape not in memory.prepared:
-        name = f'p{len(memory.prepared)}'
-        memory.prepared[shape] = name
+        name = memory.add_prepared(shape)
         commands.append(
             core.Command(core.Op.PREPARE, name=name, prepared=shape)
         )
--- a/src/chicoryusher/runtime/streams.py
+++ b/src/chicoryusher/runtime/streams.py
@@ -10,10 +10,18 @@
 from chicoryusher import core
 from chicoryusher.runtime import poller as poller_module
 
-__all__ = ['Address', 'Listener', 'Stream', 'connect']
+__all__ = [
+    'CALLER_BUFFER_BYTES',
+    'Address',
+    'Listener',
+    'Stream',
+    'connect',
+]
 
 MAX_READ_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# Size of the system's buffers of a caller's connection; Linux doubles it.
+CALLER_BUFFER_BYTES = 128 * 1024
 
 # SO_LINGER, switched on with 0 s: closing the socket resets the connection.
 _LINGER_0_S = struct.pack('ii', 1, 0)
@@ -131,17 +139,26 @@
 
 
 class Listener:
-    """A listening TCP socket."""
+    """A listening TCP socket.
+
+    ``buffer_bytes`` limits what the system buffers for each connection and
+    direction, so that a client that reads or sends slowly does not take much
+    of the machine's memory. None leaves it to the system.
+    """
 
     def __init__(
         self,
         address: Address,
         poller: poller_module.Poller,
         owner: core.TaskName,
+        buffer_bytes: int | None = None,
     ) -> None:
         self._sock = socket.create_server(
             address, backlog=LISTEN_BACKLOG, reuse_port=False
         )
+        if buffer_bytes is not None:
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                self._sock.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
         self._sock.setblocking(False)
         self.fileno = self._sock.fileno()
         self.address: Address = self._sock.getsockname()[:2]
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -47,6 +47,7 @@
         settings: DispatcherSettings,
     ) -> None:
         super().__init__(loop, vm, 'desk')
+        self.max_kept_bytes = settings.max_kept_bytes
         self._clock = loop.clock
         self._chart = charts.load_machine('pool_session')
         self._numbers = itertools.count(work_numbers.first_work_number())
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -34,12 +34,14 @@
     """The availability zone of this VM, and the region of each zone.
 
     ``revocation_s`` is how many seconds after its removal a team's key may
-    still be used, None for no bound.
+    still be used, None for no bound. ``max_kept_bytes`` limits the values and
+    prepared statements that a session keeps.
     """
 
     zone: core.ZoneName
     regions: dict[core.ZoneName, core.RegionName]
     revocation_s: float | None = None
+    max_kept_bytes: int = decisions.CallerLimits().max_kept_bytes
 
 
 class GroupTable:
--- a/src/chicoryusher/tasks/pool/pool_conns.py
+++ b/src/chicoryusher/tasks/pool/pool_conns.py
@@ -125,6 +125,7 @@
         conn.work = None
         conn.idle_since = now
         if not pinned:
+            conn.session_state.trim()
             self._unpin(conn)
 
     def remove(self, conn: PoolConn) -> None:
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -6,12 +6,19 @@
 import itertools
 
 from chicoryusher import core
+from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 
 __all__ = ['Relay']
 
 _Ended = core.Completion
+# Share of the bytes that may be held for callers, for work of other VMs.
+RELAYED_SHARE = 0.25
+# Work up to this size is not refused for lack of room.
+SMALL_WORK_BYTES = 4 * 1024
+# The label of work that is refused here for lack of room.
+_ROOM_PLACE = 'relay'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,8 +52,16 @@
     The work and its transactions get ids that are unique on this VM.
     """
 
-    def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        max_held_bytes: int = decisions.CallerLimits().max_held_bytes,
+    ) -> None:
         super().__init__(loop, vm, 'relay')
+        self._held: decisions.HeldBytes[core.WorkId] = decisions.HeldBytes(
+            int(max_held_bytes * RELAYED_SHARE)
+        )
         # Negative, so that they differ from the ids of the dispatcher's work.
         self._local_ids = itertools.count(-1, -1)
         self._pools: dict[core.InstanceName, _InstancePool] = {}
@@ -86,18 +101,17 @@
         begins = message.transaction is None or message.begin_kind is not None
         is_gone = pool is None or pool.boot != message.incarnation
         if pool is None or is_gone or (self._draining and begins):
-            self._answer(
-                message.vm,
-                core.RelayEnded(
-                    self.vm,
-                    message.work_id,
-                    message.instance,
-                    _Ended.NOT_STARTED,
-                    False,
-                ),
+            self._give_back(message)
+            return
+        if begins and not self._has_room(message):
+            self.meters.add(
+                core.Metric.STATEMENTS_WITHOUT_ROOM, place=_ROOM_PLACE
             )
+            self.log.emit(core.LogEvent.NO_ROOM, request=message.request_id)
+            self._give_back(message)
             return
         local_id = core.WorkId(next(self._local_ids))
+        self._held.record(local_id, _size_of(message))
         transaction = None
         if message.transaction is not None:
             transaction = _qualified_id(message.vm, message.transaction)
@@ -110,6 +124,21 @@
         self._log_work(message)
         self.send(pool.task, self._local_work(message, local_id, transaction))
 
+    def _has_room(self, message: core.RelayWork) -> bool:
+        size = _size_of(message)
+        return size <= SMALL_WORK_BYTES or not self._held.is_above(1.0)
+
+    def _give_back(self, message: core.RelayWork) -> None:
+        """Answer that the work was not started."""
+        ended = core.RelayEnded(
+            self.vm,
+            message.work_id,
+            message.instance,
+            _Ended.NOT_STARTED,
+            False,
+        )
+        self._answer(message.vm, ended)
+
     def _log_work(self, message: core.RelayWork) -> None:
         self.meters.add(core.Metric.RELAYED, instance=message.instance)
         self.log.emit(
@@ -151,6 +180,7 @@
         relayed = self._relayed.pop(ended.work_id, None)
         if relayed is None:
             return
+        self._held.record(ended.work_id, 0)
         if ended.transaction_status is core.TransactionStatus.IDLE:
             self._forget_transaction(relayed)
         self._answer(
@@ -192,6 +222,7 @@
         The work may have ended, with its result still in the mailbox.
         """
         del self._relayed[local_id]
+        self._held.record(local_id, 0)
         self._forget_transaction(relayed)
         self.send(relayed.pool_task, core.CancelWork(local_id))
         if relayed.transaction is not None:
@@ -222,6 +253,15 @@
                 self._roll_back(transaction)
 
 
+def _size_of(message: core.RelayWork) -> int:
+    """Return the bytes of a statement and of what is set before it."""
+    size = len(message.statement.text)
+    size += sum(len(value) for _, value in message.session_values)
+    if message.prepared is not None:
+        size += len(message.prepared.template)
+    return size
+
+
 def _qualified_id(
     vm: core.VmName, transaction: core.TransactionId
 ) -> core.TransactionId:
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -13,6 +13,8 @@
 Verb = core.Verb
 Block = core.TransactionStatus
 _BEGIN_VERBS = (Verb.BEGIN, Verb.BEGIN_READ_ONLY)
+# Memory that a value or a prepared statement takes besides its text.
+ENTRY_BYTES = 256
 _LOCAL_VERBS = (Verb.SET, Verb.PREPARE, Verb.DEALLOCATE)
 
 
@@ -95,7 +97,10 @@
 
 
 class SessionOwner(Protocol):
-    """The methods of the sessions' owner that chart actions call."""
+    """The members of the sessions' owner that the chart's handlers use."""
+
+    # Limit of the bytes that a session keeps.
+    max_kept_bytes: int
 
     def start_attempt(
         self, session: PoolSession, message: core.PoolStatement
@@ -149,6 +154,8 @@
         self.key = key
         self.values: dict[str, str] = {}
         self.prepared: dict[str, core.PreparedQuery] = {}
+        # Size of the values and prepared statements.
+        self.kept_bytes = 0
         self.transaction: Transaction | None = None
         self.attempt: Attempt | None = None
         self.last_write_position: core.Position | None = None
@@ -165,6 +172,14 @@
     return _verb(message) in _LOCAL_VERBS
 
 
+@charts.guard('pool.keeps_too_much')
+def _keeps_too_much(session: PoolSession, message: core.PoolStatement) -> bool:
+    """Return whether the session would keep more than it may."""
+    added_bytes = _added_bytes(session, message.statement)
+    kept_bytes = session.kept_bytes + added_bytes
+    return added_bytes > 0 and kept_bytes > session.owner.max_kept_bytes
+
+
 @charts.guard('pool.begins')
 def _begins_transaction(
     session: PoolSession, message: core.PoolStatement
@@ -212,16 +227,27 @@
 @charts.action('pool.answer_local')
 def _answer_local(session: PoolSession, message: core.PoolStatement) -> None:
     """Apply a statement that needs no instance, and answer it."""
+    session.kept_bytes += _added_bytes(session, message.statement)
     apply_effect = _LOCAL_EFFECTS.get(_verb(message), _change_nothing)
     apply_effect(session, message.statement)
     session.owner.send_reply(
         session,
         core.SessionAnswer(
-            session.session_id, message.request_id, _block_state(session)
+            session.session_id,
+            message.request_id,
+            _block_state(session),
+            kept_bytes=session.kept_bytes,
         ),
     )
 
 
+@charts.action('pool.refuse_too_large')
+def _refuse_too_large(
+    session: PoolSession, message: core.PoolStatement
+) -> None:
+    _refuse(session, message, core.Refusal.TOO_LARGE)
+
+
 @charts.action('pool.refuse_malformed')
 def _refuse_malformed(
     session: PoolSession, message: core.PoolStatement
@@ -286,6 +312,24 @@
     return _BLOCK_STATES.get(session.state, Block.IDLE)
 
 
+def _added_bytes(session: PoolSession, statement: core.Statement) -> int:
+    """Return how many bytes more the session keeps after a statement."""
+    verb, name = statement.verb, statement.name
+    if verb is Verb.SET:
+        new, old = statement.arguments, session.values.get(name)
+    elif verb in (Verb.PREPARE, Verb.DEALLOCATE):
+        prepared = session.prepared.get(name)
+        new = statement.prepared.template if statement.prepared else None
+        old = None if prepared is None else prepared.template
+    else:
+        return 0
+    return _kept_size(name, new) - _kept_size(name, old)
+
+
+def _kept_size(name: str, text: str | None) -> int:
+    return 0 if text is None else ENTRY_BYTES + len(name) + len(text)
+
+
 def _change_nothing(session: PoolSession, statement: core.Statement) -> None:
     """Leave the session's values and prepared statements unchanged."""
 
