Bound the connections, bodies and answers of the HTTP listeners

Cause: the ready, metrics and admin listeners took any number of connections, 16 MiB of body on each, and requests ahead of answers that nobody read. Change: 128 connections, 24 MiB of bodies in sum, one request at a time.

--- a/src/chicoryusher/runtime/http_server.py
+++ b/src/chicoryusher/runtime/http_server.py
@@ -9,11 +9,15 @@
 
 import h11
 
+from chicoryusher import decisions
 from chicoryusher import runtime
 
 __all__ = ['HttpConn', 'HttpRequest', 'HttpServer']
 
 MAX_REQUEST_BODY_BYTES = 16 * 1024 * 1024
+# Limit of the bodies of all connections of a server.
+MAX_BODY_BYTES = 24 * 1024 * 1024
+MAX_CONNS = 128
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +38,17 @@
         self.http = h11.Connection(h11.SERVER)
         self.head: h11.Request | None = None
         self.body = bytearray()
+        self.awaits_reply = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request waits for its response to be sent."""
+        return self.awaits_reply or bool(self.stream.pending)
+
+    @property
+    def has_sent_ahead(self) -> bool:
+        """Return whether bytes have arrived before the response was sent."""
+        return bool(self.http.trailing_data[0])
 
     def reply(
         self,
@@ -71,13 +86,17 @@
             if self.http.their_state is h11.DONE:
                 self.http.start_next_cycle()
         self.head = None
-        self.body.clear()
+        self.body = bytearray()
+        self.awaits_reply = False
 
 
 class HttpServer:
     """Connections of one listener.
 
-    The task that owns them passes on its SocketReady messages.
+    The task that owns them passes on its SocketReady messages.  A client
+    that sends a request before it has the response to the one before is
+    disconnected.  If there are too many connections, the one closes on which
+    no request was completed for longest.
     """
 
     def __init__(
@@ -87,12 +106,18 @@
     ) -> None:
         self._listener = listener
         self._handle = handle
+        # In the order in which they last completed a request.
         self._conns: dict[int, HttpConn] = {}
+        self._bodies: decisions.HeldBytes[int] = decisions.HeldBytes(
+            MAX_BODY_BYTES
+        )
 
     def ready(self, ready: runtime.SocketReady) -> None:
         """Handle a ready socket; ignore sockets of other owners."""
         if ready.fileno == self._listener.fileno:
             while (stream := self._listener.accept()) is not None:
+                if len(self._conns) >= MAX_CONNS:
+                    self._make_way()
                 self._conns[stream.fileno] = HttpConn(stream)
             return
         conn = self._conns.get(ready.fileno)
@@ -104,6 +129,7 @@
         for conn in tuple(self._conns.values()):
             conn.stream.flush()
             ended = conn.http.our_state in (h11.MUST_CLOSE, h11.ERROR)
+            ended = ended or (not conn.is_busy and conn.has_sent_ahead)
             if conn.stream.closed or (ended and not conn.stream.pending):
                 self._close_conn(conn)
 
@@ -113,8 +139,15 @@
         for conn in tuple(self._conns.values()):
             self._close_conn(conn)
 
+    def _make_way(self) -> None:
+        """Close the connection without a request for longest."""
+        conns = list(self._conns.values())
+        idle = (conn for conn in conns if not conn.is_busy)
+        self._close_conn(next(idle, conns[0]))
+
     def _close_conn(self, conn: HttpConn) -> None:
         self._conns.pop(conn.stream.fileno, None)
+        self._bodies.record(conn.stream.fileno, 0)
         conn.stream.close()
 
     def _receive(self, conn: HttpConn) -> None:
@@ -122,6 +155,10 @@
         if conn.stream.closed:
             self._close_conn(conn)
             return
+        if conn.is_busy:
+            # More than one request at a time.
+            self._close_conn(conn)
+            return
         try:
             conn.http.receive_data(data)
             self._read_events(conn)
@@ -137,19 +174,33 @@
                 conn.head = event
             elif isinstance(event, h11.Data):
                 conn.body += event.data
-                if len(conn.body) > MAX_REQUEST_BODY_BYTES:
-                    self._close_conn(conn)
+                if not self._may_hold_body(conn):
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._on_request_complete(conn)
+                return
             elif isinstance(event, h11.ConnectionClosed):
                 self._close_conn(conn)
                 return
 
+    def _may_hold_body(self, conn: HttpConn) -> bool:
+        """Return whether a body is in the limits; else close connections."""
+        fileno = conn.stream.fileno
+        self._bodies.record(fileno, len(conn.body))
+        if len(conn.body) > MAX_REQUEST_BODY_BYTES:
+            self._close_conn(conn)
+        for excess in self._bodies.excess_holders():
+            self._close_conn(self._conns[excess])
+        return fileno in self._conns
+
     def _on_request_complete(self, conn: HttpConn) -> None:
         """Pass a complete request to the handler."""
         head = conn.head
         assert head is not None
+        conn.awaits_reply = True
+        fileno = conn.stream.fileno
+        self._bodies.record(fileno, 0)
+        self._conns[fileno] = self._conns.pop(fileno)
         token = ''
         for name, value in head.headers:
             if name == b'authorization':
