Bound what the MySQL front end and the peer listener hold

Cause: the MySQL front end queued any number of packets, kept any parameter data, and waited for half a packet for ever; the peer listener took 2048 streams from anyone. Change: CallerGuard for the MySQL front end too, with a limit that follows from `memory_mb`, packets taken from the buffer one by one, NotRunError for large statements without room; at most 128 accepted streams without a proof, the oldest closed first. The test's settings now name `memory_mb`, which did not exist before; crowds and bounds are unchanged.

--- a/src/chicoryusher/frontends/mysql/commands.py
+++ b/src/chicoryusher/frontends/mysql/commands.py
@@ -24,6 +24,7 @@
 __all__ = [
     'COMMAND_HANDLERS',
     'RequestIds',
+    'has_answer',
     'SESSION_TOKEN_VARIABLE',
     'run_command',
     'token_result_set',
@@ -31,10 +32,16 @@
 
 SESSION_TOKEN_VARIABLE = '@@chicoryusher_token'
 MAX_PREPARED_STATEMENTS = 4096
+# Memory that a prepared statement takes besides its text.
+PREPARED_ENTRY_BYTES = 1024
 MAX_LONG_DATA_BYTES = 64 * 1024 * 1024
 EXECUTE_HEADER_BYTES = 10
 STATEMENT_ID_SLICE = slice(1, 5)
 _CODES = types.Commands
+_COMMANDS_WITHOUT_ANSWER = (
+    bytes([_CODES.COM_STMT_SEND_LONG_DATA]),
+    bytes([_CODES.COM_STMT_CLOSE]),
+)
 _BEGIN_PAYLOAD = core.Payload(bytes([_CODES.COM_QUERY]) + b'START TRANSACTION')
 # Sent as ``begin`` before a statement that changes the state of its backend
 # connection outside of a transaction. The command has no effect; with it the
@@ -88,6 +95,11 @@
     return COMMAND_HANDLERS.get(name)(request_ids, conn, payload)
 
 
+def has_answer(payload: bytes) -> bool:
+    """Return whether the protocol has an answer to a command."""
+    return payload[:1] not in _COMMANDS_WITHOUT_ANSWER
+
+
 def _handles(code: int) -> Callable[[CommandHandler], CommandHandler]:
     return COMMAND_HANDLERS.register(str(int(code)))
 
@@ -180,9 +192,13 @@
     if len(conn.prepared) >= MAX_PREPARED_STATEMENTS:
         raise core.StatementUnsupported('too many prepared statements')
     sql = _decode_text(payload[1:])
+    conn.check_keep(len(payload) + PREPARED_ENTRY_BYTES)
     statement = statements.classify(sql)
     prepared = caller_conn.PreparedStatement(
-        sql, statement, marks.marks_from_comments(sql)
+        sql,
+        statement,
+        marks.marks_from_comments(sql),
+        kept_bytes=len(payload) + PREPARED_ENTRY_BYTES,
     )
     request = _request(
         request_ids, conn, statement, None, core.Payload(payload)
@@ -203,7 +219,7 @@
     encoded = core.Payload(
         command, prepared.sql.encode(), tuple(prepared.long_data)
     )
-    prepared.long_data.clear()
+    _drop_long_data(conn, prepared)
     return _request(
         request_ids, conn, prepared.statement, prepared.marks, encoded
     )
@@ -214,21 +230,27 @@
     request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
     prepared = _find_prepared(conn, payload)
-    pending_bytes = sum(len(data) for data in prepared.long_data) + len(
-        payload
-    )
+    pending_bytes = prepared.long_data_bytes + len(payload)
     if pending_bytes > MAX_LONG_DATA_BYTES:
-        prepared.long_data.clear()
+        _drop_long_data(conn, prepared)
         raise core.OversizePacket(f'long data of {pending_bytes} bytes')
+    conn.keep(len(payload))
     prepared.long_data.append(payload)
     return None
 
 
+def _drop_long_data(
+    conn: caller_conn.CallerConn, prepared: caller_conn.PreparedStatement
+) -> None:
+    conn.kept_bytes -= prepared.long_data_bytes
+    prepared.long_data.clear()
+
+
 @_handles(_CODES.COM_STMT_RESET)
 def _reset(
     request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
-    _find_prepared(conn, payload).long_data.clear()
+    _drop_long_data(conn, _find_prepared(conn, payload))
     conn.reply_ok()
     return None
 
@@ -237,9 +259,11 @@
 def _close(
     request_ids: RequestIds, conn: caller_conn.CallerConn, payload: bytes
 ) -> core.Message | None:
-    conn.prepared.pop(
-        int.from_bytes(payload[STATEMENT_ID_SLICE], 'little'), None
-    )
+    statement_id = int.from_bytes(payload[STATEMENT_ID_SLICE], 'little')
+    prepared = conn.prepared.pop(statement_id, None)
+    if prepared is not None:
+        _drop_long_data(conn, prepared)
+        conn.kept_bytes -= prepared.kept_bytes
     return None
 
 
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -14,39 +14,15 @@
 from chicoryusher import wire
 from chicoryusher.frontends.mysql import caller_conn
 from chicoryusher.frontends.mysql import commands
+from chicoryusher.frontends.mysql import frontend_settings
 from chicoryusher.frontends.mysql import marks
+from chicoryusher.tasks import caller_guard
 
-__all__ = ['FrontendLimits', 'MysqlFrontend', 'User']
+__all__ = ['MysqlFrontend']
 
 ConnPhase = caller_conn.ConnPhase
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class User:
-    """Login name and password of a user, and the caller that it belongs to."""
-
-    name: str
-    password: str = dataclasses.field(repr=False)
-    caller: core.CallerName
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class FrontendLimits:
-    """Limits on callers' connections.
-
-    ``max_newcomers`` bounds the connections in the handshake, and
-    ``handshake_timeout`` (seconds) the time that a handshake may take. The
-    router is asked for more of a result once at most ``low_water_bytes`` of
-    it wait to be sent. Reading from a caller stops at more than
-    ``max_backlog`` packets that wait for the current command.
-    """
-
-    max_packet_bytes: int = 16 * 1024 * 1024
-    max_callers: int = 4096
-    max_newcomers: int = 512
-    handshake_timeout: float = 5.0
-    low_water_bytes: int = 256 * 1024
-    max_backlog: int = 64
+# The label of statements that are refused here for lack of room.
+_ROOM_PLACE = 'caller'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,8 +39,8 @@
         vm: core.VmName,
         incarnation: str,
         address: runtime.Address,
-        users: tuple[User, ...],
-        limits: FrontendLimits,
+        users: tuple[frontend_settings.User, ...],
+        limits: frontend_settings.FrontendLimits,
         router: core.TaskName,
     ) -> None:
         super().__init__(loop, vm, 'mysql')
@@ -74,7 +50,10 @@
         self._incarnation = incarnation
         self._request_ids = commands.RequestIds(vm, incarnation)
         self._listener: runtime.Listener | None = runtime.Listener(
-            address, loop.poller, self.task_name
+            address,
+            loop.poller,
+            self.task_name,
+            runtime.CALLER_BUFFER_BYTES,
         )
         self.address = self._listener.address
         self._by_fileno: dict[int, caller_conn.CallerConn] = {}
@@ -88,6 +67,9 @@
         self._draining = False
         self.statement_count = 0
         self._handshake_timer: core.TimerId | None = None
+        self._guard = caller_guard.CallerGuard(
+            self, limits.caller_limits(), self._close_for_limit
+        )
 
     @property
     def callers(self) -> int:
@@ -103,9 +85,8 @@
         conn = self._by_fileno.get(ready.fileno)
         if conn is None:
             return
-        if ready.writable:
-            self._unflushed.add(conn)
-        if ready.readable:
+        self._unflushed.add(conn)
+        if ready.readable and self._guard.may_read_now():
             self._receive(conn)
 
     def _accept(self, listener: runtime.Listener) -> None:
@@ -114,7 +95,12 @@
             session = core.SessionId(
                 f'{self.vm}:{self._incarnation}:s{self._accepted_count}'
             )
-            conn = caller_conn.CallerConn(session, stream, wire.new_nonce())
+            conn = caller_conn.CallerConn(
+                session,
+                stream,
+                wire.new_nonce(),
+                self._limits.max_kept_bytes,
+            )
             self._by_fileno[stream.fileno] = conn
             self._by_session[session] = conn
             self._unflushed.add(conn)
@@ -151,45 +137,51 @@
         if conn.stream.closed:
             self._close(conn)
             return
-        try:
-            packets = conn.framer.feed(data)
-        except core.OversizePacket as exc:
-            self.log.emit(
-                core.LogEvent.PACKET_OVERSIZE,
-                session=conn.session_id,
-                why=str(exc),
-            )
-            self._refuse(conn, exc)
-            return
-        conn.pending_packets.extend(packets)
-        self._run_pending(conn)
-        if len(conn.pending_packets) > self._limits.max_backlog:
-            conn.stream.set_reading(False)
+        if not conn.closing:
+            conn.framer.add(data)
+            self._run_pending(conn)
+        self._guard.record_read(conn.session_id, conn.use(), len(data))
 
     def _run_pending(self, conn: caller_conn.CallerConn) -> None:
-        """Handle queued packets until one has to wait for an answer."""
-        while conn.pending_packets and not conn.closing:
-            if conn.phase in (ConnPhase.BUSY, ConnPhase.AWAITING_ROUTER):
-                return
-            packet = conn.pending_packets.popleft()
-            conn.reply_sequence = (packet.sequence + 1) % 256
+        """Handle received packets until one has to wait for an answer."""
+        while conn.may_handle:
             try:
-                self._handle_packet(conn, packet.payload)
-            except core.AuthError as exc:
-                self._refuse_login(conn, exc)
-            except core.ProtocolError as exc:
+                packet = conn.framer.next_packet()
+            except core.OversizePacket as exc:
                 self.log.emit(
-                    core.LogEvent.PACKET_BAD,
+                    core.LogEvent.PACKET_OVERSIZE,
                     session=conn.session_id,
                     why=str(exc),
                 )
-                if conn.phase is not ConnPhase.READY:
-                    self._refuse(conn, exc)
-                    return
-                conn.reply_error(exc)
-            except core.CallerError as exc:
-                conn.reply_error(exc)
+                self._refuse(conn, exc)
+                return
+            if packet is None:
+                return
+            self._guard.end_message(conn.session_id)
             self._unflushed.add(conn)
+            self._handle_or_refuse(conn, packet)
+
+    def _handle_or_refuse(
+        self, conn: caller_conn.CallerConn, packet: wire.Packet
+    ) -> None:
+        """Handle a packet, or answer it with an error."""
+        conn.reply_sequence = (packet.sequence + 1) % 256
+        try:
+            self._handle_packet(conn, packet.payload)
+        except core.AuthError as exc:
+            self._refuse_login(conn, exc)
+        except core.ProtocolError as exc:
+            self.log.emit(
+                core.LogEvent.PACKET_BAD,
+                session=conn.session_id,
+                why=str(exc),
+            )
+            if conn.phase is not ConnPhase.READY:
+                self._refuse(conn, exc)
+                return
+            conn.reply_error(exc)
+        except core.CallerError as exc:
+            conn.reply_error(exc)
 
     def _handle_packet(
         self, conn: caller_conn.CallerConn, payload: bytes
@@ -200,9 +192,11 @@
         if conn.phase is ConnPhase.AUTH_SWITCH_RESPONSE:
             self._authenticate(conn, wire.DEFAULT_METHOD, payload)
             return
+        self._check_room(conn, payload)
         message = commands.run_command(self._request_ids, conn, payload)
         if message is None:
             return
+        conn.running_bytes = len(payload)
         if isinstance(message, core.Request):
             conn.phase = ConnPhase.BUSY
             conn.request_id = message.request_id
@@ -210,6 +204,20 @@
             self.statement_count += 1
         self.send(self._router, message)
 
+    def _check_room(
+        self, conn: caller_conn.CallerConn, payload: bytes
+    ) -> None:
+        """Raise NotRunError if a command may not run for lack of room.
+
+        One of an open transaction may: the transaction would have to end.
+        """
+        may_run = conn.in_transaction or not commands.has_answer(payload)
+        if may_run or self._guard.has_room(len(payload)):
+            return
+        self.log.emit(core.LogEvent.NO_ROOM, session=conn.session_id)
+        self.meters.add(core.Metric.STATEMENTS_WITHOUT_ROOM, place=_ROOM_PLACE)
+        raise core.NotRunError('too much is held for callers')
+
     def _receive_handshake_response(
         self, conn: caller_conn.CallerConn, payload: bytes
     ) -> None:
@@ -323,46 +331,18 @@
         elif not answer.data:
             conn.reply_ok()
         elif pending_prepare is not None:
-            self._finish_prepare(conn, pending_prepare, answer.data)
+            conn.finish_prepare(pending_prepare, answer.data)
         else:
             conn.stream.write(answer.data)
         self._accept_commands(conn)
 
-    def _finish_prepare(
-        self,
-        conn: caller_conn.CallerConn,
-        prepared: caller_conn.PreparedStatement,
-        data: bytes,
-    ) -> None:
-        """Store a prepared statement and send its answer.
-
-        The instance's statement id is replaced by one of this connection.
-        """
-        header_bytes = wire.HEADER_BYTES
-        if data[header_bytes] == 0:
-            statement_id = conn.next_statement_id
-            conn.next_statement_id += 1
-            prepared.parameter_count = int.from_bytes(
-                data[header_bytes + 7 : header_bytes + 9], 'little'
-            )
-            conn.prepared[statement_id] = prepared
-            id_slice = slice(header_bytes + 1, header_bytes + 5)
-            data = (
-                data[: id_slice.start]
-                + statement_id.to_bytes(4, 'little')
-                + data[id_slice.stop :]
-            )
-        conn.stream.write(data)
-
     def _accept_commands(self, conn: caller_conn.CallerConn) -> None:
         """Continue with the next command, or close the connection on drain."""
         conn.phase = ConnPhase.READY
+        conn.running_bytes = 0
         self._unflushed.add(conn)
-        conn.stream.set_reading(True)
         if self._draining and not conn.in_transaction:
             conn.closing = True
-            return
-        self._run_pending(conn)
 
     def _refuse_login(
         self, conn: caller_conn.CallerConn, error: core.CallerError
@@ -380,21 +360,38 @@
     ) -> None:
         conn.reply_error(error)
         conn.closing = True
+        conn.framer.clear()
         self._unflushed.add(conn)
 
     def settled(self) -> None:
         """Flush the output that the handled messages have written."""
-        unflushed, self._unflushed = self._unflushed, set()
-        for conn in unflushed:
-            if conn.stream.fileno < 0:
-                continue
-            conn.stream.flush()
-            if conn.stream.closed:
-                self._close(conn)
-            elif conn.closing and not conn.stream.pending:
-                self._close(conn)
-            elif conn.unreported_bytes:
-                self._report_consumed(conn)
+        while self._unflushed:
+            unflushed, self._unflushed = self._unflushed, set()
+            for conn in unflushed:
+                if conn.stream.fileno >= 0:
+                    self._settle(conn)
+        self._guard.settle()
+
+    def _settle(self, conn: caller_conn.CallerConn) -> None:
+        """Send buffered data, and go on with the packets that wait."""
+        conn.stream.flush()
+        done = conn.closing and not conn.stream.pending
+        if conn.stream.closed or done:
+            self._close(conn)
+            return
+        if conn.unreported_bytes:
+            self._report_consumed(conn)
+        self._run_pending(conn)
+        use = conn.use()
+        self._guard.update(conn.session_id, use)
+        conn.stream.set_reading(not conn.closing and self._guard.may_read(use))
+
+    def _close_for_limit(self, session_id: core.SessionId) -> None:
+        self._close(self._by_session[session_id])
+
+    @runtime.handles(caller_guard.LimitCheck)
+    def _on_limit_check(self, check: caller_guard.LimitCheck) -> None:
+        self._guard.check()
 
     def _report_consumed(self, conn: caller_conn.CallerConn) -> None:
         """Report written result bytes to the router, which sends more."""
@@ -412,6 +409,7 @@
         self._by_fileno.pop(conn.stream.fileno, None)
         self._by_session.pop(conn.session_id, None)
         self._handshakes.finish(conn.session_id)
+        self._guard.forget(conn.session_id)
         if conn.request_id is not None:
             self._by_request.pop(conn.request_id, None)
         conn.stream.close()
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -19,6 +19,8 @@
 RECONNECT_DELAY_S = 0.25
 MAX_QUEUED_MESSAGES_PER_VM = 4096
 MAX_STREAMS = 2048
+# Limit of accepted streams whose other end has not proved its key.
+MAX_UNAUTHENTICATED_STREAMS = 128
 PROCESS_ID_BYTES = 16
 # Bytes per second of a VM's link without a setting: 1 Gbit/s.
 DEFAULT_LINK_BYTES_PER_S = 125e6
@@ -106,6 +108,8 @@
         self.address = self._listener.address
         self._addresses: dict[core.VmName, runtime.Address] = {}
         self._streams_by_fileno: dict[int, PeerStream] = {}
+        # Accepted streams, in the order in which they were accepted.
+        self._unauthenticated: dict[int, PeerStream] = {}
         self._streams_by_vm: dict[core.VmName, PeerStream] = {}
         self._connecting: dict[core.VmName, PeerStream] = {}
         self._queued: dict[core.VmName, list[core.Message]] = {}
@@ -288,7 +292,11 @@
             if len(self._streams_by_fileno) >= MAX_STREAMS:
                 stream.close()
                 continue
-            self._add_stream(stream, StreamRole.ACCEPTOR)
+            peer = self._add_stream(stream, StreamRole.ACCEPTOR)
+            self._unauthenticated[stream.fileno] = peer
+            if len(self._unauthenticated) > MAX_UNAUTHENTICATED_STREAMS:
+                # A VM proves its key at once: the oldest is none.
+                self._close_stream(next(iter(self._unauthenticated.values())))
 
     def _receive(self, peer: PeerStream) -> None:
         was_authenticated = peer.authenticated
@@ -314,6 +322,7 @@
     def _on_authenticated(self, peer: PeerStream) -> None:
         vm = peer.peer
         assert vm is not None
+        self._unauthenticated.pop(peer.stream.fileno, None)
         self._connecting.pop(vm, None)
         for earlier in self._streams_of_earlier_process(peer):
             self._close_stream(earlier)
@@ -355,6 +364,7 @@
         If a second stream to the same VM is open, it takes over.
         """
         self._streams_by_fileno.pop(peer.stream.fileno, None)
+        self._unauthenticated.pop(peer.stream.fileno, None)
         peer.stream.close()
         for traffic, count in peer.bytes_sent.items():
             self._closed_sent_bytes[traffic] = (
--- a/src/chicoryusher/wire/framing.py
+++ b/src/chicoryusher/wire/framing.py
@@ -43,38 +43,58 @@
         self._buffer = bytearray()
         self._split_payload = bytearray()
 
+    def __len__(self) -> int:
+        """Return how many bytes wait to be returned in packets."""
+        return len(self._buffer) + len(self._split_payload)
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._buffer += data
+
+    def clear(self) -> None:
+        """Drop the bytes of all packets."""
+        self._buffer = bytearray()
+        self._split_payload = bytearray()
+
     def feed(self, data: bytes) -> list[Packet]:
         """Add bytes and return the packets they complete.
 
+        Raise the error of ``next_packet``.
+        """
+        self.add(data)
+        packets: list[Packet] = []
+        while (packet := self.next_packet()) is not None:
+            packets.append(packet)
+        return packets
+
+    def next_packet(self) -> Packet | None:
+        """Remove and return the first packet, None if it is not complete.
+
         Raise OversizePacket as soon as a header shows that a payload is
         over the limit.
         """
         buffer = self._buffer
-        buffer += data
-        packets: list[Packet] = []
-        start = 0
-        while len(buffer) - start >= HEADER_BYTES:
-            size = int.from_bytes(buffer[start : start + 3], 'little')
+        while len(buffer) >= HEADER_BYTES:
+            size = int.from_bytes(buffer[:3], 'little')
             if size + len(self._split_payload) > self.max_bytes:
                 raise core.OversizePacket(
                     f'packet of {size} bytes or more, at most'
                     f' {self.max_bytes} are allowed'
                 )
-            end = start + HEADER_BYTES + size
+            end = HEADER_BYTES + size
             if len(buffer) < end:
-                break
-            sequence = buffer[start + 3]
-            payload = bytes(buffer[start + HEADER_BYTES : end])
-            start = end
+                return None
+            sequence = buffer[3]
+            payload = bytes(buffer[HEADER_BYTES:end])
+            del buffer[:end]
             if size == MAX_PAYLOAD_BYTES:
                 self._split_payload += payload
                 continue
             if self._split_payload:
                 payload = bytes(self._split_payload) + payload
                 self._split_payload.clear()
-            packets.append(Packet(sequence, payload))
-        del buffer[:start]
-        return packets
+            return Packet(sequence, payload)
+        return None
 
 
 def make_packets(payload: bytes, sequence: int = 0) -> bytes:
--- a/tests/daemon/test_hostile_mysql_clients.py
+++ b/tests/daemon/test_hostile_mysql_clients.py
@@ -30,6 +30,7 @@
     'max_callers': 100,
     'max_newcomers': 100,
     'handshake_timeout': 3,
+    'memory_mb': 150,
 }
 COM_QUERY = b'\x03'
 COM_PREPARE = b'\x16'
