Bound what is held for other VMs, and test the limits without processes

Cause: a VM that takes nothing made its stream's buffer grow; a start that waited for the first configuration outlived its caller. Change: a peer stream with over 24 MiB unsent is closed (event 6006), its message is returned as undelivered; waiting starts end with their caller; 64 connections to an HTTP listener.

--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -278,6 +278,11 @@
     )
     PEER_REFUSED = (6004, LogLevel.WARNING, 'a peer failed to authenticate')
     VM_STATE = (6005, LogLevel.INFO, 'the state of another VM has changed')
+    PEER_SLOW = (
+        6006,
+        LogLevel.WARNING,
+        'a peer stream was closed: the peer does not take its messages',
+    )
     ADMIN_CALL = (7001, LogLevel.INFO, 'an operator sent an admin request')
     ADMIN_REFUSED = (7002, LogLevel.WARNING, 'an admin request was refused')
 
--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -21,6 +21,8 @@
 MAX_STREAMS = 2048
 # Limit of accepted streams whose other end has not proved its key.
 MAX_UNAUTHENTICATED_STREAMS = 128
+# Bytes that may wait for a VM that does not take them, besides a document.
+MAX_UNSENT_BYTES = 24 * 1024 * 1024
 PROCESS_ID_BYTES = 16
 # Bytes per second of a VM's link without a setting: 1 Gbit/s.
 DEFAULT_LINK_BYTES_PER_S = 125e6
@@ -175,6 +177,11 @@
             self._documents.add(vm, message)
             self._send_documents()
             return
+        if peer.stream.pending > MAX_UNSENT_BYTES:
+            self.log.emit(core.LogEvent.PEER_SLOW, peer=str(vm))
+            self._close_stream(peer)
+            self._report_undelivered(vm, message)
+            return
         peer.send(message)
         self._streams_to_flush.add(peer)
 
@@ -395,11 +402,16 @@
     def _give_up_queued(self, vm: core.VmName) -> None:
         """Report the queued messages as undelivered, and the VM as down."""
         for message in self._queued.pop(vm, []):
-            for watcher in self._watchers.undelivered:
-                self.send(watcher, tasks.Undelivered(vm, message))
+            self._report_undelivered(vm, message)
         for watcher in self._watchers.unreachable:
             self.send(watcher, core.PeerDown(vm))
 
+    def _report_undelivered(
+        self, vm: core.VmName, message: core.Message
+    ) -> None:
+        for watcher in self._watchers.undelivered:
+            self.send(watcher, tasks.Undelivered(vm, message))
+
     def _notify_down(self, vm: core.VmName) -> None:
         down = core.PeerDown(vm)
         for watcher in self._watchers.down:
--- a/src/chicoryusher/runtime/http_server.py
+++ b/src/chicoryusher/runtime/http_server.py
@@ -17,7 +17,7 @@
 MAX_REQUEST_BODY_BYTES = 16 * 1024 * 1024
 # Limit of the bodies of all connections of a server.
 MAX_BODY_BYTES = 24 * 1024 * 1024
-MAX_CONNS = 128
+MAX_CONNS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -62,7 +62,8 @@
         )
         self._sessions: dict[core.SessionId, sessions.PoolSession] = {}
         self._drain_stage: core.DrainStage | None = None
-        self._waiting_starts: list[core.StartSession] = []
+        # Sessions to start once there is a configuration.
+        self._waiting_starts: dict[core.SessionId, core.StartSession] = {}
         self.after(IDLE_CHECK_INTERVAL_S, _CheckIdle())
 
     @property
@@ -85,8 +86,8 @@
         self._rights.apply(message.config.teams)
         self._group_table.apply_config(message.config)
         self._end_unentitled()
-        waiting_starts, self._waiting_starts = self._waiting_starts, []
-        for start in waiting_starts:
+        waiting_starts, self._waiting_starts = self._waiting_starts, {}
+        for start in waiting_starts.values():
             self._on_start(start)
 
     def _end_unentitled(self) -> None:
@@ -133,7 +134,7 @@
     @runtime.handles(core.StartSession)
     def _on_start(self, message: core.StartSession) -> None:
         if self._config is None:
-            self._waiting_starts.append(message)
+            self._waiting_starts[message.session_id] = message
             return
         refusal = self._start_refusal(message)
         if refusal is core.Refusal.NO_DATABASE:
@@ -179,6 +180,7 @@
 
     @runtime.handles(core.CallerDisconnected)
     def _on_left(self, message: core.CallerDisconnected) -> None:
+        self._waiting_starts.pop(message.session_id, None)
         session = self._sessions.get(message.session_id)
         if session is not None:
             self._chart.fire(session, 'closed')
--- a/tests/decisions/test_pool_decisions.py
+++ b/tests/decisions/test_pool_decisions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -103,6 +105,43 @@
     assert decisions.setup_commands(memory, item) == []
 
 
+def large_shape(number):
+    template = f'q{number}'.ljust(decisions.conn_setup.MAX_REMEMBERED_BYTES)
+    return core.PreparedQuery(core.PreparedQueryKind.READ, template)
+
+
+def test_a_free_connection_remembers_nothing_large():
+    """Load: sessions that prepare and set large texts one after another."""
+    memory = decisions.ConnSessionState()
+    values, prepared = {}, {}
+    for number in range(5):
+        shape = large_shape(number)
+        item = work(values=(('tz', f'a{number}'),), shape=shape)
+        cost = decisions.setup_cost(memory, item)
+        commands = decisions.setup_commands(memory, item)
+        assert len(commands) <= cost + 1
+        apply(commands, values, prepared)
+        assert prepared == {memory.prepared[shape]: shape}
+        memory.trim()
+        assert not memory.values
+        assert not memory.prepared
+
+
+def test_a_transaction_prepares_large_statements_under_new_names():
+    memory = decisions.ConnSessionState()
+    names = set()
+    for number in range(5):
+        item = dataclasses.replace(
+            work(shape=large_shape(number)),
+            transaction=core.TransactionId('t1'),
+        )
+        commands = decisions.setup_commands(memory, item)
+        assert [command.op for command in commands] == [Op.PREPARE]
+        names.add(commands[0].name)
+        assert len(memory.prepared) <= 2
+    assert len(names) == 5
+
+
 # -- connection shares ---------------------------------------------------
 
 
--- a/tests/peers/test_peer_streams.py
+++ b/tests/peers/test_peer_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 
 import msgpack
@@ -11,6 +12,8 @@
 from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher.peers import stream as stream_module
+from chicoryusher.peers import task as task_module
+from chicoryusher.tasks import task_messages
 
 KEY = b'key of the cluster'
 HOST = '127.0.0.1'
@@ -27,7 +30,9 @@
         super().__init__(loop, vm, 'relay')
         self.messages = []
 
-    @runtime.handles(core.PeerDown, core.RelayRollback)
+    @runtime.handles(
+        core.PeerDown, core.RelayRollback, task_messages.Undelivered
+    )
     def _on_message(self, message):
         self.messages.append(message)
 
@@ -41,7 +46,9 @@
         self.loop._running = True
         self.loop._executing_thread = threading.current_thread()
         self.relay = Relay(self.loop, vm)
-        watchers = peers.PeerSubscribers(down=(self.relay.task_name,))
+        watchers = peers.PeerSubscribers(
+            down=(self.relay.task_name,), undelivered=(self.relay.task_name,)
+        )
         self.peers = peers.Peers(self.loop, vm, (HOST, 0), KEY, watchers)
 
     def learn(self, other):
@@ -175,3 +182,39 @@
     """Bad input ends its stream with a typed error."""
     with pytest.raises(core.FrameError, match='malformed greeting'):
         receive_greeting(2)
+
+
+def test_a_peer_connects_among_streams_that_prove_nothing(start, monkeypatch):
+    """Load: a crowd opens connections to the peer listener and leaves them."""
+    monkeypatch.setattr(task_module, 'MAX_UNAUTHENTICATED_STREAMS', 3)
+    monkeypatch.setattr(task_module, 'HANDSHAKE_TIMEOUT_S', 60.0)
+    receiver, sender = start(SECOND), start(FIRST)
+    crowd = [
+        socket.create_connection(receiver.peers.address) for _ in range(9)
+    ]
+    run_on(receiver)
+    assert len(receiver.streams) == 3
+    sender.learn(receiver)
+    message = sender.roll_back(SECOND, 't1')
+    run_until(lambda: message in receiver.relay.messages, receiver, sender)
+    assert len(receiver.streams) <= 4
+    for sock in crowd:
+        sock.close()
+
+
+def test_a_peer_that_takes_nothing_is_lost_and_its_message_returned(
+    start, monkeypatch
+):
+    """Load: work is forwarded to a VM that hangs."""
+    monkeypatch.setattr(task_module, 'MAX_UNSENT_BYTES', 1000)
+    receiver, sender = start(SECOND), start(FIRST)
+    sender.learn(receiver)
+    message = sender.roll_back(SECOND, 't1')
+    run_until(lambda: message in receiver.relay.messages, receiver, sender)
+    sender.peers._streams_by_vm[SECOND].stream.write(b'x' * 1001)
+    late = sender.roll_back(SECOND, 't2')
+    run_until(lambda: len(sender.relay.messages) == 2, sender)
+    assert set(sender.relay.messages) == {
+        core.PeerDown(SECOND),
+        task_messages.Undelivered(SECOND, late),
+    }
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -62,6 +62,26 @@
     return caller.last
 
 
+def test_a_session_that_would_keep_too_much_is_refused_and_goes_on(site):
+    """Load: one session that sets large values without end."""
+    caller = site.vms[0].caller(PRIMARY)
+    large = 'x' * 900_000
+    for name in ('a', 'b'):
+        assert ask(site, caller, setting(name, large)).refusal is None
+    shape = core.PreparedQuery(core.PreparedQueryKind.READ, large)
+    for statement in (setting('c', large), prepare('s1', shape)):
+        answer = ask(site, caller, statement)
+        assert answer.refusal is Refusal.TOO_LARGE
+        assert answer.transaction_status is Block.IDLE
+    assert ask(site, caller, setting('a', 'y')).refusal is None
+    assert ask(site, caller, setting('c', large)).refusal is None
+    assert ask(site, caller, bare(Verb.BEGIN)).refusal is None
+    answer = ask(site, caller, setting('d', large))
+    assert answer.refusal is Refusal.TOO_LARGE
+    assert answer.transaction_status is Block.OPEN
+    assert ask(site, caller, read()).refusal is None
+
+
 def only_run(site, request_id):
     matching = [run for run in site.group.runs if run.request_id == request_id]
     assert len(matching) == 1
