Leave room for the largest parameters by default

Cause: with 512 MB assumed, parameter data of 64 MB, which the daemon takes, passed the limit of what is held. Change: the daemon assumes 1024 MB unless the settings name the memory. Measured: not measured; tests name the memory.

--- a/src/chicoryusher/frontends/mysql/frontend_settings.py
+++ b/src/chicoryusher/frontends/mysql/frontend_settings.py
@@ -39,7 +39,7 @@
     max_newcomers: int = 512
     handshake_timeout: float = 5.0
     low_water_bytes: int = 256 * 1024
-    memory_mb: float = 512
+    memory_mb: float = 1024
     max_kept_bytes: int = 64 * 1024 * 1024
     message_timeout: float = 60.0
     answer_timeout: float = 60.0
