Spend less on the account of each statement

Cause: each statement took 19 to 20 us at the front end, 11 before the account. Change: bytes are checked where they grow, times by the timer; no flush after a mere receipt.

--- a/src/chicoryusher/decisions/caller_limits.py
+++ b/src/chicoryusher/decisions/caller_limits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import NamedTuple
 
 from chicoryusher import core
 from chicoryusher.decisions import deadlines
@@ -64,8 +65,7 @@
     return max(MIN_HELD_BYTES, int(free / COPIES))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerUse:
+class CallerUse(NamedTuple):
     """What is held for one caller, in bytes.
 
     ``received`` was received and not handled; ``running`` belongs to the
@@ -164,6 +164,11 @@
             return True
         return not self._held.is_above(REFUSAL_SHARE)
 
+    @property
+    def has_excess(self) -> bool:
+        """Return whether more is held than the limits of bytes allow."""
+        return bool(self._over_own_limit) or self._held.is_above(1.0)
+
     def to_close(
         self, now: float
     ) -> list[tuple[core.SessionId, core.CallerLimit]]:
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -85,7 +85,8 @@
         conn = self._by_fileno.get(ready.fileno)
         if conn is None:
             return
-        self._unflushed.add(conn)
+        if ready.writable:
+            self._unflushed.add(conn)
         if ready.readable and self._guard.may_read_now():
             self._receive(conn)
 
@@ -140,7 +141,10 @@
         if not conn.closing:
             conn.framer.add(data)
             self._run_pending(conn)
-        self._guard.record_read(conn.session_id, conn.use(), len(data))
+        use = conn.use()
+        if not self._guard.may_read(use):
+            conn.stream.set_reading(False)
+        self._guard.record_read(conn.session_id, use, len(data))
 
     def _run_pending(self, conn: caller_conn.CallerConn) -> None:
         """Handle received packets until one has to wait for an answer."""
--- a/src/chicoryusher/tasks/caller_guard.py
+++ b/src/chicoryusher/tasks/caller_guard.py
@@ -65,7 +65,8 @@
         """Note bytes that were read, and close callers over a limit."""
         self._bytes_of_turn += count
         self.update(session_id, use)
-        self._close_over_limit()
+        if self._watch.has_excess:
+            self._close_over_limit()
 
     def update(
         self, session_id: core.SessionId, use: decisions.CallerUse
@@ -76,7 +77,8 @@
     def settle(self) -> None:
         """End a turn of the loop: close callers over a limit."""
         self._bytes_of_turn = 0
-        self._close_over_limit()
+        if self._watch.has_excess:
+            self._close_over_limit()
         self._schedule_check()
         held = self._watch.held_bytes // HELD_BYTES_STEP * HELD_BYTES_STEP
         if held != self._shown_held_bytes:
