Let slow but steady clients go on

Cause: an HTTP request whose head came in two pieces was taken for requests sent ahead and its connection closed; a MySQL result that takes over a minute to read would have been cut off. Change: what was sent ahead is seen at the end of a request; each part of a long answer has its own time. Measured: tests/runtime and test_caller_limits pass, one run.

--- a/src/chicoryusher/decisions/caller_limits.py
+++ b/src/chicoryusher/decisions/caller_limits.py
@@ -134,6 +134,13 @@
         """Note that a message of a caller is complete."""
         self._messages.end(session_id)
 
+    def end_answer_part(self, session_id: core.SessionId) -> None:
+        """Note that a caller has taken a part of a long answer.
+
+        The next part has a time of its own.
+        """
+        self._answers.end(session_id)
+
     def forget(self, session_id: core.SessionId) -> None:
         """Forget a caller that has left."""
         self._held.record(session_id, 0)
--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -403,6 +403,7 @@
             return
         if conn.request_id is None:
             return
+        self._guard.end_answer_part(conn.session_id)
         self.send(
             self._router,
             core.AnswerConsumed(conn.request_id, conn.unreported_bytes),
--- a/src/chicoryusher/runtime/http_server.py
+++ b/src/chicoryusher/runtime/http_server.py
@@ -39,17 +39,14 @@
         self.head: h11.Request | None = None
         self.body = bytearray()
         self.awaits_reply = False
+        # Whether more had arrived with the end of a request.
+        self.sent_ahead = False
 
     @property
     def is_busy(self) -> bool:
         """Return whether a request waits for its response to be sent."""
         return self.awaits_reply or bool(self.stream.pending)
 
-    @property
-    def has_sent_ahead(self) -> bool:
-        """Return whether bytes have arrived before the response was sent."""
-        return bool(self.http.trailing_data[0])
-
     def reply(
         self,
         status: int,
@@ -129,7 +126,7 @@
         for conn in tuple(self._conns.values()):
             conn.stream.flush()
             ended = conn.http.our_state in (h11.MUST_CLOSE, h11.ERROR)
-            ended = ended or (not conn.is_busy and conn.has_sent_ahead)
+            ended = ended or (conn.sent_ahead and not conn.is_busy)
             if conn.stream.closed or (ended and not conn.stream.pending):
                 self._close_conn(conn)
 
@@ -155,6 +152,8 @@
         if conn.stream.closed:
             self._close_conn(conn)
             return
+        if not data:
+            return
         if conn.is_busy:
             # More than one request at a time.
             self._close_conn(conn)
@@ -198,6 +197,7 @@
         head = conn.head
         assert head is not None
         conn.awaits_reply = True
+        conn.sent_ahead = bool(conn.http.trailing_data[0])
         fileno = conn.stream.fileno
         self._bodies.record(fileno, 0)
         self._conns[fileno] = self._conns.pop(fileno)
--- a/src/chicoryusher/tasks/caller_guard.py
+++ b/src/chicoryusher/tasks/caller_guard.py
@@ -55,6 +55,10 @@
         """Note that a message of a caller is complete."""
         self._watch.end_message(session_id)
 
+    def end_answer_part(self, session_id: core.SessionId) -> None:
+        """Note that a caller has taken a part of a long answer."""
+        self._watch.end_answer_part(session_id)
+
     def forget(self, session_id: core.SessionId) -> None:
         """Forget a caller that has left."""
         self._watch.forget(session_id)
--- a/tests/decisions/test_caller_limits.py
+++ b/tests/decisions/test_caller_limits.py
@@ -103,6 +103,17 @@
     assert watch.seconds_to_expiry(100.0) is None
 
 
+def test_each_part_of_a_long_answer_has_its_own_time():
+    """Load: a caller that reads a large result slowly, but steadily."""
+    unsent = decisions.CallerUse(unsent=100)
+    watch = watch_with([unsent])
+    for now in (4.0, 8.0, 12.0):
+        watch.end_answer_part(session(0))
+        watch.update(session(0), unsent, now)
+        assert watch.to_close(now + 4.9) == []
+    assert watch.to_close(17.0) == [(session(0), LIMIT.ANSWER_TIME)]
+
+
 def test_the_limit_follows_from_the_memory_of_the_machine():
     mib = 1024 * 1024
     sizes = [decisions.limits_for_memory(mb * mib) for mb in (20, 120, 300)]
