--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -19,6 +19,10 @@
 RECONNECT_DELAY_S = 0.25
 MAX_QUEUED_MESSAGES_PER_VM = 4096
 MAX_STREAMS = 2048
+# Limit of accepted streams whose other end has not proved its key.
+MAX_UNAUTHENTICATED_STREAMS = 128
+# Bytes that may wait for a VM that does not take them, besides a document.
+MAX_UNSENT_BYTES = 24 * 1024 * 1024
 PROCESS_ID_BYTES = 16
 # Bytes per second of a VM's link without a setting: 1 Gbit/s.
 DEFAULT_LINK_BYTES_PER_S = 125e6
@@ -106,6 +110,8 @@
         self.address = self._listener.address
         self._addresses: dict[core.VmName, runtime.Address] = {}
         self._streams_by_fileno: dict[int, PeerStream] = {}
+        # Accepted streams, in the order in which they were accepted.
+        self._unauthenticated: dict[int, PeerStream] = {}
         self._streams_by_vm: dict[core.VmName, PeerStream] = {}
         self._connecting: dict[core.VmName, PeerStream] = {}
         self._queued: dict[core.VmName, list[core.Message]] = {}
@@ -171,6 +177,11 @@
             self._documents.add(vm, message)
             self._send_documents()
             return
+        if peer.stream.pending > MAX_UNSENT_BYTES:
+            self.log.emit(core.LogEvent.PEER_SLOW, peer=str(vm))
+            self._close_stream(peer)
+            self._report_undelivered(vm, message)
+            return
         peer.send(message)
         self._streams_to_flush.add(peer)
 
@@ -288,7 +299,11 @@
             if len(self._streams_by_fileno) >= MAX_STREAMS:
                 stream.close()
                 continue
-            self._add_stream(stream, StreamRole.ACCEPTOR)
+            peer = self._add_stream(stream, StreamRole.ACCEPTOR)
+            self._unauthenticated[stream.fileno] = peer
+            if len(self._unauthenticated) > MAX_UNAUTHENTICATED_STREAMS:
+                # A VM proves its key at once: the oldest is none.
+                self._close_stream(next(iter(self._unauthenticated.values())))
 
     def _receive(self, peer: PeerStream) -> None:
         was_authenticated = peer.authenticated
@@ -314,6 +329,7 @@
     def _on_authenticated(self, peer: PeerStream) -> None:
         vm = peer.peer
         assert vm is not None
+        self._unauthenticated.pop(peer.stream.fileno, None)
         self._connecting.pop(vm, None)
         for earlier in self._streams_of_earlier_process(peer):
             self._close_stream(earlier)
@@ -355,6 +371,7 @@
         If a second stream to the same VM is open, it takes over.
         """
         self._streams_by_fileno.pop(peer.stream.fileno, None)
+        self._unauthenticated.pop(peer.stream.fileno, None)
         peer.stream.close()
         for traffic, count in peer.bytes_sent.items():
             self._closed_sent_bytes[traffic] = (
@@ -385,11 +402,16 @@
     def _give_up_queued(self, vm: core.VmName) -> None:
         """Report the queued messages as undelivered, and the VM as down."""
         for message in self._queued.pop(vm, []):
-            for watcher in self._watchers.undelivered:
-                self.send(watcher, tasks.Undelivered(vm, message))
+            self._report_undelivered(vm, message)
         for watcher in self._watchers.unreachable:
             self.send(watcher, core.PeerDown(vm))
 
+    def _report_undelivered(
+        self, vm: core.VmName, message: core.Message
+    ) -> None:
+        for watcher in self._watchers.undelivered:
+            self.send(watcher, tasks.Undelivered(vm, message))
+
     def _notify_down(self, vm: core.VmName) -> None:
         down = core.PeerDown(vm)
         for watcher in self._watchers.down:
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -37,7 +37,8 @@
     still be used, None for no bound.  With ``paces_instances`` instances are
     loaded as far as their answers show that they can run the work.
     ``evidence`` is whether instances are asked for evidence when the primary
-    lease has ended.
+    lease has ended.  ``max_kept_bytes`` limits the values and
+    prepared statements that a session keeps.
     """
 
     zone: core.ZoneName
@@ -45,6 +46,7 @@
     revocation_s: float | None = None
     paces_instances: bool = False
     evidence: core.EvidenceMode = core.EvidenceMode.OFF
+    max_kept_bytes: int = decisions.CallerLimits().max_kept_bytes
 
     @property
     def load_policy(self) -> core.LoadPolicy:
