Follow limit keepers sooner after a start

Change: a keeper counts a follower for 1.15 s, and the hold after a start counts from the start of the process.

--- a/src/chicoryusher/decisions/limit_shares.py
+++ b/src/chicoryusher/decisions/limit_shares.py
@@ -35,12 +35,12 @@
 LIMIT_SLOTS = tuple(core.LimitSlot(number) for number in range(4))
 # Seconds between two messages of a follower to its keeper, and the VMs a
 # second that one keeper answers at most.
-MIN_FOLLOW_INTERVAL_S = 0.5
+MIN_FOLLOW_INTERVAL_S = 0.46
 FOLLOWERS_PER_S = 200
 # Intervals for which a keeper counts a follower, and after which it counts as
 # silent.  A follower that finds out earlier may not follow another one sooner.
-COUNTED_INTERVALS = 3.0
-SILENT_INTERVALS = 2.6
+COUNTED_INTERVALS = 2.5
+SILENT_INTERVALS = 2.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/tasks/pool/limits/limiter.py
+++ b/src/chicoryusher/tasks/pool/limits/limiter.py
@@ -43,7 +43,11 @@
 
 
 class Limiter(runtime.Task):
-    """Ask limit keepers for this VM's operations."""
+    """Ask limit keepers for this VM's operations.
+
+    ``started_at`` is when this process started (``Clock.boottime``), None for
+    now.
+    """
 
     def __init__(
         self,
@@ -52,13 +56,17 @@
         tolerance: core.LimitTolerance,
         zone: core.ZoneName,
         regions: dict[core.ZoneName, core.RegionName],
+        started_at: float | None = None,
     ) -> None:
         super().__init__(loop, vm, 'limiter')
         self._clock = loop.clock
         self._tolerance = tolerance
         self._zone = zone
         self._regions = regions
-        self._unheld_since = self._clock.boottime()
+        # Whom an earlier process followed, this one does not know.
+        self._unheld_since = (
+            self._clock.boottime() if started_at is None else started_at
+        )
         self._limits: dict[core.TeamName, core.Team] = {}
         self._allowances: dict[core.TeamName, decisions.TeamAllowances] = {}
         self._requests: dict[core.AllowanceId, _Request] = {}
