Open connections to replicas before a lease ends

Cause: evidence counts only on connections from before the end of the lease, and a VM that has read from no replica has none.

Change: an owner without a connection opens one 0.8 s before its lease would end, with the setting instance_evidence 'use' only.

Measured: a test on the virtual clock; no connection is opened in 10 s of calm, one for each replica once the VM is cut off. Not measured on a deployment.

--- a/src/chicoryusher/core/instance_evidence.py
+++ b/src/chicoryusher/core/instance_evidence.py
@@ -16,6 +16,7 @@
     'EvidenceMode',
     'EvidenceVerdict',
     'EvidenceWanted',
+    'EnsureConnection',
     'InstanceStatusRead',
     'ReadInstanceStatus',
     'StatusQuery',
@@ -79,6 +80,11 @@
     why: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EnsureConnection(messages.Message):
+    """Open a connection, if this VM is to keep some and has none."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadInstanceStatus(messages.Message):
     """Read an instance's status on a connection that is open already.
--- a/src/chicoryusher/tasks/pool/evidence_collector.py
+++ b/src/chicoryusher/tasks/pool/evidence_collector.py
@@ -26,6 +26,9 @@
 # Seconds for which an answer is held for evidence: some rounds, while a
 # replica is still behind or busy.
 REQUEST_LIMIT_S = 0.5
+# Seconds before the end of the lease at which connections are opened to the
+# replicas that have none: later ones give no evidence.
+PREPARE_S = 0.8
 # Other VMs that are asked for a replica to which this VM has no connection.
 MAX_ASKED_OWNERS = 3
 
@@ -79,6 +82,13 @@
     service: core.ServiceName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Prepare(core.Message):
+    """Timer: the lease that ends at ``lease_end`` may soon be over."""
+
+    lease_end: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _AskOwners(core.Message):
     """Timer: ask other VMs for the replicas that have not replied."""
@@ -149,6 +159,21 @@
     @runtime.handles(core.PrimaryLeaseUpdate)
     def _on_lease(self, message: core.PrimaryLeaseUpdate) -> None:
         self._lease_end = message.expires_at
+        left = message.expires_at - self._clock.boottime()
+        if left > PREPARE_S:
+            self.after(left - PREPARE_S, _Prepare(message.expires_at))
+
+    @runtime.handles(_Prepare)
+    def _on_prepare(self, message: _Prepare) -> None:
+        """Open connections to the replicas, unless the lease was extended."""
+        if message.lease_end != self._lease_end:
+            return
+        for group in self._groups.values():
+            primary = group.update.primary
+            for entry in group.update.entries:
+                if primary is not None and entry.name != primary:
+                    pool = names.instance_pool(self.vm, entry)
+                    self.send(pool, core.EnsureConnection())
 
     # -- requests and rounds --------------------------------------------
 
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -320,6 +320,13 @@
 
     # -- status queries -------------------------------------------------
 
+    @runtime.handles(core.EnsureConnection)
+    def _on_ensure_connection(self, message: core.EnsureConnection) -> None:
+        now = self.now()
+        is_paused = now < self._connect_paused_until
+        if not len(self._conns) and self._share.kept_open and not is_paused:
+            self._open_connection(now)
+
     @runtime.handles(core.ReadInstanceStatus)
     def _on_read_status(self, query: core.ReadInstanceStatus) -> None:
         conn = self._status_queries.start(query, self._conns.idle())
--- a/tests/tasks/test_pool_evidence.py
+++ b/tests/tasks/test_pool_evidence.py
@@ -118,6 +118,24 @@
     assert any(record.extra['number'] == proved for record in site.records)
 
 
+def opened(site):
+    return sum(link.opened for vm in site.vms for link in vm.links.values())
+
+
+def test_connections_to_replicas_are_opened_before_the_lease_ends():
+    """No VM has read from a replica before it is cut off."""
+    with pool_sites.checked_site(4, evidence=USE) as site:
+        site.run(10.0)
+        vm = site.vms[0]
+        assert ask(site, vm, pool_sites.WRITE).refusal is None
+        before = opened(site)
+        site.run(10.0)
+        assert opened(site) == before
+        cut_off(site, vm)
+        assert opened(site) == before + len(replicas(site))
+        assert ask(site, vm, pool_sites.WRITE).refusal is None
+
+
 def test_a_transaction_is_served_by_evidence(site):
     vm = site.vms[0]
     cut_off(site, vm)
