Keep the rounds of the evidence collector in a module of their own

Change: requests, rounds and groups moved; no change of logic.

Measured: tests/tasks and the tests of the entry process pass.

--- a/src/chicoryusher/tasks/pool/evidence_collector.py
+++ b/src/chicoryusher/tasks/pool/evidence_collector.py
@@ -13,6 +13,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import evidence_rounds
 
 __all__ = ['EvidenceCollector', 'StatusDecoder']
 
@@ -35,46 +36,6 @@
 StatusDecoder = Callable[[core.CommandReply], core.InstanceState | None]
 
 
-@dataclasses.dataclass(slots=True)
-class _Request:
-    """A request for evidence, and when it is given up."""
-
-    message: core.EvidenceWanted
-    received_at: float
-    deadline: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Round:
-    """One query of every replica of a group.
-
-    ``owners`` has the replicas that have not replied, each with the other VMs
-    that may still be asked; ``running`` are the queries without a reply.
-    """
-
-    number: int
-    requests: list[_Request]
-    owners: dict[core.InstanceName, list[core.VmName]]
-    states: dict[core.InstanceName, core.InstanceState]
-    running: dict[int, core.InstanceName]
-
-
-@dataclasses.dataclass(slots=True)
-class _Group:
-    """One group, with the requests that wait for the next round."""
-
-    update: core.GroupUpdate
-    witnesses: decisions.WitnessList
-    waiting: list[_Request]
-    round: _Round | None = None
-    scheduled: bool = False
-
-    def entry(self, name: core.InstanceName) -> core.InstanceEntry | None:
-        """Return the entry of a registered instance, None of others."""
-        entries = self.update.entries
-        return next((entry for entry in entries if entry.name == name), None)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _StartRound(core.Message):
     """Timer: query the replicas for the requests that wait."""
@@ -127,7 +88,7 @@
         self._mode = mode
         self._decode_status = decode_status
         self._numbers = itertools.count(1)
-        self._groups: dict[core.ServiceName, _Group] = {}
+        self._groups: dict[core.ServiceName, evidence_rounds.Group] = {}
         self._lease_end = float('-inf')
         # The group of each query of this VM.
         self._queries: dict[int, core.ServiceName] = {}
@@ -140,7 +101,7 @@
     def _on_group(self, message: core.GroupUpdate) -> None:
         group = self._groups.get(message.service)
         if group is None:
-            group = _Group(message, decisions.WitnessList(), [])
+            group = evidence_rounds.Group(message, decisions.WitnessList(), [])
             self._groups[message.service] = group
         primary_changed = group.update.primary != message.primary
         group.update = message
@@ -180,7 +141,7 @@
     @runtime.handles(core.EvidenceWanted)
     def _on_wanted(self, message: core.EvidenceWanted) -> None:
         now = self.now()
-        request = _Request(message, now, now + REQUEST_LIMIT_S)
+        request = evidence_rounds.Request(message, now, now + REQUEST_LIMIT_S)
         group = self._groups.get(message.service)
         if group is None or group.update.primary != message.primary:
             self._reply(request, False, 'the primary is being replaced')
@@ -193,12 +154,12 @@
         if group.round is None:
             self._schedule_round(group)
 
-    def _schedule_round(self, group: _Group) -> None:
+    def _schedule_round(self, group: evidence_rounds.Group) -> None:
         if group.waiting and not group.scheduled:
             group.scheduled = True
             self.after(GATHER_S, _StartRound(group.update.service))
 
-    def _why_not(self, group: _Group) -> str:
+    def _why_not(self, group: evidence_rounds.Group) -> str:
         """Return why a group's instances give no evidence, '' if they may."""
         if self._mode is not core.EvidenceMode.USE:
             return 'no evidence is used'
@@ -211,7 +172,9 @@
             return 'a replica is registered no more'
         return ''
 
-    def _replicas(self, group: _Group) -> frozenset[core.InstanceName]:
+    def _replicas(
+        self, group: evidence_rounds.Group
+    ) -> frozenset[core.InstanceName]:
         primary = group.update.primary
         assert primary is not None
         return group.witnesses.replicas(primary, self._lease_end)
@@ -232,7 +195,7 @@
             for name, vms in requests[-1].message.owners
         }
         number = next(self._numbers)
-        group.round = _Round(
+        group.round = evidence_rounds.Round(
             number,
             requests,
             {name: owners.get(name, []) for name in self._replicas(group)},
@@ -248,7 +211,10 @@
             self._query_pool(entry, query)
 
     def _new_query(
-        self, group: _Group, current: _Round, name: core.InstanceName
+        self,
+        group: evidence_rounds.Group,
+        current: evidence_rounds.Round,
+        name: core.InstanceName,
     ) -> int:
         number = next(self._numbers)
         current.running[number] = name
@@ -298,7 +264,10 @@
             self._end_round(group)
 
     def _ask_owner(
-        self, group: _Group, current: _Round, name: core.InstanceName
+        self,
+        group: evidence_rounds.Group,
+        current: evidence_rounds.Round,
+        name: core.InstanceName,
     ) -> bool:
         """Ask the next VM for a status; return whether there is one."""
         primary = group.update.primary
@@ -327,7 +296,7 @@
         if group.round is not None and group.round.number == message.number:
             self._end_round(group)
 
-    def _end_round(self, group: _Group) -> None:
+    def _end_round(self, group: evidence_rounds.Group) -> None:
         """Judge the requests; those without a verdict get another round."""
         current, group.round = group.round, None
         assert current is not None
@@ -354,7 +323,7 @@
                 group.waiting.append(request)
         self._schedule_round(group)
 
-    def _refuse_all(self, group: _Group, why: str) -> None:
+    def _refuse_all(self, group: evidence_rounds.Group, why: str) -> None:
         requests, group.waiting = group.waiting, []
         if group.round is not None:
             requests += group.round.requests
@@ -366,7 +335,7 @@
 
     def _reply(
         self,
-        request: _Request,
+        request: evidence_rounds.Request,
         proved: bool,
         why: str,
         instances: tuple[core.InstanceName, ...] = (),
