--- a/src/chicoryusher/tasks/pool/limits/limit_keeper.py
+++ b/src/chicoryusher/tasks/pool/limits/limit_keeper.py
@@ -11,6 +11,9 @@
 
 __all__ = ['LimitKeeper']
 
+# Seconds, times the share of followers, that a keeper must have covered
+# before it can tell when a VM gets operations.
+MIN_COVERED_S = 0.5
 # Seconds after a release until no stamp from before it can come any more.
 RELEASE_KEPT_S = 60.0
 
@@ -169,6 +172,9 @@
             kept.followers.share,
             now,
         )
+        if kept.followers.covered_s < MIN_COVERED_S:
+            # Its followers are still arriving, and with them its share.
+            next_s = None
         self._grant(message, granted, next_s)
 
     def _grant(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -73,5 +73,10 @@
         'limit_window_s',
         'limit_tolerance_ratio',
         'limit_tolerance_requests',
+        'memory_mb',
+        'max_fds',
+        'contracts',
+        'instance_evidence',
+        'announce_changes',
     }
     assert names == set(DOCUMENT) | optional
--- a/tests/tasks/test_pool_evidence_faults.py
+++ b/tests/tasks/test_pool_evidence_faults.py
@@ -149,7 +149,7 @@
     for vm in site.vms:
         for instance_pool in vm.desk._group_table._pools.values():
             if not len(instance_pool._conns):
-                instance_pool._open_connection(site.clock.now())
+                instance_pool._opener.open(site.clock.now())
 
 
 @pytest.mark.parametrize('seed', SEEDS)
