--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,3 +80,24 @@
         'announce_changes',
     }
     assert names == set(DOCUMENT) | optional
+
+
+@pytest.mark.parametrize(
+    ('fields', 'paced'),
+    [
+        ({}, False),
+        ({'contracts': ''}, False),
+        ({'contracts': 'base,drain,config'}, False),
+        ({'contracts': 'base,unhealthy'}, False),
+        ({'contracts': 'base,health,sql'}, True),
+    ],
+)
+def test_instances_are_paced_where_the_rules_speak_of_health(
+    tmp_path, fields, paced
+):
+    assert load(tmp_path, **fields).paces_instances is paced
+
+
+def test_contracts_that_are_no_text_are_a_defect(tmp_path):
+    with pytest.raises(core.SettingsError):
+        load(tmp_path, contracts=7)
--- a/tests/tasks/pool_sites.py
+++ b/tests/tasks/pool_sites.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 
 import logbook
 
@@ -61,3 +62,14 @@
         for commit in site.group.commits
         if commit.request_id == request_id
     ]
+
+
+def set_teams(site, *teams, seconds=3.0):
+    """Put a newer configuration with these teams into the store, and run."""
+    config = site.store.config
+    site.store.config = dataclasses.replace(
+        config,
+        version=core.ConfigVersion(config.version + 1),
+        teams=teams,
+    )
+    site.run(seconds)
--- a/tests/tasks/test_pool_limited_statements.py
+++ b/tests/tasks/test_pool_limited_statements.py
@@ -25,21 +25,10 @@
 @pytest.fixture
 def site():
     with pool_sites.checked_site(3, limit_tolerance=EXACT) as site:
-        set_teams(site, RED)
+        pool_sites.set_teams(site, RED, seconds=5.0)
         yield site
 
 
-def set_teams(site, *teams):
-    """Put a newer configuration with these teams into the store."""
-    config = site.store.config
-    site.store.config = dataclasses.replace(
-        config,
-        version=core.ConfigVersion(config.version + 1),
-        teams=teams,
-    )
-    site.run(5.0)
-
-
 def write_at_once(site, count, vm=0):
     """Send one write of as many sessions; return their refusals."""
     callers = [site.vms[vm].caller(PRIMARY, KEY) for _ in range(count)]
@@ -136,7 +125,9 @@
 
 
 def test_without_a_rate_nothing_of_the_limits_is_sent(site):
-    set_teams(site, dataclasses.replace(RED, rate=None))
+    pool_sites.set_teams(
+        site, dataclasses.replace(RED, rate=None), seconds=5.0
+    )
     site.run(3.0)
     site.sent.clear()
     requests = requests_of(site.vms[0])
--- a/tests/tasks/test_pool_teams.py
+++ b/tests/tasks/test_pool_teams.py
@@ -18,21 +18,10 @@
 @pytest.fixture
 def site():
     with pool_sites.checked_site(3) as site:
-        set_teams(site, RED, BLUE)
+        pool_sites.set_teams(site, RED, BLUE)
         yield site
 
 
-def set_teams(site, *teams):
-    """Put a newer configuration with these teams into the store."""
-    config = site.store.config
-    site.store.config = dataclasses.replace(
-        config,
-        version=core.ConfigVersion(config.version + 1),
-        teams=teams,
-    )
-    site.run(3.0)
-
-
 def write(site, caller):
     return pool_sites.ask(site, caller, pool_sites.WRITE)
 
@@ -81,12 +70,12 @@
             dataclasses.replace(route, public=True) for route in config.routes
         ),
     )
-    set_teams(site, RED)
+    pool_sites.set_teams(site, RED)
     assert write(site, site.vms[0].caller(PRIMARY)).refusal is None
 
 
 def test_without_teams_connections_name_none(site):
-    set_teams(site)
+    pool_sites.set_teams(site)
     assert write(site, site.vms[0].caller(PRIMARY, KEY)).refusal is None
     work = [message for _, message in site.forwarded]
     assert all(message.team is None for message in work)
@@ -97,7 +86,7 @@
     open_caller = site.vms[0].caller(PRIMARY, KEY)
     begin = core.Statement(core.Verb.BEGIN, 'BEGIN')
     pool_sites.ask(site, open_caller, begin, pool_sites.WRITE)
-    set_teams(site, BLUE)
+    pool_sites.set_teams(site, BLUE)
     assert idle.closed
     assert not pool_sites.pinned_conns(site)
     commit = core.Statement(core.Verb.COMMIT, 'COMMIT')
@@ -111,7 +100,7 @@
     begin = core.Statement(core.Verb.BEGIN, 'BEGIN')
     pool_sites.ask(site, caller, begin, pool_sites.WRITE)
     moved = dataclasses.replace(BLUE, keys=(KEY, OTHER_KEY))
-    set_teams(site, dataclasses.replace(RED, keys=()), moved)
+    pool_sites.set_teams(site, dataclasses.replace(RED, keys=()), moved)
     assert write(site, caller).refusal is core.Refusal.ABORTED
     rollback = core.Statement(core.Verb.ROLLBACK, 'ROLLBACK')
     pool_sites.ask(site, caller, rollback)
@@ -156,6 +145,6 @@
     site.store.config = dataclasses.replace(
         config, version=core.ConfigVersion(config.version + 1)
     )
-    set_teams(site, RED)
+    pool_sites.set_teams(site, RED)
     assert write(site, caller).refusal is None
     assert write(site, newcomer).refusal is core.Refusal.UNKNOWN_KEY
