--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -75,7 +75,7 @@
         'limit_tolerance_requests',
         'memory_mb',
         'max_fds',
-        'contracts',
+        'paces_instances',
         'instance_evidence',
         'announce_changes',
     }
@@ -86,18 +86,18 @@
     ('fields', 'paced'),
     [
         ({}, False),
-        ({'contracts': ''}, False),
-        ({'contracts': 'base,drain,config'}, False),
-        ({'contracts': 'base,unhealthy'}, False),
-        ({'contracts': 'base,health,sql'}, True),
+        ({'paces_instances': None}, False),
+        ({'paces_instances': False}, False),
+        ({'paces_instances': True}, True),
     ],
 )
-def test_instances_are_paced_where_the_rules_speak_of_health(
+def test_instances_are_paced_where_the_settings_say_so(
     tmp_path, fields, paced
 ):
     assert load(tmp_path, **fields).paces_instances is paced
 
 
-def test_contracts_that_are_no_text_are_a_defect(tmp_path):
+@pytest.mark.parametrize('value', ['health', 1, []])
+def test_a_pace_that_is_no_flag_is_a_defect(tmp_path, value):
     with pytest.raises(core.SettingsError):
-        load(tmp_path, contracts=7)
+        load(tmp_path, paces_instances=value)
