--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -212,9 +212,10 @@
     @runtime.handles(core.EnsureConnection)
     def _on_ensure_connection(self, message: core.EnsureConnection) -> None:
         now = self.now()
-        is_paused = now < self._connect_paused_until
-        if not len(self._conns) and self._share.kept_open and not is_paused:
-            self._open_connection(now)
+        keeps_conns = bool(self._opener.share.kept_open)
+        if not len(self._conns) and keeps_conns:
+            if not self._opener.is_paused(now):
+                self._opener.open(now)
 
     @runtime.handles(core.ReadInstanceStatus)
     def _on_read_status(self, query: core.ReadInstanceStatus) -> None:
