--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -21,17 +21,17 @@
     'granted_limit',
 ]
 
-# Share of what a window may have that may be started at once, so that
+# Share of the operations of a window that may be started at once, so that
 # arrivals which are bunched by chance are not over the limit.
 BURST_SHARE = 0.15
-# The same for small teams, and up to how many operations.
+# The same for small teams, and the most operations that it gives them.
 SMALL_BURST_SHARE = 0.2
 SMALL_BURST = 4.0
-# Share of what a window may have that is not granted.
+# Share of the operations of a window that is not granted.
 MARGIN_SHARE = 0.03
 # Seconds by which an operation may be started later than it was granted.
 LATE_START_S = 0.5
-# Share of what a window may have that late starts leave free as well.
+# Share of the operations of a window that late starts leave free as well.
 LATE_MARGIN_SHARE = 0.001
 MAX_VALIDITY_S = 2.0
 MIN_VALIDITY_S = 0.2
--- a/src/chicoryusher/decisions/limit_shares.py
+++ b/src/chicoryusher/decisions/limit_shares.py
@@ -28,8 +28,8 @@
     'sort_limit_keepers',
 ]
 
-# Least VMs in a region whose VMs follow keepers of their own, and least
-# share of all VMs.
+# A region whose VMs follow keepers of their own has at least so many VMs, and
+# at least this share of all VMs.
 MIN_NEAR_VMS = 8
 MIN_NEAR_SHARE = 0.4
 LIMIT_SLOTS = tuple(core.LimitSlot(number) for number in range(4))
--- a/src/chicoryusher/decisions/team_conns.py
+++ b/src/chicoryusher/decisions/team_conns.py
@@ -1,7 +1,7 @@
-"""For which teams connections are opened, and which connection makes way.
+"""For which teams connections to an instance are opened.
 
-A connection belongs to one team for its life.  A VM that may open no more
-closes the connection of another team that has been idle for the longest.
+A connection belongs to one team for its life, so each team whose work waits
+needs one of its own.
 """
 
 from __future__ import annotations
