Split the gate by its jobs

Change: the task keeps its chart and its messages; what it owns is in modules of their own: gate_lock, waiting_requests, running_requests, awaited_proofs, gate_replies and gate_signals. Behaviour is unchanged.

--- a/src/chicoryusher/tasks/conns.py
+++ b/src/chicoryusher/tasks/conns.py
@@ -56,6 +56,11 @@
         """Return how many connections are idle."""
         return len(self._idle)
 
+    @property
+    def pinned(self) -> int:
+        """Return how many connections are pinned to transactions."""
+        return sum(1 for conn in self._conns.values() if conn.transaction)
+
     def find(self, conn_id: core.ConnId) -> Conn | None:
         """Return a connection by its id, None if it does not exist."""
         return self._conns.get(conn_id)
--- a/src/chicoryusher/tasks/gate_actions.py
+++ b/src/chicoryusher/tasks/gate_actions.py
@@ -11,12 +11,12 @@
 
 @charts.action('gate.claim')
 def _claim(gate: Gate, arg: object) -> None:
-    gate.claim_lock()
+    gate.lock.claim()
 
 
 @charts.action('gate.claim_later')
 def _claim_later(gate: Gate, arg: object) -> None:
-    gate.claim_lock_later()
+    gate.lock.claim_later()
 
 
 @charts.action('gate.serve')
@@ -31,7 +31,7 @@
 
 @charts.action('gate.release_lock')
 def _release_lock(gate: Gate, arg: object) -> None:
-    gate.release_lock()
+    gate.lock.release()
 
 
 @charts.action('gate.move_queued')
