--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 from typing import Protocol
 
 from chicoryusher import charts
@@ -110,6 +111,25 @@
         self.key = opened.key
         self.team: core.TeamName | None = None
 
+    def add_positions(
+        self, positions: Mapping[core.DatabaseName, core.Position]
+    ) -> None:
+        """Have the session's reads see these log positions too."""
+        for database, position in positions.items():
+            current = self.positions.get(database, core.ORIGIN)
+            self.positions[database] = max(current, position)
+
+    def state_row(self) -> tuple[tuple[str, str], ...]:
+        """Return the (name, value) pairs that operators see."""
+        return (
+            ('session', str(self.session_id)),
+            ('caller', str(self.caller)),
+            ('team', str(self.team or '')),
+            ('database', str(self.database or '')),
+            ('state', self.state.value),
+            ('instance', str(self.instance or '')),
+        )
+
 
 @charts.guard('session.draining')
 def _draining(session: Session, pending: PendingRequest) -> bool:
