--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -43,6 +43,7 @@
 from chicoryusher.decisions import retry
 from chicoryusher.decisions import session_tokens
 from chicoryusher.decisions import staleness
+from chicoryusher.decisions import store_eras
 from chicoryusher.decisions import store_pollers
 from chicoryusher.decisions import team_conns
 from chicoryusher.decisions import team_rights
@@ -102,6 +103,7 @@
 from chicoryusher.decisions.scheduling import ServiceTimes
 from chicoryusher.decisions.session_tokens import *  # noqa: F403
 from chicoryusher.decisions.staleness import *  # noqa: F403
+from chicoryusher.decisions.store_eras import *  # noqa: F403
 from chicoryusher.decisions.store_pollers import *  # noqa: F403
 from chicoryusher.decisions.team_conns import *  # noqa: F403
 from chicoryusher.decisions.team_rights import *  # noqa: F403
@@ -142,6 +144,7 @@
     *limit_buckets.__all__,
     *limit_following.__all__,
     *limit_shares.__all__,
+    *store_eras.__all__,
     *store_pollers.__all__,
     *team_conns.__all__,
     *team_rights.__all__,
