Split the group monitor by its jobs

How often to probe and whether a majority is fenced are decided in decisions/ (ProbePace, FenceRound), each with a test. Behaviour is unchanged.

--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -16,6 +16,7 @@
 from chicoryusher.decisions import exchange_graph
 from chicoryusher.decisions import failover
 from chicoryusher.decisions import fair_queue
+from chicoryusher.decisions import fence_round
 from chicoryusher.decisions import fencing
 from chicoryusher.decisions import gate_directory
 from chicoryusher.decisions import gates
@@ -38,6 +39,7 @@
 from chicoryusher.decisions import paced_selection
 from chicoryusher.decisions import primary_lease
 from chicoryusher.decisions import primary_positions
+from chicoryusher.decisions import probe_pace
 from chicoryusher.decisions import reader_selection
 from chicoryusher.decisions import register
 from chicoryusher.decisions import retry
@@ -65,6 +67,7 @@
 from chicoryusher.decisions.exchange_graph import *  # noqa: F403
 from chicoryusher.decisions.failover import *  # noqa: F403
 from chicoryusher.decisions.fair_queue import *  # noqa: F403
+from chicoryusher.decisions.fence_round import *  # noqa: F403
 from chicoryusher.decisions.fencing import *  # noqa: F403
 from chicoryusher.decisions.gate_directory import *  # noqa: F403
 from chicoryusher.decisions.gates import *  # noqa: F403
@@ -87,6 +90,7 @@
 from chicoryusher.decisions.paced_selection import *  # noqa: F403
 from chicoryusher.decisions.primary_lease import *  # noqa: F403
 from chicoryusher.decisions.primary_positions import *  # noqa: F403
+from chicoryusher.decisions.probe_pace import *  # noqa: F403
 from chicoryusher.decisions.reader_selection import *  # noqa: F403
 from chicoryusher.decisions.register import *  # noqa: F403
 from chicoryusher.decisions.retry import *  # noqa: F403
@@ -121,6 +125,7 @@
     *gate_directory.__all__,
     *evidence.__all__,
     *fair_queue.__all__,
+    *fence_round.__all__,
     *fencing.__all__,
     *staleness.__all__,
     *gates.__all__,
@@ -154,6 +159,7 @@
     *handshakes.__all__,
     *held_bytes.__all__,
     *primary_positions.__all__,
+    *probe_pace.__all__,
     *reader_selection.__all__,
     *conn_shares.__all__,
     *deadlines.__all__,
