Take the reports on streams out of the task of the peers

Change: peers/subscribers.py has the subscribers, the ones of a daemon, and what they are sent; PeerSubscribers is still imported from peers.task. Behaviour is unchanged.

--- a/src/chicoryusher/peers/task.py
+++ b/src/chicoryusher/peers/task.py
@@ -11,6 +11,8 @@
 from chicoryusher import tasks
 from chicoryusher.peers import receivers
 from chicoryusher.peers import stream as stream_module
+from chicoryusher.peers import subscribers
+from chicoryusher.peers.subscribers import PeerSubscribers
 
 __all__ = ['PeerSubscribers', 'Peers']
 
@@ -55,33 +57,6 @@
     """The next document may be sent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerSubscribers:
-    """Tasks that are notified of streams and of undelivered messages.
-
-    ``up`` and ``down`` are notified when an authenticated stream opens or
-    closes.  ``unreachable`` is notified when queued messages are given up,
-    because no stream could be opened or the queue was full, and
-    ``undelivered`` of each of these messages.
-    """
-
-    up: tuple[core.TaskName, ...] = ()
-    down: tuple[core.TaskName, ...] = ()
-    unreachable: tuple[core.TaskName, ...] = ()
-    undelivered: tuple[core.TaskName, ...] = ()
-
-
-def _default_watchers(vm: core.VmName) -> PeerSubscribers:
-    router = tasks.names.router(vm)
-    membership = tasks.names.membership(vm)
-    return PeerSubscribers(
-        up=(membership,),
-        down=(router, membership, tasks.names.node(vm)),
-        unreachable=(membership,),
-        undelivered=(router,),
-    )
-
-
 class Peers(runtime.Task):
     """Exchange messages with other VMs over one stream to each.
 
@@ -100,7 +75,7 @@
         link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S,
     ) -> None:
         super().__init__(loop, vm, 'peers')
-        self._watchers = watchers or _default_watchers(vm)
+        self._reports = subscribers.StreamReports(self, watchers)
         self._poller = loop.poller
         self._key = key
         self._process = core.PeerProcessId(
@@ -180,7 +155,7 @@
         if peer.stream.pending > MAX_UNSENT_BYTES:
             self.log.emit(core.LogEvent.PEER_SLOW, peer=str(vm))
             self._close_stream(peer)
-            self._report_undelivered(vm, message)
+            self._reports.report_undelivered(vm, message)
             return
         peer.send(message)
         self._streams_to_flush.add(peer)
@@ -338,8 +313,7 @@
         self.log.emit(core.LogEvent.PEER_CONNECTED, peer=str(vm))
         for message in self._queued.pop(vm, []):
             self._send_to_stream(vm, peer, message)
-        for watcher in self._watchers.up:
-            self.send(watcher, core.PeerUp(vm))
+        self._reports.report_up(vm)
 
     def _streams_of_earlier_process(
         self, peer: PeerStream
@@ -397,25 +371,13 @@
         if other is not None:
             self._streams_by_vm[lost_vm] = other
         self.log.emit(core.LogEvent.PEER_LOST, peer=str(lost_vm))
-        self._notify_down(lost_vm)
+        self._reports.report_down(lost_vm)
 
     def _give_up_queued(self, vm: core.VmName) -> None:
         """Report the queued messages as undelivered, and the VM as down."""
         for message in self._queued.pop(vm, []):
-            self._report_undelivered(vm, message)
-        for watcher in self._watchers.unreachable:
-            self.send(watcher, core.PeerDown(vm))
-
-    def _report_undelivered(
-        self, vm: core.VmName, message: core.Message
-    ) -> None:
-        for watcher in self._watchers.undelivered:
-            self.send(watcher, tasks.Undelivered(vm, message))
-
-    def _notify_down(self, vm: core.VmName) -> None:
-        down = core.PeerDown(vm)
-        for watcher in self._watchers.down:
-            self.send(watcher, down)
+            self._reports.report_undelivered(vm, message)
+        self._reports.report_unreachable(vm)
 
     def settled(self) -> None:
         """Flush the streams to which the handled messages wrote."""
