Move the tasks of shared limits out of the pool's folder

The limiter and the limit keeper are to serve the MySQL front end as well, which has no pool. They import nothing of it. So they are in tasks/limits now; the attempts' side stays in tasks/pool. No change of logic.

--- a/src/chicoryusher/tasks/pool/limits/limiter.py
+++ b/src/chicoryusher/tasks/limits/limiter.py
@@ -13,7 +13,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool.limits import slot_follower
+from chicoryusher.tasks.limits import slot_follower
 
 __all__ = ['Limiter']
 
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -12,6 +12,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import attempt_allowances
 from chicoryusher.tasks.pool import attempt_answers
 from chicoryusher.tasks.pool import attempt_log
 from chicoryusher.tasks.pool import attempt_results
@@ -23,7 +24,6 @@
 from chicoryusher.tasks.pool import running_work
 from chicoryusher.tasks.pool import selectors
 from chicoryusher.tasks.pool import sessions
-from chicoryusher.tasks.pool.limits import attempt_allowances
 
 __all__ = ['Attempts', 'RetrySelection']
 
--- a/src/chicoryusher_standins/pool/fleet.py
+++ b/src/chicoryusher_standins/pool/fleet.py
@@ -14,9 +14,9 @@
 from chicoryusher import runtime
 from chicoryusher.peers import codec
 from chicoryusher.tasks import names
+from chicoryusher.tasks.limits import limit_keeper
+from chicoryusher.tasks.limits import limiter
 from chicoryusher.tasks.pool import view_exchange
-from chicoryusher.tasks.pool.limits import limit_keeper
-from chicoryusher.tasks.pool.limits import limiter
 from chicoryusher_standins.pool import store as store_module
 
 __all__ = ['Fleet', 'FleetVm']
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -11,6 +11,8 @@
 from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks.limits import limit_keeper
+from chicoryusher.tasks.limits import limiter
 from chicoryusher.tasks.pool import dispatcher as dispatcher_module
 from chicoryusher.tasks.pool import evidence_collector
 from chicoryusher.tasks.pool import forwarder
@@ -18,8 +20,6 @@
 from chicoryusher.tasks.pool import reachability
 from chicoryusher.tasks.pool import relay
 from chicoryusher.tasks.pool import view_exchange
-from chicoryusher.tasks.pool.limits import limit_keeper
-from chicoryusher.tasks.pool.limits import limiter
 from chicoryusher_standins.pool import callers
 from chicoryusher_standins.pool import group as group_module
 from chicoryusher_standins.pool import links
--- a/tests/tasks/limit_sites.py
+++ b/tests/tasks/limit_sites.py
@@ -11,8 +11,8 @@
 from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool.limits import limit_keeper
-from chicoryusher.tasks.pool.limits import limiter
+from chicoryusher.tasks.limits import limit_keeper
+from chicoryusher.tasks.limits import limiter
 
 TOLERANCE = core.LimitTolerance()
 # Keepers that grant the limit itself and nothing of what is tolerated.
