Enforce the rate and burst of teams for MySQL callers

The register's rate and burst were only checked and shown: the router sent every statement to its gate. The router now requests an allowance for each autocommit statement, and for the statement that begins a transaction, of a team with a rate. Limiter and limit keeper of the VM are those of the pool: a request names the task to answer, and the VMs that share the limits come as LimitVms, made from the register and the live VMs. What both front ends do to request allowances is in AllowanceRequests.

Keepers of the product grant nothing beyond the register: the rate is lowered by 0.2 s in 5.2 s, which is how late an allowance may be used. The tolerance of the platform is as before. Without a rate the router and the VMs send nothing about limits; a test asserts it.

The lab passes messages of peers on by the table of the peers package in place of a copy of it, which lacked these messages. test_pool_limited_statements reads the waiting attempts where they are now.

--- a/src/chicoryusher/core/errors.py
+++ b/src/chicoryusher/core/errors.py
@@ -24,6 +24,7 @@
     'MalformedPacket',
     'NoTeam',
     'NotRunError',
+    'OverLimit',
     'OversizePacket',
     'PlatformError',
     'PlatformRefused',
@@ -214,6 +215,13 @@
         self.retry_after = retry_after
 
 
+class OverLimit(NotRunError):
+    """The request was not run, since its team has used up its limit."""
+
+    code = 29006
+    sqlstate = '42000'
+
+
 class UnknownOutcomeError(CallerError):
     """It could not be proved whether the request was run."""
 
--- a/src/chicoryusher/core/ids.py
+++ b/src/chicoryusher/core/ids.py
@@ -38,7 +38,7 @@
 ]
 
 # Identifies a request for an allowance within one process.
-AllowanceId = NewType('AllowanceId', int)
+AllowanceId = NewType('AllowanceId', str)
 CallerName = NewType('CallerName', str)
 ConfigVersion = NewType('ConfigVersion', int)
 ConnId = NewType('ConnId', int)
--- a/src/chicoryusher/core/limits.py
+++ b/src/chicoryusher/core/limits.py
@@ -20,6 +20,7 @@
     'GrantAllowance',
     'LimitKeeperStamp',
     'LimitTolerance',
+    'LimitVms',
     'RequestAllowance',
 ]
 
@@ -30,11 +31,27 @@
 
     In any window of ``window_s`` seconds a team with a rate and a burst may
     start (rate x window + burst) x (1 + ``ratio``) + ``requests`` operations.
+    If that leaves no room for operations that start late, the rate is lowered
+    so that those of ``late_start_s`` seconds fit into the window.
     """
 
     window_s: float = 5.0
     ratio: float = 0.1
     requests: float = 20.0
+    late_start_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitVms(messages.Message):
+    """VMs that share the limits: the live ones, and how many there are.
+
+    ``near`` are the live VMs in the region of this VM; ``vm_count`` counts all
+    registered VMs, this one included.
+    """
+
+    live: frozenset[ids.VmName]
+    near: frozenset[ids.VmName]
+    vm_count: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,12 +123,16 @@
 class RequestAllowance(messages.Message):
     """Request an allowance for one operation of a team of this VM.
 
-    The operation can wait for ``max_wait_s`` seconds.
+    The operation can wait for ``max_wait_s`` seconds, and for a turn of this
+    VM for ``max_turn_wait_s``; None leaves that to the limiter.  Ids of
+    different ``reply_to`` differ.
     """
 
     allowance_id: ids.AllowanceId
     team: ids.TeamName
     max_wait_s: float
+    reply_to: ids.TaskName
+    max_turn_wait_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/daemon/metrics.py
+++ b/src/chicoryusher/daemon/metrics.py
@@ -94,6 +94,14 @@
         yield metrics.Observation(count, labels)
 
 
+@INSTRUMENTS.register('chicoryusher.team_throttled')
+def _team_throttled(sources: MetricSources) -> Iterable[metrics.Observation]:
+    throttled = sources.node.router.team_counts.throttled
+    for (team, outcome), count in tuple(throttled.items()):
+        labels = {'team': str(team), 'outcome': outcome.value}
+        yield metrics.Observation(count, labels)
+
+
 def start_export(
     metrics_settings: settings.MetricsSettings, sources: MetricSources
 ) -> sdk.MeterProvider | None:
--- a/src/chicoryusher/decisions/limit_allowances.py
+++ b/src/chicoryusher/decisions/limit_allowances.py
@@ -86,11 +86,20 @@
     # -- operations -----------------------------------------------------
 
     def add(
-        self, allowance_id: core.AllowanceId, max_wait_s: float, now: float
+        self,
+        allowance_id: core.AllowanceId,
+        max_wait_s: float,
+        now: float,
+        max_turn_wait_s: float | None = None,
     ) -> None:
-        """Add an operation that can wait for some seconds."""
+        """Add an operation that can wait for some seconds.
+
+        For a turn it waits for half of them if no other time is given.
+        """
+        if max_turn_wait_s is None:
+            max_turn_wait_s = max_wait_s * TURN_WAIT_SHARE
         self._waiting[allowance_id] = _Operation(
-            now + max_wait_s, now + max_wait_s * TURN_WAIT_SHARE
+            now + max_wait_s, now + min(max_wait_s, max_turn_wait_s)
         )
         self._demand = self._demand_now(now) + 1.0 / DEMAND_PERIOD_S
         self._demand_at = now
--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -15,6 +15,7 @@
 from chicoryusher import core
 
 __all__ = [
+    'MIN_VALIDITY_S',
     'LimitBucket',
     'allowance_validity_s',
     'bucket_capacity',
@@ -95,7 +96,8 @@
     seconds = tolerance.window_s + LATE_START_S
     granted_rate = (usable - _most_held(rate, granted_burst)) / seconds
     if granted_rate < rate:
-        return rate, burst
+        late_share = tolerance.late_start_s / tolerance.window_s
+        return rate / (1.0 + late_share), burst
     return granted_rate, granted_burst
 
 
--- a/src/chicoryusher/decisions/limit_shares.py
+++ b/src/chicoryusher/decisions/limit_shares.py
@@ -18,6 +18,7 @@
 import xxhash
 
 from chicoryusher import core
+from chicoryusher.decisions import configuration
 
 __all__ = [
     'LIMIT_SLOTS',
@@ -25,6 +26,7 @@
     'FollowerCount',
     'follow_timing',
     'limit_slot',
+    'limit_vms',
     'sort_limit_keepers',
 ]
 
@@ -89,6 +91,31 @@
     return tuple(sorted(vms, key=rank))
 
 
+def limit_vms(
+    config: configuration.Configuration,
+    live: Set[core.VmName],
+    own: core.VmName,
+) -> core.LimitVms:
+    """Return the VMs that share the limits of a configuration's teams.
+
+    All VMs of the register count, whether they are live or not.
+    """
+    registered = {spec.name: spec.zone for spec in config.vms}
+    live = (live & registered.keys()) | {own}
+    own_zone = registered.get(own, core.ZoneName(''))
+    region = config.region(own_zone)
+    near = {
+        vm
+        for vm in live
+        if vm in registered and config.region(registered[vm]) == region
+    }
+    return core.LimitVms(
+        frozenset(live),
+        frozenset(near | {own}),
+        len(registered.keys() | {own}),
+    )
+
+
 class FollowerCount:
     """The followers that a keeper counts in one slot.
 
--- a/src/chicoryusher/tasks/limits/limit_keeper.py
+++ b/src/chicoryusher/tasks/limits/limit_keeper.py
@@ -8,6 +8,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks import task_messages
 
 __all__ = ['LimitKeeper']
 
@@ -49,8 +50,10 @@
 
     # -- configuration and VMs ------------------------------------------
 
-    @runtime.handles(core.PoolConfigUpdate)
-    def _on_config(self, message: core.PoolConfigUpdate) -> None:
+    @runtime.handles(core.PoolConfigUpdate, task_messages.ConfigUpdate)
+    def _on_config(
+        self, message: core.PoolConfigUpdate | task_messages.ConfigUpdate
+    ) -> None:
         self._limits = {
             team.name: team
             for team in message.config.teams
@@ -83,10 +86,17 @@
 
     @runtime.handles(core.PeerSets)
     def _on_peer_sets(self, message: core.PeerSets) -> None:
-        self._vm_count = len(message.must_fence) + 1
+        self._set_vm_count(len(message.must_fence) + 1)
+
+    @runtime.handles(core.LimitVms)
+    def _on_limit_vms(self, message: core.LimitVms) -> None:
+        self._set_vm_count(message.vm_count)
+
+    def _set_vm_count(self, vm_count: int) -> None:
+        self._vm_count = vm_count
         for kept in self._slots.values():
             self._advance(kept)
-            kept.followers.set_vm_count(self._vm_count)
+            kept.followers.set_vm_count(vm_count)
 
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
--- a/src/chicoryusher/tasks/limits/limiter.py
+++ b/src/chicoryusher/tasks/limits/limiter.py
@@ -1,8 +1,8 @@
 """Limiter: gets this VM's operations their part of the teams' limits.
 
 It follows a keeper in each slot of teams, asks the keepers for what the
-dispatcher requests, and answers the dispatcher.  Nothing of it runs while no
-team has a limit.
+dispatcher or the router requests, and answers the task that requested.
+Nothing of it runs while no team has a limit.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
+from chicoryusher.tasks import task_messages
 from chicoryusher.tasks.limits import slot_follower
 
 __all__ = ['Limiter']
@@ -36,9 +37,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Request:
-    """An operation that waits, and when it was requested."""
+    """An operation that waits, who requested it, and when."""
 
     team: core.TeamName
+    reply_to: core.TaskName
     requested_at: float
 
 
@@ -81,8 +83,10 @@
 
     # -- configuration and VMs ------------------------------------------
 
-    @runtime.handles(core.PoolConfigUpdate)
-    def _on_config(self, message: core.PoolConfigUpdate) -> None:
+    @runtime.handles(core.PoolConfigUpdate, task_messages.ConfigUpdate)
+    def _on_config(
+        self, message: core.PoolConfigUpdate | task_messages.ConfigUpdate
+    ) -> None:
         self._limits = {
             team.name: team
             for team in message.config.teams
@@ -121,12 +125,22 @@
 
     @runtime.handles(core.PeerSets)
     def _on_peer_sets(self, message: core.PeerSets) -> None:
-        self._live = frozenset({self.vm, *message.live})
+        live = frozenset({self.vm, *message.live})
         near = {
             place.vm for place in message.voters if self._is_near(place.zone)
         }
-        self._near = (near | {self.vm}) & self._live
-        self._timing = decisions.follow_timing(len(message.must_fence) + 1)
+        self._on_limit_vms(
+            core.LimitVms(
+                live,
+                frozenset(near | {self.vm}) & live,
+                len(message.must_fence) + 1,
+            )
+        )
+
+    @runtime.handles(core.LimitVms)
+    def _on_limit_vms(self, message: core.LimitVms) -> None:
+        self._live, self._near = message.live, message.near
+        self._timing = decisions.follow_timing(message.vm_count)
         for follower in self._followers.values():
             follower.set_live(self._live, self._near)
         self._start_following()
@@ -204,13 +218,15 @@
             allowances.record_grant(grant, self._clock.boottime())
             self._changed.add(grant.team)
 
-    # -- requests of the dispatcher -------------------------------------
+    # -- requests of the dispatcher and the router ----------------------
 
     @runtime.handles(core.RequestAllowance)
     def _on_request(self, request: core.RequestAllowance) -> None:
         now = self._clock.boottime()
         team = request.team
-        self._requests[request.allowance_id] = _Request(team, now)
+        self._requests[request.allowance_id] = _Request(
+            team, request.reply_to, now
+        )
         if team not in self._limits:
             self._answer(
                 core.AllowanceDecided(
@@ -225,7 +241,12 @@
             allowances = decisions.TeamAllowances()
             self._set_limit(team, allowances)
             self._allowances[team] = allowances
-        allowances.add(request.allowance_id, request.max_wait_s, now)
+        allowances.add(
+            request.allowance_id,
+            request.max_wait_s,
+            now,
+            request.max_turn_wait_s,
+        )
         self._changed.add(team)
 
     @runtime.handles(core.CancelAllowance)
@@ -303,4 +324,4 @@
                 why=decision.outcome.value,
                 waited=round(waited, 4),
             )
-        self.send(names.dispatcher(self.vm), decision)
+        self.send(request.reply_to, decision)
--- a/src/chicoryusher/tasks/node.py
+++ b/src/chicoryusher/tasks/node.py
@@ -21,9 +21,17 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks import router
 from chicoryusher.tasks import task_messages
+from chicoryusher.tasks.limits import limit_keeper
+from chicoryusher.tasks.limits import limiter
 
 __all__ = ['TaskFactory', 'Node']
 
+# Keepers grant no more than the register says, also with operations that start
+# as late as an allowance is valid.
+LIMIT_TOLERANCE = core.LimitTolerance(
+    ratio=0.0, requests=0.0, late_start_s=decisions.MIN_VALIDITY_S
+)
+
 
 class TaskFactory(Protocol):
     """Starts the tasks of a node that have sockets.
@@ -81,8 +89,13 @@
         self.router = router.Router(loop, vm, settings)
         self.membership = membership.MembershipTask(loop, vm)
         self.config_evidence = config_evidence.ConfigEvidence(loop, vm)
+        limiter.Limiter(loop, vm, LIMIT_TOLERANCE, settings.zone, {})
+        limit_keeper.LimitKeeper(loop, vm, LIMIT_TOLERANCE)
         receivers = (
             names.peers(vm),
+            # The limiter must know a team before the router asks for it.
+            names.limiter(vm),
+            names.limit_keeper(vm),
             names.router(vm),
             names.config_evidence(vm),
             self.task_name,
@@ -105,11 +118,24 @@
     def _on_config(self, message: task_messages.ConfigUpdate) -> None:
         self._configuration = message.config
         self._assign_gates()
+        self._send_limit_vms()
 
     @runtime.handles(core.LiveVms)
     def _on_live(self, live: core.LiveVms) -> None:
         self._live_vms = live.vms
         self._assign_gates()
+        self._send_limit_vms()
+
+    def _send_limit_vms(self) -> None:
+        """Report which VMs share the limits of teams, if there are any."""
+        config, live = self._configuration, self._live_vms
+        if config is None or live is None:
+            return
+        if all(team.rate is None for team in config.teams):
+            return
+        message = decisions.limit_vms(config, frozenset(live), self.vm)
+        self.send(names.limiter(self.vm), message)
+        self.send(names.limit_keeper(self.vm), message)
 
     def _assign_gates(self) -> None:
         """Start, update and release gates by the current assignment.
@@ -257,6 +283,7 @@
         self._draining = True
         self.send(names.membership(self.vm), drain)
         self.send(names.router(self.vm), drain)
+        self.send(names.limit_keeper(self.vm), drain)
         self._assign_gates()
 
     @runtime.handles(task_messages.StateQuery)
--- a/src/chicoryusher/tasks/pending_requests.py
+++ b/src/chicoryusher/tasks/pending_requests.py
@@ -156,6 +156,8 @@
                 core.TransactionLost('the gate was lost; it was not run'),
             )
         elif request.kind in request_routing.READ_KINDS:
+            # It may have run, so that the next try counts as another one.
+            pending.allowance_expires_at = float('-inf')
             self.move(pending, core.MoveReason.DOWN)
         else:
             self._fail_unknown(pending, 'the gate was lost')
@@ -206,7 +208,8 @@
         self._expiry_timer = None
         cutoff = self._router.now() - ANSWER_GRACE_S
         for pending in tuple(self._requests.values()):
-            if pending.deadline < cutoff:
+            is_sent = pending.allowance_id is None
+            if is_sent and pending.deadline < cutoff:
                 self._fail_unknown(pending, 'no answer came from the gate')
         if self._requests:
             self.schedule_expiry_check()
--- a/src/chicoryusher/tasks/pool/attempt_allowances.py
+++ b/src/chicoryusher/tasks/pool/attempt_allowances.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import itertools
-
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks import names
+from chicoryusher.tasks.limits import allowance_requests
 from chicoryusher.tasks.pool import completions
 from chicoryusher.tasks.pool import instance_selection
 from chicoryusher.tasks.pool import sessions
@@ -23,8 +21,7 @@
     """Request allowances from the limiter for the dispatcher's attempts.
 
     An operation is a single statement or the first statement of a transaction
-    that is sent.  A try that was certainly not run leaves its allowance to the
-    next one.
+    that is sent.
     """
 
     def __init__(
@@ -35,9 +32,9 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._rights = rights
-        self._clock = clock
-        self._numbers = itertools.count(1)
-        self._waiting: dict[core.AllowanceId, sessions.Attempt] = {}
+        self._requests: allowance_requests.AllowanceRequests[
+            sessions.Attempt
+        ] = allowance_requests.AllowanceRequests(dispatcher, clock)
 
     def may_start(self, attempt: sessions.Attempt) -> bool:
         """Return whether an operation may start; else request an allowance.
@@ -49,44 +46,24 @@
         team = self._rights.team(attempt.team)
         if team is None or team.rate is None:
             return True
-        if self._clock.boottime() < attempt.allowance_expires_at:
+        if self._requests.is_allowed(attempt):
             return True
-        allowance_id = core.AllowanceId(next(self._numbers))
-        attempt.allowance_id = allowance_id
-        self._waiting[allowance_id] = attempt
-        self._send(
-            core.RequestAllowance(
-                allowance_id, team.name, self._max_wait_s(attempt)
-            )
-        )
+        self._requests.request(attempt, team.name, self._max_wait_s(attempt))
         return False
 
     def _max_wait_s(self, attempt: sessions.Attempt) -> float:
         latest_start = instance_selection.latest_start(attempt)
         return max(MIN_WAIT_S, latest_start - self._dispatcher.now())
 
-    def _send(self, message: core.Message) -> None:
-        self._dispatcher.send(names.limiter(self._dispatcher.vm), message)
-
     def decided(
         self, decision: core.AllowanceDecided
     ) -> sessions.Attempt | None:
         """Apply the limiter's decision; None if nobody waits for it."""
-        attempt = self._waiting.pop(decision.allowance_id, None)
-        if attempt is None:
-            return None
-        attempt.allowance_id = None
-        attempt.allowance_expires_at = decision.expires_at
-        return attempt
+        return self._requests.decided(decision)
 
     def cancel(self, attempt: sessions.Attempt) -> None:
         """Withdraw the request of an attempt that has ended."""
-        allowance_id = attempt.allowance_id
-        if allowance_id is None:
-            return
-        attempt.allowance_id = None
-        del self._waiting[allowance_id]
-        self._send(core.CancelAllowance(allowance_id))
+        self._requests.cancel(attempt)
 
     def record_end(
         self, attempt: sessions.Attempt, ended: core.WorkEnded
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -18,6 +18,7 @@
 from chicoryusher.tasks import request_routing
 from chicoryusher.tasks import session_rights
 from chicoryusher.tasks import sessions
+from chicoryusher.tasks import statement_limits
 from chicoryusher.tasks import task_messages
 from chicoryusher.tasks import team_counts
 from chicoryusher.tasks.router_settings import RouterSettings
@@ -50,7 +51,10 @@
         self._sessions: dict[core.SessionId, sessions.Session] = {}
         self._pending = pending_requests.PendingRequests(self)
         self.rights = session_rights.SessionRights(loop.clock)
-        self.team_counts = team_counts.TeamCounts()
+        self.team_counts = team_counts.TeamCounts(loop.clock)
+        self._limits = statement_limits.StatementLimits(
+            self, self.rights, loop.clock
+        )
         self.draining = False
         self.reads = 0
         self.replica_reads = 0
@@ -213,6 +217,10 @@
         if gate is None:
             self._pending.retry(pending)
             return
+        if not self._limits.may_start(pending):
+            # It is at no gate, so that none can be lost with it.
+            pending.gate = None
+            return
         pending.instance = submit.instance
         pending.gate = gate
         if session.transaction is not None:
@@ -232,6 +240,20 @@
         else:
             self.send(names.peers(self.vm), core.SendToPeer(gate, message))
 
+    @runtime.handles(core.AllowanceDecided)
+    def _on_allowance(self, decision: core.AllowanceDecided) -> None:
+        pending = self._limits.decided(decision)
+        if pending is None:
+            return
+        if decision.outcome is core.AllowanceOutcome.GRANTED:
+            self._chart.fire(pending.session, 'moved', pending)
+            return
+        team = pending.session.team
+        self.team_counts.record_throttled(team, decision.outcome)
+        self._pending.fail_not_run(
+            pending, statement_limits.limit_error(team, decision.outcome)
+        )
+
     def _refuse_unentitled(
         self,
         session: sessions.Session,
@@ -358,8 +380,11 @@
     def remove(self, session: sessions.Session) -> None:
         """Remove a session and its pending request."""
         self._sessions.pop(session.session_id, None)
-        if session.request_id is not None:
-            self._pending.pop(session.request_id)
+        if session.request_id is None:
+            return
+        pending = self._pending.pop(session.request_id)
+        if pending is not None:
+            self._limits.cancel(pending)
 
     @runtime.handles(core.Drain)
     def _on_drain(self, drain: core.Drain) -> None:
--- a/src/chicoryusher/tasks/session_rights.py
+++ b/src/chicoryusher/tasks/session_rights.py
@@ -48,6 +48,10 @@
         """Return for how long the configuration has not been confirmed."""
         return self._clock.boottime() - self._confirmed_at
 
+    def team(self, name: core.TeamName | None) -> core.Team | None:
+        """Return a team of the configuration in force."""
+        return self._rights.team(name)
+
     def team_of(self, session: sessions.Session) -> core.TeamName | None:
         """Return the team of a session, None if it has none."""
         return self._rights.team_of(session.key)
--- a/src/chicoryusher/tasks/sessions.py
+++ b/src/chicoryusher/tasks/sessions.py
@@ -29,7 +29,9 @@
     ``marks`` are its attributes from the caller and the rules.  ``moves``
     counts how often a gate has not run it, ``retry_count`` how often it
     was routed again after a delay.  ``requires_primary`` is set once a
-    replica was not fresh enough for it.
+    replica was not fresh enough for it.  ``allowance_id`` is set while it
+    waits for its part of its team's limit; with one it may be sent until
+    ``allowance_expires_at``, a time of the boot-time clock.
     """
 
     session: Session
@@ -41,6 +43,8 @@
     moves: int = 0
     retry_count: int = 0
     requires_primary: bool = False
+    allowance_id: core.AllowanceId | None = None
+    allowance_expires_at: float = float('-inf')
 
     @property
     def may_move_at_once(self) -> bool:
--- a/src/chicoryusher_standins/lab/edges.py
+++ b/src/chicoryusher_standins/lab/edges.py
@@ -11,6 +11,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
+from chicoryusher import peers
 from chicoryusher import runtime
 from chicoryusher import tasks
 from chicoryusher.peers import codec
@@ -450,7 +451,11 @@
             | core.FetchConfig
             | core.ConfigOffer
             | core.AskConfigAge
-            | core.ConfigAge,
+            | core.ConfigAge
+            | core.FollowLimitKeeper
+            | core.LimitKeeperStamp
+            | core.AskAllowance
+            | core.GrantAllowance,
         )
         received = codec.unpack_frame(data)[0]
 
@@ -471,7 +476,7 @@
         )
 
     def _receive(self, other: SimVm, message: core.Message) -> None:
-        receiver = _RECEIVERS[type(message)](other.name)
+        receiver = peers.receiving_task(other.name, message)
         self.send(receiver, message)
 
     def peer_down(self, name: core.VmName) -> None:
@@ -486,22 +491,6 @@
             self._vm.arrive(lambda r=receiver: self.send(r, down))
 
 
-_NAMES = tasks.names
-_RECEIVERS: dict[type, Callable[[core.VmName], core.TaskName]] = {
-    core.Submit: _NAMES.node,
-    core.AbortTransaction: _NAMES.node,
-    core.AnswerConsumed: _NAMES.node,
-    core.Answer: _NAMES.router,
-    core.ResultChunk: _NAMES.router,
-    core.RequestMoved: _NAMES.router,
-    core.Heartbeat: _NAMES.membership,
-    core.FetchConfig: _NAMES.configurator,
-    core.ConfigOffer: _NAMES.configurator,
-    core.AskConfigAge: _NAMES.config_evidence,
-    core.ConfigAge: _NAMES.config_evidence,
-}
-
-
 class SimEdges:
     """The ports of ``tasks.Node``, implemented by simulated tasks."""
 
--- a/tests/decisions/test_limit_buckets.py
+++ b/tests/decisions/test_limit_buckets.py
@@ -220,3 +220,32 @@
 
 def test_a_team_that_may_start_nothing_gets_nothing():
     assert decisions.granted_limit(0.0, 0.0, TOLERANCE) == (0.0, 0.0)
+
+
+@pytest.mark.parametrize(('rate', 'burst'), [(20.0, 10.0), (500.0, 50.0)])
+def test_late_starts_do_not_exceed_a_limit_without_tolerance(rate, burst):
+    """All that a window may get: the burst, and the rate of it and more."""
+    late_s = decisions.MIN_VALIDITY_S
+    exact = core.LimitTolerance(ratio=0.0, requests=0.0, late_start_s=late_s)
+    granted_rate, granted_burst = decisions.granted_limit(rate, burst, exact)
+    assert decisions.allowance_validity_s(rate, burst, exact) == late_s
+    window_s = exact.window_s
+    most = granted_burst + granted_rate * (window_s + late_s)
+    assert most <= rate * window_s + burst + 1e-9
+    assert granted_rate >= 0.95 * rate
+
+
+def test_an_operation_waits_no_longer_for_a_turn_than_it_may():
+    allowances = decisions.TeamAllowances()
+    allowances.set_limit(1.0, 0.5)
+    allowances.add(core.AllowanceId('a'), 2.0, 0.0, 0.1)
+    allowances.add(core.AllowanceId('b'), 2.0, 0.0)
+    question = allowances.question(0.0)
+    grant = core.GrantAllowance(
+        core.VmName('k'), core.TeamName('t'), question.sequence, 0, 0.5
+    )
+    allowances.record_grant(grant, 0.01)
+    decided = allowances.settle(0.01)
+    assert [(one.allowance_id, one.outcome) for one in decided] == [
+        ('a', core.AllowanceOutcome.OVER_LIMIT)
+    ]
--- a/tests/decisions/test_limit_shares.py
+++ b/tests/decisions/test_limit_shares.py
@@ -137,3 +137,22 @@
     vms = [core.VmName(f'vm{number}') for number in range(64)]
     order = decisions.sort_limit_keepers(SLOT, vms, frozenset(vms[:8]))
     assert order == decisions.sort_limit_keepers(SLOT, vms)
+
+
+def test_all_registered_vms_share_the_limits_whether_they_are_live_or_not():
+    zones = {'a': 'north', 'b': 'north', 'c': 'south'}
+    config = decisions.Configuration(
+        core.ConfigVersion(1),
+        tuple(decisions.ZoneSpec(*zone) for zone in zones.items()),
+        tuple(
+            decisions.VmSpec(core.VmName(f'vm-{zone}'), zone, 'h', 1)
+            for zone in zones
+        ),
+        (),
+        (),
+    )
+    live = frozenset({'vm-b', 'vm-c', 'vm-unknown'})
+    vms = decisions.limit_vms(config, live, core.VmName('vm-a'))
+    assert vms.live == {'vm-a', 'vm-b', 'vm-c'}
+    assert vms.near == {'vm-a', 'vm-b'}
+    assert vms.vm_count == 3
--- a/tests/tasks/limit_sites.py
+++ b/tests/tasks/limit_sites.py
@@ -148,9 +148,11 @@
         self.cut |= {(vm, other) for other in self.vms if other != vm}
 
     def request(self, vm, team, max_wait_s=MAX_WAIT_S):
-        allowance_id = core.AllowanceId(next(self._numbers))
+        allowance_id = core.AllowanceId(str(next(self._numbers)))
         self._waiting[allowance_id] = (team.name, self.clock.now())
-        request = core.RequestAllowance(allowance_id, team.name, max_wait_s)
+        request = core.RequestAllowance(
+            allowance_id, team.name, max_wait_s, names.dispatcher(vm)
+        )
         self.loop.post(names.limiter(vm), request)
         return allowance_id
 
--- a/tests/tasks/test_pool_limited_statements.py
+++ b/tests/tasks/test_pool_limited_statements.py
@@ -120,7 +120,7 @@
         caller.leave()
     commits = len(site.group.commits)
     site.run(2.0)
-    assert not vm.desk._attempts._allowances._waiting
+    assert not vm.desk._attempts._allowances._requests._waiting
     assert len(site.group.commits) <= commits + 1
 
 
