Use the teams of a version whose routes cannot be read

One bad route made the whole version unreadable. The version before stayed in force and was confirmed as the newest with every read, so a key that the unread version takes away worked until the route was mended, however long that took.

Peers get a configuration like any other.

--- a/src/chicoryusher/core/topology.py
+++ b/src/chicoryusher/core/topology.py
@@ -15,6 +15,7 @@
     'PoolConfigUpdate',
     'PoolRoute',
     'PoolService',
+    'PoolTeamsUpdate',
     'RegisteredInstances',
     'Team',
 ]
@@ -96,6 +97,18 @@
     config: PoolConfig
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolTeamsUpdate(messages.Message):
+    """The teams of a version whose other parts cannot be read.
+
+    ``readable`` is unset if it has teams, none of which can be read.
+    """
+
+    version: ids.ConfigVersion
+    teams: tuple[Team, ...]
+    readable: bool = True
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceEntry:
     """Row of the store by which an instance registers itself.
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -112,6 +112,24 @@
             self.send(names.primary_manager(self.vm), message)
             self._pass_on()
 
+    @runtime.handles(core.PoolTeamsUpdate)
+    def _on_teams(self, message: core.PoolTeamsUpdate) -> None:
+        """Use the teams of a version with the routes of the one before.
+
+        A key that the version takes away must not work until its other parts
+        can be read.  Peers get the same as from a version without a defect.
+        """
+        before = self._contents.get(core.StoreView.CONFIG)
+        if not isinstance(before, core.PoolConfigUpdate):
+            return
+        config = dataclasses.replace(
+            before.config,
+            version=message.version,
+            teams=message.teams,
+            teams_readable=message.readable,
+        )
+        self._on_config(core.PoolConfigUpdate(config))
+
     @runtime.handles(core.RegisteredInstances)
     def _on_instances(self, message: core.RegisteredInstances) -> None:
         kind = core.StoreView.INSTANCES
--- a/tests/tasks/test_pool_teams.py
+++ b/tests/tasks/test_pool_teams.py
@@ -6,6 +6,8 @@
 
 import pool_sites
 from chicoryusher import core
+from chicoryusher.tasks import names
+from chicoryusher.tasks.pool import view_exchange
 from chicoryusher_standins import pool
 
 KEY = core.KeyDigest('a1')
@@ -148,3 +150,38 @@
     pool_sites.set_teams(site, RED)
     assert write(site, caller).refusal is None
     assert write(site, newcomer).refusal is core.Refusal.UNKNOWN_KEY
+
+
+def test_teams_of_an_unread_version_are_in_force_on_all_vms(site):
+    """The key that it takes away worked until its routes could be read."""
+    callers = [vm.caller(PRIMARY, OTHER_KEY) for vm in site.vms]
+    assert {write(site, caller).refusal for caller in callers} == {None}
+    config = site.store.config
+    version = core.ConfigVersion(config.version + 1)
+    teams = core.PoolTeamsUpdate(version, (RED,))
+    site.loop.post(names.view_exchange(site.vms[0].vm), teams)
+    site.run(3.0)
+    for vm, caller in zip(site.vms, callers, strict=True):
+        assert write(site, caller).refusal is core.Refusal.UNKNOWN_KEY
+        served = vm.caller(PRIMARY, KEY)
+        assert write(site, served).refusal is None
+    site.store.config = dataclasses.replace(config, version=version)
+    pool_sites.set_teams(site, RED, BLUE)
+    caller = site.vms[0].caller(PRIMARY, OTHER_KEY)
+    assert write(site, caller).refusal is None
+
+
+def test_a_vm_without_a_configuration_uses_no_teams_without_routes(loop):
+    task = view_exchange.ViewExchange(
+        loop,
+        core.VmName('vm0'),
+        core.EntryVmRow(core.VmName('vm0'), 'h', 1, core.ZoneName('z'), 'b'),
+        {},
+        {},
+        core.EvidenceMode.OFF,
+    )
+    loop.post(
+        task.task_name, core.PoolTeamsUpdate(core.ConfigVersion(2), (RED,))
+    )
+    loop.settle()
+    assert core.StoreView.CONFIG not in task._contents
