Pause accepting while there is no descriptor for a connection

An accept that failed with EMFILE left the listener ready, so its loop ran without a wait: 80,358 wakeups while the new test's process wrote ten reports, 0.1 s apart. Connects raised out of the handler of the task that had to connect.

After a failure for lack of descriptors or memory the listener is not watched any more, and its owner gets the next SocketReady 0.5 s later, by a timer. An accept that works, or finds nothing, ends the pause. Events 1011 and 1012 tell when a pause begins and ends. A connect without a descriptor fails as others do.

--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -63,6 +63,16 @@
         LogLevel.INFO,
         'configuration, instances and leader rows were read; serving callers',
     )
+    ACCEPT_PAUSED = (
+        1011,
+        LogLevel.ERROR,
+        'no connection can be accepted for lack of descriptors or memory',
+    )
+    ACCEPT_RESUMED = (
+        1012,
+        LogLevel.INFO,
+        'connections are accepted again',
+    )
     CALLER_OPENED = (2001, LogLevel.DEBUG, 'a caller has authenticated')
     CALLER_CLOSED = (2002, LogLevel.DEBUG, 'a caller has disconnected')
     CALLER_REFUSED = (2003, LogLevel.WARNING, 'a caller was refused')
--- a/src/chicoryusher/runtime/loop.py
+++ b/src/chicoryusher/runtime/loop.py
@@ -39,9 +39,7 @@
         self.posted = 0
         self.undelivered = 0
         self.timers = timers.Timers(self.clock, self.post).register(self)
-        self.poller = poller.Poller(self.post, self.timers.fire_due).register(
-            self
-        )
+        self.poller = poller.Poller(self.post, self.timers).register(self)
 
     def add_mailbox(self, task: core.TaskName) -> list[core.Message]:
         """Create and return the mailbox of a new task.
--- a/src/chicoryusher/runtime/poller.py
+++ b/src/chicoryusher/runtime/poller.py
@@ -19,6 +19,7 @@
 from circuits.core import pollers
 
 from chicoryusher import core
+from chicoryusher.runtime import timers as timers_module
 
 __all__ = ['Poller', 'SocketReady']
 
@@ -45,11 +46,11 @@
     def __init__(
         self,
         post: Callable[[core.TaskName, core.Message], None],
-        fire_timers: Callable[[], None],
+        timers: timers_module.Timers,
     ) -> None:
         super().__init__(channel='poller')
         self._post = post
-        self._fire_timers = fire_timers
+        self._timers = timers
         self._timers_deferred = False
         self._epoll = select.epoll()
         self._owners: dict[int, core.TaskName] = {}
@@ -71,6 +72,16 @@
             self._epoll.register(fileno, event_mask)
         self._owners[fileno] = owner
 
+    def report_after(
+        self, delay: float, fileno: int, owner: core.TaskName
+    ) -> core.TimerId:
+        """Report a socket as readable after some seconds, ready or not."""
+        return self._timers.add(delay, owner, SocketReady(fileno, True, False))
+
+    def cancel_report(self, timer: core.TimerId) -> None:
+        """Cancel a report that is due later."""
+        self._timers.cancel(timer)
+
     def forget(self, fileno: int) -> None:
         """Stop watching a socket; must be called before it is closed."""
         if self._owners.pop(fileno, None) is not None:
@@ -88,7 +99,7 @@
         self._report(ready)
         self._timers_deferred = bool(ready) and not self._timers_deferred
         if not self._timers_deferred:
-            self._fire_timers()
+            self._timers.fire_due()
 
     def _report(self, ready: list[tuple[int, int]]) -> None:
         for fileno, event_mask in ready:
--- a/src/chicoryusher/runtime/streams.py
+++ b/src/chicoryusher/runtime/streams.py
@@ -8,6 +8,7 @@
 import struct
 
 from chicoryusher import core
+from chicoryusher.runtime import logs
 from chicoryusher.runtime import poller as poller_module
 
 __all__ = [
@@ -20,6 +21,10 @@
 
 MAX_READ_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# Seconds for which a listener is not watched after an accept that has failed
+# for lack of descriptors or memory: it stays ready all the time.
+ACCEPT_PAUSE_S = 0.5
+_LACKING = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Size of the system's buffers of a caller's connection; Linux doubles it.
 CALLER_BUFFER_BYTES = 128 * 1024
 
@@ -144,6 +149,9 @@
     ``buffer_bytes`` limits what the system buffers for each connection and
     direction, so that a client that reads or sends slowly does not take much
     of the machine's memory. None leaves it to the system.
+
+    Where an accept fails for lack of descriptors or memory, the owner gets
+    the next ``SocketReady`` after a pause; new connections wait meanwhile.
     """
 
     def __init__(
@@ -164,20 +172,56 @@
         self.address: Address = self._sock.getsockname()[:2]
         self._poller = poller
         self._owner = owner
+        self._log = logs.Log('', owner)
+        # The attempt at the end of the pause, None if there is no pause.
+        self._next_attempt: core.TimerId | None = None
         poller.watch(self.fileno, owner, True, False)
 
     def accept(self) -> Stream | None:
         """Return the next new connection, or None if there is none."""
         try:
             sock, _ = self._sock.accept()
-        except OSError:
+        except OSError as exc:
+            if exc.errno in _LACKING:
+                self._pause(exc)
+            else:
+                self._resume()
             return None
+        self._resume()
         return Stream(sock, self._poller, self._owner)
 
+    def _pause(self, exc: OSError) -> None:
+        """Accept nothing for a while; log the first of several pauses."""
+        if self._next_attempt is None:
+            address = f'{self.address[0]}:{self.address[1]}'
+            self._log.emit(
+                core.LogEvent.ACCEPT_PAUSED,
+                address=address,
+                why=exc.strerror,
+            )
+            self._poller.watch(self.fileno, self._owner, False, False)
+        else:
+            self._poller.cancel_report(self._next_attempt)
+        self._next_attempt = self._poller.report_after(
+            ACCEPT_PAUSE_S, self.fileno, self._owner
+        )
+
+    def _resume(self) -> None:
+        """Watch the listener again if it was paused."""
+        if self._next_attempt is None:
+            return
+        self._poller.cancel_report(self._next_attempt)
+        self._next_attempt = None
+        self._poller.watch(self.fileno, self._owner, True, False)
+        self._log.emit(core.LogEvent.ACCEPT_RESUMED)
+
     def close(self) -> None:
         """Stop listening."""
         if self.fileno < 0:
             return
+        if self._next_attempt is not None:
+            self._poller.cancel_report(self._next_attempt)
+            self._next_attempt = None
         self._poller.forget(self.fileno)
         self._sock.close()
         self.fileno = -1
@@ -187,7 +231,11 @@
     address: Address, poller: poller_module.Poller, owner: core.TaskName
 ) -> Stream | None:
     """Start to connect; return None if that fails at once."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        # There is no descriptor left.
+        return None
     sock.setblocking(False)
     try:
         error_number = sock.connect_ex(address)
