Give queued forwarded work back before its time limit ends

A statement that waits at a connection owner may start until four fifths of its latency target.

Forwarded work now starts by 0.1 s before its limit at the latest: a round trip between regions and a check of the queue. Its owner gives it back in time, and the caller gets BUSY or ABORTED, which are true.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -40,8 +40,6 @@
 # How often a statement is sent through another VM because the one before had
 # no connection to the instance.
 MAX_OWNER_CHANGES = 4
-# A statement with less run time than this left is refused and not sent.
-MIN_RUN_TIME_S = 0.05
 _Block = core.TransactionStatus
 _REFUSAL_BY_OUTCOME = {
     core.AllowanceOutcome.OVER_LIMIT: core.Refusal.OVER_LIMIT,
@@ -210,7 +208,8 @@
         """Queue the statement at an instance, or refuse it if too late."""
         now = self._dispatcher.now()
         time_left = attempt.arrived_at + attempt.route.statement_timeout - now
-        if time_left < MIN_RUN_TIME_S:
+        attempt.conn_owner = self._running.conn_owner_of(attempt, name)
+        if time_left < instance_selection.end_reserve(attempt):
             self.refuse(
                 attempt,
                 completions.timeout_refusal(attempt),
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -11,6 +11,7 @@
 __all__ = [
     'START_TARGET_SHARE',
     'begin_kind_of',
+    'end_reserve',
     'can_run_elsewhere',
     'latest_start',
     'make_work',
@@ -30,6 +31,12 @@
 # the run time of the longest usual statements (0.5 s).
 READ_TIMEOUT_TARGET_SHARE = 0.45
 MAX_READ_TIMEOUT_S = 0.6
+# A statement with less run time than this left is refused and not sent.
+MIN_RUN_TIME_S = 0.05
+# The same for one that another VM runs.  Work that has not started is given
+# back so long before its time limit, so that its caller hears that it was not
+# run: a round trip between regions, and a check of the queue there.
+FORWARDED_RESERVE_S = 0.1
 
 
 def read_needs_of(
@@ -164,6 +171,24 @@
     return attempt.arrived_at + route.latency_target * MAX_WAIT_TARGET_SHARE
 
 
+def end_reserve(attempt: sessions.Attempt) -> float:
+    """Return how many seconds before its time limit it must start."""
+    if attempt.conn_owner is None:
+        return MIN_RUN_TIME_S
+    return FORWARDED_RESERVE_S
+
+
+def _start_deadline(
+    attempt: sessions.Attempt, now: float, queue_limit: float
+) -> float:
+    """Return until when the work may start, on the runtime's clock."""
+    deadline = min(latest_start(attempt), now + queue_limit)
+    if attempt.conn_owner is None:
+        return deadline
+    time_limit = attempt.arrived_at + attempt.route.statement_timeout
+    return min(deadline, time_limit - FORWARDED_RESERVE_S)
+
+
 def make_work(
     attempt: sessions.Attempt,
     work_id: core.WorkId,
@@ -189,7 +214,7 @@
         attempt.shape,
         tuple(session.values.items()),
         route.priority,
-        min(latest_start(attempt), now + queue_limit),
+        _start_deadline(attempt, now, queue_limit),
         attempt.arrived_at + route.statement_timeout - now,
         min(
             route.latency_target * READ_TIMEOUT_TARGET_SHARE,
--- a/src/chicoryusher/tasks/pool/running_work.py
+++ b/src/chicoryusher/tasks/pool/running_work.py
@@ -45,7 +45,6 @@
         work_id = core.WorkId(next(self._numbers))
         attempt.work_id = work_id
         attempt.instance = name
-        attempt.conn_owner = self._conn_owner_of(attempt, name)
         attempt.try_count += 1
         self._attempts[work_id] = attempt
         pool_instance = self._pool_instance(attempt)
@@ -73,7 +72,7 @@
         )
         self._dispatcher.send(names.forwarder(self._dispatcher.vm), forward)
 
-    def _conn_owner_of(
+    def conn_owner_of(
         self, attempt: sessions.Attempt, name: core.InstanceName
     ) -> core.VmName | None:
         """Return the VM whose connections are used, None for this VM.
