Find connection owners that don't respond, and send them no work

A VM that is cut off or suspended counts as running for some 2 to 6 s more.

With the setting watch_owners (off by default) a VM pings an owner from which nothing is heard while work waits there, and avoids it until it answers. What keeps nothing is given up there, and instances whose owners are all silent are not used.

--- a/src/chicoryusher/core/forwarding.py
+++ b/src/chicoryusher/core/forwarding.py
@@ -27,8 +27,11 @@
     'EntryVmZone',
     'RelayCancel',
     'RelayEnded',
+    'RelayPing',
+    'RelayPong',
     'RelayRollback',
     'RelayWork',
+    'SilentOwners',
 ]
 
 
@@ -149,3 +152,24 @@
 
     vm: ids.VmName
     transaction: ids.TransactionId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayPing(messages.Message):
+    """Ask a connection owner whether it responds to the VM ``vm``."""
+
+    vm: ids.VmName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayPong(messages.Message):
+    """Tell that the connection owner ``vm`` responds."""
+
+    vm: ids.VmName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentOwners(messages.Message):
+    """Connection owners that don't respond to this VM."""
+
+    vms: frozenset[ids.VmName]
--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -274,6 +274,16 @@
         LogLevel.INFO,
         'an instance that was ejected gets reads as before',
     )
+    OWNER_SILENT = (
+        4040,
+        LogLevel.WARNING,
+        'a connection owner does not respond, and gets no work of this VM',
+    )
+    OWNER_RESPONDS = (
+        4041,
+        LogLevel.INFO,
+        'a connection owner responds again',
+    )
     PLATFORM_UNRESPONSIVE = (
         5001,
         LogLevel.WARNING,
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -36,6 +36,7 @@
 from chicoryusher.decisions import limit_shares
 from chicoryusher.decisions import membership
 from chicoryusher.decisions import outliers
+from chicoryusher.decisions import owner_silence
 from chicoryusher.decisions import paced_selection
 from chicoryusher.decisions import primary_lease
 from chicoryusher.decisions import primary_positions
@@ -87,6 +88,7 @@
 from chicoryusher.decisions.limit_shares import *  # noqa: F403
 from chicoryusher.decisions.membership import *  # noqa: F403
 from chicoryusher.decisions.outliers import *  # noqa: F403
+from chicoryusher.decisions.owner_silence import *  # noqa: F403
 from chicoryusher.decisions.paced_selection import *  # noqa: F403
 from chicoryusher.decisions.primary_lease import *  # noqa: F403
 from chicoryusher.decisions.primary_positions import *  # noqa: F403
@@ -135,6 +137,7 @@
     *instance_pace.__all__,
     *membership.__all__,
     *outliers.__all__,
+    *owner_silence.__all__,
     *paced_selection.__all__,
     *heartbeat_targets.__all__,
     *config_pointers.__all__,
--- a/src/chicoryusher/decisions/conn_setup.py
+++ b/src/chicoryusher/decisions/conn_setup.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     'ConnSessionState',
+    'may_commit',
     'run_command',
     'setup_cost',
     'start_commands',
@@ -171,3 +172,10 @@
     if work.prepared is not None:
         return work.prepared.kind is core.PreparedQueryKind.READ
     return work.statement.verb is core.Verb.READ
+
+
+def may_commit(work: core.Work) -> bool:
+    """Return whether the work may commit a change."""
+    if work.transaction is not None:
+        return work.statement.verb is core.Verb.COMMIT
+    return not is_repeatable(work)
--- a/src/chicoryusher/peers/codec.py
+++ b/src/chicoryusher/peers/codec.py
@@ -63,6 +63,8 @@
     30: core.StatusQuery,
     31: core.StatusReport,
     32: core.PrimaryExpected,
+    36: core.RelayPing,
+    37: core.RelayPong,
     40: core.AskConfigAge,
     41: core.ConfigAge,
 }
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -146,6 +146,7 @@
             self._dispatcher.now(),
             self._clock.boottime(),
             self._selector,
+            self._group_table.out_of_reach(group.service),
         )
         if name is None:
             self._wait_or_refuse(attempt, 'no instance may serve it')
@@ -189,14 +190,16 @@
         self, attempt: sessions.Attempt, instance: core.InstanceName
     ) -> None:
         """Run a further statement at the instance of its transaction."""
-        if instance in self._group_table:
-            self._submit(attempt, instance, None, None)
+        transaction = attempt.session.transaction
+        assert transaction is not None
+        if instance not in self._group_table:
+            why = 'the instance of the transaction is gone'
+            self.refuse(attempt, core.Refusal.ABORTED, why)
+        elif transaction.conn_owner in self._group_table.silent_owners:
+            why = 'the VM that holds the transaction does not respond'
+            self.refuse(attempt, core.Refusal.ABORTED, why)
         else:
-            self.refuse(
-                attempt,
-                core.Refusal.ABORTED,
-                'the instance of the transaction is gone',
-            )
+            self._submit(attempt, instance, None, None)
 
     def _submit(
         self,
@@ -356,6 +359,7 @@
             self.has_lease(),
             self._dispatcher.now(),
             self._clock.boottime(),
+            self._group_table.out_of_reach(group.service),
         )
 
     def try_elsewhere(
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -377,6 +377,10 @@
                 message.revision, self.now() + message.seconds
             )
 
+    @runtime.handles(core.SilentOwners)
+    def _on_silent_owners(self, message: core.SilentOwners) -> None:
+        self._group_table.silent_owners = message.vms
+
     # -- stopping a primary ---------------------------------------------
 
     @runtime.handles(core.StopPrimary)
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -9,11 +9,14 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks import task_messages
 from chicoryusher.tasks.pool import forwarded_work
+from chicoryusher.tasks.pool import owner_watch
 
 __all__ = ['Forwarder']
 
 # Seconds between checks for timed-out work, while work is in flight.
 CHECK_INTERVAL_S = 0.1
+# The same where it is watched whether connection owners respond.
+WATCH_INTERVAL_S = 0.05
 # Seconds added to the timeout of repeatable work, such as a read, before it
 # is given up here: a round trip between regions, and a pause of the event
 # loop of the connection owner.
@@ -33,10 +36,20 @@
 
 
 class Forwarder(runtime.Task):
-    """Send work to connection owners; report the results to its sender."""
+    """Send work to connection owners; report the results to its sender.
 
-    def __init__(self, loop: runtime.Runtime, vm: core.VmName) -> None:
+    With ``watches_owners`` owners that don't respond are found, and work that
+    may run again is not left with them.
+    """
+
+    def __init__(
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        watches_owners: bool = False,
+    ) -> None:
         super().__init__(loop, vm, 'forwarder')
+        self._watch = owner_watch.OwnerWatch(self) if watches_owners else None
         self._clock = loop.clock
         self._chart = charts.load_machine('forwarded')
         self._in_flight: dict[core.WorkId, forwarded_work.ForwardedWork] = {}
@@ -62,6 +75,8 @@
         if work.transaction is not None:
             self._conn_owners[work.transaction] = message.conn_owner
         self._note_peer(message.conn_owner, now)
+        if self._watch is not None:
+            self._watch.note_use(message.conn_owner)
         self.meters.add(core.Metric.FORWARDED, instance=entry.name)
         self._send_to_peer(
             message.conn_owner, self._relay_message(entry, work, now)
@@ -156,6 +171,8 @@
 
     @runtime.handles(core.RelayEnded)
     def _on_ended(self, message: core.RelayEnded) -> None:
+        if self._watch is not None:
+            self._watch.record_heard(message.vm)
         remote_work = self._in_flight.get(message.work_id)
         if remote_work is None or remote_work.via != message.vm:
             return
@@ -220,14 +237,39 @@
     # -- timeouts -------------------------------------------------------
 
     def _schedule_check(self) -> None:
-        if self._in_flight and not self._check_scheduled:
-            self._check_scheduled = True
-            self.after(CHECK_INTERVAL_S, _CheckTimeouts())
+        watch = self._watch
+        has_silent = watch is not None and bool(watch.silent)
+        if not (self._in_flight or has_silent) or self._check_scheduled:
+            return
+        self._check_scheduled = True
+        interval = CHECK_INTERVAL_S if watch is None else WATCH_INTERVAL_S
+        self.after(interval, _CheckTimeouts())
+
+    @runtime.handles(core.RelayPong)
+    def _on_pong(self, message: core.RelayPong) -> None:
+        if self._watch is not None:
+            self._watch.record_heard(message.vm)
+
+    def _give_up_at_silent(self, watch: owner_watch.OwnerWatch) -> None:
+        """Give up the work of silent owners of which nothing is kept."""
+        waiting: dict[core.VmName, float] = {}
+        for remote_work in self._in_flight.values():
+            waiting.setdefault(remote_work.via, remote_work.sent_at)
+        watch.check(waiting)
+        if not watch.silent:
+            return
+        for remote_work in tuple(self._in_flight.values()):
+            if remote_work.via in watch.silent and not decisions.may_commit(
+                remote_work.work
+            ):
+                self._settle(remote_work, 'silent')
 
     @runtime.handles(_CheckTimeouts)
     def _on_check_timeouts(self, message: _CheckTimeouts) -> None:
         """Give up work whose result should have come by now."""
         self._check_scheduled = False
+        if self._watch is not None:
+            self._give_up_at_silent(self._watch)
         now = self.now()
         for remote_work in tuple(self._in_flight.values()):
             elapsed = now - remote_work.sent_at
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -87,6 +87,8 @@
         ] = {}
         self._last_primaries: dict[core.ServiceName, core.InstanceName] = {}
         self.groups: dict[core.ServiceName, group_state_module.PoolGroup] = {}
+        # Connection owners that get no work, since they don't respond.
+        self.silent_owners: frozenset[core.VmName] = frozenset()
 
     def __contains__(self, name: core.InstanceName) -> bool:
         return name in self._pools
@@ -108,8 +110,10 @@
     ) -> core.VmName | None:
         """Return the VM to forward an instance's work to, None for this VM.
 
-        VMs in ``avoided`` are passed over unless there are no others.
+        VMs in ``avoided`` are passed over unless there are no others, and so
+        are silent ones.
         """
+        avoided |= self.silent_owners
         owners = self._owners.get(name, ())
         if team is not None:
             owners = decisions.sort_team_owners(team, owners)
@@ -125,9 +129,26 @@
     def has_other_owner(
         self, name: core.InstanceName, avoided: Set[core.VmName]
     ) -> bool:
-        """Return whether an owner is left that is not in ``avoided``."""
+        """Return whether an owner is left that is not in ``avoided``.
+
+        A silent one is none.
+        """
+        avoided |= self.silent_owners
         return any(vm not in avoided for vm in self._owners.get(name, ()))
 
+    def out_of_reach(
+        self, service: core.ServiceName
+    ) -> frozenset[core.InstanceName]:
+        """Return the group's instances whose owners are all silent."""
+        if not self.silent_owners:
+            return frozenset()
+        return frozenset(
+            name
+            for name in self.groups[service].instances
+            if self._owners.get(name)
+            and not self.has_other_owner(name, frozenset())
+        )
+
     def entry(self, name: core.InstanceName) -> core.InstanceEntry:
         """Return the entry of a registered instance."""
         return self._pools[name].entry
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
+
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher.tasks.pool import group_state as group_state_module
@@ -68,17 +70,19 @@
     now: float,
     boot_now: float,
     selector: selectors.Selector,
+    out_of_reach: Set[core.InstanceName] = frozenset(),
 ) -> core.InstanceName | None:
     """Return the best instance, or None if no instance may run the statement.
 
-    Without ``authority`` the primary is not used.  ``boot_now`` is the time
-    on the clock that also counts time while the machine is suspended.
+    Without ``authority`` the primary is not used, and no instance in
+    ``out_of_reach``.  ``boot_now`` is the time on the clock that also counts
+    time while the machine is suspended.
     """
-    primary = group.usable_primary(now) if authority else None
+    primary = _usable_primary(group, authority, now, out_of_reach)
     return selector.choose(
         attempt,
         group,
-        _candidates(group, primary),
+        _candidates(group, primary, out_of_reach),
         primary,
         needs,
         now,
@@ -92,16 +96,17 @@
     authority: bool,
     now: float,
     boot_now: float,
+    out_of_reach: Set[core.InstanceName] = frozenset(),
 ) -> bool:
     """Return whether another instance may run a statement in time."""
     if now >= latest_start(attempt):
         return False
-    primary = group.usable_primary(now) if authority else None
+    primary = _usable_primary(group, authority, now, out_of_reach)
     excluded = attempt.excluded
     if attempt.instance is not None:
         excluded |= {attempt.instance}
     name = decisions.choose_instance(
-        _candidates(group, primary),
+        _candidates(group, primary, out_of_reach),
         primary,
         read_needs_of(attempt, group),
         excluded,
@@ -111,11 +116,28 @@
     return name is not None
 
 
+def _usable_primary(
+    group: group_state_module.PoolGroup,
+    authority: bool,
+    now: float,
+    out_of_reach: Set[core.InstanceName],
+) -> core.InstanceName | None:
+    """Return the primary if it may be used and can be reached."""
+    primary = group.usable_primary(now) if authority else None
+    return None if primary in out_of_reach else primary
+
+
 def _candidates(
-    group: group_state_module.PoolGroup, primary: core.InstanceName | None
+    group: group_state_module.PoolGroup,
+    primary: core.InstanceName | None,
+    out_of_reach: Set[core.InstanceName],
 ) -> list[decisions.InstanceLoad]:
-    """Return the instances, without a primary that may not be used."""
-    instances = list(group.instances.values())
+    """Return the instances that may be used and can be reached."""
+    instances = [
+        instance
+        for name, instance in group.instances.items()
+        if name not in out_of_reach
+    ]
     if primary is None and group.primary is not None:
         instances = [
             instance
--- a/src/chicoryusher/tasks/pool/relay.py
+++ b/src/chicoryusher/tasks/pool/relay.py
@@ -232,6 +232,11 @@
                 relayed.pool_task, core.EndTransaction(relayed.transaction)
             )
 
+    @runtime.handles(core.RelayPing)
+    def _on_ping(self, message: core.RelayPing) -> None:
+        pong = core.RelayPong(self.vm)
+        self.send(names.peers(self.vm), core.SendToPeer(message.vm, pong))
+
     @runtime.handles(core.RelayRollback)
     def _on_rollback(self, message: core.RelayRollback) -> None:
         self._roll_back(_qualified_id(message.vm, message.transaction))
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -117,7 +117,7 @@
             site.loop, vm, site.evidence, group_module.decode_status
         )
         reachability.ReachabilityMonitor(site.loop, vm, self.row.zone)
-        forwarder.Forwarder(site.loop, vm)
+        forwarder.Forwarder(site.loop, vm, site.watches_owners)
         relay.Relay(site.loop, vm)
         limiter.Limiter(
             site.loop, vm, core.LimitTolerance(), self.row.zone, REGIONS
@@ -205,11 +205,13 @@
         evidence: core.EvidenceMode = core.EvidenceMode.OFF,
         announces_changes: bool = False,
         limit_tolerance: core.LimitTolerance | None = None,
+        watches_owners: bool = False,
     ) -> None:
         self.limit_tolerance = limit_tolerance or core.LimitTolerance()
         self.paces_instances = paces_instances
         self.evidence = evidence
         self.announces_changes = announces_changes
+        self.watches_owners = watches_owners
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.group = group_module.Group(SERVICE, ZONES)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -141,11 +141,16 @@
     loaded = fleet_settings.load(settings)
     assert loaded.evidence is core.EvidenceMode.OFF
     assert not loaded.announces_changes
+    assert not loaded.watches_owners
 
 
 @pytest.mark.parametrize(
     ('name', 'value'),
-    [('instance_evidence', 'on'), ('announce_changes', 'use')],
+    [
+        ('instance_evidence', 'on'),
+        ('announce_changes', 'use'),
+        ('watch_owners', 1),
+    ],
 )
 def test_a_switch_with_another_value_is_refused(settings, name, value):
     document = json.loads(settings.read_text())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -78,6 +78,7 @@
         'paces_instances',
         'instance_evidence',
         'announce_changes',
+        'watch_owners',
     }
     assert names == set(DOCUMENT) | optional
 
