Leave forwarded reads in the queue of an owner that responds

Where replicas lag, the primary serves all reads of a group.

With watch_owners a dead owner shows by its silence, so the time that work waits there says nothing and reads stay in the queue. The time reserved for the end of forwarded work is 0.2 s: at a busy instance a statement that starts 0.1 s before its limit ends after it.

--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/forwarder.py
@@ -266,16 +266,22 @@
 
     @runtime.handles(_CheckTimeouts)
     def _on_check_timeouts(self, message: _CheckTimeouts) -> None:
-        """Give up work whose result should have come by now."""
+        """Give up work whose result should have come by now.
+
+        Where owners are watched, work that may run again stays at one that
+        responds: it waits there, and its owner limits how long it runs.
+        """
         self._check_scheduled = False
         if self._watch is not None:
             self._give_up_at_silent(self._watch)
         now = self.now()
         for remote_work in tuple(self._in_flight.values()):
             elapsed = now - remote_work.sent_at
-            repeats = decisions.is_repeatable(remote_work.work)
+            may_leave = self._watch is None and decisions.is_repeatable(
+                remote_work.work
+            )
             if (
-                repeats
+                may_leave
                 and elapsed
                 > remote_work.work.retryable_timeout + FORWARDING_ALLOWANCE_S
             ):
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -37,8 +37,9 @@
 MIN_RUN_TIME_S = 0.05
 # The same for one that another VM runs.  Work that has not started is given
 # back so long before its time limit, so that its caller hears that it was not
-# run: a round trip between regions, and a check of the queue there.
-FORWARDED_RESERVE_S = 0.1
+# run: a round trip between regions, a check of the queue there, and
+# the run of a statement at an instance that is busy.
+FORWARDED_RESERVE_S = 0.2
 
 
 def read_needs_of(
