--- a/tests/tasks/test_pool_lasting_overload.py
+++ b/tests/tasks/test_pool_lasting_overload.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import pytest
+import test_pool_load
 
 import pool_sites
-import test_pool_load
-from chicoryusher import core
 
 # Statements a second: three slots of 28 ms on average can run 107.
-USUAL_RATE = 80.0
+USUAL_RATE = 95.0
 BURST_RATE = 3.0 * USUAL_RATE
 
 
@@ -47,8 +46,8 @@
         load.run(3.0, USUAL_RATE)
         refused.append(load.refused[None] - before)
     plain, watched = refused
-    print(plain, watched, [load.refused for load in loads])
-    assert watched < plain / 3
+    assert plain > 30
+    assert watched < plain / 10
 
 
 def test_what_the_primary_runs_is_not_run_twice(loads):
@@ -58,5 +57,4 @@
         load.run(1.0, USUAL_RATE)
         ids = [run.request_id for run in load.site.group.runs]
         runs.append(len(ids) - len(set(ids)))
-    print(runs)
     assert runs[1] <= 2
