Keep connections within the cap through a restart of all VMs

After a loss of all power instances count the old connections for 3 s more.

With the setting keep_to_cap (off by default) an owner opens a third of its part of the cap in the first 3 s after its start, and less than before later, so that both fit.

--- a/src/chicoryusher/decisions/conn_owners.py
+++ b/src/chicoryusher/decisions/conn_owners.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     'conn_owner_count',
+    'few_owners',
     'choose_conn_owners',
     'sort_conn_owners',
     'sort_team_owners',
@@ -56,7 +57,13 @@
     burst = vms * (kept_open // max(1, vms) + conn_shares.MAX_BURST_CONNS)
     if not teams and kept_open >= vms and burst <= cap * MAX_OVERCOMMIT_RATIO:
         return vms
-    return min(vms, max(MIN_OWNERS, kept_open // KEPT_CONNS_PER_OWNER))
+    return min(vms, few_owners(cap))
+
+
+def few_owners(cap: int) -> int:
+    """Return how many VMs own connections where not all do."""
+    kept_open = int(cap * conn_shares.KEPT_OPEN_RATIO)
+    return max(MIN_OWNERS, kept_open // KEPT_CONNS_PER_OWNER)
 
 
 def choose_conn_owners(
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -120,6 +120,12 @@
     def _on_live(self, message: core.LiveEntryVms) -> None:
         self._group_table.apply_live_vms(message.nodes)
 
+    @runtime.handles(group_table_module.RestartOver)
+    def _on_restart_over(
+        self, message: group_table_module.RestartOver
+    ) -> None:
+        self._group_table.end_restart()
+
     @runtime.handles(core.GroupUpdate)
     def _on_group(self, message: core.GroupUpdate) -> None:
         removed = self._group_table.apply_group(message)
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/group_table.py
@@ -14,7 +14,12 @@
 from chicoryusher.tasks.pool import group_state as group_state_module
 from chicoryusher.tasks.pool import instance_pool as instance_pool_module
 
-__all__ = ['DispatcherSettings', 'LinkFactory', 'GroupTable']
+__all__ = [
+    'DispatcherSettings',
+    'GroupTable',
+    'LinkFactory',
+    'RestartOver',
+]
 
 
 class LinkFactory(Protocol):
@@ -37,8 +42,10 @@
     still be used, None for no bound.  With ``paces_instances`` instances are
     loaded as far as their answers show that they can run the work.
     ``evidence`` is whether instances are asked for evidence when the primary
-    lease has ended.  ``max_kept_bytes`` limits the values and
-    prepared statements that a session keeps.
+    lease has ended.  With ``keeps_to_cap`` no more connections are opened
+    than instances accept, also after a restart of all VMs.
+    ``max_kept_bytes`` limits the values and prepared statements that a session
+    keeps.
     """
 
     zone: core.ZoneName
@@ -47,6 +54,7 @@
     paces_instances: bool = False
     evidence: core.EvidenceMode = core.EvidenceMode.OFF
     max_kept_bytes: int = decisions.CallerLimits().max_kept_bytes
+    keeps_to_cap: bool = False
 
     @property
     def load_policy(self) -> core.LoadPolicy:
@@ -56,6 +64,10 @@
         return core.LoadPolicy.PLAIN
 
 
+class RestartOver(core.Message):
+    """The connections of this VM's earlier process are gone by now."""
+
+
 class GroupTable:
     """Groups by service, with the instance pool of each instance.
 
@@ -87,6 +99,9 @@
         ] = {}
         self._last_primaries: dict[core.ServiceName, core.InstanceName] = {}
         self.groups: dict[core.ServiceName, group_state_module.PoolGroup] = {}
+        self._is_restarted = settings.keeps_to_cap
+        if settings.keeps_to_cap:
+            dispatcher.after(decisions.RESTART_S, RestartOver())
         # Connection owners that get no work, since they don't respond.
         self.silent_owners: frozenset[core.VmName] = frozenset()
 
@@ -167,6 +182,11 @@
         self._config = config
         self._send_shares(self._pools)
 
+    def end_restart(self) -> None:
+        """Use the whole share of connections from now on."""
+        self._is_restarted = False
+        self._send_shares(self._pools)
+
     def apply_live_vms(self, nodes: tuple[core.EntryVmZone, ...]) -> None:
         """Distribute the connections among these VMs."""
         if nodes != self._live_vms:
@@ -291,9 +311,16 @@
         self._owners[entry.name] = decisions.sort_conn_owners(
             self._own_place, owners, region_of
         )
-        if self._own_place in owners:
+        if self._own_place not in owners:
+            return decisions.NON_OWNER_SHARE
+        if not self._settings.keeps_to_cap:
             return decisions.connection_share(max_connections, count)
-        return decisions.NON_OWNER_SHARE
+        if self._is_restarted:
+            # Not all VMs may be known yet.
+            count = max(count, decisions.few_owners(max_connections))
+        return decisions.bounded_share(
+            max_connections, count, self._is_restarted
+        )
 
 
 def _is_restarted(old: core.InstanceEntry, new: core.InstanceEntry) -> bool:
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -144,6 +144,7 @@
                 REVOCATION_S,
                 site.paces_instances,
                 site.evidence,
+                keeps_to_cap=site.keeps_to_cap,
             ),
         )
         groups = (site.group,)
@@ -206,12 +207,14 @@
         announces_changes: bool = False,
         limit_tolerance: core.LimitTolerance | None = None,
         watches_owners: bool = False,
+        keeps_to_cap: bool = False,
     ) -> None:
         self.limit_tolerance = limit_tolerance or core.LimitTolerance()
         self.paces_instances = paces_instances
         self.evidence = evidence
         self.announces_changes = announces_changes
         self.watches_owners = watches_owners
+        self.keeps_to_cap = keeps_to_cap
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.group = group_module.Group(SERVICE, ZONES)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -142,6 +142,7 @@
     assert loaded.evidence is core.EvidenceMode.OFF
     assert not loaded.announces_changes
     assert not loaded.watches_owners
+    assert not loaded.keeps_to_cap
 
 
 @pytest.mark.parametrize(
@@ -150,6 +151,7 @@
         ('instance_evidence', 'on'),
         ('announce_changes', 'use'),
         ('watch_owners', 1),
+        ('keep_to_cap', 'yes'),
     ],
 )
 def test_a_switch_with_another_value_is_refused(settings, name, value):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -79,6 +79,7 @@
         'instance_evidence',
         'announce_changes',
         'watch_owners',
+        'keep_to_cap',
     }
     assert names == set(DOCUMENT) | optional
 
