Part the dispatcher and the attempts by job

No change of behaviour. Tests of draining, sessions, teams, departures, retries, owner changes, outliers, waiting and evidence pass.

--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/attempts.py
@@ -11,9 +11,8 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempt_allowances
-from chicoryusher.tasks.pool import attempt_answers
+from chicoryusher.tasks.pool import attempt_ends
 from chicoryusher.tasks.pool import attempt_log
 from chicoryusher.tasks.pool import attempt_results
 from chicoryusher.tasks.pool import completions
@@ -27,20 +26,12 @@
 
 __all__ = ['Attempts', 'RetrySelection']
 
-# Share of the latency target for which a statement may wait until a primary
-# or another suitable instance is available.  The caller can make better use
-# of the remaining time itself.
-MAX_WAIT_TARGET_SHARE = 0.2
 # Seconds between two selections of an instance for a waiting statement, and
 # before a refused statement is retried.
 RETRY_PAUSE_S = 0.02
 # The same for a statement for which a pool had no connection.  Pools that may
 # not open one give the statement back at once.
 NO_CONNECTION_PAUSE_S = 0.1
-# How often a statement is sent through another VM because the one before had
-# no connection to the instance.
-MAX_OWNER_CHANGES = 4
-_Block = core.TransactionStatus
 _REFUSAL_BY_OUTCOME = {
     core.AllowanceOutcome.OVER_LIMIT: core.Refusal.OVER_LIMIT,
     core.AllowanceOutcome.UNANSWERED: core.Refusal.BUSY,
@@ -86,13 +77,17 @@
         self._held = held_answers.HeldAnswers(
             dispatcher, group_table, clock, evidence
         )
+        self._ends = attempt_ends.AttemptEnds(
+            dispatcher, group_table, self._selector, self._log, clock, self
+        )
         self.lease_expires_at = float('-inf')
 
     def has_lease(self) -> bool:
         """Return whether this VM may use primaries now."""
-        return self._lease_seconds_left() > 0.0
+        return self.lease_seconds_left() > 0.0
 
-    def _lease_seconds_left(self) -> float:
+    def lease_seconds_left(self) -> float:
+        """Return for how many seconds this VM may use primaries."""
         return self.lease_expires_at - self._clock.boottime()
 
     # -- instance selection ---------------------------------------------
@@ -116,14 +111,14 @@
             team=team,
         )
         session.attempt = attempt
-        self._dispatch(attempt)
+        self.dispatch(attempt)
 
     def retry_selection(self, attempt: sessions.Attempt) -> None:
         """Select an instance again if the caller still waits."""
         if attempt.session.attempt is attempt:
-            self._dispatch(attempt)
+            self.dispatch(attempt)
 
-    def _dispatch(self, attempt: sessions.Attempt) -> None:
+    def dispatch(self, attempt: sessions.Attempt) -> None:
         """Send the statement to the best instance, or make it wait."""
         if not self._is_entitled(attempt):
             return
@@ -133,7 +128,7 @@
             return
         group = self._group_table.groups.get(attempt.route.service)
         if group is None:
-            self._wait_or_refuse(attempt, 'no instance of the group is known')
+            self.wait_or_refuse(attempt, 'no instance of the group is known')
             return
         needs = instance_selection.read_needs_of(attempt, group)
         has_lease = self.has_lease()
@@ -149,7 +144,7 @@
             self._group_table.out_of_reach(group.service),
         )
         if name is None:
-            self._wait_or_refuse(attempt, 'no instance may serve it')
+            self.wait_or_refuse(attempt, 'no instance may serve it')
             return
         if not self._allowances.may_start(attempt):
             return
@@ -170,9 +165,9 @@
         if objection is None:
             return True
         if objection.refusal is None:
-            self._wait_or_refuse(attempt, objection.why)
+            self.wait_or_refuse(attempt, objection.why)
         else:
-            self.refuse(attempt, objection.refusal, objection.why)
+            self._ends.refuse(attempt, objection.refusal, objection.why)
         return False
 
     def allowance_decided(self, decision: core.AllowanceDecided) -> None:
@@ -182,9 +177,9 @@
             return
         refusal = _REFUSAL_BY_OUTCOME.get(decision.outcome)
         if refusal is None:
-            self._dispatch(attempt)
+            self.dispatch(attempt)
         else:
-            self.refuse(attempt, refusal, decision.outcome.value)
+            self._ends.refuse(attempt, refusal, decision.outcome.value)
 
     def _continue_transaction(
         self, attempt: sessions.Attempt, instance: core.InstanceName
@@ -194,10 +189,10 @@
         assert transaction is not None
         if instance not in self._group_table:
             why = 'the instance of the transaction is gone'
-            self.refuse(attempt, core.Refusal.ABORTED, why)
+            self._ends.refuse(attempt, core.Refusal.ABORTED, why)
         elif transaction.conn_owner in self._group_table.silent_owners:
             why = 'the VM that holds the transaction does not respond'
-            self.refuse(attempt, core.Refusal.ABORTED, why)
+            self._ends.refuse(attempt, core.Refusal.ABORTED, why)
         else:
             self._submit(attempt, instance, None, None)
 
@@ -213,7 +208,7 @@
         time_left = attempt.arrived_at + attempt.route.statement_timeout - now
         attempt.conn_owner = self._running.conn_owner_of(attempt, name)
         if time_left < instance_selection.end_reserve(attempt):
-            self.refuse(
+            self._ends.refuse(
                 attempt,
                 completions.timeout_refusal(attempt),
                 'no time left to run the statement',
@@ -227,11 +222,11 @@
             self._selector.queue_limit(attempt),
         )
         self._log.log_dispatch(
-            attempt, min_position, self._lease_seconds_left()
+            attempt, min_position, self.lease_seconds_left()
         )
         self._running.send(attempt, work)
 
-    def _wait_or_refuse(self, attempt: sessions.Attempt, why: str) -> None:
+    def wait_or_refuse(self, attempt: sessions.Attempt, why: str) -> None:
         """Retry after a pause, or refuse if the statement waited too long.
 
         If a primary is expected soon or an instance was tried already, the
@@ -246,11 +241,11 @@
             attempt, group, is_asking, now
         )
         if now >= ends_at:
-            self.refuse(attempt, core.Refusal.BUSY, why)
+            self._ends.refuse(attempt, core.Refusal.BUSY, why)
             return
         if attempt.wait_reason != why:
             attempt.wait_reason = why
-            self._log.log_delay(attempt, why, self._lease_seconds_left())
+            self._log.log_delay(attempt, why, self.lease_seconds_left())
         pause_s = RETRY_PAUSE_S
         if attempt.lacked_connection:
             attempt.lacked_connection = False
@@ -288,7 +283,7 @@
         if self._running.get(ended.work_id) is not attempt:
             return None
         attempt.evidence = message
-        self._log.log_evidence(attempt, self._lease_seconds_left())
+        self._log.log_evidence(attempt, self.lease_seconds_left())
         self._finish(attempt, ended)
         return attempt.route.service
 
@@ -298,9 +293,11 @@
         """Answer, refuse or retry a statement whose work has ended."""
         self._running.remove(ended.work_id)
         self._allowances.record_end(attempt, ended)
-        is_trusted = completions.may_trust(self, attempt)
+        is_trusted = completions.may_trust(self._ends, attempt)
         self._results.record(attempt, ended, is_trusted)
-        completions.COMPLETIONS.get(ended.completion)(self, attempt, ended)
+        completions.COMPLETIONS.get(ended.completion)(
+            self._ends, attempt, ended
+        )
 
     def cancel_statement(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone.
@@ -326,7 +323,7 @@
             if attempt.may_commit and wrote:
                 refusal = core.Refusal.UNKNOWN
             self.cancel_statement(attempt.session)
-        self.refuse(attempt, refusal, 'this VM shuts down')
+        self._ends.refuse(attempt, refusal, 'this VM shuts down')
 
     def roll_back(self, session: sessions.PoolSession) -> None:
         """Roll the session's transaction back at its instance."""
@@ -345,121 +342,3 @@
         for attempt, ended in self._held.release_all(name):
             if self._running.get(ended.work_id) is attempt:
                 self._finish(attempt, ended)
-
-    def repeats_failed(
-        self, attempt: sessions.Attempt, ended: core.WorkEnded
-    ) -> bool:
-        """Return whether a failed statement runs again elsewhere."""
-        group = self._group_table.groups.get(attempt.route.service)
-        if group is None or not self._selector.may_repeat(attempt, ended):
-            return False
-        return instance_selection.can_run_elsewhere(
-            attempt,
-            group,
-            self.has_lease(),
-            self._dispatcher.now(),
-            self._clock.boottime(),
-            self._group_table.out_of_reach(group.service),
-        )
-
-    def try_elsewhere(
-        self, attempt: sessions.Attempt, avoid: core.InstanceName, why: str
-    ) -> None:
-        """Retry at another instance; the statement may safely run again."""
-        attempt.excluded |= {avoid}
-        self._retry_now(attempt, why)
-
-    def _retry_now(self, attempt: sessions.Attempt, why: str) -> None:
-        self._reset_instance(attempt)
-        self._log.log_delay(attempt, why, self._lease_seconds_left())
-        self._dispatch(attempt)
-
-    def try_other_owner(self, attempt: sessions.Attempt, why: str) -> None:
-        """Retry through another VM that owns connections to the instance.
-
-        If there is none, or enough of them were tried, wait and retry.  A
-        statement that waited in a queue until its start time has passed is
-        refused: the instance is overloaded, whoever sends to it.
-        """
-        name = attempt.instance
-        assert name is not None
-        attempt.avoided_owners |= {attempt.conn_owner or self._dispatcher.vm}
-        now = self._dispatcher.now()
-        if (
-            now >= instance_selection.latest_start(attempt)
-            or attempt.owner_changes >= MAX_OWNER_CHANGES
-            or not self._group_table.has_other_owner(
-                name, attempt.avoided_owners
-            )
-        ):
-            attempt.avoided_owners = frozenset()
-            self.wait_and_retry(attempt, why)
-            return
-        attempt.owner_changes += 1
-        self._retry_now(attempt, why)
-
-    def wait_and_retry(self, attempt: sessions.Attempt, why: str) -> None:
-        """Retry at any instance of the group after a pause."""
-        self._reset_instance(attempt)
-        self._wait_or_refuse(attempt, why)
-
-    def _reset_instance(self, attempt: sessions.Attempt) -> None:
-        """Detach the statement from its instance so that it may run at any.
-
-        Its transaction begins again under a new id, because the end of the
-        earlier try may still be under way at its connection owner.  A pool
-        of this VM has ended or rolled back that try by itself.
-        """
-        attempt.was_dispatched = True
-        session = attempt.session
-        transaction = session.transaction
-        if transaction is None:
-            return
-        if transaction.conn_owner is not None:
-            self.roll_back(session)
-        transaction.instance = None
-        transaction.transaction_id = session.owner.new_transaction_id()
-
-    def report_trouble(self, name: core.InstanceName) -> None:
-        """Have the reachability monitor check an instance."""
-        self._dispatcher.send(
-            names.reachability_monitor(self._dispatcher.vm),
-            core.InstanceFault(name),
-        )
-
-    # -- answers --------------------------------------------------------
-
-    def refuse(
-        self,
-        attempt: sessions.Attempt,
-        refusal: core.Refusal,
-        why: str,
-        block: core.TransactionStatus = _Block.IDLE,
-    ) -> None:
-        """Answer with a refusal, and log the reason."""
-        session = attempt.session
-        if block is _Block.IDLE:
-            self.roll_back(session)
-        lease_seconds_left = self._lease_seconds_left()
-        self._log.log_refusal(attempt, refusal, why, lease_seconds_left)
-        answer = attempt_answers.refusal_answer(attempt, refusal, block)
-        session.owner.attempt_answered(session, answer)
-
-    def deliver(
-        self,
-        attempt: sessions.Attempt,
-        ended: core.WorkEnded,
-        block: core.TransactionStatus,
-    ) -> None:
-        """Send the instance's answer to the caller."""
-        session = attempt.session
-        if ended.refusal is None:
-            self._log.record_success(attempt)
-        else:
-            why = 'the statement failed at the instance'
-            lease_seconds_left = self._lease_seconds_left()
-            self._log.log_refusal(
-                attempt, ended.refusal, why, lease_seconds_left
-            )
-        answer = attempt_answers.result_answer(attempt, ended, block)
-        session.owner.attempt_answered(session, answer)
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/dispatcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 
 from chicoryusher import charts
@@ -11,8 +10,10 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import attempts as attempts_module
-from chicoryusher.tasks.pool import group_state as group_state_module
+from chicoryusher.tasks.pool import entitlement
 from chicoryusher.tasks.pool import group_table as group_table_module
+from chicoryusher.tasks.pool import primary_stopping
+from chicoryusher.tasks.pool import session_draining
 from chicoryusher.tasks.pool import sessions
 from chicoryusher.tasks.pool import work_numbers
 from chicoryusher.tasks.pool.group_table import DispatcherSettings
@@ -28,14 +29,6 @@
     """Check for idle sessions now."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _StopTimeout(core.Message):
-    """The time for running work at a primary that is being stopped is over."""
-
-    revision: int
-    service: core.ServiceName
-
-
 class Dispatcher(runtime.Task):
     """Own the pooled sessions; run their statements as attempts."""
 
@@ -65,7 +58,10 @@
             settings.evidence,
         )
         self._sessions: dict[core.SessionId, sessions.PoolSession] = {}
-        self._drain_stage: core.DrainStage | None = None
+        self._draining = session_draining.SessionDraining(self)
+        self._stopping = primary_stopping.PrimaryStopping(
+            self, self._group_table, self._attempts, self._sessions
+        )
         # Sessions to start once there is a configuration.
         self._waiting_starts: dict[core.SessionId, core.StartSession] = {}
         self.after(IDLE_CHECK_INTERVAL_S, _CheckIdle())
@@ -106,7 +102,7 @@
             if right is not decisions.Right.UNKNOWN_KEY:
                 continue
             self._chart.fire(session, 'lost')
-            self._close_if_idle(session)
+            self._draining.close_if_idle(session)
 
     @runtime.handles(core.ConfigConfirmed)
     def _on_config_confirmed(self, message: core.ConfigConfirmed) -> None:
@@ -146,7 +142,9 @@
         if self._config is None:
             self._waiting_starts[message.session_id] = message
             return
-        refusal = self._start_refusal(message)
+        refusal = entitlement.start_refusal(
+            message, self._routes, self._rights, self._clock.boottime()
+        )
         if refusal is core.Refusal.NO_DATABASE:
             # Where callers have keys, the name may be a key that was sent in
             # its place.
@@ -177,20 +175,6 @@
             core.SessionStarted(message.session_id, refusal),
         )
 
-    def _start_refusal(
-        self, message: core.StartSession
-    ) -> core.Refusal | None:
-        """Return why a session cannot start, None if it can."""
-        route = self._routes.get(message.database)
-        if route is None:
-            return core.Refusal.NO_DATABASE
-        right = self._rights.right(
-            message.key, route.public, self._clock.boottime()
-        )
-        if right is decisions.Right.UNKNOWN_KEY:
-            return core.Refusal.UNKNOWN_KEY
-        return None
-
     @runtime.handles(core.CallerDisconnected)
     def _on_left(self, message: core.CallerDisconnected) -> None:
         self._waiting_starts.pop(message.session_id, None)
@@ -254,8 +238,7 @@
         session.attempt = None
         session.last_used_at = self.now()
         self.send(session.frontend, answer)
-        if self._drain_stage is not None:
-            self._close_if_unused(session)
+        self._draining.close_if_unused(session)
 
     def cancel_statement(self, session: sessions.PoolSession) -> None:
         """Cancel the statement of a session whose caller is gone."""
@@ -275,7 +258,7 @@
         self, session: sessions.PoolSession, message: core.PoolStatement
     ) -> None:
         """Start an attempt to run the statement, or refuse it at once."""
-        refusal = self._drain_refusal(session, message)
+        refusal = self._draining.refusal_of(session, message)
         if refusal is not None:
             self._refuse_at_once(session, message, refusal)
             return
@@ -327,7 +310,7 @@
         block = core.TransactionStatus.IDLE
         if session.transaction is not None:
             self.roll_back(session)
-            if self._drain_stage is None:
+            if self._draining.stage is None:
                 block = core.TransactionStatus.FAILED
         self.log.emit(
             core.LogEvent.STATEMENT_REFUSED,
@@ -354,13 +337,13 @@
     def _on_ended(self, ended: core.WorkEnded) -> None:
         service = self._attempts.work_ended(ended)
         if service is not None:
-            self._stop_if_unused(service)
+            self._stopping.stop_if_unused(service)
 
     @runtime.handles(core.EvidenceGiven)
     def _on_evidence(self, message: core.EvidenceGiven) -> None:
         service = self._attempts.evidence_given(message)
         if service is not None:
-            self._stop_if_unused(service)
+            self._stopping.stop_if_unused(service)
 
     @runtime.handles(core.InstanceFault)
     def _on_trouble(self, message: core.InstanceFault) -> None:
@@ -391,64 +374,11 @@
 
     @runtime.handles(core.StopPrimary)
     def _on_stop(self, message: core.StopPrimary) -> None:
-        group = self._group_table.groups.get(message.service)
-        if group is None:
-            self._report_stopped(message)
-            return
-        group.primary = None
-        group.stopping = message
-        group.stopped_at = self.now()
-        self.after(
-            message.grace_period,
-            _StopTimeout(message.revision, message.service),
-        )
-        self._stop_if_unused(message.service)
+        self._stopping.begin(message)
 
-    def _stop_if_unused(self, service: core.ServiceName) -> None:
-        group = self._group_table.groups.get(service)
-        if group is None or group.stopping is None:
-            return
-        if not self._is_used(group.stopping.primary):
-            self._stop(group)
-
-    def _is_used(self, name: core.InstanceName) -> bool:
-        if self._attempts.has_work_at(name):
-            return True
-        return any(
-            session.transaction is not None
-            and session.transaction.instance == name
-            for session in self._sessions.values()
-        )
-
-    @runtime.handles(_StopTimeout)
-    def _on_stop_timeout(self, message: _StopTimeout) -> None:
-        group = self._group_table.groups.get(message.service)
-        if group is None or group.stopping is None:
-            return
-        if group.stopping.revision == message.revision:
-            self._stop(group)
-
-    def _stop(self, group: group_state_module.PoolGroup) -> None:
-        """Close all connections to the primary and fence its running work."""
-        stopping = group.stopping
-        assert stopping is not None
-        group.stopping = None
-        self._attempts.fence(stopping.primary)
-        if stopping.primary in self._group_table:
-            pool_task = self._group_table.pool_task(stopping.primary)
-            self.send(pool_task, core.StopInstancePool())
-        self.send(
-            names.forwarder(self.vm), core.StopForwarding(stopping.primary)
-        )
-        self._report_stopped(stopping)
-
-    def _report_stopped(self, message: core.StopPrimary) -> None:
-        self.send(
-            names.primary_manager(self.vm),
-            core.PrimaryStopped(message.service, message.revision),
-        )
-
-    # -- drain ----------------------------------------------------------
+    @runtime.handles(primary_stopping.StopTimeout)
+    def _on_stop_timeout(self, timeout: primary_stopping.StopTimeout) -> None:
+        self._stopping.end_time(timeout)
 
     @runtime.handles(core.Drain)
     def _on_drain(self, message: core.Drain) -> None:
@@ -460,43 +390,10 @@
         self._reach_stage(message.stage)
 
     def _reach_stage(self, stage: core.DrainStage) -> None:
-        self._drain_stage = stage
+        self._draining.stage = stage
         for session in tuple(self._sessions.values()):
             attempt = session.attempt
             if attempt is not None and stage is core.DrainStage.ANSWERING:
                 self._attempts.end_statement(attempt)
             else:
-                self._close_if_unused(session)
-
-    def _close_if_unused(self, session: sessions.PoolSession) -> None:
-        """Close a session that is idle; at the end also in a transaction.
-
-        The front end keeps it open while a statement waits for its answer.
-        """
-        if self._drain_stage is core.DrainStage.ANSWERING:
-            self.send(session.frontend, core.CloseSession(session.session_id))
-            return
-        self._close_if_idle(session)
-
-    def _close_if_idle(self, session: sessions.PoolSession) -> None:
-        if session.state is core.PoolSessionState.IDLE:
-            self.send(session.frontend, core.CloseSession(session.session_id))
-
-    def _drain_refusal(
-        self, session: sessions.PoolSession, message: core.PoolStatement
-    ) -> core.Refusal | None:
-        """Return the refusal of a statement that is not run any more.
-
-        It has not been run, and its transaction is rolled back.
-        """
-        stage = self._drain_stage
-        if stage is None:
-            return None
-        transaction = session.transaction
-        if transaction is None or transaction.instance is None:
-            return core.Refusal.BUSY
-        commits = message.statement.verb is core.Verb.COMMIT
-        may_run = stage is core.DrainStage.CLOSING or (
-            commits and stage is core.DrainStage.ENDING
-        )
-        return None if may_run else core.Refusal.ABORTED
+                self._draining.close_if_unused(session)
--- a/src/chicoryusher/tasks/pool/entitlement.py
+++ b/src/chicoryusher/tasks/pool/entitlement.py
@@ -1,14 +1,15 @@
-"""Whether the caller of an attempt may still use its key."""
+"""Whether a caller may use its key: at its start, and in an attempt."""
 
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher.tasks.pool import sessions
 
-__all__ = ['Objection', 'objection_to']
+__all__ = ['Objection', 'objection_to', 'start_refusal']
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,3 +43,19 @@
     if transaction is not None and transaction.instance is not None:
         return Objection(core.Refusal.ABORTED, _OUTDATED)
     return Objection(None, _OUTDATED)
+
+
+def start_refusal(
+    message: core.StartSession,
+    routes: Mapping[core.DatabaseName, core.PoolRoute],
+    rights: decisions.TeamRights,
+    boot_now: float,
+) -> core.Refusal | None:
+    """Return why a session cannot start, None if it can."""
+    route = routes.get(message.database)
+    if route is None:
+        return core.Refusal.NO_DATABASE
+    right = rights.right(message.key, route.public, boot_now)
+    if right is decisions.Right.UNKNOWN_KEY:
+        return core.Refusal.UNKNOWN_KEY
+    return None
