--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/instance_pool.py
@@ -11,6 +11,7 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.pool import command_results
 from chicoryusher.tasks.pool import conn_opening
+from chicoryusher.tasks.pool import instance_faults
 from chicoryusher.tasks.pool import pool_conns as conns_module
 from chicoryusher.tasks.pool import pool_pace
 from chicoryusher.tasks.pool import pool_timeouts
@@ -72,6 +73,9 @@
             self, entry, policy, self._conns, self._opener
         )
         self._responses = pool_timeouts.Responsiveness()
+        self._faults = instance_faults.InstanceFaults(
+            self, self._conns, self._opener, self._pace, self._responses
+        )
         self._status_queries = status_queries.StatusQueries(self, entry.name)
         self._sweep_scheduled = False
 
@@ -103,7 +107,7 @@
         self._queue.add(work)
         if not len(self._conns) and self._opener.is_paused(self.now()):
             # Another VM may have a connection.
-            self._return_queued(_Ended.NOT_STARTED)
+            self.return_queued(_Ended.NOT_STARTED)
             return
         self.dispatch()
 
@@ -276,52 +280,19 @@
             self._opener.pause(self.now())
         self._remove(conn, _Ended.CONNECTION_LOST)
         if was_connecting:
-            self._on_open_failed(message.reason, conn.sent_at)
+            self._faults.open_failed(message.reason, conn.sent_at)
         elif message.reason is not core.LinkCloseReason.MALFORMED_REPLY:
-            self._report_trouble()
+            self._faults.report()
         self.dispatch()
 
-    def _on_open_failed(
-        self, reason: core.LinkCloseReason, began_at: float
-    ) -> None:
-        """Return the queued work, and report an instance that is silent.
-
-        An instance that has sent something since ``began_at`` is busy with
-        other connections.
-        """
-        if reason is core.LinkCloseReason.TOO_MANY_CONNECTIONS:
-            if not len(self._conns):
-                self._return_queued(_Ended.NOT_STARTED)
-            return
-        self._opener.pause(self.now())
-        timed_out = reason is core.LinkCloseReason.TIMED_OUT
-        if timed_out and self._responses.received_at > began_at:
-            if not len(self._conns):
-                self._return_queued(_Ended.NOT_STARTED)
-            return
-        self._report_trouble()
-        self._return_queued(_Ended.NOT_STARTED)
-        if timed_out:
-            self._responses.suspected = True
-            for conn in self._conns.all():
-                if conn.state is not core.ConnState.CONNECTING:
-                    self.close(conn, _Ended.CONNECTION_LOST)
-
-    def _report_trouble(self) -> None:
-        """Report a failed connection to the monitor and the dispatcher."""
-        self._pace.restart('a connection failed')
-        message = core.InstanceFault(self.entry.name)
-        self.send(names.reachability_monitor(self.vm), message)
-        self.send(names.dispatcher(self.vm), message)
-
-    def _return_queued(self, ended: core.Completion) -> None:
+    def return_queued(self, ended: core.Completion) -> None:
         """End all queued work with this outcome."""
         for work in self._queue.drain():
             self.report_end(work, ended)
 
     @runtime.handles(core.StopInstancePool)
     def _on_stop(self, message: core.StopInstancePool) -> None:
-        self._return_queued(_Ended.NOT_STARTED)
+        self.return_queued(_Ended.NOT_STARTED)
         for conn in self._conns.all():
             self.close(conn, _Ended.CONNECTION_LOST)
 
@@ -332,7 +303,7 @@
         have arrived are handled first.
         """
         self._on_deliver()
-        self._return_queued(_Ended.NOT_STARTED)
+        self.return_queued(_Ended.NOT_STARTED)
         for conn in self._conns.all():
             self._remove(conn, _Ended.CONNECTION_LOST)
         self.end()
@@ -407,23 +378,6 @@
             if ended is not None:
                 self._pace.record_timeout(now - conn.sent_at)
                 self.close(conn, ended)
-        self._check_unresponsive(now)
+        self._faults.check_response(now)
         self._opener.close_surplus(now)
         self.dispatch()
-
-    def _check_unresponsive(self, now: float) -> None:
-        """Open a test connection if an instance sends no replies.
-
-        The reachability monitor is asked to check the instance too.
-        """
-        busy = self._conns.awaiting_reply()
-        if self._conns.connecting_count:
-            return
-        if not self._responses.is_silent(busy, now):
-            return
-        self._responses.suspected = True
-        self.send(
-            names.reachability_monitor(self.vm),
-            core.InstanceFault(self.entry.name),
-        )
-        self._opener.open(now)
