--- a/tests/tasks/test_pool_evidence.py
+++ b/tests/tasks/test_pool_evidence.py
@@ -387,3 +387,26 @@
         waited = site.clock.now() - began_at
         assert waited < 40.0
     assert (waited > decisions.EVIDENCE_S) is vm_is_cut_off
+
+
+def test_a_change_that_waits_for_a_vm_ends_once_that_confirms(site):
+    """The cut-off VM that may not list the new instance is back."""
+    vm = site.vms[0]
+    site.isolate(vm)
+    new = add_instance(site)
+    site.run(2.0)
+    for instance in site.group.instances.values():
+        for other in site.vms:
+            if instance is not new:
+                site.cut.add((str(other.vm), str(instance.name)))
+    waits = core.LogEvent.HANDOVER_WAITS_FOR_EVIDENCE.number
+    for _ in range(40):
+        site.vms[1].caller(core.ReadAccess.PRIMARY).ask(pool_sites.WRITE)
+        site.run(0.25)
+        if any(record.extra['number'] == waits for record in site.records):
+            break
+    assert new.role is not core.Role.PRIMARY
+    for other in site.vms[1:]:
+        site.cut.discard((str(vm.vm), str(other.vm)))
+    site.run(decisions.EVIDENCE_S / 2)
+    assert new.role is core.Role.PRIMARY
