Keep instances known when the VM that polls their list is lost

Change: an absence of up to 8 s may go unseen; the spans that are worked out from it grow with it, so that a list still serves only if two confirmations further apart than that have the instance. Tests: tests/decisions/test_instance_evidence.py, its new test fails with 5 s; tests/tasks/test_pool_evidence.py passes.

--- a/src/chicoryusher/decisions/instance_evidence.py
+++ b/src/chicoryusher/decisions/instance_evidence.py
@@ -38,8 +38,9 @@
 # Seconds for which an instance may be missing from the store's list while a
 # VM does not see it.  A VM whose list was not confirmed for longer counts all
 # instances as new, and two confirmations that are further apart than that
-# are needed for evidence, of which at least one has the instance.
-MAX_UNSEEN_ABSENCE_S = 5.0
+# are needed for evidence, of which at least one has the instance.  If the VM
+# that polls the list is lost, the next confirmation comes up to 7.5 s later.
+MAX_UNSEEN_ABSENCE_S = 8.0
 MIN_CONFIRMATION_SPAN_S = MAX_UNSEEN_ABSENCE_S + 1.0
 # Seconds before the end of the lease from which on lists count.
 LIST_MEMORY_S = MAX_LIST_AGE_S + MIN_CONFIRMATION_SPAN_S + 2.0
--- a/tests/decisions/test_instance_evidence.py
+++ b/tests/decisions/test_instance_evidence.py
@@ -179,3 +179,11 @@
     fencing.record_stopped(VM)
     assert fencing.done
     assert fencing.unfenced() == {marked.vm}
+
+
+def test_the_loss_of_the_vm_that_polls_makes_no_instance_new():
+    """Others poll once the list is 5.5 s old, one after the other."""
+    known = known_instances()
+    known.confirm(7.0, 7.4)
+    listings = known.listings((core.ShownList(VM, 10),), 14.0)
+    assert decisions.is_in_lists(FIRST, {VM}, listings)
