--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/handover_actions.py
@@ -22,11 +22,6 @@
     task.fence_old_primary()
 
 
-@charts.action('handover.fence_again')
-def _fence_again(task: Handover, arg: object) -> None:
-    task.send_fences()
-
-
 @charts.action('handover.announce')
 def _announce_end(task: Handover, arg: object) -> None:
     task.announce_end(0.0)
--- a/src/chicoryusher/tasks/pool/handover_fence.py
+++ b/src/chicoryusher/tasks/pool/handover_fence.py
@@ -47,7 +47,7 @@
         self.send(
             names.row_client(self.vm), core.ReadEntryVmRows(self.task_name)
         )
-        self.send_fences()
+        self._send_fences()
         self._retry_fencing_later(_RetryFencing(self._claim.first_revision))
 
     def _retry_fencing_later(self, message: _RetryFencing) -> None:
@@ -59,7 +59,7 @@
             wait = self._request.not_before - boot_now
         self.after(max(MIN_FENCE_RETRY_S, min(FENCE_RETRY_S, wait)), message)
 
-    def send_fences(self) -> None:
+    def _send_fences(self) -> None:
         """Send a fence to each VM that has not confirmed one yet."""
         request, row = self._request, self._claim.row
         assert request is not None and row is not None
@@ -90,7 +90,7 @@
         if self._is_fenced():
             self._fire('fenced')
         elif has_new_vms:
-            self.send_fences()
+            self._send_fences()
 
     @runtime.handles(core.PrimaryFenced)
     def _on_fenced(self, message: core.PrimaryFenced) -> None:
@@ -145,7 +145,7 @@
         self._log_wait()
         self.announce_end(self._lease_wait(self._clock.boottime()))
         self.renew()
-        self.send_fences()
+        self._send_fences()
         self._retry_fencing_later(message)
 
     def announce_end(self, lease_wait: float) -> None:
