--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -27,6 +27,7 @@
 from chicoryusher.decisions import idempotency
 from chicoryusher.decisions import instance_evidence
 from chicoryusher.decisions import instance_pace
+from chicoryusher.decisions import judge_replies
 from chicoryusher.decisions import leader_claim
 from chicoryusher.decisions import leader_digest
 from chicoryusher.decisions import lease_grants
@@ -79,6 +80,7 @@
 from chicoryusher.decisions.idempotency import *  # noqa: F403
 from chicoryusher.decisions.instance_evidence import *  # noqa: F403
 from chicoryusher.decisions.instance_pace import *  # noqa: F403
+from chicoryusher.decisions.judge_replies import *  # noqa: F403
 from chicoryusher.decisions.leader_claim import *  # noqa: F403
 from chicoryusher.decisions.leader_digest import *  # noqa: F403
 from chicoryusher.decisions.lease_grants import *  # noqa: F403
@@ -145,6 +147,7 @@
     *retry.__all__,
     *primary_lease.__all__,
     *instance_evidence.__all__,
+    *judge_replies.__all__,
     *leader_claim.__all__,
     *leader_digest.__all__,
     *lease_grants.__all__,
