Replace a lost primary on the side of a split that has the store

Cause: the side with most judges could not write its claim, and the side with the store had too few judges, so a crashed primary waited for the end of the split. Change: with the setting judge_in_partition, off by default, few judges decide by JudgeReplies; while judges are silent a VM checks again each 0.25 s and asks the replicas what they have received. The event 4031 names the judges. The claim, the fence and the wait for leases are as before. The model has no guard on who begins a change, which a new test asserts, so no specification changes.

--- a/src/chicoryusher/core/log_events.py
+++ b/src/chicoryusher/core/log_events.py
@@ -229,6 +229,11 @@
         LogLevel.WARNING,
         'a change of primary waits: a VM may not know the new instance',
     )
+    PRIMARY_JUDGED_BY_FEW = (
+        4031,
+        LogLevel.WARNING,
+        'a primary is judged unreachable without the judges that are silent',
+    )
     HANDOVER_WAITS = (
         4016,
         LogLevel.WARNING,
--- a/src/chicoryusher/tasks/pool/reachability.py
+++ b/src/chicoryusher/tasks/pool/reachability.py
@@ -1,7 +1,8 @@
 """Reachability monitor: whether a suspected primary can be reached.
 
 The majority of an instance's judges decides.  In a small fleet these are
-all VMs, else some of each zone, so that a doubt causes few checks.
+all VMs, else some of each zone, so that a doubt causes few checks.  If the
+settings ask for it, few judges may decide where the others are silent.
 """
 
 from __future__ import annotations
@@ -25,6 +26,11 @@
 # to this VM's pool shows that it can be reached; what came before may have
 # been under way when the instance failed.
 RESPONSE_MARGIN_S = 0.05
+# Timeout for the status of a replica: a round trip between regions, a new
+# connection and a wait for a slot.
+STATUS_TIMEOUT_S = 0.2
+# Seconds between two checks while judges are silent.
+RECHECK_INTERVAL_S = 0.25
 # Time for which replies about an instance are collected after a check began.
 REPLY_LIFETIME_S = 1.5
 
@@ -36,24 +42,37 @@
     instance: core.InstanceName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Recheck(core.Message):
+    """Timer: check again, as the silent judges may have to be done without."""
+
+    instance: core.InstanceName
+
+
 @dataclasses.dataclass(slots=True)
 class _Check:
-    """Check of whether VMs reach an instance, with their replies.
-
-    ``reached_by`` is True for a VM that reached the instance.
-    """
+    """Check of whether VMs reach an instance, with their replies."""
 
     started_at: float
-    reached_by: dict[core.VmName, bool]
+    replies: decisions.JudgeReplies
 
 
 class ReachabilityMonitor(runtime.Task):
     """Ask the judges about a suspected primary, and count their replies."""
 
     def __init__(
-        self, loop: runtime.Runtime, vm: core.VmName, zone: core.ZoneName
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        zone: core.ZoneName,
+        judges_alone: bool = False,
     ) -> None:
         super().__init__(loop, vm, 'watch')
+        self._judges_alone = judges_alone
+        self._progress = decisions.ReplicaProgress()
+        self._log_side_from: dict[core.InstanceName, float] = {}
+        # The replicas whose status has been asked for.
+        self._asked_replicas: set[core.InstanceName] = set()
         self._own_place = core.EntryVmZone(vm, zone)
         self._entries: dict[core.InstanceName, core.InstanceEntry] = {}
         self._primaries: dict[core.ServiceName, core.InstanceName] = {}
@@ -95,7 +114,7 @@
         now = self.now()
         if check is not None and now - check.started_at < PROBE_TIMEOUT_S:
             return False
-        self._checks[name] = _Check(now, {})
+        self._begin_check(name)
         entry = self._entries.get(name)
         if entry is None:
             self._record_probe(name, False)
@@ -106,11 +125,23 @@
         )
         return True
 
+    def _begin_check(self, name: core.InstanceName) -> _Check:
+        """Begin a check, without the replies that are too old for it."""
+        now = self.now()
+        last = self._checks.get(name)
+        check = _Check(now, decisions.JudgeReplies())
+        if last is not None and self._judges_alone:
+            check.replies = last.replies
+            check.replies.start_check(now)
+        self._checks[name] = check
+        return check
+
     @runtime.handles(_QueryPeers)
     def _on_query_peers(self, message: _QueryPeers) -> None:
         check = self._checks.get(message.instance)
-        if check is None or check.reached_by.get(self.vm, False):
+        if check is None or check.replies.has_reached(self.vm):
             return
+        check.replies.record_asked(self.now())
         query = core.ReachabilityQuery(self.vm, message.instance)
         self._send_to_judges(message.instance, query)
 
@@ -129,6 +160,8 @@
     @runtime.handles(core.ReachabilityQuery)
     def _on_query(self, message: core.ReachabilityQuery) -> None:
         self._start_check(message.instance)
+        check = self._checks[message.instance]
+        check.replies.record_asked(self.now())
 
     @runtime.handles(core.InstanceProbeResult)
     def _on_status(self, status: core.InstanceProbeResult) -> None:
@@ -136,6 +169,9 @@
 
         An instance that is busy with new connections answers a probe late.
         """
+        if status.instance in self._asked_replicas:
+            self._record_replica(status)
+            return
         entry = self._entries.get(status.instance)
         if status.reached or entry is None:
             self._record_probe(status.instance, status.reached)
@@ -162,6 +198,8 @@
         self._on_reply(reply)
         if self.vm in self._judges(name):
             self._send_to_judges(name, reply)
+            if self._judges_alone and not reached:
+                self._do_without_silent_judges(name)
 
     @runtime.handles(core.ReachabilityReply)
     def _on_reply(self, reply: core.ReachabilityReply) -> None:
@@ -169,12 +207,100 @@
         check = self._checks.get(reply.instance)
         now = self.now()
         if check is None or now - check.started_at > REPLY_LIFETIME_S:
-            check = _Check(now, {})
-            self._checks[reply.instance] = check
-        check.reached_by[reply.vm] = reply.reached
-        judges = self._judges(reply.instance)
-        if decisions.unreachable_for_majority(check.reached_by, judges):
+            check = self._begin_check(reply.instance)
+        check.replies.record(reply.vm, reply.reached, now)
+        self._decide(reply.instance, check)
+
+    def _decide(self, name: core.InstanceName, check: _Check) -> None:
+        """Report the primary as unreachable if its judges say so."""
+        judges = self._judges(name)
+        if not check.replies.are_most(judges):
+            judges = self._side(name, check)
+            self._log_side(name, judges)
+        if judges:
             self.send(
                 names.primary_manager(self.vm),
-                core.PrimaryUnreachable(reply.instance, judges),
+                core.PrimaryUnreachable(name, judges),
             )
+
+    # -- few judges beside silent ones ----------------------------------
+
+    def _side(
+        self, name: core.InstanceName, check: _Check
+    ) -> frozenset[core.VmName]:
+        """Return the judges that decide though most are silent, if any."""
+        if not self._judges_alone:
+            return frozenset()
+        side = check.replies.side(self._judges(name), self.now())
+        replicas = [entry.name for entry in self._replicas(name)]
+        if not self._progress.is_quiet(replicas, self.now()):
+            return frozenset()
+        return side
+
+    def _log_side(
+        self, name: core.InstanceName, judges: frozenset[core.VmName]
+    ) -> None:
+        """Log once per suspicion that few judges decide."""
+        is_first = self.now() >= self._log_side_from.get(name, 0.0)
+        if judges:
+            self._log_side_from[name] = self.now() + REPLY_LIFETIME_S
+        if judges and is_first:
+            self.log.emit(
+                core.LogEvent.PRIMARY_JUDGED_BY_FEW,
+                instance=name,
+                judges=sorted(judges),
+            )
+
+    def _replicas(self, name: core.InstanceName) -> list[core.InstanceEntry]:
+        """Return the other instances of a primary's group."""
+        services = [
+            service
+            for service, primary in self._primaries.items()
+            if primary == name
+        ]
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.service in services and entry.name != name
+        ]
+
+    def _do_without_silent_judges(self, name: core.InstanceName) -> None:
+        """Check on, and ask the replicas, while most judges are silent."""
+        check = self._checks.get(name)
+        if check is None or check.replies.are_most(self._judges(name)):
+            return
+        next_at = check.started_at + RECHECK_INTERVAL_S
+        self.after(max(0.0, next_at - self.now()), _Recheck(name))
+        if check.replies.is_waiting(self.now()):
+            self._query_replicas(name)
+
+    @runtime.handles(_Recheck)
+    def _on_recheck(self, message: _Recheck) -> None:
+        name = message.instance
+        check = self._checks.get(name)
+        if check is None or name not in self._primaries.values():
+            return
+        if check.replies.is_waiting(self.now()):
+            self._start_check(name)
+
+    def _query_replicas(self, name: core.InstanceName) -> None:
+        for entry in self._replicas(name):
+            self._asked_replicas.add(entry.name)
+            self.send(
+                names.prober(self.vm),
+                core.ProbeInstance(
+                    entry, STATUS_TIMEOUT_S, True, self.task_name
+                ),
+            )
+
+    def _record_replica(self, status: core.InstanceProbeResult) -> None:
+        name, state = status.instance, status.state
+        self._asked_replicas.discard(name)
+        entry = self._entries.get(name)
+        if state is None or entry is None:
+            return
+        self._progress.record(name, state.received, self.now())
+        primary = self._primaries.get(entry.service)
+        check = None if primary is None else self._checks.get(primary)
+        if primary is not None and check is not None:
+            self._decide(primary, check)
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -116,7 +116,9 @@
         self.collector = evidence_collector.EvidenceCollector(
             site.loop, vm, site.evidence, group_module.decode_status
         )
-        reachability.ReachabilityMonitor(site.loop, vm, self.row.zone)
+        reachability.ReachabilityMonitor(
+            site.loop, vm, self.row.zone, site.judges_alone
+        )
         forwarder.Forwarder(site.loop, vm, site.watches_owners)
         relay.Relay(site.loop, vm)
         limiter.Limiter(
@@ -205,6 +207,7 @@
         paces_instances: bool = False,
         evidence: core.EvidenceMode = core.EvidenceMode.OFF,
         announces_changes: bool = False,
+        judges_alone: bool = False,
         limit_tolerance: core.LimitTolerance | None = None,
         watches_owners: bool = False,
         keeps_to_cap: bool = False,
@@ -215,6 +218,7 @@
         self.announces_changes = announces_changes
         self.watches_owners = watches_owners
         self.keeps_to_cap = keeps_to_cap
+        self.judges_alone = judges_alone
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.group = group_module.Group(SERVICE, ZONES)
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -153,6 +153,13 @@
         assert event in charts.load_chart(chart).events(), label
 
 
+def test_any_coordinator_may_replace_a_primary_that_works():
+    """Who judges a primary, and how, is no part of what keeps the rules."""
+    protocol = authority.holders(max_revision=MAX_REVISION)
+    wanted = {label for label, _ in protocol.transitions(protocol.initial)}
+    assert {'handover.wanted 0', 'handover.wanted 1'} <= wanted
+
+
 def test_truncated_search_is_not_exhaustive():
     result = minicheck.check_safety(terms.protocol(ops=1), max_states=10)
     assert not result['exhaustive']
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -143,6 +143,7 @@
     assert not loaded.announces_changes
     assert not loaded.watches_owners
     assert not loaded.keeps_to_cap
+    assert not loaded.judges_alone
 
 
 @pytest.mark.parametrize(
@@ -152,6 +153,7 @@
         ('announce_changes', 'use'),
         ('watch_owners', 1),
         ('keep_to_cap', 'yes'),
+        ('judge_in_partition', 'use'),
     ],
 )
 def test_a_switch_with_another_value_is_refused(settings, name, value):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -80,6 +80,7 @@
         'announce_changes',
         'watch_owners',
         'keep_to_cap',
+        'judge_in_partition',
     }
     assert names == set(DOCUMENT) | optional
 
