Find the task of an event by its name

Circuits finds the handlers of an event by asking every component, and does so anew for each event and channel after any task was added or has ended: the work grew with the square of the tasks. The runtime now looks the task up by its name, and skips circuits' events on components that come and go, which nothing handles. Events of other kinds are dispatched as before.

--- a/src/chicoryusher/runtime/loop.py
+++ b/src/chicoryusher/runtime/loop.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import collections
+from typing import Any
+
 import circuits
 
 from chicoryusher import core
@@ -21,8 +24,21 @@
     """Notify a task that its mailbox holds messages."""
 
 
+# Events of circuits on components that come and go, which nothing handles.
+_UNHANDLED_EVENTS = (
+    circuits.core.events.registered,
+    circuits.core.events.unregistered,
+    circuits.core.components.prepare_unregister,
+)
+
+
 class Runtime(circuits.BaseComponent):
-    """Root component: the mailboxes, timers, poller and clock."""
+    """Root component: the mailboxes, timers, poller and clock.
+
+    It finds the handlers of a task's events by the task's name.  Circuits
+    asks all components after each change of them, for each event and channel,
+    which takes time that grows with the square of the tasks.
+    """
 
     channel = 'runtime'
 
@@ -32,6 +48,9 @@
         meters: meters_module.Meters | None = None,
     ) -> None:
         super().__init__(channel='runtime')
+        self._children: collections.defaultdict[
+            str, set[circuits.BaseComponent]
+        ] = collections.defaultdict(set)
         self.clock = clock or core.SystemClock()
         self.meters = meters or meters_module.NullMeters()
         self._mailboxes: dict[core.TaskName, list[core.Message]] = {}
@@ -41,6 +60,38 @@
         self.timers = timers.Timers(self.clock, self.post).register(self)
         self.poller = poller.Poller(self.post, self.timers).register(self)
 
+    def registerChild(  # noqa: N802 - called by circuits
+        self, component: circuits.BaseComponent
+    ) -> None:
+        """Add a component to those of its channel."""
+        super().registerChild(component)
+        self._children[component.channel].add(component)
+
+    def unregisterChild(  # noqa: N802 - called by circuits
+        self, component: circuits.BaseComponent
+    ) -> None:
+        """Remove a component from those of its channel."""
+        super().unregisterChild(component)
+        children = self._children[component.channel]
+        children.discard(component)
+        if not children:
+            del self._children[component.channel]
+
+    def getHandlers(  # noqa: N802 - called by circuits
+        self, event: circuits.Event, channel: Any, **kwargs: Any
+    ) -> set[Any]:
+        """Return the handlers of an event on a channel."""
+        if isinstance(event, _UNHANDLED_EVENTS):
+            return set()
+        if isinstance(channel, circuits.BaseComponent):
+            return channel.getHandlers(event, channel, **kwargs)
+        if not isinstance(event, deliver):
+            return super().getHandlers(event, channel, **kwargs)
+        handlers = set()
+        for component in self._children.get(channel, ()):
+            handlers |= component.getHandlers(event, channel, **kwargs)
+        return handlers
+
     def add_mailbox(self, task: core.TaskName) -> list[core.Message]:
         """Create and return the mailbox of a new task.
 
--- a/tests/runtime/test_tasks.py
+++ b/tests/runtime/test_tasks.py
@@ -80,3 +80,42 @@
     loop.settle()
     assert receiver.numbers == [1, 0]
     assert receiver.settled_count == 0
+
+
+class Counted(runtime.Task):
+    """Counts how often the loop looks for its handlers."""
+
+    def __init__(self, loop, number):
+        self.lookups = 0
+        super().__init__(loop, VM, f'counted{number}')
+
+    def getHandlers(self, event, channel, **kwargs):  # noqa: N802
+        self.lookups += 1
+        return super().getHandlers(event, channel, **kwargs)
+
+    @runtime.handles(Number)
+    def _on_number(self, message):
+        """Nothing to do."""
+
+
+@pytest.mark.parametrize('count', [3, 300])
+def test_tasks_that_come_and_go_cost_the_others_nothing(loop, count):
+    """Each change made the loop ask every task for each later event."""
+    tasks = [Counted(loop, number) for number in range(count)]
+    loop.settle()
+    for number in range(count, count + 5):
+        Counted(loop, number).end()
+        for task in tasks:
+            loop.post(task.task_name, Number(1))
+        loop.settle()
+    assert max(task.lookups for task in tasks) <= 2 * 5
+
+
+def test_a_task_that_has_ended_leaves_the_loop(loop):
+    receiver = Receiver(loop)
+    loop.settle()
+    assert receiver in loop.components
+    receiver.end()
+    loop.settle()
+    assert receiver not in loop.components
+    assert receiver.parent is receiver
