Share statements and loads of the tests of pooled sessions

Nine test modules wrote the same statements (read, write, bare), five had copies of ask, write_load or the fixture that checks the log. They use those of pool_sites now. No assertion is changed; the site of test_refusal_log is checked for failed tasks as well, as the others are.

--- a/tests/tasks/pool_sites.py
+++ b/tests/tasks/pool_sites.py
@@ -12,7 +12,6 @@
 
 # More VMs than connections to an instance: most statements are forwarded.
 FORWARDING_VM_COUNT = 12
-WRITE = core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
 
 
 @contextlib.contextmanager
@@ -27,6 +26,21 @@
     assert all(record.extra['number'] != failed for record in handler.records)
 
 
+def read(item='1a4'):
+    return core.Statement(core.Verb.READ, f'READ {item}', item)
+
+
+def write(item='1a4'):
+    return core.Statement(core.Verb.WRITE, f'WRITE {item} x', item, 'x')
+
+
+def bare(verb):
+    return core.Statement(verb, verb.value.upper())
+
+
+WRITE = write()
+
+
 def ask(site, caller, *statements, seconds=0.2):
     """Send each statement, run for ``seconds`` after it; return the answer."""
     for statement in statements:
@@ -35,6 +49,26 @@
     return caller.last
 
 
+def write_load(site, seconds, vms=None, step=0.1):
+    """Write from every VM (or from ``vms``) every ``step`` seconds.
+
+    Return (time of the request, answer) of each answered caller.
+    """
+    callers = []
+    for _ in range(round(seconds / step)):
+        for vm in vms or site.vms:
+            caller = vm.caller(core.ReadAccess.PRIMARY)
+            caller.ask(write())
+            callers.append((site.clock.now(), caller))
+        site.run(step)
+    site.run(1.5)
+    return [
+        (asked_at, caller.last)
+        for asked_at, caller in callers
+        if caller.answers
+    ]
+
+
 def vm_under_test(site):
     """Return a VM that has used the primary; it forwards if any VM does."""
     name = site.group.primary().name
--- a/tests/tasks/test_pool_backlog.py
+++ b/tests/tasks/test_pool_backlog.py
@@ -12,10 +12,7 @@
 from chicoryusher.tasks.pool import instance_pool
 
 PRIMARY = core.ReadAccess.PRIMARY
-
-
-def write():
-    return core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
+write = pool_sites.write
 
 
 @pytest.fixture
--- a/tests/tasks/test_pool_failover.py
+++ b/tests/tasks/test_pool_failover.py
@@ -20,14 +20,8 @@
 PRIMARY = core.ReadAccess.PRIMARY
 # Accepted time from the failure of a primary to the next successful write.
 MAX_GAP_S = 5.0
-
-
-def read():
-    return core.Statement(Verb.READ, 'READ 1a4', '1a4')
-
-
-def write():
-    return core.Statement(Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
+read, write = pool_sites.read, pool_sites.write
+write_load = pool_sites.write_load
 
 
 @pytest.fixture
@@ -36,26 +30,6 @@
         yield new_site
 
 
-def write_load(site, seconds, vms=None, step=0.1):
-    """Write from every VM (or from ``vms``) every ``step`` seconds.
-
-    Return (time of the request, answer) of each answered caller.
-    """
-    answers = []
-    callers = []
-    for _ in range(round(seconds / step)):
-        for vm in vms or site.vms:
-            caller = vm.caller(PRIMARY)
-            caller.ask(write())
-            callers.append((site.clock.now(), caller))
-        site.run(step)
-    site.run(1.5)
-    for asked_at, caller in callers:
-        if caller.answers:
-            answers.append((asked_at, caller.last))
-    return answers
-
-
 def check_commits(site, answers):
     """Check that no refused write was committed, and none committed twice."""
     committed = {commit.request_id: commit for commit in site.group.commits}
--- a/tests/tasks/test_pool_forwarding.py
+++ b/tests/tasks/test_pool_forwarding.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 
 import logbook
 import pytest
@@ -22,18 +23,8 @@
 VM_COUNT = 12
 MAX_CONNECTIONS = 21
 READ_SHAPE = core.PreparedQuery(core.PreparedQueryKind.READ, 'q2c')
-
-
-def bare(verb):
-    return core.Statement(verb, verb.value.upper())
-
-
-def read(item='1a4'):
-    return core.Statement(Verb.READ, f'READ {item}', item)
-
-
-def write(item='1a4'):
-    return core.Statement(Verb.WRITE, f'WRITE {item} x', item, 'x')
+bare, read, write = pool_sites.bare, pool_sites.read, pool_sites.write
+ask = functools.partial(pool_sites.ask, seconds=0.3)
 
 
 @pytest.fixture
@@ -42,13 +33,6 @@
         yield new_site
 
 
-def ask(site, caller, *statements, seconds=0.3):
-    for statement in statements:
-        caller.ask(statement)
-        site.run(seconds)
-    return caller.last
-
-
 def owners_and_others(site):
     """Return the VMs that own connections to the primary, and the others."""
     name = site.group.primary().name
--- a/tests/tasks/test_pool_instance_changes.py
+++ b/tests/tasks/test_pool_instance_changes.py
@@ -16,6 +16,7 @@
 from chicoryusher_standins import pool
 
 PRIMARY = core.ReadAccess.PRIMARY
+bare, write = pool_sites.bare, pool_sites.write
 PROMISES = (
     core.Refusal.BUSY,
     core.Refusal.ABORTED,
@@ -26,14 +27,6 @@
 )
 
 
-def write():
-    return core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
-
-
-def bare(verb):
-    return core.Statement(verb, verb.value.upper())
-
-
 @pytest.fixture(
     params=[3, pool_sites.FORWARDING_VM_COUNT], ids=['own', 'forwarded']
 )
--- a/tests/tasks/test_pool_owner_changes.py
+++ b/tests/tasks/test_pool_owner_changes.py
@@ -14,10 +14,7 @@
 
 PRIMARY = core.ReadAccess.PRIMARY
 STATEMENTS = 5
-
-
-def write():
-    return core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
+write = pool_sites.write
 
 
 def begin():
--- a/tests/tasks/test_pool_pace.py
+++ b/tests/tasks/test_pool_pace.py
@@ -9,14 +9,7 @@
 
 PRIMARY = core.ReadAccess.PRIMARY
 BOUNDED = core.ReadAccess.BOUNDED
-
-
-def write():
-    return core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
-
-
-def read():
-    return core.Statement(core.Verb.READ, 'READ 1a4', '1a4')
+read, write = pool_sites.read, pool_sites.write
 
 
 @pytest.fixture
--- a/tests/tasks/test_pool_restored.py
+++ b/tests/tasks/test_pool_restored.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 
 import pytest
 
@@ -22,10 +23,8 @@
 # The same for a failure that is noticed at once, in the middle.
 SHORT_GAP_S = 1.5
 OUTAGE_S = 1.0
-
-
-def write():
-    return core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
+write = pool_sites.write
+write_load = functools.partial(pool_sites.write_load, step=0.2)
 
 
 @pytest.fixture
@@ -34,26 +33,6 @@
         yield new_site
 
 
-def write_load(site, seconds, vms=None, step=0.2):
-    """Write from every VM every ``step`` seconds.
-
-    Return (time of the request, answer) of each answered caller.
-    """
-    callers = []
-    for _ in range(round(seconds / step)):
-        for vm in vms or site.vms:
-            caller = vm.caller(PRIMARY)
-            caller.ask(write())
-            callers.append((site.clock.now(), caller))
-        site.run(step)
-    site.run(1.5)
-    return [
-        (asked_at, caller.last)
-        for asked_at, caller in callers
-        if caller.answers
-    ]
-
-
 def longest_gap_s(answers, began_at):
     """Return the longest time without a successful write."""
     times = [began_at]
--- a/tests/tasks/test_pool_sessions.py
+++ b/tests/tasks/test_pool_sessions.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 
-import logbook
 import pytest
 
+import pool_sites
 from chicoryusher import core
 from chicoryusher_standins import pool
 
@@ -18,18 +19,8 @@
 BOUNDED = core.ReadAccess.BOUNDED
 READ_SHAPE = core.PreparedQuery(core.PreparedQueryKind.READ, 'q2c')
 WRITE_SHAPE = core.PreparedQuery(core.PreparedQueryKind.WRITE, 'q3d')
-
-
-def bare(verb):
-    return core.Statement(verb, verb.value.upper())
-
-
-def read(item='1a4'):
-    return core.Statement(Verb.READ, f'READ {item}', item)
-
-
-def write(item='1a4'):
-    return core.Statement(Verb.WRITE, f'WRITE {item} x', item, 'x')
+bare, read, write = pool_sites.bare, pool_sites.read, pool_sites.write
+ask = functools.partial(pool_sites.ask, seconds=0.3)
 
 
 def setting(name, value):
@@ -47,19 +38,8 @@
 
 @pytest.fixture
 def site():
-    with logbook.TestHandler() as handler:
-        new_site = pool.Site()
+    with pool_sites.checked_site(3) as new_site:
         yield new_site
-        new_site.close()
-    failed = core.LogEvent.TASK_FAILED.number
-    assert all(record.extra['number'] != failed for record in handler.records)
-
-
-def ask(site, caller, *statements, seconds=0.3):
-    for statement in statements:
-        caller.ask(statement)
-        site.run(seconds)
-    return caller.last
 
 
 def test_a_session_that_would_keep_too_much_is_refused_and_goes_on(site):
--- a/tests/tasks/test_refusal_log.py
+++ b/tests/tasks/test_refusal_log.py
@@ -4,32 +4,21 @@
 
 import dataclasses
 
-import logbook
 import pytest
 
+import pool_sites
 from chicoryusher import core
 from chicoryusher.tasks import names
-from chicoryusher_standins import pool
 
 PRIMARY = core.ReadAccess.PRIMARY
 REFUSED = core.LogEvent.STATEMENT_REFUSED.number
-
-
-def write():
-    return core.Statement(core.Verb.WRITE, 'WRITE 1a4 x', '1a4', 'x')
-
-
-def bare(verb):
-    return core.Statement(verb, verb.value.upper())
+bare, write = pool_sites.bare, pool_sites.write
 
 
 @pytest.fixture
 def site():
-    with logbook.TestHandler() as handler:
-        new_site = pool.Site(3)
-        new_site.records = handler.records
+    with pool_sites.checked_site(3) as new_site:
         yield new_site
-        new_site.close()
 
 
 def ask(site, caller, *statements):
