Start statements within their limits, and let them wait for a keeper

Cause: a statement waits until 0.8 of its route's latency target. Where the target is lower, operations were refused after 0.4 s while a keeper was replaced, which takes 1.2 s.

Change: a statement starts 0.1 s before its limit at the latest. An operation waits for a keeper that can tell its turn for 0.8 of the limit, and for its turn from then on; after that it may start later than the target asks.

The new tests fail without the change.

--- a/src/chicoryusher/decisions/limit_allowances.py
+++ b/src/chicoryusher/decisions/limit_allowances.py
@@ -43,12 +43,18 @@
     max_wait_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Operation:
     """Until when an operation can wait, for an answer and for a turn."""
 
     deadline: float
     turn_deadline: float
+    turn_wait_s: float
+
+    def start_turn_wait(self, now: float) -> None:
+        """Wait for a turn from now on, after a wait for a keeper."""
+        until = min(now + self.turn_wait_s, self.deadline)
+        self.turn_deadline = max(self.turn_deadline, until)
 
 
 class TeamAllowances:
@@ -94,12 +100,15 @@
     ) -> None:
         """Add an operation that can wait for some seconds.
 
-        For a turn it waits for half of them if no other time is given.
+        For a turn it waits for half of them if no other time is given, from
+        when a keeper first tells it.
         """
         if max_turn_wait_s is None:
             max_turn_wait_s = max_wait_s * TURN_WAIT_SHARE
         self._waiting[allowance_id] = _Operation(
-            now + max_wait_s, now + min(max_wait_s, max_turn_wait_s)
+            now + max_wait_s,
+            now + min(max_wait_s, max_turn_wait_s),
+            max_turn_wait_s,
         )
         self._demand = self._demand_now(now) + 1.0 / DEMAND_PERIOD_S
         self._demand_at = now
@@ -185,13 +194,20 @@
         self._sequence += 1
         self._asked_at = now
         self._asked_count = len(self._waiting) + max(0, prefetch - held)
-        # The operations that a turn is for must still wait when it is known.
-        latest = max(
-            (operation.turn_deadline for operation in self._waiting.values()),
-            default=now,
+        return AllowanceQuestion(
+            self._sequence, self._asked_count, self._max_turn_wait_s(now)
         )
-        max_wait_s = max(0.0, latest - self._round_trip_s - now)
-        return AllowanceQuestion(self._sequence, self._asked_count, max_wait_s)
+
+    def _max_turn_wait_s(self, now: float) -> float:
+        """Return for how long operations can wait for a turn, in seconds.
+
+        They must still wait when it is known.
+        """
+        waiting = self._waiting.values()
+        if not self._knows_turn:
+            return max((one.turn_wait_s for one in waiting), default=0.0)
+        latest = max((one.turn_deadline for one in waiting), default=now)
+        return max(0.0, latest - self._round_trip_s - now)
 
     def _prefetch(self, now: float) -> int:
         if self._is_short:
@@ -212,7 +228,11 @@
         if grant.granted > 0 and expires_at > now:
             self._held.append([expires_at, grant.granted])
         self._is_short = grant.granted < self._asked_count
+        knew_turn = self._knows_turn
         self._knows_turn = grant.next_s is not None
+        if self._knows_turn and not knew_turn:
+            for operation in self._waiting.values():
+                operation.start_turn_wait(now)
         if not self._is_short:
             self._next_at = now
             return
--- a/src/chicoryusher/tasks/pool/attempt_allowances.py
+++ b/src/chicoryusher/tasks/pool/attempt_allowances.py
@@ -15,6 +15,13 @@
 # Seconds for which a statement may wait that has waited for an instance
 # before: a question to a keeper of another region.
 MIN_WAIT_S = 0.15
+# Share of a statement's time limit for which it waits for a keeper that can
+# tell its turn, and the most seconds: until its VM follows another one.
+KEEPER_WAIT_LIMIT_SHARE = 0.8
+MAX_KEEPER_WAIT_S = 2.0
+# Share of the time in which a statement can start that it waits for a turn.
+# In an overload a longer wait delays every operation and serves no more.
+TURN_WAIT_SHARE = 0.5
 
 
 class AttemptAllowances:
@@ -48,18 +55,30 @@
             return True
         if self._requests.is_allowed(attempt):
             return True
-        self._requests.request(attempt, team.name, self._max_wait_s(attempt))
-        return False
-
-    def _max_wait_s(self, attempt: sessions.Attempt) -> float:
+        now = self._dispatcher.now()
         latest_start = instance_selection.latest_start(attempt)
-        return max(MIN_WAIT_S, latest_start - self._dispatcher.now())
+        wait_s = max(MIN_WAIT_S, latest_start - now)
+        limit_s = attempt.route.statement_timeout * KEEPER_WAIT_LIMIT_SHARE
+        keeper_wait_s = attempt.arrived_at + limit_s - now
+        self._requests.request(
+            attempt,
+            team.name,
+            max(wait_s, min(keeper_wait_s, MAX_KEEPER_WAIT_S)),
+            wait_s * TURN_WAIT_SHARE,
+        )
+        return False
 
     def decided(
         self, decision: core.AllowanceDecided
     ) -> sessions.Attempt | None:
         """Apply the limiter's decision; None if nobody waits for it."""
-        return self._requests.decided(decision)
+        attempt = self._requests.decided(decision)
+        if attempt is None:
+            return None
+        latest_start = instance_selection.latest_start(attempt)
+        if self._dispatcher.now() > latest_start - MIN_WAIT_S:
+            attempt.may_start_late = True
+        return attempt
 
     def cancel(self, attempt: sessions.Attempt) -> None:
         """Withdraw the request of an attempt that has ended."""
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -24,6 +24,9 @@
 
 # Share of the latency target within which work must get a connection.
 START_TARGET_SHARE = 0.8
+# Seconds of the time limit that are left to run a statement: a round trip to
+# another region and ten times the usual work.
+RUN_TIME_S = 0.1
 # Share of the latency target for which a statement may wait until a primary
 # or another suitable instance is available.  The caller can make better use
 # of the remaining time itself.
@@ -162,14 +165,18 @@
 def latest_start(attempt: sessions.Attempt) -> float:
     """Return until when the statement may start, on the runtime's clock.
 
-    One that has waited for a change of primary is better served late.
+    One that has waited for a change of primary, or for a keeper of its
+    team's limit, is better served late.
     """
-    if attempt.waits_for_change:
+    route = attempt.route
+    if attempt.may_start_late:
         return decisions.latest_start_after_change(
-            attempt.arrived_at, attempt.route.statement_timeout
+            attempt.arrived_at, route.statement_timeout
         )
-    target = attempt.route.latency_target
-    return attempt.arrived_at + target * START_TARGET_SHARE
+    return attempt.arrived_at + min(
+        route.latency_target * START_TARGET_SHARE,
+        route.statement_timeout - RUN_TIME_S,
+    )
 
 
 def wait_ends_at(
@@ -186,8 +193,8 @@
     change = None if group is None else group.announced_change(now)
     if change is not None:
         limit = route.statement_timeout
-        attempt.waits_for_change = change.waits(attempt.arrived_at, limit)
-        return latest_start(attempt) if attempt.waits_for_change else now
+        attempt.may_start_late = change.waits(attempt.arrived_at, limit)
+        return latest_start(attempt) if attempt.may_start_late else now
     is_expected = group is not None and group.expects_primary(now)
     if attempt.was_dispatched or is_expected or is_asking:
         return latest_start(attempt)
--- a/src/chicoryusher/tasks/pool/sessions.py
+++ b/src/chicoryusher/tasks/pool/sessions.py
@@ -59,9 +59,9 @@
     caller's team, None without teams. ``allowance_id`` is set while it waits
     for its part of its team's limit; it may be sent until
     ``allowance_expires_at`` (``Clock.boottime``). ``was_failed`` is set once
-    it runs again because an instance has failed it. ``waits_for_change`` is
-    whether it waits, or has waited, for the announced end of a change of
-    primary.
+    it runs again because an instance has failed it. ``may_start_late`` is
+    set once it has waited for the announced end of a change of primary, or
+    for a keeper of its team's limit.
     ``sent_without_lease`` is whether it was sent to the primary without a
     lease, and ``evidence`` what instances have said about its answer.
     """
@@ -90,7 +90,7 @@
     allowance_id: core.AllowanceId | None = None
     allowance_expires_at: float = float('-inf')
     was_failed: bool = False
-    waits_for_change: bool = False
+    may_start_late: bool = False
     sent_without_lease: bool = False
     evidence: core.EvidenceGiven | None = None
 
--- a/tests/decisions/test_limit_buckets.py
+++ b/tests/decisions/test_limit_buckets.py
@@ -141,6 +141,25 @@
     assert allowances.question(0.9) is not None
 
 
+def test_an_operation_outwaits_a_change_of_keeper(allowances):
+    """Failure: the keeper is gone, and its successor has little yet."""
+    allowances.add(core.AllowanceId(1), 2.0, 0.0, max_turn_wait_s=0.2)
+    assert allowances.question(0.0) is not None
+    assert decided(allowances, 0.5) == []
+    question = allowances.question(1.5)
+    assert question.max_wait_s > 0.0
+    answer(allowances, question, 0, next_s=0.1, now=1.5)
+    assert decided(allowances, 1.5) == []
+    answer(allowances, allowances.question(1.6), 1, now=1.6)
+    assert decided(allowances, 1.6) == [(1, GRANTED)]
+
+
+def test_what_is_over_the_limit_does_not_wait_as_for_a_keeper(allowances):
+    allowances.add(core.AllowanceId(1), 2.0, 0.0, max_turn_wait_s=0.2)
+    answer(allowances, allowances.question(0.0), 0, next_s=0.9)
+    assert decided(allowances, 0.0) == [(1, OVER_LIMIT)]
+
+
 def test_an_allowance_expires_from_when_it_was_asked_for(allowances):
     allowances.add(core.AllowanceId(1), 0.5, 0.0)
     question = allowances.question(0.0)
--- a/tests/tasks/limit_sites.py
+++ b/tests/tasks/limit_sites.py
@@ -65,7 +65,8 @@
     """VMs whose view of each other the test sets.
 
     ``started`` has the times at which operations of a team were started;
-    ``refused`` counts those that were not.
+    ``refused`` counts those that were not.  Operations can wait for
+    ``max_wait_s``, and for a turn for ``max_turn_wait_s``.
     """
 
     def __init__(self, vm_count, *teams, delay_s=PEER_DELAY_S):
@@ -78,6 +79,8 @@
         self.started = collections.defaultdict(list)
         self.refused = collections.Counter()
         self.outcomes = {}
+        self.max_wait_s = MAX_WAIT_S
+        self.max_turn_wait_s = None
         self._numbers = itertools.count(1)
         self._waiting = {}
         self._owed = {}
@@ -147,11 +150,15 @@
         """Cut a VM off; the others notice after a while."""
         self.cut |= {(vm, other) for other in self.vms if other != vm}
 
-    def request(self, vm, team, max_wait_s=MAX_WAIT_S):
+    def request(self, vm, team, max_wait_s=None):
         allowance_id = core.AllowanceId(str(next(self._numbers)))
         self._waiting[allowance_id] = (team.name, self.clock.now())
         request = core.RequestAllowance(
-            allowance_id, team.name, max_wait_s, names.dispatcher(vm)
+            allowance_id,
+            team.name,
+            self.max_wait_s if max_wait_s is None else max_wait_s,
+            names.dispatcher(vm),
+            self.max_turn_wait_s,
         )
         self.loop.post(names.limiter(vm), request)
         return allowance_id
--- a/tests/tasks/test_pool_limited_statements.py
+++ b/tests/tasks/test_pool_limited_statements.py
@@ -137,12 +137,35 @@
     assert not requests
 
 
-def test_without_an_answer_of_a_keeper_a_statement_is_refused_as_busy(site):
+def silence_keepers(site):
     for vm in site.vms:
         vm.limit_keeper.handlers = {
             **vm.limit_keeper.handlers,
             core.AskAllowance: lambda task, message: None,
         }
+
+
+def test_no_statement_is_held_past_its_time_limit(site):
+    """The latency target of its route is above its time limit."""
+    config = site.store.config
+    routes = tuple(
+        dataclasses.replace(route, latency_target=3.0)
+        for route in config.routes
+    )
+    version = core.ConfigVersion(config.version + 1)
+    site.store.config = dataclasses.replace(
+        config, version=version, routes=routes
+    )
+    site.run(5.0)
+    silence_keepers(site)
+    caller = site.vms[0].caller(PRIMARY, KEY)
+    caller.ask(pool_sites.WRITE)
+    site.run(routes[0].statement_timeout - 0.05)
+    assert caller.last.refusal is core.Refusal.BUSY
+
+
+def test_without_an_answer_of_a_keeper_a_statement_is_refused_as_busy(site):
+    silence_keepers(site)
     assert set(write_at_once(site, 3)) == {core.Refusal.BUSY}
     assert not site.group.commits
 
--- a/tests/tasks/test_pool_limits.py
+++ b/tests/tasks/test_pool_limits.py
@@ -217,6 +217,23 @@
     assert len(late) >= 0.9 * HOT.rate * 4.0
 
 
+def test_operations_wait_while_a_keeper_is_replaced(site):
+    """The keeper is cut off; the others ask for half of their limits."""
+    site.max_wait_s, site.max_turn_wait_s = 2.0, 0.2
+    keeper = site.keeper_of(OTHERS[0])
+    site.isolate(keeper)
+    demands = {
+        (vm, OTHERS[0]): 0.5 * OTHERS[0].rate / len(site.vms)
+        for vm in site.vms
+        if vm != keeper
+    }
+    site.load(2.5, demands)
+    site.publish_live()
+    site.load(3.0, demands)
+    assert not site.refused['other0']
+    site.assert_within_limit(OTHERS[0])
+
+
 def test_without_an_answer_no_operation_is_called_over_its_limit(site):
     vm = next(vm for vm in site.vms if vm != site.keeper_of(HOT))
     site.isolate(vm)
