Take the logins out of the MySQL front end's task

Change: frontends/mysql/logins.py checks who a caller is; the task sends what it returns. Behaviour is unchanged.

--- a/src/chicoryusher/frontends/mysql/frontend.py
+++ b/src/chicoryusher/frontends/mysql/frontend.py
@@ -15,12 +15,13 @@
 from chicoryusher.frontends.mysql import caller_conn
 from chicoryusher.frontends.mysql import commands
 from chicoryusher.frontends.mysql import frontend_settings
-from chicoryusher.frontends.mysql import marks
+from chicoryusher.frontends.mysql import logins
 from chicoryusher.tasks import caller_guard
 
 __all__ = ['MysqlFrontend']
 
 ConnPhase = caller_conn.ConnPhase
+_LOGIN_PHASES = (ConnPhase.HANDSHAKE_RESPONSE, ConnPhase.AUTH_SWITCH_RESPONSE)
 # The label of statements that are refused here for lack of room.
 _ROOM_PLACE = 'caller'
 
@@ -44,7 +45,9 @@
         router: core.TaskName,
     ) -> None:
         super().__init__(loop, vm, 'mysql')
-        self._users = {user.name: user for user in users}
+        self._logins = logins.Logins(
+            self.task_name, users, incarnation, limits.max_packet_bytes
+        )
         self._limits = limits
         self._router = router
         self._incarnation = incarnation
@@ -190,11 +193,11 @@
     def _handle_packet(
         self, conn: caller_conn.CallerConn, payload: bytes
     ) -> None:
-        if conn.phase is ConnPhase.HANDSHAKE_RESPONSE:
-            self._receive_handshake_response(conn, payload)
-            return
-        if conn.phase is ConnPhase.AUTH_SWITCH_RESPONSE:
-            self._authenticate(conn, wire.DEFAULT_METHOD, payload)
+        if conn.phase in _LOGIN_PHASES:
+            opened = self._logins.handle_packet(conn, payload)
+            if opened is not None:
+                self._handshakes.finish(conn.session_id)
+                self.send(self._router, opened)
             return
         self._check_room(conn, payload)
         message = commands.run_command(self._request_ids, conn, payload)
@@ -222,54 +225,6 @@
         self.meters.add(core.Metric.STATEMENTS_WITHOUT_ROOM, place=_ROOM_PLACE)
         raise core.NotRunError('too much is held for callers')
 
-    def _receive_handshake_response(
-        self, conn: caller_conn.CallerConn, payload: bytes
-    ) -> None:
-        handshake = wire.parse_handshake_response(payload)
-        conn.handshake = handshake
-        conn.user = handshake.user
-        if handshake.method not in wire.AUTH_METHODS:
-            conn.phase = ConnPhase.AUTH_SWITCH_RESPONSE
-            conn.reply(wire.make_auth_switch(wire.DEFAULT_METHOD, conn.nonce))
-            return
-        self._authenticate(conn, handshake.method, handshake.response)
-
-    def _authenticate(
-        self, conn: caller_conn.CallerConn, method: str, response: bytes
-    ) -> None:
-        user = self._users.get(conn.user)
-        password = user.password if user is not None else self._incarnation
-        is_valid = wire.verify_auth_response(
-            method, password, conn.nonce, response
-        )
-        if user is None or not is_valid:
-            raise core.AuthError(f'access denied for user {conn.user!r}')
-        if method == wire.DEFAULT_METHOD:
-            conn.reply(b'\x01\x03')
-            conn.reply_sequence = (conn.reply_sequence + 1) % 256
-        handshake = conn.handshake
-        assert handshake is not None
-        conn.caller = user.caller
-        conn.framer.max_bytes = self._limits.max_packet_bytes
-        conn.marks = marks.marks_from_pairs(handshake.attributes)
-        conn.phase = ConnPhase.AWAITING_ROUTER
-        self._handshakes.finish(conn.session_id)
-        database_name = handshake.database
-        conn.database = (
-            core.DatabaseName(database_name) if database_name else None
-        )
-        self.send(
-            self._router,
-            core.SessionOpened(
-                conn.session_id,
-                self.task_name,
-                conn.caller,
-                conn.database,
-                conn.marks.token if conn.marks else None,
-                decisions.key_of_user(core.UserName(user.name)),
-            ),
-        )
-
     @runtime.handles(core.SessionReply)
     def _on_session_reply(self, reply: core.SessionReply) -> None:
         conn = self._by_session.get(reply.session_id)
