Put the learned service times into a module of their own

Change: these are in decisions/service_times.py; scheduling.py re-exports ServiceTimes. Behaviour is unchanged.

--- a/src/chicoryusher/decisions/scheduling.py
+++ b/src/chicoryusher/decisions/scheduling.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from typing import Protocol
 
 from chicoryusher import core
+from chicoryusher.decisions import service_times
+from chicoryusher.decisions.service_times import ServiceTimes
 
 __all__ = [
     'DEFAULT_QUEUE_POLICY',
@@ -22,12 +23,6 @@
     'Rejection',
 ]
 
-# Expected seconds of a statement before any has run.
-INITIAL_SERVICE_TIME_S = 0.005
-# Weight of a new sample in the moving averages of the service time.
-SERVICE_TIME_SAMPLE_RATIO = 0.1
-# Statement classes whose service time is remembered.
-MAX_CLASSES = 4096
 # Seconds of rank that a request gains for each second in the queue.
 AGEING_RATIO = 0.5
 # A statement is long if it is expected to take more than this multiple of
@@ -75,29 +70,6 @@
     retry_after: float
 
 
-class ServiceTimes:
-    """Average service time of each statement class, in seconds."""
-
-    def __init__(self) -> None:
-        self._means: collections.OrderedDict[core.StatementClass, float]
-        self._means = collections.OrderedDict()
-        self.mean = INITIAL_SERVICE_TIME_S
-
-    def expected(self, name: core.StatementClass) -> float:
-        """Return the expected service time of a class."""
-        return self._means.get(name, self.mean)
-
-    def observe(self, name: core.StatementClass, seconds: float) -> None:
-        """Update the averages with the time of one statement."""
-        mean_before = self._means.pop(name, seconds)
-        self._means[name] = mean_before + SERVICE_TIME_SAMPLE_RATIO * (
-            seconds - mean_before
-        )
-        self.mean += SERVICE_TIME_SAMPLE_RATIO * (seconds - self.mean)
-        if len(self._means) > MAX_CLASSES:
-            self._means.popitem(last=False)
-
-
 class QueuePolicy(Protocol):
     """A scheduling policy of one instance's queue."""
 
@@ -369,7 +341,7 @@
         return expected > bound
 
     def _typical_time(self) -> float:
-        return min(self.times.mean, INITIAL_SERVICE_TIME_S)
+        return min(self.times.mean, service_times.INITIAL_SERVICE_TIME_S)
 
     def _long_running(self) -> int:
         """Return how many slots are occupied by long statements."""
