--- a/src/chicoryusher/decisions/store_eras.py
+++ b/src/chicoryusher/decisions/store_eras.py
@@ -64,8 +64,8 @@
     ) -> bool:
         """Return whether all leader rows are of the newest era.
 
-        Without any row, the store must have been read in that era, which
-        ``read_era`` is the last one of.
+        ``read_era`` is the newest era in which this VM has read the leader
+        rows; without any row, it must be the newest that is known.
         """
         if tuple(unconfirmed):
             return False
@@ -84,7 +84,7 @@
 
         While a row may be lost, a VM that has started since can't know what
         its earlier process did, and a group that is closing has no primary
-        to use.
+        to use.  The arguments are those of ``confirms``.
         """
         rows = tuple(rows)
         if self.confirms(rows, unconfirmed, read_era):
