Count listed VMs as owners in the first second after a start

A VM that starts has the list of VMs before any of them has responded, took itself for the only owner of every instance, and opened the connections of all.

Now all listed VMs count for 1 s; afterwards those that respond, as before. Who marks missing VMs is decided by responses only, as before.

--- a/src/chicoryusher/tasks/pool/exchange_peers.py
+++ b/src/chicoryusher/tasks/pool/exchange_peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher.tasks.pool import entry_vms
@@ -10,6 +12,9 @@
 
 # Key of the ranking of the VMs that mark other VMs as missing.
 _MARKER_RANKING = core.ServiceName('mark')
+# Seconds after the first list of VMs for which all of them count as owners of
+# connections: some have not been asked yet, or open their stream.
+START_GRACE_S = 1.0
 
 
 class ExchangePeers:
@@ -39,6 +44,8 @@
         self.instance_lists = decisions.InstanceLists()
         self._liveness = decisions.VmLiveness()
         self._last_live: dict[core.VmName, float] = {}
+        self._listed_at: float | None = None
+        self._is_starting = True
 
     # -- whom to ping ---------------------------------------------------
 
@@ -125,6 +132,10 @@
         """Update the live VMs; return those that are no longer live."""
         contactable = {row.vm for row in self.rows.contactable()}
         live = self._liveness.live(now) & contactable
+        if contactable and self._listed_at is None:
+            self._listed_at = now
+        if self._listed_at is not None:
+            self._is_starting = now < self._listed_at + START_GRACE_S
         lost = tuple(sorted(self.live - live))
         self.live = live
         self._last_live.update(dict.fromkeys(live, now))
@@ -165,10 +176,23 @@
         return digest, shown, lowest_list, lowest_instances
 
     def live_nodes(self) -> tuple[core.EntryVmZone, ...]:
-        """Return the live VMs and this VM, in order of name."""
-        others = [
+        """Return the live VMs and this VM, in order of name.
+
+        Shortly after the start these are all VMs of the list: a VM that
+        takes itself for the only one would open the connections of all.
+        """
+        if self._is_starting:
+            return self._with_own(self.rows.places())
+        return self._responding_nodes()
+
+    def _responding_nodes(self) -> tuple[core.EntryVmZone, ...]:
+        return self._with_own(
             place for place in self.rows.places() if place.vm in self.live
-        ]
+        )
+
+    def _with_own(
+        self, others: Iterable[core.EntryVmZone]
+    ) -> tuple[core.EntryVmZone, ...]:
         return tuple(sorted([self._own, *others], key=lambda node: node.vm))
 
     def peer_sets(self, now: float) -> core.PeerSets:
@@ -192,7 +216,7 @@
         marked VM gets no lease from the VM that marks it, which must be in
         its list; the first in the ranking may not be.
         """
-        live = self.live_nodes()
+        live = self._responding_nodes()
         listers = self.listing.listers()
         listed_by_all = boot_now >= self.listing.listed_by_all_at()
 
--- a/tests/tasks/test_pool_restart_of_all.py
+++ b/tests/tasks/test_pool_restart_of_all.py
@@ -8,6 +8,7 @@
 
 import pool_sites
 from chicoryusher import core
+from chicoryusher.tasks.pool import exchange_peers
 from chicoryusher_standins import pool
 
 PRIMARY = core.ReadAccess.PRIMARY
@@ -62,3 +63,23 @@
         site.run(3.0)
         usual = most_conns(site, 1.0)
     assert restarted + usual > CAP
+
+
+def test_a_vm_that_starts_does_not_take_itself_for_the_only_owner():
+    """Others count until they have had the time to respond."""
+    own, other = (
+        core.EntryVmZone(core.VmName(name), core.ZoneName('akhmim-yard'))
+        for name in ('vm0', 'vm1')
+    )
+    peers = exchange_peers.ExchangePeers(own, {})
+    rows = tuple(
+        core.EntryVmRow(place.vm, '10.0.0.1', 7440, place.zone, 'b1')
+        for place in (own, other)
+    )
+    peers.update_live(9.0)
+    peers.rows.replace_rows(rows, 10.0)
+    peers.update_live(10.0)
+    assert peers.live_nodes() == (own, other)
+    assert peers.live == frozenset()
+    peers.update_live(11.1)
+    assert peers.live_nodes() == (own,)
