Give a read that waits for a replica back while others can run it

Work that is forwarded to a replica's owner may wait there for 0.45 of its latency target (0.6 s at most); its owner then gives it back as not started. Until now its VM took it for lost 0.1 s later, and sent it elsewhere while the first might still run; with watch_owners it would wait to the end of its time.

--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -211,12 +211,26 @@
 def _start_deadline(
     attempt: sessions.Attempt, now: float, queue_limit: float
 ) -> float:
-    """Return until when the work may start, on the runtime's clock."""
+    """Return until when the work may start, on the runtime's clock.
+
+    What waits at another VM for a replica is given back early, so that it
+    can still run elsewhere.
+    """
     deadline = min(latest_start(attempt), now + queue_limit)
     if attempt.conn_owner is None:
         return deadline
     time_limit = attempt.arrived_at + attempt.route.statement_timeout
-    return min(deadline, time_limit - FORWARDED_RESERVE_S)
+    deadline = min(deadline, time_limit - FORWARDED_RESERVE_S)
+    if attempt.at_primary:
+        return deadline
+    return min(deadline, now + _retryable_timeout(attempt.route))
+
+
+def _retryable_timeout(route: core.PoolRoute) -> float:
+    """Return after how many seconds a read is retried elsewhere."""
+    return min(
+        route.latency_target * READ_TIMEOUT_TARGET_SHARE, MAX_READ_TIMEOUT_S
+    )
 
 
 def make_work(
@@ -246,10 +260,7 @@
         route.priority,
         _start_deadline(attempt, now, queue_limit),
         attempt.arrived_at + route.statement_timeout - now,
-        min(
-            route.latency_target * READ_TIMEOUT_TARGET_SHARE,
-            MAX_READ_TIMEOUT_S,
-        ),
+        _retryable_timeout(route),
         now,
         None if transaction is None else transaction.transaction_id,
         begin_kind,
--- a/tests/tasks/test_pool_unsent_work.py
+++ b/tests/tasks/test_pool_unsent_work.py
@@ -12,6 +12,8 @@
 
 import pool_sites
 from chicoryusher import core
+from chicoryusher.tasks.pool import instance_selection
+from chicoryusher.tasks.pool import sessions
 from chicoryusher_standins import pool
 
 PRIMARY = core.ReadAccess.PRIMARY
@@ -74,3 +76,30 @@
     site.run(WAIT_S)
     refusals = {caller.last.refusal for caller in callers}
     assert refusals <= {core.Refusal.BUSY, core.Refusal.ABORTED}
+
+
+@pytest.mark.parametrize(
+    ('at_primary', 'via', 'seconds'),
+    [(False, 'vm1', 0.45), (True, 'vm1', 0.6), (False, None, 0.8)],
+)
+def test_how_long_a_read_waits_for_a_connection(at_primary, via, seconds):
+    """At another VM it is given back while it can still run elsewhere."""
+    route = dataclasses.replace(
+        pool.CONFIG.routes[0],
+        statement_timeout=TIME_LIMIT_S,
+        latency_target=LATENCY_TARGET_S,
+    )
+    caller = core.TaskName('caller')
+    session = sessions.PoolSession(
+        None, core.SessionId('s1'), caller, route.database
+    )
+    message = core.PoolStatement(
+        session.session_id, core.RequestId('r1'), READ
+    )
+    attempt = sessions.Attempt(session, message, route, None, 10.0, 10.0)
+    attempt.at_primary = at_primary
+    attempt.conn_owner = via
+    work = instance_selection.make_work(
+        attempt, core.WorkId(1), caller, 10.0, None, None, float('inf')
+    )
+    assert work.start_deadline == pytest.approx(10.0 + seconds)
