Withdraw the allowance of a statement that has been answered

A read whose gate was lost is routed again, and may wait for an allowance when the lost gate's answer still comes, or its refusal. The request for the allowance stayed, and its decision ended or moved a later statement of the session: "no answer came" in the new test. The router now withdraws the request with the answer, and a statement that waits requests no second allowance.

--- a/src/chicoryusher/tasks/pending_requests.py
+++ b/src/chicoryusher/tasks/pending_requests.py
@@ -14,6 +14,7 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import request_routing
 from chicoryusher.tasks import sessions
+from chicoryusher.tasks import statement_limits
 
 __all__ = ['ExpiryCheckDue', 'PendingRequests', 'RetryDue']
 
@@ -43,8 +44,11 @@
     many requests ended without a known outcome.
     """
 
-    def __init__(self, router: runtime.Task) -> None:
+    def __init__(
+        self, router: runtime.Task, limits: statement_limits.StatementLimits
+    ) -> None:
         self._router = router
+        self._limits = limits
         self._chart = charts.load_machine('session')
         self._requests: dict[core.RequestId, sessions.PendingRequest] = {}
         self._expiry_timer: core.TimerId | None = None
@@ -66,8 +70,14 @@
     def pop(
         self, request_id: core.RequestId
     ) -> sessions.PendingRequest | None:
-        """Remove and return a request, None if it is not pending."""
-        return self._requests.pop(request_id, None)
+        """Remove and return a request, None if it is not pending.
+
+        It no longer waits for an allowance.
+        """
+        pending = self._requests.pop(request_id, None)
+        if pending is not None:
+            self._limits.cancel(pending)
+        return pending
 
     def pop_answered(
         self, answer: core.Answer
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -49,12 +49,12 @@
         )
         self._chart = charts.load_machine('session')
         self._sessions: dict[core.SessionId, sessions.Session] = {}
-        self._pending = pending_requests.PendingRequests(self)
         self.rights = session_rights.SessionRights(loop.clock)
         self.team_counts = team_counts.TeamCounts(loop.clock)
         self._limits = statement_limits.StatementLimits(
             self, self.rights, loop.clock
         )
+        self._pending = pending_requests.PendingRequests(self, self._limits)
         self.draining = False
         self.reads = 0
         self.replica_reads = 0
@@ -380,11 +380,8 @@
     def remove(self, session: sessions.Session) -> None:
         """Remove a session and its pending request."""
         self._sessions.pop(session.session_id, None)
-        if session.request_id is None:
-            return
-        pending = self._pending.pop(session.request_id)
-        if pending is not None:
-            self._limits.cancel(pending)
+        if session.request_id is not None:
+            self._pending.pop(session.request_id)
 
     @runtime.handles(core.Drain)
     def _on_drain(self, drain: core.Drain) -> None:
--- a/src/chicoryusher/tasks/statement_limits.py
+++ b/src/chicoryusher/tasks/statement_limits.py
@@ -45,8 +45,9 @@
 
         The statement goes on when the limiter has decided.
         """
-        session = pending.session
-        team = self._rights.team(session.team)
+        if pending.allowance_id is not None:
+            return False
+        team = self._rights.team(pending.session.team)
         if team is None or team.rate is None or not _counts(pending):
             return True
         if self._requests.is_allowed(pending):
--- a/tests/tasks/test_statement_limits.py
+++ b/tests/tasks/test_statement_limits.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 
+import logbook
 import pytest
 
 from chicoryusher import core
@@ -254,6 +255,46 @@
     assert caller_of(site, BEN).read('late')[1] == 0
 
 
+@pytest.mark.parametrize('late', ['answer', 'move'])
+def test_what_a_lost_gate_sends_late_does_not_harm_a_waiting_statement(
+    site, late
+):
+    """A read that is sent again waits for another allowance meanwhile."""
+    vm = next(iter(site.vms))
+    router = site.nodes[vm].router
+    site.edges.peer_tasks[vm].handlers = {
+        **site.edges.peer_tasks[vm].handlers,
+        core.SendToPeer: lambda task, message: None,
+    }
+    site.run_for(2.0)
+    caller = caller_of(site)
+    request_id = caller.send_off(
+        core.StatementKind.READ, instance_module.read_command('k', 0.002)
+    )
+    with logbook.TestHandler() as handler:
+        site.run_for(0.02)
+        assert router._pending[request_id].allowance_id is not None
+        if late == 'answer':
+            message = core.Answer(request_id, Outcome.DONE)
+        else:
+            instance = next(iter(site.servers))
+            message = core.RequestMoved(
+                request_id, instance, core.MoveReason.NOT_GATE
+            )
+        site.loop.post(router.task_name, message)
+        caller.answer(request_id)
+        next_id = caller.send_off(
+            core.StatementKind.READ, instance_module.read_command('k', 0.002)
+        )
+        caller.answer(next_id)
+        site.run_for(3.0)
+        failed = core.LogEvent.TASK_FAILED.number
+        numbers = [record.extra['number'] for record in handler.records]
+    assert failed not in numbers
+    assert not router._limits._requests._waiting
+    assert not router._pending
+
+
 def test_without_a_rate_no_message_about_limits_is_sent(site):
     """What is new takes effect only where the register has a rate."""
     set_teams(site, {'name': 'red', 'users': [ANA]}, BLUE)
