--- a/tests/tasks/test_statement_limits.py
+++ b/tests/tasks/test_statement_limits.py
@@ -273,7 +273,7 @@
     )
     with logbook.TestHandler() as handler:
         site.run_for(0.02)
-        assert router._pending[request_id].allowance_id is not None
+        assert router._pending.get(request_id).allowance_id is not None
         if late == 'answer':
             message = core.Answer(request_id, Outcome.DONE)
         else:
