Shorten the router and the view exchange

PendingRequests applies the limiter's decisions, RequestRouting a gate's move, the rows of entry VMs name their addresses, and positions are read from a pong where they are kept. Behaviour is unchanged. tests/tasks/test_view_exchange.py, test_statement_limits.py, test_session_teams.py, test_pool_groups.py and tests/test_path.py pass.

--- a/src/chicoryusher/tasks/pending_requests.py
+++ b/src/chicoryusher/tasks/pending_requests.py
@@ -172,6 +172,25 @@
         else:
             self._fail_unknown(pending, 'the gate was lost')
 
+    def apply_allowance(
+        self, decision: core.AllowanceDecided
+    ) -> sessions.PendingRequest | None:
+        """Route a request that may start, else end it as not run.
+
+        Return one that was refused.
+        """
+        pending = self._limits.decided(decision)
+        if pending is None:
+            return None
+        if decision.outcome is core.AllowanceOutcome.GRANTED:
+            self._chart.fire(pending.session, 'moved', pending)
+            return None
+        team = pending.session.team
+        self.fail_not_run(
+            pending, statement_limits.limit_error(team, decision.outcome)
+        )
+        return pending
+
     def fail_not_run(
         self, pending: sessions.PendingRequest, error: core.CallerError
     ) -> None:
--- a/src/chicoryusher/tasks/pool/entry_vms.py
+++ b/src/chicoryusher/tasks/pool/entry_vms.py
@@ -56,6 +56,13 @@
         """Return the VMs that have not left and are not marked as missing."""
         return self._contactable
 
+    def addresses(self) -> tuple[core.PeerAddress, ...]:
+        """Return the addresses of the contactable VMs."""
+        return tuple(
+            core.PeerAddress(row.vm, row.host, row.port)
+            for row in self._contactable
+        )
+
     def places(self) -> tuple[core.EntryVmZone, ...]:
         """Return the contactable VMs with their zones."""
         return self._places
--- a/src/chicoryusher/tasks/pool/known_positions.py
+++ b/src/chicoryusher/tasks/pool/known_positions.py
@@ -5,7 +5,19 @@
 from chicoryusher import core
 from chicoryusher import decisions
 
-__all__ = ['KnownPositions']
+__all__ = ['KnownPositions', 'positions_of']
+
+
+def positions_of(
+    pong: core.Pong, sent_at: float
+) -> tuple[core.PrimaryPositionObserved, ...]:
+    """Return the positions in the answer to a ping of a time."""
+    return tuple(
+        core.PrimaryPositionObserved(
+            observed.service, observed.position, sent_at - observed.age
+        )
+        for observed in pong.positions
+    )
 
 
 class KnownPositions:
--- a/src/chicoryusher/tasks/pool/view_exchange.py
+++ b/src/chicoryusher/tasks/pool/view_exchange.py
@@ -146,11 +146,8 @@
         self._eras.record_list(era)
         self._polling.record_rows(stored)
         self._peers.rows.replace_rows(message.rows, self.now())
-        peers = tuple(
-            core.PeerAddress(row.vm, row.host, row.port)
-            for row in self._peers.rows.contactable()
-        )
-        self.send(names.peers(self.vm), core.PeerAddresses(peers))
+        addresses = self._peers.rows.addresses()
+        self.send(names.peers(self.vm), core.PeerAddresses(addresses))
         self._write_row(self._own_row.check(stored))
         self._peers.listing.set_registration(
             self._own_row.listed_from, self._clock.boottime()
@@ -339,14 +336,8 @@
         era = max(pong.era, core.FIRST_ERA)
         if leaders_current and era == self._eras.era:
             self._record_grants(pong, sent_at)
-        for observation in pong.positions:
-            self._on_position(
-                core.PrimaryPositionObserved(
-                    observation.service,
-                    observation.position,
-                    sent_at - observation.age,
-                )
-            )
+        for observed in known_positions.positions_of(pong, sent_at):
+            self._on_position(observed)
 
     def _record_grants(self, pong: core.Pong, sent_at: float) -> None:
         self._agreement.record(pong, sent_at)
@@ -354,8 +345,6 @@
             self._send_lease_update()
         self._check_agreement()
 
-    # -- restores of the store ------------------------------------------
-
     def _note_era(self, era: core.StoreEra) -> None:
         """Begin anew with grants when the store is in a newer era.
 
--- a/src/chicoryusher/tasks/request_routing.py
+++ b/src/chicoryusher/tasks/request_routing.py
@@ -78,17 +78,18 @@
         if group is not None:
             group.apply_report(report, now)
 
-    def record_refusal(
+    def record_move(
         self,
         database: core.DatabaseName,
-        instance: core.InstanceName,
-        reason: core.MoveReason,
+        moved: core.RequestMoved,
         now: float,
     ) -> None:
         """Send less to an instance that has not run a request."""
         group = self._groups.get(database)
         if group is not None:
-            group.record_refusal(instance, reason, now)
+            group.record_refusal(moved.instance, moved.reason, now)
+        if moved.report is not None:
+            self.apply_report(moved.report, now)
 
     def mark_down(self, pending: sessions.PendingRequest, now: float) -> None:
         """Route nothing to the request's instance for a short time."""
--- a/src/chicoryusher/tasks/router.py
+++ b/src/chicoryusher/tasks/router.py
@@ -242,17 +242,10 @@
 
     @runtime.handles(core.AllowanceDecided)
     def _on_allowance(self, decision: core.AllowanceDecided) -> None:
-        pending = self._limits.decided(decision)
-        if pending is None:
-            return
-        if decision.outcome is core.AllowanceOutcome.GRANTED:
-            self._chart.fire(pending.session, 'moved', pending)
-            return
-        team = pending.session.team
-        self.team_counts.record_throttled(team, decision.outcome)
-        self._pending.fail_not_run(
-            pending, statement_limits.limit_error(team, decision.outcome)
-        )
+        refused = self._pending.apply_allowance(decision)
+        if refused is not None:
+            team = refused.session.team
+            self.team_counts.record_throttled(team, decision.outcome)
 
     def _refuse_unentitled(
         self,
@@ -304,12 +297,7 @@
         pending = self._pending.get(moved.request_id)
         if pending is None:
             return
-        now = self.now()
-        self._routing.record_refusal(
-            pending.request.database, moved.instance, moved.reason, now
-        )
-        if moved.report is not None:
-            self._routing.apply_report(moved.report, now)
+        self._routing.record_move(pending.request.database, moved, self.now())
         self._pending.move(pending, moved.reason)
 
     @runtime.handles(pending_requests.RetryDue)
@@ -401,10 +389,7 @@
     def _on_teams_query(self, query: task_messages.TeamsQuery) -> None:
         rows = self.team_counts.rows(
             self.rights.teams,
-            (
-                self.rights.team_of(session)
-                for session in self._sessions.values()
-            ),
+            map(self.rights.team_of, self._sessions.values()),
         )
         self.send(
             query.reply_to,
