Forget a silent owner by its silence, and reserve a part of short limits

An owner that had not been used for 8 s was forgotten as soon as it was found silent, and got work again. A route with a time limit of 0.2 s or less would never have been forwarded: the time reserved for the end of forwarded work is now a quarter of the limit at most. Both were found by reading.

--- a/src/chicoryusher/decisions/owner_silence.py
+++ b/src/chicoryusher/decisions/owner_silence.py
@@ -98,7 +98,7 @@
     def update(self, now: float) -> None:
         """Find the owners that have become silent; forget old ones."""
         for vm, owner in tuple(self._owners.items()):
-            if owner.is_silent and now - owner.heard_at >= FORGET_AFTER_S:
+            if _is_forgotten(owner, now):
                 del self._owners[vm]
             else:
                 owner.is_silent = owner.is_silent or _is_silent(owner, now)
@@ -112,6 +112,12 @@
     return now - max(owner.heard_at, waits_since) >= PING_AFTER_S
 
 
+def _is_forgotten(owner: _Owner, now: float) -> bool:
+    if owner.asked_at is None or not owner.is_silent:
+        return False
+    return now - owner.asked_at >= FORGET_AFTER_S
+
+
 def _is_silent(owner: _Owner, now: float) -> bool:
     if owner.asked_at is None:
         return False
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/instance_selection.py
@@ -43,6 +43,8 @@
 # run: a round trip between regions, a check of the queue there, and
 # the run of a statement at an instance that is busy.
 FORWARDED_RESERVE_S = 0.2
+# Most of a time limit that is reserved so.
+MAX_RESERVE_RATIO = 0.25
 
 
 def read_needs_of(
@@ -205,7 +207,8 @@
     """Return how many seconds before its time limit it must start."""
     if attempt.conn_owner is None:
         return MIN_RUN_TIME_S
-    return FORWARDED_RESERVE_S
+    time_limit = attempt.route.statement_timeout
+    return min(FORWARDED_RESERVE_S, time_limit * MAX_RESERVE_RATIO)
 
 
 def _start_deadline(
@@ -220,7 +223,7 @@
     if attempt.conn_owner is None:
         return deadline
     time_limit = attempt.arrived_at + attempt.route.statement_timeout
-    deadline = min(deadline, time_limit - FORWARDED_RESERVE_S)
+    deadline = min(deadline, time_limit - end_reserve(attempt))
     if attempt.at_primary:
         return deadline
     return min(deadline, now + _retryable_timeout(attempt.route))
