--- a/src/chicoryusher_standins/lab/experiments.py
+++ b/src/chicoryusher_standins/lab/experiments.py
@@ -19,7 +19,7 @@
 from chicoryusher_standins.lab import faults
 from chicoryusher_standins.lab import site as site_module
 
-__all__ = ['EXPERIMENTS', 'Job', 'run_job']
+__all__ = ['EXPERIMENTS', 'Job', 'resident_mb', 'run_job']
 
 BOOT_S = 3.0
 WARM_UP_S = 2.0
@@ -401,10 +401,10 @@
     process per node.
     """
     vms, databases = (int(item) for item in job.detail.split(':'))
-    before = _resident_mb()
+    before = resident_mb()
     site = _site(job, vms=vms, databases=databases)
     site.run_for(8.0)
-    memory = (_resident_mb() - before) / vms
+    memory = (resident_mb() - before) / vms
     seconds = 10.0
     sent = site.control_bytes.total()
     reads = site.platform.reads
@@ -430,6 +430,7 @@
     return figures
 
 
-def _resident_mb() -> float:
+def resident_mb() -> float:
+    """Return the memory of this process in MB."""
     pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
     return pages * resource.getpagesize() / 1e6
--- a/src/chicoryusher_standins/pool/fleet.py
+++ b/src/chicoryusher_standins/pool/fleet.py
@@ -34,6 +34,7 @@
 }
 ZONES = tuple(REGIONS)
 PEER_DELAY_S = 0.003
+NO_ROUTES = core.PoolConfig(core.ConfigVersion(1), (), (), 3.0)
 
 
 class _Peers(runtime.Task):
@@ -69,12 +70,20 @@
 
 
 class _Receiver(runtime.Task):
-    """Stands for a task that the view exchange reports to."""
+    """Stands for a task that the view exchange reports to.
+
+    It passes configurations on to the tasks ``config_users``.
+    """
 
     def __init__(
-        self, loop: runtime.Runtime, vm: core.VmName, task: core.TaskName
+        self,
+        loop: runtime.Runtime,
+        vm: core.VmName,
+        task: core.TaskName,
+        config_users: tuple[core.TaskName, ...] = (),
     ) -> None:
         super().__init__(loop, vm, task.partition('/')[2])
+        self._config_users = config_users
         self.lease_expires_at = float('-inf')
         self.live_count = 0
         self.config_version = 0
@@ -95,6 +104,8 @@
     @runtime.handles(core.PoolConfigUpdate)
     def _on_config(self, message: core.PoolConfigUpdate) -> None:
         self.config_version = message.config.version
+        for task in self._config_users:
+            self.send(task, message)
 
     @runtime.handles(
         core.PeerSets,
@@ -103,6 +114,7 @@
         core.StorePolled,
         core.StoreRestored,
         core.PrimaryPositionObserved,
+        core.AllowanceDecided,
     )
     def _on_other(self, message: core.Message) -> None:
         """Ignore what does not matter to the control plane."""
@@ -120,7 +132,12 @@
         self.zone = zone
         row = core.EntryVmRow(name, '10.0.0.1', 7440, zone, 'b1')
         self._dispatcher = _Receiver(loop, name, names.dispatcher(name))
-        self._manager = _Receiver(loop, name, names.primary_manager(name))
+        self._manager = _Receiver(
+            loop,
+            name,
+            names.primary_manager(name),
+            (names.limiter(name), names.limit_keeper(name)),
+        )
         rows = store_module.SimRows(loop, name, fleet.store, [])
         exchange = view_exchange.ViewExchange(
             loop,
@@ -168,11 +185,16 @@
     and ``sent_bytes`` (without compression) are counted for each VM.
     """
 
-    def __init__(self, vms: int, counts_bytes: bool = False) -> None:
+    def __init__(
+        self,
+        vms: int,
+        counts_bytes: bool = False,
+        config: core.PoolConfig = NO_ROUTES,
+    ) -> None:
         self.clock = core.VirtualClock(100.0)
         self.loop = runtime.Runtime(self.clock)
         self.store = store_module.Store()
-        self.store.config = core.PoolConfig(core.ConfigVersion(1), (), (), 3.0)
+        self.store.config = config
         self.down: set[core.VmName] = set()
         self.counts_bytes = counts_bytes
         self.sent_messages: collections.Counter[core.VmName] = (
