--- /dev/null
+++ b/src/chicoryusher/tasks/pool/changes/__init__.py
@@ -0,0 +1,1 @@
+"""Changes of primary, step by step."""
--- a/src/chicoryusher/tasks/pool/handover.py
+++ b/src/chicoryusher/tasks/pool/changes/handover.py
@@ -11,8 +11,8 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import handover_claim
-from chicoryusher.tasks.pool import handover_fence
+from chicoryusher.tasks.pool.changes import handover_claim
+from chicoryusher.tasks.pool.changes import handover_fence
 
 __all__ = ['Handover']
 
--- a/src/chicoryusher/tasks/pool/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/changes/handover_actions.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from chicoryusher import charts
-from chicoryusher.tasks.pool import handover
+from chicoryusher.tasks.pool.changes import handover
 
 __all__: list[str] = []
 Handover = handover.Handover
--- a/src/chicoryusher/tasks/pool/handover_claim.py
+++ b/src/chicoryusher/tasks/pool/changes/handover_claim.py
@@ -9,7 +9,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import new_successors
+from chicoryusher.tasks.pool.groups import new_successors
 
 __all__ = ['STATUS_TIMEOUT_S', 'ClaimTask']
 
--- a/src/chicoryusher/tasks/pool/handover_fence.py
+++ b/src/chicoryusher/tasks/pool/changes/handover_fence.py
@@ -8,7 +8,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import handover_claim
+from chicoryusher.tasks.pool.changes import handover_claim
 
 __all__ = ['FenceTask']
 
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to instances, and the work that runs on them."""
--- a/src/chicoryusher/tasks/pool/conn_opening.py
+++ b/src/chicoryusher/tasks/pool/connections/conn_opening.py
@@ -8,7 +8,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import pool_conns
+from chicoryusher.tasks.pool.connections import pool_conns
 
 __all__ = ['ConnOpener']
 
--- a/src/chicoryusher/tasks/pool/instance_faults.py
+++ b/src/chicoryusher/tasks/pool/connections/instance_faults.py
@@ -6,10 +6,10 @@
 
 from chicoryusher import core
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import conn_opening
-from chicoryusher.tasks.pool import pool_conns
-from chicoryusher.tasks.pool import pool_pace
-from chicoryusher.tasks.pool import pool_timeouts
+from chicoryusher.tasks.pool.connections import conn_opening
+from chicoryusher.tasks.pool.connections import pool_conns
+from chicoryusher.tasks.pool.connections import pool_pace
+from chicoryusher.tasks.pool.connections import pool_timeouts
 
 __all__ = ['InstanceFaults']
 
--- a/src/chicoryusher/tasks/pool/instance_pool.py
+++ b/src/chicoryusher/tasks/pool/connections/instance_pool.py
@@ -9,13 +9,13 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import command_results
-from chicoryusher.tasks.pool import conn_opening
-from chicoryusher.tasks.pool import instance_faults
-from chicoryusher.tasks.pool import pool_conns as conns_module
-from chicoryusher.tasks.pool import pool_pace
-from chicoryusher.tasks.pool import pool_timeouts
-from chicoryusher.tasks.pool import status_queries
+from chicoryusher.tasks.pool.connections import conn_opening
+from chicoryusher.tasks.pool.connections import instance_faults
+from chicoryusher.tasks.pool.connections import pool_conns as conns_module
+from chicoryusher.tasks.pool.connections import pool_pace
+from chicoryusher.tasks.pool.connections import pool_timeouts
+from chicoryusher.tasks.pool.groups import status_queries
+from chicoryusher.tasks.pool.statements import command_results
 
 __all__ = [
     'MAX_CONNECTING_CONNS',
--- a/src/chicoryusher/tasks/pool/pool_pace.py
+++ b/src/chicoryusher/tasks/pool/connections/pool_pace.py
@@ -7,8 +7,8 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import conn_opening
-from chicoryusher.tasks.pool import pool_conns
+from chicoryusher.tasks.pool.connections import conn_opening
+from chicoryusher.tasks.pool.connections import pool_conns
 
 __all__ = ['PoolPace']
 
--- a/src/chicoryusher/tasks/pool/pool_timeouts.py
+++ b/src/chicoryusher/tasks/pool/connections/pool_timeouts.py
@@ -6,7 +6,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import pool_conns
+from chicoryusher.tasks.pool.connections import pool_conns
 
 __all__ = ['Responsiveness', 'passed_limit']
 
--- a/src/chicoryusher/tasks/pool/exchange_peers.py
+++ b/src/chicoryusher/tasks/pool/exchange/exchange_peers.py
@@ -6,7 +6,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import entry_vms
+from chicoryusher.tasks.pool.exchange import entry_vms
 
 __all__ = ['ExchangePeers']
 
--- a/src/chicoryusher/tasks/pool/forwarder.py
+++ b/src/chicoryusher/tasks/pool/exchange/forwarder.py
@@ -8,8 +8,8 @@
 from chicoryusher import runtime
 from chicoryusher.tasks import names
 from chicoryusher.tasks import task_messages
-from chicoryusher.tasks.pool import forwarded_work
-from chicoryusher.tasks.pool import owner_watch
+from chicoryusher.tasks.pool.exchange import forwarded_work
+from chicoryusher.tasks.pool.exchange import owner_watch
 
 __all__ = ['Forwarder']
 
--- a/src/chicoryusher/tasks/pool/lease_agreement.py
+++ b/src/chicoryusher/tasks/pool/exchange/lease_agreement.py
@@ -4,10 +4,10 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import exchange_peers
-from chicoryusher.tasks.pool import leaders as leaders_module
-from chicoryusher.tasks.pool import own_row as own_row_module
-from chicoryusher.tasks.pool import stored_views
+from chicoryusher.tasks.pool.exchange import exchange_peers
+from chicoryusher.tasks.pool.exchange import own_row as own_row_module
+from chicoryusher.tasks.pool.exchange import stored_views
+from chicoryusher.tasks.pool.groups import leaders as leaders_module
 
 __all__ = ['LeaseAgreement']
 
--- a/src/chicoryusher/tasks/pool/live_reports.py
+++ b/src/chicoryusher/tasks/pool/exchange/live_reports.py
@@ -5,7 +5,7 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import exchange_peers
+from chicoryusher.tasks.pool.exchange import exchange_peers
 
 __all__ = ['LiveReports']
 
--- a/src/chicoryusher/tasks/pool/ping_answers.py
+++ b/src/chicoryusher/tasks/pool/exchange/ping_answers.py
@@ -6,12 +6,12 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import exchange_peers
-from chicoryusher.tasks.pool import known_positions
-from chicoryusher.tasks.pool import leaders as leaders_module
-from chicoryusher.tasks.pool import lease_agreement
-from chicoryusher.tasks.pool import store_polling
-from chicoryusher.tasks.pool import stored_views
+from chicoryusher.tasks.pool.exchange import exchange_peers
+from chicoryusher.tasks.pool.exchange import known_positions
+from chicoryusher.tasks.pool.exchange import lease_agreement
+from chicoryusher.tasks.pool.exchange import store_polling
+from chicoryusher.tasks.pool.exchange import stored_views
+from chicoryusher.tasks.pool.groups import leaders as leaders_module
 
 __all__ = ['PingAnswers']
 
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Database groups: their instances, their primaries, and who judges them."""
--- a/src/chicoryusher/tasks/pool/evidence_collector.py
+++ b/src/chicoryusher/tasks/pool/groups/evidence_collector.py
@@ -13,7 +13,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import evidence_rounds
+from chicoryusher.tasks.pool.groups import evidence_rounds
 
 __all__ = ['EvidenceCollector', 'StatusDecoder']
 
--- a/src/chicoryusher/tasks/pool/group_table.py
+++ b/src/chicoryusher/tasks/pool/groups/group_table.py
@@ -11,8 +11,10 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import group_state as group_state_module
-from chicoryusher.tasks.pool import instance_pool as instance_pool_module
+from chicoryusher.tasks.pool.connections import (
+    instance_pool as instance_pool_module,
+)
+from chicoryusher.tasks.pool.groups import group_state as group_state_module
 
 __all__ = [
     'DispatcherSettings',
--- a/src/chicoryusher/tasks/pool/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/groups/primary_manager.py
@@ -8,9 +8,9 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import handover
-from chicoryusher.tasks.pool import handover_actions  # noqa: F401
-from chicoryusher.tasks.pool import usable_primaries
+from chicoryusher.tasks.pool.changes import handover
+from chicoryusher.tasks.pool.changes import handover_actions  # noqa: F401
+from chicoryusher.tasks.pool.groups import usable_primaries
 
 __all__ = ['PrimaryManager']
 
--- a/src/chicoryusher/tasks/pool/status_queries.py
+++ b/src/chicoryusher/tasks/pool/groups/status_queries.py
@@ -6,7 +6,7 @@
 
 from chicoryusher import core
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import pool_conns
+from chicoryusher.tasks.pool.connections import pool_conns
 
 __all__ = ['StatusQueries']
 
--- a/src/chicoryusher/tasks/pool/usable_primaries.py
+++ b/src/chicoryusher/tasks/pool/groups/usable_primaries.py
@@ -6,7 +6,7 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import leaders as leaders_module
+from chicoryusher.tasks.pool.groups import leaders as leaders_module
 
 __all__ = ['UsablePrimaries']
 
--- /dev/null
+++ b/src/chicoryusher/tasks/pool/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions of callers, and how their statements get to instances."""
--- a/src/chicoryusher/tasks/pool/attempt_allowances.py
+++ b/src/chicoryusher/tasks/pool/statements/attempt_allowances.py
@@ -6,9 +6,9 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks.limits import allowance_requests
-from chicoryusher.tasks.pool import completions
-from chicoryusher.tasks.pool import instance_selection
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.statements import completions
+from chicoryusher.tasks.pool.statements import instance_selection
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['AttemptAllowances']
 
--- a/src/chicoryusher/tasks/pool/attempt_answers.py
+++ b/src/chicoryusher/tasks/pool/statements/attempt_answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from chicoryusher import core
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['refusal_answer', 'result_answer']
 
--- a/src/chicoryusher/tasks/pool/attempt_ends.py
+++ b/src/chicoryusher/tasks/pool/statements/attempt_ends.py
@@ -7,12 +7,12 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import attempt_answers
-from chicoryusher.tasks.pool import attempt_log
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import instance_selection
-from chicoryusher.tasks.pool import selectors
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import attempt_answers
+from chicoryusher.tasks.pool.statements import attempt_log
+from chicoryusher.tasks.pool.statements import instance_selection
+from chicoryusher.tasks.pool.statements import selectors
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['AttemptEnds']
 
--- a/src/chicoryusher/tasks/pool/attempt_results.py
+++ b/src/chicoryusher/tasks/pool/statements/attempt_results.py
@@ -5,9 +5,9 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import selectors
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import selectors
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['AttemptResults']
 
--- a/src/chicoryusher/tasks/pool/attempts.py
+++ b/src/chicoryusher/tasks/pool/statements/attempts.py
@@ -11,18 +11,18 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import attempt_allowances
-from chicoryusher.tasks.pool import attempt_ends
-from chicoryusher.tasks.pool import attempt_log
-from chicoryusher.tasks.pool import attempt_results
-from chicoryusher.tasks.pool import completions
-from chicoryusher.tasks.pool import entitlement
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import held_answers
-from chicoryusher.tasks.pool import instance_selection
-from chicoryusher.tasks.pool import running_work
-from chicoryusher.tasks.pool import selectors
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import attempt_allowances
+from chicoryusher.tasks.pool.statements import attempt_ends
+from chicoryusher.tasks.pool.statements import attempt_log
+from chicoryusher.tasks.pool.statements import attempt_results
+from chicoryusher.tasks.pool.statements import completions
+from chicoryusher.tasks.pool.statements import entitlement
+from chicoryusher.tasks.pool.statements import held_answers
+from chicoryusher.tasks.pool.statements import instance_selection
+from chicoryusher.tasks.pool.statements import running_work
+from chicoryusher.tasks.pool.statements import selectors
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['Attempts', 'RetrySelection']
 
--- a/src/chicoryusher/tasks/pool/command_results.py
+++ b/src/chicoryusher/tasks/pool/statements/command_results.py
@@ -7,7 +7,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import pool_conns
+from chicoryusher.tasks.pool.connections import pool_conns
 
 __all__ = ['RESULT_HANDLERS', 'report_statement']
 
--- a/src/chicoryusher/tasks/pool/completions.py
+++ b/src/chicoryusher/tasks/pool/statements/completions.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from chicoryusher import core
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['COMPLETIONS', 'may_trust', 'proves_not_run', 'timeout_refusal']
 
--- a/src/chicoryusher/tasks/pool/dispatcher.py
+++ b/src/chicoryusher/tasks/pool/statements/dispatcher.py
@@ -9,15 +9,15 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import attempts as attempts_module
-from chicoryusher.tasks.pool import entitlement
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import primary_stopping
-from chicoryusher.tasks.pool import session_draining
-from chicoryusher.tasks.pool import sessions
-from chicoryusher.tasks.pool import work_numbers
-from chicoryusher.tasks.pool.group_table import DispatcherSettings
-from chicoryusher.tasks.pool.group_table import LinkFactory
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.groups.group_table import DispatcherSettings
+from chicoryusher.tasks.pool.groups.group_table import LinkFactory
+from chicoryusher.tasks.pool.statements import attempts as attempts_module
+from chicoryusher.tasks.pool.statements import entitlement
+from chicoryusher.tasks.pool.statements import primary_stopping
+from chicoryusher.tasks.pool.statements import session_draining
+from chicoryusher.tasks.pool.statements import sessions
+from chicoryusher.tasks.pool.statements import work_numbers
 
 __all__ = ['Dispatcher', 'DispatcherSettings', 'LinkFactory']
 
--- a/src/chicoryusher/tasks/pool/entitlement.py
+++ b/src/chicoryusher/tasks/pool/statements/entitlement.py
@@ -7,7 +7,7 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['Objection', 'objection_to', 'start_refusal']
 
--- a/src/chicoryusher/tasks/pool/held_answers.py
+++ b/src/chicoryusher/tasks/pool/statements/held_answers.py
@@ -11,9 +11,9 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import group_state as group_state_module
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.groups import group_state as group_state_module
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['HeldAnswers']
 
--- a/src/chicoryusher/tasks/pool/instance_selection.py
+++ b/src/chicoryusher/tasks/pool/statements/instance_selection.py
@@ -6,9 +6,9 @@
 
 from chicoryusher import core
 from chicoryusher import decisions
-from chicoryusher.tasks.pool import group_state as group_state_module
-from chicoryusher.tasks.pool import selectors
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.groups import group_state as group_state_module
+from chicoryusher.tasks.pool.statements import selectors
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = [
     'START_TARGET_SHARE',
@@ -24,9 +24,6 @@
 
 # Share of the latency target within which work must get a connection.
 START_TARGET_SHARE = 0.8
-# Seconds of the time limit that are left to run a statement: a round trip to
-# another region and ten times the usual work.
-RUN_TIME_S = 0.1
 # Share of the latency target for which a statement may wait until a primary
 # or another suitable instance is available.  The caller can make better use
 # of the remaining time itself.
@@ -177,7 +174,7 @@
         )
     return attempt.arrived_at + min(
         route.latency_target * START_TARGET_SHARE,
-        route.statement_timeout - RUN_TIME_S,
+        route.statement_timeout - MIN_RUN_TIME_S,
     )
 
 
--- a/src/chicoryusher/tasks/pool/primary_stopping.py
+++ b/src/chicoryusher/tasks/pool/statements/primary_stopping.py
@@ -8,10 +8,10 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import attempts as attempts_module
-from chicoryusher.tasks.pool import group_state as group_state_module
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import sessions as sessions_module
+from chicoryusher.tasks.pool.groups import group_state as group_state_module
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import attempts as attempts_module
+from chicoryusher.tasks.pool.statements import sessions as sessions_module
 
 __all__ = ['PrimaryStopping', 'StopTimeout']
 
--- a/src/chicoryusher/tasks/pool/running_work.py
+++ b/src/chicoryusher/tasks/pool/statements/running_work.py
@@ -12,10 +12,10 @@
 from chicoryusher import decisions
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import instance_selection
-from chicoryusher.tasks.pool import sessions
-from chicoryusher.tasks.pool import work_numbers
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import instance_selection
+from chicoryusher.tasks.pool.statements import sessions
+from chicoryusher.tasks.pool.statements import work_numbers
 
 __all__ = ['RunningWork']
 
--- a/src/chicoryusher/tasks/pool/selectors.py
+++ b/src/chicoryusher/tasks/pool/statements/selectors.py
@@ -12,9 +12,9 @@
 from chicoryusher import core
 from chicoryusher import decisions
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import group_state
-from chicoryusher.tasks.pool import group_table as group_table_module
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.groups import group_state
+from chicoryusher.tasks.pool.groups import group_table as group_table_module
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['SELECTORS', 'Selector']
 
--- a/src/chicoryusher/tasks/pool/session_draining.py
+++ b/src/chicoryusher/tasks/pool/statements/session_draining.py
@@ -4,7 +4,7 @@
 
 from chicoryusher import core
 from chicoryusher import runtime
-from chicoryusher.tasks.pool import sessions
+from chicoryusher.tasks.pool.statements import sessions
 
 __all__ = ['SessionDraining']
 
--- a/src/chicoryusher_standins/pool/fleet.py
+++ b/src/chicoryusher_standins/pool/fleet.py
@@ -16,7 +16,7 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.limits import limit_keeper
 from chicoryusher.tasks.limits import limiter
-from chicoryusher.tasks.pool import view_exchange
+from chicoryusher.tasks.pool.exchange import view_exchange
 from chicoryusher_standins.pool import store as store_module
 
 __all__ = ['Fleet', 'FleetVm']
--- a/src/chicoryusher_standins/pool/site.py
+++ b/src/chicoryusher_standins/pool/site.py
@@ -13,13 +13,15 @@
 from chicoryusher.tasks import names
 from chicoryusher.tasks.limits import limit_keeper
 from chicoryusher.tasks.limits import limiter
-from chicoryusher.tasks.pool import dispatcher as dispatcher_module
-from chicoryusher.tasks.pool import evidence_collector
-from chicoryusher.tasks.pool import forwarder
-from chicoryusher.tasks.pool import primary_manager as primary_manager_module
-from chicoryusher.tasks.pool import reachability
-from chicoryusher.tasks.pool import relay
-from chicoryusher.tasks.pool import view_exchange
+from chicoryusher.tasks.pool.exchange import forwarder
+from chicoryusher.tasks.pool.exchange import relay
+from chicoryusher.tasks.pool.exchange import view_exchange
+from chicoryusher.tasks.pool.groups import evidence_collector
+from chicoryusher.tasks.pool.groups import (
+    primary_manager as primary_manager_module,
+)
+from chicoryusher.tasks.pool.groups import reachability
+from chicoryusher.tasks.pool.statements import dispatcher as dispatcher_module
 from chicoryusher_standins.pool import callers
 from chicoryusher_standins.pool import group as group_module
 from chicoryusher_standins.pool import links
--- a/tests/platform/test_link.py
+++ b/tests/platform/test_link.py
@@ -6,7 +6,7 @@
 
 import stand_ins
 from chicoryusher import core
-from chicoryusher.tasks.pool import dispatcher
+from chicoryusher.tasks.pool.statements import dispatcher
 from fleet import link
 
 VM = core.VmName('vm0')
--- a/tests/tasks/test_pool_backlog.py
+++ b/tests/tasks/test_pool_backlog.py
@@ -9,7 +9,7 @@
 
 import pool_sites
 from chicoryusher import core
-from chicoryusher.tasks.pool import instance_pool
+from chicoryusher.tasks.pool.connections import instance_pool
 
 PRIMARY = core.ReadAccess.PRIMARY
 write = pool_sites.write
--- a/tests/tasks/test_pool_departures.py
+++ b/tests/tasks/test_pool_departures.py
@@ -7,7 +7,7 @@
 import pool_sites
 from chicoryusher import core
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import instance_pool
+from chicoryusher.tasks.pool.connections import instance_pool
 from chicoryusher_standins import pool
 
 PRIMARY = core.ReadAccess.PRIMARY
--- a/tests/tasks/test_pool_groups.py
+++ b/tests/tasks/test_pool_groups.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from chicoryusher import core
-from chicoryusher.tasks.pool import group_state
+from chicoryusher.tasks.pool.groups import group_state
 
 SERVICE = core.ServiceName('spoonbook')
 PRIMARY = core.InstanceName('i-1')
--- a/tests/tasks/test_pool_restart_of_all.py
+++ b/tests/tasks/test_pool_restart_of_all.py
@@ -8,7 +8,7 @@
 
 import pool_sites
 from chicoryusher import core
-from chicoryusher.tasks.pool import exchange_peers
+from chicoryusher.tasks.pool.exchange import exchange_peers
 from chicoryusher_standins import pool
 
 PRIMARY = core.ReadAccess.PRIMARY
--- a/tests/tasks/test_pool_retries.py
+++ b/tests/tasks/test_pool_retries.py
@@ -8,7 +8,7 @@
 
 import pool_sites
 from chicoryusher import core
-from chicoryusher.tasks.pool import pool_conns
+from chicoryusher.tasks.pool.connections import pool_conns
 from chicoryusher_standins.pool import links
 
 PRIMARY = core.ReadAccess.PRIMARY
--- a/tests/tasks/test_pool_teams.py
+++ b/tests/tasks/test_pool_teams.py
@@ -7,7 +7,7 @@
 import pool_sites
 from chicoryusher import core
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import view_exchange
+from chicoryusher.tasks.pool.exchange import view_exchange
 from chicoryusher_standins import pool
 
 KEY = core.KeyDigest('a1')
--- a/tests/tasks/test_relay.py
+++ b/tests/tasks/test_relay.py
@@ -7,7 +7,7 @@
 from chicoryusher import core
 from chicoryusher import runtime
 from chicoryusher.tasks import names
-from chicoryusher.tasks.pool import relay
+from chicoryusher.tasks.pool.exchange import relay
 
 VM = core.VmName('vm0')
 OTHER_VM = core.VmName('vm1')
--- a/tests/tasks/test_store_polling.py
+++ b/tests/tasks/test_store_polling.py
@@ -5,7 +5,7 @@
 import pytest
 
 from chicoryusher import core
-from chicoryusher.tasks.pool import store_polling
+from chicoryusher.tasks.pool.exchange import store_polling
 
 VM = core.VmName('vm1')
 VIEWS = (
