Let keepers with few followers grant operations of small teams

Cause: a bucket holds its share of a team's burst, 4 operations for the smallest teams.

Change: small teams may start 10 operations at once, at most 0.45 of a window, and their rate is what that leaves; it is still above their own.

Result: a keeper with 0.11 of the VMs grants an operation of teams of 0.5 to 100 a second (test_limit_buckets.py; fails before the change for small ones). test_pool_limits, test_pool_limited_statements, test_statement_limits and test_control_cost pass.

--- a/src/chicoryusher/decisions/limit_buckets.py
+++ b/src/chicoryusher/decisions/limit_buckets.py
@@ -25,9 +25,10 @@
 # Share of the operations of a window that may be started at once, so that
 # arrivals which are bunched by chance are not over the limit.
 BURST_SHARE = 0.15
-# The same for small teams, and the most operations that it gives them.
-SMALL_BURST_SHARE = 0.2
-SMALL_BURST = 4.0
+# The same for small teams, and the most operations that it gives them, so that
+# a keeper that a tenth of the VMs follow can hold one operation.
+SMALL_BURST_SHARE = 0.45
+SMALL_BURST = 10.0
 # Share of the operations of a window that is not granted.
 MARGIN_SHARE = 0.03
 # Seconds by which an operation may be started later than it was granted.
--- a/tests/decisions/test_limit_buckets.py
+++ b/tests/decisions/test_limit_buckets.py
@@ -231,6 +231,15 @@
     assert limit < most <= allowed
 
 
+@pytest.mark.parametrize('rate', [0.5, 1.0, 3.0, 10.0, 100.0])
+def test_a_keeper_of_few_vms_can_grant_an_operation_of_each_team(rate):
+    """Failure: a split leaves two regions with a tenth of the VMs each."""
+    granted = decisions.granted_limit(rate, rate, TOLERANCE)
+    bucket = decisions.LimitBucket(*granted, 0.0)
+    bucket.refill(60.0, 0.11)
+    assert take(bucket, A, 1, share=0.11)[0] == 1
+
+
 def test_a_small_team_may_send_several_operations_at_once():
     """Load: operations of a team of one a second that arrive bunched."""
     _, burst = decisions.granted_limit(1.0, 1.0, TOLERANCE)
