--- a/src/chicoryusher/tasks/request_routing.py
+++ b/src/chicoryusher/tasks/request_routing.py
@@ -85,16 +85,25 @@
         now: float,
     ) -> None:
         """Send less to an instance that has not run a request."""
-        group = self._groups.get(database)
-        if group is not None:
-            group.record_refusal(moved.instance, moved.reason, now)
+        self._record_refusal(database, moved.instance, moved.reason, now)
         if moved.report is not None:
             self.apply_report(moved.report, now)
 
+    def _record_refusal(
+        self,
+        database: core.DatabaseName,
+        instance: core.InstanceName,
+        reason: core.MoveReason,
+        now: float,
+    ) -> None:
+        group = self._groups.get(database)
+        if group is not None:
+            group.record_refusal(instance, reason, now)
+
     def mark_down(self, pending: sessions.PendingRequest, now: float) -> None:
         """Route nothing to the request's instance for a short time."""
         if pending.instance is not None:
-            self.record_refusal(
+            self._record_refusal(
                 pending.request.database,
                 pending.instance,
                 core.MoveReason.DOWN,
