--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,14 +7,19 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
+ROOT = FOLDER.parents[1]
 sys.path.insert(0, str(FOLDER.parent / 'standins-2'))
+sys.path += [str(ROOT / 'src'), str(ROOT / 'target' / 'deps')]
 
 import consumers  # noqa: E402
 import deployment  # noqa: E402
+from chicoryusher.decisions import failover  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 GROUPS = 16
 VMS = 3
+# Groups that one machine is the first to act for, and at most another one.
+MOST, FEWEST = 8, 3
 CALM_S = 6.0
 # The platform answers its promotion calls after this time.
 SLOW_ANSWER_S = 1.0
@@ -39,6 +44,29 @@
             session.close()
 
 
+def group_names(vms):
+    """Return names of groups that are spread unevenly over the machines.
+
+    Which machine acts first for a group goes by a hash of their names, so
+    any set of names may occur. An even spread hides the fault.
+    """
+    names = [f'{vm.name}@{vm.host}' for vm in vms]
+    for first in range(0, 100_000, GROUPS):
+        services = [f'ledger{first + n}' for n in range(GROUPS)]
+        firsts = [
+            next(
+                name
+                for name in names
+                if not failover.failover_rank(name, names, service)
+            )
+            for service in services
+        ]
+        counts = sorted(firsts.count(name) for name in names)
+        if counts[0] <= FEWEST and counts[-1] >= MOST:
+            return services
+    raise deployment.SetupFailed('no names of groups found')
+
+
 def broken_orders(orders):
     """Return the orders with a lower token than one seen before."""
     newest, broken = {}, []
@@ -55,7 +83,7 @@
     loop = asyncio.get_running_loop()
     site = deployment.Site(record, VMS)
     try:
-        services = [f'ledger{number:02}' for number in range(GROUPS)]
+        services = group_names(site.vms)
         for service in services:
             site.add_group(
                 service,
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -190,8 +190,10 @@
         self.store = store_module.Store()
         self.groups = {}
         self.promotions = promotions.Promotions(self.groups)
-        self._vm_count = vms
-        self.vms = []
+        self.vms = [
+            Vm(self, number, host)
+            for number, host in enumerate(_free_hosts(vms))
+        ]
         self._tasks = []
         self._version = 0
 
@@ -244,8 +246,6 @@
         for group in self.groups.values():
             await group.start(host)
             self._tasks.append(asyncio.create_task(group.beat(1.2)))
-        hosts = _free_hosts(self._vm_count)
-        self.vms = [Vm(self, n, h) for n, h in enumerate(hosts)]
 
     async def start_vms(self, within_s=20.0):
         for vm in self.vms:
