--- a/review/standins-2/databases.py
+++ b/review/standins-2/databases.py
@@ -27,6 +27,7 @@
         self.log = []
         self.born = int(time.time() * 1000)
         self.work_s = 0.005
+        self.max_connections = 21
         self.lag_s = 0.01
         self.is_full = lambda: False
         self.is_up = False
@@ -36,6 +37,10 @@
         self._server = None
         self._writers = set()
 
+    @property
+    def connections(self):
+        return len(self._writers)
+
     @property
     def position(self):
         return f'{self.term}.{len(self.log)}'
@@ -136,6 +141,9 @@
         instance = self._instance
         word, _, rest = line.partition(' ')
         if word == 'START':
+            if instance.connections > instance.max_connections:
+                self._writer.write(b'ERROR CONNLIMIT full\r\n')
+                return False
             service, _, more = rest.partition(' ')
             expected = more.split(' ')[1:]
             if service != instance.group.service or (
