Show a replaced primary that is taken for the primary without a promotion

Cause: a change of primary adopts the instance that says it leads in the newest term among the answers, not in the newest term that is known.

--- a/review/standins-2/consumers.py
+++ b/review/standins-2/consumers.py
@@ -31,6 +31,10 @@
 
     async def query(self, text, limit_s=4.0):
         """Send a statement; return the code of its error, '' for none."""
+        return (await self.write(text, limit_s))[1]
+
+    async def write(self, text, limit_s=4.0):
+        """Send a statement; return its id, and the code of its error."""
         request_id = f'{self._name}.{next(_ids)}'
         self._record.write(f'sent     {request_id} {text}')
         try:
@@ -40,7 +44,7 @@
             self._record.write(f'unanswered {request_id} {exc!r}')
             raise Closed(repr(exc)) from exc
         self._record.write(f'answered {request_id} {code or "ok"}')
-        return code
+        return request_id, code
 
     async def _answer(self, limit_s):
         code = ''
--- a/review/standins-2/databases.py
+++ b/review/standins-2/databases.py
@@ -4,10 +4,14 @@
 """
 
 import asyncio
+import contextlib
 import itertools
+import socket
 import time
 
 LINE_LIMIT = 2 * 1024 * 1024
+BACKLOG = 1024
+BACKLOG_FILLERS = 2
 
 
 class Instance:
@@ -30,12 +34,14 @@
         self.max_connections = 21
         self.lag_s = 0.01
         self.is_full = lambda: False
+        self.is_dark = False
         self.is_up = False
         self.address = None
-        self._host = None
-        self._port = 0
-        self._server = None
+        self._listener = None
+        self._accepting = None
+        self._fillers = []
         self._writers = set()
+        self._serving = set()
 
     @property
     def connections(self):
@@ -46,23 +52,66 @@
         return f'{self.term}.{len(self.log)}'
 
     async def start(self, host):
-        self._host = host
-        self._server = await asyncio.start_server(
-            self._serve, host, self._port, limit=LINE_LIMIT
-        )
-        self.address = self._server.sockets[0].getsockname()[:2]
-        self._port = self.address[1]
+        self._listener = socket.create_server((host, 0), backlog=BACKLOG)
+        self._listener.setblocking(False)
+        self.address = self._listener.getsockname()[:2]
         self.is_up = True
+        self._accepting = asyncio.create_task(self._accept())
+
+    async def _accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self._listener)
+            reader, writer = await asyncio.open_connection(
+                sock=sock, limit=LINE_LIMIT
+            )
+            task = asyncio.create_task(self._serve(reader, writer))
+            self._serving.add(task)
+            task.add_done_callback(self._serving.discard)
 
     def crash(self):
         """End as a process does that is killed: the listener and all."""
         self.is_up = False
-        self._server.close()
+        self._accepting.cancel()
+        self._listener.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
     close = crash
 
+    @property
+    def reachable(self):
+        return self.is_up and not self.is_dark
+
+    def go_dark(self):
+        """Be cut off: nothing comes in or goes out, and it works on.
+
+        The listener's backlog is filled, so that the system drops the
+        packets of further connection attempts.
+        """
+        self.is_dark = True
+        self._accepting.cancel()
+        self._listener.listen(0)
+        for _ in range(BACKLOG_FILLERS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.address)
+            self._fillers.append(sock)
+
+    def wake(self):
+        """Be reachable again; the connections of before are gone."""
+        self.is_dark = False
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        for sock in self._fillers:
+            sock.close()
+        self._fillers.clear()
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                self._listener.accept()[0].close()
+        self._listener.listen(BACKLOG)
+        self._accepting = asyncio.create_task(self._accept())
+
     def entry(self):
         """Return what the instance reports to the store."""
         return {
@@ -124,6 +173,8 @@
             transactions.add(id(self))
 
     def _send(self, *lines):
+        if self._instance.is_dark:
+            return
         ready = f'READY {self._state} {self._instance.position}'
         text = ''.join(f'{line}\r\n' for line in (*lines, ready))
         self._writer.write(text.encode('latin-1'))
@@ -139,6 +190,8 @@
     async def handle(self, line):
         """Handle one line; return whether the connection stays open."""
         instance = self._instance
+        if instance.is_dark:
+            return True
         word, _, rest = line.partition(' ')
         if word == 'START':
             if instance.connections > instance.max_connections:
@@ -174,6 +227,8 @@
                 self._refuse('BUSY')
                 return
             await asyncio.sleep(instance.work_s)
+            if instance.is_dark:
+                return
         if after is not None and after > (instance.term, len(instance.log)):
             self._refuse('LAGGING')
         elif verb == 'BEGIN':
@@ -266,6 +321,9 @@
         self.instances = {}
         self.digests = itertools.count(1)
         self.open_transactions = set()
+        # When and where each commit was made; when each promotion took effect.
+        self.commits = []
+        self.promotions = []
         self._on_run = on_run
 
     def add(self, name, zone, role):
@@ -278,7 +336,7 @@
             self.report(instance)
 
     def report(self, instance):
-        if instance.is_up:
+        if instance.reachable:
             self.store.put('servers', instance.name, instance.entry())
 
     def record(self, instance, request_id, text):
@@ -288,15 +346,18 @@
     def commit(self, instance, request_ids):
         """Append a commit; reachable replicas receive it a little later."""
         instance.log.append((instance.term, tuple(request_ids)))
+        self.commits.append((time.monotonic(), instance, instance.term,
+                             tuple(request_ids)))
         asyncio.get_running_loop().call_later(
             instance.lag_s, self._replicate, instance
         )
 
     def _replicate(self, primary):
-        if primary.role != 'primary' or not primary.is_up:
+        """Give the log of a primary to the replicas that it reaches."""
+        if primary.role != 'primary' or not primary.reachable:
             return
         for other in self.instances.values():
-            if other is primary or not other.is_up:
+            if other is primary or not other.reachable:
                 continue
             if other.term > primary.term or other.role == 'primary':
                 continue
@@ -309,17 +370,36 @@
     def promote(self, name):
         """Make an instance lead the next term with what it has received."""
         instance = self.instances[name]
-        if instance is self.primary() and instance.is_up:
+        if not instance.reachable or instance is self.primary():
             return
         instance.term = 1 + max(i.term for i in self.instances.values())
         instance.role = 'primary'
+        self.promotions.append((time.monotonic(), name, instance.term))
         self.report(instance)
-        for other in self.instances.values():
-            if other is not instance and other.is_up:
-                other.role = 'replica'
-                other.term = instance.term
-                other.log = list(instance.log)
-                self.report(other)
+        self._replicate(instance)
+
+    async def follow(self):
+        """Demote old primaries a second after they reach the newest one."""
+        reached_since = {}
+        while True:
+            await asyncio.sleep(0.1)
+            newest, now = self.primary(), time.monotonic()
+            for name, instance in self.instances.items():
+                if (
+                    instance is newest
+                    or not instance.reachable
+                    or newest is None
+                    or not newest.reachable
+                ):
+                    reached_since.pop(name, None)
+                    continue
+                since = reached_since.setdefault(name, now)
+                if instance.role == 'primary' and now - since < 1.0:
+                    continue
+                if instance.term < newest.term:
+                    instance.role, instance.term = 'replica', newest.term
+                    instance.log = list(newest.log)
+                    self.report(instance)
 
     async def beat(self, interval_s):
         """Have the instances report as often as they do (heartbeatMs)."""
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -246,6 +246,7 @@
         for group in self.groups.values():
             await group.start(host)
             self._tasks.append(asyncio.create_task(group.beat(1.2)))
+            self._tasks.append(asyncio.create_task(group.follow()))
 
     async def start_vms(self, within_s=20.0):
         for vm in self.vms:
--- a/review/standins-2/promotions.py
+++ b/review/standins-2/promotions.py
@@ -29,7 +29,7 @@
         order = json.loads(body)
         group = self._groups.get(order.get('service'))
         instance = group and group.instances.get(order.get('id'))
-        status = 200 if instance is not None and instance.is_up else 409
+        status = 200 if instance is not None and instance.reachable else 409
         self.orders.append(
             {
                 'at': time.monotonic(),
