--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A coordinator whose orders queue sends one after its claim was taken over."""
+"""An instance that was replaced is taken for the primary without a promote."""
 
 import asyncio
 import os
@@ -7,131 +7,118 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-ROOT = FOLDER.parents[1]
 sys.path.insert(0, str(FOLDER.parent / 'standins-2'))
-sys.path += [str(ROOT / 'src'), str(ROOT / 'target' / 'deps')]
 
 import consumers  # noqa: E402
 import deployment  # noqa: E402
-from chicoryusher.decisions import failover  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-GROUPS = 16
 VMS = 3
-# Groups that one machine is the first to act for, and at most another one.
-MOST, FEWEST = 8, 3
+SESSIONS_PER_VM = 2
 CALM_S = 6.0
-# The platform answers its promotion calls after this time.
-SLOW_ANSWER_S = 1.0
-WATCH_S = 14.0
-# An entry is removed after three intervals of silence (heartbeatMs 1,200).
-ENTRY_LIFE_S = 3.6
-
-
-async def consume(record, vm, service, number):
-    """Write and read through one VM all the time."""
-    await asyncio.sleep(number * 0.01)
+# The primary is cut off for so long; its successor goes dark so many seconds
+# after the cut has begun, and stays so for so long.
+CUT_S = 4.85
+APART_S = 3.8
+DARK_S = 7.0
+WATCH_S = 4.0
+# A sender whose link was disrupted lately doesn't count (thawSlackMs).
+SLACK_S = 0.3
+
+
+async def consume(record, vm, number, acknowledged):
+    """Write through one VM all the time."""
+    await asyncio.sleep(number * 0.05)
     while True:
-        session = consumers.Session(record, f'{vm.name}-{service}')
+        session = consumers.Session(record, f'{vm.name}-{number}')
         try:
-            await session.open(vm.front, f'db-{service}')
+            await session.open(vm.front, 'db-ledger')
             while session.state == 'I':
-                await session.query('WRITE 1a4 x')
-                await asyncio.sleep(0.2)
+                request_id, code = await session.write('WRITE 1a4 x')
+                if not code:
+                    acknowledged[request_id] = time.monotonic()
+                await asyncio.sleep(0.1)
         except consumers.Closed:
             await asyncio.sleep(0.2)
         finally:
             session.close()
 
 
-def group_names(vms):
-    """Return names of groups that are spread unevenly over the machines.
-
-    Which machine acts first for a group goes by a hash of their names, so
-    any set of names may occur. An even spread hides the fault.
-    """
-    names = [f'{vm.name}@{vm.host}' for vm in vms]
-    for first in range(0, 100_000, GROUPS):
-        services = [f'ledger{first + n}' for n in range(GROUPS)]
-        firsts = [
-            next(
-                name
-                for name in names
-                if not failover.failover_rank(name, names, service)
-            )
-            for service in services
-        ]
-        counts = sorted(firsts.count(name) for name in names)
-        if counts[0] <= FEWEST and counts[-1] >= MOST:
-            return services
-    raise deployment.SetupFailed('no names of groups found')
-
-
-def broken_orders(orders):
-    """Return the orders with a lower token than one seen before."""
-    newest, broken = {}, []
-    for order in orders:
-        before = newest.get(order['service'])
-        if before is not None and order['token'] < before['token']:
-            broken.append((order, before))
-        else:
-            newest[order['service']] = order
+def broken_commits(group, acknowledged, disrupted_until):
+    """Return the acknowledged commits at an instance that was replaced."""
+    broken = []
+    for at, instance, term, request_ids in group.commits:
+        replaced = any(
+            taken_at < at and newer > term
+            for taken_at, _, newer in group.promotions
+        )
+        if not replaced or at < disrupted_until.get(instance.name, 0) + SLACK_S:
+            continue
+        broken += [(at, instance, i) for i in request_ids if i in acknowledged]
     return broken
 
 
+async def cut_off(record, instance, seconds, ends):
+    record.note(f'{instance.name} is cut off ({instance.role} of term'
+                f' {instance.term})')
+    instance.go_dark()
+    await asyncio.sleep(seconds)
+    instance.wake()
+    ends[instance.name] = time.monotonic()
+    record.note(f'{instance.name} is back ({instance.role} of term'
+                f' {instance.term})')
+
+
 async def play(record):
-    loop = asyncio.get_running_loop()
     site = deployment.Site(record, VMS)
     try:
-        services = group_names(site.vms)
-        for service in services:
-            site.add_group(
-                service,
-                ('zone-a', 'zone-b'),
-                lambda instance, request_id, text: record.write(
-                    f'run      {request_id} at {instance.name} {text}'
-                ),
-            )
-        site.write_config([(f'db-{s}', 'primary', s) for s in services])
+        group = site.add_group(
+            'ledger',
+            ('zone-a', 'zone-b'),
+            lambda instance, request_id, text: record.write(
+                f'run      {request_id} at {instance.name} term'
+                f' {instance.term} {text}'
+            ),
+        )
+        site.write_config([('db-ledger', 'primary', 'ledger')])
         await site.start()
         await site.start_vms()
+        acknowledged, ends = {}, {}
         callers = [
-            asyncio.create_task(consume(record, vm, service, number))
+            asyncio.create_task(consume(record, vm, number, acknowledged))
             for vm in site.vms
-            for number, service in enumerate(services)
+            for number in range(SESSIONS_PER_VM)
         ]
         await asyncio.sleep(CALM_S)
+        outages = []
         if TROUBLE:
-            record.note('the instances of zone-a crash; the platform is slow')
-            site.promotions.answer_s = SLOW_ANSWER_S
-            for group in site.groups.values():
-                for instance in group.instances.values():
-                    if instance.zone == 'zone-a':
-                        instance.crash()
-                        loop.call_later(
-                            ENTRY_LIFE_S,
-                            site.store.delete,
-                            'servers',
-                            instance.name,
-                        )
-        await asyncio.sleep(WATCH_S)
+            first, second = group.instances.values()
+            outages.append(
+                asyncio.create_task(cut_off(record, first, CUT_S, ends))
+            )
+            await asyncio.sleep(APART_S)
+            outages.append(
+                asyncio.create_task(cut_off(record, second, DARK_S, ends))
+            )
+        await asyncio.sleep(DARK_S + WATCH_S)
         for caller in callers:
             caller.cancel()
-        began = site.promotions.orders[0]['at'] if site.promotions.orders else 0
+        for at, name, term in group.promotions:
+            record.note(f'promoted: {name} leads term {term}')
         for order in site.promotions.orders:
-            record.note(
-                f'order +{order["at"] - began:.2f} s {order["service"]}'
-                f' -> {order["id"]} by {order["holder"]}'
-                f' token {order["token"]} status {order["status"]}'
-            )
-        broken = broken_orders(site.promotions.orders)
-        for order, before in broken:
-            record.note(
-                f'BROKEN: {order["holder"]} ordered {order["service"]} with'
-                f' token {order["token"]},'
-                f' {order["at"] - before["at"]:.2f} s after'
-                f' {before["holder"]} had done so with {before["token"]}'
-            )
+            record.note(f'order for {order["id"]}: status {order["status"]}')
+        broken = broken_commits(group, acknowledged, ends)
+        kept = {
+            request_id
+            for _, request_ids in group.primary().log
+            for request_id in request_ids
+        }
+        lost = [i for _, _, i in broken if i not in kept]
+        record.note(f'{len(acknowledged)} writes were acknowledged')
+        record.note(
+            f'{len(broken)} of them were committed at an instance that had'
+            f' been replaced; {len(lost)} of these are in no log any more'
+        )
         return 1 if broken else 0
     finally:
         site.close()
