--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -280,3 +281,21 @@
             print(f'logs: {self.folder}')
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def main(folder, play):
+    """Play a case: `play(record)` returns 1 if the rule was broken, else 0.
+
+    Return the exit code of the case, 2 if it could not run.
+    """
+    signal.signal(signal.SIGTERM, lambda *args: sys.exit(2))
+    record = Record(folder / 'record.txt')
+    began = time.monotonic()
+    try:
+        code = asyncio.run(play(record))
+    except (SetupFailed, OSError) as exc:
+        record.note(f'could not run: {exc!r}')
+        code = 2
+    record.note(f'exit {code} after {time.monotonic() - began:.0f} s')
+    record.close()
+    return code
