--- a/review/standins-2/databases.py
+++ b/review/standins-2/databases.py
@@ -51,8 +51,8 @@
     def position(self):
         return f'{self.term}.{len(self.log)}'
 
-    async def start(self, host):
-        self._listener = socket.create_server((host, 0), backlog=BACKLOG)
+    async def start(self, host, port=0):
+        self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._listener.setblocking(False)
         self.address = self._listener.getsockname()[:2]
         self.is_up = True
@@ -79,6 +79,12 @@
 
     close = crash
 
+    async def restart(self):
+        """Start again after a crash, with the log and role of before."""
+        self.born = int(time.time() * 1000)
+        await self.start(self.address[0], self.address[1])
+        self.group.report(self)
+
     @property
     def reachable(self):
         return self.is_up and not self.is_dark
