Show a replaced primary that counts as promoted before it is

Cause: `_check_successor` takes an instance for promoted if it says that it is primary, in whatever term; one that was replaced and cut off says so at once.

--- a/review/standins-2/databases.py
+++ b/review/standins-2/databases.py
@@ -19,7 +19,8 @@
 
     ``work_s`` is how long a read, write or commit takes.  ``is_full`` returns
     whether the next one finds no free slot: it is refused with BUSY and does
-    not run, so an open transaction stays open.
+    not run, so an open transaction stays open.  While ``is_apart`` it has no
+    path to the other instances of its group.
     """
 
     def __init__(self, group, name, zone, role):
@@ -35,6 +36,8 @@
         self.lag_s = 0.01
         self.is_full = lambda: False
         self.is_dark = False
+        self.is_apart = False
+        self.state = 'ready'
         self.is_up = False
         self.address = None
         self._listener = None
@@ -89,6 +92,12 @@
     def reachable(self):
         return self.is_up and not self.is_dark
 
+    def reaches(self, other):
+        """Return whether there is a path to another instance."""
+        if self.is_apart or other.is_apart:
+            return False
+        return self.reachable and other.reachable
+
     def go_dark(self):
         """Be cut off: nothing comes in or goes out, and it works on.
 
@@ -126,7 +135,7 @@
             'zone': self.zone,
             'version': 'v1',
             'slots': 3,
-            'state': 'ready',
+            'state': self.state,
             'warmupLeftMs': 0,
             'dbRole': self.role,
             'seq': next(self.group.sequence),
@@ -360,10 +369,10 @@
 
     def _replicate(self, primary):
         """Give the log of a primary to the replicas that it reaches."""
-        if primary.role != 'primary' or not primary.reachable:
+        if primary.role != 'primary':
             return
         for other in self.instances.values():
-            if other is primary or not other.reachable:
+            if other is primary or not primary.reaches(other):
                 continue
             if other.term > primary.term or other.role == 'primary':
                 continue
@@ -376,9 +385,11 @@
     def promote(self, name):
         """Make an instance lead the next term with what it has received."""
         instance = self.instances[name]
-        if not instance.reachable or instance is self.primary():
+        newest = max(i.term for i in self.instances.values())
+        leads = instance.role == 'primary' and instance.term == newest
+        if not instance.reachable or leads:
             return
-        instance.term = 1 + max(i.term for i in self.instances.values())
+        instance.term = 1 + newest
         instance.role = 'primary'
         self.promotions.append((time.monotonic(), name, instance.term))
         self.report(instance)
@@ -392,10 +403,9 @@
             newest, now = self.primary(), time.monotonic()
             for name, instance in self.instances.items():
                 if (
-                    instance is newest
-                    or not instance.reachable
-                    or newest is None
-                    or not newest.reachable
+                    newest is None
+                    or instance is newest
+                    or not instance.reaches(newest)
                 ):
                     reached_since.pop(name, None)
                     continue
