Use a successor only once an order of the change is proved

Cause: an instance's word that it is the primary was taken for the fact. A primary that is replaced while it is cut off answers as the primary of its term until it reaches its successor. If the successor, and whatever followed it, is silent, that term is the newest among the answers, and adopt_current_leader put the instance into use without a promotion.

Change: every instance that is put into use is ordered first, one that seems to lead too, by the same path as any successor. PromotionOrders says when the order is proved: by a term above all that were seen before it, or, for the present primary, which an order leaves as it is, by the time in which the order would have raised the term. After a restore that time is not needed if all instances that were listed in the last minute have answered. The chart loses two ways into use. An old primary is demoted in a term that is not above that of an instance that leads already.

Why it works: a promotion begins a term above all others wherever they were seen, so no earlier term, and no dark instance, can make the proof true.

--- a/src/chicoryusher/core/primaries.py
+++ b/src/chicoryusher/core/primaries.py
@@ -290,7 +290,8 @@
     is in the logs of ``sync_replicas`` replicas at least.  With
     ``announces`` the VMs are told when the change is expected to end.
     ``listings`` says which VMs list which instances, None if no VM uses
-    evidence from instances.
+    evidence from instances.  ``members`` are the instances that may have been
+    promoted earlier, None if this VM may not know all of them.
     """
 
     entries: tuple[topology.InstanceEntry, ...]
@@ -305,6 +306,7 @@
     sync_replicas: int = 0
     listings: InstanceListings | None = None
     announces: bool = False
+    members: frozenset[ids.InstanceName] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/__init__.py
+++ b/src/chicoryusher/decisions/__init__.py
@@ -42,6 +42,7 @@
 from chicoryusher.decisions import primary_lease
 from chicoryusher.decisions import primary_positions
 from chicoryusher.decisions import probe_pace
+from chicoryusher.decisions import promotion_orders
 from chicoryusher.decisions import reader_selection
 from chicoryusher.decisions import register
 from chicoryusher.decisions import retry
@@ -95,6 +96,7 @@
 from chicoryusher.decisions.primary_lease import *  # noqa: F403
 from chicoryusher.decisions.primary_positions import *  # noqa: F403
 from chicoryusher.decisions.probe_pace import *  # noqa: F403
+from chicoryusher.decisions.promotion_orders import *  # noqa: F403
 from chicoryusher.decisions.reader_selection import *  # noqa: F403
 from chicoryusher.decisions.register import *  # noqa: F403
 from chicoryusher.decisions.retry import *  # noqa: F403
@@ -166,6 +168,7 @@
     *held_bytes.__all__,
     *primary_positions.__all__,
     *probe_pace.__all__,
+    *promotion_orders.__all__,
     *reader_selection.__all__,
     *conn_shares.__all__,
     *deadlines.__all__,
--- a/src/chicoryusher/decisions/failover.py
+++ b/src/chicoryusher/decisions/failover.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     'SuccessorCandidates',
+    'RecentMembers',
     'best_successor',
     'has_caught_up',
     'unreachable_for_majority',
@@ -20,6 +21,9 @@
 # Seconds after which an instance that is no longer registered is treated as
 # gone.  Entries that expired in an outage of the store are back within 2 s.
 GONE_AFTER_S = 2.5
+# Seconds for which an instance that is no longer registered counts as one
+# that may have been promoted: longer than a dark primary stays so.
+RECENT_S = 60.0
 
 
 def failover_rank(
@@ -80,6 +84,31 @@
     return states[successor].received >= states[old].received
 
 
+class RecentMembers:
+    """The instances that a VM has lately seen registered, by group."""
+
+    def __init__(self) -> None:
+        self._last_listed: dict[core.InstanceName, float] = {}
+        self._services: dict[core.InstanceName, core.ServiceName] = {}
+
+    def update(
+        self, entries: Iterable[core.InstanceEntry], now: float
+    ) -> None:
+        """Adopt the instances that are registered now."""
+        for entry in entries:
+            self._last_listed[entry.name] = now
+            self._services[entry.name] = entry.service
+        for name, listed_at in tuple(self._last_listed.items()):
+            if listed_at < now - RECENT_S:
+                del self._last_listed[name], self._services[name]
+
+    def of(self, service: core.ServiceName) -> frozenset[core.InstanceName]:
+        """Return the instances of a group."""
+        return frozenset(
+            name for name, of in self._services.items() if of == service
+        )
+
+
 class SuccessorCandidates:
     """The instances of a group that may follow its old primary.
 
@@ -165,10 +194,23 @@
             self._states[status.instance] = status.state
         if self._unanswered:
             return False
+        self.successor = self._choose_successor()
+        return True
+
+    def _choose_successor(self) -> core.InstanceName | None:
+        """Return the instance to promote, None if there is none.
+
+        One that answers as the primary of the newest term goes first: it
+        leads already, or the instance that replaced it does not respond.
+        """
+        states = self._eligible_states()
+        newest = self.newest_term()
+        for name, state in states.items():
+            if state.role is core.Role.PRIMARY and state.term == newest:
+                return name
         # A leaving instance may have a commit that the others lack.
         leaving = frozenset() if self._sync_replicas else self._leaving_names()
-        self.successor = best_successor(self._eligible_states(), leaving)
-        return True
+        return best_successor(states, leaving)
 
     def exclude_successor(self) -> None:
         """Exclude the successor, whose promotion the platform refused.
@@ -206,23 +248,38 @@
         """Return the newest term that an instance has answered with."""
         return max((state.term for state in self._states.values()), default=0)
 
-    def adopt_current_leader(self) -> bool:
-        """Return whether another instance is primary in the newest term.
+    def successor_leads(
+        self, members: frozenset[core.InstanceName] | None
+    ) -> bool:
+        """Return whether the successor is certainly the present primary.
 
-        If so, it becomes the successor.
+        That is so if it answers as the primary of the newest term, and all
+        instances that may have been promoted have answered: the ``members``,
+        None if they are not known.  It holds only when no promotion can be
+        under way.
         """
-        newest = self.newest_term()
-        for name, state in self._eligible_states().items():
-            if state.role is core.Role.PRIMARY and state.term == newest:
-                self.successor = name
-                return True
-        return False
+        if members is None or self.successor is None:
+            return False
+        if not members | set(self.entries) <= set(self._states):
+            return False
+        state = self._states[self.successor]
+        if state.role is not core.Role.PRIMARY:
+            return False
+        return state.term == self.newest_term()
 
     def old_primary_leads(self) -> bool:
         """Return whether the old primary has answered as a primary."""
         state = self._states.get(self.old_primary)
         return state is not None and state.role is core.Role.PRIMARY
 
+    def term_to_demote_in(self) -> core.Term:
+        """Return a term above that of an old primary that still answers.
+
+        It is not above that of an instance that leads already.
+        """
+        own_term = self._states[self.old_primary].term
+        return core.Term(max(self.newest_term(), own_term + 1))
+
     def successor_caught_up(self) -> bool:
         """Return whether the successor has the old primary's whole log."""
         return has_caught_up(self._states, self.old_primary, self.successor)
--- a/src/chicoryusher/decisions/leader_claim.py
+++ b/src/chicoryusher/decisions/leader_claim.py
@@ -117,6 +117,10 @@
         """Return whether the claim is too old to order a promotion."""
         return boottime - self._claimed_at > CLAIM_VALID_S
 
+    def may_be_taken_over(self, boottime: float) -> bool:
+        """Return whether another VM may have taken the claim over."""
+        return boottime - self._claimed_at >= CLAIM_TAKEOVER_S
+
     def earlier_leases_expired(
         self, boottime: float, begins_at: float = 0.0
     ) -> bool:
--- a/src/chicoryusher/tasks/pool/changes/handover.py
+++ b/src/chicoryusher/tasks/pool/changes/handover.py
@@ -65,6 +65,7 @@
     def start_round(self) -> None:
         """Query the status of every instance of the group."""
         self._old_primary_fenced = True
+        self._queried_at = self.now()
         self._new_successors.start_round(self._evidence_users())
         avoided = self._new_successors.avoided(self.candidates.entries)
         entries = self.candidates.start_round(avoided)
@@ -141,6 +142,8 @@
         if self.state is core.HandoverState.CONFIRMING:
             self._check_successor(status)
             return
+        if self.state in _QUERYING_STATES:
+            self._orders.record_status(status, self._queried_at)
         if self.candidates.record_status(status):
             self._fire('asked')
 
@@ -171,17 +174,9 @@
         """Return whether no VM uses the old primary any more."""
         return self._old_primary_fenced
 
-    def keeps_current_leader(self) -> bool:
-        """Return whether to keep the instance that leads, the old one too.
-
-        It is promoted like a new one: that changes nothing, unless another
-        instance that has not answered was promoted after it.
-        """
-        assert self._request is not None
-        return (
-            self._request.may_keep_primary
-            and self.candidates.adopt_current_leader()
-        )
+    def promotion_in_effect(self) -> bool:
+        """Return whether the successor leads by an order of this change."""
+        return self._orders.in_effect()
 
     def successor_behind(self) -> bool:
         """Return whether to wait for the successor to catch up.
@@ -207,12 +202,11 @@
         entry = self.candidates.entries.get(self._request.old_primary)
         if entry is None or not self.candidates.old_primary_leads():
             return
-        newest = self.candidates.newest_term()
         self.send(
             names.prober(self.vm),
             core.DemoteInstance(
                 entry,
-                core.Term(newest + 1),
+                self.candidates.term_to_demote_in(),
                 STATUS_TIMEOUT_S,
                 self.task_name,
             ),
@@ -224,7 +218,9 @@
         The revision of the closing leader row serves as its token.
         """
         successor = self.candidates.successor
-        assert successor is not None
+        assert successor is not None and self._request is not None
+        led_before = self.candidates.successor_leads(self._request.members)
+        self._orders.record_order(successor, led_before)
         self.send(
             names.promotions(self.vm),
             core.PromoteInstance(
@@ -240,6 +236,7 @@
     def _on_promoted(self, message: core.PromotionReply) -> None:
         if self.state is not core.HandoverState.PROMOTING:
             return
+        self._orders.record_result(message.result, self.now())
         if message.result is core.PromoteResult.DONE:
             self._fire('promoted')
             return
@@ -248,7 +245,7 @@
         self._fire('refused')
 
     def start_confirming(self) -> None:
-        """Query the successor repeatedly until it is the primary."""
+        """Query the successor until it is proved to lead."""
         self._confirm_deadline = self.now() + CONFIRM_LIMIT_S
         self.query_after(CONFIRM_PAUSE_S)
 
@@ -260,6 +257,7 @@
         if entry is None:
             self._fire('not_yet')
             return
+        self._queried_at = self.now()
         self.send(
             names.prober(self.vm),
             core.ProbeInstance(entry, STATUS_TIMEOUT_S, True, self.task_name),
@@ -268,11 +266,8 @@
     def _check_successor(self, status: core.InstanceProbeResult) -> None:
         if status.instance != self.candidates.successor:
             return
-        state = status.state
-        if state is not None and state.role is core.Role.PRIMARY:
-            self._fire('leads')
-        else:
-            self._fire('not_yet')
+        self._orders.record_status(status, self._queried_at)
+        self._fire('leads' if self._orders.in_effect() else 'not_yet')
 
     def confirmation_timed_out(self) -> bool:
         """Return whether the promotion counts as failed."""
@@ -291,6 +286,11 @@
                 self.send(names.peers(self.vm), core.SendToPeer(vm, reopened))
         self.write_open_row()
 
+    def finish(self) -> None:
+        """End a change whose primary is in use; its orders prove no more."""
+        self._orders = decisions.PromotionOrders()
+        self.report_end()
+
     def report_end(self) -> None:
         """Report to the primary manager that this change has ended here."""
         self._fencing = decisions.FencingProgress()
--- a/src/chicoryusher/tasks/pool/changes/handover_actions.py
+++ b/src/chicoryusher/tasks/pool/changes/handover_actions.py
@@ -78,6 +78,10 @@
 
 
 @charts.action('handover.finish')
+def _finish(task: Handover, arg: object) -> None:
+    task.finish()
+
+
 @charts.action('handover.give_up')
 def _report_end(task: Handover, arg: object) -> None:
     task.report_end()
@@ -93,14 +97,9 @@
     return task.old_primary_fenced()
 
 
-@charts.guard('handover.candidate_leads')
-def _successor_already_promoted(task: Handover, arg: object) -> bool:
-    return task.candidates.adopt_current_leader()
-
-
-@charts.guard('handover.primary_may_stay')
-def _primary_may_stay(task: Handover, arg: object) -> bool:
-    return task.keeps_current_leader()
+@charts.guard('handover.promotion_in_effect')
+def _promotion_in_effect(task: Handover, arg: object) -> bool:
+    return task.promotion_in_effect()
 
 
 @charts.guard('handover.no_candidate')
--- a/src/chicoryusher/tasks/pool/changes/handover_claim.py
+++ b/src/chicoryusher/tasks/pool/changes/handover_claim.py
@@ -46,6 +46,11 @@
         self._claim = decisions.LeaderClaim(
             vm, service, core.InstanceName(''), 0
         )
+        self._orders = decisions.PromotionOrders()
+        # Revision of a row on which a claim may rely on the earlier orders.
+        self._restored_revision: int | None = None
+        # When the instances that have not answered yet were queried.
+        self._queried_at = 0.0
         self._old_primary_fenced = False
         self._fencing = decisions.FencingProgress()
         self._wait_logged = False
@@ -86,6 +91,9 @@
             request.entries, excluded, request.sync_replicas
         )
         self._status_timeout_s = STATUS_TIMEOUT_S
+        if request.revision != self._restored_revision:
+            self._orders = decisions.PromotionOrders()
+        self._restored_revision = None
         self._claim = decisions.LeaderClaim(
             self.vm, self.service, request.old_primary, request.revision
         )
@@ -121,6 +129,7 @@
             # The store has no such row.
             self.send(names.primary_manager(self.vm), message)
         if self._is_of_lost_era(message):
+            self._keep_orders(message)
             self._claim.record_write(None)
             if self.state is not core.HandoverState.IDLE:
                 self._fire('lost')
@@ -144,6 +153,18 @@
             return message.era > core.era_of(expected)
         return core.era_of(message.row.revision) < message.era
 
+    def _keep_orders(self, message: core.LeaderRowWritten) -> None:
+        """Keep what the orders prove, for a claim on the restored row.
+
+        No other VM has changed the primary by then: none could take over the
+        lost claim, and the next claim fails if the row was written since.
+        """
+        if self._claim.may_be_taken_over(self._clock.boottime()):
+            return
+        row = message.row
+        version = 0 if row is None else core.version_of(row.revision)
+        self._restored_revision = core.revision_in(message.era, version)
+
     def _on_claim_written(self, row: core.LeaderRow | None) -> None:
         if not self._claim.record_write(row):
             self._fire('lost')
--- a/src/chicoryusher/tasks/pool/groups/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/groups/primary_manager.py
@@ -305,9 +305,23 @@
                 self._sync_replicas(service),
                 self._instance_listings(),
                 self._announces,
+                self._known_members(service),
             ),
         )
 
+    def _known_members(
+        self, service: core.ServiceName
+    ) -> frozenset[core.InstanceName] | None:
+        """Return the instances that a lost change may have promoted.
+
+        Only a change that may keep the primary asks for them: it begins after
+        all earlier promotions have taken effect.  None if this VM has started
+        too late to know them.
+        """
+        if not self._knew_earlier_era or not self._may_keep_primary(service):
+            return None
+        return self._recent.of(service)
+
     def _send_listings(self, service: core.ServiceName) -> None:
         listings = self._instance_listings()
         if listings is not None:
--- a/src/chicoryusher/tasks/pool/groups/usable_primaries.py
+++ b/src/chicoryusher/tasks/pool/groups/usable_primaries.py
@@ -24,6 +24,7 @@
         super().__init__(loop, vm, 'keeper')
         self._evidence = evidence
         self._known = decisions.KnownInstances()
+        self._recent = decisions.RecentMembers()
         self._clock = loop.clock
         self._owner = owner
         self._ready_reported = False
@@ -80,6 +81,7 @@
         self._entries = {entry.name: entry for entry in message.entries}
         boot_now = self._clock.boottime()
         self._known.update(self._entries, message.revision, boot_now)
+        self._recent.update(message.entries, boot_now)
         self._entries_received = True
         services = {entry.service for entry in self._entries.values()}
         for service in services | set(self._groups):
--- a/src/chicoryusher_standins/pool/group.py
+++ b/src/chicoryusher_standins/pool/group.py
@@ -302,11 +302,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Commit:
-    """A commit: the instance and the log position that it got."""
+    """A commit: the instance and the log position that it got.
+
+    ``newest_term`` is the group's newest term when it was made.
+    """
 
     instance: core.InstanceName
     request_id: core.RequestId | None
     position: core.Position
+    newest_term: core.Term
 
 
 class Group:
@@ -345,6 +349,10 @@
         ]
         return max(leaders, key=lambda instance: instance.term)
 
+    def newest_term(self) -> core.Term:
+        """Return the newest term that an instance has."""
+        return max(instance.term for instance in self.instances.values())
+
     def commit(
         self, instance: Instance, request_id: core.RequestId | None
     ) -> None:
@@ -353,7 +361,10 @@
         instance.applied = instance.received
         self.commits.append(
             Commit(
-                instance.name, request_id, instance.position(instance.received)
+                instance.name,
+                request_id,
+                instance.position(instance.received),
+                self.newest_term(),
             )
         )
         if self.replicating:
@@ -383,11 +394,11 @@
         instance = self.instances[name]
         if not instance.reachable:
             return False
-        newest_term = max(other.term for other in self.instances.values())
-        if instance.role is core.Role.PRIMARY and instance.term == newest_term:
+        newest = self.newest_term()
+        if instance.role is core.Role.PRIMARY and instance.term == newest:
             return True
         instance.role = core.Role.PRIMARY
-        instance.term = core.Term(newest_term + 1)
+        instance.term = core.Term(newest + 1)
         instance.applied = instance.received
         return True
 
--- a/tests/decisions/test_failover.py
+++ b/tests/decisions/test_failover.py
@@ -91,10 +91,41 @@
         status(1, 3, term=2, role=PRIMARY),
         status(2, 8),
     )
-    assert candidates.adopt_current_leader()
     assert candidates.successor == name(1)
 
 
+def test_an_instance_that_leads_goes_before_a_longer_log(candidates):
+    answer(
+        candidates,
+        status(0),
+        status(1, 3, term=2, role=PRIMARY),
+        status(2, 8, term=2),
+    )
+    assert candidates.successor == name(1)
+
+
+def test_a_primary_of_an_earlier_term_goes_after_a_newer_term(candidates):
+    answer(
+        candidates, status(0), status(1, 9, role=PRIMARY), status(2, 3, term=2)
+    )
+    assert candidates.successor == name(2)
+
+
+def test_an_old_primary_is_demoted_in_a_term_above_its_own(candidates):
+    answer(candidates, status(0, 9, role=PRIMARY), status(1, 9), status(2, 9))
+    assert candidates.term_to_demote_in() == 2
+
+
+def test_an_old_primary_is_not_demoted_above_the_present_one(candidates):
+    answer(
+        candidates,
+        status(0, 9, role=PRIMARY),
+        status(1, 3, term=3, role=PRIMARY),
+        status(2),
+    )
+    assert candidates.term_to_demote_in() == 3
+
+
 def test_a_successor_catches_up_with_an_old_primary_that_answers(candidates):
     answer(candidates, status(0, 9, role=PRIMARY), status(1, 5), status(2, 8))
     assert candidates.old_primary_leads()
