Give a caller of the soak one timer for what it does next

Cause: a caller whose session a draining VM closes right after an answer had two timers, one for its next operation and one for its next session.

Change: a timer is void once another one has been set.

Measured: tests/soak/test_consumers.py fails before the change, in which the earlier timer opens a session of its own, and passes with it; tests/soak passes in one run.

--- a/tests/soak/consumers.py
+++ b/tests/soak/consumers.py
@@ -40,12 +40,24 @@
     cut_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class _NextStep(core.Message):
-    """Sends the next statement of a transaction after a pause."""
+    """Sends the next statement of a transaction after a pause.
+
+    It is void if another timer has been set since the one with this number.
+    """
 
+    number: int
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
 class _NextOperation(core.Message):
-    """Starts the next operation, or connects if there is no connection."""
+    """Starts the next operation, or connects if there is no connection.
+
+    It is void if another timer has been set since the one with this number.
+    """
+
+    number: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,13 +91,20 @@
         self._request_number = 0
         self._unsent_steps = []
         self._open_request = None
+        self._timer_number = 0
         self.is_active = True
-        self.after(rng.random() * OPERATION_INTERVAL_S, _NextOperation())
+        self._start_operation_after(rng.random() * OPERATION_INTERVAL_S)
 
     # -- operations -----------------------------------------------------
 
+    def _start_operation_after(self, seconds):
+        self._timer_number += 1
+        self.after(seconds, _NextOperation(self._timer_number))
+
     @runtime.handles(_NextOperation)
     def _on_next_operation(self, message):
+        if message.number != self._timer_number:
+            return
         if self._open_request is not None or not self.is_active:
             return
         if self._stream is None:
@@ -106,7 +125,7 @@
 
     @runtime.handles(_NextStep)
     def _on_next_step(self, message):
-        if self._open_request is None and self._unsent_steps:
+        if message.number == self._timer_number:
             self._send_next_step()
 
     def _send_next_step(self):
@@ -141,7 +160,7 @@
         self._replies = replies.ReplyParser()
         stream = runtime.connect(address, self._poller, self.task_name)
         if stream is None:
-            self.after(RECONNECT_DELAY_S, _NextOperation())
+            self._start_operation_after(RECONNECT_DELAY_S)
             return
         stream.write(lines.encode_line('START', self._route, 'u1'))
         self._stream = stream
@@ -157,7 +176,7 @@
         if self._stream is not None:
             self._stream.abort()
             self._stream = None
-        self.after(RECONNECT_DELAY_S, _NextOperation())
+        self._start_operation_after(RECONNECT_DELAY_S)
 
     @runtime.handles(runtime.SocketReady)
     def _on_ready(self, ready):
@@ -183,11 +202,12 @@
         request.reply = reply
         if self._unsent_steps and reply.refusal is None:
             if self._pause_s:
-                self.after(self._pause_s, _NextStep())
+                self._timer_number += 1
+                self.after(self._pause_s, _NextStep(self._timer_number))
             else:
                 self._send_next_step()
         elif reply.transaction_status is not core.TransactionStatus.IDLE:
             self._reconnect_later()
         else:
             self._unsent_steps = []
-            self.after(OPERATION_INTERVAL_S, _NextOperation())
+            self._start_operation_after(OPERATION_INTERVAL_S)
