Read a daemon's log in the tests through a file of its own

Cause: test_team_limits and test_hostile_mysql_clients read the file that the daemon had inherited, and so moved the position at which it wrote.

Change: ProcessLog reads through another descriptor. What is checked stays.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -127,6 +127,22 @@
     raise AssertionError('the condition never held')
 
 
+class ProcessLog:
+    """The file that a process logs to, and that a test reads meanwhile.
+
+    It is read through another descriptor: the process inherits this one with
+    its position, and would write over the lines that a test has gone back to.
+    """
+
+    def __init__(self, path):
+        self._path = path
+        self.file = path.open('w')
+
+    def first_line(self):
+        with self._path.open() as log:
+            return log.readline()
+
+
 def resident_mb(pid):
     return _status_mb(pid, 'VmRSS')
 
--- a/tests/daemon/test_hostile_mysql_clients.py
+++ b/tests/daemon/test_hostile_mysql_clients.py
@@ -47,11 +47,11 @@
         document['limits'] = LIMITS
         path = folder / 'settings.json'
         path.write_text(json.dumps(document))
-        self._log = (folder / 'log').open('w+')
+        self._log = crowds.ProcessLog(folder / 'log')
         self.process = subprocess.Popen(
             [BIN / 'chicoryusherd', path],
             env={**os.environ, **world_module.ENVIRONMENT},
-            stderr=self._log,
+            stderr=self._log.file,
         )
         crowds.wait_until(lambda: self._started() is not None)
         started = self._started()
@@ -62,8 +62,7 @@
         self.idle_fds = crowds.open_fds(self.process.pid)
 
     def _started(self):
-        self._log.seek(0)
-        line = self._log.readline()
+        line = self._log.first_line()
         return json.loads(line) if line.endswith('\n') else None
 
     def connect(self):
@@ -88,7 +87,7 @@
     def stop(self):
         self.process.kill()
         self.process.wait()
-        self._log.close()
+        self._log.file.close()
 
     def check_bounds(self):
         """Check that the process lives within its memory and descriptors."""
--- a/tests/daemon/test_team_limits.py
+++ b/tests/daemon/test_team_limits.py
@@ -66,24 +66,21 @@
         )
         path = folder / f'{vm}.json'
         path.write_text(json.dumps(document))
-        self._logs[vm] = (folder / f'{vm}.log').open('w+')
+        self._logs[vm] = crowds.ProcessLog(folder / f'{vm}.log')
         self.processes[vm] = subprocess.Popen(
             [BIN / 'chicoryusherd', path],
             env={**os.environ, **world_module.ENVIRONMENT},
-            stderr=self._logs[vm],
+            stderr=self._logs[vm].file,
         )
 
     def address(self, vm, name):
         """Return an address that a daemon has logged at its start."""
-        crowds.wait_until(lambda: self._first_line(vm).endswith('\n'))
-        text = json.loads(self._first_line(vm))[name]
+        log = self._logs[vm]
+        crowds.wait_until(lambda: log.first_line().endswith('\n'))
+        text = json.loads(log.first_line())[name]
         host, port = text.strip('()').split(', ')
         return host.strip("'"), int(port)
 
-    def _first_line(self, vm):
-        self._logs[vm].seek(0)
-        return self._logs[vm].readline()
-
     def connect(self, vm):
         host, port = self.address(vm, 'mysql')
         return pymysql.connect(
@@ -115,7 +112,7 @@
             process.kill()
             process.wait()
         for log in self._logs.values():
-            log.close()
+            log.file.close()
         self.world.loop.stop()
         self._thread.join(timeout=10)
 
