--- a/src/chicoryusher_standins/model/check.py
+++ b/src/chicoryusher_standins/model/check.py
@@ -24,6 +24,7 @@
 from chicoryusher_standins.model import registration
 from chicoryusher_standins.model import restored
 from chicoryusher_standins.model import restored_rules
+from chicoryusher_standins.model import succession
 from chicoryusher_standins.model import terms
 from chicoryusher_standins.model import work
 
@@ -155,6 +156,7 @@
         ('paused coordinator', restored.paused_coordinator()),
         ('late registration', restored.late_registration()),
         ('late grants', restored.late_grants()),
+        ('succession, 5 terms', succession.succession(max_term=5)),
         ('gate', work.gate()),
         ('ledger', work.ledger()),
     )
--- a/tests/model/test_specifications.py
+++ b/tests/model/test_specifications.py
@@ -17,6 +17,7 @@
 from chicoryusher_standins.model import restored
 from chicoryusher_standins.model import restored_rules
 from chicoryusher_standins.model import searches
+from chicoryusher_standins.model import succession
 from chicoryusher_standins.model import terms
 from chicoryusher_standins.model import work
 
@@ -74,6 +75,7 @@
     whole(authority.holders, max_revision=MAX_REVISION),
     whole(limits.limits),
     whole(evidence.evidence),
+    whole(succession.succession),
     whole(registration.registration),
     whole(restored.restored),
     whole(restored.lost_change),
@@ -96,6 +98,7 @@
         )
     ),
     *of_mutants(evidence.evidence, evidence.MUTANTS),
+    *of_mutants(succession.succession, succession.MUTANTS),
     *of_mutants(evidence.evidence, evidence.RESTART_MUTANTS, restarts=1),
     *of_mutants(restored.restored, restored_rules.MUTANTS),
     *of_mutants(restored.lost_change, restored_rules.LOST_CHANGE_MUTANTS),
