Test an old primary that lacks commits, or that a restore brings back

An instance that seemed to lead was used without the logs that synchronous replicas ask for, and a change that may keep the primary after a restore of the store confirmed it by its role.

Added: a test for each.

--- a/tests/tasks/test_pool_replaced_primaries.py
+++ b/tests/tasks/test_pool_replaced_primaries.py
@@ -142,3 +142,47 @@
     check_no_replaced_primary_committed(site, answers)
     assert site.group.primary() is old
     assert answers[-1][1].refusal is None
+
+
+def test_an_old_primary_needs_the_logs_that_synchronous_replicas_have(site):
+    """Guards against LOST: an instance that seems to lead lacks commits."""
+    service = dataclasses.replace(pool.CONFIG.services[0], sync_replicas=1)
+    site.store.config = dataclasses.replace(
+        pool.CONFIG, version=core.ConfigVersion(2), services=(service,)
+    )
+    old, successor, third = replaced_while_cut_off(site)
+    write_load(site, 1.0)
+    successor.dark = third.dark = True
+    reconnect(site, old)
+    orders = len(site.tokens)
+    write_load(site, 4.0)
+    assert len(site.tokens) == orders
+    third.dark = False
+    answers = write_load(site, 4.0)
+    check_no_replaced_primary_committed(site, answers)
+    assert site.group.primary() is third
+    assert answers[-1][1].refusal is None
+
+
+def test_after_a_restore_a_replaced_primary_leads_only_by_a_promotion():
+    """Guards against an old primary that VMs without memory believe in."""
+    rows = pool.Store()
+    rows.version = 1
+    rows.leads[pool.SERVICE] = core.LeaderRow(
+        pool.SERVICE,
+        rows.version,
+        core.LeaderRowState.OPEN,
+        core.InstanceName('spoonbook-0'),
+        core.VmName('vm0'),
+    )
+    rows.restore(rows.copy())
+    with pool_sites.checked_site(3, store=rows) as site:
+        old, successor, third = site.group.instances.values()
+        old.deaf = True
+        successor.role = core.Role.PRIMARY
+        successor.term = third.term = core.Term(2)
+        successor.dark = third.dark = True
+        answers = write_load(site, 8.0)
+        check_no_replaced_primary_committed(site, answers)
+        assert site.group.primary() is old
+        assert answers[-1][1].refusal is None
