Repeat an order that a successor may have missed

Cause: a successor that was primary before its order is proved by time, as long as it answers. After one query without an answer nothing could prove the order any more, and the change waited for its limit of 3 s before it ordered again; a refusal for taken slots counted as no answer.

Change: a refusal shows that the instance is there. After a query without any answer the order is repeated as soon as the successor answers as primary.

The tests of replaced primaries, failover and restores pass.

--- a/src/chicoryusher/core/instance_probes.py
+++ b/src/chicoryusher/core/instance_probes.py
@@ -76,11 +76,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceProbeResult(messages.Message):
-    """Result of a probe; ``state`` is None if none was reported."""
+    """Result of a probe; ``state`` is None if none was reported.
+
+    ``refused`` is set if the instance has replied that it reports none now.
+    """
 
     instance: ids.InstanceName
     reached: bool
     state: InstanceState | None = None
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/chicoryusher/decisions/promotion_orders.py
+++ b/src/chicoryusher/decisions/promotion_orders.py
@@ -66,9 +66,19 @@
         if status.instance != self._successor:
             return
         self._state, self._queried_at = state, queried_at
-        if state is None:
+        if state is None and not status.refused:
             self._accepted_at = None
 
+    def has_lapsed(self) -> bool:
+        """Return whether the successor answers as primary, but no time counts.
+
+        The order must then be repeated, since it may have been missed.
+        """
+        if self._state is None or self._accepted_at is not None:
+            return False
+        is_primary = self._state.role is core.Role.PRIMARY
+        return is_primary and not self.in_effect()
+
     def in_effect(self) -> bool:
         """Return whether the last answers prove that the successor leads.
 
--- a/src/chicoryusher/tasks/pool/changes/handover.py
+++ b/src/chicoryusher/tasks/pool/changes/handover.py
@@ -271,7 +271,9 @@
 
     def confirmation_timed_out(self) -> bool:
         """Return whether the promotion counts as failed."""
-        return self.now() >= self._confirm_deadline
+        return (
+            self._orders.has_lapsed() or self.now() >= self._confirm_deadline
+        )
 
     # -- open the group again -------------------------------------------
 
--- a/tests/decisions/test_promotion_orders.py
+++ b/tests/decisions/test_promotion_orders.py
@@ -71,6 +71,25 @@
     assert leads(orders, status(3), IN_EFFECT_AT)
 
 
+def test_an_order_that_may_have_been_missed_must_be_repeated(orders):
+    orders.record_result(DONE, ORDERED_AT)
+    assert not leads(orders, status(2))
+    assert not orders.has_lapsed()
+    assert not leads(orders, status())
+    assert not orders.has_lapsed()
+    assert not leads(orders, status(2))
+    assert orders.has_lapsed()
+    assert leads(orders, status(3))
+    assert not orders.has_lapsed()
+
+
+def test_a_successor_that_refuses_its_status_is_there(orders):
+    orders.record_result(DONE, ORDERED_AT)
+    busy = core.InstanceProbeResult(SUCCESSOR, True, refused=True)
+    assert not leads(orders, busy, IN_EFFECT_AT - 0.01)
+    assert leads(orders, status(2), IN_EFFECT_AT)
+
+
 def test_another_instance_proves_nothing(orders):
     orders.record_result(DONE, ORDERED_AT)
     assert not leads(orders, status(3, instance=OTHER))
--- a/tests/tasks/test_pool_replaced_primaries.py
+++ b/tests/tasks/test_pool_replaced_primaries.py
@@ -186,3 +186,23 @@
         check_no_replaced_primary_committed(site, answers)
         assert site.group.primary() is old
         assert answers[-1][1].refusal is None
+
+
+def test_an_old_primary_that_misses_its_promotion_is_not_used(site):
+    """Guards against an old primary taken for the present one in time."""
+    old, successor, third = replaced_while_cut_off(site)
+    successor.dark = third.dark = True
+    reconnect(site, old)
+    for vm in site.vms:
+        vm.caller(core.ReadAccess.PRIMARY).ask(pool_sites.write())
+    state = core.HandoverState.CONFIRMING
+    while all(vm.handover_state() is not state for vm in site.vms):
+        site.run(0.001)
+    old.dark = True
+    answers = write_load(site, 0.5)
+    old.dark = False
+    assert old.term == 1
+    answers += write_load(site, 4.0)
+    check_no_replaced_primary_committed(site, answers)
+    assert old.term == 3
+    assert answers[-1][1].refusal is None
