Count an instance from the last list that had it

Cause (by reading): the list of a group's recent instances took the time of the last change of the list for the time at which an instance was listed last. After a minute without a change, an instance that left the list was forgotten at once, and a change that may keep the primary could take another one for certain.

Change: the minute begins when a list lacks the instance.

Measured: test_an_instance_counts_for_a_while_after_it_was_listed_last covers it; the tests of restores pass.

--- a/src/chicoryusher/decisions/failover.py
+++ b/src/chicoryusher/decisions/failover.py
@@ -88,25 +88,37 @@
     """The instances that a VM has lately seen registered, by group."""
 
     def __init__(self) -> None:
-        self._last_listed: dict[core.InstanceName, float] = {}
-        self._services: dict[core.InstanceName, core.ServiceName] = {}
+        self._listed: dict[core.InstanceName, core.ServiceName] = {}
+        self._unlisted: dict[
+            core.InstanceName, tuple[core.ServiceName, float]
+        ] = {}
 
     def update(
         self, entries: Iterable[core.InstanceEntry], now: float
     ) -> None:
         """Adopt the instances that are registered now."""
-        for entry in entries:
-            self._last_listed[entry.name] = now
-            self._services[entry.name] = entry.service
-        for name, listed_at in tuple(self._last_listed.items()):
-            if listed_at < now - RECENT_S:
-                del self._last_listed[name], self._services[name]
-
-    def of(self, service: core.ServiceName) -> frozenset[core.InstanceName]:
-        """Return the instances of a group."""
-        return frozenset(
-            name for name, of in self._services.items() if of == service
-        )
+        before = self._listed
+        self._listed = {entry.name: entry.service for entry in entries}
+        self._drop_old(now)
+        for name, service in before.items():
+            if self._listed.get(name) != service:
+                self._unlisted[name] = (service, now)
+
+    def of(
+        self, service: core.ServiceName, now: float
+    ) -> frozenset[core.InstanceName]:
+        """Return a group's instances, and those that it had lately."""
+        self._drop_old(now)
+        groups = [(name, of) for name, (of, _) in self._unlisted.items()]
+        groups += self._listed.items()
+        return frozenset(name for name, of in groups if of == service)
+
+    def _drop_old(self, now: float) -> None:
+        self._unlisted = {
+            name: (service, at)
+            for name, (service, at) in self._unlisted.items()
+            if now - at <= RECENT_S
+        }
 
 
 class SuccessorCandidates:
--- a/src/chicoryusher/tasks/pool/groups/primary_manager.py
+++ b/src/chicoryusher/tasks/pool/groups/primary_manager.py
@@ -320,7 +320,7 @@
         """
         if not self._knew_earlier_era or not self._may_keep_primary(service):
             return None
-        return self._recent.of(service)
+        return self._recent.of(service, self._clock.boottime())
 
     def _send_listings(self, service: core.ServiceName) -> None:
         listings = self._instance_listings()
--- a/tests/decisions/test_failover.py
+++ b/tests/decisions/test_failover.py
@@ -135,6 +135,32 @@
     assert candidates.successor_caught_up()
 
 
+def test_an_instance_counts_for_a_while_after_it_was_listed_last():
+    """Guards against a dark leader that no list has any more."""
+    members = decisions.RecentMembers()
+    members.update([entry(0), entry(1)], 0.0)
+    members.update([entry(0)], 1000.0)
+    assert members.of(SERVICE, 1000.0) == {name(0), name(1)}
+    assert members.of(SERVICE, 1060.0) == {name(0), name(1)}
+    assert members.of(SERVICE, 1060.1) == {name(0)}
+    assert members.of(core.ServiceName('other'), 1000.0) == frozenset()
+
+
+def test_a_leader_is_certain_only_if_all_members_have_answered(candidates):
+    members = frozenset(name(number) for number in range(3))
+    leader = status(1, 9, term=2, role=PRIMARY)
+    answer(candidates, status(0, 9), leader, status(2, 9))
+    assert candidates.successor_leads(members)
+    assert not candidates.successor_leads(members | {name(3)})
+    assert not candidates.successor_leads(None)
+    candidates.start_round()
+    answer(candidates, status(0, 9), leader, status(2))
+    assert not candidates.successor_leads(members)
+    candidates.start_round()
+    answer(candidates, status(0, 9, term=3), leader, status(2, 9))
+    assert not candidates.successor_leads(members)
+
+
 def with_sync_replica(*leaving):
     made = decisions.SuccessorCandidates(
         [entry(number, number in leaving) for number in range(3)], name(0), 1
