Let only an answer of the present round prove an order

Cause (by reading): the answer of a successor was kept over the rounds of queries. A successor that had been unregistered since could still count as proved, with no such instance to open the group for.

Change: each round begins without an answer, and the proof counts for the instance that is the successor now.

Measured: test_an_answer_of_an_earlier_round_proves_nothing; the tests of replaced primaries, failover and restores pass.

--- a/src/chicoryusher/decisions/promotion_orders.py
+++ b/src/chicoryusher/decisions/promotion_orders.py
@@ -20,12 +20,13 @@
     """The newest promotion that a change of primary has ordered.
 
     A promotion begins a term above all others, and changes nothing for the
-    present primary.  Times are seconds of the runtime's clock.
+    present primary.  ``successor`` is the instance that was ordered last, None
+    without an order.  Times are seconds of the runtime's clock.
     """
 
     def __init__(self) -> None:
         self._newest_term = core.Term(0)
-        self._successor: core.InstanceName | None = None
+        self.successor: core.InstanceName | None = None
         self._term_before = core.Term(0)
         self._led_before = False
         self._accepted_at: float | None = None
@@ -39,7 +40,7 @@
 
         ``led_before`` is set if it is certainly the present primary already.
         """
-        self._successor = successor
+        self.successor = successor
         self._led_before = led_before
         self._term_before = self._newest_term
         self._accepted_at = None
@@ -50,7 +51,11 @@
         if result is core.PromoteResult.DONE:
             self._accepted_at = now
         elif result is core.PromoteResult.REFUSED:
-            self._successor = None
+            self.successor = None
+
+    def start_round(self) -> None:
+        """Drop the successor's answer, before all instances are queried."""
+        self._state = None
 
     def record_status(
         self, status: core.InstanceProbeResult, queried_at: float
@@ -63,7 +68,7 @@
         state = status.state
         if state is not None:
             self._newest_term = max(self._newest_term, state.term)
-        if status.instance != self._successor:
+        if status.instance != self.successor:
             return
         self._state, self._queried_at = state, queried_at
         if state is None and not status.refused:
--- a/src/chicoryusher/tasks/pool/changes/handover.py
+++ b/src/chicoryusher/tasks/pool/changes/handover.py
@@ -66,6 +66,7 @@
         """Query the status of every instance of the group."""
         self._old_primary_fenced = True
         self._queried_at = self.now()
+        self._orders.start_round()
         self._new_successors.start_round(self._evidence_users())
         avoided = self._new_successors.avoided(self.candidates.entries)
         entries = self.candidates.start_round(avoided)
@@ -176,6 +177,8 @@
 
     def promotion_in_effect(self) -> bool:
         """Return whether the successor leads by an order of this change."""
+        if self._orders.successor != self.candidates.successor:
+            return False
         return self._orders.in_effect()
 
     def successor_behind(self) -> bool:
--- a/tests/decisions/test_leader_claim.py
+++ b/tests/decisions/test_leader_claim.py
@@ -75,3 +75,10 @@
     assert claim.lease_wait(101.0) == pytest.approx(wait_s - 1.0)
     assert not claim.earlier_leases_expired(100.0 + wait_s - 0.01)
     assert claim.earlier_leases_expired(100.0 + wait_s + 0.01)
+
+
+def test_a_claim_may_be_taken_over_some_time_after_its_last_renewal():
+    claim = claimed(boottime=10.0)
+    assert not claim.may_be_taken_over(9.9 + decisions.CLAIM_TAKEOVER_S)
+    assert claim.may_be_taken_over(10.0 + decisions.CLAIM_TAKEOVER_S)
+    assert decisions.LeaderClaim(VM, SERVICE, OLD, 3).may_be_taken_over(10.0)
--- a/tests/decisions/test_promotion_orders.py
+++ b/tests/decisions/test_promotion_orders.py
@@ -90,6 +90,13 @@
     assert leads(orders, status(2), IN_EFFECT_AT)
 
 
+def test_an_answer_of_an_earlier_round_proves_nothing(orders):
+    orders.record_result(core.PromoteResult.UNKNOWN, ORDERED_AT)
+    assert leads(orders, status(3))
+    orders.start_round()
+    assert not orders.in_effect()
+
+
 def test_another_instance_proves_nothing(orders):
     orders.record_result(DONE, ORDERED_AT)
     assert not leads(orders, status(3, instance=OTHER))
