--- a/src/chicoryusher/tasks/pool/changes/handover.py
+++ b/src/chicoryusher/tasks/pool/changes/handover.py
@@ -273,7 +273,7 @@
         self._fire('leads' if self._orders.in_effect() else 'not_yet')
 
     def confirmation_timed_out(self) -> bool:
-        """Return whether the promotion counts as failed."""
+        """Return whether the promotion has failed or must be repeated."""
         return (
             self._orders.has_lapsed() or self.now() >= self._confirm_deadline
         )
